--- /dev/null
+++ b/dewpin/decide.py
@@ -0,0 +1,496 @@
+"""All decisions of dewpin: where a mail goes, what follows an outcome, and how long to wait.
+
+Make one `Dispatcher(settings, seed)` for each sender and ask it three things; its types stand in `model.py`.
+  route(mail, now)            (receiver, time-out), (NOT_YET, 0), (DEFERRED, retry-after) or (BOUNCED, 0)
+  settle(mail, outcome, now)  (RELAYED, 0) or one of the last three, after each outcome of a connect
+  wait(now)                   (ms, mail): ask `route` about that mail after so long; (0, None): nothing is held
+Ask `route` once when a mail comes in, then `wait` until it names a time ahead, after each round of news. The
+driver writes list changes, reports, withdrawals and an outcome's figures onto the model's objects beforehand.
+The mechanism is that of docs/design.md: classify before any repeat, told waits and jittered growing pauses
+inside the lifetime, unknown effects end, and a freed slot goes to the line with least recent slot time.
+"""
+from bisect import insort
+from collections import deque
+from heapq import heappop, heappush
+
+from .model import (BOUNCED, CALLED_OFF, DEFERRED, DELIVERED, ERROR, FULL, NOT_YET, READY, RELAYED, RESET,
+                    TIMED_OUT, UNREACHED, UNSENT, Mail)
+
+FIRST_TIMEOUT = 10000.0     # of a destination that has answered nothing yet (the design's figure)
+LEAST_TIMEOUT = 2500.0      # a learned one goes no lower: a queue at the far side is no hang
+TIMEOUT_TIMES = 8.0         # usual call times that a time-out allows; pace differs call by call
+BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
+FADE = 5000.0               # slot time of a line loses its weight over this span
+PROOF = (FULL, UNREACHED, UNSENT)               # these outcomes prove that nothing ran
+RESTING = (TIMED_OUT, RESET, CALLED_OFF)        # after these the work may still go on
+
+
+class Dice:
+    """A linear congruential generator; the high bits of its state are used."""
+
+    def __init__(self, seed):
+        self.state = (seed ^ 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+
+    def roll(self, low, high):
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return low + (high - low) * (self.state >> 32) / 4294967296.0
+
+
+class Ring:
+    """What was counted over the last spans of time, in fixed buckets that are used again."""
+
+    def __init__(self, span, size):
+        self.span, self.counts, self.marks = span, [0.0] * size, [-1] * size
+
+    def add(self, now, amount=1.0):
+        mark = int(now // self.span)
+        at = mark % len(self.counts)
+        if self.marks[at] != mark:
+            self.marks[at], self.counts[at] = mark, 0.0
+        self.counts[at] += amount
+
+    def recent(self, now, spans):
+        """The counts of the last so many spans that are complete, and of the one that runs."""
+        mark = int(now // self.span)
+        return [self.counts[m % len(self.counts)] if self.marks[m % len(self.counts)] == m else 0.0
+                for m in range(mark - spans, mark + 1)]
+
+
+class Health:
+    """What the sender has seen of one receiver."""
+
+    def __init__(self):
+        self.out = 0                # calls out
+        self.fails = 0              # failures in a row
+        self.good_at = -1e12        # when the latest good answer came
+        self.goods = Ring(1000.0, 12)
+        self.pace = None            # set aside: calls a second that the trickle allows now
+        self.usual_rate = 0.0       # calls a second before it was set aside
+        self.next_at = 0.0          # the trickle's next call
+        self.doubled_at = None      # when the trickle last grew; None: nothing good yet
+
+
+class Gate:
+    """What binds sends to a destination, or to one receiver where its receivers are routes apart."""
+
+    def __init__(self):
+        self.told_until = -1e12     # end of a told wait
+        self.pace = None            # calls a second after a refusal; None: free
+        self.next_at = 0.0
+        self.out = 0
+        self.goods = Ring(500.0, 20)
+        self.usual = None           # call time, ms
+        self.seen = 0
+
+    def bound(self, now, receivers):
+        """Calls that may be out: rate times time as measured, with room to grow."""
+        best = max(self.goods.recent(now, 16)) * 2.0
+        return receivers + 1 + 1.5 * best * (self.usual or 1000.0) / 1000.0
+
+
+class Line:
+    """The mails that wait for one destination, by queue class, and the slot time it has had."""
+
+    def __init__(self, destination, classes):
+        self.destination = destination
+        self.fresh = [deque() for _ in range(classes)]      # can still make their target delay
+        self.late = [deque() for _ in range(classes)]
+        self.used, self.used_at, self.out = 0.0, 0.0, 0
+
+    def slot_time(self, now):
+        """Recent slot time, calls out included."""
+        span = now - self.used_at
+        if span > 0.0:
+            fade = 0.5 ** (span / FADE)
+            self.used = self.used * fade + self.out * (1.0 - fade) * FADE
+            self.used_at = now
+        return self.used
+
+
+class Call:
+    """One slot: the mails of one bundle that travel together."""
+    __slots__ = ("receiver", "sent", "mails", "open")
+
+    def __init__(self, receiver, sent):
+        self.receiver, self.sent, self.mails, self.open = receiver, sent, 0, 0
+
+
+class Course:
+    """What the module remembers of a mail in hand."""
+    __slots__ = ("arrival", "tries", "call", "ran_at", "ran_to", "due", "proven", "state")
+
+    def __init__(self, arrival):
+        self.arrival = arrival
+        self.tries = 0
+        self.call = None
+        self.ran_at = None          # the send of the first connect that may have run
+        self.ran_to = None
+        self.due = 0.0
+        self.state = "new"          # new, turn (its key is taken), line, pause, out, over
+
+    def __lt__(self, other):
+        return self.arrival < other.arrival
+
+
+class Dispatcher:
+    def __init__(self, settings, seed):
+        self.settings = settings
+        self.dice = Dice(seed)
+        self.classes = settings["Services"]
+        self.allowed = settings["Allowed"]
+        self.rules = settings["Rules"]
+        self.family = settings["FamilyInfo"]
+        self.fleet = max(1, settings["FleetSize"])
+        for one in self.classes:
+            if one["Effect"] not in ("safe", "keyed", "unsafe"):
+                raise KeyError(f"Services[].Effect: unknown effect {one['Effect']!r}")
+        self.rules["DrainGrace"], self.rules["ColdFrom"], self.rules["WarmAfter"], self.family["CallSlots"]
+        self.margin = 2.0 * settings["Tick"] + 10.0     # the tick and the answer need this much of a lifetime
+        self.arrivals = 0
+        self.lines = []             # in the order of their first mail
+        self.slots = 0              # calls out
+        self.pauses = []            # (due, arrival, mail)
+        self.ends = []              # (give-up time, arrival, mail)
+        self.keys = {}              # key: its mails in the order of arrival
+
+    # -- the three calls ------------------------------------------------------------------------------------
+
+    def route(self, mail, now):
+        """The ordinary path of a mail, from its arrival to its next connect."""
+        if mail.notes is None:
+            return self._enter(mail, now)
+        course = mail.notes
+        if course.state in ("out", "over"):
+            return NOT_YET, 0.0
+        if mail.withdrawn or now >= self._end(mail):
+            return self._finish(mail, now)
+        if course.state == "pause" and now >= course.due:
+            self._line_up(mail)
+        line = mail.destination.notes
+        if course.state != "line" or self._next_mail(line, now) is not mail:
+            return NOT_YET, 0.0
+        receiver = self._receiver(line, mail, now)
+        if receiver is None or not self._has_slot(receiver, now):
+            return NOT_YET, 0.0
+        left = mail.expires - now
+        limit = min(self._timeout(self._gate(receiver), mail), left - self.settings["Tick"])
+        self._take_out(line, mail)
+        self._send(line, mail, receiver, now)
+        return receiver, limit
+
+    def settle(self, mail, outcome, now):
+        """What to do after an outcome: classify first, repeat after."""
+        course, call = mail.notes, mail.notes.call
+        if mail.ident is not None:
+            self._measure(mail, call, outcome, now)
+        self._release(mail, call, now)
+        course.state = "settled"
+        if mail.withdrawn:
+            return self._finish(mail, now)
+        if outcome not in PROOF and course.ran_at is None:
+            course.ran_at, course.ran_to = call.sent, call.receiver
+        verdict, pause = self.classify(mail, outcome, now)
+        if verdict != NOT_YET:
+            return self._finish(mail, now, verdict, outcome)
+        course.due = now + pause
+        course.state = "pause"
+        heappush(self.pauses, (course.due, course.arrival, mail))
+        return NOT_YET, 0.0
+
+    def wait(self, now):
+        """How long to wait, and the mail to ask `route` about then."""
+        while self.pauses and self.pauses[0][0] <= now:
+            mail = heappop(self.pauses)[2]
+            if mail.notes.state == "pause" and mail.notes.due <= now:
+                if mail.withdrawn:
+                    return 0.0, mail
+                self._line_up(mail)
+        while self.ends and (self.ends[0][0] <= now or self.ends[0][2].notes.state == "over"):
+            due, arrival, mail = heappop(self.ends)
+            if mail.notes.state in ("out", "over"):
+                continue
+            if now >= self._end(mail):
+                return 0.0, mail
+            heappush(self.ends, (self._end(mail), arrival, mail))
+        best, soonest = None, (self.ends[0][0], self.ends[0][2]) if self.ends else None
+        if self.pauses and (soonest is None or self.pauses[0][0] < soonest[0]):
+            soonest = self.pauses[0][0], self.pauses[0][2]
+        for line in self.lines:
+            mail = self._next_mail(line, now)
+            if mail is None:
+                continue
+            if mail.withdrawn:
+                return 0.0, mail
+            at = self._open_at(line, mail, now)
+            if at is None:
+                continue
+            if at > now:
+                if soonest is None or at < soonest[0]:
+                    soonest = at, mail
+            elif best is None or line.slot_time(now) < best[0].slot_time(now):
+                best = line, mail
+        if best:
+            return 0.0, best[1]
+        return (max(0.01, soonest[0] - now), soonest[1]) if soonest else (0.0, None)
+
+    # -- classification -------------------------------------------------------------------------------------
+
+    def classify(self, mail, outcome, now):
+        """What an outcome proves, and so what may follow: (RELAYED | NOT_YET | DEFERRED | BOUNCED, pause)."""
+        course, effect = mail.notes, self.classes[mail.queue_class]["Effect"]
+        if outcome == DELIVERED:
+            return RELAYED, 0.0
+        if effect == "unsafe" and course.ran_at is not None:
+            return BOUNCED, 0.0                             # an unknown effect ends it
+        pause = mail.told if outcome == FULL and mail.told > 0 else self._pause(course)
+        if course.tries >= self.allowed["MaxAttempts"] or now + pause >= self._end(mail):
+            return self._ending(mail), 0.0                  # a repeat that cannot fit
+        return NOT_YET, pause
+
+    def _ending(self, mail):
+        """How a mail ends that is given up: deferred if a repeat by the client is harmless, else bounced."""
+        one = self.classes[mail.queue_class]
+        if mail.notes.ran_at is None or one["Effect"] == "safe":
+            return DEFERRED
+        return BOUNCED
+
+    def _pause(self, course):
+        return BASE_PAUSE * 2.0 ** (course.tries - 1) * self.dice.roll(0.5, 1.5)
+
+    def _end(self, mail):
+        """When a mail that is not out must be given up: its lifetime, or the window of its repeat."""
+        course, end = mail.notes, mail.expires - self.margin
+        if course.ran_at is not None and self.classes[mail.queue_class]["Effect"] == "keyed":
+            end = min(end, course.ran_at + self.classes[mail.queue_class]["Window"] - self.margin)
+        return end
+
+    def _finish(self, mail, now, verdict=None, outcome=None):
+        course = mail.notes
+        if course.state == "line":
+            self._take_out(mail.destination.notes, mail)
+        course.state = "over"
+        verdict = verdict or self._ending(mail)
+        self._pass_turn(mail, now, outcome)
+        return verdict, self._come_back(mail, now) if verdict == DEFERRED else 0.0
+
+    def _come_back(self, mail, now):
+        """When the client should hand a deferred mail in again."""
+        if not self.allowed.get("RetryAfter"):
+            return 0.0
+        gates = [self._gate(r) for r in mail.destination.receivers if r.state == READY]
+        told = max((g.told_until - now for g in gates), default=0.0)
+        return min(max(told, BASE_PAUSE) * self.dice.roll(1.0, 1.5), self.allowed.get("MaxRetryAfter", 0.0))
+
+    # -- lines and turns ------------------------------------------------------------------------------------
+
+    def _enter(self, mail, now):
+        self.arrivals += 1
+        course = mail.notes = Course(self.arrivals)
+        if mail.destination.notes is None:
+            mail.destination.notes = Line(mail.destination, len(self.classes))
+            self.lines.append(mail.destination.notes)
+        heappush(self.ends, (self._end(mail), course.arrival, mail))
+        if self.classes[mail.queue_class].get("ByArrival") and mail.key:
+            turn = self.keys.setdefault(mail.key, deque())
+            turn.append(mail)
+            course.state = "turn"
+            if len(turn) > 1:
+                return NOT_YET, 0.0
+        self._line_up(mail)
+        return NOT_YET, 0.0
+
+    def _pass_turn(self, mail, now, outcome):
+        """Order: the next mail of the key goes on, after the rest that work still going on asks for."""
+        turn = self.keys.get(mail.key) if self.classes[mail.queue_class].get("ByArrival") and mail.key else None
+        if not turn or mail not in turn:
+            return
+        head = turn[0] is mail
+        turn.remove(mail)
+        if not turn:
+            if outcome in RESTING:      # nobody waits, but the key rests: a marker keeps the turn till then
+                self.keys[mail.key] = deque()
+            else:
+                del self.keys[mail.key]
+        rest = now + self.rules.get("TurnGap", 0.0) if outcome in RESTING else now
+        if head and turn:
+            course = turn[0].notes
+            course.state, course.due = "pause", rest
+            heappush(self.pauses, (rest, course.arrival, turn[0]))
+
+    def _line_up(self, mail):
+        mail.notes.state = "line"
+        queue = mail.destination.notes.fresh[mail.queue_class]
+        if queue and queue[-1].notes.arrival > mail.notes.arrival:
+            insort(queue, mail, key=lambda m: m.notes.arrival)
+        else:
+            queue.append(mail)
+
+    def _take_out(self, line, mail):
+        for queue in (line.fresh[mail.queue_class], line.late[mail.queue_class]):
+            if mail in queue:
+                queue.remove(mail)
+                return
+
+    def _next_mail(self, line, now):
+        """The mail of a line that goes next: most importance still to be won, then the oldest."""
+        best, most = None, -1.0
+        for at, one in enumerate(self.classes):
+            fresh, late = line.fresh[at], line.late[at]
+            while fresh and now - fresh[0].arrived > one["GoalTime"]:
+                late.append(fresh.popleft())
+            for queue in (fresh, late):
+                if queue:
+                    worth = self._worth(one, now - queue[0].arrived)
+                    if worth > most:
+                        best, most = queue[0], worth
+        return best
+
+    def _worth(self, one, age):
+        over = age - one["GoalTime"]
+        if over <= 0:
+            return one["Value"]
+        if self.family.get("Decay") == "halves":
+            return one["Value"] * max(one["LateWorth"], 0.5 ** (over / one["GoalTime"]))
+        span = max(1.0, one["Deadline"] - one["GoalTime"])
+        return one["Value"] * max(0.0, 1.0 - (1.0 - one["LateWorth"]) * over / span)
+
+    # -- receivers, gates and slots -------------------------------------------------------------------------
+
+    def _health(self, receiver):
+        if receiver.notes is None:
+            receiver.notes = Health()
+        return receiver.notes
+
+    def _gate(self, receiver):
+        apart = self.family.get("OwnLimits", ())
+        owner = receiver if receiver.kind < len(apart) and apart[receiver.kind] else receiver.destination
+        if owner.gate is None:
+            owner.gate = Gate()
+        return owner.gate
+
+    def _receiver(self, line, mail, now):
+        """The receiver with a place free that has fewest calls out, of those the mail may go to."""
+        best, least = None, None
+        for receiver in line.destination.receivers:
+            if self._receiver_at(receiver, mail, now) <= now:
+                health = self._health(receiver)
+                rank = (health.fails > 0, health.out, receiver.zone != self.settings.get("Az"), -health.good_at)
+                if least is None or rank < least:
+                    best, least = receiver, rank
+        return best
+
+    def _receiver_at(self, receiver, mail, now):
+        """When this receiver may get the mail, as far as is known; infinity: some news must come first."""
+        if receiver.state != READY:
+            return float("inf")
+        course = mail.notes
+        one = self.classes[mail.queue_class]
+        if course.ran_at is not None and one["Effect"] == "keyed" and one.get("KeyScope") != "all" \
+                and not (one["KeyScope"] == "zone" and receiver.zone == course.ran_to.zone) \
+                and receiver is not course.ran_to:
+            return float("inf")
+        gate, health = self._gate(receiver), self._health(receiver)
+        at = max(now, gate.told_until)
+        if gate.pace is not None:
+            at = max(at, gate.next_at)
+        if health.pace is not None:
+            if health.out and health.doubled_at is None:
+                return float("inf")
+            at = max(at, health.next_at)
+        ready = sum(r.state == READY for r in receiver.destination.receivers)
+        if gate.out >= gate.bound(now, ready):
+            return float("inf")
+        return at
+
+    def _open_at(self, line, mail, now):
+        if self.slots >= self.family["CallSlots"]:
+            return None
+        at = min((self._receiver_at(r, mail, now) for r in line.destination.receivers), default=float("inf"))
+        return None if at == float("inf") else at
+
+    def _has_slot(self, receiver, now):
+        return self.slots < self.family["CallSlots"]
+
+    def _timeout(self, gate, mail):
+        if gate.seen < 5 or self.classes[mail.queue_class]["Effect"] == "unsafe":
+            return FIRST_TIMEOUT
+        return min(FIRST_TIMEOUT, max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual))
+
+    def _send(self, line, mail, receiver, now):
+        course, gate, health = mail.notes, self._gate(receiver), self._health(receiver)
+        line.slot_time(now)
+        course.state = "out"
+        course.tries += 1
+        call = course.call = Call(receiver, now)
+        call.mails = call.open = 1
+        self.slots += 1
+        line.out += 1
+        gate.out += 1
+        health.out += 1
+        if gate.pace is not None:
+            gate.next_at = max(gate.next_at, now - 1000.0 / gate.pace) + 1000.0 / gate.pace
+        if health.pace is not None:
+            health.next_at = now + 1000.0 / health.pace * self.dice.roll(0.8, 1.4)
+
+    def _release(self, mail, call, now):
+        line = mail.destination.notes
+        line.slot_time(now)
+        call.open -= 1
+        if call.open == 0:
+            self.slots -= 1
+            line.out -= 1
+            self._gate(call.receiver).out -= 1
+            self._health(call.receiver).out -= 1
+
+    # -- what outcomes tell of a destination ----------------------------------------------------------------
+
+    def _measure(self, mail, call, outcome, now):
+        gate, health = self._gate(call.receiver), self._health(call.receiver)
+        if outcome == DELIVERED:
+            gate.goods.add(now)
+            health.goods.add(now)
+            gate.seen += 1
+            gate.usual = mail.took if gate.usual is None else gate.usual + 0.1 * (mail.took - gate.usual)
+            health.fails, health.good_at = 0, now
+            if gate.pace is not None:
+                gate.pace *= 1.04
+                if gate.pace > 4.0 * max(1.0, max(gate.goods.recent(now, 8)) * 2.0):
+                    gate.pace = None
+            if health.pace is not None:
+                self._warm(health, now)
+        elif outcome == FULL:
+            if mail.told > 0:
+                gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
+            rate = sum(gate.goods.recent(now, 4)) / 2.25
+            gate.pace = max(0.5, 0.9 * min(rate, gate.pace or rate))
+            gate.next_at = max(gate.next_at, now + 500.0 / gate.pace)
+            health.fails += 1
+            if health.fails >= 3 and now - health.good_at > 1500.0:
+                self._set_aside(call.receiver, health, now)
+        elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR):
+            for receiver in mail.destination.receivers:     # the sender's other receivers there share the doubt
+                other = self._health(receiver)
+                if other.good_at < call.sent and (receiver is call.receiver or mail.took >= 1000.0):
+                    other.fails += 1
+                    if other.fails >= 2 or mail.took >= 1000.0:
+                        self._set_aside(receiver, other, now)
+
+    def _set_aside(self, receiver, health, now):
+        """A receiver that fails gets a trickle: all senders together must stay under what a cold one bears."""
+        if health.pace is None:
+            health.usual_rate = sum(health.goods.recent(now, 11)) / 11.5
+        ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
+        least = 1000.0 / self.rules["OverloadFor"] / self.fleet / ready
+        health.pace = max(least, 0.8 * self.rules["FallMultiple"] * self.rules["ColdFrom"] * health.usual_rate)
+        health.next_at = now + 1000.0 / health.pace * self.dice.roll(0.5, 1.0)
+        health.doubled_at = None
+
+    def _warm(self, health, now):
+        """The trickle doubles while it goes well, no faster than a cold destination warms."""
+        if health.doubled_at is None:
+            health.doubled_at = now
+        elif now - health.doubled_at >= self.rules["WarmAfter"] / 5.0:
+            health.doubled_at = now
+            health.pace *= 2.0
+            if health.pace > 6.0 * max(health.usual_rate, 0.5):
+                health.pace = None
--- /dev/null
+++ b/dewpin/drill/adapter.py
@@ -0,0 +1,198 @@
+"""Drives the decision module from the wire. It keeps the timers and the mails in hand, and decides nothing."""
+import json
+
+from .. import model
+from ..decide import Dispatcher
+from . import wire
+
+ENDINGS = {10: model.DELIVERED, 20: model.ERROR, 30: model.FULL, 40: model.TIMED_OUT, 50: model.UNREACHED,
+           60: model.RESET, 70: model.CALLED_OFF, 80: model.UNSENT}
+STATES = {0: model.GONE, 1: model.READY, 2: model.DRAINING}
+
+
+class Instance:
+    """One sender: its module, the mails in hand, the receivers that its lists have named, and its timer."""
+
+    def __init__(self, number, seed, settings):
+        self.number = number
+        self.module = Dispatcher(settings, seed)
+        self.fields = settings.get("Report", {}).get("Fields", [])
+        self.mails = {}
+        self.receivers = {}
+        self.destinations = {}
+        self.checks = {}            # receiver ident: the checks out on it
+        self.armed = None           # when the earliest timer that is set will fire
+        self.actions = []
+        self.handlers = {
+            wire.TARGETS: self.targets, wire.QUERY: self.query, wire.FIRST: self.first,
+            wire.RETURNED: self.returned, wire.VANISHED: self.vanished, wire.WAKEUP: self.wakeup,
+            wire.CHECKED: self.checked, wire.NOTE_FROM: self.note_from}
+
+    def destination(self, ident):
+        if ident not in self.destinations:
+            self.destinations[ident] = model.Destination(ident)
+        return self.destinations[ident]
+
+    def targets(self, now, version, kind, entries):
+        if kind == 3:
+            return
+        named = set()
+        for state, weight, zone, _since, shape, ident, owner in entries:
+            named.add(ident)
+            receiver = self.receivers.get(ident)
+            if receiver is None:
+                if state == 0:
+                    continue
+                receiver = self.receivers[ident] = model.Receiver(ident, self.destination(owner))
+            receiver.state = STATES.get(state, model.GONE)
+            if state:
+                receiver.kind, receiver.zone, receiver.weight = shape, zone, weight
+        if kind:
+            for ident, receiver in self.receivers.items():
+                if ident not in named:
+                    receiver.state = model.GONE
+
+    def query(self, now, ticket, queue_class, account, key, left, _hint, owner, _bits):
+        mail = model.Mail(ticket, self.destination(int(owner)), now, now + left, queue_class, account, key)
+        self.mails[ticket] = mail
+        self.write(mail, self.module.route(mail, now))
+
+    def first(self, now, ticket, n, receiver, delay):
+        pass                        # no queue class here streams
+
+    def returned(self, now, ticket, _n, receiver, ending, delay, complete, note, gauge):
+        self.report(receiver, gauge)
+        mail = self.mails.get(ticket)
+        if mail is None:
+            return
+        outcome = ENDINGS.get(ending, model.ERROR)
+        mail.told, mail.took = float(note) if outcome == model.FULL else 0.0, delay
+        if complete and outcome != model.DELIVERED:
+            mail.withdrawn = True
+        self.write(mail, self.module.settle(mail, outcome, now))
+
+    def vanished(self, now, ticket):
+        if ticket in self.mails:
+            self.mails[ticket].withdrawn = True
+
+    def wakeup(self, now, handle):
+        if self.armed is not None and self.armed <= now + 0.001:
+            self.armed = None
+
+    def checked(self, now, receiver, delay, ending, gauge):
+        self.report(receiver, gauge)
+        out = self.checks.get(receiver)
+        if out:
+            mail = out.pop(0)
+            mail.took = delay
+            self.module.settle(mail, ENDINGS.get(ending, model.ERROR), now)
+
+    def note_from(self, now, sender, words):
+        pass
+
+    def report(self, ident, gauge):
+        if gauge and ident in self.receivers:
+            self.receivers[ident].report = dict(zip(self.fields, gauge))
+
+    def write(self, mail, answer):
+        """Puts an answer of the module about a mail on the wire."""
+        what, ms = answer
+        if isinstance(what, model.Receiver):
+            if mail.ident is None:
+                self.checks.setdefault(what.ident, []).append(mail)
+                self.actions.append(wire.ask_load(self.number, what.ident))
+            else:
+                self.actions.append(wire.attempt(self.number, mail.ident, what.ident, ms))
+            return
+        if what == model.NOT_YET:
+            return
+        if what == model.DEFERRED and not mail.withdrawn:
+            self.actions.append(wire.not_now(self.number, mail.ident, ms))
+        elif what == model.BOUNCED and not mail.withdrawn:
+            self.actions.append(wire.end_failed(self.number, mail.ident))
+        self.mails.pop(mail.ident, None)
+
+    def finish(self, now):
+        """Asks about every mail that is due, then sets the timer for the next."""
+        while True:
+            ms, mail = self.module.wait(now)
+            if mail is None:
+                return
+            if ms > 0:
+                break
+            self.write(mail, self.module.route(mail, now))
+        if self.armed is None or now + ms < self.armed - 0.001:
+            self.armed = now + ms
+            self.actions.append(wire.defer(self.number, self.armed, 1))
+
+
+class Adapter:
+    """All instances of one process, with the census lists that they share on the wire."""
+
+    def __init__(self):
+        self.instances = {}
+        self.lists = {}
+
+    def answer(self, number, now, records):
+        """The reply to a batch."""
+        actions, touched, dead = [], {}, set()
+        for index, (code, *fields) in enumerate(records):
+            if code == wire.CENSUS:
+                self.lists[fields[0]] = fields[1]
+                continue
+            sender, *fields = fields
+            where = f"batch {number}, record {index}"
+            if code == wire.PROVISION:
+                self.instances.pop(sender, None)
+                touched.pop(sender, None)
+                dead.discard(sender)
+            elif code == wire.EXIT:
+                self.instances.pop(sender, None)
+                touched.pop(sender, None)
+                continue
+            elif sender in dead:
+                continue
+            elif sender not in self.instances:
+                name = wire.RECORDS[code][0]
+                raise wire.Malformed(f"{where}: expected an instance that runs for {name}, got {sender}")
+            if code == wire.TARGETS:
+                version, kind, bank = fields
+                if kind != 3 and bank not in self.lists:
+                    raise wire.Malformed(f"{where}: expected a census under {bank} before targets")
+                fields = version, kind, self.lists.get(bank, ())
+            try:
+                if code == wire.PROVISION:
+                    seed, text = fields
+                    self.instances[sender] = touched[sender] = Instance(sender, seed, self.settings(text, where))
+                else:
+                    touched[sender] = self.instances[sender]
+                    self.instances[sender].handlers[code](now, *fields)
+            except wire.Malformed:
+                raise
+            except Exception as error:
+                actions.append(self.lost(sender, error))
+                dead.add(sender)
+                touched.pop(sender, None)
+        for sender, instance in touched.items():
+            try:
+                instance.finish(now)
+            except Exception as error:
+                actions.append(self.lost(sender, error))
+                continue
+            actions += instance.actions
+            instance.actions = []
+        return wire.reply(number, actions)
+
+    def settings(self, text, where):
+        try:
+            settings = json.loads(text)
+        except ValueError:
+            settings = None
+        if not isinstance(settings, dict):
+            raise wire.Malformed(f"{where}: expected settings as a JSON object")
+        return settings
+
+    def lost(self, sender, error):
+        self.instances.pop(sender, None)
+        words = f"settings lack {error}" if isinstance(error, KeyError) else f"{type(error).__name__}: {error}"
+        return wire.die(sender, words)
--- /dev/null
+++ b/dewpin/model.py
@@ -0,0 +1,70 @@
+"""The types of the decision module's interface. They hold facts and point to each other; ids stand at the door.
+
+Times are milliseconds with fractions. Whoever drives the module writes what it learns onto these objects
+(list changes, load reports, withdrawn mails, the figures of an outcome); the module never changes
+a fact, and keeps its own notes beside them.
+"""
+
+# What an answer of the module says.
+NOT_YET = "not yet"     # the mail stays in line; `wait` names the time to ask again
+RELAYED = "relayed"
+DEFERRED = "deferred"   # the client may safely hand it in again
+BOUNCED = "bounced"     # final, and nothing is promised about its effect
+
+# How a connect ended.
+DELIVERED = "delivered"
+ERROR = "error"             # answered with an error
+FULL = "full"               # turned away unseen
+TIMED_OUT = "timed out"
+UNREACHED = "unreached"     # no connection was made
+RESET = "reset"             # the connection broke
+CALLED_OFF = "called off"
+UNSENT = "unsent"           # it never left
+
+# What the list says of a receiver.
+READY, DRAINING, GONE = "ready", "draining", "gone"
+
+
+class Destination:
+    """An outside system: its receivers, in the order in which the list first named them."""
+    __slots__ = ("ident", "receivers", "notes", "gate")
+
+    def __init__(self, ident):
+        self.ident = ident
+        self.receivers = []
+        self.notes = self.gate = None   # the module's own
+
+
+class Receiver:
+    """One endpoint of a destination."""
+    __slots__ = ("ident", "destination", "state", "kind", "zone", "weight", "report", "notes", "gate")
+
+    def __init__(self, ident, destination, kind=0, zone=0, weight=0.0, state=READY):
+        self.ident = ident
+        self.destination = destination
+        self.kind = kind
+        self.zone = zone
+        self.weight = weight        # as listed
+        self.state = state
+        self.report = {}            # the latest load report, by the names of its fields
+        self.notes = self.gate = None   # the module's own
+        destination.receivers.append(self)
+
+
+class Mail:
+    """A message for one destination. One without an ident is a check on a receiver that the module made up."""
+    __slots__ = ("ident", "queue_class", "account", "key", "destination", "arrived", "expires", "withdrawn",
+                 "told", "took", "notes")
+
+    def __init__(self, ident, destination, arrived, expires, queue_class=0, account=0, key=0):
+        self.ident = ident
+        self.destination = destination
+        self.arrived = arrived
+        self.expires = expires      # the end of its queue lifetime
+        self.queue_class = queue_class
+        self.account = account
+        self.key = key              # of its order; 0: none
+        self.withdrawn = False      # nothing is owed for it any more
+        self.told = 0.0             # the wait that the latest outcome told
+        self.took = 0.0             # how long the latest connect took
+        self.notes = None           # the module's own
