A pace set by a refusal starts at the accepted rate and doubles in 3 s

Cause: after a refusal the pace grew 4% per good answer from as little as 0.5 a second, so lines starved long after the limit had room. Also: a key now rests after a time-out when nobody waits yet.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -20,6 +20,7 @@
 LEAST_TIMEOUT = 2500.0      # a learned one goes no lower: a queue at the far side is no hang
 TIMEOUT_TIMES = 8.0         # usual call times that a time-out allows; pace differs call by call
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
+PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT)               # these outcomes prove that nothing ran
 RESTING = (TIMED_OUT, RESET, CALLED_OFF)        # after these the work may still go on
@@ -75,13 +76,23 @@
 
     def __init__(self):
         self.told_until = -1e12     # end of a told wait
-        self.pace = None            # calls a second after a refusal; None: free
+        self.refused_pace = None    # calls a second after a refusal; None: free
+        self.refused_at = 0.0
         self.next_at = 0.0
         self.out = 0
         self.goods = Ring(500.0, 20)
         self.usual = None           # call time, ms
         self.seen = 0
 
+    def pace(self, now):
+        """Calls a second that a refusal leaves: the accepted rate, doubling while no other refusal comes."""
+        if self.refused_pace is None:
+            return None
+        pace = self.refused_pace * 2.0 ** ((now - self.refused_at) / PACE_DOUBLES)
+        if pace > 4.0 * max(1.0, max(self.goods.recent(now, 8)) * 2.0):
+            self.refused_pace = pace = None
+        return pace
+
     def bound(self, now, receivers):
         """Calls that may be out: rate times time as measured, with room to grow."""
         best = max(self.goods.recent(now, 16)) * 2.0
@@ -145,6 +156,8 @@
             if one["Effect"] not in ("safe", "keyed", "unsafe"):
                 raise KeyError(f"Services[].Effect: unknown effect {one['Effect']!r}")
         self.rules["DrainGrace"], self.rules["ColdFrom"], self.rules["WarmAfter"], self.family["CallSlots"]
+        if any(one.get("ByArrival") for one in self.classes):
+            self.rules["TurnGap"]
         self.margin = 2.0 * settings["Tick"] + 10.0     # the tick and the answer need this much of a lifetime
         self.arrivals = 0
         self.lines = []             # in the order of their first mail
@@ -152,6 +165,7 @@
         self.pauses = []            # (due, arrival, mail)
         self.ends = []              # (give-up time, arrival, mail)
         self.keys = {}              # key: its mails in the order of arrival
+        self.rests = {}             # key: until when work that may still go on keeps its turn
 
     # -- the three calls ------------------------------------------------------------------------------------
 
@@ -192,9 +206,7 @@
         verdict, pause = self.classify(mail, outcome, now)
         if verdict != NOT_YET:
             return self._finish(mail, now, verdict, outcome)
-        course.due = now + pause
-        course.state = "pause"
-        heappush(self.pauses, (course.due, course.arrival, mail))
+        self._pause_until(mail, now + pause)
         return NOT_YET, 0.0
 
     def wait(self, now):
@@ -294,9 +306,10 @@
             turn = self.keys.setdefault(mail.key, deque())
             turn.append(mail)
             course.state = "turn"
-            if len(turn) > 1:
-                return NOT_YET, 0.0
-        self._line_up(mail)
+            if len(turn) == 1:
+                self._pause_until(mail, self.rests.get(mail.key, now))
+        else:
+            self._line_up(mail)
         return NOT_YET, 0.0
 
     def _pass_turn(self, mail, now, outcome):
@@ -306,16 +319,18 @@
             return
         head = turn[0] is mail
         turn.remove(mail)
+        if outcome in RESTING:      # the rest holds even when nobody waits yet
+            self.rests[mail.key] = now + self.rules["TurnGap"]
+            if len(self.rests) > 200:
+                self.rests = {key: until for key, until in self.rests.items() if until > now}
         if not turn:
-            if outcome in RESTING:      # nobody waits, but the key rests: a marker keeps the turn till then
-                self.keys[mail.key] = deque()
-            else:
-                del self.keys[mail.key]
-        rest = now + self.rules.get("TurnGap", 0.0) if outcome in RESTING else now
-        if head and turn:
-            course = turn[0].notes
-            course.state, course.due = "pause", rest
-            heappush(self.pauses, (rest, course.arrival, turn[0]))
+            del self.keys[mail.key]
+        elif head:
+            self._pause_until(turn[0], self.rests.get(mail.key, now))
+
+    def _pause_until(self, mail, due):
+        mail.notes.state, mail.notes.due = "pause", due
+        heappush(self.pauses, (due, mail.notes.arrival, mail))
 
     def _line_up(self, mail):
         mail.notes.state = "line"
@@ -391,7 +406,7 @@
             return float("inf")
         gate, health = self._gate(receiver), self._health(receiver)
         at = max(now, gate.told_until)
-        if gate.pace is not None:
+        if gate.pace(now) is not None:
             at = max(at, gate.next_at)
         if health.pace is not None:
             if health.out and health.doubled_at is None:
@@ -427,8 +442,9 @@
         line.out += 1
         gate.out += 1
         health.out += 1
-        if gate.pace is not None:
-            gate.next_at = max(gate.next_at, now - 1000.0 / gate.pace) + 1000.0 / gate.pace
+        pace = gate.pace(now)
+        if pace is not None:
+            gate.next_at = max(gate.next_at, now - 1000.0 / pace) + 1000.0 / pace
         if health.pace is not None:
             health.next_at = now + 1000.0 / health.pace * self.dice.roll(0.8, 1.4)
 
@@ -452,18 +468,14 @@
             gate.seen += 1
             gate.usual = mail.took if gate.usual is None else gate.usual + 0.1 * (mail.took - gate.usual)
             health.fails, health.good_at = 0, now
-            if gate.pace is not None:
-                gate.pace *= 1.04
-                if gate.pace > 4.0 * max(1.0, max(gate.goods.recent(now, 8)) * 2.0):
-                    gate.pace = None
             if health.pace is not None:
                 self._warm(health, now)
         elif outcome == FULL:
             if mail.told > 0:
                 gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
             rate = sum(gate.goods.recent(now, 4)) / 2.25
-            gate.pace = max(0.5, 0.9 * min(rate, gate.pace or rate))
-            gate.next_at = max(gate.next_at, now + 500.0 / gate.pace)
+            gate.refused_pace, gate.refused_at = max(1.0, rate), now
+            gate.next_at = max(gate.next_at, now + 500.0 / gate.refused_pace)
             health.fails += 1
             if health.fails >= 3 and now - health.good_at > 1500.0:
                 self._set_aside(call.receiver, health, now)
