--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -17,6 +17,7 @@
                     TIMED_OUT, UNREACHED, UNSENT, Mail)
 
 FIRST_TIMEOUT = 10000.0     # of a destination that has answered nothing yet (the design's figure)
+SILENT_TIMES, SILENT_LEAST = 4.0, 700.0     # a call out so many usual times, and so long, counts as silent
 LEAST_TIMEOUT = 2500.0      # a learned one goes no lower: a queue at the far side is no hang
 TIMEOUT_TIMES = 8.0         # usual call times that a time-out allows; pace differs call by call
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
@@ -80,6 +81,8 @@
         self.refused_at = 0.0
         self.next_at = 0.0
         self.out = 0
+        self.calls = deque()        # calls, oldest first; over ones go when they come to the front
+        self.good_at = -1e12
         self.goods = Ring(500.0, 20)
         self.usual = None           # call time, ms
         self.seen = 0
@@ -93,8 +96,22 @@
             self.refused_pace = pace = None
         return pace
 
+    def silent_at(self, now):
+        """When the oldest call out, with nothing good since it left, is to be taken for stuck."""
+        while self.calls and self.calls[0].open == 0:
+            self.calls.popleft()
+        if not self.calls or self.calls[0].sent < self.good_at:
+            return float("inf")
+        return self.calls[0].sent + max(SILENT_LEAST, SILENT_TIMES * (self.usual or 0.0))
+
     def bound(self, now, receivers):
-        """Calls that may be out: rate times time as measured, with room to grow."""
+        """Calls that may be out: rate times time as measured, with room to grow.
+
+        Guards against a destination that takes work and answers none (a hang, a silent host, a far slowdown)
+        drawing in slots and once-only mails: while its oldest call is stuck, nothing joins it.
+        """
+        if now >= self.silent_at(now):
+            return 1
         best = max(self.goods.recent(now, 16)) * 2.0
         return receivers + 1 + 1.5 * best * (self.usual or 1000.0) / 1000.0
 
@@ -387,14 +404,14 @@
         """The receiver with a place free that has fewest calls out, of those the mail may go to."""
         best, least = None, None
         for receiver in line.destination.receivers:
-            if self._receiver_at(receiver, mail, now) <= now:
+            if self._receiver_at(line, receiver, mail, now) <= now:
                 health = self._health(receiver)
                 rank = (health.fails > 0, health.out, receiver.zone != self.settings.get("Az"), -health.good_at)
                 if least is None or rank < least:
                     best, least = receiver, rank
         return best
 
-    def _receiver_at(self, receiver, mail, now):
+    def _receiver_at(self, line, receiver, mail, now):
         """When this receiver may get the mail, as far as is known; infinity: some news must come first."""
         if receiver.state != READY:
             return float("inf")
@@ -415,19 +432,21 @@
         ready = sum(r.state == READY for r in receiver.destination.receivers)
         if gate.out >= gate.bound(now, ready):
             return float("inf")
+        if line.out >= max(1, self.family["CallSlots"] // 2) and gate.usual is None:
+            return float("inf")     # an unknown destination must leave slots to the others
         return at
 
     def _open_at(self, line, mail, now):
         if self.slots >= self.family["CallSlots"]:
             return None
-        at = min((self._receiver_at(r, mail, now) for r in line.destination.receivers), default=float("inf"))
+        at = min((self._receiver_at(line, r, mail, now) for r in line.destination.receivers), default=float("inf"))
         return None if at == float("inf") else at
 
     def _has_slot(self, receiver, now):
         return self.slots < self.family["CallSlots"]
 
     def _timeout(self, gate, mail):
-        if gate.seen < 5 or self.classes[mail.queue_class]["Effect"] == "unsafe":
+        if gate.usual is None or self.classes[mail.queue_class]["Effect"] == "unsafe":
             return FIRST_TIMEOUT
         return min(FIRST_TIMEOUT, max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual))
 
@@ -438,6 +457,7 @@
         course.tries += 1
         call = course.call = Call(receiver, now)
         call.mails = call.open = 1
+        gate.calls.append(call)
         self.slots += 1
         line.out += 1
         gate.out += 1
@@ -468,6 +488,7 @@
             gate.seen += 1
             gate.usual = mail.took if gate.usual is None else gate.usual + 0.1 * (mail.took - gate.usual)
             health.fails, health.good_at = 0, now
+            gate.good_at = now
             if health.pace is not None:
                 self._warm(health, now)
         elif outcome == FULL:
