--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -21,6 +21,7 @@
 LEAST_TIMEOUT = 2500.0      # a learned one goes no lower: a queue at the far side is no hang
 TIMEOUT_TIMES = 8.0         # usual call times that a time-out allows; pace differs call by call
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
+URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT)               # these outcomes prove that nothing ran
@@ -364,23 +365,28 @@
                 return
 
     def _next_mail(self, line, now):
-        """The mail of a line that goes next: most importance still to be won, then the oldest."""
-        best, most = None, -1.0
+        """The mail of a line that goes next: the one that loses most importance by waiting, then by its aim."""
+        best, most = None, None
         for at, one in enumerate(self.classes):
             fresh, late = line.fresh[at], line.late[at]
             while fresh and now - fresh[0].arrived > one["GoalTime"]:
                 late.append(fresh.popleft())
-            for queue in (fresh, late):
-                if queue:
-                    worth = self._worth(one, now - queue[0].arrived)
-                    if worth > most:
-                        best, most = queue[0], worth
+            for mail in fresh and fresh[0], late and late[0], late and late[-1]:
+                if mail:
+                    age = now - mail.arrived
+                    loss = self._worth(one, mail, age + URGENT / 2.0) - self._worth(one, mail, age + URGENT * 1.5)
+                    rank = (loss, -mail.arrived - one["GoalTime"])
+                    if most is None or rank > most:
+                        best, most = mail, rank
         return best
 
-    def _worth(self, one, age):
+    def _worth(self, one, mail, age):
+        """The importance that a mail still wins if it is relayed at this age."""
         over = age - one["GoalTime"]
         if over <= 0:
             return one["Value"]
+        if mail.arrived + age >= mail.expires:
+            return 0.0
         if self.family.get("Decay") == "halves":
             return one["Value"] * max(one["LateWorth"], 0.5 ** (over / one["GoalTime"]))
         span = max(1.0, one["Deadline"] - one["GoalTime"])
