Mails that wait for one receiver share a call where bundles are taken

Cause: on tmsa big-1 nearly all deferrals were of one carrier whose limit counts calls, and every mail went as a call of its own. Mails that waited together now travel as one call; a first trial goes alone. Might hurt: one fate for up to ten mails in a hang.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -71,6 +71,7 @@
         self.usual_rate = 0.0       # calls a second before it was set aside
         self.next_at = 0.0          # the trickle's next call
         self.doubled_at = None      # when the trickle last grew; None: nothing good yet
+        self.call = None            # the latest call, which mails sent in the same reply may share
 
 
 class Gate:
@@ -412,7 +413,7 @@
         for receiver in line.destination.receivers:
             if self._receiver_at(line, receiver, mail, now) <= now:
                 health = self._health(receiver)
-                rank = (health.fails > 0, health.out, receiver.zone != self.settings.get("Az"), -health.good_at)
+                rank = (not self._shared(receiver, now), health.fails > 0, health.out, receiver.zone != self.settings.get("Az"), -health.good_at)
                 if least is None or rank < least:
                     best, least = receiver, rank
         return best
@@ -428,6 +429,8 @@
                 and receiver is not course.ran_to:
             return float("inf")
         gate, health = self._gate(receiver), self._health(receiver)
+        if self._shared(receiver, now):
+            return now
         at = max(now, gate.told_until)
         if gate.pace(now) is not None:
             at = max(at, gate.next_at)
@@ -443,13 +446,22 @@
         return at
 
     def _open_at(self, line, mail, now):
-        if self.slots >= self.family["CallSlots"]:
+        if self.slots >= self.family["CallSlots"] and not any(
+                self._shared(r, now) for r in line.destination.receivers):
             return None
         at = min((self._receiver_at(line, r, mail, now) for r in line.destination.receivers), default=float("inf"))
         return None if at == float("inf") else at
 
+    def _shared(self, receiver, now):
+        """Whether a mail sent now joins a call that left in this reply; a first trial goes alone."""
+        health, most = self._health(receiver), self.family.get("BundleMax", ())
+        call = health.call
+        return (call is not None and call.sent == now and receiver.kind < len(most)
+                and call.mails < most[receiver.kind] and call.open == call.mails
+                and (health.pace is None or health.doubled_at is not None))
+
     def _has_slot(self, receiver, now):
-        return self.slots < self.family["CallSlots"]
+        return self.slots < self.family["CallSlots"] or self._shared(receiver, now)
 
     def _timeout(self, gate, mail):
         if gate.usual is None or self.classes[mail.queue_class]["Effect"] == "unsafe":
@@ -461,7 +473,12 @@
         line.slot_time(now)
         course.state = "out"
         course.tries += 1
-        call = course.call = Call(receiver, now)
+        if self._shared(receiver, now):
+            course.call = health.call
+            course.call.mails += 1
+            course.call.open += 1
+            return
+        call = course.call = health.call = Call(receiver, now)
         call.mails = call.open = 1
         gate.calls.append(call)
         self.slots += 1
