A trickle starts from the best measured rate, one try a window at least

Cause: with twelve senders a set-aside destination got one try in 25 s from each, held mails filled the sender (100 of 101) and slots idled; a slow error also counted as a hang and set healthy receivers aside. May hurt: small destinations cold with many senders.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -21,6 +21,7 @@
 LEAST_TIMEOUT = 2500.0      # a learned one goes no lower: a queue at the far side is no hang
 TIMEOUT_TIMES = 8.0         # usual call times that a time-out allows; pace differs call by call
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
+CROWD = 4.0                 # so many senders may each try a failed destination once in `OverloadFor`
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 FADE = 5000.0               # slot time of a line loses its weight over this span
@@ -524,19 +525,21 @@
             if health.fails >= 3 and now - health.good_at > 1500.0:
                 self._set_aside(call.receiver, health, now)
         elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR):
+            long = mail.took >= 1000.0 and outcome != ERROR     # what hung so long says more than one quick failure
             for receiver in mail.destination.receivers:     # the sender's other receivers there share the doubt
                 other = self._health(receiver)
-                if other.good_at < call.sent and (receiver is call.receiver or mail.took >= 1000.0):
+                if other.good_at < call.sent and (receiver is call.receiver or long):
                     other.fails += 1
-                    if other.fails >= 2 or mail.took >= 1000.0:
+                    if other.fails >= 2 or long:
                         self._set_aside(receiver, other, now)
 
     def _set_aside(self, receiver, health, now):
         """A receiver that fails gets a trickle: all senders together must stay under what a cold one bears."""
         if health.pace is None:
-            health.usual_rate = sum(health.goods.recent(now, 11)) / 11.5
+            counts = health.goods.recent(now, 11)
+            health.usual_rate = max(sum(counts[at:at + 3]) for at in range(10)) / 3.0
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
-        least = 1000.0 / self.rules["OverloadFor"] / self.fleet / ready
+        least = 1000.0 / self.rules["OverloadFor"] / max(1.0, self.fleet / CROWD) / ready
         health.pace = max(least, 0.8 * self.rules["FallMultiple"] * self.rules["ColdFrom"] * health.usual_rate)
         health.next_at = now + 1000.0 / health.pace * self.dice.roll(0.5, 1.0)
         health.doubled_at = None
