Near its room a sender defers the least mail of its longest line

Deferred mails may come again. Also covers long told waits and drained destinations; may hurt where clients do not come again and the line would have drained in time.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -22,6 +22,7 @@
 TIMEOUT_TIMES = 8.0         # usual call times that a time-out allows; pace differs call by call
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
 CROWD = 4.0                 # so many senders may each try a failed destination once in `OverloadFor`
+ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 FADE = 5000.0               # slot time of a line loses its weight over this span
@@ -128,6 +129,9 @@
         self.late = [deque() for _ in range(classes)]
         self.used, self.used_at, self.out = 0.0, 0.0, 0
 
+    def length(self):
+        return sum(map(len, self.fresh)) + sum(map(len, self.late))
+
     def slot_time(self, now):
         """Recent slot time, calls out included."""
         span = now - self.used_at
@@ -148,7 +152,7 @@
 
 class Course:
     """What the module remembers of a mail in hand."""
-    __slots__ = ("arrival", "tries", "call", "ran_at", "ran_to", "due", "proven", "state")
+    __slots__ = ("arrival", "tries", "call", "ran_at", "ran_to", "due", "state", "spared")
 
     def __init__(self, arrival):
         self.arrival = arrival
@@ -157,6 +161,7 @@
         self.ran_at = None          # the send of the first connect that may have run
         self.ran_to = None
         self.due = 0.0
+        self.spared = False         # given up to keep room for others
         self.state = "new"          # new, turn (its key is taken), line, pause, out, over
 
     def __lt__(self, other):
@@ -182,6 +187,7 @@
         self.arrivals = 0
         self.lines = []             # in the order of their first mail
         self.slots = 0              # calls out
+        self.held = 0               # mails in hand
         self.pauses = []            # (due, arrival, mail)
         self.ends = []              # (give-up time, arrival, mail)
         self.keys = {}              # key: its mails in the order of arrival
@@ -196,7 +202,7 @@
         course = mail.notes
         if course.state in ("out", "over"):
             return NOT_YET, 0.0
-        if mail.withdrawn or now >= self._end(mail):
+        if mail.withdrawn or course.spared or now >= self._end(mail):
             return self._finish(mail, now)
         if course.state == "pause" and now >= course.due:
             self._line_up(mail)
@@ -244,6 +250,9 @@
             if now >= self._end(mail):
                 return 0.0, mail
             heappush(self.ends, (self._end(mail), arrival, mail))
+        if self.held > ROOM * self.allowed["MaxOpen"] and (mail := self._least(now)):
+            mail.notes.spared = True
+            return 0.0, mail
         best, soonest = None, (self.ends[0][0], self.ends[0][2]) if self.ends else None
         if self.pauses and (soonest is None or self.pauses[0][0] < soonest[0]):
             soonest = self.pauses[0][0], self.pauses[0][2]
@@ -301,6 +310,7 @@
         if course.state == "line":
             self._take_out(mail.destination.notes, mail)
         course.state = "over"
+        self.held -= 1
         verdict = verdict or self._ending(mail)
         self._pass_turn(mail, now, outcome)
         return verdict, self._come_back(mail, now) if verdict == DEFERRED else 0.0
@@ -317,6 +327,7 @@
 
     def _enter(self, mail, now):
         self.arrivals += 1
+        self.held += 1
         course = mail.notes = Course(self.arrivals)
         if mail.destination.notes is None:
             mail.destination.notes = Line(mail.destination, len(self.classes))
@@ -382,6 +393,22 @@
                         best, most = mail, rank
         return best
 
+    def _least(self, now):
+        """The mail that makes room: of the longest line, the one with least importance left to win.
+
+        Guards against a line that cannot drain (an outage, a limit far below its traffic) taking all the room
+        in hand, so that mails for every other destination are turned away at the door.
+        """
+        line = max(self.lines, key=Line.length, default=None)
+        least, worst = None, None
+        for at, one in enumerate(self.classes):
+            for mail in [q[end] for q in (line.fresh[at], line.late[at]) if q for end in (0, -1)]:
+                if self._ending(mail) == DEFERRED:
+                    rank = (self._worth(one, mail, now - mail.arrived + 2.0 * URGENT), -mail.notes.arrival)
+                    if worst is None or rank < worst:
+                        least, worst = mail, rank
+        return least
+
     def _worth(self, one, mail, age):
         """The importance that a mail still wins if it is relayed at this age."""
         over = age - one["GoalTime"]
