--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -89,7 +89,8 @@
         self.good_at = -1e12
         self.goods = Ring(500.0, 20)
         self.usual = None           # call time, ms
-        self.seen = 0
+        self.timeouts = 0           # time-outs since the latest good answer: each doubles the figure, so that
+        self.timed_out_at = -1e12   # a slow destination is not taken for dead again and again
 
     def pace(self, now):
         """Calls a second that a refusal leaves: the accepted rate, doubling while no other refusal comes."""
@@ -225,10 +226,10 @@
             self._measure(mail, call, outcome, now)
         self._release(mail, call, now)
         course.state = "settled"
-        if mail.withdrawn:
-            return self._finish(mail, now)
         if outcome not in PROOF and course.ran_at is None:
             course.ran_at, course.ran_to = call.sent, call.receiver
+        if mail.withdrawn:              # its key rests all the same
+            return self._finish(mail, now, None, outcome)
         verdict, pause = self.classify(mail, outcome, now)
         if verdict != NOT_YET:
             return self._finish(mail, now, verdict, outcome)
@@ -494,7 +495,7 @@
     def _timeout(self, gate, mail):
         if gate.usual is None or self.classes[mail.queue_class]["Effect"] == "unsafe":
             return FIRST_TIMEOUT
-        return min(FIRST_TIMEOUT, max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual))
+        return min(FIRST_TIMEOUT, max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual) * 2.0 ** gate.timeouts)
 
     def _send(self, line, mail, receiver, now):
         course, gate, health = mail.notes, self._gate(receiver), self._health(receiver)
@@ -536,7 +537,7 @@
         if outcome == DELIVERED:
             gate.goods.add(now)
             health.goods.add(now)
-            gate.seen += 1
+            gate.timeouts = 0
             gate.usual = mail.took if gate.usual is None else gate.usual + 0.1 * (mail.took - gate.usual)
             health.fails, health.good_at = 0, now
             gate.good_at = now
@@ -552,6 +553,8 @@
             if health.fails >= 3 and now - health.good_at > 1500.0:
                 self._set_aside(call.receiver, health, now)
         elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR):
+            if outcome == TIMED_OUT and call.sent >= gate.timed_out_at:
+                gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
             long = mail.took >= 1000.0 and outcome != ERROR     # what hung so long says more than one quick failure
             for receiver in mail.destination.receivers:     # the sender's other receivers there share the doubt
                 other = self._health(receiver)
--- /dev/null
+++ b/tests/test_random.py
@@ -0,0 +1,133 @@
+"""Seeded random runs: drawn settings, destinations and troubles, with the six rules checked after every step."""
+import random
+
+import pytest
+
+from dewpin import model
+from driver import Driver, settings
+
+PROOF = (model.FULL, model.UNREACHED, model.UNSENT)
+RESTING = (model.TIMED_OUT, model.RESET, model.CALLED_OFF)
+TROUBLES = (model.ERROR, model.FULL, model.TIMED_OUT, model.UNREACHED, model.RESET, model.CALLED_OFF, model.UNSENT)
+
+
+class Watch:
+    """The rules as an outsider sees them, over all answers of one run."""
+
+    def __init__(self, driver, services, rules, apart):
+        self.driver, self.services, self.rules, self.apart = driver, services, rules, apart
+        self.told, self.ran, self.tries, self.turns, self.rest = {}, {}, {}, {}, {}
+        driver.check = self.answer
+
+    def owner(self, receiver):
+        return receiver if self.apart else receiver.destination
+
+    def arrive(self, mail):
+        if mail.key and self.services[mail.queue_class]["ByArrival"]:
+            self.turns.setdefault(mail.key, []).append(mail)
+
+    def answer(self, what, mail):
+        now, effect = self.driver.now, self.services[mail.queue_class]["Effect"]
+        if isinstance(what, model.Receiver):
+            assert what.destination is mail.destination and what.state == model.READY
+            assert now >= self.told.get(self.owner(what), 0.0), "a told wait was not heeded"
+            assert now <= mail.expires and 0.0 < self.driver.out[mail][2] <= mail.expires - now
+            self.tries[mail] = self.tries.get(mail, 0) + 1
+            assert self.tries[mail] <= self.driver.settings["Allowed"]["MaxAttempts"]
+            calls = {(r, sent) for r, sent, _ in self.driver.out.values()}
+            assert len(calls) <= self.driver.settings["FamilyInfo"]["CallSlots"]
+            if mail in self.ran:
+                receiver, sent = self.ran[mail]
+                assert effect != "unsafe", "a once-only mail went again"
+                if effect == "keyed":
+                    assert now < sent + self.services[mail.queue_class]["Window"], "sent outside the window"
+                    assert self.services[mail.queue_class]["KeyScope"] == "all" or receiver.zone == what.zone
+            if mail in self.turns.get(mail.key, ()):
+                assert self.turns[mail.key][0] is mail, "out of turn"
+                assert now >= self.rest.get(mail.key, 0.0) or self.tries[mail] > 1, "the key did not rest"
+        elif what != model.NOT_YET:
+            assert mail.withdrawn or now <= mail.expires + self.rules["AnswerSlack"], "answered too late"
+            one = self.services[mail.queue_class]
+            if what == model.DEFERRED and mail in self.ran and not mail.withdrawn:
+                assert effect == "safe" or (effect == "keyed" and one["KeyScope"] == "all")
+            if mail in self.turns.get(mail.key, ()):
+                self.turns[mail.key].remove(mail)
+
+    def ending(self, mail, outcome, told):
+        receiver, sent, _ = self.driver.out[mail]
+        if outcome not in PROOF:
+            self.ran.setdefault(mail, (receiver, sent))
+        if outcome in RESTING and mail.key:
+            self.rest[mail.key] = self.driver.now + self.rules["TurnGap"]
+        if told:
+            owner = self.owner(receiver)
+            self.told[owner] = max(self.told.get(owner, 0.0), self.driver.now + told)
+
+
+def deliver(driver, watch, sick, dice):
+    """Ends the connects that are due, by the trouble of their destination."""
+    for mail, (receiver, sent, limit) in list(driver.out.items()):
+        trouble = sick.get(receiver.destination)
+        hung, slow = trouble == model.TIMED_OUT, dice.random() < 0.3
+        if driver.now - sent < (limit if hung else min(limit, 60.0)) or (slow and driver.now - sent < limit):
+            continue
+        over = driver.now - sent >= limit or hung
+        outcome = model.TIMED_OUT if over else trouble if trouble and dice.random() < 0.9 else model.DELIVERED
+        told = dice.choice((0.0, 700.0)) if outcome == model.FULL else 0.0
+        watch.ending(mail, outcome, told)
+        driver.outcome(mail, outcome, driver.now - sent, told, run=False)
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_the_rules_hold_whatever_happens(seed):
+    dice = random.Random(seed)
+    apart = dice.random() < 0.3
+    drawn = settings(effects=("safe", "keyed", "unsafe"), window=dice.choice((2000.0, 6000.0)),
+                     scope=dice.choice(("all", "zone")), order=dice.random() < 0.6, bundle=dice.choice((1, 4)),
+                     slots=dice.choice((2, 6, 15)), room=dice.choice((25, 200)), fleet=dice.choice((1, 3, 12)),
+                     apart=apart, attempts=dice.choice((1, 4, 8)))
+    driver = Driver(drawn, receivers=0, seed=seed)
+    watch = Watch(driver, drawn["Services"], drawn["Rules"], apart)
+    places = [model.Destination(n) for n in range(4)]
+    receivers = [model.Receiver(n, places[n % 4], zone=dice.randrange(2)) for n in range(9)]
+    sick = {}
+    for step in range(2000):
+        for receiver in receivers:
+            if dice.random() < 0.002:
+                receiver.state = dice.choice((model.READY, model.READY, model.DRAINING, model.GONE))
+        for place in places:
+            if dice.random() < 0.003:
+                sick[place] = dice.choice((None,) + TROUBLES)
+        for _ in range(dice.choice((0, 0, 0, 0, 0, 1, 1, 8 if dice.random() < 0.05 else 0))):
+            mail = driver.mail(left=dice.choice((400.0, 3000.0, 16000.0)), ask=False, key=dice.randrange(4),
+                               destination=dice.choice(places), queue_class=dice.randrange(3))
+            watch.arrive(mail)
+        driver.ask()
+        deliver(driver, watch, sick, dice)
+        if driver.mails and dice.random() < 0.01:
+            mail = dice.choice(driver.mails)
+            if mail not in driver.ended:
+                mail.withdrawn = True
+                if mail in watch.turns.get(mail.key, ()) and mail not in driver.out:
+                    watch.turns[mail.key].remove(mail)
+        driver.run(dice.choice((5.0, 10.0, 15.0)))
+    while driver.module.held:
+        deliver(driver, watch, sick, dice)
+        driver.run(15.0)
+    lost = [mail for mail in driver.mails if mail not in driver.ended and not mail.withdrawn]
+    assert not lost and not driver.module.keys and driver.module.slots == 0 and driver.module.held == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_equal_seeds_decide_alike(seed):
+    def run():
+        driver = Driver(settings(effects=("safe", "keyed")), receivers=2, seed=seed)
+        dice = random.Random(seed)
+        for _ in range(200):
+            driver.mail(queue_class=dice.randrange(2))
+            driver.run(dice.choice((5.0, 50.0)))
+            for mail, (_, sent, _) in list(driver.out.items()):
+                if driver.now - sent > 40.0:
+                    driver.outcome(mail, dice.choice((model.DELIVERED, model.FULL)), 40.0, run=False)
+        return [(at, mail.ident, receiver.ident) for at, mail, receiver in driver.sends]
+    assert run() == run()
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,82 @@
+"""The wire: worked examples of the interface's page to the byte, and input that is not of it."""
+import io
+import json
+import struct
+import subprocess
+import sys
+
+import pytest
+
+from dewpin.drill import wire
+from dewpin.drill.adapter import Adapter
+from driver import settings
+
+QUERY = bytes.fromhex("1e0300c4913a5da92b070000000000640ad2557c3bf0910000000000006e40000000000000284000006442" "01")
+
+
+def batch(number, now, *records):
+    body = b"".join(records)
+    return struct.pack("<IIId", number, 12 + len(body), len(records), now) + body
+
+
+def provision(sender, what, seed=5):
+    text = json.dumps(what).encode()
+    return struct.pack("<BHQI", 10, sender, seed, len(text)) + text
+
+
+def play(adapter, *batches):
+    stream = io.BytesIO(b"".join(batches))
+    return [adapter.answer(*one) for one in iter(lambda: wire.read_batch(stream), None)]
+
+
+CENSUS = bytes.fromhex("6e0000000001000000" "010000803f00000000000000000000" "0000" "074a1203" "3900")
+TARGETS = bytes.fromhex("1403002900000002" "00000000")
+
+
+def test_an_empty_batch_gets_an_empty_reply():
+    given = bytes.fromhex("010000000c0000000000000000000000206ec040")
+    assert play(Adapter(), given) == [bytes.fromhex("0100000000000000")]
+
+
+def test_the_worked_examples_are_read_and_written_to_the_byte():
+    _, _, records = wire.read_batch(io.BytesIO(batch(12, 8412.25, QUERY, bytes.fromhex("4603004d000000"))))
+    assert records[0] == (30, 3, 0x72BA95D3A91C4, 0, 0, 0x91F03B7C55D20A64, 240.0, 12.0, 57.0, 1)
+    assert records[1] == (70, 3, 0x4D)
+    assert wire.attempt(3, 0x72BA95D3A91C4, 0x03124A07, 80.0).hex() == "0a0300c4913a5da92b0700074a12030000000000005440"
+    assert wire.defer(3, 8912.25, 0x4D)[:3].hex() == "320300"
+
+
+def test_a_mail_goes_out_and_its_outcome_ends_it():
+    adapter = Adapter()
+    sent = play(adapter, batch(1, 0.0, provision(3, settings()), CENSUS, TARGETS, QUERY))[0]
+    assert sent[8] == 10 and sent[8 + 11:8 + 15].hex() == "074a1203"
+    returned = bytes.fromhex("320300c4913a5da92b070000074a12030a00000000000080324001" "0000000000")
+    assert play(adapter, batch(2, 20.0, returned))[0][8:9] in (b"", b"\x32")
+    assert not adapter.instances[3].mails
+
+
+def test_a_restart_in_one_batch_starts_clean_and_late_news_is_ignored():
+    adapter = Adapter()
+    play(adapter, batch(1, 0.0, provision(3, settings()), CENSUS, TARGETS, QUERY))
+    late = bytes.fromhex("320300c4913a5da92b070000074a12032800000000000080324000" "0000000000")
+    play(adapter, batch(2, 5.0, bytes.fromhex("640300"), provision(3, settings()), TARGETS, late))
+    assert adapter.instances[3].module.held == 0
+
+
+@pytest.mark.parametrize("key", ["Services", "Rules", "Allowed", "FamilyInfo"])
+def test_settings_that_lack_what_a_rule_needs_die_by_name(key):
+    what = {name: value for name, value in settings().items() if name != key}
+    reply = play(Adapter(), batch(1, 0.0, provision(3, what)))[0]
+    assert reply[8] == 100 and key.encode() in reply
+
+
+@pytest.mark.parametrize("given, words", [
+    (batch(4, 0.0, b"\xee"), "record 0: expected a known record code, got 238"),
+    (batch(4, 0.0, QUERY[:20]), "record 0: expected a whole query"),
+    (batch(4, 0.0, QUERY), "expected an instance that runs for query, got 3"),
+    (batch(4, 0.0)[:15], "batch header"),
+])
+def test_bad_input_ends_with_one_plain_line(given, words):
+    done = subprocess.run([sys.executable, "-m", "dewpin.drill"], input=given, capture_output=True, timeout=30)
+    lines = done.stderr.decode().splitlines()
+    assert done.returncode and not done.stdout and len(lines) == 1 and words in lines[0]
