A destination needs more failures in a row while all others fail too

The module set nearly all destinations aside. How many failures in a row now count is asked of how the other destinations fare. Also covers a sender's own fault; may hurt when most destinations fail for good at once: up to five more tries each.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -12,6 +12,7 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
+from math import ceil, log
 
 from .model import (BOUNCED, CALLED_OFF, DEFERRED, DELIVERED, ERROR, FULL, NOT_YET, READY, RELAYED, RESET,
                     TIMED_OUT, UNREACHED, UNSENT, Mail)
@@ -23,6 +24,7 @@
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
 CROWD = 4.0                 # so many senders may each try a failed destination once in `OverloadFor`
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
+DOUBT, MOST_EVIDENCE = 0.1, 6   # chance, by how other destinations fare, that failures in a row are no outage
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 FADE = 5000.0               # slot time of a line loses its weight over this span
@@ -87,7 +89,7 @@
         self.out = 0
         self.calls = deque()        # calls, oldest first; over ones go when they come to the front
         self.good_at = -1e12
-        self.goods = Ring(500.0, 20)
+        self.goods, self.bads = Ring(500.0, 20), Ring(1000.0, 8)
         self.usual = None           # call time, ms
         self.timeouts = 0           # time-outs since the latest good answer: each doubles the figure, so that
         self.timed_out_at = -1e12   # a slow destination is not taken for dead again and again
@@ -145,10 +147,10 @@
 
 class Call:
     """One slot: the mails of one bundle that travel together."""
-    __slots__ = ("receiver", "sent", "mails", "open")
+    __slots__ = ("receiver", "sent", "mails", "open", "counted")
 
     def __init__(self, receiver, sent):
-        self.receiver, self.sent, self.mails, self.open = receiver, sent, 0, 0
+        self.receiver, self.sent, self.mails, self.open, self.counted = receiver, sent, 0, 0, False
 
 
 class Course:
@@ -189,6 +191,7 @@
         self.lines = []             # in the order of their first mail
         self.slots = 0              # calls out
         self.held = 0               # mails in hand
+        self.goods, self.bads = Ring(1000.0, 8), Ring(1000.0, 8)    # answers and failures of all destinations
         self.pauses = []            # (due, arrival, mail)
         self.ends = []              # (give-up time, arrival, mail)
         self.keys = {}              # key: its mails in the order of arrival
@@ -536,6 +539,7 @@
         gate, health = self._gate(call.receiver), self._health(call.receiver)
         if outcome == DELIVERED:
             gate.goods.add(now)
+            self.goods.add(now)
             health.goods.add(now)
             gate.timeouts = 0
             gate.usual = mail.took if gate.usual is None else gate.usual + 0.1 * (mail.took - gate.usual)
@@ -552,17 +556,32 @@
             health.fails += 1
             if health.fails >= 3 and now - health.good_at > 1500.0:
                 self._set_aside(call.receiver, health, now)
-        elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR):
+        elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR) and not call.counted:
+            call.counted = True         # a bundle's mails share one fate, and tell of it once
+            gate.bads.add(now)
+            self.bads.add(now)
             if outcome == TIMED_OUT and call.sent >= gate.timed_out_at:
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
             long = mail.took >= 1000.0 and outcome != ERROR     # what hung so long says more than one quick failure
+            enough = max(1 if long else 2, self._evidence(gate, now))
             for receiver in mail.destination.receivers:     # the sender's other receivers there share the doubt
                 other = self._health(receiver)
                 if other.good_at < call.sent and (receiver is call.receiver or long):
                     other.fails += 1
-                    if other.fails >= 2 or long:
+                    if other.fails >= enough:
                         self._set_aside(receiver, other, now)
 
+    def _evidence(self, gate, now):
+        """How many failures in a row set a receiver aside: more while all other destinations fail as well.
+
+        Guards against loss on the way, or a fault of the sender's own, that strikes calls to every destination
+        now and then: the destinations are well, and what they answer comes at the usual pace.
+        """
+        bad = sum(self.bads.recent(now, 5)) - sum(gate.bads.recent(now, 5))
+        good = sum(self.goods.recent(now, 5)) - sum(gate.goods.recent(now, 10))
+        share = min(0.9, max(0.01, bad / (bad + good) if bad + good >= 4 else 0.0))
+        return min(MOST_EVIDENCE, ceil(log(DOUBT) / log(share)))
+
     def _set_aside(self, receiver, health, now):
         """A receiver that fails gets a trickle: all senders together must stay under what a cold one bears."""
         if health.pace is None:
