--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -19,8 +19,8 @@
 
 FIRST_TIMEOUT = 10000.0     # of a destination that has answered nothing yet (the design's figure)
 SILENT_TIMES, SILENT_LEAST = 4.0, 700.0     # a call out so many usual times, and so long, counts as silent
-LEAST_TIMEOUT = 2500.0      # a learned one goes no lower: a queue at the far side is no hang
-TIMEOUT_TIMES = 8.0         # usual call times that a time-out allows; pace differs call by call
+LEAST_TIMEOUT = 1500.0      # a learned one goes no lower: a queue at the far side is no hang
+TIMEOUT_TIMES = 6.0         # usual call times that a time-out allows; pace differs call by call
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
 CROWD = 4.0                 # so many senders may each try a failed destination once in `OverloadFor`
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
