--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -25,6 +25,7 @@
 CROWD = 4.0                 # so many senders may each try a failed destination once in `OverloadFor`
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
 DOUBT, MOST_EVIDENCE = 0.1, 6   # chance, by how other destinations fare, that failures in a row are no outage
+HANG = 2500.0               # one call that got no answer for so long, with nothing good since, is an outage
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 FADE = 5000.0               # slot time of a line loses its weight over this span
@@ -563,7 +564,7 @@
             if outcome == TIMED_OUT and call.sent >= gate.timed_out_at:
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
             long = mail.took >= 1000.0 and outcome != ERROR     # what hung so long says more than one quick failure
-            enough = max(1 if long else 2, self._evidence(gate, now))
+            enough = max(1 if mail.took >= HANG and long else 2, self._evidence(gate, now))
             for receiver in mail.destination.receivers:     # the sender's other receivers there share the doubt
                 other = self._health(receiver)
                 if other.good_at < call.sent and (receiver is call.receiver or long):
