Once-only mails get twice the learned time-out, and none grows under loss

Also covers any hang with few slots; may hurt once-only mails at partners more than twelve times slower than usual, whose calls now end sooner.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -497,9 +497,11 @@
         return self.slots < self.family["CallSlots"] or self._shared(receiver, now)
 
     def _timeout(self, gate, mail):
-        if gate.usual is None or self.classes[mail.queue_class]["Effect"] == "unsafe":
+        """The destination's figure: learned from its usual time, twice that where a time-out ends the mail."""
+        if gate.usual is None:
             return FIRST_TIMEOUT
-        return min(FIRST_TIMEOUT, max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual) * 2.0 ** gate.timeouts)
+        times = 2.0 if self.classes[mail.queue_class]["Effect"] == "unsafe" else 1.0
+        return min(FIRST_TIMEOUT, max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual) * times * 2.0 ** gate.timeouts)
 
     def _send(self, line, mail, receiver, now):
         course, gate, health = mail.notes, self._gate(receiver), self._health(receiver)
@@ -561,7 +563,7 @@
             call.counted = True         # a bundle's mails share one fate, and tell of it once
             gate.bads.add(now)
             self.bads.add(now)
-            if outcome == TIMED_OUT and call.sent >= gate.timed_out_at:
+            if outcome == TIMED_OUT and call.sent >= gate.timed_out_at and self._evidence(gate, now) < 2:
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
             long = mail.took >= 1000.0 and outcome != ERROR     # what hung so long says more than one quick failure
             enough = max(1 if mail.took >= HANG and long else 2, self._evidence(gate, now))
