--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -26,6 +26,7 @@
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
 DOUBT, MOST_EVIDENCE = 0.1, 6   # chance, by how other destinations fare, that failures in a row are no outage
 HANG = 2500.0               # one call that got no answer for so long, with nothing good since, is an outage
+SHUT = 1500.0               # a destination that refuses all for so long is shut, not just above its limit
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 FADE = 5000.0               # slot time of a line loses its weight over this span
@@ -93,6 +94,7 @@
         self.goods, self.bads = Ring(500.0, 20), Ring(1000.0, 8)
         self.usual = None           # call time, ms
         self.timeouts = 0           # time-outs since the latest good answer: each doubles the figure, so that
+        self.refusals = 0           # refusals since the latest good answer
         self.timed_out_at = -1e12   # a slow destination is not taken for dead again and again
 
     def pace(self, now):
@@ -544,7 +546,7 @@
             gate.goods.add(now)
             self.goods.add(now)
             health.goods.add(now)
-            gate.timeouts = 0
+            gate.timeouts = gate.refusals = 0
             gate.usual = mail.took if gate.usual is None else gate.usual + 0.1 * (mail.took - gate.usual)
             health.fails, health.good_at = 0, now
             gate.good_at = now
@@ -556,8 +558,8 @@
             rate = sum(gate.goods.recent(now, 4)) / 2.25
             gate.refused_pace, gate.refused_at = max(1.0, rate), now
             gate.next_at = max(gate.next_at, now + 500.0 / gate.refused_pace)
-            health.fails += 1
-            if health.fails >= 3 and now - health.good_at > 1500.0:
+            gate.refusals += 1          # of the destination, not of the receiver that spoke for it
+            if gate.refusals >= 3 and now - gate.good_at > SHUT:
                 self._set_aside(call.receiver, health, now)
         elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR) and not call.counted:
             call.counted = True         # a bundle's mails share one fate, and tell of it once
