One good answer ends a trickle while about half of all else fails

Also covers a fault of the sender's own network. May hurt a destination that comes back cold while near half of all calls elsewhere fail.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -26,6 +26,7 @@
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
 DOUBT, MOST_EVIDENCE = 0.1, 6   # chance, by how other destinations fare, that failures in a row are no outage
 HANG = 2500.0               # one call that got no answer for so long, with nothing good since, is an outage
+LOSS = 3                    # so much evidence asked for means loss everywhere, and no cold destination
 SHUT = 1500.0               # a destination that refuses all for so long is shut, not just above its limit
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
@@ -551,7 +552,7 @@
             health.fails, health.good_at = 0, now
             gate.good_at = now
             if health.pace is not None:
-                self._warm(health, now)
+                self._warm(gate, health, now)
         elif outcome == FULL:
             if mail.told > 0:
                 gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
@@ -598,9 +599,11 @@
         health.next_at = now + 1000.0 / health.pace * self.dice.roll(0.5, 1.0)
         health.doubled_at = None
 
-    def _warm(self, health, now):
+    def _warm(self, gate, health, now):
         """The trickle doubles while it goes well, no faster than a cold destination warms."""
-        if health.doubled_at is None:
+        if self._evidence(gate, now) >= LOSS:
+            health.pace = None          # it answers while near half of all else fails: the way is at fault
+        elif health.doubled_at is None:
             health.doubled_at = now
         elif now - health.doubled_at >= self.rules["WarmAfter"] / 5.0:
             health.doubled_at = now
