--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -1,4 +1,6 @@
 """Plain cases, each of them a failure that the module must not show again."""
+import random
+
 import pytest
 
 from dewpin import model
@@ -128,3 +130,23 @@
 def test_unknown_effects_are_named():
     with pytest.raises(KeyError, match="Effect"):
         Dispatcher(settings(effects=("maybe",)), 1)
+
+
+def lossy_sends(share, seed=3):
+    """Sends in the last five seconds of a time in which every destination loses a share of its calls."""
+    d, dice, lost = Driver(settings(slots=40)), random.Random(seed), {}
+    places = [model.Destination(n) for n in range(2, 10)]
+    for n, place in enumerate(places):
+        model.Receiver(n, place)
+    for step in range(600):
+        d.mail(destination=dice.choice(places))
+        d.run(25.0)
+        for mail, (_, sent, limit) in list(d.out.items()):
+            gone = lost.setdefault((mail, sent), step > 100 and dice.random() < share)
+            if d.now - sent >= (limit if gone else 60.0):
+                d.outcome(mail, model.TIMED_OUT if gone else model.DELIVERED, d.now - sent, run=False)
+    return sum(at > d.now - 5000.0 for at, _, _ in d.sends)
+
+
+def test_loss_on_the_way_does_not_set_the_destinations_aside():
+    assert sum(lossy_sends(0.5, seed) for seed in (1, 2, 3)) > 300
