--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -187,9 +187,14 @@
         for one in self.classes:
             if one["Effect"] not in ("safe", "keyed", "unsafe"):
                 raise KeyError(f"Services[].Effect: unknown effect {one['Effect']!r}")
-        self.rules["DrainGrace"], self.rules["ColdFrom"], self.rules["WarmAfter"], self.family["CallSlots"]
-        if any(one.get("ByArrival") for one in self.classes):
-            self.rules["TurnGap"]
+        needs = [(self.rules, "DrainGrace ColdFrom WarmAfter FallMultiple OverloadFor"),
+                 (self.allowed, "MaxAttempts MaxOpen"), (self.family, "CallSlots")]
+        needs += [(one, "GoalTime Deadline Value LateWorth") for one in self.classes]
+        needs += [(one, "Window KeyScope") for one in self.classes if one["Effect"] == "keyed"]
+        needs += [(self.rules, "TurnGap") for one in self.classes if one.get("ByArrival")]
+        for held, names in needs:       # what a rule needs must be there before the first mail
+            for name in names.split():
+                held[name]
         self.margin = 2.0 * settings["Tick"] + 10.0     # the tick and the answer need this much of a lifetime
         self.arrivals = 0
         self.lines = []             # in the order of their first mail
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -68,6 +68,9 @@
     what = {name: value for name, value in settings().items() if name != key}
     reply = play(Adapter(), batch(1, 0.0, provision(3, what)))[0]
     assert reply[8] == 100 and key.encode() in reply
+    what = settings()
+    del what["Rules"]["OverloadFor"]
+    assert b"OverloadFor" in play(Adapter(), batch(1, 0.0, provision(3, what)))[0]
 
 
 @pytest.mark.parametrize("given, words", [
