--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -3,7 +3,7 @@
 Make one `Dispatcher(settings, seed)` for each sender and ask it three things; its types stand in `model.py`.
   route(mail, now)            (receiver, time-out), (NOT_YET, 0), (DEFERRED, retry-after) or (BOUNCED, 0)
   settle(mail, outcome, now)  (RELAYED, 0) or one of the last three, after each outcome of a connect
-  wait(now)                   (ms, mail): ask `route` about that mail after so long; (0, None): nothing is held
+  wait(now)                   (ms, mail): ask `route` about it after so long; (0, None): nothing is held
 Ask `route` once when a mail comes in, then `wait` until it names a time ahead, after each round of news. The
 driver writes list changes, reports, withdrawals and an outcome's figures onto the model's objects beforehand.
 The mechanism is that of docs/design.md: classify before any repeat, told waits and jittered growing pauses
@@ -358,7 +358,8 @@
 
     def _pass_turn(self, mail, now, outcome):
         """Order: the next mail of the key goes on, after the rest that work still going on asks for."""
-        turn = self.keys.get(mail.key) if self.classes[mail.queue_class].get("ByArrival") and mail.key else None
+        ordered = mail.key and self.classes[mail.queue_class].get("ByArrival")
+        turn = self.keys.get(mail.key) if ordered else None
         if not turn or mail not in turn:
             return
         head = turn[0] is mail
@@ -391,7 +392,7 @@
                 return
 
     def _next_mail(self, line, now):
-        """The mail of a line that goes next: the one that loses most importance by waiting, then by its aim."""
+        """The mail of a line that goes next: the one that loses most by waiting, then by its target delay."""
         best, most = None, None
         for at, one in enumerate(self.classes):
             fresh, late = line.fresh[at], line.late[at]
@@ -400,7 +401,8 @@
             for mail in fresh and fresh[0], late and late[0], late and late[-1]:
                 if mail:
                     age = now - mail.arrived
-                    loss = self._worth(one, mail, age + URGENT / 2.0) - self._worth(one, mail, age + URGENT * 1.5)
+                    loss = (self._worth(one, mail, age + URGENT / 2.0)
+                            - self._worth(one, mail, age + URGENT * 1.5))
                     rank = (loss, -mail.arrived - one["GoalTime"])
                     if most is None or rank > most:
                         best, most = mail, rank
@@ -454,7 +456,8 @@
         for receiver in line.destination.receivers:
             if self._receiver_at(line, receiver, mail, now) <= now:
                 health = self._health(receiver)
-                rank = (not self._shared(receiver, now), health.fails > 0, health.out, receiver.zone != self.settings.get("Az"), -health.good_at)
+                rank = (not self._shared(receiver, now), health.fails > 0, health.out,
+                        receiver.zone != self.settings.get("Az"), -health.good_at)
                 if least is None or rank < least:
                     best, least = receiver, rank
         return best
@@ -490,7 +493,8 @@
         if self.slots >= self.family["CallSlots"] and not any(
                 self._shared(r, now) for r in line.destination.receivers):
             return None
-        at = min((self._receiver_at(line, r, mail, now) for r in line.destination.receivers), default=float("inf"))
+        at = min((self._receiver_at(line, r, mail, now) for r in line.destination.receivers),
+                 default=float("inf"))
         return None if at == float("inf") else at
 
     def _shared(self, receiver, now):
@@ -505,11 +509,12 @@
         return self.slots < self.family["CallSlots"] or self._shared(receiver, now)
 
     def _timeout(self, gate, mail):
-        """The destination's figure: learned from its usual time, twice that where a time-out ends the mail."""
+        """The destination's figure: learned from its usual time, twice where a time-out ends the mail."""
         if gate.usual is None:
             return FIRST_TIMEOUT
         times = 2.0 if self.classes[mail.queue_class]["Effect"] == "unsafe" else 1.0
-        return min(FIRST_TIMEOUT, max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual) * times * 2.0 ** gate.timeouts)
+        learned = max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual)
+        return min(FIRST_TIMEOUT, learned * times * 2.0 ** gate.timeouts)
 
     def _send(self, line, mail, receiver, now):
         course, gate, health = mail.notes, self._gate(receiver), self._health(receiver)
@@ -573,9 +578,9 @@
             self.bads.add(now)
             if outcome == TIMED_OUT and call.sent >= gate.timed_out_at and self._evidence(gate, now) < 2:
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
-            long = mail.took >= 1000.0 and outcome != ERROR     # what hung so long says more than one quick failure
+            long = mail.took >= 1000.0 and outcome != ERROR     # says more than a quick failure
             enough = max(1 if mail.took >= HANG and long else 2, self._evidence(gate, now))
-            for receiver in mail.destination.receivers:     # the sender's other receivers there share the doubt
+            for receiver in mail.destination.receivers:     # the others there share the doubt
                 other = self._health(receiver)
                 if other.good_at < call.sent and (receiver is call.receiver or long):
                     other.fails += 1
@@ -585,8 +590,8 @@
     def _evidence(self, gate, now):
         """How many failures in a row set a receiver aside: more while all other destinations fail as well.
 
-        Guards against loss on the way, or a fault of the sender's own, that strikes calls to every destination
-        now and then: the destinations are well, and what they answer comes at the usual pace.
+        Guards against loss on the way, or a fault of the sender's own, that strikes calls to every
+        destination now and then: the destinations are well, and what they answer comes at the usual pace.
         """
         bad = sum(self.bads.recent(now, 5)) - sum(gate.bads.recent(now, 5))
         good = sum(self.goods.recent(now, 5)) - sum(gate.goods.recent(now, 10))
@@ -594,13 +599,14 @@
         return min(MOST_EVIDENCE, ceil(log(DOUBT) / log(share)))
 
     def _set_aside(self, receiver, health, now):
-        """A receiver that fails gets a trickle: all senders together must stay under what a cold one bears."""
+        """A receiver that fails gets a trickle: all senders together stay under what a cold one bears."""
         if health.pace is None:
             counts = health.goods.recent(now, 11)
             health.usual_rate = max(sum(counts[at:at + 3]) for at in range(10)) / 3.0
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
         least = 1000.0 / self.rules["OverloadFor"] / max(1.0, self.fleet / CROWD) / ready
-        health.pace = max(least, 0.8 * self.rules["FallMultiple"] * self.rules["ColdFrom"] * health.usual_rate)
+        bears = self.rules["FallMultiple"] * self.rules["ColdFrom"] * health.usual_rate
+        health.pace = max(least, 0.8 * bears)
         health.next_at = now + 1000.0 / health.pace * self.dice.roll(0.5, 1.0)
         health.doubled_at = None
 
--- a/dewpin/drill/adapter.py
+++ b/dewpin/drill/adapter.py
@@ -1,4 +1,4 @@
-"""Drives the decision module from the wire. It keeps the timers and the mails in hand, and decides nothing."""
+"""Drives the decision module from the wire. It keeps timers and mails in hand, and decides nothing."""
 import json
 
 from .. import model
@@ -163,7 +163,8 @@
             try:
                 if code == wire.PROVISION:
                     seed, text = fields
-                    self.instances[sender] = touched[sender] = Instance(sender, seed, self.settings(text, where))
+                    touched[sender] = Instance(sender, seed, self.settings(text, where))
+                    self.instances[sender] = touched[sender]
                 else:
                     touched[sender] = self.instances[sender]
                     self.instances[sender].handlers[code](now, *fields)
@@ -194,5 +195,7 @@
 
     def lost(self, sender, error):
         self.instances.pop(sender, None)
-        words = f"settings lack {error}" if isinstance(error, KeyError) else f"{type(error).__name__}: {error}"
+        words = f"{type(error).__name__}: {error}"
+        if isinstance(error, KeyError):
+            words = f"settings lack {error}"
         return wire.die(sender, words)
--- a/dewpin/drill/wire.py
+++ b/dewpin/drill/wire.py
@@ -1,12 +1,13 @@
-"""The framing of marsh-c21d: batches in, replies out. Layouts only; nothing here knows what a record means."""
+"""The framing of marsh-c21d: batches in, replies out. Layouts only, no meaning."""
 import struct
 
 HEADER = struct.Struct("<IIId")
 REPLY = struct.Struct("<II")
 
-PROVISION, TARGETS, QUERY, FIRST, RETURNED, VANISHED, WAKEUP, CHECKED, NOTE_FROM, EXIT, CENSUS = range(10, 120, 10)
+(PROVISION, TARGETS, QUERY, FIRST, RETURNED, VANISHED, WAKEUP, CHECKED, NOTE_FROM, EXIT,
+ CENSUS) = range(10, 120, 10)
 
-# code: (name, fixed fields, what follows them: nothing, bytes or 23-byte entries with a u32 count, f32 with a u8)
+# code: (name, fixed fields, what follows: nothing, bytes or entries with a u32 count, f32 with a u8)
 RECORDS = {
     PROVISION: ("provision", struct.Struct("<HQ"), "bytes"),
     TARGETS: ("targets", struct.Struct("<HIBI"), None),
@@ -32,7 +33,7 @@
 
 
 class Malformed(Exception):
-    """Input that is not marsh-c21d: one plain sentence that names the batch, the record and what was expected."""
+    """Input that is not marsh-c21d: one sentence names the batch, the record and what was expected."""
 
 
 def attempt(sender, ticket, receiver, limit):
--- a/dewpin/model.py
+++ b/dewpin/model.py
@@ -1,4 +1,4 @@
-"""The types of the decision module's interface. They hold facts and point to each other; ids stand at the door.
+"""The types of the decision module's interface. They hold facts and point to each other.
 
 Times are milliseconds with fractions. Whoever drives the module writes what it learns onto these objects
 (list changes, load reports, withdrawn mails, the figures of an outcome); the module never changes
@@ -52,7 +52,7 @@
 
 
 class Mail:
-    """A message for one destination. One without an ident is a check on a receiver that the module made up."""
+    """A message for one destination. Without an ident it is a check that the module made up."""
     __slots__ = ("ident", "queue_class", "account", "key", "destination", "arrived", "expires", "withdrawn",
                  "told", "took", "notes")
 
