--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -394,6 +394,8 @@
     def _next_mail(self, line, now):
         """The mail of a line that goes next: the one that loses most by waiting, then by its target delay."""
         best, most = None, None
+        trial = all(self._health(r).pace is not None and self._health(r).doubled_at is None
+                    for r in line.destination.receivers if r.state == READY)
         for at, one in enumerate(self.classes):
             fresh, late = line.fresh[at], line.late[at]
             while fresh and now - fresh[0].arrived > one["GoalTime"]:
@@ -403,7 +405,7 @@
                     age = now - mail.arrived
                     loss = (self._worth(one, mail, age + URGENT / 2.0)
                             - self._worth(one, mail, age + URGENT * 1.5))
-                    rank = (loss, -mail.arrived - one["GoalTime"])
+                    rank = (trial and one["Effect"] == "safe", loss, -mail.arrived - one["GoalTime"])
                     if most is None or rank > most:
                         best, most = mail, rank
         return best
