Paces by the line's own traffic, idle connections closed, one long failure on sparse lines

Cause at full size: with hundreds of senders the trickle and the pace after a refusal were floors per sender that add up to many times the traffic, and idle connections filled receivers that take few. The paces cover any returning destination; they hurt where a partner is back soon and one sender carries little.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -2,7 +2,8 @@
 
 Make one `Dispatcher(settings, seed)` for each sender and ask it three things; its types stand in `model.py`.
   route(mail, now)            (receiver, time-out), (NOT_YET, 0), (DEFERRED, retry-after) or (BOUNCED, 0)
-  settle(mail, outcome, now)  (RELAYED, 0) or one of the last three, after each outcome of a connect
+  settle(mail, outcome, now)  the same or (RELAYED, 0), after each outcome of a connect; a third value tells
+                              whether the receiver's idle connections should close
   wait(now)                   (ms, mail): ask `route` about it after so long; (0, None): nothing is held
 Ask `route` once when a mail comes in, then `wait` until it names a time ahead, after each round of news. The
 driver writes list changes, reports, withdrawals and an outcome's figures onto the model's objects beforehand.
@@ -12,7 +13,7 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
-from math import ceil, log
+from math import ceil, log, log2
 
 from .model import (BOUNCED, CALLED_OFF, DEFERRED, DELIVERED, ERROR, FULL, NOT_YET, READY, RELAYED, RESET,
                     TIMED_OUT, UNREACHED, UNSENT, Mail)
@@ -26,9 +27,12 @@
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
 DOUBT, MOST_EVIDENCE = 0.1, 6   # chance, by how other destinations fare, that failures in a row are no outage
 HANG = 2500.0               # one call that got no answer for so long, with nothing good since, is an outage
+LONG = 1000.0               # a failure that took so long says more than a quick one
+RECOVERS = 0.3              # loss on the way is thought of when so many calls after a failed one go well
 LOSS = 3                    # so much evidence asked for means loss everywhere, and no cold destination
 SHUT = 1500.0               # a destination that refuses all for so long is shut, not just above its limit
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
+RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT)               # these outcomes prove that nothing ran
@@ -66,6 +70,24 @@
                 for m in range(mark - spans, mark + 1)]
 
 
+class Pace:
+    """Calls a second: after a refusal, or as a trickle. They double in a span once they grow."""
+
+    def __init__(self, rate, doubles, since=None):
+        self.rate, self.doubles, self.since = rate, doubles, since
+        self.next_at = 0.0
+
+    def now(self, now):
+        return self.rate if self.since is None else self.rate * 2.0 ** ((now - self.since) / self.doubles)
+
+    def after(self, now, calls):
+        """When so many calls fit, counted from now, with the growth on the way."""
+        rate = self.now(now) / 1000.0
+        if self.since is None:
+            return now + calls / rate
+        return now + self.doubles * log2(1.0 + calls * log(2.0) / (rate * self.doubles))
+
+
 class Health:
     """What the sender has seen of one receiver."""
 
@@ -73,11 +95,7 @@
         self.out = 0                # calls out
         self.fails = 0              # failures in a row
         self.good_at = -1e12        # when the latest good answer came
-        self.goods = Ring(1000.0, 12)
-        self.pace = None            # set aside: calls a second that the trickle allows now
-        self.usual_rate = 0.0       # calls a second before it was set aside
-        self.next_at = 0.0          # the trickle's next call
-        self.doubled_at = None      # when the trickle last grew; None: nothing good yet
+        self.trickle = None         # set aside: the pace of its trickle, which grows from its first good answer
         self.call = None            # the latest call, which mails sent in the same reply may share
 
 
@@ -86,27 +104,17 @@
 
     def __init__(self):
         self.told_until = -1e12     # end of a told wait
-        self.refused_pace = None    # calls a second after a refusal; None: free
-        self.refused_at = 0.0
-        self.next_at = 0.0
+        self.pace = None            # set by a refusal; None: free
         self.out = 0
         self.calls = deque()        # calls, oldest first; over ones go when they come to the front
         self.good_at = -1e12
         self.goods, self.bads = Ring(500.0, 20), Ring(1000.0, 8)
         self.usual = None           # call time, ms
         self.timeouts = 0           # time-outs since the latest good answer: each doubles the figure, so that
-        self.refusals = 0           # refusals since the latest good answer
+        self.refusals = 0           # calls turned away since the latest good answer
+        self.refused_at = 0.0       # the first of them
         self.timed_out_at = -1e12   # a slow destination is not taken for dead again and again
 
-    def pace(self, now):
-        """Calls a second that a refusal leaves: the accepted rate, doubling while no other refusal comes."""
-        if self.refused_pace is None:
-            return None
-        pace = self.refused_pace * 2.0 ** ((now - self.refused_at) / PACE_DOUBLES)
-        if pace > 4.0 * max(1.0, max(self.goods.recent(now, 8)) * 2.0):
-            self.refused_pace = pace = None
-        return pace
-
     def silent_at(self, now):
         """When the oldest call out, with nothing good since it left, is to be taken for stuck."""
         while self.calls and self.calls[0].open == 0:
@@ -115,6 +123,10 @@
             return float("inf")
         return self.calls[0].sent + max(SILENT_LEAST, SILENT_TIMES * (self.usual or 0.0))
 
+    def best(self, now):
+        """The best rate of good answers, in calls a second."""
+        return max(self.goods.recent(now, 16)) * 2.0
+
     def bound(self, now, receivers):
         """Calls that may be out: rate times time as measured, with room to grow.
 
@@ -123,18 +135,23 @@
         """
         if now >= self.silent_at(now):
             return 1
-        best = max(self.goods.recent(now, 16)) * 2.0
-        return receivers + 1 + 1.5 * best * (self.usual or 1000.0) / 1000.0
+        return receivers + 1 + 1.5 * self.best(now) * (self.usual or 1000.0) / 1000.0
 
 
 class Line:
     """The mails that wait for one destination, by queue class, and the slot time it has had."""
 
-    def __init__(self, destination, classes):
+    def __init__(self, destination, classes, began):
         self.destination = destination
         self.fresh = [deque() for _ in range(classes)]      # can still make their target delay
         self.late = [deque() for _ in range(classes)]
         self.used, self.used_at, self.out = 0.0, 0.0, 0
+        self.arrivals, self.began = Ring(RATE_SPAN / 10.0, 12), began   # began: the sender, not the line
+
+    def rate(self, now):
+        """Mails a second that come for the destination: small where many senders share its traffic."""
+        span = max(RATE_SPAN / 4.0, min(RATE_SPAN, now - self.began))
+        return max(1.0, sum(self.arrivals.recent(now, 10))) * 1000.0 / span
 
     def length(self):
         return sum(map(len, self.fresh)) + sum(map(len, self.late))
@@ -151,10 +168,11 @@
 
 class Call:
     """One slot: the mails of one bundle that travel together."""
-    __slots__ = ("receiver", "sent", "mails", "open", "counted")
+    __slots__ = ("receiver", "sent", "mails", "open", "counted", "again")
 
-    def __init__(self, receiver, sent):
+    def __init__(self, receiver, sent, again):
         self.receiver, self.sent, self.mails, self.open, self.counted = receiver, sent, 0, 0, False
+        self.again = again          # the call before it got no answer
 
 
 class Course:
@@ -196,7 +214,7 @@
             for name in names.split():
                 held[name]
         self.margin = 2.0 * settings["Tick"] + 10.0     # the tick and the answer need this much of a lifetime
-        self.arrivals = 0
+        self.arrivals, self.began = 0, None
         self.lines = []             # in the order of their first mail
         self.slots = 0              # calls out
         self.held = 0               # mails in hand
@@ -204,6 +222,8 @@
         self.pauses = []            # (due, arrival, mail)
         self.ends = []              # (give-up time, arrival, mail)
         self.keys = {}              # key: its mails in the order of arrival
+        self.recovers = 0.0         # share of calls after an unanswered one that go well
+        self.crowded = set()        # kinds of receiver that turned away a connection at once
         self.rests = {}             # key: until when work that may still go on keeps its turn
 
     # -- the three calls ------------------------------------------------------------------------------------
@@ -240,13 +260,11 @@
         course.state = "settled"
         if outcome not in PROOF and course.ran_at is None:
             course.ran_at, course.ran_to = call.sent, call.receiver
-        if mail.withdrawn:              # its key rests all the same
-            return self._finish(mail, now, None, outcome)
-        verdict, pause = self.classify(mail, outcome, now)
-        if verdict != NOT_YET:
-            return self._finish(mail, now, verdict, outcome)
-        self._pause_until(mail, now + pause)
-        return NOT_YET, 0.0
+        verdict, pause = (None, 0.0) if mail.withdrawn else self.classify(mail, outcome, now)
+        if verdict == NOT_YET:
+            self._pause_until(mail, now + pause)
+            return NOT_YET, 0.0, self._leaves(call.receiver, now)
+        return *self._finish(mail, now, verdict, outcome), self._leaves(call.receiver, now)
 
     def wait(self, now):
         """How long to wait, and the mail to ask `route` about then."""
@@ -340,11 +358,13 @@
 
     def _enter(self, mail, now):
         self.arrivals += 1
+        self.began = now if self.began is None else self.began
         self.held += 1
         course = mail.notes = Course(self.arrivals)
         if mail.destination.notes is None:
-            mail.destination.notes = Line(mail.destination, len(self.classes))
+            mail.destination.notes = Line(mail.destination, len(self.classes), self.began)
             self.lines.append(mail.destination.notes)
+        mail.destination.notes.arrivals.add(now)
         heappush(self.ends, (self._end(mail), course.arrival, mail))
         if self.classes[mail.queue_class].get("ByArrival") and mail.key:
             turn = self.keys.setdefault(mail.key, deque())
@@ -394,8 +414,7 @@
     def _next_mail(self, line, now):
         """The mail of a line that goes next: the one that loses most by waiting, then by its target delay."""
         best, most = None, None
-        trial = all(self._health(r).pace is not None and self._health(r).doubled_at is None
-                    for r in line.destination.receivers if r.state == READY)
+        trial = all(self._on_trial(r) for r in line.destination.receivers if r.state == READY)
         for at, one in enumerate(self.classes):
             fresh, late = line.fresh[at], line.late[at]
             while fresh and now - fresh[0].arrived > one["GoalTime"]:
@@ -445,6 +464,10 @@
             receiver.notes = Health()
         return receiver.notes
 
+    def _on_trial(self, receiver):
+        trickle = self._health(receiver).trickle
+        return trickle is not None and trickle.since is None
+
     def _gate(self, receiver):
         apart = self.family.get("OwnLimits", ())
         owner = receiver if receiver.kind < len(apart) and apart[receiver.kind] else receiver.destination
@@ -478,12 +501,12 @@
         if self._shared(receiver, now):
             return now
         at = max(now, gate.told_until)
-        if gate.pace(now) is not None:
-            at = max(at, gate.next_at)
-        if health.pace is not None:
-            if health.out and health.doubled_at is None:
+        if gate.pace:
+            at = max(at, gate.pace.next_at)
+        if health.trickle:
+            if health.out and self._on_trial(receiver):
                 return float("inf")
-            at = max(at, health.next_at)
+            at = max(at, health.trickle.next_at)
         ready = sum(r.state == READY for r in receiver.destination.receivers)
         if gate.out >= gate.bound(now, ready):
             return float("inf")
@@ -505,11 +528,21 @@
         call = health.call
         return (call is not None and call.sent == now and receiver.kind < len(most)
                 and call.mails < most[receiver.kind] and call.open == call.mails
-                and (health.pace is None or health.doubled_at is not None))
+                and not self._on_trial(receiver))
 
     def _has_slot(self, receiver, now):
         return self.slots < self.family["CallSlots"] or self._shared(receiver, now)
 
+    def _leaves(self, receiver, now):
+        """Whether idle connections to a receiver should close.
+
+        Guards against receivers that take few connections, idle ones counted: with many senders these stand
+        idle at those that sent last, and the others' calls are turned away without a connection.
+        """
+        line, idle = receiver.destination.notes, self.allowed.get("IdleClose", 0.0)
+        return (self._health(receiver).out == 0 and not line.length()
+                and (receiver.kind in self.crowded or line.rate(now) * idle < 1000.0))
+
     def _timeout(self, gate, mail):
         """The destination's figure: learned from its usual time, twice where a time-out ends the mail."""
         if gate.usual is None:
@@ -528,18 +561,19 @@
             course.call.mails += 1
             course.call.open += 1
             return
-        call = course.call = health.call = Call(receiver, now)
+        call = course.call = health.call = Call(receiver, now, health.fails > 0)
         call.mails = call.open = 1
         gate.calls.append(call)
         self.slots += 1
         line.out += 1
         gate.out += 1
         health.out += 1
-        pace = gate.pace(now)
-        if pace is not None:
-            gate.next_at = max(gate.next_at, now - 1000.0 / pace) + 1000.0 / pace
-        if health.pace is not None:
-            health.next_at = now + 1000.0 / health.pace * self.dice.roll(0.8, 1.4)
+        if gate.pace:
+            gate.pace.next_at = max(gate.pace.after(gate.pace.next_at, 1.0), now)
+            if gate.pace.now(now) > 4.0 * max(line.rate(now), gate.best(now)):
+                gate.pace = None
+        if health.trickle:
+            health.trickle.next_at = health.trickle.after(now, self.dice.roll(0.8, 1.4))
 
     def _release(self, mail, call, now):
         line = mail.destination.notes
@@ -555,24 +589,32 @@
 
     def _measure(self, mail, call, outcome, now):
         gate, health = self._gate(call.receiver), self._health(call.receiver)
+        if call.again and not call.counted and outcome in (DELIVERED, TIMED_OUT, RESET, UNREACHED):
+            self.recovers += 0.2 * ((outcome == DELIVERED) - self.recovers)
         if outcome == DELIVERED:
             gate.goods.add(now)
             self.goods.add(now)
-            health.goods.add(now)
             gate.timeouts = gate.refusals = 0
             gate.usual = mail.took if gate.usual is None else gate.usual + 0.1 * (mail.took - gate.usual)
             health.fails, health.good_at = 0, now
             gate.good_at = now
-            if health.pace is not None:
+            if health.trickle:
                 self._warm(gate, health, now)
-        elif outcome == FULL:
-            if mail.told > 0:
-                gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
-            rate = sum(gate.goods.recent(now, 4)) / 2.25
-            gate.refused_pace, gate.refused_at = max(1.0, rate), now
-            gate.next_at = max(gate.next_at, now + 500.0 / gate.refused_pace)
+        elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
+            line = mail.destination.notes
+            if outcome == FULL:
+                rate = max(sum(gate.goods.recent(now, 4)) / 2.25, min(1.0, line.rate(now)))
+                gate.pace = Pace(rate, max(PACE_DOUBLES, 1000.0 / rate), now)
+                gate.pace.next_at = gate.pace.after(now, 0.5)
+                if mail.told > 0:       # its mail gets one try at the end, the others' are spread after it
+                    told = now + mail.told + self.dice.roll(1.0, max(50.0, 0.25 * mail.told))
+                    gate.pace.next_at = gate.told_until = max(gate.told_until, told)
+            else:
+                self.crowded.add(call.receiver.kind)
+            if gate.refusals == 0:
+                gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
-            if gate.refusals >= 3 and now - gate.good_at > SHUT:
+            if gate.refusals >= 3 and now - gate.refused_at > SHUT:
                 self._set_aside(call.receiver, health, now)
         elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR) and not call.counted:
             call.counted = True         # a bundle's mails share one fate, and tell of it once
@@ -580,8 +622,9 @@
             self.bads.add(now)
             if outcome == TIMED_OUT and call.sent >= gate.timed_out_at and self._evidence(gate, now) < 2:
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
-            long = mail.took >= 1000.0 and outcome != ERROR     # says more than a quick failure
-            enough = max(1 if mail.took >= HANG and long else 2, self._evidence(gate, now))
+            long = mail.took >= LONG and outcome != ERROR     # says more than a quick failure
+            sparse = mail.destination.notes.rate(now) * self.rules["OverloadFor"] < 1000.0
+            enough = max(1 if long and (sparse or mail.took >= HANG) else 2, self._evidence(gate, now))
             for receiver in mail.destination.receivers:     # the others there share the doubt
                 other = self._health(receiver)
                 if other.good_at < call.sent and (receiver is call.receiver or long):
@@ -595,31 +638,34 @@
         Guards against loss on the way, or a fault of the sender's own, that strikes calls to every
         destination now and then: the destinations are well, and what they answer comes at the usual pace.
         """
+        if self.recovers < RECOVERS:
+            return 1
         bad = sum(self.bads.recent(now, 5)) - sum(gate.bads.recent(now, 5))
         good = sum(self.goods.recent(now, 5)) - sum(gate.goods.recent(now, 10))
         share = min(0.9, max(0.01, bad / (bad + good) if bad + good >= 4 else 0.0))
         return min(MOST_EVIDENCE, ceil(log(DOUBT) / log(share)))
 
     def _set_aside(self, receiver, health, now):
-        """A receiver that fails gets a trickle: all senders together stay under what a cold one bears."""
-        if health.pace is None:
-            counts = health.goods.recent(now, 11)
-            health.usual_rate = max(sum(counts[at:at + 3]) for at in range(10)) / 3.0
+        """A receiver that fails gets a trickle: all senders together stay under what a cold one bears.
+
+        What a returning destination bears over one window is taken of the line's own traffic, so that it adds
+        up to the same whether two senders or hundreds carry it.
+        """
+        rules, line = self.rules, receiver.destination.notes
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
-        least = 1000.0 / self.rules["OverloadFor"] / max(1.0, self.fleet / CROWD) / ready
-        bears = self.rules["FallMultiple"] * self.rules["ColdFrom"] * health.usual_rate
-        health.pace = max(least, 0.8 * bears)
-        health.next_at = now + 1000.0 / health.pace * self.dice.roll(0.5, 1.0)
-        health.doubled_at = None
+        least = 1000.0 / rules["OverloadFor"] / max(1.0, self.fleet / CROWD)
+        cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
+        health.trickle = Pace(max(least, 0.8 * rules["FallMultiple"] * cold * line.rate(now)) / ready,
+                              rules["WarmAfter"] / 5.0)
+        health.trickle.next_at = health.trickle.after(now, self.dice.roll(0.2, 1.0))
 
     def _warm(self, gate, health, now):
         """The trickle doubles while it goes well, no faster than a cold destination warms."""
+        trickle = health.trickle
         if self._evidence(gate, now) >= LOSS:
-            health.pace = None          # it answers while near half of all else fails: the way is at fault
-        elif health.doubled_at is None:
-            health.doubled_at = now
-        elif now - health.doubled_at >= self.rules["WarmAfter"] / 5.0:
-            health.doubled_at = now
-            health.pace *= 2.0
-            if health.pace > 6.0 * max(health.usual_rate, 0.5):
-                health.pace = None
+            health.trickle = None       # it answers while near half of all else fails: the way is at fault
+        elif trickle.since is None:
+            trickle.since = now
+            trickle.next_at = trickle.after(now, self.dice.roll(0.2, 1.0))
+        elif now - trickle.since > 0.8 * self.rules["WarmAfter"]:
+            health.trickle = None
--- a/dewpin/drill/adapter.py
+++ b/dewpin/drill/adapter.py
@@ -69,7 +69,10 @@
         mail.told, mail.took = float(note) if outcome == model.FULL else 0.0, delay
         if complete and outcome != model.DELIVERED:
             mail.withdrawn = True
-        self.write(mail, self.module.settle(mail, outcome, now))
+        *answer, leave = self.module.settle(mail, outcome, now)
+        self.write(mail, answer)
+        if leave:
+            self.actions.append(wire.close_idle(self.number, receiver))
 
     def vanished(self, now, ticket):
         if ticket in self.mails:
--- a/dewpin/drill/wire.py
+++ b/dewpin/drill/wire.py
@@ -29,7 +29,7 @@
 NOT_NOW = struct.Struct("<BHQd")
 END_FAILED = struct.Struct("<BHQ")
 DEFER = struct.Struct("<BHdI")
-ASK_LOAD = struct.Struct("<BHI")
+ON_RECEIVER = struct.Struct("<BHI")
 
 
 class Malformed(Exception):
@@ -53,7 +53,11 @@
 
 
 def ask_load(sender, receiver):
-    return ASK_LOAD.pack(60, sender, receiver)
+    return ON_RECEIVER.pack(60, sender, receiver)
+
+
+def close_idle(sender, receiver):
+    return ON_RECEIVER.pack(70, sender, receiver)
 
 
 def die(sender, words):
