A destination not yet known gets a time-out from the call times of all others

Cause: with two slots a first call to a hung destination held one of them for 10 s. Covers silent hosts and slowdowns too; may hurt an unknown slow partner.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -222,6 +222,7 @@
         self.pauses = []            # (due, arrival, mail)
         self.ends = []              # (give-up time, arrival, mail)
         self.keys = {}              # key: its mails in the order of arrival
+        self.usual = None           # call time over all destinations
         self.recovers = 0.0         # share of calls after an unanswered one that go well
         self.crowded = set()        # kinds of receiver that turned away a connection at once
         self.rests = {}             # key: until when work that may still go on keeps its turn
@@ -545,10 +546,11 @@
 
     def _timeout(self, gate, mail):
         """The destination's figure: learned from its usual time, twice where a time-out ends the mail."""
-        if gate.usual is None:
+        usual = gate.usual or self.usual        # one that has answered nothing yet is taken to be like others
+        if usual is None:
             return FIRST_TIMEOUT
         times = 2.0 if self.classes[mail.queue_class]["Effect"] == "unsafe" else 1.0
-        learned = max(LEAST_TIMEOUT, TIMEOUT_TIMES * gate.usual)
+        learned = max(LEAST_TIMEOUT, TIMEOUT_TIMES * usual)
         return min(FIRST_TIMEOUT, learned * times * 2.0 ** gate.timeouts)
 
     def _send(self, line, mail, receiver, now):
@@ -595,7 +597,8 @@
             gate.goods.add(now)
             self.goods.add(now)
             gate.timeouts = gate.refusals = 0
-            gate.usual = mail.took if gate.usual is None else gate.usual + 0.1 * (mail.took - gate.usual)
+            self.usual = mail.took if self.usual is None else self.usual + 0.05 * (mail.took - self.usual)
+            gate.usual = (gate.usual or self.usual) + (0.1 if gate.usual else 0.5) * (mail.took - (gate.usual or self.usual))
             health.fails, health.good_at = 0, now
             gate.good_at = now
             if health.trickle:
