--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -34,6 +34,7 @@
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
+LEAST_SHARE = 0.05          # of a line's own traffic that a pace set by refusals never falls under
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT)               # these outcomes prove that nothing ran
 RESTING = (TIMED_OUT, RESET, CALLED_OFF)        # after these the work may still go on
@@ -606,12 +607,14 @@
         elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
             line = mail.destination.notes
             if outcome == FULL:
-                rate = max(sum(gate.goods.recent(now, 4)) / 2.25, min(1.0, line.rate(now)))
-                gate.pace = Pace(rate, max(PACE_DOUBLES, 1000.0 / rate), now)
-                gate.pace.next_at = gate.pace.after(now, 0.5)
-                if mail.told > 0:       # its mail gets one try at the end, the others' are spread after it
-                    told = now + mail.told + self.dice.roll(1.0, max(50.0, 0.25 * mail.told))
-                    gate.pace.next_at = gate.told_until = max(gate.told_until, told)
+                if gate.pace is None or call.sent >= gate.pace.since:
+                    came = line.rate(now)
+                    rate = sum(gate.goods.recent(now, 4)) / 2.25
+                    half = 0.5 * (gate.pace.now(now) if gate.pace else min(came, 2.0))
+                    gate.pace = Pace(max(rate, half, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), now)
+                    gate.pace.next_at = gate.pace.after(now, self.dice.roll(0.3, 0.9))
+                if mail.told > 0:       # the pace spreads what falls due at its end, over senders as well
+                    gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
             else:
                 self.crowded.add(call.receiver.kind)
             if gate.refusals == 0:
