Paces and trickles count from the end of a told wait; a long one means shut

Told from a limit by the length of the told wait; from an outage by 'full' in 70 ms. Holds for any told wait; hurts where a single sender is told a long wait by a destination that is not cold.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -30,6 +30,7 @@
 LONG = 1000.0               # a failure that took so long says more than a quick one
 RECOVERS = 0.3              # loss on the way is thought of when so many calls after a failed one go well
 LOSS = 3                    # so much evidence asked for means loss everywhere, and no cold destination
+LONG_TOLD = 2500.0          # a told wait of more is no limit's: the destination is shut, and returns cold
 SHUT = 1500.0               # a destination that refuses all for so long is shut, not just above its limit
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
@@ -79,7 +80,7 @@
         self.next_at = 0.0
 
     def now(self, now):
-        return self.rate if self.since is None else self.rate * 2.0 ** ((now - self.since) / self.doubles)
+        return self.rate if self.since is None else self.rate * 2.0 ** (max(0.0, now - self.since) / self.doubles)
 
     def after(self, now, calls):
         """When so many calls fit, counted from now, with the growth on the way."""
@@ -607,20 +608,16 @@
         elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
             line = mail.destination.notes
             if outcome == FULL:
-                if gate.pace is None or call.sent >= gate.pace.since:
-                    came = line.rate(now)
-                    rate = sum(gate.goods.recent(now, 4)) / 2.25
-                    half = 0.5 * (gate.pace.now(now) if gate.pace else min(came, 2.0))
-                    gate.pace = Pace(max(rate, half, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), now)
-                    gate.pace.next_at = gate.pace.after(now, self.dice.roll(0.3, 0.9))
-                if mail.told > 0:       # the pace spreads what falls due at its end, over senders as well
+                if mail.told > 0:
                     gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
+                if gate.pace is None or call.sent >= gate.pace.since:
+                    self._slow_down(line, gate, now)
             else:
                 self.crowded.add(call.receiver.kind)
             if gate.refusals == 0:
                 gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
-            if gate.refusals >= 3 and now - gate.refused_at > SHUT:
+            if gate.refusals >= 3 and now - gate.refused_at > SHUT or mail.told > LONG_TOLD:
                 self._set_aside(call.receiver, health, now)
         elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR) and not call.counted:
             call.counted = True         # a bundle's mails share one fate, and tell of it once
@@ -638,6 +635,18 @@
                     if other.fails >= enough:
                         self._set_aside(receiver, other, now)
 
+    def _slow_down(self, line, gate, now):
+        """A refusal sets a pace: what was accepted lately, or half the last pace, from the end of the wait.
+
+        Guards against what one refusal or told wait holds falling due together, at one sender or at hundreds,
+        and against refused calls that use up a limit for good.
+        """
+        came, start = line.rate(now), max(now, gate.told_until)
+        accepted = sum(gate.goods.recent(now, 4)) / 2.25
+        half = 0.5 * (gate.pace.now(now) if gate.pace else min(came, 2.0))
+        gate.pace = Pace(max(accepted, half, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), start)
+        gate.pace.next_at = gate.pace.after(start, self.dice.roll(0.3, 0.9))
+
     def _evidence(self, gate, now):
         """How many failures in a row set a receiver aside: more while all other destinations fail as well.
 
@@ -663,7 +672,8 @@
         cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
         health.trickle = Pace(max(least, 0.8 * rules["FallMultiple"] * cold * line.rate(now)) / ready,
                               rules["WarmAfter"] / 5.0)
-        health.trickle.next_at = health.trickle.after(now, self.dice.roll(0.2, 1.0))
+        start = max(now, self._gate(receiver).told_until)
+        health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
 
     def _warm(self, gate, health, now):
         """The trickle doubles while it goes well, no faster than a cold destination warms."""
