--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -606,12 +606,11 @@
             if health.trickle:
                 self._warm(gate, health, now)
         elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
-            line = mail.destination.notes
             if outcome == FULL:
                 if mail.told > 0:
                     gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
                 if gate.pace is None or call.sent >= gate.pace.since:
-                    self._slow_down(line, gate, now)
+                    self._slow_down(call.receiver, gate, now)
             else:
                 self.crowded.add(call.receiver.kind)
             if gate.refusals == 0:
@@ -635,15 +634,24 @@
                     if other.fails >= enough:
                         self._set_aside(receiver, other, now)
 
-    def _slow_down(self, line, gate, now):
+    def _share(self, receiver, now):
+        """This sender's part of a destination's traffic: its own, drawn to its part of a known limit.
+
+        A limit comes from reports, else from the list; it is late and rough, and for all senders together.
+        """
+        listed = receiver.weight if self.settings.get("Weights") in ("nominal", "rough") else 0.0
+        limit, came = receiver.report.get("limit") or listed, receiver.destination.notes.rate(now)
+        return (came + limit / self.fleet) / 2.0 if limit > 0.0 else came
+
+    def _slow_down(self, receiver, gate, now):
         """A refusal sets a pace: what was accepted lately, or half the last pace, from the end of the wait.
 
         Guards against what one refusal or told wait holds falling due together, at one sender or at hundreds,
         and against refused calls that use up a limit for good.
         """
-        came, start = line.rate(now), max(now, gate.told_until)
+        came, start = self._share(receiver, now), max(now, gate.told_until)
         accepted = sum(gate.goods.recent(now, 4)) / 2.25
-        half = 0.5 * (gate.pace.now(now) if gate.pace else min(came, 2.0))
+        half = 0.5 * (gate.pace.now(now) if gate.pace else came)
         gate.pace = Pace(max(accepted, half, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), start)
         gate.pace.next_at = gate.pace.after(start, self.dice.roll(0.3, 0.9))
 
@@ -666,11 +674,11 @@
         What a returning destination bears over one window is taken of the line's own traffic, so that it adds
         up to the same whether two senders or hundreds carry it.
         """
-        rules, line = self.rules, receiver.destination.notes
+        rules = self.rules
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
         least = 1000.0 / rules["OverloadFor"] / max(1.0, self.fleet / CROWD)
         cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
-        health.trickle = Pace(max(least, 0.8 * rules["FallMultiple"] * cold * line.rate(now)) / ready,
+        health.trickle = Pace(max(least, 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now)) / ready,
                               rules["WarmAfter"] / 5.0)
         start = max(now, self._gate(receiver).told_until)
         health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
