A pace after a refusal stands still until a good answer, as the trickle does

Now both paces are one thing that grows from the first good answer. Covers lowered limits and shut destinations; hurts the rest of a line after one stray refusal.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -35,7 +35,7 @@
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
-LEAST_SHARE = 0.05          # of a line's own traffic that a pace set by refusals never falls under
+LEAST_SHARE = 0.2           # of a line's own traffic that a pace set by refusals never falls under
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT)               # these outcomes prove that nothing ran
 RESTING = (TIMED_OUT, RESET, CALLED_OFF)        # after these the work may still go on
@@ -73,14 +73,14 @@
 
 
 class Pace:
-    """Calls a second: after a refusal, or as a trickle. They double in a span once they grow."""
+    """Calls a second, after a refusal or as a trickle: they double in a span from the first good answer on."""
 
-    def __init__(self, rate, doubles, since=None):
-        self.rate, self.doubles, self.since = rate, doubles, since
+    def __init__(self, rate, doubles, made):
+        self.rate, self.doubles, self.made, self.since = rate, doubles, made, None
         self.next_at = 0.0
 
     def now(self, now):
-        return self.rate if self.since is None else self.rate * 2.0 ** (max(0.0, now - self.since) / self.doubles)
+        return self.rate if self.since is None else self.rate * 2.0 ** ((now - self.since) / self.doubles)
 
     def after(self, now, calls):
         """When so many calls fit, counted from now, with the growth on the way."""
@@ -603,13 +603,18 @@
             gate.usual = (gate.usual or self.usual) + (0.1 if gate.usual else 0.5) * (mail.took - (gate.usual or self.usual))
             health.fails, health.good_at = 0, now
             gate.good_at = now
-            if health.trickle:
-                self._warm(gate, health, now)
+            for pace in (gate.pace, health.trickle):
+                if pace and pace.since is None:
+                    pace.since = now
+                    pace.next_at = min(pace.next_at, pace.after(now, self.dice.roll(0.2, 1.0)))
+            if health.trickle and (self._evidence(gate, now) >= LOSS    # then the way is at fault, not the receiver
+                                   or now - health.trickle.since > 0.8 * self.rules["WarmAfter"]):
+                health.trickle = None
         elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
             if outcome == FULL:
                 if mail.told > 0:
                     gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
-                if gate.pace is None or call.sent >= gate.pace.since:
+                if gate.pace is None or call.sent >= gate.pace.made:
                     self._slow_down(call.receiver, gate, now)
             else:
                 self.crowded.add(call.receiver.kind)
@@ -651,8 +656,8 @@
         """
         came, start = self._share(receiver, now), max(now, gate.told_until)
         accepted = sum(gate.goods.recent(now, 4)) / 2.25
-        half = 0.5 * (gate.pace.now(now) if gate.pace else came)
-        gate.pace = Pace(max(accepted, half, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), start)
+        rate = 0.5 * gate.pace.now(now) if gate.pace else came
+        gate.pace = Pace(max(accepted, rate, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), now)
         gate.pace.next_at = gate.pace.after(start, self.dice.roll(0.3, 0.9))
 
     def _evidence(self, gate, now):
@@ -679,17 +684,6 @@
         least = 1000.0 / rules["OverloadFor"] / max(1.0, self.fleet / CROWD)
         cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
         health.trickle = Pace(max(least, 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now)) / ready,
-                              rules["WarmAfter"] / 5.0)
+                              rules["WarmAfter"] / 5.0, now)
         start = max(now, self._gate(receiver).told_until)
         health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
-
-    def _warm(self, gate, health, now):
-        """The trickle doubles while it goes well, no faster than a cold destination warms."""
-        trickle = health.trickle
-        if self._evidence(gate, now) >= LOSS:
-            health.trickle = None       # it answers while near half of all else fails: the way is at fault
-        elif trickle.since is None:
-            trickle.since = now
-            trickle.next_at = trickle.after(now, self.dice.roll(0.2, 1.0))
-        elif now - trickle.since > 0.8 * self.rules["WarmAfter"]:
-            health.trickle = None
