--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -26,7 +26,6 @@
 CROWD = 4.0                 # so many senders may each try a failed destination once in `OverloadFor`
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
 DOUBT, MOST_EVIDENCE = 0.1, 6   # chance, by how other destinations fare, that failures in a row are no outage
-HANG = 2500.0               # one call that got no answer for so long, with nothing good since, is an outage
 LONG = 1000.0               # a failure that took so long says more than a quick one
 RECOVERS = 0.3              # loss on the way is thought of when so many calls after a failed one go well
 LOSS = 3                    # so much evidence asked for means loss everywhere, and no cold destination
@@ -125,10 +124,6 @@
             return float("inf")
         return self.calls[0].sent + max(SILENT_LEAST, SILENT_TIMES * (self.usual or 0.0))
 
-    def best(self, now):
-        """The best rate of good answers, in calls a second."""
-        return max(self.goods.recent(now, 16)) * 2.0
-
     def bound(self, now, receivers):
         """Calls that may be out: rate times time as measured, with room to grow.
 
@@ -137,7 +132,8 @@
         """
         if now >= self.silent_at(now):
             return 1
-        return receivers + 1 + 1.5 * self.best(now) * (self.usual or 1000.0) / 1000.0
+        best = max(self.goods.recent(now, 16)) * 2.0
+        return receivers + 1 + 1.5 * best * (self.usual or 1000.0) / 1000.0
 
 
 class Line:
@@ -246,7 +242,7 @@
         if course.state != "line" or self._next_mail(line, now) is not mail:
             return NOT_YET, 0.0
         receiver = self._receiver(line, mail, now)
-        if receiver is None or not self._has_slot(receiver, now):
+        if receiver is None:
             return NOT_YET, 0.0
         left = mail.expires - now
         limit = min(self._timeout(self._gate(receiver), mail), left - self.settings["Tick"])
@@ -296,11 +292,10 @@
                 continue
             if mail.withdrawn:
                 return 0.0, mail
-            at = self._open_at(line, mail, now)
-            if at is None:
-                continue
+            at = min((self._receiver_at(line, r, mail, now) for r in line.destination.receivers),
+                     default=float("inf"))
             if at > now:
-                if soonest is None or at < soonest[0]:
+                if at < float("inf") and (soonest is None or at < soonest[0]):
                     soonest = at, mail
             elif best is None or line.slot_time(now) < best[0].slot_time(now):
                 best = line, mail
@@ -503,6 +498,8 @@
         gate, health = self._gate(receiver), self._health(receiver)
         if self._shared(receiver, now):
             return now
+        if self.slots >= self.family["CallSlots"]:
+            return float("inf")
         at = max(now, gate.told_until)
         if gate.pace:
             at = max(at, gate.pace.next_at)
@@ -513,18 +510,8 @@
         ready = sum(r.state == READY for r in receiver.destination.receivers)
         if gate.out >= gate.bound(now, ready):
             return float("inf")
-        if line.out >= max(1, self.family["CallSlots"] // 2) and gate.usual is None:
-            return float("inf")     # an unknown destination must leave slots to the others
         return at
 
-    def _open_at(self, line, mail, now):
-        if self.slots >= self.family["CallSlots"] and not any(
-                self._shared(r, now) for r in line.destination.receivers):
-            return None
-        at = min((self._receiver_at(line, r, mail, now) for r in line.destination.receivers),
-                 default=float("inf"))
-        return None if at == float("inf") else at
-
     def _shared(self, receiver, now):
         """Whether a mail sent now joins a call that left in this reply; a first trial goes alone."""
         health, most = self._health(receiver), self.family.get("BundleMax", ())
@@ -533,9 +520,6 @@
                 and call.mails < most[receiver.kind] and call.open == call.mails
                 and not self._on_trial(receiver))
 
-    def _has_slot(self, receiver, now):
-        return self.slots < self.family["CallSlots"] or self._shared(receiver, now)
-
     def _leaves(self, receiver, now):
         """Whether idle connections to a receiver should close.
 
@@ -574,7 +558,7 @@
         health.out += 1
         if gate.pace:
             gate.pace.next_at = max(gate.pace.after(gate.pace.next_at, 1.0), now)
-            if gate.pace.now(now) > 4.0 * max(line.rate(now), gate.best(now)):
+            if gate.pace.now(now) > 4.0 * self._share(receiver, now):
                 gate.pace = None
         if health.trickle:
             health.trickle.next_at = health.trickle.after(now, self.dice.roll(0.8, 1.4))
@@ -600,7 +584,8 @@
             self.goods.add(now)
             gate.timeouts = gate.refusals = 0
             self.usual = mail.took if self.usual is None else self.usual + 0.05 * (mail.took - self.usual)
-            gate.usual = (gate.usual or self.usual) + (0.1 if gate.usual else 0.5) * (mail.took - (gate.usual or self.usual))
+            before = gate.usual or self.usual
+            gate.usual = before + (0.1 if gate.usual else 0.5) * (mail.took - before)
             health.fails, health.good_at = 0, now
             gate.good_at = now
             for pace in (gate.pace, health.trickle):
@@ -631,7 +616,7 @@
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
             long = mail.took >= LONG and outcome != ERROR     # says more than a quick failure
             sparse = mail.destination.notes.rate(now) * self.rules["OverloadFor"] < 1000.0
-            enough = max(1 if long and (sparse or mail.took >= HANG) else 2, self._evidence(gate, now))
+            enough = max(1 if long and sparse else 2, self._evidence(gate, now))
             for receiver in mail.destination.receivers:     # the others there share the doubt
                 other = self._health(receiver)
                 if other.good_at < call.sent and (receiver is call.receiver or long):
