Loss is told only by how calls after an unanswered one fare

Merged the shares of failures at other destinations, which in an outage of many asked for more failures before any was set aside, into one figure: calls after an unanswered one that go well.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -13,7 +13,7 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
-from math import ceil, log, log2
+from math import log, log2
 
 from .model import (BOUNCED, CALLED_OFF, DEFERRED, DELIVERED, ERROR, FULL, NOT_YET, READY, RELAYED, RESET,
                     TIMED_OUT, UNREACHED, UNSENT, Mail)
@@ -25,10 +25,9 @@
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
 CROWD = 4.0                 # so many senders may each try a failed destination once in `OverloadFor`
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
-DOUBT, MOST_EVIDENCE = 0.1, 6   # chance, by how other destinations fare, that failures in a row are no outage
 LONG = 1000.0               # a failure that took so long says more than a quick one
 RECOVERS = 0.3              # loss on the way is thought of when so many calls after a failed one go well
-LOSS = 3                    # so much evidence asked for means loss everywhere, and no cold destination
+LOSS = 3                    # failures in a row that are an outage nevertheless
 LONG_TOLD = 2500.0          # a told wait of more is no limit's: the destination is shut, and returns cold
 SHUT = 1500.0               # a destination that refuses all for so long is shut, not just above its limit
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
@@ -109,7 +108,7 @@
         self.out = 0
         self.calls = deque()        # calls, oldest first; over ones go when they come to the front
         self.good_at = -1e12
-        self.goods, self.bads = Ring(500.0, 20), Ring(1000.0, 8)
+        self.goods = Ring(500.0, 20)
         self.usual = None           # call time, ms
         self.timeouts = 0           # time-outs since the latest good answer: each doubles the figure, so that
         self.refusals = 0           # calls turned away since the latest good answer
@@ -216,7 +215,6 @@
         self.lines = []             # in the order of their first mail
         self.slots = 0              # calls out
         self.held = 0               # mails in hand
-        self.goods, self.bads = Ring(1000.0, 8), Ring(1000.0, 8)    # answers and failures of all destinations
         self.pauses = []            # (due, arrival, mail)
         self.ends = []              # (give-up time, arrival, mail)
         self.keys = {}              # key: its mails in the order of arrival
@@ -581,7 +579,6 @@
             self.recovers += 0.2 * ((outcome == DELIVERED) - self.recovers)
         if outcome == DELIVERED:
             gate.goods.add(now)
-            self.goods.add(now)
             gate.timeouts = gate.refusals = 0
             self.usual = mail.took if self.usual is None else self.usual + 0.05 * (mail.took - self.usual)
             before = gate.usual or self.usual
@@ -592,7 +589,7 @@
                 if pace and pace.since is None:
                     pace.since = now
                     pace.next_at = min(pace.next_at, pace.after(now, self.dice.roll(0.2, 1.0)))
-            if health.trickle and (self._evidence(gate, now) >= LOSS    # then the way is at fault, not the receiver
+            if health.trickle and (self._lossy()    # then the way is at fault, not the receiver
                                    or now - health.trickle.since > 0.8 * self.rules["WarmAfter"]):
                 health.trickle = None
         elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
@@ -610,13 +607,11 @@
                 self._set_aside(call.receiver, health, now)
         elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR) and not call.counted:
             call.counted = True         # a bundle's mails share one fate, and tell of it once
-            gate.bads.add(now)
-            self.bads.add(now)
-            if outcome == TIMED_OUT and call.sent >= gate.timed_out_at and self._evidence(gate, now) < 2:
+            if outcome == TIMED_OUT and call.sent >= gate.timed_out_at and not self._lossy():
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
             long = mail.took >= LONG and outcome != ERROR     # says more than a quick failure
             sparse = mail.destination.notes.rate(now) * self.rules["OverloadFor"] < 1000.0
-            enough = max(1 if long and sparse else 2, self._evidence(gate, now))
+            enough = LOSS if self._lossy() else 1 if long and sparse else 2
             for receiver in mail.destination.receivers:     # the others there share the doubt
                 other = self._health(receiver)
                 if other.good_at < call.sent and (receiver is call.receiver or long):
@@ -645,18 +640,13 @@
         gate.pace = Pace(max(accepted, rate, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), now)
         gate.pace.next_at = gate.pace.after(start, self.dice.roll(0.3, 0.9))
 
-    def _evidence(self, gate, now):
-        """How many failures in a row set a receiver aside: more while all other destinations fail as well.
+    def _lossy(self):
+        """Whether calls after an unanswered one mostly go well: then failures in a row are no outage.
 
-        Guards against loss on the way, or a fault of the sender's own, that strikes calls to every
-        destination now and then: the destinations are well, and what they answer comes at the usual pace.
+        Guards against loss on the way, answers that are lost, or a fault of the sender's own, which strike calls
+        to every destination now and then: the destinations are well, and what they answer comes at usual pace.
         """
-        if self.recovers < RECOVERS:
-            return 1
-        bad = sum(self.bads.recent(now, 5)) - sum(gate.bads.recent(now, 5))
-        good = sum(self.goods.recent(now, 5)) - sum(gate.goods.recent(now, 10))
-        share = min(0.9, max(0.01, bad / (bad + good) if bad + good >= 4 else 0.0))
-        return min(MOST_EVIDENCE, ceil(log(DOUBT) / log(share)))
+        return self.recovers >= RECOVERS
 
     def _set_aside(self, receiver, health, now):
         """A receiver that fails gets a trickle: all senders together stay under what a cold one bears.
