--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -16,7 +16,7 @@
 from math import log, log2
 
 from .model import (BOUNCED, CALLED_OFF, DEFERRED, DELIVERED, ERROR, FULL, NOT_YET, READY, RELAYED, RESET,
-                    TIMED_OUT, UNREACHED, UNSENT, Mail)
+                    TIMED_OUT, UNREACHED, UNSENT)
 
 FIRST_TIMEOUT = 10000.0     # of a destination that has answered nothing yet (the design's figure)
 SILENT_TIMES, SILENT_LEAST = 4.0, 700.0     # a call out so many usual times, and so long, counts as silent
@@ -71,7 +71,7 @@
 
 
 class Pace:
-    """Calls a second, after a refusal or as a trickle: they double in a span from the first good answer on."""
+    """Calls a second, after a refusal or as a trickle: they double in a span from the first good answer."""
 
     def __init__(self, rate, doubles, made):
         self.rate, self.doubles, self.made, self.since = rate, doubles, made, None
@@ -95,7 +95,7 @@
         self.out = 0                # calls out
         self.fails = 0              # failures in a row
         self.good_at = -1e12        # when the latest good answer came
-        self.trickle = None         # set aside: the pace of its trickle, which grows from its first good answer
+        self.trickle = None         # set aside: the pace of its trickle
         self.call = None            # the latest call, which mails sent in the same reply may share
 
 
@@ -180,15 +180,11 @@
         self.arrival = arrival
         self.tries = 0
         self.call = None
-        self.ran_at = None          # the send of the first connect that may have run
-        self.ran_to = None
+        self.ran_at = self.ran_to = None    # the first connect that may have run: its send, its receiver
         self.due = 0.0
         self.spared = False         # given up to keep room for others
         self.state = "new"          # new, turn (its key is taken), line, pause, out, over
 
-    def __lt__(self, other):
-        return self.arrival < other.arrival
-
 
 class Dispatcher:
     def __init__(self, settings, seed):
@@ -242,8 +238,7 @@
         receiver = self._receiver(line, mail, now)
         if receiver is None:
             return NOT_YET, 0.0
-        left = mail.expires - now
-        limit = min(self._timeout(self._gate(receiver), mail), left - self.settings["Tick"])
+        limit = min(self._timeout(self._gate(receiver), mail), mail.expires - now - self.settings["Tick"])
         self._take_out(line, mail)
         self._send(line, mail, receiver, now)
         return receiver, limit
@@ -251,8 +246,7 @@
     def settle(self, mail, outcome, now):
         """What to do after an outcome: classify first, repeat after."""
         course, call = mail.notes, mail.notes.call
-        if mail.ident is not None:
-            self._measure(mail, call, outcome, now)
+        self._measure(mail, call, outcome, now)
         self._release(mail, call, now)
         course.state = "settled"
         if outcome not in PROOF and course.ran_at is None:
@@ -281,9 +275,8 @@
         if self.held > ROOM * self.allowed["MaxOpen"] and (mail := self._least(now)):
             mail.notes.spared = True
             return 0.0, mail
-        best, soonest = None, (self.ends[0][0], self.ends[0][2]) if self.ends else None
-        if self.pauses and (soonest is None or self.pauses[0][0] < soonest[0]):
-            soonest = self.pauses[0][0], self.pauses[0][2]
+        best, heaps = None, (self.ends, self.pauses)
+        soonest = min((heap[0] for heap in heaps if heap), key=lambda entry: entry[0], default=None)
         for line in self.lines:
             mail = self._next_mail(line, now)
             if mail is None:
@@ -294,12 +287,12 @@
                      default=float("inf"))
             if at > now:
                 if at < float("inf") and (soonest is None or at < soonest[0]):
-                    soonest = at, mail
+                    soonest = at, 0, mail
             elif best is None or line.slot_time(now) < best[0].slot_time(now):
                 best = line, mail
         if best:
             return 0.0, best[1]
-        return (max(0.01, soonest[0] - now), soonest[1]) if soonest else (0.0, None)
+        return (max(0.01, soonest[0] - now), soonest[2]) if soonest else (0.0, None)
 
     # -- classification -------------------------------------------------------------------------------------
 
@@ -318,9 +311,7 @@
     def _ending(self, mail):
         """How a mail ends that is given up: deferred if a repeat by the client is harmless, else bounced."""
         one = self.classes[mail.queue_class]
-        if mail.notes.ran_at is None or one["Effect"] == "safe":
-            return DEFERRED
-        return BOUNCED
+        return DEFERRED if mail.notes.ran_at is None or one["Effect"] == "safe" else BOUNCED
 
     def _pause(self, course):
         return BASE_PAUSE * 2.0 ** (course.tries - 1) * self.dice.roll(0.5, 1.5)
@@ -417,9 +408,8 @@
                 late.append(fresh.popleft())
             for mail in fresh and fresh[0], late and late[0], late and late[-1]:
                 if mail:
-                    age = now - mail.arrived
-                    loss = (self._worth(one, mail, age + URGENT / 2.0)
-                            - self._worth(one, mail, age + URGENT * 1.5))
+                    age = now - mail.arrived + URGENT / 2.0
+                    loss = self._worth(one, mail, age) - self._worth(one, mail, age + URGENT)
                     rank = (trial and one["Effect"] == "safe", loss, -mail.arrived - one["GoalTime"])
                     if most is None or rank > most:
                         best, most = mail, rank
@@ -456,19 +446,16 @@
     # -- receivers, gates and slots -------------------------------------------------------------------------
 
     def _health(self, receiver):
-        if receiver.notes is None:
-            receiver.notes = Health()
+        receiver.notes = receiver.notes or Health()
         return receiver.notes
 
     def _on_trial(self, receiver):
-        trickle = self._health(receiver).trickle
-        return trickle is not None and trickle.since is None
+        return bool(self._health(receiver).trickle) and self._health(receiver).trickle.since is None
 
     def _gate(self, receiver):
         apart = self.family.get("OwnLimits", ())
         owner = receiver if receiver.kind < len(apart) and apart[receiver.kind] else receiver.destination
-        if owner.gate is None:
-            owner.gate = Gate()
+        owner.gate = owner.gate or Gate()
         return owner.gate
 
     def _receiver(self, line, mail, now):
@@ -489,26 +476,18 @@
             return float("inf")
         course = mail.notes
         one = self.classes[mail.queue_class]
-        if course.ran_at is not None and one["Effect"] == "keyed" and one.get("KeyScope") != "all" \
-                and not (one["KeyScope"] == "zone" and receiver.zone == course.ran_to.zone) \
-                and receiver is not course.ran_to:
+        scope = one.get("KeyScope") if one["Effect"] == "keyed" else "all"
+        if course.ran_at is not None and scope != "all" and receiver is not course.ran_to \
+                and not (scope == "zone" and receiver.zone == course.ran_to.zone):
             return float("inf")
         gate, health = self._gate(receiver), self._health(receiver)
         if self._shared(receiver, now):
             return now
-        if self.slots >= self.family["CallSlots"]:
-            return float("inf")
-        at = max(now, gate.told_until)
-        if gate.pace:
-            at = max(at, gate.pace.next_at)
-        if health.trickle:
-            if health.out and self._on_trial(receiver):
-                return float("inf")
-            at = max(at, health.trickle.next_at)
         ready = sum(r.state == READY for r in receiver.destination.receivers)
-        if gate.out >= gate.bound(now, ready):
+        if self.slots >= self.family["CallSlots"] or gate.out >= gate.bound(now, ready) \
+                or health.out and self._on_trial(receiver):
             return float("inf")
-        return at
+        return max([now, gate.told_until] + [pace.next_at for pace in (gate.pace, health.trickle) if pace])
 
     def _shared(self, receiver, now):
         """Whether a mail sent now joins a call that left in this reply; a first trial goes alone."""
@@ -643,8 +622,8 @@
     def _lossy(self):
         """Whether calls after an unanswered one mostly go well: then failures in a row are no outage.
 
-        Guards against loss on the way, answers that are lost, or a fault of the sender's own, which strike calls
-        to every destination now and then: the destinations are well, and what they answer comes at usual pace.
+        Guards against loss on the way, lost answers, or a fault of the sender's own, which strike any call now
+        and then: the destinations are well, and what they answer comes at the usual pace.
         """
         return self.recovers >= RECOVERS
 
@@ -658,7 +637,7 @@
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
         least = 1000.0 / rules["OverloadFor"] / max(1.0, self.fleet / CROWD)
         cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
-        health.trickle = Pace(max(least, 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now)) / ready,
-                              rules["WarmAfter"] / 5.0, now)
+        bears = max(least, 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now))
+        health.trickle = Pace(bears / ready, rules["WarmAfter"] / 5.0, now)
         start = max(now, self._gate(receiver).told_until)
         health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
--- a/dewpin/drill/adapter.py
+++ b/dewpin/drill/adapter.py
@@ -21,7 +21,6 @@
         self.mails = {}
         self.receivers = {}
         self.destinations = {}
-        self.checks = {}            # receiver ident: the checks out on it
         self.armed = None           # when the earliest timer that is set will fire
         self.actions = []
         self.handlers = {
@@ -85,11 +84,6 @@
 
     def checked(self, now, receiver, delay, ending, gauge):
         self.report(receiver, gauge)
-        out = self.checks.get(receiver)
-        if out:
-            mail = out.pop(0)
-            mail.took = delay
-            self.module.settle(mail, ENDINGS.get(ending, model.ERROR), now)
 
     def note_from(self, now, sender, words):
         pass
@@ -102,11 +96,7 @@
         """Puts an answer of the module about a mail on the wire."""
         what, ms = answer
         if isinstance(what, model.Receiver):
-            if mail.ident is None:
-                self.checks.setdefault(what.ident, []).append(mail)
-                self.actions.append(wire.ask_load(self.number, what.ident))
-            else:
-                self.actions.append(wire.attempt(self.number, mail.ident, what.ident, ms))
+            self.actions.append(wire.attempt(self.number, mail.ident, what.ident, ms))
             return
         if what == model.NOT_YET:
             return
--- a/dewpin/drill/wire.py
+++ b/dewpin/drill/wire.py
@@ -29,7 +29,7 @@
 NOT_NOW = struct.Struct("<BHQd")
 END_FAILED = struct.Struct("<BHQ")
 DEFER = struct.Struct("<BHdI")
-ON_RECEIVER = struct.Struct("<BHI")
+CLOSE_IDLE = struct.Struct("<BHI")
 
 
 class Malformed(Exception):
@@ -52,12 +52,8 @@
     return DEFER.pack(50, sender, fire_at, handle)
 
 
-def ask_load(sender, receiver):
-    return ON_RECEIVER.pack(60, sender, receiver)
-
-
 def close_idle(sender, receiver):
-    return ON_RECEIVER.pack(70, sender, receiver)
+    return CLOSE_IDLE.pack(70, sender, receiver)
 
 
 def die(sender, words):
--- a/dewpin/model.py
+++ b/dewpin/model.py
@@ -52,7 +52,7 @@
 
 
 class Mail:
-    """A message for one destination. Without an ident it is a check that the module made up."""
+    """A message for one destination."""
     __slots__ = ("ident", "queue_class", "account", "key", "destination", "arrived", "expires", "withdrawn",
                  "told", "took", "notes")
 
