A queue class prefers receivers where it went well; other receivers need one failure more

Told from an outage by the other classes and receivers going on. Covers a bad endpoint among good ones; costs one more call in an outage of a whole destination.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -7,8 +7,7 @@
   wait(now)                   (ms, mail): ask `route` about it after so long; (0, None): nothing is held
 Ask `route` once when a mail comes in, then `wait` until it names a time ahead, after each round of news. The
 driver writes list changes, reports, withdrawals and an outcome's figures onto the model's objects beforehand.
-The mechanism is that of docs/design.md: classify before any repeat, told waits and jittered growing pauses
-inside the lifetime, unknown effects end, and a freed slot goes to the line with least recent slot time.
+docs/design.md tells the mechanism, what was changed in it, and when each exception acts.
 """
 from bisect import insort
 from collections import deque
@@ -95,6 +94,7 @@
         self.out = 0                # calls out
         self.fails = 0              # failures in a row
         self.good_at = -1e12        # when the latest good answer came
+        self.bad_for = set()        # queue classes whose latest call there failed
         self.trickle = None         # set aside: the pace of its trickle
         self.call = None            # the latest call, which mails sent in the same reply may share
 
@@ -464,8 +464,8 @@
         for receiver in line.destination.receivers:
             if self._receiver_at(line, receiver, mail, now) <= now:
                 health = self._health(receiver)
-                rank = (not self._shared(receiver, now), health.fails > 0, health.out,
-                        receiver.zone != self.settings.get("Az"), -health.good_at)
+                rank = (not self._shared(receiver, now), mail.queue_class in health.bad_for, health.fails > 0,
+                        health.out, receiver.zone != self.settings.get("Az"), -health.good_at)
                 if least is None or rank < least:
                     best, least = receiver, rank
         return best
@@ -563,6 +563,7 @@
             before = gate.usual or self.usual
             gate.usual = before + (0.1 if gate.usual else 0.5) * (mail.took - before)
             health.fails, health.good_at = 0, now
+            health.bad_for.discard(mail.queue_class)
             gate.good_at = now
             for pace in (gate.pace, health.trickle):
                 if pace and pace.since is None:
@@ -585,24 +586,23 @@
             if gate.refusals >= 3 and now - gate.refused_at > SHUT or mail.told > LONG_TOLD:
                 self._set_aside(call.receiver, health, now)
         elif outcome in (TIMED_OUT, RESET, UNREACHED, ERROR) and not call.counted:
+            health.bad_for.add(mail.queue_class)
             call.counted = True         # a bundle's mails share one fate, and tell of it once
             if outcome == TIMED_OUT and call.sent >= gate.timed_out_at and not self._lossy():
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
             long = mail.took >= LONG and outcome != ERROR     # says more than a quick failure
             sparse = mail.destination.notes.rate(now) * self.rules["OverloadFor"] < 1000.0
             enough = LOSS if self._lossy() else 1 if long and sparse else 2
-            for receiver in mail.destination.receivers:     # the others there share the doubt
+            for receiver in mail.destination.receivers:     # the others there share the doubt, less by one
                 other = self._health(receiver)
                 if other.good_at < call.sent and (receiver is call.receiver or long):
                     other.fails += 1
-                    if other.fails >= enough:
+                    if other.fails >= enough + (receiver is not call.receiver):
                         self._set_aside(receiver, other, now)
 
     def _share(self, receiver, now):
-        """This sender's part of a destination's traffic: its own, drawn to its part of a known limit.
-
-        A limit comes from reports, else from the list; it is late and rough, and for all senders together.
-        """
+        """This sender's part of a destination's traffic: its own, drawn to its part of a limit reported or
+        listed, which is late, rough, and for all senders together."""
         listed = receiver.weight if self.settings.get("Weights") in ("nominal", "rough") else 0.0
         limit, came = receiver.report.get("limit") or listed, receiver.destination.notes.rate(now)
         return (came + limit / self.fleet) / 2.0 if limit > 0.0 else came
@@ -622,16 +622,14 @@
     def _lossy(self):
         """Whether calls after an unanswered one mostly go well: then failures in a row are no outage.
 
-        Guards against loss on the way, lost answers, or a fault of the sender's own, which strike any call now
-        and then: the destinations are well, and what they answer comes at the usual pace.
+        Guards against loss on the way, lost answers, or a fault of the sender's own: all else is well.
         """
         return self.recovers >= RECOVERS
 
     def _set_aside(self, receiver, health, now):
         """A receiver that fails gets a trickle: all senders together stay under what a cold one bears.
 
-        What a returning destination bears over one window is taken of the line's own traffic, so that it adds
-        up to the same whether two senders or hundreds carry it.
+        What one bears in a window is taken of the line's own traffic: it adds up to the same for hundreds.
         """
         rules = self.rules
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -152,3 +152,53 @@
 
 def test_loss_on_the_way_does_not_set_the_destinations_aside():
     assert sum(lossy_sends(0.5, seed) for seed in (1, 2, 3)) > 300
+
+
+def test_a_queue_class_that_fails_at_one_receiver_goes_to_the_other_and_the_good_class_stays():
+    d = Driver(settings(effects=("safe", "safe"), slots=20), receivers=2)
+    bad, sent = d.destination.receivers[0], []
+    for step in range(300):
+        mail = d.mail(queue_class=step % 2)
+        d.run(40.0)
+        for mail, (receiver, at, limit) in list(d.out.items()):
+            lost = receiver is bad and mail.queue_class == 0
+            if d.now - at >= (limit if lost else 30.0):
+                sent.append(lost)
+                d.outcome(mail, model.TIMED_OUT if lost else model.DELIVERED, d.now - at, run=False)
+    assert sum(sent) < 20 and len(sent) > 290
+
+
+def test_hundreds_told_one_long_wait_do_not_come_back_together():
+    back = []
+    for seed in range(100):
+        d = Driver(settings(fleet=300), seed=seed)
+        d.run(20000.0)
+        d.outcome(d.mail(), model.FULL, 5.0, told=6000.0)
+        until = d.now + 6000.0
+        d.run_until(lambda: d.out, 15000.0)
+        back += [d.now - until] if d.out else []
+    assert min(back, default=0.0) >= 0.0 and sum(after < 2000.0 for after in back) < 30
+
+
+def test_refused_calls_do_not_keep_a_limit_used_up():
+    d, calls = Driver(settings(slots=20)), []
+    d.keep_answering(5000.0, every=200.0, took=50.0)
+    d.keep_answering(20000.0, every=200.0, took=20.0, outcome=model.FULL)
+    calls = sum(at > d.now - 10000.0 for at, _, _ in d.sends)
+    assert 1 <= calls < 25      # half of the traffic, and falling
+
+
+def test_idle_connections_close_where_few_mails_come_or_one_was_turned_away():
+    kept = {}
+    for turned in (False, True):
+        d = Driver(settings(slots=20))
+        d.settings["Allowed"]["IdleClose"] = 10000.0
+        d.keep_answering(3000.0, every=100.0, took=50.0)
+        if turned:
+            d.outcome(d.mail(), model.UNREACHED, 50.0)
+        for _ in range(5):
+            for mail in list(d.out):
+                d.outcome(mail, model.DELIVERED, 50.0, run=False)
+            d.run(400.0)
+        kept[turned] = not d.module._leaves(d.destination.receivers[0], d.now)
+    assert kept == {False: True, True: False}
