--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -464,8 +464,8 @@
         for receiver in line.destination.receivers:
             if self._receiver_at(line, receiver, mail, now) <= now:
                 health = self._health(receiver)
-                rank = (not self._shared(receiver, now), mail.queue_class in health.bad_for, health.fails > 0,
-                        health.out, receiver.zone != self.settings.get("Az"), -health.good_at)
+                rank = (not self._shared(receiver, now), mail.queue_class in health.bad_for, health.out,
+                        receiver.zone != self.settings.get("Az"), -health.good_at)
                 if least is None or rank < least:
                     best, least = receiver, rank
         return best
