The next pause doubles the wait that a mail really had

Cause: where the line's pace held a first repeat for seconds, the mail's own pause went on from 250 ms, so that later waits were shorter than the first and the design's growing pause was not seen on the later three.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -174,14 +174,15 @@
 
 class Course:
     """What the module remembers of a mail in hand."""
-    __slots__ = ("arrival", "tries", "call", "ran_at", "ran_to", "due", "state", "spared")
+    __slots__ = ("arrival", "tries", "call", "ran_at", "ran_to", "due", "state", "spared",
+                 "settled", "waited")
 
     def __init__(self, arrival):
         self.arrival = arrival
         self.tries = 0
         self.call = None
         self.ran_at = self.ran_to = None    # the first connect that may have run: its send, its receiver
-        self.due = 0.0
+        self.due = self.settled = self.waited = 0.0     # settled, waited: its latest outcome, and wait after one
         self.spared = False         # given up to keep room for others
         self.state = "new"          # new, turn (its key is taken), line, pause, out, over
 
@@ -248,7 +249,7 @@
         course, call = mail.notes, mail.notes.call
         self._measure(mail, call, outcome, now)
         self._release(mail, call, now)
-        course.state = "settled"
+        course.state, course.settled = "settled", now
         if outcome not in PROOF and course.ran_at is None:
             course.ran_at, course.ran_to = call.sent, call.receiver
         verdict, pause = (None, 0.0) if mail.withdrawn else self.classify(mail, outcome, now)
@@ -314,7 +315,7 @@
         return DEFERRED if mail.notes.ran_at is None or one["Effect"] == "safe" else BOUNCED
 
     def _pause(self, course):
-        return BASE_PAUSE * 2.0 ** (course.tries - 1) * self.dice.roll(0.5, 1.5)
+        return max(BASE_PAUSE * 2.0 ** (course.tries - 1), 2.0 * course.waited) * self.dice.roll(0.5, 1.5)
 
     def _end(self, mail):
         """When a mail that is not out must be given up: its lifetime, or the window of its repeat."""
@@ -519,7 +520,7 @@
     def _send(self, line, mail, receiver, now):
         course, gate, health = mail.notes, self._gate(receiver), self._health(receiver)
         line.slot_time(now)
-        course.state = "out"
+        course.state, course.waited = "out", now - course.settled if course.tries else 0.0
         course.tries += 1
         if self._shared(receiver, now):
             course.call = health.call
