A pace's growth is capped: an idle line no longer overflows it

Found on reading: a line with a pace that had no mail for about an hour raised OverflowError at the next one. A test shows it.

--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -77,7 +77,8 @@
         self.next_at = 0.0
 
     def now(self, now):
-        return self.rate if self.since is None else self.rate * 2.0 ** ((now - self.since) / self.doubles)
+        span = 0.0 if self.since is None else (now - self.since) / self.doubles
+        return self.rate * 2.0 ** min(span, 60.0)       # a line may stand idle for hours
 
     def after(self, now, calls):
         """When so many calls fit, counted from now, with the growth on the way."""
@@ -182,7 +183,7 @@
         self.tries = 0
         self.call = None
         self.ran_at = self.ran_to = None    # the first connect that may have run: its send, its receiver
-        self.due = self.settled = self.waited = 0.0     # settled, waited: its latest outcome, and wait after one
+        self.due = self.settled = self.waited = 0.0     # its latest outcome, and the wait after one
         self.spared = False         # given up to keep room for others
         self.state = "new"          # new, turn (its key is taken), line, pause, out, over
 
@@ -502,8 +503,7 @@
         """Whether idle connections to a receiver should close.
 
         Guards against receivers that take few connections, idle ones counted: with many senders these stand
-        idle at those that sent last, and the others' calls are turned away without a connection.
-        """
+        idle at those that sent last, and the others' calls are turned away."""
         line, idle = receiver.destination.notes, self.allowed.get("IdleClose", 0.0)
         return (self._health(receiver).out == 0 and not line.length()
                 and (receiver.kind in self.crowded or line.rate(now) * idle < 1000.0))
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -202,3 +202,12 @@
             d.run(400.0)
         kept[turned] = not d.module._leaves(d.destination.receivers[0], d.now)
     assert kept == {False: True, True: False}
+
+
+def test_a_pace_outlives_hours_without_mail():
+    d = Driver(settings())
+    d.outcome(d.mail(), model.FULL, 5.0)
+    d.run_until(lambda: d.out, 20000.0)
+    d.outcome(next(iter(d.out)), model.DELIVERED, 20.0)
+    d.now += 1e9
+    assert d.sent(d.mail())
