--- /dev/null
+++ b/dewpin/__main__.py
@@ -0,0 +1,82 @@
+"""One sender as a process: start, ready, signals, stop.
+
+It owns the order of the start and of the stop, and makes the one of each part that there is. Ready is told only once
+the spool is replayed; a stop refuses new mails, finishes what fits and leaves the rest in the spool. It reads nothing
+of the environment itself and decides nothing about a mail.
+"""
+import asyncio
+import os
+import signal
+import sys
+
+from . import config
+from .facade import Facade
+from .log import say
+from .net.agent import Notices, Watch
+from .net.inbound import SPARE, Door
+from .net.outbound import Pool
+from .relay import Relay
+from .spool import Spool
+
+FILES = 32              # descriptors beside connections of clients and to receivers
+
+
+async def serve(told):
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: say("fault", f"{context['message']}: {context.get('exception')!r}"))
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    allowed, slots = told.module["Allowed"], int(told.module["FamilyInfo"]["CallSlots"])
+    idle = max(8, min(128, told.sockets // 8))
+    pool = Pool(loop, allowed.get("ConnectTimeout", 1500.0), allowed.get("IdleClose", 0.0) * 0.8, idle)
+    facade, spool, notices = Facade(told.module, told.seed), Spool(told.state, told.disk), Notices(told.agent)
+    relay = Relay(loop, facade, spool, pool, notices, told.module["Rules"].get("TurnGap", 100.0))
+
+    def learn(members, complete):
+        for address in facade.learn(members, complete):
+            pool.close_idle(address)
+        relay.wake()
+
+    watch = Watch(told.agent, told.known, learn)
+    most = max(16, told.sockets - 2 * slots - idle - SPARE - FILES)
+    door = Door(loop, relay, most, told.memory / 4.0)
+    await door.open(*told.listen)
+    relay.resume()
+    door.ready = True
+    tasks = [loop.create_task(watch.run()), loop.create_task(notices.run())]
+    say("start", f"{told.name} listens on {told.listen[0]}:{told.listen[1]}, {len(spool.sheets)} mails taken up")
+
+    await stop.wait()
+    stopped = loop.time()
+    door.stopping = relay.refusing = True
+    while loop.time() < stopped + told.stop_ends / 1000.0 and (relay.out or notices.owed or door.clients or relay.sending):
+        relay.sending = loop.time() < stopped + told.stop_sends / 1000.0
+        await asyncio.sleep(0.02)
+    for task in tasks:
+        task.cancel()
+    door.close()
+    pool.close()
+    say("stop", f"{told.name} ends, {len(spool.sheets)} mails lie in the spool")
+    spool.close()
+
+
+def main():
+    try:
+        told = config.read(os.environ)
+    except config.Faulty as fault:
+        print(f"dewpin: {fault}", file=sys.stderr)
+        return 2
+    try:
+        asyncio.run(serve(told))
+    except KeyError as error:
+        print(f"dewpin: LB_CONFIG settings lack {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"dewpin: LB_LISTEN or LB_STATE: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -178,11 +178,10 @@
     __slots__ = ("arrival", "tries", "call", "ran_at", "ran_to", "due", "state", "spared",
                  "settled", "waited")
 
-    def __init__(self, arrival):
+    def __init__(self, arrival, before):
         self.arrival = arrival
-        self.tries = 0
+        self.tries, self.ran_at, self.ran_to = before   # ran: the first connect that may have run
         self.call = None
-        self.ran_at = self.ran_to = None    # the first connect that may have run: its send, its receiver
         self.due = self.settled = self.waited = 0.0     # its latest outcome, and the wait after one
         self.spared = False         # given up to keep room for others
         self.state = "new"          # new, turn (its key is taken), line, pause, out, over
@@ -320,9 +319,10 @@
 
     def _end(self, mail):
         """When a mail that is not out must be given up: its lifetime, or the window of its repeat."""
-        course, end = mail.notes, mail.expires - self.margin
-        if course.ran_at is not None and self.classes[mail.queue_class]["Effect"] == "keyed":
-            end = min(end, course.ran_at + self.classes[mail.queue_class]["Window"] - self.margin)
+        course, end, one = mail.notes, mail.expires - self.margin, self.classes[mail.queue_class]
+        if course.ran_at is not None and one["Effect"] != "safe":   # once-only: only after a restart, at once
+            window = one["Window"] if one["Effect"] == "keyed" else 0.0
+            end = min(end, course.ran_at + window - self.margin)
         return end
 
     def _finish(self, mail, now, verdict=None, outcome=None):
@@ -349,7 +349,7 @@
         self.arrivals += 1
         self.began = now if self.began is None else self.began
         self.held += 1
-        course = mail.notes = Course(self.arrivals)
+        course = mail.notes = Course(self.arrivals, mail.before)
         if mail.destination.notes is None:
             mail.destination.notes = Line(mail.destination, len(self.classes), self.began)
             self.lines.append(mail.destination.notes)
--- a/dewpin/drill/adapter.py
+++ b/dewpin/drill/adapter.py
@@ -7,7 +7,6 @@
 
 ENDINGS = {10: model.DELIVERED, 20: model.ERROR, 30: model.FULL, 40: model.TIMED_OUT, 50: model.UNREACHED,
            60: model.RESET, 70: model.CALLED_OFF, 80: model.UNSENT}
-FIELDS = {"x0": "left", "x1": "limit"}      # our words for what a load report holds
 STATES = {0: model.GONE, 1: model.READY, 2: model.DRAINING}
 
 
@@ -17,7 +16,7 @@
     def __init__(self, number, seed, settings):
         self.number = number
         self.module = Dispatcher(settings, seed)
-        self.fields = [FIELDS.get(name, name) for name in settings.get("Report", {}).get("Fields", [])]
+        self.fields = [model.REPORTED.get(name, name) for name in settings.get("Report", {}).get("Fields", [])]
         self.mails = {}
         self.receivers = {}
         self.destinations = {}
--- /dev/null
+++ b/dewpin/facade.py
@@ -0,0 +1,106 @@
+"""The decision module in blocking style: `take` a mail, `pick` what is due, `report` what came back, `tick` for when.
+
+It owns the module, its mails and the receivers that lists have named, and turns the door's names into the module's
+objects and back. Network code asks it and gets plain values; it keeps no timer, opens no socket and decides nothing.
+"""
+from . import model
+from .decide import PROOF, Dispatcher
+from .net.outbound import number
+
+STATES = {"active": model.READY, "leaving": model.DRAINING}
+
+
+class Facade:
+    def __init__(self, settings, seed):
+        self.module = Dispatcher(settings, seed)
+        self.classes = {one["Name"].encode(): at for at, one in enumerate(settings["Services"])}
+        self.lifetimes = [one["Deadline"] for one in settings["Services"]]
+        self.accounts = {one["Name"].encode(): at for at, one in enumerate(settings.get("Accounts") or ())}
+        self.zones = {name: at for at, name in enumerate(settings.get("Zones") or ())}
+        self.kinds = {name: at for at, name in enumerate(settings.get("Kinds") or ())}
+        self.most = settings["Allowed"]["MaxOpen"]
+        self.receivers = {}
+        self.destinations = {}
+        self.due = None
+
+    # -- the three calls ------------------------------------------------------------------------------------
+
+    def tick(self, now):
+        """Ms until something is due: 0 if it is now, None if nothing is held."""
+        ms, self.due = self.module.wait(now)
+        return None if self.due is None else ms
+
+    def pick(self, now):
+        """What the mail that is due now does: (sheet, receiver, time-out), (sheet, ending, ms), or None."""
+        mail = self.due
+        what, ms = self.module.route(mail, now)
+        return None if what == model.NOT_YET else (mail.ident, what, ms)
+
+    def report(self, sheet, outcome, told, took, load, over, now):
+        """After a connect: its ending or None, the ms to come back after, and whether idle connections go."""
+        mail = sheet.mail
+        mail.told, mail.took = told, took
+        mail.withdrawn = mail.withdrawn or over
+        if load:
+            mail.notes.call.receiver.report = {model.REPORTED.get(name, name): value for name, value in load.items()}
+        what, ms, leaves = self.module.settle(mail, outcome, now)
+        if over:
+            what = model.RELAYED        # nothing is owed
+        return None if what == model.NOT_YET else what, ms, leaves
+
+    # -- mails and receivers --------------------------------------------------------------------------------
+
+    def knows(self, queue_class, account):
+        return queue_class in self.classes and (not self.accounts or account in self.accounts)
+
+    def full(self):
+        return self.module.held >= self.most
+
+    def lifetime(self, queue_class):
+        return self.lifetimes[self.classes[queue_class]]
+
+    def ran(self, outcome):
+        return outcome not in PROOF
+
+    def take(self, sheet, now):
+        destination = self._destination(int(sheet.destination))
+        ran_to = None if sheet.ran_to is None else self._receiver(sheet.ran_to, destination)
+        sheet.mail = model.Mail(sheet, destination, sheet.arrived, sheet.expires, self.classes[sheet.queue_class],
+                                self.accounts.get(sheet.account, 0), sheet.key or 0,
+                                (sheet.tries, sheet.ran_at, ran_to))
+        self.module.route(sheet.mail, now)
+
+    def learn(self, members, complete):
+        """News of the list; gives the addresses that nothing new goes to."""
+        named, left = set(), []
+        for one in members:
+            ident = one["id"].encode()
+            named.add(ident)
+            state = STATES.get(one.get("phase"), model.GONE)
+            if state == model.GONE and ident not in self.receivers:
+                continue
+            receiver = self._receiver(ident, self._destination(int(one["cell"])))
+            receiver.state = state
+            if state != model.GONE:
+                host, _, port = one["host_port"].rpartition(":")
+                before, receiver.address = receiver.address, (host.strip("[]"), int(port))
+                receiver.zone = self.zones.get(one.get("locality"), -1)
+                receiver.kind = self.kinds.get(one.get("flavor"), 0)
+                receiver.weight = number(one.get("size") or 0.0)
+                if before not in (None, receiver.address):
+                    left.append(before)
+        if complete:
+            for ident, receiver in self.receivers.items():
+                if ident not in named:
+                    receiver.state = model.GONE
+        return left + [r.address for r in self.receivers.values() if r.state != model.READY and r.address]
+
+    def _destination(self, ident):
+        if ident not in self.destinations:
+            self.destinations[ident] = model.Destination(ident)
+        return self.destinations[ident]
+
+    def _receiver(self, ident, destination):
+        if ident not in self.receivers:
+            self.receivers[ident] = model.Receiver(ident, destination, zone=-1, state=model.GONE)
+        return self.receivers[ident]
--- a/dewpin/model.py
+++ b/dewpin/model.py
@@ -24,6 +24,8 @@
 # What the list says of a receiver.
 READY, DRAINING, GONE = "ready", "draining", "gone"
 
+REPORTED = {"x0": "left", "x1": "limit"}        # our words for what a load report holds
+
 
 class Destination:
     """An outside system: its receivers, in the order in which the list first named them."""
@@ -37,7 +39,8 @@
 
 class Receiver:
     """One endpoint of a destination."""
-    __slots__ = ("ident", "destination", "state", "kind", "zone", "weight", "report", "notes", "gate")
+    __slots__ = ("ident", "destination", "state", "kind", "zone", "weight", "report", "notes", "gate",
+                 "address")
 
     def __init__(self, ident, destination, kind=0, zone=0, weight=0.0, state=READY):
         self.ident = ident
@@ -46,6 +49,7 @@
         self.zone = zone
         self.weight = weight        # as listed
         self.state = state
+        self.address = None         # where it is reached, for whoever sends
         self.report = {}            # the latest load report, by the names of its fields
         self.notes = self.gate = None   # the module's own
         destination.receivers.append(self)
@@ -54,9 +58,10 @@
 class Mail:
     """A message for one destination."""
     __slots__ = ("ident", "queue_class", "account", "key", "destination", "arrived", "expires", "withdrawn",
-                 "told", "took", "notes")
+                 "told", "took", "before", "notes")
 
-    def __init__(self, ident, destination, arrived, expires, queue_class=0, account=0, key=0):
+    def __init__(self, ident, destination, arrived, expires, queue_class=0, account=0, key=0,
+                 before=(0, None, None)):
         self.ident = ident
         self.destination = destination
         self.arrived = arrived
@@ -67,4 +72,6 @@
         self.withdrawn = False      # nothing is owed for it any more
         self.told = 0.0             # the wait that the latest outcome told
         self.took = 0.0             # how long the latest connect took
+        self.before = before        # of an earlier life of the sender: connects made, and send time and
+                                    # receiver of the first that may have run
         self.notes = None           # the module's own
--- /dev/null
+++ b/dewpin/net/agent.py
@@ -0,0 +1,118 @@
+"""The platform's agent: the watch on the list of receivers, and the notices for mails that are given up.
+
+It owns two connections to the agent, one for each, and tries again by itself until it is answered: a broken watch
+asks for the whole list, silence keeps the last one, a notice that is not answered is sent again. What the list means
+and why a mail ends by a notice is not its business.
+"""
+import asyncio
+import json
+
+from ..log import say
+from .outbound import ANSWERED, Link
+
+WATCH = 20.0            # seconds that a watch waits for news
+GRACE = 5.0             # and so much longer until it is taken for broken
+AGAIN = 0.1             # seconds before a broken exchange is tried again
+CONNECT = 1.0
+NOTICE = 1.0            # seconds for the answer to a notice
+MOST_LIST = 8_000_000   # bytes
+MOST_NOTICES = 100      # in one request
+
+
+class Channel:
+    """One connection to the agent, opened when it is needed."""
+
+    def __init__(self, address):
+        self.address, self.link = address, None
+        self.host = ("%s:%d" % address).encode()
+
+    async def ask(self, request, limit):
+        """The answer, or None if there was none in time."""
+        loop = asyncio.get_running_loop()
+        heard = loop.create_future()
+        try:
+            if self.link is None or self.link.ended:
+                async with asyncio.timeout(CONNECT):
+                    _, self.link = await loop.create_connection(lambda: Link(MOST_LIST), *self.address)
+            self.link.ask(request, lambda how, message: heard.done() or heard.set_result((how, message)))
+            async with asyncio.timeout(limit):
+                how, message = await heard
+        except (OSError, TimeoutError):
+            how, message = None, None
+        if message is None or message.last or how != ANSWERED:
+            self.close()
+        return message if how == ANSWERED else None
+
+    def close(self):
+        if self.link:
+            self.link.done = None
+            self.link.close()
+            self.link = None
+
+
+class Watch:
+    def __init__(self, address, known, learn):
+        self.channel, self.learn = Channel(address), learn
+        self.revision = known.get("revision", 0)
+        learn(known.get("members", ()), True)
+
+    async def run(self):
+        whole = False
+        while True:
+            answer = await self.channel.ask(self._request(whole), WATCH + GRACE)
+            try:
+                whole = answer is None or answer.status != 200 or not self._take(answer.body)
+            except Exception as error:
+                say("watch", f"{type(error).__name__}: {error}")
+                whole = True
+            if whole:
+                await asyncio.sleep(AGAIN)
+
+    def _request(self, whole):
+        query = b"" if whole else b"?index=%d&wait=%d" % (self.revision, WATCH * 1000.0)
+        return b"GET /api/targets%s HTTP/1.1\r\nHost: %s\r\n\r\n" % (query, self.channel.host)
+
+    def _take(self, body):
+        news = json.loads(body)
+        revision, complete = int(news["revision"]), bool(news["complete"])
+        if complete or revision > self.revision:
+            self.learn(news["members"], complete)
+            self.revision = revision
+        return True
+
+
+class Notices:
+    def __init__(self, address):
+        self.channel, self.owed, self.news = Channel(address), {}, asyncio.Event()
+
+    def tell(self, ident, deferred, ms, answered):
+        """Keeps telling that a mail is given up until it is answered; then `answered()`."""
+        words = {"message": ident.decode("latin-1"), "outcome": "handed_back" if deferred else "given_up"}
+        if deferred and ms > 0.0:
+            words["retry_in_ms"] = round(ms, 3)
+        self.owed[ident] = json.dumps(words).encode(), answered
+        self.news.set()
+
+    async def run(self):
+        most = MOST_NOTICES
+        while True:
+            await self.news.wait()
+            idents = list(self.owed)[:most]
+            body = b"".join(self.owed[ident][0] + b"\n" for ident in idents)
+            answer = await self.channel.ask(
+                b"POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                % (self.channel.host, len(body)) + body, NOTICE)
+            status = answer.status if answer else None
+            if status == 400:
+                say("notice", f"could not be read: {body[:200]!r}")
+            if status == 204 or status == 200 or status == 400 and len(idents) == 1:
+                for ident in idents:
+                    self.owed.pop(ident)[1]()
+                most = MOST_NOTICES if status != 400 else 1
+            elif status == 400:
+                most = 1            # one of them is at fault: each by itself
+            else:
+                await asyncio.sleep(AGAIN)
+            if not self.owed:
+                self.news.clear()
+                most = MOST_NOTICES
--- /dev/null
+++ b/dewpin/net/inbound.py
@@ -0,0 +1,179 @@
+"""The door: clients' connections, and the mails that they hand in.
+
+It owns the listening socket, every connection of a client and the bytes that they hold, and bounds their number and
+size. Each request that was read whole gets an answer at once, whatever becomes of the mail; it must never keep one
+waiting, and never decide whether a mail is taken on: it asks the relay.
+"""
+from urllib.parse import unquote_to_bytes
+
+from ..log import say
+from .http import Malformed, Reader, Stream, answer
+from .outbound import number
+
+PATIENCE = 10.0         # seconds for a request to come whole
+LINGER = 1.0            # seconds that a refused sender's bytes are read on, so that it hears the answer
+SPARE = 8               # connections over the bound that hear 503 before they are closed
+
+TAKEN = answer(202)
+
+
+class Client(Stream):
+    def __init__(self, door):
+        super().__init__(Reader())
+        self.door = door
+        self.since = None           # when the request that is being read began
+        self.used = 0.0
+        self.closing = False
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        self.used = self.door.loop.time()
+        self.door.enter(self)
+
+    def arrived(self):
+        if self.closing:
+            self.reader.held.clear()
+            return
+        self.used = self.door.loop.time()
+        try:
+            while not self.closing and (message := self.reader.take()):
+                self.since = None
+                self.write(self.door.answer(message), message.last or self.door.stopping)
+            if self.reader.expects and self.reader.message:
+                self.reader.expects = False
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        except Malformed as fault:
+            self.refuse(fault.status)
+        except Exception as error:      # a fault of ours costs this request, not the process
+            say("request", f"{type(error).__name__}: {error}")
+            self.refuse(500)
+        begun = not self.closing and (self.reader.held or self.reader.message)
+        if begun and self.since is None:
+            self.since = self.used
+        self.door.weigh(self)
+
+    def write(self, content, last):
+        self.transport.write(content)
+        if last:
+            self.closing = True
+            self.transport.close()      # after what is written
+
+    def refuse(self, status):
+        """Answers and ends its sending; what still comes is dropped until the other side has closed."""
+        if self.closing:
+            return
+        self.closing = True
+        self.reader.held.clear()
+        self.transport.write(answer(status, last=True))
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.door.loop.call_later(LINGER, self.transport.abort)
+
+    def pause_writing(self):
+        self.transport.pause_reading()  # it does not read its answers
+
+    def resume_writing(self):
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def eof_received(self):
+        return False
+
+    def connection_lost(self, error):
+        self.door.leave(self)
+
+
+class Door:
+    def __init__(self, loop, relay, most, memory):
+        self.loop, self.relay, self.most, self.memory = loop, relay, most, memory
+        self.clients = {}           # client: bytes that it holds, the latest used last
+        self.held = 0
+        self.server, self.ready, self.stopping = None, False, False
+        self.sweep = None
+
+    async def open(self, host, port):
+        self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=512)
+        self.sweep = self.loop.call_later(1.0, self._sweep)
+        return self.server.sockets[0].getsockname()
+
+    def close(self):
+        self.sweep.cancel()
+        self.server.close()
+        for client in list(self.clients):
+            client.transport.close()
+
+    # -- connections ----------------------------------------------------------------------------------------
+
+    def enter(self, client):
+        self.clients[client] = 0
+        if len(self.clients) <= self.most:
+            return
+        idle = next((one for one in self.clients if one.since is None and not one.closing and one is not client), None)
+        if idle:                    # between requests: its owner opens another when it needs one
+            idle.closing = True
+            idle.transport.close()
+        elif len(self.clients) > self.most + SPARE:
+            client.closing = True
+            client.transport.abort()
+        else:
+            client.refuse(503)
+
+    def leave(self, client):
+        self.held -= self.clients.pop(client, 0)
+
+    def weigh(self, client):
+        """Moves a client to the end of the line and counts what it holds."""
+        if client not in self.clients:
+            return
+        size = len(client.reader.held)
+        self.held += size - self.clients.pop(client)
+        self.clients[client] = size
+        if self.held > self.memory:
+            client.refuse(503)
+
+    def _sweep(self):
+        self.sweep = self.loop.call_later(1.0, self._sweep)
+        for client in list(self.clients):
+            if client.since is not None and self.loop.time() - client.since > PATIENCE:
+                client.refuse(408)
+
+    # -- requests -------------------------------------------------------------------------------------------
+
+    def answer(self, message):
+        method, target, _ = message.first
+        path, _, query = target.partition(b"?")
+        if path == b"/api":
+            if method != b"POST":
+                return answer(405, extra=b"Allow: POST\r\n")
+            return self._hand_in(message, query)
+        if path == b"/-/ready" and method in (b"GET", b"HEAD"):
+            return answer(200 if self.ready and not self.stopping else 503)
+        return answer(404)
+
+    def _hand_in(self, message, query):
+        fields = message.fields
+        ident, left = fields.get(b"req-id", b""), fields.get(b"req-deadline")
+        destination = _named(fields.get(b"x-consignee", b"").split(b","), b"dest")
+        key = unquote_to_bytes(_named(query.split(b"&"), b"about"))
+        if not ident or len(ident) > 256 or len(key) > 256:
+            return answer(400)
+        if left is not None and number(left) <= 0.0:
+            return answer(400)
+        if not destination.isdigit() or len(destination) > 9:
+            return answer(400)
+        taken, ms = self.relay.hand_in(
+            ident, fields.get(b"req-kind", b""), fields.get(b"req-owner", b""), key, destination,
+            fields.get(b"idempotency-key", b""), message.body, None if left is None else number(left) * 1000.0)
+        if taken:
+            return TAKEN
+        if taken is None:
+            return answer(400)
+        return answer(503, self.stopping, b"Retry-After: %.3f\r\n" % (ms / 1000.0) if ms > 0.0 else b"")
+
+
+def _named(parts, name):
+    for part in parts:
+        found, _, value = part.strip().partition(b"=")
+        if found == name:
+            return value
+    return b""
--- /dev/null
+++ b/dewpin/net/outbound.py
@@ -0,0 +1,246 @@
+"""Connections of ours: one exchange at a time on each, and the pool that keeps them for receivers.
+
+The pool owns every connection to a receiver from its opening on, idle or in use, and `Call.finish` is the one place
+that gives it back. A call never goes out twice by itself; it is given up by closing its connection. What an answer
+means for a mail is settled by `read`, whose words are the facts of `model`.
+"""
+import asyncio
+from collections import deque
+
+from .. import model
+from ..log import say
+from .http import Malformed, Reader, Stream
+
+ANSWERED, UNWRITTEN, BROKEN = "answered", "unwritten", "broken"
+OUTCOMES = {200: model.DELIVERED, 429: model.FULL, 503: model.FULL, 504: model.UNSENT, 410: model.UNSENT}
+
+
+class Link(Stream):
+    """Carries one exchange at a time; `done(how, message)` is told once for each."""
+
+    def __init__(self, most_body):
+        super().__init__(Reader(answers=True, most_body=most_body))
+        self.done, self.ended = None, False
+        self.lost = None            # told when it ends while idle
+        self.unwritten = False      # part of the request has not left yet
+        self.until = 0.0            # when its rest in the pool ends
+
+    def connection_made(self, transport):
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self):
+        self.unwritten = True
+
+    def resume_writing(self):
+        self.unwritten = False
+
+    def ask(self, request, done):
+        self.done = done
+        self.transport.write(request)
+
+    def arrived(self):
+        try:
+            message = self.reader.take() if self.done else None
+        except Malformed as fault:
+            say("answer", f"not HTTP: {fault}")
+            return self.close()
+        if message:
+            self._tell(ANSWERED, message)
+        elif not self.done:
+            self.close()            # nothing was asked
+
+    def eof_received(self):
+        message = self.reader.ended() if self.done else None
+        if message:
+            self._tell(ANSWERED, message)
+        self.close()
+
+    def connection_lost(self, error):
+        self.close()
+
+    def close(self):
+        """Ends it now; what is unread or unwritten is dropped."""
+        if self.ended:
+            return
+        self.ended = True
+        if self.done:
+            begun = self.reader.message     # the first line counts, even if its body never comes whole
+            if begun:
+                begun.last = True
+                self._tell(ANSWERED, begun)
+            else:
+                self._tell(UNWRITTEN if self.unwritten else BROKEN, None)
+        elif self.lost:
+            self.lost(self)
+        self.transport.abort()
+
+    def _tell(self, how, message):
+        done, self.done = self.done, None
+        done(how, message)
+
+
+class Call:
+    """One call: from the wish to send to its outcome, which is told once."""
+
+    def __init__(self, pool, address, request, limit, done):
+        self.pool, self.address, self.request, self.done = pool, address, request, done
+        self.began, self.link, self.opening = pool.loop.time(), None, None
+        self.limit = pool.loop.call_later(limit / 1000.0, self._too_late)
+        idle = pool.idle_link(address)
+        if idle:
+            self._write(idle)
+        else:
+            wait = min(limit, pool.connect_limit) / 1000.0
+            self.opening = pool.loop.create_task(self._open(wait))
+
+    async def _open(self, wait):
+        try:
+            async with asyncio.timeout(wait):
+                _, link = await self.pool.loop.create_connection(lambda: Link(self.pool.most_body), *self.address)
+        except (OSError, TimeoutError):
+            return self.finish(model.UNREACHED)
+        if self.done is None:       # given up in the meantime
+            return link.close()
+        self.opening = None
+        self._write(link)
+
+    def _write(self, link):
+        self.link = link
+        link.ask(self.request, self._answered)
+
+    def _answered(self, how, message):
+        if how == ANSWERED:
+            self.finish(OUTCOMES.get(message.status, model.ERROR), message)
+        else:
+            self.finish(model.RESET if how == BROKEN else model.UNREACHED)
+
+    def _too_late(self):
+        link = self.link
+        if link is None or link.unwritten:
+            self.finish(model.UNREACHED)
+        elif link.reader.message:
+            link.close()            # which tells what its first line said
+        else:
+            self.finish(model.TIMED_OUT)
+
+    def finish(self, outcome, message=None):
+        if self.done is None:
+            return
+        done, self.done = self.done, None
+        self.limit.cancel()
+        if self.opening and self.opening is not asyncio.current_task():
+            self.opening.cancel()
+        link = self.link
+        if link:
+            link.done = None
+            if message is None or message.last or link.ended:
+                link.close()
+            else:
+                self.pool.rest(self.address, link)
+        took = (self.pool.loop.time() - self.began) * 1000.0
+        outcome, told, load = read(outcome, message)
+        done(outcome, told, took, load, message is not None and message.status == 410)
+
+
+def read(outcome, message):
+    """What an answer says: (outcome, ms of the wait told, load report)."""
+    if message is None:
+        return outcome, 0.0, {}
+    told, load = 0.0, {}
+    if outcome == model.FULL:
+        if message.fields.get(b"x-line-busy") == b"1":
+            outcome = model.UNSENT
+        else:
+            told = 1000.0 * number(message.fields.get(b"retry-after", b"0"))
+    for part in message.fields.get(b"srv-load", b"").split(b","):
+        name, equals, value = part.strip().partition(b"=")
+        if equals:
+            load[name.decode("latin-1")] = number(value)
+    return outcome, told, load
+
+
+def number(text):
+    """A number of 0 or more, or 0 where the text is none."""
+    try:
+        value = float(text)
+    except ValueError:
+        return 0.0
+    return value if 0.0 <= value < 1e12 else 0.0
+
+
+class Pool:
+    def __init__(self, loop, connect_limit, idle_limit, most_idle, most_body=65536):
+        self.loop, self.connect_limit, self.most_body = loop, connect_limit, most_body
+        self.idle_limit, self.most_idle = idle_limit, most_idle
+        self.idle = {}              # address: links, the latest used last
+        self.order = deque()        # (when its rest ends, address, link), soonest first
+        self.resting = 0
+        self.sweep = None
+
+    def call(self, address, request, limit, done):
+        """`done(outcome, told ms, took ms, load, over)` is told once, never before this returns."""
+        Call(self, address, request, limit, done)
+
+    def idle_link(self, address):
+        links = self.idle.get(address)
+        while links:
+            link = links.pop()
+            self._leaves(address, link)
+            if not link.ended and not link.transport.is_closing():
+                return link
+        return None
+
+    def rest(self, address, link):
+        """Keeps a connection for the next call, well short of the time when the other side closes it."""
+        if self.idle_limit <= 0.0 or link.reader.held:
+            return link.close()
+        if self.resting >= self.most_idle:
+            self._close_oldest()
+        link.lost = lambda ended: self._ended(address, ended)
+        self.idle.setdefault(address, []).append(link)
+        self.resting += 1
+        link.until = self.loop.time() + self.idle_limit / 1000.0
+        self.order.append((link.until, address, link))
+        if self.sweep is None:
+            self.sweep = self.loop.call_at(self.order[0][0], self._sweep)
+
+    def close_idle(self, address):
+        for link in list(self.idle.get(address, ())):
+            self._ended(address, link)
+            link.close()
+
+    def close(self):
+        for address in list(self.idle):
+            self.close_idle(address)
+
+    def _leaves(self, address, link):
+        link.lost = None
+        self.resting -= 1
+        if not self.idle[address]:
+            del self.idle[address]
+
+    def _ended(self, address, link):
+        links = self.idle.get(address, ())
+        if link in links:
+            links.remove(link)
+            self._leaves(address, link)
+
+    def _close_oldest(self):
+        while self.order:
+            until, address, link = self.order.popleft()
+            if link.until == until and link in self.idle.get(address, ()):
+                self._ended(address, link)
+                link.close()
+                return
+
+    def _sweep(self):
+        self.sweep = None
+        now = self.loop.time()
+        while self.order and self.order[0][0] <= now + 0.001:
+            until, address, link = self.order.popleft()
+            if link.until == until and link in self.idle.get(address, ()):      # not used since
+                self._ended(address, link)
+                link.close()
+        if self.order:
+            self.sweep = self.loop.call_at(self.order[0][0], self._sweep)
--- /dev/null
+++ b/dewpin/relay.py
@@ -0,0 +1,150 @@
+"""The life of a mail, from the door to its end: recorded, asked about, sent, reported, ended, told.
+
+It owns the order of these steps and the one timer behind them: nothing is answered for before it is in the spool, no
+byte leaves before its connect is, and the next mail of a key waits until a notice for an earlier one is answered. It
+knows no wire, and every choice about a mail is the module's, asked through the facade.
+"""
+import time
+import traceback
+
+from . import model
+from .log import say
+from .spool import Sheet
+
+
+class Clock:
+    """Unix time in ms that never steps back while the process runs."""
+
+    def __init__(self, loop):
+        self.loop, self.offset = loop, time.time() - loop.time()
+
+    def now(self):
+        return (self.loop.time() + self.offset) * 1000.0
+
+
+class Relay:
+    def __init__(self, loop, facade, spool, pool, notices, patience):
+        self.loop, self.clock = loop, Clock(loop)
+        self.facade, self.spool, self.pool, self.notices = facade, spool, pool, notices
+        self.patience = patience    # ms that a mail picked waits for an earlier one's notice
+        self.refusing = False       # takes nothing on any more
+        self.sending = True         # still starts connects
+        self.out = 0
+        self.timer, self.soon = None, False
+        self.unsaid = {}            # key: notices that are not answered yet
+        self.behind = {}            # key: the mail that was picked and waits for them
+
+    def resume(self):
+        """Takes up what an earlier life of the process left."""
+        now = self.clock.now()
+        for sheet in list(self.spool.sheets.values()):
+            if sheet.ending:
+                self._tell(sheet)
+            elif not self.facade.knows(sheet.queue_class, sheet.account):
+                say("spool", f"gives up a mail of the unknown queue class {sheet.queue_class!r}")
+                self._give_up(sheet, model.BOUNCED, 0.0)
+            else:
+                self.facade.take(sheet, now)
+        self.wake()
+
+    def hand_in(self, ident, queue_class, account, key, destination, tag, body, left):
+        """(True, 0) once a mail is taken on, (False, ms to come back after), or (None, 0): it means nothing here."""
+        if not self.facade.knows(queue_class, account):
+            return None, 0.0
+        if self.refusing or self.facade.full():
+            return False, 0.0
+        now = self.clock.now()
+        sheet = Sheet(ident, queue_class, account, key, destination, tag, body, now,
+                      now + (self.facade.lifetime(queue_class) if left is None else left))
+        if not self.spool.take(sheet):
+            say("spool", "full: refuses mails")
+            return False, 0.0
+        self.facade.take(sheet, now)
+        self.wake()
+        return True, 0.0
+
+    def wake(self):
+        """Something happened: asks once for all that happens in this turn of the loop."""
+        if not self.soon:
+            self.soon = True
+            self.loop.call_soon(self._work)
+
+    def _work(self):
+        self.soon = False
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        now = self.clock.now()
+        try:
+            while self.sending and (ms := self.facade.tick(now)) is not None:
+                if ms > 0.0:
+                    self.timer = self.loop.call_later(ms / 1000.0, self.wake)
+                    break
+                if errand := self.facade.pick(now):
+                    self._do(*errand, now)
+        except Exception:           # a fault must not end the process, nor go round without a pause
+            say("fault", traceback.format_exc())
+            self.timer = self.loop.call_later(0.1, self.wake)
+
+    def _do(self, sheet, what, ms, now):
+        if not isinstance(what, model.Receiver):
+            self._give_up(sheet, what, ms)
+        elif sheet.key in self.unsaid:
+            late = self.loop.call_later(min(ms, self.patience) / 1000.0, self._unsent, sheet, what)
+            self.behind[sheet.key] = sheet, what, now + ms, late
+            self.out += 1
+        else:
+            self.out += 1
+            self._send(sheet, what, ms, now)
+
+    def _send(self, sheet, receiver, limit, now):
+        if not self.spool.connect(sheet, receiver.ident, now):
+            self.loop.call_soon(self._heard, sheet, receiver, model.UNSENT, 0.0, 0.0, {}, False)
+            return
+        tag = b"Idempotency-Key: %s\r\n" % sheet.tag if sheet.tag else b""
+        request = b"POST /hook HTTP/1.1\r\nHost: %s:%d\r\nReq-Id: %s\r\n%sReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n" % (
+            receiver.address[0].encode(), receiver.address[1], sheet.ident, tag, limit / 1000.0, len(sheet.body))
+        self.pool.call(receiver.address, request + sheet.body, limit,
+                       lambda *heard: self._heard(sheet, receiver, *heard))
+
+    def _unsent(self, sheet, receiver):
+        """A notice for an earlier mail of the key is not answered: the connect never left."""
+        del self.behind[sheet.key]
+        self._heard(sheet, receiver, model.UNSENT, 0.0, 0.0, {}, False)
+
+    def _heard(self, sheet, receiver, outcome, told, took, load, over):
+        self.out -= 1
+        try:
+            self.spool.settle(sheet, self.facade.ran(outcome))
+            ending, ms, leaves = self.facade.report(sheet, outcome, told, took, load, over, self.clock.now())
+            if ending == model.RELAYED:
+                self.spool.end(sheet)
+            elif ending:
+                self._give_up(sheet, ending, ms)
+            if leaves:
+                self.pool.close_idle(receiver.address)
+        except Exception:
+            say("fault", traceback.format_exc())
+        self.wake()
+
+    def _give_up(self, sheet, ending, ms):
+        self.spool.give_up(sheet, ending == model.DEFERRED, ms)
+        self._tell(sheet)
+
+    def _tell(self, sheet):
+        if sheet.key:
+            self.unsaid[sheet.key] = self.unsaid.get(sheet.key, 0) + 1
+        self.notices.tell(sheet.ident, *sheet.ending, lambda: self._told(sheet))
+
+    def _told(self, sheet):
+        self.spool.end(sheet)
+        if not sheet.key:
+            return
+        self.unsaid[sheet.key] -= 1
+        if self.unsaid[sheet.key] == 0:
+            del self.unsaid[sheet.key]
+            if sheet.key in self.behind:
+                held, receiver, until, late = self.behind.pop(sheet.key)
+                late.cancel()
+                now = self.clock.now()
+                self._send(held, receiver, max(1.0, until - now), now)
