--- a/dewpin/__main__.py
+++ b/dewpin/__main__.py
@@ -18,7 +18,7 @@
 from .relay import Relay
 from .spool import Spool
 
-FILES = 32              # descriptors beside connections of clients and to receivers
+FILES = 16              # descriptors beside connections of clients and to receivers
 
 
 async def serve(told):
@@ -29,27 +29,28 @@
         loop.add_signal_handler(number, stop.set)
     allowed, slots = told.module["Allowed"], int(told.module["FamilyInfo"]["CallSlots"])
     idle = max(8, min(128, told.sockets // 8))
-    pool = Pool(loop, allowed.get("ConnectTimeout", 1500.0), allowed.get("IdleClose", 0.0) * 0.8, idle)
+    pool = Pool(loop, allowed.get("ConnectTimeout", 1500.0), allowed.get("IdleClose", 0.0), idle)
     facade, spool, notices = Facade(told.module, told.seed), Spool(told.state, told.disk), Notices(told.agent)
-    relay = Relay(loop, facade, spool, pool, notices, told.module["Rules"].get("TurnGap", 100.0))
+    relay = Relay(loop, facade, spool, pool, notices)
 
     def learn(members, complete):
         for address in facade.learn(members, complete):
+            pool.recall(address)
             pool.close_idle(address)
         relay.wake()
 
     watch = Watch(told.agent, told.known, learn)
-    most = max(16, told.sockets - 2 * slots - idle - SPARE - FILES)
+    most = max(8, told.sockets - 2 * slots - idle - SPARE - FILES)
     door = Door(loop, relay, most, told.memory / 4.0)
-    await door.open(*told.listen)
-    relay.resume()
-    door.ready = True
+    relay.resume()          # before the door: what was taken on earlier comes first in its key's order
+    host, port = await door.open(*told.listen)
     tasks = [loop.create_task(watch.run()), loop.create_task(notices.run())]
-    say("start", f"{told.name} listens on {told.listen[0]}:{told.listen[1]}, {len(spool.sheets)} mails taken up")
+    say("start", f"{told.name} listens on {host}:{port}, {len(spool.sheets)} mails taken up")
 
     await stop.wait()
     stopped = loop.time()
-    door.stopping = relay.refusing = True
+    relay.refusing = True
+    door.stop()
     while loop.time() < stopped + told.stop_ends / 1000.0 and (relay.out or notices.owed or door.clients or relay.sending):
         relay.sending = loop.time() < stopped + told.stop_sends / 1000.0
         await asyncio.sleep(0.02)
--- a/dewpin/config.py
+++ b/dewpin/config.py
@@ -95,5 +95,5 @@
         disk=_number(limits, "disk_mb", 3, 0.5, "LB_CONFIG limits") * MB,
         known=known,
         module=module,
-        stop_sends=_number(stop, "sends_ms", 1500.0, 0, "LB_CONFIG stop"),
-        stop_ends=_number(stop, "ends_ms", 3400.0, 0, "LB_CONFIG stop"))
+        stop_sends=_number(stop, "sends_ms", 2000.0, 0, "LB_CONFIG stop"),
+        stop_ends=_number(stop, "ends_ms", 3500.0, 0, "LB_CONFIG stop"))
--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -239,7 +239,7 @@
         receiver = self._receiver(line, mail, now)
         if receiver is None:
             return NOT_YET, 0.0
-        limit = min(self._timeout(self._gate(receiver), mail), mail.expires - now - self.settings["Tick"])
+        limit = min(self._timeout(self.gate(receiver), mail), mail.expires - now - self.settings["Tick"])
         self._take_out(line, mail)
         self._send(line, mail, receiver, now)
         return receiver, limit
@@ -333,13 +333,13 @@
         self.held -= 1
         verdict = verdict or self._ending(mail)
         self._pass_turn(mail, now, outcome)
-        return verdict, self._come_back(mail, now) if verdict == DEFERRED else 0.0
+        return verdict, self.come_back(mail.destination, now) if verdict == DEFERRED else 0.0
 
-    def _come_back(self, mail, now):
-        """When the client should hand a deferred mail in again."""
+    def come_back(self, destination, now):
+        """When the client should hand a mail in again that was deferred or had no room."""
         if not self.allowed.get("RetryAfter"):
             return 0.0
-        gates = [self._gate(r) for r in mail.destination.receivers if r.state == READY]
+        gates = [self.gate(r) for r in destination.receivers if r.state == READY]
         told = max((g.told_until - now for g in gates), default=0.0)
         return min(max(told, BASE_PAUSE) * self.dice.roll(1.0, 1.5), self.allowed.get("MaxRetryAfter", 0.0))
 
@@ -454,7 +454,7 @@
     def _on_trial(self, receiver):
         return bool(self._health(receiver).trickle) and self._health(receiver).trickle.since is None
 
-    def _gate(self, receiver):
+    def gate(self, receiver):
         apart = self.family.get("OwnLimits", ())
         owner = receiver if receiver.kind < len(apart) and apart[receiver.kind] else receiver.destination
         owner.gate = owner.gate or Gate()
@@ -482,7 +482,7 @@
         if course.ran_at is not None and scope != "all" and receiver is not course.ran_to \
                 and not (scope == "zone" and receiver.zone == course.ran_to.zone):
             return float("inf")
-        gate, health = self._gate(receiver), self._health(receiver)
+        gate, health = self.gate(receiver), self._health(receiver)
         if self._shared(receiver, now):
             return now
         ready = sum(r.state == READY for r in receiver.destination.receivers)
@@ -518,7 +518,7 @@
         return min(FIRST_TIMEOUT, learned * times * 2.0 ** gate.timeouts)
 
     def _send(self, line, mail, receiver, now):
-        course, gate, health = mail.notes, self._gate(receiver), self._health(receiver)
+        course, gate, health = mail.notes, self.gate(receiver), self._health(receiver)
         line.slot_time(now)
         course.state, course.waited = "out", now - course.settled if course.tries else 0.0
         course.tries += 1
@@ -548,13 +548,13 @@
         if call.open == 0:
             self.slots -= 1
             line.out -= 1
-            self._gate(call.receiver).out -= 1
+            self.gate(call.receiver).out -= 1
             self._health(call.receiver).out -= 1
 
     # -- what outcomes tell of a destination ----------------------------------------------------------------
 
     def _measure(self, mail, call, outcome, now):
-        gate, health = self._gate(call.receiver), self._health(call.receiver)
+        gate, health = self.gate(call.receiver), self._health(call.receiver)
         if call.again and not call.counted and outcome in (DELIVERED, TIMED_OUT, RESET, UNREACHED):
             self.recovers += 0.2 * ((outcome == DELIVERED) - self.recovers)
         if outcome == DELIVERED:
@@ -638,5 +638,5 @@
         cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
         bears = max(least, 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now))
         health.trickle = Pace(bears / ready, rules["WarmAfter"] / 5.0, now)
-        start = max(now, self._gate(receiver).told_until)
+        start = max(now, self.gate(receiver).told_until)
         health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
--- a/dewpin/facade.py
+++ b/dewpin/facade.py
@@ -5,6 +5,7 @@
 """
 from . import model
 from .decide import PROOF, Dispatcher
+from .log import say
 from .net.outbound import number
 
 STATES = {"active": model.READY, "leaving": model.DRAINING}
@@ -53,8 +54,16 @@
     def knows(self, queue_class, account):
         return queue_class in self.classes and (not self.accounts or account in self.accounts)
 
-    def full(self):
-        return self.module.held >= self.most
+    def full(self, destination, now):
+        """Ms to come back after where no more mails may be held, else None."""
+        if self.module.held < self.most:
+            return None
+        return self.module.come_back(self._destination(int(destination)), now)
+
+    def bound(self, receiver):
+        """The addresses that a wait told by this receiver binds."""
+        gate = self.module.gate(receiver)
+        return [r.address for r in receiver.destination.receivers if r.address and self.module.gate(r) is gate]
 
     def lifetime(self, queue_class):
         return self.lifetimes[self.classes[queue_class]]
@@ -74,21 +83,25 @@
         """News of the list; gives the addresses that nothing new goes to."""
         named, left = set(), []
         for one in members:
-            ident = one["id"].encode()
+            try:
+                ident, state = one["id"].encode(), STATES.get(one.get("phase"), model.GONE)
+                host, _, port = one.get("host_port", ":0").rpartition(":")
+                address, destination = (host.strip("[]"), int(port)), int(one.get("cell", 0))
+            except (KeyError, ValueError, TypeError, AttributeError) as error:
+                say("list", f"passes over an entry: {type(error).__name__}: {error}")
+                continue
             named.add(ident)
-            state = STATES.get(one.get("phase"), model.GONE)
             if state == model.GONE and ident not in self.receivers:
                 continue
-            receiver = self._receiver(ident, self._destination(int(one["cell"])))
+            receiver = self._receiver(ident, self._destination(destination))
             receiver.state = state
             if state != model.GONE:
-                host, _, port = one["host_port"].rpartition(":")
-                before, receiver.address = receiver.address, (host.strip("[]"), int(port))
+                if receiver.address not in (None, address):
+                    left.append(receiver.address)
+                receiver.address = address
                 receiver.zone = self.zones.get(one.get("locality"), -1)
                 receiver.kind = self.kinds.get(one.get("flavor"), 0)
                 receiver.weight = number(one.get("size") or 0.0)
-                if before not in (None, receiver.address):
-                    left.append(before)
         if complete:
             for ident, receiver in self.receivers.items():
                 if ident not in named:
--- a/dewpin/net/agent.py
+++ b/dewpin/net/agent.py
@@ -75,7 +75,7 @@
     def _take(self, body):
         news = json.loads(body)
         revision, complete = int(news["revision"]), bool(news["complete"])
-        if complete or revision > self.revision:
+        if revision > self.revision or complete and revision == self.revision:     # it only grows
             self.learn(news["members"], complete)
             self.revision = revision
         return True
@@ -83,36 +83,44 @@
 
 class Notices:
     def __init__(self, address):
-        self.channel, self.owed, self.news = Channel(address), {}, asyncio.Event()
+        self.channel, self.news = Channel(address), asyncio.Event()
+        self.owed, self.count = {}, 0   # by the order in which they came: clients' ids might come twice
 
     def tell(self, ident, deferred, ms, answered):
         """Keeps telling that a mail is given up until it is answered; then `answered()`."""
         words = {"message": ident.decode("latin-1"), "outcome": "handed_back" if deferred else "given_up"}
         if deferred and ms > 0.0:
             words["retry_in_ms"] = round(ms, 3)
-        self.owed[ident] = json.dumps(words).encode(), answered
+        self.count += 1
+        self.owed[self.count] = json.dumps(words).encode(), answered
         self.news.set()
 
     async def run(self):
         most = MOST_NOTICES
         while True:
             await self.news.wait()
-            idents = list(self.owed)[:most]
-            body = b"".join(self.owed[ident][0] + b"\n" for ident in idents)
+            batch = list(self.owed)[:most]
+            body = b"".join(self.owed[one][0] + b"\n" for one in batch)
             answer = await self.channel.ask(
-                b"POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                % (self.channel.host, len(body)) + body, NOTICE)
-            status = answer.status if answer else None
+                b"POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\n\r\n" % (self.channel.host, len(body)) + body, NOTICE)
+            status = answer.status if answer else 0
             if status == 400:
                 say("notice", f"could not be read: {body[:200]!r}")
-            if status == 204 or status == 200 or status == 400 and len(idents) == 1:
-                for ident in idents:
-                    self.owed.pop(ident)[1]()
-                most = MOST_NOTICES if status != 400 else 1
+            if 200 <= status < 300 or status == 400 and len(batch) == 1:
+                for one in batch:
+                    self._answered(self.owed.pop(one)[1])
             elif status == 400:
-                most = 1            # one of them is at fault: each by itself
+                most = 1            # one of them is at fault: each by itself until all are told
             else:
                 await asyncio.sleep(AGAIN)
             if not self.owed:
                 self.news.clear()
                 most = MOST_NOTICES
+
+    @staticmethod
+    def _answered(answered):
+        try:
+            answered()
+        except Exception as error:      # a fault with one mail must not keep the others' notices back
+            say("fault", f"{type(error).__name__}: {error}")
--- a/dewpin/net/http.py
+++ b/dewpin/net/http.py
@@ -101,8 +101,7 @@
             if not HEX.fullmatch(size):
                 raise Malformed(400, "chunk size")
             size = int(size, 16)
-            self.chunks["size"] += size
-            if self.chunks["size"] > self.most_body:
+            if self.chunks["size"] + size > self.most_body:
                 raise Malformed(413, "body too large")
             if size == 0:
                 del self.held[:at + 2]
@@ -113,6 +112,7 @@
                 return None
             if self.held[end:end + 2] != b"\r\n":
                 raise Malformed(400, "chunk end")
+            self.chunks["size"] += size     # once it is whole: a part of it may be looked at many times
             self.chunks["parts"].append(bytes(self.held[at + 2:end]))
             del self.held[:end + 2]
 
--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -14,9 +14,6 @@
 LINGER = 1.0            # seconds that a refused sender's bytes are read on, so that it hears the answer
 SPARE = 8               # connections over the bound that hear 503 before they are closed
 
-TAKEN = answer(202)
-
-
 class Client(Stream):
     def __init__(self, door):
         super().__init__(Reader())
@@ -38,7 +35,7 @@
         try:
             while not self.closing and (message := self.reader.take()):
                 self.since = None
-                self.write(self.door.answer(message), message.last or self.door.stopping)
+                self.write(*self.door.answer(message), message.last or self.door.stopping)
             if self.reader.expects and self.reader.message:
                 self.reader.expects = False
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -52,8 +49,8 @@
             self.since = self.used
         self.door.weigh(self)
 
-    def write(self, content, last):
-        self.transport.write(content)
+    def write(self, status, extra, last):
+        self.transport.write(answer(status, last, extra))
         if last:
             self.closing = True
             self.transport.close()      # after what is written
@@ -88,13 +85,21 @@
         self.loop, self.relay, self.most, self.memory = loop, relay, most, memory
         self.clients = {}           # client: bytes that it holds, the latest used last
         self.held = 0
-        self.server, self.ready, self.stopping = None, False, False
+        self.server, self.stopping = None, False
         self.sweep = None
 
     async def open(self, host, port):
         self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=512)
         self.sweep = self.loop.call_later(1.0, self._sweep)
-        return self.server.sockets[0].getsockname()
+        return self.server.sockets[0].getsockname()[:2]
+
+    def stop(self):
+        """From now on each connection ends with its next answer, and idle ones end at once."""
+        self.stopping = True
+        for client in list(self.clients):
+            if client.since is None and not client.closing:
+                client.closing = True
+                client.transport.close()
 
     def close(self):
         self.sweep.cancel()
@@ -144,11 +149,11 @@
         path, _, query = target.partition(b"?")
         if path == b"/api":
             if method != b"POST":
-                return answer(405, extra=b"Allow: POST\r\n")
+                return 405, b"Allow: POST\r\n"
             return self._hand_in(message, query)
         if path == b"/-/ready" and method in (b"GET", b"HEAD"):
-            return answer(200 if self.ready and not self.stopping else 503)
-        return answer(404)
+            return 503 if self.stopping else 200, b""
+        return 404, b""
 
     def _hand_in(self, message, query):
         fields = message.fields
@@ -156,19 +161,17 @@
         destination = _named(fields.get(b"x-consignee", b"").split(b","), b"dest")
         key = unquote_to_bytes(_named(query.split(b"&"), b"about"))
         if not ident or len(ident) > 256 or len(key) > 256:
-            return answer(400)
-        if left is not None and number(left) <= 0.0:
-            return answer(400)
-        if not destination.isdigit() or len(destination) > 9:
-            return answer(400)
+            return 400, b""
+        if left is not None and number(left) <= 0.0 or not destination.isdigit() or len(destination) > 9:
+            return 400, b""
         taken, ms = self.relay.hand_in(
             ident, fields.get(b"req-kind", b""), fields.get(b"req-owner", b""), key, destination,
             fields.get(b"idempotency-key", b""), message.body, None if left is None else number(left) * 1000.0)
         if taken:
-            return TAKEN
+            return 202, b""
         if taken is None:
-            return answer(400)
-        return answer(503, self.stopping, b"Retry-After: %.3f\r\n" % (ms / 1000.0) if ms > 0.0 else b"")
+            return 400, b""
+        return 503, b"Retry-After: %.3f\r\n" % (ms / 1000.0) if ms > 0.0 else b""
 
 
 def _named(parts, name):
--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -5,12 +5,14 @@
 means for a mail is settled by `read`, whose words are the facts of `model`.
 """
 import asyncio
+import select
 from collections import deque
 
 from .. import model
 from ..log import say
 from .http import Malformed, Reader, Stream
 
+NEAR = 1000.0           # ms before the other side closes an idle connection in which it is used no more
 ANSWERED, UNWRITTEN, BROKEN = "answered", "unwritten", "broken"
 OUTCOMES = {200: model.DELIVERED, 429: model.FULL, 503: model.FULL, 504: model.UNSENT, 410: model.UNSENT}
 
@@ -91,6 +93,7 @@
         if idle:
             self._write(idle)
         else:
+            pool.opening.add(self)
             wait = min(limit, pool.connect_limit) / 1000.0
             self.opening = pool.loop.create_task(self._open(wait))
 
@@ -102,7 +105,7 @@
             return self.finish(model.UNREACHED)
         if self.done is None:       # given up in the meantime
             return link.close()
-        self.opening = None
+        self.pool.opening.discard(self)
         self._write(link)
 
     def _write(self, link):
@@ -129,7 +132,8 @@
             return
         done, self.done = self.done, None
         self.limit.cancel()
-        if self.opening and self.opening is not asyncio.current_task():
+        self.pool.opening.discard(self)
+        if self.opening and not self.opening.done() and self.opening is not asyncio.current_task():
             self.opening.cancel()
         link = self.link
         if link:
@@ -172,7 +176,8 @@
 class Pool:
     def __init__(self, loop, connect_limit, idle_limit, most_idle, most_body=65536):
         self.loop, self.connect_limit, self.most_body = loop, connect_limit, most_body
-        self.idle_limit, self.most_idle = idle_limit, most_idle
+        self.idle_limit, self.most_idle = max(idle_limit - NEAR, idle_limit / 2.0), most_idle
+        self.opening = set()        # calls whose connection is not made yet
         self.idle = {}              # address: links, the latest used last
         self.order = deque()        # (when its rest ends, address, link), soonest first
         self.resting = 0
@@ -187,10 +192,21 @@
         while links:
             link = links.pop()
             self._leaves(address, link)
-            if not link.ended and not link.transport.is_closing():
+            if not link.ended and not link.transport.is_closing() and not self._heard_from(link):
                 return link
+            link.close()
         return None
 
+    @staticmethod
+    def _heard_from(link):
+        """Whether something waits to be read on an idle connection: its end, most likely.
+
+        Guards against a request written to a connection that has ended already, which would count as a reset and so
+        end a once-only mail."""
+        watch = select.poll()
+        watch.register(link.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(watch.poll(0))
+
     def rest(self, address, link):
         """Keeps a connection for the next call, well short of the time when the other side closes it."""
         if self.idle_limit <= 0.0 or link.reader.held:
@@ -210,6 +226,13 @@
             self._ended(address, link)
             link.close()
 
+    def recall(self, address):
+        """Nothing more may leave for this address: calls that have not left yet are not sent.
+
+        Guards against a connection that comes up long after the pick, when a wait was told or a drain listed."""
+        for call in [call for call in self.opening if call.address == address]:
+            call.finish(model.UNSENT)
+
     def close(self):
         for address in list(self.idle):
             self.close_idle(address)
--- a/dewpin/relay.py
+++ b/dewpin/relay.py
@@ -12,6 +12,10 @@
 from .spool import Sheet
 
 
+PATIENCE = 50.0         # ms that a picked mail waits for the answer to an earlier one's notice
+ROUNDS = 200            # questions to the module in one turn of the loop
+
+
 class Clock:
     """Unix time in ms that never steps back while the process runs."""
 
@@ -23,16 +27,15 @@
 
 
 class Relay:
-    def __init__(self, loop, facade, spool, pool, notices, patience):
+    def __init__(self, loop, facade, spool, pool, notices):
         self.loop, self.clock = loop, Clock(loop)
         self.facade, self.spool, self.pool, self.notices = facade, spool, pool, notices
-        self.patience = patience    # ms that a mail picked waits for an earlier one's notice
         self.refusing = False       # takes nothing on any more
         self.sending = True         # still starts connects
         self.out = 0
         self.timer, self.soon = None, False
         self.unsaid = {}            # key: notices that are not answered yet
-        self.behind = {}            # key: the mail that was picked and waits for them
+        self.behind = {}            # key: mails that were picked and wait for them
 
     def resume(self):
         """Takes up what an earlier life of the process left."""
@@ -51,15 +54,21 @@
         """(True, 0) once a mail is taken on, (False, ms to come back after), or (None, 0): it means nothing here."""
         if not self.facade.knows(queue_class, account):
             return None, 0.0
-        if self.refusing or self.facade.full():
-            return False, 0.0
         now = self.clock.now()
+        if self.refusing:
+            return False, 0.0
+        if (ms := self.facade.full(destination, now)) is not None:
+            return False, ms
         sheet = Sheet(ident, queue_class, account, key, destination, tag, body, now,
                       now + (self.facade.lifetime(queue_class) if left is None else left))
         if not self.spool.take(sheet):
             say("spool", "full: refuses mails")
             return False, 0.0
-        self.facade.take(sheet, now)
+        try:
+            self.facade.take(sheet, now)
+        except Exception:
+            self.spool.end(sheet)   # the client hears of a failure, and nothing is owed
+            raise
         self.wake()
         return True, 0.0
 
@@ -76,12 +85,16 @@
             self.timer = None
         now = self.clock.now()
         try:
-            while self.sending and (ms := self.facade.tick(now)) is not None:
+            for _ in range(ROUNDS):
+                ms = self.facade.tick(now) if self.sending else None
+                if ms is None:
+                    return
                 if ms > 0.0:
                     self.timer = self.loop.call_later(ms / 1000.0, self.wake)
-                    break
+                    return
                 if errand := self.facade.pick(now):
                     self._do(*errand, now)
+            self.wake()             # others have their turn first
         except Exception:           # a fault must not end the process, nor go round without a pause
             say("fault", traceback.format_exc())
             self.timer = self.loop.call_later(0.1, self.wake)
@@ -90,8 +103,8 @@
         if not isinstance(what, model.Receiver):
             self._give_up(sheet, what, ms)
         elif sheet.key in self.unsaid:
-            late = self.loop.call_later(min(ms, self.patience) / 1000.0, self._unsent, sheet, what)
-            self.behind[sheet.key] = sheet, what, now + ms, late
+            late = self.loop.call_later(min(ms, PATIENCE) / 1000.0, self._unsent, sheet, what)
+            self.behind.setdefault(sheet.key, {})[sheet] = what, now + ms, late
             self.out += 1
         else:
             self.out += 1
@@ -109,7 +122,7 @@
 
     def _unsent(self, sheet, receiver):
         """A notice for an earlier mail of the key is not answered: the connect never left."""
-        del self.behind[sheet.key]
+        del self.behind[sheet.key][sheet]
         self._heard(sheet, receiver, model.UNSENT, 0.0, 0.0, {}, False)
 
     def _heard(self, sheet, receiver, outcome, told, took, load, over):
@@ -123,6 +136,9 @@
                 self._give_up(sheet, ending, ms)
             if leaves:
                 self.pool.close_idle(receiver.address)
+            if told > 0.0:
+                for address in self.facade.bound(receiver):
+                    self.pool.recall(address)
         except Exception:
             say("fault", traceback.format_exc())
         self.wake()
@@ -143,8 +159,7 @@
         self.unsaid[sheet.key] -= 1
         if self.unsaid[sheet.key] == 0:
             del self.unsaid[sheet.key]
-            if sheet.key in self.behind:
-                held, receiver, until, late = self.behind.pop(sheet.key)
+            now = self.clock.now()
+            for held, (receiver, until, late) in self.behind.pop(sheet.key, {}).items():
                 late.cancel()
-                now = self.clock.now()
                 self._send(held, receiver, max(1.0, until - now), now)
--- a/dewpin/spool.py
+++ b/dewpin/spool.py
@@ -57,8 +57,8 @@
                    *[part for text in texts for part in (struct.pack("<I", len(text)), text)])
 
 
-def _connect(sheet):
-    return _record(CONNECT, sheet.serial, struct.pack("<d", sheet.out[1]), sheet.out[0])
+def _connect(sheet, receiver, sent):
+    return _record(CONNECT, sheet.serial, struct.pack("<d", sent), receiver)
 
 
 def _given_up(sheet):
@@ -137,9 +137,9 @@
         sheet.serial = self.serial
         record = _taken(sheet)
         whole = len(record) + LATER
-        if not self._fits(2 * whole):
+        if not self._holds(whole):
             self.compact()
-            if not self._fits(2 * whole):
+            if not self._holds(whole):
                 return False
         if not self._write(record):
             return False
@@ -149,11 +149,9 @@
     def connect(self, sheet, receiver, now):
         """Records a connect before its first byte; False if that can't be done."""
         sheet.settle(True)
-        sheet.out = receiver, now
-        if not self._append(_connect(sheet)):
-            sheet.out = None
+        if not self._append(_connect(sheet, receiver, now)):
             return False
-        sheet.tries += 1
+        sheet.out, sheet.tries = (receiver, now), sheet.tries + 1   # after: the append may compact
         return True
 
     def settle(self, sheet, ran):
@@ -182,7 +180,7 @@
                 ran_at = -1.0 if sheet.ran_at is None else sheet.ran_at
                 parts.append(_record(SUMMARY, sheet.serial, SPENT.pack(before, ran_at), sheet.ran_to or b""))
             if sheet.out:
-                parts.append(_connect(sheet))
+                parts.append(_connect(sheet, *sheet.out))
             if sheet.ending:
                 parts.append(_given_up(sheet))
         content = b"".join(parts)
@@ -204,6 +202,10 @@
     def close(self):
         os.close(self.file)
 
+    def _holds(self, whole):
+        """Whether a mail more leaves room for all that may follow, and for a compaction then."""
+        return max(self.size, self.live) + self.live + 2 * whole <= self.room
+
     def _fits(self, more):
         return self.size + self.live + more <= self.room
 
--- /dev/null
+++ b/tests/test_sender.py
@@ -0,0 +1,278 @@
+"""The program as a whole, over sockets: each case starts it and plays the clients, the receivers and the agent."""
+import asyncio
+import re
+import signal
+import time
+
+import pytest
+
+from driver import play, read_message, reply, until
+
+
+def test_a_mail_goes_on_as_the_bytes_that_came_and_the_connection_is_used_again(tmp_path):
+    async def scene(outside, sender):
+        body = bytes(range(256)) * 8 + b"\r\n\r\nPOST"
+        for ident in ("a1", "a2"):
+            assert (await sender.hand_in(ident, body=body, tag=b"K%41=/x"))[0] == 202
+            await until(lambda: ident.encode() in outside.idents())
+        (first, fields, sent, *_), second = outside.calls
+        assert sent == body and fields[b"idempotency-key"] == b"K%41=/x"
+        assert 0.0 < float(fields[b"req-deadline"]) <= 10.0
+        assert first == b"a1" and outside.calls[0][4] is second[4]
+        assert not outside.notices
+    play(tmp_path, scene)
+
+
+def test_a_once_only_mail_is_given_up_when_its_effect_is_unknown_and_a_tagged_one_goes_again(tmp_path):
+    async def scene(outside, sender):
+        outside.script = lambda call: "reset"
+        await sender.hand_in("once", kind="charge")
+        await until(lambda: outside.notices)
+        assert outside.notices == [{"message": "once", "outcome": "given_up"}]
+        await sender.hand_in("silent", kind="charge", left=0.4)
+        outside.script = lambda call: None
+        await until(lambda: len(outside.notices) == 2)
+        outside.script = lambda call: reply(200) if outside.idents().count(b"tagged") == 2 else "reset"
+        await sender.hand_in("tagged")
+        await until(lambda: outside.idents().count(b"tagged") == 2)
+        assert outside.idents().count(b"once") == 1 and outside.idents().count(b"silent") <= 1
+    play(tmp_path, scene)
+
+
+def test_a_mail_that_never_ran_is_handed_back_with_a_time_to_come_again(tmp_path):
+    async def scene(outside, sender):
+        outside.script = lambda call: reply(429, b"Retry-After: 0.9")
+        began = time.monotonic()
+        await sender.hand_in("m", kind="charge", left=0.6)
+        await until(lambda: outside.notices)
+        assert outside.notices[0]["outcome"] == "handed_back" and outside.notices[0]["retry_in_ms"] > 100.0
+        assert time.monotonic() - began < 0.6
+        await sender.hand_in("n", kind="status")        # the wait holds for the whole destination
+        outside.script = lambda call: reply(200)
+        await until(lambda: b"n" in outside.idents())
+        assert outside.calls[-1][5] - outside.calls[0][5] >= 0.9
+    play(tmp_path, scene)
+
+
+def test_no_connection_is_proof_that_nothing_ran(tmp_path):
+    async def scene(outside, sender):
+        outside.servers[0].close()
+        await sender.hand_in("m", kind="charge")
+        host, _, port = outside.members[0]["host_port"].rpartition(":")
+        await asyncio.sleep(0)
+        outside.servers[0] = await asyncio.start_server(lambda r, w: outside._receive(0, r, w), host, int(port))
+        await until(lambda: b"m" in outside.idents())
+        assert not outside.notices
+    play(tmp_path, scene)
+
+
+def test_a_connection_that_ended_while_idle_is_not_used_again(tmp_path):
+    async def scene(outside, sender):
+        await sender.hand_in("a", kind="charge")
+        await until(lambda: outside.connections and outside.calls)
+        for writer in list(outside.connections):
+            writer.close()
+        await until(lambda: not outside.connections)
+        await sender.hand_in("b", kind="charge")
+        await until(lambda: b"b" in outside.idents())
+        assert not outside.notices
+    play(tmp_path, scene)
+
+
+def test_what_was_out_when_the_process_was_killed_may_have_run(tmp_path):
+    async def scene(outside, sender):
+        outside.script = lambda call: None
+        await sender.hand_in("once", kind="charge", key="k")
+        await sender.hand_in("tagged")
+        await until(lambda: len(outside.calls) == 2)
+        await sender.hand_in("next", kind="charge", key="k")
+        await sender.hand_in("last", kind="charge", key="k")
+        await sender.end()
+        outside.script = lambda call: reply(200)
+        await sender.start()
+        await until(lambda: {b"tagged", b"next", b"last"} <= set(outside.idents()[2:]))
+        assert outside.idents().count(b"once") == 1 and outside.idents()[-3:].count(b"tagged") == 1
+        assert outside.notices == [{"message": "once", "outcome": "given_up"}]
+        order = [call for call in outside.calls if call[0] in (b"next", b"last")]
+        assert [call[0] for call in order] == [b"next", b"last"]
+        assert outside.noted_at["once"] < order[0][5]
+        await until(lambda: (tmp_path / "state" / "journal").stat().st_size)
+        await sender.end()
+        calls = len(outside.calls)
+        await sender.start()                # nothing is owed any more
+        assert " 0 mails taken up" in sender.first_line and len(outside.calls) == calls
+    play(tmp_path, scene)
+
+
+def test_attempts_and_deadlines_survive_a_kill(tmp_path):
+    async def scene(outside, sender):
+        sender.told["settings"]["Allowed"]["MaxAttempts"] = 2
+        await sender.start()
+        outside.script = lambda call: reply(503)
+        await sender.hand_in("m", kind="status")
+        await sender.hand_in("short", kind="status", left=0.8)
+        await until(lambda: b"m" in outside.idents())
+        await sender.end()
+        await asyncio.sleep(0.8)            # its time passes while nobody runs
+        await sender.start()
+        await until(lambda: len(outside.notices) == 2)
+        assert outside.idents().count(b"m") <= 2
+        assert {notice["outcome"] for notice in outside.notices} == {"handed_back"}
+    play(tmp_path, scene, start=False)
+
+
+def test_a_notice_is_told_until_it_is_answered_and_holds_the_next_mail_of_its_key(tmp_path):
+    async def scene(outside, sender):
+        outside.script = lambda call: "reset"
+        outside.notice_status = None
+        await sender.hand_in("a", kind="charge", key="k")
+        await until(lambda: outside.notices)
+        outside.script = lambda call: reply(200)
+        await sender.hand_in("b", kind="charge", key="k")
+        await sender.hand_in("c", kind="charge", key="other")
+        await until(lambda: b"c" in outside.idents())
+        await sender.end()
+        await sender.start()
+        await until(lambda: len(outside.notices) >= 2)
+        assert b"b" not in outside.idents()
+        outside.notice_status = 204
+        await until(lambda: b"b" in outside.idents())
+        assert {notice["message"] for notice in outside.notices} == {"a"} and outside.idents().count(b"a") == 1
+    play(tmp_path, scene)
+
+
+def test_a_stop_refuses_new_mails_finishes_what_is_out_and_leaves_the_rest_in_the_spool(tmp_path):
+    async def scene(outside, sender):
+        sender.told["stop"] = {"sends_ms": 300.0, "ends_ms": 2500.0}
+        sender.told["settings"]["FamilyInfo"]["CallSlots"] = 1
+        await sender.start()
+        free, idle, used = asyncio.Event(), await sender.connect(), await sender.connect()
+
+        async def slow(call):
+            await free.wait()
+            return reply(200)
+        outside.script = slow
+        await sender.hand_in("out", kind="charge")
+        await until(lambda: outside.calls)
+        await sender.hand_in("held", kind="charge")
+        used[1].write(b"POST /api HTTP/1.1\r\n")        # a request on its way is answered
+        await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n")
+        sender.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(idle[0].read(), 5.0) == b""
+        answer = await sender.ask(b"Req-Id: z\r\nReq-Kind: status\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n\r\n", used)
+        assert answer[0] == 503 and answer[1][b"connection"] == b"close"
+        assert (await sender.hand_in("new"))[0] == 503
+        assert (await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 503
+        await asyncio.sleep(0.4)            # past the time in which connects start
+        free.set()
+        assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
+        assert outside.idents() == [b"out"] and not outside.notices
+        await sender.start()
+        await until(lambda: b"held" in outside.idents())
+        assert outside.idents().count(b"out") == 1 and not outside.notices
+    play(tmp_path, scene, start=False)
+
+
+def test_the_watch_is_followed_and_begins_anew_when_it_breaks(tmp_path):
+    async def scene(outside, sender):
+        await until(lambda: outside.watching)
+        assert outside.asked == ["/api/targets?index=1&wait=20000"]
+        outside.change(0, "leaving")
+        await until(lambda: outside.asked[-1] == "/api/targets?index=2&wait=20000")
+        for ident in range(4):
+            await sender.hand_in(f"m{ident}")
+        await until(lambda: len(outside.calls) == 4)
+        assert {call[3] for call in outside.calls} == {1}
+        outside.members[0]["phase"], outside.revision = "active", 5     # told to nobody: the watch breaks
+        del outside.members[1]
+        outside.watching.pop().transport.abort()
+        await until(lambda: outside.asked[-2:] == ["/api/targets", "/api/targets?index=5&wait=20000"])
+        await sender.hand_in("last")
+        await until(lambda: b"last" in outside.idents())
+        assert outside.calls[-1][3] == 0
+    play(tmp_path, scene, receivers=2)
+
+
+@pytest.mark.parametrize("raw, status", [
+    (b"NONSENSE\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505), (b"GET / HTTP/1.1\r\nBad name: x\r\n\r\n", 400),
+    (b"POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413), (b"GET /%s HTTP/1.1\r\n" % (b"x" * 17000), 431),
+    (b"POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+    (b"POST /api HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+    (b"POST /api HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+    (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", 400),
+    (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1ffff\r\n", 413)])
+def test_what_is_no_request_is_refused_and_the_connection_ends(tmp_path, raw, status):
+    async def scene(outside, sender):
+        reader, writer = await sender.connect()
+        writer.write(raw)
+        message = await read_message(reader)
+        assert int(message[0].split()[1]) == status and message[1][b"connection"] == b"close"
+        assert await reader.read() == b""
+    play(tmp_path, scene)
+
+
+def test_requests_that_mean_nothing_are_answered_and_the_connection_goes_on(tmp_path):
+    async def scene(outside, sender):
+        kept = await sender.connect()
+        assert (await sender.ask(b"GET /nowhere HTTP/1.1\r\n\r\n", kept))[0] == 404
+        assert (await sender.ask(b"GET /api HTTP/1.1\r\n\r\n", kept))[0] == 405
+        assert (await sender.ask(b"POST /api HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 0\r\n\r\n", kept))[0] == 400
+        assert (await sender.hand_in("a", kind="unheard-of", connection=kept))[0] == 400
+        assert (await sender.hand_in("a", left=-1, connection=kept))[0] == 400
+        assert (await sender.hand_in("good", connection=kept))[0] == 202
+        await until(lambda: outside.idents() == [b"good"])
+    play(tmp_path, scene)
+
+
+def test_full_of_mails_it_refuses_and_tells_when_to_come_back(tmp_path):
+    async def scene(outside, sender):
+        sender.told["settings"]["Allowed"]["MaxOpen"] = 3
+        sender.told["settings"]["FamilyInfo"]["CallSlots"] = 1
+        await sender.start()
+        outside.script = lambda call: None
+        answers = [await sender.hand_in(f"m{at}", kind="charge", key="k") for at in range(4)]
+        assert [answer[0] for answer in answers] == [202, 202, 202, 503]
+        assert 0.0 < float(answers[3][1][b"retry-after"]) <= 2.0
+    play(tmp_path, scene, start=False)
+
+
+def test_connections_over_the_bound_take_the_place_of_idle_ones_or_hear_503(tmp_path):
+    async def scene(outside, sender):
+        first = await sender.connect()
+        await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", first)
+        heard, busy = [], []
+        while 503 not in heard:             # each goes on to a second request, which does not come whole
+            busy.append(await sender.connect())
+            answer = await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\nPOST /api HTTP/1.1\r\n", busy[-1])
+            heard.append(answer[0])
+        assert await asyncio.wait_for(first[0].read(), 5.0) == b""      # between requests: closed for another
+        assert 4 < len(heard) < 64 and heard.count(503) == 1
+        assert (await sender.ask(b"\r\n", busy[0]))[0] == 400            # those inside go on
+        assert sender.process.returncode is None
+    play(tmp_path, scene, sockets=64)
+
+
+def test_many_at_once_all_come_through_within_the_limits(tmp_path):
+    async def scene(outside, sender):
+        async def client(number):
+            connection = await sender.connect()
+            for at in range(10):
+                answer = await sender.hand_in(f"{number}-{at}", kind="status", connection=connection)
+                assert answer[0] == 202
+            connection[1].close()
+        await asyncio.gather(*(client(number) for number in range(12)))
+        await until(lambda: len(set(outside.idents())) == 120, 30.0)
+        assert len(outside.calls) == 120 and len(outside.connections) <= 8
+    play(tmp_path, scene)
+
+
+def test_a_faulty_start_names_the_key(tmp_path):
+    async def scene(outside, sender):
+        for part, value, key in (("discovery", "nowhere", "LB_DISCOVERY"), ("settings", {}, "settings.Services"),
+                                 ("limits", {"memory_mb": "x"}, "limits.memory_mb")):
+            before, sender.told[part] = sender.told[part], value
+            with pytest.raises(IndexError):     # no line says that it listens
+                await sender.start()
+            assert re.search(re.escape(key), sender.first_line) and await sender.process.wait() == 2
+            sender.told[part] = before
+    play(tmp_path, scene, start=False)
