A mail whose connects are used up ends at a restart, and bounds on lists and bodies

Also: receivers long gone and destinations that no list names are held in bounds (facade.py), a full log pipe loses lines instead of holding up the process (log.py), the list's wire form moved to agent.py.

--- a/dewpin/__main__.py
+++ b/dewpin/__main__.py
@@ -11,7 +11,7 @@
 
 from . import config
 from .facade import Facade
-from .log import say
+from .log import free, say
 from .net.agent import Notices, Watch
 from .net.inbound import SPARE, Door
 from .net.outbound import Pool
@@ -23,7 +23,8 @@
 
 async def serve(told):
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(lambda _, context: say("fault", f"{context['message']}: {context.get('exception')!r}"))
+    loop.set_exception_handler(
+        lambda _, context: say("fault", f"{context['message']}: {context.get('exception')!r}"))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -33,8 +34,8 @@
     facade, spool, notices = Facade(told.module, told.seed), Spool(told.state, told.disk), Notices(told.agent)
     relay = Relay(loop, facade, spool, pool, notices)
 
-    def learn(members, complete):
-        for address in facade.learn(members, complete):
+    def learn(entries, complete):
+        for address in facade.learn(entries, complete):
             pool.recall(address)
             pool.close_idle(address)
         relay.wake()
@@ -51,8 +52,11 @@
     stopped = loop.time()
     relay.refusing = True
     door.stop()
-    while loop.time() < stopped + told.stop_ends / 1000.0 and (relay.out or notices.owed or door.clients or relay.sending):
+    say("stop", f"{told.name} takes no new mails")
+    while loop.time() < stopped + told.stop_ends / 1000.0:
         relay.sending = loop.time() < stopped + told.stop_sends / 1000.0
+        if not (relay.sending or relay.out or notices.owed or door.clients):
+            break
         await asyncio.sleep(0.02)
     for task in tasks:
         task.cancel()
@@ -63,6 +67,7 @@
 
 
 def main():
+    free()
     try:
         told = config.read(os.environ)
     except config.Faulty as fault:
--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -132,8 +132,7 @@
         """
         if now >= self.silent_at(now):
             return 1
-        best = max(self.goods.recent(now, 16)) * 2.0
-        return receivers + 1 + 1.5 * best * (self.usual or 1000.0) / 1000.0
+        return receivers + 1 + 3.0 * max(self.goods.recent(now, 16)) * (self.usual or 1000.0) / 1000.0
 
 
 class Line:
@@ -159,8 +158,7 @@
         span = now - self.used_at
         if span > 0.0:
             fade = 0.5 ** (span / FADE)
-            self.used = self.used * fade + self.out * (1.0 - fade) * FADE
-            self.used_at = now
+            self.used, self.used_at = self.used * fade + self.out * (1.0 - fade) * FADE, now
         return self.used
 
 
@@ -305,7 +303,7 @@
         if effect == "unsafe" and course.ran_at is not None:
             return BOUNCED, 0.0                             # an unknown effect ends it
         pause = mail.told if outcome == FULL and mail.told > 0 else self._pause(course)
-        if course.tries >= self.allowed["MaxAttempts"] or now + pause >= self._end(mail):
+        if now + pause >= self._end(mail):
             return self._ending(mail), 0.0                  # a repeat that cannot fit
         return NOT_YET, pause
 
@@ -318,12 +316,14 @@
         return max(BASE_PAUSE * 2.0 ** (course.tries - 1), 2.0 * course.waited) * self.dice.roll(0.5, 1.5)
 
     def _end(self, mail):
-        """When a mail that is not out must be given up: its lifetime, or the window of its repeat."""
+        """When a mail that is not out must be given up: its lifetime, the window of its repeat, or at once.
+
+        Guards against a restart: a once-only mail that was out, or one with no connect left, is not sent again."""
         course, end, one = mail.notes, mail.expires - self.margin, self.classes[mail.queue_class]
-        if course.ran_at is not None and one["Effect"] != "safe":   # once-only: only after a restart, at once
+        if course.ran_at is not None and one["Effect"] != "safe":
             window = one["Window"] if one["Effect"] == "keyed" else 0.0
             end = min(end, course.ran_at + window - self.margin)
-        return end
+        return end if course.tries < self.allowed["MaxAttempts"] else 0.0
 
     def _finish(self, mail, now, verdict=None, outcome=None):
         course = mail.notes
--- a/dewpin/facade.py
+++ b/dewpin/facade.py
@@ -5,10 +5,9 @@
 """
 from . import model
 from .decide import PROOF, Dispatcher
-from .log import say
-from .net.outbound import number
 
-STATES = {"active": model.READY, "leaving": model.DRAINING}
+UNLISTED = 100          # so many of them are held mails for: a client may name any number
+PAST = 200              # so many receivers that are gone are remembered
 
 
 class Facade:
@@ -22,6 +21,7 @@
         self.most = settings["Allowed"]["MaxOpen"]
         self.receivers = {}
         self.destinations = {}
+        self.unlisted = set()       # destinations that no list has named yet
         self.due = None
 
     # -- the three calls ------------------------------------------------------------------------------------
@@ -43,7 +43,8 @@
         mail.told, mail.took = told, took
         mail.withdrawn = mail.withdrawn or over
         if load:
-            mail.notes.call.receiver.report = {model.REPORTED.get(name, name): value for name, value in load.items()}
+            words = {model.REPORTED.get(name, name): value for name, value in load.items()}
+            mail.notes.call.receiver.report = words
         what, ms, leaves = self.module.settle(mail, outcome, now)
         if over:
             what = model.RELAYED        # nothing is owed
@@ -56,9 +57,10 @@
 
     def full(self, destination, now):
         """Ms to come back after where no more mails may be held, else None."""
-        if self.module.held < self.most:
+        known = int(destination) in self.destinations
+        if self.module.held < self.most and (known or len(self.unlisted) < UNLISTED):
             return None
-        return self.module.come_back(self._destination(int(destination)), now)
+        return self.module.come_back(self.destinations.get(int(destination)) or model.Destination(None), now)
 
     def bound(self, receiver):
         """The addresses that a wait told by this receiver binds."""
@@ -74,22 +76,15 @@
     def take(self, sheet, now):
         destination = self._destination(int(sheet.destination))
         ran_to = None if sheet.ran_to is None else self._receiver(sheet.ran_to, destination)
-        sheet.mail = model.Mail(sheet, destination, sheet.arrived, sheet.expires, self.classes[sheet.queue_class],
-                                self.accounts.get(sheet.account, 0), sheet.key or 0,
-                                (sheet.tries, sheet.ran_at, ran_to))
+        sheet.mail = model.Mail(
+            sheet, destination, sheet.arrived, sheet.expires, self.classes[sheet.queue_class],
+            self.accounts.get(sheet.account, 0), sheet.key or 0, (sheet.tries, sheet.ran_at, ran_to))
         self.module.route(sheet.mail, now)
 
-    def learn(self, members, complete):
+    def learn(self, entries, complete):
         """News of the list; gives the addresses that nothing new goes to."""
         named, left = set(), []
-        for one in members:
-            try:
-                ident, state = one["id"].encode(), STATES.get(one.get("phase"), model.GONE)
-                host, _, port = one.get("host_port", ":0").rpartition(":")
-                address, destination = (host.strip("[]"), int(port)), int(one.get("cell", 0))
-            except (KeyError, ValueError, TypeError, AttributeError) as error:
-                say("list", f"passes over an entry: {type(error).__name__}: {error}")
-                continue
+        for ident, destination, state, address, zone, kind, weight in entries:
             named.add(ident)
             if state == model.GONE and ident not in self.receivers:
                 continue
@@ -98,22 +93,27 @@
             if state != model.GONE:
                 if receiver.address not in (None, address):
                     left.append(receiver.address)
-                receiver.address = address
-                receiver.zone = self.zones.get(one.get("locality"), -1)
-                receiver.kind = self.kinds.get(one.get("flavor"), 0)
-                receiver.weight = number(one.get("size") or 0.0)
+                receiver.address, receiver.weight = address, weight
+                receiver.zone, receiver.kind = self.zones.get(zone, -1), self.kinds.get(kind, 0)
         if complete:
             for ident, receiver in self.receivers.items():
                 if ident not in named:
                     receiver.state = model.GONE
-        return left + [r.address for r in self.receivers.values() if r.state != model.READY and r.address]
+        gone = [receiver for receiver in self.receivers.values() if receiver.state == model.GONE]
+        for receiver in gone[:-PAST]:
+            receiver.destination.receivers.remove(self.receivers.pop(receiver.ident))
+        ready = {receiver.address for receiver in self.receivers.values() if receiver.state == model.READY}
+        left += [receiver.address for receiver in self.receivers.values()]
+        return [address for address in left if address and address not in ready]
 
     def _destination(self, ident):
         if ident not in self.destinations:
             self.destinations[ident] = model.Destination(ident)
+            self.unlisted.add(ident)
         return self.destinations[ident]
 
     def _receiver(self, ident, destination):
         if ident not in self.receivers:
             self.receivers[ident] = model.Receiver(ident, destination, zone=-1, state=model.GONE)
+            self.unlisted.discard(destination.ident)
         return self.receivers[ident]
--- a/dewpin/log.py
+++ b/dewpin/log.py
@@ -1,4 +1,7 @@
-"""The log: plain lines on standard error, so many a second for each kind. It must never raise or block."""
+"""The log: plain lines on standard error, so many a second for each kind. It must never raise or block: where nobody
+reads the pipe that it goes to, lines are lost."""
+import os
+import stat
 import sys
 import time
 
@@ -6,6 +9,12 @@
 _kinds = {}     # kind: [second, lines in it, lines left out]
 
 
+def free():
+    """Lets a full pipe lose lines instead of holding up the process."""
+    if stat.S_ISFIFO(os.fstat(2).st_mode):
+        os.set_blocking(2, False)
+
+
 def say(kind, words):
     second = int(time.monotonic())
     seen = _kinds.setdefault(kind, [second, 0, 0])
--- a/dewpin/net/agent.py
+++ b/dewpin/net/agent.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 
+from .. import model
 from ..log import say
 from .outbound import ANSWERED, Link
 
@@ -16,6 +17,7 @@
 CONNECT = 1.0
 NOTICE = 1.0            # seconds for the answer to a notice
 MOST_LIST = 8_000_000   # bytes
+STATES = {"active": model.READY, "leaving": model.DRAINING}
 MOST_NOTICES = 100      # in one request
 
 
@@ -50,11 +52,25 @@
             self.link = None
 
 
+def entries(members):
+    """The list in our words: (receiver, destination, state, (host, port), zone, kind, weight) of each member."""
+    found = []
+    for one in members:
+        try:
+            host, _, port = one.get("host_port", ":0").rpartition(":")
+            found.append((one["id"].encode(), int(one.get("cell", 0)), STATES.get(one.get("phase"), model.GONE),
+                          (host.strip("[]"), int(port)), one.get("locality"), one.get("flavor"),
+                          float(one.get("size") or 0.0)))
+        except (KeyError, ValueError, TypeError, AttributeError) as error:
+            say("list", f"passes over an entry: {type(error).__name__}: {error}")
+    return found
+
+
 class Watch:
     def __init__(self, address, known, learn):
         self.channel, self.learn = Channel(address), learn
         self.revision = known.get("revision", 0)
-        learn(known.get("members", ()), True)
+        learn(entries(known.get("members", ())), True)
 
     async def run(self):
         whole = False
@@ -76,7 +92,7 @@
         news = json.loads(body)
         revision, complete = int(news["revision"]), bool(news["complete"])
         if revision > self.revision or complete and revision == self.revision:     # it only grows
-            self.learn(news["members"], complete)
+            self.learn(entries(news["members"]), complete)
             self.revision = revision
         return True
 
--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -82,6 +82,14 @@
         done(how, message)
 
 
+def hook(address, ident, tag, body, limit):
+    """The bytes of a call: what came in goes on as it came."""
+    tag = b"Idempotency-Key: %s\r\n" % tag if tag else b""
+    return (b"POST /hook HTTP/1.1\r\nHost: %s:%d\r\nReq-Id: %s\r\n%sReq-Deadline: %.3f\r\n"
+            b"Content-Length: %d\r\n\r\n" % (address[0].encode(), address[1], ident, tag, limit / 1000.0, len(body))
+            + body)
+
+
 class Call:
     """One call: from the wish to send to its outcome, which is told once."""
 
@@ -138,7 +146,7 @@
         link = self.link
         if link:
             link.done = None
-            if message is None or message.last or link.ended:
+            if message is None or message.last or link.ended or link.unwritten:
                 link.close()
             else:
                 self.pool.rest(self.address, link)
@@ -183,9 +191,9 @@
         self.resting = 0
         self.sweep = None
 
-    def call(self, address, request, limit, done):
-        """`done(outcome, told ms, took ms, load, over)` is told once, never before this returns."""
-        Call(self, address, request, limit, done)
+    def call(self, address, ident, tag, body, limit, done):
+        """Sends a mail; `done(outcome, told ms, took ms, load, over)` is told once, never before this returns."""
+        Call(self, address, hook(address, ident, tag, body, limit), limit, done)
 
     def idle_link(self, address):
         links = self.idle.get(address)
--- a/dewpin/relay.py
+++ b/dewpin/relay.py
@@ -114,10 +114,7 @@
         if not self.spool.connect(sheet, receiver.ident, now):
             self.loop.call_soon(self._heard, sheet, receiver, model.UNSENT, 0.0, 0.0, {}, False)
             return
-        tag = b"Idempotency-Key: %s\r\n" % sheet.tag if sheet.tag else b""
-        request = b"POST /hook HTTP/1.1\r\nHost: %s:%d\r\nReq-Id: %s\r\n%sReq-Deadline: %.3f\r\nContent-Length: %d\r\n\r\n" % (
-            receiver.address[0].encode(), receiver.address[1], sheet.ident, tag, limit / 1000.0, len(sheet.body))
-        self.pool.call(receiver.address, request + sheet.body, limit,
+        self.pool.call(receiver.address, sheet.ident, sheet.tag, sheet.body, limit,
                        lambda *heard: self._heard(sheet, receiver, *heard))
 
     def _unsent(self, sheet, receiver):
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -73,6 +73,22 @@
         self.ask()
         return what
 
+    def restart(self, tries, ran, down):
+        """The sender dies and comes back with what its spool says of the mails in hand."""
+        for mail, (receiver, sent, _) in self.out.items():
+            ran.setdefault(mail, (receiver, sent))      # it was out: it may have run
+        self.out.clear()
+        self.now += down
+        self.module = Dispatcher(self.settings, int(self.now))
+        held = [mail for mail in self.mails if mail not in self.ended and not mail.withdrawn]
+        for one in {mail.destination for mail in self.mails}:
+            for noted in (one, *one.receivers):
+                noted.notes = noted.gate = None
+        for mail in held:
+            receiver, sent = ran.get(mail, (None, None))
+            mail.notes, mail.before = None, (tries.get(mail, 0), sent, receiver)
+            self.note(mail, self.module.route(mail, self.now))
+
     def sent(self, mail):
         return self.out[mail][0] if mail in self.out else None
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from dewpin import model
+from dewpin.facade import Facade
 from dewpin.net.http import Malformed, Reader, answer
 from dewpin.spool import Sheet, Spool
+from driver import settings
 
 SIZE = 24000.0
 
@@ -150,3 +153,19 @@
     assert reader.take() is None
     message = reader.ended()
     assert message.body == b"to the end" and message.last
+
+
+def test_a_list_that_changes_for_ever_and_clients_that_name_anything_are_held_in_bounds():
+    services = settings(effects=("safe",)) | {"Zones": ["a"], "Kinds": ["k"]}
+    services["Services"][0]["Name"] = "status"
+    facade = Facade(services, 1)
+    for at in range(1000):
+        left = facade.learn([(b"r%d" % at, 7, model.READY, ("127.0.0.1", 9000 + at % 2), "a", "k", 1.0)], True)
+        assert ("127.0.0.1", 9000 + at % 2) not in left and (at == 0 or ("127.0.0.1", 9001 - at % 2) in left)
+    assert len(facade.receivers) < 300 and len(facade.destinations[7].receivers) < 300
+    taken = [at for at in range(500) if facade.full(b"%d" % (100 + at), 0.0) is None]
+    assert len(taken) == 500 and facade.full(b"7", 0.0) is None     # asking costs nothing
+    for at in range(150):
+        if facade.full(b"%d" % (100 + at), 0.0) is None:
+            facade.take(Sheet(b"m", b"status", b"", b"", b"%d" % (100 + at), b"", b"", 0.0, 1e6), 0.0)
+    assert len(facade.destinations) == 101 and facade.full(b"999", 0.0) > 0.0 and facade.full(b"7", 0.0) is None
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -211,3 +211,12 @@
     d.outcome(next(iter(d.out)), model.DELIVERED, 20.0)
     d.now += 1e9
     assert d.sent(d.mail())
+
+
+@pytest.mark.parametrize("effect, tries, ending", [("unsafe", 1, model.BOUNCED), ("keyed", 1, None),
+                                                   ("safe", 1, None), ("safe", 6, model.DEFERRED)])
+def test_what_an_earlier_life_did_counts(effect, tries, ending):
+    """A call was out when the sender was killed: only a repeat that is allowed and left may follow."""
+    d = Driver(settings(effects=(effect,)))
+    mail = d.mail(before=(tries, d.now - 700.0, d.destination.receivers[0]))
+    assert d.ended.get(mail) == ending and (d.sent(mail) is None) == (ending is not None)
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -266,6 +266,23 @@
     play(tmp_path, scene)
 
 
+def test_bodies_that_never_come_whole_are_held_in_bounds(tmp_path):
+    async def scene(outside, sender):
+        head = b"POST /api HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+        busy, heard = [], []
+        for _ in range(400):
+            busy.append(await sender.connect())
+            busy[-1][1].write(head + b"x" * 60000)
+            heard.append(asyncio.create_task(busy[-1][0].read()))
+        await until(lambda: sum(task.done() for task in heard) > 50)
+        assert all(b" 503 " in task.result() for task in heard if task.done())
+        assert (await sender.hand_in("m"))[0] == 202
+        await until(lambda: b"m" in outside.idents())
+        status = open(f"/proc/{sender.process.pid}/status").read()
+        assert int(re.search(r"VmHWM:\s+(\d+)", status)[1]) < 64000
+    play(tmp_path, scene, memory_mb=64)
+
+
 def test_a_faulty_start_names_the_key(tmp_path):
     async def scene(outside, sender):
         for part, value, key in (("discovery", "nowhere", "LB_DISCOVERY"), ("settings", {}, "settings.Services"),
