--- a/dewpin/__main__.py
+++ b/dewpin/__main__.py
@@ -13,7 +13,7 @@
 from .facade import Facade
 from .log import free, say
 from .net.agent import Notices, Watch
-from .net.inbound import SPARE, Door
+from .net.inbound import AT_ONCE, SPARE, Door
 from .net.outbound import Pool
 from .relay import Relay
 from .spool import Spool
@@ -41,7 +41,7 @@
         relay.wake()
 
     watch = Watch(told.agent, told.known, learn)
-    most = max(8, told.sockets - 2 * slots - idle - SPARE - FILES)
+    most = max(8, told.sockets - 2 * slots - idle - SPARE - AT_ONCE - FILES)
     door = Door(loop, relay, most, told.memory / 4.0)
     relay.resume()          # before the door: what was taken on earlier comes first in its key's order
     host, port = await door.open(*told.listen)
--- a/dewpin/config.py
+++ b/dewpin/config.py
@@ -91,7 +91,7 @@
         state=told("LB_STATE", "state"),
         seed=seed & 0xFFFFFFFFFFFFFFFF,
         memory=_number(limits, "memory_mb", 192, 32, "LB_CONFIG limits") * MB,
-        sockets=int(_number(limits, "sockets", 1024, 64, "LB_CONFIG limits")),
+        sockets=int(_number(limits, "sockets", 1024, 128, "LB_CONFIG limits")),
         disk=_number(limits, "disk_mb", 3, 0.5, "LB_CONFIG limits") * MB,
         known=known,
         module=module,
--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -4,6 +4,8 @@
 size. Each request that was read whole gets an answer at once, whatever becomes of the mail; it must never keep one
 waiting, and never decide whether a mail is taken on: it asks the relay.
 """
+import select
+import socket
 from urllib.parse import unquote_to_bytes
 
 from ..log import say
@@ -13,6 +15,8 @@
 PATIENCE = 10.0         # seconds for a request to come whole
 LINGER = 1.0            # seconds that a refused sender's bytes are read on, so that it hears the answer
 SPARE = 8               # connections over the bound that hear 503 before they are closed
+AT_ONCE = 32            # connections accepted in one turn of the loop, before any of them is counted
+QUEUE = 512             # connections that the system keeps for the next turns
 
 class Client(Stream):
     def __init__(self, door):
@@ -35,7 +39,7 @@
         try:
             while not self.closing and (message := self.reader.take()):
                 self.since = None
-                self.write(*self.door.answer(message), message.last or self.door.stopping)
+                self.write(*self.door.answer(self, message), message.last or self.door.stopping)
             if self.reader.expects and self.reader.message:
                 self.reader.expects = False
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -66,6 +70,12 @@
             self.transport.write_eof()
         self.door.loop.call_later(LINGER, self.transport.abort)
 
+    def gone(self):
+        """Whether the other side has ended the connection already."""
+        watch = select.poll()
+        watch.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(watch.poll(0))
+
     def pause_writing(self):
         self.transport.pause_reading()  # it does not read its answers
 
@@ -89,9 +99,12 @@
         self.sweep = None
 
     async def open(self, host, port):
-        self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=512)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listening = socket.create_server((host, port), family=family)
+        self.server = await self.loop.create_server(lambda: Client(self), sock=listening, backlog=AT_ONCE)
+        listening.listen(QUEUE)     # the loop takes one figure for both
         self.sweep = self.loop.call_later(1.0, self._sweep)
-        return self.server.sockets[0].getsockname()[:2]
+        return listening.getsockname()[:2]
 
     def stop(self):
         """From now on each connection ends with its next answer, and idle ones end at once."""
@@ -144,12 +157,15 @@
 
     # -- requests -------------------------------------------------------------------------------------------
 
-    def answer(self, message):
+    def answer(self, client, message):
+        """Status and further header lines."""
         method, target, _ = message.first
         path, _, query = target.partition(b"?")
         if path == b"/api":
             if method != b"POST":
                 return 405, b"Allow: POST\r\n"
+            if client.gone():
+                return 503, b""     # it has given up, after a stall of ours: the mail is handed in elsewhere
             return self._hand_in(message, query)
         if path == b"/-/ready" and method in (b"GET", b"HEAD"):
             return 503 if self.stopping else 200, b""
--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -5,6 +5,7 @@
 means for a mail is settled by `read`, whose words are the facts of `model`.
 """
 import asyncio
+import errno
 import select
 from collections import deque
 
@@ -13,6 +14,7 @@
 from .http import Malformed, Reader, Stream
 
 NEAR = 1000.0           # ms before the other side closes an idle connection in which it is used no more
+OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)    # no connection, and no receiver's fault
 ANSWERED, UNWRITTEN, BROKEN = "answered", "unwritten", "broken"
 OUTCOMES = {200: model.DELIVERED, 429: model.FULL, 503: model.FULL, 504: model.UNSENT, 410: model.UNSENT}
 
@@ -109,8 +111,8 @@
         try:
             async with asyncio.timeout(wait):
                 _, link = await self.pool.loop.create_connection(lambda: Link(self.pool.most_body), *self.address)
-        except (OSError, TimeoutError):
-            return self.finish(model.UNREACHED)
+        except (OSError, TimeoutError) as error:
+            return self.finish(model.UNSENT if error.errno in OURS else model.UNREACHED)
         if self.done is None:       # given up in the meantime
             return link.close()
         self.pool.opening.discard(self)
@@ -200,7 +202,7 @@
         while links:
             link = links.pop()
             self._leaves(address, link)
-            if not link.ended and not link.transport.is_closing() and not self._heard_from(link):
+            if link.until > self.loop.time() and not link.transport.is_closing() and not self._heard_from(link):
                 return link
             link.close()
         return None
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import sys
 import time
@@ -227,9 +228,11 @@
     async def start(self):
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.told))
+        sockets = self.told["limits"].get("sockets", 1024)
         environment = dict(os.environ, LB_CONFIG=str(path), LB_STATE=str(self.folder / "state"))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "dewpin", env=environment, stderr=asyncio.subprocess.PIPE,
+            preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, (sockets, sockets)),
             cwd=os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
         self.first_line = (await self.process.stderr.readline()).decode()
         self.log = asyncio.get_running_loop().create_task(self.process.stderr.read())
