--- a/dewpin/net/http.py
+++ b/dewpin/net/http.py
@@ -52,6 +52,15 @@
     def feed(self, data):
         self.held += data
 
+    def size(self):
+        """The bytes held of messages that are not whole."""
+        return len(self.held) + (self.chunks["size"] if self.chunks else 0)
+
+    def drop(self):
+        """Forgets what it holds: nothing more is taken."""
+        self.held.clear()
+        self.message = self.chunks = None
+
     def take(self):
         """The next whole message, or None."""
         if self.message is None and not self._head():
--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -18,6 +18,7 @@
 AT_ONCE = 32            # connections accepted in one turn of the loop, before any of them is counted
 QUEUE = 512             # connections that the system keeps for the next turns
 
+
 class Client(Stream):
     def __init__(self, door):
         super().__init__(Reader())
@@ -33,7 +34,7 @@
 
     def arrived(self):
         if self.closing:
-            self.reader.held.clear()
+            self.reader.drop()
             return
         self.used = self.door.loop.time()
         try:
@@ -64,7 +65,7 @@
         if self.closing:
             return
         self.closing = True
-        self.reader.held.clear()
+        self.reader.drop()
         self.transport.write(answer(status, last=True))
         if self.transport.can_write_eof():
             self.transport.write_eof()
@@ -126,7 +127,8 @@
         self.clients[client] = 0
         if len(self.clients) <= self.most:
             return
-        idle = next((one for one in self.clients if one.since is None and not one.closing and one is not client), None)
+        idle = next((one for one in self.clients
+                     if one.since is None and not one.closing and one is not client), None)
         if idle:                    # between requests: its owner opens another when it needs one
             idle.closing = True
             idle.transport.close()
@@ -143,7 +145,7 @@
         """Moves a client to the end of the line and counts what it holds."""
         if client not in self.clients:
             return
-        size = len(client.reader.held)
+        size = client.reader.size()
         self.held += size - self.clients.pop(client)
         self.clients[client] = size
         if self.held > self.memory:
@@ -176,7 +178,7 @@
         ident, left = fields.get(b"req-id", b""), fields.get(b"req-deadline")
         destination = _named(fields.get(b"x-consignee", b"").split(b","), b"dest")
         key = unquote_to_bytes(_named(query.split(b"&"), b"about"))
-        if not ident or len(ident) > 256 or len(key) > 256:
+        if not ident or len(ident) > 256 or not ident.isascii() or len(key) > 256:
             return 400, b""
         if left is not None and number(left) <= 0.0 or not destination.isdigit() or len(destination) > 9:
             return 400, b""
--- a/dewpin/relay.py
+++ b/dewpin/relay.py
@@ -11,7 +11,6 @@
 from .log import say
 from .spool import Sheet
 
-
 PATIENCE = 50.0         # ms that a picked mail waits for the answer to an earlier one's notice
 ROUNDS = 200            # questions to the module in one turn of the loop
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,14 +1,17 @@
 """The sender's parts by themselves: the journal, cut off anywhere, and the reader, fed in any pieces."""
+import asyncio
 import os
 import random
+import socket
 
 import pytest
 
 from dewpin import model
 from dewpin.facade import Facade
 from dewpin.net.http import Malformed, Reader, answer
+from dewpin.net.outbound import Pool
 from dewpin.spool import Sheet, Spool
-from driver import settings
+from driver import Outside, settings, until
 
 SIZE = 24000.0
 
@@ -169,3 +172,40 @@
         if facade.full(b"%d" % (100 + at), 0.0) is None:
             facade.take(Sheet(b"m", b"status", b"", b"", b"%d" % (100 + at), b"", b"", 0.0, 1e6), 0.0)
     assert len(facade.destinations) == 101 and facade.full(b"999", 0.0) > 0.0 and facade.full(b"7", 0.0) is None
+
+
+def test_a_call_that_has_not_left_is_recalled_or_unreached_and_one_out_is_left_alone():
+    async def scene():
+        outside, heard = await Outside().open(), {}
+        outside.script = lambda call: None
+        loop = asyncio.get_running_loop()
+        pool = Pool(loop, 300.0, 15000.0, 8)
+        shut = socket.create_server(("127.0.0.1", 0), backlog=0)    # its queue fills, and nobody accepts
+        filling = [socket.socket() for _ in range(4)]
+        for one in filling:
+            one.setblocking(False)
+            one.connect_ex(shut.getsockname())
+
+        def call(name, address, limit=5000.0):
+            pool.call(address, name.encode(), b"", b"x", limit, lambda *what: heard.setdefault(name, what))
+
+        live = outside.servers[0].sockets[0].getsockname()
+        call("late", shut.getsockname())
+        call("out", live)
+        await until(lambda: "late" in heard)
+        assert heard["late"][0] == model.UNREACHED and heard["late"][2] >= 299.0
+        call("recalled", shut.getsockname())
+        await until(lambda: outside.idents() == [b"out"])
+        pool.recall(shut.getsockname())
+        pool.recall(live)
+        assert heard["recalled"][0] == model.UNSENT and "out" not in heard
+        call("timed out", live, 100.0)
+        await until(lambda: "timed out" in heard)
+        assert heard["timed out"][0] == model.TIMED_OUT
+        outside.script = lambda call: b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhalf"
+        call("half", live, 100.0)
+        await until(lambda: "half" in heard)        # the first line counts
+        assert heard["half"][0] == model.DELIVERED and pool.resting == 0 and not pool.opening
+        for one in (shut, *filling, outside.agent, *outside.servers, *(c.transport for c in outside.connections)):
+            one.close()
+    asyncio.run(scene())
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -1,5 +1,6 @@
 """The program as a whole, over sockets: each case starts it and plays the clients, the receivers and the agent."""
 import asyncio
+import random
 import re
 import signal
 import time
@@ -287,11 +288,12 @@
 
 def test_bodies_that_never_come_whole_are_held_in_bounds(tmp_path):
     async def scene(outside, sender):
-        head = b"POST /api HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+        plain = b"POST /api HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+        chunked = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nea60\r\n"
         busy, heard = [], []
-        for _ in range(400):
+        for at in range(400):
             busy.append(await sender.connect())
-            busy[-1][1].write(head + b"x" * 60000)
+            busy[-1][1].write((plain, chunked)[at % 2] + b"x" * 60000 + b"\r\n")
             heard.append(asyncio.create_task(busy[-1][0].read()))
         await until(lambda: sum(task.done() for task in heard) > 50)
         assert all(b" 503 " in task.result() for task in heard if task.done())
@@ -312,3 +314,60 @@
             assert re.search(re.escape(key), sender.first_line) and await sender.process.wait() == 2
             sender.told[part] = before
     play(tmp_path, scene, start=False)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_rules_hold_over_kills_and_troubles(tmp_path, seed):
+    dice, taken, kills = random.Random(seed), {}, []
+
+    async def scene(outside, sender):
+        ran, over, told = {}, {}, []        # ident: its call may have run; when it was over; waits: from, until
+
+        async def script(call):
+            ident, now = call[0].decode(), time.monotonic()
+            kind, key, _ = taken.get(ident) or (None, None, None)       # None: its answer is still on its way
+            over.update(outside.noted_at)
+            assert ident not in outside.noted_at, "sent after its notice"
+            assert not (kind == "charge" and ident in ran), "a once-only mail went again"
+            for since, until in told:
+                assert now < since + 0.1 or now > until or any(kill > since for kill in kills), "a wait was not heeded"
+            for other, (_, its_key, _) in list(taken.items()):
+                if key and its_key == key and other != ident:
+                    assert list(taken).index(other) > list(taken).index(ident) or other in over, "out of turn"
+            what = dice.choice(("fine", "fine", "fine", "fine", "slow", "full", "told", "fault", "reset", "silent"))
+            if what == "told":
+                told.append((now, now + 0.3))
+            if what in ("full", "told"):
+                return reply(429, b"Retry-After: 0.3") if what == "told" else reply(503)
+            ran[ident] = now
+            await asyncio.sleep(0.3 if what == "slow" else 0.01)
+            if what in ("fine", "slow"):
+                over.setdefault(ident, now)
+                return reply(200)
+            return {"fault": reply(500), "reset": "reset", "silent": None}[what]
+        faults = []
+
+        async def watched(call):
+            try:
+                return await script(call)
+            except AssertionError as fault:
+                faults.append(fault)
+        outside.script = watched
+        for at in range(70):
+            kind = dice.choice(("notice", "status", "charge", "charge"))
+            key = f"k{dice.randrange(3)}" if kind == "charge" else ""
+            if (await sender.hand_in(f"m{at}", kind, left=3.0, key=key))[0] == 202:
+                taken[f"m{at}"] = kind, key, time.monotonic()
+            if dice.random() < 0.06:
+                kills.append(time.monotonic())
+                await sender.end()
+                await sender.start()
+            await asyncio.sleep(dice.choice((0.0, 0.02, 0.1)))
+        await until(lambda: sender.owed() == 0)
+        over.update(outside.noted_at)
+        assert not faults, faults
+        assert len(taken) == 70 and set(taken) <= set(over)
+        for ident, (_, _, since) in taken.items():
+            assert ident not in outside.noted_at or outside.noted_at[ident] < since + 3.3 or kills
+        assert kills and len(set(over)) == 70
+    play(tmp_path, scene, receivers=3)
