--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -24,7 +24,7 @@
 BASE_PAUSE = 250.0          # before the first repeat (the design's figure), doubling with each try
 CROWD = 4.0                 # so many senders may each try a failed destination once in `OverloadFor`
 ROOM = 0.85                 # share of the mails that may be held, above which the longest line gives some up
-LONG = 1000.0               # a failure that took so long says more than a quick one
+LONG = 1000.0               # a failure that took so long says more than a quick one; no crash is over sooner
 RECOVERS = 0.3              # loss on the way is thought of when so many calls after a failed one go well
 LOSS = 3                    # failures in a row that are an outage nevertheless
 LONG_TOLD = 2500.0          # a told wait of more is no limit's: the destination is shut, and returns cold
@@ -94,7 +94,7 @@
     def __init__(self):
         self.out = 0                # calls out
         self.fails = 0              # failures in a row
-        self.good_at = -1e12        # when the latest good answer came
+        self.good_at = self.unreached_at = -1e12    # the latest good answer, and connection refused at once
         self.bad_for = set()        # queue classes whose latest call there failed
         self.trickle = None         # set aside: the pace of its trickle
         self.call = None            # the latest call, which mails sent in the same reply may share
@@ -316,9 +316,9 @@
         return max(BASE_PAUSE * 2.0 ** (course.tries - 1), 2.0 * course.waited) * self.dice.roll(0.5, 1.5)
 
     def _end(self, mail):
-        """When a mail that is not out must be given up: its lifetime, the window of its repeat, or at once.
+        """When a mail that is not out must be given up: its lifetime, its repeat's window, or at once.
 
-        Guards against a restart: a once-only mail that was out, or one with no connect left, is not sent again."""
+        Guards against a restart: a once-only mail that was out, or one with no connect left, goes no more."""
         course, end, one = mail.notes, mail.expires - self.margin, self.classes[mail.queue_class]
         if course.ran_at is not None and one["Effect"] != "safe":
             window = one["Window"] if one["Effect"] == "keyed" else 0.0
@@ -559,13 +559,14 @@
             self.recovers += 0.2 * ((outcome == DELIVERED) - self.recovers)
         if outcome == DELIVERED:
             gate.goods.add(now)
-            gate.timeouts = gate.refusals = 0
+            gate.timeouts, gate.refusals, gate.good_at = 0, 0, now
+            if not health.trickle and now - health.unreached_at < LONG:     # it had refused a connection:
+                self.crowded.add(call.receiver.kind)                        # a full table, no crash
             self.usual = mail.took if self.usual is None else self.usual + 0.05 * (mail.took - self.usual)
             before = gate.usual or self.usual
             gate.usual = before + (0.1 if gate.usual else 0.5) * (mail.took - before)
             health.fails, health.good_at = 0, now
             health.bad_for.discard(mail.queue_class)
-            gate.good_at = now
             for pace in (gate.pace, health.trickle):
                 if pace and pace.since is None:
                     pace.since = now
@@ -580,7 +581,7 @@
                 if gate.pace is None or call.sent >= gate.pace.made:
                     self._slow_down(call.receiver, gate, now)
             else:
-                self.crowded.add(call.receiver.kind)
+                health.unreached_at = now
             if gate.refusals == 0:
                 gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
