--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -92,8 +92,7 @@
     """What the sender has seen of one receiver."""
 
     def __init__(self):
-        self.out = 0                # calls out
-        self.fails = 0              # failures in a row
+        self.out = self.fails = 0   # calls out, failures in a row
         self.good_at = self.unreached_at = -1e12    # the latest good answer, and connection refused at once
         self.bad_for = set()        # queue classes whose latest call there failed
         self.trickle = None         # set aside: the pace of its trickle
@@ -111,10 +110,9 @@
         self.good_at = -1e12
         self.goods = Ring(500.0, 20)
         self.usual = None           # call time, ms
-        self.timeouts = 0           # time-outs since the latest good answer: each doubles the figure, so that
-        self.refusals = 0           # calls turned away since the latest good answer
-        self.refused_at = 0.0       # the first of them
-        self.timed_out_at = -1e12   # a slow destination is not taken for dead again and again
+        self.timeouts, self.timed_out_at = 0, -1e12     # since the latest good answer: each doubles its figure
+                                    # (a slow destination is not taken for dead again and again)
+        self.refusals, self.refused_at = 0, 0.0         # calls turned away since then, and the first of them
 
     def silent_at(self, now):
         """When the oldest call out, with nothing good since it left, is to be taken for stuck."""
@@ -555,6 +553,7 @@
 
     def _measure(self, mail, call, outcome, now):
         gate, health = self.gate(call.receiver), self._health(call.receiver)
+        sparse = mail.destination.notes.rate(now) * self.rules["OverloadFor"] < 1000.0
         if call.again and not call.counted and outcome in (DELIVERED, TIMED_OUT, RESET, UNREACHED):
             self.recovers += 0.2 * ((outcome == DELIVERED) - self.recovers)
         if outcome == DELIVERED:
@@ -582,6 +581,8 @@
                     self._slow_down(call.receiver, gate, now)
             else:
                 health.unreached_at = now
+                if sparse:      # it will hardly see what follows, and needs no idle connections
+                    self.crowded.add(call.receiver.kind)
             if gate.refusals == 0:
                 gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
@@ -593,7 +594,6 @@
             if outcome == TIMED_OUT and call.sent >= gate.timed_out_at and not self._lossy():
                 gate.timeouts, gate.timed_out_at = min(gate.timeouts + 1, 2), now
             long = mail.took >= LONG and outcome != ERROR     # says more than a quick failure
-            sparse = mail.destination.notes.rate(now) * self.rules["OverloadFor"] < 1000.0
             enough = LOSS if self._lossy() else 1 if long and sparse else 2
             for receiver in mail.destination.receivers:     # the others there share the doubt, less by one
                 other = self._health(receiver)
