--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -7,6 +7,7 @@
   wait(now)                   (ms, mail): ask `route` about it after so long; (0, None): nothing is held
 Ask `route` once when a mail comes in, then `wait` until it names a time ahead, after each round of news. The
 driver writes list changes, reports, withdrawals and an outcome's figures onto the model's objects beforehand.
+Where it has no room for a mail, `come_back(destination, now)` says after how many ms to hand it in again.
 docs/design.md tells the mechanism, what was changed in it, and when each exception acts.
 """
 from bisect import insort
@@ -206,8 +207,7 @@
         self.margin = 2.0 * settings["Tick"] + 10.0     # the tick and the answer need this much of a lifetime
         self.arrivals, self.began = 0, None
         self.lines = []             # in the order of their first mail
-        self.slots = 0              # calls out
-        self.held = 0               # mails in hand
+        self.slots = self.held = 0  # calls out, mails in hand
         self.pauses = []            # (due, arrival, mail)
         self.ends = []              # (give-up time, arrival, mail)
         self.keys = {}              # key: its mails in the order of arrival
