--- a/dewpin/__main__.py
+++ b/dewpin/__main__.py
@@ -1,8 +1,9 @@
 """One sender as a process: start, ready, signals, stop.
 
 It owns the order of the start and of the stop, and makes the one of each part that there is. Ready is told only once
-the spool is replayed; a stop refuses new mails, finishes what fits and leaves the rest in the spool. It reads nothing
-of the environment itself and decides nothing about a mail.
+the spool is replayed; a stop refuses new mails, finishes what fits and leaves the rest in the spool. SIGHUP swaps what
+can be swapped in one turn of the loop, once the new file has been checked whole. It reads nothing of the environment
+itself and decides nothing about a mail.
 """
 import asyncio
 import os
@@ -21,6 +22,15 @@
 FILES = 16              # descriptors beside connections of clients and to receivers
 
 
+def bound(told, pool, door, spool):
+    """Shares the limits out."""
+    pool.most_idle = max(8, min(128, told.sockets // 8))
+    slots = int(told.module["FamilyInfo"]["CallSlots"])
+    door.most = max(8, told.sockets - 2 * slots - pool.most_idle - SPARE - AT_ONCE - FILES)
+    door.memory = told.memory / 4.0
+    spool.bound(told.disk)
+
+
 async def serve(told):
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(
@@ -28,11 +38,15 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    allowed, slots = told.module["Allowed"], int(told.module["FamilyInfo"]["CallSlots"])
-    idle = max(8, min(128, told.sockets // 8))
-    pool = Pool(loop, allowed.get("ConnectTimeout", 1500.0), allowed.get("IdleClose", 0.0), idle)
-    facade, spool, notices = Facade(told.module, told.seed), Spool(told.state, told.disk), Notices(told.agent)
+    reload = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload.set)      # one that comes early waits until all is made
+    allowed = told.module["Allowed"]
+    pool = Pool(loop, allowed.get("ConnectTimeout", 1500.0), allowed.get("IdleClose", 0.0))
+    facade, spool = Facade(told.module, told.seed), Spool(told.state, told.disk)
+    notices = Notices(told.agent)
     relay = Relay(loop, facade, spool, pool, notices)
+    door = Door(loop, relay)
+    bound(told, pool, door, spool)
 
     def learn(entries, complete):
         for address in facade.learn(entries, complete):
@@ -41,13 +55,31 @@
         relay.wake()
 
     watch = Watch(told.agent, told.known, learn)
-    most = max(8, told.sockets - 2 * slots - idle - SPARE - AT_ONCE - FILES)
-    door = Door(loop, relay, most, told.memory / 4.0)
     relay.resume()          # before the door: what was taken on earlier comes first in its key's order
     host, port = await door.open(*told.listen)
-    tasks = [loop.create_task(watch.run()), loop.create_task(notices.run())]
     say("start", f"{told.name} listens on {host}:{port}, {len(spool.sheets)} mails taken up")
 
+    async def swap():
+        nonlocal told
+        while await reload.wait():
+            reload.clear()
+            try:
+                new = config.read(os.environ)
+                Facade(new.module, new.seed)        # the module's own checks
+            except (config.Faulty, KeyError) as fault:
+                say("reload", f"keeps the old configuration: {fault}")
+                continue
+            later = [name for name in ("name", "listen", "state", "module")
+                     if getattr(new, name) != getattr(told, name)]
+            told = new
+            bound(told, pool, door, spool)
+            watch.move(told.agent)
+            notices.move(told.agent)
+            say("reload", f"agent at {told.agent[0]}:{told.agent[1]}"
+                + (f"; from the next start on: {', '.join(later)}" if later else ""))
+
+    swapping = loop.create_task(swap())
+
     await stop.wait()
     stopped = loop.time()
     relay.refusing = True
@@ -58,8 +90,9 @@
         if not (relay.sending or relay.out or notices.owed or door.clients):
             break
         await asyncio.sleep(0.02)
-    for task in tasks:
-        task.cancel()
+    swapping.cancel()
+    watch.channel.stop()
+    notices.channel.stop()
     door.close()
     pool.close()
     say("stop", f"{told.name} ends, {len(spool.sheets)} mails lie in the spool")
--- a/dewpin/config.py
+++ b/dewpin/config.py
@@ -1,7 +1,7 @@
 """The only reader of the environment and of the file that LB_CONFIG names.
 
-It owns the checks, the defaults and the messages that name a faulty key; it must never be asked again after the
-start, and it decides nothing: the module picks what it needs out of `module`, a plain map.
+It owns the checks, the defaults and the messages that name a faulty key; it is asked at the start and at each SIGHUP,
+keeps nothing in between, and decides nothing: the module picks what it needs out of `module`, a plain map.
 """
 import json
 from dataclasses import dataclass
@@ -63,7 +63,7 @@
         raise Faulty("LB_CONFIG: expected a JSON object")
 
     def told(variable, name):
-        value = environment.get(variable) or held.get(name)
+        value = held.get(name) or environment.get(variable)     # the file first: it alone can change under SIGHUP
         if not isinstance(value, str) or not value:
             raise Faulty(f"{variable}: expected text, and the file has no {name!r} either")
         return value
--- a/dewpin/net/agent.py
+++ b/dewpin/net/agent.py
@@ -1,8 +1,9 @@
 """The platform's agent: the watch on the list of receivers, and the notices for mails that are given up.
 
 It owns two connections to the agent, one for each, and tries again by itself until it is answered: a broken watch
-asks for the whole list, silence keeps the last one, a notice that is not answered is sent again. What the list means
-and why a mail ends by a notice is not its business.
+asks for the whole list, silence keeps the last one, a notice that is not answered is sent again. Both move to another
+address when they are told to, owed notices with them. What the list means and why a mail ends by a notice is not its
+business.
 """
 import asyncio
 import json
@@ -13,6 +14,7 @@
 
 WATCH = 20.0            # seconds that a watch waits for news
 GRACE = 5.0             # and so much longer until it is taken for broken
+WHOLE = 2.0             # seconds for the whole list, which waits for nothing
 AGAIN = 0.1             # seconds before a broken exchange is tried again
 CONNECT = 1.0
 NOTICE = 1.0            # seconds for the answer to a notice
@@ -22,11 +24,21 @@
 
 
 class Channel:
-    """One connection to the agent, opened when it is needed."""
+    """One connection to the agent, opened when it is needed, and the task that speaks on it."""
 
-    def __init__(self, address):
-        self.address, self.link = address, None
-        self.host = ("%s:%d" % address).encode()
+    def __init__(self, run):
+        self.run, self.task, self.link = run, None, None
+
+    def move(self, address):
+        """Begins anew at this address: what was asked elsewhere and is not answered is dropped."""
+        self.stop()
+        self.address, self.host = address, ("%s:%d" % address).encode()
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    def stop(self):
+        if self.task:
+            self.task.cancel()
+        self.close()
 
     async def ask(self, request, limit):
         """The answer, or None if there was none in time."""
@@ -68,14 +80,19 @@
 
 class Watch:
     def __init__(self, address, known, learn):
-        self.channel, self.learn = Channel(address), learn
+        self.channel, self.learn = Channel(self.run), learn
         self.revision = known.get("revision", 0)
         learn(entries(known.get("members", ())), True)
+        self.channel.move(address)
+
+    def move(self, address):
+        self.revision = None        # another agent may count otherwise: its whole list comes first
+        self.channel.move(address)
 
     async def run(self):
-        whole = False
+        whole = self.revision is None
         while True:
-            answer = await self.channel.ask(self._request(whole), WATCH + GRACE)
+            answer = await self.channel.ask(self._request(whole), WHOLE if whole else WATCH + GRACE)
             try:
                 whole = answer is None or answer.status != 200 or not self._take(answer.body)
             except Exception as error:
@@ -91,7 +108,9 @@
     def _take(self, body):
         news = json.loads(body)
         revision, complete = int(news["revision"]), bool(news["complete"])
-        if revision > self.revision or complete and revision == self.revision:     # it only grows
+        if self.revision is None and not complete:
+            return False
+        if self.revision is None or revision > self.revision or complete and revision == self.revision:
             self.learn(entries(news["members"]), complete)
             self.revision = revision
         return True
@@ -99,8 +118,10 @@
 
 class Notices:
     def __init__(self, address):
-        self.channel, self.news = Channel(address), asyncio.Event()
-        self.owed, self.count = {}, 0   # by the order in which they came: clients' ids might come twice
+        self.channel, self.news = Channel(self.run), asyncio.Event()
+        self.owed, self.count = {}, 0   # by the order in which they came
+        self.move = self.channel.move
+        self.move(address)
 
     def tell(self, ident, deferred, ms, answered):
         """Keeps telling that a mail is given up until it is answered; then `answered()`."""
--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -92,8 +92,9 @@
 
 
 class Door:
-    def __init__(self, loop, relay, most, memory):
-        self.loop, self.relay, self.most, self.memory = loop, relay, most, memory
+    def __init__(self, loop, relay):
+        self.loop, self.relay = loop, relay
+        self.most, self.memory = 8, 1e6     # connections, bytes of requests that are not whole
         self.clients = {}           # client: bytes that it holds, the latest used last
         self.held = 0
         self.server, self.stopping = None, False
--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -184,7 +184,7 @@
 
 
 class Pool:
-    def __init__(self, loop, connect_limit, idle_limit, most_idle, most_body=65536):
+    def __init__(self, loop, connect_limit, idle_limit, most_idle=8, most_body=65536):
         self.loop, self.connect_limit, self.most_body = loop, connect_limit, most_body
         self.idle_limit, self.most_idle = max(idle_limit - NEAR, idle_limit / 2.0), most_idle
         self.opening = set()        # calls whose connection is not made yet
--- a/dewpin/spool.py
+++ b/dewpin/spool.py
@@ -69,7 +69,7 @@
     def __init__(self, folder, disk):
         os.makedirs(folder, exist_ok=True)
         self.path, self.spare = os.path.join(folder, "journal"), os.path.join(folder, "journal.new")
-        self.room = disk - 8 * BLOCK
+        self.bound(disk)
         self.sheets = {}            # serial: sheet, in the order in which they were taken on
         self.live = 0               # what a compaction would write, at most
         self.serial = 0
@@ -85,6 +85,10 @@
         for sheet in self.sheets.values():
             sheet.settle(True)      # a connect that was out when the process ended may have run
 
+    def bound(self, disk):
+        """The room for the journal and its second copy."""
+        self.room = disk - 8 * BLOCK
+
     # -- reading --------------------------------------------------------------------------------------------
 
     def _replay(self, content):
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -166,6 +166,12 @@
         self.agent = await asyncio.start_server(self._agent, "127.0.0.1", 0)
         return self
 
+    async def move_agent(self):
+        """The agent goes to another address; the old one is silent from now on, its connections stay open."""
+        old, self.watching = self.agent, []
+        self.agent = await asyncio.start_server(self._agent, "127.0.0.1", 0)
+        old.close()
+
     def idents(self):
         return [call[0] for call in self.calls]
 
@@ -215,6 +221,7 @@
 
     def __init__(self, outside, folder, **limits):
         self.outside, self.folder, self.process = outside, folder, None
+        self.heard = False          # its log is read by the test
         services = [{"Name": name, "Effect": effect, "GoalTime": 2000.0, "Deadline": 16000.0, "Value": 1.0,
                      "LateWorth": 0.4, "Window": 15000.0, "KeyScope": "all", "ByArrival": effect == "unsafe"}
                     for name, effect in (("notice", "keyed"), ("status", "safe"), ("charge", "unsafe"))]
@@ -225,6 +232,10 @@
                                                "Zones": ["a"], "Kinds": ["k"]}}
         self.told["settings"]["Allowed"]["IdleClose"] = 15000.0
 
+    def reload(self, content=None):
+        (self.folder / "config.json").write_text(content or json.dumps(self.told))
+        self.process.send_signal(signal.SIGHUP)
+
     async def start(self):
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.told))
@@ -235,7 +246,8 @@
             preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, (sockets, sockets)),
             cwd=os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
         self.first_line = (await self.process.stderr.readline()).decode()
-        self.log = asyncio.get_running_loop().create_task(self.process.stderr.read())
+        if not self.heard:
+            self.log = asyncio.get_running_loop().create_task(self.process.stderr.read())
         host, _, port = self.first_line.split(" listens on ")[1].split(",")[0].rpartition(":")
         self.address = host, int(port)
         assert (await self.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200
@@ -271,11 +283,12 @@
         return await self.ask(request, connection)
 
 
-def play(folder, scene, receivers=1, start=True, **limits):
+def play(folder, scene, receivers=1, start=True, log=True, **limits):
     """Runs a scene with the world around a sender and the sender, and ends what it started."""
     async def whole():
         outside = await Outside().open(receivers)
         sender = Sender(outside, folder, **limits)
+        sender.heard = not log
         try:
             if start:
                 await sender.start()
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -1,5 +1,6 @@
 """The program as a whole, over sockets: each case starts it and plays the clients, the receivers and the agent."""
 import asyncio
+import json
 import random
 import re
 import signal
@@ -7,7 +8,7 @@
 
 import pytest
 
-from driver import play, read_message, reply, until
+from driver import address, play, read_message, reply, until
 
 
 def test_a_mail_goes_on_as_the_bytes_that_came_and_the_connection_is_used_again(tmp_path):
@@ -193,6 +194,30 @@
     play(tmp_path, scene, receivers=2)
 
 
+def test_a_new_configuration_moves_the_watch_and_owed_notices_and_a_faulty_one_changes_nothing(tmp_path):
+    async def scene(outside, sender):
+        await until(lambda: outside.watching)
+        outside.script, outside.notice_status = lambda call: "reset", None      # a notice stays owed
+        await sender.hand_in("owed", kind="charge")
+        await until(lambda: outside.notices)
+        for content in ("{", "{}", json.dumps(sender.told | {"discovery": "nowhere"})):
+            sender.reload(content)
+            assert b"keeps the old" in await sender.process.stderr.readline()
+        asked = len(outside.asked)
+        outside.change(0, "active")
+        await until(lambda: len(outside.asked) == asked + 1)        # the old watch goes on
+        await outside.move_agent()
+        outside.notice_status, outside.revision = 204, 1            # it counts anew
+        sender.told["discovery"] = address(outside.agent)
+        told, asked = len(outside.notices), len(outside.asked)
+        sender.reload()
+        await until(lambda: outside.notices[told:] and sender.owed() == 0)
+        assert outside.notices[-1] == {"message": "owed", "outcome": "given_up"}
+        await until(lambda: outside.asked[asked:] == ["/api/targets", "/api/targets?index=1&wait=20000"])
+        assert (await sender.hand_in("m"))[0] == 202 and sender.process.returncode is None
+    play(tmp_path, scene, log=False)
+
+
 @pytest.mark.parametrize("raw, status", [
     (b"NONSENSE\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505), (b"GET / HTTP/1.1\r\nBad name: x\r\n\r\n", 400),
     (b"POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413), (b"GET /%s HTTP/1.1\r\n" % (b"x" * 17000), 431),
