--- a/dewpin/facade.py
+++ b/dewpin/facade.py
@@ -6,7 +6,6 @@
 from . import model
 from .decide import PROOF, Dispatcher
 
-UNLISTED = 100          # so many of them are held mails for: a client may name any number
 PAST = 200              # so many receivers that are gone are remembered
 
 
@@ -15,13 +14,13 @@
         self.module = Dispatcher(settings, seed)
         self.classes = {one["Name"].encode(): at for at, one in enumerate(settings["Services"])}
         self.lifetimes = [one["Deadline"] for one in settings["Services"]]
+        self.longest = max(self.lifetimes)
         self.accounts = {one["Name"].encode(): at for at, one in enumerate(settings.get("Accounts") or ())}
         self.zones = {name: at for at, name in enumerate(settings.get("Zones") or ())}
         self.kinds = {name: at for at, name in enumerate(settings.get("Kinds") or ())}
         self.most = settings["Allowed"]["MaxOpen"]
         self.receivers = {}
         self.destinations = {}
-        self.unlisted = set()       # destinations that no list has named yet
         self.due = None
 
     # -- the three calls ------------------------------------------------------------------------------------
@@ -56,11 +55,11 @@
         return queue_class in self.classes and (not self.accounts or account in self.accounts)
 
     def full(self, destination, now):
-        """Ms to come back after where no more mails may be held, else None."""
-        known = int(destination) in self.destinations
-        if self.module.held < self.most and (known or len(self.unlisted) < UNLISTED):
+        """Ms to come back after where no more mails may be held, or none for a destination no list names; else None."""
+        known = self.destinations.get(int(destination))
+        if known and known.receivers and self.module.held < self.most:
             return None
-        return self.module.come_back(self.destinations.get(int(destination)) or model.Destination(None), now)
+        return self.module.come_back(known or model.Destination(None), now)
 
     def bound(self, receiver):
         """The addresses that a wait told by this receiver binds."""
@@ -82,7 +81,7 @@
         self.module.route(sheet.mail, now)
 
     def learn(self, entries, complete):
-        """News of the list; gives the addresses that nothing new goes to."""
+        """News of the list; gives the addresses, each with its receiver's id, that nothing new goes to."""
         named, left = set(), []
         for ident, destination, state, address, zone, kind, weight in entries:
             named.add(ident)
@@ -91,6 +90,7 @@
             receiver = self._receiver(ident, self._destination(destination))
             receiver.state = state
             if state != model.GONE:
+                address = *address, ident       # guards against one that took over another's address
                 if receiver.address not in (None, address):
                     left.append(receiver.address)
                 receiver.address, receiver.weight = address, weight
@@ -101,19 +101,27 @@
                     receiver.state = model.GONE
         gone = [receiver for receiver in self.receivers.values() if receiver.state == model.GONE]
         for receiver in gone[:-PAST]:
-            receiver.destination.receivers.remove(self.receivers.pop(receiver.ident))
+            self._forget(self.receivers.pop(receiver.ident))
         ready = {receiver.address for receiver in self.receivers.values() if receiver.state == model.READY}
         left += [receiver.address for receiver in self.receivers.values()]
         return [address for address in left if address and address not in ready]
 
+    def _forget(self, receiver):
+        """Guards against memory that grows with the receivers, and the destinations, that there once were."""
+        destination = receiver.destination
+        destination.receivers.remove(receiver)
+        line = destination.notes
+        if not destination.receivers and not (line and (line.length() or line.out)):
+            del self.destinations[destination.ident]
+            if line:
+                self.module.lines.remove(line)
+
     def _destination(self, ident):
         if ident not in self.destinations:
             self.destinations[ident] = model.Destination(ident)
-            self.unlisted.add(ident)
         return self.destinations[ident]
 
     def _receiver(self, ident, destination):
         if ident not in self.receivers:
             self.receivers[ident] = model.Receiver(ident, destination, zone=-1, state=model.GONE)
-            self.unlisted.discard(destination.ident)
         return self.receivers[ident]
--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -4,19 +4,25 @@
 size. Each request that was read whole gets an answer at once, whatever becomes of the mail; it must never keep one
 waiting, and never decide whether a mail is taken on: it asks the relay.
 """
+import re
 import select
 import socket
 from urllib.parse import unquote_to_bytes
 
 from ..log import say
 from .http import Malformed, Reader, Stream, answer
-from .outbound import number
 
-PATIENCE = 10.0         # seconds for a request to come whole
-LINGER = 1.0            # seconds that a refused sender's bytes are read on, so that it hears the answer
-SPARE = 8               # connections over the bound that hear 503 before they are closed
+PATIENCE = 2.3          # seconds for a request to come whole; for the first one, from connecting on
+REST = 2.0              # seconds without a request after which a connection may close
+IDLE = 10.0             # and does, even while there is room
+SWEEP = 0.25
+LINGER = 0.5            # seconds that a refused sender has to read its answer
+TURNED, HOLD = 3, 0.25  # so many errors in a row on a connection, and its next request is read so much later
+SPARE = 8               # connections over the bound that are given time to read their 503
 AT_ONCE = 32            # connections accepted in one turn of the loop, before any of them is counted
 QUEUE = 512             # connections that the system keeps for the next turns
+WORD = re.compile(rb"[\x21-\x7e]{1,256}")
+SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
 class Client(Stream):
@@ -26,10 +32,12 @@
         self.since = None           # when the request that is being read began
         self.used = 0.0
         self.closing = False
+        self.turned = 0             # errors in a row
+        self.asked = False          # a whole request has come
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        self.used = self.door.loop.time()
+        self.used = self.since = self.door.loop.time()
         self.door.enter(self)
 
     def arrived(self):
@@ -39,7 +47,7 @@
         self.used = self.door.loop.time()
         try:
             while not self.closing and (message := self.reader.take()):
-                self.since = None
+                self.since, self.asked = None, True
                 self.write(*self.door.answer(self, message), message.last or self.door.stopping)
             if self.reader.expects and self.reader.message:
                 self.reader.expects = False
@@ -55,13 +63,20 @@
         self.door.weigh(self)
 
     def write(self, status, extra, last):
+        if self.closing:
+            return
         self.transport.write(answer(status, last, extra))
+        self.turned = self.turned + 1 if status >= 400 else 0
         if last:
             self.closing = True
             self.transport.close()      # after what is written
+        elif self.turned > TURNED and self.transport.is_reading():
+            # guards against a client that asks again as soon as it is turned away, at full speed
+            self.transport.pause_reading()
+            self.door.loop.call_later(HOLD, self.resume_writing)
 
     def refuse(self, status):
-        """Answers and ends its sending; what still comes is dropped until the other side has closed."""
+        """Answers and ends its sending; what still comes is not read any more."""
         if self.closing:
             return
         self.closing = True
@@ -69,6 +84,7 @@
         self.transport.write(answer(status, last=True))
         if self.transport.can_write_eof():
             self.transport.write_eof()
+        self.transport.pause_reading()  # guards against bodies without end, which cost time to read even to drop
         self.door.loop.call_later(LINGER, self.transport.abort)
 
     def gone(self):
@@ -81,7 +97,7 @@
         self.transport.pause_reading()  # it does not read its answers
 
     def resume_writing(self):
-        if not self.transport.is_closing():
+        if not self.closing and not self.transport.is_closing():
             self.transport.resume_reading()
 
     def eof_received(self):
@@ -105,7 +121,7 @@
         listening = socket.create_server((host, port), family=family)
         self.server = await self.loop.create_server(lambda: Client(self), sock=listening, backlog=AT_ONCE)
         listening.listen(QUEUE)     # the loop takes one figure for both
-        self.sweep = self.loop.call_later(1.0, self._sweep)
+        self.sweep = self.loop.call_later(SWEEP, self._sweep)
         return listening.getsockname()[:2]
 
     def stop(self):
@@ -126,18 +142,25 @@
 
     def enter(self, client):
         self.clients[client] = 0
-        if len(self.clients) <= self.most:
+        if len(self.clients) <= self.most or self._make_room(1):
             return
-        idle = next((one for one in self.clients
-                     if one.since is None and not one.closing and one is not client), None)
-        if idle:                    # between requests: its owner opens another when it needs one
-            idle.closing = True
-            idle.transport.close()
-        elif len(self.clients) > self.most + SPARE:
-            client.closing = True
-            client.transport.abort()
-        else:
-            client.refuse(503)
+        if len(self.clients) <= self.most + SPARE:
+            return client.refuse(503)
+        client.write(503, b"", True)
+
+    def _make_room(self, wanted):
+        """Closes connections that rest between requests, the longest unused first: their owners open others.
+
+        One that is younger may be a client's that is just about to ask."""
+        late, closed = self.loop.time() - REST, 0
+        for one in list(self.clients):
+            if one.used > late or closed >= wanted:
+                break
+            if one.asked and one.since is None and not one.closing:
+                one.closing = True
+                one.transport.close()
+                closed += 1
+        return closed >= wanted
 
     def leave(self, client):
         self.held -= self.clients.pop(client, 0)
@@ -153,10 +176,21 @@
             client.refuse(503)
 
     def _sweep(self):
-        self.sweep = self.loop.call_later(1.0, self._sweep)
+        """Guards against clients that say nothing, never come to an end, or stay for good."""
+        self.sweep = self.loop.call_later(SWEEP, self._sweep)
+        now = self.loop.time()
         for client in list(self.clients):
-            if client.since is not None and self.loop.time() - client.since > PATIENCE:
+            if client.closing:
+                continue
+            begun = client.reader.held or client.reader.message
+            if now - (client.used if client.since is None else client.since) <= (PATIENCE, IDLE)[client.since is None]:
+                continue
+            if begun:
                 client.refuse(408)
+            else:
+                client.closing = True
+                client.transport.close()
+        self._make_room(len(self.clients) - self.most // 2)
 
     # -- requests -------------------------------------------------------------------------------------------
 
@@ -167,6 +201,10 @@
         if path == b"/api":
             if method != b"POST":
                 return 405, b"Allow: POST\r\n"
+            if client.reader.held.strip(b"\r\n"):
+                # guards against what hides behind a wrong length, and against hundreds at once
+                client.refuse(400)
+                return 400, b""
             if client.gone():
                 return 503, b""     # it has given up, after a stall of ours: the mail is handed in elsewhere
             return self._hand_in(message, query)
@@ -177,19 +215,22 @@
     def _hand_in(self, message, query):
         fields = message.fields
         ident, left = fields.get(b"req-id", b""), fields.get(b"req-deadline")
+        tag = fields.get(b"idempotency-key", b"")
         destination = _named(fields.get(b"x-consignee", b"").split(b","), b"dest")
         key = unquote_to_bytes(_named(query.split(b"&"), b"about"))
-        if not ident or len(ident) > 256 or not ident.isascii() or len(key) > 256:
+        if not WORD.fullmatch(ident) or len(key) > 256 or tag and not WORD.fullmatch(tag):
             return 400, b""
-        if left is not None and number(left) <= 0.0 or not destination.isdigit() or len(destination) > 9:
+        if left is not None and (not SECONDS.fullmatch(left) or float(left) <= 0.0):
+            return 400, b""
+        if not destination.isdigit() or len(destination) > 9:
             return 400, b""
         taken, ms = self.relay.hand_in(
             ident, fields.get(b"req-kind", b""), fields.get(b"req-owner", b""), key, destination,
-            fields.get(b"idempotency-key", b""), message.body, None if left is None else number(left) * 1000.0)
+            tag, message.body, None if left is None else float(left) * 1000.0)
         if taken:
             return 202, b""
         if taken is None:
-            return 400, b""
+            return ms, b""
         return 503, b"Retry-After: %.3f\r\n" % (ms / 1000.0) if ms > 0.0 else b""
 
 
--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -1,7 +1,7 @@
 """Connections of ours: one exchange at a time on each, and the pool that keeps them for receivers.
 
 The pool owns every connection to a receiver from its opening on, idle or in use, and `Call.finish` is the one place
-that gives it back. A call never goes out twice by itself; it is given up by closing its connection. What an answer
+that gives it back. Its addresses are (host, port, receiver): a connection is that receiver's alone. A call never goes out twice by itself; it is given up by closing its connection. What an answer
 means for a mail is settled by `read`, whose words are the facts of `model`.
 """
 import asyncio
@@ -110,7 +110,7 @@
     async def _open(self, wait):
         try:
             async with asyncio.timeout(wait):
-                _, link = await self.pool.loop.create_connection(lambda: Link(self.pool.most_body), *self.address)
+                _, link = await self.pool.loop.create_connection(lambda: Link(self.pool.most_body), *self.address[:2])
         except (OSError, TimeoutError) as error:
             return self.finish(model.UNSENT if error.errno in OURS else model.UNREACHED)
         if self.done is None:       # given up in the meantime
--- a/dewpin/relay.py
+++ b/dewpin/relay.py
@@ -13,6 +13,7 @@
 
 PATIENCE = 50.0         # ms that a picked mail waits for the answer to an earlier one's notice
 ROUNDS = 200            # questions to the module in one turn of the loop
+MOST_IDENTS = 20000     # remembered at once, twice
 
 
 class Clock:
@@ -35,11 +36,15 @@
         self.timer, self.soon = None, False
         self.unsaid = {}            # key: notices that are not answered yet
         self.behind = {}            # key: mails that were picked and wait for them
+        self.idents, self.older, self.turns = set(), set(), 0.0
 
     def resume(self):
         """Takes up what an earlier life of the process left."""
         now = self.clock.now()
+        for ident in self.spool.past:
+            self._remember(ident, now)
         for sheet in list(self.spool.sheets.values()):
+            self._remember(sheet.ident, now)
             if sheet.ending:
                 self._tell(sheet)
             elif not self.facade.knows(sheet.queue_class, sheet.account):
@@ -50,16 +55,19 @@
         self.wake()
 
     def hand_in(self, ident, queue_class, account, key, destination, tag, body, left):
-        """(True, 0) once a mail is taken on, (False, ms to come back after), or (None, 0): it means nothing here."""
+        """(True, 0) once a mail is taken on, (False, ms to come back after), or (None, status): a fault of its own."""
         if not self.facade.knows(queue_class, account):
-            return None, 0.0
+            return None, 400
         now = self.clock.now()
         if self.refusing:
             return False, 0.0
+        if ident in self.idents or ident in self.older:
+            return None, 409
         if (ms := self.facade.full(destination, now)) is not None:
             return False, ms
+        lifetime = self.facade.lifetime(queue_class)
         sheet = Sheet(ident, queue_class, account, key, destination, tag, body, now,
-                      now + (self.facade.lifetime(queue_class) if left is None else left))
+                      now + (lifetime if left is None else min(left, lifetime)))
         if not self.spool.take(sheet):
             say("spool", "full: refuses mails")
             return False, 0.0
@@ -68,9 +76,18 @@
         except Exception:
             self.spool.end(sheet)   # the client hears of a failure, and nothing is owed
             raise
+        self._remember(ident, now)
         self.wake()
         return True, 0.0
 
+    def _remember(self, ident, now):
+        """Ids of mails that were taken on, for longer than any of them may last.
+
+        Guards against an id that comes again, from whomever: its mail would go out twice, or after its end."""
+        if now > self.turns or len(self.idents) >= MOST_IDENTS:
+            self.idents, self.older, self.turns = set(), self.idents, now + self.facade.longest
+        self.idents.add(ident)
+
     def wake(self):
         """Something happened: asks once for all that happens in this turn of the loop."""
         if not self.soon:
--- a/dewpin/spool.py
+++ b/dewpin/spool.py
@@ -71,6 +71,7 @@
         self.path, self.spare = os.path.join(folder, "journal"), os.path.join(folder, "journal.new")
         self.bound(disk)
         self.sheets = {}            # serial: sheet, in the order in which they were taken on
+        self.past = []              # ids of mails whose end was found in the journal at the start
         self.live = 0               # what a compaction would write, at most
         self.serial = 0
         if os.path.exists(self.spare):
@@ -131,6 +132,7 @@
         elif kind == GIVEN_UP:
             sheet.ending = struct.unpack_from("<?d", record, SERIAL.size)
         elif kind == OVER:
+            self.past.append(sheet.ident)
             self._drop(sheet)
 
     # -- writing --------------------------------------------------------------------------------------------
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -161,17 +161,17 @@
 def test_a_list_that_changes_for_ever_and_clients_that_name_anything_are_held_in_bounds():
     services = settings(effects=("safe",)) | {"Zones": ["a"], "Kinds": ["k"]}
     services["Services"][0]["Name"] = "status"
-    facade = Facade(services, 1)
-    for at in range(1000):
-        left = facade.learn([(b"r%d" % at, 7, model.READY, ("127.0.0.1", 9000 + at % 2), "a", "k", 1.0)], True)
-        assert ("127.0.0.1", 9000 + at % 2) not in left and (at == 0 or ("127.0.0.1", 9001 - at % 2) in left)
-    assert len(facade.receivers) < 300 and len(facade.destinations[7].receivers) < 300
-    taken = [at for at in range(500) if facade.full(b"%d" % (100 + at), 0.0) is None]
-    assert len(taken) == 500 and facade.full(b"7", 0.0) is None     # asking costs nothing
-    for at in range(150):
-        if facade.full(b"%d" % (100 + at), 0.0) is None:
-            facade.take(Sheet(b"m", b"status", b"", b"", b"%d" % (100 + at), b"", b"", 0.0, 1e6), 0.0)
-    assert len(facade.destinations) == 101 and facade.full(b"999", 0.0) > 0.0 and facade.full(b"7", 0.0) is None
+    facade, spots = Facade(services, 1), [("127.0.0.1", 9000), ("127.0.0.1", 9001)]
+    for at in range(1000):      # each takes over the address of the last but one, in a destination of its own
+        ident = b"r%d" % at
+        left = facade.learn([(ident, at // 2, model.READY, spots[at % 2], "a", "k", 1.0)], True)
+        assert (*spots[at % 2], ident) not in left
+        assert at < 2 or (*spots[at % 2], b"r%d" % (at - 2)) in left
+        facade.take(Sheet(b"m", b"status", b"", b"", b"%d" % (at // 2), b"", b"", 0.0, 1000.0), 0.0)
+        while facade.tick(1e6) is not None:
+            facade.pick(1e6)
+    assert max(map(len, (facade.receivers, facade.destinations, facade.module.lines))) < 300
+    assert facade.full(b"499", 0.0) is None and facade.full(b"777", 0.0) > 0.0 and 777 not in facade.destinations
 
 
 def test_a_call_that_has_not_left_is_recalled_or_unreached_and_one_out_is_left_alone():
@@ -179,7 +179,7 @@
         outside, heard = await Outside().open(), {}
         outside.script = lambda call: None
         loop = asyncio.get_running_loop()
-        pool = Pool(loop, 300.0, 15000.0, 8)
+        pool = Pool(loop, 300.0, 15000.0)
         shut = socket.create_server(("127.0.0.1", 0), backlog=0)    # its queue fills, and nobody accepts
         filling = [socket.socket() for _ in range(4)]
         for one in filling:
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -157,6 +157,7 @@
         await sender.hand_in("out", kind="charge")
         await until(lambda: outside.calls)
         await sender.hand_in("held", kind="charge")
+        await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", idle)
         used[1].write(b"POST /api HTTP/1.1\r\n")        # a request on its way is answered
         await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n")
         sender.process.send_signal(signal.SIGTERM)
@@ -249,6 +250,62 @@
     play(tmp_path, scene)
 
 
+HEAD = (b"POST /api HTTP/1.1\r\nReq-Id: bad\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n"
+        b"Idempotency-Key: t\r\n")
+
+
+@pytest.mark.parametrize("raw", [
+    HEAD + b"Content-Length: 1\r\n\r\nxGET / HTTP/1.1\r\n\r\n",              # more than it says
+    (HEAD + b"\r\n") * 300, HEAD + b"Content-Length: 2\r\n\r\nx", b"", HEAD, b"POST",
+    HEAD + b"Content-Length: -1\r\n\r\n", HEAD + b"Content-Length: 60000000\r\n\r\n" + b"x" * 6000000,
+    HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + HEAD + b"\r\n",
+    HEAD.replace(b"dest=7", b"dest=8") + b"\r\n", HEAD.replace(b"dest=7", b"dest=x") + b"\r\n",
+    HEAD + b"Req-Deadline: soon\r\n\r\n", HEAD + b"Req-Deadline: nan\r\n\r\n", HEAD + b"Req-Deadline: 1_0\r\n\r\n",
+    HEAD + b"Req-Id: again\r\n\r\n", HEAD.replace(b"t\r", b"\xff\r") + b"\r\n", HEAD + b"x: " + b"y" * 9000000])
+def test_bad_clients_get_an_error_or_a_close_in_time_and_nothing_of_theirs_goes_on(tmp_path, raw):
+    async def scene(outside, sender):
+        began, (reader, writer) = time.monotonic(), await sender.connect()
+        usual = await sender.connect()
+        assert (await sender.hand_in("a", connection=usual))[0] == 202
+        writer.write(raw)
+        try:
+            heard = await reader.read(1000)
+        except ConnectionError:
+            heard = b""
+        assert heard == b"" or heard.startswith((b"HTTP/1.1 4", b"HTTP/1.1 5"))
+        assert time.monotonic() - began < 2.9
+        assert (await sender.hand_in("b", connection=usual))[0] == 202
+        await until(lambda: outside.idents() == [b"a", b"b"])
+        assert sender.owed() == 0
+    play(tmp_path, scene)
+
+
+def test_an_id_that_was_taken_on_is_not_taken_on_again_not_even_after_its_end_or_a_kill(tmp_path):
+    async def scene(outside, sender):
+        assert (await sender.hand_in("m"))[0] == 202
+        assert (await sender.hand_in("m"))[0] == 409
+        await until(lambda: outside.idents() and sender.owed() == 0)
+        assert (await sender.hand_in("m"))[0] == 409
+        await sender.end()
+        await sender.start()
+        assert (await sender.hand_in("m"))[0] == 409
+        assert (await sender.hand_in("n"))[0] == 202
+        await until(lambda: outside.idents() == [b"m", b"n"])
+    play(tmp_path, scene)
+
+
+def test_a_client_that_asks_again_as_soon_as_it_is_turned_away_is_slowed_down(tmp_path):
+    async def scene(outside, sender):
+        kept, began, heard = await sender.connect(), time.monotonic(), 0
+        while time.monotonic() < began + 1.0:
+            assert (await sender.hand_in("m", kind="unheard-of", connection=kept))[0] == 400
+            heard += 1
+        assert 3 < heard < 10
+        for at in range(20):
+            assert (await sender.hand_in(f"n{at}"))[0] == 202
+    play(tmp_path, scene)
+
+
 def test_full_of_mails_it_refuses_and_tells_when_to_come_back(tmp_path):
     async def scene(outside, sender):
         sender.told["settings"]["Allowed"]["MaxOpen"] = 3
@@ -275,7 +332,9 @@
         assert (await sender.ask(b"\r\n", busy[0]))[0] == 400            # those inside go on
         flood = [await sender.connect() for _ in range(500)]
         assert (await sender.hand_in("m", connection=busy[1]))[0] == 400    # its second request, whole at last
-        assert (await sender.hand_in("m"))[0] == 202 and len(flood) == 500
+        for reader, writer in flood:        # they say nothing, and are closed in time
+            assert not (await asyncio.wait_for(reader.read(), 5.0)).startswith(b"HTTP/1.1 2")
+        assert (await sender.hand_in("m"))[0] == 202
         await until(lambda: b"m" in outside.idents())
         await sender.end(signal.SIGTERM)
         assert "fault" not in (await sender.log).decode()
