--- a/dewpin/__main__.py
+++ b/dewpin/__main__.py
@@ -26,7 +26,7 @@
     """Shares the limits out."""
     pool.most_idle = max(8, min(128, told.sockets // 8))
     slots = int(told.module["FamilyInfo"]["CallSlots"])
-    door.most = max(8, told.sockets - 2 * slots - pool.most_idle - SPARE - AT_ONCE - FILES)
+    door.most = max(8, told.sockets - 2 * slots - pool.most_idle - SPARE - 3 * AT_ONCE - FILES)
     door.memory = told.memory / 4.0
     spool.bound(told.disk)
 
--- a/dewpin/net/http.py
+++ b/dewpin/net/http.py
@@ -16,6 +16,7 @@
 CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 DIGITS = re.compile(rb"[0-9]{1,9}")
 HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
+BEGUN = re.compile(rb"HTTP/1\.[01] ([1-9]\d\d)(?: |\r\n)")
 TO_END, CHUNKED = -1, -2
 
 
@@ -61,6 +62,14 @@
         self.held.clear()
         self.message = self.chunks = None
 
+    def begun(self):
+        """What is known of the message that is not whole: the status of its first line, 0 if that says none yet, None
+        if nothing of it has come."""
+        if self.message:
+            return self.message.status
+        found = BEGUN.match(self.held)
+        return int(found[1]) if found else 0 if self.held else None
+
     def take(self):
         """The next whole message, or None."""
         if self.message is None and not self._head():
@@ -139,8 +148,11 @@
         del self.held[:end + 4]
         self.looked = 0
         fields = {}
+        message = self.message = Message(self._first(first), fields)
         for line in lines:
             name, colon, value = line.partition(b":")
+            if self.answers and name.lower() == b"srv-load" and CONTROL.search(value):
+                continue            # a load report that can't be read spoils no answer
             if not colon or not NAME.fullmatch(name) or CONTROL.search(value):
                 raise Malformed(400, "header line")
             name, value = name.lower(), value.strip(b" \t")
@@ -149,10 +161,9 @@
                     raise Malformed(400, "two lengths")
                 value = value if name == b"content-length" else fields[name] + b", " + value
             fields[name] = value
-        message = Message(self._first(first), fields)
         if self._length(message) is False:
+            self.message = None
             return self._head()             # an interim answer
-        self.message = message
         return True
 
     def _first(self, line):
--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -6,6 +6,7 @@
 """
 import asyncio
 import errno
+import re
 import select
 from collections import deque
 
@@ -15,19 +16,22 @@
 
 NEAR = 1000.0           # ms before the other side closes an idle connection in which it is used no more
 OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)    # no connection, and no receiver's fault
-ANSWERED, UNWRITTEN, BROKEN = "answered", "unwritten", "broken"
+WHOLE = 0.25            # seconds for an answer that has begun to come whole
+ANSWERED, UNWRITTEN, BROKEN, SPOILT = "answered", "unwritten", "broken", "spoilt"
+FIGURE = re.compile(rb"[0-9.eE+-]{1,32}")
 OUTCOMES = {200: model.DELIVERED, 429: model.FULL, 503: model.FULL, 504: model.UNSENT, 410: model.UNSENT}
 
 
 class Link(Stream):
     """Carries one exchange at a time; `done(how, message)` is told once for each."""
 
-    def __init__(self, most_body):
+    def __init__(self, most_body, whole_in=None):
         super().__init__(Reader(answers=True, most_body=most_body))
         self.done, self.ended = None, False
         self.lost = None            # told when it ends while idle
         self.unwritten = False      # part of the request has not left yet
         self.until = 0.0            # when its rest in the pool ends
+        self.whole_in, self.late = whole_in, None
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -48,11 +52,19 @@
             message = self.reader.take() if self.done else None
         except Malformed as fault:
             say("answer", f"not HTTP: {fault}")
-            return self.close()
+            return self._spoilt()
         if message:
             self._tell(ANSWERED, message)
         elif not self.done:
             self.close()            # nothing was asked
+        elif self.whole_in and self.late is None and self.reader.begun() is not None:
+            # guards against answers that never end, which would hold a slot until the time-out
+            self.late = asyncio.get_running_loop().call_later(self.whole_in, self._spoilt)
+
+    def _spoilt(self):
+        if self.done:
+            self._tell(SPOILT, None)
+        self.close()
 
     def eof_received(self):
         message = self.reader.ended() if self.done else None
@@ -69,18 +81,16 @@
             return
         self.ended = True
         if self.done:
-            begun = self.reader.message     # the first line counts, even if its body never comes whole
-            if begun:
-                begun.last = True
-                self._tell(ANSWERED, begun)
-            else:
-                self._tell(UNWRITTEN if self.unwritten else BROKEN, None)
+            self._tell(UNWRITTEN if self.unwritten else BROKEN, None)
         elif self.lost:
             self.lost(self)
         self.transport.abort()
 
     def _tell(self, how, message):
         done, self.done = self.done, None
+        if self.late:
+            self.late.cancel()
+            self.late = None
         done(how, message)
 
 
@@ -110,7 +120,7 @@
     async def _open(self, wait):
         try:
             async with asyncio.timeout(wait):
-                _, link = await self.pool.loop.create_connection(lambda: Link(self.pool.most_body), *self.address[:2])
+                _, link = await self.pool.loop.create_connection(lambda: Link(self.pool.most_body, WHOLE), *self.address[:2])
         except (OSError, TimeoutError) as error:
             return self.finish(model.UNSENT if error.errno in OURS else model.UNREACHED)
         if self.done is None:       # given up in the meantime
@@ -125,6 +135,10 @@
     def _answered(self, how, message):
         if how == ANSWERED:
             self.finish(OUTCOMES.get(message.status, model.ERROR), message)
+        elif self.link.reader.begun() == 200:
+            self.finish(model.DELIVERED)    # its first line is true, whatever became of the rest
+        elif how == SPOILT:
+            self.finish(model.ERROR)
         else:
             self.finish(model.RESET if how == BROKEN else model.UNREACHED)
 
@@ -132,10 +146,8 @@
         link = self.link
         if link is None or link.unwritten:
             self.finish(model.UNREACHED)
-        elif link.reader.message:
-            link.close()            # which tells what its first line said
         else:
-            self.finish(model.TIMED_OUT)
+            self.finish(model.DELIVERED if link.reader.begun() == 200 else model.TIMED_OUT)
 
     def finish(self, outcome, message=None):
         if self.done is None:
@@ -169,7 +181,7 @@
             told = 1000.0 * number(message.fields.get(b"retry-after", b"0"))
     for part in message.fields.get(b"srv-load", b"").split(b","):
         name, equals, value = part.strip().partition(b"=")
-        if equals:
+        if equals and FIGURE.fullmatch(value.strip()):
             load[name.decode("latin-1")] = number(value)
     return outcome, told, load
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -250,6 +250,31 @@
     play(tmp_path, scene)
 
 
+OK = reply(200)
+BAD = [b"\x00\xff noise", b"HTTP/1.1 99\r\n\r\n", b"HTTP/1.1 500 x\r\nno header\r\n\r\n",
+       b"HTTP/1.1 429 x\r\nRetry-After: 9\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100000,
+       b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"HTTP/1.1 503 x\r\nX-Line-Busy: 1\r\n",
+       b"HTTP/1.1 429 x\r\nContent-Length: 9\r\n\r\nhalf", b"HTTP/1.1 503 x\r\nx: " + b"y" * 99999]
+TRUE = [b"HTTP/1.1 200 x\r\n", b"HTTP/1.1 200 x\r\nno header\r\n\r\n", b"HTTP/1.1 200 x\r\nx: " + b"y" * 99999,
+        b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n", b"HTTP/1.1 200 x\r\nContent-Length: -3\r\n\r\n",
+        b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhalf", b"HTTP/1.1 100 x\r\n\r\n" + OK, OK + OK, OK + b"\x00\xff",
+        b"HTTP/1.1 200 x\r\nSrv-Load: x0=\x00,\r\nContent-Length: 0\r\n\r\n"]
+
+
+def test_a_spoilt_answer_is_a_call_that_may_have_run_and_a_first_line_with_200_is_true(tmp_path):
+    async def scene(outside, sender):
+        outside.script = lambda call: (BAD + TRUE)[int(call[0][1:])] if call[0][:1] == b"m" else OK
+        for at in range(len(BAD + TRUE)):
+            for ident in (f"good{at}", f"m{at}"):
+                began = time.monotonic()
+                assert (await sender.hand_in(ident, kind="charge"))[0] == 202
+                await until(lambda: ident.encode() in outside.idents() and sender.owed() == 0)
+                assert time.monotonic() - began < 1.4   # none is waited for until its time-out
+        assert {one["message"] for one in outside.notices} == {f"m{at}" for at in range(len(BAD))}
+        assert {one["outcome"] for one in outside.notices} == {"given_up"}
+    play(tmp_path, scene)
+
+
 HEAD = (b"POST /api HTTP/1.1\r\nReq-Id: bad\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n"
         b"Idempotency-Key: t\r\n")
 
