A connection reset while it is made counts as dropped, no full table: fewer handshakes

Checked by printing each failed connect and each closing of idle connections by us: all 82 failed connects were ECONNRESET, and after the first of them both kinds of receiver were taken to have a full table of connections, so that 600 answers closed some 1,500 idle connections. Ruled out: the idle limit, closes by the far side (630).

--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -148,6 +148,8 @@
         try:
             async with asyncio.timeout(wait):
                 _, link = await self.pool.loop.create_connection(lambda: Link(self.pool.most_body, WHOLE), *self.address[:2])
+        except ConnectionResetError:    # somebody is there: no crash, and no full table
+            return self.finish(model.DROPPED)
         except (OSError, TimeoutError) as error:
             return self.finish(model.UNSENT if error.errno in OURS else model.UNREACHED)
         if self.done is None:       # given up in the meantime
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -225,6 +225,9 @@
         def call(name, address, limit=5000.0):
             pool.call(address, name.encode(), b"", b"x", limit, lambda *what: heard.setdefault(name, what))
 
+        async def reset(*_):
+            raise ConnectionResetError(104, "Connect call failed")
+
         live = outside.servers[0].sockets[0].getsockname()
         call("late", shut.getsockname())
         call("out", live)
@@ -235,6 +238,11 @@
         pool.recall(shut.getsockname())
         pool.recall(live)
         assert heard["recalled"][0] == model.UNSENT and "out" not in heard
+        create, loop.create_connection = loop.create_connection, reset
+        call("reset", shut.getsockname())
+        await until(lambda: "reset" in heard)
+        assert heard["reset"][0] == model.DROPPED       # while it was made: no crash, and no full table
+        loop.create_connection = create
         call("timed out", live, 100.0)
         await until(lambda: "timed out" in heard)
         assert heard["timed out"][0] == model.TIMED_OUT
