--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -12,10 +12,10 @@
 from ..log import say
 from .http import Malformed, Reader, Stream, answer
 
-PATIENCE = 2.3          # seconds for a request to come whole; for the first one, from connecting on
+PATIENCE = 2.05         # seconds for a request to come whole; for the first one, from connecting on
 REST = 2.0              # seconds without a request after which a connection may close
 IDLE = 10.0             # and does, even while there is room
-SWEEP = 0.25
+SWEEP = 0.1
 LINGER = 0.5            # seconds that a refused sender has to read its answer
 TURNED, HOLD = 3, 0.25  # so many errors in a row on a connection, and its next request is read so much later
 SPARE = 8               # connections over the bound that are given time to read their 503
@@ -48,7 +48,8 @@
         try:
             while not self.closing and (message := self.reader.take()):
                 self.since, self.asked = None, True
-                self.write(*self.door.answer(self, message), message.last or self.door.stopping)
+                last = message.last or self.door.stopping or self.door.crowded()
+                self.write(*self.door.answer(self, message), last)
             if self.reader.expects and self.reader.message:
                 self.reader.expects = False
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -148,6 +149,12 @@
             return client.refuse(503)
         client.write(503, b"", True)
 
+    def crowded(self):
+        """Whether answers end their connections.
+
+        Guards against clients that ask once and hold on: while these rest, others find no connection to ask on."""
+        return len(self.clients) > self.most // 4
+
     def _make_room(self, wanted):
         """Closes connections that rest between requests, the longest unused first: their owners open others.
 
@@ -190,7 +197,7 @@
             else:
                 client.closing = True
                 client.transport.close()
-        self._make_room(len(self.clients) - self.most // 2)
+        self._make_room(len(self.clients) - self.most // 4)
 
     # -- requests -------------------------------------------------------------------------------------------
 
