--- a/dewpin/decide.py
+++ b/dewpin/decide.py
@@ -94,7 +94,7 @@
 
     def __init__(self):
         self.out = self.fails = 0   # calls out, failures in a row
-        self.good_at = self.unreached_at = -1e12    # the latest good answer, and connection refused at once
+        self.good_at = self.unreached_at = self.refused_at = -1e12  # good, no connection, that or turned away
         self.bad_for = set()        # queue classes whose latest call there failed
         self.trickle = None         # set aside: the pace of its trickle
         self.call = None            # the latest call, which mails sent in the same reply may share
@@ -111,8 +111,8 @@
         self.good_at = -1e12
         self.goods = Ring(500.0, 20)
         self.usual = None           # call time, ms
-        self.timeouts, self.timed_out_at = 0, -1e12     # since the latest good answer: each doubles its figure
-                                    # (a slow destination is not taken for dead again and again)
+        self.timeouts, self.timed_out_at = 0, -1e12     # since a good answer: each doubles its figure,
+                                    # so that a slow destination is not taken for dead again and again
         self.refusals, self.refused_at = 0, 0.0         # calls turned away since then, and the first of them
 
     def silent_at(self, now):
@@ -422,14 +422,10 @@
         in hand, so that mails for every other destination are turned away at the door.
         """
         line = max(self.lines, key=Line.length, default=None)
-        least, worst = None, None
-        for at, one in enumerate(self.classes):
-            for mail in [q[end] for q in (line.fresh[at], line.late[at]) if q for end in (0, -1)]:
-                if self._ending(mail) == DEFERRED:
-                    rank = (self._worth(one, mail, now - mail.arrived + 2.0 * URGENT), -mail.notes.arrival)
-                    if worst is None or rank < worst:
-                        least, worst = mail, rank
-        return least
+        mails = [(one, q[end]) for at, one in enumerate(self.classes) for q in (line.fresh[at], line.late[at])
+                 for end in (0, -1) if q and self._ending(q[end]) == DEFERRED]
+        return min(mails, default=(None, None), key=lambda held: (
+            self._worth(*held, now - held[1].arrived + 2.0 * URGENT), -held[1].notes.arrival))[1]
 
     def _worth(self, one, mail, age):
         """The importance that a mail still wins if it is relayed at this age."""
@@ -460,15 +456,18 @@
 
     def _receiver(self, line, mail, now):
         """The receiver with a place free that has fewest calls out, of those the mail may go to."""
-        best, least = None, None
-        for receiver in line.destination.receivers:
-            if self._receiver_at(line, receiver, mail, now) <= now:
-                health = self._health(receiver)
-                rank = (not self._shared(receiver, now), mail.queue_class in health.bad_for, health.out,
-                        receiver.zone != self.settings.get("Az"), -health.good_at)
-                if least is None or rank < least:
-                    best, least = receiver, rank
-        return best
+        free = [r for r in line.destination.receivers if self._receiver_at(line, r, mail, now) <= now]
+        return min(free, default=None, key=lambda r: (
+            not self._shared(r, now), self._refuses(r, now), mail.queue_class in r.notes.bad_for, r.notes.out,
+            r.zone != self.settings.get("Az"), -r.notes.good_at))
+
+    def _refuses(self, receiver, now):
+        """Whether its latest answer, not long ago, turned a call away.
+
+        Guards against a receiver that refuses for itself (it drains, is shut or gone): free at once again, it
+        would draw in all mails, and set the whole destination's pace."""
+        health = self._health(receiver)
+        return health.refused_at > max(health.good_at, now - SHUT)
 
     def _receiver_at(self, line, receiver, mail, now):
         """When this receiver may get the mail, as far as is known; infinity: some news must come first."""
@@ -574,10 +573,13 @@
                                    or now - health.trickle.since > 0.8 * self.rules["WarmAfter"]):
                 health.trickle = None
         elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
+            health.refused_at = now
             if outcome == FULL:
                 if mail.told > 0:
                     gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
-                if gate.pace is None or call.sent >= gate.pace.made:
+                if (gate.pace is None or call.sent >= gate.pace.made) and all(
+                        self._refuses(r, now) for r in mail.destination.receivers
+                        if r.state == READY and self.gate(r) is gate):
                     self._slow_down(call.receiver, gate, now)
             else:
                 health.unreached_at = now
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -240,3 +240,29 @@
     mail.took = 50.0
     *answer, leaves = d.module.settle(mail, model.DELIVERED, d.now + 50.0)
     assert answer[0] == model.RELAYED and leaves is full
+
+
+def test_a_receiver_that_refuses_for_itself_draws_in_no_mails_and_sets_no_pace():
+    d = Driver(settings(), receivers=2)
+    bad = d.destination.receivers[0]
+    for _ in range(40):             # one drains, told late, and turns calls away at once; the other is well
+        d.mail()
+        for mail, (receiver, _, _) in list(d.out.items()):
+            if receiver is bad:
+                d.outcome(mail, model.FULL, 2.0)
+            else:
+                d.outcome(mail, model.DELIVERED, 50.0)
+        d.run(100.0)
+    refused = sum(receiver is bad for _, _, receiver in d.sends)
+    assert refused < 8 and d.module.gate(bad).pace is None
+    assert list(d.ended.values()).count(model.RELAYED) > 35
+
+
+def test_a_destination_over_its_limit_sets_a_pace_though_it_has_two_receivers():
+    d = Driver(settings(), receivers=2)
+    d.keep_answering(3000.0, 100.0, 20.0)
+    for _ in range(3):
+        mail = d.mail()
+        d.run_until(lambda: d.sent(mail), 1000.0)
+        d.outcome(mail, model.FULL, 2.0)
+    assert d.module.gate(d.destination.receivers[0]).pace
