--- a/dewpin/daemon/process.py
+++ b/dewpin/daemon/process.py
@@ -10,6 +10,7 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 from .. import __version__, log
 from ..config import faults, layers
@@ -17,6 +18,7 @@
 from ..net.agent import Notices, Watch
 from ..net.inbound import AT_ONCE, SPARE, Door
 from ..net.outbound import Pool
+from ..ports import Front, Intake, Outlet, Teller
 from ..relay.course import Relay
 from ..relay.facade import Facade
 from ..spool.journal import Spool
@@ -24,6 +26,9 @@
 from .control import Control
 from .status import facts
 
+if TYPE_CHECKING:       # what this process puts together fits the narrow places at which it meets
+    _FITS: tuple[type[Front], type[Intake], type[Outlet], type[Teller]] = (Door, Relay, Pool, Notices)
+
 FILES = 16              # descriptors beside connections of clients and to receivers
 SETTLES = 0.05          # seconds between two readings of a configuration, which must agree
 TRIES = 20
--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -10,6 +10,7 @@
 from urllib.parse import unquote_to_bytes
 
 from ..log import events, tell
+from ..ports import Intake
 from .http import Malformed, Reader, Stream, answer
 
 SWEEP = 0.1
@@ -106,13 +107,13 @@
 
 
 class Door:
-    def __init__(self, loop, relay):
+    def __init__(self, loop, relay: Intake):
         self.loop, self.relay = loop, relay
         self.most, self.memory = 8, 1e6     # connections, bytes of requests that are not whole
         self.patience = 2.05        # seconds for a request to come whole; for the first one, from connecting on
         self.rest = 2.0             # seconds without a request after which a connection may close
         self.idle = 10.0            # and does, even while there is room
-        self.clients = {}           # client: bytes that it holds, the latest used last
+        self.clients: dict[Client, int] = {}        # client: bytes that it holds, the latest used last
         self.held = 0
         self.server, self.stopping = None, False
         self.sweep = None
--- a/dewpin/relay/course.py
+++ b/dewpin/relay/course.py
@@ -8,6 +8,7 @@
 
 from ..core import model
 from ..log import events, fault, tell
+from ..ports import Outlet, Teller
 from ..spool.records import Sheet
 
 PATIENCE = 50.0         # ms that a picked mail waits for the answer to an earlier one's notice
@@ -26,16 +27,18 @@
 
 
 class Relay:
-    def __init__(self, loop, facade, spool, pool, notices):
+    def __init__(self, loop, facade, spool, pool: Outlet, notices: Teller):
         self.loop, self.clock = loop, Clock(loop)
         self.facade, self.spool, self.pool, self.notices = facade, spool, pool, notices
         self.refusing = False       # takes nothing on any more
         self.sending = True         # still starts connects
         self.out = 0
         self.timer, self.soon = None, False
-        self.unsaid = {}            # key: notices that are not answered yet
-        self.behind = {}            # key: mails that were picked and wait for them
-        self.idents, self.older, self.turns = set(), set(), 0.0
+        self.unsaid: dict[bytes, int] = {}          # key: notices that are not answered yet
+        self.behind: dict[bytes, dict] = {}         # key: mails that were picked and wait for them
+        self.idents: set[bytes] = set()
+        self.older: set[bytes] = set()
+        self.turns = 0.0
 
     def resume(self):
         """Takes up what an earlier life of the process left."""
