--- a/benchmarks/status.py
+++ b/benchmarks/status.py
@@ -19,7 +19,8 @@
 
 SETTINGS = {
     "Allowed": {"MaxAttempts": 6, "MaxOpen": 10**6}, "FamilyInfo": {"CallSlots": 8}, "FleetSize": 2, "Tick": 5.0,
-    "Az": 0, "Rules": {"DrainGrace": 1000.0, "ColdFrom": 0.2, "WarmAfter": 9000.0, "FallMultiple": 2.0, "OverloadFor": 2000.0},
+    "Az": 0, "Rules": {"DrainGrace": 1000.0, "ColdFrom": 0.2, "WarmAfter": 9000.0, "FallMultiple": 2.0,
+                       "OverloadFor": 2000.0},
     "Services": [{"Name": "status", "Effect": "safe", "GoalTime": 2000.0, "Deadline": 16000.0, "Value": 1.0,
                   "LateWorth": 0.4}]}
 
