The laboratory begins: an event loop and a network in simulated time

Need: every later subsystem is to be proven on the whole program, repeatably, through kills, pauses and a network that fails.

Found on the way: timers due at one instant come from asyncio's heap in no promised order, so bytes overtook each other; the loop orders them by when they were set.

--- /dev/null
+++ b/tests/lab/test_loop.py
@@ -0,0 +1,113 @@
+"""Simulated time: order, kills, pauses and clocks, and the same digest whatever the hashes."""
+import asyncio
+import os
+import subprocess
+import sys
+import time
+
+import pytest
+
+from dewpin.lab.loop import Machine, SimLoop, Stalled
+
+
+def test_an_hour_passes_in_no_time_and_timers_run_in_their_order():
+    loop, heard, began = SimLoop(), [], time.monotonic()
+
+    async def work():
+        for at, name in ((3600.0, "d"), (0.5, "b"), (0.5, "c"), (0.0, "a")):
+            asyncio.get_running_loop().call_later(at, lambda name=name: heard.append((loop.time(), name)))
+        await asyncio.sleep(3601.0)
+        async with asyncio.timeout(10.0):
+            await asyncio.wait_for(asyncio.sleep(5.0, "x"), 6.0)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(asyncio.Event().wait(), 2.0)
+        return loop.time()
+    assert loop.run(work(), 1e6) == 3608.0
+    assert heard == [(0.0, "a"), (0.5, "b"), (0.5, "c"), (3600.0, "d")] and time.monotonic() - began < 5.0
+
+
+def test_a_killed_machine_runs_nothing_more_and_its_peers_go_on():
+    loop, heard = SimLoop(), []
+
+    async def beat(name):
+        try:
+            while True:
+                await asyncio.sleep(1.0)
+                heard.append((loop.now, name))
+        finally:
+            heard.append("never")
+
+    async def work():
+        one, two = Machine(loop, "one"), Machine(loop, "two")
+        given_back = []
+        one.ends.append(lambda: given_back.append(loop.now))
+        one.start(beat("one"))
+        two.start(beat("two"))
+        await asyncio.sleep(2.5)
+        one.kill()
+        one.kill()
+        await asyncio.sleep(2.0)
+        two.pause()
+        await asyncio.sleep(3.0)
+        assert heard[-1] == (4.0, "two")
+        two.resume()
+        await asyncio.sleep(0.6)
+        assert given_back == [2.5]
+        return list(heard)
+    assert loop.run(work()) == [(1.0, "one"), (1.0, "two"), (2.0, "one"), (2.0, "two"), (3.0, "two"), (4.0, "two"),
+                                (7.5, "two")]
+    assert not loop.faults
+
+
+def test_each_machine_lives_by_its_own_clock():
+    loop, heard = SimLoop(), {}
+
+    async def sleep(machine):
+        await asyncio.sleep(10.0)
+        heard[machine.name] = loop.now, round(asyncio.get_running_loop().time(), 6)
+
+    async def work():
+        for name, rate in (("fast", 1.25), ("slow", 0.5), ("true", 1.0)):
+            machine = Machine(loop, name, rate)
+            machine.start(sleep(machine))
+        await asyncio.sleep(30.0)
+    loop.run(work())
+    assert heard == {"fast": (8.0, 10.0), "slow": (20.0, 10.0), "true": (10.0, 10.0)}
+
+
+def test_a_run_in_which_nothing_can_happen_any_more_says_so():
+    loop = SimLoop()
+
+    async def work():
+        loop.note("the", "last")
+        await asyncio.Event().wait()
+    with pytest.raises(TimeoutError):
+        loop.run(work(), 5.0)
+    with pytest.raises(Stalled, match="the last"):
+        loop.run_until_complete(work())
+
+
+DIGEST = """
+import asyncio
+from dewpin.lab.loop import Machine, SimLoop
+loop = SimLoop({seed})
+async def chatter(name):
+    for at in range(200):
+        await asyncio.sleep(loop.dice.random())
+        loop.note(name, at, sorted({{name, "x", "y"}}))
+async def work():
+    machines = [Machine(loop, "m%d" % at) for at in range(5)]
+    tasks = [one.start(chatter(one.name)) for one in machines]
+    await asyncio.sleep(30.0)
+    machines[2].kill()
+    await asyncio.wait([task for task in tasks if task is not tasks[2]])
+loop.run(work())
+print(loop.digest())
+"""
+
+
+def test_a_seed_repeats_a_run_in_another_process_with_other_hashes():
+    def digest(seed, hashes):
+        return subprocess.run([sys.executable, "-c", DIGEST.format(seed=seed)], capture_output=True, text=True,
+                              check=True, env=dict(os.environ, PYTHONHASHSEED=hashes)).stdout
+    assert digest(1, "0") == digest(1, "12345") != digest(2, "0")
--- /dev/null
+++ b/tests/lab/test_network.py
@@ -0,0 +1,168 @@
+"""The simulated network against asyncio's own promises, and its failures."""
+import asyncio
+import random
+
+import pytest
+
+from dewpin.lab.loop import Machine, SimLoop
+from dewpin.lab.network import REFUSED, SILENT, Network, Way
+
+AT = ("10.0.0.1", 80)
+
+
+class Kept(asyncio.BufferedProtocol):
+    """Keeps what came; `scratch` is small, so that one delivery takes several turns."""
+
+    def __init__(self):
+        self.came, self.lost, self.ended, self.full, self.transport = bytearray(), [], False, 0, None
+        self.scratch = bytearray(1000)
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def get_buffer(self, sizehint):
+        return memoryview(self.scratch)
+
+    def buffer_updated(self, nbytes):
+        self.came += self.scratch[:nbytes]
+
+    def eof_received(self):
+        self.ended = True
+
+    def pause_writing(self):
+        self.full += 1
+
+    def resume_writing(self):
+        self.full -= 1
+
+    def connection_lost(self, error):
+        self.lost.append(type(error).__name__ if error else None)
+
+
+def play(scene, seed=1):
+    loop = SimLoop(seed)
+    network = Network(loop)
+
+    async def whole():
+        server, client, theirs = Machine(loop, "server"), Machine(loop, "client"), []
+
+        def accept():
+            theirs.append(Kept())
+            return theirs[-1]
+        server.call(network.listen, AT, accept)
+
+        async def connect():
+            task = client.start(network.connect(AT, Kept))
+            await asyncio.wait([task])
+            return task.result()[1]
+        return await scene(loop, network, server, client, connect, theirs)
+    result = loop.run(whole())
+    assert not loop.faults, loop.faults
+    return result, loop.digest()
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_bytes_come_whole_and_in_order_however_they_are_cut_and_a_close_lets_them_arrive(seed):
+    async def scene(loop, network, server, client, connect, theirs):
+        dice = random.Random(seed)
+        network.way = lambda *_: Way(latency=0.01, pieces=dice.choice((0, 1, 7, 3000)))
+        mine, sent = await connect(), bytearray()
+        for _ in range(30):
+            part = dice.randbytes(dice.choice((1, 40, 5000)))
+            sent += part
+            mine.transport.write(part)
+        mine.transport.close()
+        mine.transport.write(b"too late")
+        await asyncio.sleep(5.0)
+        (other,) = theirs
+        assert other.came == sent and other.ended and other.lost == [None] == mine.lost and not network.sides
+    assert play(scene, seed) == play(scene, seed)
+
+
+def test_who_does_not_read_fills_the_writers_buffer_and_nothing_is_lost():
+    async def scene(loop, network, server, client, connect, theirs):
+        mine = await connect()
+        await asyncio.sleep(0.01)
+        theirs[0].transport.pause_reading()
+        for _ in range(40):
+            mine.transport.write(b"x" * 10_000)
+        await asyncio.sleep(60.0)
+        assert mine.full == 1 and theirs[0].came == b"" and mine.transport.get_write_buffer_size() > 300_000
+        theirs[0].transport.resume_reading()
+        await asyncio.sleep(1.0)
+        assert mine.full == 0 and len(theirs[0].came) == 400_000 and mine.transport.get_write_buffer_size() == 0
+        server.pause()
+        mine.transport.write(b"y" * 100)
+        await asyncio.sleep(10.0)
+        assert len(theirs[0].came) == 400_000
+        server.resume()
+        await asyncio.sleep(0.1)
+        assert len(theirs[0].came) == 400_100
+    play(scene)
+
+
+def test_aborts_and_kills_are_seen_as_resets_and_a_dead_machine_hears_nothing():
+    async def scene(loop, network, server, client, connect, theirs):
+        one, two = await connect(), await connect()
+        await asyncio.sleep(0.01)
+        one.transport.write(b"lost")
+        one.transport.abort()
+        await asyncio.sleep(0.01)
+        assert theirs[0].lost == ["ConnectionResetError"] and one.lost == [None]
+        server.kill()
+        await asyncio.sleep(0.01)
+        assert two.lost == ["ConnectionResetError"] and theirs[1].lost == []
+        with pytest.raises(ConnectionRefusedError):
+            await connect()
+        network.listen(AT, Kept)            # another takes the address over
+        await connect()
+    play(scene)
+
+
+def test_refused_silent_and_half_open():
+    async def scene(loop, network, server, client, connect, theirs):
+        network.faults[AT] = REFUSED
+        with pytest.raises(ConnectionRefusedError):
+            await connect()
+        network.faults[AT] = SILENT
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(connect(), 30.0)
+        del network.faults[AT]
+        mine = await connect()
+        await asyncio.sleep(0.01)
+        mine.transport.way.silent = True        # one direction is cut off: the other goes on
+        mine.transport.write(b"into the void")
+        theirs[0].transport.write(b"still heard")
+        await asyncio.sleep(100.0)
+        assert theirs[0].came == b"" and mine.came == b"still heard" and not mine.lost and not theirs[0].lost
+        mine.transport.abort()
+        await asyncio.sleep(100.0)
+        assert theirs[0].lost == []             # nothing is said: it stays open and silent
+        theirs[0].transport.write(b"?")
+        await asyncio.sleep(1.0)
+        assert theirs[0].lost == ["ConnectionResetError"]
+        other = await connect()
+        await asyncio.sleep(0.01)
+        network.reset(other.transport)
+        await asyncio.sleep(0.01)
+        assert other.lost == theirs[1].lost == ["ConnectionResetError"]
+    play(scene)
+
+
+def test_an_address_is_one_listeners_and_a_half_closed_connection_still_answers():
+    async def scene(loop, network, server, client, connect, theirs):
+        with pytest.raises(OSError, match="in use"):
+            network.listen(AT, Kept)
+
+        class Answers(Kept):
+            def eof_received(self):
+                self.transport.write(b"answer")
+                self.transport.close()
+                return True
+        network.listeners[AT].factory = Answers
+        mine = await connect()
+        mine.transport.write(b"question")
+        mine.transport.write_eof()
+        await asyncio.sleep(1.0)
+        assert mine.came == b"answer" and mine.ended and mine.lost == [None]
+    play(scene)
