A control character in a configured text is a fault, not the end of the process

Need: TOML can hold a NUL; in control.socket it raised ValueError where only OSError was thought of, and the task that swaps configurations, or the start, would have ended with it. Change: no text of any layer may hold control characters, told as a fault with its line; what waits for the next start is put back in a function of its own. Measured: the test fails without the check.

--- a/dewpin/config/layers.py
+++ b/dewpin/config/layers.py
@@ -88,6 +88,8 @@
     """A value in the key's own unit, if it is of the key's type and in its range; ValueError says what was expected."""
     if key.unit == "address":
         address(given)
+    if isinstance(given, str) and not given.isprintable():      # a NUL in a path would end the process
+        raise ValueError("expected text without control characters")
     try:
         return msgspec.convert(given, key.kind, strict=True)
     except msgspec.ValidationError:
--- a/dewpin/daemon/process.py
+++ b/dewpin/daemon/process.py
@@ -101,6 +101,15 @@
     return changed + (["settings"] if old.module != new.module else [])
 
 
+def keep(old, new, later):
+    """Puts what waits for the next start back to what is in force."""
+    new.module = old.module
+    for path in later:
+        section, _, name = path.partition(".")
+        if name:
+            setattr(getattr(new.deployment, section), name, getattr(getattr(old.deployment, section), name))
+
+
 async def serve(told, sources):
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: tell(
@@ -150,11 +159,8 @@
                 log.fault("reload")
                 continue
             later = waits(old, new)
-            d, new.module = new.deployment, old.module
-            for path in later:
-                section, _, name = path.partition(".")
-                if name:
-                    setattr(getattr(d, section), name, getattr(getattr(old.deployment, section), name))
+            keep(old, new, later)
+            d = new.deployment
             parts["told"] = new
             bound(new, pool, door, spool)
             at = layers.address(d.agent.address)
--- a/tests/config/test_layers.py
+++ b/tests/config/test_layers.py
@@ -72,6 +72,7 @@
     ('[limits]\nmemory = "32MB"\n[log]\nheld = "4MB"\n', "dewpin.toml:4: log.held: log.held = 4MB is over a sixteenth"),
     ('[control]\ntoken = "hush"\n', "dewpin.toml:2: control.token: a token is set and control.socket is not"),
     ('[sender]\nlisten = "127.0.0.1:8500"\n', "dewpin.toml:2: sender.listen: the sender would be its own agent"),
+    ('[control]\nsocket = "/a\\u0000b"\n', "dewpin.toml:2: control.socket: expected text without control characters"),
     ('limits = 3\n', "dewpin.toml:1: limits: expected a table"),
     ('format = 9\n[limits]\nnovel = 3\n', "dewpin.toml:1: format: this file is written for a newer program"),
     ('format = true\n', "dewpin.toml:1: format: expected a whole number from 1"),
