One writer of JSON, no unused argument, and words about lines that are true

Need: reading the change again found JSON written by two copies, an argument of notes() that nothing used, and pages that said lines are looked up only for faults; origins need them at each reading of an operator's file. Change: the copy and the argument are gone, the words say what is done. A sender without such a file pays nothing.

--- a/dewpin/cli/config.py
+++ b/dewpin/cli/config.py
@@ -88,7 +88,10 @@
 def schema(form: str) -> None:
     """The operator's file as a JSON schema, for editors and other programs."""
     from ..config import page
-    click.echo(page.as_json(page.schema()) if form == "json" else page.page(), nl=form == "json")
+    if form == "json":
+        print_json(page.schema())
+    else:
+        click.echo(page.page(), nl=False)
 
 
 @config.command()
--- a/dewpin/config/checks.py
+++ b/dewpin/config/checks.py
@@ -70,7 +70,7 @@
     return faults
 
 
-def notes(deployment: Deployment, module: dict[str, Any], origins: dict[str, str]) -> list[str]:
+def notes(deployment: Deployment, module: dict[str, Any]) -> list[str]:
     """What is allowed and most likely not meant."""
     found, d = [], deployment
     try:
--- a/dewpin/config/layers.py
+++ b/dewpin/config/layers.py
@@ -74,7 +74,7 @@
     faults += contradictions(deployment, origins)
     if faults:
         raise Faulty(faults)
-    return Reading(deployment, known, module, origins, notes(deployment, module, origins), closed)
+    return Reading(deployment, known, module, origins, notes(deployment, module), closed)
 
 
 def value(key: Key, given: Any) -> Any:
--- a/dewpin/config/page.py
+++ b/dewpin/config/page.py
@@ -4,8 +4,6 @@
 """
 from typing import Any
 
-import msgspec
-
 from .keys import FORMAT, KEYS, SECTIONS, Key, choices, kind_name, limits, written
 from .layers import Reading
 from .units import KINDS
@@ -114,11 +112,6 @@
     return written(key, held)
 
 
-def as_json(facts: Any) -> str:
-    """Facts as indented JSON text."""
-    return msgspec.json.format(msgspec.json.encode(facts), indent=2).decode()
-
-
 def _facts(key: Key) -> str:
     parts = [key.about, f"({', '.join(filter(None, (kind_name(key), limits(key))))}; SIGHUP: {_swap(key)})"]
     if key.platform:
--- a/dewpin/config/where.py
+++ b/dewpin/config/where.py
@@ -1,7 +1,7 @@
 """On which line of a TOML file a key stands, since the library that reads the file does not say.
 
-It owns no value: it reads text that has been parsed already, only once a fault or an origin is to be shown, and a key
-that it does not find has no line.
+It owns no value: it reads text that has been parsed already, at each reading of an operator's file, and a key that it
+does not find has no line.
 """
 import re
 
