--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -554,7 +554,8 @@
         line.slot_time(now)
         call.open -= 1
         if call.open == 0:
-            self.slots, line.out = self.slots - 1, line.out - 1
+            self.slots -= 1
+            line.out -= 1
             self.gate(call.receiver).out -= 1
             self.health(call.receiver).out -= 1
 
@@ -593,12 +594,11 @@
                         if r.state == READY and self.gate(r) is gate):
                     self._slow_down(call.receiver, gate, now)
             else:
-                health.unreached_at, health.fails = now, health.fails + 1
+                health.unreached_at = now
                 if sparse:      # it will hardly see what follows, and needs no idle connections
                     self.crowded.add(call.receiver.kind)
-                if health.fails >= 2 and not health.trickle and now - health.good_at > SHUT:  # guards against
-                    self._set_aside(call.receiver, health, now)     # an ended one that the others' mails hid
-            gate.refused_at = now if gate.refusals == 0 else gate.refused_at
+            if gate.refusals == 0:
+                gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
             if gate.refusals >= 3 and now - gate.refused_at > SHUT or mail.told > LONG_TOLD:
                 self._set_aside(call.receiver, health, now)
