--- a/dewpin/net/agent.py
+++ b/dewpin/net/agent.py
@@ -1,42 +1,27 @@
 """The platform's agent: the watch on the list of receivers, and the notices for mails that are given up.
 
 It owns two connections to the agent, one for each, and tries again by itself until it is answered: a broken watch
-asks for the whole list, a refused one goes on from its revision, each after a pause that grows and falls apart by
-chance; silence keeps the last list, a notice that is not answered is sent again. Both move to another
+asks for the whole list, silence keeps the last one, a notice that is not answered is sent again. Both move to another
 address when they are told to, owed notices with them. What the list means and why a mail ends by a notice is not its
 business.
 """
 import asyncio
-import random
 
 import msgspec
 
 from ..core import model
 from ..log import events, fault, tell
-from .outbound import ANSWERED, Link, number
+from .outbound import ANSWERED, Link
 
 WATCH = 20.0            # seconds that a watch waits for news
 GRACE = 5.0             # and so much longer until it is taken for broken
 WHOLE = 2.0             # seconds for the whole list, which waits for nothing
-AGAIN = 0.1             # seconds before a broken notice is sent again
+AGAIN = 0.1             # seconds before a broken exchange is tried again
 CONNECT = 1.0
 NOTICE = 1.0            # seconds for the answer to a notice
 MOST_LIST = 8_000_000   # bytes
 STATES = {"active": model.READY, "leaving": model.DRAINING}
 MOST_NOTICES = 100      # in one request
-FIRST_PAUSE = 100.0     # ms before the list is asked for again after an answer that was none, the first time;
-MOST_PAUSE = 3200.0     # then twice as long each time, up to this: what discovery tells counts as told 6 s later
-REFUSED = (429, 503)    # discovery is overbooked: the watch stays as it was
-
-
-def pause(refusals, told, draw):
-    """Milliseconds before the list is asked for again, after `refusals` (1 or more) answers in a row that held none.
-
-    The pause grows from FIRST_PAUSE to MOST_PAUSE, less up to half of it by `draw` (in [0, 1)), and is never shorter
-    than the wait that discovery told (`told`, ms), within MOST_PAUSE. Guards against a fleet that was started at once
-    and asks in step: each asking again at once keeps an overbooked discovery overbooked."""
-    grown = min(FIRST_PAUSE * 2.0 ** (refusals - 1), MOST_PAUSE)
-    return max(grown * (1.0 - 0.5 * draw), min(told, MOST_PAUSE))
 
 
 class Channel:
@@ -95,9 +80,8 @@
 
 
 class Watch:
-    def __init__(self, address, known, learn, draw=None):
+    def __init__(self, address, known, learn):
         self.channel, self.learn = Channel(self.run), learn
-        self.draw = draw or random.Random().random      # each sender its own chance, so that a fleet falls apart
         self.revision = None        # asks for the whole list, unless one is known
         if known is not None:
             self.revision = known.get("revision", 0)
@@ -109,23 +93,16 @@
         self.channel.move(address)
 
     async def run(self):
-        whole, refusals = self.revision is None, 0
+        whole = self.revision is None
         while True:
             answer = await self.channel.ask(self._request(whole), WHOLE if whole else WATCH + GRACE)
             try:
-                taken = answer is not None and answer.status == 200 and self._take(answer.body)
+                whole = answer is None or answer.status != 200 or not self._take(answer.body)
             except Exception as error:
                 tell(events.WATCH, why=f"{type(error).__name__}: {error}")
-                taken = False
-            if taken:
-                whole, refusals = False, 0
-                continue
-            # a refusal tells nothing of the list, so the watch goes on from the revision it has; anything else may
-            # have been a watch that ended, and the whole list comes next
-            refused = answer is not None and answer.status in REFUSED
-            whole, refusals = self.revision is None or not refused, refusals + 1
-            told = 1000.0 * number(answer.fields.get(b"retry-after", b"0")) if refused else 0.0
-            await asyncio.sleep(pause(refusals, told, self.draw()) / 1000.0)
+                whole = True
+            if whole:
+                await asyncio.sleep(AGAIN)
 
     def _request(self, whole):
         query = b"" if whole else b"?index=%d&wait=%d" % (self.revision, WATCH * 1000.0)
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -156,8 +156,7 @@
         self.notices, self.noted_at = [], {}
         self.notice_status = 204    # None: silence
         self.revision, self.members, self.changes = 1, [], []
-        self.asked, self.asked_at, self.watching = [], [], []
-        self.list_answer = None     # an answer to every ask for the list instead of the list: an overbooked discovery
+        self.asked, self.watching = [], []
         self.servers, self.connections = [], set()
 
     async def open(self, receivers=1):
@@ -206,10 +205,7 @@
                     writer.write(reply(self.notice_status))
                 continue
             self.asked.append(message[0].split()[1].decode())
-            self.asked_at.append(time.monotonic())
-            if self.list_answer:
-                writer.write(self.list_answer)
-            elif "index=" in self.asked[-1]:
+            if "index=" in self.asked[-1]:
                 self.watching.append(writer)
             else:
                 self.tell(writer, True, self.members)
