A refusal by a receiver good since its last one sets its shared limit's pace

Cause, core/decide.py, _measure: a refusal set the destination's pace only where all ready receivers that share the limit refused within 1.5 s. Traffic is spread thin over 40 to 200 senders, so one sender hardly ever sees that, and each went on at full rate against a limit that every refused call uses up.

Change: the pace is also set where the refusing receiver had answered well since its own last refusal; one that refuses again with nothing good between is taken to refuse for itself, as before.

The new driver test fails on the text before.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -585,20 +585,20 @@
                 health.trickle = None
                 self.avoided.discard(call.receiver)
         elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
+            alone = health.good_at <= health.refused_at     # nothing good since its last refusal: for itself
             health.refused_at = now
             if outcome == FULL:
                 if mail.told > 0:
                     gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
-                if (gate.pace is None or call.sent >= gate.pace.made) and all(
+                if (gate.pace is None or call.sent >= gate.pace.made) and (not alone or all(
                         self._refuses(r, now) for r in mail.destination.receivers
-                        if r.state == READY and self.gate(r) is gate):
+                        if r.state == READY and self.gate(r) is gate)):
                     self._slow_down(call.receiver, gate, now)
             else:
                 health.unreached_at = now
                 if sparse:      # it will hardly see what follows, and needs no idle connections
                     self.crowded.add(call.receiver.kind)
-            if gate.refusals == 0:
-                gate.refused_at = now
+            gate.refused_at = now if gate.refusals == 0 else gate.refused_at
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
             if gate.refusals >= 3 and now - gate.refused_at > SHUT or mail.told > LONG_TOLD:
                 self._set_aside(call.receiver, health, now)
