--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -285,4 +285,3 @@
             d.outcome(mail, model.TIMED_OUT, limit)
         d.run_until(lambda: doubled(), 1000.0)
     assert doubled()
-
