A cold return is borne together: even rise, lesser share, bundles and newcomers counted

At fault: Pace.now (doubling in WarmAfter / 5 outruns what warms evenly), _share (its mean with the sender's own traffic, which clients' repeats had blown up from 120 to 600 a second), and _send, which let mails join a call without counting them. Ruled out: senders that had not seen the outage (2% of the calls), and probes (none are allowed). Change: the trickle rises evenly by ColdFrom and WarmAfter and lasts WarmAfter; it is taken of the lesser of own traffic and the part of a limit told; a mail that joins a call counts a quarter; a receiver met first while its destination fails or is set aside begins set aside, where limits are shared. For a route apart limit and traffic are its own part. The assumption mended: FallMultiple of 2 or more left room for doubling, and receivers outlive outages. It can't come back: the sum of all trickles at any time is 0.8 of FallMultiple times what a destination of the listed rate bears then, for any number of senders. What else it covers: a shut door, silence, fast errors. Harm: a false alarm costs the sender slower calls for WarmAfter. Two of the three new cases fail on the text before.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -13,7 +13,7 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
-from math import log, log2
+from math import log, log2, sqrt
 
 from .model import (BOUNCED, CALLED_OFF, DEFERRED, DELIVERED, DROPPED, ERROR, FULL, NOT_YET, READY, RELAYED,
                     RESET, TIMED_OUT, UNREACHED, UNSENT)
@@ -34,6 +34,7 @@
 RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 LEAST_SHARE = 0.2           # of a line's own traffic that a pace set by refusals never falls under
+RIDER = 0.25                # of a call: what a further mail in a bundle adds to a cold one's work, at most
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT, DROPPED)      # these outcomes prove that nothing ran
 RESTING = (TIMED_OUT, RESET, CALLED_OFF)        # after these the work may still go on
@@ -71,7 +72,7 @@
 
 
 class Pace:
-    """Calls a second, after a refusal or as a trickle: they double in a span from the first good answer."""
+    """Calls a second after a refusal: they double in a span from the first good answer."""
 
     def __init__(self, rate, doubles, made):
         self.rate, self.doubles, self.made, self.since = rate, doubles, made, None
@@ -89,6 +90,22 @@
         return now + self.doubles * log2(1.0 + calls * log(2.0) / (rate * self.doubles))
 
 
+class Trickle(Pace):
+    """Calls a second to a receiver set aside: from the first good answer they rise as evenly as it warms.
+
+    Guards against a return at which all senders grow together: doubling outruns what warms evenly."""
+
+    def now(self, now):
+        return self.rate * (1.0 + (0.0 if self.since is None else (now - self.since) / self.doubles))
+
+    def after(self, now, calls):
+        rate = self.now(now) / 1000.0
+        if self.since is None:
+            return now + calls / rate
+        rise = self.rate / 1000.0 / self.doubles
+        return now + (sqrt(rate * rate + 2.0 * rise * calls) - rate) / rise
+
+
 class Health:
     """What the sender has seen of one receiver."""
 
@@ -108,7 +125,7 @@
         self.pace = None            # set by a refusal; None: free
         self.out = 0
         self.calls = deque()        # calls, oldest first; over ones go when they come to the front
-        self.good_at = -1e12
+        self.good_at = self.failed_at = -1e12   # the latest good answer, the latest failure
         self.goods = Ring(500.0, 20)
         self.usual = None           # call time, ms
         self.timeouts, self.timed_out_at = 0, -1e12     # since a good answer: each doubles its figure,
@@ -499,6 +516,8 @@
         if course.ran_at is not None and scope != "all" and receiver is not course.ran_to \
                 and not (scope == "zone" and receiver.zone == course.ran_to.zone):
             return float("inf")
+        if receiver.notes is None:
+            self._meet(receiver, now)
         gate, health = self.gate(receiver), self.health(receiver)
         if self._shared(receiver, now):
             return now
@@ -543,6 +562,8 @@
             course.call = health.call
             course.call.mails += 1
             course.call.open += 1
+            if health.trickle:      # it weighs there as well, if less than a call
+                health.trickle.next_at = health.trickle.after(health.trickle.next_at, RIDER)
             return
         call = course.call = health.call = Call(receiver, now, health.fails > 0)
         call.mails = call.open = 1
@@ -590,7 +611,7 @@
                     pace.since = now
                     pace.next_at = min(pace.next_at, pace.after(now, self.dice.roll(0.2, 1.0)))
             if health.trickle and (self._lossy()    # then the way is at fault, not the receiver
-                                   or now - health.trickle.since > 0.8 * self.rules["WarmAfter"]):
+                                   or now - health.trickle.since > self.rules["WarmAfter"]):
                 health.trickle = None
                 self.avoided.discard(call.receiver)
         elif outcome == FULL or outcome == UNREACHED and mail.took < LONG:
@@ -614,6 +635,7 @@
                 self._set_aside(call.receiver, health, now)
         elif outcome in (TIMED_OUT, RESET, UNREACHED, DROPPED, ERROR) and not call.counted:
             health.bad_for.add(mail.queue_class)
+            gate.failed_at = now
             call.counted = True         # a bundle's mails share one fate, and tell of it once
             if (outcome == TIMED_OUT and call.sent >= max(gate.timed_out_at, gate.good_at)
                     and not self._lossy()):     # one that answered others since is not slow
@@ -627,12 +649,15 @@
                     if other.fails >= enough + (receiver is not call.receiver):
                         self._set_aside(receiver, other, now)
 
-    def _share(self, receiver, now):
+    def _share(self, receiver, now, cold=0):
         """This sender's part of a destination's traffic: its own, drawn to its part of a limit reported or
-        listed, which is late, rough, and for all senders together."""
+        listed, which is late, rough, and for all senders together; for one of so many cold routes the less."""
         listed = receiver.weight if self.settings.get("Weights") in ("nominal", "rough") else 0.0
-        limit, came = receiver.report.get("limit") or listed, receiver.destination.notes.rate(now)
-        return (came + limit / self.fleet) / 2.0 if limit > 0.0 else came
+        limit = receiver.report.get("limit") or listed
+        came = receiver.destination.notes.rate(now) / max(1, cold)
+        if limit <= 0.0:
+            return came
+        return min(came, limit / self.fleet) if cold else (came + limit / self.fleet) / 2.0
 
     def _slow_down(self, receiver, gate, now):
         """A refusal sets a pace: what was accepted lately, or half the last pace, from the end of the wait.
@@ -646,6 +671,16 @@
         gate.pace = Pace(max(accepted, rate, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), now)
         gate.pace.next_at = gate.pace.after(start, self.dice.roll(0.3, 0.9))
 
+    def _meet(self, receiver, now):
+        """The first look at a receiver; where limits are shared, of a destination that is known already.
+
+        Guards against an outage in which the list replaces receivers: what all senders hold would go at once
+        to one that no sender has seen fail, of a destination that is cold."""
+        health, gate = self.health(receiver), self.gate(receiver)
+        if gate is receiver.destination.gate and (gate.failed_at > gate.good_at or any(
+                r.notes and self._on_trial(r) for r in receiver.destination.receivers)):
+            self._set_aside(receiver, health, now)
+
     def _lossy(self):
         """Whether calls after an unanswered one mostly go well: then failures in a row are no outage.
 
@@ -660,10 +695,12 @@
         """
         rules = self.rules
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
+        apart = receiver.kind in self.apart     # then limit and outage are the receiver's own
         least = 1000.0 / rules["OverloadFor"] / max(1.0, self.fleet / CROWD)
         cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
-        bears = max(least, 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now))
-        health.trickle = Pace(bears / ready, rules["WarmAfter"] / 5.0, now)
+        bears = 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now, ready if apart else 1)
+        warms = rules["WarmAfter"] * cold / max(0.01, 1.0 - rules["ColdFrom"])
+        health.trickle = Trickle(max(least, bears) / (1 if apart else ready), warms, now)
         self.avoided.add(receiver)
         start = max(now, self.gate(receiver).told_until)
         health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -304,3 +304,52 @@
             sys.setprofile(None)
         return len(entered)
     assert calls(300) == calls(3)
+
+
+def senders(count, receivers=2, rate=None, **told):
+    """Modules that share nothing, each with an account of the same destination, and their clocks."""
+    drawn = settings(fleet=count, **told)
+    drawn["Rules"] |= {"FallMultiple": 1.5, "ColdFrom": 0.28, "OverloadFor": 3000.0, "WarmAfter": 14000.0}
+    drawn["Weights"] = "nominal" if rate else "off"
+    made = [Driver(drawn, receivers=receivers, seed=seed) for seed in range(count)]
+    for d in made:
+        for receiver in d.destination.receivers:
+            receiver.weight = rate or 1.0
+    return made
+
+
+def returning(fleet, dice, down, after, mails, bad, joined=False):
+    """Plays senders through an outage of `down` ms and so long `after`; the calls of the later part, with
+    what each weighs: (ms since the return, weight). `mails` a second come in all, `bad` is how calls fail."""
+    weighed, start = [], fleet[0].now
+    while (spent := fleet[0].now - start) < down + after:
+        for d in fleet:
+            if dice.random() < mails / len(fleet) / 50.0:
+                d.mail(ask=False)
+            if joined and spent >= down - 20.0 and d.destination.receivers[-1].state == model.READY \
+                    and len(d.destination.receivers) < 3:
+                for receiver in d.destination.receivers:
+                    receiver.state = model.GONE
+                model.Receiver(9, d.destination, weight=d.destination.receivers[0].weight)
+            d.ask()
+            calls = set()
+            for mail, (receiver, sent, _) in list(d.out.items()):
+                if sent == d.now and spent >= down:
+                    weighed.append((spent - down, 0.16 if receiver in calls else 1.0))
+                    calls.add(receiver)
+                if d.now - sent >= 100.0:
+                    d.outcome(mail, bad if spent < down else model.DELIVERED, 100.0, run=False)
+            d.run(20.0)
+    return weighed
+
+
+@pytest.mark.parametrize("bundle,joined", [(1, False), (20, False), (1, True)])
+def test_senders_that_saw_an_outage_stay_under_what_a_cold_one_bears_together(bundle, joined):
+    limit, rules = 30.0, None
+    fleet = senders(40, rate=limit, bundle=bundle, effects=("keyed",), window=25000.0, room=30, slots=4)
+    rules = fleet[0].settings["Rules"]
+    weighed = returning(fleet, random.Random(3), 9000.0, 12000.0, 28.0 if joined else 75.0, model.UNREACHED, joined)
+    for end in range(3000, 12001, 500):
+        sent = sum(weight for at, weight in weighed if end - rules["OverloadFor"] <= at < end)
+        warm = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * (end - rules["OverloadFor"] / 2) / rules["WarmAfter"]
+        assert sent < rules["FallMultiple"] * limit * warm * rules["OverloadFor"] / 1000.0, end
