--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -651,7 +651,7 @@
 
     def _share(self, receiver, now, cold=0):
         """This sender's part of a destination's traffic: its own, drawn to its part of a limit reported or
-        listed, which is late, rough, and for all senders together; for one of so many cold routes the less."""
+        listed, late, rough and for all senders together; for one of so many cold routes the less."""
         listed = receiver.weight if self.settings.get("Weights") in ("nominal", "rough") else 0.0
         limit = receiver.report.get("limit") or listed
         came = receiver.destination.notes.rate(now) / max(1, cold)
