No connection rests for a mail that has to wait where tables of connections are full

At fault: _leaves kept a connection whenever its line had mail waiting, also mail that waits for a pace, trickle or pause (counted on the wire: 4 such settles in 4 s at the start, 154 of 259 at the end). A few senders held the table and the others, set aside for it, held more. Change: where over a tenth of a kind's calls find no connection at once, only a mail that may go now keeps one. The share is measured for each kind and stands for the set of crowded kinds, which a crash filled for good; two defences are one now. The assumption mended: that whoever waits at a line is about to send. Harm: a crash closes idle connections of its kind for some 20 calls. A connection refused at once also marks its destination for newcomers.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -34,6 +34,8 @@
 RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 LEAST_SHARE = 0.2           # of a line's own traffic that a pace set by refusals never falls under
+CROWDED, JAMMED = 0.02, 0.1  # shares of a kind's calls that find no connection at once: above the first none
+                            # rests there, above the second none rests for a mail that has to wait
 RIDER = 0.25                # of a call: what a further mail in a bundle adds to a cold one's work, at most
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT, DROPPED)      # these outcomes prove that nothing ran
@@ -111,7 +113,7 @@
 
     def __init__(self):
         self.out = self.fails = 0   # calls out, failures in a row
-        self.good_at = self.unreached_at = self.refused_at = -1e12  # good, no connection, that or turned away
+        self.good_at = self.refused_at = -1e12      # the latest good answer, the latest call turned away
         self.bad_for = set()        # queue classes whose latest call there failed
         self.trickle = None         # set aside: the pace of its trickle
         self.call = None            # the latest call, which mails sent in the same reply may share
@@ -233,7 +235,7 @@
         self.keys = {}              # key: its mails in the order of arrival
         self.usual = None           # call time over all destinations
         self.recovers = 0.0         # share of calls after an unanswered one that go well
-        self.crowded = set()        # kinds of receiver that turned away a connection at once
+        self.turned = {}            # kind of receiver: moving share of its calls that found no connection
         self.avoided = set()        # receivers with a trickle
         self.rests = {}             # key: until when work that may still go on keeps its turn
 
@@ -539,10 +541,13 @@
         """Whether idle connections to a receiver should close.
 
         Guards against receivers that take few connections, idle ones counted: with many senders these stand
-        idle at those that sent last, and the others' calls are turned away."""
+        idle at those that sent last, or hold mail for a pace, and the calls of the others are turned away."""
         line, idle = receiver.destination.notes, self.allowed.get("IdleClose", 0.0)
-        return (self.health(receiver).out == 0 and not line.waiting
-                and (receiver.kind in self.crowded or line.rate(now) * idle < 1000.0))
+        turned = self.turned.get(receiver.kind, 0.0)
+        if self.health(receiver).out or turned < CROWDED and line.rate(now) * idle >= 1000.0:
+            return False
+        return not line.waiting or turned > JAMMED and now < self._receiver_at(
+            line, receiver, self._next_mail(line, now), now)
 
     def _timeout(self, gate, mail):
         """The destination's figure: learned from its usual time, twice where a time-out ends the mail."""
@@ -596,11 +601,12 @@
         sparse = mail.destination.notes.rate(now) * self.rules["OverloadFor"] < 1000.0
         if call.again and not call.counted and outcome in (DELIVERED, TIMED_OUT, RESET, UNREACHED, DROPPED):
             self.recovers += 0.2 * ((outcome == DELIVERED) - self.recovers)
+        if not call.counted:
+            turned, kind = self.turned.get(call.receiver.kind, 0.0), call.receiver.kind
+            self.turned[kind] = turned + 0.05 * ((outcome == UNREACHED and mail.took < LONG) - turned)
         if outcome == DELIVERED:
             gate.goods.add(now)
             gate.timeouts, gate.refusals, gate.good_at = 0, 0, now
-            if not health.trickle and now - health.unreached_at < LONG:     # it had refused a connection:
-                self.crowded.add(call.receiver.kind)                        # a full table, no crash
             self.usual = mail.took if self.usual is None else self.usual + 0.05 * (mail.took - self.usual)
             before = gate.usual or self.usual
             gate.usual = before + (0.1 if gate.usual else 0.5) * (mail.took - before)
@@ -625,9 +631,7 @@
                         if r.state == READY and self.gate(r) is gate)):
                     self._slow_down(call.receiver, gate, now)
             else:
-                health.unreached_at = now
-                if sparse:      # it will hardly see what follows, and needs no idle connections
-                    self.crowded.add(call.receiver.kind)
+                gate.failed_at = now
             if gate.refusals == 0:
                 gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
