--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -337,7 +337,8 @@
 
 def returning(fleet, dice, down, after, mails, bad, joined=False, well=0.0):
     """Plays senders through an outage of `down` ms and so long `after`; the calls of the later part, with
-    what each weighs: (ms since the return, weight). `mails` a second come in all, `bad` is how calls fail, but for a share that goes `well`."""
+    what each weighs: (ms since the return, weight). `mails` a second come in all, `bad` is how calls fail, but
+    for a share that goes `well`."""
     weighed, start = [], fleet[0].now
     while (spent := fleet[0].now - start) < down + after:
         for d in fleet:
