--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -614,7 +614,7 @@
             self.usual = mail.took if self.usual is None else self.usual + 0.05 * (mail.took - self.usual)
             before = gate.usual or self.usual
             gate.usual = before + (0.1 if gate.usual else 0.5) * (mail.took - before)
-            # a good answer makes up for one failure: a receiver that fails most calls, not all, is out as well
+            # a good answer makes up for one failure: a receiver that fails most calls is out, if not all
             health.fails, health.good_at = 0 if self._lossy() else max(0, health.fails - 1), now
             health.bad_for.discard(mail.queue_class)
             for pace in (gate.pace, health.trickle):
