--- a/tests/daemon/test_reload.py
+++ b/tests/daemon/test_reload.py
@@ -119,7 +119,7 @@
         lines = log_of(sender)
         answers = [reply(503), "reset", reply(200)]
         outside.script = lambda call: answers[outside.idents().count(call[0]) - 1]
-        await sender.hand_in("m", key="", tag=b"t")
+        await sender.hand_in("m", left=15.0, key="", tag=b"t")
 
         def course():
             return [one for one in map(json.loads, lines) if one.get("mail") == "m"]
