Crowded kinds are learned as before; a failed receiver comes after its equals for a while

At fault, mostly: _leaves, which took every kind for crowded once a zone's receivers refused connections, and closed what all others needed. Change: kinds are crowded by the old learning; the measured share only says whether a mail that waits may keep a connection there.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -34,8 +34,8 @@
 RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 LEAST_SHARE = 0.2           # of a line's own traffic that a pace set by refusals never falls under
-CROWDED, JAMMED = 0.02, 0.1  # shares of a kind's calls that find no connection at once: above the first none
-                            # rests there, above the second none rests for a mail that has to wait
+JAMMED = 0.1                # share of a kind's calls that find no connection at once, above which none rests
+                            # there for a mail that has to wait
 RIDER = 0.25                # of a call: what a further mail in a bundle adds to a cold one's work, at most
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT, DROPPED)      # these outcomes prove that nothing ran
@@ -114,8 +114,8 @@
 
     def __init__(self):
         self.out = self.fails = 0   # calls out, failures that no good answer has made up for
-        self.unanswered = False     # the latest call there got no answer of any kind
-        self.good_at = self.refused_at = -1e12      # the latest good answer, the latest call turned away
+        self.unanswered = False     # a call there, or a long one beside it, got no answer and none came since
+        self.good_at = self.refused_at = self.failed_at = self.unreached_at = -1e12     # the latest of each
         self.bad_for = set()        # queue classes whose latest call there failed
         self.trickle = None         # set aside: the pace of its trickle
         self.call = None            # the latest call, which mails sent in the same reply may share
@@ -239,6 +239,7 @@
         self.keys = {}              # key: its mails in the order of arrival
         self.usual = None           # call time over all destinations
         self.recovers = 0.0         # share of calls after an unanswered one that go well
+        self.crowded = set()        # kinds of receiver with a full table, which turned a connection away
         self.turned = {}            # kind of receiver: moving share of its calls that found no connection
         self.avoided = set()        # receivers with a trickle
         self.rests = {}             # key: until when work that may still go on keeps its turn
@@ -509,8 +510,9 @@
         order = sorted(r.ident for r in line.destination.receivers if r.state == READY)
         turn = self.number + int((now + self.number * self.turns / self.fleet) // self.turns)
         return min(free, key=lambda r: (
-            not self._shared(r, now), self._refuses(r, now), mail.queue_class in r.notes.bad_for, r.notes.out,
-            r.zone != self.settings.get("Az"), (order.index(r.ident) - turn) % len(order)))
+            not self._shared(r, now), self._refuses(r, now),
+            r.notes.failed_at > max(r.notes.good_at, now - self.turns), mail.queue_class in r.notes.bad_for,
+            r.notes.out, r.zone != self.settings.get("Az"), (order.index(r.ident) - turn) % len(order)))
 
     def _refuses(self, receiver, now):
         """Whether its latest answer, not long ago, turned a call away.
@@ -555,11 +557,11 @@
         Guards against receivers that take few connections, idle ones counted: with many senders these stand
         idle at those that sent last, or hold mail for a pace, and the calls of the others are turned away."""
         line, idle = receiver.destination.notes, self.allowed.get("IdleClose", 0.0)
-        turned = self.turned.get(receiver.kind, 0.0)
-        if self.health(receiver).out or turned < CROWDED and line.rate(now) * idle >= 1000.0:
+        crowded = receiver.kind in self.crowded
+        if self.health(receiver).out or not crowded and line.rate(now) * idle >= 1000.0:
             return False
-        return not line.waiting or turned > JAMMED and now < self._receiver_at(
-            line, receiver, self._next_mail(line, now), now)
+        return not line.waiting or crowded and self.turned.get(receiver.kind, 0.0) > JAMMED and (
+            now < self._receiver_at(line, receiver, self._next_mail(line, now), now))
 
     def _timeout(self, gate, mail):
         """The destination's figure: learned from its usual time, twice where a time-out ends the mail."""
@@ -614,13 +616,17 @@
         if call.again and not call.counted and outcome in (DELIVERED, *LOST):
             self.recovers += 0.2 * ((outcome == DELIVERED) - self.recovers)
         no_room = outcome == UNREACHED and mail.took < LONG     # a connection refused at once is an answer
-        health.unanswered = outcome in LOST and not no_room
+        health.unanswered = health.unanswered and outcome not in (DELIVERED, ERROR)
+        if outcome == ERROR or outcome in LOST:
+            health.failed_at = now
         if not call.counted:
             turned, kind = self.turned.get(call.receiver.kind, 0.0), call.receiver.kind
             self.turned[kind] = turned + 0.05 * (no_room - turned)
         if outcome == DELIVERED:
             gate.goods.add(now)
             gate.timeouts, gate.refusals, gate.good_at = 0, 0, now
+            if not health.trickle and now - health.unreached_at < LONG:     # it had refused a connection:
+                self.crowded.add(call.receiver.kind)                        # a full table, no crash
             self.usual = mail.took if self.usual is None else self.usual + 0.05 * (mail.took - self.usual)
             before = gate.usual or self.usual
             gate.usual = before + (0.1 if gate.usual else 0.5) * (mail.took - before)
@@ -646,7 +652,9 @@
                         if r.state == READY and self.gate(r) is gate)):
                     self._slow_down(call.receiver, gate, now)
             else:
-                gate.failed_at = now
+                health.unreached_at = gate.failed_at = now
+                if sparse:      # it will hardly see what follows, and needs no idle connections
+                    self.crowded.add(call.receiver.kind)
             if gate.refusals == 0:
                 gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
@@ -664,8 +672,8 @@
             for receiver in mail.destination.receivers:     # the others there share the doubt, less by one
                 other = self.health(receiver)
                 if other.good_at < call.sent and (receiver is call.receiver or long):
-                    other.fails += 1
-                    if other.fails >= enough + (receiver is not call.receiver) or other.trickle:
+                    other.fails, other.unanswered = min(other.fails + 1, LOSS), outcome != ERROR
+                    if other.fails >= enough + (receiver is not call.receiver):
                         self._set_aside(receiver, other, now)
 
     def _share(self, receiver, now, cold=0):
@@ -721,5 +729,6 @@
         warms = rules["WarmAfter"] * cold / max(0.01, 1.0 - rules["ColdFrom"])
         health.trickle = Trickle(max(least, bears) / (1 if apart else ready), warms, now)
         self.avoided.add(receiver)
+        health.fails = 0        # what it rises by is weighed anew
         start = max(now, self.gate(receiver).told_until)
         health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
--- a/dewpin/relay/learnt.py
+++ b/dewpin/relay/learnt.py
@@ -18,7 +18,7 @@
                   _name(facade.zones, receiver.zone), _name(facade.kinds, receiver.kind), receiver.weight]
                  for receiver in facade.receivers.values()],
         "sender": {"usual": module.usual, "recovers": module.recovers, "began": module.began},
-        "turned": list(module.turned.items()),
+        "crowded": list(module.crowded), "turned": list(module.turned.items()),
         "rests": [[key.decode("latin-1") if key else "", until] for key, until in module.rests.items()],
         "destinations": [[one.ident, _plain(one.notes), _plain(one.gate)] for one in facade.destinations.values()],
         "receivers": [[one.ident.decode("latin-1"), _plain(one.notes), _plain(one.gate)]
@@ -36,6 +36,7 @@
     module = facade.module
     for name, value in held["sender"].items():
         setattr(module, name, value)
+    module.crowded.update(held["crowded"])
     module.turned.update(held.get("turned", ()))
     module.rests.update((key.encode("latin-1"), until) for key, until in held["rests"])
     for ident, line, gate in held["destinations"]:
