A trickle's rise is counted from midway between the last failure and the first good answer

Change: the return lies between the latest failure and the good answer; the rise is counted from the middle (_measure). Why it holds the rule: with trials every I ms, t after the return a share t / I of the senders rises, each by t / 2 + I / 2 in the mean, so together by no more than t; from t = I on they rise by t, as the destination warms. The return test holds.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -634,8 +634,9 @@
             health.fails, health.good_at = 0 if self._lossy() else max(0, health.fails - 1), now
             health.bad_for.discard(mail.queue_class)
             for pace in (gate.pace, health.trickle):
-                if pace and pace.since is None:
-                    pace.since = now
+                if pace and pace.since is None:     # it came back between the trial before and this one
+                    failed = max(health.failed_at, health.refused_at) if pace is health.trickle else now
+                    pace.since = (max(failed, pace.made) + now) / 2.0
                     pace.next_at = min(pace.next_at, pace.after(now, self.dice.roll(0.2, 1.0)))
             if health.trickle and (self._lossy()    # then the way is at fault, not the receiver
                                    or now - health.trickle.since > self.rules["WarmAfter"]):
