A failed receiver comes after its equals for ten mails of its line, at least IdleClose

With 200 senders a line gets a mail every 5 to 50 s, so the 15 s after a failure were over at its next mail: each sender went on trying receivers that a late list still names, in place of those that answered it. At fault: the bound of IdleClose in _receiver. Change: ten mails of the line where that is longer.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -509,10 +509,11 @@
             return free[0] if free else None
         order = sorted(r.ident for r in line.destination.receivers if r.state == READY)
         turn = self.number + int((now + self.number * self.turns / self.fleet) // self.turns)
+        lately = now - max(self.turns, 10000.0 / line.rate(now))        # or within ten mails of the line
         return min(free, key=lambda r: (
-            not self._shared(r, now), self._refuses(r, now),
-            r.notes.failed_at > max(r.notes.good_at, now - self.turns), mail.queue_class in r.notes.bad_for,
-            r.notes.out, r.zone != self.settings.get("Az"), (order.index(r.ident) - turn) % len(order)))
+            not self._shared(r, now), self._refuses(r, now), r.notes.failed_at > max(r.notes.good_at, lately),
+            mail.queue_class in r.notes.bad_for, r.notes.out, r.zone != self.settings.get("Az"), (
+                order.index(r.ident) - turn) % len(order)))
 
     def _refuses(self, receiver, now):
         """Whether its latest answer, not long ago, turned a call away.
