A trickle handed over in an upgrade rises evenly, as it did at the old process

Cause: relay/learnt.py made every handed pace a Pace by its fields, and a Trickle has the same ones; after an upgrade a receiver coming back cold would have got calls that double. Change: the note's name tells which it is. Measured: the new test on told and recall; it fails on the text before, where the type is Pace.

--- a/dewpin/relay/learnt.py
+++ b/dewpin/relay/learnt.py
@@ -3,7 +3,7 @@
 It owns their form: what is told here and not known there is passed over, so that two versions understand each other.
 It decides nothing; calls out and mails in hand are not among it, they are the journal's.
 """
-from ..core.decide import Gate, Pace, Ring
+from ..core.decide import Gate, Pace, Ring, Trickle
 
 OWN = ("out", "call", "waiting", "order")       # of calls and mails in hand, and of this process
 SHAPES = {"rate": Pace, "span": Ring}       # a field that only this one has
@@ -72,7 +72,7 @@
     for name, value in (held or {}).items():
         if notes is not None and name in vars(notes):
             if isinstance(value, dict):
-                shape = next(made for mark, made in SHAPES.items() if mark in value)
+                shape = Trickle if name == "trickle" else next(made for mark, made in SHAPES.items() if mark in value)
                 value, fields = shape.__new__(shape), value
                 vars(value).update(fields)
             setattr(notes, name, value)
--- a/tests/relay/test_memory.py
+++ b/tests/relay/test_memory.py
@@ -4,6 +4,8 @@
 import weakref
 
 from dewpin.core import model
+from dewpin.core.decide import Trickle
+from dewpin.relay import learnt
 from dewpin.relay.course import Relay
 from dewpin.relay.facade import Facade
 from dewpin.spool.journal import Spool
@@ -58,3 +60,17 @@
     finally:
         gc.enable()
         loop.close()
+
+
+def test_a_trickle_handed_over_rises_as_it_did():
+    services = settings(effects=("safe",)) | {"Zones": ["a"], "Kinds": ["k"]}
+    services["Services"][0]["Name"] = "status"
+    old, new = Facade(services, 1), Facade(services, 2)
+    for facade in (old, new):
+        facade.learn([(b"r", 7, model.READY, ("127.0.0.1", 9), "a", "k", 1.0)], True)
+    receiver = old.receivers[b"r"]
+    old.module.began = 0.0
+    old.module.line(old.destination(7))
+    old.module._set_aside(receiver, old.module.health(receiver), 0.0)
+    learnt.recall(new, learnt.told(old))
+    assert type(new.receivers[b"r"].notes.trickle) is Trickle
