A fleet's calls for the list are spread, and a restart goes on from the list last heard

All 40 senders open their watch at one moment; five get in, the others come again every 0.19 s, whole list each time. Ruled out: an answer that takes longer than our 2 s (6 s gave nothing). At fault: Watch.run, whose first call and repeats follow no clock but the fault's.

Change: Turns draws the first call, the call after a break and the one after a 503 from the size of the fleet; a 503 leaves the watch at its revision. The list last heard lies in the folder (spool/kept.py) and is used where the same agent counted it later than the platform's `known`; a lower revision in the first answer begins anew.

How much the kept list adds alone was not measured.

--- a/dewpin/daemon/process.py
+++ b/dewpin/daemon/process.py
@@ -17,6 +17,7 @@
 from ..config import faults, layers
 from ..console.door import DESCRIPTORS, Console
 from ..log import events, tell
+from ..net import agent
 from ..net.agent import Notices, Watch
 from ..net.inbound import AT_ONCE, SPARE, Door
 from ..net.outbound import Pool
@@ -25,6 +26,7 @@
 from ..relay.course import Relay
 from ..relay.facade import Facade
 from ..spool.journal import Spool
+from ..spool.kept import Kept
 from ..spool.tail import Follower, Tail
 from . import upgrade
 from .control import Control
@@ -164,17 +166,29 @@
     bound(parts)
     speak(told)
 
-    def learn(entries, complete):
+    def learn(entries, complete, revision=None):
         for address in facade.learn(entries, complete):
             pool.recall(address)
             pool.close_idle(address)
+        if revision is not None:
+            parts["kept"].learn(entries, complete, revision, relay.clock.now())
         relay.wake()
 
     for ident in spool.detached:
         facade.detach(ident)
+    turns = agent.Turns(told.module["FleetSize"], told.module["Rules"]["DrainGrace"], chance(d.sender))
+    kept = parts["kept"] = Kept(d.sender.state, d.agent.address, d.limits.disk)
+    new, revision = kept.revision is None and not handed, None
     if handed:
         learn(learnt.entries(handed), True)
-    watch = Watch(layers.address(d.agent.address), None if handed else told.known, learn)
+    elif kept.newer(told.known.get("revision", 0)):     # the platform's may be as old as the day
+        revision = kept.revision
+        learn(kept.entries(), True)
+    else:
+        revision, ended = told.known.get("revision", 0), kept.ended()
+        learn(agent.entries(told.known.get("members", ())), True, revision)
+        learn(ended, False)
+    watch = Watch(layers.address(d.agent.address), revision, learn, turns, new)
     # before the door: what was taken on earlier comes first in its key's order
     relay.resume(follower if handed or follower.there() else None, handed and set(handed["out"]))
     if handed:
@@ -214,6 +228,7 @@
             bound(parts)
             speak(new)
             at = layers.address(d.agent.address)
+            parts["kept"].move(d.agent.address, d.limits.disk)
             watch.move(at)
             notices.move(at)
             await control.move(d.control.socket, d.control.token, d.control.lines)
@@ -308,6 +323,7 @@
         await asyncio.sleep(AGAIN)
         return False
     relay.part(tail)
+    parts["kept"].stop()
     spool.close()
     tell(events.HANDED_ON, name=d.sender.name, mails=len(spool.sheets))
     notices.channel.stop()
--- a/dewpin/log/events.py
+++ b/dewpin/log/events.py
@@ -132,6 +132,8 @@
                "A receiver's answer can't be read: delivered if its first line says 200, else an error.")
 LIST_ENTRY = Event("list.entry", WARNING, "passes over an entry: {why}", "why",
                    "The list names a receiver without id, cell or address. The others are used.")
+LIST_KEPT = Event("list.kept", WARNING, "the list of receivers is not kept in the folder: {why}", "why",
+                  "A restart begins with the platform's list instead, until the next whole list from the agent.")
 WATCH = Event("watch", WARNING, "asks for the whole list: {why}", "why",
               "The agent's answer could not be used; the last list stays.")
 NOTICE_UNREAD = Event("notice.unread", ERROR, "could not be read: {sample}", "sample",
--- a/dewpin/net/agent.py
+++ b/dewpin/net/agent.py
@@ -1,11 +1,12 @@
 """The platform's agent: the watch on the list of receivers, and the notices for mails that are given up.
 
 It owns two connections to the agent, one for each, and tries again by itself until it is answered: a broken watch
-asks for the whole list, silence keeps the last one, a notice that is not answered is sent again. Both move to another
-address when they are told to, owed notices with them. What the list means and why a mail ends by a notice is not its
-business.
+asks for the whole list, one that discovery turns away for want of room asks again later, silence keeps the last one, a
+notice that is not answered is sent again. Both move to another address when they are told to, owed notices with them.
+What the list means and why a mail ends by a notice is not its business.
 """
 import asyncio
+import random
 
 import msgspec
 
@@ -15,8 +16,10 @@
 
 WATCH = 20.0            # seconds that a watch waits for news
 GRACE = 5.0             # and so much longer until it is taken for broken
-WHOLE = 2.0             # seconds for the whole list, which waits for nothing
+WHOLE = 5.0             # seconds for the whole list, which waits for nothing but discovery's other callers
 AGAIN = 0.1             # seconds before a broken exchange is tried again
+EACH = 0.1              # seconds that a fleet leaves for each sender's call for the list
+LATEST = 4.0            # seconds until a new sender's first one; what it tells counts as told after 6 s
 CONNECT = 1.0
 NOTICE = 1.0            # seconds for the answer to a notice
 MOST_LIST = 8_000_000   # bytes
@@ -79,30 +82,65 @@
     return found
 
 
+class Turns:
+    """When one of many senders calls for the list: seconds to wait, drawn so that their calls are spread.
+
+    Guards against a fleet whose senders all call at once, at a start or after a fault: discovery turns most away, each
+    of these calls costs it as much as one it answers, and all that come again soon are turned away for good."""
+
+    def __init__(self, fleet, grace, seed):
+        """`fleet`: senders; `grace`: ms for which mail may still go to a receiver that drains."""
+        self.dice, self.fleet = random.Random(seed), EACH * fleet
+        self.within = min(self.fleet, grace / 2000.0)       # after which news that were missed must be in
+        self.refusals = 0
+
+    def first(self, new):
+        """Before the first call; `new`: no process before this one can have been told anything."""
+        return self.dice.uniform(0.0, min(self.fleet, LATEST) if new else self.within)
+
+    def broken(self):
+        return AGAIN + self.dice.uniform(0.0, self.within)
+
+    def refused(self):
+        self.refusals += 1
+        most = min(WATCH, max(AGAIN, self.fleet) * 2.0 ** min(self.refusals - 1, 10))
+        return self.dice.uniform(0.5, 1.5) * most
+
+    def heard(self):
+        self.refusals = 0
+
+
 class Watch:
-    def __init__(self, address, known, learn):
-        self.channel, self.learn = Channel(self.run), learn
-        self.revision = None        # asks for the whole list, unless one is known
-        if known is not None:
-            self.revision = known.get("revision", 0)
-            learn(entries(known.get("members", ())), True)
+    def __init__(self, address, revision, learn, turns, new=False):
+        """`revision`: of the list that is known, None for none; `learn(entries, complete, revision)` hears of news;
+        `new`: nothing was told to a process before this one."""
+        self.channel, self.learn, self.turns = Channel(self.run), learn, turns
+        self.revision = revision    # asks for the whole list, unless one is known
+        self.unsure = revision is not None      # whether the agent still counts on from there
+        self.new = new
         self.channel.move(address)
 
     def move(self, address):
-        self.revision = None        # another agent may count otherwise: its whole list comes first
+        self.revision, self.new = None, False   # another agent may count otherwise: its whole list comes first
         self.channel.move(address)
 
     async def run(self):
         whole = self.revision is None
+        await asyncio.sleep(self.turns.first(self.new))
         while True:
             answer = await self.channel.ask(self._request(whole), WHOLE if whole else WATCH + GRACE)
+            if answer is not None and answer.status == 503:
+                await asyncio.sleep(self.turns.refused())
+                continue
             try:
                 whole = answer is None or answer.status != 200 or not self._take(answer.body)
             except Exception as error:
                 tell(events.WATCH, why=f"{type(error).__name__}: {error}")
                 whole = True
             if whole:
-                await asyncio.sleep(AGAIN)
+                await asyncio.sleep(self.turns.broken())
+            else:
+                self.turns.heard()
 
     def _request(self, whole):
         query = b"" if whole else b"?index=%d&wait=%d" % (self.revision, WATCH * 1000.0)
@@ -111,10 +149,13 @@
     def _take(self, body):
         news = msgspec.json.decode(body)
         revision, complete = int(news["revision"]), bool(news["complete"])
+        if self.unsure and revision < self.revision:    # the list that was kept is of another counting
+            self.revision = None
+        self.unsure = False
         if self.revision is None and not complete:
             return False
         if self.revision is None or revision > self.revision or (complete and revision == self.revision):
-            self.learn(entries(news["members"]), complete)
+            self.learn(entries(news["members"]), complete, revision)
             self.revision = revision
         return True
 
--- a/dewpin/relay/learnt.py
+++ b/dewpin/relay/learnt.py
@@ -4,6 +4,7 @@
 It decides nothing; calls out and mails in hand are not among it, they are the journal's.
 """
 from ..core.decide import Gate, Pace, Ring, Trickle
+from ..spool.kept import entry, row
 
 OWN = ("out", "call", "waiting", "order")       # of calls and mails in hand, and of this process
 SHAPES = {"rate": Pace, "span": Ring}       # a field that only this one has
@@ -13,9 +14,9 @@
     """A map for JSON: the list as known, and the notes on the sender, its destinations and their receivers."""
     module = facade.module
     return {
-        "list": [[receiver.ident.decode("latin-1"), receiver.destination.ident,
-                  facade.detached.get(receiver.ident, receiver.state), *(receiver.address or ("", 0))[:2],
-                  _name(facade.zones, receiver.zone), _name(facade.kinds, receiver.kind), receiver.weight]
+        "list": [row((receiver.ident, receiver.destination.ident,
+                      facade.detached.get(receiver.ident, receiver.state), (receiver.address or ("", 0))[:2],
+                      _name(facade.zones, receiver.zone), _name(facade.kinds, receiver.kind), receiver.weight))
                  for receiver in facade.receivers.values()],
         "sender": {"usual": module.usual, "recovers": module.recovers, "began": module.began},
         "crowded": list(module.crowded), "turned": list(module.turned.items()),
@@ -27,8 +28,7 @@
 
 def entries(held):
     """The list of `told` in the form of `Facade.learn`."""
-    return [(ident.encode("latin-1"), destination, state, (host, port), zone, kind, weight)
-            for ident, destination, state, host, port, zone, kind, weight in held["list"]]
+    return [entry(one) for one in held["list"]]
 
 
 def recall(facade, held):
--- a/dewpin/spool/journal.py
+++ b/dewpin/spool/journal.py
@@ -7,7 +7,7 @@
 import os
 
 from ..log import events, tell
-from . import records
+from . import kept, records
 
 BLOCK = 512             # files count in whole blocks
 LATER = 512             # a mail's later records need at most so much after a compaction
@@ -40,8 +40,8 @@
         self.followed = found.followed      # bytes of an earlier process's tail that are taken in
 
     def bound(self, disk):
-        """The room for the journal and its second copy."""
-        self.room = disk - 8 * BLOCK
+        """The room for the journal and its second copy, beside the list of receivers."""
+        self.room = disk - 8 * BLOCK - kept.room(disk)
 
     def cut(self):
         """Nobody has the calls any more that were out when the process before ended: they may have run."""
--- a/tests/daemon/test_sender.py
+++ b/tests/daemon/test_sender.py
@@ -196,6 +196,35 @@
     play(tmp_path, scene, receivers=2)
 
 
+def test_a_restart_goes_on_from_the_list_last_heard_while_nobody_is_answered(tmp_path):
+    async def scene(outside, sender):
+        await until(lambda: outside.watching)
+        outside.change(0, "leaving")
+        await until(lambda: outside.watching)
+        await sender.end()
+        outside.list_status = 503
+        sender.told["known"] = {"revision": 1, "complete": True, "members": [
+            one | {"phase": "active"} for one in outside.members]}
+        asked = len(outside.asked)
+        await sender.start()
+        for ident in range(6):
+            await sender.hand_in(f"m{ident}")
+        await until(lambda: len(outside.calls) == 6)
+        assert {call[3] for call in outside.calls} == {1}
+        await until(lambda: len(outside.asked) > asked)
+        outside.list_status = 200       # turned away, a watch goes on from where it was
+        await until(lambda: outside.watching)
+        assert set(outside.asked[asked:]) == {"/api/targets?index=2&wait=20000"}
+        await sender.end()
+        outside.revision = 1            # the agent counts anew: the list that was kept holds no longer
+        outside.members[0]["phase"] = "active"
+        await sender.start()
+        await until(lambda: len(outside.watching) == 2)
+        outside.tell(outside.watching.pop(), False, [])
+        await until(lambda: outside.asked[-2:] == ["/api/targets", "/api/targets?index=1&wait=20000"])
+    play(tmp_path, scene, receivers=2)
+
+
 def test_a_new_configuration_moves_the_watch_and_owed_notices_and_a_faulty_one_changes_nothing(tmp_path):
     async def scene(outside, sender):
         await until(lambda: outside.watching)
--- a/tests/daemon/test_upgrade.py
+++ b/tests/daemon/test_upgrade.py
@@ -50,7 +50,7 @@
         assert outside.idents() == [b"a1", b"a2", b"a3", b"a4"] and not outside.notices
         assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
         await until(lambda: not again.owed())
-        assert sorted(path.name for path in (tmp_path / "state").iterdir()) == ["journal"]
+        assert sorted(path.name for path in (tmp_path / "state").iterdir()) == ["journal", "list"]
         third = await beside(outside, again)    # and once more
         await third.hand_in("a5")
         await until(lambda: b"a5" in outside.idents())
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -156,6 +156,7 @@
         self.notices, self.noted_at = [], {}
         self.notice_status = 204    # None: silence
         self.revision, self.members, self.changes = 1, [], []
+        self.list_status = 200      # of the agent's answers to calls for the list
         self.asked, self.watching = [], []
         self.servers, self.connections = [], set()
 
@@ -205,7 +206,9 @@
                     writer.write(reply(self.notice_status))
                 continue
             self.asked.append(message[0].split()[1].decode())
-            if "index=" in self.asked[-1]:
+            if self.list_status != 200:
+                writer.write(reply(self.list_status))
+            elif "index=" in self.asked[-1]:
                 self.watching.append(writer)
             else:
                 self.tell(writer, True, self.members)
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -6,6 +6,7 @@
 import pytest
 
 from dewpin.core import model
+from dewpin.net.agent import WATCH, Turns
 from dewpin.net.http import Malformed, Reader, answer
 from dewpin.net.outbound import Pool
 from driver import Outside, until
@@ -127,3 +128,20 @@
         for one in (shut, *filling, outside.agent, *outside.servers, *(c.transport for c in outside.connections)):
             one.close()
     asyncio.run(scene())
+
+
+@pytest.mark.parametrize("fleet, least", [(40, 3.0), (300, 3.0), (2, 0.0)])
+def test_a_fleet_s_calls_for_the_list_are_spread(fleet, least):
+    turns = [Turns(fleet, 2000.0, seed) for seed in range(fleet)]
+    for new, most in ((True, 4.0), (False, 1.0)):
+        first = sorted(one.first(new) for one in turns)
+        assert first[-1] <= min(most, 0.1 * fleet)
+        assert first[-1] - first[0] >= (least if new else least / 4.0)
+        busiest = max(sum(at <= one < at + 0.1 for one in first) for at in first)
+        assert busiest <= 3 + 3 * fleet * 0.1 / most
+    waits = [[one.refused() for _ in range(12)] for one in turns]
+    assert all(max(one) <= 1.5 * WATCH for one in waits) and len({one[0] for one in waits}) == fleet
+    last = [one[-1] for one in waits]
+    assert sum(1.0 / wait for wait in last) < max(1.0, 0.1 * fleet)     # calls a second of them all, refused for long
+    turns[0].heard()
+    assert turns[0].refused() <= 1.5 * min(WATCH, 0.1 * fleet)
