Equal receivers by even fractions, and a sender's own zone only for its share of the mails

At fault: the last two terms of the key in _receiver. Change: a sender stays in its zone for as many mails as that zone's receivers are of all, times the zones; the turn is the fractional part of number times golden ratio among the equals themselves; it goes on every four IdleClose in place of one.

The test with uneven zones fails on the text before; the assumption that fitted some deployments only: receivers stand evenly over the zones.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -37,6 +37,8 @@
 JAMMED = 0.1                # share of a kind's calls that find no connection at once, above which none rests
                             # there for a mail that has to wait
 RIDER = 0.25                # of a call: what a further mail in a bundle adds to a cold one's work, at most
+GOLDEN, SILVER = 0.5 * (5.0 ** 0.5 - 1.0), 2.0 ** 0.5 - 1.0     # multiples lie evenly, every second one too
+KEEPS = 4.0                 # times that a connection may rest until its receiver's turn is over
 FADE = 5000.0               # slot time of a line loses its weight over this span
 PROOF = (FULL, UNREACHED, UNSENT, DROPPED)      # these outcomes prove that nothing ran
 LOST = (TIMED_OUT, RESET, DROPPED, UNREACHED)   # no answer of any kind came
@@ -227,8 +229,10 @@
             for name in names.split():
                 held[name]
         self.safe = any(one["Effect"] == "safe" for one in self.classes)
-        self.number = settings.get("SlotNo", int(self.dice.roll(0.0, 1e6)))     # its own among the senders
-        self.turns = max(1.0, self.allowed.get("IdleClose", 0.0))
+        number = settings.get("SlotNo", int(self.dice.roll(0.0, 1e6)))      # its own among the senders
+        self.place, self.away = number * GOLDEN % 1.0, number * SILVER % 1.0    # even, in each zone as well
+        self.zone, self.zones = settings.get("Az"), max(1, len(settings.get("Zones", ())))
+        self.turns = max(1.0, KEEPS * self.allowed.get("IdleClose", 0.0))
         self.margin = 2.0 * settings["Tick"] + 10.0     # the tick and the answer need this much of a lifetime
         self.arrivals, self.opened, self.began = 0, 0, None     # mails taken in, lines opened, first mail
         self.lines = []             # in the order of their first mail
@@ -501,19 +505,27 @@
     def _receiver(self, line, mail, now):
         """The receiver with a place free that has fewest calls out, of those the mail may go to.
 
-        Of equals, the one whose turn it is: each sender begins at its own place in an order alike at all of
-        them, and goes on by one when a resting connection would be closed anyway. Guards against receivers
-        that all senders prefer, and others that stand idle, where each sender sees little of the load."""
+        Its own zone first, but only for the share of its mails that the receivers there are of all of them;
+        else a zone with more than its share of them. Guards against the few receivers of one zone that bear
+        all of its senders. Of equals, the one whose turn it is: each sender begins at its own place in an
+        order alike at all of them, and goes on by one so seldom that most resting connections are used
+        again. Guards against receivers that all senders prefer, and others that stand idle, where each
+        sender sees little of the load."""
         free = [r for r in line.destination.receivers if self._receiver_at(line, r, mail, now) <= now]
         if len(free) < 2:
             return free[0] if free else None
-        order = sorted(r.ident for r in line.destination.receivers if r.state == READY)
-        turn = self.number + int((now + self.number * self.turns / self.fleet) // self.turns)
-        lately = now - max(self.turns, 10000.0 / line.rate(now))        # or within ten mails of the line
-        return min(free, key=lambda r: (
+        ready = [r for r in line.destination.receivers if r.state == READY]
+        lately = now - max(self.turns / KEEPS, 10000.0 / line.rate(now))    # or within ten mails of the line
+        many = {zone: self.zones * sum(r.zone == zone for r in ready) for zone in {r.zone for r in free}}
+        home = (self.away + now / self.turns) % 1.0 * len(ready) < many.get(self.zone, 0)
+        ranks = [(
             not self._shared(r, now), self._refuses(r, now), r.notes.failed_at > max(r.notes.good_at, lately),
-            mail.queue_class in r.notes.bad_for, r.notes.out, r.zone != self.settings.get("Az"), (
-                order.index(r.ident) - turn) % len(order)))
+            mail.queue_class in r.notes.bad_for, r.notes.out,
+            r.zone != self.zone if home else many[r.zone] <= len(ready)) for r in free]
+        best = min(ranks)
+        equals = sorted((r for r, rank in zip(free, ranks, strict=True) if rank == best),
+                        key=lambda r: r.ident)
+        return equals[int(self.place * len(equals) + now / self.turns) % len(equals)]
 
     def _refuses(self, receiver, now):
         """Whether its latest answer, not long ago, turned a call away.
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -398,16 +398,21 @@
         assert sent < rules["FallMultiple"] * limit * warm * rules["OverloadFor"] / 1000.0, end
 
 
-@pytest.mark.parametrize("numbered, off", [(True, 0.25), (False, 0.45)])
-def test_hundreds_of_senders_that_see_little_load_equal_receivers_alike_and_a_newcomer_at_once(numbered, off):
-    """300 modules, 12 equal receivers, 120 mails a second in all, calls of 200 ms; one more receiver after 20 s."""
+@pytest.mark.parametrize("numbered, off, zones", [(True, 0.25, False), (False, 0.45, False), (True, 0.35, True)])
+def test_hundreds_of_senders_that_see_little_load_equal_receivers_alike_and_a_newcomer_at_once(numbered, off, zones):
+    """300 modules, 12 equal receivers, 120 mails a second in all, calls of 200 ms; one more receiver after 20 s.
+    With zones, senders stand evenly over three, the receivers don't."""
     dice, fleet, over, calls, came, now = random.Random(5), [], [], {}, {}, 1000.0
     for number in range(300):
         drawn = settings(fleet=300)
         drawn["Allowed"]["IdleClose"] = 15000.0
         if numbered:
             drawn["SlotNo"] = number
+        if zones:
+            drawn["Az"], drawn["Zones"] = number % 3, ["a", "b", "c"]
         fleet.append(Driver(drawn, receivers=12, seed=number))
+        for receiver in fleet[-1].destination.receivers if zones else ():
+            receiver.zone = (0, 0, 1, 1, 1, 1)[receiver.ident % 6]      # 4 and 8, and none in the third
     while now < 41000.0:
         now += dice.expovariate(0.12)
         while over and over[0][0] <= now:
