Where a line's calls overlap, of equals the receiver that answered last goes first again

At fault: the last term of the choice in _receiver, which on a busy line sends first calls to receivers that fell silent; what it was made for, senders that see little, is not this line. Change: turns and the zone's share where the line's rate times its usual call time is under one; else as above.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -232,7 +232,7 @@
         number = settings.get("SlotNo", int(self.dice.roll(0.0, 1e6)))      # its own among the senders
         self.place, self.away = number * GOLDEN % 1.0, number * SILVER % 1.0    # even, in each zone as well
         self.zone, self.zones = settings.get("Az"), max(1, len(settings.get("Zones", ())))
-        self.turns = max(1.0, KEEPS * self.allowed.get("IdleClose", 0.0))
+        self.turns = max(1.0, self.allowed.get("IdleClose", 0.0))
         self.margin = 2.0 * settings["Tick"] + 10.0     # the tick and the answer need this much of a lifetime
         self.arrivals, self.opened, self.began = 0, 0, None     # mails taken in, lines opened, first mail
         self.lines = []             # in the order of their first mail
@@ -505,19 +505,21 @@
     def _receiver(self, line, mail, now):
         """The receiver with a place free that has fewest calls out, of those the mail may go to.
 
-        Its own zone first, but only for the share of its mails that the receivers there are of all of them;
-        else a zone with more than its share of them. Guards against the few receivers of one zone that bear
-        all of its senders. Of equals, the one whose turn it is: each sender begins at its own place in an
-        order alike at all of them, and goes on by one so seldom that most resting connections are used
-        again. Guards against receivers that all senders prefer, and others that stand idle, where each
-        sender sees little of the load."""
+        Of equals, its own zone first, then the one that answered last. Where hardly any of its calls overlap,
+        its own zone only for the share of its mails that the receivers there are of all of them, else a zone
+        with more than its share; then the one whose turn it is: each sender begins at its own place in an
+        order alike at all of them, and goes on by one so seldom that most resting connections are used again.
+        Guards against receivers that all senders prefer, the few of one zone that bear all of its senders,
+        and others that stand idle, where each sender sees little of the load."""
         free = [r for r in line.destination.receivers if self._receiver_at(line, r, mail, now) <= now]
         if len(free) < 2:
             return free[0] if free else None
         ready = [r for r in line.destination.receivers if r.state == READY]
-        lately = now - max(self.turns / KEEPS, 10000.0 / line.rate(now))    # or within ten mails of the line
+        lately = now - max(self.turns, 10000.0 / line.rate(now))        # or within ten mails of the line
+        sparse = line.rate(now) * (self.gate(free[0]).usual or self.usual or 0.0) < 1000.0
+        turn = now / self.turns / KEEPS
         many = {zone: self.zones * sum(r.zone == zone for r in ready) for zone in {r.zone for r in free}}
-        home = (self.away + now / self.turns) % 1.0 * len(ready) < many.get(self.zone, 0)
+        home = not sparse or (self.away + turn) % 1.0 * len(ready) < many.get(self.zone, 0)
         ranks = [(
             not self._shared(r, now), self._refuses(r, now), r.notes.failed_at > max(r.notes.good_at, lately),
             mail.queue_class in r.notes.bad_for, r.notes.out,
@@ -525,7 +527,9 @@
         best = min(ranks)
         equals = sorted((r for r, rank in zip(free, ranks, strict=True) if rank == best),
                         key=lambda r: r.ident)
-        return equals[int(self.place * len(equals) + now / self.turns) % len(equals)]
+        if not sparse:          # calls that overlap spread by themselves, and who answered last is alive
+            return max(equals, key=lambda r: r.notes.good_at)
+        return equals[int(self.place * len(equals) + turn) % len(equals)]
 
     def _refuses(self, receiver, now):
         """Whether its latest answer, not long ago, turned a call away.
