--- a/dewpin/lab/fleet/places.py
+++ b/dewpin/lab/fleet/places.py
@@ -21,13 +21,12 @@
         self.state, self.times, self.since = UP, 1.0, -1e12
         self.ends: list[float] = []             # when the calls in hand are over, in order
         self.connections = 0
-        self.out_since: float | None = None     # when the outage began that it is in, or has come back from
         self.lately: deque[tuple[float, int, bool]] = deque()   # (time, sender, told of the outage) after a return
         self.told_of: set[int] = set()          # senders that saw a call fail during the outage
         self.fallen: tuple[float, float, bool] | None = None    # (time, times what it bears, the senders' fault)
 
     def fails(self, now: float, state: str) -> None:
-        self.state, self.out_since, self.fallen = state, now, None
+        self.state, self.fallen = state, None
         self.ends.clear()
         self.told_of.clear()
 
