Repeats count from their first hand-in, lines in overload stay in time, a pace refused again grows slowly

At fault: Mail.arrived was the hand-in here (a repeat's time left tells its age); _next_mail looked one second ahead, so that a line that never is through served each mail as it turned late; _slow_down, whose growth of 3 s is shorter than the 2.5 s between a sender's calls allow it to notice. Change: first_in; a look ahead as long as the line takes to drain; fresh mails by the end of target delay or lifetime, a usual call ahead; growth half as fast for each untold refusal that meets a pace, eight times at most (a told wait says when there is room).

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -33,6 +33,7 @@
 URGENT = 1000.0             # a line looks so far ahead for the importance that its mails would lose
 RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
+SLOWEST = 8.0               # refused again and again, it takes up to so many times as long
 LEAST_SHARE = 0.2           # of a line's own traffic that a pace set by refusals never falls under
 JAMMED = 0.1                # share of a kind's calls that find no connection at once, above which none rests
                             # there for a mail that has to wait
@@ -168,6 +169,7 @@
         self.fresh = [deque() for _ in range(classes)]      # can still make their target delay
         self.late = [deque() for _ in range(classes)]
         self.used, self.used_at, self.out = 0.0, 0.0, 0
+        self.each = self.drains_at = 0.0    # ms for each mail, as measured; when that is to be measured again
         self.arrivals, self.began = Ring(RATE_SPAN / 10.0, 12), began   # began: the sender, not the line
 
     def rate(self, now):
@@ -175,6 +177,14 @@
         span = max(RATE_SPAN / 4.0, min(RATE_SPAN, now - self.began))
         return max(1.0, sum(self.arrivals.recent(now, 10))) * 1000.0 / span
 
+    def drains(self, now):
+        """How long the mails that wait will take at the pace at which good answers come, ms."""
+        if now >= self.drains_at:       # asked for often, and it changes slowly
+            gates = [self.destination.gate, *(r.gate for r in self.destination.receivers)]
+            goods = sum(sum(gate.goods.recent(now, 16)) for gate in gates if gate) / 8250.0
+            self.each, self.drains_at = 1.0 / goods if goods else 1e9, now + 500.0
+        return self.waiting * self.each
+
     def slot_time(self, now):
         """Recent slot time, calls out included."""
         span = now - self.used_at
@@ -195,11 +205,11 @@
 
 class Course:
     """What the module remembers of a mail in hand."""
-    __slots__ = ("arrival", "tries", "call", "ran_at", "ran_to", "due", "state", "spared",
+    __slots__ = ("arrival", "wanted", "tries", "call", "ran_at", "ran_to", "due", "state", "spared",
                  "settled", "waited")
 
-    def __init__(self, arrival, before):
-        self.arrival = arrival
+    def __init__(self, arrival, wanted, before):
+        self.arrival, self.wanted = arrival, wanted     # wanted: until the end of its target delay
         self.tries, self.ran_at, self.ran_to = before   # ran: the first connect that may have run
         self.call = None
         self.due = self.settled = self.waited = 0.0     # its latest outcome, and the wait after one
@@ -217,6 +227,7 @@
         self.family = settings["FamilyInfo"]
         self.apart = {kind for kind, own in enumerate(self.family.get("OwnLimits", ())) if own}
         self.fleet = max(1, settings["FleetSize"])
+        self.marked = settings.get("Callers", {}).get("MarksRetry", False)
         for one in self.classes:
             if one["Effect"] not in ("safe", "keyed", "unsafe"):
                 raise KeyError(f"Services[].Effect: unknown effect {one['Effect']!r}")
@@ -321,6 +332,14 @@
             return 0.0, best[1]
         return (max(0.01, soonest[0] - now), soonest[2]) if soonest else (0.0, None)
 
+    def first_in(self, queue_class, left, again, now):
+        """When a mail was handed in first: where it comes again, what it lacks of its lifetime is its age.
+
+        Guards against repeats taken for fresh ones: in an overload they are most of a line. Where clients
+        mark repeats (`again`), one that comes unmarked with little time left is a hurried first one."""
+        age = self.classes[queue_class]["Deadline"] - left if again or not self.marked else 0.0
+        return now - max(0.0, age)
+
     def adopt(self, mail, receiver, sent, now):
         """Takes a connect over that the process before this one made, and that is out."""
         if mail.notes.state == "line":
@@ -384,7 +403,8 @@
         self.arrivals += 1
         self.began = now if self.began is None else self.began
         self.held += 1
-        course = mail.notes = Course(self.arrivals, mail.before)
+        wanted = min(mail.arrived + self.classes[mail.queue_class]["GoalTime"], mail.expires)
+        course = mail.notes = Course(self.arrivals, wanted, mail.before)
         self.line(mail.destination).arrivals.add(now)
         heappush(self.ends, (self._end(mail), course.arrival, mail))
         if self.classes[mail.queue_class].get("ByArrival") and mail.key:
@@ -431,8 +451,8 @@
         if line.waiting == 1:
             insort(self.waiting, line, key=lambda one: one.order)
         queue = line.fresh[mail.queue_class]
-        if queue and queue[-1].notes.arrival > mail.notes.arrival:
-            insort(queue, mail, key=lambda m: m.notes.arrival)
+        if queue and queue[-1].notes.wanted > mail.notes.wanted:
+            insort(queue, mail, key=lambda m: m.notes.wanted)
         else:
             queue.append(mail)
 
@@ -446,20 +466,25 @@
                 return
 
     def _next_mail(self, line, now):
-        """The mail of a line that goes next: the one that loses most by waiting, then by its target delay."""
+        """The mail of a line that goes next: what loses most until the line is through, then by target delay.
+
+        Guards against a line that never is: with a look one second ahead it served all just too late."""
         best, most = None, None
         trial = self.safe and all(self._on_trial(r) for r in line.destination.receivers if r.state == READY)
+        ahead = max(URGENT, line.drains(now)) if line.waiting > 1 else URGENT
+        gate = line.destination.gate or next((r.gate for r in line.destination.receivers if r.gate), 0)
+        usual = gate and gate.usual or self.usual or 0.0
         for at, one in enumerate(self.classes):
             fresh, late = line.fresh[at], line.late[at]
-            while fresh and now - fresh[0].arrived > one["GoalTime"]:
+            while fresh and now + min(usual, one["GoalTime"] / 4.0) > fresh[0].notes.wanted:
                 late.append(fresh.popleft())
             if line.waiting == 1 and (fresh or late):
                 return (fresh or late)[0]
             for mail in fresh and fresh[0], late and late[0], late and late[-1]:
                 if mail:
                     age = now - mail.arrived + URGENT / 2.0
-                    loss = self._worth(one, mail, age) - self._worth(one, mail, age + URGENT)
-                    rank = (trial and one["Effect"] == "safe", loss, -mail.arrived - one["GoalTime"])
+                    loss = self._worth(one, mail, age) - self._worth(one, mail, age + ahead)
+                    rank = (trial and one["Effect"] == "safe", loss, -mail.notes.wanted)
                     if most is None or rank > most:
                         best, most = mail, rank
         return best
@@ -707,12 +732,16 @@
         """A refusal sets a pace: what was accepted lately, or half the last pace, from the end of the wait.
 
         Guards against what one refusal or told wait holds falling due together, at one sender or at hundreds,
-        and against refused calls that use up a limit for good.
+        and against refused calls that use up a limit for good: where one that tells no wait meets a pace that
+        still held, the next grows half as fast, so that senders that see little don't keep a limit overrun.
         """
         came, start = self._share(receiver, now), max(now, gate.told_until)
         accepted = sum(gate.goods.recent(now, 4)) / 2.25
         rate = 0.5 * gate.pace.now(now) if gate.pace else came
-        gate.pace = Pace(max(accepted, rate, LEAST_SHARE * came), max(PACE_DOUBLES, 1000.0 / came), now)
+        doubles = max(PACE_DOUBLES, 1000.0 / came)
+        if gate.pace and gate.told_until <= now:        # a told wait says when there is room again
+            doubles = min(2.0 * gate.pace.doubles, SLOWEST * doubles)
+        gate.pace = Pace(max(accepted, rate, LEAST_SHARE * came), doubles, now)
         gate.pace.next_at = gate.pace.after(start, self.dice.roll(0.3, 0.9))
 
     def _meet(self, receiver, now):
--- a/dewpin/core/model.py
+++ b/dewpin/core/model.py
@@ -65,7 +65,7 @@
                  before=(0, None, None)):
         self.ident = ident
         self.destination = destination
-        self.arrived = arrived
+        self.arrived = arrived      # when it was first handed in, here or elsewhere
         self.expires = expires      # the end of its queue lifetime
         self.queue_class = queue_class
         self.account = account
--- a/dewpin/drill/adapter.py
+++ b/dewpin/drill/adapter.py
@@ -7,6 +7,7 @@
 
 ENDINGS = {10: model.DELIVERED, 20: model.ERROR, 30: model.FULL, 40: model.TIMED_OUT, 50: model.UNREACHED,
            60: model.RESET, 70: model.CALLED_OFF, 80: model.UNSENT}
+REPEAT, INHERITED = 2, 16           # bits of a query: handed in again, from a sender that died
 STATES = {0: model.GONE, 1: model.READY, 2: model.DRAINING}
 
 
@@ -51,8 +52,9 @@
                 if ident not in named:
                     receiver.state = model.GONE
 
-    def query(self, now, ticket, queue_class, account, key, left, _hint, owner, _bits):
-        mail = model.Mail(ticket, self.destination(int(owner)), now, now + left, queue_class, account, key)
+    def query(self, now, ticket, queue_class, account, key, left, _hint, owner, bits):
+        arrived = self.module.first_in(queue_class, left, bits & (REPEAT | INHERITED), now)
+        mail = model.Mail(ticket, self.destination(int(owner)), arrived, now + left, queue_class, account, key)
         self.mails[ticket] = mail
         self.write(mail, self.module.route(mail, now))
 
--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -290,7 +290,7 @@
             return 400, b""
         taken, ms = self.relay.hand_in(
             ident, fields.get(b"req-kind", b""), fields.get(b"req-owner", b""), key, destination,
-            tag, message.body, None if left is None else float(left) * 1000.0)
+            tag, message.body, None if left is None else float(left) * 1000.0, b"req-retry" in fields)
         if taken:
             return 202, b""
         tell(events.REFUSED, mail=ident, status=ms if taken is None else 503, queue_class=fields.get(b"req-kind"),
--- a/dewpin/ports.py
+++ b/dewpin/ports.py
@@ -17,8 +17,9 @@
     refusing: bool
 
     def hand_in(self, ident: bytes, queue_class: bytes, account: bytes, key: bytes, destination: bytes, tag: bytes,
-                body: bytes, left: float | None) -> tuple[bool | None, float]:
-        """Takes a mail on or not, at once; `left`: ms of its lifetime that are left, None for its class's own.
+                body: bytes, left: float | None, again: bool = False) -> tuple[bool | None, float]:
+        """Takes a mail on or not, at once; `left`: ms of its lifetime that are left, None for its class's own; `again`:
+        marked by the client as one that was handed in before.
 
         (True, 0): recorded, it is owed an end. (False, ms): refused, harmless to hand in again after so long (0: no
         advice). (None, status): a fault of its own, never taken on."""
--- a/dewpin/relay/course.py
+++ b/dewpin/relay/course.py
@@ -73,16 +73,16 @@
                     self.facade.take(sheet, now)
         self.wake()
 
-    def hand_in(self, ident, queue_class, account, key, destination, tag, body, left):
+    def hand_in(self, ident, queue_class, account, key, destination, tag, body, left, again=False):
         """(True, 0) once a mail is taken on, (False, ms to come back after), or (None, status): a fault of its own."""
         if not self.facade.knows(queue_class, account):
             return None, 400
-        taken, ms = self._hand_in(ident, queue_class, account, key, destination, tag, body, left)
+        taken, ms = self._hand_in(ident, queue_class, account, key, destination, tag, body, left, again)
         if not taken:
             self.ends[queue_class][model.BOUNCED if taken is None else model.DEFERRED] += 1
         return taken, ms
 
-    def _hand_in(self, ident, queue_class, account, key, destination, tag, body, left):
+    def _hand_in(self, ident, queue_class, account, key, destination, tag, body, left, again):
         self.follow()           # a key's earlier mail may have been handed in there
         now = self.clock.now()
         if self.refusing:
@@ -92,8 +92,9 @@
         if (ms := self.facade.full(destination, now)) is not None:
             return False, ms
         lifetime = self.facade.lifetime(queue_class)
-        sheet = Sheet(ident, queue_class, account, key, destination, tag, body, now,
-                      now + (lifetime if left is None else min(left, lifetime)))
+        left = lifetime if left is None else min(left, lifetime)
+        sheet = Sheet(ident, queue_class, account, key, destination, tag, body,
+                      self.facade.first_in(queue_class, left, again, now), now + left)
         if not self.spool.take(sheet):
             tell(events.SPOOL_FULL, bytes=self.spool.size, mails=len(self.spool.sheets))
             return False, 0.0
--- a/dewpin/relay/facade.py
+++ b/dewpin/relay/facade.py
@@ -82,6 +82,9 @@
     def lifetime(self, queue_class):
         return self.lifetimes[self.classes[queue_class]]
 
+    def first_in(self, queue_class, left, again, now):
+        return self.module.first_in(self.classes[queue_class], left, again, now)
+
     def ran(self, outcome):
         return outcome not in PROOF
 
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -88,8 +88,9 @@
         async def hand_in(count):
             outside.calls.clear()
             for number in range(count):
-                await sender.hand_in(f"m{len(outside.watching)}-{id(reached)}-{number}-{outside.revision}-{count}")
-                await until(lambda: len(outside.calls) > number)
+                ident = f"m{len(outside.watching)}-{id(reached)}-{number}-{outside.revision}-{count}"
+                await sender.hand_in(ident)     # its own call: one of before a kill may come again beside it
+                await until(lambda ident=ident: ident.encode() in outside.idents())
         assert (await call(sender, b"POST /_receivers/detach?host=r9"))[0] == 404
         for _ in range(2):                  # calls out may be repeated
             assert (await call(sender, b"POST /_receivers/detach?host=r0"))[0] == 200
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -282,6 +282,41 @@
     assert not d.sent(second) and d.module.settle(first, model.DELIVERED, d.now + 50.0)[2]
 
 
+@pytest.mark.parametrize("marked, again, age", [
+    (False, False, 9000.0), (True, True, 9000.0), (True, False, 0.0)])
+def test_a_repeat_counts_from_when_it_was_first_handed_in(marked, again, age):
+    module = Driver(settings() | {"Callers": {"MarksRetry": marked}}).module
+    left = module.classes[0]["Deadline"] - 9000.0
+    assert module.first_in(0, left, again, 20000.0) == 20000.0 - age
+
+
+def test_a_line_that_never_is_through_serves_its_mails_in_time():
+    """Fed twice as fast as it is served: mails at the end of their target delay go before those just past it."""
+    one = settings(slots=1)
+    one["FamilyInfo"]["Decay"] = "halves"
+    d, late, goal = Driver(one), [], one["Services"][0]["GoalTime"]
+    d.mail()
+    for _ in range(100):
+        mail = next(iter(d.out))
+        d.outcome(mail, model.DELIVERED, goal / 10.0)
+        late.append(d.now - mail.arrived > goal)
+        d.mail()
+        d.mail()
+    assert sum(late[40:]) <= 6, late
+
+
+def test_a_pace_refused_again_grows_more_slowly_unless_a_wait_was_told():
+    def grows(last, refusals=3):
+        d = Driver(settings(slots=20))
+        d.keep_answering(3000.0, 100.0, 20.0)
+        for left in range(refusals)[::-1]:
+            mail = d.mail()
+            d.run_until(lambda mail=mail: d.sent(mail), 60000.0)
+            d.outcome(mail, model.FULL, 2.0, told=0.0 if left else last)
+        return d.module.gate(d.destination.receivers[0]).pace.doubles
+    assert grows(0.0) >= 4.0 * grows(0.0, 1) and grows(100.0) == grows(0.0, 1)
+
+
 def test_a_receiver_that_refuses_for_itself_draws_in_no_mails_and_sets_no_pace():
     d = Driver(settings(), receivers=2)
     bad = d.destination.receivers[0]
