--- /dev/null
+++ b/dewpin/lab/fleet/member.py
@@ -0,0 +1,40 @@
+"""A member as a process of its own; it tells the taker whom it holds to be there, whom it calls lost, and its address.
+
+Its one argument is JSON: name, peers, seeds, period, timeout, taker. SIGTERM: it leaves and ends.
+"""
+import asyncio
+import json
+import signal
+import socket
+import sys
+import time
+from typing import Any
+
+from ...peers.members import LOST, Members
+from ...peers.node import Node, clock
+
+
+async def main(told: dict[str, Any]) -> None:
+    taker = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    peers = {name: (host, port) for name, (host, port) in told["peers"].items()}
+    node = Node(told["name"], peers, (), "", 0.0)
+    at = await node.open("127.0.0.1", 0)
+    seeds = [(host, port) for host, port in told["seeds"]]
+    node.members = Members(told["name"], at, time.time_ns() // 1000000, seeds, clock(), told["period"], told["timeout"])
+    stop, beat, before = asyncio.Event(), 0, [""]
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    while not stop.is_set():
+        lost = [name for name, state in node.members.changes() if state == LOST]
+        now = node.members.alive()
+        if lost or now != before or beat % 25 == 0:     # again and again: a datagram may be lost
+            facts = {"name": told["name"], "at": at, "alive": now, "lost": lost, "replaced": node.members.replaced}
+            taker.sendto(json.dumps(facts).encode(), tuple(told["taker"]))
+        before, beat = now, beat + 1
+        await asyncio.sleep(0.02)
+    node.leave()
+    await asyncio.sleep(0)
+    node.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(json.loads(sys.argv[1])))
--- a/dewpin/peers/node.py
+++ b/dewpin/peers/node.py
@@ -1,4 +1,4 @@
-"""One peer on a datagram socket, with a voter's file: the thin side of `lease.py`.
+"""One peer on a datagram socket, with a voter's file: the thin side of `lease.py` and `members.py`.
 
 It owns the socket, the timer and the file `votes`. Nothing leaves before what it rests on is on disk; it decides
 nothing.
@@ -11,7 +11,8 @@
 import msgspec
 
 from .lease import Candidate, Message, Sent, Voter
-from .wire import pack, unpack
+from .members import Address, Members, Out
+from .wire import Packet, pack, unpack
 
 LOOK = 0.02             # seconds between two looks at what is due
 NAME = "votes"
@@ -45,11 +46,13 @@
 
 
 class Node(asyncio.DatagramProtocol):
-    """`peers`: {name: address} of all others; `first`: the installation never ran, so an empty folder is no loss."""
+    """`peers`: {name: address} where it is fixed how to reach them, before what members say; `first`: the installation
+    never ran, so an empty folder is no loss; `members` is set before messages come."""
 
     def __init__(self, name: str, peers: Mapping[str, tuple[str, int]], voters: Sequence[str], folder: str,
                  term: float, first: bool = False) -> None:
         self.name, self.peers, self.term = name, dict(peers), term
+        self.members: Members | None = None
         self.candidates: list[Candidate] = []
         self.voter: Voter | None = None
         self.bad = 0                    # datagrams that were no message, or from nobody known
@@ -78,11 +81,17 @@
     def release(self, candidate: Candidate) -> None:
         self._send(candidate.release(clock()))
 
+    def leave(self) -> None:
+        if self.members:
+            self._out(self.members.leave())
+
     async def _run(self) -> None:
         beat = 0
         while True:
             for candidate in self.candidates:
                 self._send(candidate.tick(clock()))
+            if self.members:
+                self._out(self.members.tick(clock()))
             if self.voter and self.voter.blank and beat % 25 == 0:
                 self._send(self.voter.start())
             beat += 1
@@ -90,10 +99,27 @@
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         packet = unpack(data)
-        if packet is None or packet.name not in self.peers:
+        if packet is None or not self._takes(packet, address):
             self.bad += 1
-            return
-        self._heard(packet.name, packet.message)
+
+    def _takes(self, packet: Packet, address: Address) -> bool:
+        if isinstance(packet.message, Message):
+            if self._where(packet.name) is None:
+                return False
+            self._heard(packet.name, packet.message)
+            return True
+        if self.members is None:
+            return False
+        self._out(self.members.hear(packet.name, address, packet.message, clock()))
+        return True
+
+    def _where(self, name: str) -> Address | None:
+        return self.peers.get(name) or (self.members.address(name) if self.members else None)
+
+    def _out(self, out: Out) -> None:
+        for peer, address, message in out:
+            if self.transport:
+                self.transport.sendto(pack(self.name, message), self.peers.get(peer, address))
 
     def error_received(self, error: Exception) -> None:
         """A peer's port is shut: it says nothing of what it granted."""
@@ -113,5 +139,5 @@
         for peer, message in sent:
             if peer == self.name:
                 asyncio.get_running_loop().call_soon(self._heard, peer, message)
-            elif self.transport and peer in self.peers:
-                self.transport.sendto(pack(self.name, message), self.peers[peer])
+            elif self.transport and (address := self._where(peer)):
+                self.transport.sendto(pack(self.name, message), address)
--- a/dewpin/peers/wire.py
+++ b/dewpin/peers/wire.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from .lease import Message
+from .members import Said
 
 VERSION = 1
 MOST = 1400             # bytes; a message that needs more is a fault of ours
@@ -13,13 +14,13 @@
 class Packet(msgspec.Struct, frozen=True, array_like=True):
     version: int
     name: str
-    message: Message
+    message: Message | Said
 
 
 _encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Packet)
 
 
-def pack(name: str, message: Message) -> bytes:
+def pack(name: str, message: Message | Said) -> bytes:
     """ValueError if it is over the bound."""
     content = _encoder.encode(Packet(VERSION, name, message))
     if len(content) > MOST:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -6,7 +6,7 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 MAY = {                     # a package: the packages of ours that it may import
-    "core": set(), "lab": set(), "peers": set(), "config": set(), "log": set(), "spool": {"core", "log"},
+    "core": set(), "lab": {"peers"}, "peers": set(), "config": set(), "log": set(), "spool": {"core", "log"},
     "relay": {"core", "log", "ports", "spool"},
     "console": {"log", "net"}, "net": {"core", "log", "ports"}, "drill": {"core"}, "ports": set(),
     "daemon": {"config", "console", "log", "net", "ports", "relay", "spool"},
