A destination that answered nothing yet has the target delay for its first calls

A sender has some four calls there in all that time. At fault in _timeout: where a destination had answered nothing, six usual times of *all* the sender's destinations (1.5 s); a slow one answers after that, so each of 248 senders gave its first call up while it was worked on. The assumption fitted senders that meet a destination often. Change: the target delay at least until the first answer. What else it covers: a cold or crowded destination at first contact; harm: a hang holds a first call longer (silence lets nothing join it, as before).

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -594,12 +594,17 @@
             now < self._receiver_at(line, receiver, self._next_mail(line, now), now))
 
     def _timeout(self, gate, mail):
-        """The destination's figure: learned from its usual time, twice where a time-out ends the mail."""
+        """The destination's figure: learned from its usual time, twice where a time-out ends the mail.
+
+        Of one that has answered nothing yet it is the target delay at least. Guards against hundreds of senders
+        that each give a slow one up at its first call: it works for callers that are gone, and for nobody else."""
         usual = gate.usual or self.usual        # one that has answered nothing yet is taken to be like others
         if usual is None:
             return FIRST_TIMEOUT
         times = 2.0 if self.classes[mail.queue_class]["Effect"] == "unsafe" else 1.0
         learned = max(SILENT_LEAST, TIMEOUT_TIMES * usual)
+        if gate.usual is None:
+            learned = max(learned, self.classes[mail.queue_class]["GoalTime"])
         return min(FIRST_TIMEOUT, learned * times * 2.0 ** gate.timeouts)
 
     def _send(self, line, mail, receiver, now):
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -356,6 +356,14 @@
     assert doubled()
 
 
+def test_a_destination_that_answered_nothing_yet_is_given_the_target_delay():
+    d = Driver(settings())
+    d.keep_answering(4000.0, 100.0, 100.0)
+    other = model.Destination(2)
+    model.Receiver(50, other)
+    assert d.out[d.mail(destination=other)][2] >= d.settings["Services"][0]["GoalTime"]
+
+
 def test_a_question_costs_what_waits_and_nothing_for_destinations_without_mail():
     def calls(idle):
         d, entered = Driver(settings(room=5000)), []
