--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -596,8 +596,8 @@
     def _timeout(self, gate, mail):
         """The destination's figure: learned from its usual time, twice where a time-out ends the mail.
 
-        Of one that has answered nothing yet it is the target delay at least. Guards against hundreds of senders
-        that each give a slow one up at its first call: it works for callers that are gone, and for nobody else."""
+        Of one that has answered nothing yet it is the target delay at least. Guards against senders that each
+        give a slow one up at their first call: it works for callers that are gone, and for nobody else."""
         usual = gate.usual or self.usual        # one that has answered nothing yet is taken to be like others
         if usual is None:
             return FIRST_TIMEOUT
