A pace grows more slowly only where its growth met the limit

At fault in _slow_down: on a busy line the refusals of one moment each slowed the growth, to eight times, though nothing had grown between them. Change: only where the pace before had grown by 1.4.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -735,7 +735,8 @@
         accepted = sum(gate.goods.recent(now, 4)) / 2.25
         rate = 0.5 * gate.pace.now(now) if gate.pace else came
         doubles = max(PACE_DOUBLES, 1000.0 / came)
-        if gate.pace and gate.pace.goods < FEW and gate.told_until <= now:  # a told wait says when to come
+        if gate.pace and gate.pace.goods < FEW and gate.told_until <= now \
+                and gate.pace.now(now) > 1.4 * gate.pace.rate:      # it was its growth that met the limit
             doubles = min(2.0 * gate.pace.doubles, SLOWEST * doubles)
         gate.pace = Pace(max(accepted, rate, LEAST_SHARE * came), doubles, now)
         gate.pace.next_at = gate.pace.after(start, self.dice.roll(0.3, 0.9))
