A pace's growth slows only as far as a line needs to notice a limit

At fault in _slow_down: eight times three seconds, also on lines with ten mails a second, which see a limit within their next calls. Change: at most the span of sixteen of the line's mails.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -34,6 +34,7 @@
 RATE_SPAN = 20000.0         # over so long a destination's traffic is measured
 PACE_DOUBLES = 3000.0       # a pace set by a refusal doubles in this time without another
 SLOWEST = 8.0               # refused again and again, it takes up to so many times as long
+CALLS = 16.0                # a line's: over more of them it notices a limit in time, however fast a pace grows
 FEW = 4                     # good answers; fewer say little of a pace
 LEAST_SHARE = 0.2           # of a line's own traffic that a pace set by refusals never falls under
 JAMMED = 0.1                # share of a kind's calls that find no connection at once, above which none rests
@@ -737,7 +738,8 @@
         doubles = max(PACE_DOUBLES, 1000.0 / came)
         if gate.pace and gate.pace.goods < FEW and gate.told_until <= now \
                 and gate.pace.now(now) > 1.4 * gate.pace.rate:      # it was its growth that met the limit
-            doubles = min(2.0 * gate.pace.doubles, SLOWEST * doubles)
+            slowest = max(doubles, min(SLOWEST * doubles, CALLS * 1000.0 / came))
+            doubles = min(2.0 * gate.pace.doubles, slowest)
         gate.pace = Pace(max(accepted, rate, LEAST_SHARE * came), doubles, now)
         gate.pace.next_at = gate.pace.after(start, self.dice.roll(0.3, 0.9))
 
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -300,10 +300,10 @@
 
 
 def test_a_pace_whose_growth_met_a_limit_grows_more_slowly_the_next_time():
-    def grows(goods=1, grown=0.9, told=0.0):
+    def grows(goods=1, grown=0.9, told=0.0, every=1000.0):
         """Three refusals: what the third pace's growth takes, over the first one's."""
         d = Driver(settings(slots=20))
-        d.keep_answering(3000.0, 100.0, 20.0)
+        d.keep_answering(20000.0, every, 20.0)
         receiver, spans = d.destination.receivers[0], []
         for _ in range(3):
             gate = d.module.gate(receiver)
@@ -316,6 +316,7 @@
     assert grows() == 4.0
     assert grows(goods=4) == 1.0        # enough went well: it did not meet it by growing
     assert grows(grown=0.1) == 1.0      # refusals of one moment
+    assert grows(every=100.0) == 1.0    # a busy line notices in time
     assert grows(told=100.0) == 1.0     # a told wait says when there is room
 
 
