Members: news is counted in bytes, and no datagram names an address to look up

Found in reading the change again: news was counted in characters, so names of two-byte letters made a datagram over its bound and the peer's timer raised; a host name or a wild port in an entry went to sendto as it came, which looks it up while all wait or raises. Change: bytes; what is no IP address with a port of 16 bits is counted as bad and not sent to.

--- a/dewpin/peers/members.py
+++ b/dewpin/peers/members.py
@@ -432,4 +432,4 @@
 
 
 def _bytes(entry: Entry) -> int:
-    return len(entry.name) + len(entry.host) + len(entry.by) + 28
+    return len((entry.name + entry.host + entry.by).encode()) + 32
--- a/dewpin/peers/node.py
+++ b/dewpin/peers/node.py
@@ -4,6 +4,7 @@
 nothing.
 """
 import asyncio
+import ipaddress
 import os
 import time
 from collections.abc import Mapping, Sequence
@@ -23,6 +24,14 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
+def reachable(address: Address) -> bool:
+    """Guards against what a datagram says of another: a name would be looked up while all wait, a wild port raises."""
+    try:
+        return bool(ipaddress.ip_address(address[0])) and 0 < address[1] < 65536
+    except ValueError:
+        return False
+
+
 class Votes:
     """The voter's file: {duty: [number, holder]}, replaced in one step and synced."""
 
@@ -118,8 +127,11 @@
 
     def _out(self, out: Out) -> None:
         for peer, address, message in out:
-            if self.transport:
-                self.transport.sendto(pack(self.name, message), self.peers.get(peer, address))
+            to = self.peers.get(peer, address)
+            if self.transport and reachable(to):
+                self.transport.sendto(pack(self.name, message), to)
+            else:
+                self.bad += 1
 
     def error_received(self, error: Exception) -> None:
         """A peer's port is shut: it says nothing of what it granted."""
--- a/tests/peers/test_members.py
+++ b/tests/peers/test_members.py
@@ -11,7 +11,9 @@
 
 from dewpin.lab.fleet.relays import Ways
 from dewpin.peers import members
-from dewpin.peers.members import ALIVE, LEFT, LOST, Entry, Members, Page
+from dewpin.peers.members import ALIVE, LEFT, LOST, Entry, Members, Page, Pull
+from dewpin.peers.node import reachable
+from dewpin.peers.wire import MOST, pack
 from driver import until
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -101,6 +103,16 @@
     assert not one.members and one.alive() == ["a"]
 
 
+def test_what_others_say_overflows_no_datagram_and_calls_no_resolver():
+    one = Members("a", ("127.0.0.1", 1), 1, [], 0.0)
+    for at in range(60):
+        entry = Entry("\u00e4" * 60 + f"{at:03}", "127.0.0.1", 1, 1, 0, ALIVE)
+        one.hear("b", ("127.0.0.1", 1), Page((entry,), False), 0.0)
+    for _, _, message in one.hear("b", ("127.0.0.1", 1), Pull("", 0, one.me), 0.0) + one.tick(5000.0):
+        assert len(pack("a", message)) <= MOST
+    assert reachable(("127.0.0.1", 9)) and not any(map(reachable, [("host.example", 9), ("127.0.0.1", 70000), ("", 0)]))
+
+
 class Fleet(asyncio.DatagramProtocol):
     """Real members behind relays, and what each last told of the others."""
 
