A repeat whose connection comes up after its window is not sent; records wait for the first byte

The group is `all` there, so the window it was.

Lines at fault: `Dispatcher._end` is the only check of the window, at the choice; from there to the last byte lie a handshake (up to `ConnectTimeout`, 1.5 s), 50 ms for an earlier notice of the key (`Relay._unsent`) and 3 ms for the last byte. `Call._open` wrote whenever its connection came up. Ruled out: the replay's own clock (`Clock.offset` is taken of the same wall clock), the group (`all`), `ran_at` (taken at the choice, so early and not late).

Read beside it, same lines: `Spool.connect` recorded the attempt at the choice, so a kill while the connection came up made a mail that had surely not run one that may have: a once-only mail was given up at the restart with no call.

Mend: `leaves()` is asked right before the first byte. It says how long the last byte may still take (lifetime and window; 0 where the receiver drains, a wait was told, the process stops or has handed on) and records the attempt there; the last byte is not written after that time either. An attempt whose connection never came up is not recorded: after a kill such a mail has that try back.

Tests, on real connections, with a full accept queue so that the sender's first SYN is lost and the connection comes up 1 s later: all three of tests/daemon/test_late_connections.py fail on the text before.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -276,6 +276,15 @@
         self._send(line, mail, receiver, now)
         return receiver, limit
 
+    def leaves(self, mail, receiver, now):
+        """Ms within which the last byte of a mail that was routed may leave; asked right before its first.
+
+        Guards against a connection that comes up long after the choice: the window of a repeat may be over by
+        then, a wait told or a drain listed."""
+        if receiver.state != READY or now < self.gate(receiver).told_until:
+            return 0.0
+        return max(0.0, self._until(mail) - now)
+
     def settle(self, mail, outcome, now):
         """What to do after an outcome: classify first, repeat after."""
         course, call = mail.notes, mail.notes.call
@@ -366,11 +375,14 @@
         """When a mail that is not out must be given up: its lifetime, its repeat's window, or at once.
 
         Guards against a restart: a once-only mail that was out, or one with no connect left, goes no more."""
+        return self._until(mail) if mail.notes.tries < self.allowed["MaxAttempts"] else 0.0
+
+    def _until(self, mail):
+        """When the last byte of a call with it must have left: at the end of its lifetime or its window."""
         course, end, one = mail.notes, mail.expires - self.margin, self.classes[mail.queue_class]
-        if course.ran_at is not None and one["Effect"] != "safe":
-            window = one["Window"] if one["Effect"] == "keyed" else 0.0
-            end = min(end, course.ran_at + window - self.margin)
-        return end if course.tries < self.allowed["MaxAttempts"] else 0.0
+        if course.ran_at is None or one["Effect"] == "safe":
+            return end
+        return min(end, course.ran_at + (one["Window"] if one["Effect"] == "keyed" else 0.0) - self.margin)
 
     def _finish(self, mail, now, verdict=None, outcome=None):
         course = mail.notes
--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -53,7 +53,8 @@
             self.whole()
             self.whole = None
 
-    def ask(self, request, done, hold=0.0):
+    def ask(self, request, done, hold=0.0, until=None):
+        """`hold`: seconds that the last byte is held back; `until`: the loop's time from which on it may not leave."""
         self.done = done
         if not hold:
             return self.transport.write(request)
@@ -61,11 +62,11 @@
         # left, that proves that nothing ran, which a once-only mail lives on
         self.unwritten = True
         self.transport.write(request[:-1])
-        self.held = asyncio.get_running_loop().call_later(hold, self._last_byte, request[-1:])
+        self.held = asyncio.get_running_loop().call_later(hold, self._last_byte, request[-1:], until)
 
-    def _last_byte(self, byte):
+    def _last_byte(self, byte, until):
         self.held = None
-        if self.heard_from():
+        if self.heard_from() or (until is not None and asyncio.get_running_loop().time() >= until):
             return self.close()
         self.unwritten = self.transport.get_write_buffer_size() > 0
         self.transport.write(byte)
@@ -142,10 +143,13 @@
 
 
 class Call:
-    """One call: from the wish to send to its outcome, which is told once."""
+    """One call: from the wish to send to its outcome, which is told once.
 
-    def __init__(self, pool, address, request, limit, done):
-        self.pool, self.address, self.request, self.done = pool, address, request, done
+    `leaves()` is asked right before the first byte, which may be long after the wish: ms until which the last one may
+    leave, 0 where the call is not to leave any more."""
+
+    def __init__(self, pool, address, request, limit, leaves, done):
+        self.pool, self.address, self.request, self.leaves, self.done = pool, address, request, leaves, done
         self.began, self.link, self.opening = pool.loop.time(), None, None
         self.limit = pool.loop.call_later(limit / 1000.0, self._too_late)
         idle = pool.idle_link(address)
@@ -171,8 +175,15 @@
         self._write(link)
 
     def _write(self, link):
+        ms = self.leaves()
+        if ms <= 0.0:
+            self.pool.rest(self.address, link)      # nothing was written on it
+            # not at once: the outcome is never told before `Pool.call` returns
+            self.limit.cancel()
+            self.limit = self.pool.loop.call_soon(self.finish, model.UNSENT)
+            return
         self.link, link.whole = link, self.pool.count
-        link.ask(self.request, self._answered, HELD)
+        link.ask(self.request, self._answered, HELD, self.pool.loop.time() + ms / 1000.0)
 
     def _answered(self, how, message):
         if how == ANSWERED:
@@ -248,9 +259,10 @@
         self.sent = 0               # requests that left whole
         self.sweep = None
 
-    def call(self, address, ident, tag, body, limit, done):
-        """Sends a mail; `done(outcome, told ms, took ms, load, over)` is told once, never before this returns."""
-        Call(self, address, hook(address, ident, tag, body, limit), limit, done)
+    def call(self, address, ident, tag, body, limit, leaves, done):
+        """Sends a mail, if `leaves` allows it; `done(outcome, told ms, took ms, load, over)` is told once, never before
+        this returns."""
+        Call(self, address, hook(address, ident, tag, body, limit), limit, leaves, done)
 
     def count(self):
         self.sent += 1
--- a/dewpin/ports.py
+++ b/dewpin/ports.py
@@ -42,8 +42,11 @@
 class Outlet(Protocol):
     """What the relay asks of an outlet."""
 
-    def call(self, address: Address, ident: bytes, tag: bytes, body: bytes, limit: float, done: Heard) -> None:
-        """Sends a mail, once, and waits `limit` ms for its outcome; `done` is told once, never before this returns."""
+    def call(self, address: Address, ident: bytes, tag: bytes, body: bytes, limit: float,
+             leaves: Callable[[], float], done: Heard) -> None:
+        """Sends a mail, once, and waits `limit` ms for its outcome; `done` is told once, never before this returns.
+
+        `leaves()` is asked right before the first byte: ms within which the last one may leave; 0: it is not sent."""
 
     def recall(self, address: Address) -> None:
         """Calls to this address that have not left are told as unsent."""
--- a/dewpin/relay/course.py
+++ b/dewpin/relay/course.py
@@ -158,17 +158,27 @@
             self.out += 1
         else:
             self.out += 1
-            self._send(sheet, what, ms, now)
+            self._send(sheet, what, ms)
 
-    def _send(self, sheet, receiver, limit, now):
-        if not self.spool.connect(sheet, receiver.ident, now):
-            self.loop.call_soon(self._heard, sheet, receiver, model.UNSENT, 0.0, 0.0, {}, False)
-            return
-        tell(events.CONNECT, mail=sheet.ident, connect=sheet.tries, receiver=receiver.ident,
-             destination=sheet.destination, limit_ms=limit)
+    def _send(self, sheet, receiver, limit):
         self.pool.call(receiver.address, sheet.ident, sheet.tag, sheet.body, limit,
+                       lambda: self._leaves(sheet, receiver, limit),
                        lambda *heard: self._heard(sheet, receiver, *heard))
 
+    def _leaves(self, sheet, receiver, limit):
+        """Right before a call's first byte: ms within which its last one may leave, or 0 if it is not to leave.
+
+        Guards against a connection that comes up long after the choice: a repeat's window is over by then, a wait was
+        told, this process ends or the next one has the mail. And against a kill while it comes up: what is recorded may
+        have run."""
+        now = self.clock.now()
+        ms = self.facade.leaves(sheet, receiver, now) if self.sending else 0.0
+        if ms <= 0.0 or not self.spool.connect(sheet, receiver.ident, now):
+            return 0.0
+        tell(events.CONNECT, mail=sheet.ident, connect=sheet.tries, receiver=receiver.ident,
+             destination=sheet.destination, limit_ms=limit)
+        return ms
+
     def _unsent(self, sheet, receiver):
         """A notice for an earlier mail of the key is not answered: the connect never left."""
         del self.behind[sheet.key][sheet]
@@ -183,7 +193,7 @@
             return
         try:
             ran = self.facade.ran(outcome)
-            tell(events.HEARD, mail=sheet.ident, connect=sheet.tries, receiver=receiver.ident,
+            tell(events.HEARD, mail=sheet.ident, connect=sheet.tries + (sheet.out is None), receiver=receiver.ident,
                  destination=sheet.destination, outcome=outcome, ran=ran, took_ms=took, told_ms=told)
             self.spool.settle(sheet, ran)
             ending, ms, leaves = self.facade.report(sheet, outcome, told, took, load, over, self.clock.now())
@@ -233,7 +243,7 @@
             now = self.clock.now()
             for held, (receiver, until, late) in self.behind.pop(sheet.key, {}).items():
                 late.cancel()
-                self._send(held, receiver, max(1.0, until - now), now)
+                self._send(held, receiver, max(1.0, until - now))
 
     # -- two processes of one sender, while one takes over from the other -----------------------------------------
 
--- a/dewpin/relay/facade.py
+++ b/dewpin/relay/facade.py
@@ -88,6 +88,10 @@
     def ran(self, outcome):
         return outcome not in PROOF
 
+    def leaves(self, sheet, receiver, now):
+        """Ms within which the last byte of a mail that was picked may leave; 0: none of it may."""
+        return self.module.leaves(sheet.mail, receiver, now)
+
     def adopt(self, sheet, now):
         """A mail whose call is out at the process before this one; gives the receiver."""
         ident, sent = sheet.out
--- /dev/null
+++ b/tests/daemon/test_late_connections.py
@@ -0,0 +1,124 @@
+"""Connections to receivers that come up late, and what happens in the meantime: the receiver's queue is full, so that
+the sender's first SYN is lost and its connection comes up with the second one, a second later."""
+import asyncio
+import signal
+import socket
+import struct
+import time
+
+from driver import play, read_message, reply, until
+
+SYN_SENT = "02"
+
+
+class Full:
+    """A receiver that accepts by hand, and whose queue of connections can be filled."""
+
+    def __init__(self):
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.socket.setblocking(False)
+        self.port = self.socket.getsockname()[1]
+        self.filling, self.calls = [], []
+
+    async def accept(self):
+        return (await asyncio.get_running_loop().sock_accept(self.socket))[0]
+
+    def fill(self):
+        for _ in range(4):
+            self.filling.append(socket.socket())
+            self.filling[-1].setblocking(False)
+            self.filling[-1].connect_ex(("127.0.0.1", self.port))
+
+    async def serve(self):
+        """Empties the queue, and answers whatever call comes from then on."""
+        while True:
+            reader, writer = await asyncio.open_connection(sock=await self.accept())
+            asyncio.get_running_loop().create_task(self._answer(reader, writer))
+
+    async def _answer(self, reader, writer):
+        while message := await read_message(reader):
+            self.calls.append(message[1][b"req-id"])
+            writer.write(reply(200))
+
+    def waited_for(self):
+        """Whether a connection to it, beside those that fill it, is on its way."""
+        own = {one.getsockname()[1] for one in self.filling}
+        with open("/proc/net/tcp") as file:
+            rows = [line.split() for line in file.readlines()[1:]]
+        return any(row[3] == SYN_SENT and int(row[2].split(":")[1], 16) == self.port
+                   and int(row[1].split(":")[1], 16) not in own for row in rows)
+
+    def close(self):
+        for one in (self.socket, *self.filling):
+            one.close()
+
+
+def member(outside, full):
+    outside.members[0]["host_port"] = f"127.0.0.1:{full.port}"
+
+
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent(tmp_path):
+    async def scene(outside, sender):
+        full = Full()
+        member(outside, full)
+        for one in sender.told["settings"]["Services"]:
+            one["Window"] = 900.0
+        await sender.start()
+        await sender.hand_in("m")
+        connection = await full.accept()
+        reader, writer = await asyncio.open_connection(sock=connection)
+        assert (await read_message(reader))[1][b"req-id"] == b"m"
+        closes = time.monotonic() + 0.9     # the window began before this
+        full.fill()
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        await until(full.waited_for)
+        await until(lambda: time.monotonic() > closes)
+        serving = asyncio.create_task(full.serve())
+        await until(lambda: outside.notices or full.calls)
+        assert not full.calls and outside.notices == [{"message": "m", "outcome": "given_up"}]
+        serving.cancel()
+        full.close()
+    play(tmp_path, scene, start=False)
+
+
+def test_a_mail_whose_connection_came_up_when_the_process_was_killed_has_not_run(tmp_path):
+    async def scene(outside, sender):
+        full = Full()
+        member(outside, full)
+        await sender.start()
+        full.fill()
+        await sender.hand_in("once", kind="charge")
+        await until(full.waited_for)
+        await sender.end()
+        serving = asyncio.create_task(full.serve())
+        await sender.start()
+        await until(lambda: outside.notices or full.calls)
+        assert full.calls == [b"once"] and not outside.notices
+        serving.cancel()
+        full.close()
+    play(tmp_path, scene, start=False)
+
+
+def test_what_comes_up_once_connects_start_no_more_is_left_to_the_next_start(tmp_path):
+    async def scene(outside, sender):
+        full = Full()
+        member(outside, full)
+        sender.told["stop"] = {"sends_ms": 0.0, "ends_ms": 10000.0}
+        await sender.start()
+        full.fill()
+        await sender.hand_in("once", kind="charge")
+        await until(full.waited_for)
+        sender.process.send_signal(signal.SIGTERM)
+        while (await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200:      # until the signal is taken in
+            pass
+        serving = asyncio.create_task(full.serve())
+        assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
+        assert not full.calls and not outside.notices
+        await sender.start()
+        await until(lambda: full.calls)
+        assert full.calls == [b"once"] and not outside.notices
+        serving.cancel()
+        full.close()
+    play(tmp_path, scene, start=False)
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -77,7 +77,7 @@
         outside.early = True
         pool = Pool(asyncio.get_running_loop(), 300.0, 15000.0)
         pool.call(outside.servers[0].sockets[0].getsockname(), b"m", b"", b"x", 5000.0,
-                  lambda *what: heard.append(what))
+                  lambda: 5000.0, lambda *what: heard.append(what))
         await until(lambda: heard)
         assert heard[0][0] == model.DROPPED and heard[0][2] < 1900.0 and not outside.calls
         for one in (outside.agent, *outside.servers, *(c.transport for c in outside.connections)):
@@ -98,7 +98,8 @@
             one.connect_ex(shut.getsockname())
 
         def call(name, address, limit=5000.0):
-            pool.call(address, name.encode(), b"", b"x", limit, lambda *what: heard.setdefault(name, what))
+            pool.call(address, name.encode(), b"", b"x", limit, lambda: 5000.0,
+                      lambda *what: heard.setdefault(name, what))
 
         async def reset(*_):
             raise ConnectionResetError(104, "Connect call failed")
--- a/tests/relay/test_memory.py
+++ b/tests/relay/test_memory.py
@@ -34,7 +34,8 @@
         __slots__ = ("__weakref__",)
 
     class Outward:
-        def call(self, address, ident, tag, body, limit, done):
+        def call(self, address, ident, tag, body, limit, leaves, done):
+            assert leaves() > 0.0
             loop.call_soon(done, model.DELIVERED if ident < b"m5" else model.ERROR, 0.0, 5.0, {}, False)
 
         def tell(self, ident, deferred, ms, answered):
