Calls: only what can be an answer is one, and none is overtaken or dropped unread

- `BEGUN` took "HTTP/1.1 200 " for a first line: half a line and a reset counted as delivered, so a mail that nobody took could end without a notice.
The line must be whole.
- Noise ending in an empty line was deleted before its first line was judged, and what stood behind it ("HTTP/1.1 200 OK") then counted as the first line (`Reader._head`).
- What an earlier answer left on a resting connection (a second copy, half a line), read after the idle check and before the last byte, was taken for this call's answer: 200 as delivered, 410 as over, 500 as run.
No receiver has the call then: DROPPED, only a refusal holds (`Call._answered`).
- `_last_byte` closed over bytes that waited to be read, a told wait among them; it reads them first now, and writes no last byte behind half a line.
- An interim answer in two pieces started the clock of the whole answer (250 ms), which then cut the answer itself off as spoilt (`Link.arrived`).
- A time-out due in the turn of the loop in which an answer came won over it (`Call._too_late`).
- With `most_idle` 0 (a process that hands on) connections were kept all the same (`Pool.rest`).
- On the agent's connection, bytes behind one answer would have been read as the next one's (`Channel.ask`); no test, its reader is the same.

Checked and left: `finish` tells once; a connect that succeeds or fails in the turn of its time-out closes its socket; slots are given back on each path.

--- a/dewpin/net/agent.py
+++ b/dewpin/net/agent.py
@@ -57,8 +57,8 @@
                 how, message = await heard
         except (OSError, TimeoutError):
             how, message = None, None
-        if message is None or message.last or how != ANSWERED:
-            self.close()
+        if message is None or message.last or how != ANSWERED or self.link.reader.held:
+            self.close()        # what came behind an answer is none to the next question
         return message if how == ANSWERED else None
 
     def close(self):
--- a/dewpin/net/http.py
+++ b/dewpin/net/http.py
@@ -17,7 +17,7 @@
 CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 DIGITS = re.compile(rb"[0-9]{1,9}")
 HEX = re.compile(rb"[0-9A-Fa-f]{1,8}")
-BEGUN = re.compile(rb"HTTP/1\.[01] ([1-9]\d\d)(?: |\r\n)")
+BEGUN = re.compile(rb"HTTP/1\.[01] ([1-9]\d\d)(?: [^\r\n]*)?\r\n")      # a first line that is whole
 TO_END, CHUNKED = -1, -2
 
 
@@ -64,8 +64,8 @@
         self.message = self.chunks = None
 
     def begun(self):
-        """What is known of the message that is not whole: the status of its first line, 0 if that says none yet, None
-        if nothing of it has come."""
+        """What is known of the message that is not whole: the status of its first line, 0 if that is not whole or says
+        none, None if nothing of it has come."""
         if self.message:
             return self.message.status
         found = BEGUN.match(self.held)
@@ -146,10 +146,10 @@
             self.looked = len(self.held)
             return False
         first, *lines = bytes(self.held[:end]).split(b"\r\n")
-        del self.held[:end + 4]
-        self.looked = 0
         fields = {}
         message = self.message = Message(self._first(first), fields)
+        del self.held[:end + 4]     # after: of noise, what stands behind its first line is no first line
+        self.looked = 0
         for line in lines:
             name, colon, value = line.partition(b":")
             if self.answers and name.lower() == b"srv-load" and CONTROL.search(value):
--- a/dewpin/net/outbound.py
+++ b/dewpin/net/outbound.py
@@ -19,6 +19,7 @@
 OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)    # no connection, and no receiver's fault
 HELD = 0.003            # seconds for which a call's last byte is held back, since without it nothing runs
 WHOLE = 0.25            # seconds for an answer that has begun to come whole
+SOON = 0.001            # a timer of the loop's next turn, in which it reads before it looks at timers
 ANSWERED, UNWRITTEN, BROKEN, SPOILT = "answered", "unwritten", "broken", "spoilt"
 FIGURE = re.compile(rb"[0-9.eE+-]{1,32}")
 OUTCOMES = {200: model.DELIVERED, 429: model.FULL, 503: model.FULL, 504: model.UNSENT, 410: model.UNSENT}
@@ -66,7 +67,11 @@
 
     def _last_byte(self, byte, until):
         self.held = None
-        if self.heard_from() or (until is not None and asyncio.get_running_loop().time() >= until):
+        if self.heard_from() or self.reader.begun() is not None:
+            # read all of it first: an end proves that nothing ran, and so does a refusal, which may tell a wait
+            self.held = asyncio.get_running_loop().call_later(WHOLE, self.close)
+            return
+        if until is not None and asyncio.get_running_loop().time() >= until:
             return self.close()
         self.unwritten = self.transport.get_write_buffer_size() > 0
         self.transport.write(byte)
@@ -74,10 +79,10 @@
         self._left()
 
     def heard_from(self):
-        """Whether something waits to be read that should not be there yet: the connection's end, most likely.
+        """Whether something waits to be read: where nothing should be there yet, the connection's end most likely.
 
         Guards against a request written to a connection that has ended already, which would count as a reset and so
-        end a once-only mail."""
+        end a once-only mail; and against a time-out that overtakes an answer."""
         watch = select.poll()
         watch.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(watch.poll(0))
@@ -92,9 +97,14 @@
             self._tell(ANSWERED, message)
         elif not self.done:
             self.close()            # nothing was asked
-        elif self.whole_in and self.late is None and self.reader.begun() is not None:
-            # guards against answers that never end, which would hold a slot until the time-out
-            self.late = asyncio.get_running_loop().call_later(self.whole_in, self._spoilt)
+        elif self.whole_in:
+            begun = self.reader.begun() is not None
+            if begun and self.late is None:
+                # guards against answers that never end, which would hold a slot until the time-out
+                self.late = asyncio.get_running_loop().call_later(self.whole_in, self._spoilt)
+            elif self.late and not begun:       # it was an interim one; the answer itself has not begun
+                self.late.cancel()
+                self.late = None
 
     def peer(self):
         return "%s:%d" % (self.transport.get_extra_info("peername") or ("gone", 0))[:2]
@@ -151,6 +161,7 @@
     def __init__(self, pool, address, request, limit, leaves, done):
         self.pool, self.address, self.request, self.leaves, self.done = pool, address, request, leaves, done
         self.began, self.link, self.opening = pool.loop.time(), None, None
+        self.looked = False         # for an answer at the time-out
         self.limit = pool.loop.call_later(limit / 1000.0, self._too_late)
         idle = pool.idle_link(address)
         if idle:
@@ -186,7 +197,11 @@
         link.ask(self.request, self._answered, HELD, self.pool.loop.time() + ms / 1000.0)
 
     def _answered(self, how, message):
-        if how == ANSWERED:
+        if self.link.unwritten and not (how == ANSWERED and OUTCOMES.get(message.status) == model.FULL):
+            # guards against what an earlier answer on this connection left behind (a second copy, half a line): no
+            # receiver has the call, so nothing but a refusal can be an answer to it
+            self.finish(model.DROPPED)
+        elif how == ANSWERED:
             self.finish(OUTCOMES.get(message.status, model.ERROR), message)
         elif self.link.reader.begun() == 200:
             self.finish(model.DELIVERED)    # its first line is true, whatever became of the rest
@@ -197,7 +212,10 @@
 
     def _too_late(self):
         link = self.link
-        if link is None or link.unwritten:
+        if link and not self.looked and not link.ended and link.heard_from():
+            self.looked = True      # one turn of the loop for an answer that has come already
+            self.limit = self.pool.loop.call_later(SOON, self._too_late)
+        elif link is None or link.unwritten:
             self.finish(model.UNREACHED)
         else:
             self.finish(model.DELIVERED if link.reader.begun() == 200 else model.TIMED_OUT)
@@ -279,7 +297,7 @@
 
     def rest(self, address, link):
         """Keeps a connection for the next call, well short of the time when the other side closes it."""
-        if self.idle_limit <= 0.0 or link.reader.held:
+        if self.idle_limit <= 0.0 or self.most_idle <= 0 or link.reader.held:
             return link.close()
         if self.resting >= self.most_idle:
             self._close_oldest()
