Every path to the next list ends inside the 6 s after which its news count as told

Times of the text before, for a watch that falls silent in its first second: wait 20 s, silent after 25 s, pause up to 1.1 s, then the whole list: 26 s, for news that count as told after 6 s and a drain's grace of 1 or 2 s. A call turned away paused up to 30 s (`Turns.refused`), a new process of a large fleet up to 4 s before its first call, although a pushed list that the agent has counts from its first moment.

Lines at fault: `WATCH`, `GRACE`, `WHOLE`, `LATEST`, `Turns` in net/agent.py; each was chosen by itself. Now all are parts of one figure, `FRESH`: the sums of each path stand in docs/rare-moments.md, and a test adds them up over fleets of 2 to 300.

Ruled out: a SIGHUP to another agent (asked at once before as well; its test passes on the text before).

Tests: tests/daemon/test_silent_lists.py, real processes: watch silent from the first second, watch silent later on, turned away three times with a fleet of 300: these three fail on the text before. The test of the spread stays for lists that are asked for; its bound for refused calls was 0.1 calls a second and sender over all, which can't be had within 6 s: it is now what discovery takes of one call from each sender in 2 s, and no pause over 3 s. The tests' agent answers a watch when its wait is over, as the protocol says; before it never did.

--- a/dewpin/net/agent.py
+++ b/dewpin/net/agent.py
@@ -14,14 +14,16 @@
 from ..log import events, fault, tell
 from .outbound import ANSWERED, Link
 
-WATCH = 20.0            # seconds that a watch waits for news
-GRACE = 5.0             # and so much longer until it is taken for broken
-WHOLE = 2.0             # seconds for the whole list, which waits for nothing
-AGAIN = 0.1             # seconds before a broken exchange is tried again
-EACH = 0.1              # seconds that a fleet leaves for each sender's call for the list
-LATEST = 4.0            # seconds until a new sender's first one; what it tells counts as told after 6 s
-CONNECT = 1.0
-NOTICE = 1.0            # seconds for the answer to a notice
+FRESH = 6.0             # seconds after which news counts as told, whatever became of the calls for it (the protocol's);
+                        # all further times of the watch are parts of it, docs/rare-moments.md adds them up
+WATCH = FRESH / 4.0     # that a watch waits for news
+ANSWER = FRESH / 6.0    # for an answer that waits for nothing, and beyond a watch's wait until it is taken for silent
+CONNECT = FRESH / 6.0
+PAUSE = FRESH / 6.0     # the longest one after a broken exchange
+REFUSED = FRESH / 2.0   # and after one that discovery turned away
+AGAIN = 0.1             # the shortest ones
+EACH = 0.1              # that a fleet leaves for each sender's call for the list
+NOTICE = 1.0            # for the answer to a notice
 MOST_LIST = 8_000_000   # bytes
 STATES = {"active": model.READY, "leaving": model.DRAINING}
 MOST_NOTICES = 100      # in one request
@@ -83,28 +85,33 @@
 
 
 class Turns:
-    """When one of many senders calls for the list: seconds to wait, drawn so that their calls are spread.
+    """When one of many senders calls for the list: seconds to wait, drawn so that their calls are spread, inside what
+    leaves room for the answer before its news count as told.
 
-    Guards against a fleet whose senders all call at once, at a start or after a fault: discovery turns most away, each
-    of these calls costs it as much as one it answers, and all that come again soon are turned away for good."""
+    Guards against a fleet whose senders all call at once, at a start or after a fault: discovery turns most away, and
+    those that come again at once are turned away again."""
 
-    def __init__(self, fleet, grace, seed):
-        """`fleet`: senders; `grace`: ms for which mail may still go to a receiver that drains."""
-        self.dice, self.fleet = random.Random(seed), EACH * fleet
-        self.within = min(self.fleet, grace / 2000.0)       # after which news that were missed must be in
+    def __init__(self, fleet, grace, seed, pushed=True):
+        """`fleet`: senders; `grace`: ms for which mail may still go to a receiver that drains; `pushed`: the agent has
+        the list by itself, so that a call costs nobody but the agent anything."""
+        self.dice, self.fleet, self.pushed = random.Random(seed), EACH * fleet, pushed
+        self.within = min(self.fleet, grace / 2000.0, PAUSE - AGAIN)
         self.refusals = 0
 
     def first(self, new):
-        """Before the first call; `new`: no process before this one can have been told anything."""
-        return self.dice.uniform(0.0, min(self.fleet, LATEST) if new else self.within)
+        """Before the first call; `new`: no process before this one can have been told anything. Where lists are pushed,
+        what the agent has counts as told from the first moment on."""
+        if self.pushed:
+            return 0.0
+        return self.dice.uniform(0.0, min(self.fleet, REFUSED) if new else self.within)
 
     def broken(self):
         return AGAIN + self.dice.uniform(0.0, self.within)
 
     def refused(self):
         self.refusals += 1
-        most = min(WATCH, max(AGAIN, self.fleet) * 2.0 ** min(self.refusals - 1, 3))
-        return self.dice.uniform(0.5, 1.5) * most
+        most = min(REFUSED, max(AGAIN, self.fleet) * 2.0 ** min(self.refusals - 1, 6))
+        return self.dice.uniform(0.5, 1.0) * most
 
     def heard(self):
         self.refusals = 0
@@ -129,7 +136,7 @@
         whole = self.revision is None
         await asyncio.sleep(self.turns.first(self.new))
         while True:
-            answer = await self.channel.ask(self._request(whole), WHOLE if whole else WATCH + GRACE)
+            answer = await self.channel.ask(self._request(whole), ANSWER if whole else WATCH + ANSWER)
             if answer is not None and answer.status == 503:
                 await asyncio.sleep(self.turns.refused())
                 continue
