One lingering close for clients' connections; a stop looks once more for what waits unread

Lines at fault: `transport.close()` in `Client.write`, `Door.stop`, `Door._make_room` and `Door._sweep` closes over bytes that wait unread, which is a reset and takes with it what the other side has not read. Only `Client.refuse` ended its sending first. `Client.end` does that for all now; `Client.rests` looks at the socket once more before one is closed between two requests, as do the aborts of silent ones. `finish` left while connections waited in the listener's queue.

Accepted sockets had no TCP_NODELAY (getsockopt 0): asyncio sets it where `sock.proto` is TCP, and `socket.create_server` makes protocol 0, which accepted ones inherit. Connections of ours had it.

What lingers counts for the bound of connections and gives way first; it doesn't count for `crowded`. Ruled out: a stop that queues up with requests behind SIGSTOP (answered before as well).

--- a/dewpin/daemon/process.py
+++ b/dewpin/daemon/process.py
@@ -297,7 +297,7 @@
     tell(events.STOP, name=told.deployment.sender.name)
     while loop.time() < stopped + ending.ends / 1000.0:
         relay.sending = loop.time() < stopped + ending.sends / 1000.0
-        if not (relay.sending or relay.out or notices.owed or door.clients):
+        if not (relay.sending or relay.out or notices.owed or door.clients or door.queued()):
             break
         await asyncio.sleep(0.02)
 
--- a/dewpin/net/http.py
+++ b/dewpin/net/http.py
@@ -214,8 +214,12 @@
 
 
 def listening(host, port, **options):
-    """A listening socket at this address; `options` are those of socket.create_server. OSError where it can't be."""
-    return socket.create_server((host, port), family=socket.AF_INET6 if ":" in host else socket.AF_INET, **options)
+    """A listening socket at this address; `options` are those of socket.create_server. OSError where it can't be.
+
+    It names its protocol, and so do those that it accepts: of others the loop can't tell that they are TCP, and the
+    system holds their small writes back (no TCP_NODELAY), which a close over unread bytes then takes with it."""
+    made = socket.create_server((host, port), family=socket.AF_INET6 if ":" in host else socket.AF_INET, **options)
+    return socket.socket(made.family, made.type, socket.IPPROTO_TCP, made.detach())
 
 
 class Stream(asyncio.BufferedProtocol):
--- a/dewpin/net/inbound.py
+++ b/dewpin/net/inbound.py
@@ -16,12 +16,12 @@
 from .http import Malformed, Reader, Stream, answer, listening
 
 SWEEP = 0.1
-LINGER = 0.5            # seconds that a refused sender has to read its answer
+LINGER = 0.5            # seconds that a client has to end its side once we have ended ours
 TURNED, HOLD = 3, 0.25  # so many errors in a row on a connection, and its next request is read so much later
 SPARE = 16              # connections over the bound that are given time to read their 503
 MUTE = 0.5              # seconds without a first byte, and without a further one of a first request, after which
 STALLED = 2.0           # a connection gives way to another when all are taken
-UNREAD = 65536          # bytes that a refused client may still send before they are not read any more
+UNREAD = 65536          # bytes that it may still send before they are not read any more
 AT_ONCE = 10            # connections accepted in one turn of the loop; one that is too many lasts three turns
 QUEUE = 512             # connections that the system keeps for the next turns
 STEERED_BY, RETURN = 51, 6      # SO_ATTACH_REUSEPORT_CBPF, and the filter's one instruction
@@ -29,16 +29,23 @@
 SECONDS = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
+def waits(held, what):
+    """Whether news of this kind wait at a socket, unread so far."""
+    watch = select.poll()
+    watch.register(held.fileno(), what)
+    return bool(watch.poll(0))
+
+
 class Client(Stream):
     def __init__(self, door):
         super().__init__(Reader())
         self.door = door
         self.since = None           # when the request that is being read began
         self.used = 0.0
-        self.closing = False
+        self.closing = False        # our sending ends, or has ended: nothing more is taken of it
         self.turned = 0             # errors in a row
         self.asked = False          # a whole request has come
-        self.dropped = 0            # bytes that came after it was refused
+        self.dropped = 0            # bytes that came since our end
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -80,31 +87,46 @@
         self.transport.write(answer(status, last, extra))
         self.turned = self.turned + 1 if status >= 400 else 0
         if last:
-            self.closing = True
-            self.transport.close()      # after what is written
+            self.end()
         elif self.turned > TURNED and self.transport.is_reading():
             # guards against a client that asks again as soon as it is turned away, at full speed
             self.transport.pause_reading()
             self.door.loop.call_later(HOLD, self.resume_writing)
 
     def refuse(self, status):
-        """Answers and ends its sending; what still comes is dropped, until it ends its own or the time is over.
+        """Answers with an error and ends the connection."""
+        if not self.closing:
+            self.transport.write(answer(status, last=True))
+            self.end()
+
+    def end(self):
+        """Ends the connection in order, the only way that one ends which may have been answered: a lingering close
+        (RFC 9112, 9.6). Our sending ends after what is written; what still comes is read and dropped, until the other
+        side ends its own or the time is over. A request among that was never read: its client sends it elsewhere.
 
-        Guards against a reset that overtakes the answer: closing with bytes unread would send one."""
+        Guards against a reset that overtakes an answer: closing over unread bytes would send one."""
         if self.closing:
             return
         self.closing = True
         self.reader.drop()
-        self.transport.write(answer(status, last=True))
-        if self.transport.can_write_eof():
+        if not self.transport.is_reading() and not self.transport.is_closing():
+            self.transport.resume_reading()     # its end has to be seen
+        self.door.lingers(self)
+        try:
             self.transport.write_eof()
-        self.door.loop.call_later(LINGER, self.transport.abort)
+        except OSError:             # it is reset already
+            self.transport.abort()
+
+    def rests(self):
+        """Whether it may be closed between two requests: none is being read, and none waits to be."""
+        return self.asked and self.since is None and not self.closing and not self.waits(select.POLLIN)
+
+    def waits(self, what):
+        return waits(self.transport.get_extra_info("socket"), what)
 
     def gone(self):
         """Whether the other side has ended the connection already."""
-        watch = select.poll()
-        watch.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(watch.poll(0))
+        return self.waits(select.POLLRDHUP)
 
     def pause_writing(self):
         self.transport.pause_reading()  # it does not read its answers
@@ -130,6 +152,7 @@
         self.clients: dict[Client, int] = {}        # client: bytes that it holds, the latest used last
         self.mute: dict[Client, None] = {}          # of these, without a byte yet; the longest here first
         self.begun: dict[Client, None] = {}         # whose first request is not whole; the longest silent first
+        self.lingering: dict[Client, None] = {}     # whose end is waited for; the longest first
         self.held = 0
         self.server, self.listener, self.stopping = None, None, False
         self.sweep = None
@@ -158,12 +181,15 @@
         self.most = len(self.clients) + 2 * AT_ONCE
 
     def stop(self):
-        """From now on each connection ends with its next answer, and idle ones end at once."""
+        """From now on each connection ends with its next answer, and those that rest end at once."""
         self.stopping = True
         for client in list(self.clients):
-            if client.since is None and not client.closing:
-                client.closing = True
-                client.transport.close()
+            if client.rests():
+                client.end()
+
+    def queued(self):
+        """Whether connections wait that only the system has accepted: they would be reset with the listener."""
+        return waits(self.listener, select.POLLIN)
 
     def shut(self):
         """No new connections from now on."""
@@ -180,7 +206,13 @@
     def enter(self, client):
         self.clients[client] = 0
         self.mute[client] = None
-        if len(self.clients) <= self.most or self._make_room(1):
+        if len(self.clients) <= self.most:
+            return
+        if self.lingering:          # the one that has had longest for its answer: its descriptor is wanted
+            oldest = next(iter(self.lingering))
+            del self.lingering[oldest]
+            return oldest.transport.abort()
+        if self._make_room(1):
             return
         del self.mute[client]
         if len(self.clients) <= self.most + SPARE:
@@ -199,7 +231,14 @@
         """Whether answers end their connections.
 
         Guards against clients that ask once and hold on: while these rest, others find no connection to ask on."""
-        return len(self.clients) > self.most // 4
+        return self._held_open() > self.most // 4
+
+    def _held_open(self):
+        return len(self.clients) - len(self.lingering)
+
+    def lingers(self, client):
+        self.lingering[client] = None
+        self.loop.call_later(LINGER, client.transport.abort)
 
     def _make_room(self, wanted):
         """Closes connections that say nothing and, the longest unused first, that rest between requests: their owners
@@ -209,17 +248,16 @@
             while closed < wanted and len(self.clients) > self.most and silent and next(iter(silent)).used <= now - age:
                 one = next(iter(silent))
                 del silent[one]
-                closed += 1
-                if not one.closing:
+                if not one.closing and not one.waits(select.POLLIN):    # what waits unread is about to be read
                     one.closing = True
                     one.transport.abort()
+                    closed += 1
         late = now - self.rest
         for one in list(self.clients):
             if one.used > late or closed >= wanted:
                 break
-            if one.asked and one.since is None and not one.closing:
-                one.closing = True
-                one.transport.close()
+            if one.rests():
+                one.end()
                 closed += 1
         return closed >= wanted
 
@@ -227,6 +265,7 @@
         self.held -= self.clients.pop(client, 0)
         self.mute.pop(client, None)
         self.begun.pop(client, None)
+        self.lingering.pop(client, None)
 
     def weigh(self, client):
         """Moves a client to the end of the line and counts what it holds."""
@@ -251,10 +290,9 @@
                 continue
             if begun:
                 client.refuse(408)
-            else:
-                client.closing = True
-                client.transport.close()
-        self._make_room(len(self.clients) - (0 if self.stopping else self.most // 4))
+            elif not client.waits(select.POLLIN):
+                client.end()
+        self._make_room(self._held_open() - (0 if self.stopping else self.most // 4))
 
     # -- requests -------------------------------------------------------------------------------------------
 
