A zone that nothing is known of is no zone to repeat a keyed mail in

Read: `Dispatcher._receiver_at` compared zones by number, and -1 stands for every zone that the settings don't name (a receiver that is gone when a restart replays a mail, a locality that is new): two of these were one group, so a keyed mail that may have run could go to another one.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -574,7 +574,7 @@
         one = self.classes[mail.queue_class]
         scope = one.get("KeyScope") if one["Effect"] == "keyed" else "all"
         if course.ran_at is not None and scope != "all" and receiver is not course.ran_to \
-                and not (scope == "zone" and receiver.zone == course.ran_to.zone):
+                and not (scope == "zone" and receiver.zone == course.ran_to.zone >= 0):     # -1: not known
             return float("inf")
         if receiver.notes is None:
             self._meet(receiver, now)
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -49,6 +49,17 @@
     assert d.outcome(mail, model.TIMED_OUT, 3500.0) == model.BOUNCED
 
 
+def test_a_zone_that_nothing_is_known_of_is_no_zone_to_repeat_in():
+    d = Driver(settings(effects=("keyed",), scope="zone"), receivers=2)
+    for receiver in d.destination.receivers:
+        receiver.zone = -1
+    mail = d.mail()
+    first = d.sent(mail)
+    d.outcome(mail, model.RESET, 100.0)
+    d.run(2000.0)
+    assert d.sent(mail) is first        # its own receiver drops what came twice, of the other that is not known
+
+
 def test_a_tagged_mail_keeps_to_its_zone():
     d = Driver(settings(effects=("keyed",), scope="zone"), receivers=2, zones=2)
     mail = d.mail()
