Words of another customer's settings that are not known are named at the start

RegistryMode, Decay and KeyScope were taken as some default without a word; each is a note now, with what it is taken as (lists as pushed: asked for at once; a scope as the narrowest). No refusal to start is added.

--- a/dewpin/config/checks.py
+++ b/dewpin/config/checks.py
@@ -9,6 +9,9 @@
 from .faults import Fault, shown
 from .keys import KEYS, Deployment, written
 
+# words of the settings that are told apart; any other is taken as the first, of a scope as the last, the narrowest
+WORDS = {"RegistryMode": ("pushed", "on_request"), "FamilyInfo.Decay": ("line", "halves"),
+         "Services[].KeyScope": ("all", "zone", "cell")}
 PARTS = ("Services", "Allowed", "Rules", "FamilyInfo", "FleetSize", "Tick")     # of what the decision module is told
 
 
@@ -85,11 +88,27 @@
     if 2 * slots + (d.calls.idle or min(128, d.limits.sockets // 8)) + 64 > d.limits.sockets:
         found.append(f"limits.sockets = {d.limits.sockets} leaves fewer than 8 descriptors for clients beside "
                      f"{slots} calls at once; 8 are kept for them")
+    for path, words in WORDS.items():
+        for place, word in _told(module, path):
+            if word not in words:
+                found.append(f"settings.{place} = {shown(word)} is not one of {', '.join(words)}; it is taken as "
+                             f"{words[0] if path != 'Services[].KeyScope' else words[-1]}")
     if d.log.level == "debug" and d.log.debug_rate == 0:
         found.append("log.level = debug tells several lines for each mail; log.debug_rate bounds them")
     return found
 
 
+def _told(module: dict[str, Any], path: str) -> list[tuple[str, Any]]:
+    """(place, value) wherever the module is told something at this path."""
+    part, _, name = path.rpartition(".")
+    if part == "Services[]":
+        held = module.get("Services", ())
+        rows = [(f"Services[{at}].{name}", one) for at, one in enumerate(held if isinstance(held, list) else ())]
+    else:
+        rows = [(path, module.get(part) if part else module)]
+    return [(place, one[name]) for place, one in rows if isinstance(one, dict) and name in one]
+
+
 def _operators(origin: str | None) -> bool:
     """Whether a flag or the operator's file set it."""
     return origin is not None and (origin == "flag" or ".toml" in origin or ":" in origin)
--- a/dewpin/daemon/process.py
+++ b/dewpin/daemon/process.py
@@ -177,7 +177,7 @@
     for ident in spool.detached:
         facade.detach(ident)
     turns = agent.Turns(told.module["FleetSize"], told.module["Rules"]["DrainGrace"], chance(d.sender),
-                        told.module.get("RegistryMode", "pushed") == "pushed")
+                        told.module.get("RegistryMode") != "on_request")
     kept = parts["kept"] = Kept(d.sender.state, d.agent.address, d.limits.disk)
     new, revision = kept.revision is None and not handed, None
     if handed:
--- a/tests/config/test_layers.py
+++ b/tests/config/test_layers.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as some
 
-from dewpin.config import faults, keys, layers, page, units, where
+from dewpin.config import checks, faults, keys, layers, page, units, where
 from driver import settings
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -93,6 +93,17 @@
     assert "leaves fewer than 8 descriptors" in files("", {"limits": {"sockets": 128}, "settings": services}).notes[0]
 
 
+def test_words_of_another_customer_s_settings_that_are_not_known_are_named():
+    told = settings(effects=("keyed", "keyed")) | {"RegistryMode": "gossip"}
+    told["FamilyInfo"]["Decay"] = "steps"
+    for at, one in enumerate(told["Services"]):
+        one |= {"Name": f"c{at}", "KeyScope": ("all", "rack")[at]}
+    assert checks.notes(keys.Deployment(), told) == [
+        "settings.RegistryMode = 'gossip' is not one of pushed, on_request; it is taken as pushed",
+        "settings.FamilyInfo.Decay = 'steps' is not one of line, halves; it is taken as line",
+        "settings.Services[1].KeyScope = 'rack' is not one of all, zone, cell; it is taken as cell"]
+
+
 def test_a_file_that_ended_with_its_mark_is_not_followed_by_one_cut_short_at_any_line(files):
     whole = page.example()
     assert files(whole).ended and files(whole, ended=True).deployment == files("").deployment
