A notice is told again inside the platform's slack; a reload after a hand-over starts nothing

- `Notices.run` waited 1 s for an answer that comes at once and 0.1 s more: on a connection that fell silent a mail's end was told 1.1 s late at least, where 0.3 s beyond its lifetime makes it lost.
Now 0.12 s for the connection and for the answer, then jittered pauses and limits that double up to 1 s.
A test adds up the first try (under 0.3 s) and sees the steps on a real connection; on the text before its figures are 1.0 + 1.0 + 0.1 s.
- SIGHUP at a process that has handed its folder on moved watch and notices, which began anew there, and put `most_idle` back.
Test with two real processes, fails on the text before (its log has the reload).
- A connection that comes up at the old process after the hand-over: one call, by the next process; that test passes on the text before, where the old one sent it and told of it in the tail.

--- a/dewpin/daemon/process.py
+++ b/dewpin/daemon/process.py
@@ -222,6 +222,8 @@
             except Exception:       # whatever a file may hold, the old configuration goes on
                 log.fault("reload")
                 continue
+            if relay.tail:          # meanwhile the folder went to the next process, and so did watch and notices
+                continue
             later = waits(old, new)
             keep(old, new, later)
             d = new.deployment
--- a/dewpin/net/agent.py
+++ b/dewpin/net/agent.py
@@ -23,7 +23,8 @@
 REFUSED = FRESH / 2.0   # and after one that discovery turned away
 AGAIN = 0.1             # the shortest ones
 EACH = 0.1              # that a fleet leaves for each sender's call for the list
-NOTICE = 1.0            # for the answer to a notice
+NOTICE, NOTICE_MOST = 0.12, 1.0     # for a notice's connection, and for its answer, which comes at once: the platform
+                        # waits 0.3 s beyond a mail's lifetime for it. Each further try allows twice as much, up to
 MOST_LIST = 8_000_000   # bytes
 STATES = {"active": model.READY, "leaving": model.DRAINING}
 MOST_NOTICES = 100      # in one request
@@ -46,13 +47,13 @@
             self.task.cancel()
         self.close()
 
-    async def ask(self, request, limit):
+    async def ask(self, request, limit, connect=CONNECT):
         """The answer, or None if there was none in time."""
         loop = asyncio.get_running_loop()
         heard = loop.create_future()
         try:
             if self.link is None or self.link.ended:
-                async with asyncio.timeout(CONNECT):
+                async with asyncio.timeout(connect):
                     _, self.link = await loop.create_connection(lambda: Link(MOST_LIST), *self.address)
             self.link.ask(request, lambda how, message: heard.done() or heard.set_result((how, message)))
             async with asyncio.timeout(limit):
@@ -185,14 +186,14 @@
         self.news.set()
 
     async def run(self):
-        most = MOST_NOTICES
+        most, limit = MOST_NOTICES, NOTICE
         while True:
             await self.news.wait()
             batch = list(self.owed)[:most]
             body = b"".join(self.owed[one][0] + b"\n" for one in batch)
             answer = await self.channel.ask(
                 b"POST /v1/notices HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n"
-                b"Content-Length: %d\r\n\r\n" % (self.channel.host, len(body)) + body, NOTICE)
+                b"Content-Length: %d\r\n\r\n" % (self.channel.host, len(body)) + body, limit, limit)
             status = answer.status if answer else 0
             if status == 400:
                 tell(events.NOTICE_UNREAD, sample=body[:200])
@@ -202,7 +203,10 @@
             elif status == 400:
                 most = 1            # one of them is at fault: each by itself until all are told
             else:
-                await asyncio.sleep(AGAIN)
+                await asyncio.sleep(limit * random.uniform(0.125, 0.375))
+                limit = min(2.0 * limit, NOTICE_MOST)
+                continue
+            limit = NOTICE
             if not self.owed:
                 self.news.clear()
                 most = MOST_NOTICES
--- a/tests/daemon/test_late_connections.py
+++ b/tests/daemon/test_late_connections.py
@@ -6,7 +6,7 @@
 import struct
 import time
 
-from driver import play, read_message, reply, until
+from driver import Sender, play, read_message, reply, until
 
 SYN_SENT = "02"
 
@@ -122,3 +122,25 @@
         serving.cancel()
         full.close()
     play(tmp_path, scene, start=False)
+
+
+def test_what_comes_up_once_the_folder_is_handed_on_is_the_next_process_s_to_send(tmp_path):
+    async def scene(outside, sender):
+        full = Full()
+        member(outside, full)
+        await sender.start()
+        full.fill()
+        await sender.hand_in("once", kind="charge")
+        await until(full.waited_for)
+        sender.told["listen"] = "%s:%d" % sender.address
+        again = Sender(outside, tmp_path)
+        again.told = sender.told
+        await again.start()
+        serving = asyncio.create_task(full.serve())
+        await until(lambda: full.calls and not again.owed())
+        assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
+        assert full.calls == [b"once"] and not outside.notices
+        await again.end()
+        serving.cancel()
+        full.close()
+    play(tmp_path, scene, start=False)
--- a/tests/daemon/test_upgrade.py
+++ b/tests/daemon/test_upgrade.py
@@ -197,3 +197,17 @@
         assert await sender.end(signal.SIGTERM) == 0
         assert "fault: upgrade" in (await sender.log).decode()
     play(tmp_path, scene)
+
+
+def test_a_reload_that_comes_once_the_folder_is_handed_on_starts_nothing_anew(tmp_path):
+    async def scene(outside, sender):
+        outside.script = lambda call: None      # a call that stays out keeps the old process
+        await sender.hand_in("m")
+        await until(lambda: outside.calls)
+        again = await beside(outside, sender)
+        sender.reload()
+        assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
+        log = (await sender.log).decode()
+        assert "handed" in log and ": reload:" not in log
+        await again.end()
+    play(tmp_path, scene)
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -6,10 +6,10 @@
 import pytest
 
 from dewpin.core import model
-from dewpin.net.agent import ANSWER, FRESH, PAUSE, REFUSED, WATCH, Turns
+from dewpin.net.agent import ANSWER, FRESH, NOTICE, NOTICE_MOST, PAUSE, REFUSED, WATCH, Notices, Turns
 from dewpin.net.http import Malformed, Reader, answer
 from dewpin.net.outbound import Pool
-from driver import Outside, until
+from driver import Outside, read_message, reply, until
 
 
 def requests(dice):
@@ -161,3 +161,44 @@
     assert sum(1.0 / wait for wait in last) < max(2.0, fleet / 2.0)
     turns[0].heard()
     assert turns[0].refused() <= min(3.0, 0.1 * fleet)
+
+
+def test_a_notice_on_a_connection_that_fell_silent_is_told_again_on_another_inside_the_platform_s_slack(monkeypatch):
+    pauses, limits = [], []
+
+    async def scene():
+        heard, told = [], []
+
+        async def agent(reader, writer):
+            while message := await read_message(reader):
+                heard.append(message[2])
+                if len(heard) > 3:
+                    writer.write(reply(204))
+        server = await asyncio.start_server(agent, "127.0.0.1", 0)
+        notices = Notices(server.sockets[0].getsockname())
+        ask, sleep = notices.channel.ask, asyncio.sleep
+
+        def asked(request, limit, connect):
+            limits.append((limit, connect))
+            return ask(request, limit, connect)
+
+        def slept(seconds):
+            pauses.append(seconds)
+            return sleep(seconds)
+        monkeypatch.setattr(notices.channel, "ask", asked)
+        monkeypatch.setattr("dewpin.net.agent.asyncio.sleep", slept)
+        notices.tell(b"m", False, 0.0, lambda: told.append(b"m"))
+        while not told:
+            await sleep(0.005)
+        assert len(set(heard)) == 1 and not notices.owed
+        notices.tell(b"n", False, 0.0, lambda: told.append(b"n"))
+        while len(told) < 2:
+            await sleep(0.005)
+        notices.channel.stop()
+        server.close()
+    asyncio.run(scene())
+    assert limits[0] == limits[-1] == (NOTICE, NOTICE)      # the next one begins anew
+    # a connection that comes up late, an answer that never comes, and the pause behind it
+    assert sum(limits[0]) + pauses[0] < 0.3
+    assert [limit for limit, _ in limits[:4]] == [min(NOTICE * 2.0 ** at, NOTICE_MOST) for at in range(4)]
+    assert all(limit / 8.0 <= pause <= 3.0 * limit / 8.0 for (limit, _), pause in zip(limits, pauses, strict=False))
