A key rests for each call that may still run, however its mail ends; no mail outwaits its window

Lines at fault: `_pass_turn` began the rest only where the outcome that ended the mail was such a call's. A mail that pauses before a repeat and then ends by its window, by its repeat or by its client, or that a start ends, left none. `settle` begins the rest now.

Found by the test: a mail that waits (receiver drained, told wait) past the window of its repeat was held until the end of its lifetime, its key with it: `ends` held its first end only. `settle` adds the earlier one.

--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -293,11 +293,14 @@
         course.state, course.settled = "settled", now
         if outcome not in PROOF and course.ran_at is None:
             course.ran_at, course.ran_to = call.sent, call.receiver
+            heappush(self.ends, (self._end(mail), course.arrival, mail))    # its window may end first
+        if outcome in RESTING:
+            self._rest(mail, now)
         verdict, pause = (None, 0.0) if mail.withdrawn else self.classify(mail, outcome, now)
         if verdict == NOT_YET:
             self._pause_until(mail, now + pause)
             return NOT_YET, 0.0, self._leaves(call.receiver, now)
-        return *self._finish(mail, now, verdict, outcome), self._leaves(call.receiver, now)
+        return *self._finish(mail, now, verdict), self._leaves(call.receiver, now)
 
     def wait(self, now):
         """How long to wait, and the mail to ask `route` about then."""
@@ -384,14 +387,14 @@
             return end
         return min(end, course.ran_at + (one["Window"] if one["Effect"] == "keyed" else 0.0) - self.margin)
 
-    def _finish(self, mail, now, verdict=None, outcome=None):
+    def _finish(self, mail, now, verdict=None):
         course = mail.notes
         if course.state == "line":
             self._take_out(mail.destination.notes, mail)
         course.state = "over"
         self.held -= 1
         verdict = verdict or self._ending(mail)
-        self._pass_turn(mail, now, outcome)
+        self._pass_turn(mail, now)
         return verdict, self.come_back(mail.destination, now) if verdict == DEFERRED else 0.0
 
     def come_back(self, destination, now):
@@ -418,11 +421,21 @@
             course.state = "turn"
             if len(turn) == 1:
                 self._pause_until(mail, self.rests.get(mail.key, now))
+            if course.ran_at is not None:       # its call may have been out until the process before ended
+                self._rest(mail, now)
         else:
             self._line_up(mail)
         return NOT_YET, 0.0
 
-    def _pass_turn(self, mail, now, outcome):
+    def _rest(self, mail, now):
+        """Order: work of this mail may still go on, and the next of its key waits for it from now, whatever
+        becomes of the mail meanwhile (repeated well, given up) and even when nobody waits yet."""
+        if mail.key and self.classes[mail.queue_class].get("ByArrival"):
+            self.rests[mail.key] = now + self.rules["TurnGap"]
+            if len(self.rests) > 200:
+                self.rests = {key: until for key, until in self.rests.items() if until > now}
+
+    def _pass_turn(self, mail, now):
         """Order: the next mail of the key goes on, after the rest that work still going on asks for."""
         ordered = mail.key and self.classes[mail.queue_class].get("ByArrival")
         turn = self.keys.get(mail.key) if ordered else None
@@ -430,10 +443,6 @@
             return
         head = turn[0] is mail
         turn.remove(mail)
-        if outcome in RESTING:      # the rest holds even when nobody waits yet
-            self.rests[mail.key] = now + self.rules["TurnGap"]
-            if len(self.rests) > 200:
-                self.rests = {key: until for key, until in self.rests.items() if until > now}
         if not turn:
             del self.keys[mail.key]
         elif head:
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -94,6 +94,40 @@
     d.run_until(lambda: d.sent(second), 10000.0)
 
 
+@pytest.mark.parametrize("window, ending", [(600.0, model.BOUNCED), (5000.0, model.RELAYED)])
+def test_a_key_rests_after_a_time_out_though_its_mail_ends_otherwise_before_the_rest_is_over(window, ending):
+    told = settings(effects=("keyed",), order=True, window=window)
+    told["Rules"]["TurnGap"] = 2000.0
+    d = Driver(told)
+    first, second = d.mail(key=9), d.mail(key=9)
+    d.outcome(first, model.TIMED_OUT, 100.0)
+    ended_at = d.now
+    if ending == model.RELAYED:
+        d.run_until(lambda: d.sent(first), 1900.0)
+        d.outcome(first, model.DELIVERED, 20.0)
+    else:       # it finds no place before its window is over
+        d.destination.receivers[0].state = model.DRAINING
+        d.run_until(lambda: first in d.ended, 1900.0)
+        d.destination.receivers[0].state = model.READY
+    assert d.ended[first] == ending and d.now < ended_at + 1900.0
+    d.run(ended_at + 1990.0 - d.now)
+    assert not d.sent(second)
+    d.run_until(lambda: d.sent(second), 10000.0)
+    assert d.sent(second)
+
+
+def test_a_key_rests_after_a_start_that_finds_a_call_of_it_out():
+    d = Driver(settings(effects=("unsafe",), order=True))
+    receiver = d.destination.receivers[0]
+    first = d.mail(key=9, before=(1, d.now - 50.0, receiver), ask=False)     # it was out until just now
+    second = d.mail(key=9)
+    assert d.ended[first] == model.BOUNCED
+    d.run(95.0)
+    assert not d.sent(second)
+    d.run_until(lambda: d.sent(second), 1000.0)
+    assert d.sent(second)
+
+
 def test_a_withdrawn_mail_passes_its_turn():
     d = Driver(settings(effects=("unsafe",), order=True))
     d.destination.receivers[0].state = model.DRAINING
--- a/tests/core/test_random.py
+++ b/tests/core/test_random.py
@@ -88,6 +88,7 @@
                      scope=dice.choice(("all", "zone")), order=dice.random() < 0.6, bundle=dice.choice((1, 4)),
                      slots=dice.choice((2, 6, 15)), room=dice.choice((25, 200)), fleet=dice.choice((1, 3, 300)),
                      apart=apart, attempts=dice.choice((1, 4, 8)))
+    drawn["Rules"]["TurnGap"] = (100.0, 400.0, 1500.0)[seed % 3]    # the first is over before any pause
     driver = Driver(drawn, receivers=0, seed=seed)
     watch = Watch(driver, drawn["Services"], drawn["Rules"], apart)
     places = [model.Destination(n) for n in range(4)]
