--- a/tests/daemon/test_reload.py
+++ b/tests/daemon/test_reload.py
@@ -6,6 +6,8 @@
 import signal
 from types import SimpleNamespace
 
+import pytest
+
 from dewpin.config import page
 from dewpin.daemon.process import chance
 from driver import play, reply, until
@@ -141,3 +143,62 @@
     def made(name):
         return chance(SimpleNamespace(name=name, seed="1f"))
     assert made("n0") == made("n0") != made("n1") and made("n1") < 1 << 64
+
+
+@pytest.mark.parametrize("order", [(signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP),
+                                   (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM)])
+def test_a_stop_and_a_reload_that_come_together_end_the_process_and_lose_nothing(tmp_path, order):
+    async def scene(outside, sender):
+        sender.told["stop"] = {"sends_ms": 0.0, "ends_ms": 300.0}
+        await sender.start()
+        outside.script = lambda call: None
+        await sender.hand_in("once", kind="charge")
+        await until(lambda: outside.calls)
+        await sender.hand_in("next", kind="charge", key="k")
+        await until(lambda: len(outside.calls) == 2)
+        await sender.hand_in("last", kind="charge", key="k")       # waits for its turn
+        sender.process.send_signal(signal.SIGSTOP)
+        (tmp_path / "config.json").write_text(json.dumps(sender.told | {"seed": "2e"}))
+        for number in order:
+            sender.process.send_signal(number)
+        sender.process.send_signal(signal.SIGCONT)
+        assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
+        outside.script = lambda call: reply(200)
+        await sender.start()
+        await until(lambda: not sender.owed())
+        assert outside.idents() == [b"once", b"next", b"last"]
+        assert {one["message"] for one in outside.notices} == {"once", "next"}
+    play(tmp_path, scene, start=False)
+
+
+def files(pid):
+    """The names of the files that a process holds open."""
+    found = []
+    for name in os.listdir(f"/proc/{pid}/fd"):
+        try:
+            found.append(os.path.basename(os.readlink(f"/proc/{pid}/fd/{name}")))
+        except FileNotFoundError:
+            pass
+    return found
+
+
+def test_a_stop_before_the_sender_is_ready_leaves_all_to_the_next_start(tmp_path):
+    async def scene(outside, sender):
+        outside.script = lambda call: None
+        taken = [f"m{at}" for at in range(40)]
+        for ident in taken:
+            assert (await sender.hand_in(ident, kind="status"))[0] == 202
+        await sender.end()
+        outside.calls.clear()
+        outside.script = lambda call: reply(200)
+        for opened in ("", "journal"):    # in its first moment, in its replay
+            early = asyncio.create_task(sender.start())
+            await until(lambda: sender.process.returncode is None)
+            await until(lambda: opened in " ".join(files(sender.process.pid)))
+            sender.process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(sender.process.wait(), 10.0) in (0, -signal.SIGTERM)
+            await asyncio.gather(early, return_exceptions=True)
+        await sender.start()
+        await until(lambda: not sender.owed())
+        assert sorted(set(outside.idents())) == sorted(one.encode() for one in taken) and not outside.notices
+    play(tmp_path, scene)
