--- a/tests/driver.py
+++ b/tests/driver.py
@@ -160,6 +160,7 @@
         self.asked, self.watching = [], []      # asked: a watch that goes on is noted once
         self.silent = False         # watches are not answered any more, not even when their wait is over
         self.servers, self.connections = [], set()
+        self.started = []           # processes of senders
 
     async def open(self, receivers=1):
         for at in range(receivers):
@@ -272,6 +273,7 @@
             sys.executable, "-m", "dewpin", "run", *self.arguments, env=environment, stderr=log,
             preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, (sockets, sockets)),
             cwd=os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+        self.outside.started.append(self.process)
         if self.pipe is not None:
             os.close(log)
 
@@ -329,8 +331,10 @@
                 await sender.start()
             await asyncio.wait_for(scene(outside, sender), 60.0)
         finally:
-            if sender.process and sender.process.returncode is None:
-                await asyncio.wait_for(sender.end(), 10.0)
+            for process in outside.started:     # also one that took over, in a scene that failed
+                if process.returncode is None:
+                    process.kill()
+                    await asyncio.wait_for(process.wait(), 10.0)
             for server in (*outside.servers, outside.agent):
                 server.close()
             for writer in list(outside.connections):
