--- a/tests/daemon/test_late_connections.py
+++ b/tests/daemon/test_late_connections.py
@@ -18,7 +18,7 @@
         self.socket = socket.create_server(("127.0.0.1", 0), backlog=0)
         self.socket.setblocking(False)
         self.port = self.socket.getsockname()[1]
-        self.filling, self.calls = [], []
+        self.filling, self.calls, self.serving = [], [], None
 
     async def accept(self):
         return (await asyncio.get_running_loop().sock_accept(self.socket))[0]
@@ -29,8 +29,11 @@
             self.filling[-1].setblocking(False)
             self.filling[-1].connect_ex(("127.0.0.1", self.port))
 
-    async def serve(self):
+    def serve(self):
         """Empties the queue, and answers whatever call comes from then on."""
+        self.serving = asyncio.get_running_loop().create_task(self._serve())
+
+    async def _serve(self):
         while True:
             reader, writer = await asyncio.open_connection(sock=await self.accept())
             asyncio.get_running_loop().create_task(self._answer(reader, writer))
@@ -49,18 +52,30 @@
                    and int(row[1].split(":")[1], 16) not in own for row in rows)
 
     def close(self):
+        self.serving.cancel()
         for one in (self.socket, *self.filling):
             one.close()
 
 
-def member(outside, full):
+def member(outside):
+    full = Full()
     outside.members[0]["host_port"] = f"127.0.0.1:{full.port}"
+    return full
+
+
+async def on_its_way(outside, sender):
+    """A once-only mail was picked, and its connection has not come up."""
+    full = member(outside)
+    await sender.start()
+    full.fill()
+    await sender.hand_in("once", kind="charge")
+    await until(full.waited_for)
+    return full
 
 
 def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent(tmp_path):
     async def scene(outside, sender):
-        full = Full()
-        member(outside, full)
+        full = member(outside)
         for one in sender.told["settings"]["Services"]:
             one["Window"] = 900.0
         await sender.start()
@@ -75,72 +90,53 @@
         writer.transport.abort()
         await until(full.waited_for)
         await until(lambda: time.monotonic() > closes)
-        serving = asyncio.create_task(full.serve())
+        full.serve()
         await until(lambda: outside.notices or full.calls)
         assert not full.calls and outside.notices == [{"message": "m", "outcome": "given_up"}]
-        serving.cancel()
         full.close()
     play(tmp_path, scene, start=False)
 
 
 def test_a_mail_whose_connection_came_up_when_the_process_was_killed_has_not_run(tmp_path):
     async def scene(outside, sender):
-        full = Full()
-        member(outside, full)
-        await sender.start()
-        full.fill()
-        await sender.hand_in("once", kind="charge")
-        await until(full.waited_for)
+        full = await on_its_way(outside, sender)
         await sender.end()
-        serving = asyncio.create_task(full.serve())
+        full.serve()
         await sender.start()
         await until(lambda: outside.notices or full.calls)
         assert full.calls == [b"once"] and not outside.notices
-        serving.cancel()
         full.close()
     play(tmp_path, scene, start=False)
 
 
 def test_what_comes_up_once_connects_start_no_more_is_left_to_the_next_start(tmp_path):
     async def scene(outside, sender):
-        full = Full()
-        member(outside, full)
         sender.told["stop"] = {"sends_ms": 0.0, "ends_ms": 10000.0}
-        await sender.start()
-        full.fill()
-        await sender.hand_in("once", kind="charge")
-        await until(full.waited_for)
+        full = await on_its_way(outside, sender)
         sender.process.send_signal(signal.SIGTERM)
         while (await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200:      # until the signal is taken in
             pass
-        serving = asyncio.create_task(full.serve())
+        full.serve()
         assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
         assert not full.calls and not outside.notices
         await sender.start()
         await until(lambda: full.calls)
         assert full.calls == [b"once"] and not outside.notices
-        serving.cancel()
         full.close()
     play(tmp_path, scene, start=False)
 
 
 def test_what_comes_up_once_the_folder_is_handed_on_is_the_next_process_s_to_send(tmp_path):
     async def scene(outside, sender):
-        full = Full()
-        member(outside, full)
-        await sender.start()
-        full.fill()
-        await sender.hand_in("once", kind="charge")
-        await until(full.waited_for)
+        full = await on_its_way(outside, sender)
         sender.told["listen"] = "%s:%d" % sender.address
         again = Sender(outside, tmp_path)
         again.told = sender.told
         await again.start()
-        serving = asyncio.create_task(full.serve())
+        full.serve()
         await until(lambda: full.calls and not again.owed())
         assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
         assert full.calls == [b"once"] and not outside.notices
         await again.end()
-        serving.cancel()
         full.close()
     play(tmp_path, scene, start=False)
