--- /dev/null
+++ b/dewpin/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""What both planes share: settings, configuration, messages between processes, errors."""
--- /dev/null
+++ b/dewpin/cluster/rpc.py
@@ -0,0 +1,254 @@
+"""Remote calls between dewpin's processes: netstrings of JSON over TCP, many calls at once on one connection.
+
+A request is `{"v": 1, "n": number, "m": message}`, its answer `{"v": 1, "r": number, "m": message}`. A message is an
+object with a `type`; an answer of type `error` raises `RpcError` at the caller.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import socket
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from .netstring import Decoder, FrameError, encode
+
+Message = dict[str, Any]
+Handler = Callable[[Message], Awaitable[Message]]
+
+PROTOCOL_VERSION = 1
+CONNECT_TIMEOUT_S = 1.0
+USER_TIMEOUT_MS = 2000
+MOST_UNANSWERED = 1000
+
+log = logging.getLogger(__name__)
+
+
+class RpcError(Exception):
+    """A call that got no answer, or an error as its answer. `kind` is a word from the answer, or one of `timeout`,
+    `connect`, `closed`, `malformed`. `message` is the whole error answer where there was one."""
+
+    def __init__(self, kind: str, detail: str = "", message: Message | None = None) -> None:
+        super().__init__(f"{kind}: {detail}" if detail else kind)
+        self.kind = kind
+        self.detail = detail
+        self.message = message or {}
+
+
+def error_message(kind: str, detail: str = "", **fields: Any) -> Message:
+    """The answer that raises `RpcError` at the caller."""
+    return {"type": "error", "kind": kind, "detail": detail, **fields}
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _tune(transport: asyncio.BaseTransport) -> None:
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+class _ServerConnection(asyncio.Protocol):
+    def __init__(self, server: RpcServer) -> None:
+        self._server = server
+        self._decoder = Decoder()
+        self._transport: asyncio.Transport | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(transport)
+        _tune(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._transport is not None:
+            self._server.connections.discard(self._transport)
+        self._transport = None
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            frames = self._decoder.feed(data)
+        except FrameError as fault:
+            self._refuse(str(fault))
+            return
+        for frame in frames:
+            number, message = frame.get("n"), frame.get("m")
+            if frame.get("v") != PROTOCOL_VERSION or not isinstance(number, int) or not isinstance(message, dict):
+                self._refuse("not a request")
+                return
+            if len(self._tasks) >= MOST_UNANSWERED:
+                self._refuse("too many requests unanswered")
+                return
+            task = asyncio.ensure_future(self._answer(number, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _refuse(self, why: str) -> None:
+        log.warning("rpc.bad_frame", extra={"why": why})
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _answer(self, number: int, message: Message) -> None:
+        answer = await self._server.dispatch(message)
+        if self._transport is not None:
+            self._transport.write(encode({"v": PROTOCOL_VERSION, "r": number, "m": answer}))
+
+
+class RpcServer:
+    """Answers the calls of other processes by one handler for each message type."""
+
+    def __init__(self, handlers: Mapping[str, Handler]) -> None:
+        self.handlers = dict(handlers)
+        self.connections: set[asyncio.Transport] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Begins to listen. OSError if the address can't be had."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _ServerConnection(self), host, port, backlog=512)
+
+    async def stop(self) -> None:
+        """Stops listening and closes all connections."""
+        if self._server is not None:
+            self._server.close()
+        for transport in list(self.connections):
+            transport.abort()
+
+    async def dispatch(self, message: Message) -> Message:
+        """The answer to one message; a handler that fails gives an error answer."""
+        handler = self.handlers.get(str(message.get("type")))
+        if handler is None:
+            return error_message("unknown_type", str(message.get("type")))
+        try:
+            return await handler(message)
+        except RpcError as fault:
+            return error_message(fault.kind, fault.detail, **{k: v for k, v in fault.message.items() if k != "type"})
+        except Exception as fault:  # a handler's fault must not end the process; the caller hears of it
+            log.exception("rpc.handler_failed", extra={"message_type": message.get("type")})
+            return error_message("internal", repr(fault))
+
+
+class _ClientConnection(asyncio.Protocol):
+    def __init__(self) -> None:
+        self._decoder = Decoder()
+        self._waiting: dict[int, asyncio.Future[Message]] = {}
+        self._number = 0
+        self.received = 0
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        _tune(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(RpcError("closed", str(exc or "")))
+        self._waiting.clear()
+
+    def data_received(self, data: bytes) -> None:
+        self.received += 1
+        try:
+            frames = self._decoder.feed(data)
+        except FrameError:
+            self.abort()
+            return
+        for frame in frames:
+            future = self._waiting.pop(frame.get("r", -1), None)
+            message = frame.get("m")
+            if future is not None and not future.done() and isinstance(message, dict):
+                future.set_result(message)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def call(self, message: Message) -> Message:
+        if self.transport is None:
+            raise RpcError("closed")
+        self._number += 1
+        number = self._number
+        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        self.transport.write(encode({"v": PROTOCOL_VERSION, "n": number, "m": message}))
+        try:
+            return await future
+        finally:
+            self._waiting.pop(number, None)
+
+
+class RpcClient:
+    """Calls to other processes: one connection per address, made when it is first needed."""
+
+    def __init__(self) -> None:
+        self._connections: dict[str, asyncio.Task[_ClientConnection]] = {}
+
+    async def call(self, address: str, message: Message, timeout_s: float) -> Message:
+        """The answer of the process at `address`. RpcError on any failure, at the latest after `timeout_s`."""
+        try:
+            return await asyncio.wait_for(self._call(address, message), timeout_s)
+        except TimeoutError:
+            raise RpcError("timeout", address) from None
+
+    async def _call(self, address: str, message: Message) -> Message:
+        connection = await self._connection(address)
+        received = connection.received
+        try:
+            answer = await connection.call(message)
+        except asyncio.CancelledError:
+            if connection.received == received:  # silent since: a new connection finds a path sooner than this one
+                self._drop(address, connection)
+            raise
+        if answer.get("type") == "error":
+            raise RpcError(str(answer.get("kind")), str(answer.get("detail", "")), answer)
+        return answer
+
+    async def _connection(self, address: str) -> _ClientConnection:
+        task = self._connections.get(address)
+        if task is not None and task.done():
+            if task.cancelled() or task.exception() is not None or task.result().transport is None:
+                task = None
+        if task is None:
+            task = asyncio.ensure_future(self._connect(address))
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
+            self._connections[address] = task
+        return await asyncio.shield(task)
+
+    async def _connect(self, address: str) -> _ClientConnection:
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            _, connection = await asyncio.wait_for(
+                loop.create_connection(_ClientConnection, host, port), CONNECT_TIMEOUT_S
+            )
+        except (TimeoutError, OSError) as fault:
+            raise RpcError("connect", f"{address}: {fault!r}") from None
+        return connection
+
+    def _drop(self, address: str, connection: _ClientConnection) -> None:
+        task = self._connections.get(address)
+        if task is not None and task.done() and not task.cancelled() and task.exception() is None:
+            if task.result() is connection:
+                del self._connections[address]
+        connection.abort()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for task in self._connections.values():
+            if task.done() and not task.cancelled() and task.exception() is None:
+                task.result().abort()
+            else:
+                task.cancel()
+        self._connections.clear()
--- /dev/null
+++ b/dewpin/consensus/replica.py
@@ -0,0 +1,73 @@
+"""One replica of a compare-and-swap register (the acceptor of single-value Paxos).
+
+A replica promises not to take part in older ballots and remembers the value it accepted last. Whoever runs it must make
+the state after each call durable before the reply leaves: a replica that forgets a promise breaks the register.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+JsonValue = Any
+
+
+class Ballot(NamedTuple):
+    """The number of a proposal: greater ones win, the proposer's id makes them unique."""
+
+    counter: int
+    proposer: str
+
+
+ZERO_BALLOT = Ballot(0, "")
+
+
+@dataclass(frozen=True)
+class Promise:
+    """The replica takes part in no older ballot from here on; it tells what it accepted last."""
+
+    accepted: Ballot
+    value: JsonValue
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """The replica holds the value of this ballot."""
+
+    ballot: Ballot
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """The replica has promised a greater ballot."""
+
+    promised: Ballot
+
+
+Reply = Promise | Accepted | Conflict
+
+
+@dataclass
+class Replica:
+    """State of one replica. `value` is None until something was accepted."""
+
+    promised: Ballot = ZERO_BALLOT
+    accepted: Ballot = ZERO_BALLOT
+    value: JsonValue = None
+
+    def prepare(self, ballot: Ballot) -> Promise | Conflict:
+        """First round: promises `ballot` if nothing as great was promised before."""
+        if ballot <= self.promised:
+            return Conflict(self.promised)
+        self.promised = ballot
+        return Promise(self.accepted, self.value)
+
+    def accept(self, ballot: Ballot, value: JsonValue, next_ballot: Ballot | None = None) -> Accepted | Conflict:
+        """Second round: accepts `value`. `next_ballot` is promised beside, so that the proposer may skip its next
+        first round."""
+        if ballot < self.promised:
+            return Conflict(self.promised)
+        self.accepted = ballot
+        self.value = value
+        self.promised = max(ballot, next_ballot or ballot)
+        return Accepted(ballot)
