Capacity: a command that measures slopes, fits them and writes the tables of a page

Change: benchmarks/capacity measures single parts (messages, calls, commits, configuration, lists, leases, memory, events), fits lines by least squares with their standard errors and writes the marked sections. Ruled out: figures typed by hand, numpy for a straight line. No full run yet: every row says not measured.

--- /dev/null
+++ b/benchmarks/capacity/measures/__init__.py
@@ -0,0 +1,1 @@
+"""The measurements, one module for each kind of cost."""
--- /dev/null
+++ b/benchmarks/capacity/measures/process.py
@@ -0,0 +1,225 @@
+"""A process by itself: memory of threads and connections, and events passed on by many threads."""
+
+from __future__ import annotations
+
+import asyncio
+import multiprocessing
+import socket
+import statistics
+import threading
+import time
+from dataclasses import dataclass
+from multiprocessing.connection import Connection
+
+from benchmarks.capacity.series import Effort, Series, sample
+from benchmarks.capacity.timing import MICROSECONDS, in_fresh_process, resident_bytes
+
+STAND_IN = "stand-in"
+THREADS = (50, 100, 200, 400)
+CONNECTIONS = (50, 100, 200, 400)
+STREAMS = (10, 40, 80, 120)
+EVENT_GAP_S = 0.077
+EVENT = b'id: 17\ndata: {"choices":[{"index":0,"delta":{"content":" token"}}]}\n\n'
+STACK_BYTES = 256 * 1024
+
+
+def resident_of_threads(count: int) -> float:
+    """Resident bytes added by threads that wait; run in a process of its own."""
+    threading.stack_size(STACK_BYTES)
+    go = threading.Event()
+    before = resident_bytes()
+    threads = [threading.Thread(target=go.wait) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    after = resident_bytes()
+    go.set()
+    for thread in threads:
+        thread.join()
+    return float(after - before)
+
+
+def thread_memory(effort: Effort) -> Series:
+    """Memory of waiting threads."""
+    return Series(
+        "thread-memory",
+        f"memory of waiting threads (stacks of {STACK_BYTES // 1024} KiB)",
+        "Python itself",
+        "threads",
+        "resident memory",
+        "B",
+        sample(THREADS, effort, lambda count: in_fresh_process(resident_of_threads, count)),
+    )
+
+
+def resident_of_connections(count: int) -> float:
+    """Resident bytes added by idle asyncio connections, both ends; run in a process of its own."""
+
+    async def hold() -> float:
+        ends: list[asyncio.StreamWriter] = []
+        accepted = asyncio.Event()
+
+        def keep(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            ends.append(writer)
+            if len(ends) == count:
+                accepted.set()
+
+        server = await asyncio.start_server(keep, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        before = resident_bytes()
+        opened = [await asyncio.open_connection("127.0.0.1", port) for _ in range(count)]
+        await accepted.wait()
+        after = resident_bytes()
+        for _, writer in opened:
+            writer.close()
+        for writer in ends:
+            writer.close()
+        server.close()
+        return float(after - before)
+
+    return asyncio.run(hold())
+
+
+def connection_memory(effort: Effort) -> Series:
+    """Memory of idle asyncio connections, both ends in one process."""
+    return Series(
+        "connection-memory",
+        "memory of idle asyncio connections, both ends",
+        "Python itself",
+        "connections",
+        "resident memory",
+        "B",
+        sample(CONNECTIONS, effort, lambda count: in_fresh_process(resident_of_connections, count)),
+    )
+
+
+def resident_of_modules(*modules: str) -> float:
+    """Resident bytes of an interpreter that has imported the modules; run in a process of its own."""
+    for module in modules:
+        __import__(module)
+    return float(resident_bytes())
+
+
+@dataclass(frozen=True)
+class Stream:
+    """The two connections of a stream: source to inward, outward to sink."""
+
+    source: socket.socket
+    inward: socket.socket
+    outward: socket.socket
+    sink: socket.socket
+
+
+def pass_on(source: socket.socket, sink: socket.socket) -> None:
+    """Pass events on until the source closes, as a sender's request thread does."""
+    with source, sink:
+        while event := source.recv(65536):
+            if b"\n\n" not in event:
+                raise ValueError("a broken event")
+            sink.sendall(event)
+
+
+def relay_process(streams: list[Stream], pipe: Connection) -> None:
+    """Pass the events of all streams on by a thread each; told to, answer the processor time used since the start."""
+    for stream in streams:
+        stream.source.close()
+        stream.sink.close()
+    threading.stack_size(STACK_BYTES)
+    threads = [threading.Thread(target=pass_on, args=(stream.inward, stream.outward)) for stream in streams]
+    for thread in threads:
+        thread.start()
+    before = time.process_time()
+    pipe.send("ready")
+    pipe.recv()
+    pipe.send(time.process_time() - before)
+    for thread in threads:
+        thread.join()
+
+
+def relay_streams(count: int, seconds: float) -> tuple[float, float]:
+    """Pass the events of so many streams on, by a thread each in one process.
+
+    Returns that process's processor microseconds of an event, and the 95th percentile of the events' delay in
+    milliseconds. Run in a process of its own, without threads, since it forks.
+    """
+    streams = [Stream(*socket.socketpair(), *socket.socketpair()) for _ in range(count)]
+    context = multiprocessing.get_context("fork")
+    pipe, theirs = context.Pipe()
+    relay = context.Process(target=relay_process, args=(streams, theirs))
+    relay.start()
+    for stream in streams:
+        stream.inward.close()
+        stream.outward.close()
+    pipe.recv()
+    delays = asyncio.run(drive(streams, time.perf_counter() + seconds))
+    pipe.send("usage")
+    used = float(pipe.recv())
+    for stream in streams:
+        stream.source.close()
+        stream.sink.close()
+    relay.join()
+    return used * MICROSECONDS / len(delays), statistics.quantiles(delays, n=20)[-1] * 1000
+
+
+async def drive(streams: list[Stream], end: float) -> list[float]:
+    """Send each stream's events at their pace; return how long each took to come out again, in seconds."""
+    loop = asyncio.get_running_loop()
+    started = time.perf_counter()
+    sent_at = [started] * len(streams)
+    delays: list[float] = []
+
+    def came(index: int) -> None:
+        streams[index].sink.recv(65536)
+        delays.append(time.perf_counter() - sent_at[index])
+
+    async def send_all(index: int) -> None:
+        due = started + EVENT_GAP_S * index / len(streams)
+        while due < end:
+            await asyncio.sleep(max(0.0, due - time.perf_counter()))
+            sent_at[index] = time.perf_counter()
+            streams[index].source.send(EVENT)
+            due += EVENT_GAP_S
+
+    for index, stream in enumerate(streams):
+        loop.add_reader(stream.sink.fileno(), came, index)
+    await asyncio.gather(*(send_all(index) for index in range(len(streams))))
+    await asyncio.sleep(EVENT_GAP_S)
+    for stream in streams:
+        loop.remove_reader(stream.sink.fileno())
+    return delays
+
+
+STREAM_SECONDS_FACTOR = 3
+
+
+def event_cost(effort: Effort) -> Series:
+    """Processor time of an event passed on by one of many threads."""
+
+    def at(streams: int) -> float:
+        return in_fresh_process(relay_streams, streams, effort.seconds * STREAM_SECONDS_FACTOR)[0]
+
+    return Series(
+        "event-cost",
+        "processor time of a stream's event in the process that passes it on by a thread for each stream",
+        STAND_IN,
+        "streams at once",
+        "processor time an event",
+        "µs",
+        sample(STREAMS, effort, at),
+    )
+
+
+def event_delay(effort: Effort) -> Series:
+    """Delay of an event passed on by one of many threads."""
+
+    def at(streams: int) -> float:
+        return in_fresh_process(relay_streams, streams, effort.seconds * STREAM_SECONDS_FACTOR)[1]
+
+    return Series(
+        "event-delay",
+        "delay of a stream's event through a relaying thread, 95th percentile",
+        STAND_IN,
+        "streams at once",
+        "delay",
+        "ms",
+        sample(STREAMS, effort, at),
+    )
--- /dev/null
+++ b/benchmarks/capacity/measures/wire.py
@@ -0,0 +1,209 @@
+"""Messages: encoding, decoding, and a call over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import multiprocessing
+import resource
+import socket
+import time
+from multiprocessing.connection import Connection
+
+from benchmarks.capacity import shapes
+from benchmarks.capacity.series import Effort, Series, sample
+from benchmarks.capacity.timing import MICROSECONDS, processor_us_per_call
+from dewpin.cluster.netstring import Decoder, encode
+from dewpin.cluster.rpc import Message, RpcClient, RpcServer
+
+TEXT_BYTES = (100, 1_000, 5_000, 20_000, 50_000)
+CALL_TEXT_BYTES = (100, 1_000, 5_000, 20_000)
+CALLS_AT_ONCE = 16
+CALL_TIMEOUT_S = 5.0
+NETSTRING = "dewpin/cluster/netstring.py"
+RPC = "dewpin/cluster/rpc.py"
+
+
+def encode_cost(effort: Effort) -> Series:
+    """Processor time to make a framed message, by the bytes of its text."""
+
+    def at(size: int) -> float:
+        message = shapes.turn(1, size)
+        return processor_us_per_call(lambda: encode(message), effort.seconds)
+
+    return Series(
+        "encode",
+        "encode a message (netstring of JSON)",
+        NETSTRING,
+        "bytes of text",
+        "processor time a message",
+        "µs",
+        sample(TEXT_BYTES, effort, at),
+    )
+
+
+def decode_cost(effort: Effort) -> Series:
+    """Processor time to read a framed message, by the bytes of its text."""
+
+    def at(size: int) -> float:
+        frame = encode(shapes.turn(1, size))
+        return processor_us_per_call(lambda: Decoder().feed(frame), effort.seconds)
+
+    return Series(
+        "decode",
+        "decode a message (netstring of JSON)",
+        NETSTRING,
+        "bytes of text",
+        "processor time a message",
+        "µs",
+        sample(TEXT_BYTES, effort, at),
+    )
+
+
+async def acknowledge(message: Message) -> Message:
+    """Answer a call at once."""
+    return {"type": "ok", "turn": message["turn"]}
+
+
+def free_port() -> int:
+    """A port of the loopback address that nobody listens at."""
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        return int(held.getsockname()[1])
+
+
+def serve_calls(pipe: Connection) -> None:
+    """A server process: tells its address, and its processor time whenever it is asked; ends with the pipe."""
+
+    async def serve() -> None:
+        server = RpcServer({"append": acknowledge})
+        port = free_port()
+        await server.start("127.0.0.1", port)
+        pipe.send(f"127.0.0.1:{port}")
+        ended = asyncio.Event()
+
+        def asked() -> None:
+            try:
+                pipe.recv()
+                usage = resource.getrusage(resource.RUSAGE_SELF)
+                pipe.send(usage.ru_utime + usage.ru_stime)
+            except EOFError:
+                asyncio.get_running_loop().remove_reader(pipe.fileno())
+                ended.set()
+
+        asyncio.get_running_loop().add_reader(pipe.fileno(), asked)
+        await ended.wait()
+        await server.stop()
+
+    asyncio.run(serve())
+
+
+class CallServer:
+    """A server process to be called over loopback."""
+
+    def __init__(self) -> None:
+        context = multiprocessing.get_context("spawn")
+        self._pipe, theirs = context.Pipe()
+        self._process = context.Process(target=serve_calls, args=(theirs,))
+        self._process.start()
+        theirs.close()
+        self.address: str = self._pipe.recv()
+
+    def processor_seconds(self) -> float:
+        """Processor time that the server process has used so far."""
+        self._pipe.send("usage")
+        return float(self._pipe.recv())
+
+    def close(self) -> None:
+        """End the process and wait for it."""
+        self._pipe.close()
+        self._process.join()
+
+
+async def call_in_turn(client: RpcClient, address: str, size: int, seconds: float) -> tuple[int, float]:
+    """Calls one after the other: how many, and the seconds they took."""
+    message = shapes.turn(1, size)
+    await client.call(address, message, CALL_TIMEOUT_S)
+    start = time.perf_counter()
+    calls = 0
+    while time.perf_counter() < start + seconds:
+        await client.call(address, message, CALL_TIMEOUT_S)
+        calls += 1
+    return calls, time.perf_counter() - start
+
+
+async def call_at_once(address: str, size: int, seconds: float, callers: int) -> tuple[int, float]:
+    """Calls of several callers at once on one connection: how many in all, and the seconds they took."""
+    client = RpcClient()
+    runs = await asyncio.gather(*(call_in_turn(client, address, size, seconds) for _ in range(callers)))
+    await client.close()
+    return sum(calls for calls, _ in runs), max(took for _, took in runs)
+
+
+def round_trip(effort: Effort) -> Series:
+    """Time of one call over loopback, by the bytes of its text."""
+    server = CallServer()
+
+    def at(size: int) -> float:
+        calls, took = asyncio.run(call_at_once(server.address, size, effort.seconds, callers=1))
+        return took * MICROSECONDS / calls
+
+    try:
+        points = sample(CALL_TEXT_BYTES, effort, at)
+    finally:
+        server.close()
+    return Series(
+        "round-trip",
+        "a call and its answer over loopback, one at a time",
+        RPC,
+        "bytes of text",
+        "time a call",
+        "µs",
+        points,
+    )
+
+
+def server_call_cost(effort: Effort) -> Series:
+    """Processor time of the serving process for one call, by the bytes of its text."""
+    server = CallServer()
+
+    def at(size: int) -> float:
+        before = server.processor_seconds()
+        calls, _ = asyncio.run(call_at_once(server.address, size, effort.seconds, CALLS_AT_ONCE))
+        return (server.processor_seconds() - before) * MICROSECONDS / calls
+
+    try:
+        points = sample(CALL_TEXT_BYTES, effort, at)
+    finally:
+        server.close()
+    return Series(
+        "server-call",
+        f"processor time of the server for a call, {CALLS_AT_ONCE} at once",
+        RPC,
+        "bytes of text",
+        "processor time a call",
+        "µs",
+        points,
+    )
+
+
+def client_call_cost(effort: Effort) -> Series:
+    """Processor time of the calling process for one call, by the bytes of its text."""
+    server = CallServer()
+
+    def at(size: int) -> float:
+        before = time.process_time()
+        calls, _ = asyncio.run(call_at_once(server.address, size, effort.seconds, CALLS_AT_ONCE))
+        return (time.process_time() - before) * MICROSECONDS / calls
+
+    try:
+        points = sample(CALL_TEXT_BYTES, effort, at)
+    finally:
+        server.close()
+    return Series(
+        "client-call",
+        f"processor time of the caller for a call, {CALLS_AT_ONCE} at once",
+        RPC,
+        "bytes of text",
+        "processor time a call",
+        "µs",
+        points,
+    )
--- /dev/null
+++ b/benchmarks/capacity/report.py
@@ -0,0 +1,74 @@
+"""The generated sections of docs/CAPACITY.md."""
+
+from __future__ import annotations
+
+from dataclasses import fields
+
+from benchmarks.capacity.context import Context
+from benchmarks.capacity.coverage import coverage_table
+from benchmarks.capacity.fit import Estimate
+from benchmarks.capacity.results import Results
+from benchmarks.capacity.roles import control, failures, sender, store
+from benchmarks.capacity.sheet import Row, estimate, markdown_table, plain, sheet_table
+from benchmarks.capacity.target import ASSUMED, TARGET
+
+
+def measured_table(results: Results) -> str:
+    """Each series with its line, its range and the run that gave it."""
+    cells = []
+    for name, series in sorted(results.series.items()):
+        line = series.line()
+        xs = [x for x, _ in series.points]
+        cells.append(
+            (
+                f"`{name}`",
+                series.title,
+                series.subject if series.subject.count("/") == 0 else f"`{series.subject}`",
+                f"{estimate(Estimate(line.intercept, line.at(0).error), series.y_unit)}",
+                f"{estimate(line.per_unit, series.y_unit)} / {series.x_name}",
+                f"{plain(min(xs))} to {plain(max(xs))}, {line.count} points",
+                results.runs[name].describe(),
+            )
+        )
+    header = ("series", "what", "measured on", "at 0", "slope", "range", "run")
+    return markdown_table(header, cells)
+
+
+def points_table(results: Results) -> str:
+    """The mean of each series at each x, for the eye."""
+    cells = []
+    for name, series in sorted(results.series.items()):
+        by_x: dict[float, list[float]] = {}
+        for x, y in series.points:
+            by_x.setdefault(x, []).append(y)
+        means = (f"{plain(x)}: {plain(sum(ys) / len(ys))}" for x, ys in sorted(by_x.items()))
+        cells.append((f"`{name}`", f"{series.y_name} ({series.y_unit}) by {series.x_name}", "; ".join(means)))
+    return markdown_table(("series", "mean of", "points"), cells)
+
+
+def assumptions_table() -> str:
+    """What the list leaves open."""
+    cells = [(field.name.replace("_", " "), plain(float(getattr(ASSUMED, field.name)))) for field in fields(ASSUMED)]
+    return markdown_table(("assumed", "value"), cells)
+
+
+def sections(results: Results) -> dict[str, str]:
+    """All generated sections by name."""
+    context = Context(TARGET, ASSUMED, results)
+    parts: dict[str, list[Row]] = {
+        "sender-traffic": sender.traffic_rows(context),
+        "sender-control": sender.control_rows(context),
+        "sender-programs": sender.program_rows(context),
+        "store-state": store.state_rows(context),
+        "store-load": store.load_rows(context),
+        "control": control.rows(context),
+        "failures": failures.rows(context),
+    }
+    all_rows = [row for rows in parts.values() for row in rows]
+    return {
+        "coverage": coverage_table(TARGET, all_rows),
+        "assumptions": assumptions_table(),
+        **{name: sheet_table(rows) for name, rows in parts.items()},
+        "measured": measured_table(results),
+        "points": points_table(results),
+    }
--- /dev/null
+++ b/benchmarks/capacity/series.py
@@ -0,0 +1,62 @@
+"""A measured series: what was varied, what came out, and of which code."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from benchmarks.capacity.fit import Line, fit_line
+
+
+@dataclass(frozen=True)
+class Effort:
+    """How long a measurement may take.
+
+    seconds: time spent at each point; repeats: points taken at each x.
+    """
+
+    seconds: float
+    repeats: int
+
+
+FULL = Effort(seconds=0.5, repeats=5)
+QUICK = Effort(seconds=0.05, repeats=2)
+
+
+@dataclass(frozen=True)
+class Series:
+    """Points of one measurement.
+
+    subject: the module measured, or "stand-in" while the module of that shape does not exist.
+    """
+
+    name: str
+    title: str
+    subject: str
+    x_name: str
+    y_name: str
+    y_unit: str
+    points: tuple[tuple[float, float], ...]
+
+    def line(self) -> Line:
+        """The fitted line."""
+        return fit_line(self.points)
+
+    def to_json(self) -> dict[str, Any]:
+        """A JSON object that from_json reads back."""
+        return asdict(self)
+
+    @classmethod
+    def from_json(cls, held: dict[str, Any]) -> Series:
+        """Read what to_json wrote; TypeError or KeyError when a field is missing or unknown."""
+        points = tuple((float(x), float(y)) for x, y in held["points"])
+        return cls(**{**held, "points": points})
+
+
+Measure = Callable[[Effort], Series]
+
+
+def sample(xs: Sequence[int], effort: Effort, measure_at: Callable[[int], float]) -> tuple[tuple[float, float], ...]:
+    """Points of measure_at at each x; rounds go over all x in turn, so that a slow moment harms no single x."""
+    return tuple((float(x), measure_at(x)) for _ in range(effort.repeats) for x in xs)
--- /dev/null
+++ b/benchmarks/capacity/target.py
@@ -0,0 +1,67 @@
+"""The fleet that the tier is built towards, and what is assumed where its list says nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SECONDS_A_DAY = 86_400
+
+
+@dataclass(frozen=True)
+class Target:
+    """The figures of the operators' list (issue 42)."""
+
+    senders: int = 350
+    receivers: int = 770
+    accelerators: int = 3_100
+    requests_per_s: int = 1_600
+    tokens_per_s: int = 520_000
+    first_token_s: float = 1.2
+    token_gap_ms: float = 77.0
+    share_in_time: float = 0.95
+    programs: int = 24_000
+    turns_a_program: int = 100
+    tokens_a_program: int = 500_000
+    tenants: int = 240
+    models: int = 7
+    regions: int = 3
+    zones: int = 9
+    changes_a_day: int = 850
+    change_in_force_s: float = 14.0
+    control_processor_share: float = 0.016
+    control_memory_bytes: float = 128e6
+    control_bytes_per_s: float = 10e3
+    control_machines: int = 5
+    failures_a_day: int = 6
+    restarts_a_day: int = 150
+    days_between_rack_losses: int = 45
+    zone_losses_a_year: int = 1
+    region_cut_s: int = 3_600
+
+
+@dataclass(frozen=True)
+class Assumptions:
+    """What the list leaves open; each is named on the page and changes its rows when changed here."""
+
+    routes_a_tenant_and_model: int = 1
+    bytes_a_token: int = 4
+    tokens_an_event: int = 1
+    stores: int = 27
+    replicas: int = 3
+    replicas_of_two_losses: int = 5
+    relay_children: int = 4
+    renewals_a_bound: int = 5
+    list_period_s: float = 1.0
+    list_entries_a_restart: int = 3
+    calls_to_reserve: int = 6
+    calls_to_settle: int = 6
+    calls_to_append: int = 3
+    calls_to_read: int = 2
+    processor_share_of_a_store: float = 0.5
+    disk_of_a_store_bytes: float = 100e9
+    region_round_trip_ms: float = 80.0
+    repair_bytes_per_s: float = 20e6
+
+
+TARGET = Target()
+ASSUMED = Assumptions()
--- /dev/null
+++ b/tests/benchmarks/test_capacity_page.py
@@ -0,0 +1,148 @@
+"""The page writer: marked sections, verdicts, missing series, and the page at hand against its results."""
+
+import pytest
+
+from benchmarks.capacity import __main__ as command
+from benchmarks.capacity.context import Context
+from benchmarks.capacity.coverage import entries, outcome
+from benchmarks.capacity.fit import Estimate
+from benchmarks.capacity.page import PageError, replace_section, replace_sections
+from benchmarks.capacity.report import sections
+from benchmarks.capacity.results import Results, Run, load, save
+from benchmarks.capacity.series import Effort, Series, sample
+from benchmarks.capacity.sheet import Row, Verdict, estimate, markdown_table, quantity
+from benchmarks.capacity.target import ASSUMED, TARGET, Target
+
+PAGE = "before\n<!-- generated: a -->\nold\n<!-- end: a -->\nbetween\n<!-- generated: b -->\n<!-- end: b -->\nafter\n"
+RUN = Run("2026-01-01 00:00 UTC", "abc1234", 4, "3.11.0", "3.40.0")
+
+
+def series(name="encode", points=((1.0, 3.0), (2.0, 5.0), (3.0, 7.0))):
+    return Series(name, "title", "stand-in", "bytes", "time", "µs", points)
+
+
+def test_only_the_marked_text_is_replaced_and_writing_again_changes_nothing():
+    written = replace_sections(PAGE, {"a": "new\ntext", "b": "more"})
+    assert written == (
+        "before\n<!-- generated: a -->\nnew\ntext\n<!-- end: a -->\nbetween\n"
+        "<!-- generated: b -->\nmore\n<!-- end: b -->\nafter\n"
+    )
+    assert replace_sections(written, {"a": "new\ntext", "b": "more"}) == written
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        "no marks",
+        "<!-- generated: a -->",
+        "<!-- end: a -->\n<!-- generated: a -->",
+        "<!-- generated: a -->\n<!-- generated: a -->\n<!-- end: a -->",
+    ],
+)
+def test_marks_that_do_not_fit_are_refused(page):
+    with pytest.raises(PageError):
+        replace_section(page, "a", "text")
+
+
+def test_a_marked_section_that_nobody_writes_is_refused():
+    with pytest.raises(PageError):
+        replace_sections(PAGE, {"a": "text"})
+
+
+@pytest.mark.parametrize(
+    "value, most, verdict",
+    [
+        (Estimate(5, 1), 10, Verdict.INSIDE),
+        (Estimate(9, 1), 10, Verdict.IN_DOUBT),
+        (Estimate(11, 1), 10, Verdict.IN_DOUBT),
+        (Estimate(13, 1), 10, Verdict.BEYOND),
+        (Estimate(10, 0), 10, Verdict.INSIDE),
+        (Estimate(5, 1), None, Verdict.NO_BOUND),
+        (None, 10, Verdict.NOT_MEASURED),
+    ],
+)
+def test_a_verdict_asks_for_two_standard_errors(value, most, verdict):
+    assert Row("what", "how", value, "ms", "file", most).verdict() is verdict
+
+
+def test_quantities_are_told_with_their_units():
+    assert quantity(0.0163, "share") == "1.63%"
+    assert quantity(128e6, "B") == "128 MB"
+    assert quantity(10_250, "B/s") == "10.2 kB/s"
+    assert quantity(2_400_000, "") == "2,400,000"
+    assert quantity(0.000012, "s") == "0.000012 s"
+    assert quantity(0, "B") == "0 B"
+    assert estimate(Estimate(2, 0.5), "ms") == "2 ms ± 0.5 ms"
+    assert estimate(Estimate(2), "ms") == "2 ms"
+
+
+def test_bars_in_cells_do_not_break_a_table():
+    assert markdown_table(("a",), [("x|y",)]) == "| a |\n| --- |\n| x\\|y |"
+
+
+def test_a_row_whose_series_is_missing_says_so():
+    context = Context(TARGET, ASSUMED, Results({}, {}))
+    row = context.row("what", "how", lambda: context.at("encode", 1), "µs", "file", 5.0)
+    assert row.value is None and row.verdict() is Verdict.NOT_MEASURED
+
+
+def test_a_row_takes_its_value_from_the_measured_line():
+    context = Context(TARGET, ASSUMED, Results({"encode": series()}, {"encode": RUN}))
+    row = context.row("what", "how", lambda: 2 * context.at("encode", 10), "µs", "file")
+    assert row.value is not None and row.value.value == pytest.approx(42)
+
+
+def test_without_any_result_the_whole_page_can_be_written_and_no_figure_is_invented():
+    written = sections(Results({}, {}))
+    measured_rows = [line for line in written["sender-control"].splitlines() if "configuration-parse" in line]
+    assert measured_rows and all("not measured" in line for line in measured_rows)
+
+
+def test_results_come_back_as_they_were_saved(tmp_path):
+    held = Results({"encode": series()}, {"encode": RUN})
+    save(held, tmp_path / "results.json")
+    assert load(tmp_path / "results.json") == held
+    assert load(tmp_path / "none.json") == Results({}, {})
+
+
+def test_a_series_measured_again_takes_the_place_of_the_old_one():
+    old = Results({"encode": series()}, {"encode": RUN})
+    anew = series(points=((1.0, 1.0), (2.0, 2.0), (3.0, 3.0)))
+    assert old.with_series(anew, RUN).series["encode"] is anew
+    assert old.series["encode"] is not anew
+
+
+def test_rounds_go_over_all_points_in_turn():
+    seen = []
+    points = sample((1, 2), Effort(0, 2), lambda x: float(seen.append(x) or x * 10))
+    assert seen == [1, 2, 1, 2]
+    assert points == ((1.0, 10.0), (2.0, 20.0), (1.0, 10.0), (2.0, 20.0))
+
+
+def test_the_list_is_covered_figure_by_figure():
+    held = " ".join(entry.figure for entry in entries(TARGET))
+    for figure in (
+        *("350 senders", "770 receivers", "3,100 accelerators", "1,600 requests", "520,000 tokens", "1.2 s", "77 ms"),
+        *("95%", "24,000 programs", "100 turns", "500,000 tokens", "240 tenants", "7 models", "3 regions", "9 zones"),
+        *("850 changes", "14 s", "1.6%", "128 MB", "10 kB/s", "5 machines", "6 failures", "150 restarts"),
+        *("a rack", "a zone", "an hour"),
+    ):
+        assert figure in held, figure
+
+
+def test_the_figures_of_the_list_are_those_of_the_target():
+    assert entries(Target(senders=351))[0].figure == "351 senders"
+
+
+def test_an_entry_that_names_no_row_is_an_error():
+    entry = next(entry for entry in entries(TARGET) if entry.rows)
+    with pytest.raises(KeyError):
+        outcome(entry, {})
+
+
+def test_every_series_that_the_page_uses_is_measured_by_the_command():
+    assert set(load(command.RESULTS).series) <= set(command.MEASURES)
+
+
+def test_the_page_is_what_its_results_give():
+    assert command.write_page(load(command.RESULTS)) == command.PAGE.read_text()
