--- a/dewpin/cluster/rpc.py
+++ b/dewpin/cluster/rpc.py
@@ -197,29 +197,28 @@
 
     async def call(self, address: str, message: Message, timeout_s: float) -> Message:
         """The answer of the process at `address`. RpcError on any failure, at the latest after `timeout_s`."""
+        received = self._bytes_events(address)
         try:
-            return await asyncio.wait_for(self._call(address, message), timeout_s)
+            answer = await asyncio.wait_for(self._call(address, message), timeout_s)
         except TimeoutError:
+            if self._bytes_events(address) == received:
+                self._drop(address)  # silent all the while: a new connection finds a path sooner than this one
             raise RpcError("timeout", address) from None
-
-    async def _call(self, address: str, message: Message) -> Message:
-        connection = await self._connection(address)
-        received = connection.received
-        try:
-            answer = await connection.call(message)
-        except asyncio.CancelledError:
-            if connection.received == received:  # silent since: a new connection finds a path sooner than this one
-                self._drop(address, connection)
-            raise
         if answer.get("type") == "error":
             raise RpcError(str(answer.get("kind")), str(answer.get("detail", "")), answer)
         return answer
 
+    async def _call(self, address: str, message: Message) -> Message:
+        connection = await self._connection(address)
+        return await connection.call(message)
+
     async def _connection(self, address: str) -> _ClientConnection:
+        established = self._established(address)
+        if established is not None and established.transport is not None:
+            return established
         task = self._connections.get(address)
         if task is not None and task.done():
-            if task.cancelled() or task.exception() is not None or task.result().transport is None:
-                task = None
+            task = None
         if task is None:
             task = asyncio.ensure_future(self._connect(address))
             task.add_done_callback(lambda done: done.cancelled() or done.exception())
@@ -237,12 +236,21 @@
             raise RpcError("connect", f"{address}: {fault!r}") from None
         return connection
 
-    def _drop(self, address: str, connection: _ClientConnection) -> None:
+    def _established(self, address: str) -> _ClientConnection | None:
         task = self._connections.get(address)
-        if task is not None and task.done() and not task.cancelled() and task.exception() is None:
-            if task.result() is connection:
-                del self._connections[address]
-        connection.abort()
+        if task is None or not task.done() or task.cancelled() or task.exception() is not None:
+            return None
+        return task.result()
+
+    def _bytes_events(self, address: str) -> int:
+        connection = self._established(address)
+        return connection.received if connection is not None else 0
+
+    def _drop(self, address: str) -> None:
+        connection = self._established(address)
+        if connection is not None:
+            del self._connections[address]
+            connection.abort()
 
     async def close(self) -> None:
         """Closes all connections."""
--- /dev/null
+++ b/dewpin/controlplane/reconfiguration.py
@@ -0,0 +1,182 @@
+"""Which change of members or stores is due, from the system state and from who is heard. Free of I/O.
+
+One process at a time drives changes (the live member with the least id); that two do costs a conflict and no more, since
+every change is made on exactly the version it was planned on.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .peers import Peer, PeerTable
+from .system_state import (
+    Change,
+    SystemState,
+    begin_stores,
+    finish_retirement,
+    finish_stores,
+    is_settled,
+    move_stores,
+    on_version,
+    set_members,
+    successor,
+)
+
+LIVE_S = 1.0
+GONE_WITH_SUCCESSOR_S = 1.5
+GONE_S = 20.0
+FIRST_STORES_WAIT_S = 3.0
+
+
+@dataclass(frozen=True)
+class Knowledge:
+    """What a plan is made from. `started_s`: when this process did; times are of the steady clock."""
+
+    me: Peer
+    peers: PeerTable
+    machines_to_bear: int
+    started_s: float
+    now_s: float
+
+    @property
+    def full_count(self) -> int:
+        """How many replicas bear the losses that are to be borne."""
+        return 2 * self.machines_to_bear + 1
+
+    def everyone(self) -> list[Peer]:
+        """This process and all it has heard of."""
+        return [self.me, *self.peers.peers.values()]
+
+    def silent_s(self, peer_id: str) -> float:
+        """For how long nothing was heard of a process."""
+        return 0.0 if peer_id == self.me.id else self.peers.silent_s(peer_id, self.now_s)
+
+    def is_replaced(self, peer_id: str, name: str | None) -> bool:
+        """Whether the machine runs as another incarnation by now."""
+        if peer_id == self.me.id:
+            return False
+        return name == self.me.name or self.peers.is_replaced(peer_id, name)
+
+    def is_live(self, peer_id: str) -> bool:
+        """Whether the process was heard just now."""
+        return self.silent_s(peer_id) < LIVE_S
+
+
+def drives(state: SystemState, knowledge: Knowledge) -> bool:
+    """Whether this process is the one to make changes now."""
+    live = [member for member in state["members"] if knowledge.is_live(member)]
+    return knowledge.me.id == min(live, default=None)
+
+
+def due_change(state: SystemState, knowledge: Knowledge) -> Change | None:
+    """The change to make next, or None."""
+    if not is_settled(state):
+        return on_version(state["version"], successor)
+    make = (
+        _change_of_members(state, knowledge)
+        or _change_of_stores(state, knowledge)
+        or _retirement_that_is_done(state, knowledge)
+    )
+    return on_version(state["version"], make) if make is not None else None
+
+
+def _newcomers(state: SystemState, knowledge: Knowledge) -> list[Peer]:
+    """Live processes that may be taken in, the one with the least id first."""
+    found = [
+        peer
+        for peer in knowledge.everyone()
+        if knowledge.is_live(peer.id) and not peer.leaving and peer.name not in state["retiring"]
+        and peer.name not in state["retired"]
+    ]
+    return sorted(found, key=lambda peer: peer.id)
+
+
+def _change_of_members(state: SystemState, knowledge: Knowledge):
+    members = dict(state["members"])
+    spare = [peer for peer in _newcomers(state, knowledge) if peer.control and peer.id not in members]
+    for member in list(members):
+        name = state["names"].get(member)
+        if not spare or not _must_go(state, knowledge, member, name, GONE_WITH_SUCCESSOR_S):
+            continue
+        successor_peer = next((peer for peer in spare if peer.name == name), spare[0])
+        spare.remove(successor_peer)
+        del members[member]
+        members[successor_peer.id] = successor_peer.address
+        return set_members(members, _names_of(knowledge))
+    if len(members) < knowledge.full_count and spare:
+        members[spare[0].id] = spare[0].address
+        return set_members(members, _names_of(knowledge))
+    return None
+
+
+def _must_go(state: SystemState, knowledge: Knowledge, peer_id: str, name: str | None, gone_s: float) -> bool:
+    if knowledge.is_replaced(peer_id, name) or name in state["retiring"]:
+        return True
+    return knowledge.silent_s(peer_id) > gone_s
+
+
+def _change_of_stores(state: SystemState, knowledge: Knowledge):
+    view = state["stores"]
+    if not view["stable"]:
+        return _first_stores(state, knowledge)
+    wanted = _wanted_stores(state, knowledge)
+    current = view["next"] if view["next"] is not None else view["stable"]
+    if wanted != current:
+        return move_stores(wanted, _names_of(knowledge))
+    if view["next"] is not None and _all_synced(view["next"], view["epoch"], knowledge):
+        return finish_stores
+    return None
+
+
+def _first_stores(state: SystemState, knowledge: Knowledge):
+    stores = {peer.id: peer.address for peer in _newcomers(state, knowledge) if peer.store}
+    waited = knowledge.now_s - knowledge.started_s > FIRST_STORES_WAIT_S
+    if len(stores) >= knowledge.full_count or (stores and waited):
+        return begin_stores(stores, _names_of(knowledge))
+    return None
+
+
+def _wanted_stores(state: SystemState, knowledge: Knowledge) -> dict[str, str]:
+    """The stores that should hold the records: those in the view that aren't gone, and newcomers."""
+    view = state["stores"]
+    held = {**view["stable"], **(view["next"] or {})}
+    joining = {peer.id: peer.address for peer in _newcomers(state, knowledge) if peer.store}
+    has_successor = any(store not in held for store in joining) or view["next"] is not None
+    gone_s = GONE_WITH_SUCCESSOR_S if has_successor else GONE_S
+    kept = {
+        store: address
+        for store, address in held.items()
+        if not _must_go(state, knowledge, store, state["names"].get(store), gone_s)
+    }
+    wanted = dict(sorted({**kept, **joining}.items()))
+    if len(wanted) >= min(knowledge.full_count, len(view["stable"])):
+        return wanted
+    return dict(sorted({**_not_replaced(state, knowledge, held), **joining}.items()))
+
+
+def _not_replaced(state: SystemState, knowledge: Knowledge, held: dict[str, str]) -> dict[str, str]:
+    return {
+        store: address
+        for store, address in held.items()
+        if not knowledge.is_replaced(store, state["names"].get(store))
+    }
+
+
+def _all_synced(stores: dict[str, str], epoch: int, knowledge: Knowledge) -> bool:
+    synced = {peer.id: peer.synced_epoch for peer in knowledge.everyone()}
+    return all(synced.get(store, -1) >= epoch for store in stores)
+
+
+def _retirement_that_is_done(state: SystemState, knowledge: Knowledge):
+    view = state["stores"]
+    if view["next"] is not None:
+        return None
+    held = {state["names"].get(one) for one in (*view["stable"], *state["members"], *state["former_members"])}
+    for name in state["retiring"]:
+        if name not in held:
+            return finish_retirement(name)
+    return None
+
+
+def _names_of(knowledge: Knowledge) -> dict[str, str]:
+    return {peer.id: peer.name for peer in knowledge.everyone()}
--- /dev/null
+++ b/dewpin/controlplane/system_state.py
@@ -0,0 +1,235 @@
+"""The system state: the value of the register, and every change that is made to it, as pure functions.
+
+A change takes the present state and returns the next one, or the same object where nothing is to be done. All states
+are plain JSON objects, treated as immutable.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable, Mapping
+from typing import NotRequired, TypedDict
+
+MOST_REMEMBERED_CONFIGURATIONS = 2000
+
+Addresses = dict[str, str]
+
+
+class StoredConfiguration(TypedDict):
+    """The operator's configuration as it was sent."""
+
+    generation: int
+    digest: str
+    body: str
+
+
+class StoreViewState(TypedDict):
+    """The stores by id: `stable` ones hold all records, `next` is the set that a change leads to."""
+
+    epoch: int
+    stable: Addresses
+    next: Addresses | None
+
+
+class SystemState(TypedDict):
+    """The register's value. Members and stores are incarnations, by id, with the address of each."""
+
+    version: int
+    members: Addresses
+    former_members: Addresses
+    names: dict[str, str]
+    stores: StoreViewState
+    retiring: list[str]
+    retired: list[str]
+    configuration: StoredConfiguration | None
+    accepted: list[list[int | str]]
+    note: NotRequired[str]
+
+
+Change = Callable[[SystemState], SystemState]
+
+
+class ChangeRefused(Exception):
+    """A change that may not be made to the state as it is."""
+
+
+class AnotherVersionIsCurrent(ChangeRefused):
+    """The order builds on a version that is not the present one."""
+
+
+class GenerationNotAbove(ChangeRefused):
+    """The order's generation is not above the present one."""
+
+
+class StateMoved(ChangeRefused):
+    """The state is no longer the one that the change was planned on."""
+
+
+class UnknownMachine(ChangeRefused):
+    """No store machine has that name."""
+
+
+class TooFewWouldRemain(ChangeRefused):
+    """Without the machine the stores could not bear the losses that they have to bear."""
+
+
+def genesis(members: Addresses, names: Mapping[str, str]) -> SystemState:
+    """The state before the first change: the same at every member that makes it."""
+    return SystemState(
+        version=0,
+        members=dict(sorted(members.items())),
+        former_members=dict(sorted(members.items())),
+        names=dict(sorted(names.items())),
+        stores=StoreViewState(epoch=0, stable={}, next=None),
+        retiring=[],
+        retired=[],
+        configuration=None,
+        accepted=[],
+    )
+
+
+def quorum_sets(state: SystemState) -> list[frozenset[str]]:
+    """The sets that must each give a majority."""
+    return [frozenset(state["members"]), frozenset(state["former_members"])]
+
+
+def is_settled(state: SystemState) -> bool:
+    """Whether no change of members is under way."""
+    return state["members"] == state["former_members"]
+
+
+def successor(state: SystemState) -> SystemState:
+    """A copy that is the next version, with the present members as the former ones."""
+    following = state.copy()
+    following["version"] = state["version"] + 1
+    following["former_members"] = state["members"]
+    return following
+
+
+def digest_of(body: bytes) -> str:
+    """What tells one configuration from another under the same number."""
+    return hashlib.sha256(body).hexdigest()[:24]
+
+
+def put_configuration(body: bytes, generation: int, base: int) -> Change:
+    """The change that takes a checked configuration in. The same one sent again changes nothing."""
+    digest = digest_of(body)
+
+    def change(state: SystemState) -> SystemState:
+        if [generation, digest] in state["accepted"]:
+            return state
+        current = state["configuration"]["generation"] if state["configuration"] else 0
+        if base != current:
+            raise AnotherVersionIsCurrent(f"version {current} is in place, not {base}")
+        if generation <= current:
+            raise GenerationNotAbove(f"generation {generation} is not above {current}")
+        following = successor(state)
+        following["configuration"] = StoredConfiguration(
+            generation=generation, digest=digest, body=body.decode("utf-8")
+        )
+        following["accepted"] = [*state["accepted"], [generation, digest]][-MOST_REMEMBERED_CONFIGURATIONS:]
+        return following
+
+    return change
+
+
+def on_version(version: int, make: Callable[[SystemState], SystemState]) -> Change:
+    """`make` for exactly the state of `version`; StateMoved for any other."""
+
+    def change(state: SystemState) -> SystemState:
+        if state["version"] != version:
+            raise StateMoved(f"version {state['version']}, planned on {version}")
+        return make(state)
+
+    return change
+
+
+def set_members(members: Addresses, names: Mapping[str, str]) -> Callable[[SystemState], SystemState]:
+    """Replaces the register's members."""
+
+    def make(state: SystemState) -> SystemState:
+        following = successor(state)
+        following["members"] = dict(sorted(members.items()))
+        following["names"] = _names_in_use(following, {**state["names"], **names})
+        return following
+
+    return make
+
+
+def begin_stores(stores: Addresses, names: Mapping[str, str]) -> Callable[[SystemState], SystemState]:
+    """The first stores; there is nothing yet that they could lack."""
+
+    def make(state: SystemState) -> SystemState:
+        view = StoreViewState(epoch=state["stores"]["epoch"] + 1, stable=dict(sorted(stores.items())), next=None)
+        return _with_view(state, view, names)
+
+    return make
+
+
+def move_stores(stores: Addresses, names: Mapping[str, str]) -> Callable[[SystemState], SystemState]:
+    """Begins a change of the stores to `stores`, or gives one under way another end."""
+
+    def make(state: SystemState) -> SystemState:
+        present = state["stores"]
+        view = StoreViewState(epoch=present["epoch"] + 1, stable=present["stable"], next=dict(sorted(stores.items())))
+        return _with_view(state, view, names)
+
+    return make
+
+
+def finish_stores(state: SystemState) -> SystemState:
+    """Ends the change of the stores that is under way."""
+    present = state["stores"]
+    assert present["next"] is not None
+    view = StoreViewState(epoch=present["epoch"] + 1, stable=present["next"], next=None)
+    return _with_view(state, view, {})
+
+
+def start_retirement(name: str, least_stores: int) -> Change:
+    """Marks a store machine, by its name, to be emptied."""
+
+    def change(state: SystemState) -> SystemState:
+        if name in state["retiring"] or retirement_is_done(state, name):
+            return state
+        view = state["stores"]
+        held = {**view["stable"], **(view["next"] or {})}
+        if name not in {state["names"].get(store) for store in held}:
+            raise UnknownMachine(name)
+        leaving = {*state["retiring"], name}
+        remaining = [store for store in view["next"] or view["stable"] if state["names"].get(store) not in leaving]
+        if len(remaining) < least_stores:
+            raise TooFewWouldRemain(f"{len(remaining)} stores would remain, {least_stores} are needed")
+        following = successor(state)
+        following["retiring"] = [*state["retiring"], name]
+        return following
+
+    return change
+
+
+def finish_retirement(name: str) -> Callable[[SystemState], SystemState]:
+    """Notes that a machine holds nothing any more."""
+
+    def make(state: SystemState) -> SystemState:
+        following = successor(state)
+        following["retiring"] = [one for one in state["retiring"] if one != name]
+        following["retired"] = [*state["retired"], name][-64:]
+        return following
+
+    return make
+
+
+def retirement_is_done(state: SystemState, name: str) -> bool:
+    """Whether a machine has been emptied."""
+    return name in state["retired"] and name not in state["retiring"]
+
+
+def _with_view(state: SystemState, view: StoreViewState, names: Mapping[str, str]) -> SystemState:
+    following = successor(state)
+    following["stores"] = view
+    following["names"] = _names_in_use(following, {**state["names"], **names})
+    return following
+
+
+def _names_in_use(state: SystemState, names: Mapping[str, str]) -> dict[str, str]:
+    used = {*state["members"], *state["former_members"], *state["stores"]["stable"], *(state["stores"]["next"] or {})}
+    return {member: names[member] for member in sorted(used) if member in names}
