--- /dev/null
+++ b/dewpin/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""What the data plane and the control plane share: checked inputs, errors and logs."""
--- /dev/null
+++ b/dewpin/cluster/checking.py
@@ -0,0 +1,144 @@
+"""A small checker of untyped values against typed dictionaries.
+
+`check_shape` compares a value read from JSON or TOML with a type annotation and reports every fault with its place,
+such as `routes[3].split[0].weight`. It knows the annotations that messages are made of: `str`, `bool`, `int`, `float`,
+`None`, unions, `list[X]`, `dict[str, X]`, `object` and `TypedDict` classes. Fields that a typed dictionary does not
+name are ignored. An optional field that is `null` counts as absent when its annotation includes `None`.
+"""
+
+import math
+import types
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import cache
+from typing import Any, NotRequired, Required, TypeVar, Union, get_args, get_origin, get_type_hints, is_typeddict
+
+JsonObject = dict[str, Any]
+"""An object as `json.loads` or `tomllib.loads` returns it."""
+
+T = TypeVar("T")
+
+_SHOWN_CHARACTERS = 60
+_EXPECTED = {
+    str: "a string",
+    bool: "true or false",
+    int: "a whole number",
+    float: "a finite number",
+    type(None): "null",
+}
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault of an input: where it is (empty for the whole input) and what is wrong there."""
+
+    place: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.message}" if self.place else self.message
+
+    def is_within(self, place: str) -> bool:
+        """Tell whether this fault lies at `place` or somewhere inside it."""
+        return self.place == place or self.place.startswith((place + ".", place + "["))
+
+
+def check_shape(value: object, annotation: Any, place: str = "") -> list[Fault]:
+    """Return every fault of `value` against `annotation`; an empty list means that it may be cast to it."""
+    if annotation is object or annotation is Any:
+        return []
+    if is_typeddict(annotation):
+        return _check_typed_dictionary(value, annotation, place)
+    origin = get_origin(annotation)
+    if origin in (Union, types.UnionType):
+        return _check_union(value, annotation, place)
+    if origin is list:
+        return _check_list(value, annotation, place)
+    if origin is dict:
+        return _check_mapping(value, annotation, place)
+    return [] if _is_scalar(value, annotation) else [expected(_EXPECTED[annotation], value, place)]
+
+
+def expected(what: str, value: object, place: str) -> Fault:
+    """Return the fault of a `value` that should have been `what`."""
+    shown = repr(value)
+    if len(shown) > _SHOWN_CHARACTERS:
+        shown = shown[:_SHOWN_CHARACTERS] + "..."
+    return Fault(place, f"expected {what}, got {shown}")
+
+
+def join_place(place: str, field: str) -> str:
+    """Return the place of `field` in the object at `place`."""
+    return f"{place}.{field}" if place else field
+
+
+def value_or(value: T | None, default: T) -> T:
+    """Return `value`, or `default` if it is absent."""
+    return default if value is None else value
+
+
+def _check_typed_dictionary(value: object, annotation: Any, place: str) -> list[Fault]:
+    if not isinstance(value, Mapping):
+        return [expected("an object", value, place)]
+    faults: list[Fault] = []
+    for field, (field_annotation, required) in _fields(annotation).items():
+        field_place = join_place(place, field)
+        if field in value:
+            faults += check_shape(value[field], field_annotation, field_place)
+        elif required:
+            faults.append(Fault(field_place, "is missing"))
+    return faults
+
+
+@cache
+def _fields(annotation: Any) -> dict[str, tuple[Any, bool]]:
+    """Return the annotation of each field of a typed dictionary and whether the field is required."""
+    hints = get_type_hints(annotation, include_extras=True)
+    return {
+        field: (
+            get_args(hint)[0] if get_origin(hint) in (NotRequired, Required) else hint,
+            field in annotation.__required_keys__,
+        )
+        for field, hint in hints.items()
+    }
+
+
+def _check_union(value: object, annotation: Any, place: str) -> list[Fault]:
+    options = get_args(annotation)
+    attempts = [check_shape(value, option, place) for option in options]
+    if not all(attempts):
+        return []
+    named = [faults for option, faults in zip(options, attempts, strict=True) if option is not type(None)]
+    return named[0]
+
+
+def _check_list(value: object, annotation: Any, place: str) -> list[Fault]:
+    if not isinstance(value, list):
+        return [expected("a list", value, place)]
+    (item_annotation,) = get_args(annotation)
+    return [
+        fault for index, item in enumerate(value) for fault in check_shape(item, item_annotation, f"{place}[{index}]")
+    ]
+
+
+def _check_mapping(value: object, annotation: Any, place: str) -> list[Fault]:
+    if not isinstance(value, dict):
+        return [expected("an object", value, place)]
+    _, item_annotation = get_args(annotation)
+    return [
+        fault for key, item in value.items() for fault in check_shape(item, item_annotation, join_place(place, key))
+    ]
+
+
+def _is_scalar(value: object, annotation: Any) -> bool:
+    if annotation is type(None):
+        return value is None
+    if annotation is bool or annotation is str:
+        return isinstance(value, annotation)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    try:
+        number = float(value)
+    except OverflowError:
+        return False
+    return math.isfinite(number) and (annotation is float or number.is_integer())
