Keeper storage: one sqlite3 file per data folder, one thread, group commit

Cause: turns, budget ledgers and register replicas must be synced before anything about them is answered, and a slow disk must not hold the event loop up. Change: dewpin/controlplane/storage.py: a thread of its own runs jobs in order and commits those that wait together; WAL, synchronous=FULL, exclusive lock; a failed group is undone and its jobs are run one by one, so a full disk rejects only what it cannot hold; schema version in user_version; a damaged file is renamed and its folder begins as another incarnation. Ruled out: a savepoint for each write (cost on the ordinary path for a rare error).

--- /dev/null
+++ b/dewpin/controlplane/__init__.py
@@ -0,0 +1,1 @@
+"""The control plane: what a keeper stores, answers and changes."""
--- /dev/null
+++ b/tests/controlplane/test_storage.py
@@ -0,0 +1,184 @@
+"""The keeper's database: durable writes, failures of the disk, damage, versions of the schema."""
+
+import asyncio
+import shutil
+import sqlite3
+
+import pytest
+
+from dewpin.controlplane import storage as storage_module
+from dewpin.controlplane.storage import DATABASE_NAME, SchemaTooNew, Storage, StorageDamaged, StorageFailed, incarnation
+
+INSERT = "INSERT INTO meta (name, value) VALUES (?, ?)"
+SELECT = "SELECT value FROM meta WHERE name = ?"
+
+
+@pytest.fixture
+def storage(tmp_path):
+    opened = Storage(tmp_path / "data", log=lambda text: None)
+    yield opened
+    opened.close()
+
+
+def put(name, value="v"):
+    return [(INSERT, (name, value))]
+
+
+def test_a_read_after_an_awaited_write_sees_it(storage):
+    async def scene():
+        await storage.write(put("a", "1"))
+        return await storage.query(SELECT, ("a",))
+
+    assert asyncio.run(scene()) == [("1",)]
+
+
+def test_writes_that_wait_together_share_a_commit(storage):
+    commits = []
+    storage._connection.set_trace_callback(lambda sql: commits.append(sql) if sql == "COMMIT" else None)
+
+    async def scene():
+        await asyncio.gather(*(storage.write(put(f"n{number}")) for number in range(100)))
+        return await storage.query("SELECT count(*) FROM meta WHERE name LIKE 'n%'")
+
+    assert asyncio.run(scene()) == [(100,)]
+    assert len(commits) < 50
+
+
+def test_a_write_that_fails_leaves_those_beside_it_whole(storage):
+    async def scene():
+        results = await asyncio.gather(
+            storage.write(put("a")),
+            storage.write(put("b") + put("a")),
+            storage.write(put("c")),
+            return_exceptions=True,
+        )
+        return results, await storage.query("SELECT name FROM meta WHERE name IN ('a', 'b', 'c') ORDER BY name")
+
+    results, rows = asyncio.run(scene())
+    assert [type(result) for result in results] == [type(None), StorageFailed, type(None)]
+    assert rows == [("a",), ("c",)]
+
+
+def test_a_full_disk_rejects_the_writes_it_cannot_hold_and_serves_the_rest(storage):
+    async def scene():
+        await storage.write(put("a", "kept"))
+        pages = (await storage.query("PRAGMA page_count"))[0][0]
+        storage._connection.execute(f"PRAGMA max_page_count = {pages + 1}")
+        with pytest.raises(StorageFailed, match="full"):
+            await storage.write(put("big", "x" * 100_000))
+        small = await storage.query(SELECT, ("a",))
+        storage._connection.execute("PRAGMA max_page_count = 1000000")
+        await storage.write(put("big", "x" * 100_000))
+        return small
+
+    assert asyncio.run(scene()) == [("kept",)]
+
+
+def test_a_copy_of_the_files_of_a_killed_process_holds_every_finished_write(storage, tmp_path):
+    async def scene():
+        for number in range(50):
+            await storage.write(put(f"n{number}"))
+
+    asyncio.run(scene())
+    shutil.copytree(tmp_path / "data", tmp_path / "copy")
+    copy = Storage(tmp_path / "copy", log=lambda text: None)
+    try:
+        rows = asyncio.run(copy.query("SELECT count(*) FROM meta WHERE name LIKE 'n%'"))
+        assert rows == [(50,)]
+        assert copy.incarnation == storage.incarnation
+    finally:
+        copy.close()
+
+
+def test_a_torn_tail_of_the_log_loses_only_what_was_never_acknowledged(storage, tmp_path):
+    asyncio.run(storage.write(put("a")))
+    shutil.copytree(tmp_path / "data", tmp_path / "copy")
+    with (tmp_path / "copy" / f"{DATABASE_NAME}-wal").open("ab") as log:
+        log.write(b"\x5a" * 5000)
+    copy = Storage(tmp_path / "copy", log=lambda text: None)
+    try:
+        assert asyncio.run(copy.query(SELECT, ("a",))) == [("v",)]
+    finally:
+        copy.close()
+
+
+def test_a_silent_disk_does_not_hold_the_event_loop(storage):
+    import threading
+
+    go_on = threading.Event()
+
+    async def scene():
+        slow = asyncio.ensure_future(storage.transact(lambda connection: go_on.wait(10)))
+        turns = 0
+        while turns < 1000:
+            await asyncio.sleep(0)
+            turns += 1
+        assert not slow.done()
+        go_on.set()
+        return await slow
+
+    assert asyncio.run(scene()) is True
+
+
+def test_too_many_waiting_jobs_are_refused(storage, monkeypatch):
+    monkeypatch.setattr(storage_module, "MOST_WAITING", 3)
+
+    async def scene():
+        with storage._ready:
+            pass
+        results = await asyncio.gather(*(storage.write(put(f"n{i}")) for i in range(2000)), return_exceptions=True)
+        return [result for result in results if isinstance(result, StorageFailed)]
+
+    assert asyncio.run(scene())
+
+
+def test_the_incarnation_stays_with_the_folder(tmp_path):
+    first = incarnation(tmp_path / "a")
+    assert incarnation(tmp_path / "a") == first
+    assert incarnation(tmp_path / "b") != first
+    assert len(first) == 16
+
+
+def test_a_file_that_is_no_database_is_set_aside_as_a_lost_disk(tmp_path):
+    first = incarnation(tmp_path)
+    (tmp_path / DATABASE_NAME).write_bytes(b"not a database at all" * 1000)
+    told = []
+    opened = Storage(tmp_path, log=told.append)
+    try:
+        assert opened.incarnation != first
+        assert "damaged" in told[0]
+        assert [path for path in tmp_path.iterdir() if ".damaged-" in path.name]
+    finally:
+        opened.close()
+
+
+def test_damage_met_while_running_is_told_and_set_aside_at_the_next_start(tmp_path):
+    told = []
+    opened = Storage(tmp_path, log=told.append)
+    first = opened.incarnation
+
+    def broken(connection):
+        raise sqlite3.DatabaseError("database disk image is malformed")
+
+    async def scene():
+        with pytest.raises(StorageDamaged):
+            await opened.transact(broken)
+        with pytest.raises(StorageDamaged):
+            await opened.write(put("a"))
+
+    asyncio.run(scene())
+    opened.close()
+    assert opened.damaged and told
+    assert incarnation(tmp_path) != first
+
+
+def test_a_database_of_a_newer_release_is_refused_and_left_alone(tmp_path):
+    first = incarnation(tmp_path)
+    connection = sqlite3.connect(tmp_path / DATABASE_NAME)
+    connection.execute("PRAGMA user_version = 999")
+    connection.close()
+    with pytest.raises(SchemaTooNew, match="999"):
+        Storage(tmp_path)
+    connection = sqlite3.connect(tmp_path / DATABASE_NAME)
+    assert connection.execute("SELECT value FROM meta WHERE name = 'incarnation'").fetchone()[0] == first
+    connection.close()
