--- /dev/null
+++ b/dewpin/cluster/store_view.py
@@ -0,0 +1,95 @@
+"""The view of the stores: which members hold turns and budget ledgers, and under which epoch.
+
+While `next` is set the view is changing: writes go to majorities of the stable and of the next replicas of a key,
+reads are answered by the stable ones.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import cached_property
+from typing import Any
+
+from dewpin.cluster.placement import most_silent, replicas
+
+JsonObject = dict[str, Any]
+
+
+@dataclass(frozen=True)
+class Member:
+    """One incarnation of a store machine: the id that its data folder was given, and where it listens."""
+
+    id: str
+    address: str
+
+
+@dataclass(frozen=True)
+class StoreView:
+    """The members under one epoch; a greater epoch is newer."""
+
+    epoch: int
+    stable: tuple[Member, ...]
+    next: tuple[Member, ...] | None = None
+
+    @cached_property
+    def members(self) -> dict[str, Member]:
+        """All members by id, those of `next` included."""
+        return {member.id: member for member in (*self.stable, *(self.next or ()))}
+
+    @cached_property
+    def stable_ids(self) -> tuple[str, ...]:
+        """The ids of the stable members, in a fixed order."""
+        return tuple(sorted(member.id for member in self.stable))
+
+    @cached_property
+    def next_ids(self) -> tuple[str, ...]:
+        """The ids of the next members, in a fixed order; empty when the view is not changing."""
+        return tuple(sorted(member.id for member in self.next or ()))
+
+    def stable_replicas(self, key: str, count: int) -> frozenset[str]:
+        """Return the members that answer reads of `key`."""
+        return replicas(key, self.stable_ids, count)
+
+    def next_replicas(self, key: str, count: int) -> frozenset[str]:
+        """Return the members that will hold `key` after the change; empty when the view is not changing."""
+        return replicas(key, self.next_ids, count)
+
+    def write_sets(self, key: str, count: int) -> tuple[frozenset[str], ...]:
+        """Return the replica sets of which a write of `key` needs a majority each."""
+        sets = [self.stable_replicas(key, count)]
+        if self.next_ids:
+            sets.append(self.next_replicas(key, count))
+        return tuple(sets)
+
+    def holds(self, member: str, key: str, count: int) -> bool:
+        """Tell whether `member` is a replica of `key` before or after the change."""
+        return any(member in replica_set for replica_set in self.write_sets(key, count))
+
+    def most_silent(self, count: int) -> int:
+        """Return how many stable members may stay silent while every key still has a majority of its replicas."""
+        return most_silent(len(self.stable), count)
+
+    def to_json(self) -> JsonObject:
+        """Return the view as a JSON object."""
+        return {
+            "epoch": self.epoch,
+            "stable": [[member.id, member.address] for member in self.stable],
+            "next": None if self.next is None else [[member.id, member.address] for member in self.next],
+        }
+
+    @staticmethod
+    def from_json(value: JsonObject) -> StoreView:
+        """Return the view of a JSON object made by `to_json`. Raises ValueError for anything else."""
+        try:
+            following = value["next"]
+            return StoreView(
+                int(value["epoch"]),
+                _members(value["stable"]),
+                None if following is None else _members(following),
+            )
+        except (KeyError, TypeError) as error:
+            raise ValueError(f"not a view of stores: {error!r}") from error
+
+
+def _members(pairs: Any) -> tuple[Member, ...]:
+    return tuple(Member(str(identity), str(address)) for identity, address in pairs)
