--- a/dewpin/cluster/receivers.py
+++ b/dewpin/cluster/receivers.py
@@ -98,16 +98,27 @@
         self.version = NO_VERSION
         self.receivers: dict[str, Receiver] = {}
         self._ended: dict[str, None] = {}
+        self._seen = NO_VERSION
+
+    def note_version(self, version: DirectoryVersion) -> None:
+        """Notes a version that somebody has: the next reading of the list is to be newer than it."""
+        self._seen = max(self._seen, version)
 
     def take_reading(self, receivers: Iterable[Receiver], reader: str) -> bool:
-        """Takes a whole list just read from the platform; true if anything changed."""
-        merged = self._merge(receivers)
-        if _without_warmth(merged) == _without_warmth(self.receivers) and self.version != NO_VERSION:
+        """Takes a whole list just read from the platform for everybody; true if a new version was made of it."""
+        overtaken = self._seen > self.version or self.version == NO_VERSION
+        if not self.take_private_reading(receivers) and not overtaken:
             return False
-        self.receivers = merged
-        self.version = DirectoryVersion(self.version.counter + 1, reader)
+        self.version = DirectoryVersion(max(self.version.counter, self._seen.counter) + 1, reader)
         return True
 
+    def take_private_reading(self, receivers: Iterable[Receiver]) -> bool:
+        """Takes a list just read that is handed to nobody else, under the version as it is; true if anything changed."""
+        merged = self._merge(receivers)
+        changed = _without_warmth(merged) != _without_warmth(self.receivers)
+        self.receivers = merged
+        return changed
+
     def take_copy(self, version: DirectoryVersion, receivers: Iterable[Receiver]) -> bool:
         """Takes another process's directory; true if it is newer than this one."""
         if version <= self.version:
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from dewpin.cluster.platform_list import PlatformList, PlatformUnavailable
 from dewpin.cluster.ports import control_plane_address
 from dewpin.cluster.receivers import DirectoryVersion, ReceiverDirectory, receiver_from_record
 from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
@@ -20,7 +21,6 @@
 
 from .leases import LEASE_PERIODS, LeaseTable
 from .peers import Peer, PeerRecord, PeerTable
-from .platform_list import PlatformList, PlatformUnavailable
 from .reconfiguration import Knowledge, drives, due_change
 from .register import RegisterUnavailable, SystemRegister
 from .storage import Storage
@@ -155,9 +155,7 @@
     def _addresses_to_greet(self) -> set[str]:
         addresses = {seed_address(seed, self.settings) for seed in self.settings.seeds}
         now_s = self.clock()
-        addresses |= {
-            peer.address for peer in self.peers.peers.values() if peer.silent_s(now_s) < HELLO_FORGET_S
-        }
+        addresses |= {peer.address for peer in self.peers.peers.values() if peer.silent_s(now_s) < HELLO_FORGET_S}
         state = self.register.newest
         if state is not None:
             addresses.update(state["members"].values())
@@ -229,9 +227,7 @@
             log.info("keeper.change_not_made", extra={"why": repr(fault)})
 
     def _knowledge(self) -> Knowledge:
-        return Knowledge(
-            self.me(), self.peers, self.settings.fault_tolerance.machines, self._started_s, self.clock()
-        )
+        return Knowledge(self.me(), self.peers, self.settings.fault_tolerance.machines, self._started_s, self.clock())
 
     async def _begin_if_everyone_is_here(self) -> None:
         members: dict[str, str] = {}
@@ -270,6 +266,7 @@
         now_s = self.clock()
         sender = str(message["sender"])
         self.leases.renew(sender, str(message["address"]), str(message["zone"]), now_s)
+        self.directory.note_version(_directory_version(message["receivers_version"]))
         state = self.register.chosen
         return {
             "type": "lease.granted",
@@ -331,8 +328,11 @@
         due_s = self._reading_period_s if self._has_reading_duty() else STALE_READINGS * self._reading_period_s
         if age_s < due_s:
             return
+        cloud = self.settings.cloud
+        if cloud is None:
+            return
         began_s = self.clock()
-        platform = PlatformList(self.settings.cloud.address)
+        platform = PlatformList(cloud.address)
         try:
             receivers = await asyncio.get_running_loop().run_in_executor(None, platform.read)
         except PlatformUnavailable as fault:
--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -1,7 +1,7 @@
 """Which change of members or stores is due, from the system state and from who is heard. Free of I/O.
 
-One process at a time drives changes (the live member with the least id); that two do costs a conflict and no more, since
-every change is made on exactly the version it was planned on.
+One process at a time drives changes (the live member with the least id); that two do costs a conflict and no more,
+since every change is made on exactly the version it was planned on.
 """
 
 from __future__ import annotations
@@ -85,7 +85,9 @@
     found = [
         peer
         for peer in knowledge.everyone()
-        if knowledge.is_live(peer.id) and not peer.leaving and peer.name not in state["retiring"]
+        if knowledge.is_live(peer.id)
+        and not peer.leaving
+        and peer.name not in state["retiring"]
         and peer.name not in state["retired"]
     ]
     return sorted(found, key=lambda peer: peer.id)
@@ -156,9 +158,7 @@
 
 def _not_replaced(state: SystemState, knowledge: Knowledge, held: dict[str, str]) -> dict[str, str]:
     return {
-        store: address
-        for store, address in held.items()
-        if not knowledge.is_replaced(store, state["names"].get(store))
+        store: address for store, address in held.items() if not knowledge.is_replaced(store, state["names"].get(store))
     }
 
 
--- /dev/null
+++ b/dewpin/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: the sender that takes clients' requests and forwards them to receivers."""
