--- a/dewpin/cluster/platform_list.py
+++ b/dewpin/cluster/platform_list.py
@@ -4,6 +4,7 @@
 
 import json
 from collections.abc import Iterator
+from typing import Any
 from urllib.parse import quote
 
 import urllib3
@@ -44,7 +45,7 @@
                 return
         raise PlatformUnavailable("pages without end")
 
-    def _page(self, token: str | None) -> dict[str, object]:
+    def _page(self, token: str | None) -> dict[str, Any]:
         url = f"http://{self._address}/instances"
         if token is not None:
             url += f"?page_token={quote(token)}"
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -276,6 +276,7 @@
             "list_age_s": self.list_age_s(),
             "parents": self.leases.parents(sender, now_s),
             "keepers": self._control_addresses(),
+            "senders": len(self.leases.live(now_s)),
         }
 
     def _control_addresses(self) -> list[str]:
--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -93,7 +93,7 @@
     return sorted(found, key=lambda peer: peer.id)
 
 
-def _change_of_members(state: SystemState, knowledge: Knowledge):
+def _change_of_members(state: SystemState, knowledge: Knowledge) -> Change | None:
     members = dict(state["members"])
     spare = [peer for peer in _newcomers(state, knowledge) if peer.control and peer.id not in members]
     for member in list(members):
@@ -117,7 +117,7 @@
     return knowledge.silent_s(peer_id) > gone_s
 
 
-def _change_of_stores(state: SystemState, knowledge: Knowledge):
+def _change_of_stores(state: SystemState, knowledge: Knowledge) -> Change | None:
     view = state["stores"]
     if not view["stable"]:
         return _first_stores(state, knowledge)
@@ -130,7 +130,7 @@
     return None
 
 
-def _first_stores(state: SystemState, knowledge: Knowledge):
+def _first_stores(state: SystemState, knowledge: Knowledge) -> Change | None:
     stores = {peer.id: peer.address for peer in _newcomers(state, knowledge) if peer.store}
     waited = knowledge.now_s - knowledge.started_s > FIRST_STORES_WAIT_S
     if len(stores) >= knowledge.full_count or (stores and waited):
@@ -167,7 +167,7 @@
     return all(synced.get(store, -1) >= epoch for store in stores)
 
 
-def _retirement_that_is_done(state: SystemState, knowledge: Knowledge):
+def _retirement_that_is_done(state: SystemState, knowledge: Knowledge) -> Change | None:
     view = state["stores"]
     if view["next"] is not None:
         return None
--- a/dewpin/controlplane/system_state.py
+++ b/dewpin/controlplane/system_state.py
@@ -127,7 +127,8 @@
         following["configuration"] = StoredConfiguration(
             generation=generation, digest=digest, body=body.decode("utf-8")
         )
-        following["accepted"] = [*state["accepted"], [generation, digest]][-MOST_REMEMBERED_CONFIGURATIONS:]
+        entry: list[int | str] = [generation, digest]
+        following["accepted"] = [*state["accepted"], entry][-MOST_REMEMBERED_CONFIGURATIONS:]
         return following
 
     return change
