Store: turns, chains and ledger replicas under one epoch

Cause: the stores of agent programs. Change: turn table (bodies once, purge from the leaves of chains), ledger replicas decided by consensus.Replica inside the storage's transaction, handlers that refuse another epoch with the store's own view, pulls that answer only once the view is durable.

--- a/dewpin/cluster/store_messages.py
+++ b/dewpin/cluster/store_messages.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from dewpin.cluster.store_view import StoreView
-from dewpin.consensus import Ballot
+from dewpin.consensus import Accepted, Ballot, Conflict, Promise, Reply
 
 Message = dict[str, Any]
 
@@ -30,7 +30,7 @@
 
 STALE_EPOCH = "stale_epoch"
 """Error: the request's epoch is not the store's; the answer's `view` is the store's own, or null."""
-WRONG_MEMBER = "wrong_member"
+WRONG_MEMBER = "another_incarnation"
 """Error: the process at this address is another incarnation than the one that was meant."""
 NOT_REPLICA = "not_replica"
 """Error: the store is no replica of the key under this epoch."""
@@ -135,3 +135,23 @@
 def request(kind: str, view: StoreView, member: str, **fields: Any) -> Message:
     """Return a request of type `kind` to `member` under the epoch of `view`."""
     return {"type": kind, "epoch": view.epoch, "to": member, **fields}
+
+
+def encode_reply(reply: Reply) -> Message:
+    """Return the answer that tells a ledger replica's reply."""
+    if isinstance(reply, Promise):
+        return {"type": LEDGER_PROMISE, "accepted": list(reply.accepted), "value": reply.value}
+    if isinstance(reply, Accepted):
+        return {"type": LEDGER_ACCEPTED, "ballot": list(reply.ballot)}
+    return {"type": LEDGER_CONFLICT, "promised": list(reply.promised)}
+
+
+def decode_reply(message: Message) -> Reply:
+    """Return the ledger replica's reply that an answer tells. Raises KeyError, TypeError or ValueError."""
+    if message["type"] == LEDGER_PROMISE:
+        return Promise(ballot_from_json(message["accepted"]), message["value"])
+    if message["type"] == LEDGER_ACCEPTED:
+        return Accepted(ballot_from_json(message["ballot"]))
+    if message["type"] == LEDGER_CONFLICT:
+        return Conflict(ballot_from_json(message["promised"]))
+    raise ValueError(f"not a ledger replica's reply: {message['type']}")
--- a/dewpin/cluster/store_view.py
+++ b/dewpin/cluster/store_view.py
@@ -6,16 +6,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import cached_property
 from typing import Any
 
 from dewpin.cluster.placement import most_silent, replicas
 
-JsonObject = dict[str, Any]
+JsonObject = Mapping[str, Any]
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Member:
     """One incarnation of a store machine: the id that its data folder was given, and where it listens."""
 
@@ -69,12 +70,12 @@
         """Return how many stable members may stay silent while every key still has a majority of its replicas."""
         return most_silent(len(self.stable), count)
 
-    def to_json(self) -> JsonObject:
-        """Return the view as a JSON object."""
+    def to_json(self) -> dict[str, Any]:
+        """Return the view as the JSON object that the system state holds: addresses by member id."""
         return {
             "epoch": self.epoch,
-            "stable": [[member.id, member.address] for member in self.stable],
-            "next": None if self.next is None else [[member.id, member.address] for member in self.next],
+            "stable": {member.id: member.address for member in self.stable},
+            "next": None if self.next is None else {member.id: member.address for member in self.next},
         }
 
     @staticmethod
@@ -87,9 +88,9 @@
                 _members(value["stable"]),
                 None if following is None else _members(following),
             )
-        except (KeyError, TypeError) as error:
+        except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"not a view of stores: {error!r}") from error
 
 
-def _members(pairs: Any) -> tuple[Member, ...]:
-    return tuple(Member(str(identity), str(address)) for identity, address in pairs)
+def _members(addresses: Any) -> tuple[Member, ...]:
+    return tuple(Member(str(identity), str(address)) for identity, address in sorted(addresses.items()))
--- /dev/null
+++ b/dewpin/controlplane/ledger_replica.py
@@ -0,0 +1,107 @@
+"""The replicas of budget ledgers on disk: one register for each program, decided by `dewpin.consensus.Replica`.
+
+All functions run on the storage thread, inside its transaction: what they decide is synced before it is answered.
+"""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from collections.abc import Sequence
+
+from dewpin.cluster.store_messages import LedgerRecord, ballot_from_json
+from dewpin.consensus import Accepted, Ballot, Conflict, Promise, Replica
+
+KEY_PREFIX = "ledger/"
+_AFTER_ALL_KEYS = "ledger0"
+"""The least text above every key that begins with KEY_PREFIX."""
+
+
+def load(connection: sqlite3.Connection, program: str) -> Replica:
+    """Return the replica of the program's ledger as it stands."""
+    row = connection.execute(
+        "SELECT promised, accepted_ballot, value FROM register_replica WHERE key = ?", (KEY_PREFIX + program,)
+    ).fetchone()
+    if row is None:
+        return Replica()
+    return Replica(ballot_from_json(json.loads(row[0])), ballot_from_json(json.loads(row[1])), json.loads(row[2]))
+
+
+def save(connection: sqlite3.Connection, program: str, replica: Replica, now_ms: int) -> None:
+    """Write the replica of the program's ledger."""
+    connection.execute(
+        "INSERT OR REPLACE INTO register_replica (key, promised, accepted_ballot, value, changed_ms)"
+        " VALUES (?, ?, ?, ?, ?)",
+        (
+            KEY_PREFIX + program,
+            json.dumps(replica.promised),
+            json.dumps(replica.accepted),
+            json.dumps(replica.value, separators=(",", ":")),
+            now_ms,
+        ),
+    )
+
+
+def prepare(connection: sqlite3.Connection, program: str, ballot: Ballot, now_ms: int) -> Promise | Conflict:
+    """Take part in the first round of a ballot."""
+    replica = load(connection, program)
+    reply = replica.prepare(ballot)
+    if isinstance(reply, Promise):
+        save(connection, program, replica, now_ms)
+    return reply
+
+
+def accept(
+    connection: sqlite3.Connection,
+    program: str,
+    ballot: Ballot,
+    value: object,
+    next_ballot: Ballot | None,
+    now_ms: int,
+) -> Accepted | Conflict:
+    """Take part in the second round of a ballot."""
+    replica = load(connection, program)
+    reply = replica.accept(ballot, value, next_ballot)
+    if isinstance(reply, Accepted):
+        save(connection, program, replica, now_ms)
+    return reply
+
+
+def merge(connection: sqlite3.Connection, records: Sequence[LedgerRecord], now_ms: int) -> None:
+    """Take over what other replicas hold: the greatest accepted ballot and the greatest promise win."""
+    for record in records:
+        replica = load(connection, record.program)
+        promised = max(replica.promised, record.promised)
+        accepted, value = replica.accepted, replica.value
+        if record.accepted > accepted:
+            accepted, value = record.accepted, record.value
+        merged = Replica(promised, accepted, value)
+        if merged != replica:
+            save(connection, record.program, merged, now_ms)
+
+
+def page(connection: sqlite3.Connection, after: str, most: int) -> list[LedgerRecord]:
+    """Return up to `most` ledgers whose program comes after `after`, by program."""
+    rows = connection.execute(
+        "SELECT key, promised, accepted_ballot, value FROM register_replica"
+        " WHERE key > ? AND key < ? ORDER BY key LIMIT ?",
+        (KEY_PREFIX + after, _AFTER_ALL_KEYS, most),
+    )
+    return [
+        LedgerRecord(
+            key.removeprefix(KEY_PREFIX),
+            ballot_from_json(json.loads(promised)),
+            ballot_from_json(json.loads(accepted)),
+            json.loads(value),
+        )
+        for key, promised, accepted, value in rows
+    ]
+
+
+def purge(connection: sqlite3.Connection, unchanged_since_ms: int, most: int) -> int:
+    """Forget up to `most` ledgers that have not changed since then; return how many."""
+    return connection.execute(
+        "DELETE FROM register_replica WHERE key IN (SELECT key FROM register_replica"
+        " WHERE changed_ms < ? AND key > ? AND key < ? ORDER BY changed_ms LIMIT ?)",
+        (unchanged_since_ms, KEY_PREFIX, _AFTER_ALL_KEYS, most),
+    ).rowcount
--- /dev/null
+++ b/dewpin/controlplane/store.py
@@ -0,0 +1,246 @@
+"""One store: keeps turns and replicas of budget ledgers, and answers senders and other stores under one epoch."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import sqlite3
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol, TypeVar
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.rpc import Message, RpcError
+from dewpin.cluster.store_messages import TurnRecord, ballot_from_json
+from dewpin.cluster.store_view import StoreView
+from dewpin.controlplane import ledger_replica, turn_table
+from dewpin.controlplane.storage import StorageFailed
+
+RETAIN_MARGIN_MS = 30_000
+"""Turns are kept for this much longer than asked: for steps of the clock and turns that are still running."""
+LEDGER_IDLE_MS = 3_600_000
+"""A ledger without a change for this long is forgotten."""
+MOST_CHAIN_BYTES = 4 * 1024 * 1024
+"""Bodies in one answer of a chain; the sender asks on for the rest."""
+PURGE_STEP = 200
+PURGE_EVERY_S = 1.0
+_VIEW_NAME = "store_view"
+
+log = logging.getLogger(__name__)
+Result = TypeVar("Result")
+
+
+class TransactionalStorage(Protocol):
+    """The part of the storage that a store needs."""
+
+    async def transact(self, work: Callable[[sqlite3.Connection], Result]) -> Result:
+        """Run `work` in a transaction; return its result once it is synced. Raises StorageFailed."""
+
+
+def _wall_clock_ms() -> int:
+    return int(time.time() * 1000)
+
+
+class Store:
+    """The records of one member, and the handlers of the requests for them.
+
+    `handlers` belongs into the process's RpcServer. A request of another epoch is refused with the store's own view; a
+    newer view is taken from any request that brings one, and by `adopt`. `on_view` is told each view that is taken.
+    """
+
+    def __init__(
+        self,
+        storage: TransactionalStorage,
+        member_id: str,
+        replica_count: int,
+        wall_clock_ms: Callable[[], int] = _wall_clock_ms,
+        on_view: Callable[[StoreView], None] = lambda view: None,
+    ) -> None:
+        """Make the store of member `member_id`; each key is held by `replica_count` members (2 f + 1)."""
+        self.member_id = member_id
+        self.replica_count = replica_count
+        self.view: StoreView | None = None
+        self.storage = storage
+        self._durable_epoch = -1
+        self._wall_clock_ms = wall_clock_ms
+        self._on_view = on_view
+        self.handlers: dict[str, Callable[[Message], Awaitable[Message]]] = {
+            wire.TURN_PUT: self._on_turn_put,
+            wire.TURN_CHAIN: self._on_turn_chain,
+            wire.LEDGER_PREPARE: self._on_prepare,
+            wire.LEDGER_ACCEPT: self._on_accept,
+            wire.PULL_INDEX: self._on_pull_index,
+            wire.PULL_TURNS: self._on_pull_turns,
+            wire.PULL_LEDGERS: self._on_pull_ledgers,
+        }
+
+    def now_ms(self) -> int:
+        """Return the time of day in ms."""
+        return self._wall_clock_ms()
+
+    async def load(self) -> None:
+        """Take up the view that was adopted before the process ended. Raises StorageFailed."""
+        view = await self.storage.transact(_read_view)
+        if view is not None:
+            self._durable_epoch = view.epoch
+            self.adopt(view)
+
+    def adopt(self, view: StoreView) -> bool:
+        """Answer under `view` from now on, if it is newer; return whether it is."""
+        if self.view is not None and view.epoch <= self.view.epoch:
+            return False
+        self.view = view
+        self._on_view(view)
+        return True
+
+    async def make_view_durable(self) -> StoreView:
+        """Return the present view once no restart can bring an older one back. Raises StorageFailed."""
+        view = self.view
+        if view is None:
+            raise RpcError(wire.STALE_EPOCH, "no view yet", {"view": None})
+        if view.epoch > self._durable_epoch:
+            await self.storage.transact(lambda connection: _write_view(connection, view))
+            self._durable_epoch = max(self._durable_epoch, view.epoch)
+        return view
+
+    async def purge_forever(self) -> None:
+        """Delete expired turns and idle ledgers, a few at a time, until cancelled."""
+        while True:
+            await asyncio.sleep(PURGE_EVERY_S)
+            try:
+                await self.purge_step()
+            except StorageFailed as failure:
+                log.warning("store.purge_failed", extra={"why": str(failure)})
+
+    async def purge_step(self) -> int:
+        """Delete up to PURGE_STEP turns and as many ledgers; return how many went. Raises StorageFailed."""
+        now_ms = self.now_ms()
+
+        def work(connection: sqlite3.Connection) -> int:
+            turns = turn_table.purge(connection, now_ms, PURGE_STEP)
+            return turns + ledger_replica.purge(connection, now_ms - LEDGER_IDLE_MS, PURGE_STEP)
+
+        return await self.storage.transact(work)
+
+    def _check(self, message: Message) -> StoreView:
+        """Return the view under which `message` is to be answered. Raises RpcError."""
+        if message.get("to") != self.member_id:
+            raise RpcError(wire.WRONG_MEMBER, self.member_id)
+        if message.get("view") is not None:
+            self.adopt(StoreView.from_json(message["view"]))
+        view = self.view
+        if view is None or message.get("epoch") != view.epoch:
+            own = None if view is None else view.to_json()
+            raise RpcError(wire.STALE_EPOCH, "another epoch is in force", {"view": own})
+        return view
+
+    def _check_key(self, message: Message, program: str) -> None:
+        view = self._check(message)
+        if not view.holds(self.member_id, program, self.replica_count):
+            raise RpcError(wire.NOT_REPLICA, program)
+
+    async def _transact(self, view_epoch: int, work: Callable[[sqlite3.Connection], Result]) -> Result:
+        """Run `work` on the storage; a view that was taken meanwhile makes the answer worthless."""
+        try:
+            result = await self.storage.transact(work)
+        except StorageFailed as failure:
+            raise RpcError(wire.STORAGE_FAILED, str(failure)) from failure
+        view = self.view
+        if view is None or view.epoch != view_epoch:
+            raise RpcError(wire.STALE_EPOCH, "the view changed", {"view": view and view.to_json()})
+        return result
+
+    async def _on_turn_put(self, message: Message) -> Message:
+        records = [TurnRecord.from_json(value) for value in message["turns"]]
+        for program in {record.program for record in records}:
+            self._check_key(message, program)
+        now_ms = self.now_ms()
+        await self._transact(
+            message["epoch"], lambda connection: turn_table.put(connection, records, now_ms, RETAIN_MARGIN_MS)
+        )
+        return {"type": wire.TURN_STORED}
+
+    async def _on_turn_chain(self, message: Message) -> Message:
+        self._check(message)
+        program, last = str(message["program"]), str(message["previous"])
+        links = await self._transact(
+            message["epoch"], lambda connection: turn_table.chain(connection, program, last, MOST_CHAIN_BYTES)
+        )
+        return links.to_json()
+
+    async def _on_prepare(self, message: Message) -> Message:
+        program, ballot = str(message["program"]), ballot_from_json(message["ballot"])
+        self._check_key(message, program)
+        now_ms = self.now_ms()
+        reply = await self._transact(
+            message["epoch"], lambda connection: ledger_replica.prepare(connection, program, ballot, now_ms)
+        )
+        return wire.encode_reply(reply)
+
+    async def _on_accept(self, message: Message) -> Message:
+        program, ballot = str(message["program"]), ballot_from_json(message["ballot"])
+        following = None if message["next_ballot"] is None else ballot_from_json(message["next_ballot"])
+        value: Any = message["value"]
+        self._check_key(message, program)
+        now_ms = self.now_ms()
+        reply = await self._transact(
+            message["epoch"],
+            lambda connection: ledger_replica.accept(connection, program, ballot, value, following, now_ms),
+        )
+        return wire.encode_reply(reply)
+
+    async def _check_pull(self, message: Message) -> StoreView:
+        """Return the changing view of a pull, which is durable here from now on. Raises RpcError."""
+        self._check(message)
+        try:
+            view = await self.make_view_durable()
+        except StorageFailed as failure:
+            raise RpcError(wire.STORAGE_FAILED, str(failure)) from failure
+        self._check(message)
+        return view
+
+    async def _on_pull_index(self, message: Message) -> Message:
+        view = await self._check_pull(message)
+        after: tuple[str, str] = (message["after"][0], message["after"][1])
+        most, member, now_ms = int(message["most"]), str(message["member"]), self.now_ms()
+        page = await self._transact(
+            message["epoch"], lambda connection: turn_table.index_page(connection, after, most, now_ms)
+        )
+        wanted = [entry for entry in page if member in view.next_replicas(entry.program, self.replica_count)]
+        return {
+            "type": wire.PULLED,
+            "entries": [[entry.turn, entry.program, entry.left_ms] for entry in wanted],
+            "after": [page[-1].turn, page[-1].program] if len(page) == most else None,
+        }
+
+    async def _on_pull_turns(self, message: Message) -> Message:
+        await self._check_pull(message)
+        keys = [(str(turn), str(program)) for turn, program in message["keys"]]
+        most_bytes = int(message["most_bytes"])
+        records = await self._transact(
+            message["epoch"], lambda connection: turn_table.read_exact(connection, keys, most_bytes)
+        )
+        return {"type": wire.PULLED, "turns": [record.to_json() for record in records]}
+
+    async def _on_pull_ledgers(self, message: Message) -> Message:
+        view = await self._check_pull(message)
+        after, most, member = str(message["after"]), int(message["most"]), str(message["member"])
+        page = await self._transact(message["epoch"], lambda connection: ledger_replica.page(connection, after, most))
+        wanted = [record for record in page if member in view.next_replicas(record.program, self.replica_count)]
+        return {
+            "type": wire.PULLED,
+            "ledgers": [record.to_json() for record in wanted],
+            "after": page[-1].program if len(page) == most else None,
+        }
+
+
+def _read_view(connection: sqlite3.Connection) -> StoreView | None:
+    row = connection.execute("SELECT value FROM meta WHERE name = ?", (_VIEW_NAME,)).fetchone()
+    return None if row is None else StoreView.from_json(json.loads(row[0]))
+
+
+def _write_view(connection: sqlite3.Connection, view: StoreView) -> None:
+    connection.execute(
+        "INSERT OR REPLACE INTO meta (name, value) VALUES (?, ?)", (_VIEW_NAME, json.dumps(view.to_json()))
+    )
--- /dev/null
+++ b/dewpin/controlplane/turn_table.py
@@ -0,0 +1,126 @@
+"""The turns on disk: rows for the programs that hold a turn, bodies kept once.
+
+All functions run on the storage thread, inside its transaction. A turn outlives its own expiry for as long as a turn
+that goes on from it is there: expired turns are purged from the leaves of the chains.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from dewpin.cluster.store_messages import ChainLinks, TurnRecord
+
+
+@dataclass(frozen=True, slots=True)
+class IndexEntry:
+    """One turn of a program, without its bodies. `left_ms`: how much longer it is kept, negative once expired."""
+
+    turn: str
+    program: str
+    left_ms: int
+
+
+def put(connection: sqlite3.Connection, records: Sequence[TurnRecord], now_ms: int, margin_ms: int) -> None:
+    """Keep turns; one that is there already is kept at least as long."""
+    for record in records:
+        connection.execute(
+            "INSERT OR IGNORE INTO turn_bodies (turn, input, output) VALUES (?, ?, ?)",
+            (record.turn, record.input, record.output),
+        )
+        connection.execute(
+            "INSERT INTO turns (turn, program, previous, retain_ms, expires_ms) VALUES (?, ?, ?, ?, ?)"
+            " ON CONFLICT (turn, program) DO UPDATE SET expires_ms = max(expires_ms, excluded.expires_ms)",
+            (record.turn, record.program, record.previous, record.retain_ms, now_ms + record.retain_ms + margin_ms),
+        )
+
+
+def chain(connection: sqlite3.Connection, program: str, last: str, most_bytes: int) -> ChainLinks:
+    """Return the chain that ends with turn `last`, newest first, as far as it is here and up to about `most_bytes`."""
+    links: list[TurnRecord] = []
+    foreign: set[str] = set()
+    size = 0
+    following: str | None = last
+    while following is not None and size < most_bytes:
+        record = _read(connection, program, following)
+        if record is None:
+            return ChainLinks(tuple(links), following, True, frozenset(foreign))
+        links.append(record)
+        size += len(record.input) + len(record.output)
+        if record.program != program:
+            foreign.add(record.turn)
+        following = record.previous
+    return ChainLinks(tuple(links), following, False, frozenset(foreign))
+
+
+def _read(connection: sqlite3.Connection, program: str, turn: str) -> TurnRecord | None:
+    """Return a turn, as kept for `program` if it is, else as kept for any other."""
+    row = connection.execute(
+        "SELECT turns.program, turns.previous, turns.retain_ms, turn_bodies.input, turn_bodies.output"
+        " FROM turns JOIN turn_bodies USING (turn) WHERE turns.turn = ? ORDER BY turns.program <> ? LIMIT 1",
+        (turn, program),
+    ).fetchone()
+    if row is None:
+        return None
+    return TurnRecord(turn, row[0], row[1], row[2], bytes(row[3]), bytes(row[4]))
+
+
+def index_page(connection: sqlite3.Connection, after: tuple[str, str], most: int, now_ms: int) -> list[IndexEntry]:
+    """Return up to `most` turns whose (turn, program) comes after `after`, in that order."""
+    rows = connection.execute(
+        "SELECT turn, program, expires_ms FROM turns WHERE (turn, program) > (?, ?) ORDER BY turn, program LIMIT ?",
+        (*after, most),
+    )
+    return [IndexEntry(turn, program, expires_ms - now_ms) for turn, program, expires_ms in rows]
+
+
+def missing(connection: sqlite3.Connection, entries: Sequence[IndexEntry]) -> list[IndexEntry]:
+    """Return those of `entries` that are not here."""
+    return [
+        entry
+        for entry in entries
+        if connection.execute(
+            "SELECT 1 FROM turns WHERE turn = ? AND program = ?", (entry.turn, entry.program)
+        ).fetchone()
+        is None
+    ]
+
+
+def read_exact(connection: sqlite3.Connection, keys: Sequence[tuple[str, str]], most_bytes: int) -> list[TurnRecord]:
+    """Return the turns of `keys` (turn, program) that are here, in order, up to about `most_bytes` of bodies."""
+    found: list[TurnRecord] = []
+    size = 0
+    for turn, program in keys:
+        record = _read(connection, program, turn)
+        if record is None or record.program != program:
+            continue
+        found.append(record)
+        size += len(record.input) + len(record.output)
+        if size >= most_bytes:
+            break
+    return found
+
+
+def take_over(
+    connection: sqlite3.Connection, records: Sequence[TurnRecord], left_ms: Sequence[int], now_ms: int
+) -> None:
+    """Keep copies of other stores' turns for as long as those keep them."""
+    for record, left in zip(records, left_ms, strict=True):
+        put(connection, [record], now_ms, left - record.retain_ms)
+
+
+def purge(connection: sqlite3.Connection, now_ms: int, most: int) -> int:
+    """Delete up to `most` expired turns from which no turn goes on; return how many."""
+    rows = connection.execute(
+        "DELETE FROM turns WHERE (turn, program) IN (SELECT turn, program FROM turns AS old WHERE expires_ms < ?"
+        " AND NOT EXISTS (SELECT 1 FROM turns AS child WHERE child.previous = old.turn)"
+        " ORDER BY expires_ms LIMIT ?) RETURNING turn",
+        (now_ms, most),
+    ).fetchall()
+    for (turn,) in rows:
+        connection.execute(
+            "DELETE FROM turn_bodies WHERE turn = ? AND NOT EXISTS (SELECT 1 FROM turns WHERE turns.turn = ?)",
+            (turn, turn),
+        )
+    return len(rows)
--- a/dewpin/dataplane/program_store.py
+++ b/dewpin/dataplane/program_store.py
@@ -1,62 +1,80 @@
-"""What a sender asks of the stores of agent programs: budgets, chains of turns, durable turns."""
+"""What the request path asks of the stores: budgets and turns of agent programs.
 
-from __future__ import annotations
+`ProgramStore` is a blocking facade that request threads call. Its errors are `TierError`s, so that they reach the
+client through the one table of answers in `dewpin.cluster.errors`.
+"""
 
 from dataclasses import dataclass
 from typing import Protocol
 
+from dewpin.cluster.errors import ErrorKind, TierError
+from dewpin.cluster.store_view import Member, StoreView
 
-class ProgramStoreError(Exception):
-    """The store of programs did not do what was asked."""
+__all__ = [
+    "BudgetSpent",
+    "Member",
+    "ProgramStore",
+    "Reservation",
+    "StoreUnavailable",
+    "StoreView",
+    "Turn",
+    "TurnUnknown",
+]
 
 
-class BudgetSpent(ProgramStoreError):
-    """The program's budget does not hold one more turn, as a majority of its replicas has proved."""
+class BudgetSpent(TierError):
+    """The budget of the program does not hold the most that this turn may generate."""
 
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(ErrorKind.BUDGET_SPENT, detail)
 
-class TurnUnknown(ProgramStoreError):
-    """No store holds the turn, for sure."""
 
+class TurnUnknown(TierError):
+    """There surely is no such turn."""
 
-class StoreUnavailable(ProgramStoreError):
-    """Too few stores answered in time; nothing is known for sure."""
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(ErrorKind.TURN_UNKNOWN, detail)
 
 
-@dataclass(frozen=True, slots=True)
-class Turn:
-    """A turn that has ended whole. `output` is each event's data with a line feed behind it."""
+class StoreUnavailable(TierError):
+    """Too few stores answered in time; whether the operation took effect is unknown."""
 
-    id: str
-    program: str
-    previous: str | None
-    input: bytes
-    output: bytes
-    retain_s: float
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, detail)
 
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
-    """The tokens kept for a turn until it is settled: `most` of them, taken from the budget of `program`."""
+    """Tokens set aside for one turn out of its program's budget."""
 
     program: str
     turn: str
     most: int
 
 
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """A turn that ended whole. `output` is the data of each event with a line feed behind it."""
+
+    id: str
+    program: str
+    previous: str | None
+    input: bytes
+    output: bytes
+    retain_s: float
+
+
 class ProgramStore(Protocol):
-    """The stores of agent programs, as a request's thread calls them. Every call is bounded by its `timeout_s`."""
+    """Budgets and turns; every method may be called from any thread."""
 
     def reserve(self, program: str, turn: str, most: int, budget: int, timeout_s: float) -> Reservation:
-        """Keep `most` tokens of the program's budget for a turn. Raises BudgetSpent, StoreUnavailable."""
+        """Set the most of a turn aside before it is sent; raises BudgetSpent or StoreUnavailable."""
 
     def settle(self, reservation: Reservation, used: int) -> None:
-        """Replace a reservation by the tokens that were handed out. Returns at once; repeated until it is done."""
+        """Tell how many tokens were handed out; returns at once, is repeated in the background."""
 
     def chain(self, program: str, previous: str, timeout_s: float) -> bytes:
-        """Return inputs and outputs of the chain that ends with turn `previous`, oldest first.
-
-        Raises TurnUnknown when no store has the turn for sure, StoreUnavailable when nobody can be sure.
-        """
+        """Return input and output of each turn up to `previous`, oldest first; raises TurnUnknown, StoreUnavailable."""
 
     def append(self, turn: Turn, timeout_s: float) -> None:
-        """Keep a turn; it is durable when this returns. Raises StoreUnavailable."""
+        """Keep a turn; it is durable when this returns; raises StoreUnavailable."""
