--- a/dewpin/cluster/store_messages.py
+++ b/dewpin/cluster/store_messages.py
@@ -132,7 +132,7 @@
     return Ballot(int(counter), str(proposer))
 
 
-def request(kind: str, view: StoreView, member: str, **fields: Any) -> Message:
+def request(kind: str, view: StoreView, member: str, /, **fields: Any) -> Message:
     """Return a request of type `kind` to `member` under the epoch of `view`."""
     return {"type": kind, "epoch": view.epoch, "to": member, **fields}
 
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -218,10 +218,14 @@
         await self._check_pull(message)
         keys = [(str(turn), str(program)) for turn, program in message["keys"]]
         most_bytes = int(message["most_bytes"])
-        records = await self._transact(
+        records, unread = await self._transact(
             message["epoch"], lambda connection: turn_table.read_exact(connection, keys, most_bytes)
         )
-        return {"type": wire.PULLED, "turns": [record.to_json() for record in records]}
+        return {
+            "type": wire.PULLED,
+            "turns": [record.to_json() for record in records],
+            "unread": [list(key) for key in unread],
+        }
 
     async def _on_pull_ledgers(self, message: Message) -> Message:
         view = await self._check_pull(message)
--- /dev/null
+++ b/dewpin/controlplane/sync.py
@@ -0,0 +1,203 @@
+"""Copying of records to a store for a change of the view.
+
+Each member of the next view pulls, from the stable members, all that it is to hold after the change: the index of the
+turns, the bodies of those that it lacks, and the ledgers. A stable member answers a pull only once the changing view is
+durable there, so writes under older views can no more be finished behind the copy. The copy is whole when so many
+sources have been read that every key was read from a majority of its stable replicas.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.rpc import Message, RpcError
+from dewpin.cluster.store_messages import LedgerRecord, TurnRecord
+from dewpin.cluster.store_view import Member, StoreView
+from dewpin.controlplane import ledger_replica, turn_table
+from dewpin.controlplane.storage import StorageFailed
+from dewpin.controlplane.store import Store
+from dewpin.controlplane.turn_table import IndexEntry
+
+INDEX_PAGE = 256
+LEDGER_PAGE = 500
+TURNS_IN_REQUEST = 64
+BODY_BYTES_IN_REQUEST = 512 * 1024
+PULL_TIMEOUT_S = 1.0
+CLAIM_S = 1.5
+"""For how long a source keeps others from fetching the same bodies."""
+PAUSE_S = 0.02
+RETRY_S = 0.1
+
+log = logging.getLogger(__name__)
+Key = tuple[str, str]
+"""Turn and program."""
+
+
+class Calls(Protocol):
+    """The part of an RpcClient that is needed here."""
+
+    async def call(self, address: str, message: Message, timeout_s: float) -> Message:
+        """Return the answer; raises RpcError."""
+
+
+class StoreSync:
+    """Runs the copy for the newest view, one at a time; `on_synced` is told the epoch whose copy is whole."""
+
+    def __init__(self, store: Store, calls: Calls, on_synced: Callable[[int], None]) -> None:
+        self._store = store
+        self._calls = calls
+        self._on_synced = on_synced
+        self._epoch = -1
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self, view: StoreView) -> None:
+        """Copy what `view` asks this store to hold; a copy for an older view is given up."""
+        if view.epoch <= self._epoch:
+            return
+        self.stop()
+        self._epoch = view.epoch
+        self._task = asyncio.ensure_future(self._run(view))
+
+    def stop(self) -> None:
+        """Give up the copy under way."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _run(self, view: StoreView) -> None:
+        if view.next is not None and self._store.member_id in view.next_ids:
+            await _Copy(self._store, self._calls, view).run()
+        self._on_synced(view.epoch)
+
+
+class _Copy:
+    """One copy, for one view."""
+
+    def __init__(self, store: Store, calls: Calls, view: StoreView) -> None:
+        self._store = store
+        self._calls = calls
+        self._view = view
+        self._claims: dict[Key, float] = {}
+        self._unread = 0
+        self._whole = asyncio.Event()
+
+    async def run(self) -> None:
+        """Return once the copy is whole."""
+        await self._until_done(self._store.make_view_durable)
+        sources = [member for member in self._view.stable if member.id != self._store.member_id]
+        self._unread = len(sources)
+        self._check_whole()
+        tasks = [asyncio.ensure_future(self._read_source(member)) for member in sources]
+        try:
+            await self._whole.wait()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _check_whole(self) -> None:
+        if self._unread <= self._view.most_silent(self._store.replica_count):
+            self._whole.set()
+
+    async def _read_source(self, source: Member) -> None:
+        await self._copy_turns(source)
+        await self._copy_ledgers(source)
+        self._unread -= 1
+        self._check_whole()
+
+    async def _until_done(self, attempt: Callable[[], Awaitable[object]]) -> None:
+        while True:
+            try:
+                await attempt()
+                return
+            except (RpcError, StorageFailed) as failure:
+                log.info("sync.retry", extra={"why": str(failure)})
+                await asyncio.sleep(RETRY_S)
+
+    async def _pull(self, source: Member, kind: str, **fields: object) -> Message:
+        """Return a source's answer to a pull, asked again until it comes."""
+        message = wire.request(kind, self._view, source.id, view=self._view.to_json(), **fields)
+        while True:
+            try:
+                return await self._calls.call(source.address, message, PULL_TIMEOUT_S)
+            except RpcError as failure:
+                log.info("sync.no_answer", extra={"source": source.id, "why": str(failure)})
+                await asyncio.sleep(RETRY_S)
+
+    async def _copy_turns(self, source: Member) -> None:
+        after: list[str] | None = ["", ""]
+        while after is not None:
+            answer = await self._pull(
+                source, wire.PULL_INDEX, member=self._store.member_id, after=after, most=INDEX_PAGE
+            )
+            entries = [IndexEntry(str(turn), str(program), int(left)) for turn, program, left in answer["entries"]]
+            await self._copy_bodies(source, entries)
+            after = answer["after"]
+
+    async def _copy_bodies(self, source: Member, entries: list[IndexEntry]) -> None:
+        """Fetch those of `entries` that are not here; return once all are, or are gone at the source."""
+        gone: set[Key] = set()
+        while True:
+            wanted = [entry for entry in entries if (entry.turn, entry.program) not in gone]
+            lacking = await self._lacking(wanted)
+            if not lacking:
+                return
+            now_s = asyncio.get_running_loop().time()
+            free = [entry for entry in lacking if self._claims.get((entry.turn, entry.program), 0.0) <= now_s]
+            if not free:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            gone |= await self._fetch(source, free[:TURNS_IN_REQUEST], now_s + CLAIM_S)
+
+    async def _fetch(self, source: Member, entries: list[IndexEntry], claimed_until_s: float) -> set[Key]:
+        """Fetch and keep some turns; return those that the source has no more."""
+        left_ms = {(entry.turn, entry.program): entry.left_ms for entry in entries}
+        self._claims.update(dict.fromkeys(left_ms, claimed_until_s))
+        try:
+            answer = await self._pull(
+                source, wire.PULL_TURNS, keys=[list(key) for key in left_ms], most_bytes=BODY_BYTES_IN_REQUEST
+            )
+            records = [TurnRecord.from_json(value) for value in answer["turns"]]
+            await self._keep(records, left_ms)
+        finally:
+            for key in left_ms:
+                self._claims.pop(key, None)
+        unread = {(str(turn), str(program)) for turn, program in answer["unread"]}
+        return left_ms.keys() - {(record.turn, record.program) for record in records} - unread
+
+    async def _lacking(self, entries: list[IndexEntry]) -> list[IndexEntry]:
+        found: list[IndexEntry] = []
+
+        async def attempt() -> None:
+            found[:] = await self._store.storage.transact(lambda connection: turn_table.missing(connection, entries))
+
+        await self._until_done(attempt)
+        return found
+
+    async def _keep(self, records: list[TurnRecord], left_ms: dict[Key, int]) -> None:
+        left = [left_ms[(record.turn, record.program)] for record in records]
+        now_ms = self._store.now_ms()
+        await self._until_done(
+            lambda: self._store.storage.transact(
+                lambda connection: turn_table.take_over(connection, records, left, now_ms)
+            )
+        )
+
+    async def _copy_ledgers(self, source: Member) -> None:
+        after: str | None = ""
+        while after is not None:
+            answer = await self._pull(
+                source, wire.PULL_LEDGERS, member=self._store.member_id, after=after, most=LEDGER_PAGE
+            )
+            await self._merge_ledgers([LedgerRecord.from_json(value) for value in answer["ledgers"]])
+            after = answer["after"]
+
+    async def _merge_ledgers(self, records: list[LedgerRecord]) -> None:
+        now_ms = self._store.now_ms()
+        await self._until_done(
+            lambda: self._store.storage.transact(lambda connection: ledger_replica.merge(connection, records, now_ms))
+        )
--- a/dewpin/controlplane/turn_table.py
+++ b/dewpin/controlplane/turn_table.py
@@ -87,19 +87,22 @@
     ]
 
 
-def read_exact(connection: sqlite3.Connection, keys: Sequence[tuple[str, str]], most_bytes: int) -> list[TurnRecord]:
-    """Return the turns of `keys` (turn, program) that are here, in order, up to about `most_bytes` of bodies."""
+def read_exact(
+    connection: sqlite3.Connection, keys: Sequence[tuple[str, str]], most_bytes: int
+) -> tuple[list[TurnRecord], Sequence[tuple[str, str]]]:
+    """Return the turns of `keys` (turn, program) that are here, in order, up to about `most_bytes` of bodies, and the
+    keys that were left unread for their size."""
     found: list[TurnRecord] = []
     size = 0
-    for turn, program in keys:
+    for position, (turn, program) in enumerate(keys):
+        if size >= most_bytes:
+            return found, keys[position:]
         record = _read(connection, program, turn)
         if record is None or record.program != program:
             continue
         found.append(record)
         size += len(record.input) + len(record.output)
-        if size >= most_bytes:
-            break
-    return found
+    return found, ()
 
 
 def take_over(
--- /dev/null
+++ b/tests/cluster/test_placement.py
@@ -0,0 +1,42 @@
+"""Rendezvous hashing and the replica sets of a view."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dewpin.cluster.placement import majority, most_silent, replicas
+from dewpin.cluster.store_view import Member, StoreView
+
+MEMBERS = tuple(f"m{number}" for number in range(7))
+
+
+def test_few_members_hold_everything():
+    assert replicas("p", ("a", "b"), 3) == {"a", "b"}
+
+
+def test_keys_spread_evenly():
+    held = Counter(member for key in range(3000) for member in replicas(f"p{key}", MEMBERS, 3))
+    assert min(held.values()) > 0.9 * 3000 * 3 / 7
+
+
+@given(st.text(max_size=20), st.sampled_from(MEMBERS))
+def test_a_member_that_goes_moves_only_its_own_keys(key, gone):
+    before = replicas(key, MEMBERS, 3)
+    after = replicas(key, tuple(member for member in MEMBERS if member != gone), 3)
+    assert (before == after) == (gone not in before)
+    assert before - {gone} <= after
+
+
+@given(st.integers(1, 12), st.sampled_from([1, 3, 5, 7]))
+def test_with_the_most_silent_ones_left_out_every_key_has_a_majority(members, count):
+    size = min(members, count)
+    assert size - most_silent(members, count) >= majority(size)
+
+
+def test_a_view_survives_json_and_names_the_sets_of_a_write():
+    members = tuple(Member(name, f"{name}:1") for name in "abcd")
+    view = StoreView(4, members[:3], members[1:])
+    assert StoreView.from_json(view.to_json()) == view
+    assert view.write_sets("p", 3) == ({"a", "b", "c"}, {"b", "c", "d"})
+    assert StoreView(4, members[:3]).write_sets("p", 3) == ({"a", "b", "c"},)
--- /dev/null
+++ b/tests/dataplane/test_store_client.py
@@ -0,0 +1,458 @@
+"""A sender's use of the stores: quorums, budgets, chains; what is lost, slow, wiped or changing meanwhile."""
+
+import asyncio
+import threading
+
+import pytest
+from store_world import World, run
+
+from dewpin.cluster.store_view import StoreView
+from dewpin.dataplane.chain_cache import ChainCache
+from dewpin.dataplane.program_store import BudgetSpent, Reservation, StoreUnavailable, Turn, TurnUnknown
+from dewpin.dataplane.store_client import BlockingStoreClient, StoreClient
+
+
+def turn(name, previous=None, program="p", body=b""):
+    return Turn(name, program, previous, b"<" + name.encode() + body, b">", 60.0)
+
+
+def now_s():
+    return asyncio.get_running_loop().time()
+
+
+# Turns
+
+
+def test_a_chain_comes_back_whole_at_another_sender():
+    async def scene():
+        world = World()
+        first, second = world.client("one"), world.client("two")
+        await first.append(turn("t1", body=bytes(range(256))), 1.0)
+        await second.append(turn("t2", "t1"), 1.0)
+        await first.append(turn("t3", "t2"), 1.0)
+        return await second.chain("p", "t3", 1.0)
+
+    assert run(scene()) == b"<t1" + bytes(range(256)) + b"><t2><t3>"
+
+
+def test_the_next_turn_at_the_same_sender_needs_no_read():
+    async def scene():
+        world = World()
+        client = world.client()
+        await client.append(turn("t1"), 1.0)
+        await client.append(turn("t2", "t1"), 1.0)
+        chain = await client.chain("p", "t2", 1.0)
+        return chain, [kind for machine in world.machines.values() for kind in machine.seen]
+
+    chain, seen = run(scene())
+    assert chain == b"<t1><t2>"
+    assert "turn.chain" not in seen
+
+
+def test_two_turns_may_go_on_from_the_same_one():
+    async def scene():
+        world = World()
+        client, other = world.client("one"), world.client("two")
+        await client.append(turn("t1"), 1.0)
+        await client.append(turn("left", "t1"), 1.0)
+        await client.append(turn("right", "t1"), 1.0)
+        return await other.chain("p", "left", 1.0), await other.chain("p", "right", 1.0)
+
+    assert run(scene()) == (b"<t1><left>", b"<t1><right>")
+
+
+@pytest.mark.parametrize("trouble", ["up", "frozen", "loses_answers"])
+def test_one_replica_in_trouble_delays_nothing(trouble):
+    async def scene():
+        world = World()
+        setattr(world.machines["a"], trouble, trouble != "up")
+        client, reader = world.client("one"), world.client("two")
+        begun = now_s()
+        await client.reserve("p", "t1", 10, 100, 1.0)
+        await client.append(turn("t1"), 1.0)
+        written = now_s() - begun
+        begun = now_s()
+        assert await reader.chain("p", "t1", 1.0) == b"<t1>"
+        return written, now_s() - begun
+
+    written, read = run(scene())
+    assert written < 0.02
+    assert read < 0.1
+
+
+def test_a_write_that_a_minority_took_is_no_durable_one():
+    async def scene():
+        world = World()
+        client = world.client()
+        for name in "bc":
+            world.machines[name].up = False
+        with pytest.raises(StoreUnavailable):
+            await client.append(turn("t1"), 0.5)
+        return client.cache.get("p", "t1")
+
+    assert run(scene()) is None
+
+
+def test_a_read_finds_a_turn_that_the_store_asked_first_has_missed():
+    async def scene():
+        world = World()
+        world.machines["a"].refuses = {"turn.put"}
+        await world.client("one").append(turn("t1"), 1.0)
+        reader = world.client("two")
+        return await reader.chain("p", "t1", 1.0), "turn.chain" in world.machines["a"].seen
+
+    assert run(scene()) == (b"<t1>", True)
+
+
+def test_a_link_that_one_replica_lacks_is_read_from_another():
+    async def scene():
+        world = World()
+        writer = world.client("one")
+        await writer.append(turn("t1"), 1.0)
+        world.machines["a"].refuses = {"turn.put"}
+        await writer.append(turn("t2", "t1"), 1.0)
+        world.machines["a"].refuses = set()
+        await writer.append(turn("t3", "t2"), 1.0)
+        return await world.client("two").chain("p", "t3", 1.0)
+
+    assert run(scene()) == b"<t1><t2><t3>"
+
+
+def test_a_replica_that_was_away_is_handed_the_turn_later():
+    async def scene():
+        world = World()
+        world.machines["a"].up = False
+        await world.client().append(turn("t1"), 1.0)
+        await asyncio.sleep(2.0)
+        world.machines["a"].up = True
+        await asyncio.sleep(2.0)
+        return "turn.put" in world.machines["a"].seen
+
+    assert run(scene())
+
+
+def test_a_turn_is_unknown_only_if_a_majority_says_so():
+    async def scene():
+        world = World()
+        client = world.client()
+        await client.append(turn("t1"), 1.0)
+        world.machines["a"].up = False
+        with pytest.raises(TurnUnknown):
+            await client.chain("p", "never", 1.0)
+        world.machines["b"].up = False
+        with pytest.raises(StoreUnavailable):
+            await client.chain("p", "never", 1.0)
+
+    run(scene())
+
+
+def test_a_new_program_goes_on_from_a_turn_of_another_one_on_other_stores():
+    async def scene():
+        world = World(names="abcdefg")
+        writer, reader = world.client("one"), world.client("two")
+        old, new = (
+            "p0",
+            next(
+                f"p{n}"
+                for n in range(1, 99)
+                if not world.view.stable_replicas(f"p{n}", 3) & world.view.stable_replicas("p0", 3)
+            ),
+        )
+        await writer.append(turn("t1", program=old), 1.0)
+        chain = await reader.chain(new, "t1", 1.0)
+        held = [
+            machine.store.member_id
+            for machine in world.machines.values()
+            if machine.disk.connection.execute(
+                "SELECT 1 FROM turns WHERE turn = 't1' AND program = ?", (new,)
+            ).fetchone()
+        ]
+        return chain, len(held), set(held) <= world.view.stable_replicas(new, 3)
+
+    chain, held, at_its_replicas = run(scene())
+    assert chain == b"<t1>"
+    assert held >= 2 and at_its_replicas
+
+
+def test_with_many_stores_unknown_needs_all_but_a_minority_of_any_replica_set():
+    async def scene():
+        world = World(names="abcdefg")
+        client = world.client()
+        world.machines["g"].up = False
+        with pytest.raises(TurnUnknown):
+            await client.chain("p", "never", 1.0)
+        world.machines["f"].up = False
+        with pytest.raises(StoreUnavailable):
+            await client.chain("p", "never", 1.0)
+
+    run(scene())
+
+
+def test_without_a_view_calls_end_in_time():
+    async def scene():
+        world = World()
+        client = StoreClient(world.link("x"), 3)
+        begun = now_s()
+        with pytest.raises(StoreUnavailable):
+            await client.append(turn("t1"), 0.5)
+        return now_s() - begun
+
+    assert run(scene()) == pytest.approx(0.5)
+
+
+# Budgets
+
+
+def test_a_budget_is_exact_at_its_edge():
+    async def scene():
+        client = World().client()
+        held = await client.reserve("p", "t1", 60, 100, 1.0)
+        await client.reserve("p", "t2", 40, 100, 1.0)
+        with pytest.raises(BudgetSpent):
+            await client.reserve("p", "t3", 1, 100, 1.0)
+        client.settle(held, 59)
+        await client.reserve("p", "t3", 1, 100, 1.0)
+        with pytest.raises(BudgetSpent):
+            await client.reserve("p", "t4", 1, 100, 1.0)
+
+    run(scene())
+
+
+def test_the_next_change_of_the_same_sender_needs_one_round():
+    async def scene():
+        world = World()
+        client = world.client()
+        client.settle(await client.reserve("p", "t1", 10, 100, 1.0), 10)
+        await client.settled()
+        for machine in world.machines.values():
+            machine.seen.clear()
+        client.settle(await client.reserve("p", "t2", 10, 100, 1.0), 10)
+        await client.settled()
+        return world.machines["a"].seen
+
+    assert run(scene()) == ["ledger.accept", "ledger.accept"]
+
+
+def test_two_senders_that_reserve_at_once_never_pass_the_budget():
+    async def scene():
+        world = World()
+        clients = [world.client(f"s{number}", seed=number) for number in range(4)]
+        results = await asyncio.gather(
+            *(client.reserve("p", f"t{n}", 10, 100, 5.0) for n, client in enumerate(clients * 5)),
+            return_exceptions=True,
+        )
+        return sorted(type(result).__name__ for result in results)
+
+    assert run(scene()) == ["BudgetSpent"] * 10 + ["Reservation"] * 10
+
+
+def test_a_refused_turn_gives_its_tokens_back():
+    async def scene():
+        client = World().client()
+        client.settle(await client.reserve("p", "t1", 100, 100, 1.0), 0)
+        return await client.reserve("p", "t2", 100, 100, 1.0)
+
+    assert run(scene()) == Reservation("p", "t2", 100)
+
+
+def test_a_reservation_of_a_sender_that_died_stays_counted():
+    async def scene():
+        world = World()
+        await world.client("dead").reserve("p", "t1", 60, 100, 1.0)
+        with pytest.raises(BudgetSpent):
+            await world.client("alive").reserve("p", "t2", 60, 100, 1.0)
+
+    run(scene())
+
+
+def test_the_budget_is_not_called_spent_on_a_value_that_is_out_of_date():
+    async def scene():
+        world = World()
+        one, two = world.client("one"), world.client("two")
+        held = await one.reserve("p", "t1", 100, 100, 1.0)
+        with pytest.raises(BudgetSpent):
+            await two.reserve("p", "t2", 100, 100, 1.0)
+        one.settle(held, 0)
+        await one.settled()
+        return await two.reserve("p", "t2", 100, 100, 1.0)
+
+    assert run(scene()).turn == "t2"
+
+
+def test_a_reservation_with_an_unclear_end_is_taken_back():
+    async def scene():
+        world = World()
+        client = world.client()
+        for machine in world.machines.values():
+            machine.loses_answers = True
+        with pytest.raises(StoreUnavailable):
+            await client.reserve("p", "t1", 100, 100, 0.5)
+        for machine in world.machines.values():
+            machine.loses_answers = False
+        await client.settled()
+        return await world.client("other").reserve("p", "t2", 100, 100, 1.0)
+
+    assert run(scene()).turn == "t2"
+
+
+def test_a_sender_that_dies_between_the_rounds_blocks_nobody():
+    async def scene():
+        world = World()
+        for machine in world.machines.values():
+            machine.refuses = {"ledger.accept"}
+        dying = world.client("dying")
+        with pytest.raises(StoreUnavailable):
+            await dying.reserve("p", "t1", 10, 100, 0.2)
+        dying.close()
+        for machine in world.machines.values():
+            machine.refuses = set()
+        return await world.client("alive").reserve("p", "t2", 100, 100, 1.0)
+
+    assert run(scene()).turn == "t2"
+
+
+def test_a_change_that_a_minority_accepted_is_finished_or_gone_but_never_half():
+    async def scene():
+        world = World()
+        for name in "bc":
+            world.machines[name].refuses = {"ledger.accept"}
+        dying = world.client("dying")
+        with pytest.raises(StoreUnavailable):
+            await dying.reserve("p", "t1", 60, 100, 0.2)
+        dying.close()
+        for machine in world.machines.values():
+            machine.refuses = set()
+        alive = world.client("alive", seed=2)
+        with pytest.raises(BudgetSpent):  # what `a` accepted was met, finished, and counts from now on
+            await alive.reserve("p", "t2", 60, 100, 1.0)
+        world.machines["a"].up = False
+        with pytest.raises(BudgetSpent):
+            await world.client("third", seed=3).reserve("p", "t3", 60, 100, 1.0)
+
+    run(scene())
+
+
+def test_a_full_disk_at_one_replica_stops_nothing_and_at_two_everything_but_lies():
+    async def scene():
+        world = World()
+        client = world.client()
+        world.machines["a"].disk.full = True
+        await client.reserve("p", "t1", 60, 100, 1.0)
+        await client.append(turn("t1"), 1.0)
+        world.machines["b"].disk.full = True
+        with pytest.raises(StoreUnavailable):
+            await client.append(turn("t2", "t1"), 0.5)
+        with pytest.raises(StoreUnavailable):
+            await client.reserve("p", "t2", 60, 100, 0.5)
+        for machine in world.machines.values():
+            machine.disk.full = False
+        await client.settled()
+        await client.reserve("p", "t3", 40, 100, 1.0)
+        with pytest.raises(BudgetSpent):
+            await client.reserve("p", "t4", 1, 100, 1.0)
+
+    run(scene())
+
+
+# Changes of the view
+
+
+def test_a_sender_that_is_behind_takes_the_view_from_a_refusal():
+    async def scene():
+        world = World(syncs=False)
+        client = world.client()
+        world.tell(StoreView(2, world.view.stable))
+        await client.append(turn("t1"), 1.0)
+        return await client.chain("p", "t1", 1.0)
+
+    assert run(scene()) == b"<t1>"
+
+
+def test_a_store_that_is_behind_takes_the_view_from_a_request():
+    async def scene():
+        world = World(syncs=False)
+        world.tell(StoreView(2, world.view.stable), names="a")
+        client = world.client()
+        await client.append(turn("t1"), 1.0)
+        await asyncio.sleep(1.0)
+        return {machine.store.view.epoch for machine in world.machines.values()}
+
+    assert run(scene()) == {2}
+
+
+def test_a_wiped_store_is_another_member_and_its_silence_proves_nothing():
+    async def scene():
+        world = World()
+        writer = world.client("one")
+        world.machines["a"].refuses = {"turn.put"}
+        await writer.append(turn("t1"), 1.0)
+        world.machines["b"].start_empty()
+        world.machines["b"].store.adopt(world.view)
+        world.machines["c"].frozen = True
+        with pytest.raises(StoreUnavailable):
+            await world.client("two").chain("p", "t1", 1.0)
+        world.machines["c"].frozen = False
+        return await world.client("two").chain("p", "t1", 1.0)
+
+    assert run(scene()) == b"<t1>"
+
+
+def test_while_the_view_changes_a_write_needs_majorities_of_both():
+    async def scene():
+        world = World(names="abcdef", in_view="abc", syncs=False)
+        world.tell(StoreView(2, world.members("abc"), world.members("def")))
+        for name in "ef":
+            world.machines[name].up = False
+        client = world.client()
+        with pytest.raises(StoreUnavailable):
+            await client.append(turn("t1"), 0.5)
+        with pytest.raises(StoreUnavailable):
+            await client.reserve("p", "t1", 10, 100, 0.5)
+        world.machines["e"].up = True
+        await client.append(turn("t1"), 1.0)
+        await client.reserve("p", "t2", 10, 100, 1.0)
+
+    run(scene())
+
+
+# The face towards threads
+
+
+def test_threads_use_the_client_through_its_blocking_face():
+    world = World()
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
+    thread.start()
+    try:
+
+        async def make():
+            return world.client()
+
+        client = asyncio.run_coroutine_threadsafe(make(), loop).result(5)
+        store = BlockingStoreClient(client, loop)
+        reservation = store.reserve("p", "t1", 10, 10, 5.0)
+        with pytest.raises(BudgetSpent):
+            store.reserve("p", "t2", 1, 10, 5.0)
+        store.append(turn("t1"), 5.0)
+        store.settle(reservation, 5)
+        assert store.chain("p", "t1", 5.0) == b"<t1>"
+        with pytest.raises(TurnUnknown):
+            store.chain("p", "never", 5.0)
+        assert store.reserve("p", "t3", 5, 10, 5.0).most == 5
+    finally:
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+def test_the_cache_is_bounded_in_bytes_and_time():
+    clock = [0.0]
+    cache = ChainCache(most_bytes=3000, clock_s=lambda: clock[0])
+    from dewpin.dataplane.chain_cache import Link
+
+    for number in range(10):
+        cache.put("p", f"t{number}", Link(None, b"x" * 500), 10.0)
+    assert cache.get("p", "t0") is None
+    assert cache.whole_chain("p", "t9") == b"x" * 500
+    clock[0] = 10.0
+    assert cache.get("p", "t9") is None
