--- /dev/null
+++ b/dewpin/dataplane/ingress.py
@@ -0,0 +1,388 @@
+"""The HTTP server for clients, on `http.server` with one thread per connection.
+
+The library accepts connections, runs their threads and knows the standard phrases. Its reading of requests is replaced:
+it neither bounds a head by the operator's limits nor rejects what could be read in two ways.
+"""
+
+import logging
+import os
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, cast
+
+from dewpin.cluster.configuration import (
+    DEFAULT_HEADER_TIMEOUT_MS,
+    DEFAULT_IDLE_TIMEOUT_MS,
+    DEFAULT_MAX_BODY_BYTES,
+    DEFAULT_MAX_HEADER_BYTES,
+    Limits,
+)
+from dewpin.cluster.errors import ErrorKind
+
+from .cluster_state import ClusterState
+from .connection import ClientConnection, PeerClosed, TooLarge
+from .http_parsing import MalformedRequest, RequestHead, parse_chunk_size, parse_head
+from .messages import Answer, BodyBroken, BodyStream, HeaderField, Request, own_answer, reason_phrase
+
+log = logging.getLogger(__name__)
+
+LISTEN_BACKLOG = 1024
+THREAD_STACK_BYTES = 256 * 1024
+ACCEPT_POLL_S = 0.5
+IDLE_MARGIN = 1.1
+"""A connection at rest is kept a little longer than the operator's limit says."""
+WRITE_TIMEOUT_S = 10.0
+BODY_PROGRESS_S = 10.0
+CHUNK_LINE_BYTES = 256
+NO_BODY_STATUSES = frozenset({204, 304})
+MOST_CONNECTIONS = 3000
+
+_DEFAULT_LIMITS = Limits(
+    DEFAULT_MAX_HEADER_BYTES, DEFAULT_MAX_BODY_BYTES, DEFAULT_HEADER_TIMEOUT_MS, DEFAULT_IDLE_TIMEOUT_MS
+)
+
+HandleRequest = Callable[[Request], Answer]
+
+
+class Ingress:
+    """Serves clients at one address."""
+
+    def __init__(
+        self,
+        cluster_state: ClusterState,
+        handle: HandleRequest,
+        clock: Callable[[], float] = time.monotonic,
+        most_connections: int = MOST_CONNECTIONS,
+    ) -> None:
+        self._state = cluster_state
+        self._clock = clock
+        self._most_connections = most_connections
+        self._server: _Server | None = None
+        self._accepting: threading.Thread | None = None
+        self._wake_reader, self._wake_writer = os.pipe()
+        self._counted = threading.Condition()
+        self._connections = 0
+        self.handle = handle
+        self.draining = False
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the host and port that the server listens at."""
+        assert self._server is not None
+        host, port = self._server.server_address[:2]
+        return str(host), int(port)
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return self._connections
+
+    def start(self, address: tuple[str, int]) -> None:
+        """Listen at a host and port and serve in the background; raises OSError if it cannot listen."""
+        threading.stack_size(THREAD_STACK_BYTES)
+        server = self._server = _Server(address, self)
+        self._accepting = threading.Thread(
+            target=server.serve_forever, args=(ACCEPT_POLL_S,), name="ingress", daemon=True
+        )
+        self._accepting.start()
+
+    def stop(self, drain_s: float, accept_s: float = 0.0) -> bool:
+        """Drain, and return whether all requests ended in time.
+
+        From now on answers carry `Connection: close`. New connections are taken for `accept_s` more; then connections
+        at rest are closed, and requests under way have until `drain_s` after the call.
+        """
+        ends_at = self._clock() + drain_s
+        self.draining = True
+        with self._counted:
+            self._counted.wait_for(lambda: False, min(accept_s, drain_s))
+        if self._server is not None:
+            self._server.shutdown()
+            self._server.server_close()
+        os.close(self._wake_writer)
+        with self._counted:
+            return self._counted.wait_for(lambda: self._connections == 0, max(0.0, ends_at - self._clock()))
+
+    def limits(self) -> Limits:
+        """Return the limits in force."""
+        configuration = self._state.configuration
+        return configuration.limits if configuration is not None else _DEFAULT_LIMITS
+
+    def take_connection(self) -> bool:
+        """Count a new connection; False if there are too many."""
+        with self._counted:
+            if self._connections >= self._most_connections:
+                return False
+            self._connections += 1
+            return True
+
+    def drop_connection(self) -> None:
+        """Count a connection that was closed."""
+        with self._counted:
+            self._connections -= 1
+            self._counted.notify_all()
+
+    def serve_connection(self, sock: socket.socket) -> None:
+        """Serve the requests of one connection until it is closed."""
+        connection = ClientConnection(sock, self._wake_reader, self._clock)
+        try:
+            _ConnectionServer(self, connection, self._clock).serve()
+        except (OSError, BodyBroken):
+            connection.close()
+        except Exception:
+            log.exception("a connection ended with an error")
+            connection.close()
+
+
+class _Server(ThreadingHTTPServer):
+    request_queue_size = LISTEN_BACKLOG
+    daemon_threads = True
+    block_on_close = False
+
+    def __init__(self, address: tuple[str, int], ingress: Ingress) -> None:
+        self.ingress = ingress
+        super().__init__(address, _Handler)
+
+    def server_bind(self) -> None:
+        """Bind without looking up the host's name."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(self.server_address)
+        self.server_address = self.socket.getsockname()
+
+    def get_request(self) -> tuple[socket.socket, Any]:
+        """Accept a connection; where descriptors have run out, wait a little so as not to spin."""
+        try:
+            accepted, address = self.socket.accept()
+        except OSError:
+            threading.Event().wait(0.01)
+            raise
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return accepted, address
+
+    def verify_request(self, request: Any, client_address: Any) -> bool:
+        """Turn a connection away where there are too many."""
+        return self.ingress.take_connection()
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Serve a connection in a thread of its own."""
+        try:
+            super().process_request(request, client_address)
+        except BaseException:
+            self.ingress.drop_connection()
+            raise
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Log what went wrong with a connection."""
+        log.exception("a connection could not be served")
+
+
+class _Handler(BaseHTTPRequestHandler):
+    """Hands the socket to the ingress; the reading of the library is not used."""
+
+    def setup(self) -> None:
+        """Leave the socket as it is."""
+
+    def handle(self) -> None:
+        """Serve the connection."""
+        ingress = cast(_Server, self.server).ingress
+        try:
+            ingress.serve_connection(cast(socket.socket, self.request))
+        finally:
+            ingress.drop_connection()
+
+    def finish(self) -> None:
+        """Do nothing: the ingress has closed the socket."""
+
+
+class _ConnectionServer:
+    """Reads the requests of one connection one after the other and writes their answers."""
+
+    def __init__(self, ingress: Ingress, connection: ClientConnection, clock: Callable[[], float]) -> None:
+        self._ingress = ingress
+        self._connection = connection
+        self._clock = clock
+
+    def serve(self) -> None:
+        while self._connection.wait_at_rest(self._rest_s):
+            request_read = self._read_request()
+            if isinstance(request_read, ErrorKind):
+                self._answer_unread(request_read)
+                return
+            head, request = request_read
+            close = self._answer(head, self._ingress.handle(request))
+            if close:
+                self._connection.close_lingering()
+                return
+        self._connection.close()
+
+    def _rest_s(self) -> float:
+        return self._ingress.limits().idle_timeout_ms / 1000 * IDLE_MARGIN
+
+    def _read_request(self) -> tuple[RequestHead, Request] | ErrorKind:
+        """Return the next request, or the error that its answer tells."""
+        limits = self._ingress.limits()
+        received_at = self._clock()
+        head_by = received_at + limits.header_timeout_ms / 1000
+        try:
+            self._connection.skip_empty_lines()
+            head = parse_head(self._connection.read_until(b"\r\n\r\n", limits.max_header_bytes, head_by))
+        except TooLarge:
+            return ErrorKind.HEADERS_TOO_LARGE
+        except MalformedRequest:
+            return ErrorKind.BAD_REQUEST
+        except TimeoutError:
+            return ErrorKind.REQUEST_TIMEOUT
+        try:
+            body = self._read_body(head, limits)
+        except TooLarge:
+            return ErrorKind.BODY_TOO_LARGE
+        except MalformedRequest:
+            return ErrorKind.BAD_REQUEST
+        except TimeoutError:
+            return ErrorKind.REQUEST_TIMEOUT
+        return head, Request(head.method, head.target, head.headers, body, received_at, self._connection)
+
+    def _read_body(self, head: RequestHead, limits: Limits) -> bytes:
+        if head.content_length is not None and head.content_length > limits.max_body_bytes:
+            raise TooLarge
+        if head.content_length == 0:
+            return b""
+        if head.expects_continue:
+            self._connection.send_all(b"HTTP/1.1 100 Continue\r\n\r\n", self._clock() + WRITE_TIMEOUT_S)
+        if head.content_length is not None:
+            return self._connection.read_exactly(head.content_length, self._clock() + BODY_PROGRESS_S)
+        return self._read_chunks(limits)
+
+    def _read_chunks(self, limits: Limits) -> bytes:
+        body = bytearray()
+        while True:
+            deadline = self._clock() + BODY_PROGRESS_S
+            size = parse_chunk_size(self._connection.read_until(b"\r\n", CHUNK_LINE_BYTES, deadline))
+            if size == 0:
+                break
+            if len(body) + size > limits.max_body_bytes:
+                raise TooLarge
+            body += self._connection.read_exactly(size, deadline)
+            if self._connection.read_exactly(2, deadline) != b"\r\n":
+                raise MalformedRequest("a chunk does not end where it should")
+        while self._connection.read_until(b"\r\n", limits.max_header_bytes, self._clock() + BODY_PROGRESS_S):
+            pass
+        return bytes(body)
+
+    def _answer_unread(self, kind: ErrorKind) -> None:
+        """Answer a request that was not read whole, and close."""
+        answer = own_answer(kind)
+        data = render_whole(answer, cast(bytes, answer.body), closing=True, without_body=False)
+        self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
+        self._connection.close_lingering()
+
+    def _answer(self, head: RequestHead, answer: Answer) -> bool:
+        """Write an answer; return whether the connection must be closed."""
+        body = answer.body
+        closing = head.wants_close or self._ingress.draining
+        if isinstance(body, bytes):
+            data = render_whole(answer, body, closing, head.method == "HEAD")
+            self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
+            return closing
+        try:
+            return self._pass_on(head, answer, body, closing)
+        finally:
+            body.close()
+
+    def _pass_on(self, head: RequestHead, answer: Answer, body: BodyStream, closing: bool) -> bool:
+        """Write a body as it arrives; one that breaks off is not given its end."""
+        chunked = not head.is_http_1_0
+        closing = closing or not chunked
+        data = render_head(answer, closing, [("Transfer-Encoding", "chunked")] if chunked else [])
+        for part in body:
+            data += render_chunk(part) if chunked else part
+            self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
+            data = b""
+        if chunked:
+            data += b"0\r\n\r\n"
+        self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
+        return closing or self._ingress.draining
+
+
+def render_whole(answer: Answer, body: bytes, closing: bool, without_body: bool) -> bytes:
+    """Return the bytes of an answer with a whole body, or of its head alone."""
+    if without_body or answer.status in NO_BODY_STATUSES:
+        return render_head(answer, closing, [])
+    answer_headers = [field for field in answer.headers if field[0].lower() != "content-length"]
+    head = Answer(answer.status, answer_headers, b"", answer.reason)
+    return render_head(head, closing, [("Content-Length", str(len(body)))]) + body
+
+
+def render_head(answer: Answer, closing: bool, framing: Iterable[HeaderField]) -> bytes:
+    """Return the bytes of an answer's head."""
+    reason = answer.reason or reason_phrase(answer.status)
+    lines = [f"HTTP/1.1 {answer.status} {reason}"]
+    lines.extend(f"{name}: {value}" for name, value in answer.headers)
+    lines.extend(f"{name}: {value}" for name, value in framing)
+    if closing:
+        lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def render_chunk(part: bytes) -> bytes:
+    """Return one chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(part), part)
+
+
+class ReadyServer:
+    """Tells the platform at `/dewpin/ready` whether clients may be sent here."""
+
+    PATH = "/dewpin/ready"
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+        self._server: ThreadingHTTPServer | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the host and port that the server listens at."""
+        assert self._server is not None
+        host, port = self._server.server_address[:2]
+        return str(host), int(port)
+
+    def start(self, address: tuple[str, int]) -> None:
+        """Listen at a host and port and serve in the background; raises OSError if it cannot listen."""
+        is_ready, path = self._is_ready, self.PATH
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            timeout = 5.0
+
+            def do_GET(self) -> None:
+                status = 404 if self.path.partition("?")[0] != path else (200 if is_ready() else 503)
+                self.send_response_only(status)
+                self.send_header("Content-Length", "0")
+                self.end_headers()
+
+            def log_message(self, format: str, *args: object) -> None:
+                log.debug(format, *args)
+
+        server = self._server = _ReadyHttpServer(address, Handler)
+        threading.Thread(target=server.serve_forever, args=(ACCEPT_POLL_S,), name="ready", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop answering."""
+        if self._server is not None:
+            with suppress(OSError):
+                self._server.shutdown()
+                self._server.server_close()
+
+
+class _ReadyHttpServer(ThreadingHTTPServer):
+    daemon_threads = True
+    block_on_close = False
+
+    def server_bind(self) -> None:
+        """Bind without looking up the host's name."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind(self.server_address)
+        self.server_address = self.socket.getsockname()
--- /dev/null
+++ b/dewpin/dataplane/program_store.py
@@ -0,0 +1,85 @@
+"""What the request path asks of the stores: budgets and turns of agent programs.
+
+`ProgramStore` is a blocking facade that request threads call. Its errors are `TierError`s, so that they reach the
+client through the one table of answers in `dewpin.cluster.errors`.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from dewpin.cluster.errors import ErrorKind, TierError
+
+
+class BudgetSpent(TierError):
+    """The budget of the program does not hold the most that this turn may generate."""
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(ErrorKind.BUDGET_SPENT, detail)
+
+
+class TurnUnknown(TierError):
+    """There surely is no such turn."""
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(ErrorKind.TURN_UNKNOWN, detail)
+
+
+class StoreUnavailable(TierError):
+    """Too few stores answered in time; whether the operation took effect is unknown."""
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(ErrorKind.STORE_UNAVAILABLE, detail)
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One incarnation of a store: a random id made with its data folder, and its `host:port`."""
+
+    id: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoreView:
+    """The stores in use; `next` holds the coming ones while the view changes."""
+
+    epoch: int
+    stable: tuple[Member, ...]
+    next: tuple[Member, ...] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Reservation:
+    """Tokens set aside for one turn out of its program's budget."""
+
+    program: str
+    turn: str
+    most: int
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """A turn that ended whole. `output` is the data of each event with a line feed behind it."""
+
+    id: str
+    program: str
+    previous: str | None
+    input: bytes
+    output: bytes
+    retain_s: float
+
+
+class ProgramStore(Protocol):
+    """Budgets and turns; every method may be called from any thread."""
+
+    def reserve(self, program: str, turn: str, most: int, budget: int, timeout_s: float) -> Reservation:
+        """Set the most of a turn aside before it is sent; raises BudgetSpent or StoreUnavailable."""
+
+    def settle(self, reservation: Reservation, used: int) -> None:
+        """Tell how many tokens were handed out; returns at once, is repeated in the background."""
+
+    def chain(self, program: str, previous: str, timeout_s: float) -> bytes:
+        """Return input and output of each turn up to `previous`, oldest first; raises TurnUnknown, StoreUnavailable."""
+
+    def append(self, turn: Turn, timeout_s: float) -> None:
+        """Keep a turn; it is durable when this returns; raises StoreUnavailable."""
