--- a/dewpin/cluster/receivers.py
+++ b/dewpin/cluster/receivers.py
@@ -113,7 +113,7 @@
         return True
 
     def take_private_reading(self, receivers: Iterable[Receiver]) -> bool:
-        """Takes a list just read that is handed to nobody else, under the version as it is; true if anything changed."""
+        """Takes a list just read that nobody else gets, under the version as it is; true if anything changed."""
         merged = self._merge(receivers)
         changed = _without_warmth(merged) != _without_warmth(self.receivers)
         self.receivers = merged
--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -9,17 +9,44 @@
 import signal
 import sys
 
-from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
-from dewpin.cluster.settings import Settings, SettingsInvalid, load_settings
+from dewpin.cluster.rpc import Handler, RpcClient, RpcServer, split_address
+from dewpin.cluster.settings import Settings, settings_or_exit
+from dewpin.cluster.store_view import StoreView
 
 from .keeper import Keeper
 from .operator_api import OperatorApi, serve_operator
 from .storage import Storage
+from .store import Store
+from .sync import StoreSync
+from .system_state import SystemState
 
-EXIT_BAD_SETTINGS = 2
 LEAVE_NOTICE_S = 0.3
 
 
+async def start_store(settings: Settings, storage: Storage, client: RpcClient, keeper: Keeper) -> dict[str, Handler]:
+    """Starts the store of this process, which follows the view in the system state; returns its handlers."""
+    synced = 0
+
+    def on_synced(epoch: int) -> None:
+        nonlocal synced
+        synced = max(synced, epoch)
+
+    store = Store(storage, storage.incarnation, 2 * settings.fault_tolerance.machines + 1)
+    sync = StoreSync(store, client, on_synced)
+    await store.load()
+
+    def on_state(state: SystemState) -> None:
+        view = StoreView.from_json(dict(state["stores"]))
+        store.adopt(view)
+        if view.stable:
+            sync.start(view)
+
+    keeper.on_state = on_state
+    keeper.synced_epoch = lambda: synced
+    asyncio.ensure_future(store.purge_forever())
+    return store.handlers
+
+
 async def run(settings: Settings) -> None:
     """Serves until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
@@ -32,6 +59,8 @@
     client = RpcClient()
     keeper = Keeper(settings, storage, client, random.Random())
     server = RpcServer(keeper.handlers)
+    if "store" in settings.serves:
+        server.handlers.update(await start_store(settings, storage, client, keeper))
     host, port = split_address(keeper.address)
     await server.start(host, port)
     await keeper.start()
@@ -49,12 +78,7 @@
 def main() -> int:
     """Runs the process; returns its exit code."""
     logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
-    try:
-        settings = load_settings(os.environ["DEWPIN_BOOT"])
-    except SettingsInvalid as invalid:
-        print(invalid, file=sys.stderr)
-        return EXIT_BAD_SETTINGS
-    asyncio.run(run(settings))
+    asyncio.run(run(settings_or_exit()))
     os._exit(0)
 
 
--- /dev/null
+++ b/dewpin/dataplane/__main__.py
@@ -0,0 +1,127 @@
+"""`python3 -m dewpin.dataplane`: a sender, told by the settings file under DEWPIN_BOOT."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import sys
+import threading
+from typing import Any
+
+from dewpin.cluster.configuration import ConfigurationInvalid, parse_configuration
+from dewpin.cluster.receivers import ReceiverDirectory
+from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
+from dewpin.cluster.settings import Settings, settings_or_exit
+from dewpin.cluster.store_view import StoreView
+
+from .cluster_agent import ClusterAgent
+from .cluster_state import ClusterState
+from .ingress import Ingress, ReadyServer
+from .request_path import RequestPath
+from .store_client import BlockingStoreClient, StoreClient
+
+log = logging.getLogger(__name__)
+
+NOT_READY_NOTICE_S = 2.2
+"""How long new connections are taken after SIGTERM: until the platform has seen that this sender is not ready."""
+DRAIN_MARGIN_S = 0.7
+LOOP_START_TIMEOUT_S = 30.0
+
+
+class Sender:
+    """The parts of one sender: the agent's loop in a thread, and the servers of clients."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.state = ClusterState()
+        self.loop = asyncio.new_event_loop()
+        self.agent: ClusterAgent | None = None
+        self.stopping = threading.Event()
+        self._store_client: StoreClient | None = None
+        self._started = threading.Event()
+
+    def run(self) -> None:
+        """Serves until SIGTERM or SIGINT, then drains."""
+        threading.Thread(target=self._run_loop, name="agent", daemon=True).start()
+        if not self._started.wait(LOOP_START_TIMEOUT_S):
+            raise RuntimeError("the agent's loop did not start")
+        assert self._store_client is not None
+        store = BlockingStoreClient(self._store_client, self.loop)
+        path = RequestPath(self.state, store, self.settings.zone)
+        ingress = Ingress(self.state, path.handle)
+        ready = ReadyServer(self.is_ready)
+        ingress.start(split_address(self.settings.listen["front"]))
+        ready.start(split_address(self.settings.listen["ready"]))
+        self.stopping.wait()
+        ingress.stop(self.settings.bounds.grace_s - DRAIN_MARGIN_S, NOT_READY_NOTICE_S)
+        self._stop_agent()
+
+    def is_ready(self) -> bool:
+        """Whether clients may be sent here: routes, receivers and stores are known, and no stop has begun."""
+        agent = self.agent
+        if self.stopping.is_set() or agent is None or not agent.has_lease:
+            return False
+        return self.state.configuration is not None and bool(self.state.receivers) and self.state.store_view is not None
+
+    def _run_loop(self) -> None:
+        asyncio.set_event_loop(self.loop)
+        self.loop.create_task(self._start_agent())
+        self.loop.run_forever()
+
+    async def _start_agent(self) -> None:
+        client = RpcClient()
+        replica_count = 2 * self.settings.fault_tolerance.machines + 1
+        self._store_client = StoreClient(client, replica_count)
+        agent = ClusterAgent(self.settings, client, random.Random(), self._on_state, self._on_receivers)
+        server = RpcServer(agent.handlers)
+        await server.start(*split_address(agent.address))
+        agent.start()
+        self.agent = agent
+        self._started.set()
+
+    def _stop_agent(self) -> None:
+        if self.agent is not None:
+            stopped = asyncio.run_coroutine_threadsafe(self.agent.stop(), self.loop)
+            try:
+                stopped.result(1.0)
+            except TimeoutError:
+                log.info("sender.lease_not_released")
+
+    def _on_state(self, state: dict[str, Any]) -> None:
+        view = StoreView.from_json(state["stores"])
+        if view.stable:
+            self.state.store_view = view
+            if self._store_client is not None:
+                self._store_client.adopt(view)
+        stored = state["configuration"]
+        current = self.state.configuration
+        if stored is None or (current is not None and current.generation == stored["generation"]):
+            return
+        try:
+            self.state.configuration = parse_configuration(stored["body"].encode())
+        except ConfigurationInvalid as invalid:  # it was checked before it was agreed on: a fault of ours
+            log.error("sender.configuration_invalid", extra={"faults": invalid.lines()})
+
+    def _on_receivers(self, directory: ReceiverDirectory) -> None:
+        self.state.receivers = directory.by_service()
+        if self.agent is not None:
+            self.state.senders = self.agent.senders
+
+
+def main() -> int:
+    """Runs the sender; returns its exit code."""
+    logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
+    sender = Sender(settings_or_exit())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sender.stopping.set())
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    sender.run()
+    sys.stderr.flush()
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -54,6 +54,7 @@
         self.state: SystemStateJson | None = None
         self.directory = ReceiverDirectory()
         self.has_lease = False
+        self.senders = 0
         self._client = client
         self._rng = rng
         self._on_state = on_state
@@ -115,6 +116,7 @@
         try:
             answer = await self._client.call(keeper, message, RENEW_TIMEOUT_S)
             self.has_lease = True
+            self.senders = int(answer["senders"])
             self._parents = [str(parent) for parent in answer["parents"]]
             self._take_keepers([str(address) for address in answer["keepers"]])
             if self._is_behind(answer):
--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -24,7 +24,7 @@
 from dewpin.cluster.errors import ErrorKind
 
 from .cluster_state import ClusterState
-from .connection import ClientConnection, PeerClosed, TooLarge
+from .connection import ClientConnection, TooLarge
 from .http_parsing import MalformedRequest, RequestHead, parse_chunk_size, parse_head
 from .messages import Answer, BodyBroken, BodyStream, HeaderField, Request, own_answer, reason_phrase
 
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -10,7 +10,7 @@
 import socket
 import threading
 from collections.abc import Callable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, cast
 
 from urllib3 import HTTPHeaderDict, HTTPResponse
