--- /dev/null
+++ b/dewpin/cluster/store_messages.py
@@ -0,0 +1,157 @@
+"""The messages between senders and stores, and between stores: their types, records and error kinds.
+
+Every request carries the epoch of the sender's view and the id of the member that is meant. Bytes travel as latin-1
+text, which JSON keeps as it is for plain ASCII.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from dewpin.cluster.store_view import StoreView
+from dewpin.consensus import Accepted, Ballot, Conflict, Promise, Reply
+
+Message = dict[str, Any]
+
+TURN_PUT = "turn.put"
+TURN_STORED = "turn.stored"
+TURN_CHAIN = "turn.chain"
+TURN_LINKS = "turn.links"
+LEDGER_PREPARE = "ledger.prepare"
+LEDGER_PROMISE = "ledger.promise"
+LEDGER_ACCEPT = "ledger.accept"
+LEDGER_ACCEPTED = "ledger.accepted"
+LEDGER_CONFLICT = "ledger.conflict"
+PULL_INDEX = "store.pull_index"
+PULL_TURNS = "store.pull_turns"
+PULL_LEDGERS = "store.pull_ledgers"
+PULLED = "store.pulled"
+
+STALE_EPOCH = "stale_epoch"
+"""Error: the request's epoch is not the store's; the answer's `view` is the store's own, or null."""
+WRONG_MEMBER = "another_incarnation"
+"""Error: the process at this address is another incarnation than the one that was meant."""
+NOT_REPLICA = "not_replica"
+"""Error: the store is no replica of the key under this epoch."""
+STORAGE_FAILED = "storage_failed"
+"""Error: the disk did not take the write, or did not give the answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class TurnRecord:
+    """A turn as the stores keep it. `retain_ms` counts from the moment a store takes it."""
+
+    turn: str
+    program: str
+    previous: str | None
+    retain_ms: int
+    input: bytes
+    output: bytes
+
+    def to_json(self) -> Message:
+        """Return the record as a JSON object."""
+        return {
+            "turn": self.turn,
+            "program": self.program,
+            "previous": self.previous,
+            "retain_ms": self.retain_ms,
+            "input": self.input.decode("latin-1"),
+            "output": self.output.decode("latin-1"),
+        }
+
+    @staticmethod
+    def from_json(value: Message) -> TurnRecord:
+        """Return the record of a JSON object made by `to_json`."""
+        return TurnRecord(
+            value["turn"],
+            value["program"],
+            value["previous"],
+            int(value["retain_ms"]),
+            value["input"].encode("latin-1"),
+            value["output"].encode("latin-1"),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ChainLinks:
+    """A run of a chain, newest first. `following` is the link after the last one; `absent` says that the store has
+    no such turn, otherwise it is only left for the next request. `foreign` are links kept for other programs only."""
+
+    links: tuple[TurnRecord, ...]
+    following: str | None
+    absent: bool
+    foreign: frozenset[str]
+
+    def to_json(self) -> Message:
+        """Return the run as an answer."""
+        return {
+            "type": TURN_LINKS,
+            "links": [link.to_json() for link in self.links],
+            "following": self.following,
+            "absent": self.absent,
+            "foreign": sorted(self.foreign),
+        }
+
+    @staticmethod
+    def from_json(value: Message) -> ChainLinks:
+        """Return the run of an answer made by `to_json`."""
+        links = tuple(TurnRecord.from_json(link) for link in value["links"])
+        return ChainLinks(links, value["following"], bool(value["absent"]), frozenset(value["foreign"]))
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerRecord:
+    """The state of one replica of a program's ledger."""
+
+    program: str
+    promised: Ballot
+    accepted: Ballot
+    value: Any
+
+    def to_json(self) -> Message:
+        """Return the record as a JSON object."""
+        return {
+            "program": self.program,
+            "promised": list(self.promised),
+            "accepted": list(self.accepted),
+            "value": self.value,
+        }
+
+    @staticmethod
+    def from_json(value: Message) -> LedgerRecord:
+        """Return the record of a JSON object made by `to_json`."""
+        return LedgerRecord(
+            value["program"], ballot_from_json(value["promised"]), ballot_from_json(value["accepted"]), value["value"]
+        )
+
+
+def ballot_from_json(pair: list[Any]) -> Ballot:
+    """Return the ballot of a JSON pair of its counter and proposer."""
+    counter, proposer = pair
+    return Ballot(int(counter), str(proposer))
+
+
+def request(kind: str, view: StoreView, member: str, /, **fields: Any) -> Message:
+    """Return a request of type `kind` to `member` under the epoch of `view`."""
+    return {"type": kind, "epoch": view.epoch, "to": member, **fields}
+
+
+def encode_reply(reply: Reply) -> Message:
+    """Return the answer that tells a ledger replica's reply."""
+    if isinstance(reply, Promise):
+        return {"type": LEDGER_PROMISE, "accepted": list(reply.accepted), "value": reply.value}
+    if isinstance(reply, Accepted):
+        return {"type": LEDGER_ACCEPTED, "ballot": list(reply.ballot)}
+    return {"type": LEDGER_CONFLICT, "promised": list(reply.promised)}
+
+
+def decode_reply(message: Message) -> Reply:
+    """Return the ledger replica's reply that an answer tells. Raises KeyError, TypeError or ValueError."""
+    if message["type"] == LEDGER_PROMISE:
+        return Promise(ballot_from_json(message["accepted"]), message["value"])
+    if message["type"] == LEDGER_ACCEPTED:
+        return Accepted(ballot_from_json(message["ballot"]))
+    if message["type"] == LEDGER_CONFLICT:
+        return Conflict(ballot_from_json(message["promised"]))
+    raise ValueError(f"not a ledger replica's reply: {message['type']}")
--- /dev/null
+++ b/dewpin/controlplane/__main__.py
@@ -0,0 +1,86 @@
+"""`python3 -m dewpin.controlplane`: the control plane's process, told by the settings file under DEWPIN_BOOT."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import sys
+
+from dewpin.cluster.rpc import Handler, RpcClient, RpcServer, split_address
+from dewpin.cluster.settings import Settings, settings_or_exit
+from dewpin.cluster.store_view import StoreView
+
+from .keeper import Keeper
+from .operator_api import OperatorApi, serve_operator
+from .storage import Storage
+from .store import Store
+from .sync import StoreSync
+from .system_state import SystemState
+
+LEAVE_NOTICE_S = 0.3
+
+
+async def start_store(settings: Settings, storage: Storage, client: RpcClient, keeper: Keeper) -> dict[str, Handler]:
+    """Starts the store of this process, which follows the view in the system state; returns its handlers."""
+    synced = 0
+
+    def on_synced(epoch: int) -> None:
+        nonlocal synced
+        synced = max(synced, epoch)
+
+    store = Store(storage, storage.incarnation, 2 * settings.fault_tolerance.machines + 1)
+    sync = StoreSync(store, client, on_synced)
+    await store.load()
+
+    def on_state(state: SystemState) -> None:
+        view = StoreView.from_json(dict(state["stores"]))
+        store.adopt(view)
+        if view.stable:
+            sync.start(view)
+
+    keeper.on_state = on_state
+    keeper.synced_epoch = lambda: synced
+    asyncio.ensure_future(store.purge_forever())
+    return store.handlers
+
+
+async def run(settings: Settings) -> None:
+    """Serves until SIGTERM or SIGINT."""
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    assert settings.data_dir is not None
+    storage = Storage(settings.data_dir)
+    client = RpcClient()
+    keeper = Keeper(settings, storage, client, random.Random())
+    server = RpcServer(keeper.handlers)
+    if "store" in settings.serves:
+        server.handlers.update(await start_store(settings, storage, client, keeper))
+    host, port = split_address(keeper.address)
+    await server.start(host, port)
+    await keeper.start()
+    if "control" in settings.listen:
+        least_stores = 2 * settings.fault_tolerance.machines + 1
+        api = OperatorApi(keeper.register, loop, least_stores)
+        serve_operator(split_address(settings.listen["control"]), api)
+    await stopping.wait()
+    keeper.leave()
+    await asyncio.sleep(LEAVE_NOTICE_S)
+    await keeper.stop()
+    await server.stop()
+
+
+def main() -> int:
+    """Runs the process; returns its exit code."""
+    logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
+    asyncio.run(run(settings_or_exit()))
+    os._exit(0)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
