--- a/benchmarks/capacity/measures/process.py
+++ b/benchmarks/capacity/measures/process.py
@@ -8,6 +8,7 @@
 import statistics
 import threading
 import time
+from collections import deque
 from dataclasses import dataclass
 from multiprocessing.connection import Connection
 
@@ -19,6 +20,7 @@
 CONNECTIONS = (50, 100, 200, 400)
 STREAMS = (10, 40, 80, 120)
 EVENT_GAP_S = 0.077
+EVENT_END = b"\n\n"
 EVENT = b'id: 17\ndata: {"choices":[{"index":0,"delta":{"content":" token"}}]}\n\n'
 STACK_BYTES = 256 * 1024
 
@@ -113,7 +115,7 @@
     """Pass events on until the source closes, as a sender's request thread does."""
     with source, sink:
         while event := source.recv(65536):
-            if b"\n\n" not in event:
+            if EVENT_END not in event:
                 raise ValueError("a broken event")
             sink.sendall(event)
 
@@ -164,25 +166,30 @@
     """Send each stream's events at their pace; return how long each took to come out again, in seconds."""
     loop = asyncio.get_running_loop()
     started = time.perf_counter()
-    sent_at = [started] * len(streams)
+    under_way: list[deque[float]] = [deque() for _ in streams]
     delays: list[float] = []
+    all_out = asyncio.Event()
 
     def came(index: int) -> None:
-        streams[index].sink.recv(65536)
-        delays.append(time.perf_counter() - sent_at[index])
+        for _ in range(streams[index].sink.recv(65536).count(EVENT_END)):
+            delays.append(time.perf_counter() - under_way[index].popleft())
+        if not any(under_way):
+            all_out.set()
 
     async def send_all(index: int) -> None:
         due = started + EVENT_GAP_S * index / len(streams)
         while due < end:
             await asyncio.sleep(max(0.0, due - time.perf_counter()))
-            sent_at[index] = time.perf_counter()
+            under_way[index].append(time.perf_counter())
             streams[index].source.send(EVENT)
             due += EVENT_GAP_S
 
     for index, stream in enumerate(streams):
         loop.add_reader(stream.sink.fileno(), came, index)
     await asyncio.gather(*(send_all(index) for index in range(len(streams))))
-    await asyncio.sleep(EVENT_GAP_S)
+    all_out.clear()
+    if any(under_way):
+        await all_out.wait()
     for stream in streams:
         loop.remove_reader(stream.sink.fileno())
     return delays
--- a/benchmarks/capacity/measures/storage.py
+++ b/benchmarks/capacity/measures/storage.py
@@ -1,121 +1,129 @@
-"""sqlite3 as the stores use it: one writer thread that commits what waits, synced, in groups."""
+"""The stores' file: turns and ledger replicas written in groups, chains read, the index scanned for a copy."""
 
 from __future__ import annotations
 
-import queue
-import sqlite3
+import asyncio
 import tempfile
-import threading
 import time
-from concurrent.futures import Future
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
+from typing import Any, TypeVar
 
 from benchmarks.capacity.series import Effort, Series, sample
-from benchmarks.capacity.timing import MICROSECONDS, processor_us_per_call
+from benchmarks.capacity.timing import MICROSECONDS
+from dewpin.cluster.netstring import Decoder, encode
+from dewpin.cluster.store_messages import ChainLinks, TurnRecord
+from dewpin.cluster.store_view import Member, StoreView
+from dewpin.consensus import Ballot
+from dewpin.controlplane import ledger_replica, turn_table
+from dewpin.controlplane.storage import DATABASE_NAME, Storage
+
+TURNS = "dewpin/controlplane/storage.py, turn_table.py"
+LEDGERS = "dewpin/controlplane/storage.py, ledger_replica.py"
+CHAIN_MESSAGE = "dewpin/cluster/store_messages.py, netstring.py"
 
-STAND_IN = "stand-in"
 RECORD_BYTES = 5_000
+RETAIN_MS = 3_600_000
 WRITERS = (1, 3, 10, 30, 100)
 WRITER_SECONDS_FACTOR = 2
+GROUP = 32
 RECORD_SIZES = (500, 5_000, 20_000, 50_000)
 ROWS = (500, 1_000, 2_000, 4_000)
-MOST_IN_A_GROUP = 256
+CHAIN_TURNS = (1, 10, 30, 100)
+CHAIN_BYTES = (10_000, 100_000, 500_000, 1_000_000, 2_000_000)
+INDEX_ROWS = (100, 200, 300, 400)
+INDEX_PROGRAMS = 100
+VIEW_MEMBERS = 27
+REPLICAS = 3
+ENOUGH_BYTES = 1 << 30
 
-Record = tuple[str, str, bytes]
+R = TypeVar("R")
+WriteOne = Callable[[int, int], Awaitable[object]]
+"""Writes one record: the writer's number, and how many it has written before."""
 
 
-def open_store(folder: Path) -> sqlite3.Connection:
-    """A store's file: write-ahead log, exclusive lock, every commit synced."""
-    connection = sqlite3.connect(folder / "turns.sqlite3", check_same_thread=False, isolation_level=None)
-    connection.execute("PRAGMA journal_mode = WAL")
-    connection.execute("PRAGMA locking_mode = EXCLUSIVE")
-    connection.execute("PRAGMA synchronous = FULL")
-    connection.execute("CREATE TABLE turn (program TEXT, id TEXT, text BLOB, PRIMARY KEY (program, id)) WITHOUT ROWID")
-    return connection
+def turn(program: str, number: int, size: int) -> TurnRecord:
+    """A turn with a body of so many bytes that goes on from the one before it."""
+    previous = f"{program}{number - 1:08x}" if number else None
+    return TurnRecord(f"{program}{number:08x}", program, previous, RETAIN_MS, b"x" * (size // 2), b"y" * (size // 2))
 
 
-def record(number: int, size: int) -> Record:
-    """A turn's row."""
-    return f"{number % 100:06x}", f"{number:016x}", b"x" * size
+def with_storage(work: Callable[[Storage], Coroutine[Any, Any, R]]) -> R:
+    """What `work` returns, given a new store's file in a temporary folder."""
+    with tempfile.TemporaryDirectory() as folder:
+        storage = Storage(folder)
+        try:
+            return asyncio.run(work(storage))
+        finally:
+            storage.close()
 
 
-def insert(connection: sqlite3.Connection, records: list[Record]) -> None:
-    """Commit the records together."""
-    connection.execute("BEGIN IMMEDIATE")
-    connection.executemany("INSERT OR REPLACE INTO turn VALUES (?, ?, ?)", records)
-    connection.execute("COMMIT")
+async def keep(storage: Storage, records: list[TurnRecord]) -> None:
+    """Commit turns together."""
+    now_ms = int(time.time() * 1000)
+    await storage.transact(lambda connection: turn_table.put(connection, records, now_ms, 0))
 
 
-class GroupWriter:
-    """One thread that commits all records waiting at a time as one group."""
+async def write_at_once(writers: int, seconds: float, write: WriteOne) -> tuple[int, float, float]:
+    """Writers that each wait for their own record: records in all, seconds, processor seconds of the process."""
+    end = time.perf_counter() + seconds
+    counts = [0] * writers
 
-    def __init__(self, connection: sqlite3.Connection) -> None:
-        self._connection = connection
-        self._waiting: queue.SimpleQueue[tuple[Record, Future[None]] | None] = queue.SimpleQueue()
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
+    async def write_in_turn(index: int) -> None:
+        while time.perf_counter() < end:
+            await write(index, counts[index])
+            counts[index] += 1
 
-    def write(self, one: Record) -> None:
-        """Return when the record is committed and synced."""
-        done: Future[None] = Future()
-        self._waiting.put((one, done))
-        done.result()
+    start, used = time.perf_counter(), time.process_time()
+    await asyncio.gather(*(write_in_turn(index) for index in range(writers)))
+    return sum(counts), time.perf_counter() - start, time.process_time() - used
 
-    def close(self) -> None:
-        """Commit what waits and end the thread."""
-        self._waiting.put(None)
-        self._thread.join()
 
-    def _run(self) -> None:
-        while (first := self._waiting.get()) is not None:
-            group = [first]
-            while len(group) < MOST_IN_A_GROUP and not self._waiting.empty():
-                following = self._waiting.get()
-                if following is None:
-                    self._waiting.put(None)
-                    break
-                group.append(following)
-            insert(self._connection, [one for one, _ in group])
-            for _, done in group:
-                done.set_result(None)
+def turn_commit(effort: Effort) -> Series:
+    """Time of a round in which each waiting writer has one turn committed; the slope is the least time a turn."""
 
+    def at(writers: int) -> float:
+        async def run(storage: Storage) -> float:
+            async def write(writer: int, number: int) -> None:
+                await keep(storage, [turn(f"{writer:06x}", number, RECORD_BYTES)])
 
-def committed_per_second(writers: int, size: int, seconds: float) -> float:
-    """Records committed a second by so many threads that each wait for their own."""
-    with tempfile.TemporaryDirectory() as folder:
-        connection = open_store(Path(folder))
-        writer = GroupWriter(connection)
-        end = time.perf_counter() + seconds
-        counts = [0] * writers
+            records, took, _ = await write_at_once(writers, effort.seconds * WRITER_SECONDS_FACTOR, write)
+            return writers * took * MICROSECONDS / records
 
-        def write_in_turn(index: int) -> None:
-            while time.perf_counter() < end:
-                writer.write(record(index + writers * counts[index], size))
-                counts[index] += 1
+        return with_storage(run)
 
-        threads = [threading.Thread(target=write_in_turn, args=(index,)) for index in range(writers)]
-        start = time.perf_counter()
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        took = time.perf_counter() - start
-        writer.close()
-        connection.close()
-    return sum(counts) / took
+    return Series(
+        "turn-commit",
+        f"one turn of {RECORD_BYTES} bytes for each writer, committed and synced",
+        TURNS,
+        "writers waiting at once",
+        "time a round",
+        "µs",
+        sample(WRITERS, effort, at),
+    )
 
 
-def group_commit(effort: Effort) -> Series:
-    """Time of a round in which each waiting writer has one record committed; its slope is the least time a record."""
+def ledger_commit(effort: Effort) -> Series:
+    """Time of a round in which each waiting writer has one accept of its ledger committed."""
 
     def at(writers: int) -> float:
-        rate = committed_per_second(writers, RECORD_BYTES, effort.seconds * WRITER_SECONDS_FACTOR)
-        return writers * MICROSECONDS / rate
+        async def run(storage: Storage) -> float:
+            async def write(writer: int, number: int) -> None:
+                program, ballot = f"{writer:06x}", Ballot(number + 1, "sender")
+                value = {"spent": number, "open": {f"{number:016x}": 325}}
+                await storage.transact(
+                    lambda connection: ledger_replica.accept(connection, program, ballot, value, None, number)
+                )
+
+            records, took, _ = await write_at_once(writers, effort.seconds * WRITER_SECONDS_FACTOR, write)
+            return writers * took * MICROSECONDS / records
+
+        return with_storage(run)
 
     return Series(
-        "group-commit",
-        f"one record of {RECORD_BYTES} bytes for each writer, committed and synced (WAL, EXCLUSIVE, FULL)",
-        STAND_IN,
+        "ledger-commit",
+        "one accept of a ledger for each writer, committed and synced",
+        LEDGERS,
         "writers waiting at once",
         "time a round",
         "µs",
@@ -123,74 +131,185 @@
     )
 
 
-def insert_cost(effort: Effort) -> Series:
-    """Processor time of a record in a group of 32, by its size."""
-    group = 32
+def turn_cost(effort: Effort) -> Series:
+    """Processor time of a turn, in groups of GROUP waiting writers, by its size."""
 
     def at(size: int) -> float:
-        with tempfile.TemporaryDirectory() as folder:
-            connection = open_store(Path(folder))
-            numbers = iter(range(10**9))
+        async def run(storage: Storage) -> float:
+            async def write(writer: int, number: int) -> None:
+                await keep(storage, [turn(f"{writer:06x}", number, size)])
 
-            def commit_group() -> None:
-                insert(connection, [record(next(numbers), size) for _ in range(group)])
+            records, _, used = await write_at_once(GROUP, effort.seconds, write)
+            return used * MICROSECONDS / records
 
-            cost = processor_us_per_call(commit_group, effort.seconds) / group
-            connection.close()
-        return cost
+        return with_storage(run)
 
     return Series(
-        "insert",
-        f"processor time of a record in a group commit of {group}",
-        STAND_IN,
-        "bytes of the record",
-        "processor time a record",
+        "turn-cost",
+        f"processor time of a turn written, {GROUP} writers waiting",
+        TURNS,
+        "bytes of the turn",
+        "processor time a turn",
         "µs",
         sample(RECORD_SIZES, effort, at),
     )
 
 
+def ledger_cost(effort: Effort) -> Series:
+    """Processor time of a ledger's accept, by the reservations open in it."""
+    opens = (0, 2, 5, 10)
+
+    def at(reservations: int) -> float:
+        value = {"spent": 1000, "open": {f"{one:016x}": 325 for one in range(reservations)}}
+
+        async def run(storage: Storage) -> float:
+            async def write(writer: int, number: int) -> None:
+                program, ballot = f"{writer:06x}", Ballot(number + 1, "sender")
+                await storage.transact(
+                    lambda connection: ledger_replica.accept(connection, program, ballot, value, None, number)
+                )
+
+            records, _, used = await write_at_once(GROUP, effort.seconds, write)
+            return used * MICROSECONDS / records
+
+        return with_storage(run)
+
+    return Series(
+        "ledger-cost",
+        f"processor time of a ledger's accept, {GROUP} writers waiting",
+        LEDGERS,
+        "open reservations",
+        "processor time an accept",
+        "µs",
+        sample(opens, effort, at),
+    )
+
+
 def disk_bytes(effort: Effort) -> Series:
-    """Bytes of the file, by records of RECORD_BYTES held."""
+    """Bytes of the file, by turns of RECORD_BYTES held."""
 
     def at(rows: int) -> float:
         with tempfile.TemporaryDirectory() as folder:
-            connection = open_store(Path(folder))
-            insert(connection, [record(number, RECORD_BYTES) for number in range(rows)])
-            connection.execute("PRAGMA wal_checkpoint(TRUNCATE)")
-            connection.close()
-            return float((Path(folder) / "turns.sqlite3").stat().st_size)
+            storage = Storage(folder)
+            asyncio.run(keep(storage, [turn(f"{one % 50:06x}", one // 50, RECORD_BYTES) for one in range(rows)]))
+            storage.close()
+            return float((Path(folder) / DATABASE_NAME).stat().st_size)
 
     return Series(
         "disk",
-        f"bytes of the store's file with records of {RECORD_BYTES} bytes",
-        STAND_IN,
-        "records",
+        f"bytes of the store's file with turns of {RECORD_BYTES} bytes",
+        TURNS,
+        "turns",
         "bytes on disk",
         "B",
         sample(ROWS, effort, at),
     )
 
 
-def read_chain(effort: Effort) -> Series:
-    """Time to read all turns of a program, by their number."""
-    turns_of_a_program = (1, 10, 30, 100)
+def chain_read(effort: Effort) -> Series:
+    """Processor time of a store to read a chain and make its answer, by the turns in it."""
 
     def at(turns: int) -> float:
-        with tempfile.TemporaryDirectory() as folder:
-            connection = open_store(Path(folder))
-            insert(connection, [("p", f"{number:016x}", b"x" * RECORD_BYTES) for number in range(turns)])
-            query = "SELECT id, text FROM turn WHERE program = ?"
-            cost = processor_us_per_call(lambda: connection.execute(query, ("p",)).fetchall(), effort.seconds)
-            connection.close()
-        return cost
+        async def run(storage: Storage) -> float:
+            await keep(storage, [turn("a" * 6, number, RECORD_BYTES) for number in range(turns)])
+            last = turn("a" * 6, turns - 1, 0).turn
+            end = time.perf_counter() + effort.seconds
+            reads = 0
+            used = time.process_time()
+            while time.perf_counter() < end:
+                links = await storage.transact(
+                    lambda connection: turn_table.chain(connection, "a" * 6, last, ENOUGH_BYTES)
+                )
+                encode(links.to_json())
+                reads += 1
+            return (time.process_time() - used) * MICROSECONDS / reads
+
+        return with_storage(run)
 
     return Series(
-        "read-chain",
-        f"read a chain of turns of {RECORD_BYTES} bytes from the store's file",
-        STAND_IN,
+        "chain-read",
+        f"a store's processor time for a chain of turns of {RECORD_BYTES} bytes, read and made an answer",
+        "dewpin/controlplane/turn_table.py, dewpin/cluster/store_messages.py",
         "turns in the chain",
         "processor time a chain",
         "µs",
-        sample(turns_of_a_program, effort, at),
+        sample(CHAIN_TURNS, effort, at),
+    )
+
+
+def chain_take(effort: Effort) -> Series:
+    """Processor time of a sender to decode a chain's answer, by its bytes."""
+    turns = 100
+
+    def at(size: int) -> float:
+        links = tuple(turn("a" * 6, number, size // turns) for number in range(turns))
+        frame = encode(ChainLinks(links, None, False, frozenset()).to_json())
+        end = time.perf_counter() + effort.seconds
+        reads = 0
+        used = time.process_time()
+        while time.perf_counter() < end:
+            found = ChainLinks.from_json(Decoder().feed(frame)[0])
+            b"".join(link.input + link.output for link in reversed(found.links))
+            reads += 1
+        return (time.process_time() - used) * MICROSECONDS / reads
+
+    return Series(
+        "chain-take",
+        f"a sender's processor time for a chain's answer of {turns} turns, decoded and joined",
+        CHAIN_MESSAGE,
+        "bytes of text",
+        "processor time a chain",
+        "µs",
+        sample(CHAIN_BYTES, effort, at),
+    )
+
+
+def text_growth(_: Effort) -> Series:
+    """Bytes on the wire of 10,000 bytes of text, by the bytes among them that are not ASCII."""
+    whole = 10_000
+
+    def at(others: int) -> float:
+        record = TurnRecord("t", "p", None, RETAIN_MS, b"\xc3" * others + b"x" * (whole - others), b"")
+        return float(len(encode(record.to_json())))
+
+    return Series(
+        "text-growth",
+        f"bytes of a message with {whole} bytes of text",
+        CHAIN_MESSAGE,
+        "bytes that are not ASCII",
+        "bytes on the wire",
+        "B",
+        sample((0, 1_000, 5_000, 10_000), Effort(0, 1), at),
+    )
+
+
+def index_scan(effort: Effort) -> Series:
+    """Processor time of a source to answer a page of its index for a store that copies, by the rows in the page."""
+    members = tuple(Member(f"{number:016x}", f"10.0.0.{number}:7380") for number in range(VIEW_MEMBERS))
+
+    def at(rows: int) -> float:
+        view = StoreView(2, members, members[1:])
+
+        async def run(storage: Storage) -> float:
+            await keep(storage, [turn(f"{one % INDEX_PROGRAMS:06x}", one // INDEX_PROGRAMS, 50) for one in range(rows)])
+            end = time.perf_counter() + effort.seconds
+            pages = 0
+            used = time.process_time()
+            while time.perf_counter() < end:
+                page = await storage.transact(lambda connection: turn_table.index_page(connection, ("", ""), rows, 0))
+                for entry in page:
+                    view.next_replicas(entry.program, REPLICAS)
+                pages += 1
+            return (time.process_time() - used) * MICROSECONDS / pages
+
+        return with_storage(run)
+
+    return Series(
+        "index-scan",
+        f"a page of the index read and filtered for a copy, {VIEW_MEMBERS} stores",
+        "dewpin/controlplane/turn_table.py, dewpin/cluster/store_view.py",
+        "rows of the page",
+        "processor time a page",
+        "µs",
+        sample(INDEX_ROWS, effort, at),
     )
--- a/benchmarks/capacity/measures/wire.py
+++ b/benchmarks/capacity/measures/wire.py
@@ -5,13 +5,12 @@
 import asyncio
 import multiprocessing
 import resource
-import socket
 import time
 from multiprocessing.connection import Connection
 
 from benchmarks.capacity import shapes
 from benchmarks.capacity.series import Effort, Series, sample
-from benchmarks.capacity.timing import MICROSECONDS, processor_us_per_call
+from benchmarks.capacity.timing import MICROSECONDS, free_port, processor_us_per_call
 from dewpin.cluster.netstring import Decoder, encode
 from dewpin.cluster.rpc import Message, RpcClient, RpcServer
 
@@ -64,12 +63,6 @@
     return {"type": "ok", "turn": message["turn"]}
 
 
-def free_port() -> int:
-    """A port of the loopback address that nobody listens at."""
-    with socket.create_server(("127.0.0.1", 0)) as held:
-        return int(held.getsockname()[1])
-
-
 def serve_calls(pipe: Connection) -> None:
     """A server process: tells its address, and its processor time whenever it is asked; ends with the pipe."""
 
--- a/benchmarks/capacity/shapes.py
+++ b/benchmarks/capacity/shapes.py
@@ -85,11 +85,6 @@
     }
 
 
-def receiver_list(entries: int) -> bytes:
-    """A list of so many receivers, as one message."""
-    return encode({"type": "receivers", "version": 41, "receivers": [receiver(number) for number in range(entries)]})
-
-
 def lease(number: int) -> JsonObject:
     """The record that a keeper holds of one sender's lease."""
     return {
@@ -102,17 +97,6 @@
     }
 
 
-def lease_answer(keepers: int) -> JsonObject:
-    """What a renewal is answered: the versions, the parent in the relay tree, the keepers."""
-    return {
-        "type": "lease",
-        "granted_ms": 14000,
-        "versions": {"configuration": 7, "receivers": 41, "views": 3},
-        "parents": [f"10.0.{number}.9:7380" for number in range(2)],
-        "keepers": [{"id": f"{number:032x}", "address": f"10.0.{number}.4:7380"} for number in range(keepers)],
-    }
-
-
 def turn(number: int, size: int) -> JsonObject:
     """A turn of a program as it is sent to a store, with a text of so many bytes."""
     return {
--- a/benchmarks/capacity/timing.py
+++ b/benchmarks/capacity/timing.py
@@ -4,6 +4,7 @@
 
 import multiprocessing
 import resource
+import socket
 import time
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
@@ -38,3 +39,9 @@
     """The result of a module-level function, run in a new interpreter that ends with it."""
     with ProcessPoolExecutor(1, multiprocessing.get_context("spawn")) as pool:
         return pool.submit(function, *args, **kwargs).result()
+
+
+def free_port() -> int:
+    """A port of the loopback address that nobody listens at."""
+    with socket.create_server(("127.0.0.1", 0)) as held:
+        return int(held.getsockname()[1])
