--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -69,8 +69,8 @@
 
 def measure(names: list[str], effort: Effort, results: Results) -> Results:
     """The results with the named series measured anew; each is told on standard error as it ends."""
-    run = this_run(ROOT)
     for name in names:
+        run = this_run(ROOT)
         start = time.monotonic()
         series = MEASURES[name](effort)
         results = results.with_series(series, run)
--- a/benchmarks/capacity/context.py
+++ b/benchmarks/capacity/context.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from benchmarks.capacity import design
 from benchmarks.capacity.fit import Estimate, Line
 from benchmarks.capacity.results import Results
 from benchmarks.capacity.sheet import Row
@@ -81,7 +82,17 @@
     @property
     def renewal_s(self) -> float:
         """Time between a sender's renewals."""
-        return self.target.change_in_force_s / self.assumed.renewals_a_bound
+        return self.target.change_in_force_s / design.RENEWALS_IN_BOUND
+
+    @property
+    def lease_s(self) -> float:
+        """How long a lease lasts that isn't renewed."""
+        return self.renewal_s * design.LEASE_PERIODS
+
+    @property
+    def reading_period_s(self) -> float:
+        """Time between readings of the platform's list."""
+        return self.assumed.drain_bound_s / design.READINGS_IN_DRAIN
 
     @property
     def changes_per_s(self) -> float:
@@ -105,7 +116,18 @@
         return self.history_bytes / self.target.turns_a_program
 
     @property
-    def calls_a_turn(self) -> int:
-        """Calls between processes for one turn."""
-        one = self.assumed
-        return one.calls_to_reserve + one.calls_to_settle + one.calls_to_append + one.calls_to_read
+    def ledger_calls_a_turn(self) -> int:
+        """Calls to replicas of the ledger for one turn."""
+        return (self.assumed.ledger_rounds_to_reserve + self.assumed.ledger_rounds_to_settle) * self.assumed.replicas
+
+    @property
+    def cached_share(self) -> float:
+        """Share of the programs' whole chains that the senders' caches hold together."""
+        held = design.CHAIN_CACHE_BYTES * self.target.senders
+        return min(1.0, held / (self.target.programs * self.history_bytes))
+
+    @property
+    def state_bytes(self) -> Estimate:
+        """Bytes of the whole system state on the wire, the remembered changes included."""
+        remembered = design.MOST_REMEMBERED_CONFIGURATIONS * self.each("accepted-bytes")
+        return self.at("state-bytes", self.routes) + remembered
--- a/benchmarks/capacity/coverage.py
+++ b/benchmarks/capacity/coverage.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from benchmarks.capacity.sheet import Row, Verdict, markdown_table
-from benchmarks.capacity.target import Target
+from benchmarks.capacity.target import ASSUMED, Target
 
 
 @dataclass(frozen=True)
@@ -19,70 +19,100 @@
     note: str = ""
 
 
-def entries(target: Target) -> list[Entry]:
+def entries(target: Target, stores: int = ASSUMED.stores) -> list[Entry]:
     """The list in its own order."""
     return [
         Entry(
             f"{target.senders} senders",
-            "leases, relay tree (`dewpin/dataplane`, `dewpin/controlplane`)",
-            ("processor time of renewals at each",),
+            "`dewpin/controlplane/leases.py`, `dewpin/dataplane/cluster_agent.py`",
+            (
+                "processor time of renewals at each",
+                "time between a sender's visits to one keeper",
+                "the same after one visit missed",
+            ),
             "no run with more senders than the sites have",
         ),
         Entry(
             f"{target.receivers} receivers, {target.accelerators:,} accelerators",
-            "list reading and its way to the senders",
-            ("bytes of whole lists of receivers, in and passed on", "bytes of changed entries alone"),
-            "changed entries are to be built; an accelerator is no member of anything here: its receiver speaks for it",
+            "`dewpin/cluster/receivers.py`, `platform_list.py`, `dewpin/dataplane/balancing.py`",
+            (
+                "bytes of whole lists while each reading differs (a release)",
+                "changed entries alone while each reading differs in 1 in 100",
+            ),
+            "an accelerator is no member of anything here: its receiver speaks for it; choice among receivers: "
+            "not measured",
         ),
         Entry(
             f"{target.requests_per_s:,} requests a second",
-            "a thread for each request in `dewpin/dataplane`; stores behind",
-            ("processor time of these calls", "stores needed by processor time"),
+            "`dewpin/dataplane/ingress.py`, `request_path.py`; stores behind",
+            (
+                "processor time of these calls",
+                f"share of a core of each of {stores} stores",
+                "the same with chains read only by what is new",
+                f"share of the one writer's time at each of {stores} stores",
+            ),
+            "processor time of a request in the sender: not measured",
         ),
         Entry(
             f"{target.tokens_per_s:,} tokens out a second",
-            "stream passing in `dewpin/dataplane`",
-            ("processor time of events",),
+            "`dewpin/dataplane/streams.py`",
+            ("processor time of events, least",),
+            "by a stand-in; the sender's own passing on: not measured",
         ),
         Entry(
             f"first token in {target.first_token_s} s for {target.share_in_time:.0%}",
-            "reserve and chain before the send (`program_store.py`), then the receiver",
-            ("time to decode a whole chain as one message",),
-            "the receivers' own part is not in this repository's hands; the whole path: not measured at this size",
+            "`dewpin/dataplane/store_client.py` (reserve, chain) before the send, then the receiver",
+            (
+                "time to take up a whole chain before the first token",
+                "time added to a first token by replicas in other regions",
+            ),
+            "the receivers' part is not in this repository's hands; the whole path at this size: not measured",
         ),
         Entry(
             f"{target.token_gap_ms:g} ms between tokens for {target.share_in_time:.0%}",
-            "stream passing in `dewpin/dataplane`",
-            ("delay that the sender adds between tokens, 95 in 100",),
+            "`dewpin/dataplane/streams.py`",
+            ("delay that passing on adds between tokens, 95 in 100, least",),
+            "by a stand-in",
         ),
         Entry(
             f"{target.programs:,} programs of up to {target.turns_a_program} turns, {target.tokens_a_program:,} tokens",
-            "turns on `2 f + 1` stores (`dewpin/controlplane`)",
-            ("time to decode a whole chain as one message", "stores needed by disk"),
-            "whole chains at each turn: see below",
+            "`dewpin/controlplane/turn_table.py`, `dewpin/dataplane/chain_cache.py`",
+            (
+                f"bytes of one of {stores} stores",
+                "memory that whole chains would take",
+                "processor time of taking them up",
+            ),
+            "whole chains to a sender that has not cached them: see below",
         ),
         Entry(
             f"{target.tenants} tenants, {target.models} models",
-            "routes of the configuration (`dewpin/cluster/configuration.py`)",
-            ("bytes of whole configurations, in and passed on", "bytes of changed routes alone"),
-            "changed routes are to be built; quotas between tenants: none yet",
+            "`dewpin/cluster/configuration.py`, `dewpin/controlplane/system_state.py`",
+            ("bytes of whole states, taken and passed on", "the same with changed routes and entries alone"),
+            "quotas between tenants: none yet",
         ),
         Entry(
             f"{target.regions} regions, {target.zones} zones",
-            "view of stores, members of the register",
-            ("programs without a majority when a zone is lost, placement blind to zones",),
+            "`dewpin/cluster/placement.py`, `dewpin/controlplane/reconfiguration.py`",
+            (
+                "programs without a majority when a zone is lost",
+                "programs without a majority when a region is lost",
+            ),
             "placement by zone and region is to be built",
         ),
         Entry(
             f"{target.changes_a_day} changes a day in force in {target.change_in_force_s:g} s",
-            "register (`dewpin/consensus`), relay tree, the lease's answer",
+            "`dewpin/consensus`, `dewpin/controlplane/register.py`, `dewpin/dataplane/cluster_agent.py`",
             ("time of a change to the last sender, nothing failing", "the same when the tree fails"),
-            "time on paper of measured parts; a run over 350 senders: not measured",
+            "measured parts added up on paper; see the hollow run below",
         ),
         Entry(
             f"control: {target.control_processor_share:.1%} of a core a sender",
-            "lease, relay tree",
-            ("processor time of control, everything sent whole", "processor time of control, changed parts alone"),
+            "`dewpin/dataplane/cluster_agent.py`, `dewpin/cluster/rpc.py`",
+            (
+                "processor time of renewals and watches, nothing new",
+                "processor time of control, all, mean of a day",
+                "processor time of control while each reading differs (a release)",
+            ),
         ),
         Entry(
             f"control: {target.control_memory_bytes / 1e6:g} MB a sender",
@@ -91,42 +121,49 @@
         ),
         Entry(
             f"control: {target.control_bytes_per_s / 1e3:g} kB/s a sender",
-            "lease, relay tree",
+            "`dewpin/dataplane/cluster_agent.py`",
             (
                 "bytes of renewals",
-                "bytes of whole configurations, in and passed on",
-                "bytes of whole lists of receivers, in and passed on",
-                "bytes of changed routes alone",
-                "bytes of changed entries alone",
+                "bytes of watches when nothing is new",
+                "bytes of whole states, taken and passed on",
+                "bytes of whole lists, taken and passed on, mean of a day",
+                "bytes of control, all, mean of a day",
+                "the same with changed routes and entries alone",
             ),
         ),
         Entry(
             f"{target.control_machines} machines for control",
             '`dewpin.controlplane` with `serves = ["control"]`',
-            ("processor time of renewals at each", "processor time of reading and sending the list"),
+            (
+                "processor time of renewals at each",
+                "processor time of changes at each member, mean of a day",
+                "processor time of reading the list",
+                "processor time of greetings at each keeper",
+            ),
+            "today's deployments run control on the store machines",
         ),
         Entry(
             f"{target.failures_a_day} failures, {target.restarts_a_day} restarts a day",
-            "leases, drain at SIGTERM, view of stores",
+            "leases, drain at SIGTERM, `dewpin/controlplane/reconfiguration.py`, `sync.py`",
             (),
-            "figures under failures; a day with that many: not measured",
+            "rows under failures; a day with that many: not measured",
         ),
         Entry(
             "a rack every month or two",
-            "view of stores, register members",
+            "`dewpin/controlplane/reconfiguration.py`, `dewpin/consensus`",
             (),
             "as a zone, smaller; placement does not see racks: to be built",
         ),
         Entry(
             "a zone once or twice a year",
-            "view of stores, register members",
-            ("programs without a majority when a zone is lost, placement blind to zones",),
+            "`dewpin/controlplane/reconfiguration.py`, `dewpin/consensus`",
+            ("programs without a majority when a zone is lost",),
         ),
         Entry(
             "regions apart for an hour",
-            "register majority, stores' majority; senders go on with the configuration they have",
+            "majorities of the register and of each program's stores; senders go on with the state they have",
             (),
-            "figures under failures; not measured",
+            "rows under failures; not measured",
         ),
     ]
 
--- /dev/null
+++ b/benchmarks/capacity/design.py
@@ -0,0 +1,66 @@
+"""Constants of the tier's own modules that the page's arithmetic uses, read from those modules."""
+
+from __future__ import annotations
+
+from dewpin.cluster.netstring import encode
+from dewpin.controlplane.keeper import HELLO_PERIOD_S, READINGS_IN_DRAIN, WATCH_HEARTBEAT_S
+from dewpin.controlplane.leases import LEASE_PERIODS, RELAY_FAN_OUT, LeaseTable
+from dewpin.controlplane.reconfiguration import GONE_S, GONE_WITH_SUCCESSOR_S
+from dewpin.controlplane.system_state import MOST_REMEMBERED_CONFIGURATIONS
+from dewpin.dataplane.chain_cache import DEFAULT_BYTES as CHAIN_CACHE_BYTES
+from dewpin.dataplane.cluster_agent import RENEWALS_IN_BOUND
+
+__all__ = [
+    "CHAIN_CACHE_BYTES",
+    "GONE_S",
+    "GONE_WITH_SUCCESSOR_S",
+    "HELLO_PERIOD_S",
+    "LEASE_PERIODS",
+    "MOST_REMEMBERED_CONFIGURATIONS",
+    "READINGS_IN_DRAIN",
+    "RELAY_FAN_OUT",
+    "RENEWALS_IN_BOUND",
+    "RENEWAL_REQUEST_BYTES",
+    "WATCH_BYTES",
+    "WATCH_HEARTBEAT_S",
+    "relay_depth",
+]
+
+_VERSION = [4711, "0123456789abcdef"]
+
+RENEWAL_REQUEST_BYTES = len(
+    encode(
+        {
+            "v": 1,
+            "n": 12345,
+            "m": {
+                "type": "lease.renew",
+                "sender": "front-zone-1-17/0123456789ab",
+                "address": "10.0.1.17:7381",
+                "zone": "zone-1",
+                "receivers_version": _VERSION,
+            },
+        }
+    )
+)
+"""Bytes of a renewal of a lease."""
+
+WATCH_BYTES = len(
+    encode(
+        {
+            "v": 1,
+            "n": 12345,
+            "m": {"type": "relay.watch", "state_version": 851, "receivers_version": _VERSION, "wait": True},
+        }
+    )
+) + len(encode({"v": 1, "r": 12345, "m": {"type": "relay.news", "list_age_s": 0.123456789012}}))
+"""Bytes of a watch of the relay tree and its answer when nothing is new."""
+
+
+def relay_depth(senders: int) -> int:
+    """Hops from a keeper to the last of so many senders, as `LeaseTable.parents` lays the tree out."""
+    table = LeaseTable(1.0)
+    names = [f"sender-{number}" for number in range(senders)]
+    for name in names:
+        table.renew(name, name, "zone", 0.0)
+    return 1 + max(len(table.parents(name, 0.0)) for name in names)
--- a/benchmarks/capacity/report.py
+++ b/benchmarks/capacity/report.py
@@ -57,12 +57,18 @@
     context = Context(TARGET, ASSUMED, results)
     parts: dict[str, list[Row]] = {
         "sender-traffic": sender.traffic_rows(context),
-        "sender-control": sender.control_rows(context),
+        "sender-bytes": sender.bytes_rows(context),
+        "sender-processor": sender.processor_rows(context),
         "sender-programs": sender.program_rows(context),
         "store-state": store.state_rows(context),
         "store-load": store.load_rows(context),
-        "control": control.rows(context),
-        "failures": failures.rows(context),
+        "store-hello": store.hello_rows(context),
+        "control-leases": control.lease_rows(context),
+        "control-state": control.state_rows(context),
+        "control-list": control.list_rows(context),
+        "failures-senders": failures.sender_rows(context),
+        "failures-stores": failures.store_rows(context),
+        "failures-places": failures.place_rows(context),
     }
     all_rows = [row for rows in parts.values() for row in rows]
     return {
--- a/benchmarks/capacity/results.py
+++ b/benchmarks/capacity/results.py
@@ -17,17 +17,22 @@
 
 @dataclass(frozen=True)
 class Run:
-    """Where and when a series was measured."""
+    """Where and when a series was measured.
+
+    load: processes that ran or waited on the machine, the mean of the last minute.
+    """
 
     when: str
     revision: str
     cores: int
     python: str
     sqlite: str
+    load: float
 
     def describe(self) -> str:
         """One phrase for the page."""
-        return f"{self.when}, text {self.revision}, {self.cores} cores, Python {self.python}, SQLite {self.sqlite}"
+        machine = f"load {self.load:.0f} on {self.cores} cores, Python {self.python}, SQLite {self.sqlite}"
+        return f"{self.when}, text {self.revision}, {machine}"
 
 
 @dataclass(frozen=True)
@@ -48,7 +53,14 @@
         ["git", "describe", "--always", "--dirty"], cwd=root, capture_output=True, text=True, check=False
     ).stdout.strip()
     when = datetime.datetime.now(datetime.UTC).strftime("%Y-%m-%d %H:%M UTC")
-    return Run(when, revision or "unknown", os.cpu_count() or 0, platform.python_version(), sqlite3.sqlite_version)
+    return Run(
+        when,
+        revision or "unknown",
+        os.cpu_count() or 0,
+        platform.python_version(),
+        sqlite3.sqlite_version,
+        round(os.getloadavg()[0], 1),
+    )
 
 
 def load(path: Path) -> Results:
--- a/benchmarks/capacity/roles/control.py
+++ b/benchmarks/capacity/roles/control.py
@@ -2,49 +2,49 @@
 
 from __future__ import annotations
 
-import math
-
+from benchmarks.capacity import design
 from benchmarks.capacity.context import Context
 from benchmarks.capacity.fit import Estimate
 from benchmarks.capacity.sheet import Row, plain
 
 MICROSECONDS = 1e6
-LEASES = "`dewpin/controlplane` (leases)"
-REGISTER = "`dewpin/consensus`, `dewpin/controlplane` (register)"
-LIST = "`dewpin/controlplane` (list)"
-LEASE_REQUEST_BYTES = 200
+SMALL_MESSAGE_BYTES = 300
+LEASES = "`dewpin/controlplane/leases.py`"
+REGISTER = "`dewpin/controlplane/register.py`, `dewpin/consensus`"
+STATE = "`dewpin/controlplane/system_state.py`"
+LIST = "`dewpin/cluster/platform_list.py`, `receivers.py`"
+KEEPER = "`dewpin/controlplane/keeper.py`"
+TREE = "`dewpin/dataplane/cluster_agent.py`, `dewpin/controlplane/leases.py`"
 
 
-def relay_depth(context: Context) -> int:
-    """Hops of the relay tree below the keepers: the least depth that holds all senders."""
-    children, keepers = context.assumed.relay_children, context.target.control_machines
-    depth, reached, level = 0, 0, keepers
-    while reached < context.target.senders:
-        level *= children
-        reached += level
-        depth += 1
-    return depth
+def hop_s(context: Context) -> Estimate:
+    """Time of a change through one sender of the relay tree: take it up, make the frames, the way to the next."""
+    handling = context.at("state-take", context.routes) + design.RELAY_FAN_OUT * context.at(
+        "state-send", context.routes
+    )
+    return handling / MICROSECONDS + context.assumed.region_round_trip_ms / 2000
 
 
-def change_ms(context: Context) -> Estimate:
+def change_s(context: Context) -> Estimate:
     """Time of a change from its order to the last sender when nothing fails."""
-    rounds = 2 * context.assumed.region_round_trip_ms
-    size = context.at("configuration-bytes", context.routes).value
-    parse = context.at("configuration-parse", context.routes)
-    handling = context.at("encode", size) * context.assumed.relay_children + context.at("decode", size) + parse
-    hop = handling / 1000 + context.assumed.region_round_trip_ms / 2
-    return relay_depth(context) * hop + parse / 1000 + rounds
+    rounds = 2 * context.assumed.region_round_trip_ms / 1000
+    register = context.at("register-change", context.routes) / MICROSECONDS
+    return register + rounds + design.HELLO_PERIOD_S + design.relay_depth(context.target.senders) * hop_s(context)
 
 
-def rows(context: Context) -> list[Row]:
-    """All rows of the control machines."""
+def lease_rows(context: Context) -> list[Row]:
+    """Leases at each of the control machines."""
     target, assumed = context.target, context.assumed
     renewals = target.senders / context.renewal_s
     each = renewals / target.control_machines
-    depth = relay_depth(context)
+    keepers_if_all = assumed.stores + target.control_machines
     return [
         context.row(
-            "leases held at each", "each keeper learns all senders in turn", lambda: target.senders, "", LEASES
+            "leases held at each",
+            "a sender renews at the keepers in turn, so each comes to know all",
+            lambda: target.senders,
+            "",
+            LEASES,
         ),
         context.row(
             "bytes of the leases",
@@ -54,119 +54,183 @@
             LEASES,
         ),
         context.row(
-            "renewals a second, all / each",
-            f"{target.senders} / {plain(context.renewal_s)} s = {plain(renewals)}; / {target.control_machines}",
+            "renewals a second at each",
+            f"{target.senders} / {plain(context.renewal_s)} s / {target.control_machines}",
             lambda: each,
             "1/s",
             LEASES,
         ),
         context.row(
             "processor time of renewals at each",
-            f"{plain(each)}/s × server-call at {LEASE_REQUEST_BYTES} B",
-            lambda: each * context.at("server-call", LEASE_REQUEST_BYTES) / MICROSECONDS,
+            f"{plain(each)}/s × (server-call + lease-renew at {target.senders})",
+            lambda: (
+                each
+                * (context.at("server-call", SMALL_MESSAGE_BYTES) + context.at("lease-renew", target.senders))
+                / MICROSECONDS
+            ),
             "share",
             LEASES,
             1.0,
         ),
         context.row(
-            "processor time if each sender renewed at all keepers",
-            f"{plain(renewals)}/s × server-call",
-            lambda: renewals * context.at("server-call", LEASE_REQUEST_BYTES) / MICROSECONDS,
+            "the same if each sender renewed at all keepers",
+            f"{plain(renewals)}/s in place of {plain(each)}/s",
+            lambda: (
+                renewals
+                * (context.at("server-call", SMALL_MESSAGE_BYTES) + context.at("lease-renew", target.senders))
+                / MICROSECONDS
+            ),
             "share",
             LEASES,
             1.0,
         ),
         context.row(
-            "configuration held",
-            f"configuration-bytes at {context.routes:,} routes",
-            lambda: context.at("configuration-bytes", context.routes),
+            "time between a sender's visits to one keeper",
+            f"{target.control_machines} keepers × {plain(context.renewal_s)} s, against a lease of "
+            f"{design.LEASE_PERIODS} × {plain(context.renewal_s)} s",
+            lambda: target.control_machines * context.renewal_s,
+            "s",
+            LEASES,
+            context.lease_s,
+        ),
+        context.row(
+            "the same after one visit missed",
+            f"2 × {target.control_machines} × {plain(context.renewal_s)} s",
+            lambda: 2 * target.control_machines * context.renewal_s,
+            "s",
+            LEASES,
+            context.lease_s,
+        ),
+        context.row(
+            "the same if all stores served control too",
+            f"{keepers_if_all} keepers × {plain(context.renewal_s)} s",
+            lambda: keepers_if_all * context.renewal_s,
+            "s",
+            LEASES,
+            context.lease_s,
+        ),
+    ]
+
+
+def state_rows(context: Context) -> list[Row]:
+    """The register, its state, and the way of a change to the senders."""
+    target, assumed = context.target, context.assumed
+    depth = design.relay_depth(target.senders)
+    members = target.control_machines
+    return [
+        context.row(
+            "bytes of the system state",
+            f"state-bytes at {context.routes:,} routes + {design.MOST_REMEMBERED_CONFIGURATIONS:,} × accepted-bytes",
+            lambda: context.state_bytes,
             "B",
-            REGISTER,
+            STATE,
         ),
         context.row(
             "messages of one change of the register",
-            f"2 rounds × {target.control_machines} members × 2",
-            lambda: 4 * target.control_machines,
+            f"2 rounds × {members} members × 2",
+            lambda: 4 * members,
             "",
             REGISTER,
         ),
         context.row(
             "bytes of one change of the register",
-            f"(promises carry the old value, accepts the new) 2 × {target.control_machines} × configuration",
-            lambda: 2 * target.control_machines * context.at("configuration-bytes", context.routes),
+            f"promises carry the old state, accepts the new: 2 × {members} × state",
+            lambda: 2 * members * context.state_bytes,
             "B",
             REGISTER,
         ),
+        context.row(
+            "processor time of one change, all members",
+            f"register-cost at {context.routes:,} routes",
+            lambda: context.at("register-cost", context.routes) / 1000,
+            "ms",
+            REGISTER,
+        ),
+        context.row(
+            "processor time of changes at each member, mean of a day",
+            f"{target.changes_a_day}/day × register-cost / {members}",
+            lambda: context.changes_per_s * context.at("register-cost", context.routes) / members / MICROSECONDS,
+            "share",
+            REGISTER,
+            1.0,
+        ),
+        context.row(
+            "bytes written to disk for changes, a day, each member",
+            f"{target.changes_a_day} × 2 rounds (each writes the whole state) × state",
+            lambda: 2 * target.changes_a_day * context.state_bytes,
+            "B",
+            "`dewpin/controlplane/storage.py`",
+        ),
         context.row(
             "depth of the relay tree",
-            f"least d with {target.control_machines} × ({assumed.relay_children} + … + {assumed.relay_children}^d) ≥ "
-            f"{target.senders}",
+            f"hops from a keeper by `LeaseTable.parents` of {target.senders} senders, {design.RELAY_FAN_OUT} children "
+            "each",
             lambda: depth,
             "hops",
-            "`dewpin/dataplane` (relay tree)",
+            TREE,
         ),
         context.row(
             "time of a change to the last sender, nothing failing",
-            f"2 rounds × {plain(assumed.region_round_trip_ms)} ms + {depth} hops × (encode × "
-            f"{assumed.relay_children} + decode + parse + {plain(assumed.region_round_trip_ms / 2)} ms)",
-            lambda: change_ms(context) / 1000,
+            f"register-change + 2 rounds × {plain(assumed.region_round_trip_ms)} ms + a greeting "
+            f"({plain(design.HELLO_PERIOD_S)} s) + {depth} hops × (state-take + {design.RELAY_FAN_OUT} × state-send + "
+            f"{plain(assumed.region_round_trip_ms / 2)} ms)",
+            lambda: change_s(context),
             "s",
-            f"{REGISTER}, `dewpin/dataplane` (relay tree)",
+            f"{REGISTER}, {TREE}",
             target.change_in_force_s,
         ),
         context.row(
             "the same when the tree fails",
-            f"that + a renewal ({plain(context.renewal_s)} s) + a refused keeper and its successor",
-            lambda: change_ms(context) / 1000 + 3 * context.renewal_s,
+            f"that + two renewals ({plain(context.renewal_s)} s × 1.1 each, one keeper silent)",
+            lambda: change_s(context) + 2 * 1.1 * context.renewal_s,
             "s",
             LEASES,
             target.change_in_force_s,
         ),
         context.row(
-            "whole configurations to all senders, a day",
-            f"{target.changes_a_day} × {target.senders} × configuration",
-            lambda: target.changes_a_day * target.senders * context.at("configuration-bytes", context.routes),
+            "whole states to all senders, a day",
+            f"{target.changes_a_day} × {target.senders} × state",
+            lambda: target.changes_a_day * target.senders * context.state_bytes,
             "B",
-            "`dewpin/dataplane` (relay tree)",
+            TREE,
         ),
+    ]
+
+
+def list_rows(context: Context) -> list[Row]:
+    """The reader of the platform's list, and the memory of a keeper."""
+    target = context.target
+    return [
         context.row(
-            "whole lists to the children of one keeper",
-            f"{assumed.relay_children} children × receiver-bytes at {target.receivers} / "
-            f"{plain(assumed.list_period_s)} s",
-            lambda: assumed.relay_children * context.at("receiver-bytes", target.receivers) / assumed.list_period_s,
-            "B/s",
+            "processor time of reading the list",
+            f"list-read at {target.receivers} / {plain(context.reading_period_s)} s, at one keeper",
+            lambda: context.at("list-read", target.receivers) / context.reading_period_s / MICROSECONDS,
+            "share",
             LIST,
+            1.0,
         ),
         context.row(
-            "processor time of reading and sending the list",
-            f"(receiver-parse + {assumed.relay_children} × encode) / {plain(assumed.list_period_s)} s",
+            "processor time of sending it while each reading differs",
+            f"(children + other keepers) = {design.RELAY_FAN_OUT + target.control_machines - 1} × receiver-send / "
+            f"{plain(context.reading_period_s)} s",
             lambda: (
-                (
-                    context.at("receiver-parse", target.receivers)
-                    + assumed.relay_children
-                    * context.at("encode", context.at("receiver-bytes", target.receivers).value)
-                )
-                / assumed.list_period_s
+                (design.RELAY_FAN_OUT + target.control_machines - 1)
+                * context.at("receiver-send", target.receivers)
+                / context.reading_period_s
                 / MICROSECONDS
             ),
             "share",
-            LIST,
+            KEEPER,
             1.0,
         ),
         context.row(
-            "disk written for changes, a day",
-            f"{target.changes_a_day} × (2 rounds) × configuration",
-            lambda: 2 * target.changes_a_day * context.at("configuration-bytes", context.routes),
-            "B",
-            "`dewpin/controlplane/storage.py`",
-        ),
-        context.row(
-            "memory of a keeper without turns",
-            "configuration-memory + receiver-memory × receivers + connection-memory × subscribers and renewing senders",
+            "memory of a keeper with control alone",
+            f"keeper-memory at {context.routes:,} routes + receiver-memory × {target.receivers} + {target.senders} "
+            "connections × connection-memory / 2 (one end)",
             lambda: (
-                context.at("configuration-memory", context.routes)
+                context.at("keeper-memory", context.routes)
                 + target.receivers * context.each("receiver-memory")
-                + math.ceil(target.senders) * context.each("connection-memory") / 2
+                + target.senders * context.each("connection-memory") / 2
             ),
             "B",
             "`dewpin/controlplane`",
--- a/benchmarks/capacity/roles/failures.py
+++ b/benchmarks/capacity/roles/failures.py
@@ -4,156 +4,229 @@
 
 from math import comb
 
+from benchmarks.capacity import design
 from benchmarks.capacity.context import Context
 from benchmarks.capacity.fit import Estimate
+from benchmarks.capacity.roles.store import disk_of
 from benchmarks.capacity.sheet import Row, plain
+from benchmarks.capacity.target import SECONDS_A_DAY
 
-SECONDS_A_DAY = 86_400
-VIEW = "`dewpin/controlplane` (view of stores)"
+MICROSECONDS = 1e6
+INDEX_ROWS_OF_THE_SERIES = 256
+LEASES = "`dewpin/controlplane/leases.py`"
+VIEW = "`dewpin/controlplane/reconfiguration.py`"
+SYNC = "`dewpin/controlplane/sync.py`"
+PLACEMENT = "`dewpin/cluster/placement.py`"
+WATCH = "`dewpin/dataplane/cluster_agent.py`"
 
 
-def majority_in_one_zone(stores: int, zones: int, replicas: int) -> float:
-    """Share of programs with a majority of their replicas in one given zone, when placement does not see zones."""
-    inside = stores // zones
+def majority_within(stores: int, parts: int, replicas: int) -> float:
+    """Share of programs with a majority of their replicas in one given part, when placement does not see parts."""
+    inside = stores // parts
     majority = replicas // 2 + 1
     hits = sum(comb(inside, k) * comb(stores - inside, replicas - k) for k in range(majority, replicas + 1))
     return hits / comb(stores, replicas)
 
 
 def snapshot(context: Context) -> Estimate:
-    """Bytes that a starting sender asks for: the configuration and the list of receivers."""
-    return context.at("configuration-bytes", context.routes) + context.at("receiver-bytes", context.target.receivers)
+    """Bytes that a starting sender asks for: the system state and the receivers."""
+    return context.state_bytes + context.at("receiver-bytes", context.target.receivers)
 
 
-def rows(context: Context) -> list[Row]:
-    """All rows about failures."""
-    target, assumed = context.target, context.assumed
-    stores = assumed.stores
-    held = target.programs * context.history_bytes * assumed.replicas
-    share = held / stores
-    majority = assumed.replicas // 2 + 1
-    inside = stores // target.zones
-    senders_a_region = target.senders / target.regions
-    repair_s = share * majority / assumed.repair_bytes_per_s
+def scan_s(context: Context) -> Estimate:
+    """Processor seconds at each source of a view change: its whole index, once for each store of the next view."""
+    rows = context.target.programs * context.target.turns_a_program * context.assumed.replicas / context.assumed.stores
+    a_row = context.at("index-scan", INDEX_ROWS_OF_THE_SERIES) / INDEX_ROWS_OF_THE_SERIES
+    return rows * (context.assumed.stores - 1) * a_row / MICROSECONDS
+
+
+def sender_rows(context: Context) -> list[Row]:
+    """Lost and restarted senders."""
+    target = context.target
     return [
         context.row(
-            "a sender that is lost or frozen is known",
-            f"a lease of {plain(target.change_in_force_s)} s runs out",
-            lambda: target.change_in_force_s,
+            "time until a lost sender's lease is over",
+            f"{design.LEASE_PERIODS} × {plain(context.renewal_s)} s",
+            lambda: context.lease_s,
             "s",
-            "`dewpin/controlplane` (leases)",
+            LEASES,
         ),
         context.row(
             "streams broken by a lost sender",
             "streams at once of one sender",
             lambda: context.streams_a_sender,
             "",
-            "clients retry; resumable streams go on elsewhere",
+            "`dewpin/dataplane/retry.py`: resumable ones go on elsewhere",
+        ),
+        context.row(
+            "streams under way at the restarts of a day, to be drained",
+            f"{target.restarts_a_day} × streams at once",
+            lambda: target.restarts_a_day * context.streams_a_sender,
+            "",
+            "`dewpin/dataplane/ingress.py` (drain at SIGTERM)",
         ),
         context.row(
-            "streams broken by the losses and restarts of a day, without draining",
-            f"({target.failures_a_day} + {target.restarts_a_day}) × streams of a sender",
-            lambda: (target.failures_a_day + target.restarts_a_day) * context.streams_a_sender,
-            "1/day",
-            "draining keeps all but the failures'",
+            "time that a whole stream needs to drain",
+            f"{target.first_token_s} s + {plain(context.tokens_a_request)} tokens × {plain(target.token_gap_ms)} ms",
+            lambda: context.stream_s,
+            "s",
+            "the platform's grace must be longer, or streams are resumed elsewhere",
         ),
         context.row(
             "bytes of starting senders, a day",
-            f"{target.restarts_a_day} × (configuration + list)",
+            f"{target.restarts_a_day} × (state + receivers)",
             lambda: target.restarts_a_day * snapshot(context),
             "B",
-            "`dewpin/dataplane` (subscription)",
+            WATCH,
         ),
         context.row(
-            "bytes when all senders of a region start at once",
-            f"{target.senders} / {target.regions} × (configuration + list)",
-            lambda: senders_a_region * snapshot(context),
+            "bytes from the keepers when a region's senders start at once",
+            f"{target.senders} / {target.regions} × (state + receivers): without a lease there is no parent yet",
+            lambda: target.senders / target.regions * snapshot(context),
             "B",
-            "`dewpin/dataplane` (subscription)",
+            WATCH,
         ),
+    ]
+
+
+def store_rows(context: Context) -> list[Row]:
+    """A lost store: detection, copy, and what may go wrong meanwhile."""
+    target, assumed = context.target, context.assumed
+    stores = assumed.stores
+    share = disk_of(context, assumed.replicas) / stores
+    repair = share / (assumed.repair_mb_per_s * 1e6)
+    machines = target.senders + stores + target.control_machines
+    return [
         context.row(
-            f"bytes of one store (of {stores})",
-            f"bytes at all replicas / {stores}",
-            lambda: share,
-            "B",
+            "time until a lost store leaves the view, a successor there / none",
+            f"{plain(design.GONE_WITH_SUCCESSOR_S)} s / {plain(design.GONE_S)} s",
+            lambda: design.GONE_S,
+            "s",
             VIEW,
         ),
         context.row(
-            "read to repair a lost store",
-            f"its share from a majority of the old replicas: × {majority}",
-            lambda: share * majority,
+            "bytes copied for a lost store",
+            f"its share: bytes of files / {stores}; each body is fetched from one source",
+            lambda: share,
             "B",
-            VIEW,
+            SYNC,
         ),
         context.row(
-            "time of that repair",
-            f"/ {plain(assumed.repair_bytes_per_s / 1e6)} MB/s (assumed)",
-            lambda: repair_s / 60,
+            "time of that copy",
+            f"/ {plain(assumed.repair_mb_per_s)} MB/s (assumed)",
+            lambda: repair / 60,
             "min",
-            VIEW,
+            SYNC,
         ),
         context.row(
-            "losses of another machine during that repair",
-            f"{target.failures_a_day}/day over {target.senders + stores + target.control_machines} machines × "
-            f"{stores - 1} stores × the repair's time",
-            lambda: (
-                target.failures_a_day
-                / SECONDS_A_DAY
-                * (stores - 1)
-                / (target.senders + stores + target.control_machines)
-                * repair_s
-            ),
+            "rows of the index read by all sources together, each change of the view",
+            f"every store of the next view scans every source: ({stores} − 1) × turns at all replicas",
+            lambda: (stores - 1) * target.programs * target.turns_a_program * assumed.replicas,
+            "",
+            f"{SYNC}, `store.py`",
+        ),
+        context.row(
+            "processor time of that at each source",
+            f"turns at all replicas / {stores} × ({stores} − 1) × index-scan a row",
+            lambda: scan_s(context),
+            "s",
+            f"{SYNC}, `store.py`",
+        ),
+        context.row(
+            "other stores lost during that copy, mean",
+            f"{target.failures_a_day}/day × ({stores} − 1) of {machines} machines × the copy's time",
+            lambda: target.failures_a_day / SECONDS_A_DAY * (stores - 1) / machines * repair,
             "",
             VIEW,
         ),
+    ]
+
+
+def place_rows(context: Context) -> list[Row]:
+    """Racks, zones and regions."""
+    target, assumed = context.target, context.assumed
+    stores = assumed.stores
+    inside = stores // target.zones
+    members = target.control_machines
+    majority = members // 2 + 1
+    cut_turns = target.requests_per_s / target.regions * target.region_cut_s
+    return [
         context.row(
-            "programs without a majority when a zone is lost, placement blind to zones",
-            f"{inside} of {stores} stores in the zone: share of {assumed.replicas}-sets with ≥ {majority} there",
-            lambda: majority_in_one_zone(stores, target.zones, assumed.replicas),
+            "programs without a majority when a zone is lost",
+            f"{inside} of {stores} stores in the zone: share of {assumed.replicas}-sets with "
+            f"≥ {assumed.replicas // 2 + 1} there",
+            lambda: majority_within(stores, target.zones, assumed.replicas),
             "share",
-            "rendezvous over the view (today)",
+            PLACEMENT,
+            0.0,
         ),
         context.row(
-            "the same over a region, placement blind to regions",
+            "programs without a majority when a region is lost",
             f"{stores // target.regions} of {stores} stores in the region",
-            lambda: majority_in_one_zone(stores, target.regions, assumed.replicas),
+            lambda: majority_within(stores, target.regions, assumed.replicas),
             "share",
-            "rendezvous over the view (today)",
+            PLACEMENT,
+            0.0,
+        ),
+        context.row(
+            "load on the other senders when a zone is lost",
+            f"{target.senders} / ({target.senders} − {target.senders} / {target.zones})",
+            lambda: 1 / (1 - 1 / target.zones),
+            "times",
+            "the platform's entry",
         ),
         context.row(
-            "read to repair a lost zone",
-            f"{inside} stores × share × {majority}",
-            lambda: inside * share * majority,
+            "bytes copied after a lost zone",
+            f"{inside} stores × their share",
+            lambda: inside * disk_of(context, assumed.replicas) / stores,
             "B",
-            VIEW,
+            SYNC,
+        ),
+        context.row(
+            "members of the register after a lost zone or rack, one member a zone",
+            f"{members} − 1, majority {majority}",
+            lambda: members - 1,
+            "",
+            "`dewpin/consensus`",
         ),
         context.row(
-            "turns refused in an hour between regions, one region cut off, replicas in all regions",
-            f"{target.requests_per_s:,}/s / {target.regions} × {target.region_cut_s:,} s",
-            lambda: target.requests_per_s / target.regions * target.region_cut_s,
+            "members of the register after a lost region, members 2 + 2 + 1",
+            f"{members} − 2, majority {majority}",
+            lambda: members - 2,
             "",
-            "a majority lies in the two other regions",
+            "`dewpin/consensus`",
         ),
         context.row(
-            "bytes to catch up after that hour",
-            f"new turns of the two other regions for the third replica: {target.requests_per_s:,}/s × 2/3 × "
-            f"{plain(context.turn_bytes / 1000)} kB × {target.region_cut_s:,} s",
-            lambda: target.requests_per_s * 2 / 3 * context.turn_bytes * target.region_cut_s,
-            "B",
-            "to be built: hinted handoff",
+            "turns refused in an hour with one region cut off",
+            f"{target.requests_per_s:,}/s / {target.regions} × {target.region_cut_s:,} s: the cut-off region holds "
+            "too few replicas, but for its own share of the row above",
+            lambda: cut_turns * (1 - majority_within(stores, target.regions, assumed.replicas)),
+            "",
+            "`dewpin/dataplane/store_client.py`",
         ),
         context.row(
-            "quorum of control after a lost zone, at most one member a zone",
-            f"{target.control_machines} − 1 of {target.control_machines}, majority {target.control_machines // 2 + 1}",
-            lambda: target.control_machines - 1,
-            "members",
-            "`dewpin/consensus`",
+            "bytes to catch up after that hour",
+            f"turns of the two other regions for replicas behind the cut: {target.requests_per_s:,}/s × "
+            f"{target.regions - 1}/{target.regions} × {plain(context.turn_bytes / 1000)} kB × {target.region_cut_s:,} s"
+            f" × {assumed.replicas} / {target.regions}",
+            lambda: (
+                target.requests_per_s
+                * (target.regions - 1)
+                / target.regions
+                * context.turn_bytes
+                * target.region_cut_s
+                * assumed.replicas
+                / target.regions
+            ),
+            "B",
+            "to be built: hinted handoff (today a sender offers a turn for seconds only)",
         ),
         context.row(
-            "quorum of control after a lost region, members 2 + 2 + 1",
-            f"{target.control_machines} − 2 of {target.control_machines}, majority {target.control_machines // 2 + 1}",
-            lambda: target.control_machines - 2,
-            "members",
-            "`dewpin/consensus`",
+            "time added to a first token by replicas in other regions",
+            f"{assumed.ledger_rounds_to_reserve} rounds to reserve × {plain(assumed.region_round_trip_ms)} ms",
+            lambda: assumed.ledger_rounds_to_reserve * assumed.region_round_trip_ms,
+            "ms",
+            "`dewpin/dataplane/store_client.py`",
+            target.first_token_s * 1000,
         ),
     ]
--- a/benchmarks/capacity/roles/sender.py
+++ b/benchmarks/capacity/roles/sender.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+from benchmarks.capacity import design
 from benchmarks.capacity.context import Context
 from benchmarks.capacity.fit import Estimate
-from benchmarks.capacity.sheet import Row, plain
+from benchmarks.capacity.sheet import Row, plain, quantity
 
 MICROSECONDS = 1e6
-LEASES = "`dewpin/dataplane` (lease), `dewpin/cluster/rpc.py`"
-RELAY = "`dewpin/dataplane` (relay tree)"
-STREAMS = "`dewpin/dataplane` (`http.server` thread for each request)"
-CHAINS = "`dewpin/dataplane/program_store.py`"
-LEASE_REQUEST_BYTES = 200
+SMALL_MESSAGE_BYTES = 300
+AGENT = "`dewpin/dataplane/cluster_agent.py`"
+RPC = "`dewpin/cluster/rpc.py`"
+STREAMS = "`dewpin/dataplane/ingress.py`, `streams.py`"
+STORE_CLIENT = "`dewpin/dataplane/store_client.py`"
+CHAINS = "`dewpin/dataplane/chain_cache.py`"
 
 
 def traffic_rows(context: Context) -> list[Row]:
@@ -50,127 +52,201 @@
             STREAMS,
         ),
         context.row(
-            "processor time of events",
+            "processor time of events, least",
             f"{plain(events)}/s × event-cost at {plain(streams)} streams",
             lambda: events * context.at("event-cost", streams) / MICROSECONDS,
             "share",
-            STREAMS,
+            f"{STREAMS} (measured on a stand-in: a thread that receives and sends)",
             1.0,
         ),
         context.row(
-            "delay that the sender adds between tokens, 95 in 100",
+            "delay that passing on adds between tokens, 95 in 100, least",
             f"event-delay at {plain(streams)} streams",
             lambda: context.at("event-delay", streams),
             "ms",
-            STREAMS,
+            f"{STREAMS} (the same stand-in)",
             target.token_gap_ms,
         ),
     ]
 
 
-def lease_bytes_per_s(context: Context) -> Estimate:
+def renewal_bytes(context: Context) -> Estimate:
     """Bytes a second, both ways, of a sender's renewals."""
     answer = context.at("lease-answer-bytes", context.target.control_machines)
-    return (answer + LEASE_REQUEST_BYTES) / context.renewal_s
+    return (answer + design.RENEWAL_REQUEST_BYTES) / context.renewal_s
 
 
-def control_processor(context: Context, *, whole: bool) -> Estimate:
-    """Share of a core that control takes of a sender, with whole or with changed parts sent on."""
-    target, assumed = context.target, context.assumed
-    renewals = context.at("client-call", LEASE_REQUEST_BYTES) / context.renewal_s
-    hops = 1 + assumed.relay_children
-    if whole:
-        parses = context.changes_per_s * context.at("configuration-parse", context.routes)
-        parses = parses + context.at("receiver-parse", target.receivers) / assumed.list_period_s
-        encodes = context.changes_per_s * context.at("encode", context.at("configuration-bytes", context.routes).value)
-        list_bytes = context.at("receiver-bytes", target.receivers).value
-        encodes = encodes + context.at("encode", list_bytes) / assumed.list_period_s
-    else:
-        parses = context.changes_per_s * context.at("configuration-parse", 1)
-        parses = parses + context.list_changes_per_s * context.at("receiver-parse", 1)
-        encodes = (context.changes_per_s + context.list_changes_per_s) * context.at("encode", 300)
-    return (renewals + parses + hops * encodes) / MICROSECONDS
-
-
-def control_rows(context: Context) -> list[Row]:
-    """Cost of control at one sender."""
+def watch_calls() -> float:
+    """Watches a second that a sender makes and answers."""
+    return (1 + design.RELAY_FAN_OUT) / design.WATCH_HEARTBEAT_S
+
+
+def list_bytes(context: Context) -> Estimate:
+    """Bytes of one new list of receivers at a sender: taken once, passed on to all children."""
+    return (1 + design.RELAY_FAN_OUT) * context.at("receiver-bytes", context.target.receivers)
+
+
+def standing_processor(context: Context) -> Estimate:
+    """Share of a core of renewals and watches when nothing changes."""
+    renewals = context.at("client-call", SMALL_MESSAGE_BYTES) / context.renewal_s
+    asked = context.at("client-call", SMALL_MESSAGE_BYTES) / design.WATCH_HEARTBEAT_S
+    answered = design.RELAY_FAN_OUT * context.at("server-call", SMALL_MESSAGE_BYTES) / design.WATCH_HEARTBEAT_S
+    return (renewals + asked + answered) / MICROSECONDS
+
+
+def state_processor(context: Context) -> Estimate:
+    """Share of a core of new system states, taken up and passed on."""
+    send = context.at("state-send", context.routes)
+    return (
+        context.changes_per_s
+        * (context.at("state-take", context.routes) + design.RELAY_FAN_OUT * send)
+        / (MICROSECONDS)
+    )
+
+
+def list_processor_s(context: Context) -> Estimate:
+    """Processor seconds of one new list of receivers, taken up and passed on."""
+    receivers = context.target.receivers
+    send = context.at("receiver-send", receivers)
+    return (context.at("receiver-take", receivers) + design.RELAY_FAN_OUT * send) / MICROSECONDS
+
+
+def bytes_rows(context: Context) -> list[Row]:
+    """Bytes of control at one sender, in and out."""
     target, assumed = context.target, context.assumed
-    hops = 1 + assumed.relay_children
-    changes = context.changes_per_s
+    changes, fan_out = context.changes_per_s, design.RELAY_FAN_OUT
+    most = target.control_bytes_per_s
+    restarts = f"({target.restarts_a_day} + {target.failures_a_day})/day × {assumed.list_entries_a_restart} entries"
+    standing = watch_calls() * design.WATCH_BYTES
     return [
         context.row(
             "lease renewals a second",
-            f"1 / ({plain(target.change_in_force_s)} s / {assumed.renewals_a_bound})",
+            f"1 / ({plain(target.change_in_force_s)} s / {design.RENEWALS_IN_BOUND})",
             lambda: 1 / context.renewal_s,
             "1/s",
-            LEASES,
+            AGENT,
         ),
         context.row(
             "bytes of renewals",
-            f"({LEASE_REQUEST_BYTES} B + lease-answer-bytes at {target.control_machines} keepers) / "
+            f"({design.RENEWAL_REQUEST_BYTES} B + lease-answer-bytes at {target.control_machines} keepers) / "
             f"{plain(context.renewal_s)} s",
-            lambda: lease_bytes_per_s(context),
+            lambda: renewal_bytes(context),
+            "B/s",
+            AGENT,
+            most,
+        ),
+        context.row(
+            "bytes of watches when nothing is new",
+            f"(1 + {fan_out} children) / {plain(design.WATCH_HEARTBEAT_S)} s × {design.WATCH_BYTES} B",
+            lambda: standing,
+            "B/s",
+            AGENT,
+            most,
+        ),
+        context.row(
+            "bytes of whole states, taken and passed on",
+            f"{target.changes_a_day}/day × (state-bytes at {context.routes:,} routes + "
+            f"{design.MOST_REMEMBERED_CONFIGURATIONS:,} × accepted-bytes) × (1 + {fan_out})",
+            lambda: changes * (1 + fan_out) * context.state_bytes,
+            "B/s",
+            AGENT,
+            most,
+        ),
+        context.row(
+            "bytes of whole lists, taken and passed on, mean of a day",
+            f"{restarts} × receiver-bytes at {target.receivers} × (1 + {fan_out})",
+            lambda: context.list_changes_per_s * list_bytes(context),
             "B/s",
-            LEASES,
-            target.control_bytes_per_s,
+            AGENT,
+            most,
         ),
         context.row(
-            "bytes of whole configurations, in and passed on",
-            f"{target.changes_a_day}/day × configuration-bytes at {context.routes:,} routes × (1 + "
-            f"{assumed.relay_children})",
-            lambda: changes * hops * context.at("configuration-bytes", context.routes),
+            "bytes of whole lists while each reading differs (a release)",
+            f"receiver-bytes at {target.receivers} × (1 + {fan_out}) / {plain(context.reading_period_s)} s",
+            lambda: list_bytes(context) / context.reading_period_s,
             "B/s",
-            RELAY,
-            target.control_bytes_per_s,
+            AGENT,
+            most,
         ),
         context.row(
-            "bytes of changed routes alone",
-            f"{target.changes_a_day}/day × one route × (1 + {assumed.relay_children})",
-            lambda: changes * hops * context.each("configuration-bytes"),
+            "bytes of control, all, mean of a day",
+            "renewals + watches + whole states + whole lists",
+            lambda: (
+                renewal_bytes(context)
+                + standing
+                + changes * (1 + fan_out) * context.state_bytes
+                + context.list_changes_per_s * list_bytes(context)
+            ),
             "B/s",
-            "to be built: changed routes",
-            target.control_bytes_per_s,
+            AGENT,
+            most,
         ),
         context.row(
-            "bytes of whole lists of receivers, in and passed on",
-            f"receiver-bytes at {target.receivers} / {plain(assumed.list_period_s)} s × (1 + {assumed.relay_children})",
-            lambda: hops * context.at("receiver-bytes", target.receivers) / assumed.list_period_s,
+            "the same with changed routes and entries alone",
+            f"renewals + watches + {target.changes_a_day}/day × a route × (1 + {fan_out}) + {restarts} × an entry × "
+            f"(1 + {fan_out})",
+            lambda: (
+                renewal_bytes(context)
+                + standing
+                + changes * (1 + fan_out) * context.each("state-bytes")
+                + context.list_changes_per_s * (1 + fan_out) * context.each("receiver-bytes")
+            ),
             "B/s",
-            RELAY,
-            target.control_bytes_per_s,
+            "to be built: changed parts",
+            most,
         ),
         context.row(
-            "bytes of changed entries alone",
-            f"({target.restarts_a_day} + {target.failures_a_day})/day × {assumed.list_entries_a_restart} entries × "
-            f"(1 + {assumed.relay_children})",
-            lambda: context.list_changes_per_s * hops * context.each("receiver-bytes"),
+            "changed entries alone while each reading differs in 1 in 100",
+            f"{target.receivers} / 100 × an entry × (1 + {fan_out}) / {plain(context.reading_period_s)} s",
+            lambda: target.receivers / 100 * (1 + fan_out) * context.each("receiver-bytes") / context.reading_period_s,
             "B/s",
-            "to be built: changed entries",
-            target.control_bytes_per_s,
+            "to be built: changed parts",
+            most,
         ),
+    ]
+
+
+def processor_rows(context: Context) -> list[Row]:
+    """Processor time and memory of control at one sender."""
+    target = context.target
+    most = target.control_processor_share
+    return [
         context.row(
-            "processor time of control, everything sent whole",
-            "renewals × client-call + changes × configuration-parse + lists × receiver-parse + copies × encode",
-            lambda: control_processor(context, whole=True),
+            "processor time of renewals and watches, nothing new",
+            f"client-call / {plain(context.renewal_s)} s + (client-call + {design.RELAY_FAN_OUT} × server-call) / "
+            f"{plain(design.WATCH_HEARTBEAT_S)} s",
+            lambda: standing_processor(context),
             "share",
-            f"{LEASES}, {RELAY}",
-            target.control_processor_share,
+            f"{AGENT}, {RPC}",
+            most,
         ),
         context.row(
-            "processor time of control, changed parts alone",
-            "the same with one route and one entry",
-            lambda: control_processor(context, whole=False),
+            "processor time of control, all, mean of a day",
+            f"that + {target.changes_a_day}/day × (state-take + {design.RELAY_FAN_OUT} × state-send) + list changes × "
+            f"(receiver-take + {design.RELAY_FAN_OUT} × receiver-send)",
+            lambda: (
+                standing_processor(context)
+                + state_processor(context)
+                + context.list_changes_per_s * list_processor_s(context)
+            ),
             "share",
-            "to be built: changed parts",
-            target.control_processor_share,
+            f"{AGENT}, {RPC}",
+            most,
+        ),
+        context.row(
+            "processor time of control while each reading differs (a release)",
+            f"renewals and watches + (receiver-take + {design.RELAY_FAN_OUT} × receiver-send) / "
+            f"{plain(context.reading_period_s)} s",
+            lambda: standing_processor(context) + list_processor_s(context) / context.reading_period_s,
+            "share",
+            f"{AGENT}, `dewpin/cluster/receivers.py`",
+            most,
         ),
         context.row(
             "memory of control",
-            f"configuration-memory at {context.routes:,} routes (the process included) + receiver-memory × "
+            f"sender-memory at {context.routes:,} routes (the whole program's modules included) + receiver-memory × "
             f"{target.receivers}",
-            lambda: (
-                context.at("configuration-memory", context.routes) + target.receivers * context.each("receiver-memory")
-            ),
+            lambda: context.at("sender-memory", context.routes) + target.receivers * context.each("receiver-memory"),
             "B",
             "`dewpin/dataplane/cluster_state.py`",
             target.control_memory_bytes,
@@ -181,48 +257,84 @@
 def program_rows(context: Context) -> list[Row]:
     """What programs cost at one sender."""
     target, assumed = context.target, context.assumed
-    programs = target.programs / target.senders
-    calls = context.requests_a_sender * context.calls_a_turn
-    chain = context.history_bytes
+    turns, chain = context.requests_a_sender, context.history_bytes
+    ledger_calls = context.ledger_calls_a_turn
+    missed = 1 - context.cached_share
     return [
         context.row(
             "calls to stores a second",
-            f"{plain(context.requests_a_sender)} turns/s × ({assumed.calls_to_reserve} to reserve + "
-            f"{assumed.calls_to_settle} to settle + {assumed.calls_to_append} to append + {assumed.calls_to_read} "
-            "to read)",
-            lambda: calls,
+            f"{plain(turns)} turns/s × ({assumed.ledger_rounds_to_reserve} rounds to reserve + "
+            f"{assumed.ledger_rounds_to_settle} to settle + 1 to append, {assumed.replicas} replicas each, + 1 read)",
+            lambda: turns * (ledger_calls + assumed.replicas + 1),
             "1/s",
-            CHAINS,
+            STORE_CLIENT,
         ),
         context.row(
             "processor time of these calls",
-            f"{plain(calls)}/s × client-call at {plain(context.turn_bytes / 1000)} kB",
-            lambda: calls * context.at("client-call", context.turn_bytes) / MICROSECONDS,
+            f"{plain(turns)}/s × ({ledger_calls + 1} × client-call + {assumed.replicas} × client-call at "
+            f"{plain(context.turn_bytes / 1000)} kB)",
+            lambda: (
+                turns
+                * (
+                    (ledger_calls + 1) * context.at("client-call", SMALL_MESSAGE_BYTES)
+                    + assumed.replicas * context.at("client-call", context.turn_bytes)
+                )
+                / MICROSECONDS
+            ),
             "share",
-            f"{CHAINS}, `dewpin/cluster/rpc.py`",
+            f"{STORE_CLIENT}, {RPC}",
             1.0,
         ),
+        context.row(
+            "bytes of turns sent to stores",
+            f"{plain(turns)}/s × {plain(context.turn_bytes / 1000)} kB × {assumed.replicas}",
+            lambda: turns * context.turn_bytes * assumed.replicas,
+            "B/s",
+            STORE_CLIENT,
+        ),
         context.row(
             "bytes of chains sent to receivers",
-            f"{plain(context.requests_a_sender)} turns/s × half of {target.tokens_a_program:,} tokens × "
-            f"{assumed.bytes_a_token} B",
-            lambda: context.requests_a_sender * chain / 2,
+            f"{plain(turns)}/s × half of {target.tokens_a_program:,} tokens × {assumed.bytes_a_token} B",
+            lambda: turns * chain / 2,
             "B/s",
-            "the receivers' protocol asks for the whole chain each turn",
+            "`dewpin/dataplane/turns.py`; the receivers' protocol asks for the whole chain each turn",
         ),
         context.row(
-            "memory of cached chains, all whole",
-            f"{target.programs:,} / {target.senders} programs × {plain(chain / 1e6)} MB",
-            lambda: programs * chain,
+            "memory that whole chains would take",
+            f"{target.programs:,} / {target.senders} programs × {quantity(chain, 'B')}",
+            lambda: target.programs / target.senders * chain,
             "B",
             CHAINS,
+            float(design.CHAIN_CACHE_BYTES),
+        ),
+        context.row(
+            "bytes of chains read from stores",
+            f"{plain(turns)}/s × half a chain × {plain(missed * 100)}% not cached ({design.CHAIN_CACHE_BYTES:,} B)",
+            lambda: turns * chain / 2 * missed,
+            "B/s",
+            f"{STORE_CLIENT}, {CHAINS}",
         ),
         context.row(
-            "time to decode a whole chain as one message",
-            f"decode at {plain(chain / 1e6)} MB",
-            lambda: context.at("decode", chain) / 1000,
+            "processor time of taking them up",
+            f"{plain(turns)}/s × chain-take at {quantity(chain / 2, 'B')} × {plain(missed * 100)}%",
+            lambda: turns * missed * context.at("chain-take", chain / 2) / MICROSECONDS,
+            "share",
+            "`dewpin/cluster/store_messages.py`",
+            1.0,
+        ),
+        context.row(
+            "time to take up a whole chain before the first token",
+            f"chain-take at {quantity(chain, 'B')}",
+            lambda: context.at("chain-take", chain) / 1000,
             "ms",
-            "`dewpin/cluster/netstring.py`",
+            "`dewpin/cluster/store_messages.py`",
             target.first_token_s * 1000,
         ),
+        context.row(
+            "bytes on the wire of a byte of text that is not ASCII",
+            "1 + slope of text-growth",
+            lambda: 1 + context.each("text-growth"),
+            "B",
+            "`dewpin/cluster/store_messages.py` (latin-1 in JSON)",
+        ),
     ]
--- a/benchmarks/capacity/roles/store.py
+++ b/benchmarks/capacity/roles/store.py
@@ -2,145 +2,236 @@
 
 from __future__ import annotations
 
+from benchmarks.capacity import design
 from benchmarks.capacity.context import Context
 from benchmarks.capacity.fit import Estimate
 from benchmarks.capacity.sheet import Row, plain
 
 MICROSECONDS = 1e6
+SMALL_MESSAGE_BYTES = 300
+MEASURED_RECORD_BYTES = 5_000
+OPEN_RESERVATIONS = 2
+WAITING_WRITERS = 100
 STORAGE = "`dewpin/controlplane/storage.py`"
-TURNS = "`dewpin/controlplane` (turns)"
-LEDGERS = "`dewpin/consensus`, `dewpin/controlplane` (ledgers)"
+TURNS = "`dewpin/controlplane/turn_table.py`"
+LEDGERS = "`dewpin/controlplane/ledger_replica.py`, `dewpin/consensus`"
+STORE = "`dewpin/controlplane/store.py`, `dewpin/cluster/rpc.py`"
+KEEPER = "`dewpin/controlplane/keeper.py`"
 
 
-def writes_a_turn(context: Context) -> int:
-    """Synced writes of one turn at all its replicas: the turn, two rounds to reserve, two to settle."""
-    return context.assumed.replicas * 5
+def disk_of(context: Context, replicas: int) -> Estimate:
+    """Bytes of the files of all stores, by the measured bytes of a record."""
+    held = context.target.programs * context.history_bytes * replicas
+    return held * context.each("disk") / MEASURED_RECORD_BYTES
 
 
-def processor(context: Context) -> Estimate:
-    """Cores that all stores use together for calls and commits."""
-    target = context.target
-    calls = target.requests_per_s * context.calls_a_turn
-    by_calls = calls * context.at("server-call", context.turn_bytes)
-    by_writes = target.requests_per_s * writes_a_turn(context) * context.at("insert", context.turn_bytes)
-    return (by_calls + by_writes) / MICROSECONDS
+def call_processor(context: Context) -> Estimate:
+    """Cores for the calls themselves."""
+    ledger = (context.ledger_calls_a_turn + 1) * context.at("server-call", SMALL_MESSAGE_BYTES)
+    turns = context.assumed.replicas * context.at("server-call", context.turn_bytes)
+    return context.target.requests_per_s * (ledger + turns) / MICROSECONDS
+
+
+def write_processor(context: Context) -> Estimate:
+    """Cores for the synced writes."""
+    ledger = context.ledger_calls_a_turn * context.at("ledger-cost", OPEN_RESERVATIONS)
+    turns = context.assumed.replicas * context.at("turn-cost", context.turn_bytes)
+    return context.target.requests_per_s * (ledger + turns) / MICROSECONDS
+
+
+def read_processor(context: Context) -> Estimate:
+    """Cores for reading chains that no sender had cached; half of a program's turns at the mean."""
+    turns = context.target.turns_a_program / 2
+    one = context.at("chain-read", turns) * (context.turn_bytes / MEASURED_RECORD_BYTES)
+    return context.target.requests_per_s * (1 - context.cached_share) * one / MICROSECONDS
+
+
+def writer_share(context: Context) -> Estimate:
+    """Writers (whole time of one storage thread) that the synced writes fill, in full groups."""
+    ledger = context.ledger_calls_a_turn * context.at("ledger-commit", WAITING_WRITERS)
+    turns = context.assumed.replicas * context.at("turn-commit", WAITING_WRITERS)
+    turns = turns * (context.turn_bytes / MEASURED_RECORD_BYTES)
+    return context.target.requests_per_s * (ledger + turns) / WAITING_WRITERS / MICROSECONDS
 
 
 def state_rows(context: Context) -> list[Row]:
     """Bytes and rows."""
     target, assumed = context.target, context.assumed
     turns = target.programs * target.turns_a_program
-    held = target.programs * context.history_bytes
+    arithmetic = (
+        f"{target.programs:,} × {target.tokens_a_program:,} tokens × {assumed.bytes_a_token} B × {assumed.replicas} × "
+        "slope of disk / 5,000 B"
+    )
     return [
         context.row(
-            "turns held (rows, each replica set)",
-            f"{target.programs:,} programs × {target.turns_a_program}",
-            lambda: turns,
+            "turns held at all replicas (rows)",
+            f"{target.programs:,} programs × {target.turns_a_program} turns × {assumed.replicas}",
+            lambda: turns * assumed.replicas,
             "",
             TURNS,
         ),
+        context.row("bytes of files, all stores", arithmetic, lambda: disk_of(context, assumed.replicas), "B", STORAGE),
         context.row(
-            "bytes of turns at all replicas",
-            f"{target.programs:,} × {target.tokens_a_program:,} tokens × {assumed.bytes_a_token} B × "
-            f"{assumed.replicas} replicas × disk / record size",
-            lambda: held * assumed.replicas * context.each("disk") / 5_000,
+            "the same with two losses borne",
+            f"× {assumed.replicas_of_two_losses} in place of {assumed.replicas}",
+            lambda: disk_of(context, assumed.replicas_of_two_losses),
             "B",
             STORAGE,
         ),
         context.row(
-            "the same with two losses borne",
-            f"× {assumed.replicas_of_two_losses} replicas",
-            lambda: held * assumed.replicas_of_two_losses * context.each("disk") / 5_000,
+            f"bytes of one of {assumed.stores} stores",
+            f"/ {assumed.stores}",
+            lambda: disk_of(context, assumed.replicas) / assumed.stores,
             "B",
             STORAGE,
+            assumed.disk_of_a_store_gb * 1e9,
         ),
         context.row(
-            "ledgers held (rows at all replicas)",
+            "ledgers held at all replicas (rows)",
             f"{target.programs:,} programs × {assumed.replicas}",
             lambda: target.programs * assumed.replicas,
             "",
             LEDGERS,
         ),
+        context.row(
+            "memory of a store's process",
+            f"keeper-memory at {context.routes:,} routes + {target.senders} connections × connection-memory",
+            lambda: (
+                context.at("keeper-memory", context.routes) + target.senders * context.each("connection-memory") / 2
+            ),
+            "B",
+            "`dewpin/controlplane`",
+        ),
     ]
 
 
 def load_rows(context: Context) -> list[Row]:
     """Messages, commits and processor time of all stores."""
     target, assumed = context.target, context.assumed
-    calls = target.requests_per_s * context.calls_a_turn
-    writes = target.requests_per_s * writes_a_turn(context)
-    new_bytes = target.requests_per_s * context.turn_bytes * assumed.replicas
+    ledger_calls, replicas = context.ledger_calls_a_turn, assumed.replicas
+    calls = target.requests_per_s * (ledger_calls + replicas + 1)
+    writes = target.requests_per_s * (ledger_calls + replicas)
+    new_bytes = target.requests_per_s * context.turn_bytes * replicas
+    most = assumed.most_share_of_a_store
     return [
         context.row(
             "calls answered a second, all stores",
-            f"{target.requests_per_s:,} turns/s × {context.calls_a_turn}",
+            f"{target.requests_per_s:,} turns/s × ({ledger_calls} of the ledger + {replicas} to append + 1 read)",
             lambda: calls,
             "1/s",
-            "`dewpin/cluster/rpc.py`",
+            STORE,
         ),
         context.row(
             "synced writes a second, all stores",
-            f"{target.requests_per_s:,} turns/s × {assumed.replicas} replicas × (1 turn + 2 rounds to reserve + 2 to "
-            "settle)",
+            f"{target.requests_per_s:,} turns/s × ({ledger_calls} + {replicas})",
             lambda: writes,
             "1/s",
             STORAGE,
         ),
         context.row(
             "bytes of new turns a second, all stores",
-            f"{target.requests_per_s:,}/s × {plain(context.turn_bytes / 1000)} kB × {assumed.replicas}",
+            f"{target.requests_per_s:,}/s × {plain(context.turn_bytes / 1000)} kB × {replicas}",
             lambda: new_bytes,
             "B/s",
             TURNS,
         ),
         context.row(
-            "processor time, all stores (cores)",
-            f"{plain(calls)}/s × server-call + {plain(writes)}/s × insert, both at "
-            f"{plain(context.turn_bytes / 1000)} kB",
-            lambda: processor(context),
-            "cores",
-            f"`dewpin/cluster/rpc.py`, {STORAGE}",
+            "bytes of chains read a second, all stores",
+            f"{target.requests_per_s:,}/s × half a chain × {plain((1 - context.cached_share) * 100)}% not cached",
+            lambda: target.requests_per_s * context.history_bytes / 2 * (1 - context.cached_share),
+            "B/s",
+            TURNS,
         ),
         context.row(
-            "stores needed by processor time",
-            f"cores / {assumed.processor_share_of_a_store}",
-            lambda: processor(context) / assumed.processor_share_of_a_store,
-            "machines",
-            "",
+            "cores for calls, all stores",
+            f"{target.requests_per_s:,}/s × ({ledger_calls + 1} × server-call + {replicas} × server-call at "
+            f"{plain(context.turn_bytes / 1000)} kB)",
+            lambda: call_processor(context),
+            "cores",
+            STORE,
         ),
         context.row(
-            "stores needed by synced writes",
-            f"{plain(writes)}/s × slope of group-commit (100 writers waiting) / {assumed.processor_share_of_a_store}",
-            lambda: writes * context.at("group-commit", 100) / 100 / MICROSECONDS / assumed.processor_share_of_a_store,
-            "machines",
+            "cores for writes, all stores",
+            f"{target.requests_per_s:,}/s × ({ledger_calls} × ledger-cost + {replicas} × turn-cost at "
+            f"{plain(context.turn_bytes / 1000)} kB)",
+            lambda: write_processor(context),
+            "cores",
             STORAGE,
         ),
         context.row(
-            "stores needed by disk",
-            f"bytes at all replicas / {plain(assumed.disk_of_a_store_bytes / 1e9)} GB",
-            lambda: (
-                target.programs
-                * context.history_bytes
-                * assumed.replicas
-                * context.each("disk")
-                / 5_000
-                / assumed.disk_of_a_store_bytes
-            ),
-            "machines",
+            "cores for reading chains, all stores",
+            f"{target.requests_per_s:,}/s × {plain((1 - context.cached_share) * 100)}% × chain-read at "
+            f"{plain(target.turns_a_program / 2)} turns × {plain(context.turn_bytes / MEASURED_RECORD_BYTES)}",
+            lambda: read_processor(context),
+            "cores",
+            TURNS,
+        ),
+        context.row(
+            f"share of a core of each of {assumed.stores} stores",
+            f"the three / {assumed.stores}",
+            lambda: (call_processor(context) + write_processor(context) + read_processor(context)) / assumed.stores,
+            "share",
+            STORE,
+            most,
+        ),
+        context.row(
+            "the same with chains read only by what is new",
+            f"calls and writes alone / {assumed.stores}",
+            lambda: (call_processor(context) + write_processor(context)) / assumed.stores,
+            "share",
+            "to be built: reading from a given turn on",
+            most,
+        ),
+        context.row(
+            f"share of the one writer's time at each of {assumed.stores} stores",
+            f"{target.requests_per_s:,}/s × ({ledger_calls} × ledger-commit + {replicas} × turn-commit × "
+            f"{plain(context.turn_bytes / MEASURED_RECORD_BYTES)}, {WAITING_WRITERS} waiting) / {WAITING_WRITERS} / "
+            f"{assumed.stores}",
+            lambda: writer_share(context) / assumed.stores,
+            "share",
             STORAGE,
+            most,
         ),
         context.row(
             "choice of a program's stores",
             f"rendezvous at {assumed.stores} stores",
             lambda: context.at("rendezvous", assumed.stores),
             "µs",
-            "`dewpin/dataplane/program_store.py`",
+            "`dewpin/cluster/placement.py`",
         ),
+    ]
+
+
+def hello_rows(context: Context) -> list[Row]:
+    """What keepers say to each other when nothing happens; each greets all others."""
+    keepers = context.assumed.stores + context.target.control_machines
+    rate = (keepers - 1) / design.HELLO_PERIOD_S
+    return [
         context.row(
-            "read of a whole chain",
-            f"read-chain at {target.turns_a_program} turns × {plain(context.turn_bytes / 5000)} (of 5 kB records)",
-            lambda: context.at("read-chain", target.turns_a_program) * (context.turn_bytes / 5_000) / 1000,
-            "ms",
-            STORAGE,
+            "greetings a second of each keeper, out and in",
+            f"({context.assumed.stores} stores + {context.target.control_machines} − 1) / "
+            f"{plain(design.HELLO_PERIOD_S)} s",
+            lambda: rate,
+            "1/s",
+            KEEPER,
+        ),
+        context.row(
+            "processor time of greetings at each keeper",
+            f"{plain(rate)}/s × (client-call + server-call)",
+            lambda: (
+                rate
+                * (context.at("client-call", SMALL_MESSAGE_BYTES) + context.at("server-call", SMALL_MESSAGE_BYTES))
+                / MICROSECONDS
+            ),
+            "share",
+            KEEPER,
+            context.target.control_processor_share,
+        ),
+        context.row(
+            "bytes of greetings at each keeper",
+            f"hello-bytes at {keepers} / {plain(design.HELLO_PERIOD_S)} s, asked and answered",
+            lambda: 2 * context.at("hello-bytes", keepers) / design.HELLO_PERIOD_S,
+            "B/s",
+            KEEPER,
         ),
     ]
--- a/benchmarks/capacity/target.py
+++ b/benchmarks/capacity/target.py
@@ -49,18 +49,14 @@
     stores: int = 27
     replicas: int = 3
     replicas_of_two_losses: int = 5
-    relay_children: int = 4
-    renewals_a_bound: int = 5
-    list_period_s: float = 1.0
+    drain_bound_s: float = 4.0
     list_entries_a_restart: int = 3
-    calls_to_reserve: int = 6
-    calls_to_settle: int = 6
-    calls_to_append: int = 3
-    calls_to_read: int = 2
-    processor_share_of_a_store: float = 0.5
-    disk_of_a_store_bytes: float = 100e9
+    ledger_rounds_to_reserve: int = 2
+    ledger_rounds_to_settle: int = 1
+    most_share_of_a_store: float = 0.5
+    disk_of_a_store_gb: float = 100.0
     region_round_trip_ms: float = 80.0
-    repair_bytes_per_s: float = 20e6
+    repair_mb_per_s: float = 20.0
 
 
 TARGET = Target()
--- a/tests/capacity/test_capacity_page.py
+++ b/tests/capacity/test_capacity_page.py
@@ -14,7 +14,7 @@
 from benchmarks.capacity.target import ASSUMED, TARGET, Target
 
 PAGE = "before\n<!-- generated: a -->\nold\n<!-- end: a -->\nbetween\n<!-- generated: b -->\n<!-- end: b -->\nafter\n"
-RUN = Run("2026-01-01 00:00 UTC", "abc1234", 4, "3.11.0", "3.40.0")
+RUN = Run("2026-01-01 00:00 UTC", "abc1234", 4, "3.11.0", "3.40.0", 0.5)
 
 
 def series(name="encode", points=((1.0, 3.0), (2.0, 5.0), (3.0, 7.0))):
@@ -94,7 +94,7 @@
 
 def test_without_any_result_the_whole_page_can_be_written_and_no_figure_is_invented():
     written = sections(Results({}, {}))
-    measured_rows = [line for line in written["sender-control"].splitlines() if "configuration-parse" in line]
+    measured_rows = [line for line in written["sender-bytes"].splitlines() if "state-bytes" in line]
     assert measured_rows and all("not measured" in line for line in measured_rows)
 
 
