--- a/benchmarks/capacity/coverage.py
+++ b/benchmarks/capacity/coverage.py
@@ -71,7 +71,10 @@
         Entry(
             f"{target.token_gap_ms:g} ms between tokens for {target.share_in_time:.0%}",
             "`dewpin/dataplane/streams.py`",
-            ("delay that passing on adds between tokens, 95 in 100, least",),
+            (
+                "delay that passing on adds between tokens, 95 in 100, least",
+                "time to take up one change, beside the streams of the same process",
+            ),
             "by a stand-in",
         ),
         Entry(
--- a/benchmarks/capacity/roles/failures.py
+++ b/benchmarks/capacity/roles/failures.py
@@ -40,6 +40,16 @@
     return rows * (context.assumed.stores - 1) * a_row / MICROSECONDS
 
 
+def share_of_a_store(context: Context) -> Estimate:
+    """Bytes of the file of one store."""
+    return disk_of(context, context.assumed.replicas) / context.assumed.stores
+
+
+def repair_s(context: Context) -> Estimate:
+    """Time to copy what a lost store held."""
+    return share_of_a_store(context) / (context.assumed.repair_mb_per_s * 1e6)
+
+
 def sender_rows(context: Context) -> list[Row]:
     """Lost and restarted senders."""
     target = context.target
@@ -93,8 +103,6 @@
     """A lost store: detection, copy, and what may go wrong meanwhile."""
     target, assumed = context.target, context.assumed
     stores = assumed.stores
-    share = disk_of(context, assumed.replicas) / stores
-    repair = share / (assumed.repair_mb_per_s * 1e6)
     machines = target.senders + stores + target.control_machines
     return [
         context.row(
@@ -107,14 +115,14 @@
         context.row(
             "bytes copied for a lost store",
             f"its share: bytes of files / {stores}; each body is fetched from one source",
-            lambda: share,
+            lambda: share_of_a_store(context),
             "B",
             SYNC,
         ),
         context.row(
             "time of that copy",
             f"/ {plain(assumed.repair_mb_per_s)} MB/s (assumed)",
-            lambda: repair / 60,
+            lambda: repair_s(context) / 60,
             "min",
             SYNC,
         ),
@@ -135,7 +143,7 @@
         context.row(
             "other stores lost during that copy, mean",
             f"{target.failures_a_day}/day × ({stores} − 1) of {machines} machines × the copy's time",
-            lambda: target.failures_a_day / SECONDS_A_DAY * (stores - 1) / machines * repair,
+            lambda: target.failures_a_day / SECONDS_A_DAY * (stores - 1) / machines * repair_s(context),
             "",
             VIEW,
         ),
@@ -178,7 +186,7 @@
         context.row(
             "bytes copied after a lost zone",
             f"{inside} stores × their share",
-            lambda: inside * disk_of(context, assumed.replicas) / stores,
+            lambda: inside * share_of_a_store(context),
             "B",
             SYNC,
         ),
--- a/benchmarks/capacity/roles/sender.py
+++ b/benchmarks/capacity/roles/sender.py
@@ -242,6 +242,14 @@
             f"{AGENT}, `dewpin/cluster/receivers.py`",
             most,
         ),
+        context.row(
+            "time to take up one change, beside the streams of the same process",
+            f"state-take at {context.routes:,} routes",
+            lambda: context.at("state-take", context.routes) / 1000,
+            "ms",
+            "`dewpin/cluster/configuration.py`",
+            target.token_gap_ms,
+        ),
         context.row(
             "memory of control",
             f"sender-memory at {context.routes:,} routes (the whole program's modules included) + receiver-memory × "
