Deploy: the tier's roles, its build under target/ and its hashed lock

Cause: the operators start the tier by deploy/system.toml, in a read-only tree and from a clean checkout. Change: roles sender and keeper; build-system installs the lock beside the old dependencies and swaps them in whole, compiled, with a mark written last. The dev lock has the tier's libraries too, and behave. typer stays below 0.26: later ones bring pydantic, which nothing here needs.

--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,4 +1,4 @@
-"""deploy/build: what it installs when. A stand-in for the environment's Python writes down what it is asked."""
+"""deploy/build and deploy/build-system: what they install when. A stand-in for Python writes down what it is asked."""
 import shutil
 import subprocess
 from pathlib import Path
@@ -7,6 +7,15 @@
 STAND_IN = """#!/bin/sh
 case "$1" in -c) printf '%s\\n' "{version}";; *) echo "$*" >> "{log}";; esac
 """
+TIER_STAND_IN = """#!/bin/sh
+case "$1" in
+    -c) echo 3; exit;;
+esac
+echo "$*" >> "{log}"
+case "$*" in
+    *install*) test ! -e "{full}" && mkdir -p "{target}/deps-new";;
+esac
+"""
 
 
 def test_a_stale_environment_is_brought_up_to_the_lock_and_a_good_one_is_left_alone(tmp_path):
@@ -31,16 +40,61 @@
     assert asked() == [True, False]
 
 
+def test_the_tier_is_installed_once_for_each_lock_and_a_broken_off_build_is_repeated(tmp_path):
+    (tmp_path / "deploy").mkdir()
+    for name in ("build-system", "system-requirements.lock"):
+        shutil.copy(ROOT / "deploy" / name, tmp_path / "deploy" / name)
+    stand_in, log = tmp_path / "bin/python3", tmp_path / "log"
+    stand_in.parent.mkdir()
+    stand_in.write_text(TIER_STAND_IN.format(log=log, target=tmp_path / "target", full=tmp_path / "disk-full"))
+    stand_in.chmod(0o755)
+
+    def asked(code=0):
+        log.write_text("")
+        done = subprocess.run(["sh", str(tmp_path / "deploy/build-system")], timeout=60, capture_output=True,
+                              env={"PATH": f"{stand_in.parent}:/usr/bin:/bin"})
+        assert (done.returncode == 0) == (code == 0), done.stderr
+        return ["install" in line for line in log.read_text().splitlines()]
+    assert asked() == [True, False, False]  # install, compile what was installed, compile the sources
+    assert "--require-hashes" in (ROOT / "deploy/build-system").read_text()
+    (tmp_path / "target/deps/old").write_text("")
+    assert asked() == [False]               # the same lock again: compile the sources alone
+    with open(tmp_path / "deploy/system-requirements.lock", "a") as lock:
+        lock.write("# another dependency\n")
+    (tmp_path / "disk-full").write_text("")
+    assert asked(code=1) == [True]
+    (tmp_path / "disk-full").unlink()
+    assert (tmp_path / "target/deps/old").exists()
+    assert asked() == [True, False, False]
+    assert not (tmp_path / "target/deps/old").exists()
+
+
+def test_the_tier_is_deployed_by_programs_of_its_own():
+    import tomllib
+    held = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    assert held["build"] == "sh deploy/build-system"
+    for role in held["roles"].values():
+        assert role["run"].split()[:2] == ["python3", "-m"] and 0 < role["share"] <= 1
+    stores = [role["on"] for role in held["roles"].values() if "store" in role["serves"]]
+    served = {name for role in held["roles"].values() for name in role["serves"]}
+    assert stores == ["store"] and served == {"front", "store", "control"}
+
+
 def test_the_locks_name_every_dependency_with_its_hash():
     import tomllib
     held = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
-    runtime, dev = ((ROOT / name).read_text() for name in ("deploy/requirements.lock", "requirements-dev.lock"))
+    runtime, tier, dev = ((ROOT / name).read_text() for name in (
+        "deploy/requirements.lock", "deploy/system-requirements.lock", "requirements-dev.lock"))
     for wanted in held["dependencies"]:
         name = wanted.partition(">")[0]
         line = next(one for one in runtime.splitlines() if one.startswith(name + "=="))
         assert line in dev                  # the checks run what the sender runs
+    for wanted in held["optional-dependencies"]["tier"]:
+        name = wanted.partition(">")[0]
+        line = next(one for one in tier.splitlines() if one.startswith(name + "=="))
+        assert line in dev                  # the checks run what the tier runs
     for wanted in held["optional-dependencies"]["dev"]:
         name = wanted.partition(">")[0].partition("[")[0]
         assert name == "dewpin" or f"\n{name}==" in "\n" + dev
-    for lock in (runtime, dev):
+    for lock in (runtime, tier, dev):
         assert lock.count("--hash=sha256:") >= lock.count("==") and "://" not in lock
