Cluster: structured logs that never block

Cause: the programs of the tier have to tell the events of their life without a line ever holding up a request. Change: named events with levels, one JSON object per line (python-json-logger, imported at configure), written only when standard error polls as writable, at most 50 lines a second, lost lines counted in the next. Ruled out: a thread with a queue: it wakes the process for each line.

--- /dev/null
+++ b/dewpin/cluster/logs.py
@@ -0,0 +1,186 @@
+"""Structured logs of the tier's programs: one JSON object per line on standard error.
+
+Every line is one of the named `Event`s with typed fields of its own; `EVENT_LEVELS` has the level of each. By default
+only the events of a process's life, warnings and errors are written. Logging never blocks the program: a line is
+dropped when standard error takes no more or when too many lines come in a second, and the next line that is written
+tells how many were lost. `configure` is called once at the start; before it, events of the default level are dropped.
+"""
+
+import logging
+import os
+import select
+import sys
+import time
+from collections.abc import Callable, Mapping
+from enum import StrEnum, unique
+from types import MappingProxyType
+from typing import Any
+
+from .errors import TierError
+
+LOGGER_NAME = "dewpin.tier"
+NOTICE = 25
+"""The level between INFO and WARNING, for the events of a process's life."""
+
+LEVELS: Mapping[str, int] = MappingProxyType(
+    {
+        "debug": logging.DEBUG,
+        "info": logging.INFO,
+        "notice": NOTICE,
+        "warning": logging.WARNING,
+        "error": logging.ERROR,
+    }
+)
+"""The levels by their names in the settings file."""
+
+MOST_LINES_PER_SECOND = 50
+LONGEST_TEXT = 1_000
+"""The most characters of a text field; what lies beyond is left out."""
+
+_LONGEST_LINE = select.PIPE_BUF
+"""A pipe that polls as writable takes this many bytes at once without blocking."""
+
+
+@unique
+class Event(StrEnum):
+    """What a line tells; the value is the line's `event` field."""
+
+    STARTED = "started"
+    READY = "ready"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
+    SETTINGS_RELOADED = "settings_reloaded"
+    SETTINGS_REJECTED = "settings_rejected"
+    CONFIGURATION_ACCEPTED = "configuration_accepted"
+    CONFIGURATION_REJECTED = "configuration_rejected"
+    CONFIGURATION_APPLIED = "configuration_applied"
+    MEMBERS_CHANGED = "members_changed"
+    STORE_VIEW_CHANGED = "store_view_changed"
+    RETIRE_STARTED = "retire_started"
+    RETIRE_DONE = "retire_done"
+    PARENT_CHANGED = "parent_changed"
+    RECEIVERS_CHANGED = "receivers_changed"
+    DUTY_TAKEN = "duty_taken"
+    REQUEST_DONE = "request_done"
+    ERROR = "error"
+    UNEXPECTED = "unexpected"
+
+
+EVENT_LEVELS: Mapping[Event, int] = MappingProxyType(
+    {
+        Event.STARTED: NOTICE,
+        Event.READY: NOTICE,
+        Event.STOPPING: NOTICE,
+        Event.STOPPED: NOTICE,
+        Event.SETTINGS_RELOADED: NOTICE,
+        Event.SETTINGS_REJECTED: logging.ERROR,
+        Event.CONFIGURATION_ACCEPTED: NOTICE,
+        Event.CONFIGURATION_REJECTED: logging.WARNING,
+        Event.CONFIGURATION_APPLIED: logging.INFO,
+        Event.MEMBERS_CHANGED: NOTICE,
+        Event.STORE_VIEW_CHANGED: NOTICE,
+        Event.RETIRE_STARTED: NOTICE,
+        Event.RETIRE_DONE: NOTICE,
+        Event.PARENT_CHANGED: logging.INFO,
+        Event.RECEIVERS_CHANGED: logging.DEBUG,
+        Event.DUTY_TAKEN: logging.INFO,
+        Event.REQUEST_DONE: logging.DEBUG,
+        Event.ERROR: logging.WARNING,
+        Event.UNEXPECTED: logging.ERROR,
+    }
+)
+
+_logger = logging.getLogger(LOGGER_NAME)
+
+
+def _shortened(value: object) -> object:
+    if isinstance(value, str) and len(value) > LONGEST_TEXT:
+        return value[:LONGEST_TEXT] + "..."
+    return value
+
+
+class BoundedHandler(logging.Handler):
+    """Writes lines to a file descriptor without blocking, and counts those that it has to drop."""
+
+    def __init__(self, descriptor: int, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._clock = clock
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._second_started_s = clock()
+        self._written_in_second = 0
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record, or drop it."""
+        if not self._within_rate() or not self._is_writable():
+            self.dropped += 1
+            return
+        try:
+            line = self.format(record).encode("utf-8", "backslashreplace")
+            os.write(self._descriptor, line[: _LONGEST_LINE - 1] + b"\n")
+        except Exception:
+            self.dropped += 1
+        else:
+            self.dropped = 0
+
+    def _within_rate(self) -> bool:
+        now_s = self._clock()
+        if now_s - self._second_started_s >= 1.0:
+            self._second_started_s = now_s
+            self._written_in_second = 0
+        self._written_in_second += 1
+        return self._written_in_second <= MOST_LINES_PER_SECOND
+
+    def _is_writable(self) -> bool:
+        return any(events & select.POLLOUT for _, events in self._poll.poll(0))
+
+
+def configure(level: str, node: str, role: str, descriptor: int | None = None) -> BoundedHandler:
+    """Send events from `level` (a key of LEVELS) up to standard error, each with the names of the node and the role."""
+    from pythonjsonlogger.json import JsonFormatter
+
+    class LineFormatter(JsonFormatter):
+        """Lifts an event's fields into the line, where they give way to those that every line has."""
+
+        def process_log_record(self, log_data: dict[str, Any]) -> dict[str, Any]:
+            line: dict[str, Any] = super().process_log_record(log_data)
+            fields = line.pop("fields", {})
+            if handler.dropped:
+                line["dropped_lines"] = handler.dropped
+            return {key: _shortened(value) for key, value in {**fields, **line}.items()}
+
+    handler = BoundedHandler(sys.stderr.fileno() if descriptor is None else descriptor)
+    handler.setFormatter(
+        LineFormatter(
+            "%(created)f %(levelname)s %(message)s",
+            rename_fields={"created": "time", "levelname": "level", "message": "event"},
+            static_fields={"node": node, "role": role},
+        )
+    )
+    logging.addLevelName(NOTICE, "NOTICE")
+    _logger.handlers = [handler]
+    _logger.setLevel(LEVELS[level])
+    _logger.propagate = False
+    return handler
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Log an event at its own level; `fields` go into the line beside it and have to fit into JSON."""
+    level = EVENT_LEVELS[event]
+    if _logger.isEnabledFor(level):
+        _logger.log(level, event.value, extra={"fields": fields} if fields else None)
+
+
+def log_error(error: TierError, **fields: object) -> None:
+    """Log an error of the closed list at the level that the list gives its kind."""
+    level = error.answer.log_level
+    if _logger.isEnabledFor(level):
+        details = {"kind": error.kind.value, "detail": error.detail, **fields}
+        _logger.log(level, Event.ERROR.value, extra={"fields": details})
+
+
+def log_unexpected(error: BaseException, **fields: object) -> None:
+    """Log an exception that no code expected, with its trace."""
+    _logger.error(Event.UNEXPECTED.value, exc_info=error, extra={"fields": fields} if fields else None)
--- a/dewpin/cluster/settings.py
+++ b/dewpin/cluster/settings.py
@@ -16,6 +16,7 @@
 from types import MappingProxyType
 from typing import NoReturn, NotRequired, TypedDict, cast
 
+from . import logs
 from .checking import Fault, JsonObject, check_shape, expected, value_or
 
 BOOT_VARIABLE = "DEWPIN_BOOT"
@@ -32,8 +33,7 @@
 """The `listen` entries that a process needs for each service that it serves."""
 
 DEFAULT_HEARTBEAT_MS = 1_000.0
-DEFAULT_LOG_LEVEL = "warning"
-LOG_LEVELS = frozenset({"debug", "info", "warning", "error"})
+DEFAULT_LOG_LEVEL = "notice"
 DEFAULT_CLOUD_RATE_PER_S = 10.0
 DEFAULT_CLOUD_LAG_MS = 1_000.0
 
@@ -303,8 +303,8 @@
         faults.append(expected("an IPv4 address", raw["ip"], "ip"))
     if is_sound("port_range"):
         faults += _check_port_range(raw["port_range"])
-    if is_sound("log_level") and raw["log_level"] not in LOG_LEVELS:
-        faults.append(expected(f"one of {', '.join(sorted(LOG_LEVELS))}", raw["log_level"], "log_level"))
+    if is_sound("log_level") and raw["log_level"] not in logs.LEVELS:
+        faults.append(expected(f"one of {', '.join(logs.LEVELS)}", raw["log_level"], "log_level"))
     faults += _check_addresses(raw, is_sound("seeds"), is_sound("listen"), is_sound("cloud"))
     if is_sound("serves"):
         faults += _check_serves(raw)
--- a/tests/cluster/test_settings.py
+++ b/tests/cluster/test_settings.py
@@ -53,7 +53,7 @@
     assert settings.bounds == Bounds(config_apply_ms=1700.0, grace_s=6.5)
     assert settings.cloud == Cloud("10.200.0.100:8142", 44.0, 800.0)
     assert (settings.region_of("west"), settings.region_of("new")) == ("south", "new")
-    assert settings.log_level == "warning"
+    assert settings.log_level == "notice"
 
 
 def test_a_store_has_its_folder_and_needs_no_address_but_that_of_control():
@@ -91,7 +91,7 @@
         (changed(seeds=["10.1.0.34:8144", "10.1.0.35"]), ["seeds[1]: expected IP:PORT, got '10.1.0.35'"]),
         (changed(seeds=["10.1.0.34:70000"]), ["seeds[0]: expected IP:PORT, got '10.1.0.34:70000'"]),
         (changed(bootstrap="yes"), ["bootstrap: expected true or false, got 'yes'"]),
-        (changed(log_level="loud"), ["log_level: expected one of debug, error, info, warning, got 'loud'"]),
+        (changed(log_level="loud"), ["log_level: expected one of debug, info, notice, warning, error, got 'loud'"]),
         (changed(listen={"front": "10.1.0.30:8149"}), ["listen.ready: is missing: the process serves front"]),
         (without("listen"), None),
         (changed(serves=["store"], data_dir=""), ["data_dir: is missing: the process serves store"]),
