--- a/dewpin/cluster/logs.py
+++ b/dewpin/cluster/logs.py
@@ -149,7 +149,8 @@
             fields = line.pop("fields", {})
             if handler.dropped:
                 line["dropped_lines"] = handler.dropped
-            return {key: _shortened(value) for key, value in {**fields, **line}.items()}
+            added = {key: value for key, value in fields.items() if key not in line}
+            return {key: _shortened(value) for key, value in {**line, **added}.items()}
 
     handler = BoundedHandler(sys.stderr.fileno() if descriptor is None else descriptor)
     handler.setFormatter(
