--- /dev/null
+++ b/tests/controlplane/test_store.py
@@ -0,0 +1,364 @@
+"""A store: epochs, incarnations, expiry, and the copying of records when the view changes."""
+
+import asyncio
+import json
+
+import pytest
+from store_world import World, run
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.rpc import RpcError
+from dewpin.cluster.store_messages import TurnRecord
+from dewpin.cluster.store_view import Member, StoreView
+from dewpin.consensus import Ballot
+from dewpin.controlplane import ledger_replica, turn_table
+from dewpin.controlplane.store import RETAIN_MARGIN_MS
+from dewpin.dataplane.program_store import BudgetSpent, Turn, TurnUnknown
+
+
+def turn(name, previous=None, program="p", body=b"", retain_s=60.0):
+    return Turn(name, program, previous, b"<" + name.encode() + body, b">", retain_s)
+
+
+def record(name, previous=None, program="p", retain_ms=60_000):
+    return TurnRecord(name, program, previous, retain_ms, b"<" + name.encode(), b">")
+
+
+def turns_of(machine):
+    return {row[0] for row in machine.disk.connection.execute("SELECT turn FROM turns")}
+
+
+async def ask(machine, kind, view, /, **fields):
+    message = wire.request(kind, view, machine.store.member_id, **fields)
+    return await machine.store.handlers[kind](json.loads(json.dumps(message)))
+
+
+# One store
+
+
+def test_a_request_of_another_epoch_is_refused_with_the_stores_own_view():
+    async def scene():
+        world = World(syncs=False)
+        for epoch in (0, 2):
+            with pytest.raises(RpcError) as refusal:
+                await ask(world.machines["a"], wire.TURN_CHAIN, StoreView(epoch, ()), program="p", previous="t")
+            assert refusal.value.kind == wire.STALE_EPOCH
+            assert StoreView.from_json(refusal.value.message["view"]) == world.view
+
+    run(scene())
+
+
+def test_a_request_meant_for_another_incarnation_is_refused():
+    async def scene():
+        world = World()
+        old = world.machines["a"].store.member_id
+        world.machines["a"].start_empty()
+        world.machines["a"].store.adopt(world.view)
+        message = wire.request(wire.TURN_CHAIN, world.view, old, program="p", previous="t")
+        with pytest.raises(RpcError) as refusal:
+            await world.machines["a"].store.handlers[wire.TURN_CHAIN](message)
+        assert refusal.value.kind == wire.WRONG_MEMBER
+
+    run(scene())
+
+
+def test_a_store_takes_no_record_of_a_key_that_it_does_not_hold():
+    async def scene():
+        world = World(names="abcdefg")
+        program = next(f"p{n}" for n in range(99) if "a-1" not in world.view.stable_replicas(f"p{n}", 3))
+        with pytest.raises(RpcError) as refusal:
+            await ask(world.machines["a"], wire.TURN_PUT, world.view, turns=[record("t", program=program).to_json()])
+        assert refusal.value.kind == wire.NOT_REPLICA
+
+    run(scene())
+
+
+def test_a_store_that_restarts_holds_the_view_that_it_answered_a_pull_under():
+    async def scene():
+        world = World(names="abcd", in_view="abc", syncs=False)
+        changing = StoreView(2, world.members("abc"), world.members("bcd"))
+        world.tell(changing, names="a")
+        await ask(world.machines["a"], wire.PULL_LEDGERS, changing, member="d-1", after="", most=10)
+        world.machines["a"].restart()
+        await world.machines["a"].store.load()
+        assert world.machines["a"].store.view == changing
+        assert not world.machines["a"].store.adopt(StoreView(1, world.members("abc")))
+
+    run(scene())
+
+
+def test_a_long_chain_comes_in_several_answers(monkeypatch):
+    monkeypatch.setattr("dewpin.controlplane.store.MOST_CHAIN_BYTES", 10)
+
+    async def scene():
+        world = World()
+        client = world.client("one")
+        previous = None
+        for number in range(9):
+            await client.append(turn(f"t{number}", previous), 1.0)
+            previous = f"t{number}"
+        return await world.client("two").chain("p", previous, 1.0)
+
+    assert run(scene()) == b"".join(b"<t%d>" % number for number in range(9))
+
+
+def test_expired_turns_go_from_the_leaves_and_a_chain_stays_with_its_last_turn():
+    async def scene():
+        world = World(names="a", losses=0)
+        store = world.machines["a"].store
+        client = world.client()
+        await client.append(turn("t1", retain_s=10.0), 1.0)
+        world.clock_ms += 9_000
+        await client.append(turn("t2", "t1", retain_s=10.0), 1.0)
+        world.clock_ms += 9_000 + RETAIN_MARGIN_MS
+        await store.purge_step()
+        assert await world.client("other").chain("p", "t2", 1.0) == b"<t1><t2>"
+        world.clock_ms += 2_000
+        steps = [await store.purge_step() for _ in range(3)]
+        assert turns_of(world.machines["a"]) == set()
+        assert steps == [1, 1, 0]
+        assert world.machines["a"].disk.connection.execute("SELECT count(*) FROM turn_bodies").fetchone() == (0,)
+        with pytest.raises(TurnUnknown):
+            await world.client("third").chain("p", "t2", 1.0)
+
+    run(scene())
+
+
+def test_a_body_stays_while_any_program_holds_the_turn():
+    async def scene():
+        world = World(names="a", losses=0)
+        disk = world.machines["a"].disk
+        now_ms = world.wall_ms()
+        await disk.transact(lambda connection: turn_table.put(connection, [record("t", program="old")], now_ms, 0))
+        later = [record("t", program="new", retain_ms=90_000)]
+        await disk.transact(lambda connection: turn_table.put(connection, later, now_ms, 0))
+        await disk.transact(lambda connection: turn_table.purge(connection, now_ms + 70_000, 10))
+        found = await disk.transact(lambda connection: turn_table.chain(connection, "new", "t", 100))
+        assert [link.program for link in found.links] == ["new"]
+
+    run(scene())
+
+
+def test_idle_ledgers_go_and_the_systems_own_register_stays():
+    async def scene():
+        world = World(names="a", losses=0)
+        await world.client().reserve("p", "t1", 10, 100, 1.0)
+        connection = world.machines["a"].disk.connection
+        connection.execute("INSERT INTO register_replica (key, promised) VALUES ('system', '[1,\"x\"]')")
+        world.clock_ms += 3_600_001
+        await world.machines["a"].store.purge_step()
+        assert connection.execute("SELECT key FROM register_replica").fetchall() == [("system",)]
+
+    run(scene())
+
+
+def test_merging_ledgers_keeps_the_greatest_ballots_in_any_order():
+    async def scene():
+        world = World(names="a", losses=0)
+        disk = world.machines["a"].disk
+        low = wire.LedgerRecord("p", Ballot(9, "x"), Ballot(1, "x"), {"spent": 1, "open": {}})
+        high = wire.LedgerRecord("p", Ballot(5, "y"), Ballot(5, "y"), {"spent": 5, "open": {}})
+        for records in ([low, high], [high, low], [high], [low]):
+            await disk.transact(lambda connection: ledger_replica.merge(connection, records, 0))
+            replica = await disk.transact(lambda connection: ledger_replica.load(connection, "p"))
+        assert (replica.promised, replica.accepted, replica.value["spent"]) == (Ballot(9, "x"), Ballot(5, "y"), 5)
+
+    run(scene())
+
+
+# Changes of the view
+
+
+async def change_view(world, following, pause_s=0.0):
+    """Lead the view from its stable members to those of `following`, as the register's owner does."""
+    stable = world.view.stable
+    changing = StoreView(world.view.epoch + 1, stable, world.members(following))
+    world.tell(changing)
+    await world.until(lambda: all(changing.epoch in world.machines[name].synced for name in following))
+    await asyncio.sleep(pause_s)
+    world.tell(StoreView(changing.epoch + 1, world.members(following)))
+
+
+def test_all_stores_may_be_replaced_and_nothing_is_lost():
+    async def scene():
+        world = World(names="abcdef", in_view="abc")
+        client = world.client()
+        for number in range(30):
+            program = f"p{number}"
+            await client.append(turn("a" + program, program=program), 1.0)
+            await client.append(turn("b" + program, "a" + program, program=program), 1.0)
+            await client.reserve(program, "t", 60, 100, 1.0)
+        await change_view(world, "def")
+        for name in "abc":
+            world.machines[name].up = False
+        other = world.client("other")
+        for number in range(30):
+            program = f"p{number}"
+            expected = f"<a{program}><b{program}>".encode()
+            assert await other.chain(program, "b" + program, 1.0) == expected
+            with pytest.raises(BudgetSpent):
+                await other.reserve(program, "u", 60, 100, 1.0)
+            await other.reserve(program, "u", 40, 100, 1.0)
+
+    run(scene())
+
+
+def test_a_wiped_store_comes_back_as_another_member_and_copies_all():
+    async def scene():
+        world = World()
+        world.machines["b"].refuses = {"turn.put"}
+        client = world.client()
+        await client.append(turn("t1"), 1.0)
+        client.close()
+        world.machines["a"].start_empty()
+        world.machines["b"].refuses = set()
+        await change_view(world, "abc")
+        assert [turns_of(machine) for machine in world.machines.values()] == [{"t1"}] * 3
+        world.machines["c"].up = False
+        assert await world.client("other").chain("p", "t1", 1.0) == b"<t1>"
+
+    run(scene())
+
+
+def test_a_copy_is_not_whole_before_a_majority_of_the_old_stores_was_read():
+    async def scene():
+        world = World(names="abcd", in_view="abc")
+        client = world.client()
+        await client.append(turn("t1"), 1.0)
+        for name in "bc":
+            world.machines[name].up = False
+        world.tell(StoreView(2, world.members("abc"), world.members("abd")))
+        await asyncio.sleep(30.0)
+        assert 2 not in world.machines["d"].synced
+        world.machines["b"].up = True
+        await world.until(lambda: 2 in world.machines["d"].synced)
+        assert turns_of(world.machines["d"]) == {"t1"}
+
+    run(scene())
+
+
+def test_a_frozen_source_does_not_hold_the_copy_up():
+    async def scene():
+        world = World(names="abcd", in_view="abc")
+        client = world.client()
+        for number in range(50):
+            await client.append(turn(f"t{number}", program=f"p{number}"), 1.0)
+        world.tell(StoreView(2, world.members("abc"), world.members("bcd")))
+        world.machines["a"].frozen = True
+        await world.until(lambda: 2 in world.machines["d"].synced, timeout_s=3.0)
+        assert len(turns_of(world.machines["d"])) == 50
+
+    run(scene())
+
+
+def test_writes_under_the_old_view_end_once_a_copy_began():
+    async def scene():
+        world = World(names="abcd", in_view="abc", syncs=False)
+        old = world.view
+        changing = StoreView(2, world.members("abc"), world.members("bcd"))
+        for name in "ab":
+            await ask(
+                world.machines[name],
+                wire.PULL_INDEX,
+                changing,
+                view=changing.to_json(),
+                member="d-1",
+                after=["", ""],
+                most=10,
+            )
+        refused = 0
+        for name in "abc":
+            try:
+                await ask(world.machines[name], wire.TURN_PUT, old, turns=[record("t").to_json()])
+            except RpcError as refusal:
+                refused += refusal.kind == wire.STALE_EPOCH
+        assert refused == 2
+
+    run(scene())
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_writes_go_on_while_the_view_changes_and_all_that_was_acknowledged_stays(seed):
+    async def scene():
+        world = World(names="abcdef", in_view="abc")
+        clients = [world.client(f"s{number}", seed=100 * seed + number) for number in range(3)]
+        kept, granted, stop = [], {}, asyncio.Event()
+
+        async def write(client, number):
+            previous, step = None, 0
+            program = f"p{number}"
+            while not stop.is_set():
+                name = f"{program}.{step}"
+                step += 1
+                await client.append(turn(name, previous, program), 5.0)
+                kept.append((program, name))
+                previous = name
+                try:
+                    held = await client.reserve("shared", f"{name}.r", 7, 700, 5.0)
+                except BudgetSpent:
+                    continue
+                granted[held.turn] = 7
+                if step % 3 == 0:
+                    client.settle(held, 3)
+                    granted[held.turn] = 3
+
+        writers = [asyncio.ensure_future(write(client, number)) for number, client in enumerate(clients)]
+        await asyncio.sleep(0.05 + 0.01 * seed)
+        for following in ("bcd", "def", "dea"):
+            await change_view(world, following, pause_s=0.02 * seed)
+            await asyncio.sleep(0.05)
+        stop.set()
+        await asyncio.gather(*writers)
+        for client in clients:
+            await client.settled()
+        for name in "bcf":
+            world.machines[name].up = False
+        world.machines["ade"[seed % 3]].up = False
+        reader = world.client("reader", seed=seed)
+        for program, name in kept:
+            assert (await reader.chain(program, name, 2.0)).endswith(f"<{name}>".encode())
+        spent = sum(granted.values())
+        assert spent <= 700
+        room = 700 - spent
+        if room:
+            await reader.reserve("shared", "last", room, 700, 2.0)
+        with pytest.raises(BudgetSpent):
+            await reader.reserve("shared", "over", 1, 700, 2.0)
+        assert len(kept) > 10
+
+    run(scene())
+
+
+def test_a_smaller_view_holds_what_a_kept_store_had_missed():
+    async def scene():
+        world = World()
+        world.machines["c"].refuses = {"turn.put"}
+        client = world.client()
+        await client.append(turn("t1"), 1.0)
+        client.close()
+        world.machines["c"].refuses = set()
+        await change_view(world, "bc")
+        assert turns_of(world.machines["c"]) == {"t1"}
+
+    run(scene())
+
+
+def test_a_change_under_way_gives_way_to_a_newer_one():
+    async def scene():
+        world = World(names="abcde", in_view="abc")
+        await world.client().append(turn("t1"), 1.0)
+        world.machines["a"].up = world.machines["b"].up = False
+        world.tell(StoreView(2, world.members("abc"), world.members("bcd")))
+        await asyncio.sleep(1.0)
+        world.machines["a"].up = world.machines["b"].up = True
+        world.tell(StoreView(3, world.members("abc"), world.members("cde")))
+        await world.until(lambda: 3 in world.machines["e"].synced and 3 in world.machines["d"].synced)
+        assert 2 not in world.machines["d"].synced
+        assert turns_of(world.machines["e"]) == {"t1"}
+
+    run(scene())
+
+
+def test_members_know_where_they_listen():
+    member = Member("a", "1.2.3.4:5")
+    assert StoreView(1, (member,)).members == {"a": member}
