--- a/dewpin/dataplane/__init__.py
+++ b/dewpin/dataplane/__init__.py
@@ -1,1 +1,1 @@
-"""The data plane of the tier: takes requests of clients and passes them on to receivers under the retry design."""
+"""The data plane: the sender that takes clients' requests and forwards them to receivers."""
