--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import secrets
 import sqlite3
@@ -72,6 +73,10 @@
     error: Exception | None = None
 
 
+def _log_error(text: str) -> None:
+    logging.getLogger(__name__).error("storage.damaged", extra={"why": text})
+
+
 def sync_folder(folder: Path) -> None:
     """Make the names inside `folder` durable."""
     handle = os.open(folder, os.O_RDONLY)
@@ -176,13 +181,14 @@
     Jobs run in the order in which they were handed over; those that wait together share one commit.
     """
 
-    def __init__(self, data_dir: str | os.PathLike[str], log: Callable[[str], None] = print) -> None:
+    def __init__(self, data_dir: str | os.PathLike[str], log: Callable[[str], None] = _log_error) -> None:
         """Open (or make) the database; blocks until it is durable. Raises StorageFailed or SchemaTooNew."""
         self._folder = Path(data_dir)
         self._log = log
         self._connection = _open(self._folder, log)
         self.incarnation: str = _incarnation(self._connection)
         self.damaged = False
+        self.on_damaged: Callable[[], None] = lambda: None  # called on the storage thread: the process should end
         self._jobs: deque[_Job[Any]] = deque()
         self._ready = threading.Condition()
         self._closing = False
@@ -277,6 +283,7 @@
             sync_folder(self._folder)
         except OSError as failure:
             self._log(f"the damage could not be noted in {self._folder}: {failure}")
+        self.on_damaged()
 
     def _roll_back(self) -> None:
         try:
--- a/dewpin/dataplane/store_client.py
+++ b/dewpin/dataplane/store_client.py
@@ -183,6 +183,7 @@
         while True:
             view = await self._views.current()
             settlements = dict(self._unsettled.get(program, {}))
+            had_promise = program in self._prepared
             try:
                 result = await self._one_ballot(program, view, ledger.after_settlements(settlements, change))
             except ViewMoved:
@@ -193,6 +194,8 @@
                 return value
             if result is not None and result.outcome is Outcome.CONFIRMED:
                 continue
+            if result is not None and had_promise:  # another sender has used the ledger since: no race with it yet
+                continue
             await asyncio.sleep(backoff_s * (0.5 + self._rng.random()))
             backoff_s = min(2 * backoff_s, MOST_BACKOFF_S)
 
--- a/tests/controlplane/test_storage.py
+++ b/tests/controlplane/test_storage.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from dewpin.consensus import Ballot, Conflict
+from dewpin.controlplane import ledger_replica
 from dewpin.controlplane import storage as storage_module
 from dewpin.controlplane.storage import DATABASE_NAME, SchemaTooNew, Storage, StorageDamaged, StorageFailed, incarnation
 
@@ -155,6 +157,7 @@
 def test_damage_met_while_running_is_told_and_set_aside_at_the_next_start(tmp_path):
     told = []
     opened = Storage(tmp_path, log=told.append)
+    opened.on_damaged = lambda: told.append("ended")
     first = opened.incarnation
 
     def broken(connection):
@@ -168,7 +171,7 @@
 
     asyncio.run(scene())
     opened.close()
-    assert opened.damaged and told
+    assert opened.damaged and told[-1] == "ended"
     assert incarnation(tmp_path) != first
 
 
@@ -182,3 +185,41 @@
     connection = sqlite3.connect(tmp_path / DATABASE_NAME)
     assert connection.execute("SELECT value FROM meta WHERE name = 'incarnation'").fetchone()[0] == first
     connection.close()
+
+
+def test_an_older_database_is_migrated_and_keeps_what_it_holds(tmp_path, monkeypatch):
+    opened = Storage(tmp_path)
+    first = opened.incarnation
+    asyncio.run(opened.write(put("a", "kept")))
+    opened.close()
+    monkeypatch.setattr(storage_module, "SCHEMA_VERSION", storage_module.SCHEMA_VERSION + 1)
+    step = {storage_module.SCHEMA_VERSION - 1: ("CREATE TABLE later (x)",)}
+    monkeypatch.setattr(storage_module, "_MIGRATIONS", {**storage_module._MIGRATIONS, **step})
+    opened = Storage(tmp_path)
+    try:
+        assert opened.incarnation == first
+        assert asyncio.run(opened.query(SELECT, ("a",))) == [("kept",)]
+        assert asyncio.run(opened.query("SELECT count(*) FROM later")) == [(0,)]
+    finally:
+        opened.close()
+
+
+def test_a_database_that_ended_before_its_schema_was_kept_is_begun_anew(tmp_path):
+    (tmp_path / DATABASE_NAME).touch()
+    opened = Storage(tmp_path)
+    try:
+        assert len(opened.incarnation) == 16
+    finally:
+        opened.close()
+
+
+def test_a_promise_survives_the_kill_of_its_process(storage, tmp_path):
+    first, later = Ballot(2, "x"), Ballot(3, "y")
+    asyncio.run(storage.transact(lambda connection: ledger_replica.prepare(connection, "p", later, 0)))
+    shutil.copytree(tmp_path / "data", tmp_path / "copy")
+    copy = Storage(tmp_path / "copy")
+    try:
+        reply = asyncio.run(copy.transact(lambda connection: ledger_replica.prepare(connection, "p", first, 0)))
+        assert reply == Conflict(later)
+    finally:
+        copy.close()
