Data plane: the retry stage, the choice of receivers and event parsing, with their tests

Cause: the thin path decided inside threads, where no test could hold the clock. Connections, streams and the course of a request are modules of their own. Ruled out: urllib3's pool, which rewrites targets and does not know how long a connection was idle.

--- a/dewpin/dataplane/connection.py
+++ b/dewpin/dataplane/connection.py
@@ -18,7 +18,11 @@
 
 
 class ClientConnection:
-    """Buffers what a client sent beyond the bytes asked for; `wake` is a descriptor that ends waits at rest."""
+    """Buffers what a client sent beyond the bytes asked for; `wake` is a descriptor that ends waits at rest.
+
+    Deadlines are times of the clock, in seconds. Reading raises PeerClosed where the client ended the connection, and
+    TimeoutError at the deadline.
+    """
 
     def __init__(self, sock: socket.socket, wake: int, clock: Callable[[], float]) -> None:
         self._socket = sock
@@ -80,6 +84,11 @@
         del self._buffer[:length]
         return taken
 
+    @property
+    def has_buffered_bytes(self) -> bool:
+        """Tell whether bytes were received that nobody asked for yet."""
+        return bool(self._buffer)
+
     def skip_empty_lines(self) -> None:
         """Drop empty lines before a request, which some clients send after a body."""
         while self._buffer.startswith(b"\r\n"):
--- /dev/null
+++ b/dewpin/dataplane/course.py
@@ -0,0 +1,226 @@
+"""The course of one routed request: carries out what the retry stage says, until there is an answer."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from dewpin.cluster.configuration import Route, Service
+from dewpin.cluster.errors import ErrorKind
+
+from .balancing import Balancer, NoPlace, Place
+from .figures import RequestFigures
+from .messages import CONNECTION_HEADERS, Answer, HeaderField, Request, own_answer
+from .outcome import Outcome
+from .places import PlaceRequest
+from .receiver_stream import StreamCut
+from .retry import GATEWAY_TIMED_OUT, EndUnknown, PassOn, Pause, Refuse, RetryPolicy, RetryStage, Send
+from .streams import EventRelay, EventSource
+from .turns import OpenTurn
+from .upstream import Call, CallResult, ReceiverAnswer, Upstream
+
+HOLD_SHARE_OF_AIM = 0.2
+"""A request waits for a place for this share of its latency objective at most."""
+CONTENT_LENGTH = "content-length"
+
+
+@dataclass(frozen=True, slots=True)
+class Tools:
+    """What all requests of a sender share."""
+
+    balancer: Balancer
+    upstream: Upstream
+    clock: Callable[[], float]
+    pause: Callable[[float], None]
+    randomness: random.Random
+    figures: RequestFigures
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """A request, where it goes, and the time at which it has to be over."""
+
+    request: Request
+    route: Route
+    service: Service
+    deadline: float
+    sticky_key: str | None = None
+    turn: OpenTurn | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the request may run more than once."""
+        return self.route.may_repeat or (self.route.is_stream and self.route.resumable)
+
+    @property
+    def aim_s(self) -> float:
+        """Return the latency objective."""
+        return min(self.route.target_ms, self.route.timeout_ms) / 1000
+
+
+class RequestCourse:
+    """Runs one request to its answer, in the thread of its client's connection."""
+
+    def __init__(self, tools: Tools, routed: RoutedRequest) -> None:
+        self._tools = tools
+        self._routed = routed
+        policy = RetryPolicy(routed.repeatable, max(1, routed.route.retries), routed.aim_s)
+        self._stage = RetryStage(policy, routed.deadline, tools.randomness)
+        self._answer: ReceiverAnswer | None = None
+        self._stream_place: Place | None = None
+        self._resume_headers: tuple[HeaderField, ...] = ()
+
+    def run(self) -> Answer:
+        """Return the answer to the client; an `EventRelay` in it settles the turn when it is closed."""
+        while True:
+            result = self._next_result()
+            if isinstance(result, Answer):
+                return result
+            if result.stream is None or result.answer is None:
+                continue
+            relay = self._relay(result.stream)
+            try:
+                relay.read_first()
+            except StreamCut as cut:
+                self._count_cut(cut.outcome)
+                continue
+            self._tools.figures.passed_on += 1
+            return client_answer(result.answer, relay)
+
+    def _next_result(self) -> CallResult | Answer:
+        """Carry out steps until a stream begins or the request ends."""
+        while True:
+            step = self._stage.next_step(self._tools.clock())
+            if isinstance(step, Send):
+                result = self._send(step)
+                if result is not None and result.stream is not None:
+                    return result
+            elif isinstance(step, Pause):
+                self._tools.pause(max(0.0, step.until - self._tools.clock()))
+            else:
+                return self._end(step)
+
+    def _end(self, step: PassOn | Refuse | EndUnknown) -> Answer:
+        figures = self._tools.figures
+        if isinstance(step, PassOn) and self._answer is not None:
+            figures.passed_on += 1
+            return client_answer(self._answer, self._answer.body)
+        if isinstance(step, Refuse):
+            figures.refused += 1
+            return own_answer(ErrorKind.OVERLOADED, retry_after_s=step.retry_after_s)
+        figures.unknown += 1
+        timed_out = isinstance(step, EndUnknown) and step.status == GATEWAY_TIMED_OUT
+        return own_answer(ErrorKind.DEADLINE_PASSED if timed_out else ErrorKind.RECEIVER_FAILED)
+
+    def _send(self, step: Send) -> CallResult | None:
+        """Send the request to a receiver with room; None if there is none in time."""
+        place = self._tools.balancer.acquire(self._place_request(step))
+        if isinstance(place, NoPlace):
+            self._stage.record_no_place(place.retry_after_s)
+            return None
+        kept = False
+        try:
+            result = self._call(place)
+            kept = result.stream is not None
+        finally:
+            if not kept:
+                place.release()
+        if kept:
+            self._stream_place = place
+        return result
+
+    def _place_request(self, step: Send) -> PlaceRequest:
+        routed = self._routed
+        hold_until = routed.request.received_at + HOLD_SHARE_OF_AIM * routed.aim_s
+        if step.effect_unknown:
+            hold_until = min(routed.deadline, max(hold_until, self._tools.clock() + routed.aim_s))
+        return PlaceRequest(
+            service=routed.service,
+            route=routed.route.name,
+            priority=routed.route.priority,
+            hold_until=hold_until,
+            sticky_key=routed.sticky_key,
+            avoid=step.avoid,
+        )
+
+    def _call(self, place: Place) -> CallResult:
+        routed = self._routed
+        call = Call(
+            request=routed.request,
+            deadline=routed.deadline,
+            repeatable=routed.repeatable,
+            streaming=routed.route.is_stream,
+            body=routed.turn.body if routed.turn else None,
+            replaced_headers=self._resume_headers,
+        )
+        self._tools.figures.attempts += 1
+        started = self._tools.clock()
+        result = self._tools.upstream.call(place.receiver, call)
+        now = self._tools.clock()
+        if result.load is not None:
+            place.heard(result.load)
+        if result.stream is None:
+            self._count(place, result, now, now - started)
+        return result
+
+    def _count(self, place: Place, result: CallResult, now: float, took_s: float) -> None:
+        """Tell the retry stage and the balancer how a call ended."""
+        may_pass_on = result.answer is not None and result.answer.may_pass_on
+        if may_pass_on:
+            self._answer = result.answer
+        self._stage.record_call(place.receiver.id, result.outcome, now, may_pass_on)
+        if result.outcome is Outcome.SUCCESS:
+            place.was_served(took_s)
+        elif result.outcome is Outcome.NEVER_SENT:
+            place.has_failed()
+        elif result.outcome is Outcome.NOT_EXECUTED:
+            self._count_refusal(place, result)
+
+    def _count_refusal(self, place: Place, result: CallResult) -> None:
+        if not result.misdirected:
+            place.was_refused(result.told_wait_s)
+        elif self._routed.request.headers.get("expect-version") is None:
+            place.has_failed()
+        self._stage.expect_wait(self._tools.balancer.expected_wait(self._routed.service.name))
+
+    def _relay(self, source: EventSource) -> EventRelay:
+        routed = self._routed
+        resume_from = self._resume if routed.repeatable else None
+        return EventRelay(source, resume_from, routed.turn, self._time_left_s, self._on_close)
+
+    def _time_left_s(self) -> float:
+        return self._routed.deadline - self._tools.clock()
+
+    def _on_close(self, whole: bool) -> None:
+        self._release_stream_place()
+        if not whole:
+            self._tools.figures.broken_streams += 1
+
+    def _resume(self, last_id: str | None, cut: Outcome) -> EventSource | None:
+        """Pick a cut stream up at another receiver, from the last event that was passed on."""
+        self._count_cut(cut)
+        if last_id is not None:
+            self._resume_headers = (("Last-Event-Id", last_id),)
+        result = self._next_result()
+        if isinstance(result, Answer):
+            return None
+        self._tools.figures.resumed_streams += 1
+        return result.stream
+
+    def _count_cut(self, cut: Outcome) -> None:
+        """Tell the retry stage that the stream under way was cut, and give its place back."""
+        if self._stream_place is not None:
+            self._stage.record_call(self._stream_place.receiver.id, cut, self._tools.clock())
+            self._release_stream_place()
+
+    def _release_stream_place(self) -> None:
+        place, self._stream_place = self._stream_place, None
+        if place is not None:
+            place.release()
+
+
+def client_answer(answer: ReceiverAnswer, body: bytes | EventRelay) -> Answer:
+    """Return a receiver's answer as it goes to the client."""
+    headers = [field for field in answer.headers if field[0].lower() not in CONNECTION_HEADERS]
+    if not isinstance(body, bytes):
+        headers = [field for field in headers if field[0].lower() != CONTENT_LENGTH]
+    return Answer(answer.status, headers, body, answer.reason)
--- a/dewpin/dataplane/events.py
+++ b/dewpin/dataplane/events.py
@@ -25,11 +25,6 @@
     def __init__(self) -> None:
         self._pending = b""
 
-    @property
-    def pending(self) -> bytes:
-        """Return the bytes of an event that is not whole yet."""
-        return self._pending
-
     def feed(self, part: bytes) -> list[Event]:
         """Take in the next bytes and return the events that became whole."""
         self._pending += part
@@ -41,6 +36,11 @@
         self._pending = self._pending[start:]
         return events
 
+    def take_rest(self) -> list[Event]:
+        """Return what came after the last whole event; the end of a whole body ends an event as well."""
+        rest, self._pending = self._pending, b""
+        return [parse_event(rest)] if rest else []
+
     def drop_pending(self) -> None:
         """Forget the bytes of an event that will not become whole."""
         self._pending = b""
--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -24,7 +24,7 @@
 from dewpin.cluster.errors import ErrorKind
 
 from .cluster_state import ClusterState
-from .connection import ClientConnection, PeerClosed, TooLarge
+from .connection import ClientConnection, TooLarge
 from .http_parsing import MalformedRequest, RequestHead, parse_chunk_size, parse_head
 from .messages import Answer, BodyBroken, BodyStream, HeaderField, Request, own_answer, reason_phrase
 
@@ -102,6 +102,7 @@
             self._counted.wait_for(lambda: False, min(accept_s, drain_s))
         if self._server is not None:
             self._server.shutdown()
+            self._server.take_queued()
             self._server.server_close()
         os.close(self._wake_writer)
         with self._counted:
@@ -145,6 +146,7 @@
 
     def __init__(self, address: tuple[str, int], ingress: Ingress) -> None:
         self.ingress = ingress
+        self._queue_is_empty = False
         super().__init__(address, _Handler)
 
     def server_bind(self) -> None:
@@ -163,6 +165,17 @@
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return accepted, address
 
+    def take_queued(self) -> None:
+        """Serve the connections that came up but were not accepted yet, once `serve_forever` has ended."""
+        self.timeout = 0
+        self._queue_is_empty = False
+        while not self._queue_is_empty:
+            self.handle_request()
+
+    def handle_timeout(self) -> None:
+        """Note that no connection waits to be accepted."""
+        self._queue_is_empty = True
+
     def verify_request(self, request: Any, client_address: Any) -> bool:
         """Turn a connection away where there are too many."""
         return self.ingress.take_connection()
@@ -208,17 +221,27 @@
 
     def serve(self) -> None:
         while self._connection.wait_at_rest(self._rest_s):
+            self._connection.skip_empty_lines()
+            if not self._connection.has_buffered_bytes:
+                continue
             request_read = self._read_request()
             if isinstance(request_read, ErrorKind):
                 self._answer_unread(request_read)
                 return
             head, request = request_read
-            close = self._answer(head, self._ingress.handle(request))
+            close = self._answer(head, self._handle(request))
             if close:
                 self._connection.close_lingering()
                 return
         self._connection.close()
 
+    def _handle(self, request: Request) -> Answer:
+        try:
+            return self._ingress.handle(request)
+        except Exception:
+            log.exception("a request could not be handled")
+            return own_answer(ErrorKind.INTERNAL)
+
     def _rest_s(self) -> float:
         return self._ingress.limits().idle_timeout_ms / 1000 * IDLE_MARGIN
 
@@ -228,7 +251,6 @@
         received_at = self._clock()
         head_by = received_at + limits.header_timeout_ms / 1000
         try:
-            self._connection.skip_empty_lines()
             head = parse_head(self._connection.read_until(b"\r\n\r\n", limits.max_header_bytes, head_by))
         except TooLarge:
             return ErrorKind.HEADERS_TOO_LARGE
--- a/dewpin/dataplane/messages.py
+++ b/dewpin/dataplane/messages.py
@@ -1,6 +1,6 @@
 """Requests and answers as the request path handles them, apart from any connection."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence, Set
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Protocol
@@ -59,9 +59,14 @@
         """Return the comma-separated members of a header in lower case."""
         return {token.strip().lower() for value in self.get_all(name) for token in value.split(",") if token.strip()}
 
-    def end_to_end(self, left_out: frozenset[str] = frozenset()) -> list[HeaderField]:
+    @property
+    def has_body_framing(self) -> bool:
+        """Tell whether the sender of these fields said how long the body is, if only that it is empty."""
+        return "content-length" in self._values or "transfer-encoding" in self._values
+
+    def end_to_end(self, left_out: Set[str] = frozenset()) -> list[HeaderField]:
         """Return the fields that are passed on: not those of the connection, not those in `left_out`."""
-        dropped = CONNECTION_HEADERS | left_out | self.tokens("connection")
+        dropped = left_out | self.tokens("connection") | CONNECTION_HEADERS
         return [(name, value) for name, value in self.fields if name.lower() not in dropped]
 
 
--- /dev/null
+++ b/dewpin/dataplane/receiver_connections.py
@@ -0,0 +1,127 @@
+"""The connections to one receiver that are kept and used again.
+
+Connections are urllib3's. Its pool stays unused: whether a connection may carry a call depends on how long it was idle,
+and the pool rewrites targets. A connection is kept only after a whole answer. It is dropped before use where bytes wait
+on it, or where it was idle for longer than the receiver keeps it.
+"""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from urllib3 import HTTPResponse
+from urllib3.connection import HTTPConnection
+
+from dewpin.cluster.receivers import Receiver
+
+FIRST_CONNECT_TIMEOUT_S = 1.0
+LEAST_CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMES_ALLOWED = 8.0
+"""A connect may take this many times as long as recent ones to the same receiver did."""
+CONNECT_TIME_WEIGHT = 0.25
+KEEP_ALIVE_MARGIN_S = 0.5
+"""A connection is not used in the last part of the time for which the receiver says that it keeps it."""
+UNTOLD_KEEP_ALIVE_S = 0.5
+"""How long a connection may be idle if the receiver does not tell how long it keeps one."""
+UNREPEATABLE_SHARE = 0.5
+"""The part of the time that a connection is kept in which it may carry a request that must not be repeated."""
+
+
+@dataclass(slots=True, eq=False)
+class _Idle:
+    connection: HTTPConnection
+    since: float
+    kept_s: float
+
+    def may_carry(self, now: float, repeatable: bool) -> bool:
+        """Tell whether the receiver surely keeps this connection still."""
+        return now - self.since < (self.kept_s if repeatable else self.kept_s * UNREPEATABLE_SHARE)
+
+
+class ReceiverConnections:
+    """The idle connections to one receiver; the one used last is taken first. Times are the clock's, in seconds."""
+
+    def __init__(self, receiver: Receiver, clock: Callable[[], float]) -> None:
+        host, _, port = receiver.address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._idle: list[_Idle] = []
+        self._closed = False
+        self._connect_timeout_s = FIRST_CONNECT_TIMEOUT_S
+        self._connect_time_s: float | None = None
+
+    def take_idle(self, repeatable: bool) -> HTTPConnection | None:
+        """Return a connection that may carry a call now, or None; one that may not is closed."""
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                idle = self._idle.pop()
+            if idle.may_carry(self._clock(), repeatable) and idle.connection.is_connected:
+                return idle.connection
+            idle.connection.close()
+
+    def connect(self, timeout_s: float) -> HTTPConnection:
+        """Return a new connection; raises an OSError or HTTPError if none comes up in time."""
+        started = self._clock()
+        connection = HTTPConnection(self._host, self._port, timeout=min(timeout_s, self._connect_timeout_s))
+        connection.connect()
+        self._count_connect(self._clock() - started)
+        return connection
+
+    def give_back(self, connection: HTTPConnection, response: HTTPResponse) -> None:
+        """Keep a connection whose last answer was whole, if the receiver does not end it."""
+        kept_s = keep_alive_s(response)
+        if connection.sock is not None and kept_s > 0:
+            with self._lock:
+                if not self._closed:
+                    self._idle.append(_Idle(connection, self._clock(), kept_s))
+                    return
+        connection.close()
+
+    def close_expired(self) -> None:
+        """Close the connections that may not be used any more."""
+        now = self._clock()
+        with self._lock:
+            expired = [idle for idle in self._idle if not idle.may_carry(now, repeatable=True)]
+            self._idle = [idle for idle in self._idle if idle.may_carry(now, repeatable=True)]
+        for idle in expired:
+            idle.connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection, and those that come back later."""
+        with self._lock:
+            self._closed = True
+            closing, self._idle = self._idle, []
+        for idle in closing:
+            idle.connection.close()
+
+    def _count_connect(self, took_s: float) -> None:
+        with self._lock:
+            before = took_s if self._connect_time_s is None else self._connect_time_s
+            self._connect_time_s = before + CONNECT_TIME_WEIGHT * (took_s - before)
+            allowed = CONNECT_TIMES_ALLOWED * self._connect_time_s
+            self._connect_timeout_s = min(FIRST_CONNECT_TIMEOUT_S, max(LEAST_CONNECT_TIMEOUT_S, allowed))
+
+
+def keep_alive_s(response: HTTPResponse) -> float:
+    """Return how long a connection may be idle before its next call; 0 if it must not be used again."""
+    if "close" in response.headers.get("connection", "").lower():
+        return 0.0
+    for parameter in response.headers.get("keep-alive", "").split(","):
+        name, _, value = parameter.strip().partition("=")
+        told_s = read_seconds(value) if name.strip().lower() == "timeout" else None
+        if told_s is not None:
+            return max(0.0, told_s - KEEP_ALIVE_MARGIN_S)
+    return UNTOLD_KEEP_ALIVE_S
+
+
+def read_seconds(value: str | None) -> float | None:
+    """Read a number of seconds; None if it is absent or not readable."""
+    try:
+        seconds = float(value) if value is not None else None
+    except ValueError:
+        return None
+    return seconds if seconds is not None and 0 <= seconds < float("inf") else None
--- a/dewpin/dataplane/retry.py
+++ b/dewpin/dataplane/retry.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from .outcome import Outcome
@@ -36,9 +37,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Send the request to a receiver that is not in `avoid`."""
+    """Send the request to a receiver, but to none in `avoid` before the time given there.
 
-    avoid: frozenset[str]
+    `effect_unknown` tells that an earlier call may have run, so that the request cannot be refused any more.
+    """
+
+    avoid: Mapping[str, float]
+    effect_unknown: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,10 +106,10 @@
             return self._end(now)
         if self._earliest_send > now:
             return Pause(self._earliest_send)
-        return Send(frozenset(receiver for receiver, until in self._paused_receivers.items() if until > now))
+        return Send(dict(self._paused_receivers), self._effect_unknown)
 
-    def record_call(self, receiver_id: str, outcome: Outcome, now: float, signed: bool = False) -> None:
-        """Take in how a call ended; `signed` tells that it brought a receiver's own answer, which may be passed on."""
+    def record_call(self, receiver_id: str, outcome: Outcome, now: float, may_pass_on: bool = False) -> None:
+        """Take in how a call ended; `may_pass_on` tells that it brought an answer for the client, if need be."""
         if outcome is Outcome.NEVER_SENT:
             self._connects_failed += 1
         else:
@@ -113,7 +118,7 @@
             self._succeeded = True
             return
         self._failures += 1
-        self._has_answer = self._has_answer or signed
+        self._has_answer = self._has_answer or may_pass_on
         self._paused_receivers[receiver_id] = now + self._drawn_pause(REPEAT_PAUSE_S)
         if outcome.proves_no_effect:
             return
--- a/dewpin/dataplane/streams.py
+++ b/dewpin/dataplane/streams.py
@@ -13,8 +13,8 @@
 from .events import Event, EventSplitter
 from .messages import BodyBroken
 from .outcome import Outcome
+from .receiver_stream import StreamCut
 from .turns import OpenTurn
-from .upstream import StreamCut
 
 
 class EventSource(Protocol):
@@ -50,6 +50,7 @@
         self._splitter = EventSplitter()
         self._last_id: str | None = None
         self._first_part: bytes | None = None
+        self._resumed = False
         self._ended = False
         self._closed = False
 
@@ -97,12 +98,20 @@
             part = self._source.read_part()
             if not part:
                 self._source = None
-                return self._splitter.pending
-            events = self._splitter.feed(part)
+                return b"".join([self._pass_on(event) for event in self._splitter.take_rest()])
+            events = [event for event in self._splitter.feed(part) if not self._was_passed_on(event)]
             if events:
                 return b"".join([self._pass_on(event) for event in events])
         return b""
 
+    def _was_passed_on(self, event: Event) -> bool:
+        """Tell whether a resumed stream repeats an event that the client has."""
+        if not self._resumed or event.id is None or self._last_id is None:
+            return False
+        return event.id == self._last_id or (
+            event.id.isdecimal() and self._last_id.isdecimal() and int(event.id) <= int(self._last_id)
+        )
+
     def _pass_on(self, event: Event) -> bytes:
         if event.id is not None:
             self._last_id = event.id
@@ -115,4 +124,5 @@
         if source is None:
             raise cut
         self._splitter.drop_pending()
+        self._resumed = True
         self._source = source
--- /dev/null
+++ b/tests/dataplane/peers.py
@@ -0,0 +1,256 @@
+"""Scripted peers on loopback for the tests of the data plane; they go on by events, never by sleeping."""
+
+import json
+import socket
+import struct
+import threading
+from collections.abc import Callable, Sequence
+from contextlib import contextmanager
+
+from dewpin.cluster.configuration import Configuration, parse_configuration
+from dewpin.cluster.receivers import Receiver
+from dewpin.dataplane.messages import Headers, Request
+from dewpin.dataplane.program_store import BudgetSpent, Reservation, StoreUnavailable, Turn, TurnUnknown
+
+PATIENCE_S = 10.0
+"""Bounds every wait of a test, so that a fault fails it and does not hang it."""
+
+HOST = "tier.example"
+SERVICE = "workers"
+
+
+class ReceivedRequest:
+    """A request as a scripted receiver read it."""
+
+    def __init__(self, head: bytes, body: bytes) -> None:
+        self.line, *fields = head.decode("latin-1").split("\r\n")
+        self.fields = [tuple(field.split(": ", 1)) for field in fields]
+        self.headers = {name.lower(): value for name, value in self.fields}
+        self.body = body
+
+    @property
+    def id(self) -> str:
+        return self.headers["x-dewpin-request-id"]
+
+
+class PeerConnection:
+    """A receiver's end of one connection."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+        self._buffer = b""
+        sock.settimeout(PATIENCE_S)
+
+    def read_request(self) -> ReceivedRequest | None:
+        """Return the next request with a body by length, or None once the caller has closed."""
+        while b"\r\n\r\n" not in self._buffer:
+            received = self._socket.recv(65536)
+            if not received:
+                return None
+            self._buffer += received
+        head, _, self._buffer = self._buffer.partition(b"\r\n\r\n")
+        request = ReceivedRequest(head, b"")
+        length = int(request.headers.get("content-length", "0"))
+        while len(self._buffer) < length:
+            self._buffer += self._socket.recv(65536)
+        request.body, self._buffer = self._buffer[:length], self._buffer[length:]
+        return request
+
+    def send(self, data: bytes) -> None:
+        self._socket.sendall(data)
+
+    def wait_for_close(self) -> bool:
+        """Return whether the caller closes the connection."""
+        try:
+            return self._socket.recv(1) == b""
+        except ConnectionError:
+            return True
+
+    def reset(self) -> None:
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._socket.close()
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+Script = Callable[[PeerConnection, ReceivedRequest], object]
+"""Handles one request; the connection is closed if it returns True."""
+
+
+class ScriptedReceiver:
+    """Serves each request by the next script; the last one serves all that follow."""
+
+    def __init__(self, *scripts: Script, id: str = "i-1", zone: str = "here", capacity: int = 4) -> None:
+        self._scripts = list(scripts)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._lock = threading.Lock()
+        self.requests: list[ReceivedRequest] = []
+        self.connections = 0
+        self.faults: list[BaseException] = []
+        host, port = self._listener.getsockname()
+        self.receiver = Receiver(id, SERVICE, f"{host}:{port}", zone, capacity, False, 0.0, "v1")
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        # A close alone does not wake the thread that accepts.
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(PeerConnection(sock),), daemon=True).start()
+
+    def _serve(self, connection: PeerConnection) -> None:
+        try:
+            while (request := connection.read_request()) is not None:
+                with self._lock:
+                    self.requests.append(request)
+                    script = self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
+                if script(connection, request):
+                    break
+        except OSError as fault:
+            self.faults.append(fault)
+        finally:
+            connection.close()
+
+
+@contextmanager
+def receivers(*scripted: ScriptedReceiver):
+    """Close the receivers at the end."""
+    try:
+        yield [each.receiver for each in scripted]
+    finally:
+        for each in scripted:
+            each.close()
+
+
+def head(request: ReceivedRequest, status: str = "200 OK", *fields: str, signed: bool = True) -> bytes:
+    """Return the head of an answer to a request, without a framing header."""
+    lines = [f"HTTP/1.1 {status}", f"X-Dewpin-Request-Id: {request.id}", *fields]
+    if signed:
+        lines.append(f"X-Dewpin-Response-Signature: signed-{request.id}")
+    return ("\r\n".join(lines) + "\r\n").encode()
+
+
+def whole(body: bytes = b"done", status: str = "200 OK", *fields: str, signed: bool = True) -> Script:
+    """Return a script that answers with a whole body."""
+
+    def answer(connection: PeerConnection, request: ReceivedRequest) -> None:
+        length = f"Content-Length: {len(body)}"
+        connection.send(head(request, status, length, *fields, signed=signed) + b"\r\n" + body)
+
+    return answer
+
+
+def refusal(*fields: str) -> Script:
+    """Return a script that refuses a request as full."""
+    return whole(b"", "503 Service Unavailable", "X-Dewpin-Not-Executed: 1", *fields, signed=False)
+
+
+def reset(connection: PeerConnection, request: ReceivedRequest) -> bool:
+    """Reset the connection instead of answering."""
+    connection.reset()
+    return True
+
+
+def close(connection: PeerConnection, request: ReceivedRequest) -> bool:
+    """Close the connection instead of answering."""
+    return True
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number: int, data: str = "") -> bytes:
+    return f"id: {number}\ndata: {data or f't{number}'}\n\n".encode()
+
+
+END = b"0\r\n\r\n"
+STREAM_FIELDS = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+
+
+def stream_head(request: ReceivedRequest) -> bytes:
+    return head(request, "200 OK", *STREAM_FIELDS) + b"\r\n"
+
+
+def stream(*parts: bytes, whole: bool = True) -> Script:
+    """Return a script that sends parts as chunks, and the end if the stream is to be whole."""
+
+    def answer(connection: PeerConnection, request: ReceivedRequest) -> bool:
+        connection.send(stream_head(request) + b"".join(chunk(part) for part in parts) + (END if whole else b""))
+        return not whole
+
+    return answer
+
+
+def configuration(kind: str = "idempotent", retries: int = 2, **fields: object) -> Configuration:
+    """Return a configuration with one route at `/`."""
+    route = {
+        "name": "route",
+        "hostname": HOST,
+        "path_prefix": "/",
+        "kind": kind,
+        "timeout_ms": 5000,
+        "target_ms": 2000,
+        "backend": SERVICE,
+        "retries": retries,
+        **fields,
+    }
+    service = {"name": SERVICE, "max_conns": 64, "engine": {"capacity": 4, "chunk_size": 10}}
+    return parse_configuration(json.dumps({"generation": 1, "routes": [route], "services": [service]}).encode())
+
+
+def request(
+    *fields: tuple[str, str], method: str = "POST", target: str = "/work", body: bytes = b"input", now: float = 0.0
+) -> Request:
+    """Return a request as the ingress hands it on."""
+    given = [("Host", HOST), ("X-Dewpin-Request-Id", "r-1"), ("Content-Length", str(len(body))), *fields]
+    return Request(method, target, Headers(given), body, now)
+
+
+class MemoryStore:
+    """A program store in memory that can be told to fail, and notes what it was asked."""
+
+    def __init__(self, fails: Sequence[str] = ()) -> None:
+        self.fails = set(fails)
+        self.turns: dict[str, Turn] = {}
+        self.reserved: list[tuple[str, str, int, int]] = []
+        self.settled: list[tuple[str, int]] = []
+        self.spent: dict[str, int] = {}
+        self.on_append: Callable[[Turn], None] = lambda turn: None
+
+    def reserve(self, program: str, turn: str, most: int, budget: int, timeout_s: float) -> Reservation:
+        self._check("reserve")
+        if self.spent.get(program, 0) + most > budget:
+            raise BudgetSpent
+        self.spent[program] = self.spent.get(program, 0) + most
+        self.reserved.append((program, turn, most, budget))
+        return Reservation(program, turn, most)
+
+    def settle(self, reservation: Reservation, used: int) -> None:
+        self.spent[reservation.program] += used - reservation.most
+        self.settled.append((reservation.turn, used))
+
+    def chain(self, program: str, previous: str, timeout_s: float) -> bytes:
+        self._check("chain")
+        turn = self.turns.get(previous)
+        if turn is None or turn.program != program:
+            raise TurnUnknown
+        before = self.chain(program, turn.previous, timeout_s) if turn.previous is not None else b""
+        return before + turn.input + turn.output
+
+    def append(self, turn: Turn, timeout_s: float) -> None:
+        self._check("append")
+        self.on_append(turn)
+        self.turns[turn.id] = turn
+
+    def _check(self, operation: str) -> None:
+        if operation in self.fails:
+            raise StoreUnavailable
--- /dev/null
+++ b/tests/dataplane/test_events.py
@@ -0,0 +1,58 @@
+"""Cutting streams into events, and the data of an event."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dewpin.dataplane.events import EventSplitter, parse_event
+
+
+@pytest.mark.parametrize(
+    ("raw", "event_id", "data"),
+    [
+        (b"id: 1\ndata: word\n\n", "1", b"word"),
+        (b"data:word\nid:1\n\n", "1", b"word"),
+        (b"data:  word\n\n", None, b" word"),
+        (b"versions: 4\nid: 12\ndata: a b\n\n", "12", b"a b"),
+        (b"versions:4\nid: 12\ndata: a b\n\n", "12", b"a b"),
+        (b"data: one\ndata: two\n\n", None, b"one\ntwo"),
+        (b"data:\n\n", None, b""),
+        (b"data\n\n", None, b""),
+        (b"id: 3\r\ndata: word\r\n\r\n", "3", b"word"),
+        (b": a comment\n\n", None, None),
+        (b"event: end\nid: 9\n\n", "9", None),
+        (b"data: a: b\n\n", None, b"a: b"),
+    ],
+)
+def test_the_fields_of_an_event(raw, event_id, data):
+    event = parse_event(raw)
+    assert (event.raw, event.id, event.data) == (raw, event_id, data)
+
+
+def test_an_event_counts_only_once_it_is_whole():
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: wo") == []
+    assert splitter.feed(b"rd\n") == []
+    assert [event.data for event in splitter.feed(b"\nid: 2\nda")] == [b"word"]
+    assert splitter.feed(b"ta: x\n\n")[0].id == "2"
+
+
+def test_the_rest_of_a_whole_body_is_an_event_too():
+    splitter = EventSplitter()
+    splitter.feed(b"data: last")
+    assert [event.data for event in splitter.take_rest()] == [b"last"]
+    assert splitter.take_rest() == []
+
+
+STREAM = b"versions: 2\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\nid: 3\ndata: c\ndata: d\n\n"
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_parts_of_any_size_give_the_same_events(cuts):
+    places = [0, *sorted(cuts), len(STREAM)]
+    splitter = EventSplitter()
+    events = []
+    for start, end in zip(places, places[1:], strict=False):
+        events += splitter.feed(STREAM[start:end])
+    assert b"".join(event.raw for event in events) == STREAM
+    assert [event.data for event in events] == [b"a", b"b", None, b"c\nd"]
--- /dev/null
+++ b/tests/dataplane/test_places.py
@@ -0,0 +1,271 @@
+"""The choice of receivers and the order of waiting requests, on a clock that the tests hold."""
+
+import random
+from collections import Counter
+
+import pytest
+from dataplane.peers import SERVICE, configuration
+
+from dewpin.cluster.receivers import Receiver
+from dewpin.dataplane.places import (
+    COLD_CAPACITY_SHARE,
+    LEAST_RETRY_AFTER_S,
+    MOST_RETRY_AFTER_S,
+    PRIORITY_STEP_S,
+    WAIT_JITTER,
+    PlaceBook,
+    PlaceRequest,
+    rendezvous_rank,
+)
+from dewpin.dataplane.receiver_load import (
+    FIRST_FAILURE_WAIT_S,
+    HEARD_LOAD_HALF_LIFE_S,
+    MOST_FAILURE_WAIT_S,
+    MOST_FULL_WAIT_S,
+    ReceiverLoad,
+    ServerLoad,
+    parse_server_load,
+)
+
+SERVICES = configuration().services
+NOW = 50.0
+
+
+def receiver(id, zone="here", capacity=4, draining=False, cold_left_ms=0.0):
+    return Receiver(id, SERVICE, f"10.0.0.1:{8000 + len(id)}", zone, capacity, draining, cold_left_ms, "v1")
+
+
+def book(*receivers):
+    made = PlaceBook("here", random.Random(3))
+    made.list_receivers(SERVICE, receivers)
+    return made
+
+
+def wanted(route="route", priority=0, key=None, avoid=None, hold_until=NOW + 1):
+    return PlaceRequest(SERVICES[SERVICE], route, priority, hold_until, key, avoid or {})
+
+
+def taken(places, times, request=None, now=NOW):
+    return [got.id if (got := places.take(request or wanted(), now)) else None for _ in range(times)]
+
+
+def test_calls_spread_over_the_receivers_of_this_zone():
+    assert Counter(taken(book(receiver("a"), receiver("b")), 8)) == {"a": 4, "b": 4}
+
+
+def test_capacity_weighs():
+    spread = Counter(taken(book(receiver("a", capacity=2), receiver("b", capacity=6)), 8))
+    assert spread == {"a": 2, "b": 6}
+
+
+def test_this_zone_comes_first_as_far_as_it_bears():
+    places = book(receiver("a", zone="here", capacity=8), receiver("b", zone="there", capacity=8))
+    order = taken(places, 10)
+    assert order[:2] == ["a", "a"]
+    assert "b" in order[2:5]
+
+
+def test_a_receiver_that_is_slow_from_its_start_gets_less():
+    spread = Counter(taken(book(receiver("a", capacity=8), receiver("b", capacity=8, cold_left_ms=500)), 9))
+    assert spread["b"] == pytest.approx(spread["a"] * COLD_CAPACITY_SHARE, abs=1)
+
+
+def test_a_draining_receiver_gets_nothing():
+    places = book(receiver("a", draining=True), receiver("b"))
+    assert set(taken(places, 3)) == {"b"}
+    places.list_receivers(SERVICE, (receiver("a", draining=True), receiver("b", draining=True)))
+    assert taken(places, 1) == [None]
+
+
+def test_a_service_without_receivers_has_no_place():
+    assert taken(book(), 1) == [None]
+
+
+def test_receivers_are_taken_until_their_queues_are_full():
+    assert taken(book(receiver("a", capacity=4)), 7) == ["a"] * 6 + [None]
+
+
+def test_the_connections_of_a_receiver_are_shared_by_the_senders():
+    places = book(receiver("a", capacity=100))
+    places.senders = 16
+    assert taken(places, 5) == ["a"] * 4 + [None]
+
+
+def test_a_heard_load_counts_and_fades():
+    places = book(receiver("a", capacity=4), receiver("b", capacity=4))
+    places.load("a").hear(ServerLoad(4, 4, 4), NOW)
+    assert set(taken(places, 3)) == {"b"}
+    later = NOW + 20 * HEARD_LOAD_HALF_LIFE_S
+    assert "a" in taken(places, 3, now=later)
+
+
+def test_own_calls_are_not_counted_twice():
+    load = ReceiverLoad(own_calls=3)
+    load.hear(ServerLoad(4, 1, 4), NOW)
+    assert load.total(NOW) == 5
+    assert load.total(NOW + HEARD_LOAD_HALF_LIFE_S) == 4
+
+
+@pytest.mark.parametrize("value", [None, "", "1,2", "1,2,3,4", "a,b,c", "-1,0,1", "1.5,0,1"])
+def test_a_load_that_is_not_readable_is_none(value):
+    assert parse_server_load(value) is None
+
+
+def test_a_load_is_read():
+    assert parse_server_load("3, 0,8") == ServerLoad(3, 0, 8)
+
+
+def test_a_session_stays_with_its_receiver_while_that_has_room():
+    receivers = [receiver(name, capacity=8) for name in ("a", "b", "c")]
+    places = book(*receivers)
+    first = min(receivers, key=lambda each: rendezvous_rank("session", each)).id
+    order = taken(places, 10, wanted(key="session"))
+    assert order[:6] == [first] * 6
+    assert set(order[6:]) != {first}
+
+
+def test_sessions_spread_by_capacity():
+    receivers = [receiver("a", capacity=4), receiver("b", capacity=12)]
+    firsts = Counter(
+        min(receivers, key=lambda each: rendezvous_rank(f"s{number}", each)).id for number in range(2000)
+    )
+    assert firsts["b"] == pytest.approx(1500, rel=0.05)
+
+
+def test_only_sessions_of_a_receiver_that_left_move():
+    receivers = [receiver(name) for name in ("a", "b", "c", "d")]
+
+    def home(among, number):
+        return min(among, key=lambda each: rendezvous_rank(f"s{number}", each)).id
+
+    for number in range(200):
+        before = home(receivers, number)
+        after = home(receivers[1:], number)
+        assert after == before or before == "a"
+
+
+def test_what_is_to_be_avoided_is_avoided_for_its_time():
+    places = book(receiver("a"), receiver("b"))
+    request = wanted(avoid={"a": NOW + 0.5})
+    assert set(taken(places, 2, request)) == {"b"}
+    assert places.next_change(request, NOW) <= NOW + 0.5
+    assert "a" in taken(places, 2, request, now=NOW + 0.5)
+
+
+def test_a_full_receiver_is_left_alone_for_a_short_wait_that_grows():
+    load = ReceiverLoad(call_time_s=0.08)
+    load.block_full(NOW, 8, None, 1.0)
+    assert load.blocked_until == pytest.approx(NOW + 0.01)
+    load.block_full(NOW, 8, None, 1.0)
+    assert load.blocked_until == pytest.approx(NOW + 0.02)
+    for _ in range(40):
+        load.block_full(NOW, 8, None, 1.0)
+    assert load.blocked_until == NOW + MOST_FULL_WAIT_S
+
+
+def test_a_told_wait_is_heeded_and_not_cut_short_by_a_derived_one():
+    load = ReceiverLoad()
+    load.block_full(NOW, 4, 3.0, 1.0)
+    load.block_full(NOW, 4, None, 1.0)
+    assert load.blocked_until == NOW + 3.0
+
+
+def test_a_receiver_that_cannot_be_reached_is_left_alone_until_it_serves_again():
+    load = ReceiverLoad()
+    load.block_failed(NOW, 1.0)
+    assert load.blocked_until == NOW + FIRST_FAILURE_WAIT_S
+    for _ in range(20):
+        load.block_failed(NOW, 1.0)
+    assert load.blocked_until == NOW + MOST_FAILURE_WAIT_S
+    load.count_served(0.1)
+    load.block_failed(NOW + 10, 1.0)
+    assert load.blocked_until == NOW + 10 + FIRST_FAILURE_WAIT_S
+
+
+def test_freed_places_go_to_the_route_whose_last_place_lies_furthest_back():
+    places = book(receiver("a", capacity=1))
+    assert taken(places, 1, wanted("old"), now=NOW) == ["a"]
+    assert taken(places, 1, wanted("new"), now=NOW + 1) == ["a"]
+    first_new, second_new = places.wait(wanted("new")), places.wait(wanted("new"))
+    first_old, second_old = places.wait(wanted("old")), places.wait(wanted("old"))
+    order = []
+    for step in range(4):
+        places.give_back("a")
+        order += places.grant(SERVICE, NOW + 2 + step)
+    assert order == [first_old, first_new, second_old, second_new]
+
+
+def test_places_that_free_at_once_are_shared_by_the_routes():
+    places = book(receiver("a", capacity=2))
+    taken(places, 1, wanted("old"), now=NOW)
+    taken(places, 2, wanted("new"), now=NOW + 1)
+    tickets = [places.wait(wanted(route)) for route in ("old", "old", "new", "new")]
+    places.give_back("a")
+    places.give_back("a")
+    assert places.grant(SERVICE, NOW + 2) == [tickets[0], tickets[2]]
+
+
+def test_urgency_counts_as_time_of_waiting():
+    places = book(receiver("a", capacity=1))
+    taken(places, 1, wanted("low", priority=1), now=NOW)
+    taken(places, 1, wanted("high", priority=0), now=NOW + PRIORITY_STEP_S / 2)
+    low, high = places.wait(wanted("low", priority=1)), places.wait(wanted("high", priority=0))
+    places.give_back("a")
+    assert places.grant(SERVICE, NOW + 1) == [high]
+    places.give_back("a")
+    assert places.grant(SERVICE, NOW + 2) == [low]
+
+
+def test_a_new_request_does_not_overtake_those_that_wait():
+    places = book(receiver("a", capacity=1))
+    taken(places, 2)
+    ticket = places.wait(wanted())
+    places.give_back("a")
+    assert taken(places, 1) == [None]
+    assert places.grant(SERVICE, NOW) == [ticket]
+
+
+def test_a_request_that_avoids_what_is_free_does_not_hold_up_others():
+    places = book(receiver("a", capacity=1))
+    taken(places, 2)
+    avoiding = places.wait(wanted("first", avoid={"a": NOW + 9}))
+    other = places.wait(wanted("second"))
+    places.give_back("a")
+    assert places.grant(SERVICE, NOW) == [other]
+    assert avoiding.receiver is None
+
+
+def test_who_gives_up_gets_no_place():
+    places = book(receiver("a", capacity=1))
+    taken(places, 2)
+    places.give_up(places.wait(wanted()))
+    places.give_back("a")
+    assert places.grant(SERVICE, NOW) == []
+    assert taken(places, 1) == ["a"]
+
+
+def test_places_of_a_receiver_that_left_are_forgotten():
+    places = book(receiver("a"), receiver("b"))
+    taken(places, 4)
+    places.list_receivers(SERVICE, (receiver("b"),))
+    places.give_back("a")
+    places.load("a").block_failed(NOW, 1.0)
+    assert set(taken(places, 2)) == {"b"}
+
+
+def test_the_wait_expected_grows_with_those_that_wait_and_stays_bounded():
+    places = book(receiver("a", capacity=1))
+    places.load("a").call_time_s = 0.1
+    alone = places.expected_wait(SERVICE, NOW)
+    assert 0.1 * (1 - WAIT_JITTER) <= alone <= 0.1 * (1 + WAIT_JITTER)
+    for _ in range(4):
+        places.wait(wanted())
+    assert 0.5 * (1 - WAIT_JITTER) <= places.expected_wait(SERVICE, NOW) <= 0.5 * (1 + WAIT_JITTER)
+    for _ in range(100):
+        places.wait(wanted())
+    assert places.expected_wait(SERVICE, NOW) <= MOST_RETRY_AFTER_S * (1 + WAIT_JITTER)
+
+
+def test_the_wait_expected_is_never_nothing():
+    places = book(receiver("a", capacity=1000))
+    assert places.expected_wait(SERVICE, NOW) >= LEAST_RETRY_AFTER_S * (1 - WAIT_JITTER)
