--- a/dewpin/cluster/configuration.py
+++ b/dewpin/cluster/configuration.py
@@ -77,10 +77,15 @@
     models: NotRequired[list[RawModel] | None]
 
 
-class RawService(TypedDict):
-    """A service as the operator writes it."""
+class NamedService(TypedDict):
+    """What routes refer to of a service."""
 
     name: str
+
+
+class RawService(NamedService):
+    """A service as the operator writes it."""
+
     health_path: NotRequired[str | None]
     max_conns: NotRequired[int | None]
     protocol: NotRequired[str | None]
@@ -303,11 +308,11 @@
 
 
 def _service_names(raw: JsonObject) -> set[str] | None:
-    """Return the names of all services, or None where they cannot be told."""
+    """Return the names of all services, or None where one of them cannot be told."""
     services = raw.get("services")
-    if check_shape(services, list[RawService]):
+    if check_shape(services, list[NamedService]):
         return None
-    return {service["name"] for service in cast(list[RawService], services)}
+    return {service["name"] for service in cast(list[NamedService], services)}
 
 
 def _check_route(route: RawRoute, place: str, known_services: set[str] | None) -> list[Fault]:
--- a/dewpin/cluster/logs.py
+++ b/dewpin/cluster/logs.py
@@ -18,7 +18,9 @@
 
 from .errors import TierError
 
-LOGGER_NAME = "dewpin.tier"
+LOGGER_NAME = "dewpin"
+"""The logger that `configure` sets up; what modules log by their own names passes through it too."""
+
 NOTICE = 25
 """The level between INFO and WARNING, for the events of a process's life."""
 
--- a/tests/cluster/test_configuration.py
+++ b/tests/cluster/test_configuration.py
@@ -104,6 +104,7 @@
 
 def test_every_fault_is_reported_at_once():
     raw = samples.configuration()
+    raw["routes"].append({**raw["routes"][0], "path_prefix": "/more/", "backend": "absent"})
     raw["generation"] = "seven"
     raw["routes"][0]["timeout_ms"] = 0
     raw["routes"][1]["split"][0]["weight"] = "much"
@@ -117,6 +118,7 @@
         "routes[0].timeout_ms",
         "routes[1].hostname",
         "routes[1].split[0].weight",
+        "routes[2].backend",
         "services[1].max_conns",
     ]
 
--- a/tests/cluster/test_logs.py
+++ b/tests/cluster/test_logs.py
@@ -84,6 +84,13 @@
     assert (line["kind"], line["detail"], line["round"]) == ("no_quorum", "two of three are silent", 3)
 
 
+def test_what_a_module_logs_by_its_own_name_is_a_line_too(pipe: Pipe):
+    logs.configure("warning", "n", "r", pipe.writer)
+    logging.getLogger("dewpin.dataplane.example").warning("peer %s is silent", "10.0.0.1")
+    (line,) = pipe.lines()
+    assert (line["event"], line["level"]) == ("peer 10.0.0.1 is silent", "WARNING")
+
+
 def test_an_unexpected_exception_is_logged_with_its_trace(pipe: Pipe):
     logs.configure("error", "n", "r", pipe.writer)
     try:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,9 +10,12 @@
     "relay": {"core", "log", "ports", "spool"},
     "console": {"log", "net"}, "net": {"core", "log", "ports"}, "drill": {"core"}, "ports": set(),
     "daemon": {"config", "console", "log", "net", "ports", "relay", "spool"},
-    "cli": {"config", "daemon", "lab", "log", "spool"}}
+    "cli": {"config", "daemon", "lab", "log", "spool"},
+    "cluster": set(), "consensus": set(), "controlplane": {"cluster", "consensus"},
+    "dataplane": {"cluster", "consensus"}, "tier_cli": {"cluster"}}
 NEVER = {"core": {"asyncio", "socket", "time", "os", "structlog", "msgspec"}, "config": {"asyncio", "socket"},
-         "spool": {"asyncio", "socket"}, "relay": {"socket", "os"}, "net": {"structlog"}, "ports": {"asyncio"}}
+         "spool": {"asyncio", "socket"}, "relay": {"socket", "os"}, "net": {"structlog"}, "ports": {"asyncio"},
+         "consensus": {"asyncio", "socket", "time", "os", "threading", "sqlite3"}}
 
 
 def imports(path):
@@ -38,6 +41,19 @@
             assert name[0] not in NEVER.get(package, ()), f"{path}: {name[0]}"
 
 
+def test_every_package_has_its_row():
+    packages = {path.parent.name for path in (ROOT / "dewpin").glob("*/__init__.py")}
+    assert packages <= set(MAY)
+
+
+def test_the_programs_of_the_tier_load_no_command_line():
+    program = ("import sys\nfrom dewpin.cluster import configuration, errors, logs, settings\n"
+               "print(sorted({name.partition('.')[0] for name in sys.modules} & "
+               "{'click', 'typer', 'rich', 'structlog', 'pythonjsonlogger', 'urllib3', 'hypothesis', 'pytest'}))")
+    done = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]", done.stdout
+
+
 def test_a_plain_sender_loads_nothing_that_it_does_not_use():
     program = ("import sys, dewpin.daemon.process, dewpin.log as log\nlog.tell(log.events.NOTE, why='x')\n"
                "print(sorted({name.partition('.')[0] for name in sys.modules} & "
