--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -57,9 +57,11 @@
         handle: HandleRequest,
         clock: Callable[[], float] = time.monotonic,
         most_connections: int = MOST_CONNECTIONS,
+        accept_poll_s: float = ACCEPT_POLL_S,
     ) -> None:
         self._state = cluster_state
         self._clock = clock
+        self._accept_poll_s = accept_poll_s
         self._most_connections = most_connections
         self._server: _Server | None = None
         self._accepting: threading.Thread | None = None
@@ -68,6 +70,7 @@
         self._connections = 0
         self.handle = handle
         self.draining = False
+        self.stopped = False
 
     @property
     def address(self) -> tuple[str, int]:
@@ -86,24 +89,29 @@
         threading.stack_size(THREAD_STACK_BYTES)
         server = self._server = _Server(address, self)
         self._accepting = threading.Thread(
-            target=server.serve_forever, args=(ACCEPT_POLL_S,), name="ingress", daemon=True
+            target=server.serve_forever, args=(self._accept_poll_s,), name="ingress", daemon=True
         )
         self._accepting.start()
 
+    def begin_drain(self) -> None:
+        """Let all answers carry `Connection: close` from now on; new connections are still taken."""
+        self.draining = True
+
     def stop(self, drain_s: float, accept_s: float = 0.0) -> bool:
         """Drain, and return whether all requests ended in time.
 
-        From now on answers carry `Connection: close`. New connections are taken for `accept_s` more; then connections
-        at rest are closed, and requests under way have until `drain_s` after the call.
+        New connections are taken for `accept_s` more; then connections at rest are closed, and requests under way have
+        until `drain_s` after the call.
         """
         ends_at = self._clock() + drain_s
-        self.draining = True
-        with self._counted:
-            self._counted.wait_for(lambda: False, min(accept_s, drain_s))
+        self.begin_drain()
+        if accept_s > 0:
+            threading.Event().wait(min(accept_s, drain_s))
         if self._server is not None:
             self._server.shutdown()
             self._server.take_queued()
             self._server.server_close()
+        self.stopped = True
         os.close(self._wake_writer)
         with self._counted:
             return self._counted.wait_for(lambda: self._connections == 0, max(0.0, ends_at - self._clock()))
--- a/dewpin/dataplane/receiver_stream.py
+++ b/dewpin/dataplane/receiver_stream.py
@@ -8,7 +8,7 @@
 
 from urllib3 import HTTPResponse
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, ReadTimeoutError
+from urllib3.exceptions import HTTPError, InvalidChunkLength, ProtocolError, ReadTimeoutError
 
 from .messages import Client
 from .outcome import Outcome
@@ -164,6 +164,8 @@
     """Return the outcome of a call that ended with an error after the request was sent."""
     cause: BaseException | None = error
     while cause is not None:
+        if isinstance(cause, InvalidChunkLength):
+            return Outcome.MALFORMED
         if isinstance(cause, http.client.RemoteDisconnected | http.client.IncompleteRead):
             return Outcome.CLOSED
         if isinstance(cause, TimeoutError | ReadTimeoutError):
@@ -171,4 +173,6 @@
         if isinstance(cause, ConnectionError):
             return Outcome.RESET
         cause = cause.__cause__ or cause.__context__
+    if isinstance(error, ProtocolError):
+        return Outcome.CLOSED
     return Outcome.RESET if isinstance(error, OSError) else Outcome.MALFORMED
--- /dev/null
+++ b/tests/dataplane/test_ingress.py
@@ -0,0 +1,430 @@
+"""The server for clients, on loopback: framing, limits, keep-alive, streams that break, draining."""
+
+import http.client
+import json
+import socket
+import threading
+
+import pytest
+from dataplane.peers import PATIENCE_S
+
+from dewpin.cluster.configuration import parse_configuration
+from dewpin.dataplane.cluster_state import ClusterState
+from dewpin.dataplane.ingress import Ingress, ReadyServer
+from dewpin.dataplane.messages import Answer, BodyBroken
+
+LIMITS = {"max_header_bytes": 1000, "max_body_bytes": 5000, "header_timeout_ms": 10_000, "idle_timeout_ms": 10_000}
+
+
+def cluster(**limits):
+    body = {"generation": 1, "routes": [], "services": [], "limits": {**LIMITS, **limits}}
+    return ClusterState(parse_configuration(json.dumps(body).encode()))
+
+
+class Parts:
+    """A body in parts; each may be bytes, a function to call first, or an error to raise."""
+
+    def __init__(self, *parts):
+        self._parts = parts
+        self.closed = threading.Event()
+
+    def __iter__(self):
+        for part in self._parts:
+            if isinstance(part, Exception):
+                raise part
+            if callable(part):
+                part()
+            else:
+                yield part
+
+    def close(self):
+        self.closed.set()
+
+
+class Server:
+    """An ingress that answers by a function of the request, and notes the requests."""
+
+    def __init__(self, answer=None, **limits):
+        self.requests = []
+        self._answer = answer or (lambda request: Answer(200, [("X-Thing", "a")], b"done"))
+        self.ingress = Ingress(cluster(**limits), self._handle, accept_poll_s=0.01)
+        self.ingress.start(("127.0.0.1", 0))
+
+    def _handle(self, request):
+        self.requests.append(request)
+        return self._answer(request)
+
+    def connect(self):
+        return Client(self.ingress.address)
+
+
+class Client:
+    def __init__(self, address):
+        self.socket = socket.create_connection(address, PATIENCE_S)
+        self._reader = self.socket.makefile("rb")
+
+    def send(self, *lines, body=b""):
+        self.socket.sendall("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
+
+    def read(self, method="GET"):
+        """Return the next answer: its status, its headers in lower case and its body."""
+        status = self._reader.readline()
+        if not status:
+            raise EOFError
+        headers = {}
+        while (line := self._reader.readline()) not in (b"\r\n", b""):
+            name, _, value = line.decode().strip().partition(": ")
+            headers[name.lower()] = value
+        code = int(status.split()[1])
+        if method == "HEAD" or code in (100, 204, 304):
+            return code, headers, b""
+        if "transfer-encoding" in headers:
+            return code, headers, b"".join(self.chunks())
+        return code, headers, self._reader.read(int(headers["content-length"]))
+
+    def read_head(self):
+        while self._reader.readline() not in (b"\r\n", b""):
+            pass
+
+    def chunks(self):
+        while True:
+            line = self._reader.readline()
+            if not line:
+                raise EOFError
+            size = int(line, 16)
+            data = self._reader.read(size + 2)
+            if size == 0:
+                return
+            if len(data) < size + 2:
+                raise EOFError
+            yield data[:-2]
+
+    def is_closed(self):
+        """Tell whether the server closes without sending anything more."""
+        return self._reader.read(1) == b""
+
+    def close(self):
+        self._reader.close()
+        self.socket.close()
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(answer=None, **limits):
+        servers.append(Server(answer, **limits))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        if not server.ingress.stopped:
+            server.ingress.stop(0.0)
+
+
+def test_requests_of_one_connection_are_answered_in_turn(serve):
+    server = serve()
+    client = server.connect()
+    for number in range(3):
+        client.send(f"PUT /a%2F{number}?q=%7e HTTP/1.1", "Host: h", "Content-Length: 3", body=b"abc")
+        assert client.read() == (200, {"x-thing": "a", "content-length": "4"}, b"done")
+    assert [(each.method, each.target, each.body) for each in server.requests] == [
+        ("PUT", f"/a%2F{number}?q=%7e", b"abc") for number in range(3)
+    ]
+
+
+def test_pipelined_requests_are_neither_lost_nor_mixed(serve):
+    server = serve(lambda request: Answer(200, [], request.body + request.target.encode()))
+    client = server.connect()
+    first = b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nGET /"
+    second = (
+        b"POST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n"
+    )
+    third = b"GET /3 HTTP/1.1\r\nHost: h\r\n\r\n"
+    client.socket.sendall(first + second + third)
+    assert [client.read()[2] for _ in range(3)] == [b"GET //1", b"abcde/2", b"/3"]
+
+
+def test_a_request_that_comes_byte_by_byte(serve):
+    server = serve()
+    client = server.connect()
+    for byte in b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n":
+        client.socket.sendall(bytes([byte]))
+    assert client.read()[0] == 200
+    assert server.requests[0].body == b"hi"
+
+
+@pytest.mark.parametrize(
+    ("lines", "body", "status"),
+    [
+        (["GET / HTTP/1.1"], b"", 400),
+        (["POST / HTTP/1.1", "Host: h", "Content-Length: 1", "Transfer-Encoding: chunked"], b"0\r\n\r\n", 400),
+        (["POST / HTTP/1.1", "Host: h", "Transfer-Encoding: chunked"], b"zz\r\n", 400),
+        (["POST / HTTP/1.1", "Host: h", "Transfer-Encoding: chunked"], b"1\r\nab\r\n0\r\n\r\n", 400),
+        (["GET / HTTP/1.1", "Host: h", "X: " + "a" * 2000], b"", 431),
+        (["GET / HTTP/1.1", "Host: h", "X: " + "a" * 200_000], b"", 431),
+        (["POST / HTTP/1.1", "Host: h", "Content-Length: 5001"], b"a" * 5001, 413),
+        (["POST / HTTP/1.1", "Host: h", "Content-Length: 99999999999"], b"", 413),
+        (["POST / HTTP/1.1", "Host: h", "Transfer-Encoding: chunked"], b"1389\r\n" + b"a" * 5001, 413),
+    ],
+)
+def test_what_is_not_taken_is_answered_and_the_connection_closed(serve, lines, body, status):
+    server = serve()
+    client = server.connect()
+    client.send(*lines, body=body)
+    code, headers, _ = client.read()
+    assert (code, headers["connection"]) == (status, "close")
+    assert client.is_closed()
+    assert server.requests == []
+
+
+def test_a_body_and_a_head_of_just_the_limit_are_taken(serve):
+    server = serve()
+    client = server.connect()
+    client.send("POST / HTTP/1.1", "Host: h", "Content-Length: 5000", body=b"a" * 5000)
+    assert client.read()[0] == 200
+    start = "GET / HTTP/1.1\r\nHost: h\r\nX: "
+    client.send(start + "a" * (1000 - len(start)))
+    assert client.read()[0] == 200
+    client.send(start + "a" * (1001 - len(start)))
+    assert client.read()[0] == 431
+
+
+def test_a_client_that_expects_leave_to_go_on_gets_it(serve):
+    server = serve()
+    client = server.connect()
+    client.send("POST / HTTP/1.1", "Host: h", "Content-Length: 3", "Expect: 100-continue")
+    assert client.read()[0] == 100
+    client.socket.sendall(b"abc")
+    assert client.read()[0] == 200
+    assert server.requests[0].body == b"abc"
+
+
+def test_a_client_that_expects_leave_for_too_much_is_told_at_once(serve):
+    client = serve().connect()
+    client.send("POST / HTTP/1.1", "Host: h", "Content-Length: 6000", "Expect: 100-continue")
+    assert client.read()[0] == 413
+
+
+@pytest.mark.parametrize("lines", [["GET / HTTP/1.1", "Host: h", "Connection: close"], ["GET / HTTP/1.0"]])
+def test_a_connection_is_closed_where_the_client_wants_it(serve, lines):
+    client = serve().connect()
+    client.send(*lines)
+    code, headers, _ = client.read()
+    assert (code, headers["connection"]) == (200, "close")
+    assert client.is_closed()
+
+
+def test_head_and_answers_without_a_body(serve):
+    answers = {
+        "HEAD": Answer(200, [("Content-Length", "77")], b""),
+        "DELETE": Answer(204, [], b""),
+        "GET": Answer(200, [], b"x"),
+    }
+    client = serve(lambda request: answers[request.method]).connect()
+    client.send("HEAD / HTTP/1.1", "Host: h")
+    assert client.read("HEAD") == (200, {"content-length": "77"}, b"")
+    client.send("DELETE / HTTP/1.1", "Host: h")
+    assert client.read() == (204, {}, b"")
+    client.send("GET / HTTP/1.1", "Host: h")
+    assert client.read()[2] == b"x"
+
+
+def test_a_slow_head_is_answered_at_its_time(serve):
+    client = serve(header_timeout_ms=50).connect()
+    client.socket.sendall(b"GET / HTTP/1.1\r\n")
+    assert client.read()[0] == 408
+    assert client.is_closed()
+
+
+def test_a_connection_at_rest_is_closed_without_a_word_at_its_time(serve):
+    client = serve(idle_timeout_ms=50).connect()
+    assert client.is_closed()
+
+
+def test_a_connection_at_rest_is_kept_as_long_as_the_newest_limit_says(serve):
+    server = serve(idle_timeout_ms=50)
+    asked = []
+    asked_again = threading.Event()
+    first, raised = server.ingress.limits(), cluster(idle_timeout_ms=60_000).configuration.limits
+
+    def limits():
+        asked.append(None)
+        if len(asked) == 1:
+            return first
+        asked_again.set()
+        return raised
+
+    server.ingress.limits = limits
+    client = server.connect()
+    assert asked_again.wait(PATIENCE_S)
+    client.send("GET / HTTP/1.1", "Host: h")
+    assert client.read()[0] == 200
+
+
+def test_empty_lines_between_requests_are_no_request(serve):
+    server = serve(header_timeout_ms=100)
+    client = server.connect()
+    client.send("POST / HTTP/1.1", "Host: h", "Content-Length: 1", body=b"a\r\n\r\n")
+    assert client.read()[0] == 200
+    client.send("GET / HTTP/1.1", "Host: h")
+    assert client.read()[0] == 200
+
+
+def test_a_stream_is_passed_on_part_by_part(serve):
+    go_on = threading.Event()
+    body = Parts(b"one", lambda: go_on.wait(PATIENCE_S), b"two")
+    client = serve(lambda request: Answer(200, [("Content-Type", "text/event-stream")], body)).connect()
+    client.send("GET / HTTP/1.1", "Host: h")
+    client.read_head()
+    chunks = client.chunks()
+    assert next(chunks) == b"one"
+    go_on.set()
+    assert list(chunks) == [b"two"]
+    assert body.closed.wait(PATIENCE_S)
+    client.send("GET / HTTP/1.1", "Host: h")
+
+
+def test_a_stream_that_breaks_has_no_end(serve):
+    body = Parts(b"one", BodyBroken("cut"))
+    client = serve(lambda request: Answer(200, [], body)).connect()
+    client.send("GET / HTTP/1.1", "Host: h")
+    client.read_head()
+    chunks = client.chunks()
+    assert next(chunks) == b"one"
+    with pytest.raises(EOFError):
+        next(chunks)
+    assert body.closed.wait(PATIENCE_S)
+
+
+def test_a_stream_to_an_old_client_ends_with_the_connection(serve):
+    client = serve(lambda request: Answer(200, [], Parts(b"one", b"two"))).connect()
+    client.send("GET / HTTP/1.0")
+    client.read_head()
+    assert client._reader.read() == b"onetwo"
+
+
+def test_a_stream_whose_client_is_gone_is_closed(serve):
+    go_on = threading.Event()
+    body = Parts(b"one", lambda: go_on.wait(PATIENCE_S), *[b"x" * 65536] * 200)
+    client = serve(lambda request: Answer(200, [], body)).connect()
+    client.send("GET / HTTP/1.1", "Host: h")
+    client.read_head()
+    client.close()
+    go_on.set()
+    assert body.closed.wait(PATIENCE_S)
+
+
+def test_the_client_of_a_request_can_be_watched(serve):
+    seen = []
+    asked, left = threading.Event(), threading.Event()
+
+    def answer(request):
+        seen.append(request.client.has_gone())
+        asked.set()
+        assert left.wait(PATIENCE_S)
+        seen.append(request.client.has_gone())
+        return Answer(200, [], b"")
+
+    server = serve(answer)
+    client = server.connect()
+    client.send("GET / HTTP/1.1", "Host: h")
+    assert asked.wait(PATIENCE_S)
+    client.close()
+    left.set()
+    assert server.ingress.stop(PATIENCE_S)
+    assert seen == [False, True]
+
+
+def test_a_fault_in_the_handling_is_an_internal_error(serve):
+    def fail(request):
+        raise RuntimeError("fault")
+
+    client = serve(fail).connect()
+    client.send("GET / HTTP/1.1", "Host: h")
+    assert client.read()[0] == 500
+
+
+def test_draining_closes_what_rests_and_finishes_what_is_under_way(serve):
+    asked, go_on = threading.Event(), threading.Event()
+
+    def answer(request):
+        asked.set()
+        assert go_on.wait(PATIENCE_S)
+        return Answer(200, [], b"late")
+
+    server = serve(answer)
+    resting, working = server.connect(), server.connect()
+    working.send("GET / HTTP/1.1", "Host: h")
+    assert asked.wait(PATIENCE_S)
+    ended = []
+    stopping = threading.Thread(target=lambda: ended.append(server.ingress.stop(PATIENCE_S)))
+    stopping.start()
+    assert resting.is_closed()
+    go_on.set()
+    code, headers, body = working.read()
+    assert (code, headers["connection"], body) == (200, "close", b"late")
+    assert working.is_closed()
+    stopping.join(PATIENCE_S)
+    assert ended == [True]
+    assert server.ingress.connections == 0
+
+
+def test_draining_goes_on_taking_connections_until_the_server_stops(serve):
+    server = serve()
+    resting = server.connect()
+    server.ingress.begin_drain()
+    for client in (resting, server.connect()):
+        client.send("GET / HTTP/1.1", "Host: h")
+        code, headers, _ = client.read()
+        assert (code, headers["connection"]) == (200, "close")
+        assert client.is_closed()
+    assert server.ingress.stop(PATIENCE_S, accept_s=0.01)
+    with pytest.raises(OSError):
+        server.connect()
+
+
+def test_draining_does_not_wait_longer_than_it_may(serve):
+    asked, go_on = threading.Event(), threading.Event()
+
+    def answer(request):
+        asked.set()
+        go_on.wait(PATIENCE_S)
+        return Answer(200, [], b"")
+
+    server = serve(answer)
+    client = server.connect()
+    client.send("GET / HTTP/1.1", "Host: h")
+    assert asked.wait(PATIENCE_S)
+    assert not server.ingress.stop(0.05)
+    go_on.set()
+
+
+def test_too_many_connections_are_turned_away():
+    ingress = Ingress(cluster(), lambda request: Answer(200, [], b"done"), most_connections=1, accept_poll_s=0.01)
+    ingress.start(("127.0.0.1", 0))
+    first = Client(ingress.address)
+    first.send("GET / HTTP/1.1", "Host: h")
+    assert first.read()[0] == 200
+    assert Client(ingress.address).is_closed()
+    assert ingress.stop(PATIENCE_S)
+
+
+def test_readiness_is_told():
+    ready = [True]
+    server = ReadyServer(lambda: ready[0])
+    server.start(("127.0.0.1", 0))
+    connection = http.client.HTTPConnection(*server.address, timeout=PATIENCE_S)
+
+    def status(path):
+        connection.request("GET", path)
+        answer = connection.getresponse()
+        answer.read()
+        return answer.status
+
+    assert status("/dewpin/ready") == 200
+    ready[0] = False
+    assert status("/dewpin/ready") == 503
+    assert status("/other") == 404
+    connection.close()
+    server.stop()
--- a/tests/dataplane/test_places.py
+++ b/tests/dataplane/test_places.py
@@ -126,9 +126,7 @@
 
 def test_sessions_spread_by_capacity():
     receivers = [receiver("a", capacity=4), receiver("b", capacity=12)]
-    firsts = Counter(
-        min(receivers, key=lambda each: rendezvous_rank(f"s{number}", each)).id for number in range(2000)
-    )
+    firsts = Counter(min(receivers, key=lambda each: rendezvous_rank(f"s{number}", each)).id for number in range(2000))
     assert firsts["b"] == pytest.approx(1500, rel=0.05)
 
 
--- /dev/null
+++ b/tests/dataplane/test_request_path.py
@@ -0,0 +1,480 @@
+"""Requests from the ingress to scripted receivers and back, under the rules of their routes."""
+
+import random
+import socket
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+from dataplane.peers import (
+    END,
+    PATIENCE_S,
+    SERVICE,
+    MemoryStore,
+    ScriptedReceiver,
+    chunk,
+    close,
+    configuration,
+    event,
+    receivers,
+    refusal,
+    request,
+    reset,
+    stream,
+    stream_head,
+    whole,
+)
+
+from dewpin.dataplane.cluster_state import ClusterState
+from dewpin.dataplane.messages import BodyBroken
+from dewpin.dataplane.program_store import Turn
+from dewpin.dataplane.request_path import RequestPath, share_of_key, sticky_key, time_allowed_s
+
+FAILURES = [reset, close, whole(b"no", "500 Internal Server Error", signed=False)]
+
+
+class Path:
+    """A request path on a cluster of scripted receivers; pauses are noted and not made."""
+
+    def __init__(self, listed, store=None, **route):
+        self.store = store or MemoryStore()
+        self.state = ClusterState(configuration(**route), {SERVICE: tuple(listed)})
+        self.pauses = []
+        self.path = RequestPath(self.state, self.store, "here", self._clock, self.pauses.append, random.Random(5))
+        self._ahead_s = 0.0
+
+    def _clock(self):
+        return time.monotonic() + sum(self.pauses)
+
+    def __call__(self, *fields, client=None, **options):
+        asked = request(*fields, now=self._clock(), **options)
+        if client is not None:
+            asked = type(asked)(asked.method, asked.target, asked.headers, asked.body, asked.received_at, client)
+        return self.path.handle(asked)
+
+
+def header(answer, name):
+    return next((value for key, value in answer.headers if key.lower() == name), None)
+
+
+def read(answer):
+    """Return the body of an answer and whether it was broken off."""
+    if isinstance(answer.body, bytes):
+        return answer.body, False
+    got = b""
+    try:
+        for part in answer.body:
+            got += part
+    except BodyBroken:
+        return got, True
+    finally:
+        answer.body.close()
+    return got, False
+
+
+def test_an_answer_is_passed_on_with_its_status_headers_and_signature():
+    peer = ScriptedReceiver(whole(b"done", "201 Created", "X-Thing: a", "Keep-Alive: timeout=9"))
+    with receivers(peer) as listed:
+        answer = Path(listed)()
+    assert (answer.status, answer.body) == (201, b"done")
+    assert header(answer, "x-dewpin-response-signature") == "signed-r-1"
+    assert header(answer, "x-dewpin-request-id") == "r-1"
+    assert header(answer, "x-thing") == "a"
+    assert header(answer, "keep-alive") is None
+
+
+def test_a_request_without_a_route_gets_404():
+    path = Path([])
+    assert path(target="/x").status == 503
+    path.state.configuration = configuration(path_prefix="/other/")
+    assert path(target="/x").status == 404
+    assert path.path.figures.not_routed == 1
+
+
+def test_before_the_first_configuration_requests_are_refused():
+    path = Path([])
+    path.state.configuration = None
+    answer = path()
+    assert answer.status == 503
+    assert float(header(answer, "retry-after")) > 0
+
+
+def test_a_request_without_an_id_is_malformed():
+    path = Path([])
+    asked = request()
+    bare = type(asked)("GET", "/", type(asked.headers)([("Host", "tier.example")]), b"", 0.0)
+    assert path.path.handle(bare).status == 400
+
+
+@pytest.mark.parametrize("value", ["soon", "-1", "nan", "inf"])
+def test_a_deadline_that_is_no_number_is_malformed(value):
+    assert Path([])(("X-Dewpin-Request-Deadline", value)).status == 400
+
+
+@pytest.mark.parametrize(("told", "allowed_s"), [("1200", 1.2), ("99999", 5.0), (None, 5.0)])
+def test_the_time_allowed_is_the_clients_or_the_routes_whichever_is_less(told, allowed_s):
+    fields = [("X-Dewpin-Request-Deadline", told)] if told else []
+    assert time_allowed_s(request(*fields), configuration().routes[0]) == allowed_s
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_what_may_be_repeated_is_repeated_at_another_receiver_after_a_pause(failure):
+    first, second = ScriptedReceiver(failure, id="i-1"), ScriptedReceiver(failure, id="i-2")
+    good = whole(b"done")
+    first._scripts.append(good)
+    second._scripts.append(good)
+    with receivers(first, second) as listed:
+        path = Path(listed, kind="idempotent", retries=3)
+        answer = path()
+    assert answer.status == 200
+    assert len(path.pauses) >= 1
+    assert path.path.figures.attempts == 3
+    assert first.requests
+    assert second.requests
+
+
+@pytest.mark.parametrize("kind", ["non_idempotent", "stream"])
+@pytest.mark.parametrize("failure", FAILURES)
+def test_what_must_not_be_repeated_ends_as_unknown(failure, kind):
+    peers = [ScriptedReceiver(failure, id=name) for name in ("i-1", "i-2")]
+    with receivers(*peers) as listed:
+        path = Path(listed, kind=kind)
+        answer = path()
+    assert answer.status == 502
+    assert header(answer, "x-dewpin-response-signature") is None
+    assert header(answer, "retry-after") is None
+    assert path.path.figures.attempts == 1
+    assert sum(len(peer.requests) for peer in peers) == 1
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent", "stream"])
+def test_a_refusal_leads_to_another_receiver_at_once(kind):
+    full, free = ScriptedReceiver(refusal(), id="i-1"), ScriptedReceiver(whole(b"done"), id="i-2", zone="there")
+    with receivers(full, free) as listed:
+        path = Path(listed, kind=kind)
+        assert path().status == 200
+        assert path.pauses == []
+    assert len(full.requests) == 1
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent", "stream"])
+def test_what_was_refused_everywhere_is_refused_with_a_time_to_come_back(kind):
+    peers = [ScriptedReceiver(refusal(), id=name) for name in ("i-1", "i-2", "i-3")]
+    with receivers(*peers) as listed:
+        path = Path(listed, kind=kind, retries=2)
+        answer = path()
+    assert answer.status == 503
+    assert 0 < float(header(answer, "retry-after")) < 1
+    assert header(answer, "x-dewpin-response-signature") is None
+    assert sum(len(peer.requests) for peer in peers) == 2
+    assert path.path.figures.refused == 1
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+def test_a_receiver_that_is_down_is_passed_over(kind):
+    down, up = ScriptedReceiver(whole(), id="i-1"), ScriptedReceiver(whole(b"done"), id="i-2", zone="there")
+    down.close()
+    with receivers(up):
+        path = Path([down.receiver, up.receiver], kind=kind, retries=1)
+        assert path().status == 200
+        assert path().status == 200
+    assert path.path.figures.connects == 2
+
+
+def test_when_all_receivers_are_down_the_request_is_refused():
+    down = ScriptedReceiver(whole())
+    down.close()
+    assert Path([down.receiver], kind="non_idempotent", target_ms=100)().status == 503
+
+
+def test_another_receiver_at_an_address_does_not_run_the_request_and_is_left_alone():
+    other = ScriptedReceiver(whole(b"", "421 Misdirected Request", "X-Dewpin-Instance-Id: i-9", signed=False), id="i-1")
+    meant = ScriptedReceiver(whole(b"done"), id="i-2", zone="there")
+    with receivers(other, meant) as listed:
+        path = Path(listed, kind="non_idempotent")
+        assert path().status == 200
+        assert path().status == 200
+    assert len(other.requests) == 1
+
+
+@pytest.mark.parametrize("kind", ["non_idempotent", "stream"])
+def test_a_receivers_own_error_is_passed_on_with_its_signature(kind):
+    with receivers(ScriptedReceiver(whole(b"no", "500 Internal Server Error"))) as listed:
+        answer = Path(listed, kind=kind)()
+    assert (answer.status, answer.body) == (500, b"no")
+    assert header(answer, "x-dewpin-response-signature") == "signed-r-1"
+
+
+def test_a_receivers_own_error_is_repeated_where_it_may_be_and_passed_on_at_last():
+    peers = [ScriptedReceiver(whole(b"no", "500 Internal Server Error"), id=name) for name in ("i-1", "i-2")]
+    with receivers(*peers) as listed:
+        answer = Path(listed, retries=2)()
+    assert (answer.status, header(answer, "x-dewpin-response-signature")) == (500, "signed-r-1")
+    assert [len(peer.requests) for peer in peers] == [1, 1]
+
+
+@pytest.mark.parametrize("status", ["408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"])
+def test_a_promise_without_proof_is_not_passed_on(status):
+    with receivers(ScriptedReceiver(whole(b"no", status))) as listed:
+        answer = Path(listed, kind="non_idempotent")()
+    assert answer.status == 502
+    assert header(answer, "x-dewpin-response-signature") is None
+
+
+def test_a_success_without_a_signature_is_not_passed_on():
+    with receivers(ScriptedReceiver(whole(b"done", signed=False))) as listed:
+        answer = Path(listed, kind="non_idempotent")()
+    assert (answer.status, header(answer, "x-dewpin-response-signature")) == (502, None)
+
+
+def test_silence_ends_with_the_time_as_unknown():
+    def stay_silent(connection, got):
+        connection.wait_for_close()
+
+    with receivers(ScriptedReceiver(stay_silent)) as listed:
+        path = Path(listed, kind="idempotent", target_ms=50)
+        answer = path(("X-Dewpin-Request-Deadline", "100"))
+    assert answer.status == 504
+    assert path.path.figures.attempts == 1
+
+
+def test_a_request_near_its_deadline_is_refused_unsent():
+    peer = ScriptedReceiver(whole())
+    with receivers(peer) as listed:
+        assert Path(listed, target_ms=1000)(("X-Dewpin-Request-Deadline", "90")).status == 503
+    assert peer.requests == []
+
+
+def test_requests_of_a_service_without_room_are_refused_early():
+    begun, go_on = threading.Event(), threading.Event()
+
+    def hold(connection, got):
+        begun.set()
+        assert go_on.wait(PATIENCE_S)
+        whole()(connection, got)
+
+    with receivers(ScriptedReceiver(hold, capacity=1)) as listed:
+        path = Path(listed, target_ms=100)
+        threads = [threading.Thread(target=path) for _ in range(2)]
+        for thread in threads:
+            thread.start()
+        assert begun.wait(PATIENCE_S)
+        while path.path.figures.attempts < 2:
+            assert begun.wait(PATIENCE_S)
+        answer = path()
+        assert answer.status == 503
+        assert float(header(answer, "retry-after")) > 0
+        go_on.set()
+        for thread in threads:
+            thread.join(PATIENCE_S)
+
+
+def test_the_service_is_chosen_by_weight_and_kept_for_a_session():
+    shares = [{"backend": "a", "weight": 90}, {"backend": "b", "weight": 10}, {"backend": "c", "weight": 0}]
+    given = configuration(kind="stream", sticky=True)
+    body = {**given.raw, "services": [{"name": name} for name in "abc"]}
+    body["routes"] = [{**body["routes"][0], "split": shares, "backend": None}]
+    import json
+
+    from dewpin.cluster.configuration import parse_configuration
+
+    path = Path([])
+    path.state.configuration = parse_configuration(json.dumps(body).encode())
+    route = path.state.configuration.routes[0]
+    choose = path.path._choose_service
+    drawn = [choose(path.state.configuration, route, None).name for _ in range(2000)]
+    assert 1700 < drawn.count("a") < 1900
+    assert drawn.count("c") == 0
+    assert len({choose(path.state.configuration, route, "session").name for _ in range(50)}) == 1
+
+
+@pytest.mark.parametrize(
+    ("fields", "key"),
+    [
+        ([("Program", "p"), ("Session", "s")], "p"),
+        ([("Session", "s"), ("X-Dewpin-Prompt-Prefix", "aa:1,bb:2")], "s"),
+        ([("X-Dewpin-Prompt-Prefix", "aa:1,bb:2,cc:3")], "bb"),
+        ([("X-Dewpin-Prompt-Prefix", "aa:1")], "aa"),
+        ([], None),
+    ],
+)
+def test_what_a_cached_prompt_hangs_on(fields, key):
+    assert sticky_key(request(*fields)) == key
+
+
+def test_the_share_of_a_key_is_the_same_at_every_sender():
+    assert share_of_key("session") == share_of_key("session")
+    assert 0 <= share_of_key("session") < 1
+
+
+def test_a_stream_is_passed_on_whole():
+    with receivers(ScriptedReceiver(stream(event(1), event(2)))) as listed:
+        path = Path(listed, kind="stream")
+        answer = path()
+        assert answer.status == 200
+        assert header(answer, "content-type") == "text/event-stream"
+        assert header(answer, "x-dewpin-response-signature") == "signed-r-1"
+        assert header(answer, "transfer-encoding") is None
+        assert read(answer) == (event(1) + event(2), False)
+    assert path.path.figures.broken_streams == 0
+
+
+def test_a_stream_comes_before_it_ends():
+    go_on = threading.Event()
+
+    def answer_slowly(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)))
+        assert go_on.wait(PATIENCE_S)
+        connection.send(chunk(event(2)) + END)
+
+    with receivers(ScriptedReceiver(answer_slowly)) as listed:
+        answer = Path(listed, kind="stream")()
+        parts: Iterator[bytes] = iter(answer.body)
+        assert next(parts) == event(1)
+        go_on.set()
+        assert list(parts) == [event(2)]
+
+
+def test_a_stream_that_must_not_be_repeated_breaks_off():
+    peers = [ScriptedReceiver(stream(event(1), whole=False), id=name) for name in ("i-1", "i-2")]
+    with receivers(*peers) as listed:
+        path = Path(listed, kind="stream")
+        assert read(path()) == (event(1), True)
+    assert sum(len(peer.requests) for peer in peers) == 1
+    assert path.path.figures.broken_streams == 1
+
+
+def test_a_stream_that_breaks_before_its_first_event_is_an_error_and_no_success():
+    with receivers(ScriptedReceiver(stream(b"id: 1\nda", whole=False))) as listed:
+        assert Path(listed, kind="stream")().status == 502
+
+
+def test_a_resumable_stream_goes_on_at_another_receiver_with_the_first_head():
+    def scripts(name):
+        first = stream(event(1), event(2), b"id: 3\nda", whole=False)
+
+        def second(connection, got):
+            assert got.headers["last-event-id"] == "2"
+            stream(event(3), event(4))(connection, got)
+
+        return ScriptedReceiver(
+            lambda connection, got: (second if "last-event-id" in got.headers else first)(connection, got), id=name
+        )
+
+    peers = [scripts("i-1"), scripts("i-2")]
+    with receivers(*peers) as listed:
+        path = Path(listed, kind="stream", resumable=True)
+        answer = path()
+        assert read(answer) == (event(1) + event(2) + event(3) + event(4), False)
+    assert [len(peer.requests) for peer in peers] == [1, 1]
+    assert peers[0].faults == peers[1].faults == []
+    assert path.path.figures.resumed_streams == 1
+
+
+def test_resuming_stays_within_the_attempts():
+    peers = [ScriptedReceiver(stream(event(1), whole=False), id=name) for name in ("i-1", "i-2", "i-3")]
+    with receivers(*peers) as listed:
+        assert read(Path(listed, kind="stream", resumable=True, retries=2)()) == (event(1), True)
+    assert sum(len(peer.requests) for peer in peers) == 2
+
+
+def test_places_of_streams_are_given_back():
+    with receivers(ScriptedReceiver(stream(event(1)), capacity=1)) as listed:
+        path = Path(listed, kind="stream", target_ms=100)
+        for _ in range(5):
+            assert read(path()) == (event(1), False)
+        for _ in range(5):
+            path().body.close()
+        assert read(path()) == (event(1), False)
+
+
+class LeavingClient:
+    """A client's end of a connection that can be closed."""
+
+    def __init__(self):
+        self.ours, self.theirs = socket.socketpair()
+
+    def fileno(self):
+        return self.ours.fileno()
+
+    def has_gone(self):
+        return self.ours.recv(1, socket.MSG_PEEK) == b""
+
+
+@pytest.mark.parametrize("after_head", [True, False])
+def test_a_client_that_leaves_ends_the_call_at_the_receiver(after_head):
+    begun, ended = threading.Event(), threading.Event()
+
+    def answer(connection, got):
+        if after_head:
+            connection.send(stream_head(got) + chunk(event(1)))
+        begun.set()
+        if connection.wait_for_close():
+            ended.set()
+
+    client = LeavingClient()
+    with receivers(ScriptedReceiver(answer)) as listed:
+        path = Path(listed, kind="stream", resumable=True)
+        serving = threading.Thread(target=lambda: read(path(client=client)))
+        serving.start()
+        assert begun.wait(PATIENCE_S)
+        client.theirs.close()
+        assert ended.wait(PATIENCE_S)
+        serving.join(PATIENCE_S)
+    assert path.path.figures.attempts == 1
+    client.ours.close()
+
+
+TURN = (("Program", "p"), ("Budget", "100"), ("X-Dewpin-Token-Usage", "5,40"))
+
+
+def test_a_turn_is_sent_with_its_chain_stored_and_settled():
+    store = MemoryStore()
+    store.turns["t-1"] = Turn("t-1", "p", None, b"first", b"answer\n", 60.0)
+    peer = ScriptedReceiver(stream(event(1, "a"), event(2, "b")))
+    with receivers(peer) as listed:
+        path = Path(listed, store, kind="stream", retained=True)
+        assert read(path(*TURN, ("Previous", "t-1"))) == (event(1, "a") + event(2, "b"), False)
+    (got,) = peer.requests
+    assert got.body == b"firstanswer\ninput"
+    assert got.headers["content-length"] == str(len(got.body))
+    assert got.headers["previous"] == "t-1"
+    assert store.turns["r-1"] == Turn("r-1", "p", "t-1", b"input", b"a\nb\n", 60.0)
+    assert store.settled == [("r-1", 20)]
+
+
+@pytest.mark.parametrize(
+    ("spent", "fails", "previous", "status"),
+    [
+        (70, [], None, 402),
+        (0, ["reserve"], None, 503),
+        (0, [], "t-9", 404),
+        (0, ["chain"], "t-9", 503),
+    ],
+)
+def test_a_turn_that_may_not_go_on_is_not_sent(spent, fails, previous, status):
+    store = MemoryStore(fails)
+    store.spent["p"] = spent
+    peer = ScriptedReceiver(stream(event(1)))
+    with receivers(peer) as listed:
+        fields = [*TURN, ("Previous", previous)] if previous else TURN
+        answer = Path(listed, store, kind="stream", retained=True)(*fields)
+    assert answer.status == status
+    assert (header(answer, "retry-after") is not None) == (status == 503)
+    assert peer.requests == []
+    assert store.spent["p"] == spent
+
+
+def test_a_turn_that_was_refused_everywhere_gives_its_budget_back():
+    store = MemoryStore()
+    with receivers(ScriptedReceiver(refusal())) as listed:
+        assert Path(listed, store, kind="stream", retained=True, target_ms=50)(*TURN).status == 503
+    assert store.settled == [("r-1", 0)]
+
+
+def test_a_turn_that_cannot_be_stored_breaks_off():
+    store = MemoryStore(["append"])
+    with receivers(ScriptedReceiver(stream(event(1)))) as listed:
+        assert read(Path(listed, store, kind="stream", retained=True)(*TURN)) == (event(1), True)
+    assert store.settled == [("r-1", 10)]
--- /dev/null
+++ b/tests/dataplane/test_streams.py
@@ -0,0 +1,189 @@
+"""Passing streams on: whole events only, picked up where the route allows it, ended only when whole."""
+
+import pytest
+from dataplane.peers import MemoryStore, configuration, event, request
+
+from dewpin.dataplane.messages import BodyBroken
+from dewpin.dataplane.outcome import Outcome
+from dewpin.dataplane.receiver_stream import StreamCut
+from dewpin.dataplane.streams import EventRelay
+from dewpin.dataplane.turns import OpenTurn, plan_turn
+
+
+class ScriptedSource:
+    """A receiver's body: parts, then the proper end or a cut."""
+
+    def __init__(self, *parts, cut=None):
+        self._parts = list(parts)
+        self._cut = cut
+        self.closed = False
+
+    def read_part(self):
+        if self._parts:
+            return self._parts.pop(0)
+        if self._cut is not None:
+            raise StreamCut(self._cut)
+        return b""
+
+    def close(self):
+        self.closed = True
+
+
+class Resumptions:
+    """Hands out the sources that go on, and notes what was asked."""
+
+    def __init__(self, *sources):
+        self._sources = list(sources)
+        self.asked = []
+
+    def __call__(self, last_id, cut):
+        self.asked.append((last_id, cut))
+        return self._sources.pop(0) if self._sources else None
+
+
+def relay(source, resume=None, turn=None):
+    closings = []
+    made = EventRelay(source, resume, turn, lambda: 1.0, closings.append)
+    made.closings = closings
+    made.read_first()
+    return made
+
+
+def passed_on(made):
+    """Return the parts that the client got and whether the body was broken off."""
+    parts = []
+    try:
+        for part in made:
+            parts.append(part)
+    except BodyBroken:
+        return parts, True
+    return parts, False
+
+
+def test_events_are_passed_on_part_by_part_as_they_come():
+    made = relay(ScriptedSource(event(1), event(2) + event(3)))
+    assert passed_on(made) == ([event(1), event(2) + event(3)], False)
+    assert made.closings == [True]
+
+
+def test_an_event_is_passed_on_once_it_is_whole():
+    whole = event(1) + event(2)
+    made = relay(ScriptedSource(whole[:5], whole[5:25], whole[25:]))
+    parts, broken = passed_on(made)
+    assert b"".join(parts) == whole
+    assert not broken
+    assert all(part.endswith(b"\n\n") for part in parts)
+
+
+def test_bytes_after_the_last_event_of_a_whole_body_are_passed_on():
+    assert passed_on(relay(ScriptedSource(event(1), b"data: rest"))) == ([event(1), b"data: rest"], False)
+
+
+def test_a_body_without_events_ends_whole():
+    assert passed_on(relay(ScriptedSource())) == ([], False)
+
+
+def test_a_cut_before_the_first_event_is_told_and_nothing_was_passed_on():
+    made = EventRelay(ScriptedSource(b"id: 1\nda", cut=Outcome.RESET), Resumptions(), None, lambda: 1.0, print)
+    with pytest.raises(StreamCut) as told:
+        made.read_first()
+    assert told.value.outcome is Outcome.RESET
+
+
+def test_a_cut_that_may_not_be_picked_up_breaks_the_body_off():
+    source = ScriptedSource(event(1), b"id: 2\ndata: ha", cut=Outcome.RESET)
+    made = relay(source)
+    assert passed_on(made) == ([event(1)], True)
+    assert made.closings == [False]
+
+
+def test_a_cut_stream_goes_on_from_the_last_whole_event():
+    resume = Resumptions(ScriptedSource(event(2), event(3)))
+    made = relay(ScriptedSource(event(1), b"id: 2\ndata: ha", cut=Outcome.RESET), resume)
+    assert passed_on(made) == ([event(1), event(2), event(3)], False)
+    assert resume.asked == [("1", Outcome.RESET)]
+    assert made.closings == [True]
+
+
+def test_a_stream_can_be_picked_up_more_than_once():
+    resume = Resumptions(ScriptedSource(cut=Outcome.CLOSED), ScriptedSource(event(2), cut=Outcome.RESET))
+    made = relay(ScriptedSource(event(1), cut=Outcome.CLOSED), resume)
+    assert passed_on(made) == ([event(1), event(2)], True)
+    assert [last for last, _ in resume.asked] == ["1", "1", "2"]
+
+
+def test_events_that_the_client_has_are_not_repeated():
+    resume = Resumptions(ScriptedSource(event(9) + event(10), event(11)))
+    made = relay(ScriptedSource(event(9), event(10), cut=Outcome.RESET), resume)
+    assert passed_on(made) == ([event(9), event(10), event(11)], False)
+
+
+def test_closing_early_closes_the_receiver_and_settles_once():
+    store = MemoryStore()
+    turn = open_turn(store)
+    source = ScriptedSource(event(1), event(2))
+    made = relay(source, turn=turn)
+    iterator = iter(made)
+    assert next(iterator) == event(1)
+    made.close()
+    made.close()
+    assert source.closed
+    assert store.settled == [("r-1", 10)]
+    assert made.closings == [False]
+    iterator.close()
+    assert store.settled == [("r-1", 10)]
+
+
+def test_a_relay_that_was_never_read_still_settles():
+    store = MemoryStore()
+    made = relay(ScriptedSource(event(1)), turn=open_turn(store))
+    made.close()
+    assert [turn for turn, _ in store.settled] == ["r-1"]
+
+
+def open_turn(store, *fields, **route):
+    given = configuration("stream", **{"retained": True, **route})
+    fields = fields or (("Budget", "100"), ("X-Dewpin-Token-Usage", "30,40"), ("Program", "p"))
+    asked = request(*fields)
+    plan = plan_turn(asked, given.routes[0], next(iter(given.services.values())))
+    turn = OpenTurn(store, plan, asked)
+    turn.open(1.0)
+    return turn
+
+
+def test_a_turn_is_stored_before_the_end_is_passed_on():
+    store = MemoryStore()
+    steps = []
+    store.on_append = lambda turn: steps.append("stored")
+    made = relay(ScriptedSource(event(1, "a"), event(2, "b")), turn=open_turn(store))
+    for part in made:
+        steps.append(part)
+    assert steps == [event(1, "a"), event(2, "b"), "stored"]
+    assert store.turns["r-1"].output == b"a\nb\n"
+    assert store.turns["r-1"].input == b"input"
+    assert store.settled == [("r-1", 20)]
+
+
+def test_a_turn_that_cannot_be_stored_does_not_end_whole():
+    store = MemoryStore(fails=["append"])
+    made = relay(ScriptedSource(event(1)), turn=open_turn(store))
+    assert passed_on(made) == ([event(1)], True)
+    assert store.settled == [("r-1", 10)]
+    assert made.closings == [False]
+
+
+def test_a_broken_turn_is_not_stored():
+    store = MemoryStore()
+    made = relay(ScriptedSource(event(1), cut=Outcome.RESET), turn=open_turn(store))
+    assert passed_on(made) == ([event(1)], True)
+    assert store.turns == {}
+    assert store.settled == [("r-1", 10)]
+
+
+def test_a_turn_that_was_picked_up_is_stored_with_every_event_once():
+    store = MemoryStore()
+    resume = Resumptions(ScriptedSource(event(1), event(2)))
+    made = relay(ScriptedSource(event(1), cut=Outcome.RESET), resume, open_turn(store))
+    assert passed_on(made) == ([event(1), event(2)], False)
+    assert store.turns["r-1"].output == b"t1\nt2\n"
+    assert store.settled == [("r-1", 20)]
--- /dev/null
+++ b/tests/dataplane/test_turns.py
@@ -0,0 +1,131 @@
+"""Turns: what is asked of the stores, what the receiver gets, and what is settled."""
+
+import pytest
+from dataplane.peers import MemoryStore, configuration, request
+
+from dewpin.cluster.errors import ErrorKind, TierError
+from dewpin.dataplane.events import parse_event
+from dewpin.dataplane.program_store import BudgetSpent, StoreUnavailable, Turn, TurnUnknown
+from dewpin.dataplane.turns import OpenTurn, plan_turn
+
+USAGE = ("X-Dewpin-Token-Usage", "1840,290")
+BUDGET = ("Budget", "2320")
+PROGRAM = ("Program", "3fa81c")
+
+
+def plan(*fields, kind="stream", **route):
+    given = configuration(kind, **route)
+    return plan_turn(request(*fields), given.routes[0], next(iter(given.services.values())))
+
+
+def opened(store, *fields, **route):
+    turn = OpenTurn(store, plan(*fields, **route), request(*fields))
+    turn.open(1.0)
+    return turn
+
+
+def test_a_plain_request_is_no_turn():
+    assert plan() is None
+    assert plan(BUDGET, USAGE, kind="idempotent") is None
+
+
+def test_a_turn_with_a_budget():
+    planned = plan(BUDGET, USAGE, PROGRAM)
+    assert (planned.program, planned.turn_id, planned.budget, planned.most) == ("3fa81c", "r-1", 2320, 290)
+    assert planned.tokens_per_event == 10
+    assert not planned.retained
+
+
+def test_a_turn_without_a_program_is_one_of_its_own():
+    assert plan(BUDGET, USAGE).program == "r-1"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        [("Budget", "many"), USAGE],
+        [("Budget", "-1"), USAGE],
+        [BUDGET],
+        [BUDGET, ("X-Dewpin-Token-Usage", "12")],
+        [BUDGET, ("X-Dewpin-Token-Usage", "12,x")],
+    ],
+)
+def test_a_malformed_turn_is_rejected(fields):
+    with pytest.raises(TierError) as told:
+        plan(*fields)
+    assert told.value.kind is ErrorKind.BAD_REQUEST
+
+
+def test_the_most_is_reserved_and_what_was_passed_on_is_settled():
+    store = MemoryStore()
+    turn = opened(store, BUDGET, USAGE, PROGRAM)
+    assert store.reserved == [("3fa81c", "r-1", 290, 2320)]
+    turn.count_event(parse_event(b"data: a\n\n"))
+    turn.count_event(parse_event(b"data: b\n\n"))
+    turn.settle()
+    turn.settle()
+    assert store.settled == [("r-1", 20)]
+
+
+def test_a_turn_that_was_never_run_settles_nothing_used():
+    store = MemoryStore()
+    opened(store, BUDGET, USAGE).settle()
+    assert store.settled == [("r-1", 0)]
+
+
+def test_a_spent_budget_is_told():
+    store = MemoryStore()
+    store.spent["3fa81c"] = 2100
+    with pytest.raises(BudgetSpent):
+        opened(store, BUDGET, USAGE, PROGRAM)
+    assert store.settled == []
+
+
+def test_a_turn_without_a_budget_reserves_nothing():
+    store = MemoryStore()
+    opened(store, PROGRAM, retained=True).settle()
+    assert store.reserved == store.settled == []
+
+
+def test_the_receiver_gets_the_whole_chain_and_then_the_new_input():
+    store = MemoryStore()
+    store.turns["t-1"] = Turn("t-1", "3fa81c", None, b"in one", b"out one\n", 60.0)
+    store.turns["t-2"] = Turn("t-2", "3fa81c", "t-1", b"in two", b"out two\n", 60.0)
+    turn = opened(store, PROGRAM, ("Previous", "t-2"), retained=True)
+    assert turn.body == b"in oneout one\nin twoout two\ninput"
+
+
+def test_a_first_turn_gets_its_input_alone():
+    assert opened(MemoryStore(), PROGRAM, retained=True).body == b"input"
+
+
+@pytest.mark.parametrize(("fails", "error"), [([], TurnUnknown), (["chain"], StoreUnavailable)])
+def test_a_chain_that_cannot_be_had_gives_the_reservation_back(fails, error):
+    store = MemoryStore(fails)
+    with pytest.raises(error):
+        opened(store, BUDGET, USAGE, PROGRAM, ("Previous", "t-9"), retained=True)
+    assert store.settled == [("r-1", 0)]
+
+
+def test_a_turn_is_kept_with_the_data_of_each_event_and_a_line_feed():
+    store = MemoryStore()
+    turn = opened(store, PROGRAM, retained=True, retain_s=45.0)
+    for raw in (b"id: 1\ndata: a\n\n", b"versions: 2\nid: 2\ndata: b c\n\n", b"id: 3\ndata: d\ndata: e\n\n"):
+        turn.count_event(parse_event(raw))
+    turn.keep(1.0)
+    assert store.turns["r-1"] == Turn("r-1", "3fa81c", None, b"input", b"a\nb c\nd\ne\n", 45.0)
+
+
+def test_a_turn_that_goes_on_names_the_one_before():
+    store = MemoryStore()
+    store.turns["t-1"] = Turn("t-1", "3fa81c", None, b"in", b"out\n", 60.0)
+    turn = opened(store, PROGRAM, ("Previous", "t-1"), retained=True)
+    turn.keep(1.0)
+    assert store.turns["r-1"].previous == "t-1"
+    assert store.turns["r-1"].input == b"input"
+
+
+def test_a_turn_of_a_route_that_does_not_retain_is_not_kept():
+    store = MemoryStore()
+    opened(store, BUDGET, USAGE).keep(1.0)
+    assert store.turns == {}
--- /dev/null
+++ b/tests/dataplane/test_upstream.py
@@ -0,0 +1,396 @@
+"""Calls to scripted receivers: what they get, how each end is classified, and which connections are used again."""
+
+import threading
+import time
+
+import pytest
+from dataplane.peers import (
+    END,
+    PATIENCE_S,
+    ScriptedReceiver,
+    chunk,
+    close,
+    event,
+    head,
+    receivers,
+    refusal,
+    request,
+    reset,
+    stream,
+    stream_head,
+    whole,
+)
+
+from dewpin.cluster.receivers import Receiver
+from dewpin.dataplane.figures import RequestFigures
+from dewpin.dataplane.outcome import Outcome
+from dewpin.dataplane.receiver_load import ServerLoad
+from dewpin.dataplane.receiver_stream import StreamCut
+from dewpin.dataplane.upstream import Call, Upstream
+
+
+class Clock:
+    """The steady clock, moved on by the test."""
+
+    def __init__(self):
+        self.ahead_s = 0.0
+
+    def __call__(self):
+        return time.monotonic() + self.ahead_s
+
+
+class Caller:
+    """Makes calls through one `Upstream`."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.figures = RequestFigures()
+        self.upstream = Upstream(self.clock, self.figures)
+
+    def __call__(self, receiver, *fields, repeatable=True, time_s=PATIENCE_S, **options):
+        kwargs = {key: options.pop(key) for key in ("method", "target", "body") if key in options}
+        asked = request(*fields, **kwargs)
+        return self.upstream.call(receiver, Call(asked, self.clock() + time_s, repeatable, **options))
+
+
+@pytest.fixture
+def call():
+    caller = Caller()
+    yield caller
+    caller.upstream.close()
+
+
+def test_a_request_arrives_unchanged_with_the_time_left_and_the_receiver_meant(call):
+    peer = ScriptedReceiver(whole())
+    with receivers(peer) as (receiver,):
+        result = call(
+            receiver,
+            ("X-Dewpin-Request-Deadline", "99999"),
+            ("X-Dewpin-Target-Instance", "other"),
+            ("Connection", "keep-alive, X-Hop"),
+            ("X-Hop", "1"),
+            ("Keep-Alive", "timeout=1"),
+            ("Transfer-Encoding", "chunked"),
+            ("Priority", "2"),
+            ("X-Many", "a"),
+            ("X-Many", "b"),
+            method="PATCH",
+            target="/a%2f../b//c;d?q=%7E&r=[x]",
+            body=b"\x00body",
+        )
+    assert result.outcome is Outcome.SUCCESS
+    (got,) = peer.requests
+    assert got.line == "PATCH /a%2f../b//c;d?q=%7E&r=[x] HTTP/1.1"
+    assert got.body == b"\x00body"
+    deadline = got.headers.pop("x-dewpin-request-deadline")
+    assert PATIENCE_S * 1000 - 1000 <= int(deadline) <= PATIENCE_S * 1000
+    assert got.headers == {
+        "host": "tier.example",
+        "x-dewpin-request-id": "r-1",
+        "content-length": "5",
+        "priority": "2",
+        "x-many": "a, b",
+        "x-dewpin-target-instance": "i-1",
+    }
+
+
+def test_a_request_without_a_body_gets_no_headers_added(call):
+    peer = ScriptedReceiver(whole())
+    with receivers(peer) as (receiver,):
+        asked = request(method="GET", body=b"")
+        bare = type(asked)(asked.method, asked.target, type(asked.headers)(asked.headers.fields[:2]), b"", 0.0)
+        call.upstream.call(receiver, Call(bare, call.clock() + PATIENCE_S, True))
+    assert set(peer.requests[0].headers) == {
+        "host",
+        "x-dewpin-request-id",
+        "x-dewpin-request-deadline",
+        "x-dewpin-target-instance",
+    }
+
+
+def test_the_answer_comes_back_whole(call):
+    with receivers(ScriptedReceiver(whole(b"x" * 100_000, "201 Created", "X-Thing: a", "X-Thing: b"))) as (receiver,):
+        result = call(receiver)
+    assert result.outcome is Outcome.SUCCESS
+    assert (result.answer.status, result.answer.reason) == (201, "Created")
+    assert result.answer.body == b"x" * 100_000
+    assert [value for name, value in result.answer.headers if name == "X-Thing"] == ["a", "b"]
+
+
+def test_a_body_in_chunks_comes_back_whole(call):
+    def answer(connection, got):
+        connection.send(head(got, "200 OK", "Transfer-Encoding: chunked") + b"\r\n" + chunk(b"ab") + chunk(b"c") + END)
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        assert call(receiver).answer.body == b"abc"
+
+
+def raw(data):
+    def answer(connection, got):
+        connection.send(data.replace(b"ID", got.id.encode()))
+        return True
+
+    return answer
+
+
+SIGNED = b"X-Dewpin-Request-Id: ID\r\nX-Dewpin-Response-Signature: s\r\n"
+
+
+@pytest.mark.parametrize(
+    ("script", "outcome"),
+    [
+        (refusal(), Outcome.NOT_EXECUTED),
+        (whole(b"", "429 Too Many Requests", "X-Dewpin-Not-Executed: 1", signed=False), Outcome.NOT_EXECUTED),
+        (whole(b"", "421 Misdirected Request", signed=False), Outcome.NOT_EXECUTED),
+        (whole(b"", "500 Internal Server Error"), Outcome.ERROR),
+        (whole(b"", "503 Service Unavailable"), Outcome.ERROR),
+        (whole(b"", "429 Too Many Requests"), Outcome.ERROR),
+        (whole(b"", signed=False), Outcome.ERROR),
+        (whole(b"", "404 Not Found"), Outcome.SUCCESS),
+        (whole(b"", "404 Not Found", signed=False), Outcome.ERROR),
+        (reset, Outcome.RESET),
+        (close, Outcome.CLOSED),
+        (raw(b"garbage that is no answer\r\n\r\n"), Outcome.MALFORMED),
+        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + SIGNED + b"\r\nshort"), Outcome.CLOSED),
+        (raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + SIGNED + b"\r\n5\r\nhe"), Outcome.CLOSED),
+        (raw(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + SIGNED + b"\r\nzz\r\nhe"), Outcome.MALFORMED),
+        (raw(b"HTTP/1.1 200 OK\r\n" + SIGNED + b"\r\nno length"), Outcome.MALFORMED),
+        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + SIGNED.replace(b"ID", b"x") + b"\r\n"), Outcome.MALFORMED),
+        (raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Dewpin-Response-Signature: s\r\n\r\n"), Outcome.MALFORMED),
+        (
+            raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Encoding: gzip\r\n" + SIGNED + b"\r\n"),
+            Outcome.MALFORMED,
+        ),
+        (raw(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Dewpin-Not-Executed: 1\r\n\r\n"), Outcome.NOT_EXECUTED),
+    ],
+)
+def test_how_the_end_of_a_call_is_classified(call, script, outcome):
+    with receivers(ScriptedReceiver(script)) as (receiver,):
+        assert call(receiver).outcome is outcome
+
+
+def test_a_refusal_without_an_id_proves_nothing_on_a_used_connection(call):
+    nameless = raw(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nX-Dewpin-Not-Executed: 1\r\n\r\n")
+    with receivers(ScriptedReceiver(whole(), nameless)) as (receiver,):
+        call(receiver)
+        assert call(receiver).outcome is Outcome.MALFORMED
+
+
+def test_silence_lasts_until_the_time_ends(call):
+    def stay_silent(connection, got):
+        connection.wait_for_close()
+
+    with receivers(ScriptedReceiver(stay_silent)) as (receiver,):
+        assert call(receiver, time_s=0.1).outcome is Outcome.TIMED_OUT
+
+
+def test_a_refused_connect_never_sent_anything(call):
+    peer = ScriptedReceiver(whole())
+    peer.close()
+    assert call(peer.receiver).outcome is Outcome.NEVER_SENT
+    assert call.figures.connects == 1
+
+
+def test_what_a_receiver_tells_of_itself_is_returned(call):
+    fields = ("X-Dewpin-Server-Load: 3,1,8", "Retry-After: 0.25")
+    with receivers(ScriptedReceiver(refusal(*fields))) as (receiver,):
+        result = call(receiver)
+    assert result.load == ServerLoad(3, 1, 8)
+    assert result.told_wait_s == 0.25
+
+
+def test_a_connection_is_used_again(call):
+    peer = ScriptedReceiver(whole())
+    with receivers(peer) as (receiver,):
+        for _ in range(3):
+            assert call(receiver).outcome is Outcome.SUCCESS
+    assert (peer.connections, call.figures.connects) == (1, 1)
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        whole(b"", "200 OK", "Connection: close"),
+        whole(b"", "200 OK", "Keep-Alive: timeout=0"),
+        raw(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Dewpin-Request-Id: x\r\n\r\n"),
+    ],
+)
+def test_a_connection_that_was_ended_or_mixed_up_is_not_used_again(call, first):
+    peer = ScriptedReceiver(first, whole())
+    with receivers(peer) as (receiver,):
+        call(receiver)
+        assert call(receiver).outcome is Outcome.SUCCESS
+    assert peer.connections == 2
+
+
+def test_a_connection_on_which_bytes_wait_is_not_used_again(call):
+    sent = threading.Event()
+
+    def answer_and_go_on(connection, got):
+        whole(b"done")(connection, got)
+        assert read.wait(PATIENCE_S)
+        connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        sent.set()
+
+    read = threading.Event()
+    peer = ScriptedReceiver(answer_and_go_on, whole())
+    with receivers(peer) as (receiver,):
+        call(receiver)
+        read.set()
+        assert sent.wait(PATIENCE_S)
+        assert call(receiver).outcome is Outcome.SUCCESS
+    assert peer.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("fields", "repeatable", "idle_s", "used_again"),
+    [
+        (["Keep-Alive: timeout=5"], True, 4.0, True),
+        (["Keep-Alive: timeout=5"], True, 4.8, False),
+        (["Keep-Alive: timeout=5, max=100"], False, 2.0, True),
+        (["Keep-Alive: timeout=5"], False, 2.5, False),
+        ([], True, 0.4, True),
+        ([], True, 0.6, False),
+        ([], False, 0.1, True),
+        ([], False, 0.3, False),
+    ],
+)
+def test_how_long_a_connection_may_be_idle(call, fields, repeatable, idle_s, used_again):
+    peer = ScriptedReceiver(whole(b"", "200 OK", *fields))
+    with receivers(peer) as (receiver,):
+        call(receiver)
+        call.clock.ahead_s += idle_s
+        call(receiver, repeatable=repeatable)
+    assert peer.connections == (1 if used_again else 2)
+
+
+def test_connections_to_receivers_that_left_are_closed(call):
+    gone = threading.Event()
+
+    def answer_and_watch(connection, got):
+        whole()(connection, got)
+        if connection.wait_for_close():
+            gone.set()
+
+    with receivers(ScriptedReceiver(answer_and_watch)) as (receiver,):
+        call(receiver)
+        call.upstream.retain_only([receiver])
+        assert not gone.is_set()
+        call.upstream.retain_only([])
+        assert gone.wait(PATIENCE_S)
+
+
+def test_an_address_that_is_used_by_another_receiver_gets_connections_of_its_own(call):
+    peer = ScriptedReceiver(whole())
+    with receivers(peer) as (receiver,):
+        call(receiver)
+        other = Receiver("i-2", *[getattr(receiver, name) for name in receiver.__slots__[1:]])
+        call(other)
+    assert peer.connections == 2
+    assert peer.requests[1].headers["x-dewpin-target-instance"] == "i-2"
+
+
+def test_a_stream_comes_part_by_part_and_its_connection_is_used_again(call):
+    first_read = threading.Event()
+
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)))
+        assert first_read.wait(PATIENCE_S)
+        connection.send(chunk(event(2)) + END)
+
+    peer = ScriptedReceiver(answer, whole())
+    with receivers(peer) as (receiver,):
+        result = call(receiver, streaming=True)
+        assert result.stream.read_part() == event(1)
+        first_read.set()
+        assert result.stream.read_part() == event(2)
+        assert result.stream.read_part() == b""
+        result.stream.close()
+        assert call(receiver).outcome is Outcome.SUCCESS
+    assert peer.connections == 1
+
+
+def test_parts_that_came_together_are_read_without_waiting(call):
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)) + chunk(event(2)))
+        connection.wait_for_close()
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        assert [result.stream.read_part(), result.stream.read_part()] == [event(1), event(2)]
+        result.stream.close()
+
+
+@pytest.mark.parametrize(("ending", "outcome"), [(reset, Outcome.RESET), (close, Outcome.CLOSED)])
+def test_a_stream_that_breaks_is_cut(call, ending, outcome):
+    read = threading.Event()
+
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)))
+        assert read.wait(PATIENCE_S)
+        return ending(connection, got)
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        assert result.stream.read_part() == event(1)
+        read.set()
+        with pytest.raises(StreamCut) as told:
+            result.stream.read_part()
+    assert told.value.outcome is outcome
+
+
+def test_a_stream_with_a_length_is_whole_at_that_length_only(call):
+    body = event(1) + event(2)
+
+    def answer(connection, got):
+        connection.send(head(got, "200 OK", f"Content-Length: {len(body)}") + b"\r\n" + body)
+
+    def answer_short(connection, got):
+        connection.send(head(got, "200 OK", f"Content-Length: {len(body)}") + b"\r\n" + event(1))
+        return True
+
+    def read_all(result):
+        parts = b""
+        while part := result.stream.read_part():
+            parts += part
+        return parts
+
+    with receivers(ScriptedReceiver(answer, answer_short)) as (receiver,):
+        assert read_all(call(receiver, streaming=True)) == body
+        with pytest.raises(StreamCut):
+            read_all(call(receiver, streaming=True))
+
+
+def test_closing_a_stream_closes_the_connection(call):
+    gone = threading.Event()
+
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)))
+        if connection.wait_for_close():
+            gone.set()
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        result.stream.read_part()
+        result.stream.close()
+        assert gone.wait(PATIENCE_S)
+
+
+def test_a_stream_is_cut_when_its_time_ends(call):
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)))
+        connection.wait_for_close()
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        result.stream.read_part()
+        call.clock.ahead_s += PATIENCE_S
+        with pytest.raises(StreamCut) as told:
+            result.stream.read_part()
+    assert told.value.outcome is Outcome.TIMED_OUT
+
+
+def test_an_error_on_a_stream_route_is_an_answer_with_a_whole_body(call):
+    with receivers(ScriptedReceiver(whole(b"no", "500 Internal Server Error"), stream(event(1)))) as (receiver,):
+        result = call(receiver, streaming=True)
+        assert (result.outcome, result.stream, result.answer.body) == (Outcome.ERROR, None, b"no")
