--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -1,5 +1,6 @@
 """Requests from the ingress to scripted receivers and back, under the rules of their routes."""
 
+import json
 import random
 import socket
 import threading
@@ -26,6 +27,7 @@
     whole,
 )
 
+from dewpin.cluster.configuration import parse_configuration
 from dewpin.dataplane.cluster_state import ClusterState
 from dewpin.dataplane.messages import BodyBroken
 from dewpin.dataplane.program_store import Turn
@@ -247,10 +249,10 @@
 
 
 def test_requests_of_a_service_without_room_are_refused_early():
-    begun, go_on = threading.Event(), threading.Event()
+    begun, go_on = threading.Semaphore(0), threading.Event()
 
     def hold(connection, got):
-        begun.set()
+        begun.release()
         assert go_on.wait(PATIENCE_S)
         whole()(connection, got)
 
@@ -259,9 +261,8 @@
         threads = [threading.Thread(target=path) for _ in range(2)]
         for thread in threads:
             thread.start()
-        assert begun.wait(PATIENCE_S)
-        while path.path.figures.attempts < 2:
-            assert begun.wait(PATIENCE_S)
+        for _ in threads:
+            assert begun.acquire(timeout=PATIENCE_S)
         answer = path()
         assert answer.status == 503
         assert float(header(answer, "retry-after")) > 0
@@ -275,10 +276,6 @@
     given = configuration(kind="stream", sticky=True)
     body = {**given.raw, "services": [{"name": name} for name in "abc"]}
     body["routes"] = [{**body["routes"][0], "split": shares, "backend": None}]
-    import json
-
-    from dewpin.cluster.configuration import parse_configuration
-
     path = Path([])
     path.state.configuration = parse_configuration(json.dumps(body).encode())
     route = path.state.configuration.routes[0]
