Data plane: bound connects and store calls by the time left, and count streams that were served

Cause: reading the path again. A stream never reset its receiver's refusals, a connect could use up most of a short deadline, an old client could take a broken stream for whole, and a connection at rest took a receive for nothing.

--- a/dewpin/dataplane/balancing.py
+++ b/dewpin/dataplane/balancing.py
@@ -42,6 +42,10 @@
         """Take in that the receiver could not be reached, or that another one has its address."""
         self._balancer.block_failed(self.receiver)
 
+    def has_begun(self) -> None:
+        """Take in that the receiver has begun to answer."""
+        self._balancer.count_begun(self.receiver)
+
     def was_served(self, call_time_s: float) -> None:
         """Take in that the receiver served a call in so many seconds."""
         self._balancer.count_served(self.receiver, call_time_s)
@@ -96,6 +100,11 @@
         with self._lock:
             self._book.load(receiver.id).block_failed(self._clock(), self._book.draw_jitter())
 
+    def count_begun(self, receiver: Receiver) -> None:
+        """Take in that a receiver serves calls again, if it ever did not."""
+        with self._lock:
+            self._book.load(receiver.id).count_begun()
+
     def count_served(self, receiver: Receiver, call_time_s: float) -> None:
         """Take in how long a served call took."""
         with self._lock:
--- a/dewpin/dataplane/connection.py
+++ b/dewpin/dataplane/connection.py
@@ -2,11 +2,13 @@
 
 import select
 import socket
+import struct
 from collections.abc import Callable
 
 RECEIVE_SIZE = 65536
 LINGER_S = 1.0
 MOST_LINGER_BYTES = 4 * 1024 * 1024
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class PeerClosed(ConnectionError):
@@ -49,8 +51,6 @@
         """Wait for the first byte of a request; False if none comes in `rest_s()`, or once the wake-up has come."""
         since = self._clock()
         while not self._buffer:
-            if self._receive():
-                continue
             left_s = since + rest_s() - self._clock()
             if self._has_ended or left_s <= 0:
                 return False
@@ -58,7 +58,9 @@
             poller.register(self._socket, select.POLLIN)
             poller.register(self._wake, select.POLLIN)
             ready = {descriptor for descriptor, _ in poller.poll(left_s * 1000 + 1)}
-            if self._wake in ready and self._socket.fileno() not in ready:
+            if self._socket.fileno() in ready:
+                self._receive()
+            elif self._wake in ready:
                 return False
         return True
 
@@ -107,6 +109,11 @@
         """Close at once."""
         self._socket.close()
 
+    def reset(self) -> None:
+        """Close so that the client cannot take what it got for whole."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self._socket.close()
+
     def close_lingering(self) -> None:
         """Close so that the client can read what was sent: end the sending, then read on for a while."""
         deadline = self._clock() + LINGER_S
--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/course.py
@@ -9,7 +9,7 @@
 
 from .balancing import Balancer, NoPlace, Place
 from .figures import RequestFigures
-from .messages import CONNECTION_HEADERS, Answer, HeaderField, Request, own_answer
+from .messages import Answer, HeaderField, Headers, Request, own_answer
 from .outcome import Outcome
 from .places import PlaceRequest
 from .receiver_stream import StreamCut
@@ -20,7 +20,7 @@
 
 HOLD_SHARE_OF_AIM = 0.2
 """A request waits for a place for this share of its latency objective at most."""
-CONTENT_LENGTH = "content-length"
+LENGTH_HEADERS = frozenset({"content-length"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +67,7 @@
         self._stage = RetryStage(policy, routed.deadline, tools.randomness)
         self._answer: ReceiverAnswer | None = None
         self._stream_place: Place | None = None
+        self._stream_began = 0.0
         self._resume_headers: tuple[HeaderField, ...] = ()
 
     def run(self) -> Answer:
@@ -125,6 +126,7 @@
             if not kept:
                 place.release()
         if kept:
+            place.has_begun()
             self._stream_place = place
         return result
 
@@ -153,7 +155,7 @@
             replaced_headers=self._resume_headers,
         )
         self._tools.figures.attempts += 1
-        started = self._tools.clock()
+        started = self._stream_began = self._tools.clock()
         result = self._tools.upstream.call(place.receiver, call)
         now = self._tools.clock()
         if result.load is not None:
@@ -191,6 +193,8 @@
         return self._routed.deadline - self._tools.clock()
 
     def _on_close(self, whole: bool) -> None:
+        if whole and self._stream_place is not None:
+            self._stream_place.was_served(self._tools.clock() - self._stream_began)
         self._release_stream_place()
         if not whole:
             self._tools.figures.broken_streams += 1
@@ -220,7 +224,5 @@
 
 def client_answer(answer: ReceiverAnswer, body: bytes | EventRelay) -> Answer:
     """Return a receiver's answer as it goes to the client."""
-    headers = [field for field in answer.headers if field[0].lower() not in CONNECTION_HEADERS]
-    if not isinstance(body, bytes):
-        headers = [field for field in headers if field[0].lower() != CONTENT_LENGTH]
-    return Answer(answer.status, headers, body, answer.reason)
+    left_out = frozenset() if isinstance(body, bytes) else LENGTH_HEADERS
+    return Answer(answer.status, Headers(answer.headers).end_to_end(left_out), body, answer.reason)
--- a/dewpin/dataplane/http_parsing.py
+++ b/dewpin/dataplane/http_parsing.py
@@ -30,8 +30,7 @@
     @property
     def wants_close(self) -> bool:
         """Tell whether the client wants the connection closed after the answer."""
-        tokens = self.headers.tokens("connection")
-        return "close" in tokens or (self.is_http_1_0 and "keep-alive" not in tokens)
+        return self.is_http_1_0 or "close" in self.headers.tokens("connection")
 
     @property
     def expects_continue(self) -> bool:
--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -36,7 +36,7 @@
 IDLE_MARGIN = 1.1
 """A connection at rest is kept a little longer than the operator's limit says."""
 WRITE_TIMEOUT_S = 10.0
-BODY_PROGRESS_S = 10.0
+BODY_TIMEOUT_S = 10.0
 CHUNK_LINE_BYTES = 256
 NO_BODY_STATUSES = frozenset({204, 304})
 MOST_CONNECTIONS = 3000
@@ -284,13 +284,13 @@
         if head.expects_continue:
             self._connection.send_all(b"HTTP/1.1 100 Continue\r\n\r\n", self._clock() + WRITE_TIMEOUT_S)
         if head.content_length is not None:
-            return self._connection.read_exactly(head.content_length, self._clock() + BODY_PROGRESS_S)
+            return self._connection.read_exactly(head.content_length, self._clock() + BODY_TIMEOUT_S)
         return self._read_chunks(limits)
 
     def _read_chunks(self, limits: Limits) -> bytes:
         body = bytearray()
         while True:
-            deadline = self._clock() + BODY_PROGRESS_S
+            deadline = self._clock() + BODY_TIMEOUT_S
             size = parse_chunk_size(self._connection.read_until(b"\r\n", CHUNK_LINE_BYTES, deadline))
             if size == 0:
                 break
@@ -299,7 +299,7 @@
             body += self._connection.read_exactly(size, deadline)
             if self._connection.read_exactly(2, deadline) != b"\r\n":
                 raise MalformedRequest("a chunk does not end where it should")
-        while self._connection.read_until(b"\r\n", limits.max_header_bytes, self._clock() + BODY_PROGRESS_S):
+        while self._connection.read_until(b"\r\n", limits.max_header_bytes, self._clock() + BODY_TIMEOUT_S):
             pass
         return bytes(body)
 
@@ -328,10 +328,15 @@
         chunked = not head.is_http_1_0
         closing = closing or not chunked
         data = render_head(answer, closing, [("Transfer-Encoding", "chunked")] if chunked else [])
-        for part in body:
-            data += render_chunk(part) if chunked else part
-            self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
-            data = b""
+        try:
+            for part in body:
+                data += render_chunk(part) if chunked else part
+                self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
+                data = b""
+        except BodyBroken:
+            if not chunked:
+                self._connection.reset()
+            raise
         if chunked:
             data += b"0\r\n\r\n"
         self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
--- a/dewpin/dataplane/receiver_load.py
+++ b/dewpin/dataplane/receiver_load.py
@@ -57,10 +57,14 @@
         self.others_calls = max(0.0, float(load.running + load.waiting - self.own_calls))
         self.heard_at = now
 
-    def count_served(self, call_time_s: float) -> None:
-        """Take in how long a served call took."""
+    def count_begun(self) -> None:
+        """Take in that the receiver has begun to answer a call."""
         self.refusals = 0
         self.failures = 0
+
+    def count_served(self, call_time_s: float) -> None:
+        """Take in how long a served call took."""
+        self.count_begun()
         self.call_time_s += CALL_TIME_WEIGHT * (call_time_s - self.call_time_s)
 
     def block_full(self, now: float, capacity: int, told_wait_s: float | None, jitter: float) -> None:
--- a/dewpin/dataplane/turns.py
+++ b/dewpin/dataplane/turns.py
@@ -19,6 +19,10 @@
 PREVIOUS = "previous"
 BUDGET = "budget"
 
+OPEN_TIMEOUT_S = 1.0
+"""How long the stores may take before a turn is sent; a refusal serves the client better than a longer wait."""
+LEAST_KEEP_TIMEOUT_S = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class TurnPlan:
@@ -67,6 +71,7 @@
     def open(self, timeout_s: float) -> None:
         """Reserve the budget and fetch the chain; raises BudgetSpent, TurnUnknown or StoreUnavailable."""
         plan = self._plan
+        timeout_s = min(timeout_s, OPEN_TIMEOUT_S)
         if plan.budget is not None:
             self._reservation = self._store.reserve(plan.program, plan.turn_id, plan.most, plan.budget, timeout_s)
         if plan.retained and plan.previous is not None:
@@ -89,7 +94,7 @@
             return
         output = b"".join(data + b"\n" for data in self._output)
         turn = Turn(plan.turn_id, plan.program, plan.previous, self._request.body, output, plan.retain_s)
-        self._store.append(turn, timeout_s)
+        self._store.append(turn, max(LEAST_KEEP_TIMEOUT_S, timeout_s))
 
     def settle(self) -> None:
         """Tell the store how many tokens were handed to the client; only the first call counts."""
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -40,6 +40,8 @@
     wait_for_receiver,
 )
 
+CONNECT_SHARE_OF_TIME_LEFT = 0.25
+"""A connect may take this share of the request's time, so that another receiver can be tried."""
 TIMER_SLACK_S = 0.01
 """A time-out this far before the deadline is not the deadline's, but the network's."""
 
@@ -102,8 +104,9 @@
         is_new = connection is None
         if connection is None:
             self._figures.connects += 1
+            connect_s = CONNECT_SHARE_OF_TIME_LEFT * (call.deadline - self._clock())
             try:
-                connection = connections.connect(max(LEAST_TIMEOUT_S, call.deadline - self._clock()))
+                connection = connections.connect(max(LEAST_TIMEOUT_S, connect_s))
             except TRANSPORT_ERRORS:
                 return CallResult(Outcome.NEVER_SENT)
         try:
