Register: refusals of chosen states only, proposals in turn, nothing unfinished for ever

Causes: an order could be refused because of a value that one member held and that was never chosen; eight orders at one keeper overtook each other's ballots; a read that wrote the chosen value anew under a greater ballot left the other members taking it for unfinished, with a read every quarter second at each. A refusal is now kept back while the ballot reads, which finishes the value it was given for; proposals of one process take turns; unfinished is judged by the version. A failed write answers with a named error. Ruled out: confirming every such value inside Proposal, which the budget ledgers share and would pay for.

--- a/dewpin/controlplane/leases.py
+++ b/dewpin/controlplane/leases.py
@@ -7,6 +7,8 @@
 
 RELAY_FAN_OUT = 4
 LEASE_PERIODS = 8
+LEASE_ROUNDS = 3
+"""A lease lasts for this many rounds of its sender through all processes that grant it, and LEASE_PERIODS at least."""
 
 
 @dataclass(frozen=True)
@@ -20,15 +22,19 @@
 
 
 class LeaseTable:
-    """The leases that this process has granted."""
+    """The leases that this process has granted. `period_s`: of a sender's renewals, which go to all in turn."""
 
-    def __init__(self, duration_s: float) -> None:
-        self.duration_s = duration_s
+    def __init__(self, period_s: float) -> None:
+        self._period_s = period_s
         self._leases: dict[str, Lease] = {}
 
-    def renew(self, sender: str, address: str, zone: str, now_s: float) -> Lease:
+    def duration_s(self, grantors: int) -> float:
+        """For how long a lease is granted where so many processes grant it."""
+        return self._period_s * max(LEASE_PERIODS, LEASE_ROUNDS * grantors)
+
+    def renew(self, sender: str, address: str, zone: str, now_s: float, grantors: int = 1) -> Lease:
         """Grants or renews a sender's lease."""
-        lease = Lease(sender, address, zone, now_s + self.duration_s)
+        lease = Lease(sender, address, zone, now_s + self.duration_s(grantors))
         self._leases[sender] = lease
         return lease
 
--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -14,7 +14,8 @@
 from dewpin.consensus.proposal import Request
 from dewpin.consensus.replica import ZERO_BALLOT
 
-from .system_state import Change, SystemState, quorum_sets
+from .storage import StorageFailed
+from .system_state import Change, ChangeRefused, SystemState, quorum_sets
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +51,7 @@
         self._rng = rng
         self._replica = Replica()
         self._counter = 0
+        self._proposing = asyncio.Lock()
         self._addresses: dict[str, str] = {}
 
     async def load(self) -> None:
@@ -72,8 +74,10 @@
 
     @property
     def has_unfinished_value(self) -> bool:
-        """Whether the replica accepted something that is not known to be chosen."""
-        return self._replica.value is not None and self._replica.accepted > self.chosen_ballot
+        """Whether the replica accepted a version above the newest that is known to be chosen."""
+        if self._replica.value is None:
+            return False
+        return self.chosen is None or bool(self._replica.value["version"] > self.chosen["version"])
 
     async def begin(self, state: SystemState) -> None:
         """Takes the first state, the same at all first members, as chosen."""
@@ -110,12 +114,18 @@
 
     async def propose(self, change: Change, timeout_s: float) -> SystemState:
         """Makes `change`, in as many ballots as it takes. RegisterUnavailable when the time is over; what the change
-        raises goes to the caller."""
+        raises goes to the caller, a ChangeRefused only for a state that is chosen.
+
+        The proposals of one process take turns: side by side they would overtake each other's ballots."""
         try:
-            return await asyncio.wait_for(self._propose(change), timeout_s)
+            return await asyncio.wait_for(self._propose_in_turn(change), timeout_s)
         except TimeoutError:
             raise RegisterUnavailable("no majority in time") from None
 
+    async def _propose_in_turn(self, change: Change) -> SystemState:
+        async with self._proposing:
+            return await self._propose(change)
+
     async def _propose(self, change: Change) -> SystemState:
         backoff_s = BACKOFF_FIRST_S
         while True:
@@ -130,8 +140,9 @@
         if initial is None:
             raise RegisterUnavailable("no state is known yet")
         self._counter = max(self._counter, self._replica.promised.counter) + 1
+        attempt = _Attempt(change)
         proposal = Proposal(
-            Ballot(self._counter, self.member), initial, quorum_sets, change, self._initial_ballot(initial)
+            Ballot(self._counter, self.member), initial, quorum_sets, attempt.make, self._initial_ballot(initial)
         )
         await self._drive(proposal)
         result = proposal.result
@@ -141,7 +152,12 @@
         if result.outcome is Outcome.CONFLICT:
             return None
         self.observe(result.ballot, result.value)
-        return None if result.outcome is Outcome.CONFIRMED else result.value
+        if result.outcome is Outcome.CONFIRMED:
+            return None
+        if attempt.refusal is not None:
+            raise attempt.refusal
+        state: SystemState = result.value
+        return state
 
     def _initial_ballot(self, initial: SystemState) -> Ballot:
         return self.chosen_ballot if initial is self.chosen else self._replica.accepted
@@ -201,9 +217,28 @@
     async def _persist(self) -> None:
         replica = self._replica
         row = (REGISTER_KEY, json.dumps(replica.promised), json.dumps(replica.accepted), json.dumps(replica.value))
-        await self._storage.write(
-            [("INSERT OR REPLACE INTO register_replica(key, promised, accepted_ballot, value) VALUES (?,?,?,?)", row)]
-        )
+        statement = "INSERT OR REPLACE INTO register_replica(key, promised, accepted_ballot, value) VALUES (?,?,?,?)"
+        try:
+            await self._storage.write([(statement, row)])
+        except StorageFailed as fault:
+            raise RpcError("storage_failed", str(fault)) from fault
+
+
+class _Attempt:
+    """A change under one ballot. A refusal is kept back while the ballot reads: the state that it was given for may be
+    one that was never chosen, and the caller is to hear only of chosen ones."""
+
+    def __init__(self, change: Change) -> None:
+        self.refusal: ChangeRefused | None = None
+        self._change = change
+
+    def make(self, state: SystemState) -> SystemState:
+        """The changed state, or the same one where the change is refused."""
+        try:
+            return self._change(state)
+        except ChangeRefused as refusal:
+            self.refusal = refusal
+            return state
 
 
 def encode_request(request: Request) -> Message:
--- /dev/null
+++ b/tests/control_world.py
@@ -0,0 +1,146 @@
+"""Control plane processes in one process of tests: links that are cut, disks in memory, a clock that jumps."""
+
+import asyncio
+import contextlib
+import json
+import random
+
+from store_world import MemoryDisk
+
+from dewpin.cluster.rpc import RpcError, error_message
+from dewpin.controlplane.register import SystemRegister
+from dewpin.controlplane.storage import StorageFailed
+from dewpin.controlplane.system_state import genesis
+
+LATENCY_S = 0.002
+FOREVER_S = 1e6
+
+
+class Disk(MemoryDisk):
+    """Rows of one machine. `fails`: writes raise; `stalls`: nothing returns; `delay_s`: how long each call takes."""
+
+    def __init__(self, incarnation="one"):
+        super().__init__()
+        self.incarnation = incarnation
+        self.fails = False
+        self.stalls = False
+        self.delay_s = 0.0
+        self.writes = 0
+
+    async def write(self, statements):
+        await self._wait()
+        if self.fails:
+            raise StorageFailed("database or disk is full")
+        self.writes += 1
+        self.connection.execute("BEGIN")
+        for sql, values in statements:
+            self.connection.execute(sql, values)
+        self.connection.execute("COMMIT")
+
+    async def query(self, sql, arguments=()):
+        await self._wait()
+        return self.connection.execute(sql, arguments).fetchall()
+
+    async def _wait(self):
+        await asyncio.sleep(FOREVER_S if self.stalls else self.delay_s)
+
+
+class Network:
+    """Carries calls between addresses."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.down = set()
+        self.cuts = set()
+        self.calls = []
+        self.on_call = lambda source, target, message: None
+
+    def cut(self, *addresses):
+        """Cuts these off from all others."""
+        for one in addresses:
+            self.cuts |= {frozenset((one, other)) for other in self.handlers if other not in addresses}
+
+    def join(self):
+        self.cuts.clear()
+
+    def client(self, source):
+        return Client(self, source)
+
+    def reaches(self, source, target):
+        return not {source, target} & self.down and frozenset((source, target)) not in self.cuts
+
+
+class Client:
+    def __init__(self, network, source):
+        self.network = network
+        self.source = source
+
+    async def call(self, address, message, timeout_s):
+        message = json.loads(json.dumps(message))
+        self.network.calls.append((self.source, address, message["type"]))
+        self.network.on_call(self.source, address, message)
+        try:
+            return json.loads(json.dumps(await asyncio.wait_for(self._call(address, message), timeout_s)))
+        except TimeoutError:
+            raise RpcError("timeout", address) from None
+
+    async def _call(self, address, message):
+        await self._travel(address)
+        handler = self.network.handlers.get(address, {}).get(message["type"])
+        if handler is None:
+            raise RpcError("connect", address)
+        try:
+            answer = await handler(message)
+        except RpcError as fault:
+            answer = error_message(fault.kind, fault.detail)
+        await self._travel(address)
+        if answer.get("type") == "error":
+            raise RpcError(answer["kind"], answer["detail"], answer)
+        return answer
+
+    async def _travel(self, address):
+        await asyncio.sleep(LATENCY_S)
+        if not self.network.reaches(self.source, address):
+            await asyncio.sleep(FOREVER_S)
+
+
+class Registers:
+    """Several members of the register, named by single letters that are their addresses as well."""
+
+    def __init__(self, names="abc", members="abc"):
+        self.network = Network()
+        self.disks = {name: Disk() for name in names}
+        self.genesis = genesis({name: name for name in members}, {name: f"machine-{name}" for name in members})
+        self.members = {}
+        for name in names:
+            self.members[name] = self._member(name)
+
+    def _member(self, name):
+        register = SystemRegister(name, name, self.disks[name], self.network.client(name), random.Random(name))
+        self.network.handlers[name] = {
+            "register.prepare": register.handle_prepare,
+            "register.accept": register.handle_accept,
+        }
+        return register
+
+    async def begin(self):
+        for name in self.genesis["members"]:
+            await self.members[name].begin(self.genesis)
+
+    async def restart(self, name, wiped=False):
+        """Starts a member's process anew, from its disk or (under another id) from an empty one."""
+        if wiped:
+            self.disks[name] = Disk()
+        self.members[name] = self._member(name)
+        await self.members[name].load()
+        return self.members[name]
+
+
+@contextlib.contextmanager
+def raises_nothing_left(tasks):
+    """Cancels what a scene left running."""
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
--- /dev/null
+++ b/tests/controlplane/test_leases.py
@@ -0,0 +1,66 @@
+"""Leases of senders, and the relay tree that is drawn from them."""
+
+import pytest
+
+from dewpin.controlplane.leases import LEASE_PERIODS, LEASE_ROUNDS, RELAY_FAN_OUT, LeaseTable
+
+PERIOD_S = 0.4
+
+
+def table_of(count, now_s=0.0):
+    table = LeaseTable(PERIOD_S)
+    for number in range(count):
+        table.renew(f"sender-{number}", f"10.0.0.{number}:1", "east", now_s)
+    return table
+
+
+def test_a_lease_ends_where_it_is_not_renewed():
+    table = table_of(2)
+    end_s = PERIOD_S * LEASE_PERIODS
+    table.renew("sender-0", "10.0.0.0:1", "east", end_s / 2)
+    assert [lease.sender for lease in table.live(end_s)] == ["sender-0"]
+    assert table.live(1.5 * end_s) == []
+
+
+def test_a_lease_outlasts_the_rounds_of_its_sender_through_many_grantors():
+    grantors = 3 * LEASE_PERIODS
+    table = LeaseTable(PERIOD_S)
+    table.renew("sender-0", "10.0.0.0:1", "east", 0.0, grantors)
+    assert table.live((LEASE_ROUNDS - 0.5) * grantors * PERIOD_S)
+
+
+def test_a_lease_that_is_released_is_gone():
+    table = table_of(2)
+    table.release("sender-1")
+    table.release("unknown")
+    assert [lease.sender for lease in table.live(0.0)] == ["sender-0"]
+
+
+@pytest.mark.parametrize("count", [1, 2, 4, 5, 20, 21, 85, 200])
+def test_the_relay_tree_has_no_cycles_and_no_parent_has_too_many_children(count):
+    table = table_of(count)
+    address = {f"sender-{number}": f"10.0.0.{number}:1" for number in range(count)}
+    children, tops = {}, 0
+    for sender, own in address.items():
+        above = table.parents(sender, 0.0)
+        assert own not in above and len(above) == len(set(above))
+        if not above:
+            tops += 1
+            continue
+        children.setdefault(above[0], set()).add(own)
+        parent = next(name for name, there in address.items() if there == above[0])
+        assert table.parents(parent, 0.0) == above[1:]
+    assert tops == min(count, RELAY_FAN_OUT)
+    assert all(len(below) <= RELAY_FAN_OUT for below in children.values())
+
+
+def test_the_tree_is_the_same_whatever_the_order_of_the_renewals():
+    forward, backward = table_of(30), LeaseTable(PERIOD_S)
+    for number in reversed(range(30)):
+        backward.renew(f"sender-{number}", f"10.0.0.{number}:1", "east", 0.0)
+    senders = [f"sender-{number}" for number in range(30)]
+    assert [forward.parents(one, 0.0) for one in senders] == [backward.parents(one, 0.0) for one in senders]
+
+
+def test_a_sender_without_a_lease_has_no_parents():
+    assert table_of(30).parents("unknown", 0.0) == []
--- /dev/null
+++ b/tests/controlplane/test_register_driver.py
@@ -0,0 +1,321 @@
+"""The register's driver over an in-memory network: crashes, races, restarts, disks that fail. The clock jumps."""
+
+import asyncio
+
+import pytest
+from control_world import Registers
+from store_world import run
+
+from dewpin.cluster.rpc import RpcError
+from dewpin.consensus.replica import ZERO_BALLOT
+from dewpin.controlplane.register import RegisterUnavailable
+from dewpin.controlplane.system_state import (
+    AnotherVersionIsCurrent,
+    put_configuration,
+    set_members,
+    successor,
+)
+
+WAIT_S = 3.0
+
+
+def put(generation, base, body=b"{}"):
+    return put_configuration(body, generation, base)
+
+
+def read(state):
+    return state
+
+
+def generation_of(state):
+    return state["configuration"]["generation"] if state["configuration"] else 0
+
+
+def only(registers, source, kind, targets):
+    """Lets messages of `kind` from `source` reach `targets` only, until it is called off."""
+
+    def on_call(sender, target, message):
+        if sender == source and message["type"] == kind and target not in targets:
+            raise RpcError("connect", target)
+
+    registers.network.on_call = on_call
+
+
+def call_off(registers):
+    registers.network.on_call = lambda source, target, message: None
+
+
+def test_a_change_is_read_back_at_every_member():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0), WAIT_S)
+        return [generation_of(await member.propose(read, WAIT_S)) for member in registers.members.values()]
+
+    assert run(scene()) == [7, 7, 7]
+
+
+def test_nothing_is_agreed_without_a_majority():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        registers.network.cut("a")
+        with pytest.raises(RegisterUnavailable):
+            await registers.members["a"].propose(put(7, 0), WAIT_S)
+        with pytest.raises(RegisterUnavailable):
+            await registers.members["a"].propose(read, WAIT_S)
+        return generation_of(await registers.members["b"].propose(read, WAIT_S))
+
+    assert run(scene()) == 0
+
+
+def test_a_member_that_knows_no_state_agrees_nothing():
+    async def scene():
+        registers = Registers()
+        with pytest.raises(RegisterUnavailable):
+            await registers.members["a"].propose(read, WAIT_S)
+
+    run(scene())
+
+
+def test_a_proposer_that_dies_between_the_rounds_leaves_the_old_value():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        only(registers, "a", "register.accept", ())
+        registers.disks["a"].stalls = False
+        task = asyncio.ensure_future(registers.members["a"].propose(put(7, 0), WAIT_S))
+        await asyncio.sleep(0.003)
+        registers.network.down.add("a")
+        task.cancel()
+        call_off(registers)
+        return generation_of(await registers.members["b"].propose(put(8, 0), WAIT_S))
+
+    assert run(scene()) == 8
+
+
+def test_a_value_accepted_by_a_majority_is_found_after_its_proposer_died_without_a_word():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        state = await registers.members["a"].propose(put(7, 0), WAIT_S)
+        registers.network.down.add("a")
+        assert registers.members["b"].has_unfinished_value
+        found = await registers.members["b"].propose(read, WAIT_S)
+        assert not registers.members["b"].has_unfinished_value
+        return found == state
+
+    assert run(scene())
+
+
+def test_a_value_accepted_by_one_member_alone_is_finished_by_whoever_reads_it():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        only(registers, "a", "register.accept", ())
+        with pytest.raises(RegisterUnavailable):
+            await registers.members["a"].propose(put(7, 0), 0.1)
+        call_off(registers)
+        registers.network.down.add("c")
+        assert generation_of(await registers.members["b"].propose(read, WAIT_S)) == 7
+        registers.network.down = {"a"}
+        return generation_of(await registers.members["c"].propose(read, WAIT_S))
+
+    assert run(scene()) == 7
+
+
+def test_a_refusal_is_given_for_a_chosen_state_only():
+    """A change that is refused because of a value held by one member has that value finished first."""
+
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        only(registers, "a", "register.accept", ())
+        with pytest.raises(RegisterUnavailable):
+            await registers.members["a"].propose(put(7, 0), 0.1)
+        call_off(registers)
+        registers.network.down.add("c")
+        with pytest.raises(AnotherVersionIsCurrent):
+            await registers.members["b"].propose(put(8, 0, b"other"), WAIT_S)
+        registers.network.down = {"a"}
+        return generation_of(await registers.members["c"].propose(read, WAIT_S))
+
+    assert run(scene()) == 7
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.001, 0.003, 0.006, 0.012])
+def test_of_two_changes_on_one_version_at_two_members_exactly_one_is_made(delay_s):
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+
+        async def propose(name, generation, after_s):
+            await asyncio.sleep(after_s)
+            return await registers.members[name].propose(put(generation, 0, name.encode()), WAIT_S)
+
+        results = await asyncio.gather(propose("a", 7, 0.0), propose("b", 8, delay_s), return_exceptions=True)
+        states = [one for one in results if not isinstance(one, Exception)]
+        refusals = [one for one in results if isinstance(one, AnotherVersionIsCurrent)]
+        final = await registers.members["c"].propose(read, WAIT_S)
+        return len(states), len(refusals), final == states[0]
+
+    assert run(scene()) == (1, 1, True)
+
+
+def test_many_orders_at_once_at_one_member_take_turns():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        member = registers.members["a"]
+        began_s = asyncio.get_running_loop().time()
+        await asyncio.gather(*(member.propose(successor, 0.85) for _ in range(8)))
+        prepares = [kind for _, _, kind in registers.network.calls if kind == "register.prepare"]
+        return (
+            (await member.propose(read, WAIT_S))["version"],
+            len(prepares),
+            asyncio.get_running_loop().time() - began_s,
+        )
+
+    version, prepares, took_s = run(scene())
+    assert version == 8
+    assert prepares == 8 * 2, "each order takes one ballot: none overtook another"
+    assert took_s < 0.3
+
+
+def test_everything_agreed_is_there_after_all_members_start_again():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0), WAIT_S)
+        for name in "abc":
+            await registers.restart(name)
+            assert registers.members[name].chosen is None
+        return generation_of(await registers.members["c"].propose(read, WAIT_S))
+
+    assert run(scene()) == 7
+
+
+def test_a_promise_is_kept_over_a_restart():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        member = registers.members["b"]
+        prepare = {"type": "register.prepare", "to": "b", "ballot": [50, "z"]}
+        assert (await member.handle_prepare(prepare))["type"] == "register.promise"
+        member = await registers.restart("b")
+        accept = {"type": "register.accept", "to": "b", "ballot": [49, "y"], "value": successor(registers.genesis)}
+        return await member.handle_accept(accept)
+
+    assert run(scene())["type"] == "register.conflict"
+
+
+def test_a_member_restarted_alone_tells_its_old_state_to_nobody():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0), WAIT_S)
+        registers.network.cut("c")
+        await registers.members["a"].propose(put(8, 7), WAIT_S)
+        member = await registers.restart("c")
+        with pytest.raises(RegisterUnavailable):
+            await member.propose(read, 1.0)
+        assert member.chosen is None
+        registers.network.join()
+        return generation_of(await member.propose(read, WAIT_S))
+
+    assert run(scene()) == 8
+
+
+def test_a_member_whose_disk_is_full_gives_no_vote_and_the_others_go_on():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        registers.disks["b"].fails = True
+        with pytest.raises(RpcError) as caught:
+            await registers.members["b"].handle_prepare({"to": "b", "ballot": [90, "z"]})
+        assert caught.value.kind == "storage_failed"
+        state = await registers.members["a"].propose(put(7, 0), WAIT_S)
+        registers.network.down.add("c")
+        with pytest.raises(RegisterUnavailable):
+            await registers.members["a"].propose(put(8, 7), WAIT_S)
+        return generation_of(state)
+
+    assert run(scene()) == 7
+
+
+@pytest.mark.parametrize("proposer", ["a", "b"])
+def test_a_disk_that_stalls_holds_nothing_up_at_the_others(proposer):
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        registers.disks["a"].stalls = True
+        began_s = asyncio.get_running_loop().time()
+        await registers.members[proposer].propose(put(7, 0), WAIT_S)
+        return asyncio.get_running_loop().time() - began_s
+
+    assert run(scene()) < 0.1
+
+
+def test_another_incarnation_at_the_address_of_a_member_gets_no_vote():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        registers.members["c"].member = "c2"
+        registers.network.down.add("b")
+        with pytest.raises(RegisterUnavailable):
+            await registers.members["a"].propose(put(7, 0), WAIT_S)
+
+    run(scene())
+
+
+def test_a_member_is_replaced_and_the_register_bears_another_loss_then():
+    async def scene():
+        registers = Registers("abcd")
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0), WAIT_S)
+        registers.network.down.add("c")
+        members = {"a": "a", "b": "b", "d": "d"}
+        await registers.members["a"].propose(set_members(members, {"d": "machine-d"}), WAIT_S)
+        await registers.members["a"].propose(successor, WAIT_S)
+        registers.network.down.add("a")
+        state = await registers.members["b"].propose(put(8, 7), WAIT_S)
+        registers.network.down = {"a", "c"}
+        registers.members["d"].observe(ZERO_BALLOT, registers.genesis)
+        return state["members"], generation_of(await registers.members["d"].propose(read, WAIT_S))
+
+    assert run(scene()) == ({"a": "a", "b": "b", "d": "d"}, 8)
+
+
+def test_a_member_that_comes_back_after_it_was_replaced_decides_nothing_with_the_old_members():
+    async def scene():
+        registers = Registers("abcd")
+        await registers.begin()
+        registers.network.cut("c")
+        await registers.members["a"].propose(set_members({"a": "a", "b": "b", "d": "d"}, {}), WAIT_S)
+        await registers.members["a"].propose(successor, WAIT_S)
+        await registers.members["a"].propose(put(7, 0), WAIT_S)
+        registers.network.join()
+        registers.network.down = {"a", "d"}
+        with pytest.raises(RegisterUnavailable):
+            await registers.members["c"].propose(put(8, 0), WAIT_S)
+        registers.network.down = {"a"}
+        with pytest.raises(AnotherVersionIsCurrent):
+            await registers.members["c"].propose(put(8, 0, b"other"), WAIT_S)
+
+    run(scene())
+
+
+def test_a_value_confirmed_once_more_leaves_nothing_unfinished():
+    """A read may write the chosen value anew; a member must not take that for something unfinished ever after."""
+
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        state = await registers.members["a"].propose(put(7, 0), WAIT_S)
+        for member in registers.members.values():
+            member.observe(registers.members["a"].chosen_ballot, state)
+        accept = {"type": "register.accept", "to": "b", "ballot": [60, "c"], "value": state}
+        await registers.members["b"].handle_accept(accept)
+        return registers.members["b"].has_unfinished_value
+
+    assert run(scene()) is False
