Stand-ins: the whole tier on one machine by one command

Change: dewpin/standin with a platform, receivers, an operator, a client and LocalTier, which starts three keepers and two senders as real processes on loopback addresses of their own. The stand-ins import nothing of the tier. Ruled out: one address with different ports (ports are alike on all machines of a tier).

--- /dev/null
+++ b/dewpin/standin/client.py
@@ -0,0 +1,137 @@
+"""A stand-in client of the tier: single requests, streams and programs of turns."""
+
+import http.client
+import secrets
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from types import TracebackType
+
+from .http_service import split_address
+from .protocol import BUDGET, PREVIOUS, PROGRAM, REQUEST_DEADLINE, REQUEST_ID, SIGNATURE, TOKEN_USAGE
+
+DEADLINE_MS = 8_000
+SOCKET_TIMEOUT_S = 15.0
+LINE_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A request as a client sends it; an `id` is made where none is given."""
+
+    host: str
+    path: str
+    body: bytes = b""
+    method: str = "POST"
+    fields: Mapping[str, str] | None = None
+    id: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClientAnswer:
+    """A whole answer."""
+
+    request_id: str
+    status: int
+    fields: Mapping[str, str]
+    body: bytes
+
+    @property
+    def is_served(self) -> bool:
+        """Tell whether this is a receiver's success, told by its signature."""
+        return self.status == http.HTTPStatus.OK and SIGNATURE.lower() in self.fields
+
+    @property
+    def event_data(self) -> list[str]:
+        """Return the data of each event."""
+        return [data for _, data in parse_events(self.body)]
+
+
+class OpenAnswer:
+    """An answer whose body is read event by event."""
+
+    def __init__(self, sender: str, request: ClientRequest) -> None:
+        """Send the request and read the answer's head; raises OSError or HTTPException."""
+        self.request_id = request.id or secrets.token_hex(8)
+        self._connection = http.client.HTTPConnection(*split_address(sender), timeout=SOCKET_TIMEOUT_S)
+        fields = {
+            "Host": request.host,
+            REQUEST_ID: self.request_id,
+            REQUEST_DEADLINE: str(DEADLINE_MS),
+            **(request.fields or {}),
+        }
+        self._connection.request(request.method, request.path, request.body or None, fields)
+        self._response = self._connection.getresponse()
+        self.status = self._response.status
+        self.fields = {name.lower(): value for name, value in self._response.getheaders()}
+
+    def read_event(self) -> tuple[int, str] | None:
+        """Return id and data of the next event, or None at the end; raises HTTPException if it is cut off."""
+        lines = []
+        while line := self._response.readline(LINE_BYTES):
+            if not line.strip():
+                break
+            lines.append(line)
+        return next(parse_events(b"".join(lines) + b"\n"), None) if lines else None
+
+    def read_rest(self) -> ClientAnswer:
+        """Read the rest of the body; raises HTTPException if it is cut off."""
+        return ClientAnswer(self.request_id, self.status, self.fields, self._response.read())
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+    def __enter__(self) -> "OpenAnswer":
+        """Return the answer; it is closed behind the block."""
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        """Close the connection."""
+        self.close()
+
+
+def send(sender: str, request: ClientRequest) -> ClientAnswer:
+    """Send a request to a sender and return its whole answer; raises OSError or HTTPException."""
+    with OpenAnswer(sender, request) as answer:
+        return answer.read_rest()
+
+
+class ProgramClient:
+    """A program: turns that share a budget and go on from each other."""
+
+    def __init__(self, host: str, path: str, budget: int, most_tokens: int) -> None:
+        self.id = secrets.token_hex(4)
+        self.last_turn: str | None = None
+        self._host = host
+        self._path = path
+        self._budget = budget
+        self._most_tokens = most_tokens
+
+    def request(self, said: bytes, fields: Mapping[str, str] | None = None) -> ClientRequest:
+        """Return the request of the next turn, which brings only its new input."""
+        turn_fields = {
+            PROGRAM: self.id,
+            BUDGET: str(self._budget),
+            TOKEN_USAGE: f"{len(said.split())},{self._most_tokens}",
+            **(fields or {}),
+        }
+        if self.last_turn is not None:
+            turn_fields[PREVIOUS] = self.last_turn
+        return ClientRequest(self._host, self._path, said, fields=turn_fields)
+
+    def turn(self, sender: str, said: bytes) -> ClientAnswer:
+        """Take the next turn; one that is served is what the turn after it goes on from."""
+        answer = send(sender, self.request(said))
+        if answer.is_served:
+            self.last_turn = answer.request_id
+        return answer
+
+
+def parse_events(body: bytes) -> Iterator[tuple[int, str]]:
+    """Return id and data of each event."""
+    for block in body.decode().split("\n\n"):
+        fields = dict(line.split(": ", 1) for line in block.splitlines() if ": " in line)
+        if "id" in fields:
+            yield int(fields["id"]), fields.get("data", "")
--- /dev/null
+++ b/dewpin/standin/demonstration.py
@@ -0,0 +1,137 @@
+"""What `python3 -m dewpin.standin tier` shows: a first configuration, a request, a program, and losses on demand."""
+
+import tempfile
+import time
+from collections.abc import Callable
+from enum import Enum
+from pathlib import Path
+
+from .client import ClientAnswer, ClientRequest, ProgramClient, send
+from .platform import is_ready
+from .sample_configuration import HOST, PLAIN_PATH, STREAM_PATH, sample_configuration
+from .tier import LocalTier
+from .waiting import wait_until
+
+BUDGET_TOKENS = 120
+MOST_TOKENS_OF_TURN = 40
+TURNS = (b"What is in the store room?\n", b"And in the yard?\n", b"Write a list of both.\n")
+TURN_BEYOND_BUDGET = b"Thank you.\n"
+CONFIGURATION_TIMEOUT_S = 15.0
+CHANGED_PATH = "/changed/"
+
+
+class Loss(Enum):
+    """What the demonstration may take away: a keeper's process, or a keeper's process with its data."""
+
+    KEEPER = "keeper"
+    STORE = "store"
+
+
+class DemonstrationFailed(Exception):
+    """A step did not have the effect that the tier promises."""
+
+
+class Demonstration:
+    """The steps; each says what it does and what came of it."""
+
+    def __init__(self, tier: LocalTier, say: Callable[[str], None]) -> None:
+        self._tier = tier
+        self._say = say
+        self._generation = 0
+        self._program = ProgramClient(HOST, STREAM_PATH, BUDGET_TOKENS, MOST_TOKENS_OF_TURN)
+
+    def run(self, loss: Loss | None) -> None:
+        """Run all steps; raises DemonstrationFailed or NeverHappened."""
+        self._announce_processes()
+        self._put(PLAIN_PATH)
+        self._tier.wait_until_ready()
+        self._say("both senders are ready")
+        self._show_request(PLAIN_PATH)
+        self._show_program()
+        if loss is not None:
+            self._show_loss(loss)
+
+    def _announce_processes(self) -> None:
+        self._say(f"folder: {self._tier.folder}")
+        for process in self._tier.processes:
+            self._say(f"started {process.name:<10} pid {process.pid}")
+        for keeper in self._tier.keepers:
+            self._say(f"operator's API of {keeper.name}: http://{keeper.control}")
+        for sender in self._tier.senders:
+            self._say(f"clients call {sender.name}: http://{sender.front}")
+
+    def _put(self, plain_path: str) -> None:
+        generation = self._generation + 1
+        configuration = sample_configuration(generation, plain_path)
+        answer = self._tier.operator.put(configuration, self._generation, CONFIGURATION_TIMEOUT_S)
+        if answer.status != 200:
+            raise DemonstrationFailed(f"configuration {generation}: {answer.status} {answer.body!r}")
+        self._generation = generation
+        self._say(f"configuration {generation} is acknowledged by {answer.keeper}")
+
+    def _show_request(self, path: str) -> None:
+        sender = self._tier.senders[0]
+        answer = send(sender.front, ClientRequest(HOST, f"{path}item/7", b"where?"))
+        self._say(f"POST {path}item/7 -> {answer.status} {answer.body.decode().strip()}")
+        self._check_served(answer)
+
+    def _show_program(self) -> None:
+        self._say(
+            f"program {self._program.id}: a budget of {BUDGET_TOKENS} tokens, {MOST_TOKENS_OF_TURN} a turn at most"
+        )
+        for said in TURNS:
+            self._check_served(self._turn(said))
+        self._say(f"the budget does not hold {MOST_TOKENS_OF_TURN} tokens more: a further turn is refused and not run")
+        answer = self._turn(TURN_BEYOND_BUDGET)
+        if answer.status != 402:
+            raise DemonstrationFailed(f"the turn beyond the budget got {answer.status}")
+
+    def _turn(self, said: bytes) -> ClientAnswer:
+        sender = self._tier.senders[0]
+        answer = self._program.turn(sender.front, said)
+        heard = " | ".join(answer.event_data) if answer.is_served else answer.body.decode().strip()
+        self._say(f"turn {said.decode().strip()!r} -> {answer.status} {heard}")
+        return answer
+
+    def _check_served(self, answer: ClientAnswer) -> None:
+        if not answer.is_served:
+            raise DemonstrationFailed(f"not served: {answer.status} {answer.body!r}")
+
+    def _show_loss(self, loss: Loss) -> None:
+        keeper = self._tier.keepers[0]
+        keeper.process.kill()
+        self._say(f"killed {keeper.name}")
+        if loss is Loss.STORE:
+            self._tier.wipe(keeper)
+            self._tier.restart([keeper])
+            self._say(f"wiped the data of {keeper.name} and started it again")
+        self._put(CHANGED_PATH)
+        for sender in self._tier.senders:
+            wait_until(lambda: self._is_served(sender.front), CONFIGURATION_TIMEOUT_S, "the change is in force")  # noqa: B023
+        self._say("the change is in force at both senders")
+        self._show_request(CHANGED_PATH)
+
+    def _is_served(self, sender: str) -> bool:
+        return send(sender, ClientRequest(HOST, f"{CHANGED_PATH}item/7", b"where?")).is_served
+
+
+def run_tier(seconds: float | None, keep: bool, loss: Loss | None, say: Callable[[str], None]) -> None:
+    """Run the demonstration in a temporary folder and end all that was started."""
+    with tempfile.TemporaryDirectory(prefix="dewpin-tier-") as folder, LocalTier(Path(folder)) as tier:
+        try:
+            Demonstration(tier, say).run(loss)
+        except Exception:
+            say(tier.logs())
+            raise
+        if keep or seconds is not None:
+            _go_on(tier, float("inf") if seconds is None else seconds, say)
+        say("ending all processes")
+
+
+def _go_on(tier: LocalTier, seconds: float, say: Callable[[str], None]) -> None:
+    ready = sum(is_ready(sender.ready) for sender in tier.senders)
+    bound = "until Ctrl-C" if seconds == float("inf") else f"for {seconds:g} s or until Ctrl-C"
+    say(f"{ready} senders are ready; the tier goes on {bound}")
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+        time.sleep(min(0.5, max(0.0, ends_at - time.monotonic())))
--- /dev/null
+++ b/dewpin/standin/tier.py
@@ -0,0 +1,232 @@
+"""The whole tier on one machine: keepers, senders, the platform and receivers, each a process at its own address."""
+
+import json
+import shutil
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+
+from .addresses import (
+    CONTROL_PORT,
+    FIRST_INTERNAL_PORT,
+    FRONT_PORT,
+    LAST_INTERNAL_PORT,
+    PLATFORM_PORT,
+    READY_PORT,
+    RECEIVER_PORT,
+    LoopbackNetwork,
+)
+from .instances import InstanceEntry
+from .operator import Operator
+from .platform import is_ready
+from .processes import ManagedProcess, end_all
+from .sample_configuration import PLAIN_SERVICE, STREAM_SERVICE, TOKENS_PER_EVENT
+from .settings_file import SettingsTable, SettingsValue, write_settings
+from .waiting import wait_until
+
+KEEPER_COUNT = 3
+SENDER_COUNT = 2
+RECEIVERS_OF_SERVICE = 2
+RECEIVER_SLOTS = 4
+ZONES = ("zone-a", "zone-b", "zone-c")
+REGION = "local"
+READY_TIMEOUT_S = 20.0
+PLATFORM_CALLS_PER_S = 50.0
+PLATFORM_LAG_MS = 100
+BOOT_VARIABLE = "DEWPIN_BOOT"
+STANDIN_MODULE = "dewpin.standin"
+
+BOUNDS: SettingsTable = {
+    "config_apply_ms": 2_000,
+    "contact_ms": 3_000,
+    "ack_ms": 4_000,
+    "catch_up_s": 4.0,
+    "drain_ms": 3_000,
+    "grace_s": 8,
+    "recovery_s": 12,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """A machine of the tier: its address and its process."""
+
+    name: str
+    ip: str
+    zone: str
+    process: ManagedProcess
+    settings_path: Path
+    data_dir: Path | None = None
+
+    @property
+    def control(self) -> str:
+        """Return the address at which the operator calls a keeper."""
+        return f"{self.ip}:{CONTROL_PORT}"
+
+    @property
+    def front(self) -> str:
+        """Return the address at which clients call a sender."""
+        return f"{self.ip}:{FRONT_PORT}"
+
+    @property
+    def ready(self) -> str:
+        """Return the address at which the platform asks a sender."""
+        return f"{self.ip}:{READY_PORT}"
+
+
+class LocalTier:
+    """Everything in one folder; `stop` ends every process that was started. Usable as a context manager."""
+
+    def __init__(self, folder: Path) -> None:
+        """Choose addresses and write the settings files; nothing is started yet."""
+        self.folder = folder
+        self._network = LoopbackNetwork()
+        self.platform_address = f"{self._network.take_address()}:{PLATFORM_PORT}"
+        for name in ("settings", "data", "logs"):
+            (folder / name).mkdir(parents=True, exist_ok=True)
+        self.keepers = [self._machine(f"keeper-{number + 1}", number) for number in range(KEEPER_COUNT)]
+        self.senders = [self._machine(f"sender-{number + 1}", number) for number in range(SENDER_COUNT)]
+        self.operator = Operator([keeper.control for keeper in self.keepers])
+        self.receivers = self._receiver_entries()
+        self._receiver_processes = [self._receiver_process(entry) for entry in self.receivers]
+        self._platform = self._platform_process()
+        for machine in (*self.keepers, *self.senders):
+            self.write_settings(machine, first_start=True)
+
+    @property
+    def processes(self) -> list[ManagedProcess]:
+        """Return all processes."""
+        machines = [machine.process for machine in (*self.keepers, *self.senders)]
+        return [self._platform, *self._receiver_processes, *machines]
+
+    def start(self) -> None:
+        """Start every process; none has to wait for another."""
+        for process in self.processes:
+            process.start()
+
+    def stop(self) -> None:
+        """End every process that is still running and give the addresses back."""
+        end_all(self.processes)
+        self._network.close()
+
+    def __enter__(self) -> "LocalTier":
+        """Start every process; all are ended behind the block."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        """End every process."""
+        self.stop()
+
+    def wait_until_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Return once every running sender calls itself ready; raises NeverHappened."""
+        for sender in self.senders:
+            if sender.process.is_running:
+                wait_until(lambda: is_ready(sender.ready), timeout_s, f"{sender.name} is ready")  # noqa: B023
+
+    def restart(self, keepers: Sequence[Machine]) -> None:
+        """Start keepers that have ended, on the data that they left."""
+        for keeper in keepers:
+            self.write_settings(keeper, first_start=False)
+            keeper.process.start()
+
+    def wipe(self, keeper: Machine) -> None:
+        """Remove the data of a keeper that has ended."""
+        assert keeper.data_dir is not None
+        shutil.rmtree(keeper.data_dir)
+
+    def receivers_of(self, service: str) -> list[InstanceEntry]:
+        """Return the receivers of a service."""
+        return [entry for entry in self.receivers if entry["backend"] == service]
+
+    def logs(self) -> str:
+        """Return the last lines of every log that is not empty."""
+        said = [(process.name, process.last_lines()) for process in self.processes]
+        return "\n".join(f"== {name}\n{lines}" for name, lines in said if lines)
+
+    def _machine(self, name: str, number: int) -> Machine:
+        is_keeper = name.startswith("keeper")
+        settings_path = self.folder / "settings" / f"{name}.toml"
+        process = ManagedProcess(
+            name,
+            "dewpin.controlplane" if is_keeper else "dewpin.dataplane",
+            [],
+            self.folder / "logs" / f"{name}.log",
+            {BOOT_VARIABLE: str(settings_path)},
+        )
+        data_dir = self.folder / "data" / name if is_keeper else None
+        zone = ZONES[number % len(ZONES)]
+        return Machine(name, self._network.take_address(), zone, process, settings_path, data_dir)
+
+    def write_settings(self, machine: Machine, first_start: bool) -> None:
+        """Write a machine's settings; `first_start` is that of the whole tier, when all data folders are empty."""
+        is_keeper = machine.data_dir is not None
+        fields: dict[str, SettingsValue] = {
+            "node_name": machine.name,
+            "role": "keeper" if is_keeper else "sender",
+            "machine_class": "store" if is_keeper else "front",
+            "serves": ["store", "control"] if is_keeper else ["front"],
+            "ip": machine.ip,
+            "zone": machine.zone,
+            "region": REGION,
+            "port_range": [FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT],
+            "seeds": [keeper.control for keeper in self.keepers],
+            "bootstrap": first_start,
+            "counts_for_quorum": is_keeper,
+        }
+        if is_keeper:
+            fields["data_dir"] = str(machine.data_dir)
+        listen = {"control": machine.control} if is_keeper else {"front": machine.front, "ready": machine.ready}
+        cloud: SettingsTable = {
+            "address": self.platform_address,
+            "rate_per_s": PLATFORM_CALLS_PER_S,
+            "max_lag_ms": PLATFORM_LAG_MS,
+        }
+        tables: dict[str, SettingsTable] = {
+            "zones": dict.fromkeys(ZONES, REGION),
+            "listen": listen,
+            "fault_tolerance": {"machines": (KEEPER_COUNT - 1) // 2, "zones": 0, "regions": 0},
+            "bounds": BOUNDS,
+            "cloud": cloud,
+        }
+        write_settings(machine.settings_path, fields, tables)
+
+    def _receiver_entries(self) -> list[InstanceEntry]:
+        names = [
+            (service, number) for service in (PLAIN_SERVICE, STREAM_SERVICE) for number in range(RECEIVERS_OF_SERVICE)
+        ]
+        return [
+            InstanceEntry(
+                id=f"{service}-{number + 1}",
+                backend=service,
+                address=f"{self._network.take_address()}:{RECEIVER_PORT}",
+                zone=ZONES[number % len(ZONES)],
+                generation="v1",
+                capacity=RECEIVER_SLOTS,
+                state="ready",
+                cold_left_ms=0.0,
+            )
+            for service, number in names
+        ]
+
+    def _receiver_process(self, entry: InstanceEntry) -> ManagedProcess:
+        arguments = ["receiver", "--listen", entry["address"], "--id", entry["id"], "--slots", str(entry["capacity"])]
+        if entry["backend"] == STREAM_SERVICE:
+            arguments += ["--stream", "--chunk-size", str(TOKENS_PER_EVENT)]
+        return ManagedProcess(entry["id"], STANDIN_MODULE, arguments, self.folder / "logs" / f"{entry['id']}.log", {})
+
+    def _platform_process(self) -> ManagedProcess:
+        instances = self.folder / "instances.json"
+        instances.write_text(json.dumps(self.receivers), encoding="utf-8")
+        arguments = ["platform", "--listen", self.platform_address, "--instances", str(instances)]
+        arguments += ["--lag-ms", str(PLATFORM_LAG_MS), "--rate", str(PLATFORM_CALLS_PER_S)]
+        for sender in self.senders:
+            arguments += ["--sender", sender.ready]
+        return ManagedProcess("platform", STANDIN_MODULE, arguments, self.folder / "logs" / "platform.log", {})
