--- a/dewpin/standin/demonstration.py
+++ b/dewpin/standin/demonstration.py
@@ -9,7 +9,7 @@
 from .client import ClientAnswer, ClientRequest, ProgramClient, send
 from .platform import is_ready
 from .sample_configuration import HOST, PLAIN_PATH, STREAM_PATH, sample_configuration
-from .tier import LocalTier
+from .tier import LocalTier, Machine
 from .waiting import wait_until
 
 BUDGET_TOKENS = 120
@@ -98,21 +98,28 @@
             raise DemonstrationFailed(f"not served: {answer.status} {answer.body!r}")
 
     def _show_loss(self, loss: Loss) -> None:
-        keeper = self._tier.keepers[0]
-        keeper.process.kill()
-        self._say(f"killed {keeper.name}")
+        first, second = self._tier.keepers[:2]
+        incarnation = self._tier.wait_until_settled().members[first.name]
+        first.process.kill()
+        self._say(f"killed {first.name}")
         if loss is Loss.STORE:
-            self._tier.wipe(keeper)
-            self._tier.restart([keeper])
-            self._say(f"wiped the data of {keeper.name} and started it again")
+            self._tier.wipe(first)
+            self._tier.restart([first])
+            self._say(f"wiped the data of {first.name} and started it again")
+            self._tier.wait_until_replaced(first, incarnation)
+            self._say(f"{first.name} takes part as another incarnation and holds a copy of the data")
+            second.process.kill()
+            self._say(f"killed {second.name}")
         self._put(CHANGED_PATH)
         for sender in self._tier.senders:
-            wait_until(lambda: self._is_served(sender.front), CONFIGURATION_TIMEOUT_S, "the change is in force")  # noqa: B023
+            self._wait_until_served(sender)
         self._say("the change is in force at both senders")
         self._show_request(CHANGED_PATH)
 
-    def _is_served(self, sender: str) -> bool:
-        return send(sender, ClientRequest(HOST, f"{CHANGED_PATH}item/7", b"where?")).is_served
+    def _wait_until_served(self, sender: Machine) -> None:
+        request = ClientRequest(HOST, f"{CHANGED_PATH}item/7", b"where?")
+        what = f"the change is in force at {sender.name}"
+        wait_until(lambda: send(sender.front, request).is_served, CONFIGURATION_TIMEOUT_S, what)
 
 
 def run_tier(seconds: float | None, keep: bool, loss: Loss | None, say: Callable[[str], None]) -> None:
--- a/dewpin/standin/receiver.py
+++ b/dewpin/standin/receiver.py
@@ -177,6 +177,7 @@
             yield f"id: {number}\ndata: {word}\n\n".encode()
             if number == hold_after:
                 self.receiver.released.wait(MOST_HOLD_S)
+                self.receiver.released.clear()
 
     def _refuse(self, status: int, why: str) -> None:
         fields = [(NOT_EXECUTED, why), *self._common_fields()]
--- a/dewpin/standin/tier.py
+++ b/dewpin/standin/tier.py
@@ -23,6 +23,7 @@
 from .processes import ManagedProcess, end_all
 from .sample_configuration import PLAIN_SERVICE, STREAM_SERVICE, TOKENS_PER_EVENT
 from .settings_file import SettingsTable, SettingsValue, write_settings
+from .system_view import SystemView, read_system_view
 from .waiting import wait_until
 
 KEEPER_COUNT = 3
@@ -32,6 +33,7 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 REGION = "local"
 READY_TIMEOUT_S = 20.0
+SETTLED_TIMEOUT_S = 20.0
 PLATFORM_CALLS_PER_S = 50.0
 PLATFORM_LAG_MS = 100
 BOOT_VARIABLE = "DEWPIN_BOOT"
@@ -131,6 +133,33 @@
             if sender.process.is_running:
                 wait_until(lambda: is_ready(sender.ready), timeout_s, f"{sender.name} is ready")  # noqa: B023
 
+    def view(self) -> SystemView | None:
+        """Return the newest state that a running keeper holds, or None if none tells one."""
+        running = [keeper for keeper in self.keepers if keeper.process.is_running]
+        views = [view for keeper in running if (view := read_system_view(keeper.ip)) is not None]
+        return max(views, key=lambda view: view.version, default=None)
+
+    def wait_until_settled(self, timeout_s: float = SETTLED_TIMEOUT_S) -> SystemView:
+        """Return once every running keeper is member and store and no change is under way; raises NeverHappened."""
+        names = [keeper.name for keeper in self.keepers if keeper.process.is_running]
+
+        def settled_view() -> SystemView | None:
+            view = self.view()
+            if view is None or not view.settled:
+                return None
+            return view if all(view.takes_part(name) for name in names) else None
+
+        return wait_until(settled_view, timeout_s, "the keepers' members and stores are settled")
+
+    def wait_until_replaced(self, keeper: Machine, incarnation: str, timeout_s: float = SETTLED_TIMEOUT_S) -> None:
+        """Return once a keeper takes part as another incarnation than the one named; raises NeverHappened."""
+
+        def is_replaced() -> bool:
+            view = self.view()
+            return view is not None and view.settled and view.takes_part(keeper.name, other_than=incarnation)
+
+        wait_until(is_replaced, timeout_s, f"{keeper.name} takes part as another incarnation")
+
     def restart(self, keepers: Sequence[Machine]) -> None:
         """Start keepers that have ended, on the data that they left."""
         for keeper in keepers:
