--- /dev/null
+++ b/tests/standin/conftest.py
@@ -0,0 +1,34 @@
+"""A whole tier of real processes, shared by the tests of one module; each leaves it whole."""
+
+import pytest
+
+from dewpin.standin.sample_configuration import sample_configuration
+from dewpin.standin.tier import LocalTier
+
+
+@pytest.fixture(scope="module")
+def running_tier(tmp_path_factory):
+    """Start the tier with a first configuration; afterwards no process of it may be left."""
+    with LocalTier(tmp_path_factory.mktemp("tier")) as tier:
+        try:
+            assert tier.operator.put(sample_configuration(1), base=0).status == 200
+            tier.wait_until_ready()
+            tier.wait_until_settled()
+        except BaseException:
+            print(tier.logs())
+            raise
+        yield tier
+    assert not any(process.is_running for process in tier.processes)
+
+
+@pytest.fixture
+def tier(running_tier, request):
+    """Give the tier to a test, and make it whole again behind it; the logs are printed with a failure."""
+    yield running_tier
+    print(running_tier.logs())
+    running_tier.restart([keeper for keeper in running_tier.keepers if not keeper.process.is_running])
+    for sender in running_tier.senders:
+        if not sender.process.is_running:
+            sender.process.start()
+    running_tier.wait_until_settled()
+    running_tier.wait_until_ready()
--- /dev/null
+++ b/tests/standin/test_instances.py
@@ -0,0 +1,72 @@
+"""The platform's list: pages, lag, draining, and the rate of calls."""
+
+import pytest
+
+from dewpin.standin.instances import CallRate, Instance, InstanceList, UnknownPage
+from dewpin.standin.platform import SenderHealth
+
+
+def listed(number, zone="zone-a"):
+    return Instance(f"one-{number}", "service", f"127.0.0.{number}:80", zone, 4)
+
+
+def ids(page):
+    return [entry["id"] for entry in page["instances"]]
+
+
+def test_pages_follow_each_other_and_show_one_state():
+    instances = InstanceList(page_size=2)
+    for number in range(5):
+        instances.put(listed(number), now_s=float(number))
+    first = instances.page(10.0)
+    instances.remove("one-2", 11.0)
+    second = instances.page(12.0, first["next_token"])
+    third = instances.page(12.0, second["next_token"])
+    assert [ids(page) for page in (first, second, third)] == [["one-0", "one-1"], ["one-2", "one-3"], ["one-4"]]
+    assert third["next_token"] is None
+    assert ids(instances.page(12.0)) == ["one-0", "one-1"]
+
+
+@pytest.mark.parametrize("token", ["", "p-1", "p-99-0", "q-0-0", "p-x-0"])
+def test_a_token_that_was_never_given_out_is_refused(token):
+    with pytest.raises(UnknownPage):
+        InstanceList().page(0.0, token)
+
+
+def test_a_zone_can_be_asked_for():
+    instances = InstanceList()
+    instances.put(listed(1, "zone-a"), 0.0)
+    instances.put(listed(2, "zone-b"), 0.0)
+    assert ids(instances.page(1.0, zone="zone-b")) == ["one-2"]
+
+
+def test_changes_show_after_the_lag():
+    instances = InstanceList(lag_s=2.0)
+    instances.put(listed(1), 10.0)
+    instances.drain("one-1", 20.0)
+    assert ids(instances.page(11.9)) == []
+    assert [entry["state"] for entry in instances.page(21.9)["instances"]] == ["ready"]
+    assert [entry["state"] for entry in instances.page(22.0)["instances"]] == ["draining"]
+    with pytest.raises(KeyError):
+        instances.drain("one-2", 23.0)
+
+
+def test_an_instance_warms_up():
+    instances = InstanceList()
+    instances.put(Instance("cold", "service", "127.0.0.1:80", "zone-a", 4, warm_at_s=12.0), 10.0)
+    assert [instances.page(now)["instances"][0]["cold_left_ms"] for now in (10.0, 11.5, 13.0)] == [2000.0, 500.0, 0.0]
+
+
+def test_calls_beyond_the_rate_are_refused():
+    rate = CallRate(2.0)
+    assert [rate.grant(10.0) for _ in range(3)] == [True, True, False]
+    assert [rate.grant(10.5), rate.grant(10.5)] == [True, False]
+
+
+def test_a_sender_is_out_after_two_misses_and_in_after_one_answer():
+    health = SenderHealth(["a"])
+    seen = [health.in_use()["a"]]
+    for answer in (True, False, False, True):
+        health.record("a", answer)
+        seen.append(health.in_use()["a"])
+    assert seen == [False, True, True, False, True]
