Reconfiguration: shared names, planned successors, whoever held an address before

Causes: two machines that spoke under one name made each other 'replaced' in turn, with a change of members or stores each time one was heard after the other; after a planned replacement the machine that left stayed a store for 20 s, so that a further loss could meet two missing replicas. A name now replaces only a silent incarnation, an address ends whoever spoke there before, and a store that announced its end goes once a successor that joined lately is in the view. Ruled out: dropping every silent store as soon as enough others live, which would copy everything at each short freeze.

--- a/dewpin/controlplane/peers.py
+++ b/dewpin/controlplane/peers.py
@@ -6,6 +6,8 @@
 from typing import TypedDict
 
 FORGET_AFTER_S = 60.0
+LIVE_S = 1.0
+"""A process heard within this time counts as live."""
 
 
 class PeerRecord(TypedDict):
@@ -24,7 +26,7 @@
 
 @dataclass(frozen=True)
 class Peer:
-    """Another process of the control plane. `last_heard_s` on the steady clock; `version` -1: it has no state yet."""
+    """Another process of the control plane. `version` -1: it has no state yet; times are of the steady clock."""
 
     id: str
     name: str
@@ -36,6 +38,7 @@
     leaving: bool
     bootstrap: bool
     last_heard_s: float
+    first_heard_s: float = float("-inf")
 
     def silent_s(self, now_s: float) -> float:
         """For how long nothing was heard of it."""
@@ -49,7 +52,8 @@
         self.peers: dict[str, Peer] = {}
 
     def hear(self, record: PeerRecord, now_s: float) -> Peer:
-        """Takes what a peer says of itself."""
+        """Takes what a peer says of itself. Whoever was at its address before has ended."""
+        known = self.peers.get(record["id"])
         peer = Peer(
             id=record["id"],
             name=record["name"],
@@ -61,28 +65,34 @@
             leaving=record["leaving"],
             bootstrap=record["bootstrap"],
             last_heard_s=now_s,
+            first_heard_s=known.first_heard_s if known is not None else now_s,
         )
+        for other in list(self.peers.values()):
+            if other.address == peer.address and other.id != peer.id:
+                self._note_ended(other, now_s)
         self.peers[peer.id] = peer
         self._forget_silent(now_s)
         return peer
 
-    def note_ended(self, peer_id: str, now_s: float) -> None:
-        """Another incarnation answered in this one's place."""
-        if peer_id in self.peers:
-            self.peers[peer_id] = replace(self.peers[peer_id], last_heard_s=now_s - FORGET_AFTER_S)
+    def _note_ended(self, peer: Peer, now_s: float) -> None:
+        ended_s = min(peer.last_heard_s, now_s - FORGET_AFTER_S)
+        self.peers[peer.id] = replace(peer, last_heard_s=ended_s)
 
     def at_address(self, address: str) -> Peer | None:
         """The peer heard last at an address."""
         found = [peer for peer in self.peers.values() if peer.address == address]
         return max(found, key=lambda peer: peer.last_heard_s, default=None)
 
-    def is_replaced(self, peer_id: str, name: str | None) -> bool:
-        """Whether a later incarnation of the machine has been heard, so that this one is gone for good."""
+    def is_replaced(self, peer_id: str, name: str | None, now_s: float) -> bool:
+        """Whether the machine of that name is heard as another incarnation while this one is silent, so that this one
+        is gone for good. Two machines may share a name for a while: then both speak, and neither is replaced."""
+        if self.silent_s(peer_id, now_s) <= LIVE_S:
+            return False
         known = self.peers.get(peer_id)
-        last = known.last_heard_s if known else float("-inf")
         name = name or (known.name if known else None)
         return any(
-            other.id != peer_id and other.name == name and other.last_heard_s > last for other in self.peers.values()
+            other.id != peer_id and other.name == name and other.silent_s(now_s) <= LIVE_S
+            for other in self.peers.values()
         )
 
     def silent_s(self, peer_id: str, now_s: float) -> float:
--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from .peers import Peer, PeerTable
+from .peers import LIVE_S, Peer, PeerTable
 from .system_state import (
     Change,
     SystemState,
@@ -22,9 +22,11 @@
     successor,
 )
 
-LIVE_S = 1.0
 GONE_WITH_SUCCESSOR_S = 1.5
 GONE_S = 20.0
+SUCCESSOR_JOINED_WITHIN_S = 30.0
+SUCCESSOR_UNCERTAIN_S = 3.0
+"""Who is heard first this soon after the own start may have been there before."""
 FIRST_STORES_WAIT_S = 3.0
 
 
@@ -55,7 +57,18 @@
         """Whether the machine runs as another incarnation by now."""
         if peer_id == self.me.id:
             return False
-        return name == self.me.name or self.peers.is_replaced(peer_id, name)
+        silent = self.silent_s(peer_id) > LIVE_S
+        return (silent and name == self.me.name) or self.peers.is_replaced(peer_id, name, self.now_s)
+
+    def has_left(self, peer_id: str) -> bool:
+        """Whether the process announced its end and has been silent since."""
+        peer = self.peers.peers.get(peer_id)
+        return peer is not None and peer.leaving and peer.silent_s(self.now_s) > LIVE_S
+
+    def joined_lately(self, peer: Peer) -> bool:
+        """Whether the process came while this one was already there, and not long ago."""
+        earliest_s = max(self.started_s + SUCCESSOR_UNCERTAIN_S, self.now_s - SUCCESSOR_JOINED_WITHIN_S)
+        return peer.first_heard_s >= earliest_s
 
     def is_live(self, peer_id: str) -> bool:
         """Whether the process was heard just now."""
@@ -145,10 +158,11 @@
     joining = {peer.id: peer.address for peer in _newcomers(state, knowledge) if peer.store}
     has_successor = any(store not in held for store in joining) or view["next"] is not None
     gone_s = GONE_WITH_SUCCESSOR_S if has_successor else GONE_S
+    has_left = _who_left_for_a_successor(state, knowledge, held)
     kept = {
         store: address
         for store, address in held.items()
-        if not _must_go(state, knowledge, store, state["names"].get(store), gone_s)
+        if store not in has_left and not _must_go(state, knowledge, store, state["names"].get(store), gone_s)
     }
     wanted = dict(sorted({**kept, **joining}.items()))
     if len(wanted) >= min(knowledge.full_count, len(view["stable"])):
@@ -156,6 +170,18 @@
     return dict(sorted({**_not_replaced(state, knowledge, held), **joining}.items()))
 
 
+def _who_left_for_a_successor(state: SystemState, knowledge: Knowledge, held: dict[str, str]) -> set[str]:
+    """Stores that announced their end and stay away, one for each machine that joined lately and is in the view
+    already: in a planned replacement the successor comes first."""
+    successors = [
+        peer
+        for peer in _newcomers(state, knowledge)
+        if peer.id in held and peer.store and knowledge.joined_lately(peer)
+    ]
+    left = sorted(store for store in held if knowledge.has_left(store))
+    return set(left[: len(successors)])
+
+
 def _not_replaced(state: SystemState, knowledge: Knowledge, held: dict[str, str]) -> dict[str, str]:
     return {
         store: address for store, address in held.items() if not knowledge.is_replaced(store, state["names"].get(store))
--- /dev/null
+++ b/tests/controlplane/test_peers.py
@@ -0,0 +1,65 @@
+"""What a process knows of the others."""
+
+from dewpin.controlplane.peers import FORGET_AFTER_S, LIVE_S, PeerTable
+
+
+def record(one, name="machine", address="10.0.0.1:1"):
+    return {
+        "id": one,
+        "name": name,
+        "address": address,
+        "control": True,
+        "store": True,
+        "version": 3,
+        "synced_epoch": 1,
+        "leaving": False,
+        "bootstrap": False,
+    }
+
+
+def test_a_peer_is_silent_since_it_spoke_last_and_for_ever_if_it_never_did():
+    table = PeerTable()
+    table.hear(record("a"), 10.0)
+    assert table.silent_s("a", 12.0) == 2.0
+    assert table.silent_s("b", 12.0) == float("inf")
+
+
+def test_the_first_time_a_peer_was_heard_is_kept():
+    table = PeerTable()
+    table.hear(record("a"), 10.0)
+    assert table.hear(record("a"), 20.0).first_heard_s == 10.0
+
+
+def test_whoever_answers_at_an_address_has_ended_the_one_before():
+    table = PeerTable()
+    table.hear(record("a"), 10.0)
+    table.hear(record("a2"), 10.1)
+    assert table.silent_s("a", 10.1) >= FORGET_AFTER_S
+    assert table.is_replaced("a", "machine", 10.1)
+    assert not table.is_replaced("a2", "machine", 10.1)
+    found = table.at_address("10.0.0.1:1")
+    assert found is not None and found.id == "a2"
+
+
+def test_of_two_machines_under_one_name_none_is_replaced_while_both_speak():
+    table = PeerTable()
+    table.hear(record("old", address="10.0.0.1:1"), 10.0)
+    table.hear(record("new", address="10.0.0.2:1"), 10.2)
+    assert not table.is_replaced("old", "machine", 10.2)
+    assert not table.is_replaced("new", "machine", 10.2)
+    table.hear(record("new", address="10.0.0.2:1"), 10.1 + LIVE_S)
+    assert table.is_replaced("old", "machine", 10.1 + LIVE_S)
+
+
+def test_a_successor_that_fell_silent_replaces_nobody():
+    table = PeerTable()
+    table.hear(record("new", address="10.0.0.2:1"), 10.0)
+    assert table.is_replaced("old", "machine", 10.5)
+    assert not table.is_replaced("old", "machine", 10.1 + LIVE_S)
+
+
+def test_peers_silent_for_long_are_forgotten():
+    table = PeerTable()
+    table.hear(record("a"), 10.0)
+    table.hear(record("b", "other", "10.0.0.2:1"), 10.1 + FORGET_AFTER_S)
+    assert set(table.peers) == {"b"}
