Receivers: an end that a newer copy lacks is told on with the next reading

Cause: of two readers side by side the one with the lesser version took the other's copy, kept the end that it knew itself, and never made a version of it: the others did not hear of it.

--- a/dewpin/cluster/receivers.py
+++ b/dewpin/cluster/receivers.py
@@ -99,6 +99,7 @@
         self.receivers: dict[str, Receiver] = {}
         self._ended: dict[str, None] = {}
         self._seen = NO_VERSION
+        self._differs_from_version = False
 
     def note_version(self, version: DirectoryVersion) -> None:
         """Notes a version that somebody has: the next reading of the list is to be newer than it."""
@@ -106,9 +107,10 @@
 
     def take_reading(self, receivers: Iterable[Receiver], reader: str) -> bool:
         """Takes a whole list just read from the platform for everybody; true if a new version was made of it."""
-        overtaken = self._seen > self.version or self.version == NO_VERSION
+        overtaken = self._seen > self.version or self.version == NO_VERSION or self._differs_from_version
         if not self.take_private_reading(receivers) and not overtaken:
             return False
+        self._differs_from_version = False
         self.version = DirectoryVersion(max(self.version.counter, self._seen.counter) + 1, reader)
         return True
 
@@ -120,10 +122,16 @@
         return changed
 
     def take_copy(self, version: DirectoryVersion, receivers: Iterable[Receiver]) -> bool:
-        """Takes another process's directory; true if it is newer than this one."""
+        """Takes another process's directory; true if it is newer than this one.
+
+        Where an end is known here that the copy doesn't show, the next reading makes a new version, so that the others
+        hear of it too.
+        """
         if version <= self.version:
             return False
-        self.receivers = self._merge(receivers)
+        copied = {receiver.id: receiver for receiver in receivers}
+        self.receivers = self._merge(copied.values())
+        self._differs_from_version = _without_warmth(self.receivers) != _without_warmth(copied)
         self.version = version
         return True
 
