Keepers and senders: ages bound to versions, pushes at once, known keepers, settings reloaded

Causes, found by reading against the kinds of trouble: the age of another process's list was taken over although its content was not held here, so that a missed end could look fresh; a sender told its children the age of its own private reading; a cut-off keeper that named only itself made senders forget the others; dead keepers took their turn of every renewal; SIGHUP and changed settings files were ignored; leases lapsed with more than eight grantors. Changes: ListReader keeps age and version together; KeeperList remembers who was named in the last half minute and leaves failed ones alone; a keeper introduces itself at once after each change and whoever is behind asks back; due changes follow each other without a pause; heartbeats of the relay every second, the renewals tell news anyway; the connection to the platform is kept; a damaged database ends the process.

--- a/dewpin/cluster/platform_list.py
+++ b/dewpin/cluster/platform_list.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import quote
 
 import urllib3
@@ -62,3 +63,28 @@
         if not isinstance(page, dict):
             raise PlatformUnavailable("not an object")
         return page
+
+
+class ReadsPlatform(Protocol):
+    """Reads the platform's list without holding the caller's loop up."""
+
+    async def read(self, address: str) -> list[Receiver]:
+        """All receivers. PlatformUnavailable unless the whole list came."""
+
+
+class ThreadedPlatformReader:
+    """Reads in a thread, over a connection that is kept while it serves."""
+
+    def __init__(self) -> None:
+        self._list: PlatformList | None = None
+        self._address: str | None = None
+
+    async def read(self, address: str) -> list[Receiver]:
+        """All receivers. PlatformUnavailable unless the whole list came; the next reading connects anew then."""
+        if self._list is None or self._address != address:
+            self._list, self._address = PlatformList(address), address
+        try:
+            return await asyncio.get_running_loop().run_in_executor(None, self._list.read)
+        except PlatformUnavailable:
+            self._list = None
+            raise
--- /dev/null
+++ b/dewpin/cluster/settings_watch.py
@@ -0,0 +1,48 @@
+"""Changes of the settings file while a process runs: told by SIGHUP, or found because the file differs."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+from .logs import Event, log_event
+from .settings import Settings, SettingsInvalid, load_settings
+
+POLL_PERIOD_S = 2.0
+
+
+def reloaded(running: Settings, changed: Settings) -> Settings:
+    """The settings to go on with: what can change while a process runs is taken over, the rest needs a restart.
+
+    Taken over are the seeds, the platform's list and the zones. Addresses, folders, limits and bounds are tied to what
+    the process set up at its start.
+    """
+    return replace(running, seeds=changed.seeds, cloud=changed.cloud, zones=changed.zones)
+
+
+class SettingsWatch:
+    """Tells when a settings file holds something new. A faulty file is reported once and otherwise ignored."""
+
+    def __init__(self, path: str | Path) -> None:
+        self._path = Path(path)
+        self._seen = self._content()
+
+    def poll(self) -> Settings | None:
+        """The checked settings of the file if it changed since the last look, else None."""
+        content = self._content()
+        if content is None or content == self._seen:
+            return None
+        self._seen = content
+        try:
+            settings = load_settings(self._path)
+        except SettingsInvalid as invalid:
+            log_event(Event.SETTINGS_REJECTED, faults=invalid.lines())
+            return None
+        log_event(Event.SETTINGS_RELOADED)
+        return settings
+
+    def _content(self) -> bytes | None:
+        try:
+            return self._path.read_bytes()
+        except OSError:
+            return None
--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import random
@@ -10,7 +11,8 @@
 import sys
 
 from dewpin.cluster.rpc import Handler, RpcClient, RpcServer, split_address
-from dewpin.cluster.settings import Settings, settings_or_exit
+from dewpin.cluster.settings import BOOT_VARIABLE, Settings, settings_or_exit
+from dewpin.cluster.settings_watch import POLL_PERIOD_S, SettingsWatch
 from dewpin.cluster.store_view import StoreView
 
 from .keeper import Keeper
@@ -30,6 +32,7 @@
     def on_synced(epoch: int) -> None:
         nonlocal synced
         synced = max(synced, epoch)
+        keeper.greet_everyone()
 
     store = Store(storage, storage.incarnation, 2 * settings.fault_tolerance.machines + 1)
     sync = StoreSync(store, client, on_synced)
@@ -47,15 +50,33 @@
     return store.handlers
 
 
+def end_from_thread(loop: asyncio.AbstractEventLoop, stopping: asyncio.Event) -> None:
+    """Ends the process: the next start sets the damaged database aside."""
+    loop.call_soon_threadsafe(stopping.set)
+
+
+async def follow_settings(keeper: Keeper, watch: SettingsWatch, hangup: asyncio.Event) -> None:
+    """Hands changes of the settings file on, at once after SIGHUP and soon without."""
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(hangup.wait(), POLL_PERIOD_S)
+        hangup.clear()
+        settings = watch.poll()
+        if settings is not None:
+            keeper.take_settings(settings)
+
+
 async def run(settings: Settings) -> None:
     """Serves until SIGTERM or SIGINT."""
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    hangup = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)
     assert settings.data_dir is not None
     storage = Storage(settings.data_dir)
+    storage.on_damaged = lambda: end_from_thread(loop, stopping)
     client = RpcClient()
     keeper = Keeper(settings, storage, client, random.Random())
     server = RpcServer(keeper.handlers)
@@ -68,7 +89,9 @@
         least_stores = 2 * settings.fault_tolerance.machines + 1
         api = OperatorApi(keeper.register, loop, least_stores)
         serve_operator(split_address(settings.listen["control"]), api)
+    following = asyncio.ensure_future(follow_settings(keeper, SettingsWatch(os.environ[BOOT_VARIABLE]), hangup))
     await stopping.wait()
+    following.cancel()
     keeper.leave()
     await asyncio.sleep(LEAVE_NOTICE_S)
     await keeper.stop()
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -10,20 +10,21 @@
 import random
 import time
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
-from dewpin.cluster.platform_list import PlatformList, PlatformUnavailable
+from dewpin.cluster.platform_list import ReadsPlatform
 from dewpin.cluster.ports import control_plane_address
-from dewpin.cluster.receivers import DirectoryVersion, ReceiverDirectory, receiver_from_record
+from dewpin.cluster.receivers import DirectoryVersion, receiver_from_record
 from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
 from dewpin.cluster.settings import Settings
+from dewpin.cluster.settings_watch import reloaded
 from dewpin.consensus import Ballot
 
-from .leases import LEASE_PERIODS, LeaseTable
+from .leases import LeaseTable
+from .list_reader import ListReader
 from .peers import Peer, PeerRecord, PeerTable
 from .reconfiguration import Knowledge, drives, due_change
-from .register import RegisterUnavailable, SystemRegister
-from .storage import Storage
+from .register import RegisterUnavailable, SystemRegister, WritesRows
 from .system_state import ChangeRefused, SystemState, genesis
 
 log = logging.getLogger(__name__)
@@ -32,13 +33,19 @@
 HELLO_TIMEOUT_S = 0.6
 HELLO_FORGET_S = 20.0
 PROPOSE_TIMEOUT_S = 2.0
-WATCH_HEARTBEAT_S = 0.5
+MOST_CHANGES_AT_ONCE = 8
+WATCH_HEARTBEAT_S = 1.0
 RENEWALS_IN_BOUND = 5
-READINGS_IN_DRAIN = 4
-STALE_READINGS = 2.5
 READER_LIVE_S = 0.8
 UNFINISHED_WAIT_S = 0.3
-READ_WATCH_S = 1.0
+CONTROL_KNOWN_S = 5.0
+
+
+class MemberStorage(WritesRows, Protocol):
+    """The storage of this process, with the id that its folder was given."""
+
+    @property
+    def incarnation(self) -> str: ...
 
 
 class Keeper:
@@ -47,10 +54,11 @@
     def __init__(
         self,
         settings: Settings,
-        storage: Storage,
+        storage: MemberStorage,
         client: RpcClient,
         rng: random.Random,
         clock: Callable[[], float] = time.monotonic,
+        platform: ReadsPlatform | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -59,8 +67,9 @@
         self.register = SystemRegister(self.member, self.address, storage, client, rng)
         self.register.on_chosen = self._on_chosen
         self.peers = PeerTable()
-        self.directory = ReceiverDirectory()
-        self.leases = LeaseTable(LEASE_PERIODS * settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND)
+        self.list = ListReader(self.member, settings.bounds.drain_ms / 1000, clock, platform)
+        self.directory = self.list.directory
+        self.leases = LeaseTable(settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND)
         self.on_state: Callable[[SystemState], None] = lambda state: None
         self.synced_epoch: Callable[[], int] = lambda: 0
         self._storage = storage
@@ -69,7 +78,6 @@
         self._bootstrap = settings.bootstrap
         self._leaving = False
         self._started_s = clock()
-        self._list_read_s = float("-inf")
         self._changed = asyncio.Event()
         self._unfinished_since_s: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -91,15 +99,21 @@
         await self._load_bootstrap()
         await self.register.load()
         self._tasks = [
-            asyncio.ensure_future(self._repeat(HELLO_PERIOD_S, self._greet_everyone)),
+            asyncio.ensure_future(self._repeat(HELLO_PERIOD_S, self.greet_everyone)),
             asyncio.ensure_future(self._repeat(HELLO_PERIOD_S, self._maintain)),
         ]
         if "control" in self.settings.serves:
-            self._tasks.append(asyncio.ensure_future(self._repeat(self._reading_period_s / 4, self._read_list_if_due)))
+            self._tasks.append(asyncio.ensure_future(self._repeat(0.0, self._read_list_when_due)))
+
+    def take_settings(self, settings: Settings) -> None:
+        """Takes up a changed settings file: the seeds and the platform's address; what was bound at the start stays."""
+        self.settings = reloaded(self.settings, settings)
+        self.greet_everyone()
 
     def leave(self) -> None:
-        """Tells the others from now on that this process is about to end."""
+        """Tells the others that this process is about to end."""
         self._leaving = True
+        self.greet_everyone()
 
     async def stop(self) -> None:
         """Ends what was started."""
@@ -148,7 +162,8 @@
         """This process as a peer."""
         return Peer(**self.record(), last_heard_s=self.clock())
 
-    def _greet_everyone(self) -> None:
+    def greet_everyone(self) -> None:
+        """Introduces this process to all others now; whoever is behind asks for what it lacks."""
         for address in self._addresses_to_greet():
             asyncio.ensure_future(self._greet(address))
 
@@ -174,35 +189,46 @@
 
     async def _handle_hello(self, message: Message) -> Message:
         peer = self.peers.hear(cast(PeerRecord, message["from"]), self.clock())
-        answer: Message = {"type": "keeper.hello", "from": self.record()}
+        receivers_version = _directory_version(message["receivers"])
+        if self._is_behind(peer, receivers_version):
+            asyncio.ensure_future(self._greet(peer.address))
+        answer: Message = {
+            "type": "keeper.hello",
+            "from": self.record(),
+            "receivers_version": self.directory.version,
+            "list_age_s": self.list.age_s(),
+        }
         state = self.register.chosen
         if state is not None and state["version"] > peer.version:
             answer["state"] = state
             answer["ballot"] = self.register.chosen_ballot
-        if self.directory.version > _directory_version(message["receivers"]):
+        if self.directory.version > receivers_version:
             answer["receivers"] = self.directory.records()
-            answer["receivers_version"] = self.directory.version
-        answer["list_age_s"] = self.list_age_s()
         return answer
 
+    def _is_behind(self, peer: Peer, receivers_version: DirectoryVersion) -> bool:
+        state = self.register.chosen
+        version = state["version"] if state is not None else -1
+        return peer.version > version or receivers_version > self.directory.version
+
     def _hear(self, answer: Message) -> None:
         self.peers.hear(cast(PeerRecord, answer["from"]), self.clock())
         if "state" in answer:
             counter, proposer = answer["ballot"]
             self.register.observe(Ballot(counter, proposer), answer["state"])
+        version, age_s = _directory_version(answer["receivers_version"]), float(answer["list_age_s"])
         if "receivers" in answer:
             receivers = [receiver_from_record(record) for record in answer["receivers"]]
-            if self.directory.take_copy(_directory_version(answer["receivers_version"]), receivers):
+            if self.list.take_copy(version, receivers, age_s):
                 self._announce()
-        age_s = answer.get("list_age_s")
-        if isinstance(age_s, float):
-            self._list_read_s = max(self._list_read_s, self.clock() - age_s)
+        self.list.note_age(version, age_s)
 
     # The register
 
     def _on_chosen(self, state: SystemState) -> None:
         self.on_state(state)
         self._announce()
+        self.greet_everyone()
 
     async def _maintain(self) -> None:
         """Makes the first state, finishes what others left, and makes the change that is due."""
@@ -211,20 +237,25 @@
             return
         if self.register.chosen is None or self._unfinished_for_long():
             await self._learn_newest()
-        state = self.register.chosen
-        if state is None:
-            return
-        knowledge = self._knowledge()
-        if not drives(state, knowledge):
-            return
+        for _ in range(MOST_CHANGES_AT_ONCE):
+            if not await self._make_due_change():
+                return
+
+    async def _make_due_change(self) -> bool:
+        """Makes the next change of members or stores, if this process drives them; whether one was made."""
+        state, knowledge = self.register.chosen, self._knowledge()
+        if state is None or not drives(state, knowledge):
+            return False
         change = due_change(state, knowledge)
         if change is None:
-            return
+            return False
         try:
             following = await self.register.propose(change, PROPOSE_TIMEOUT_S)
-            log.warning("keeper.reconfigured", extra=_reconfiguration_fields(following))
         except (ChangeRefused, RegisterUnavailable) as fault:
             log.info("keeper.change_not_made", extra={"why": repr(fault)})
+            return False
+        log.warning("keeper.reconfigured", extra=_reconfiguration_fields(following))
+        return True
 
     def _knowledge(self) -> Knowledge:
         return Knowledge(self.me(), self.peers, self.settings.fault_tolerance.machines, self._started_s, self.clock())
@@ -265,23 +296,28 @@
     async def _handle_renew(self, message: Message) -> Message:
         now_s = self.clock()
         sender = str(message["sender"])
-        self.leases.renew(sender, str(message["address"]), str(message["zone"]), now_s)
+        keepers = self._control_addresses()
+        self.leases.renew(sender, str(message["address"]), str(message["zone"]), now_s, len(keepers))
         self.directory.note_version(_directory_version(message["receivers_version"]))
         state = self.register.chosen
         return {
             "type": "lease.granted",
-            "duration_s": self.leases.duration_s,
+            "duration_s": self.leases.duration_s(len(keepers)),
             "state_version": state["version"] if state is not None else -1,
             "receivers_version": self.directory.version,
-            "list_age_s": self.list_age_s(),
+            "list_age_s": self.list.age_s(),
             "parents": self.leases.parents(sender, now_s),
-            "keepers": self._control_addresses(),
+            "keepers": keepers,
             "senders": len(self.leases.live(now_s)),
         }
 
     def _control_addresses(self) -> list[str]:
         now_s = self.clock()
-        live = [peer.address for peer in self.peers.peers.values() if peer.control and peer.silent_s(now_s) < 5.0]
+        live = [
+            peer.address
+            for peer in self.peers.peers.values()
+            if peer.control and peer.silent_s(now_s) < CONTROL_KNOWN_S
+        ]
         return sorted({self.address, *live})
 
     async def _handle_release(self, message: Message) -> Message:
@@ -305,43 +341,28 @@
         return (state is not None and state["version"] > state_version) or self.directory.version > receivers_version
 
     def _news(self, state_version: int, receivers_version: DirectoryVersion) -> Message:
-        news: Message = {"type": "relay.news", "list_age_s": self.list_age_s()}
+        news: Message = {
+            "type": "relay.news",
+            "receivers_version": self.directory.version,
+            "list_age_s": self.list.age_s(),
+        }
         state = self.register.chosen
         if state is not None and state["version"] > state_version:
             news["state"] = state
         if self.directory.version > receivers_version:
             news["receivers"] = self.directory.records()
-            news["receivers_version"] = self.directory.version
         return news
 
     # The platform's list
 
-    @property
-    def _reading_period_s(self) -> float:
-        return self.settings.bounds.drain_ms / 1000 / READINGS_IN_DRAIN
-
-    def list_age_s(self) -> float:
-        """How long ago the list was read last, by anybody that was heard of; 1e9 before the first time."""
-        return min(self.clock() - self._list_read_s, 1e9)
-
-    async def _read_list_if_due(self) -> None:
-        age_s = self.list_age_s()
-        due_s = self._reading_period_s if self._has_reading_duty() else STALE_READINGS * self._reading_period_s
-        if age_s < due_s:
-            return
+    async def _read_list_when_due(self) -> None:
+        await asyncio.sleep(self.list.wait_s(self._has_reading_duty()))
         cloud = self.settings.cloud
-        if cloud is None:
-            return
-        began_s = self.clock()
-        platform = PlatformList(cloud.address)
-        try:
-            receivers = await asyncio.get_running_loop().run_in_executor(None, platform.read)
-        except PlatformUnavailable as fault:
-            log.info("keeper.list_unavailable", extra={"why": str(fault)})
+        if cloud is None or not self.list.is_due(self._has_reading_duty()):
             return
-        self._list_read_s = max(self._list_read_s, began_s)
-        if self.directory.take_reading(receivers, self.member):
+        if await self.list.read(cloud):
             self._announce()
+            self.greet_everyone()
 
     def _has_reading_duty(self) -> bool:
         """The live control process with the least id reads the list."""
--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -14,7 +14,8 @@
 from dewpin.cluster.configuration import ConfigurationInvalid, parse_configuration
 from dewpin.cluster.receivers import ReceiverDirectory
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
-from dewpin.cluster.settings import Settings, settings_or_exit
+from dewpin.cluster.settings import BOOT_VARIABLE, Settings, settings_or_exit
+from dewpin.cluster.settings_watch import POLL_PERIOD_S, SettingsWatch
 from dewpin.cluster.store_view import StoreView
 
 from .cluster_agent import ClusterAgent
@@ -40,6 +41,7 @@
         self.loop = asyncio.new_event_loop()
         self.agent: ClusterAgent | None = None
         self.stopping = threading.Event()
+        self.hangup = threading.Event()
         self._store_client: StoreClient | None = None
         self._started = threading.Event()
 
@@ -55,6 +57,7 @@
         ready = ReadyServer(self.is_ready)
         ingress.start(split_address(self.settings.listen["front"]))
         ready.start(split_address(self.settings.listen["ready"]))
+        threading.Thread(target=self._follow_settings, name="settings", daemon=True).start()
         self.stopping.wait()
         ingress.stop(self.settings.bounds.grace_s - DRAIN_MARGIN_S, NOT_READY_NOTICE_S)
         self._stop_agent()
@@ -66,6 +69,16 @@
             return False
         return self.state.configuration is not None and bool(self.state.receivers) and self.state.store_view is not None
 
+    def _follow_settings(self) -> None:
+        """Hands changes of the settings file on, at once after SIGHUP and soon without."""
+        watch = SettingsWatch(os.environ[BOOT_VARIABLE])
+        while not self.stopping.is_set():
+            self.hangup.wait(POLL_PERIOD_S)
+            self.hangup.clear()
+            settings = watch.poll()
+            if settings is not None and self.agent is not None:
+                self.loop.call_soon_threadsafe(self.agent.take_settings, settings)
+
     def _run_loop(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.create_task(self._start_agent())
@@ -117,7 +130,7 @@
     sender = Sender(settings_or_exit())
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: sender.stopping.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.signal(signal.SIGHUP, lambda *_: sender.hangup.set())
     sender.run()
     sys.stderr.flush()
     os._exit(0)
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -8,29 +8,34 @@
 
 import asyncio
 import contextlib
-import itertools
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
-from dewpin.cluster.platform_list import PlatformList, PlatformUnavailable
+from dewpin.cluster.platform_list import PlatformUnavailable, ReadsPlatform, ThreadedPlatformReader
 from dewpin.cluster.ports import control_plane_address, data_plane_address
 from dewpin.cluster.receivers import DirectoryVersion, ReceiverDirectory, receiver_from_record
 from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
 from dewpin.cluster.settings import Settings
+from dewpin.cluster.settings_watch import reloaded
+
+from .keeper_list import KeeperList
 
 log = logging.getLogger(__name__)
 
 RENEWALS_IN_BOUND = 5
 RENEW_TIMEOUT_S = 0.35
-WATCH_TIMEOUT_S = 1.2
-WATCH_HEARTBEAT_S = 0.5
+WATCH_TIMEOUT_S = 1.7
+WATCH_HEARTBEAT_S = 1.0
 WATCH_RETRY_S = 0.05
+FAULT_PAUSE_S = 0.5
 PARENT_SHUN_S = 3.0
-STALE_SHARE_OF_DRAIN = 0.5
+STALE_SHARE_OF_DRAIN = 0.6
 OWN_READING_SHARE_OF_DRAIN = 0.4
+OWN_READINGS_SHARE_OF_RATE = 0.5
+SHORTEST_PAUSE_S = 0.02
 UNKNOWN_AGE_S = 1e9
 
 SystemStateJson = dict[str, Any]
@@ -47,6 +52,7 @@
         on_state: Callable[[SystemStateJson], None],
         on_receivers: Callable[[ReceiverDirectory], None],
         clock: Callable[[], float] = time.monotonic,
+        platform: ReadsPlatform | None = None,
     ) -> None:
         self.settings = settings
         self.address = data_plane_address(settings.ip, settings.port_range)
@@ -60,14 +66,14 @@
         self._on_state = on_state
         self._on_receivers = on_receivers
         self._clock = clock
-        self._keepers = [self._seed_address(seed) for seed in settings.seeds]
-        rng.shuffle(self._keepers)
+        self._platform = platform or ThreadedPlatformReader()
+        self._keepers = KeeperList(self._seed_addresses(), rng)
         self._parents: list[str] = []
         self._shunned_until_s: dict[str, float] = {}
-        self._list_read_s = float("-inf")
-        self._own_reading_s = float("-inf")
+        self._shared_list_read_s = float("-inf")
+        self._own_list_read_s = float("-inf")
+        self._own_reading_began_s = float("-inf")
         self._changed = asyncio.Event()
-        self._turns = itertools.count()
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -78,34 +84,45 @@
     def start(self) -> None:
         """Begins to renew the lease and to follow the relay tree. Called on the agent's loop."""
         self._tasks = [
-            asyncio.ensure_future(self._renew_forever()),
-            asyncio.ensure_future(self._watch_forever()),
-            asyncio.ensure_future(self._guard_list_forever()),
+            asyncio.ensure_future(_repeat(self._renew_and_pause)),
+            asyncio.ensure_future(_repeat(self._watch)),
+            asyncio.ensure_future(_repeat(self._guard_list)),
         ]
 
+    def take_settings(self, settings: Settings) -> None:
+        """Takes up a changed settings file: the seeds and the platform's address; what was bound at the start stays."""
+        self.settings = reloaded(self.settings, settings)
+        self._keepers.set_seeds(self._seed_addresses())
+
     async def stop(self) -> None:
-        """Gives the lease up."""
+        """Gives the lease up, at all that grant it."""
         for task in self._tasks:
             task.cancel()
-        with contextlib.suppress(RpcError):
-            message: Message = {"type": "lease.release", "sender": self.sender}
-            await self._client.call(self._next_keeper(), message, RENEW_TIMEOUT_S)
+        message: Message = {"type": "lease.release", "sender": self.sender}
+        calls = [self._client.call(keeper, message, RENEW_TIMEOUT_S) for keeper in self._keepers.all()]
+        await asyncio.gather(*calls, return_exceptions=True)
 
     def list_age_s(self) -> float:
-        """How long ago the list that this sender's receivers come from was read."""
-        return min(self._clock() - self._list_read_s, UNKNOWN_AGE_S)
+        """How long ago the list that this sender's receivers come from was read, by anybody."""
+        return min(self._clock() - max(self._shared_list_read_s, self._own_list_read_s), UNKNOWN_AGE_S)
+
+    def _shared_list_age_s(self) -> float:
+        return min(self._clock() - self._shared_list_read_s, UNKNOWN_AGE_S)
 
     # The lease
 
-    async def _renew_forever(self) -> None:
+    async def _renew_and_pause(self) -> None:
         period_s = self.settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND
-        while True:
-            began_s = self._clock()
-            await self._renew(self._next_keeper())
-            pause_s = period_s * (0.9 + 0.2 * self._rng.random()) - (self._clock() - began_s)
-            await asyncio.sleep(max(pause_s if self.has_lease else pause_s / 4, 0.02))
+        began_s = self._clock()
+        if not await self._renew(self._keepers.next(began_s)):
+            has_others = bool(self._keepers.usable(self._clock()))
+            await asyncio.sleep(period_s / 8 if has_others else period_s / 4)
+            return
+        pause_s = period_s * (0.9 + 0.2 * self._rng.random()) - (self._clock() - began_s)
+        await asyncio.sleep(max(pause_s, SHORTEST_PAUSE_S))
 
-    async def _renew(self, keeper: str) -> None:
+    async def _renew(self, keeper: str) -> bool:
+        """Renews the lease at one keeper and asks it for what it has newer; whether it answered."""
         message: Message = {
             "type": "lease.renew",
             "sender": self.sender,
@@ -115,16 +132,23 @@
         }
         try:
             answer = await self._client.call(keeper, message, RENEW_TIMEOUT_S)
-            self.has_lease = True
-            self.senders = int(answer["senders"])
-            self._parents = [str(parent) for parent in answer["parents"]]
-            self._take_keepers([str(address) for address in answer["keepers"]])
+            self._take_lease(answer)
             if self._is_behind(answer):
                 await self._fetch(keeper)
             else:
                 self._note_age(answer)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
+            self._keepers.failed(keeper, self._clock())
             log.debug("lease.not_renewed", extra={"keeper": keeper, "why": repr(fault)})
+            return False
+        self._keepers.answered(keeper, self._clock())
+        return True
+
+    def _take_lease(self, answer: Message) -> None:
+        self._keepers.named([str(address) for address in answer["keepers"]], self._clock())
+        self._parents = [str(parent) for parent in answer["parents"]]
+        self.senders = int(answer["senders"])
+        self.has_lease = True
 
     def _is_behind(self, answer: Message) -> bool:
         version = self.state["version"] if self.state is not None else -1
@@ -133,36 +157,27 @@
     async def _fetch(self, keeper: str) -> None:
         self._take_news(await self._client.call(keeper, self._watch_message(wait=False), WATCH_TIMEOUT_S))
 
-    def _take_keepers(self, keepers: list[str]) -> None:
-        if set(keepers) - set(self._keepers):
-            self._rng.shuffle(keepers)
-            self._keepers = keepers + [one for one in self._keepers if one not in keepers]
-        seeds = {self._seed_address(seed) for seed in self.settings.seeds}
-        self._keepers = [one for one in self._keepers if one in keepers or one in seeds]
-
-    def _next_keeper(self) -> str:
-        return self._keepers[next(self._turns) % len(self._keepers)]
-
-    def _seed_address(self, seed: str) -> str:
-        return control_plane_address(seed.rpartition(":")[0], self.settings.port_range)
+    def _seed_addresses(self) -> list[str]:
+        ports = self.settings.port_range
+        return [control_plane_address(seed.rpartition(":")[0], ports) for seed in self.settings.seeds]
 
     # The relay tree
 
-    async def _watch_forever(self) -> None:
-        while True:
-            source = self._watch_source()
-            try:
-                news = await self._client.call(source, self._watch_message(wait=True), WATCH_TIMEOUT_S)
-                self._take_news(news)
-            except (RpcError, KeyError, TypeError, ValueError) as fault:
-                self._shunned_until_s[source] = self._clock() + PARENT_SHUN_S
-                log.debug("relay.parent_failed", extra={"parent": source, "why": repr(fault)})
-                await asyncio.sleep(WATCH_RETRY_S)
+    async def _watch(self) -> None:
+        source = self._watch_source()
+        try:
+            news = await self._client.call(source, self._watch_message(wait=True), WATCH_TIMEOUT_S)
+            self._take_news(news)
+        except (RpcError, KeyError, TypeError, ValueError) as fault:
+            self._shunned_until_s[source] = self._clock() + PARENT_SHUN_S
+            log.debug("relay.parent_failed", extra={"parent": source, "why": repr(fault)})
+            await asyncio.sleep(WATCH_RETRY_S)
 
     def _watch_source(self) -> str:
         now_s = self._clock()
-        usable = [one for one in (*self._parents, *self._keepers) if self._shunned_until_s.get(one, 0.0) <= now_s]
-        return usable[0] if usable else self._next_keeper()
+        self._shunned_until_s = {one: until_s for one, until_s in self._shunned_until_s.items() if until_s > now_s}
+        sources = [*self._parents, *self._keepers.usable(now_s), *self._keepers.all()]
+        return next((one for one in sources if one not in self._shunned_until_s), sources[-1])
 
     def _watch_message(self, wait: bool) -> Message:
         return {
@@ -182,6 +197,7 @@
         if "receivers" in news:
             receivers = [receiver_from_record(record) for record in news["receivers"]]
             if self.directory.take_copy(_version(news["receivers_version"]), receivers):
+                self._shared_list_read_s = self._clock() - float(news["list_age_s"])
                 self._on_receivers(self.directory)
                 changed = True
         self._note_age(news)
@@ -189,7 +205,10 @@
             self._announce()
 
     def _note_age(self, answer: Message) -> None:
-        self._list_read_s = max(self._list_read_s, self._clock() - float(answer["list_age_s"]))
+        """Takes the age of another's list, if that is of the version held here: else its content may be missing."""
+        if _version(answer["receivers_version"]) == self.directory.version:
+            read_s = self._clock() - float(answer["list_age_s"])
+            self._shared_list_read_s = max(self._shared_list_read_s, read_s)
 
     def _announce(self) -> None:
         self._changed.set()
@@ -201,12 +220,15 @@
         if not self._has_news(state_version, receivers_version):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), WATCH_HEARTBEAT_S)
-        news: Message = {"type": "relay.news", "list_age_s": self.list_age_s()}
+        news: Message = {
+            "type": "relay.news",
+            "receivers_version": self.directory.version,
+            "list_age_s": self._shared_list_age_s(),
+        }
         if self.state is not None and self.state["version"] > state_version:
             news["state"] = self.state
         if self.directory.version > receivers_version:
             news["receivers"] = self.directory.records()
-            news["receivers_version"] = self.directory.version
         return news
 
     def _has_news(self, state_version: int, receivers_version: DirectoryVersion) -> bool:
@@ -215,15 +237,22 @@
 
     # The list, where no keeper can give it in time
 
-    async def _guard_list_forever(self) -> None:
+    async def _guard_list(self) -> None:
         drain_s = self.settings.bounds.drain_ms / 1000
-        while True:
-            await asyncio.sleep(drain_s / 10 * (0.8 + 0.4 * self._rng.random()))
-            if self.state is None or self.list_age_s() < STALE_SHARE_OF_DRAIN * drain_s:
-                continue
-            if self._clock() - self._own_reading_s >= OWN_READING_SHARE_OF_DRAIN * drain_s:
-                self._own_reading_s = self._clock()
-                await self._read_list()
+        await asyncio.sleep(drain_s / 10 * (0.8 + 0.4 * self._rng.random()))
+        if self.state is None or self.list_age_s() < STALE_SHARE_OF_DRAIN * drain_s:
+            return
+        if self._clock() - self._own_reading_began_s >= self._own_reading_period_s():
+            self._own_reading_began_s = self._clock()
+            await self._read_list()
+
+    def _own_reading_period_s(self) -> float:
+        """So long that all senders together, each reading for itself, stay within the platform's rate."""
+        period_s = OWN_READING_SHARE_OF_DRAIN * self.settings.bounds.drain_ms / 1000
+        cloud = self.settings.cloud
+        if cloud is None or cloud.rate_per_s <= 0:
+            return period_s
+        return max(period_s, self.senders / (OWN_READINGS_SHARE_OF_RATE * cloud.rate_per_s))
 
     async def _read_list(self) -> None:
         cloud = self.settings.cloud
@@ -231,16 +260,25 @@
             return
         began_s = self._clock()
         try:
-            platform = PlatformList(cloud.address)
-            receivers = await asyncio.get_running_loop().run_in_executor(None, platform.read)
+            receivers = await self._platform.read(cloud.address)
         except PlatformUnavailable as fault:
             log.info("receivers.list_unavailable", extra={"why": str(fault)})
             return
-        self._list_read_s = max(self._list_read_s, began_s)
+        self._own_list_read_s = max(self._own_list_read_s, began_s)
         if self.directory.take_private_reading(receivers):
             self._on_receivers(self.directory)
 
 
+async def _repeat(step: Callable[[], Awaitable[None]]) -> None:
+    """Runs a step again and again; one that fails in an unforeseen way is logged and does not end the others."""
+    while True:
+        try:
+            await step()
+        except Exception:
+            log.exception("agent.step_failed", extra={"step": getattr(step, "__name__", "")})
+            await asyncio.sleep(FAULT_PAUSE_S)
+
+
 def _version(pair: object) -> DirectoryVersion:
     counter, reader = cast(tuple[int, str], pair)
     return DirectoryVersion(int(counter), str(reader))
--- /dev/null
+++ b/tests/cluster/test_settings_watch.py
@@ -0,0 +1,68 @@
+"""Changes of the settings file while a process runs."""
+
+import pytest
+from cluster import samples
+
+from dewpin.cluster import settings_watch
+from dewpin.cluster.settings import Cloud, load_settings
+from dewpin.cluster.settings_watch import SettingsWatch, reloaded
+
+OTHER_SEEDS = samples.SETTINGS.replace("10.1.0.34:8144", "10.1.0.99:8144")
+ELSEWHERE = OTHER_SEEDS.replace("10.200.0.100:8142", "10.200.0.7:8142").replace("10.1.0.30", "10.1.0.31")
+
+
+@pytest.fixture
+def path(tmp_path):
+    file = tmp_path / "settings.toml"
+    file.write_text(samples.SETTINGS)
+    return file
+
+
+@pytest.fixture
+def events(monkeypatch):
+    logged = []
+    monkeypatch.setattr(settings_watch, "log_event", lambda event, **fields: logged.append((event.value, fields)))
+    return logged
+
+
+def test_a_file_that_stays_tells_nothing(path):
+    watch = SettingsWatch(path)
+    assert watch.poll() is None
+    path.write_text(samples.SETTINGS)
+    assert watch.poll() is None
+
+
+def test_a_change_is_told_once(path, events):
+    watch = SettingsWatch(path)
+    path.write_text(OTHER_SEEDS)
+    changed = watch.poll()
+    assert changed is not None and changed.seeds == ("10.1.0.99:8144", "10.2.0.38:8144")
+    assert watch.poll() is None
+    assert [event for event, _ in events] == ["settings_reloaded"]
+
+
+@pytest.mark.parametrize("content", ["", "node_name = ", samples.SETTINGS.replace("10.1.0.34:8144", "nowhere")])
+def test_a_faulty_file_is_reported_once_and_ignored(path, events, content):
+    watch = SettingsWatch(path)
+    path.write_text(content)
+    assert watch.poll() is None and watch.poll() is None
+    assert [event for event, _ in events] == ["settings_rejected"]
+    path.write_text(OTHER_SEEDS)
+    assert watch.poll() is not None
+
+
+def test_a_file_that_is_away_for_a_moment_is_no_change(path):
+    watch = SettingsWatch(path)
+    path.unlink()
+    assert watch.poll() is None
+    path.write_text(samples.SETTINGS)
+    assert watch.poll() is None
+
+
+def test_a_running_process_takes_the_seeds_and_the_platforms_address_and_keeps_its_own(path):
+    running = load_settings(path)
+    path.write_text(ELSEWHERE)
+    after = reloaded(running, load_settings(path))
+    assert after.seeds == ("10.1.0.99:8144", "10.2.0.38:8144")
+    assert after.cloud == Cloud("10.200.0.7:8142", 44.0, 800.0)
+    assert (after.ip, after.listen) == (running.ip, running.listen)
--- /dev/null
+++ b/tests/controlplane/test_list_reader.py
@@ -0,0 +1,82 @@
+"""When the platform's list is read, and how old the directory is."""
+
+from dewpin.cluster.receivers import DirectoryVersion, Receiver
+from dewpin.controlplane.list_reader import (
+    LOOKS_IN_PERIOD,
+    READINGS_IN_DRAIN,
+    STALE_READINGS,
+    UNKNOWN_AGE_S,
+    ListReader,
+)
+
+DRAIN_S = 4.0
+PERIOD_S = DRAIN_S / READINGS_IN_DRAIN
+ONE = Receiver("1", "service", "10.1.0.1:80", "east", 8)
+
+
+class Clock:
+    now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def made(member="a"):
+    clock = Clock()
+    return ListReader(member, DRAIN_S, clock), clock
+
+
+def test_nothing_was_read_yet():
+    reader, _ = made()
+    assert reader.age_s() == UNKNOWN_AGE_S
+    assert reader.is_due(True) and reader.is_due(False)
+
+
+def test_the_one_with_the_duty_reads_every_period_and_the_others_where_the_list_grows_stale():
+    reader, clock = made()
+    reader.take_reading([ONE], clock())
+    clock.now_s += 0.99 * PERIOD_S
+    assert not reader.is_due(True)
+    clock.now_s += 0.02 * PERIOD_S
+    assert reader.is_due(True) and not reader.is_due(False)
+    clock.now_s += (STALE_READINGS - 1) * PERIOD_S
+    assert reader.is_due(False)
+
+
+def test_the_age_counts_from_the_beginning_of_the_reading():
+    reader, clock = made()
+    began_s = clock()
+    clock.now_s += 0.4
+    reader.take_reading([ONE], began_s)
+    assert round(reader.age_s(), 6) == 0.4
+
+
+def test_the_wait_ends_when_a_reading_is_due_and_looks_for_the_duty_meanwhile():
+    reader, clock = made()
+    reader.take_reading([ONE], clock())
+    assert reader.wait_s(True) == PERIOD_S / LOOKS_IN_PERIOD
+    clock.now_s += 0.9 * PERIOD_S
+    assert round(reader.wait_s(True), 6) == round(0.1 * PERIOD_S, 6)
+
+
+def test_another_process_age_counts_only_for_the_version_held_here():
+    reader, clock = made()
+    reader.take_copy(DirectoryVersion(5, "b"), [ONE], 2.0)
+    assert reader.age_s() == 2.0
+    reader.note_age(DirectoryVersion(5, "c"), 0.1)
+    reader.note_age(DirectoryVersion(4, "b"), 0.1)
+    reader.note_age(DirectoryVersion(6, "b"), 0.1)
+    assert reader.age_s() == 2.0
+    reader.note_age(DirectoryVersion(5, "b"), 0.1)
+    assert round(reader.age_s(), 6) == 0.1
+    reader.note_age(DirectoryVersion(5, "b"), 3.0)
+    assert round(reader.age_s(), 6) == 0.1
+
+
+def test_a_newer_directory_brings_its_own_age_also_if_it_was_read_earlier():
+    reader, clock = made()
+    reader.take_reading([ONE], clock())
+    assert reader.take_copy(DirectoryVersion(5, "b"), [ONE], 1.5)
+    assert reader.age_s() == 1.5
+    assert not reader.take_copy(DirectoryVersion(4, "b"), [ONE], 0.0)
+    assert reader.age_s() == 1.5
--- a/tests/controlplane/test_reconfiguration.py
+++ b/tests/controlplane/test_reconfiguration.py
@@ -80,7 +80,7 @@
         for _ in range(20):
             if synced:
                 epoch = self.state["stores"]["epoch"]
-                self.synced = {one: epoch for one in {*self.peers.peers, "a"}}
+                self.synced = dict.fromkeys({*self.peers.peers, "a"}, epoch)
                 for peer in list(self.peers.peers.values()):
                     if self.now_s - peer.last_heard_s < 0.5:
                         self.hear(peer.id, name=peer.name, address=peer.address, leaving=peer.leaving)
