Data plane: a stream whose receiver is about to close is bounded and watched like any other

Cause: the library forgets the socket at the head of an answer that says Connection: close, so such a stream had the time-out of its beginning and its client was not watched.

--- a/dewpin/dataplane/receiver_stream.py
+++ b/dewpin/dataplane/receiver_stream.py
@@ -4,7 +4,6 @@
 import select
 import socket
 from collections.abc import Callable, Iterator
-from typing import cast
 
 from urllib3 import HTTPResponse
 from urllib3.connection import HTTPConnection
@@ -32,9 +31,9 @@
     """Reads the parts of a body as they arrive, by a deadline in seconds of the clock."""
 
     def __init__(
-        self, connection: HTTPConnection, response: HTTPResponse, deadline: float, clock: Callable[[], float]
+        self, sock: socket.socket, response: HTTPResponse, deadline: float, clock: Callable[[], float]
     ) -> None:
-        self._socket = cast(socket.socket | None, connection.sock)
+        self._socket = sock
         self._response = response
         self._deadline = deadline
         self._clock = clock
@@ -58,7 +57,7 @@
     def has_buffered_bytes(self) -> bool:
         """Tell whether bytes of the answer were read from the socket already, without waiting for more."""
         reader = getattr(getattr(self._response, "_fp", None), "fp", None)
-        if reader is None or self._socket is None:
+        if reader is None or self._socket.fileno() < 0:
             return True
         self._socket.setblocking(False)
         return bool(reader.peek(1))
@@ -67,7 +66,7 @@
         left_s = self._deadline - self._clock()
         if left_s <= 0:
             raise StreamCut(Outcome.TIMED_OUT)
-        if self._socket is not None and self._socket.fileno() >= 0:
+        if self._socket.fileno() >= 0:
             self._socket.settimeout(max(LEAST_TIMEOUT_S, left_s))
 
     def _read_parts(self) -> Iterator[bytes]:
@@ -86,11 +85,16 @@
 
 
 class ReceiverStream:
-    """A receiver's stream; whoever has it must call `close`."""
+    """A receiver's stream; whoever has it must call `close`.
+
+    `sock` is the connection's socket as it was before the head was read: the library forgets it where the receiver is
+    going to close.
+    """
 
     def __init__(
         self,
         connection: HTTPConnection,
+        sock: socket.socket,
         response: HTTPResponse,
         deadline: float,
         clock: Callable[[], float],
@@ -98,12 +102,13 @@
         give_back: Callable[[HTTPConnection, HTTPResponse], None],
     ) -> None:
         self._connection = connection
+        self._socket = sock
         self._response = response
         self._deadline = deadline
         self._clock = clock
         self._client = client
         self._give_back = give_back
-        self._reader = BodyReader(connection, response, deadline, clock)
+        self._reader = BodyReader(sock, response, deadline, clock)
         self._open = True
 
     def read_part(self) -> bytes:
@@ -132,16 +137,16 @@
 
     def _await_bytes(self) -> None:
         """Wait until the receiver has sent something; raises StreamCut if the time ends or the client goes first."""
-        ended = wait_for_receiver(self._connection, self._client, self._deadline, self._clock)
+        ended = wait_for_receiver(self._socket, self._client, self._deadline, self._clock)
         if ended is not None:
             raise StreamCut(ended)
 
 
 def wait_for_receiver(
-    connection: HTTPConnection, client: Client | None, deadline: float, clock: Callable[[], float]
+    sock: socket.socket, client: Client | None, deadline: float, clock: Callable[[], float]
 ) -> Outcome | None:
     """Wait until a receiver's socket is readable; return why the wait ended otherwise."""
-    receiver = cast(socket.socket, connection.sock).fileno()
+    receiver = sock.fileno()
     poller = select.poll()
     poller.register(receiver, select.POLLIN)
     if client is not None:
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -4,10 +4,12 @@
 answer counts only if it names the request that this call sent.
 """
 
+import socket
 import threading
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import cast
 
 from urllib3 import HTTPResponse
 from urllib3.connection import HTTPConnection
@@ -157,8 +159,9 @@
         """Send the request and read the answer, or its head where a stream follows; raises where that breaks."""
         client = call.request.client if call.streaming else None
         self._send(receiver, connection, call)
+        sock = cast(socket.socket, connection.sock)
         if client is not None:
-            ended = wait_for_receiver(connection, client, call.deadline, self._clock)
+            ended = wait_for_receiver(sock, client, call.deadline, self._clock)
             if ended is not None:
                 raise StreamCut(ended)
         response = connection.getresponse()
@@ -169,9 +172,11 @@
         )
         load = parse_server_load(response.headers.get(SERVER_LOAD))
         if call.streaming and answer.status == HTTPStatus.OK and answer.signed and not is_refusal(response):
-            stream = ReceiverStream(connection, response, call.deadline, self._clock, client, connections.give_back)
+            stream = ReceiverStream(
+                connection, sock, response, call.deadline, self._clock, client, connections.give_back
+            )
             return CallResult(Outcome.SUCCESS, answer, stream, load)
-        body = BodyReader(connection, response, call.deadline, self._clock).read_all()
+        body = BodyReader(sock, response, call.deadline, self._clock).read_all()
         connections.give_back(connection, response)
         return CallResult(
             outcome=classify(response, answer),
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -304,6 +304,16 @@
     assert client._reader.read() == b"onetwo"
 
 
+def test_a_broken_stream_to_an_old_client_is_reset():
+    body = Parts(b"one", BodyBroken("cut"))
+    server = Server(lambda request: Answer(200, [], body))
+    client = server.connect()
+    client.send("GET / HTTP/1.0")
+    with pytest.raises(ConnectionResetError):
+        client._reader.read()
+    server.ingress.stop(PATIENCE_S)
+
+
 def test_a_stream_whose_client_is_gone_is_closed(serve):
     go_on = threading.Event()
     body = Parts(b"one", lambda: go_on.wait(PATIENCE_S), *[b"x" * 65536] * 200)
--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -86,6 +86,12 @@
     assert header(answer, "keep-alive") is None
 
 
+def test_headers_that_the_receiver_names_as_its_connections_are_not_passed_on():
+    with receivers(ScriptedReceiver(whole(b"", "200 OK", "Connection: X-Hop", "X-Hop: 1"))) as listed:
+        answer = Path(listed)()
+    assert header(answer, "x-hop") is header(answer, "connection") is None
+
+
 def test_a_request_without_a_route_gets_404():
     path = Path([])
     assert path(target="/x").status == 503
@@ -376,6 +382,19 @@
     assert sum(len(peer.requests) for peer in peers) == 2
 
 
+def test_a_stream_that_was_served_ends_the_count_of_refusals():
+    with receivers(ScriptedReceiver(refusal(), stream(event(1)))) as listed:
+        path = Path(listed, kind="stream", target_ms=50)
+        assert path().status == 503
+        load = path.path._tools.balancer._book.load("i-1")
+        assert load.refusals == 1
+        path.pauses.append(PATIENCE_S)
+        before = load.call_time_s
+        assert read(path()) == (event(1), False)
+    assert load.refusals == 0
+    assert load.call_time_s != before
+
+
 def test_places_of_streams_are_given_back():
     with receivers(ScriptedReceiver(stream(event(1)), capacity=1)) as listed:
         path = Path(listed, kind="stream", target_ms=100)
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -7,6 +7,7 @@
 from dataplane.peers import (
     END,
     PATIENCE_S,
+    STREAM_FIELDS,
     ScriptedReceiver,
     chunk,
     close,
@@ -24,9 +25,10 @@
 from dewpin.cluster.receivers import Receiver
 from dewpin.dataplane.figures import RequestFigures
 from dewpin.dataplane.outcome import Outcome
+from dewpin.dataplane.receiver_connections import ReceiverConnections
 from dewpin.dataplane.receiver_load import ServerLoad
 from dewpin.dataplane.receiver_stream import StreamCut
-from dewpin.dataplane.upstream import Call, Upstream
+from dewpin.dataplane.upstream import CONNECT_SHARE_OF_TIME_LEFT, Call, Upstream
 
 
 class Clock:
@@ -376,9 +378,10 @@
         assert gone.wait(PATIENCE_S)
 
 
-def test_a_stream_is_cut_when_its_time_ends(call):
+@pytest.mark.parametrize("fields", [STREAM_FIELDS, (*STREAM_FIELDS, "Connection: close")])
+def test_a_stream_is_cut_when_its_time_ends(call, fields):
     def answer(connection, got):
-        connection.send(stream_head(got) + chunk(event(1)))
+        connection.send(head(got, "200 OK", *fields) + b"\r\n" + chunk(event(1)))
         connection.wait_for_close()
 
     with receivers(ScriptedReceiver(answer)) as (receiver,):
@@ -390,6 +393,36 @@
     assert told.value.outcome is Outcome.TIMED_OUT
 
 
+def test_a_stream_of_a_receiver_that_leaves_is_bounded_by_the_time_left(call):
+    def answer(connection, got):
+        connection.send(head(got, "200 OK", *STREAM_FIELDS, "Connection: close") + b"\r\n" + chunk(event(1)))
+        connection.wait_for_close()
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        result.stream.read_part()
+        call.clock.ahead_s += PATIENCE_S - 0.1
+        started = time.monotonic()
+        with pytest.raises(StreamCut) as told:
+            result.stream.read_part()
+    assert told.value.outcome is Outcome.TIMED_OUT
+    assert time.monotonic() - started < PATIENCE_S / 2
+
+
+def test_a_connect_takes_a_share_of_the_time_only(call, monkeypatch):
+    bounds = []
+
+    def connect(connections, timeout_s):
+        bounds.append(timeout_s)
+        raise TimeoutError
+
+    monkeypatch.setattr(ReceiverConnections, "connect", connect)
+    assert call(Receiver("i-1", "s", "127.0.0.1:9", "here", 1, False, 0.0, "v1"), time_s=2.0).outcome is (
+        Outcome.NEVER_SENT
+    )
+    assert bounds[0] <= 2.0 * CONNECT_SHARE_OF_TIME_LEFT
+
+
 def test_an_error_on_a_stream_route_is_an_answer_with_a_whole_body(call):
     with receivers(ScriptedReceiver(whole(b"no", "500 Internal Server Error"), stream(event(1)))) as (receiver,):
         result = call(receiver, streaming=True)
