Tier: a command line for checks of its files and the operator's orders

Cause: operators need every fault of a configuration or a settings file before it goes out, and a way to read and put one by hand. Apart from dewpin.cli, since the tier's build has typer and not what the sender needs, and the other way round.

--- /dev/null
+++ b/dewpin/tier_cli/commands.py
@@ -0,0 +1,152 @@
+"""The commands. Results go to standard output, faults to standard error; `--json` prints one object instead."""
+
+import json
+import platform
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Annotated, NoReturn
+
+import typer
+
+from dewpin import __version__
+from dewpin.cluster.configuration import Configuration, ConfigurationInvalid, parse_configuration
+from dewpin.cluster.settings import SettingsInvalid, load_settings
+
+from .exit_codes import ExitCode
+
+EXIT_CODES = """Exit codes: 0 done; 1 a file cannot be read or written; 2 the arguments or what was checked are faulty;
+3 the tier refused the order; 4 no clear answer came."""
+DEFAULT_TIMEOUT_S = 5.0
+
+app = typer.Typer(
+    help="The serving tier: checks of its files and orders to it.", epilog=EXIT_CODES, no_args_is_help=True
+)
+config = typer.Typer(help="The operator's configuration.", epilog=EXIT_CODES, no_args_is_help=True)
+settings = typer.Typer(help="The settings file of a process.", epilog=EXIT_CODES, no_args_is_help=True)
+app.add_typer(config, name="config")
+app.add_typer(settings, name="settings")
+
+AsJson = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
+Address = Annotated[str, typer.Option(help="HOST:PORT where the tier answers its operator.")]
+Timeout = Annotated[float, typer.Option("--timeout", help="Seconds to wait for an answer.", min=0.1)]
+ConfigurationFile = Annotated[Path, typer.Argument(help="A configuration, as JSON.")]
+
+
+@config.command("check")
+def check_configuration(file: ConfigurationFile, as_json: AsJson = False) -> None:
+    """Check a configuration and name every fault with its place."""
+    configuration = _read_configuration(file, as_json)
+    counts = {"routes": len(configuration.routes), "services": len(configuration.services)}
+    text = f"{file}: valid, generation {configuration.generation}, {_counted(counts)}"
+    _finish(as_json, text, valid=True, generation=configuration.generation, **counts)
+
+
+@config.command("get")
+def get_configuration(
+    address: Address,
+    output: Annotated[Path | None, typer.Option(help="Write it to this file instead of printing it.")] = None,
+    timeout_s: Timeout = DEFAULT_TIMEOUT_S,
+    as_json: AsJson = False,
+) -> None:
+    """Read the configuration in force, byte for byte as it was put."""
+    from .operator_client import NoAnswer, OperatorClient
+
+    try:
+        answer = OperatorClient(address, timeout_s).get_configuration()
+    except NoAnswer as fault:
+        _fail(ExitCode.NO_ANSWER, [str(fault)], as_json)
+    if answer.status != 200:
+        _fail(_code_of(answer.status), answer.errors(), as_json, status=answer.status)
+    if output is None:
+        typer.echo(answer.body.decode("utf-8", "replace"))
+        return
+    try:
+        output.write_bytes(answer.body)
+    except OSError as error:
+        _fail(ExitCode.UNREADABLE, [f"{output}: {error.strerror}"], as_json)
+    _finish(as_json, f"{output}: written", written=str(output))
+
+
+@config.command("put")
+def put_configuration(
+    file: ConfigurationFile,
+    address: Address,
+    base: Annotated[
+        int | None, typer.Option(help="The version that it builds on; without it, the one now in force.", min=0)
+    ] = None,
+    timeout_s: Timeout = DEFAULT_TIMEOUT_S,
+    as_json: AsJson = False,
+) -> None:
+    """Check a configuration and put it in force."""
+    from .operator_client import NoAnswer, OperatorClient, version_in_force
+
+    configuration = _read_configuration(file, as_json)
+    client = OperatorClient(address, timeout_s)
+    try:
+        if base is None:
+            base = version_in_force(client.get_configuration())
+        answer = client.put_configuration(file.read_bytes(), base)
+    except NoAnswer as fault:
+        _fail(ExitCode.NO_ANSWER, [str(fault)], as_json)
+    if answer.status != 200:
+        _fail(_code_of(answer.status), answer.errors(), as_json, status=answer.status)
+    text = f"generation {configuration.generation} acknowledged, built on {base}"
+    _finish(as_json, text, acknowledged=True, generation=configuration.generation, base=base)
+
+
+@settings.command("check")
+def check_settings(
+    file: Annotated[Path, typer.Argument(help="A settings file, as TOML.")], as_json: AsJson = False
+) -> None:
+    """Check a settings file and name every fault with its key and what was expected."""
+    if not file.is_file():
+        _fail(ExitCode.UNREADABLE, [f"{file}: there is no such file"], as_json)
+    try:
+        checked = load_settings(file)
+    except SettingsInvalid as invalid:
+        _fail(ExitCode.FAULTY, invalid.lines(), as_json)
+    serves = sorted(checked.serves)
+    text = f"{file}: valid, {checked.node_name} serves {', '.join(serves) or 'nothing'}"
+    _finish(as_json, text, valid=True, node_name=checked.node_name, serves=serves)
+
+
+@app.command("version")
+def show_version(as_json: AsJson = False) -> None:
+    """Print the program's version and what it runs on."""
+    python = platform.python_version()
+    _finish(as_json, f"dewpin {__version__}, Python {python}", version=__version__, python=python)
+
+
+def _read_configuration(file: Path, as_json: bool) -> Configuration:
+    try:
+        body = file.read_bytes()
+    except OSError as error:
+        _fail(ExitCode.UNREADABLE, [f"{file}: {error.strerror}"], as_json)
+    try:
+        return parse_configuration(body)
+    except ConfigurationInvalid as invalid:
+        _fail(ExitCode.FAULTY, invalid.lines(), as_json)
+
+
+def _code_of(status: int) -> ExitCode:
+    """Return the exit code for an answer other than 200."""
+    if status in (400, 413, 422):
+        return ExitCode.FAULTY
+    return ExitCode.REFUSED if status < 500 and status not in (408, 429) else ExitCode.NO_ANSWER
+
+
+def _counted(counts: dict[str, int]) -> str:
+    return ", ".join(f"{count} {name}" for name, count in counts.items())
+
+
+def _finish(as_json: bool, text: str, **result: object) -> None:
+    typer.echo(json.dumps(result) if as_json else text)
+
+
+def _fail(code: ExitCode, faults: Iterable[str], as_json: bool, **more: object) -> NoReturn:
+    faults = list(faults)
+    if as_json:
+        typer.echo(json.dumps({"faults": faults, **more}))
+    else:
+        typer.echo("\n".join(faults), err=True)
+    raise typer.Exit(code)
