--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -36,7 +36,7 @@
 IDLE_MARGIN = 1.1
 """A connection at rest is kept a little longer than the operator's limit says."""
 WRITE_TIMEOUT_S = 10.0
-BODY_PROGRESS_S = 10.0
+BODY_TIMEOUT_S = 10.0
 CHUNK_LINE_BYTES = 256
 NO_BODY_STATUSES = frozenset({204, 304})
 MOST_CONNECTIONS = 3000
@@ -57,9 +57,11 @@
         handle: HandleRequest,
         clock: Callable[[], float] = time.monotonic,
         most_connections: int = MOST_CONNECTIONS,
+        accept_poll_s: float = ACCEPT_POLL_S,
     ) -> None:
         self._state = cluster_state
         self._clock = clock
+        self._accept_poll_s = accept_poll_s
         self._most_connections = most_connections
         self._server: _Server | None = None
         self._accepting: threading.Thread | None = None
@@ -68,6 +70,7 @@
         self._connections = 0
         self.handle = handle
         self.draining = False
+        self.stopped = False
 
     @property
     def address(self) -> tuple[str, int]:
@@ -86,23 +89,29 @@
         threading.stack_size(THREAD_STACK_BYTES)
         server = self._server = _Server(address, self)
         self._accepting = threading.Thread(
-            target=server.serve_forever, args=(ACCEPT_POLL_S,), name="ingress", daemon=True
+            target=server.serve_forever, args=(self._accept_poll_s,), name="ingress", daemon=True
         )
         self._accepting.start()
 
+    def begin_drain(self) -> None:
+        """Let all answers carry `Connection: close` from now on; new connections are still taken."""
+        self.draining = True
+
     def stop(self, drain_s: float, accept_s: float = 0.0) -> bool:
         """Drain, and return whether all requests ended in time.
 
-        From now on answers carry `Connection: close`. New connections are taken for `accept_s` more; then connections
-        at rest are closed, and requests under way have until `drain_s` after the call.
+        New connections are taken for `accept_s` more; then connections at rest are closed, and requests under way have
+        until `drain_s` after the call.
         """
         ends_at = self._clock() + drain_s
-        self.draining = True
-        with self._counted:
-            self._counted.wait_for(lambda: False, min(accept_s, drain_s))
+        self.begin_drain()
+        if accept_s > 0:
+            threading.Event().wait(min(accept_s, drain_s))
         if self._server is not None:
             self._server.shutdown()
+            self._server.take_queued()
             self._server.server_close()
+        self.stopped = True
         os.close(self._wake_writer)
         with self._counted:
             return self._counted.wait_for(lambda: self._connections == 0, max(0.0, ends_at - self._clock()))
@@ -145,6 +154,7 @@
 
     def __init__(self, address: tuple[str, int], ingress: Ingress) -> None:
         self.ingress = ingress
+        self._queue_is_empty = False
         super().__init__(address, _Handler)
 
     def server_bind(self) -> None:
@@ -163,6 +173,17 @@
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return accepted, address
 
+    def take_queued(self) -> None:
+        """Serve the connections that came up but were not accepted yet, once `serve_forever` has ended."""
+        self.timeout = 0
+        self._queue_is_empty = False
+        while not self._queue_is_empty:
+            self.handle_request()
+
+    def handle_timeout(self) -> None:
+        """Note that no connection waits to be accepted."""
+        self._queue_is_empty = True
+
     def verify_request(self, request: Any, client_address: Any) -> bool:
         """Turn a connection away where there are too many."""
         return self.ingress.take_connection()
@@ -208,17 +229,27 @@
 
     def serve(self) -> None:
         while self._connection.wait_at_rest(self._rest_s):
+            self._connection.skip_empty_lines()
+            if not self._connection.has_buffered_bytes:
+                continue
             request_read = self._read_request()
             if isinstance(request_read, ErrorKind):
                 self._answer_unread(request_read)
                 return
             head, request = request_read
-            close = self._answer(head, self._ingress.handle(request))
+            close = self._answer(head, self._handle(request))
             if close:
                 self._connection.close_lingering()
                 return
         self._connection.close()
 
+    def _handle(self, request: Request) -> Answer:
+        try:
+            return self._ingress.handle(request)
+        except Exception:
+            log.exception("a request could not be handled")
+            return own_answer(ErrorKind.INTERNAL)
+
     def _rest_s(self) -> float:
         return self._ingress.limits().idle_timeout_ms / 1000 * IDLE_MARGIN
 
@@ -228,7 +259,6 @@
         received_at = self._clock()
         head_by = received_at + limits.header_timeout_ms / 1000
         try:
-            self._connection.skip_empty_lines()
             head = parse_head(self._connection.read_until(b"\r\n\r\n", limits.max_header_bytes, head_by))
         except TooLarge:
             return ErrorKind.HEADERS_TOO_LARGE
@@ -254,13 +284,13 @@
         if head.expects_continue:
             self._connection.send_all(b"HTTP/1.1 100 Continue\r\n\r\n", self._clock() + WRITE_TIMEOUT_S)
         if head.content_length is not None:
-            return self._connection.read_exactly(head.content_length, self._clock() + BODY_PROGRESS_S)
+            return self._connection.read_exactly(head.content_length, self._clock() + BODY_TIMEOUT_S)
         return self._read_chunks(limits)
 
     def _read_chunks(self, limits: Limits) -> bytes:
         body = bytearray()
         while True:
-            deadline = self._clock() + BODY_PROGRESS_S
+            deadline = self._clock() + BODY_TIMEOUT_S
             size = parse_chunk_size(self._connection.read_until(b"\r\n", CHUNK_LINE_BYTES, deadline))
             if size == 0:
                 break
@@ -269,7 +299,7 @@
             body += self._connection.read_exactly(size, deadline)
             if self._connection.read_exactly(2, deadline) != b"\r\n":
                 raise MalformedRequest("a chunk does not end where it should")
-        while self._connection.read_until(b"\r\n", limits.max_header_bytes, self._clock() + BODY_PROGRESS_S):
+        while self._connection.read_until(b"\r\n", limits.max_header_bytes, self._clock() + BODY_TIMEOUT_S):
             pass
         return bytes(body)
 
@@ -298,10 +328,15 @@
         chunked = not head.is_http_1_0
         closing = closing or not chunked
         data = render_head(answer, closing, [("Transfer-Encoding", "chunked")] if chunked else [])
-        for part in body:
-            data += render_chunk(part) if chunked else part
-            self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
-            data = b""
+        try:
+            for part in body:
+                data += render_chunk(part) if chunked else part
+                self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
+                data = b""
+        except BodyBroken:
+            if not chunked:
+                self._connection.reset()
+            raise
         if chunked:
             data += b"0\r\n\r\n"
         self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
