--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -16,7 +16,7 @@
 import time
 from pathlib import Path
 
-from benchmarks.capacity.measures import control, process, storage, wire
+from benchmarks.capacity.measures import control, process, scale, storage, wire
 from benchmarks.capacity.page import replace_sections
 from benchmarks.capacity.report import sections
 from benchmarks.capacity.results import Results, load, save, this_run
@@ -64,6 +64,10 @@
     "connection-memory": process.connection_memory,
     "event-cost": process.event_cost,
     "event-delay": process.event_delay,
+    "hollow-keeper": scale.keeper_load,
+    "hollow-sender": scale.sender_load,
+    "hollow-half": scale.half_reached,
+    "hollow-all": scale.all_reached,
 }
 
 
--- a/benchmarks/capacity/design.py
+++ b/benchmarks/capacity/design.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from dewpin.cluster.netstring import encode
-from dewpin.controlplane.keeper import HELLO_PERIOD_S, READINGS_IN_DRAIN, WATCH_HEARTBEAT_S
-from dewpin.controlplane.leases import LEASE_PERIODS, RELAY_FAN_OUT, LeaseTable
+from dewpin.controlplane.keeper import HELLO_PERIOD_S, WATCH_HEARTBEAT_S
+from dewpin.controlplane.leases import LEASE_PERIODS, LEASE_ROUNDS, RELAY_FAN_OUT, LeaseTable
+from dewpin.controlplane.list_reader import READINGS_IN_DRAIN
 from dewpin.controlplane.reconfiguration import GONE_S, GONE_WITH_SUCCESSOR_S
 from dewpin.controlplane.storage import MOST_IN_COMMIT
 from dewpin.controlplane.system_state import MOST_REMEMBERED_CONFIGURATIONS
@@ -17,6 +18,7 @@
     "GONE_WITH_SUCCESSOR_S",
     "HELLO_PERIOD_S",
     "LEASE_PERIODS",
+    "LEASE_ROUNDS",
     "MOST_IN_COMMIT",
     "MOST_REMEMBERED_CONFIGURATIONS",
     "READINGS_IN_DRAIN",
@@ -55,7 +57,15 @@
             "m": {"type": "relay.watch", "state_version": 851, "receivers_version": _VERSION, "wait": True},
         }
     )
-) + len(encode({"v": 1, "r": 12345, "m": {"type": "relay.news", "list_age_s": 0.123456789012}}))
+) + len(
+    encode(
+        {
+            "v": 1,
+            "r": 12345,
+            "m": {"type": "relay.news", "receivers_version": _VERSION, "list_age_s": 0.123456789012},
+        }
+    )
+)
 """Bytes of a watch of the relay tree and its answer when nothing is new."""
 
 
--- a/benchmarks/capacity/roles/failures.py
+++ b/benchmarks/capacity/roles/failures.py
@@ -55,9 +55,10 @@
     target = context.target
     return [
         context.row(
-            "time until a lost sender's lease is over",
-            f"{design.LEASE_PERIODS} × {plain(context.renewal_s)} s",
-            lambda: context.lease_s,
+            "time until a lost sender's lease is over (its children leave it after a second)",
+            f"max({design.LEASE_PERIODS}, {design.LEASE_ROUNDS} × {target.control_machines}) × "
+            f"{plain(context.renewal_s)} s",
+            lambda: context.lease_s(target.control_machines),
             "s",
             LEASES,
         ),
