Checks: the format of the tier's packages is checked, and a test holds that it is

Cause: in ruff's exclude patterns * goes over slashes, so dewpin/*.py left out every package, the new ones too. A row for the local stand-in of the platform.

--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,7 +12,8 @@
     "daemon": {"config", "console", "log", "net", "ports", "relay", "spool"},
     "cli": {"config", "daemon", "lab", "log", "spool"},
     "cluster": set(), "consensus": set(), "controlplane": {"cluster", "consensus"},
-    "dataplane": {"cluster", "consensus"}, "tier_cli": {"cluster"}}
+    "dataplane": {"cluster", "consensus"}, "standin": {"cluster"}, "tier_cli": {"cluster"}}
+TIER = ("cluster", "consensus", "controlplane", "dataplane", "standin", "tier_cli")
 NEVER = {"core": {"asyncio", "socket", "time", "os", "structlog", "msgspec"}, "config": {"asyncio", "socket"},
          "spool": {"asyncio", "socket"}, "relay": {"socket", "os"}, "net": {"structlog"}, "ports": {"asyncio"},
          "consensus": {"asyncio", "socket", "time", "os", "threading", "sqlite3"}}
@@ -46,6 +47,18 @@
     assert packages <= set(MAY)
 
 
+def test_the_tier_is_formatted_and_its_types_are_strict():
+    import fnmatch
+    import tomllib
+    held = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]
+    excluded = held["ruff"]["format"]["exclude"] + held["ruff"]["extend-exclude"]
+    strict = [row for row in held["mypy"]["overrides"] if "disallow_any_generics" in row and "extra_checks" in row]
+    for package in TIER:
+        for name in (f"dewpin/{package}/one.py", f"tests/{package}/one.py"):
+            assert not [pattern for pattern in excluded if fnmatch.fnmatch(name, pattern)]
+        assert any(f"dewpin.{package}.*" in row["module"] for row in strict)
+
+
 def test_the_programs_of_the_tier_load_no_command_line():
     program = ("import sys\nfrom dewpin.cluster import configuration, errors, logs, settings\n"
                "print(sorted({name.partition('.')[0] for name in sys.modules} & "
