Data plane: a call that needs a new connection closes one old connection, not all

Cause: the newest idle connection being too old for a call that must not be repeated, all of them were closed, also those that calls which may be repeated could still use; new connections are dear.

--- a/dewpin/dataplane/receiver_connections.py
+++ b/dewpin/dataplane/receiver_connections.py
@@ -70,15 +70,25 @@
         self._connect_time_s: float | None = None
 
     def take_idle(self, repeatable: bool) -> HTTPConnection | None:
-        """Return a connection that may carry a call now, or None; one that may not is closed."""
+        """Return a connection that may carry a call now, or None; those that may carry none any more are closed.
+
+        Where the newest one is only too old for a call that must not be repeated, the oldest one gives way to the new
+        connection that the call needs.
+        """
         while True:
             with self._lock:
                 if not self._idle:
                     return None
-                idle = self._idle.pop()
-            if idle.may_carry(self._clock(), repeatable) and idle.connection.is_connected:
+                now = self._clock()
+                newest = self._idle[-1]
+                is_usable = newest.may_carry(now, repeatable)
+                is_kept = not is_usable and newest.may_carry(now, repeatable=True)
+                idle = self._idle.pop(0) if is_kept else self._idle.pop()
+            if is_usable and idle.connection.is_connected:
                 return idle.connection
             idle.connection.close()
+            if is_kept:
+                return None
 
     def connect(self, timeout_s: float) -> HTTPConnection:
         """Return a new connection; raises an OSError if none comes up in time."""
--- a/tests/dataplane/test_rough_receivers.py
+++ b/tests/dataplane/test_rough_receivers.py
@@ -141,6 +141,8 @@
 )
 def test_promises_hold_whatever_receivers_do(kind, resumable, seed, monkeypatch):
     monkeypatch.setattr("dewpin.dataplane.retry.OTHER_RECEIVER_PAUSE_S", 0.0)
+    monkeypatch.setattr("dewpin.dataplane.retry.REPEAT_PAUSE_S", 0.001)
+    monkeypatch.setattr("dewpin.dataplane.receiver_load.FIRST_FAILURE_WAIT_S", 0.001)
     rough = [RoughReceiver(f"i-{number}", seed, kind) for number in range(3)]
     with receivers(*(each.scripted for each in rough)) as listed:
         given = configuration(kind=kind, retries=3, resumable=resumable, target_ms=500)
--- a/tests/dataplane/test_upstream.py
+++ b/tests/dataplane/test_upstream.py
@@ -267,6 +267,31 @@
     assert peer.connections == (1 if used_again else 2)
 
 
+def test_a_call_that_needs_a_new_connection_leaves_the_others_to_calls_that_do_not(call):
+    both = threading.Barrier(2)
+
+    def answer_together(connection, got):
+        both.wait(PATIENCE_S)
+        whole(b"", "200 OK", "Keep-Alive: timeout=5")(connection, got)
+
+    peer = ScriptedReceiver(answer_together, answer_together, whole(b"", "200 OK", "Keep-Alive: timeout=5"))
+    with receivers(peer) as (receiver,):
+        threads = [threading.Thread(target=call, args=(receiver,)) for _ in range(2)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(PATIENCE_S)
+        call.clock.ahead_s += 3.0
+        call(receiver, repeatable=False)
+        connections = call.upstream._connections_to(receiver)
+        assert peer.connections == 3
+        assert len(connections._idle) == 2
+        taken = [connections.take_idle(repeatable=True) for _ in range(3)]
+        assert taken[2] is None
+        for connection in taken[:2]:
+            connection.close()
+
+
 def test_connections_to_receivers_that_left_are_closed(call):
     gone = threading.Event()
 
