Data plane: queue at receivers as far as the aim bears, and prefer receivers that do not fail calls

Cause: a fixed share of the capacity refused calls that could still be in time at receivers with short calls, and let too many queue where calls are long; a receiver that fails calls fast looked the least loaded. Change: the queue is bounded by half the aim over the least call time; errors after sending add to a receiver's cost and fade with time. Tests: those that hang on a block's time hold the clock, since one failed on a busy machine when 250 ms had passed.

--- a/dewpin/dataplane/balancing.py
+++ b/dewpin/dataplane/balancing.py
@@ -46,6 +46,10 @@
         """Take in that the receiver has begun to answer."""
         self._balancer.count_begun(self.receiver)
 
+    def has_erred(self) -> None:
+        """Take in that a call failed after it was sent."""
+        self._balancer.count_error(self.receiver)
+
     def was_served(self, call_time_s: float) -> None:
         """Take in that the receiver served a call in so many seconds."""
         self._balancer.count_served(self.receiver, call_time_s)
@@ -105,6 +109,11 @@
         with self._lock:
             self._book.load(receiver.id).count_begun()
 
+    def count_error(self, receiver: Receiver) -> None:
+        """Take in that a call to a receiver failed after it was sent."""
+        with self._lock:
+            self._book.load(receiver.id).count_error(self._clock())
+
     def count_served(self, receiver: Receiver, call_time_s: float) -> None:
         """Take in how long a served call took."""
         with self._lock:
--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/course.py
@@ -20,6 +20,8 @@
 
 HOLD_SHARE_OF_AIM = 0.2
 """A request waits for a place for this share of its latency objective at most."""
+RECEIVER_ERRORS = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED})
+"""Outcomes that count against a receiver; silence until the time's end may be the request's own doing."""
 LENGTH_HEADERS = frozenset({"content-length"})
 
 
@@ -139,6 +141,7 @@
             service=routed.service,
             route=routed.route.name,
             priority=routed.route.priority,
+            aim_s=routed.aim_s,
             hold_until=hold_until,
             sticky_key=routed.sticky_key,
             avoid=step.avoid,
@@ -176,6 +179,8 @@
             place.has_failed()
         elif result.outcome is Outcome.NOT_EXECUTED:
             self._count_refusal(place, result)
+        elif result.outcome in RECEIVER_ERRORS:
+            place.has_erred()
 
     def _count_refusal(self, place: Place, result: CallResult) -> None:
         if not result.misdirected:
@@ -214,6 +219,8 @@
         """Tell the retry stage that the stream under way was cut, and give its place back."""
         if self._stream_place is not None:
             self._stage.record_call(self._stream_place.receiver.id, cut, self._tools.clock())
+            if cut in RECEIVER_ERRORS:
+                self._stream_place.has_erred()
             self._release_stream_place()
 
     def _release_stream_place(self) -> None:
--- a/dewpin/dataplane/places.py
+++ b/dewpin/dataplane/places.py
@@ -16,8 +16,15 @@
 
 from .receiver_load import HEARD_LOAD_HALF_LIFE_S, ReceiverLoad
 
-QUEUE_SHARE = 0.5
-"""Requests that a receiver is taken to queue, as a share of its capacity."""
+QUEUE_SHARE_OF_AIM = 0.5
+"""A request may be expected to queue at a receiver for this share of its latency objective."""
+LEAST_QUEUE_SHARE = 0.25
+MOST_QUEUE_SHARE = 3.0
+"""Bounds of the requests that may queue at a receiver, as a share of its capacity."""
+ERROR_COST = 2.0
+"""How much a receiver all of whose calls fail is taken to be fuller, in shares of its capacity."""
+MOST_STICKY_ERRORS = 0.25
+"""The share of failed calls beyond which a sticky request leaves its receiver."""
 OTHER_ZONE_COST = 0.25
 """How much fuller, as a share of its capacity, a receiver of this zone may be before one elsewhere is preferred."""
 COLD_CAPACITY_SHARE = 0.5
@@ -30,6 +37,7 @@
 UNKNOWN_SENDERS = 8
 """The senders that share a receiver's connections while their number is unknown."""
 LEAST_CONNECTIONS = 2
+LEAST_CALL_TIME_S = 0.001
 RECHECK_S = HEARD_LOAD_HALF_LIFE_S / 4
 """How long a waiting request stays unlooked at while nothing happens but the fading of heard loads."""
 LEAST_RETRY_AFTER_S = 0.02
@@ -41,12 +49,13 @@
 class PlaceRequest:
     """What a request needs: a receiver of `service`, by `hold_until` at the latest.
 
-    `avoid` names receivers that may not be chosen before a time.
+    `aim_s` is its latency objective; `avoid` names receivers that may not be chosen before a time.
     """
 
     service: Service
     route: str
     priority: int
+    aim_s: float
     hold_until: float
     sticky_key: str | None = None
     avoid: Mapping[str, float] = field(default_factory=dict)
@@ -178,19 +187,24 @@
         if load.own_calls >= max(LEAST_CONNECTIONS, connections):
             return False
         capacity = max(1, receiver.capacity)
-        return load.total(now) < capacity + max(1.0, capacity * QUEUE_SHARE)
+        queue_share = QUEUE_SHARE_OF_AIM * request.aim_s / max(load.least_call_time_s, LEAST_CALL_TIME_S)
+        queue_share = min(MOST_QUEUE_SHARE, max(LEAST_QUEUE_SHARE, queue_share))
+        return load.total(now) < capacity + max(1.0, capacity * queue_share)
 
     def _choose(self, candidates: Sequence[Receiver], sticky_key: str | None, now: float) -> Receiver:
         if sticky_key is not None:
             ranked = sorted(candidates, key=lambda receiver: rendezvous_rank(sticky_key, receiver))
             for receiver in ranked:
-                if self._loads[receiver.id].total(now) < receiver.capacity * STICKY_LOAD_SHARE:
+                load = self._loads[receiver.id]
+                is_sound = load.error_share(now) < MOST_STICKY_ERRORS
+                if is_sound and load.total(now) < receiver.capacity * STICKY_LOAD_SHARE:
                     return receiver
         return min(candidates, key=lambda receiver: self._cost(receiver, now))
 
     def _cost(self, receiver: Receiver, now: float) -> float:
         capacity = max(1, receiver.capacity) * (COLD_CAPACITY_SHARE if receiver.cold_left_ms > 0 else 1.0)
-        cost = (self._loads[receiver.id].total(now) + 1) / capacity
+        load = self._loads[receiver.id]
+        cost = (load.total(now) + 1) / capacity + ERROR_COST * load.error_share(now)
         if receiver.zone != self._zone:
             cost += OTHER_ZONE_COST
         return cost + TIE_BREAK_COST * self._random.random()
--- a/dewpin/dataplane/receiver_load.py
+++ b/dewpin/dataplane/receiver_load.py
@@ -7,6 +7,11 @@
 """How fast what was heard of other senders' calls fades."""
 FIRST_CALL_TIME_S = 0.1
 CALL_TIME_WEIGHT = 0.2
+LEAST_CALL_TIME_RISE = 0.02
+"""How fast the least call time follows calls that took longer."""
+ERROR_WEIGHT = 0.1
+ERROR_HALF_LIFE_S = 5.0
+"""How fast errors are forgotten, so that a receiver that failed is tried again."""
 LEAST_FULL_WAIT_S = 0.005
 MOST_FULL_WAIT_S = 0.5
 FIRST_FAILURE_WAIT_S = 0.25
@@ -45,6 +50,9 @@
     refusals: int = 0
     failures: int = 0
     call_time_s: float = FIRST_CALL_TIME_S
+    least_call_time_s: float = FIRST_CALL_TIME_S
+    _errors: float = 0.0
+    _error_at: float = 0.0
 
     def total(self, now: float) -> float:
         """Return the estimated number of requests running and waiting at the receiver."""
@@ -66,6 +74,20 @@
         """Take in how long a served call took."""
         self.count_begun()
         self.call_time_s += CALL_TIME_WEIGHT * (call_time_s - self.call_time_s)
+        rise_s = call_time_s - self.least_call_time_s
+        self.least_call_time_s += rise_s if rise_s < 0 else LEAST_CALL_TIME_RISE * rise_s
+        self._errors *= 1 - ERROR_WEIGHT
+
+    def count_error(self, now: float) -> None:
+        """Take in that a call failed after it was sent."""
+        self._errors = self.error_share(now) * (1 - ERROR_WEIGHT) + ERROR_WEIGHT
+        self._error_at = now
+
+    def error_share(self, now: float) -> float:
+        """Return the share of recent calls that failed after they were sent."""
+        if not self._errors:
+            return 0.0
+        return self._errors * math.exp2((self._error_at - now) / ERROR_HALF_LIFE_S)
 
     def block_full(self, now: float, capacity: int, told_wait_s: float | None, jitter: float) -> None:
         """Leave a full receiver alone for the wait that it told, or for one derived from the time a slot takes."""
--- a/tests/dataplane/test_balancing.py
+++ b/tests/dataplane/test_balancing.py
@@ -18,7 +18,7 @@
 
 
 def wanted(hold_until):
-    return PlaceRequest(SERVICES[SERVICE], "route", 0, hold_until)
+    return PlaceRequest(SERVICES[SERVICE], "route", 0, 0.1, hold_until)
 
 
 def full_balancer(clock=time.monotonic):
--- a/tests/dataplane/test_places.py
+++ b/tests/dataplane/test_places.py
@@ -18,6 +18,7 @@
     rendezvous_rank,
 )
 from dewpin.dataplane.receiver_load import (
+    ERROR_HALF_LIFE_S,
     FIRST_FAILURE_WAIT_S,
     HEARD_LOAD_HALF_LIFE_S,
     MOST_FAILURE_WAIT_S,
@@ -41,8 +42,8 @@
     return made
 
 
-def wanted(route="route", priority=0, key=None, avoid=None, hold_until=NOW + 1):
-    return PlaceRequest(SERVICES[SERVICE], route, priority, hold_until, key, avoid or {})
+def wanted(route="route", priority=0, key=None, avoid=None, hold_until=NOW + 1, aim_s=0.1):
+    return PlaceRequest(SERVICES[SERVICE], route, priority, aim_s, hold_until, key, avoid or {})
 
 
 def taken(places, times, request=None, now=NOW):
@@ -85,6 +86,55 @@
     assert taken(book(receiver("a", capacity=4)), 7) == ["a"] * 6 + [None]
 
 
+@pytest.mark.parametrize(
+    ("call_time_s", "aim_s", "taken_at_most"),
+    [(0.1, 0.1, 6), (0.1, 0.2, 8), (0.05, 0.2, 12), (0.01, 2.0, 16), (2.0, 0.1, 5)],
+)
+def test_as_many_queue_at_a_receiver_as_their_aim_bears(call_time_s, aim_s, taken_at_most):
+    given = configuration()
+    places = book(receiver("a", capacity=4))
+    places.load("a").least_call_time_s = call_time_s
+    places.senders = 1
+    assert given.services[SERVICE].max_conns > taken_at_most
+    assert taken(places, 20, wanted(aim_s=aim_s)).count("a") == taken_at_most
+
+
+def test_the_least_call_time_falls_at_once_and_rises_slowly():
+    load = ReceiverLoad()
+    load.count_served(0.02)
+    assert load.least_call_time_s == pytest.approx(0.02)
+    load.count_served(0.5)
+    assert 0.02 < load.least_call_time_s < 0.04
+
+
+def test_a_receiver_that_fails_calls_gets_fewer_and_is_tried_again():
+    places = book(receiver("a", capacity=4), receiver("b", capacity=4))
+    for _ in range(10):
+        places.load("a").count_error(NOW)
+    assert Counter(taken(places, 4)) == {"b": 4}
+    later = NOW + 10 * ERROR_HALF_LIFE_S
+    assert "a" in taken(places, 2, now=later)
+
+
+def test_a_session_leaves_a_receiver_that_fails_its_calls():
+    receivers = [receiver(name, capacity=8) for name in ("a", "b", "c")]
+    places = book(*receivers)
+    first = min(receivers, key=lambda each: rendezvous_rank("session", each)).id
+    for _ in range(10):
+        places.load(first).count_error(NOW)
+    assert first not in taken(places, 4, wanted(key="session"))
+
+
+def test_served_calls_make_up_for_failed_ones():
+    load = ReceiverLoad()
+    for _ in range(10):
+        load.count_error(NOW)
+    before = load.error_share(NOW)
+    for _ in range(10):
+        load.count_served(0.1)
+    assert load.error_share(NOW) < before / 2
+
+
 def test_the_connections_of_a_receiver_are_shared_by_the_senders():
     places = book(receiver("a", capacity=100))
     places.senders = 16
--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -37,17 +37,20 @@
 
 
 class Path:
-    """A request path on a cluster of scripted receivers; pauses are noted and not made."""
+    """A request path on a cluster of scripted receivers; pauses are noted and not made.
 
-    def __init__(self, listed, store=None, **route):
+    With `frozen` the clock goes on by pauses alone.
+    """
+
+    def __init__(self, listed, store=None, frozen=False, **route):
+        self._now = (lambda: 1000.0) if frozen else time.monotonic
         self.store = store or MemoryStore()
         self.state = ClusterState(configuration(**route), {SERVICE: tuple(listed)})
         self.pauses = []
         self.path = RequestPath(self.state, self.store, "here", self._clock, self.pauses.append, random.Random(5))
-        self._ahead_s = 0.0
 
     def _clock(self):
-        return time.monotonic() + sum(self.pauses)
+        return self._now() + sum(self.pauses)
 
     def __call__(self, *fields, client=None, **options):
         asked = request(*fields, now=self._clock(), **options)
@@ -160,7 +163,7 @@
 def test_a_refusal_leads_to_another_receiver_at_once(kind):
     full, free = ScriptedReceiver(refusal(), id="i-1"), ScriptedReceiver(whole(b"done"), id="i-2", zone="there")
     with receivers(full, free) as listed:
-        path = Path(listed, kind=kind)
+        path = Path(listed, frozen=True, kind=kind)
         assert path().status == 200
         assert path.pauses == []
     assert len(full.requests) == 1
@@ -184,7 +187,7 @@
     down, up = ScriptedReceiver(whole(), id="i-1"), ScriptedReceiver(whole(b"done"), id="i-2", zone="there")
     down.close()
     with receivers(up):
-        path = Path([down.receiver, up.receiver], kind=kind, retries=1)
+        path = Path([down.receiver, up.receiver], frozen=True, kind=kind, retries=1)
         assert path().status == 200
         assert path().status == 200
     assert path.path.figures.connects == 2
@@ -200,7 +203,7 @@
     other = ScriptedReceiver(whole(b"", "421 Misdirected Request", "X-Dewpin-Instance-Id: i-9", signed=False), id="i-1")
     meant = ScriptedReceiver(whole(b"done"), id="i-2", zone="there")
     with receivers(other, meant) as listed:
-        path = Path(listed, kind="non_idempotent")
+        path = Path(listed, frozen=True, kind="non_idempotent")
         assert path().status == 200
         assert path().status == 200
     assert len(other.requests) == 1
