--- /dev/null
+++ b/tests/cluster/test_rpc.py
@@ -0,0 +1,213 @@
+"""Calls between processes over loopback: answers, errors, peers that are silent, connections that end."""
+
+import asyncio
+
+import pytest
+
+from dewpin.cluster import rpc
+from dewpin.cluster.netstring import encode
+from dewpin.cluster.rpc import RpcClient, RpcError, RpcServer
+
+SHORT_S = 0.05
+LONG_S = 5.0
+
+
+async def echo(message):
+    return {"type": "echo", "text": message["text"]}
+
+
+async def refuse(message):
+    raise RpcError("stale_epoch", "another one", {"type": "ignored", "view": 7})
+
+
+async def fail(message):
+    raise ZeroDivisionError("a fault of the handler")
+
+
+class Server:
+    """An RpcServer on a free port, beside a client; `held` lets the handler of `hold` answer."""
+
+    def __init__(self):
+        self.held = asyncio.Event()
+        self.server = RpcServer({"echo": echo, "refuse": refuse, "fail": fail, "hold": self.hold})
+        self.client = RpcClient()
+        self.address = ""
+
+    async def hold(self, message):
+        await self.held.wait()
+        return {"type": "held"}
+
+    async def __aenter__(self):
+        await self.server.start("127.0.0.1", 0)
+        host, port = self.server._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_):
+        await self.client.close()
+        await self.server.stop()
+
+    async def call(self, kind, timeout_s=LONG_S, **fields):
+        return await self.client.call(self.address, {"type": kind, **fields}, timeout_s)
+
+
+def kind_of(caught):
+    return caught.value.kind
+
+
+def test_a_call_gets_its_answer():
+    async def scene():
+        async with Server() as there:
+            return await there.call("echo", text="é")
+
+    assert asyncio.run(scene()) == {"type": "echo", "text": "é"}
+
+
+def test_many_calls_share_one_connection_and_each_gets_its_own_answer():
+    async def scene():
+        async with Server() as there:
+            held = asyncio.ensure_future(there.call("hold"))
+            answers = await asyncio.gather(*(there.call("echo", text=str(number)) for number in range(200)))
+            connections = len(there.server.connections)
+            there.held.set()
+            return [answer["text"] for answer in answers], connections, await held
+
+    texts, connections, held = asyncio.run(scene())
+    assert texts == [str(number) for number in range(200)]
+    assert connections == 1 and held == {"type": "held"}
+
+
+def test_an_error_answer_raises_with_its_kind_and_fields():
+    async def scene():
+        async with Server() as there:
+            with pytest.raises(RpcError) as caught:
+                await there.call("refuse")
+            return caught
+
+    caught = asyncio.run(scene())
+    assert (kind_of(caught), caught.value.detail, caught.value.message["view"]) == ("stale_epoch", "another one", 7)
+
+
+@pytest.mark.parametrize(("message_type", "kind"), [("fail", "internal"), ("nothing", "unknown_type")])
+def test_a_handler_that_fails_or_is_missing_is_an_error_and_the_connection_goes_on(message_type, kind):
+    async def scene():
+        async with Server() as there:
+            with pytest.raises(RpcError) as caught:
+                await there.call(message_type)
+            await there.call("echo", text="still here")
+            return kind_of(caught), len(there.server.connections)
+
+    assert asyncio.run(scene()) == (kind, 1)
+
+
+def test_a_port_where_nobody_listens_is_an_error():
+    async def scene():
+        async with Server() as there:
+            await there.server.stop()
+            with pytest.raises(RpcError) as caught:
+                await there.call("echo", text="x")
+            return kind_of(caught)
+
+    assert asyncio.run(scene()) in {"connect", "closed"}
+
+
+def test_a_silent_peer_is_dropped_and_the_next_call_connects_anew():
+    async def scene():
+        async with Server() as there:
+            await there.call("echo", text="x")
+            first = set(there.server.connections)
+            with pytest.raises(RpcError) as caught:
+                await there.call("hold", SHORT_S)
+            await there.call("echo", text="x")
+            return kind_of(caught), first & there.server.connections
+
+    assert asyncio.run(scene()) == ("timeout", set())
+
+
+def test_a_late_answer_to_one_call_does_not_cost_the_connection_that_serves_others():
+    async def scene():
+        async with Server() as there:
+            await there.call("echo", text="x")
+            first = set(there.server.connections)
+            late = asyncio.ensure_future(there.call("hold", SHORT_S))
+            await there.call("echo", text="x")
+            with pytest.raises(RpcError) as caught:
+                await late
+            there.held.set()
+            answer = await there.call("echo", text="after")
+            return kind_of(caught), first == there.server.connections, answer["text"]
+
+    assert asyncio.run(scene()) == ("timeout", True, "after")
+
+
+def test_a_connection_that_ends_fails_all_its_calls():
+    async def scene():
+        async with Server() as there:
+            calls = [asyncio.ensure_future(there.call("hold")) for _ in range(3)]
+            await there.call("echo", text="x")
+            for transport in there.server.connections:
+                transport.abort()
+            results = await asyncio.gather(*calls, return_exceptions=True)
+            again = await there.call("echo", text="again")
+            return [result.kind for result in results], again["text"]
+
+    assert asyncio.run(scene()) == (["closed"] * 3, "again")
+
+
+async def send_raw(address, data):
+    """Sends bytes to a server; what it sent back until it closed."""
+    reader, writer = await asyncio.open_connection(*address.split(":"))
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(reader.read(), LONG_S)
+    except ConnectionError:
+        return b""
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        encode({"v": 2, "n": 1, "m": {"type": "echo"}}),
+        encode({"v": 1, "n": "1", "m": {"type": "echo"}}),
+        encode({"v": 1, "n": 1, "m": ["echo"]}),
+    ],
+)
+def test_a_server_closes_a_connection_that_speaks_something_else(data):
+    async def scene():
+        async with Server() as there:
+            return await send_raw(there.address, data)
+
+    assert asyncio.run(scene()) == b""
+
+
+def test_a_server_closes_a_connection_with_too_many_calls_unanswered(monkeypatch):
+    monkeypatch.setattr(rpc, "MOST_UNANSWERED", 3)
+
+    async def scene():
+        async with Server() as there:
+            calls = b"".join(encode({"v": 1, "n": number, "m": {"type": "hold"}}) for number in range(4))
+            return await send_raw(there.address, calls)
+
+    assert asyncio.run(scene()) == b""
+
+
+def test_a_client_drops_a_peer_that_answers_garbage():
+    async def scene():
+        server = await asyncio.start_server(lambda reader, writer: answer_at_once(writer), "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        client = RpcClient()
+        try:
+            with pytest.raises(RpcError) as caught:
+                await client.call(f"{host}:{port}", {"type": "echo"}, LONG_S)
+            return kind_of(caught)
+        finally:
+            await client.close()
+            server.close()
+
+    def answer_at_once(writer):
+        writer.write(b"HTTP/1.1 400 Bad Request\r\n\r\n")
+
+    assert asyncio.run(scene()) == "closed"
