System state: an order is known again by its body and the version it builds on

Cause: the present configuration sent as a change of itself was acknowledged although its generation is not above the present one; a resend carries the same base, so the base belongs to what is remembered.

--- a/dewpin/controlplane/system_state.py
+++ b/dewpin/controlplane/system_state.py
@@ -106,14 +106,14 @@
     return following
 
 
-def digest_of(body: bytes) -> str:
-    """What tells one configuration from another under the same number."""
-    return hashlib.sha256(body).hexdigest()[:24]
+def digest_of(body: bytes, base: int) -> str:
+    """What tells one order from another under the same number: the body and the version that it builds on."""
+    return hashlib.sha256(b"%d\n%b" % (base, body)).hexdigest()[:24]
 
 
 def put_configuration(body: bytes, generation: int, base: int) -> Change:
-    """The change that takes a checked configuration in. The same one sent again changes nothing."""
-    digest = digest_of(body)
+    """The change that takes a checked configuration in. The same order sent again changes nothing."""
+    digest = digest_of(body, base)
 
     def change(state: SystemState) -> SystemState:
         if [generation, digest] in state["accepted"]:
--- a/tests/controlplane/test_system_state.py
+++ b/tests/controlplane/test_system_state.py
@@ -91,8 +91,14 @@
 
 
 def test_the_digest_tells_bodies_apart_that_mean_the_same():
-    assert digest_of(b"{}") == digest_of(b"{}")
-    assert digest_of(b"{}") != digest_of(b"{ }")
+    assert digest_of(b"{}", 1) == digest_of(b"{}", 1)
+    assert digest_of(b"{}", 1) != digest_of(b"{ }", 1)
+    assert digest_of(b"{}", 1) != digest_of(b"{}", 2)
+
+
+def test_the_present_configuration_sent_as_a_change_of_itself_is_not_the_order_that_was_taken():
+    with pytest.raises(GenerationNotAbove):
+        put(put(first(), 7, 0), 7, 7)
 
 
 def test_a_planned_change_is_made_on_its_own_version_only():
