--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -32,18 +32,33 @@
     "round-trip": wire.round_trip,
     "server-call": wire.server_call_cost,
     "client-call": wire.client_call_cost,
-    "group-commit": storage.group_commit,
-    "insert": storage.insert_cost,
+    "text-growth": storage.text_growth,
+    "turn-commit": storage.turn_commit,
+    "ledger-commit": storage.ledger_commit,
+    "turn-cost": storage.turn_cost,
+    "ledger-cost": storage.ledger_cost,
     "disk": storage.disk_bytes,
-    "read-chain": storage.read_chain,
+    "chain-read": storage.chain_read,
+    "chain-take": storage.chain_take,
+    "index-scan": storage.index_scan,
     "configuration-bytes": control.configuration_bytes,
-    "configuration-parse": control.configuration_parse,
-    "configuration-memory": control.configuration_memory,
+    "state-bytes": control.state_bytes,
+    "accepted-bytes": control.accepted_bytes,
+    "state-send": control.state_send,
+    "state-take": control.state_take,
+    "register-change": control.register_change,
+    "register-cost": control.register_cost,
+    "sender-memory": control.sender_memory,
+    "keeper-memory": control.keeper_memory,
     "receiver-bytes": control.receiver_bytes,
-    "receiver-parse": control.receiver_parse,
+    "receiver-send": control.receiver_send,
+    "receiver-take": control.receiver_take,
     "receiver-memory": control.receiver_memory,
+    "list-read": control.list_read,
     "lease-bytes": control.lease_bytes,
+    "lease-renew": control.lease_renew,
     "lease-answer-bytes": control.lease_answer_bytes,
+    "hello-bytes": control.hello_bytes,
     "rendezvous": control.rendezvous,
     "thread-memory": process.thread_memory,
     "connection-memory": process.connection_memory,
@@ -54,8 +69,8 @@
 
 def measure(names: list[str], effort: Effort, results: Results) -> Results:
     """The results with the named series measured anew; each is told on standard error as it ends."""
-    run = this_run(ROOT)
     for name in names:
+        run = this_run(ROOT)
         start = time.monotonic()
         series = MEASURES[name](effort)
         results = results.with_series(series, run)
--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -36,7 +36,7 @@
 IDLE_MARGIN = 1.1
 """A connection at rest is kept a little longer than the operator's limit says."""
 WRITE_TIMEOUT_S = 10.0
-BODY_PROGRESS_S = 10.0
+BODY_TIMEOUT_S = 10.0
 CHUNK_LINE_BYTES = 256
 NO_BODY_STATUSES = frozenset({204, 304})
 MOST_CONNECTIONS = 3000
@@ -57,9 +57,11 @@
         handle: HandleRequest,
         clock: Callable[[], float] = time.monotonic,
         most_connections: int = MOST_CONNECTIONS,
+        accept_poll_s: float = ACCEPT_POLL_S,
     ) -> None:
         self._state = cluster_state
         self._clock = clock
+        self._accept_poll_s = accept_poll_s
         self._most_connections = most_connections
         self._server: _Server | None = None
         self._accepting: threading.Thread | None = None
@@ -68,6 +70,7 @@
         self._connections = 0
         self.handle = handle
         self.draining = False
+        self.stopped = False
 
     @property
     def address(self) -> tuple[str, int]:
@@ -86,24 +89,29 @@
         threading.stack_size(THREAD_STACK_BYTES)
         server = self._server = _Server(address, self)
         self._accepting = threading.Thread(
-            target=server.serve_forever, args=(ACCEPT_POLL_S,), name="ingress", daemon=True
+            target=server.serve_forever, args=(self._accept_poll_s,), name="ingress", daemon=True
         )
         self._accepting.start()
 
+    def begin_drain(self) -> None:
+        """Let all answers carry `Connection: close` from now on; new connections are still taken."""
+        self.draining = True
+
     def stop(self, drain_s: float, accept_s: float = 0.0) -> bool:
         """Drain, and return whether all requests ended in time.
 
-        From now on answers carry `Connection: close`. New connections are taken for `accept_s` more; then connections
-        at rest are closed, and requests under way have until `drain_s` after the call.
+        New connections are taken for `accept_s` more; then connections at rest are closed, and requests under way have
+        until `drain_s` after the call.
         """
         ends_at = self._clock() + drain_s
-        self.draining = True
-        with self._counted:
-            self._counted.wait_for(lambda: False, min(accept_s, drain_s))
+        self.begin_drain()
+        if accept_s > 0:
+            threading.Event().wait(min(accept_s, drain_s))
         if self._server is not None:
             self._server.shutdown()
             self._server.take_queued()
             self._server.server_close()
+        self.stopped = True
         os.close(self._wake_writer)
         with self._counted:
             return self._counted.wait_for(lambda: self._connections == 0, max(0.0, ends_at - self._clock()))
@@ -276,13 +284,13 @@
         if head.expects_continue:
             self._connection.send_all(b"HTTP/1.1 100 Continue\r\n\r\n", self._clock() + WRITE_TIMEOUT_S)
         if head.content_length is not None:
-            return self._connection.read_exactly(head.content_length, self._clock() + BODY_PROGRESS_S)
+            return self._connection.read_exactly(head.content_length, self._clock() + BODY_TIMEOUT_S)
         return self._read_chunks(limits)
 
     def _read_chunks(self, limits: Limits) -> bytes:
         body = bytearray()
         while True:
-            deadline = self._clock() + BODY_PROGRESS_S
+            deadline = self._clock() + BODY_TIMEOUT_S
             size = parse_chunk_size(self._connection.read_until(b"\r\n", CHUNK_LINE_BYTES, deadline))
             if size == 0:
                 break
@@ -291,7 +299,7 @@
             body += self._connection.read_exactly(size, deadline)
             if self._connection.read_exactly(2, deadline) != b"\r\n":
                 raise MalformedRequest("a chunk does not end where it should")
-        while self._connection.read_until(b"\r\n", limits.max_header_bytes, self._clock() + BODY_PROGRESS_S):
+        while self._connection.read_until(b"\r\n", limits.max_header_bytes, self._clock() + BODY_TIMEOUT_S):
             pass
         return bytes(body)
 
@@ -320,10 +328,15 @@
         chunked = not head.is_http_1_0
         closing = closing or not chunked
         data = render_head(answer, closing, [("Transfer-Encoding", "chunked")] if chunked else [])
-        for part in body:
-            data += render_chunk(part) if chunked else part
-            self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
-            data = b""
+        try:
+            for part in body:
+                data += render_chunk(part) if chunked else part
+                self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
+                data = b""
+        except BodyBroken:
+            if not chunked:
+                self._connection.reset()
+            raise
         if chunked:
             data += b"0\r\n\r\n"
         self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -4,10 +4,12 @@
 answer counts only if it names the request that this call sent.
 """
 
+import socket
 import threading
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import cast
 
 from urllib3 import HTTPResponse
 from urllib3.connection import HTTPConnection
@@ -40,6 +42,8 @@
     wait_for_receiver,
 )
 
+CONNECT_SHARE_OF_TIME_LEFT = 0.25
+"""A connect may take this share of the request's time, so that another receiver can be tried."""
 TIMER_SLACK_S = 0.01
 """A time-out this far before the deadline is not the deadline's, but the network's."""
 
@@ -102,8 +106,9 @@
         is_new = connection is None
         if connection is None:
             self._figures.connects += 1
+            connect_s = CONNECT_SHARE_OF_TIME_LEFT * (call.deadline - self._clock())
             try:
-                connection = connections.connect(max(LEAST_TIMEOUT_S, call.deadline - self._clock()))
+                connection = connections.connect(max(LEAST_TIMEOUT_S, connect_s))
             except TRANSPORT_ERRORS:
                 return CallResult(Outcome.NEVER_SENT)
         try:
@@ -154,8 +159,9 @@
         """Send the request and read the answer, or its head where a stream follows; raises where that breaks."""
         client = call.request.client if call.streaming else None
         self._send(receiver, connection, call)
+        sock = cast(socket.socket, connection.sock)
         if client is not None:
-            ended = wait_for_receiver(connection, client, call.deadline, self._clock)
+            ended = wait_for_receiver(sock, client, call.deadline, self._clock)
             if ended is not None:
                 raise StreamCut(ended)
         response = connection.getresponse()
@@ -166,9 +172,11 @@
         )
         load = parse_server_load(response.headers.get(SERVER_LOAD))
         if call.streaming and answer.status == HTTPStatus.OK and answer.signed and not is_refusal(response):
-            stream = ReceiverStream(connection, response, call.deadline, self._clock, client, connections.give_back)
+            stream = ReceiverStream(
+                connection, sock, response, call.deadline, self._clock, client, connections.give_back
+            )
             return CallResult(Outcome.SUCCESS, answer, stream, load)
-        body = BodyReader(connection, response, call.deadline, self._clock).read_all()
+        body = BodyReader(sock, response, call.deadline, self._clock).read_all()
         connections.give_back(connection, response)
         return CallResult(
             outcome=classify(response, answer),
