Operator's API: another encoding and a broken chunk are refused with 400, with tests

Cause: a body in UTF-16 was valid JSON to the checker and failed only when the state was made, with 500; a negative or short chunk likewise.

--- a/dewpin/controlplane/operator_api.py
+++ b/dewpin/controlplane/operator_api.py
@@ -67,9 +67,12 @@
         """Config.Put."""
         try:
             base = int(base_header or "0")
+            body.decode("utf-8")
             configuration = parse_configuration(body)
         except ConfigurationInvalid as invalid:
             return _fault(400, *invalid.lines())
+        except UnicodeDecodeError:
+            return _fault(400, "the body is not UTF-8")
         except ValueError:
             return _fault(400, f"{BASE_VERSION_HEADER}: expected a whole number, got {base_header!r}")
         answer = self._change(put_configuration(body, configuration.generation, base))
@@ -172,20 +175,25 @@
     def _chunked_body(self) -> bytes:
         body = b""
         while True:
-            try:
-                size = int(self.rfile.readline(64).partition(b";")[0], 16)
-            except ValueError:
-                raise _fault(400, "bad chunk") from None
+            size = self._chunk_size()
             if size == 0:
                 break
-            body += self.rfile.read(size)
-            self.rfile.readline(4)
-            if len(body) > MOST_BODY_BYTES:
+            if len(body) + size > MOST_BODY_BYTES:
                 raise _fault(413, "the body is too large")
+            chunk = self.rfile.read(size)
+            if len(chunk) < size or self.rfile.readline(4).strip():
+                raise _fault(400, "a chunk is cut short")
+            body += chunk
         while self.rfile.readline(1024).strip():
             pass
         return body
 
+    def _chunk_size(self) -> int:
+        digits = self.rfile.readline(64).partition(b";")[0].strip()
+        if not digits or set(digits) - set(b"0123456789abcdefABCDEF"):
+            raise _fault(400, "bad chunk")
+        return int(digits, 16)
+
     def _reply(self, answer: Answer) -> None:
         self.send_response(answer.status)
         self.send_header("Content-Type", "application/json")
--- /dev/null
+++ b/tests/controlplane/test_operator_api.py
@@ -0,0 +1,209 @@
+"""The operator's calls, over loopback to a scripted register."""
+
+import asyncio
+import contextlib
+import http.client
+import json
+import socket
+import threading
+
+import pytest
+from cluster import samples
+
+from dewpin.controlplane import operator_api
+from dewpin.controlplane.operator_api import OperatorApi, serve_operator
+from dewpin.controlplane.register import RegisterUnavailable
+from dewpin.controlplane.system_state import begin_stores, finish_retirement, genesis
+
+LEAST_STORES = 3
+
+
+class Register:
+    """Agrees on every change at once, unless `available` is off."""
+
+    def __init__(self):
+        ids = {one: f"{one}:1" for one in "abcd"}
+        names = {one: f"store-{one}" for one in "abcd"}
+        self.state = begin_stores(ids, names)(genesis(ids, names))
+        self.available = True
+
+    async def propose(self, change, timeout_s):
+        if not self.available:
+            raise RegisterUnavailable("no majority in time")
+        self.state = change(self.state)
+        return self.state
+
+
+class Operator:
+    def __init__(self, register, port):
+        self.register = register
+        self.port = port
+
+    def call(self, method, path, body=None, **headers):
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=5)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        with contextlib.closing(connection):
+            connection.request(method, path, body, named)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+
+    def put(self, configuration, base):
+        body = configuration if isinstance(configuration, bytes) else json.dumps(configuration).encode()
+        return self.call("POST", "/dewpin/Config.Put", body, X_Dewpin_Base_Version=str(base))[0]
+
+    def raw(self, data):
+        with socket.create_connection(("127.0.0.1", self.port), timeout=5) as connection:
+            connection.sendall(data)
+            connection.shutdown(socket.SHUT_WR)
+            return connection.makefile("rb").read()
+
+
+@pytest.fixture(scope="module")
+def served():
+    """The API and its port, served by threads of its own for all tests here."""
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
+    thread.start()
+    api = OperatorApi(Register(), loop, LEAST_STORES)
+    server = serve_operator(("127.0.0.1", 0), api)
+    yield api, server.socket.getsockname()[1]
+    server.shutdown()
+    server.server_close()
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.close()
+
+
+@pytest.fixture
+def operator(served):
+    api, port = served
+    api._register = Register()
+    return Operator(api._register, port)
+
+
+def sample(generation=7, **fields):
+    return {**samples.configuration(), "generation": generation, **fields}
+
+
+def test_a_configuration_is_acknowledged_and_read_back_byte_by_byte(operator):
+    body = json.dumps(sample(), indent=1).encode()
+    assert operator.call("GET", "/dewpin/Config.Get")[0] == 404
+    assert operator.put(body, 0) == 200
+    assert operator.call("GET", "/dewpin/Config.Get") == (200, body)
+
+
+def test_the_same_order_is_acknowledged_again_also_after_later_ones(operator):
+    assert [operator.put(sample(7), 0), operator.put(sample(7), 0)] == [200, 200]
+    assert operator.put(sample(9), 7) == 200
+    assert operator.put(sample(7), 0) == 200
+    assert json.loads(operator.call("GET", "/dewpin/Config.Get")[1])["generation"] == 9
+
+
+def test_an_order_on_another_version_is_refused(operator):
+    operator.put(sample(7), 0)
+    assert operator.put(sample(8), 0) == 412
+    assert operator.put(sample(8), 5) == 412
+
+
+def test_without_a_base_the_first_version_is_meant(operator):
+    body = json.dumps(sample()).encode()
+    assert operator.call("POST", "/dewpin/Config.Put", body)[0] == 200
+    assert operator.call("POST", "/dewpin/Config.Put", json.dumps(sample(8)).encode())[0] == 412
+
+
+@pytest.mark.parametrize(
+    "configuration",
+    [
+        b"",
+        b"\xff\xfe\x00",
+        json.dumps(sample(9)).encode()[:-2],
+        b"[]",
+        sample(7),
+        sample(6),
+        sample(9, services=[]),
+        sample(9, routes=[*samples.configuration()["routes"], samples.configuration()["routes"][0]]),
+    ],
+    ids=["empty", "bytes", "cut_short", "no_object", "same_version", "old_version", "unknown_service", "same_place"],
+)
+def test_an_invalid_configuration_is_refused_and_the_old_one_stays(operator, configuration):
+    operator.put(sample(7), 0)
+    assert operator.put(configuration, 7) == 400
+    assert json.loads(operator.call("GET", "/dewpin/Config.Get")[1])["generation"] == 7
+
+
+def test_a_configuration_in_another_encoding_is_refused(operator):
+    assert operator.put(json.dumps(sample()).encode("utf-16"), 0) == 400
+
+
+@pytest.mark.parametrize("base", ["x", "1.5", ""])
+def test_a_base_that_is_no_number_is_refused(operator, base):
+    expected = 200 if base == "" else 400
+    assert operator.put(sample(), base) == expected
+
+
+def test_without_a_majority_nothing_is_promised(operator):
+    operator.register.available = False
+    assert operator.put(sample(), 0) == 503
+    assert operator.call("GET", "/dewpin/Config.Get")[0] == 503
+    assert operator.call("POST", "/dewpin/Retire.Start/store-a", b'{"within_s":10}')[0] == 503
+    assert operator.call("GET", "/dewpin/Retire.Get/store-a")[0] == 503
+
+
+def test_a_machine_is_retired(operator):
+    assert operator.call("GET", "/dewpin/Retire.Get/store-a")[0] == 404
+    assert operator.call("POST", "/dewpin/Retire.Start/store-a", b'{"within_s":10}')[0] == 200
+    assert operator.call("POST", "/dewpin/Retire.Start/store-a", b'{"within_s":10}')[0] == 200
+    assert operator.call("GET", "/dewpin/Retire.Get/store-a") == (200, b'{"state":"running"}')
+    operator.register.state = finish_retirement("store-a")(operator.register.state)
+    assert operator.call("GET", "/dewpin/Retire.Get/store-a") == (200, b'{"state":"done"}')
+
+
+def test_an_unknown_machine_and_one_too_many_are_refused(operator):
+    assert operator.call("POST", "/dewpin/Retire.Start/store-x", b"{}")[0] == 404
+    assert operator.call("POST", "/dewpin/Retire.Start/store-a", b"{}")[0] == 200
+    assert operator.call("POST", "/dewpin/Retire.Start/store-b", b"{}")[0] == 409
+
+
+def test_a_body_may_come_in_chunks(operator):
+    body = json.dumps(sample()).encode()
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in (body[:100], body[100:]))
+    head = b"POST /dewpin/Config.Put HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+    assert operator.raw(head + chunks + b"0\r\n\r\n").startswith(b"HTTP/1.1 200")
+    assert operator.call("GET", "/dewpin/Config.Get") == (200, body)
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status"),
+    [
+        (b"POST /dewpin/Config.Put HTTP/1.1\r\nContent-Length: 10\r\n\r\n{}", 400),
+        (b"POST /dewpin/Config.Put HTTP/1.1\r\nContent-Length: x\r\n\r\n{}", 400),
+        (b"POST /dewpin/Config.Put HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", 413),
+        (b"POST /dewpin/Config.Put HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (b"POST /dewpin/Config.Put HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\nabc", 400),
+        (b"POST /dewpin/Config.Put HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n50\r\nabc", 400),
+        (b"GET /elsewhere HTTP/1.1\r\nConnection: close\r\n\r\n", 404),
+        (b"GET /dewpin/Config.Put HTTP/1.1\r\nConnection: close\r\n\r\n", 404),
+    ],
+)
+def test_a_broken_request_is_refused(operator, request_bytes, status):
+    assert operator.raw(request_bytes).startswith(b"HTTP/1.1 %d" % status)
+
+
+def test_a_connection_serves_many_calls(operator):
+    connection = http.client.HTTPConnection("127.0.0.1", operator.port, timeout=5)
+    with contextlib.closing(connection):
+        for _ in range(3):
+            connection.request("GET", "/dewpin/Config.Get")
+            answer = connection.getresponse()
+            answer.read()
+            assert answer.status == 404
+
+
+def test_a_proposal_that_never_ends_is_answered_in_time(operator, monkeypatch):
+    monkeypatch.setattr(operator_api, "ANSWER_WITHIN_S", 0.01)
+
+    async def never(change, timeout_s):
+        await asyncio.wait_for(asyncio.Event().wait(), 1.0)
+
+    operator.register.propose = never
+    assert operator.put(sample(), 0) == 503
