Register: a member takes part in nothing before it has read its disk

Cause: the process listened before the replica was loaded. A prepare in that moment was answered from an empty replica, and the answer was written over the promise and the value on disk: after a restart of several keepers an acknowledged configuration could have been lost. The state is now loaded before the port is opened, and the register refuses until then. Greetings under way are held on to and ended with the process.

--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -82,9 +82,9 @@
     server = RpcServer(keeper.handlers)
     if "store" in settings.serves:
         server.handlers.update(await start_store(settings, storage, client, keeper))
-    host, port = split_address(keeper.address)
-    await server.start(host, port)
-    await keeper.start()
+    await keeper.load()
+    await server.start(*split_address(keeper.address))
+    keeper.start()
     if "control" in settings.listen:
         least_stores = 2 * settings.fault_tolerance.machines + 1
         api = OperatorApi(keeper.register, loop, least_stores)
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -81,6 +81,7 @@
         self._changed = asyncio.Event()
         self._unfinished_since_s: float | None = None
         self._tasks: list[asyncio.Task[None]] = []
+        self._greetings: set[asyncio.Task[None]] = set()
 
     @property
     def handlers(self) -> dict[str, Handler]:
@@ -94,10 +95,13 @@
             "relay.watch": self._handle_watch,
         }
 
-    async def start(self) -> None:
-        """Takes up the disk's state and begins to speak to the others."""
+    async def load(self) -> None:
+        """Takes up the disk's state. To be awaited before anybody may call the handlers."""
         await self._load_bootstrap()
         await self.register.load()
+
+    def start(self) -> None:
+        """Begins to speak to the others."""
         self._tasks = [
             asyncio.ensure_future(self._repeat(HELLO_PERIOD_S, self.greet_everyone)),
             asyncio.ensure_future(self._repeat(HELLO_PERIOD_S, self._maintain)),
@@ -117,9 +121,10 @@
 
     async def stop(self) -> None:
         """Ends what was started."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._greetings]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _load_bootstrap(self) -> None:
         rows = await self._storage.query("SELECT value FROM meta WHERE name = 'bootstrap'")
@@ -165,7 +170,12 @@
     def greet_everyone(self) -> None:
         """Introduces this process to all others now; whoever is behind asks for what it lacks."""
         for address in self._addresses_to_greet():
-            asyncio.ensure_future(self._greet(address))
+            self._begin_greeting(address)
+
+    def _begin_greeting(self, address: str) -> None:
+        task = asyncio.ensure_future(self._greet(address))
+        self._greetings.add(task)
+        task.add_done_callback(self._greetings.discard)
 
     def _addresses_to_greet(self) -> set[str]:
         addresses = {seed_address(seed, self.settings) for seed in self.settings.seeds}
@@ -191,7 +201,7 @@
         peer = self.peers.hear(cast(PeerRecord, message["from"]), self.clock())
         receivers_version = _directory_version(message["receivers"])
         if self._is_behind(peer, receivers_version):
-            asyncio.ensure_future(self._greet(peer.address))
+            self._begin_greeting(peer.address)
         answer: Message = {
             "type": "keeper.hello",
             "from": self.record(),
--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -50,22 +50,23 @@
         self._client = client
         self._rng = rng
         self._replica = Replica()
+        self._is_loaded = False
         self._counter = 0
         self._proposing = asyncio.Lock()
         self._addresses: dict[str, str] = {}
 
     async def load(self) -> None:
-        """Takes up what the disk holds."""
+        """Takes up what the disk holds. Before, the replica takes part in nothing: it would forget its promises."""
         rows = await self._storage.query(
             "SELECT promised, accepted_ballot, value FROM register_replica WHERE key = ?", (REGISTER_KEY,)
         )
-        if not rows:
-            return
-        promised, accepted, value = rows[0]
-        self._replica = Replica(_ballot(json.loads(promised)), _ballot(json.loads(accepted)), json.loads(value))
-        self._counter = self._replica.promised.counter
+        if rows:
+            promised, accepted, value = rows[0]
+            self._replica = Replica(_ballot(json.loads(promised)), _ballot(json.loads(accepted)), json.loads(value))
+            self._counter = self._replica.promised.counter
         if self._replica.value is not None:
             self._learn_addresses(self._replica.value)
+        self._is_loaded = True
 
     @property
     def newest(self) -> SystemState | None:
@@ -127,6 +128,8 @@
             return await self._propose(change)
 
     async def _propose(self, change: Change) -> SystemState:
+        if not self._is_loaded:
+            raise RegisterUnavailable("the state on disk was not read yet")
         backoff_s = BACKOFF_FIRST_S
         while True:
             result = await self._one_ballot(change)
@@ -207,6 +210,8 @@
         return await self._client.call(address, message, MEMBER_TIMEOUT_S)
 
     def _check_addressee(self, message: Message) -> None:
+        if not self._is_loaded:
+            raise RpcError("starting", self.member)
         if message.get("to") != self.member:
             raise RpcError("another_incarnation", self.member)
 
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -124,6 +124,8 @@
         return register
 
     async def begin(self):
+        for member in self.members.values():
+            await member.load()
         for name in self.genesis["members"]:
             await self.members[name].begin(self.genesis)
 
--- a/tests/controlplane/test_keeper.py
+++ b/tests/controlplane/test_keeper.py
@@ -82,6 +82,7 @@
             self.lives += 1
             self.disks[number] = Disk(f"{number}{self.lives:04d}")
         address = self.address(number)
+        self.network.handlers.pop(address, None)
         self.network.down.discard(address)
         clock = asyncio.get_running_loop().time
         keeper = Keeper(
@@ -94,8 +95,9 @@
         )
         keeper.on_state = lambda state: self.copy_stores(keeper, state)
         self.keepers[number] = keeper
-        await keeper.start()
+        await keeper.load()
         self.network.handlers[address] = keeper.handlers
+        keeper.start()
 
     def copy_stores(self, keeper, state):
         """The stores of these machines copy within a tenth of a second."""
--- a/tests/controlplane/test_register_driver.py
+++ b/tests/controlplane/test_register_driver.py
@@ -72,6 +72,7 @@
 def test_a_member_that_knows_no_state_agrees_nothing():
     async def scene():
         registers = Registers()
+        await registers.members["a"].load()
         with pytest.raises(RegisterUnavailable):
             await registers.members["a"].propose(read, WAIT_S)
 
@@ -195,6 +196,27 @@
     assert run(scene()) == 7
 
 
+def test_a_member_takes_part_in_nothing_before_it_has_read_its_disk():
+    """An answer from the empty replica would forget what was promised, and would write that down."""
+
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0), WAIT_S)
+        early = registers._member("b")
+        for handler in (early.handle_prepare, early.handle_accept):
+            with pytest.raises(RpcError) as caught:
+                await handler({"to": "b", "ballot": [90, "z"], "value": registers.genesis})
+            assert caught.value.kind == "starting"
+        with pytest.raises(RegisterUnavailable):
+            await early.propose(read, WAIT_S)
+        await early.load()
+        promise = await early.handle_prepare({"to": "b", "ballot": [91, "z"]})
+        return generation_of(promise["value"])
+
+    assert run(scene()) == 7
+
+
 def test_a_promise_is_kept_over_a_restart():
     async def scene():
         registers = Registers()
