--- a/tests/controlplane/test_keeper.py
+++ b/tests/controlplane/test_keeper.py
@@ -152,6 +152,8 @@
 
     def is_whole(self, *numbers):
         """Whether these are all members and all stores, with no change under way."""
+        if any(self.keepers[number].register.chosen is None for number in numbers):
+            return False
         state = self.newest()
         wanted = [self.address(number) for number in numbers]
         ids = {self.keepers[number].member for number in numbers}
--- /dev/null
+++ b/tests/controlplane/test_keeper_random.py
@@ -0,0 +1,119 @@
+"""Keepers under random kills, wipes, cuts, slow disks and orders: what was acknowledged stays, one order a version."""
+
+import asyncio
+import random
+
+import pytest
+from controlplane.test_keeper import World, run
+
+from dewpin.controlplane.register import RegisterUnavailable
+from dewpin.controlplane.system_state import ChangeRefused, digest_of, put_configuration
+
+SEEDS = range(8)
+SCENE_S = 30.0
+OPERATORS = 3
+
+
+class Operators:
+    """Operators that send orders to random keepers, build on what was acknowledged, and resend without an answer."""
+
+    def __init__(self, world, rng):
+        self.world = world
+        self.rng = rng
+        self.generation = 0
+        self.acknowledged = []
+        self.refused = []
+
+    async def work(self, until_s):
+        while asyncio.get_running_loop().time() < until_s:
+            await asyncio.sleep(self.rng.uniform(0.05, 0.6))
+            self.generation += self.rng.choice([1, 1, 2, 5])
+            generation = self.generation
+            await self.send(generation, self.base(), b'{"order": %d}' % self.rng.getrandbits(30), until_s)
+
+    def base(self):
+        return self.acknowledged[-1][0] if self.acknowledged else 0
+
+    async def send(self, generation, base, body, until_s):
+        change = put_configuration(body, generation, base)
+        while asyncio.get_running_loop().time() < until_s:
+            keeper = self.world.keepers[self.rng.choice(sorted(self.world.keepers))]
+            if not self.world.is_up(keeper):
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                state = await keeper.register.propose(change, 0.85)
+            except RegisterUnavailable:
+                await asyncio.sleep(self.rng.uniform(0.0, 0.2))
+                continue
+            except ChangeRefused:
+                self.refused.append([generation, digest_of(body, base)])
+                return
+            self.acknowledged.append((generation, base, digest_of(body, base)))
+            assert [generation, digest_of(body, base)] in state["accepted"]
+            return
+
+
+class RandomWorld(World):
+    """Troubles one after the other, each borne before the next, as the tolerance of one machine has it."""
+
+    def is_up(self, keeper):
+        return keeper.address not in self.network.down
+
+    async def trouble(self, rng):
+        number = rng.choice([1, 2, 3])
+        kind = rng.choice(["kill", "wipe", "cut", "freeze", "herd", "slow", "full"])
+        if kind in {"kill", "wipe"}:
+            await self.kill(number)
+            await asyncio.sleep(rng.uniform(0.1, 3.0))
+            await self.start(number, wiped=kind == "wipe")
+        if kind == "cut":
+            self.network.cut(self.address(number))
+            await asyncio.sleep(rng.uniform(0.1, 4.0))
+            self.network.join()
+        if kind == "freeze":
+            self.network.down.add(self.address(number))
+            await asyncio.sleep(rng.uniform(0.1, 4.0))
+            self.network.down.discard(self.address(number))
+        if kind == "herd":
+            await self.kill(1, 2, 3)
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            for one in rng.sample([1, 2, 3], 3):
+                await self.start(one)
+        if kind == "slow":
+            self.disks[number].delay_s = rng.uniform(0.0, 0.1)
+        if kind == "full":
+            self.disks[number].fails = True
+            await asyncio.sleep(rng.uniform(0.1, 2.0))
+            self.disks[number].fails = False
+        await self.until(lambda: self.is_whole(1, 2, 3), 8.0)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_what_was_acknowledged_stays_and_one_order_wins_each_version(seed):
+    async def scene():
+        rng = random.Random(seed)
+        world = RandomWorld()
+        await world.begin()
+        now_s = asyncio.get_running_loop().time
+        until_s = now_s() + SCENE_S
+        operators = Operators(world, rng)
+        works = [asyncio.ensure_future(operators.work(until_s)) for _ in range(OPERATORS)]
+        while now_s() < until_s:
+            await world.trouble(rng)
+        await asyncio.gather(*works)
+        state = await world.keepers[1].register.propose(lambda present: present, 5.0)
+        for keeper in world.keepers.values():
+            await keeper.stop()
+        return operators, state
+
+    operators, state = run(scene())
+    orders = state["accepted"]
+    generations = [generation for generation, _ in orders]
+    assert generations == sorted(set(generations))
+    assert [state["configuration"]["generation"], state["configuration"]["digest"]] == orders[-1]
+    assert all([generation, digest] in orders for generation, _, digest in operators.acknowledged)
+    assert not [order for order in operators.refused if order in orders]
+    bases = {base for _, base, _ in operators.acknowledged}
+    assert len(bases) == len(operators.acknowledged), "two orders on one version were acknowledged"
+    assert len(operators.acknowledged) > 5
