Register: a promise is written without the state, unless that is not on disk yet

Every read of the register (Config.Get, Retire.Get, learning the newest state) made each member write the whole state. A promise has a row of its own now. Where the write of an accepted value failed, the promise that tells of it writes it as well: a value that is held in memory alone must not be counted by whoever asks. Senders get the state without the history of orders.

--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -359,7 +359,7 @@
         }
         state = self.register.chosen
         if state is not None and state["version"] > state_version:
-            news["state"] = state
+            news["state"] = _without_history(state)
         if self.directory.version > receivers_version:
             news["receivers"] = self.directory.records()
         return news
@@ -393,6 +393,11 @@
     return control_plane_address(host, settings.port_range)
 
 
+def _without_history(state: SystemState) -> Message:
+    """The state as senders get it: they have no use for the orders that were taken before."""
+    return {name: value for name, value in state.items() if name != "accepted"}
+
+
 def _directory_version(pair: object) -> DirectoryVersion:
     counter, reader = cast(tuple[int, str], pair)
     return DirectoryVersion(int(counter), str(reader))
--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -20,6 +20,8 @@
 log = logging.getLogger(__name__)
 
 REGISTER_KEY = "system"
+PROMISE_KEY = "system/promise"
+"""A row of its own for the newest promise: reads make promises, and must not write the whole state each time."""
 MEMBER_TIMEOUT_S = 0.6
 BACKOFF_FIRST_S = 0.01
 BACKOFF_MOST_S = 0.2
@@ -50,6 +52,7 @@
         self._client = client
         self._rng = rng
         self._replica = Replica()
+        self._durable_ballot = ZERO_BALLOT
         self._is_loaded = False
         self._counter = 0
         self._proposing = asyncio.Lock()
@@ -58,12 +61,16 @@
     async def load(self) -> None:
         """Takes up what the disk holds. Before, the replica takes part in nothing: it would forget its promises."""
         rows = await self._storage.query(
-            "SELECT promised, accepted_ballot, value FROM register_replica WHERE key = ?", (REGISTER_KEY,)
+            "SELECT promised, accepted_ballot, value FROM register_replica WHERE key IN (?, ?)",
+            (REGISTER_KEY, PROMISE_KEY),
         )
-        if rows:
-            promised, accepted, value = rows[0]
-            self._replica = Replica(_ballot(json.loads(promised)), _ballot(json.loads(accepted)), json.loads(value))
-            self._counter = self._replica.promised.counter
+        for promised, accepted, value in rows:
+            self._replica.promised = max(self._replica.promised, _ballot(json.loads(promised)))
+            if value is not None:
+                self._replica.accepted = _ballot(json.loads(accepted))
+                self._replica.value = json.loads(value)
+        self._durable_ballot = self._replica.accepted
+        self._counter = self._replica.promised.counter
         if self._replica.value is not None:
             self._learn_addresses(self._replica.value)
         self._is_loaded = True
@@ -101,7 +108,7 @@
         self._check_addressee(message)
         reply = self._replica.prepare(_ballot(message["ballot"]))
         if isinstance(reply, Promise):
-            await self._persist()
+            await self._persist_promise()
         return encode_reply(reply)
 
     async def handle_accept(self, message: Message) -> Message:
@@ -220,8 +227,19 @@
         self._addresses.update(state["members"])
 
     async def _persist(self) -> None:
-        replica = self._replica
-        row = (REGISTER_KEY, json.dumps(replica.promised), json.dumps(replica.accepted), json.dumps(replica.value))
+        replica, accepted = self._replica, self._replica.accepted
+        promised = json.dumps(replica.promised)
+        await self._write((REGISTER_KEY, promised, json.dumps(accepted), json.dumps(replica.value)))
+        self._durable_ballot = max(self._durable_ballot, accepted)
+
+    async def _persist_promise(self) -> None:
+        """Writes the promise alone, unless what was accepted is not on disk yet: the reply tells of that as well."""
+        if self._replica.accepted > self._durable_ballot:
+            await self._persist()
+            return
+        await self._write((PROMISE_KEY, json.dumps(self._replica.promised), None, None))
+
+    async def _write(self, row: tuple[str, str, str | None, str | None]) -> None:
         statement = "INSERT OR REPLACE INTO register_replica(key, promised, accepted_ballot, value) VALUES (?,?,?,?)"
         try:
             await self._storage.write([(statement, row)])
--- a/tests/controlplane/test_register_driver.py
+++ b/tests/controlplane/test_register_driver.py
@@ -217,6 +217,42 @@
     assert run(scene()) == 7
 
 
+def test_a_read_writes_no_state_and_what_was_accepted_before_a_promise_is_loaded_with_it():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0, b'{"x": "%s"}' % (b"y" * 10_000)), WAIT_S)
+        rows = "SELECT key, length(value) FROM register_replica ORDER BY key"
+        await registers.disks["b"].write([("UPDATE register_replica SET value = '' WHERE key = 'system'", ())])
+        await registers.members["c"].propose(read, WAIT_S)
+        await asyncio.sleep(0.1)
+        sizes = dict(await registers.disks["b"].query(rows))
+        member = await registers.restart("c")
+        promise = await member.handle_prepare({"to": "c", "ballot": [90, "z"]})
+        return sizes, generation_of(promise["value"]), promise["accepted"][1]
+
+    assert run(scene()) == ({"system": 0, "system/promise": None}, 7, "a")
+
+
+def test_a_promise_tells_of_no_value_that_a_failed_write_left_in_memory_alone():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        member, disk = registers.members["b"], registers.disks["b"]
+        value = put(7, 0)(registers.genesis)
+        disk.fails = True
+        with pytest.raises(RpcError):
+            await member.handle_accept({"to": "b", "ballot": [5, "a"], "value": value})
+        disk.fails = False
+        promise = await member.handle_prepare({"to": "b", "ballot": [6, "c"]})
+        member = await registers.restart("b")
+        again = await member.handle_prepare({"to": "b", "ballot": [7, "c"]})
+        return promise["accepted"], promise["value"], again["accepted"], again["value"]
+
+    accepted, value, accepted_after, value_after = run(scene())
+    assert (accepted, value) == (accepted_after, value_after)
+
+
 def test_a_promise_is_kept_over_a_restart():
     async def scene():
         registers = Registers()
