--- a/benchmarks/capacity/sheet.py
+++ b/benchmarks/capacity/sheet.py
@@ -52,6 +52,7 @@
         return Verdict.IN_DOUBT
 
 
+SMALLEST_WRITTEN_OUT = 1e-6
 BYTE_STEPS = ((1e9, "GB"), (1e6, "MB"), (1e3, "kB"))
 
 
@@ -62,7 +63,7 @@
     if abs(value) >= 100:
         return f"{value:,.0f}"
     text = f"{value:.3g}"
-    return f"{value:.6f}".rstrip("0") if "e" in text else text
+    return f"{value:.6f}".rstrip("0") if "e" in text and abs(value) >= SMALLEST_WRITTEN_OUT else text
 
 
 def quantity(value: float, unit: str) -> str:
--- a/tests/capacity/test_capacity_page.py
+++ b/tests/capacity/test_capacity_page.py
@@ -71,6 +71,7 @@
     assert quantity(10_250, "B/s") == "10.2 kB/s"
     assert quantity(2_400_000, "") == "2,400,000"
     assert quantity(0.000012, "s") == "0.000012 s"
+    assert quantity(0.000000031, "s") == "3.1e-08 s"
     assert quantity(0, "B") == "0 B"
     assert estimate(Estimate(2, 0.5), "ms") == "2 ms ± 0.5 ms"
     assert estimate(Estimate(2), "ms") == "2 ms"
