--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -111,8 +111,9 @@
         storage = Storage(folder)
         keeper = Keeper(settings, storage, RpcClient(), random.Random(number), platform=FixedPlatform())
         server = RpcServer(keeper.handlers)
+        await keeper.load()
         await server.start(*split_address(keeper.address))
-        await keeper.start()
+        keeper.start()
 
         async def answer(asked: Any) -> Any:
             if asked == "usage":
--- a/benchmarks/capacity/measures/control.py
+++ b/benchmarks/capacity/measures/control.py
@@ -45,7 +45,7 @@
     members = {f"{number:016x}": f"10.0.{number}.4:7380" for number in range(REGISTER_MEMBERS)}
     state = genesis(members, {member: f"core-{member[-2:]}" for member in members})
     state = put_configuration(shapes.configuration(routes), 7, 0)(state)
-    entries: list[list[int | str]] = [[number, digest_of(b"%d" % number)] for number in range(accepted)]
+    entries: list[list[int | str]] = [[number, digest_of(b"", number)] for number in range(accepted)]
     state["accepted"] = entries
     return state
 
@@ -364,6 +364,7 @@
         synced_epoch=17,
         leaving=False,
         bootstrap=True,
+        list_fails=False,
     )
     version = [4711, "0123456789abcdef"]
     asked = encode({"v": 1, "n": 12345, "m": {"type": "keeper.hello", "from": record, "receivers": version}})
--- a/tests/capacity/test_capacity_page.py
+++ b/tests/capacity/test_capacity_page.py
@@ -9,7 +9,7 @@
 from benchmarks.capacity.page import PageError, replace_section, replace_sections
 from benchmarks.capacity.report import sections
 from benchmarks.capacity.results import Results, Run, load, save
-from benchmarks.capacity.series import Effort, Series, sample
+from benchmarks.capacity.series import QUICK, Effort, Series, sample
 from benchmarks.capacity.sheet import Row, Verdict, estimate, markdown_table, quantity
 from benchmarks.capacity.target import ASSUMED, TARGET, Target
 
@@ -145,5 +145,18 @@
     assert set(load(command.RESULTS).series) <= set(command.MEASURES)
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        *("configuration-bytes", "state-bytes", "accepted-bytes", "receiver-bytes", "text-growth"),
+        *("lease-bytes", "lease-answer-bytes", "hello-bytes"),
+    ],
+)
+def test_sizes_are_measured_on_the_modules_as_they_are(name):
+    line = command.MEASURES[name](QUICK).line()
+    assert line.slope > 0 and line.slope_error < 0.05 * line.slope
+
+
 def test_the_page_is_what_its_results_give():
-    assert command.write_page(load(command.RESULTS)) == command.PAGE.read_text()
+    again = "the results or a constant of a module changed: run python -m benchmarks.capacity --page"
+    assert command.write_page(load(command.RESULTS)) == command.PAGE.read_text(), again
