Sender: a signal to stop wakes the main thread, whichever thread it is delivered to

Cause: the main thread slept on a lock; a SIGTERM that the system gave to another thread ran no handler until the main thread woke, so under load the sender neither drained nor ended and the platform's SIGKILL would have cut its requests. Ruled out: a wait in small steps (wakes the process for nothing), sigwait (blocked signals are inherited).

--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -22,6 +22,7 @@
 from .cluster_state import ClusterState
 from .ingress import Ingress, ReadyServer
 from .request_path import RequestPath
+from .stop_signal import StopSignal
 from .store_client import BlockingStoreClient, StoreClient
 
 log = logging.getLogger(__name__)
@@ -40,7 +41,7 @@
         self.state = ClusterState()
         self.loop = asyncio.new_event_loop()
         self.agent: ClusterAgent | None = None
-        self.stopping = threading.Event()
+        self.stopping = StopSignal()
         self.hangup = threading.Event()
         self._store_client: StoreClient | None = None
         self._started = threading.Event()
@@ -128,8 +129,6 @@
     """Runs the sender; returns its exit code."""
     logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
     sender = Sender(settings_or_exit())
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: sender.stopping.set())
     signal.signal(signal.SIGHUP, lambda *_: sender.hangup.set())
     sender.run()
     sys.stderr.flush()
--- a/dewpin/standin/demonstration.py
+++ b/dewpin/standin/demonstration.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 
 from .client import ClientAnswer, ClientRequest, ProgramClient, send
-from .platform import is_ready
 from .sample_configuration import HOST, PLAIN_PATH, STREAM_PATH, sample_configuration
 from .tier import LocalTier, Machine
 from .waiting import wait_until
@@ -136,7 +135,7 @@
 
 
 def _go_on(tier: LocalTier, seconds: float, say: Callable[[str], None]) -> None:
-    ready = sum(is_ready(sender.ready) for sender in tier.senders)
+    ready = sum(sender.is_ready() for sender in tier.senders)
     bound = "until Ctrl-C" if seconds == float("inf") else f"for {seconds:g} s or until Ctrl-C"
     say(f"{ready} senders are ready; the tier goes on {bound}")
     ends_at = time.monotonic() + seconds
--- a/dewpin/standin/tier.py
+++ b/dewpin/standin/tier.py
@@ -24,7 +24,7 @@
 from .sample_configuration import PLAIN_SERVICE, STREAM_SERVICE, TOKENS_PER_EVENT
 from .settings_file import SettingsTable, SettingsValue, write_settings
 from .system_view import SystemView, read_system_view
-from .waiting import wait_until
+from .waiting import NeverHappened, wait_until
 
 KEEPER_COUNT = 3
 SENDER_COUNT = 2
@@ -76,6 +76,12 @@
         """Return the address at which the platform asks a sender."""
         return f"{self.ip}:{READY_PORT}"
 
+    def is_ready(self) -> bool:
+        """Tell whether a sender calls itself ready; raises NeverHappened if its process has ended."""
+        if not self.process.is_running:
+            raise NeverHappened(f"{self.name} has ended:\n{self.process.last_lines()}")
+        return is_ready(self.ready)
+
 
 class LocalTier:
     """Everything in one folder; `stop` ends every process that was started. Usable as a context manager."""
@@ -128,10 +134,9 @@
         self.stop()
 
     def wait_until_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
-        """Return once every running sender calls itself ready; raises NeverHappened."""
+        """Return once every sender calls itself ready; raises NeverHappened, also for one that has ended."""
         for sender in self.senders:
-            if sender.process.is_running:
-                wait_until(lambda: is_ready(sender.ready), timeout_s, f"{sender.name} is ready")  # noqa: B023
+            wait_until(sender.is_ready, timeout_s, f"{sender.name} is ready")
 
     def view(self) -> SystemView | None:
         """Return the newest state that a running keeper holds, or None if none tells one."""
