--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -12,7 +12,8 @@
     "daemon": {"config", "console", "log", "net", "ports", "relay", "spool"},
     "cli": {"config", "daemon", "lab", "log", "spool"},
     "cluster": set(), "consensus": set(), "controlplane": {"cluster", "consensus"},
-    "dataplane": {"cluster", "consensus"}, "tier_cli": {"cluster"}}
+    "dataplane": {"cluster", "consensus"}, "tier_cli": {"cluster"},
+    "standin": {"cluster"}}
 NEVER = {"core": {"asyncio", "socket", "time", "os", "structlog", "msgspec"}, "config": {"asyncio", "socket"},
          "spool": {"asyncio", "socket"}, "relay": {"socket", "os"}, "net": {"structlog"}, "ports": {"asyncio"},
          "consensus": {"asyncio", "socket", "time", "os", "threading", "sqlite3"}}
