--- a/dewpin/standin/__main__.py
+++ b/dewpin/standin/__main__.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import NoReturn, cast
 
-from .demonstration import DemonstrationFailed, Loss, run_tier
+from .demonstration import FOREVER, DemonstrationFailed, FolderInUse, Loss, TierOptions, run_tier
 from .http_service import split_address, wait_for_signal
 from .instances import CallRate, Instance, InstanceEntry, InstanceList
 from .platform import Platform, SenderHealth
@@ -26,6 +26,7 @@
     tier.add_argument("--keep", action="store_true", help="go on until Ctrl-C")
     tier.add_argument("--seconds", type=float, help="go on for so long, or until Ctrl-C")
     tier.add_argument("--kill", choices=[loss.value for loss in Loss], help="show a loss: of a keeper, or of its data")
+    tier.add_argument("--folder", type=Path, help="an empty folder for settings, data and logs, which stays")
     platform = commands.add_parser("platform", help="run a stand-in platform")
     platform.add_argument("--listen", required=True, help="ip:port")
     platform.add_argument("--instances", type=Path, required=True, help="JSON file with the receivers to list")
@@ -87,17 +88,24 @@
 def show_tier(options: argparse.Namespace) -> int:
     """Run the tier and return the exit code; Ctrl-C and SIGTERM end it in good order."""
     signal.signal(signal.SIGTERM, _interrupt)
-    loss = None if options.kill is None else Loss(options.kill)
     try:
-        run_tier(options.seconds, options.keep, loss, _say)
+        run_tier(tier_options(options), _say)
     except KeyboardInterrupt:
         _say("interrupted; all processes are ended")
-    except (DemonstrationFailed, NeverHappened) as fault:
+    except (DemonstrationFailed, FolderInUse, NeverHappened) as fault:
         _say(f"FAILED: {fault}")
         return FAILED
     return 0
 
 
+def tier_options(options: argparse.Namespace) -> TierOptions:
+    """Return what the options of `tier` ask for; `--seconds` bounds `--keep`."""
+    seconds = options.seconds
+    if seconds is None:
+        seconds = FOREVER if options.keep else 0.0
+    return TierOptions(options.folder, seconds, None if options.kill is None else Loss(options.kill))
+
+
 def main() -> int:
     """Run one command; return its exit code."""
     options = build_parser().parse_args()
--- /dev/null
+++ b/dewpin/standin/address_file.py
@@ -0,0 +1,28 @@
+"""A file of shell variables that tells where a running tier is, to be read with `. FILE`."""
+
+from pathlib import Path
+
+from .tier import LocalTier
+
+ADDRESS_FILE = "addresses.sh"
+
+
+def address_variables(tier: LocalTier) -> dict[str, str]:
+    """Return the variables: addresses of all machines, and the ids of their processes."""
+    variables = {"PLATFORM": tier.platform_address}
+    for number, keeper in enumerate(tier.keepers, 1):
+        variables[f"KEEPER_{number}"] = keeper.control
+        variables[f"KEEPER_{number}_PID"] = str(keeper.process.pid)
+    for number, sender in enumerate(tier.senders, 1):
+        variables[f"SENDER_{number}"] = sender.front
+        variables[f"SENDER_{number}_READY"] = sender.ready
+        variables[f"SENDER_{number}_PID"] = str(sender.process.pid)
+    return variables
+
+
+def write_address_file(tier: LocalTier) -> Path:
+    """Write the file into the tier's folder and return its path."""
+    path = tier.folder / ADDRESS_FILE
+    lines = [f"{name}={value}\n" for name, value in address_variables(tier).items()]
+    path.write_text("".join(lines), encoding="utf-8")
+    return path
--- a/dewpin/standin/demonstration.py
+++ b/dewpin/standin/demonstration.py
@@ -3,9 +3,11 @@
 import tempfile
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 
+from .address_file import write_address_file
 from .client import ClientAnswer, ClientRequest, ProgramClient, send
 from .sample_configuration import HOST, PLAIN_PATH, STREAM_PATH, sample_configuration
 from .tier import LocalTier, Machine
@@ -17,6 +19,8 @@
 TURN_BEYOND_BUDGET = b"Thank you.\n"
 CONFIGURATION_TIMEOUT_S = 15.0
 CHANGED_PATH = "/changed/"
+FOREVER = float("inf")
+LOOK_EVERY_S = 0.5
 
 
 class Loss(Enum):
@@ -26,6 +30,19 @@
     STORE = "store"
 
 
+@dataclass(frozen=True, slots=True)
+class TierOptions:
+    """How the tier is run: in a folder that stays (None: a temporary one), and for how long after the steps."""
+
+    folder: Path | None = None
+    seconds: float = 0.0
+    loss: Loss | None = None
+
+
+class FolderInUse(Exception):
+    """The folder named for the tier holds something already."""
+
+
 class DemonstrationFailed(Exception):
     """A step did not have the effect that the tier promises."""
 
@@ -121,23 +138,33 @@
         wait_until(lambda: send(sender.front, request).is_served, CONFIGURATION_TIMEOUT_S, what)
 
 
-def run_tier(seconds: float | None, keep: bool, loss: Loss | None, say: Callable[[str], None]) -> None:
-    """Run the demonstration in a temporary folder and end all that was started."""
-    with tempfile.TemporaryDirectory(prefix="dewpin-tier-") as folder, LocalTier(Path(folder)) as tier:
+def run_tier(options: TierOptions, say: Callable[[str], None]) -> None:
+    """Run the demonstration and end all that was started; raises FolderInUse."""
+    if options.folder is None:
+        with tempfile.TemporaryDirectory(prefix="dewpin-tier-") as folder:
+            _run_in(Path(folder), options, say)
+        return
+    if options.folder.exists() and any(options.folder.iterdir()):
+        raise FolderInUse(f"{options.folder} is not empty")
+    _run_in(options.folder, options, say)
+
+
+def _run_in(folder: Path, options: TierOptions, say: Callable[[str], None]) -> None:
+    with LocalTier(folder) as tier:
         try:
-            Demonstration(tier, say).run(loss)
+            Demonstration(tier, say).run(options.loss)
         except Exception:
             say(tier.logs())
             raise
-        if keep or seconds is not None:
-            _go_on(tier, float("inf") if seconds is None else seconds, say)
+        if options.seconds > 0:
+            say(f"addresses and process ids are in {write_address_file(tier)}")
+            _go_on(options.seconds, say)
         say("ending all processes")
 
 
-def _go_on(tier: LocalTier, seconds: float, say: Callable[[str], None]) -> None:
-    ready = sum(sender.is_ready() for sender in tier.senders)
-    bound = "until Ctrl-C" if seconds == float("inf") else f"for {seconds:g} s or until Ctrl-C"
-    say(f"{ready} senders are ready; the tier goes on {bound}")
+def _go_on(seconds: float, say: Callable[[str], None]) -> None:
+    bound = "until Ctrl-C" if seconds == FOREVER else f"for {seconds:g} s or until Ctrl-C"
+    say(f"the tier goes on {bound}")
     ends_at = time.monotonic() + seconds
     while time.monotonic() < ends_at:
-        time.sleep(min(0.5, max(0.0, ends_at - time.monotonic())))
+        time.sleep(min(LOOK_EVERY_S, max(0.0, ends_at - time.monotonic())))
