--- /dev/null
+++ b/benchmarks/capacity/coverage.py
@@ -0,0 +1,185 @@
+"""Every figure of the target list: what carries it, and how the rows that stand for it come out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from benchmarks.capacity.sheet import Row, Verdict, markdown_table
+from benchmarks.capacity.target import ASSUMED, Target
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One figure of the list. rows: the rows (by what they tell) whose verdicts stand for it; note: what is open."""
+
+    figure: str
+    carried_by: str
+    rows: tuple[str, ...] = ()
+    note: str = ""
+
+
+def entries(target: Target, stores: int = ASSUMED.stores) -> list[Entry]:
+    """The list in its own order."""
+    return [
+        Entry(
+            f"{target.senders} senders",
+            "`dewpin/controlplane/leases.py`, `dewpin/dataplane/cluster_agent.py`",
+            (
+                "processor time of renewals at each",
+                "time between a sender's visits to one keeper",
+                "the same after one visit missed",
+            ),
+            "no run with more senders than the sites have",
+        ),
+        Entry(
+            f"{target.receivers} receivers, {target.accelerators:,} accelerators",
+            "`dewpin/cluster/receivers.py`, `platform_list.py`, `dewpin/dataplane/balancing.py`",
+            (
+                "bytes of whole lists while each reading differs (a release)",
+                "changed entries alone while each reading differs in 1 in 100",
+            ),
+            "an accelerator is no member of anything here: its receiver speaks for it; choice among receivers: "
+            "not measured",
+        ),
+        Entry(
+            f"{target.requests_per_s:,} requests a second",
+            "`dewpin/dataplane/ingress.py`, `request_path.py`; stores behind",
+            (
+                "processor time of these calls",
+                f"share of a core of each of {stores} stores",
+                "the same with chains read only by what is new",
+                f"share of the one writer's time at each of {stores} stores",
+            ),
+            "processor time of a request in the sender: not measured",
+        ),
+        Entry(
+            f"{target.tokens_per_s:,} tokens out a second",
+            "`dewpin/dataplane/streams.py`",
+            ("processor time of events, least",),
+            "by a stand-in; the sender's own passing on: not measured",
+        ),
+        Entry(
+            f"first token in {target.first_token_s} s for {target.share_in_time:.0%}",
+            "`dewpin/dataplane/store_client.py` (reserve, chain) before the send, then the receiver",
+            (
+                "time to take up a whole chain before the first token",
+                "time added to a first token by replicas in other regions",
+            ),
+            "the receivers' part is not in this repository's hands; the whole path at this size: not measured",
+        ),
+        Entry(
+            f"{target.token_gap_ms:g} ms between tokens for {target.share_in_time:.0%}",
+            "`dewpin/dataplane/streams.py`",
+            ("delay that passing on adds between tokens, 95 in 100, least",),
+            "by a stand-in",
+        ),
+        Entry(
+            f"{target.programs:,} programs of up to {target.turns_a_program} turns, {target.tokens_a_program:,} tokens",
+            "`dewpin/controlplane/turn_table.py`, `dewpin/dataplane/chain_cache.py`",
+            (
+                f"bytes of one of {stores} stores",
+                "memory that whole chains would take",
+                "processor time of taking them up",
+            ),
+            "whole chains to a sender that has not cached them: see below",
+        ),
+        Entry(
+            f"{target.tenants} tenants, {target.models} models",
+            "`dewpin/cluster/configuration.py`, `dewpin/controlplane/system_state.py`",
+            ("bytes of whole states, taken and passed on", "the same with changed routes and entries alone"),
+            "quotas between tenants: none yet",
+        ),
+        Entry(
+            f"{target.regions} regions, {target.zones} zones",
+            "`dewpin/cluster/placement.py`, `dewpin/controlplane/reconfiguration.py`",
+            (
+                "programs without a majority when a zone is lost",
+                "programs without a majority when a region is lost",
+            ),
+            "placement by zone and region is to be built",
+        ),
+        Entry(
+            f"{target.changes_a_day} changes a day in force in {target.change_in_force_s:g} s",
+            "`dewpin/consensus`, `dewpin/controlplane/register.py`, `dewpin/dataplane/cluster_agent.py`",
+            ("time of a change to the last sender, nothing failing", "the same when the tree fails"),
+            "measured parts added up on paper; see the hollow run below",
+        ),
+        Entry(
+            f"control: {target.control_processor_share:.1%} of a core a sender",
+            "`dewpin/dataplane/cluster_agent.py`, `dewpin/cluster/rpc.py`",
+            (
+                "processor time of renewals and watches, nothing new",
+                "processor time of control, all, mean of a day",
+                "processor time of control while each reading differs (a release)",
+            ),
+        ),
+        Entry(
+            f"control: {target.control_memory_bytes / 1e6:g} MB a sender",
+            "`dewpin/dataplane/cluster_state.py`",
+            ("memory of control",),
+        ),
+        Entry(
+            f"control: {target.control_bytes_per_s / 1e3:g} kB/s a sender",
+            "`dewpin/dataplane/cluster_agent.py`",
+            (
+                "bytes of renewals",
+                "bytes of watches when nothing is new",
+                "bytes of whole states, taken and passed on",
+                "bytes of whole lists, taken and passed on, mean of a day",
+                "bytes of control, all, mean of a day",
+                "the same with changed routes and entries alone",
+            ),
+        ),
+        Entry(
+            f"{target.control_machines} machines for control",
+            '`dewpin.controlplane` with `serves = ["control"]`',
+            (
+                "processor time of renewals at each",
+                "processor time of changes at each member, mean of a day",
+                "processor time of reading the list",
+                "processor time of greetings at each keeper",
+            ),
+            "today's deployments run control on the store machines",
+        ),
+        Entry(
+            f"{target.failures_a_day} failures, {target.restarts_a_day} restarts a day",
+            "leases, drain at SIGTERM, `dewpin/controlplane/reconfiguration.py`, `sync.py`",
+            (),
+            "rows under failures; a day with that many: not measured",
+        ),
+        Entry(
+            "a rack every month or two",
+            "`dewpin/controlplane/reconfiguration.py`, `dewpin/consensus`",
+            (),
+            "as a zone, smaller; placement does not see racks: to be built",
+        ),
+        Entry(
+            "a zone once or twice a year",
+            "`dewpin/controlplane/reconfiguration.py`, `dewpin/consensus`",
+            ("programs without a majority when a zone is lost",),
+        ),
+        Entry(
+            "regions apart for an hour",
+            "majorities of the register and of each program's stores; senders go on with the state they have",
+            (),
+            "rows under failures; not measured",
+        ),
+    ]
+
+
+def outcome(entry: Entry, rows: Mapping[str, Row]) -> str:
+    """The verdicts of an entry's rows and its note; KeyError when it names a row that does not exist."""
+    parts = []
+    for name in entry.rows:
+        verdict = rows[name].verdict()
+        if verdict is not Verdict.NO_BOUND:
+            parts.append(f"{name}: {verdict.value}")
+    return "; ".join([*parts, *([entry.note] if entry.note else [])]) or "see the rows of the roles"
+
+
+def coverage_table(target: Target, rows: Iterable[Row]) -> str:
+    """The table of the whole list."""
+    by_name = {row.what: row for row in rows}
+    cells = [(entry.figure, entry.carried_by, outcome(entry, by_name)) for entry in entries(target)]
+    return markdown_table(("figure of the list", "carried by", "how it stands"), cells)
--- /dev/null
+++ b/benchmarks/capacity/roles/control.py
@@ -0,0 +1,238 @@
+"""Figures of the machines set aside for control at the target."""
+
+from __future__ import annotations
+
+from benchmarks.capacity import design
+from benchmarks.capacity.context import Context
+from benchmarks.capacity.fit import Estimate
+from benchmarks.capacity.sheet import Row, plain
+
+MICROSECONDS = 1e6
+SMALL_MESSAGE_BYTES = 300
+LEASES = "`dewpin/controlplane/leases.py`"
+REGISTER = "`dewpin/controlplane/register.py`, `dewpin/consensus`"
+STATE = "`dewpin/controlplane/system_state.py`"
+LIST = "`dewpin/cluster/platform_list.py`, `receivers.py`"
+KEEPER = "`dewpin/controlplane/keeper.py`"
+TREE = "`dewpin/dataplane/cluster_agent.py`, `dewpin/controlplane/leases.py`"
+
+
+def hop_s(context: Context) -> Estimate:
+    """Time of a change through one sender of the relay tree: take it up, make the frames, the way to the next."""
+    handling = context.at("state-take", context.routes) + design.RELAY_FAN_OUT * context.at(
+        "state-send", context.routes
+    )
+    return handling / MICROSECONDS + context.assumed.region_round_trip_ms / 2000
+
+
+def change_s(context: Context) -> Estimate:
+    """Time of a change from its order to the last sender when nothing fails."""
+    rounds = 2 * context.assumed.region_round_trip_ms / 1000
+    register = context.at("register-change", context.routes) / MICROSECONDS
+    return register + rounds + design.HELLO_PERIOD_S + design.relay_depth(context.target.senders) * hop_s(context)
+
+
+def lease_rows(context: Context) -> list[Row]:
+    """Leases at each of the control machines."""
+    target, assumed = context.target, context.assumed
+    renewals = target.senders / context.renewal_s
+    each = renewals / target.control_machines
+    keepers_if_all = assumed.stores + target.control_machines
+    return [
+        context.row(
+            "leases held at each",
+            "a sender renews at the keepers in turn, so each comes to know all",
+            lambda: target.senders,
+            "",
+            LEASES,
+        ),
+        context.row(
+            "bytes of the leases",
+            f"lease-bytes at {target.senders}",
+            lambda: context.at("lease-bytes", target.senders),
+            "B",
+            LEASES,
+        ),
+        context.row(
+            "renewals a second at each",
+            f"{target.senders} / {plain(context.renewal_s)} s / {target.control_machines}",
+            lambda: each,
+            "1/s",
+            LEASES,
+        ),
+        context.row(
+            "processor time of renewals at each",
+            f"{plain(each)}/s × (server-call + lease-renew at {target.senders})",
+            lambda: (
+                each
+                * (context.at("server-call", SMALL_MESSAGE_BYTES) + context.at("lease-renew", target.senders))
+                / MICROSECONDS
+            ),
+            "share",
+            LEASES,
+            1.0,
+        ),
+        context.row(
+            "the same if each sender renewed at all keepers",
+            f"{plain(renewals)}/s in place of {plain(each)}/s",
+            lambda: (
+                renewals
+                * (context.at("server-call", SMALL_MESSAGE_BYTES) + context.at("lease-renew", target.senders))
+                / MICROSECONDS
+            ),
+            "share",
+            LEASES,
+            1.0,
+        ),
+        context.row(
+            "time between a sender's visits to one keeper",
+            f"{target.control_machines} keepers × {plain(context.renewal_s)} s, against a lease of "
+            f"{design.LEASE_PERIODS} × {plain(context.renewal_s)} s",
+            lambda: target.control_machines * context.renewal_s,
+            "s",
+            LEASES,
+            context.lease_s,
+        ),
+        context.row(
+            "the same after one visit missed",
+            f"2 × {target.control_machines} × {plain(context.renewal_s)} s",
+            lambda: 2 * target.control_machines * context.renewal_s,
+            "s",
+            LEASES,
+            context.lease_s,
+        ),
+        context.row(
+            "the same if all stores served control too",
+            f"{keepers_if_all} keepers × {plain(context.renewal_s)} s",
+            lambda: keepers_if_all * context.renewal_s,
+            "s",
+            LEASES,
+            context.lease_s,
+        ),
+    ]
+
+
+def state_rows(context: Context) -> list[Row]:
+    """The register, its state, and the way of a change to the senders."""
+    target, assumed = context.target, context.assumed
+    depth = design.relay_depth(target.senders)
+    members = target.control_machines
+    return [
+        context.row(
+            "bytes of the system state",
+            f"state-bytes at {context.routes:,} routes + {design.MOST_REMEMBERED_CONFIGURATIONS:,} × accepted-bytes",
+            lambda: context.state_bytes,
+            "B",
+            STATE,
+        ),
+        context.row(
+            "messages of one change of the register",
+            f"2 rounds × {members} members × 2",
+            lambda: 4 * members,
+            "",
+            REGISTER,
+        ),
+        context.row(
+            "bytes of one change of the register",
+            f"promises carry the old state, accepts the new: 2 × {members} × state",
+            lambda: 2 * members * context.state_bytes,
+            "B",
+            REGISTER,
+        ),
+        context.row(
+            "processor time of one change, all members",
+            f"register-cost at {context.routes:,} routes",
+            lambda: context.at("register-cost", context.routes) / 1000,
+            "ms",
+            REGISTER,
+        ),
+        context.row(
+            "processor time of changes at each member, mean of a day",
+            f"{target.changes_a_day}/day × register-cost / {members}",
+            lambda: context.changes_per_s * context.at("register-cost", context.routes) / members / MICROSECONDS,
+            "share",
+            REGISTER,
+            1.0,
+        ),
+        context.row(
+            "bytes written to disk for changes, a day, each member",
+            f"{target.changes_a_day} × 2 rounds (each writes the whole state) × state",
+            lambda: 2 * target.changes_a_day * context.state_bytes,
+            "B",
+            "`dewpin/controlplane/storage.py`",
+        ),
+        context.row(
+            "depth of the relay tree",
+            f"hops from a keeper by `LeaseTable.parents` of {target.senders} senders, {design.RELAY_FAN_OUT} children "
+            "each",
+            lambda: depth,
+            "hops",
+            TREE,
+        ),
+        context.row(
+            "time of a change to the last sender, nothing failing",
+            f"register-change + 2 rounds × {plain(assumed.region_round_trip_ms)} ms + a greeting "
+            f"({plain(design.HELLO_PERIOD_S)} s) + {depth} hops × (state-take + {design.RELAY_FAN_OUT} × state-send + "
+            f"{plain(assumed.region_round_trip_ms / 2)} ms)",
+            lambda: change_s(context),
+            "s",
+            f"{REGISTER}, {TREE}",
+            target.change_in_force_s,
+        ),
+        context.row(
+            "the same when the tree fails",
+            f"that + two renewals ({plain(context.renewal_s)} s × 1.1 each, one keeper silent)",
+            lambda: change_s(context) + 2 * 1.1 * context.renewal_s,
+            "s",
+            LEASES,
+            target.change_in_force_s,
+        ),
+        context.row(
+            "whole states to all senders, a day",
+            f"{target.changes_a_day} × {target.senders} × state",
+            lambda: target.changes_a_day * target.senders * context.state_bytes,
+            "B",
+            TREE,
+        ),
+    ]
+
+
+def list_rows(context: Context) -> list[Row]:
+    """The reader of the platform's list, and the memory of a keeper."""
+    target = context.target
+    return [
+        context.row(
+            "processor time of reading the list",
+            f"list-read at {target.receivers} / {plain(context.reading_period_s)} s, at one keeper",
+            lambda: context.at("list-read", target.receivers) / context.reading_period_s / MICROSECONDS,
+            "share",
+            LIST,
+            1.0,
+        ),
+        context.row(
+            "processor time of sending it while each reading differs",
+            f"(children + other keepers) = {design.RELAY_FAN_OUT + target.control_machines - 1} × receiver-send / "
+            f"{plain(context.reading_period_s)} s",
+            lambda: (
+                (design.RELAY_FAN_OUT + target.control_machines - 1)
+                * context.at("receiver-send", target.receivers)
+                / context.reading_period_s
+                / MICROSECONDS
+            ),
+            "share",
+            KEEPER,
+            1.0,
+        ),
+        context.row(
+            "memory of a keeper with control alone",
+            f"keeper-memory at {context.routes:,} routes + receiver-memory × {target.receivers} + {target.senders} "
+            "connections × connection-memory / 2 (one end)",
+            lambda: (
+                context.at("keeper-memory", context.routes)
+                + target.receivers * context.each("receiver-memory")
+                + target.senders * context.each("connection-memory") / 2
+            ),
+            "B",
+            "`dewpin/controlplane`",
+        ),
+    ]
