Replies of replicas as messages of the consensus package: cluster imports no other package

Cause: tests/test_layout.py: cluster/store_messages.py imported consensus. Change: consensus/messages.py has ballots and replies as JSON, LedgerRecord goes to the control plane that alone uses it.

--- a/dewpin/cluster/store_messages.py
+++ b/dewpin/cluster/store_messages.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from dewpin.cluster.store_view import StoreView
-from dewpin.consensus import Accepted, Ballot, Conflict, Promise, Reply
 
 Message = dict[str, Any]
 
@@ -19,10 +18,7 @@
 TURN_CHAIN = "turn.chain"
 TURN_LINKS = "turn.links"
 LEDGER_PREPARE = "ledger.prepare"
-LEDGER_PROMISE = "ledger.promise"
 LEDGER_ACCEPT = "ledger.accept"
-LEDGER_ACCEPTED = "ledger.accepted"
-LEDGER_CONFLICT = "ledger.conflict"
 PULL_INDEX = "store.pull_index"
 PULL_TURNS = "store.pull_turns"
 PULL_LEDGERS = "store.pull_ledgers"
@@ -100,58 +96,6 @@
         return ChainLinks(links, value["following"], bool(value["absent"]), frozenset(value["foreign"]))
 
 
-@dataclass(frozen=True, slots=True)
-class LedgerRecord:
-    """The state of one replica of a program's ledger."""
-
-    program: str
-    promised: Ballot
-    accepted: Ballot
-    value: Any
-
-    def to_json(self) -> Message:
-        """Return the record as a JSON object."""
-        return {
-            "program": self.program,
-            "promised": list(self.promised),
-            "accepted": list(self.accepted),
-            "value": self.value,
-        }
-
-    @staticmethod
-    def from_json(value: Message) -> LedgerRecord:
-        """Return the record of a JSON object made by `to_json`."""
-        return LedgerRecord(
-            value["program"], ballot_from_json(value["promised"]), ballot_from_json(value["accepted"]), value["value"]
-        )
-
-
-def ballot_from_json(pair: list[Any]) -> Ballot:
-    """Return the ballot of a JSON pair of its counter and proposer."""
-    counter, proposer = pair
-    return Ballot(int(counter), str(proposer))
-
-
 def request(kind: str, view: StoreView, member: str, /, **fields: Any) -> Message:
     """Return a request of type `kind` to `member` under the epoch of `view`."""
     return {"type": kind, "epoch": view.epoch, "to": member, **fields}
-
-
-def encode_reply(reply: Reply) -> Message:
-    """Return the answer that tells a ledger replica's reply."""
-    if isinstance(reply, Promise):
-        return {"type": LEDGER_PROMISE, "accepted": list(reply.accepted), "value": reply.value}
-    if isinstance(reply, Accepted):
-        return {"type": LEDGER_ACCEPTED, "ballot": list(reply.ballot)}
-    return {"type": LEDGER_CONFLICT, "promised": list(reply.promised)}
-
-
-def decode_reply(message: Message) -> Reply:
-    """Return the ledger replica's reply that an answer tells. Raises KeyError, TypeError or ValueError."""
-    if message["type"] == LEDGER_PROMISE:
-        return Promise(ballot_from_json(message["accepted"]), message["value"])
-    if message["type"] == LEDGER_ACCEPTED:
-        return Accepted(ballot_from_json(message["ballot"]))
-    if message["type"] == LEDGER_CONFLICT:
-        return Conflict(ballot_from_json(message["promised"]))
-    raise ValueError(f"not a ledger replica's reply: {message['type']}")
--- /dev/null
+++ b/dewpin/consensus/messages.py
@@ -0,0 +1,38 @@
+"""A replica's replies as JSON objects."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+from .replica import Accepted, Ballot, Conflict, Promise, Reply
+
+PROMISE = "ballot.promise"
+ACCEPTED = "ballot.accepted"
+CONFLICT = "ballot.conflict"
+
+
+def ballot_from_json(pair: Sequence[Any]) -> Ballot:
+    """The ballot of a JSON pair of its counter and proposer."""
+    counter, proposer = pair
+    return Ballot(int(counter), str(proposer))
+
+
+def encode_reply(reply: Reply) -> dict[str, Any]:
+    """The answer that tells a replica's reply."""
+    if isinstance(reply, Promise):
+        return {"type": PROMISE, "accepted": list(reply.accepted), "value": reply.value}
+    if isinstance(reply, Accepted):
+        return {"type": ACCEPTED, "ballot": list(reply.ballot)}
+    return {"type": CONFLICT, "promised": list(reply.promised)}
+
+
+def decode_reply(message: dict[str, Any]) -> Reply:
+    """The reply that an answer tells. KeyError, TypeError or ValueError if it tells none."""
+    if message["type"] == PROMISE:
+        return Promise(ballot_from_json(message["accepted"]), message["value"])
+    if message["type"] == ACCEPTED:
+        return Accepted(ballot_from_json(message["ballot"]))
+    if message["type"] == CONFLICT:
+        return Conflict(ballot_from_json(message["promised"]))
+    raise ValueError(f"not a replica's reply: {message['type']}")
--- a/dewpin/controlplane/ledger_replica.py
+++ b/dewpin/controlplane/ledger_replica.py
@@ -8,14 +8,44 @@
 import json
 import sqlite3
 from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
 
-from dewpin.cluster.store_messages import LedgerRecord, ballot_from_json
 from dewpin.consensus import Accepted, Ballot, Conflict, Promise, Replica
+from dewpin.consensus.messages import ballot_from_json
 
 KEY_PREFIX = "ledger/"
 _AFTER_ALL_KEYS = "ledger0"
 """The least text above every key that begins with KEY_PREFIX."""
 
+JsonObject = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerRecord:
+    """The state of one replica of a program's ledger."""
+
+    program: str
+    promised: Ballot
+    accepted: Ballot
+    value: Any
+
+    def to_json(self) -> JsonObject:
+        """Return the record as a JSON object."""
+        return {
+            "program": self.program,
+            "promised": list(self.promised),
+            "accepted": list(self.accepted),
+            "value": self.value,
+        }
+
+    @staticmethod
+    def from_json(value: JsonObject) -> LedgerRecord:
+        """Return the record of a JSON object made by `to_json`."""
+        return LedgerRecord(
+            value["program"], ballot_from_json(value["promised"]), ballot_from_json(value["accepted"]), value["value"]
+        )
+
 
 def load(connection: sqlite3.Connection, program: str) -> Replica:
     """Return the replica of the program's ledger as it stands."""
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -12,8 +12,9 @@
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import Message, RpcError
-from dewpin.cluster.store_messages import TurnRecord, ballot_from_json
+from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import StoreView
+from dewpin.consensus.messages import ballot_from_json, encode_reply
 from dewpin.controlplane import ledger_replica, turn_table
 from dewpin.controlplane.storage import StorageFailed
 
@@ -176,7 +177,7 @@
         reply = await self._transact(
             message["epoch"], lambda connection: ledger_replica.prepare(connection, program, ballot, now_ms)
         )
-        return wire.encode_reply(reply)
+        return encode_reply(reply)
 
     async def _on_accept(self, message: Message) -> Message:
         program, ballot = str(message["program"]), ballot_from_json(message["ballot"])
@@ -188,7 +189,7 @@
             message["epoch"],
             lambda connection: ledger_replica.accept(connection, program, ballot, value, following, now_ms),
         )
-        return wire.encode_reply(reply)
+        return encode_reply(reply)
 
     async def _check_pull(self, message: Message) -> StoreView:
         """Return the changing view of a pull, which is durable here from now on. Raises RpcError."""
--- a/dewpin/controlplane/sync.py
+++ b/dewpin/controlplane/sync.py
@@ -15,9 +15,10 @@
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import Message, RpcError
-from dewpin.cluster.store_messages import LedgerRecord, TurnRecord
+from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.controlplane import ledger_replica, turn_table
+from dewpin.controlplane.ledger_replica import LedgerRecord
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.turn_table import IndexEntry
--- a/dewpin/dataplane/store_client.py
+++ b/dewpin/dataplane/store_client.py
@@ -21,6 +21,7 @@
 from dewpin.cluster.store_messages import ChainLinks, TurnRecord
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus import Accept, Ballot, Outcome, Proposal, Request, Result
+from dewpin.consensus.messages import decode_reply
 from dewpin.consensus.proposal import has_majorities
 from dewpin.consensus.replica import ZERO_BALLOT
 from dewpin.dataplane import ledger
@@ -241,7 +242,7 @@
             while proposal.result is None and task_round.unanswered:
                 answer = await task_round.next_answer()
                 if answer.message is not None:
-                    send(proposal.receive(answer.member, wire.decode_reply(answer.message)))
+                    send(proposal.receive(answer.member, decode_reply(answer.message)))
 
     def _new_ballot(self) -> Ballot:
         """Return a ballot above all that this sender has used or heard of."""
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -156,8 +156,8 @@
     async def scene():
         world = World(names="a", losses=0)
         disk = world.machines["a"].disk
-        low = wire.LedgerRecord("p", Ballot(9, "x"), Ballot(1, "x"), {"spent": 1, "open": {}})
-        high = wire.LedgerRecord("p", Ballot(5, "y"), Ballot(5, "y"), {"spent": 5, "open": {}})
+        low = ledger_replica.LedgerRecord("p", Ballot(9, "x"), Ballot(1, "x"), {"spent": 1, "open": {}})
+        high = ledger_replica.LedgerRecord("p", Ballot(5, "y"), Ballot(5, "y"), {"spent": 5, "open": {}})
         for records in ([low, high], [high, low], [high], [low]):
             await disk.transact(lambda connection: ledger_replica.merge(connection, records, 0))
             replica = await disk.transact(lambda connection: ledger_replica.load(connection, "p"))
