--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -156,8 +156,8 @@
     async def scene():
         world = World(names="a", losses=0)
         disk = world.machines["a"].disk
-        low = wire.LedgerRecord("p", Ballot(9, "x"), Ballot(1, "x"), {"spent": 1, "open": {}})
-        high = wire.LedgerRecord("p", Ballot(5, "y"), Ballot(5, "y"), {"spent": 5, "open": {}})
+        low = ledger_replica.LedgerRecord("p", Ballot(9, "x"), Ballot(1, "x"), {"spent": 1, "open": {}})
+        high = ledger_replica.LedgerRecord("p", Ballot(5, "y"), Ballot(5, "y"), {"spent": 5, "open": {}})
         for records in ([low, high], [high, low], [high], [low]):
             await disk.transact(lambda connection: ledger_replica.merge(connection, records, 0))
             replica = await disk.transact(lambda connection: ledger_replica.load(connection, "p"))
@@ -280,7 +280,7 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_writes_go_on_while_the_view_changes_and_all_that_was_acknowledged_stays(seed):
     async def scene():
-        world = World(names="abcdef", in_view="abc")
+        world = World(names="abcdef", in_view="abc", delay_s=0.004)
         clients = [world.client(f"s{number}", seed=100 * seed + number) for number in range(3)]
         kept, granted, stop = [], {}, asyncio.Event()
 
