--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -173,10 +173,12 @@
         self.used, self.used_at, self.out = 0.0, 0.0, 0
         self.arrivals, self.began = Ring(RATE_SPAN / 10.0, 12), began   # began: the sender, not the line
 
-    def rate(self, now):
-        """Mails a second that come for the destination: small where many senders share its traffic."""
+    def rate(self, now, extra=0.0):
+        """Mails a second that come for the destination: small where many senders share its traffic.
+
+        `extra`: what to take off the count of mails where the arrival of one is why the rate is asked."""
         span = max(RATE_SPAN / 4.0, min(RATE_SPAN, now - self.began))
-        return max(1.0, sum(self.arrivals.recent(now, 10))) * 1000.0 / span
+        return (max(1.0, sum(self.arrivals.recent(now, 10))) - extra) * 1000.0 / span
 
     def slot_time(self, now):
         """Recent slot time, calls out included."""
@@ -704,6 +706,7 @@
         elif outcome == FULL or no_room:
             alone = health.good_at <= health.refused_at     # nothing good since its last refusal: for itself
             health.refused_at = now
+            in_a_row = no_room and gate.failed_at > gate.good_at    # the second failure, nothing good between
             if outcome == FULL:
                 if mail.told > 0:
                     gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
@@ -718,8 +721,15 @@
             if gate.refusals == 0:
                 gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
-            if gate.refusals >= 3 and now - gate.refused_at > SHUT or mail.told > LONG_TOLD:
-                self._set_aside(call.receiver, health, now)
+            shut = gate.refusals >= 3 and now - gate.refused_at > SHUT or mail.told > LONG_TOLD
+            down = in_a_row and sparse and self.turned[call.receiver.kind] < JAMMED     # no full table
+            if shut or down:
+                self._set_aside(call.receiver, health, now, sparse)
+            for receiver in mail.destination.receivers if down else ():
+                other = receiver.notes      # not yet met: its first look sets it aside
+                if other and not other.trickle and other.unreached_at > other.good_at \
+                        and self.gate(receiver) is gate:
+                    self._set_aside(receiver, other, now, sparse)
         elif outcome in (ERROR, *LOST) and not call.counted:
             health.bad_for.add(mail.queue_class)
             gate.failed_at = now
@@ -736,12 +746,12 @@
                     if other.fails >= enough + (receiver is not call.receiver):
                         self._set_aside(receiver, other, now)
 
-    def _share(self, receiver, now, cold=0):
+    def _share(self, receiver, now, cold=0, extra=0.0):
         """This sender's part of a destination's traffic: its own, drawn to its part of a limit reported or
         listed, late, rough and for all senders together; for one of so many cold routes the less."""
         listed = receiver.weight if self.settings.get("Weights") in ("nominal", "rough") else 0.0
         limit = receiver.report.get("limit") or listed
-        came = receiver.destination.notes.rate(now) / max(1, cold)
+        came = receiver.destination.notes.rate(now, extra) / max(1, cold)
         if limit <= 0.0:
             return came
         return min(came, limit / self.fleet) if cold else (came + limit / self.fleet) / 2.0
@@ -781,20 +791,25 @@
         """
         return self.recovers >= RECOVERS
 
-    def _set_aside(self, receiver, health, now):
+    def _set_aside(self, receiver, health, now, sparse=False):
         """A receiver that fails gets a trickle: all senders together stay under what a cold one bears.
 
         What one bears in a window is taken of the line's own traffic: it adds up to the same for hundreds.
+        Where a sparse line is refused, its rate is estimated from the mails before (n - 1 + a half of them,
+        the Jeffreys estimate), and a refused trial is followed by no shorter gap than a good one.
+        Guards against lines that are all looked at right after an arrival, and so read too high in sum.
         """
         rules = self.rules
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
         apart = receiver.kind in self.apart     # then limit and outage are the receiver's own
         least = 1000.0 / rules["OverloadFor"] / max(1.0, self.fleet / CROWD)
         cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
-        bears = 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now, ready if apart else 1)
+        share = self._share(receiver, now, ready if apart else 1, 0.5 if sparse else 0.0)
+        bears = 0.8 * rules["FallMultiple"] * cold * share
         warms = rules["WarmAfter"] * cold / max(0.01, 1.0 - rules["ColdFrom"])
+        first_gap = (0.8, 1.4) if sparse and self._on_trial(receiver) else (0.2, 1.0)
         health.trickle = Trickle(max(least, bears) / (1 if apart else ready), warms, now)
         self.avoided.add(receiver)
         health.fails = 0        # what it rises by is weighed anew
         start = max(now, self.gate(receiver).told_until)
-        health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
+        health.trickle.next_at = health.trickle.after(start, self.dice.roll(*first_gap))
