Senders: the number of senders is taken over as it changes, by the greatest recent count

Cause: it reached the shares of receivers' connections only with a change of the receivers, and a keeper that was just started tells too few; either lets senders open more connections than the service takes.

--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -89,7 +89,9 @@
         client = RpcClient()
         replica_count = 2 * self.settings.fault_tolerance.machines + 1
         self._store_client = StoreClient(client, replica_count)
-        agent = ClusterAgent(self.settings, client, random.Random(), self._on_state, self._on_receivers)
+        agent = ClusterAgent(
+            self.settings, client, random.Random(), self._on_state, self._on_receivers, on_senders=self._on_senders
+        )
         server = RpcServer(agent.handlers)
         await server.start(*split_address(agent.address))
         agent.start()
@@ -121,8 +123,9 @@
 
     def _on_receivers(self, directory: ReceiverDirectory) -> None:
         self.state.receivers = directory.by_service()
-        if self.agent is not None:
-            self.state.senders = self.agent.senders
+
+    def _on_senders(self, senders: int) -> None:
+        self.state.senders = senders
 
 
 def main() -> int:
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -22,6 +22,7 @@
 from dewpin.cluster.settings_watch import reloaded
 
 from .keeper_list import KeeperList
+from .sender_count import SenderCount
 
 log = logging.getLogger(__name__)
 
@@ -35,6 +36,7 @@
 STALE_SHARE_OF_DRAIN = 0.6
 OWN_READING_SHARE_OF_DRAIN = 0.4
 OWN_READINGS_SHARE_OF_RATE = 0.5
+ASSUMED_SENDERS = 8
 SHORTEST_PAUSE_S = 0.02
 UNKNOWN_AGE_S = 1e9
 
@@ -53,6 +55,7 @@
         on_receivers: Callable[[ReceiverDirectory], None],
         clock: Callable[[], float] = time.monotonic,
         platform: ReadsPlatform | None = None,
+        on_senders: Callable[[int], None] = lambda senders: None,
     ) -> None:
         self.settings = settings
         self.address = data_plane_address(settings.ip, settings.port_range)
@@ -65,6 +68,8 @@
         self._rng = rng
         self._on_state = on_state
         self._on_receivers = on_receivers
+        self._on_senders = on_senders
+        self._sender_count = SenderCount()
         self._clock = clock
         self._platform = platform or ThreadedPlatformReader()
         self._keepers = KeeperList(self._seed_addresses(), rng)
@@ -147,7 +152,10 @@
     def _take_lease(self, answer: Message) -> None:
         self._keepers.named([str(address) for address in answer["keepers"]], self._clock())
         self._parents = [str(parent) for parent in answer["parents"]]
-        self.senders = int(answer["senders"])
+        senders = self._sender_count.told(int(answer["senders"]), float(answer["duration_s"]), self._clock())
+        if senders != self.senders:
+            self.senders = senders
+            self._on_senders(senders)
         self.has_lease = True
 
     def _is_behind(self, answer: Message) -> bool:
@@ -252,7 +260,7 @@
         cloud = self.settings.cloud
         if cloud is None or cloud.rate_per_s <= 0:
             return period_s
-        return max(period_s, self.senders / (OWN_READINGS_SHARE_OF_RATE * cloud.rate_per_s))
+        return max(period_s, (self.senders or ASSUMED_SENDERS) / (OWN_READINGS_SHARE_OF_RATE * cloud.rate_per_s))
 
     async def _read_list(self) -> None:
         cloud = self.settings.cloud
--- a/tests/dataplane/test_cluster_agent.py
+++ b/tests/dataplane/test_cluster_agent.py
@@ -55,6 +55,7 @@
         self.directory.take_reading([receiver()], "r")
         self.read_s = None  # when the list was read; None: just now
         self.parents = []
+        self.senders = 4
         self.names = None  # the keepers that it names; None: all
         self.changed = asyncio.Event()
 
@@ -82,7 +83,7 @@
                 "list_age_s": self.age_s(),
                 "parents": self.parents,
                 "keepers": self.names if self.names is not None else self.world.keeper_addresses,
-                "senders": 4,
+                "senders": self.senders,
             }
         if kind == "lease.release":
             return {"type": "lease.released"}
@@ -122,6 +123,7 @@
         self.platform_down = False
         self.states = []
         self.drained = []
+        self.counts = []
         self.agent = ClusterAgent(
             settings(seeds, rate_per_s),
             self,
@@ -130,6 +132,7 @@
             lambda directory: self.drained.append([one.draining for one in directory.receivers.values()]),
             lambda: self.now_s,
             self,
+            self.counts.append,
         )
 
     @property
@@ -204,9 +207,25 @@
 
 def test_a_sender_learns_state_and_receivers_and_holds_a_lease():
     async def scene(world):
-        return world.agent.has_lease, world.states, world.drained, world.agent.senders
+        return world.agent.has_lease, world.states, world.drained
 
-    assert play(scene) == (True, [1], [[False]], 4)
+    assert play(scene) == (True, [1], [[False]])
+
+
+def test_the_number_of_senders_is_told_when_it_changes_and_not_for_a_keeper_that_was_just_started():
+    async def scene(world):
+        await asyncio.sleep(5.0)
+        world.keeper(2).senders = 1
+        await asyncio.sleep(5.0)
+        for one in world.keepers:
+            one.senders = 6
+        await asyncio.sleep(5.0)
+        for one in world.keepers:
+            one.senders = 5
+        await asyncio.sleep(5.0)
+        return world.counts
+
+    assert play(scene) == [4, 6, 5]
 
 
 def test_calm_times_cost_five_renewals_in_the_bound_and_a_heartbeat_a_second():
