--- a/dewpin/cluster/settings_watch.py
+++ b/dewpin/cluster/settings_watch.py
@@ -21,14 +21,18 @@
 
 
 class SettingsWatch:
-    """Tells when a settings file holds something new. A faulty file is reported once and otherwise ignored."""
+    """Tells when a settings file holds something else than `running`, the settings that the process has.
 
-    def __init__(self, path: str | Path) -> None:
+    A faulty file is reported once and otherwise ignored.
+    """
+
+    def __init__(self, path: str | Path, running: Settings) -> None:
         self._path = Path(path)
-        self._seen = self._content()
+        self._running = running
+        self._seen: bytes | None = None
 
     def poll(self) -> Settings | None:
-        """The checked settings of the file if it changed since the last look, else None."""
+        """The checked settings of the file if they changed since the last look, else None."""
         content = self._content()
         if content is None or content == self._seen:
             return None
@@ -38,6 +42,9 @@
         except SettingsInvalid as invalid:
             log_event(Event.SETTINGS_REJECTED, faults=invalid.lines())
             return None
+        if settings == self._running:
+            return None
+        self._running = settings
         log_event(Event.SETTINGS_RELOADED)
         return settings
 
--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -89,7 +89,9 @@
         least_stores = 2 * settings.fault_tolerance.machines + 1
         api = OperatorApi(keeper.register, loop, least_stores)
         serve_operator(split_address(settings.listen["control"]), api)
-    following = asyncio.ensure_future(follow_settings(keeper, SettingsWatch(os.environ[BOOT_VARIABLE]), hangup))
+    following = asyncio.ensure_future(
+        follow_settings(keeper, SettingsWatch(os.environ[BOOT_VARIABLE], settings), hangup)
+    )
     await stopping.wait()
     following.cancel()
     keeper.leave()
--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -72,7 +72,7 @@
 
     def _follow_settings(self) -> None:
         """Hands changes of the settings file on, at once after SIGHUP and soon without."""
-        watch = SettingsWatch(os.environ[BOOT_VARIABLE])
+        watch = SettingsWatch(os.environ[BOOT_VARIABLE], self.settings)
         while not self.stopping.is_set():
             self.hangup.wait(POLL_PERIOD_S)
             self.hangup.clear()
--- a/tests/cluster/test_settings_watch.py
+++ b/tests/cluster/test_settings_watch.py
@@ -26,14 +26,28 @@
 
 
 def test_a_file_that_stays_tells_nothing(path):
-    watch = SettingsWatch(path)
+    watch = SettingsWatch(path, load_settings(path))
     assert watch.poll() is None
     path.write_text(samples.SETTINGS)
     assert watch.poll() is None
 
 
+def test_a_change_between_the_start_and_the_first_look_is_told(path, events):
+    running = load_settings(path)
+    path.write_text(OTHER_SEEDS)
+    changed = SettingsWatch(path, running).poll()
+    assert changed is not None and changed.seeds[0] == "10.1.0.99:8144"
+
+
+def test_another_spelling_of_the_same_settings_is_no_change(path, events):
+    watch = SettingsWatch(path, load_settings(path))
+    path.write_text("# written anew\n" + samples.SETTINGS)
+    assert watch.poll() is None
+    assert events == []
+
+
 def test_a_change_is_told_once(path, events):
-    watch = SettingsWatch(path)
+    watch = SettingsWatch(path, load_settings(path))
     path.write_text(OTHER_SEEDS)
     changed = watch.poll()
     assert changed is not None and changed.seeds == ("10.1.0.99:8144", "10.2.0.38:8144")
@@ -43,7 +57,7 @@
 
 @pytest.mark.parametrize("content", ["", "node_name = ", samples.SETTINGS.replace("10.1.0.34:8144", "nowhere")])
 def test_a_faulty_file_is_reported_once_and_ignored(path, events, content):
-    watch = SettingsWatch(path)
+    watch = SettingsWatch(path, load_settings(path))
     path.write_text(content)
     assert watch.poll() is None and watch.poll() is None
     assert [event for event, _ in events] == ["settings_rejected"]
@@ -52,7 +66,7 @@
 
 
 def test_a_file_that_is_away_for_a_moment_is_no_change(path):
-    watch = SettingsWatch(path)
+    watch = SettingsWatch(path, load_settings(path))
     path.unlink()
     assert watch.poll() is None
     path.write_text(samples.SETTINGS)
