--- a/tests/controlplane/test_reconfiguration.py
+++ b/tests/controlplane/test_reconfiguration.py
@@ -49,7 +49,7 @@
             "synced_epoch": self.synced.get(one, 0),
             "leaving": leaving,
             "bootstrap": False,
-        "list_fails": False,
+            "list_fails": False,
         }
 
     def hear(self, *ids, **fields):
--- /dev/null
+++ b/tests/controlplane/test_senders_and_keepers.py
@@ -0,0 +1,177 @@
+"""Senders' agents and keepers together: how soon a configuration or a drain is in force, whatever keeper is lost."""
+
+import asyncio
+import random
+
+import pytest
+from controlplane.test_keeper import APPLY_S, DRAIN_S, Platform, World, drain, reader_of, run
+
+from dewpin.cluster.settings import parse_settings
+from dewpin.dataplane.cluster_agent import ClusterAgent
+
+SENDERS = 7
+SEEDS = range(6)
+
+
+class Fleet(World):
+    """Three keepers and some senders; `generations` and `drained` are as each sender has them."""
+
+    def __init__(self, rng):
+        super().__init__()
+        self.rng = rng
+        self.agents = {}
+        self.generations = {}
+        self.drained = {}
+        self.went_back = []
+
+    def sender_settings(self, number):
+        return parse_settings(
+            {
+                "node_name": f"front-{number}",
+                "serves": ["front"],
+                "ip": f"10.5.0.{number}",
+                "zone": "east",
+                "port_range": [7380, 7395],
+                "seeds": [f"10.0.0.{seed}:8144" for seed in self.seeds],
+                "listen": {"front": f"10.5.0.{number}:8149", "ready": f"10.5.0.{number}:8141"},
+                "bounds": {"drain_ms": 1000 * DRAIN_S, "config_apply_ms": 1000 * APPLY_S},
+                "cloud": {"address": "10.8.0.1:80"},
+            }
+        )
+
+    def start_sender(self, number):
+        self.generations[number] = 0
+        self.drained[number] = False
+        agent = ClusterAgent(
+            self.sender_settings(number),
+            self.network.client(f"10.5.0.{number}:7381"),
+            random.Random(self.rng.random()),
+            lambda state: self.take_state(number, state),
+            lambda directory: self.take_receivers(number, directory),
+            asyncio.get_running_loop().time,
+            Platform(self, f"sender {number}"),
+        )
+        self.network.handlers[agent.address] = agent.handlers
+        self.agents[number] = agent
+        agent.start()
+
+    def take_state(self, number, state):
+        generation = state["configuration"]["generation"] if state["configuration"] else 0
+        if generation < self.generations[number]:
+            self.went_back.append(number)
+        self.generations[number] = generation
+
+    def take_receivers(self, number, directory):
+        known = directory.receivers.get("i-1")
+        self.drained[number] = known is not None and known.draining
+
+    async def stop(self):
+        for agent in self.agents.values():
+            await agent.stop()
+        for keeper in self.keepers.values():
+            await keeper.stop()
+
+
+def play(seed, scene):
+    async def whole():
+        rng = random.Random(seed)
+        fleet = Fleet(rng)
+        await fleet.begin()
+        await fleet.put(1, 7, 0)
+        for number in range(1, SENDERS + 1):
+            fleet.start_sender(number)
+        await fleet.until(lambda: set(fleet.generations.values()) == {7})
+        await asyncio.sleep(4.0 + rng.random())
+        try:
+            result = await scene(fleet, rng)
+            assert fleet.went_back == []
+            return result
+        finally:
+            await fleet.stop()
+
+    return run(whole())
+
+
+async def lose(fleet, trouble, number):
+    """Loses one keeper in some way."""
+    if trouble == "kill":
+        await fleet.kill(number)
+    if trouble == "freeze":
+        fleet.network.down.add(fleet.address(number))
+        fleet.cut_from_platform.add(number)
+    if trouble == "cut_from_keepers":
+        others = [fleet.address(other) for other in (1, 2, 3) if other != number]
+        fleet.network.cuts |= {frozenset((fleet.address(number), other)) for other in others}
+
+
+TROUBLES = ["none", "kill", "freeze", "cut_from_keepers"]
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_configuration_is_in_force_everywhere_within_the_bound(seed, trouble):
+    """The keeper that acknowledged it is lost right after; it may go on alone with what it has."""
+
+    async def scene(fleet, rng):
+        number = rng.choice([1, 2, 3])
+        await fleet.put(number, 8, 7)
+        await lose(fleet, trouble, number)
+        return await fleet.until(lambda: set(fleet.generations.values()) == {8})
+
+    assert play(seed, scene) < APPLY_S
+
+
+@pytest.mark.parametrize("trouble", ["kill", "freeze", "cut_from_keepers"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_configuration_is_in_force_within_the_bound_while_a_keeper_is_lost_for_long(seed, trouble):
+    async def scene(fleet, rng):
+        number = rng.choice([1, 2, 3])
+        await lose(fleet, trouble, number)
+        await asyncio.sleep(6.0)
+        await fleet.put(1 + number % 3, 8, 7)
+        return await fleet.until(lambda: set(fleet.generations.values()) == {8})
+
+    assert play(seed, scene) < APPLY_S
+
+
+@pytest.mark.parametrize("trouble", TROUBLES)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_drain_is_known_everywhere_within_the_bound(seed, trouble):
+    """The keeper that reads the list is lost just before the list shows it."""
+
+    async def scene(fleet, rng):
+        await lose(fleet, trouble, reader_of(fleet))
+        drain(fleet)
+        return await fleet.until(lambda: all(fleet.drained.values()))
+
+    assert play(seed, scene) < 0.85 * DRAIN_S
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_drain_is_known_while_all_keepers_are_down(seed):
+    async def scene(fleet, rng):
+        await fleet.kill(1, 2, 3)
+        drain(fleet)
+        return await fleet.until(lambda: all(fleet.drained.values()))
+
+    assert play(seed, scene) < 0.85 * DRAIN_S
+
+
+def test_senders_read_nothing_for_themselves_in_calm_times():
+    async def scene(fleet, rng):
+        fleet.readings.clear()
+        await asyncio.sleep(20.0)
+        return {host for _, host in fleet.readings} - {1, 2, 3}
+
+    assert play(1, scene) == set()
+
+
+def test_a_sender_started_beside_a_keeper_cut_off_from_the_others_is_right_within_the_bound():
+    async def scene(fleet, rng):
+        await lose(fleet, "cut_from_keepers", 1)
+        await fleet.put(2, 8, 7)
+        await asyncio.sleep(6.0)
+        fleet.start_sender(SENDERS + 1)
+        return await fleet.until(lambda: fleet.generations[SENDERS + 1] == 8)
+
+    assert play(3, scene) < APPLY_S
