Data plane: silent receivers get no more, a sender that is cut off is not ready and refuses turns soon

Change: a receiver whose oldest unanswered call waits for four usual times (0.3 s at least) with no answer since comes last, as the design in service has it; readiness needs a lease renewed within four periods; without one the stores get 0.15 s. Ruled out: ending calls sooner for silence (the design forbids it). Tests: places, turns.

--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -96,6 +96,7 @@
         await server.start(*split_address(agent.address))
         agent.start()
         self.agent = agent
+        self.state.is_cut_off = lambda: not agent.has_lease
         self._started.set()
 
     def _stop_agent(self) -> None:
--- a/dewpin/dataplane/balancing.py
+++ b/dewpin/dataplane/balancing.py
@@ -22,14 +22,24 @@
 class Place:
     """A place at a receiver; it is held until `release`, which may be called more than once."""
 
-    __slots__ = ("_balancer", "_released", "receiver", "service")
+    __slots__ = ("_balancer", "_released", "_sent_at", "receiver", "service")
 
-    def __init__(self, balancer: "Balancer", service: str, receiver: Receiver) -> None:
+    def __init__(self, balancer: "Balancer", service: str, receiver: Receiver, sent_at: float) -> None:
         self._balancer = balancer
         self._released = False
+        self._sent_at = sent_at
         self.service = service
         self.receiver = receiver
 
+    @property
+    def sent_at(self) -> float:
+        """Return when the place was given, which tells its call from others."""
+        return self._sent_at
+
+    def was_answered(self) -> None:
+        """Take in that the receiver began to answer, in whatever way."""
+        self._balancer.count_answered(self)
+
     def heard(self, load: ServerLoad) -> None:
         """Take in the load that the receiver told."""
         self._balancer.hear(self.receiver, load)
@@ -81,13 +91,18 @@
             self._refresh(service)
             receiver = self._book.take(request, now)
             if receiver is not None:
-                return Place(self, service, receiver)
+                return self._place(service, receiver, now)
             if now >= request.hold_until:
                 return NoPlace(self._book.expected_wait(service, now))
             ticket = self._book.wait(request)
             granted = self._granted[ticket] = threading.Event()
         return self._await_place(ticket, granted)
 
+    def count_answered(self, place: Place) -> None:
+        """Take in that a receiver began to answer the call of a place."""
+        with self._lock:
+            self._book.load(place.receiver.id).count_answered(place.sent_at, self._clock())
+
     def hear(self, receiver: Receiver, load: ServerLoad) -> None:
         """Take in the load that a receiver told."""
         with self._lock:
@@ -123,6 +138,7 @@
         """Take a place back and give it to a waiting request."""
         with self._lock:
             self._book.give_back(place.receiver.id)
+            self._book.load(place.receiver.id).forget_call(place.sent_at)
             if self._granted:
                 self._grant(place.service)
 
@@ -131,6 +147,10 @@
         with self._lock:
             return self._book.expected_wait(service, self._clock())
 
+    def _place(self, service: str, receiver: Receiver, now: float) -> Place:
+        self._book.load(receiver.id).count_sent(now)
+        return Place(self, service, receiver, now)
+
     def _await_place(self, ticket: Ticket, granted: threading.Event) -> Place | NoPlace:
         request = ticket.request
         service = request.service.name
@@ -138,9 +158,9 @@
             with self._lock:
                 self._refresh(service)
                 self._grant(service)
-                if ticket.receiver is not None:
-                    return Place(self, service, ticket.receiver)
                 now = self._clock()
+                if ticket.receiver is not None:
+                    return self._place(service, ticket.receiver, now)
                 if now >= request.hold_until:
                     self._book.give_up(ticket)
                     del self._granted[ticket]
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -27,6 +27,8 @@
 log = logging.getLogger(__name__)
 
 RENEWALS_IN_BOUND = 5
+LEASE_FRESH_RENEWALS = 4
+"""A sender that has missed so many renewals in a row takes itself for cut off."""
 RENEW_TIMEOUT_S = 0.35
 WATCH_TIMEOUT_S = 1.7
 WATCH_HEARTBEAT_S = 1.0
@@ -62,7 +64,7 @@
         self.sender = f"{settings.node_name}/{rng.getrandbits(48):012x}"
         self.state: SystemStateJson | None = None
         self.directory = ReceiverDirectory()
-        self.has_lease = False
+        self._lease_renewed_s = float("-inf")
         self.senders = 0
         self._client = client
         self._rng = rng
@@ -107,6 +109,12 @@
         calls = [self._client.call(keeper, message, RENEW_TIMEOUT_S) for keeper in self._keepers.all()]
         await asyncio.gather(*calls, return_exceptions=True)
 
+    @property
+    def has_lease(self) -> bool:
+        """Whether a keeper has granted or renewed the lease a short while ago; false where this sender is cut off."""
+        fresh_s = LEASE_FRESH_RENEWALS * self.settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND
+        return self._clock() - self._lease_renewed_s < fresh_s
+
     def list_age_s(self) -> float:
         """How long ago the list that this sender's receivers come from was read, by anybody."""
         return min(self._clock() - max(self._shared_list_read_s, self._own_list_read_s), UNKNOWN_AGE_S)
@@ -156,7 +164,7 @@
         if senders != self.senders:
             self.senders = senders
             self._on_senders(senders)
-        self.has_lease = True
+        self._lease_renewed_s = self._clock()
 
     def _is_behind(self, answer: Message) -> bool:
         version = self.state["version"] if self.state is not None else -1
--- a/dewpin/dataplane/cluster_state.py
+++ b/dewpin/dataplane/cluster_state.py
@@ -4,7 +4,7 @@
 is replaced whole, so a reader takes the value once and works on it without a lock.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
 from dewpin.cluster.configuration import Configuration
@@ -18,10 +18,11 @@
 class ClusterState:
     """The newest values that this sender has heard of; `None` until the first one came.
 
-    `senders` is the number of live senders, itself included, or 0 while it is unknown.
+    `senders` is the number of live senders, itself included, or 0 while it is unknown. `is_cut_off` tells whether this
+    sender takes itself for cut off from the control plane.
     """
 
-    __slots__ = ("configuration", "receivers", "senders", "store_view")
+    __slots__ = ("configuration", "is_cut_off", "receivers", "senders", "store_view")
 
     def __init__(
         self,
@@ -34,3 +35,4 @@
         self.receivers = receivers
         self.store_view = store_view
         self.senders = senders
+        self.is_cut_off: Callable[[], bool] = lambda: False
--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/course.py
@@ -20,6 +20,7 @@
 
 HOLD_SHARE_OF_AIM = 0.2
 """A request waits for a place for this share of its latency objective at most."""
+UNANSWERED = frozenset({Outcome.NEVER_SENT, Outcome.TIMED_OUT, Outcome.CLIENT_GONE})
 RECEIVER_ERRORS = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED})
 """Outcomes that count against a receiver; silence until the time's end may be the request's own doing."""
 LENGTH_HEADERS = frozenset({"content-length"})
@@ -161,6 +162,8 @@
         started = self._stream_began = self._tools.clock()
         result = self._tools.upstream.call(place.receiver, call)
         now = self._tools.clock()
+        if result.outcome not in UNANSWERED:
+            place.was_answered()
         if result.load is not None:
             place.heard(result.load)
         if result.stream is None:
--- a/dewpin/dataplane/places.py
+++ b/dewpin/dataplane/places.py
@@ -29,6 +29,8 @@
 """How much fuller, as a share of its capacity, a receiver of this zone may be before one elsewhere is preferred."""
 COLD_CAPACITY_SHARE = 0.5
 """What a receiver that is still slow from its start is taken to bear."""
+SILENCE_COST = 2.0
+"""How much fuller, as a share of its capacity, a receiver counts that answers none of the calls it was sent."""
 TIE_BREAK_COST = 0.02
 STICKY_LOAD_SHARE = 0.75
 """A sticky request stays with its receiver while that one is less loaded than this share of its capacity."""
@@ -196,7 +198,7 @@
             ranked = sorted(candidates, key=lambda receiver: self._sticky_rank(sticky_key, receiver))
             for receiver in ranked:
                 load = self._loads[receiver.id]
-                is_sound = load.error_share(now) < MOST_STICKY_ERRORS
+                is_sound = load.error_share(now) < MOST_STICKY_ERRORS and not load.is_silent(now)
                 if is_sound and load.total(now) < receiver.capacity * STICKY_LOAD_SHARE:
                     return receiver
         return min(candidates, key=lambda receiver: self._cost(receiver, now))
@@ -211,6 +213,8 @@
         cost = (load.total(now) + 1) / capacity + ERROR_COST * load.error_share(now)
         if receiver.zone != self._zone:
             cost += OTHER_ZONE_COST
+        if load.is_silent(now):
+            cost += SILENCE_COST
         return cost + TIE_BREAK_COST * self._random.random()
 
 
--- a/dewpin/dataplane/receiver_load.py
+++ b/dewpin/dataplane/receiver_load.py
@@ -1,7 +1,7 @@
 """What a sender knows of the work of one receiver, and for how long it leaves it alone. Times are in seconds."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 HEARD_LOAD_HALF_LIFE_S = 0.25
 """How fast what was heard of other senders' calls fades."""
@@ -17,6 +17,9 @@
 FIRST_FAILURE_WAIT_S = 0.25
 MOST_FAILURE_WAIT_S = 2.0
 MOST_DOUBLINGS = 16
+LEAST_SILENCE_S = 0.3
+SILENCE_TIMES = 4.0
+"""A receiver is silent once its oldest unanswered call waits for so many usual times, with no answer since."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +54,11 @@
     failures: int = 0
     call_time_s: float = FIRST_CALL_TIME_S
     least_call_time_s: float = FIRST_CALL_TIME_S
+    answer_time_s: float = FIRST_CALL_TIME_S
     _errors: float = 0.0
     _error_at: float = 0.0
+    _unanswered: list[float] = field(default_factory=list)
+    _answered_at: float = 0.0
 
     def total(self, now: float) -> float:
         """Return the estimated number of requests running and waiting at the receiver."""
@@ -65,6 +71,28 @@
         self.others_calls = max(0.0, float(load.running + load.waiting - self.own_calls))
         self.heard_at = now
 
+    def count_sent(self, now: float) -> None:
+        """Take in that a call was given to the receiver."""
+        self._unanswered.append(now)
+
+    def count_answered(self, sent_at: float, now: float) -> None:
+        """Take in that the receiver began to answer a call, in whatever way."""
+        self.forget_call(sent_at)
+        self._answered_at = now
+        self.answer_time_s += CALL_TIME_WEIGHT * (now - sent_at - self.answer_time_s)
+
+    def forget_call(self, sent_at: float) -> None:
+        """Take in that a call that was not answered has ended."""
+        if sent_at in self._unanswered:
+            self._unanswered.remove(sent_at)
+
+    def is_silent(self, now: float) -> bool:
+        """Tell whether calls wait for long at the receiver without any answer from it."""
+        if not self._unanswered:
+            return False
+        silence_s = now - max(min(self._unanswered), self._answered_at)
+        return silence_s > max(LEAST_SILENCE_S, SILENCE_TIMES * self.answer_time_s)
+
     def count_begun(self) -> None:
         """Take in that the receiver has begun to answer a call."""
         self.refusals = 0
--- a/dewpin/dataplane/request_path.py
+++ b/dewpin/dataplane/request_path.py
@@ -77,7 +77,7 @@
         return self._run_turn(turn, RoutedRequest(request, route, service, deadline, key, turn))
 
     def _run_turn(self, turn: OpenTurn, routed: RoutedRequest) -> Answer:
-        turn.open(routed.deadline - self._clock())
+        turn.open(routed.deadline - self._clock(), self._state.is_cut_off())
         answer = None
         try:
             answer = RequestCourse(self._tools, routed).run()
--- a/dewpin/dataplane/turns.py
+++ b/dewpin/dataplane/turns.py
@@ -20,6 +20,8 @@
 BUDGET = "budget"
 
 OPEN_TIMEOUT_S = 1.0
+CUT_OFF_OPEN_TIMEOUT_S = 0.15
+"""How long a sender that takes itself for cut off still waits for the stores before it refuses a turn."""
 """How long the stores may take before a turn is sent; a refusal serves the client better than a longer wait."""
 LEAST_KEEP_TIMEOUT_S = 0.05
 
@@ -68,10 +70,10 @@
         self._output: list[bytes] = []
         self.body = request.body
 
-    def open(self, timeout_s: float) -> None:
+    def open(self, timeout_s: float, cut_off: bool = False) -> None:
         """Reserve the budget and fetch the chain; raises BudgetSpent, TurnUnknown or StoreUnavailable."""
         plan = self._plan
-        timeout_s = min(timeout_s, OPEN_TIMEOUT_S)
+        timeout_s = min(timeout_s, CUT_OFF_OPEN_TIMEOUT_S if cut_off else OPEN_TIMEOUT_S)
         if plan.budget is not None:
             self._reservation = self._store.reserve(plan.program, plan.turn_id, plan.most, plan.budget, timeout_s)
         if plan.retained and plan.previous is not None:
--- a/tests/dataplane/test_places.py
+++ b/tests/dataplane/test_places.py
@@ -21,8 +21,10 @@
     ERROR_HALF_LIFE_S,
     FIRST_FAILURE_WAIT_S,
     HEARD_LOAD_HALF_LIFE_S,
+    LEAST_SILENCE_S,
     MOST_FAILURE_WAIT_S,
     MOST_FULL_WAIT_S,
+    SILENCE_TIMES,
     ReceiverLoad,
     ServerLoad,
     parse_server_load,
@@ -325,3 +327,26 @@
     chosen = [places.take(wanted(key=f"session-{number}"), NOW).id for number in range(3)]
     assert chosen == ["near"] * 3
     assert places.take(wanted(key="session-9"), NOW).id != "near"
+
+
+def test_a_receiver_that_answers_nothing_gets_no_more_while_others_can():
+    places = book(receiver("hung"), receiver("sound"))
+    hung = places.load("hung")
+    hung.count_sent(NOW)
+    assert not hung.is_silent(NOW + LEAST_SILENCE_S)
+    later = NOW + 2 * LEAST_SILENCE_S + SILENCE_TIMES * hung.answer_time_s
+    assert hung.is_silent(later)
+    assert {places.take(wanted(key=f"session-{number}"), later).id for number in range(3)} == {"sound"}
+    assert {places.take(wanted(), later).id for _ in range(3)} == {"sound"}
+
+
+def test_an_answer_to_any_call_ends_the_silence():
+    places = book(receiver("slow"))
+    slow = places.load("slow")
+    slow.count_sent(NOW)
+    slow.count_sent(NOW + 1)
+    slow.count_answered(NOW + 1, NOW + 1.1)
+    assert not slow.is_silent(NOW + 1.2)
+    assert slow.is_silent(NOW + 3)
+    slow.forget_call(NOW)
+    assert not slow.is_silent(NOW + 3)
--- a/tests/dataplane/test_turns.py
+++ b/tests/dataplane/test_turns.py
@@ -6,7 +6,7 @@
 from dewpin.cluster.errors import ErrorKind, TierError
 from dewpin.dataplane.events import parse_event
 from dewpin.dataplane.program_store import BudgetSpent, StoreUnavailable, Turn, TurnUnknown
-from dewpin.dataplane.turns import OpenTurn, plan_turn
+from dewpin.dataplane.turns import CUT_OFF_OPEN_TIMEOUT_S, OPEN_TIMEOUT_S, OpenTurn, plan_turn
 
 USAGE = ("X-Dewpin-Token-Usage", "1840,290")
 BUDGET = ("Budget", "2320")
@@ -129,3 +129,18 @@
     store = MemoryStore()
     opened(store, BUDGET, USAGE).keep(1.0)
     assert store.turns == {}
+
+
+def test_a_sender_that_is_cut_off_refuses_a_turn_soon():
+    waited = []
+
+    class Store:
+        def reserve(self, program, turn, most, budget, timeout_s):
+            waited.append(timeout_s)
+            raise StoreUnavailable("nobody answers")
+
+    fields = [BUDGET, USAGE, PROGRAM]
+    for cut_off in (False, True):
+        with pytest.raises(StoreUnavailable):
+            OpenTurn(Store(), plan(*fields), request(*fields)).open(10.0, cut_off)
+    assert waited == [OPEN_TIMEOUT_S, CUT_OFF_OPEN_TIMEOUT_S]
