--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -60,7 +60,7 @@
 
 
 class Ring:
-    """What was counted over the last spans of time, in fixed buckets that are used again."""
+    """A sliding-window counter: what was counted over the last spans, in buckets that are used again."""
 
     def __init__(self, span, size):
         self.span, self.counts, self.marks = span, [0.0] * size, [-1] * size
@@ -80,7 +80,7 @@
 
 
 class Pace:
-    """Calls a second after a refusal: they double in a span from the first good answer."""
+    """A rate limit after a refusal, in calls a second: it doubles in a span from the first good answer."""
 
     def __init__(self, rate, doubles, made):
         self.rate, self.doubles, self.made, self.since = rate, doubles, made, None
@@ -99,7 +99,7 @@
 
 
 class Trickle(Pace):
-    """Calls a second to a receiver set aside: from the first good answer they rise as evenly as it warms.
+    """Slow start of a receiver set aside: calls a second, that rise evenly from the first good answer on.
 
     Guards against a return at which all senders grow together: doubling outruns what warms evenly."""
 
@@ -115,7 +115,7 @@
 
 
 class Health:
-    """What the sender has seen of one receiver."""
+    """What the sender has seen of one receiver: the state of its circuit breaker."""
 
     def __init__(self):
         self.out = self.fails = 0   # calls out, failures that no good answer has made up for
@@ -127,7 +127,7 @@
 
 
 class Gate:
-    """What binds sends to a destination, or to one receiver where its receivers are routes apart."""
+    """Rate and concurrency limits of a destination, or of a receiver where its receivers are routes apart."""
 
     def __init__(self):
         self.told_until = -1e12     # end of a told wait
@@ -150,7 +150,7 @@
         return self.calls[0].sent + max(SILENT_LEAST, SILENT_TIMES * (self.usual or 0.0))
 
     def bound(self, now, receivers):
-        """Calls that may be out: rate times time as measured, with room to grow.
+        """The concurrency limit: rate times latency as measured (Little's law), with room to grow.
 
         Guards against a destination that takes work and answers none (a hang, a silent host, a far slowdown)
         drawing in slots and once-only mails: while its oldest call is stuck, nothing joins it.
@@ -374,6 +374,7 @@
         return DEFERRED if mail.notes.ran_at is None or one["Effect"] == "safe" else BOUNCED
 
     def _pause(self, course):
+        """Exponential backoff with jitter, ms."""
         return max(BASE_PAUSE * 2.0 ** (course.tries - 1), 2.0 * course.waited) * self.dice.roll(0.5, 1.5)
 
     def _end(self, mail):
@@ -792,7 +793,7 @@
         return self.recovers >= RECOVERS
 
     def _set_aside(self, receiver, health, now, sparse=False):
-        """A receiver that fails gets a trickle: all senders together stay under what a cold one bears.
+        """Opens a receiver's circuit breaker: a trickle of trials, in sum under what a cold one bears.
 
         What one bears in a window is taken of the line's own traffic: it adds up to the same for hundreds.
         Where a sparse line is refused, its rate is estimated from the mails before (n - 1 + a half of them,
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -315,6 +315,35 @@
     assert answer[0] == model.RELAYED and leaves is full
 
 
+@pytest.mark.parametrize("refused, idle, trials", [(0, 60000.0, True), (2, 60000.0, False), (0, 0.0, False)])
+def test_two_refused_connections_in_a_row_set_a_sparse_line_aside_where_no_table_is_full(refused, idle, trials):
+    """Of a line that sees little, and not where every second call of the kind finds a full table, or on a busy one."""
+    d = Driver(settings(fleet=200), receivers=2)
+    refused_and_answered(d, 20, refused)
+    d.run(idle)
+    mail = d.mail()
+    for _ in range(2):
+        d.run_until(lambda: d.sent(mail), 5000.0)
+        assert d.outcome(mail, model.UNREACHED, 2.0) == model.NOT_YET
+    d.run_until(lambda: d.sent(mail), 4000.0)
+    assert (d.sent(mail) is None) == trials
+    assert all(d.module._on_trial(one) for one in d.destination.receivers) == trials
+
+
+def test_a_refused_trial_of_a_sparse_line_is_followed_by_no_shorter_gap_than_a_good_one():
+    gaps = []
+    for seed in range(20):
+        d = Driver(settings(fleet=200), seed=seed)
+        mail, health = d.mail(), d.module.health(d.destination.receivers[0])
+        for refusal in range(3):
+            d.run_until(lambda d=d, mail=mail: d.sent(mail), 5000.0)
+            d.outcome(mail, model.UNREACHED, 2.0)
+            if refusal == 1:
+                health.trickle.next_at = d.now      # the first trial is due
+        gaps.append((health.trickle.next_at - d.now) * health.trickle.rate / 1000.0)
+    assert 0.8 <= min(gaps) and max(gaps) <= 1.4
+
+
 def test_a_mail_that_waits_for_a_pace_keeps_no_connection_where_tables_are_full():
     drawn = settings(effects=("safe",))
     drawn["Allowed"]["IdleClose"] = 15000.0
