--- a/dewpin/core/decide.py
+++ b/dewpin/core/decide.py
@@ -60,7 +60,7 @@
 
 
 class Ring:
-    """What was counted over the last spans of time, in fixed buckets that are used again."""
+    """A sliding-window counter: what was counted over the last spans, in buckets that are used again."""
 
     def __init__(self, span, size):
         self.span, self.counts, self.marks = span, [0.0] * size, [-1] * size
@@ -80,7 +80,7 @@
 
 
 class Pace:
-    """Calls a second after a refusal: they double in a span from the first good answer."""
+    """A rate limit after a refusal, in calls a second: it doubles in a span from the first good answer."""
 
     def __init__(self, rate, doubles, made):
         self.rate, self.doubles, self.made, self.since = rate, doubles, made, None
@@ -99,7 +99,7 @@
 
 
 class Trickle(Pace):
-    """Calls a second to a receiver set aside: from the first good answer they rise as evenly as it warms.
+    """Slow start of a receiver set aside: calls a second, that rise evenly from the first good answer on.
 
     Guards against a return at which all senders grow together: doubling outruns what warms evenly."""
 
@@ -115,7 +115,7 @@
 
 
 class Health:
-    """What the sender has seen of one receiver."""
+    """What the sender has seen of one receiver: the state of its circuit breaker."""
 
     def __init__(self):
         self.out = self.fails = 0   # calls out, failures that no good answer has made up for
@@ -127,7 +127,7 @@
 
 
 class Gate:
-    """What binds sends to a destination, or to one receiver where its receivers are routes apart."""
+    """Rate and concurrency limits of a destination, or of a receiver where its receivers are routes apart."""
 
     def __init__(self):
         self.told_until = -1e12     # end of a told wait
@@ -150,7 +150,7 @@
         return self.calls[0].sent + max(SILENT_LEAST, SILENT_TIMES * (self.usual or 0.0))
 
     def bound(self, now, receivers):
-        """Calls that may be out: rate times time as measured, with room to grow.
+        """The concurrency limit: rate times latency as measured (Little's law), with room to grow.
 
         Guards against a destination that takes work and answers none (a hang, a silent host, a far slowdown)
         drawing in slots and once-only mails: while its oldest call is stuck, nothing joins it.
@@ -173,10 +173,12 @@
         self.used, self.used_at, self.out = 0.0, 0.0, 0
         self.arrivals, self.began = Ring(RATE_SPAN / 10.0, 12), began   # began: the sender, not the line
 
-    def rate(self, now):
-        """Mails a second that come for the destination: small where many senders share its traffic."""
+    def rate(self, now, extra=0.0):
+        """Mails a second that come for the destination: small where many senders share its traffic.
+
+        `extra`: what to take off the count of mails where the arrival of one is why the rate is asked."""
         span = max(RATE_SPAN / 4.0, min(RATE_SPAN, now - self.began))
-        return max(1.0, sum(self.arrivals.recent(now, 10))) * 1000.0 / span
+        return (max(1.0, sum(self.arrivals.recent(now, 10))) - extra) * 1000.0 / span
 
     def slot_time(self, now):
         """Recent slot time, calls out included."""
@@ -372,6 +374,7 @@
         return DEFERRED if mail.notes.ran_at is None or one["Effect"] == "safe" else BOUNCED
 
     def _pause(self, course):
+        """Exponential backoff with jitter, ms."""
         return max(BASE_PAUSE * 2.0 ** (course.tries - 1), 2.0 * course.waited) * self.dice.roll(0.5, 1.5)
 
     def _end(self, mail):
@@ -704,6 +707,7 @@
         elif outcome == FULL or no_room:
             alone = health.good_at <= health.refused_at     # nothing good since its last refusal: for itself
             health.refused_at = now
+            in_a_row = no_room and gate.failed_at > gate.good_at    # the second failure, nothing good between
             if outcome == FULL:
                 if mail.told > 0:
                     gate.told_until = max(gate.told_until, now + mail.told + self.dice.roll(1.0, 50.0))
@@ -718,8 +722,15 @@
             if gate.refusals == 0:
                 gate.refused_at = now
             gate.refusals += 1          # of the destination, not of the receiver that spoke for it
-            if gate.refusals >= 3 and now - gate.refused_at > SHUT or mail.told > LONG_TOLD:
-                self._set_aside(call.receiver, health, now)
+            shut = gate.refusals >= 3 and now - gate.refused_at > SHUT or mail.told > LONG_TOLD
+            down = in_a_row and sparse and self.turned[call.receiver.kind] < JAMMED     # no full table
+            if shut or down:
+                self._set_aside(call.receiver, health, now, sparse)
+            for receiver in mail.destination.receivers if down else ():
+                other = receiver.notes      # not yet met: its first look sets it aside
+                if other and not other.trickle and other.unreached_at > other.good_at \
+                        and self.gate(receiver) is gate:
+                    self._set_aside(receiver, other, now, sparse)
         elif outcome in (ERROR, *LOST) and not call.counted:
             health.bad_for.add(mail.queue_class)
             gate.failed_at = now
@@ -736,12 +747,12 @@
                     if other.fails >= enough + (receiver is not call.receiver):
                         self._set_aside(receiver, other, now)
 
-    def _share(self, receiver, now, cold=0):
+    def _share(self, receiver, now, cold=0, extra=0.0):
         """This sender's part of a destination's traffic: its own, drawn to its part of a limit reported or
         listed, late, rough and for all senders together; for one of so many cold routes the less."""
         listed = receiver.weight if self.settings.get("Weights") in ("nominal", "rough") else 0.0
         limit = receiver.report.get("limit") or listed
-        came = receiver.destination.notes.rate(now) / max(1, cold)
+        came = receiver.destination.notes.rate(now, extra) / max(1, cold)
         if limit <= 0.0:
             return came
         return min(came, limit / self.fleet) if cold else (came + limit / self.fleet) / 2.0
@@ -781,20 +792,25 @@
         """
         return self.recovers >= RECOVERS
 
-    def _set_aside(self, receiver, health, now):
-        """A receiver that fails gets a trickle: all senders together stay under what a cold one bears.
+    def _set_aside(self, receiver, health, now, sparse=False):
+        """Opens a receiver's circuit breaker: a trickle of trials, in sum under what a cold one bears.
 
         What one bears in a window is taken of the line's own traffic: it adds up to the same for hundreds.
+        Where a sparse line is refused, its rate is estimated from the mails before (n - 1 + a half of them,
+        the Jeffreys estimate), and a refused trial is followed by no shorter gap than a good one.
+        Guards against lines that are all looked at right after an arrival, and so read too high in sum.
         """
         rules = self.rules
         ready = max(1, sum(r.state == READY for r in receiver.destination.receivers))
         apart = receiver.kind in self.apart     # then limit and outage are the receiver's own
         least = 1000.0 / rules["OverloadFor"] / max(1.0, self.fleet / CROWD)
         cold = rules["ColdFrom"] + (1.0 - rules["ColdFrom"]) * rules["OverloadFor"] / rules["WarmAfter"] / 2.0
-        bears = 0.8 * rules["FallMultiple"] * cold * self._share(receiver, now, ready if apart else 1)
+        share = self._share(receiver, now, ready if apart else 1, 0.5 if sparse else 0.0)
+        bears = 0.8 * rules["FallMultiple"] * cold * share
         warms = rules["WarmAfter"] * cold / max(0.01, 1.0 - rules["ColdFrom"])
+        first_gap = (0.8, 1.4) if sparse and self._on_trial(receiver) else (0.2, 1.0)
         health.trickle = Trickle(max(least, bears) / (1 if apart else ready), warms, now)
         self.avoided.add(receiver)
         health.fails = 0        # what it rises by is weighed anew
         start = max(now, self.gate(receiver).told_until)
-        health.trickle.next_at = health.trickle.after(start, self.dice.roll(0.2, 1.0))
+        health.trickle.next_at = health.trickle.after(start, self.dice.roll(*first_gap))
--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -22,6 +22,7 @@
 from .cluster_state import ClusterState
 from .ingress import Ingress, ReadyServer
 from .request_path import RequestPath
+from .stop_signal import StopSignal
 from .store_client import BlockingStoreClient, StoreClient
 
 log = logging.getLogger(__name__)
@@ -40,7 +41,7 @@
         self.state = ClusterState()
         self.loop = asyncio.new_event_loop()
         self.agent: ClusterAgent | None = None
-        self.stopping = threading.Event()
+        self.stopping = StopSignal()
         self.hangup = threading.Event()
         self._store_client: StoreClient | None = None
         self._started = threading.Event()
@@ -71,7 +72,7 @@
 
     def _follow_settings(self) -> None:
         """Hands changes of the settings file on, at once after SIGHUP and soon without."""
-        watch = SettingsWatch(os.environ[BOOT_VARIABLE])
+        watch = SettingsWatch(os.environ[BOOT_VARIABLE], self.settings)
         while not self.stopping.is_set():
             self.hangup.wait(POLL_PERIOD_S)
             self.hangup.clear()
@@ -88,11 +89,14 @@
         client = RpcClient()
         replica_count = 2 * self.settings.fault_tolerance.machines + 1
         self._store_client = StoreClient(client, replica_count)
-        agent = ClusterAgent(self.settings, client, random.Random(), self._on_state, self._on_receivers)
+        agent = ClusterAgent(
+            self.settings, client, random.Random(), self._on_state, self._on_receivers, on_senders=self._on_senders
+        )
         server = RpcServer(agent.handlers)
         await server.start(*split_address(agent.address))
         agent.start()
         self.agent = agent
+        self.state.is_cut_off = lambda: not agent.has_lease
         self._started.set()
 
     def _stop_agent(self) -> None:
@@ -120,16 +124,15 @@
 
     def _on_receivers(self, directory: ReceiverDirectory) -> None:
         self.state.receivers = directory.by_service()
-        if self.agent is not None:
-            self.state.senders = self.agent.senders
+
+    def _on_senders(self, senders: int) -> None:
+        self.state.senders = senders
 
 
 def main() -> int:
     """Runs the sender; returns its exit code."""
     logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
     sender = Sender(settings_or_exit())
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: sender.stopping.set())
     signal.signal(signal.SIGHUP, lambda *_: sender.hangup.set())
     sender.run()
     sys.stderr.flush()
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -22,10 +22,13 @@
 from dewpin.cluster.settings_watch import reloaded
 
 from .keeper_list import KeeperList
+from .sender_count import SenderCount
 
 log = logging.getLogger(__name__)
 
 RENEWALS_IN_BOUND = 5
+LEASE_FRESH_RENEWALS = 4
+"""A sender that has missed so many renewals in a row takes itself for cut off."""
 RENEW_TIMEOUT_S = 0.35
 WATCH_TIMEOUT_S = 1.7
 WATCH_HEARTBEAT_S = 1.0
@@ -35,6 +38,7 @@
 STALE_SHARE_OF_DRAIN = 0.6
 OWN_READING_SHARE_OF_DRAIN = 0.4
 OWN_READINGS_SHARE_OF_RATE = 0.5
+ASSUMED_SENDERS = 8
 SHORTEST_PAUSE_S = 0.02
 UNKNOWN_AGE_S = 1e9
 
@@ -53,18 +57,21 @@
         on_receivers: Callable[[ReceiverDirectory], None],
         clock: Callable[[], float] = time.monotonic,
         platform: ReadsPlatform | None = None,
+        on_senders: Callable[[int], None] = lambda senders: None,
     ) -> None:
         self.settings = settings
         self.address = data_plane_address(settings.ip, settings.port_range)
         self.sender = f"{settings.node_name}/{rng.getrandbits(48):012x}"
         self.state: SystemStateJson | None = None
         self.directory = ReceiverDirectory()
-        self.has_lease = False
+        self._lease_renewed_s = float("-inf")
         self.senders = 0
         self._client = client
         self._rng = rng
         self._on_state = on_state
         self._on_receivers = on_receivers
+        self._on_senders = on_senders
+        self._sender_count = SenderCount()
         self._clock = clock
         self._platform = platform or ThreadedPlatformReader()
         self._keepers = KeeperList(self._seed_addresses(), rng)
@@ -102,6 +109,12 @@
         calls = [self._client.call(keeper, message, RENEW_TIMEOUT_S) for keeper in self._keepers.all()]
         await asyncio.gather(*calls, return_exceptions=True)
 
+    @property
+    def has_lease(self) -> bool:
+        """Whether a keeper has granted or renewed the lease a short while ago; false where this sender is cut off."""
+        fresh_s = LEASE_FRESH_RENEWALS * self.settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND
+        return self._clock() - self._lease_renewed_s < fresh_s
+
     def list_age_s(self) -> float:
         """How long ago the list that this sender's receivers come from was read, by anybody."""
         return min(self._clock() - max(self._shared_list_read_s, self._own_list_read_s), UNKNOWN_AGE_S)
@@ -147,8 +160,11 @@
     def _take_lease(self, answer: Message) -> None:
         self._keepers.named([str(address) for address in answer["keepers"]], self._clock())
         self._parents = [str(parent) for parent in answer["parents"]]
-        self.senders = int(answer["senders"])
-        self.has_lease = True
+        senders = self._sender_count.told(int(answer["senders"]), float(answer["duration_s"]), self._clock())
+        if senders != self.senders:
+            self.senders = senders
+            self._on_senders(senders)
+        self._lease_renewed_s = self._clock()
 
     def _is_behind(self, answer: Message) -> bool:
         version = self.state["version"] if self.state is not None else -1
@@ -252,7 +268,7 @@
         cloud = self.settings.cloud
         if cloud is None or cloud.rate_per_s <= 0:
             return period_s
-        return max(period_s, self.senders / (OWN_READINGS_SHARE_OF_RATE * cloud.rate_per_s))
+        return max(period_s, (self.senders or ASSUMED_SENDERS) / (OWN_READINGS_SHARE_OF_RATE * cloud.rate_per_s))
 
     async def _read_list(self) -> None:
         cloud = self.settings.cloud
