--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -21,9 +21,11 @@
 from benchmarks.capacity.report import sections
 from benchmarks.capacity.results import Results, load, save, this_run
 from benchmarks.capacity.series import FULL, QUICK, Effort, Measure
+from benchmarks.capacity.sweep import SWEEP_ENTRY, read_entry
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGE = ROOT / "docs" / "CAPACITY.md"
+JOURNAL = ROOT / "journal"
 RESULTS = Path(__file__).parent / "results.json"
 
 MEASURES: dict[str, Measure] = {
@@ -83,7 +85,7 @@
 
 def write_page(results: Results) -> str:
     """The page's text with its generated sections made from the results; PageError when its marks do not fit."""
-    return replace_sections(PAGE.read_text(), sections(results))
+    return replace_sections(PAGE.read_text(), sections(results, read_entry(JOURNAL / SWEEP_ENTRY)))
 
 
 def main() -> int:
--- a/benchmarks/capacity/report.py
+++ b/benchmarks/capacity/report.py
@@ -10,6 +10,7 @@
 from benchmarks.capacity.results import Results
 from benchmarks.capacity.roles import control, failures, sender, store
 from benchmarks.capacity.sheet import Row, estimate, markdown_table, plain, sheet_table
+from benchmarks.capacity.sweep import SweepFigure, sweep_table
 from benchmarks.capacity.target import ASSUMED, TARGET
 
 
@@ -52,7 +53,7 @@
     return markdown_table(("assumed", "value"), cells)
 
 
-def sections(results: Results) -> dict[str, str]:
+def sections(results: Results, sweep: list[SweepFigure]) -> dict[str, str]:
     """All generated sections by name."""
     context = Context(TARGET, ASSUMED, results)
     parts: dict[str, list[Row]] = {
@@ -78,4 +79,5 @@
         **{name: sheet_table(rows) for name, rows in parts.items()},
         "measured": measured_table(results),
         "points": points_table(results),
+        "sweep": sweep_table(sweep, TARGET, ASSUMED),
     }
--- a/tests/capacity/test_capacity_page.py
+++ b/tests/capacity/test_capacity_page.py
@@ -11,12 +11,24 @@
 from benchmarks.capacity.results import Results, Run, load, save
 from benchmarks.capacity.series import QUICK, Effort, Series, sample
 from benchmarks.capacity.sheet import Row, Verdict, estimate, markdown_table, quantity
+from benchmarks.capacity.sweep import SweepError, read_entry, read_table, sweep_table
 from benchmarks.capacity.target import ASSUMED, TARGET, Target
 
 PAGE = "before\n<!-- generated: a -->\nold\n<!-- end: a -->\nbetween\n<!-- generated: b -->\n<!-- end: b -->\nafter\n"
 RUN = Run("2026-01-01 00:00 UTC", "abc1234", 4, "3.11.0", "3.40.0", 0.5)
 
 
+SWEEP = """day      own/srv
+sweep-10   11/99   0.89
+
+middle / busiest or longest, by own machines
+                                 10              30             100  power  at null
+keeper: processor %       6.3 / 6.7       4.8 / 5.4       3.6 / 5.4  -0.09  -
+keeper: connections     11.0 / 11.0     31.0 / 31.0       101 / 101   1.05  -
+power: the busiest grows as machines to this power
+"""
+
+
 def series(name="encode", points=((1.0, 3.0), (2.0, 5.0), (3.0, 7.0))):
     return Series(name, "title", "stand-in", "bytes", "time", "µs", points)
 
@@ -94,11 +106,34 @@
 
 
 def test_without_any_result_the_whole_page_can_be_written_and_no_figure_is_invented():
-    written = sections(Results({}, {}))
+    written = sections(Results({}, {}), read_table(SWEEP))
     measured_rows = [line for line in written["sender-bytes"].splitlines() if "state-bytes" in line]
     assert measured_rows and all("not measured" in line for line in measured_rows)
 
 
+def test_the_table_of_a_sweep_is_read_with_its_lines():
+    processor, connections = read_table(SWEEP)
+    assert processor.name == "keeper: processor %"
+    assert processor.middle == (6.3, 4.8, 3.6) and processor.busiest == (6.7, 5.4, 5.4)
+    assert connections.machines == (10, 30, 100)
+    assert connections.line().slope == pytest.approx(1) and connections.line().intercept == pytest.approx(1)
+    assert sweep_table([connections], TARGET, ASSUMED).endswith("| 11 / 11 | 31 / 31 | 101 / 101 | 1 | 383 |")
+    assert " ± " in sweep_table([processor], TARGET, ASSUMED).splitlines()[-1]
+
+
+@pytest.mark.parametrize("digest", ["", "day own/srv", "     10    30    100  power\nnothing"])
+def test_what_is_no_sweep_is_refused(digest):
+    with pytest.raises(SweepError):
+        read_table(digest)
+
+
+def test_an_unfinished_sweep_is_refused(tmp_path):
+    entry = tmp_path / "entry.json"
+    entry.write_text('{"cmd": "sweep", "ok": false, "digest": ""}')
+    with pytest.raises(SweepError):
+        read_entry(entry)
+
+
 def test_results_come_back_as_they_were_saved(tmp_path):
     held = Results({"encode": series()}, {"encode": RUN})
     save(held, tmp_path / "results.json")
