Placement: replicas and members spread over regions and zones; their count bears lost zones and regions

Change: each view of stores carries its members' locations; a key takes the next replica from the least crowded region and zone; the register grows and replaces members the same way; the count is 2 x the greatest of what is to be borne, plus one. Ruled out: locations asked of each store by every sender (they would differ between processes while they change; in the view all agree by epoch). Tests: every key keeps a majority without a zone (3 and 5 replicas over 10 stores), regions first, views of an older release.

--- a/dewpin/cluster/placement.py
+++ b/dewpin/cluster/placement.py
@@ -1,7 +1,13 @@
-"""Which members hold the records of a key: rendezvous hashing, the same at every process without any talk."""
+"""Which members hold the records of a key: rendezvous hashing, the same at every process without any talk.
+
+The replicas of a key are spread over regions and zones as evenly as the members allow, so that the loss of one takes as
+few of them as can be. A member's location is `region/zone`.
+"""
 
 from __future__ import annotations
 
+from collections import Counter
+from collections.abc import Iterable, Mapping
 from functools import lru_cache
 from hashlib import blake2b
 
@@ -13,13 +19,63 @@
     return blake2b(f"{key}\0{member}".encode(), digest_size=_SCORE_BYTES).digest()
 
 
+class LocationCount:
+    """How many of the members chosen so far stand in each region and zone."""
+
+    def __init__(self, locations: Iterable[str] = ()) -> None:
+        self._zones: Counter[str] = Counter()
+        self._regions: Counter[str] = Counter()
+        for location in locations:
+            self.add(location)
+
+    def add(self, location: str) -> None:
+        """Count a member at `location`."""
+        self._zones[location] += 1
+        self._regions[region_of(location)] += 1
+
+    def crowding(self, location: str) -> tuple[int, int]:
+        """Return how many stand in the region and in the zone of `location`; the lowest is to be chosen next."""
+        return self._regions[region_of(location)], self._zones[location]
+
+
+def location_of(region: str, zone: str) -> str:
+    """Return the location of a machine."""
+    return f"{region}/{zone}"
+
+
+def region_of(location: str) -> str:
+    """Return the region of a location."""
+    return location.rpartition("/")[0]
+
+
 @lru_cache(maxsize=_CACHED_KEYS)
-def replicas(key: str, members: tuple[str, ...], count: int) -> frozenset[str]:
-    """Return the `count` members (all, if there are fewer) that hold the records of `key`."""
+def replicas(key: str, members: tuple[str, ...], count: int, locations: tuple[str, ...] = ()) -> frozenset[str]:
+    """Return the `count` members (all, if there are fewer) that hold the records of `key`.
+
+    `locations` are those of the members, in the same order; without them all members count as being in one place.
+    """
     if len(members) <= count:
         return frozenset(members)
     ranked = sorted(members, key=lambda member: _score(key, member), reverse=True)
-    return frozenset(ranked[:count])
+    return frozenset(_spread(ranked, count, dict(zip(members, locations, strict=False))))
+
+
+def _spread(ranked: list[str], count: int, locations: Mapping[str, str]) -> list[str]:
+    """Choose `count` members: each time one from the least crowded place, of these the one ranked first."""
+    counted = LocationCount()
+    remaining = list(ranked)
+    chosen: list[str] = []
+    while len(chosen) < count:
+        member = min(remaining, key=lambda one: counted.crowding(locations.get(one, "")))
+        remaining.remove(member)
+        chosen.append(member)
+        counted.add(locations.get(member, ""))
+    return chosen
+
+
+def replica_count(machines: int, zones: int, regions: int) -> int:
+    """Return how many replicas bear the loss of so many machines, or zones, or regions: a majority is to remain."""
+    return 2 * max(machines, zones, regions) + 1
 
 
 def majority(size: int) -> int:
--- a/dewpin/cluster/settings.py
+++ b/dewpin/cluster/settings.py
@@ -18,6 +18,7 @@
 
 from . import logs
 from .checking import Fault, JsonObject, check_shape, expected, value_or
+from .placement import replica_count
 
 BOOT_VARIABLE = "DEWPIN_BOOT"
 FAULTY_SETTINGS_EXIT_CODE = 2
@@ -155,6 +156,11 @@
     zones: int = 0
     regions: int = 0
 
+    @property
+    def replica_count(self) -> int:
+        """How many replicas of everything bear these losses."""
+        return replica_count(self.machines, self.zones, self.regions)
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
--- a/dewpin/cluster/store_view.py
+++ b/dewpin/cluster/store_view.py
@@ -18,10 +18,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One incarnation of a store machine: the id that its data folder was given, and where it listens."""
+    """One incarnation of a store machine: the id that its data folder was given, where it listens and where it is."""
 
     id: str
     address: str
+    location: str = ""
 
 
 @dataclass(frozen=True)
@@ -47,13 +48,21 @@
         """The ids of the next members, in a fixed order; empty when the view is not changing."""
         return tuple(sorted(member.id for member in self.next or ()))
 
+    @cached_property
+    def _stable_locations(self) -> tuple[str, ...]:
+        return tuple(self.members[member].location for member in self.stable_ids)
+
+    @cached_property
+    def _next_locations(self) -> tuple[str, ...]:
+        return tuple(self.members[member].location for member in self.next_ids)
+
     def stable_replicas(self, key: str, count: int) -> frozenset[str]:
         """Return the members that answer reads of `key`."""
-        return replicas(key, self.stable_ids, count)
+        return replicas(key, self.stable_ids, count, self._stable_locations)
 
     def next_replicas(self, key: str, count: int) -> frozenset[str]:
         """Return the members that will hold `key` after the change; empty when the view is not changing."""
-        return replicas(key, self.next_ids, count)
+        return replicas(key, self.next_ids, count, self._next_locations)
 
     def write_sets(self, key: str, count: int) -> tuple[frozenset[str], ...]:
         """Return the replica sets of which a write of `key` needs a majority each."""
@@ -76,6 +85,7 @@
             "epoch": self.epoch,
             "stable": {member.id: member.address for member in self.stable},
             "next": None if self.next is None else {member.id: member.address for member in self.next},
+            "locations": {member.id: member.location for member in self.members.values()},
         }
 
     @staticmethod
@@ -83,14 +93,18 @@
         """Return the view of a JSON object made by `to_json`. Raises ValueError for anything else."""
         try:
             following = value["next"]
+            locations = value.get("locations", {})
             return StoreView(
                 int(value["epoch"]),
-                _members(value["stable"]),
-                None if following is None else _members(following),
+                _members(value["stable"], locations),
+                None if following is None else _members(following, locations),
             )
         except (AttributeError, KeyError, TypeError) as error:
             raise ValueError(f"not a view of stores: {error!r}") from error
 
 
-def _members(addresses: Any) -> tuple[Member, ...]:
-    return tuple(Member(str(identity), str(address)) for identity, address in sorted(addresses.items()))
+def _members(addresses: Any, locations: Any) -> tuple[Member, ...]:
+    return tuple(
+        Member(str(identity), str(address), str(locations.get(identity, "")))
+        for identity, address in sorted(addresses.items())
+    )
--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -34,7 +34,7 @@
         synced = max(synced, epoch)
         keeper.greet_everyone()
 
-    store = Store(storage, storage.incarnation, 2 * settings.fault_tolerance.machines + 1)
+    store = Store(storage, storage.incarnation, settings.fault_tolerance.replica_count)
     sync = StoreSync(store, client, on_synced)
     await store.load()
 
@@ -86,7 +86,7 @@
     await server.start(*split_address(keeper.address))
     keeper.start()
     if "control" in settings.listen:
-        least_stores = 2 * settings.fault_tolerance.machines + 1
+        least_stores = settings.fault_tolerance.replica_count
         api = OperatorApi(keeper.register, loop, least_stores)
         serve_operator(split_address(settings.listen["control"]), api)
     following = asyncio.ensure_future(
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from dewpin.cluster.placement import location_of
 from dewpin.cluster.platform_list import ReadsPlatform
 from dewpin.cluster.ports import control_plane_address
 from dewpin.cluster.receivers import DirectoryVersion, receiver_from_record
@@ -162,6 +163,7 @@
             leaving=self._leaving,
             bootstrap=self._bootstrap,
             list_fails=self.list.has_failed,
+            location=location_of(self.settings.region, self.settings.zone),
         )
 
     def me(self) -> Peer:
@@ -269,7 +271,9 @@
         return True
 
     def _knowledge(self) -> Knowledge:
-        return Knowledge(self.me(), self.peers, self.settings.fault_tolerance.machines, self._started_s, self.clock())
+        return Knowledge(
+            self.me(), self.peers, self.settings.fault_tolerance.replica_count, self._started_s, self.clock()
+        )
 
     async def _begin_if_everyone_is_here(self) -> None:
         members: dict[str, str] = {}
--- a/dewpin/controlplane/peers.py
+++ b/dewpin/controlplane/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 FORGET_AFTER_S = 60.0
 LIVE_S = 1.0
@@ -23,6 +23,7 @@
     leaving: bool
     bootstrap: bool
     list_fails: bool
+    location: NotRequired[str]
 
 
 @dataclass(frozen=True)
@@ -42,6 +43,7 @@
     list_fails: bool
     last_heard_s: float
     first_heard_s: float = float("-inf")
+    location: str = ""
 
     def silent_s(self, now_s: float) -> float:
         """For how long nothing was heard of it."""
@@ -70,6 +72,7 @@
             list_fails=record["list_fails"],
             last_heard_s=now_s,
             first_heard_s=known.first_heard_s if known is not None else now_s,
+            location=record.get("location", ""),
         )
         for other in list(self.peers.values()):
             if other.address == peer.address and other.id != peer.id:
--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass
 
+from dewpin.cluster.placement import LocationCount
+
 from .peers import LIVE_S, Peer, PeerTable
 from .system_state import (
     Change,
@@ -36,15 +38,10 @@
 
     me: Peer
     peers: PeerTable
-    machines_to_bear: int
+    full_count: int
     started_s: float
     now_s: float
 
-    @property
-    def full_count(self) -> int:
-        """How many replicas bear the losses that are to be borne."""
-        return 2 * self.machines_to_bear + 1
-
     def everyone(self) -> list[Peer]:
         """This process and all it has heard of."""
         return [self.me, *self.peers.peers.values()]
@@ -113,17 +110,24 @@
         name = state["names"].get(member)
         if not spare or not _must_go(state, knowledge, member, name, GONE_WITH_SUCCESSOR_S):
             continue
-        successor_peer = next((peer for peer in spare if peer.name == name), spare[0])
-        spare.remove(successor_peer)
         del members[member]
+        successor_peer = next((peer for peer in spare if peer.name == name), _best_placed(spare, members, knowledge))
         members[successor_peer.id] = successor_peer.address
         return set_members(members, _names_of(knowledge))
     if len(members) < knowledge.full_count and spare:
-        members[spare[0].id] = spare[0].address
+        added = _best_placed(spare, members, knowledge)
+        members[added.id] = added.address
         return set_members(members, _names_of(knowledge))
     return None
 
 
+def _best_placed(spare: list[Peer], members: dict[str, str], knowledge: Knowledge) -> Peer:
+    """The one of `spare` whose region and zone hold the fewest of `members`."""
+    locations = _locations_of(knowledge)
+    counted = LocationCount(locations.get(member, "") for member in members)
+    return min(spare, key=lambda peer: (counted.crowding(peer.location), peer.id))
+
+
 def _must_go(state: SystemState, knowledge: Knowledge, peer_id: str, name: str | None, gone_s: float) -> bool:
     if knowledge.is_replaced(peer_id, name) or name in state["retiring"]:
         return True
@@ -137,7 +141,7 @@
     wanted = _wanted_stores(state, knowledge)
     current = view["next"] if view["next"] is not None else view["stable"]
     if wanted != current:
-        return move_stores(wanted, _names_of(knowledge))
+        return move_stores(wanted, _names_of(knowledge), _locations_of(knowledge))
     if view["next"] is not None and _all_synced(view["next"], view["epoch"], knowledge):
         return finish_stores
     return None
@@ -147,7 +151,7 @@
     stores = {peer.id: peer.address for peer in _newcomers(state, knowledge) if peer.store}
     waited = knowledge.now_s - knowledge.started_s > FIRST_STORES_WAIT_S
     if len(stores) >= knowledge.full_count or (stores and waited):
-        return begin_stores(stores, _names_of(knowledge))
+        return begin_stores(stores, _names_of(knowledge), _locations_of(knowledge))
     return None
 
 
@@ -204,5 +208,9 @@
     return None
 
 
+def _locations_of(knowledge: Knowledge) -> dict[str, str]:
+    return {peer.id: peer.location for peer in knowledge.everyone()}
+
+
 def _names_of(knowledge: Knowledge) -> dict[str, str]:
     return {peer.id: peer.name for peer in knowledge.everyone()}
--- a/dewpin/controlplane/system_state.py
+++ b/dewpin/controlplane/system_state.py
@@ -8,6 +8,7 @@
 
 import hashlib
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import NotRequired, TypedDict
 
 MOST_REMEMBERED_CONFIGURATIONS = 2000
@@ -29,6 +30,7 @@
     epoch: int
     stable: Addresses
     next: Addresses | None
+    locations: NotRequired[dict[str, str]]
 
 
 class SystemState(TypedDict):
@@ -157,23 +159,27 @@
     return make
 
 
-def begin_stores(stores: Addresses, names: Mapping[str, str]) -> Callable[[SystemState], SystemState]:
+def begin_stores(
+    stores: Addresses, names: Mapping[str, str], locations: Mapping[str, str] = MappingProxyType({})
+) -> Callable[[SystemState], SystemState]:
     """The first stores; there is nothing yet that they could lack."""
 
     def make(state: SystemState) -> SystemState:
         view = StoreViewState(epoch=state["stores"]["epoch"] + 1, stable=dict(sorted(stores.items())), next=None)
-        return _with_view(state, view, names)
+        return _with_view(state, view, names, locations)
 
     return make
 
 
-def move_stores(stores: Addresses, names: Mapping[str, str]) -> Callable[[SystemState], SystemState]:
+def move_stores(
+    stores: Addresses, names: Mapping[str, str], locations: Mapping[str, str] = MappingProxyType({})
+) -> Callable[[SystemState], SystemState]:
     """Begins a change of the stores to `stores`, or gives one under way another end."""
 
     def make(state: SystemState) -> SystemState:
         present = state["stores"]
         view = StoreViewState(epoch=present["epoch"] + 1, stable=present["stable"], next=dict(sorted(stores.items())))
-        return _with_view(state, view, names)
+        return _with_view(state, view, names, locations)
 
     return make
 
@@ -183,7 +189,7 @@
     present = state["stores"]
     assert present["next"] is not None
     view = StoreViewState(epoch=present["epoch"] + 1, stable=present["next"], next=None)
-    return _with_view(state, view, {})
+    return _with_view(state, view, {}, {})
 
 
 def start_retirement(name: str, least_stores: int) -> Change:
@@ -224,13 +230,21 @@
     return name in state["retired"] and name not in state["retiring"]
 
 
-def _with_view(state: SystemState, view: StoreViewState, names: Mapping[str, str]) -> SystemState:
+def _with_view(
+    state: SystemState, view: StoreViewState, names: Mapping[str, str], locations: Mapping[str, str]
+) -> SystemState:
     following = successor(state)
+    known = {**state["stores"].get("locations", {}), **locations}
+    view["locations"] = {store: known[store] for store in _stores_in(view) if store in known}
     following["stores"] = view
     following["names"] = _names_in_use(following, {**state["names"], **names})
     return following
 
 
+def _stores_in(view: StoreViewState) -> list[str]:
+    return sorted({*view["stable"], *(view["next"] or {})})
+
+
 def _names_in_use(state: SystemState, names: Mapping[str, str]) -> dict[str, str]:
     used = {*state["members"], *state["former_members"], *state["stores"]["stable"], *(state["stores"]["next"] or {})}
     return {member: names[member] for member in sorted(used) if member in names}
--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -87,7 +87,7 @@
 
     async def _start_agent(self) -> None:
         client = RpcClient()
-        replica_count = 2 * self.settings.fault_tolerance.machines + 1
+        replica_count = self.settings.fault_tolerance.replica_count
         self._store_client = StoreClient(client, replica_count)
         agent = ClusterAgent(
             self.settings, client, random.Random(), self._on_state, self._on_receivers, on_senders=self._on_senders
--- a/tests/cluster/test_placement.py
+++ b/tests/cluster/test_placement.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dewpin.cluster.placement import majority, most_silent, replicas
+from dewpin.cluster.placement import location_of, majority, most_silent, replica_count, replicas
 from dewpin.cluster.store_view import Member, StoreView
 
 MEMBERS = tuple(f"m{number}" for number in range(7))
@@ -40,3 +40,31 @@
     assert StoreView.from_json(view.to_json()) == view
     assert view.write_sets("p", 3) == ({"a", "b", "c"}, {"b", "c", "d"})
     assert StoreView(4, members[:3]).write_sets("p", 3) == ({"a", "b", "c"},)
+
+
+@given(st.text(max_size=20), st.sampled_from(["one", "two", "three"]))
+def test_every_key_keeps_a_majority_without_a_zone(key, lost):
+    members = tuple(f"m{number}" for number in range(10))
+    locations = tuple(location_of("r", ("one", "two", "three")[number % 3]) for number in range(10))
+    for count in (3, 5):
+        held = replicas(key, members, count, locations)
+        left = [member for member in held if locations[members.index(member)] != f"r/{lost}"]
+        assert len(held) == count and len(left) >= majority(count)
+
+
+@given(st.text(max_size=20))
+def test_replicas_spread_over_regions_before_zones(key):
+    locations = ("r/one", "r/two", "r/three", "s/one", "t/one")
+    held = replicas(key, tuple("abcde"), 3, locations)
+    assert len({locations["abcde".index(member)].partition("/")[0] for member in held}) == 3
+
+
+def test_the_replicas_bear_what_is_told():
+    assert replica_count(1, 0, 0) == 3
+    assert replica_count(2, 1, 0) == 5
+    assert replica_count(0, 1, 1) == 3
+
+
+def test_a_view_of_an_older_release_has_no_locations():
+    view = StoreView.from_json({"epoch": 1, "stable": {"a": "a:1"}, "next": None})
+    assert view.stable == (Member("a", "a:1"),)
--- a/tests/controlplane/test_reconfiguration.py
+++ b/tests/controlplane/test_reconfiguration.py
@@ -28,7 +28,7 @@
             ids = {one: f"{one}:1" for one in stores}
             self.state = begin_stores(ids, {one: f"machine-{one}" for one in stores})(self.state)
             self.state = successor(self.state)
-        self.machines_to_bear = (full - 1) // 2
+        self.full_count = full
         self.peers = PeerTable()
         self.synced = {}
         self.now_s = STARTED_S
@@ -38,7 +38,7 @@
         for one in sorted({*members, *stores}):
             self.hear(one)
 
-    def record(self, one, name=None, address=None, leaving=False):
+    def record(self, one, name=None, address=None, leaving=False, location=""):
         return {
             "id": one,
             "name": name or f"machine-{one[0]}",
@@ -50,6 +50,7 @@
             "leaving": leaving,
             "bootstrap": False,
             "list_fails": False,
+            "location": location,
         }
 
     def hear(self, *ids, **fields):
@@ -65,7 +66,7 @@
     @property
     def knowledge(self):
         me = Peer(**self.record("a"), last_heard_s=self.now_s)
-        return Knowledge(me, self.peers, self.machines_to_bear, STARTED_S, self.now_s)
+        return Knowledge(me, self.peers, self.full_count, STARTED_S, self.now_s)
 
     def step(self):
         """Makes the due change; the keys that it changed."""
@@ -338,3 +339,24 @@
     change = due_change(scene.state, scene.knowledge)
     with pytest.raises(Exception, match="planned on"):
         change(successor(scene.state))
+
+
+def test_the_register_grows_into_the_zone_that_holds_the_fewest_members():
+    scene = Scene(full=5)
+    for one, zone in (("b", "r/one"), ("c", "r/two"), ("d", "r/one"), ("e", "r/three"), ("f", "s/one")):
+        scene.hear(one, location=zone)
+    assert "members" in scene.step()
+    assert "f" in scene.state["members"]
+
+
+def test_the_view_of_the_stores_carries_their_locations():
+    scene = Scene(stores="")
+    for one in "bc":
+        scene.hear(one, location=f"r/{one}")
+    scene.step()
+    assert scene.state["stores"]["locations"] == {"a": "", "b": "r/b", "c": "r/c"}
+    scene.synced = {"b": 1}
+    scene.hear("d", location="r/d")
+    scene.settle(synced=False)
+    assert scene.state["stores"]["locations"]["d"] == "r/d"
+    assert scene.state["stores"]["locations"]["c"] == "r/c"
