--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
-import logging
 import os
 import random
 import signal
 import sys
 
+from dewpin.cluster import logs
 from dewpin.cluster.rpc import Handler, RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import BOOT_VARIABLE, Settings, settings_or_exit
 from dewpin.cluster.settings_watch import POLL_PERIOD_S, SettingsWatch
@@ -102,8 +102,9 @@
 
 def main() -> int:
     """Runs the process; returns its exit code."""
-    logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
-    asyncio.run(run(settings_or_exit()))
+    settings = settings_or_exit()
+    logs.configure(settings.log_level, settings.node_name, settings.role)
+    asyncio.run(run(settings))
     os._exit(0)
 
 
--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -11,6 +11,7 @@
 import threading
 from typing import Any
 
+from dewpin.cluster import logs
 from dewpin.cluster.configuration import ConfigurationInvalid, parse_configuration
 from dewpin.cluster.receivers import ReceiverDirectory
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
@@ -131,8 +132,9 @@
 
 def main() -> int:
     """Runs the sender; returns its exit code."""
-    logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
-    sender = Sender(settings_or_exit())
+    settings = settings_or_exit()
+    logs.configure(settings.log_level, settings.node_name, settings.role)
+    sender = Sender(settings)
     signal.signal(signal.SIGHUP, lambda *_: sender.hangup.set())
     sender.run()
     sys.stderr.flush()
