--- a/tests/controlplane/test_register_driver.py
+++ b/tests/controlplane/test_register_driver.py
@@ -72,6 +72,7 @@
 def test_a_member_that_knows_no_state_agrees_nothing():
     async def scene():
         registers = Registers()
+        await registers.members["a"].load()
         with pytest.raises(RegisterUnavailable):
             await registers.members["a"].propose(read, WAIT_S)
 
@@ -195,6 +196,63 @@
     assert run(scene()) == 7
 
 
+def test_a_member_takes_part_in_nothing_before_it_has_read_its_disk():
+    """An answer from the empty replica would forget what was promised, and would write that down."""
+
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0), WAIT_S)
+        early = registers._member("b")
+        for handler in (early.handle_prepare, early.handle_accept):
+            with pytest.raises(RpcError) as caught:
+                await handler({"to": "b", "ballot": [90, "z"], "value": registers.genesis})
+            assert caught.value.kind == "starting"
+        with pytest.raises(RegisterUnavailable):
+            await early.propose(read, WAIT_S)
+        await early.load()
+        promise = await early.handle_prepare({"to": "b", "ballot": [91, "z"]})
+        return generation_of(promise["value"])
+
+    assert run(scene()) == 7
+
+
+def test_a_read_writes_no_state_and_what_was_accepted_before_a_promise_is_loaded_with_it():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0, b'{"x": "%s"}' % (b"y" * 10_000)), WAIT_S)
+        rows = "SELECT key, length(value) FROM register_replica ORDER BY key"
+        await registers.disks["b"].write([("UPDATE register_replica SET value = '' WHERE key = 'system'", ())])
+        await registers.members["c"].propose(read, WAIT_S)
+        await asyncio.sleep(0.1)
+        sizes = dict(await registers.disks["b"].query(rows))
+        member = await registers.restart("c")
+        promise = await member.handle_prepare({"to": "c", "ballot": [90, "z"]})
+        return sizes, generation_of(promise["value"]), promise["accepted"][1]
+
+    assert run(scene()) == ({"system": 0, "system/promise": None}, 7, "a")
+
+
+def test_a_promise_tells_of_no_value_that_a_failed_write_left_in_memory_alone():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        member, disk = registers.members["b"], registers.disks["b"]
+        value = put(7, 0)(registers.genesis)
+        disk.fails = True
+        with pytest.raises(RpcError):
+            await member.handle_accept({"to": "b", "ballot": [5, "a"], "value": value})
+        disk.fails = False
+        promise = await member.handle_prepare({"to": "b", "ballot": [6, "c"]})
+        member = await registers.restart("b")
+        again = await member.handle_prepare({"to": "b", "ballot": [7, "c"]})
+        return promise["accepted"], promise["value"], again["accepted"], again["value"]
+
+    accepted, value, accepted_after, value_after = run(scene())
+    assert (accepted, value) == (accepted_after, value_after)
+
+
 def test_a_promise_is_kept_over_a_restart():
     async def scene():
         registers = Registers()
--- a/tests/dataplane/test_balancing.py
+++ b/tests/dataplane/test_balancing.py
@@ -18,7 +18,7 @@
 
 
 def wanted(hold_until):
-    return PlaceRequest(SERVICES[SERVICE], "route", 0, hold_until)
+    return PlaceRequest(SERVICES[SERVICE], "route", 0, 0.1, hold_until)
 
 
 def full_balancer(clock=time.monotonic):
@@ -36,7 +36,7 @@
     now = [10.0]
 
     def clock():
-        now[0] += 0.01
+        now[0] += 0.2
         return now[0]
 
     balancer, _ = full_balancer(clock)
