--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
-import logging
 import os
 import random
 import signal
 import sys
 
+from dewpin.cluster import logs
 from dewpin.cluster.rpc import Handler, RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import BOOT_VARIABLE, Settings, settings_or_exit
 from dewpin.cluster.settings_watch import POLL_PERIOD_S, SettingsWatch
@@ -34,7 +34,7 @@
         synced = max(synced, epoch)
         keeper.greet_everyone()
 
-    store = Store(storage, storage.incarnation, 2 * settings.fault_tolerance.machines + 1)
+    store = Store(storage, storage.incarnation, settings.fault_tolerance.replica_count)
     sync = StoreSync(store, client, on_synced)
     await store.load()
 
@@ -86,7 +86,7 @@
     await server.start(*split_address(keeper.address))
     keeper.start()
     if "control" in settings.listen:
-        least_stores = 2 * settings.fault_tolerance.machines + 1
+        least_stores = settings.fault_tolerance.replica_count
         api = OperatorApi(keeper.register, loop, least_stores)
         serve_operator(split_address(settings.listen["control"]), api)
     following = asyncio.ensure_future(
@@ -102,8 +102,9 @@
 
 def main() -> int:
     """Runs the process; returns its exit code."""
-    logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
-    asyncio.run(run(settings_or_exit()))
+    settings = settings_or_exit()
+    logs.configure(settings.log_level, settings.node_name, settings.role)
+    asyncio.run(run(settings))
     os._exit(0)
 
 
--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -11,6 +11,7 @@
 import threading
 from typing import Any
 
+from dewpin.cluster import logs
 from dewpin.cluster.configuration import ConfigurationInvalid, parse_configuration
 from dewpin.cluster.receivers import ReceiverDirectory
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
@@ -87,7 +88,7 @@
 
     async def _start_agent(self) -> None:
         client = RpcClient()
-        replica_count = 2 * self.settings.fault_tolerance.machines + 1
+        replica_count = self.settings.fault_tolerance.replica_count
         self._store_client = StoreClient(client, replica_count)
         agent = ClusterAgent(
             self.settings, client, random.Random(), self._on_state, self._on_receivers, on_senders=self._on_senders
@@ -131,8 +132,9 @@
 
 def main() -> int:
     """Runs the sender; returns its exit code."""
-    logging.basicConfig(level=os.environ.get("DEWPIN_LOG", "WARNING"), stream=sys.stderr, format="%(message)s")
-    sender = Sender(settings_or_exit())
+    settings = settings_or_exit()
+    logs.configure(settings.log_level, settings.node_name, settings.role)
+    sender = Sender(settings)
     signal.signal(signal.SIGHUP, lambda *_: sender.hangup.set())
     sender.run()
     sys.stderr.flush()
