--- a/benchmarks/capacity/coverage.py
+++ b/benchmarks/capacity/coverage.py
@@ -97,7 +97,6 @@
                 "programs without a majority when a zone is lost",
                 "programs without a majority when a region is lost",
             ),
-            "placement by zone and region is to be built",
         ),
         Entry(
             f"{target.changes_a_day} changes a day in force in {target.change_in_force_s:g} s",
--- a/benchmarks/capacity/roles/failures.py
+++ b/benchmarks/capacity/roles/failures.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from math import comb
-
 from benchmarks.capacity import design
 from benchmarks.capacity.context import Context
 from benchmarks.capacity.fit import Estimate
 from benchmarks.capacity.roles.store import disk_of
 from benchmarks.capacity.sheet import Row, plain
 from benchmarks.capacity.target import SECONDS_A_DAY
+from dewpin.cluster.placement import location_of, majority, region_of, replicas
 
 MICROSECONDS = 1e6
+SAMPLED_PROGRAMS = 2000
 INDEX_ROWS_OF_THE_SERIES = 256
 LEASES = "`dewpin/controlplane/leases.py`"
 VIEW = "`dewpin/controlplane/reconfiguration.py`"
@@ -20,12 +20,23 @@
 WATCH = "`dewpin/dataplane/cluster_agent.py`"
 
 
-def majority_within(stores: int, parts: int, replicas: int) -> float:
-    """Share of programs with a majority of their replicas in one given part, when placement does not see parts."""
-    inside = stores // parts
-    majority = replicas // 2 + 1
-    hits = sum(comb(inside, k) * comb(stores - inside, replicas - k) for k in range(majority, replicas + 1))
-    return hits / comb(stores, replicas)
+def majority_within(stores: int, zones: int, regions: int, count: int, of_region: bool) -> float:
+    """Share of sampled programs with a majority of their replicas in one zone, or one region, by the real placement.
+
+    Stores stand evenly over the zones, and zones over the regions.
+    """
+    members = tuple(f"store-{number}" for number in range(stores))
+    locations = tuple(
+        location_of(f"region-{number % zones % regions}", f"zone-{number % zones}") for number in range(stores)
+    )
+    location = dict(zip(members, locations, strict=True))
+    lost = region_of(locations[0]) if of_region else locations[0]
+    hits = 0
+    for key in range(SAMPLED_PROGRAMS):
+        held = [location[member] for member in replicas(f"program-{key}", members, count, locations)]
+        inside = sum((region_of(one) if of_region else one) == lost for one in held)
+        hits += inside >= majority(count)
+    return hits / SAMPLED_PROGRAMS
 
 
 def snapshot(context: Context) -> Estimate:
@@ -157,22 +168,22 @@
     stores = assumed.stores
     inside = stores // target.zones
     members = target.control_machines
-    majority = members // 2 + 1
+    members_majority = majority(members)
     cut_turns = target.requests_per_s / target.regions * target.region_cut_s
     return [
         context.row(
             "programs without a majority when a zone is lost",
-            f"{inside} of {stores} stores in the zone: share of {assumed.replicas}-sets with "
-            f"≥ {assumed.replicas // 2 + 1} there",
-            lambda: majority_within(stores, target.zones, assumed.replicas),
+            f"{inside} of {stores} stores in the zone: share of {SAMPLED_PROGRAMS} sampled programs with "
+            f"≥ {assumed.replicas // 2 + 1} of {assumed.replicas} replicas there",
+            lambda: majority_within(stores, target.zones, target.regions, assumed.replicas, of_region=False),
             "share",
             PLACEMENT,
             0.0,
         ),
         context.row(
             "programs without a majority when a region is lost",
-            f"{stores // target.regions} of {stores} stores in the region",
-            lambda: majority_within(stores, target.regions, assumed.replicas),
+            f"{stores // target.regions} of {stores} stores in the region; the same sample",
+            lambda: majority_within(stores, target.zones, target.regions, assumed.replicas, of_region=True),
             "share",
             PLACEMENT,
             0.0,
@@ -193,14 +204,14 @@
         ),
         context.row(
             "members of the register after a lost zone or rack, one member a zone",
-            f"{members} − 1, majority {majority}",
+            f"{members} − 1, majority {members_majority}",
             lambda: members - 1,
             "",
             "`dewpin/consensus`",
         ),
         context.row(
             "members of the register after a lost region, members 2 + 2 + 1",
-            f"{members} − 2, majority {majority}",
+            f"{members} − 2, majority {members_majority}",
             lambda: members - 2,
             "",
             "`dewpin/consensus`",
@@ -209,7 +220,10 @@
             "turns refused in an hour with one region cut off",
             f"{target.requests_per_s:,}/s / {target.regions} × {target.region_cut_s:,} s: the cut-off region holds "
             "too few replicas, but for its own share of the row above",
-            lambda: cut_turns * (1 - majority_within(stores, target.regions, assumed.replicas)),
+            lambda: (
+                cut_turns
+                * (1 - majority_within(stores, target.zones, target.regions, assumed.replicas, of_region=True))
+            ),
             "",
             "`dewpin/dataplane/store_client.py`",
         ),
