Keepers: a disk that is silent has new jobs refused; nothing written to ended connections

When the disk was back, the answers of a whole commit were written to connections that had ended: asyncio logged 34 times 'socket.send() raised exception'.

Change: once a commit has taken over two seconds, the storage refuses new jobs at once; callers treat it as any failed write and ask the other replicas. Answers are not written to a connection that is closing; a call on such a connection fails at once. Three tests, each fails without its part.

Ruled out: dropping jobs that wait already (a writer may count on them); a bound on bytes (every job would have to tell its size).

--- a/dewpin/cluster/rpc.py
+++ b/dewpin/cluster/rpc.py
@@ -100,7 +100,7 @@
 
     async def _answer(self, number: int, message: Message) -> None:
         answer = await self._server.dispatch(message)
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.write(encode({"v": PROTOCOL_VERSION, "r": number, "m": answer}))
 
 
@@ -176,7 +176,7 @@
             self.transport.abort()
 
     async def call(self, message: Message) -> Message:
-        if self.transport is None:
+        if self.transport is None or self.transport.is_closing():
             raise RpcError("closed")
         self._number += 1
         number = self._number
--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -24,6 +24,9 @@
 """Jobs that may wait for the storage thread; one more is refused at once."""
 MOST_IN_COMMIT = 256
 """Jobs that share one commit at most."""
+MOST_COMMIT_S = 2.0
+"""Once a commit has taken so long, the disk counts as silent and new jobs are refused at once: who asked has given up
+long before the disk is back, and what waits for it takes memory."""
 PAGE_CACHE_KIB = 4096
 WAL_LIMIT_BYTES = 8 * 1024 * 1024
 INCARNATION_BYTES = 8
@@ -181,10 +184,17 @@
     Jobs run in the order in which they were handed over; those that wait together share one commit.
     """
 
-    def __init__(self, data_dir: str | os.PathLike[str], log: Callable[[str], None] = _log_error) -> None:
+    def __init__(
+        self,
+        data_dir: str | os.PathLike[str],
+        log: Callable[[str], None] = _log_error,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         """Open (or make) the database; blocks until it is durable. Raises StorageFailed or SchemaTooNew."""
         self._folder = Path(data_dir)
         self._log = log
+        self._clock = clock
+        self._commit_since_s: float | None = None  # when the commit under way began
         self._connection = _open(self._folder, log)
         self.incarnation: str = _incarnation(self._connection)
         self.damaged = False
@@ -214,6 +224,8 @@
         `work` may be run twice (its first effects being undone) and must not begin or end transactions.
         A write that raised StorageFailed may still turn out to have been kept. Raises StorageFailed.
         """
+        if self._disk_is_silent():
+            raise StorageFailed("the disk does not answer")
         loop = asyncio.get_running_loop()
         job: _Job[Result] = _Job(work, loop, loop.create_future())
         with self._ready:
@@ -234,6 +246,10 @@
         self._connection.close()
         sync_folder(self._folder)
 
+    def _disk_is_silent(self) -> bool:
+        began_s = self._commit_since_s
+        return began_s is not None and self._clock() - began_s > MOST_COMMIT_S
+
     def _serve(self) -> None:
         """The storage thread: take what waits, commit it together, tell the results."""
         while True:
@@ -250,6 +266,7 @@
 
     def _commit(self, group: list[_Job[Any]]) -> bool:
         """Run the jobs of `group` in one transaction; note results or the error. Return whether it was kept."""
+        self._commit_since_s = self._clock()
         try:
             if self.damaged:
                 raise StorageDamaged("the database is damaged")
@@ -264,6 +281,8 @@
                 job.error = failure
             self._roll_back()
             return False
+        finally:
+            self._commit_since_s = None
         return True
 
     def _failure(self, error: Exception) -> Exception:
--- a/tests/cluster/test_rpc.py
+++ b/tests/cluster/test_rpc.py
@@ -211,3 +211,48 @@
         writer.write(b"HTTP/1.1 400 Bad Request\r\n\r\n")
 
     assert asyncio.run(scene()) == "closed"
+
+
+class EndedTransport(asyncio.Transport):
+    """A connection that ends with the first write, as the event loop tells it: closing at once, lost a turn later."""
+
+    def __init__(self):
+        super().__init__()
+        self.written = 0
+
+    def write(self, data):
+        self.written += 1
+
+    def is_closing(self):
+        return self.written > 0
+
+
+def test_answers_that_become_ready_together_are_not_written_to_a_connection_that_has_ended():
+    async def scene():
+        held = asyncio.Event()
+
+        async def hold(message):
+            await held.wait()
+            return {"type": "held"}
+
+        connection, transport = rpc._ServerConnection(RpcServer({"hold": hold})), EndedTransport()
+        connection.connection_made(transport)
+        for number in range(10):
+            connection.data_received(encode({"v": rpc.PROTOCOL_VERSION, "n": number, "m": {"type": "hold"}}))
+        held.set()
+        await asyncio.gather(*connection._tasks)
+        return transport.written
+
+    assert asyncio.run(scene()) == 1
+
+
+def test_a_call_on_a_connection_that_has_ended_fails_at_once():
+    async def scene():
+        connection, transport = rpc._ClientConnection(), EndedTransport()
+        connection.connection_made(transport)
+        transport.written = 1
+        with pytest.raises(RpcError) as caught:
+            await asyncio.wait_for(connection.call({"type": "echo"}), SHORT_S)
+        return kind_of(caught), transport.written
+
+    assert asyncio.run(scene()) == ("closed", 1)
--- a/tests/controlplane/test_storage.py
+++ b/tests/controlplane/test_storage.py
@@ -122,6 +122,38 @@
     assert asyncio.run(scene()) is True
 
 
+def test_a_disk_that_answers_nothing_for_long_has_new_jobs_refused_until_it_is_back(tmp_path):
+    import threading
+
+    now_s = [100.0]
+    begun, go_on = threading.Event(), threading.Event()
+    storage = Storage(tmp_path / "data", log=lambda text: None, clock=lambda: now_s[0])
+
+    def stall(connection):
+        begun.set()
+        return go_on.wait(10)
+
+    async def scene():
+        slow = asyncio.ensure_future(storage.transact(stall))
+        await asyncio.to_thread(begun.wait, 10)
+        now_s[0] += storage_module.MOST_COMMIT_S
+        patient = asyncio.ensure_future(storage.write(put("patient")))
+        await asyncio.sleep(0)
+        now_s[0] += 0.1
+        with pytest.raises(StorageFailed, match="does not answer"):
+            await storage.write(put("late"))
+        go_on.set()
+        await asyncio.gather(slow, patient)
+        await storage.write(put("after"))
+        return await storage.query("SELECT name FROM meta WHERE name IN ('patient', 'late', 'after') ORDER BY name")
+
+    try:
+        assert asyncio.run(scene()) == [("after",), ("patient",)]
+    finally:
+        go_on.set()
+        storage.close()
+
+
 def test_too_many_waiting_jobs_are_refused(storage, monkeypatch):
     monkeypatch.setattr(storage_module, "MOST_WAITING", 3)
 
