--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -1,7 +1,7 @@
 """The HTTP server for clients, on `http.server` with one thread per connection.
 
-The library accepts connections, runs their threads and knows the standard phrases. Its reading of requests is replaced:
-it neither bounds a head by the operator's limits nor rejects what could be read in two ways.
+The library accepts connections and hands them to handlers. Its reading of requests is replaced: it neither bounds a
+head by the operator's limits nor rejects what could be read in two ways.
 """
 
 import logging
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler, HTTPServer, ThreadingHTTPServer
 from typing import Any, cast
 
 from dewpin.cluster.configuration import (
@@ -27,6 +27,7 @@
 from .connection import ClientConnection, TooLarge
 from .http_parsing import MalformedRequest, RequestHead, parse_chunk_size, parse_head
 from .messages import Answer, BodyBroken, BodyStream, HeaderField, Request, own_answer, reason_phrase
+from .workers import Workers
 
 log = logging.getLogger(__name__)
 
@@ -147,14 +148,13 @@
             connection.close()
 
 
-class _Server(ThreadingHTTPServer):
+class _Server(HTTPServer):
     request_queue_size = LISTEN_BACKLOG
-    daemon_threads = True
-    block_on_close = False
 
     def __init__(self, address: tuple[str, int], ingress: Ingress) -> None:
         self.ingress = ingress
         self._queue_is_empty = False
+        self._workers = Workers(self._serve)
         super().__init__(address, _Handler)
 
     def server_bind(self) -> None:
@@ -191,7 +191,7 @@
     def process_request(self, request: Any, client_address: Any) -> None:
         """Serve a connection in a thread of its own."""
         try:
-            super().process_request(request, client_address)
+            self._workers.submit(request)
         except BaseException:
             self.ingress.drop_connection()
             raise
@@ -200,6 +200,12 @@
         """Log what went wrong with a connection."""
         log.exception("a connection could not be served")
 
+    def _serve(self, sock: socket.socket) -> None:
+        try:
+            self.finish_request(sock, None)
+        finally:
+            self.ingress.drop_connection()
+
 
 class _Handler(BaseHTTPRequestHandler):
     """Hands the socket to the ingress; the reading of the library is not used."""
@@ -209,11 +215,7 @@
 
     def handle(self) -> None:
         """Serve the connection."""
-        ingress = cast(_Server, self.server).ingress
-        try:
-            ingress.serve_connection(cast(socket.socket, self.request))
-        finally:
-            ingress.drop_connection()
+        cast(_Server, self.server).ingress.serve_connection(cast(socket.socket, self.request))
 
     def finish(self) -> None:
         """Do nothing: the ingress has closed the socket."""
--- /dev/null
+++ b/tests/dataplane/test_rough_receivers.py
@@ -0,0 +1,184 @@
+"""Receivers that reset, refuse, break off and send too much: whatever they do, the promises to clients hold."""
+
+import random
+import socket
+import threading
+import time
+from collections import Counter
+
+import pytest
+from dataplane.peers import (
+    END,
+    HOST,
+    PATIENCE_S,
+    SERVICE,
+    STREAM_FIELDS,
+    MemoryStore,
+    ScriptedReceiver,
+    chunk,
+    configuration,
+    head,
+    receivers,
+)
+
+from dewpin.dataplane.cluster_state import ClusterState
+from dewpin.dataplane.ingress import Ingress
+from dewpin.dataplane.request_path import RequestPath
+
+CLIENTS = 6
+REQUESTS = 40
+EVENTS = 4
+PROMISES = {408, 421, 429, 503}
+
+
+class RoughReceiver:
+    """A receiver that misbehaves by a seeded draw and notes which requests it ran."""
+
+    def __init__(self, id, seed, kind):
+        self._random = random.Random(f"{seed}/{id}")
+        self._lock = threading.Lock()
+        self._kind = kind
+        self.ran = Counter()
+        self.scripted = ScriptedReceiver(self._answer, id=id, capacity=8)
+
+    def _answer(self, connection, request):
+        with self._lock:
+            drawn = self._random.random()
+            place = self._random.random()
+        if drawn < 0.15:
+            connection.send(head(request, "503 Full", "X-Dewpin-Not-Executed: 1", "Content-Length: 0") + b"\r\n")
+            return False
+        if drawn < 0.2:
+            connection.reset()
+            return True
+        self.ran[request.id] += 1
+        answer = self._whole(request)
+        if drawn < 0.3:
+            connection.send(answer[: int(len(answer) * place)])
+            return True
+        if drawn < 0.35:
+            connection.send(answer[: int(len(answer) * place)])
+            connection.reset()
+            return True
+        if drawn < 0.4:
+            connection.send(b"bytes that are no answer\r\n\r\n")
+            return True
+        if drawn < 0.45:
+            connection.send(answer + answer)
+            return False
+        if drawn < 0.5:
+            connection.send(answer + b"too much")
+            return False
+        if drawn < 0.55:
+            connection.send(head(request, "500 Internal Server Error", "Content-Length: 2") + b"\r\nno")
+            return False
+        connection.send(answer)
+        return False
+
+    def _whole(self, request):
+        if self._kind != "stream":
+            return head(request, "200 OK", "Content-Length: 64") + b"\r\n" + request.id.encode().ljust(64)
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        events = b"".join(chunk(event_of(request.id, number)) for number in range(first, EVENTS + 1))
+        return head(request, "200 OK", *STREAM_FIELDS) + b"\r\n" + events + END
+
+
+def event_of(request_id, number):
+    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+
+
+class Client(threading.Thread):
+    """Sends requests on connections that are kept as long as they last, and notes what came back."""
+
+    def __init__(self, address, name):
+        super().__init__(daemon=True)
+        self._address = address
+        self._name = name
+        self._reader = None
+        self.answers = {}
+
+    def run(self):
+        for number in range(REQUESTS):
+            request_id = f"{self._name}-{number}"
+            try:
+                self.answers[request_id] = self._ask(request_id)
+            except (OSError, EOFError):
+                self.answers[request_id] = (0, {}, b"")
+                self._reader = None
+
+    def _ask(self, request_id):
+        if self._reader is None:
+            self._socket = socket.create_connection(self._address, PATIENCE_S)
+            self._reader = self._socket.makefile("rb")
+        lines = [f"POST /work/{request_id} HTTP/1.1", f"Host: {HOST}", f"X-Dewpin-Request-Id: {request_id}"]
+        lines += ["Content-Length: 2", "X-Dewpin-Request-Deadline: 5000", "", "hi"]
+        self._socket.sendall("\r\n".join(lines).encode())
+        status = self._reader.readline()
+        if not status:
+            raise EOFError
+        headers = {}
+        while (line := self._reader.readline()) not in (b"\r\n", b""):
+            name, _, value = line.decode().strip().partition(": ")
+            headers[name.lower()] = value
+        return int(status.split()[1]), headers, self._read_body(headers)
+
+    def _read_body(self, headers):
+        if "transfer-encoding" not in headers:
+            return self._reader.read(int(headers["content-length"]))
+        body = b""
+        while True:
+            line = self._reader.readline()
+            if not line:
+                raise EOFError
+            data = self._reader.read(int(line, 16) + 2)
+            if line == b"0\r\n":
+                return body
+            body += data[:-2]
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    ("kind", "resumable"), [("idempotent", False), ("non_idempotent", False), ("stream", False), ("stream", True)]
+)
+def test_promises_hold_whatever_receivers_do(kind, resumable, seed):
+    rough = [RoughReceiver(f"i-{number}", seed, kind) for number in range(3)]
+    with receivers(*(each.scripted for each in rough)) as listed:
+        given = configuration(kind=kind, retries=3, resumable=resumable)
+        state = ClusterState(given, {SERVICE: tuple(listed)})
+        # Pauses are left out; only the order of things matters here.
+        path = RequestPath(state, MemoryStore(), "here", time.monotonic, lambda pause_s: None, random.Random(seed))
+        ingress = Ingress(state, path.handle, accept_poll_s=0.01)
+        ingress.start(("127.0.0.1", 0))
+        clients = [Client(ingress.address, f"c{number}") for number in range(CLIENTS)]
+        for client in clients:
+            client.start()
+        for client in clients:
+            client.join(PATIENCE_S * 3)
+        assert ingress.stop(PATIENCE_S)
+        path.close()
+
+    answers = {request_id: answer for client in clients for request_id, answer in client.answers.items()}
+    assert len(answers) == CLIENTS * REQUESTS
+    ran = sum((each.ran for each in rough), Counter())
+    repeatable = kind == "idempotent" or resumable
+    for request_id, (status, headers, body) in answers.items():
+        check_answer(request_id, status, headers, body, kind)
+        if status in PROMISES:
+            assert ran[request_id] == 0
+        if not repeatable:
+            assert ran[request_id] <= 1
+    served = sum(status == 200 for status, _, _ in answers.values())
+    assert served > len(answers) * (0.7 if repeatable else 0.4)
+
+
+def check_answer(request_id, status, headers, body, kind):
+    if status == 200:
+        assert headers["x-dewpin-response-signature"] == f"signed-{request_id}"
+        if kind == "stream":
+            assert body == b"".join(event_of(request_id, number) for number in range(1, EVENTS + 1))
+        else:
+            assert body == request_id.encode().ljust(64)
+    elif "x-dewpin-response-signature" in headers:
+        assert status == 500
+    else:
+        assert status in (0, 502, 503, 504)
--- /dev/null
+++ b/tests/dataplane/test_workers.py
@@ -0,0 +1,50 @@
+"""Threads for connections: each socket is served once, and idle threads are used again."""
+
+import queue
+import socket
+import threading
+
+from dataplane.peers import PATIENCE_S
+
+from dewpin.dataplane.workers import Workers
+
+
+def sockets(number):
+    return [socket.socket() for _ in range(number)]
+
+
+def test_an_idle_thread_serves_the_next_socket():
+    served = queue.SimpleQueue()
+    workers = Workers(lambda sock: served.put((sock, threading.get_ident())))
+    threads = set()
+    for sock in sockets(20):
+        workers.submit(sock)
+        got, thread = served.get(timeout=PATIENCE_S)
+        assert got is sock
+        threads.add(thread)
+    assert len(threads) < 20
+
+
+def test_sockets_that_come_together_are_served_together():
+    barrier = threading.Barrier(8)
+    done = threading.Semaphore(0)
+
+    def serve(sock):
+        barrier.wait(PATIENCE_S)
+        done.release()
+
+    workers = Workers(serve)
+    for _ in range(3):
+        for sock in sockets(8):
+            workers.submit(sock)
+        for _ in range(8):
+            assert done.acquire(timeout=PATIENCE_S)
+
+
+def test_no_socket_is_lost_while_threads_end():
+    served = threading.Semaphore(0)
+    workers = Workers(lambda sock: served.release(), idle_s=0.0)
+    for sock in sockets(300):
+        workers.submit(sock)
+    for _ in range(300):
+        assert served.acquire(timeout=PATIENCE_S)
