Split the control process by concern; typed heartbeats, grants and news in place of maps

Heartbeats (heartbeat.py, heartbeat_messages.py), the service to senders (sender_service.py) and the upkeep of the register (register_upkeep.py) stand alone now; Keeper joins them. Relay watches were answered in two programs: cluster/relay_service.py serves both, with the messages of cluster/relay_messages.py. No change of behaviour, wire types as before. Names: hello and greet became heartbeat (HEARTBEAT_PERIOD_S, send_heartbeats).

--- a/benchmarks/capacity/design.py
+++ b/benchmarks/capacity/design.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from dewpin.cluster.netstring import encode
-from dewpin.controlplane.keeper import HELLO_PERIOD_S, WATCH_HEARTBEAT_S
+from dewpin.cluster.relay_service import WATCH_HEARTBEAT_S
+from dewpin.controlplane.heartbeat import HEARTBEAT_PERIOD_S
 from dewpin.controlplane.leases import LEASE_PERIODS, LEASE_ROUNDS, RELAY_FAN_OUT, LeaseTable
 from dewpin.controlplane.list_reader import READINGS_IN_DRAIN
 from dewpin.controlplane.reconfiguration import GONE_S, GONE_WITH_SUCCESSOR_S
@@ -16,7 +17,7 @@
     "CHAIN_CACHE_BYTES",
     "GONE_S",
     "GONE_WITH_SUCCESSOR_S",
-    "HELLO_PERIOD_S",
+    "HEARTBEAT_PERIOD_S",
     "LEASE_PERIODS",
     "LEASE_ROUNDS",
     "MOST_IN_COMMIT",
--- a/benchmarks/capacity/roles/control.py
+++ b/benchmarks/capacity/roles/control.py
@@ -29,7 +29,7 @@
     """Time of a change from its order to the last sender when nothing fails."""
     rounds = 2 * context.assumed.region_round_trip_ms / 1000
     register = context.at("register-change", context.routes) / MICROSECONDS
-    return register + rounds + design.HELLO_PERIOD_S + design.relay_depth(context.target.senders) * hop_s(context)
+    return register + rounds + design.HEARTBEAT_PERIOD_S + design.relay_depth(context.target.senders) * hop_s(context)
 
 
 def lease_rows(context: Context) -> list[Row]:
@@ -165,7 +165,8 @@
         context.row(
             "time of a change to the last sender, nothing failing",
             f"register-change + 2 rounds × {plain(assumed.region_round_trip_ms)} ms + a greeting "
-            f"({plain(design.HELLO_PERIOD_S)} s) + {depth} hops × (state-take + {design.RELAY_FAN_OUT} × state-send + "
+            f"({plain(design.HEARTBEAT_PERIOD_S)} s) + "
+            f"{depth} hops × (state-take + {design.RELAY_FAN_OUT} × state-send + "
             f"{plain(assumed.region_round_trip_ms / 2)} ms)",
             lambda: change_s(context),
             "s",
--- a/benchmarks/capacity/roles/store.py
+++ b/benchmarks/capacity/roles/store.py
@@ -215,12 +215,12 @@
 def hello_rows(context: Context) -> list[Row]:
     """What keepers say to each other when nothing happens; each greets all others."""
     keepers = context.assumed.stores + context.target.control_machines
-    rate = (keepers - 1) / design.HELLO_PERIOD_S
+    rate = (keepers - 1) / design.HEARTBEAT_PERIOD_S
     return [
         context.row(
             "greetings a second of each keeper, out and in",
             f"({context.assumed.stores} stores + {context.target.control_machines} − 1) / "
-            f"{plain(design.HELLO_PERIOD_S)} s",
+            f"{plain(design.HEARTBEAT_PERIOD_S)} s",
             lambda: rate,
             "1/s",
             KEEPER,
@@ -239,8 +239,8 @@
         ),
         context.row(
             "bytes of greetings at each keeper",
-            f"hello-bytes at {keepers} / {plain(design.HELLO_PERIOD_S)} s, asked and answered",
-            lambda: 2 * context.at("hello-bytes", keepers) / design.HELLO_PERIOD_S,
+            f"hello-bytes at {keepers} / {plain(design.HEARTBEAT_PERIOD_S)} s, asked and answered",
+            lambda: 2 * context.at("hello-bytes", keepers) / design.HEARTBEAT_PERIOD_S,
             "B/s",
             KEEPER,
         ),
--- /dev/null
+++ b/dewpin/cluster/relay_messages.py
@@ -0,0 +1,153 @@
+"""Messages between senders and those that tell them what is new: renewals of leases, and watches of the relay tree."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, cast
+
+from .receivers import DirectoryVersion, Receiver, receiver_from_record
+from .rpc import Message
+
+LEASE_RENEW = "lease.renew"
+LEASE_RELEASE = "lease.release"
+RELAY_WATCH = "relay.watch"
+
+StateJson = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class RenewRequest:
+    """A sender asks for its lease. `receivers_version`: of the list of receivers that it holds."""
+
+    sender: str
+    address: str
+    zone: str
+    receivers_version: DirectoryVersion
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        return {
+            "type": LEASE_RENEW,
+            "sender": self.sender,
+            "address": self.address,
+            "zone": self.zone,
+            "receivers_version": self.receivers_version,
+        }
+
+    @classmethod
+    def decode(cls, message: Message) -> RenewRequest:
+        """The request of a message. KeyError, TypeError or ValueError if it is none."""
+        return cls(
+            sender=str(message["sender"]),
+            address=str(message["address"]),
+            zone=str(message["zone"]),
+            receivers_version=directory_version(message["receivers_version"]),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGrant:
+    """A lease for `duration_s`, with the versions that the grantor holds, the sender's parents in the relay tree (the
+    nearest first), the addresses of the control processes and the number of live senders."""
+
+    duration_s: float
+    state_version: int
+    receivers_version: DirectoryVersion
+    list_age_s: float
+    parents: tuple[str, ...]
+    control_addresses: tuple[str, ...]
+    senders: int
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        return {
+            "type": "lease.granted",
+            "duration_s": self.duration_s,
+            "state_version": self.state_version,
+            "receivers_version": self.receivers_version,
+            "list_age_s": self.list_age_s,
+            "parents": self.parents,
+            "keepers": self.control_addresses,
+            "senders": self.senders,
+        }
+
+    @classmethod
+    def decode(cls, message: Message) -> LeaseGrant:
+        """The grant of a message. KeyError, TypeError or ValueError if it is none."""
+        return cls(
+            duration_s=float(message["duration_s"]),
+            state_version=int(message["state_version"]),
+            receivers_version=directory_version(message["receivers_version"]),
+            list_age_s=float(message["list_age_s"]),
+            parents=tuple(str(parent) for parent in message["parents"]),
+            control_addresses=tuple(str(address) for address in message["keepers"]),
+            senders=int(message["senders"]),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class WatchRequest:
+    """Asks for what is newer than these versions. `waits`: without news, the answer comes with the next one."""
+
+    state_version: int
+    receivers_version: DirectoryVersion
+    waits: bool
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        return {
+            "type": RELAY_WATCH,
+            "state_version": self.state_version,
+            "receivers_version": self.receivers_version,
+            "wait": self.waits,
+        }
+
+    @classmethod
+    def decode(cls, message: Message) -> WatchRequest:
+        """The request of a message. KeyError, TypeError or ValueError if it is none."""
+        return cls(
+            state_version=int(message["state_version"]),
+            receivers_version=directory_version(message["receivers_version"]),
+            waits=bool(message.get("wait", True)),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RelayNews:
+    """The answer to a watch. `state` and `receivers` are there if newer than asked for; `receivers_version` and
+    `list_age_s` are those of whoever answers."""
+
+    receivers_version: DirectoryVersion
+    list_age_s: float
+    state: StateJson | None = None
+    receivers: tuple[Receiver, ...] | None = None
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        message: Message = {
+            "type": "relay.news",
+            "receivers_version": self.receivers_version,
+            "list_age_s": self.list_age_s,
+        }
+        if self.state is not None:
+            message["state"] = self.state
+        if self.receivers is not None:
+            message["receivers"] = [receiver.record() for receiver in self.receivers]
+        return message
+
+    @classmethod
+    def decode(cls, message: Message) -> RelayNews:
+        """The news of a message. KeyError, TypeError or ValueError if it is none."""
+        receivers = message.get("receivers")
+        return cls(
+            receivers_version=directory_version(message["receivers_version"]),
+            list_age_s=float(message["list_age_s"]),
+            state=message.get("state"),
+            receivers=None if receivers is None else tuple(receiver_from_record(record) for record in receivers),
+        )
+
+
+def directory_version(pair: object) -> DirectoryVersion:
+    """The version of a directory from its form on the wire. TypeError or ValueError if it is none."""
+    counter, reader = cast(tuple[int, str], pair)
+    return DirectoryVersion(int(counter), str(reader))
--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -32,7 +32,7 @@
     def on_synced(epoch: int) -> None:
         nonlocal synced
         synced = max(synced, epoch)
-        keeper.greet_everyone()
+        keeper.send_heartbeats()
 
     store = Store(storage, storage.incarnation, settings.fault_tolerance.replica_count)
     sync = StoreSync(store, client, on_synced)
--- /dev/null
+++ b/dewpin/controlplane/sender_service.py
@@ -0,0 +1,101 @@
+"""What a control process does for senders: it grants their leases and answers their watches."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from dewpin.cluster.relay_messages import (
+    LEASE_RELEASE,
+    LEASE_RENEW,
+    RELAY_WATCH,
+    LeaseGrant,
+    RenewRequest,
+    StateJson,
+)
+from dewpin.cluster.relay_service import RelayedKnowledge, RelayService
+from dewpin.cluster.rpc import Handler, Message
+
+from .leases import LeaseTable
+from .list_reader import ListReader
+from .peers import PeerTable
+from .register import SystemRegister
+from .system_state import SystemState
+
+CONTROL_KNOWN_S = 5.0
+
+
+class SenderService:
+    """Leases, and news down the relay tree."""
+
+    def __init__(
+        self,
+        leases: LeaseTable,
+        register: SystemRegister,
+        receivers: ListReader,
+        peers: PeerTable,
+        clock: Callable[[], float],
+    ) -> None:
+        self._leases = leases
+        self._register = register
+        self._receivers = receivers
+        self._peers = peers
+        self._clock = clock
+        self._relay = RelayService(self._knowledge)
+        self._relayed: tuple[SystemState, StateJson] | None = None
+
+    @property
+    def handlers(self) -> dict[str, Handler]:
+        """The handlers of senders' messages, by type."""
+        return {
+            LEASE_RENEW: self._handle_renew,
+            LEASE_RELEASE: self._handle_release,
+            RELAY_WATCH: self._relay.handle_watch,
+        }
+
+    def announce(self) -> None:
+        """Tells the senders that wait that there is something new."""
+        self._relay.announce()
+
+    async def _handle_renew(self, message: Message) -> Message:
+        request = RenewRequest.decode(message)
+        now_s = self._clock()
+        control_addresses = self._control_addresses()
+        grantors = len(control_addresses)
+        self._leases.renew(request.sender, request.address, request.zone, now_s, grantors)
+        self._receivers.directory.note_version(request.receivers_version)
+        state = self._register.chosen
+        grant = LeaseGrant(
+            duration_s=self._leases.duration_s(grantors),
+            state_version=state["version"] if state is not None else -1,
+            receivers_version=self._receivers.directory.version,
+            list_age_s=self._receivers.age_s(),
+            parents=tuple(self._leases.parents(request.sender, now_s)),
+            control_addresses=control_addresses,
+            senders=len(self._leases.live(now_s)),
+        )
+        return grant.encode()
+
+    async def _handle_release(self, message: Message) -> Message:
+        self._leases.release(str(message["sender"]))
+        return {"type": "lease.released"}
+
+    def _control_addresses(self) -> tuple[str, ...]:
+        now_s = self._clock()
+        live = [
+            peer.address
+            for peer in self._peers.peers.values()
+            if peer.control and peer.silent_s(now_s) < CONTROL_KNOWN_S
+        ]
+        return tuple(sorted({self._register.address, *live}))
+
+    def _knowledge(self) -> RelayedKnowledge:
+        return RelayedKnowledge(self._state_for_senders(), self._receivers.directory, self._receivers.age_s())
+
+    def _state_for_senders(self) -> StateJson | None:
+        """The chosen state without the orders that were taken before: senders have no use for them."""
+        state = self._register.chosen
+        if state is None:
+            return None
+        if self._relayed is None or self._relayed[0] is not state:
+            self._relayed = state, {name: value for name, value in state.items() if name != "accepted"}
+        return self._relayed[1]
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -7,16 +7,24 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import random
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, cast
 
 from dewpin.cluster.platform_list import PlatformUnavailable, ReadsPlatform, ThreadedPlatformReader
 from dewpin.cluster.ports import control_plane_address, data_plane_address
-from dewpin.cluster.receivers import DirectoryVersion, ReceiverDirectory, receiver_from_record
+from dewpin.cluster.receivers import DirectoryVersion, ReceiverDirectory
+from dewpin.cluster.relay_messages import (
+    LEASE_RELEASE,
+    RELAY_WATCH,
+    LeaseGrant,
+    RelayNews,
+    RenewRequest,
+    StateJson,
+    WatchRequest,
+)
+from dewpin.cluster.relay_service import RelayedKnowledge, RelayService
 from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
 from dewpin.cluster.settings import Settings
 from dewpin.cluster.settings_watch import reloaded
@@ -31,7 +39,6 @@
 """A sender that has missed so many renewals in a row takes itself for cut off."""
 RENEW_TIMEOUT_S = 0.35
 WATCH_TIMEOUT_S = 1.7
-WATCH_HEARTBEAT_S = 1.0
 WATCH_RETRY_S = 0.05
 FAULT_PAUSE_S = 0.5
 PARENT_SHUN_S = 3.0
@@ -42,8 +49,6 @@
 SHORTEST_PAUSE_S = 0.02
 UNKNOWN_AGE_S = 1e9
 
-SystemStateJson = dict[str, Any]
-
 
 class ClusterAgent:
     """Keeps a sender's view of the cluster. Callbacks run on the agent's loop."""
@@ -53,7 +58,7 @@
         settings: Settings,
         client: RpcClient,
         rng: random.Random,
-        on_state: Callable[[SystemStateJson], None],
+        on_state: Callable[[StateJson], None],
         on_receivers: Callable[[ReceiverDirectory], None],
         clock: Callable[[], float] = time.monotonic,
         platform: ReadsPlatform | None = None,
@@ -62,7 +67,7 @@
         self.settings = settings
         self.address = data_plane_address(settings.ip, settings.port_range)
         self.sender = f"{settings.node_name}/{rng.getrandbits(48):012x}"
-        self.state: SystemStateJson | None = None
+        self.state: StateJson | None = None
         self.directory = ReceiverDirectory()
         self._lease_renewed_s = float("-inf")
         self.senders = 0
@@ -80,13 +85,13 @@
         self._shared_list_read_s = float("-inf")
         self._own_list_read_s = float("-inf")
         self._own_reading_began_s = float("-inf")
-        self._changed = asyncio.Event()
+        self._relay = RelayService(self._relayed_knowledge)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def handlers(self) -> dict[str, Handler]:
         """What this sender answers to its children in the relay tree."""
-        return {"relay.watch": self._handle_watch}
+        return {RELAY_WATCH: self._relay.handle_watch}
 
     def start(self) -> None:
         """Begins to renew the lease and to follow the relay tree. Called on the agent's loop."""
@@ -105,7 +110,7 @@
         """Gives the lease up, at all that grant it."""
         for task in self._tasks:
             task.cancel()
-        message: Message = {"type": "lease.release", "sender": self.sender}
+        message: Message = {"type": LEASE_RELEASE, "sender": self.sender}
         calls = [self._client.call(keeper, message, RENEW_TIMEOUT_S) for keeper in self._keepers.all()]
         await asyncio.gather(*calls, return_exceptions=True)
 
@@ -136,20 +141,14 @@
 
     async def _renew(self, keeper: str) -> bool:
         """Renews the lease at one keeper and asks it for what it has newer; whether it answered."""
-        message: Message = {
-            "type": "lease.renew",
-            "sender": self.sender,
-            "address": self.address,
-            "zone": self.settings.zone,
-            "receivers_version": self.directory.version,
-        }
+        request = RenewRequest(self.sender, self.address, self.settings.zone, self.directory.version)
         try:
-            answer = await self._client.call(keeper, message, RENEW_TIMEOUT_S)
-            self._take_lease(answer)
-            if self._is_behind(answer):
+            grant = LeaseGrant.decode(await self._client.call(keeper, request.encode(), RENEW_TIMEOUT_S))
+            self._take_lease(grant)
+            if self._is_behind(grant):
                 await self._fetch(keeper)
             else:
-                self._note_age(answer)
+                self._note_age(grant.receivers_version, grant.list_age_s)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
             self._keepers.failed(keeper, self._clock())
             log.debug("lease.not_renewed", extra={"keeper": keeper, "why": repr(fault)})
@@ -157,21 +156,24 @@
         self._keepers.answered(keeper, self._clock())
         return True
 
-    def _take_lease(self, answer: Message) -> None:
-        self._keepers.named([str(address) for address in answer["keepers"]], self._clock())
-        self._parents = [str(parent) for parent in answer["parents"]]
-        senders = self._sender_count.told(int(answer["senders"]), float(answer["duration_s"]), self._clock())
+    def _take_lease(self, grant: LeaseGrant) -> None:
+        self._keepers.named(grant.control_addresses, self._clock())
+        self._parents = list(grant.parents)
+        senders = self._sender_count.told(grant.senders, grant.duration_s, self._clock())
         if senders != self.senders:
             self.senders = senders
             self._on_senders(senders)
         self._lease_renewed_s = self._clock()
 
-    def _is_behind(self, answer: Message) -> bool:
-        version = self.state["version"] if self.state is not None else -1
-        return int(answer["state_version"]) > version or _version(answer["receivers_version"]) > self.directory.version
+    def _state_version(self) -> int:
+        return int(self.state["version"]) if self.state is not None else -1
+
+    def _is_behind(self, grant: LeaseGrant) -> bool:
+        return grant.state_version > self._state_version() or grant.receivers_version > self.directory.version
 
     async def _fetch(self, keeper: str) -> None:
-        self._take_news(await self._client.call(keeper, self._watch_message(wait=False), WATCH_TIMEOUT_S))
+        answer = await self._client.call(keeper, self._watch_request(waits=False).encode(), WATCH_TIMEOUT_S)
+        self._take_news(RelayNews.decode(answer))
 
     def _seed_addresses(self) -> list[str]:
         ports = self.settings.port_range
@@ -182,8 +184,8 @@
     async def _watch(self) -> None:
         source = self._watch_source()
         try:
-            news = await self._client.call(source, self._watch_message(wait=True), WATCH_TIMEOUT_S)
-            self._take_news(news)
+            answer = await self._client.call(source, self._watch_request(waits=True).encode(), WATCH_TIMEOUT_S)
+            self._take_news(RelayNews.decode(answer))
         except (RpcError, KeyError, TypeError, ValueError) as fault:
             self._shunned_until_s[source] = self._clock() + PARENT_SHUN_S
             log.debug("relay.parent_failed", extra={"parent": source, "why": repr(fault)})
@@ -195,61 +197,30 @@
         sources = [*self._parents, *self._keepers.usable(now_s), *self._keepers.all()]
         return next((one for one in sources if one not in self._shunned_until_s), sources[-1])
 
-    def _watch_message(self, wait: bool) -> Message:
-        return {
-            "type": "relay.watch",
-            "state_version": self.state["version"] if self.state is not None else -1,
-            "receivers_version": self.directory.version,
-            "wait": wait,
-        }
+    def _watch_request(self, waits: bool) -> WatchRequest:
+        return WatchRequest(self._state_version(), self.directory.version, waits)
 
-    def _take_news(self, news: Message) -> None:
+    def _take_news(self, news: RelayNews) -> None:
         changed = False
-        state = news.get("state")
-        if state is not None and (self.state is None or state["version"] > self.state["version"]):
-            self.state = state
-            self._on_state(state)
+        if news.state is not None and news.state["version"] > self._state_version():
+            self.state = news.state
+            self._on_state(news.state)
+            changed = True
+        if news.receivers is not None and self.directory.take_copy(news.receivers_version, news.receivers):
+            self._shared_list_read_s = self._clock() - news.list_age_s
+            self._on_receivers(self.directory)
             changed = True
-        if "receivers" in news:
-            receivers = [receiver_from_record(record) for record in news["receivers"]]
-            if self.directory.take_copy(_version(news["receivers_version"]), receivers):
-                self._shared_list_read_s = self._clock() - float(news["list_age_s"])
-                self._on_receivers(self.directory)
-                changed = True
-        self._note_age(news)
+        self._note_age(news.receivers_version, news.list_age_s)
         if changed:
-            self._announce()
+            self._relay.announce()
 
-    def _note_age(self, answer: Message) -> None:
+    def _note_age(self, version: DirectoryVersion, list_age_s: float) -> None:
         """Takes the age of another's list, if that is of the version held here: else its content may be missing."""
-        if _version(answer["receivers_version"]) == self.directory.version:
-            read_s = self._clock() - float(answer["list_age_s"])
-            self._shared_list_read_s = max(self._shared_list_read_s, read_s)
-
-    def _announce(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    async def _handle_watch(self, message: Message) -> Message:
-        state_version = int(message["state_version"])
-        receivers_version = _version(message["receivers_version"])
-        if not self._has_news(state_version, receivers_version):
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), WATCH_HEARTBEAT_S)
-        news: Message = {
-            "type": "relay.news",
-            "receivers_version": self.directory.version,
-            "list_age_s": self._shared_list_age_s(),
-        }
-        if self.state is not None and self.state["version"] > state_version:
-            news["state"] = self.state
-        if self.directory.version > receivers_version:
-            news["receivers"] = self.directory.records()
-        return news
-
-    def _has_news(self, state_version: int, receivers_version: DirectoryVersion) -> bool:
-        newer_state = self.state is not None and self.state["version"] > state_version
-        return newer_state or self.directory.version > receivers_version
+        if version == self.directory.version:
+            self._shared_list_read_s = max(self._shared_list_read_s, self._clock() - list_age_s)
+
+    def _relayed_knowledge(self) -> RelayedKnowledge:
+        return RelayedKnowledge(self.state, self.directory, self._shared_list_age_s())
 
     # The list, where no keeper can give it in time
 
@@ -293,8 +264,3 @@
         except Exception:
             log.exception("agent.step_failed", extra={"step": getattr(step, "__name__", "")})
             await asyncio.sleep(FAULT_PAUSE_S)
-
-
-def _version(pair: object) -> DirectoryVersion:
-    counter, reader = cast(tuple[int, str], pair)
-    return DirectoryVersion(int(counter), str(reader))
--- a/tests/controlplane/test_keeper.py
+++ b/tests/controlplane/test_keeper.py
@@ -9,8 +9,9 @@
 
 from dewpin.cluster.platform_list import PlatformUnavailable
 from dewpin.cluster.receivers import Receiver
+from dewpin.cluster.relay_service import WATCH_HEARTBEAT_S
 from dewpin.cluster.settings import parse_settings
-from dewpin.controlplane import keeper as keeper_module
+from dewpin.controlplane.heartbeat import HEARTBEAT_PERIOD_S
 from dewpin.controlplane.keeper import Keeper
 from dewpin.controlplane.register import RegisterUnavailable
 from dewpin.controlplane.system_state import put_configuration, start_retirement
@@ -105,7 +106,7 @@
 
         def done():
             keeper.synced_epoch = lambda: epoch
-            keeper.greet_everyone()
+            keeper.send_heartbeats()
 
         asyncio.get_running_loop().call_later(0.1, done)
 
@@ -446,10 +447,10 @@
         assert "state" not in quiet and "receivers" not in quiet
         return clock() - began_s
 
-    assert play(scene) == pytest.approx(keeper_module.WATCH_HEARTBEAT_S)
+    assert play(scene) == pytest.approx(WATCH_HEARTBEAT_S)
 
 
-def test_hellos_and_nothing_else_are_sent_in_calm_times():
+def test_heartbeats_and_nothing_else_are_sent_in_calm_times():
     async def scene(world):
         await world.put(1, 7, 0)
         await listed(world)
@@ -460,4 +461,4 @@
 
     kinds, calls = play(scene)
     assert kinds == {"keeper.hello"}
-    assert calls <= 6 * 10.0 / keeper_module.HELLO_PERIOD_S * 1.2
+    assert calls <= 6 * 10.0 / HEARTBEAT_PERIOD_S * 1.2
--- a/tests/dataplane/test_cluster_agent.py
+++ b/tests/dataplane/test_cluster_agent.py
@@ -9,9 +9,10 @@
 
 from dewpin.cluster.platform_list import PlatformUnavailable
 from dewpin.cluster.receivers import DirectoryVersion, Receiver, ReceiverDirectory
+from dewpin.cluster.relay_service import WATCH_HEARTBEAT_S
 from dewpin.cluster.rpc import RpcError
 from dewpin.cluster.settings import parse_settings
-from dewpin.dataplane.cluster_agent import WATCH_HEARTBEAT_S, ClusterAgent
+from dewpin.dataplane.cluster_agent import ClusterAgent
 
 APPLY_S = 2.0
 DRAIN_S = 3.0
