--- a/dewpin/cluster/relay_messages.py
+++ b/dewpin/cluster/relay_messages.py
@@ -48,7 +48,11 @@
 @dataclass(frozen=True, slots=True)
 class LeaseGrant:
     """A lease for `duration_s`, with the versions that the grantor holds, the sender's parents in the relay tree (the
-    nearest first), the addresses of the control processes and the number of live senders."""
+    nearest first), the addresses of the control processes and the number of live senders.
+
+    `knowledge_age_s`: how long ago a majority has confirmed the grantor's state as the newest, as of the answer;
+    earlier releases tell none and count as current.
+    """
 
     duration_s: float
     state_version: int
@@ -57,6 +61,7 @@
     parents: tuple[str, ...]
     control_addresses: tuple[str, ...]
     senders: int
+    knowledge_age_s: float = 0.0
 
     def encode(self) -> Message:
         """The form on the wire."""
@@ -69,6 +74,7 @@
             "parents": self.parents,
             "keepers": self.control_addresses,
             "senders": self.senders,
+            "knowledge_age_s": self.knowledge_age_s,
         }
 
     @classmethod
@@ -82,6 +88,7 @@
             parents=tuple(str(parent) for parent in message["parents"]),
             control_addresses=tuple(str(address) for address in message["keepers"]),
             senders=int(message["senders"]),
+            knowledge_age_s=float(message.get("knowledge_age_s", 0.0)),
         )
 
 
@@ -114,11 +121,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayNews:
-    """The answer to a watch. `state` and `receivers` are there if newer than asked for; `receivers_version` and
-    `list_age_s` are those of whoever answers."""
+    """The answer to a watch. `state` and `receivers` are there if newer than asked for; `receivers_version`,
+    `list_age_s` and `knowledge_age_s` (as in a grant) are those of whoever answers."""
 
     receivers_version: DirectoryVersion
     list_age_s: float
+    knowledge_age_s: float = 0.0
     state: StateJson | None = None
     receivers: tuple[Receiver, ...] | None = None
 
@@ -128,6 +136,7 @@
             "type": "relay.news",
             "receivers_version": self.receivers_version,
             "list_age_s": self.list_age_s,
+            "knowledge_age_s": self.knowledge_age_s,
         }
         if self.state is not None:
             message["state"] = self.state
@@ -142,6 +151,7 @@
         return cls(
             receivers_version=directory_version(message["receivers_version"]),
             list_age_s=float(message["list_age_s"]),
+            knowledge_age_s=float(message.get("knowledge_age_s", 0.0)),
             state=message.get("state"),
             receivers=None if receivers is None else tuple(receiver_from_record(record) for record in receivers),
         )
--- a/dewpin/cluster/relay_service.py
+++ b/dewpin/cluster/relay_service.py
@@ -1,4 +1,6 @@
-"""Answers the watches of the relay tree: at once where there is news for the caller, else with the next news."""
+"""Answers the watches of the relay tree: at once where there is news for the caller, else with the next news.
+
+Whoever has been without a majority's word for too long passes nothing on: its callers are to ask another."""
 
 from __future__ import annotations
 
@@ -7,20 +9,24 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .errors import ErrorKind
 from .receivers import ReceiverDirectory
 from .relay_messages import RelayNews, StateJson, WatchRequest
-from .rpc import Message
+from .rpc import Message, RpcError
 
 WATCH_HEARTBEAT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class RelayedKnowledge:
-    """What a process passes on: the newest system state, the receivers, and how old their list is."""
+    """What a process passes on: the newest system state, the receivers, and how old their list is. `age_s`: how long
+    ago a majority has confirmed the state as the newest; `is_current`: whether that is short enough to pass it on."""
 
     state: StateJson | None
     directory: ReceiverDirectory
     list_age_s: float
+    age_s: float
+    is_current: bool
 
 
 class RelayService:
@@ -36,12 +42,18 @@
         self._changed = asyncio.Event()
 
     async def handle_watch(self, message: Message) -> Message:
-        """Answers with news, or after a heartbeat without."""
+        """Answers with news, or after a heartbeat without. RpcError where what is known here is not current."""
         request = WatchRequest.decode(message)
-        if request.waits and not _has_news(self._knowledge(), request):
+        if request.waits and not _has_news(self._current_knowledge(), request):
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), WATCH_HEARTBEAT_S)
-        return _news(self._knowledge(), request).encode()
+        return _news(self._current_knowledge(), request).encode()
+
+    def _current_knowledge(self) -> RelayedKnowledge:
+        knowledge = self._knowledge()
+        if not knowledge.is_current:
+            raise RpcError(ErrorKind.NO_QUORUM, "no majority has confirmed what is known here")
+        return knowledge
 
 
 def _is_newer(state: StateJson | None, version: int) -> bool:
@@ -59,6 +71,7 @@
     return RelayNews(
         receivers_version=directory.version,
         list_age_s=knowledge.list_age_s,
+        knowledge_age_s=knowledge.age_s,
         state=knowledge.state if _is_newer(knowledge.state, request.state_version) else None,
         receivers=tuple(directory.receivers.values()) if has_receivers else None,
     )
--- a/dewpin/controlplane/heartbeat.py
+++ b/dewpin/controlplane/heartbeat.py
@@ -12,6 +12,7 @@
 
 from .heartbeat_messages import ChosenState, Heartbeat, HeartbeatAnswer
 from .list_reader import ListReader
+from .majority_contact import RegisterConfirmation
 from .peers import Peer, PeerRecord, PeerTable
 from .register import SystemRegister
 
@@ -37,6 +38,7 @@
         self,
         own: LocalProcess,
         register: SystemRegister,
+        confirmation: RegisterConfirmation,
         receivers: ListReader,
         client: RpcClient,
         clock: Callable[[], float],
@@ -45,6 +47,7 @@
         self.peers = PeerTable()
         self._own = own
         self._register = register
+        self._confirmation = confirmation
         self._receivers = receivers
         self._client = client
         self._clock = clock
@@ -91,9 +94,10 @@
 
     async def _call(self, address: str) -> None:
         heartbeat = Heartbeat(self._own.record(), self._receivers.directory.version)
+        asked_s = self._clock()
         try:
             answer = await self._client.call(address, heartbeat.encode(), HEARTBEAT_TIMEOUT_S)
-            self._take(HeartbeatAnswer.decode(answer))
+            self._take(HeartbeatAnswer.decode(answer), asked_s)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
             log.debug("heartbeat.failed", extra={"address": address, "why": repr(fault)})
 
@@ -107,6 +111,7 @@
             sender=self._own.record(),
             receivers_version=directory.version,
             list_age_s=self._receivers.age_s(),
+            accepted_version=self._register.durable_version,
             chosen=chosen,
             receivers=tuple(directory.receivers.values()) if has_newer_list else None,
         )
@@ -116,11 +121,14 @@
         version = state["version"] if state is not None else -1
         return peer.version > version or receivers_version > self._receivers.directory.version
 
-    def _take(self, answer: HeartbeatAnswer) -> None:
-        self.peers.hear(answer.sender, self._clock())
+    def _take(self, answer: HeartbeatAnswer, asked_s: float) -> None:
+        """Takes an answer. The age that it tells counts from when it was asked: counted from its arrival, two processes
+        that tell each other would make their lists younger by the time that their answers travel, again and again."""
+        peer = self.peers.hear(answer.sender, self._clock())
         if answer.chosen is not None:
             self._register.observe(answer.chosen.ballot, answer.chosen.state)
-        version, age_s = answer.receivers_version, answer.list_age_s
-        if answer.receivers is not None and self._receivers.take_copy(version, answer.receivers, age_s):
+        self._confirmation.answered(peer.id, asked_s, answer.accepted_version)
+        version, read_s = answer.receivers_version, asked_s - answer.list_age_s
+        if answer.receivers is not None and self._receivers.take_copy(version, answer.receivers, read_s):
             self._on_receivers()
-        self._receivers.note_age(version, age_s)
+        self._receivers.note_read(version, read_s)
--- a/dewpin/controlplane/heartbeat_messages.py
+++ b/dewpin/controlplane/heartbeat_messages.py
@@ -45,11 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HeartbeatAnswer:
-    """The other process's own record, and what the caller lacks: `chosen` and `receivers` are there if newer."""
+    """The other process's own record, and what the caller lacks: `chosen` and `receivers` are there if newer.
+
+    `accepted_version`: of the newest value that its replica holds durably, chosen or not; earlier releases tell none.
+    """
 
     sender: PeerRecord
     receivers_version: DirectoryVersion
     list_age_s: float
+    accepted_version: int | None = None
     chosen: ChosenState | None = None
     receivers: tuple[Receiver, ...] | None = None
 
@@ -60,6 +64,7 @@
             "from": self.sender,
             "receivers_version": self.receivers_version,
             "list_age_s": self.list_age_s,
+            "accepted_version": self.accepted_version,
         }
         if self.chosen is not None:
             message["state"] = self.chosen.state
@@ -74,11 +79,12 @@
         chosen = None
         if "state" in message:
             chosen = ChosenState(cast(SystemState, message["state"]), ballot_from_json(message["ballot"]))
-        receivers = message.get("receivers")
+        receivers, accepted = message.get("receivers"), message.get("accepted_version")
         return cls(
             sender=cast(PeerRecord, message["from"]),
             receivers_version=directory_version(message["receivers_version"]),
             list_age_s=float(message["list_age_s"]),
+            accepted_version=None if accepted is None else int(accepted),
             chosen=chosen,
             receivers=None if receivers is None else tuple(receiver_from_record(record) for record in receivers),
         )
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -17,13 +17,14 @@
 from dewpin.cluster.platform_list import ReadsPlatform
 from dewpin.cluster.ports import control_plane_address
 from dewpin.cluster.rpc import Handler, RpcClient
-from dewpin.cluster.settings import Settings
+from dewpin.cluster.settings import Bounds, Settings
 from dewpin.cluster.settings_watch import reloaded
 
 from .heartbeat import HEARTBEAT_PERIOD_S, HeartbeatExchange, LocalProcess
 from .heartbeat_messages import HEARTBEAT
 from .leases import LeaseTable
 from .list_reader import ListReader
+from .majority_contact import RegisterConfirmation
 from .peers import Peer, PeerRecord
 from .register import SystemRegister, WritesRows
 from .register_upkeep import RegisterUpkeep
@@ -37,6 +38,17 @@
 READER_LIVE_S = 0.8
 
 
+KNOWLEDGE_SHARE_OF_BOUND = 0.5
+"""Of the time within which a configuration is to be in force; the rest is for the way to the senders."""
+FEWEST_HEARTBEATS_IN_AGE = 3
+
+
+def knowledge_bound_s(bounds: Bounds) -> float:
+    """The age of a majority's word beyond which a control process serves nothing."""
+    share_s = KNOWLEDGE_SHARE_OF_BOUND * bounds.config_apply_ms / 1000
+    return max(share_s, FEWEST_HEARTBEATS_IN_AGE * HEARTBEAT_PERIOD_S)
+
+
 class MemberStorage(WritesRows, Protocol):
     """The storage of this process, with the id that its folder was given."""
 
@@ -64,16 +76,24 @@
         self.register.on_chosen = self._on_chosen
         self.list = ListReader(self.member, settings.bounds.drain_ms / 1000, clock, platform)
         self.directory = self.list.directory
+        self.confirmation = RegisterConfirmation(self.register, knowledge_bound_s(settings.bounds), clock)
         self.heartbeats = HeartbeatExchange(
-            LocalProcess(self.record, self._seed_addresses), self.register, self.list, client, clock, self._announce
+            LocalProcess(self.record, self._seed_addresses),
+            self.register,
+            self.confirmation,
+            self.list,
+            client,
+            clock,
+            self._announce,
         )
         self.peers = self.heartbeats.peers
         self.leases = LeaseTable(settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND)
-        self.senders = SenderService(self.leases, self.register, self.list, self.peers, clock)
+        self.senders = SenderService(self.leases, self.register, self.confirmation, self.list, self.peers, clock)
         self.on_state: Callable[[SystemState], None] = lambda state: None
         self.synced_epoch: Callable[[], int] = lambda: 0
         self._upkeep = RegisterUpkeep(
             self.register,
+            self.confirmation,
             self.peers,
             self.me,
             self._seed_addresses,
@@ -145,6 +165,7 @@
             bootstrap=self._bootstrap,
             list_fails=self.list.has_failed,
             location=location_of(self.settings.region, self.settings.zone),
+            reaches_majority=self.confirmation.contact_since_s() is not None,
         )
 
     def me(self) -> Peer:
@@ -195,12 +216,13 @@
             self.send_heartbeats()
 
     def _has_reading_duty(self) -> bool:
-        """The live control process with the least id reads the list, among those whose readings succeed if any do."""
+        """The live control process with the least id reads the list, among those whose readings succeed and that reach
+        a majority if any do. Two that read at once do no harm: directories merge by version, and ends stay known."""
         now_s = self.clock()
         live = [
-            (peer.list_fails, peer.id)
+            (peer.list_fails, not peer.reaches_majority, peer.id)
             for peer in self.peers.peers.values()
             if peer.control and not peer.leaving and peer.silent_s(now_s) < READER_LIVE_S
         ]
-        own = (self.list.has_failed, self.member)
+        own = (self.list.has_failed, self.confirmation.contact_since_s() is None, self.member)
         return own <= min(live, default=own)
--- a/dewpin/controlplane/list_reader.py
+++ b/dewpin/controlplane/list_reader.py
@@ -54,17 +54,17 @@
     def _due_age_s(self, has_duty: bool) -> float:
         return self.period_s if has_duty else STALE_READINGS * self.period_s
 
-    def take_copy(self, version: DirectoryVersion, receivers: Iterable[Receiver], age_s: float) -> bool:
-        """Takes another process's directory, read `age_s` ago; true if it is newer than this one."""
+    def take_copy(self, version: DirectoryVersion, receivers: Iterable[Receiver], read_s: float) -> bool:
+        """Takes another process's directory, from a list read at `read_s`; true if it is newer than this one."""
         if not self.directory.take_copy(version, receivers):
             return False
-        self._read_s = self._clock() - age_s
+        self._read_s = read_s
         return True
 
-    def note_age(self, version: DirectoryVersion, age_s: float) -> None:
-        """Takes the age that another process knows of its directory, if that is of the same version."""
+    def note_read(self, version: DirectoryVersion, read_s: float) -> None:
+        """Takes when another process's directory was read, if that is of the same version."""
         if version == self.directory.version:
-            self._read_s = max(self._read_s, self._clock() - age_s)
+            self._read_s = max(self._read_s, read_s)
 
     def take_reading(self, receivers: Iterable[Receiver], began_s: float) -> bool:
         """Takes a list whose reading began at `began_s`; true if the directory has a new version."""
--- a/dewpin/controlplane/peers.py
+++ b/dewpin/controlplane/peers.py
@@ -24,12 +24,14 @@
     bootstrap: bool
     list_fails: bool
     location: NotRequired[str]
+    reaches_majority: NotRequired[bool]
 
 
 @dataclass(frozen=True)
 class Peer:
     """Another process of the control plane. `version` -1: it has no state yet; `list_fails`: its last reading of the
-    platform's list did; times are of the steady clock."""
+    platform's list did; `reaches_majority`: by its own word, a majority of the register's members answers it; times are
+    of the steady clock."""
 
     id: str
     name: str
@@ -44,6 +46,7 @@
     last_heard_s: float
     first_heard_s: float = float("-inf")
     location: str = ""
+    reaches_majority: bool = True
 
     def silent_s(self, now_s: float) -> float:
         """For how long nothing was heard of it."""
@@ -73,6 +76,7 @@
             last_heard_s=now_s,
             first_heard_s=known.first_heard_s if known is not None else now_s,
             location=record.get("location", ""),
+            reaches_majority=record.get("reaches_majority", True),
         )
         for other in list(self.peers.values()):
             if other.address == peer.address and other.id != peer.id:
--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -1,7 +1,8 @@
 """Which change of members or stores is due, from the system state and from who is heard. Free of I/O.
 
-One process at a time drives changes (the live member with the least id); that two do costs a conflict and no more,
-since every change is made on exactly the version it was planned on.
+One process at a time drives changes: the live member with the least id among those that reach a majority. That two do
+costs a conflict and no more, since every change is made on exactly the version it was planned on. Silence of another
+counts only while this process reached a majority itself: one that was cut off or frozen has heard nobody.
 """
 
 from __future__ import annotations
@@ -34,13 +35,15 @@
 
 @dataclass(frozen=True)
 class Knowledge:
-    """What a plan is made from. `started_s`: when this process did; times are of the steady clock."""
+    """What a plan is made from. `started_s`: when this process did; `contact_since_s`: since when it has reached a
+    majority without a break, None while it reaches none; times are of the steady clock."""
 
     me: Peer
     peers: PeerTable
     full_count: int
     started_s: float
     now_s: float
+    contact_since_s: float | None
 
     def everyone(self) -> list[Peer]:
         """This process and all it has heard of."""
@@ -50,17 +53,22 @@
         """For how long nothing was heard of a process."""
         return 0.0 if peer_id == self.me.id else self.peers.silent_s(peer_id, self.now_s)
 
+    def absent_s(self, peer_id: str) -> float:
+        """For how long nothing was heard of a process while this one reached a majority."""
+        if self.contact_since_s is None:
+            return 0.0
+        return min(self.silent_s(peer_id), self.now_s - self.contact_since_s)
+
     def is_replaced(self, peer_id: str, name: str | None) -> bool:
         """Whether the machine runs as another incarnation by now."""
-        if peer_id == self.me.id:
+        if peer_id == self.me.id or self.absent_s(peer_id) <= LIVE_S:
             return False
-        silent = self.silent_s(peer_id) > LIVE_S
-        return (silent and name == self.me.name) or self.peers.is_replaced(peer_id, name, self.now_s)
+        return name == self.me.name or self.peers.is_replaced(peer_id, name, self.now_s)
 
     def has_left(self, peer_id: str) -> bool:
         """Whether the process announced its end and has been silent since."""
         peer = self.peers.peers.get(peer_id)
-        return peer is not None and peer.leaving and peer.silent_s(self.now_s) > LIVE_S
+        return peer is not None and peer.leaving and self.absent_s(peer_id) > LIVE_S
 
     def joined_lately(self, peer: Peer) -> bool:
         """Whether the process came while this one was already there, and not long ago."""
@@ -71,11 +79,20 @@
         """Whether the process was heard just now."""
         return self.silent_s(peer_id) < LIVE_S
 
+    def may_drive(self, peer_id: str) -> bool:
+        """Whether the process is live and reaches a majority, by its own word."""
+        if peer_id == self.me.id:
+            return self.contact_since_s is not None
+        peer = self.peers.peers.get(peer_id)
+        return peer is not None and peer.reaches_majority and self.is_live(peer_id)
+
 
 def drives(state: SystemState, knowledge: Knowledge) -> bool:
     """Whether this process is the one to make changes now."""
-    live = [member for member in state["members"] if knowledge.is_live(member)]
-    return knowledge.me.id == min(live, default=None)
+    if knowledge.contact_since_s is None:
+        return False
+    candidates = [member for member in state["members"] if knowledge.may_drive(member)]
+    return knowledge.me.id == min(candidates, default=None)
 
 
 def due_change(state: SystemState, knowledge: Knowledge) -> Change | None:
@@ -131,7 +148,7 @@
 def _must_go(state: SystemState, knowledge: Knowledge, peer_id: str, name: str | None, gone_s: float) -> bool:
     if knowledge.is_replaced(peer_id, name) or name in state["retiring"]:
         return True
-    return knowledge.silent_s(peer_id) > gone_s
+    return knowledge.absent_s(peer_id) > gone_s
 
 
 def _change_of_stores(state: SystemState, knowledge: Knowledge) -> Change | None:
--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -52,6 +52,8 @@
         self._client = client
         self._rng = rng
         self._replica = Replica()
+        self.durable_version = -1
+        """The version of the newest value that the replica has accepted and that is on disk."""
         self._durable_ballot = ZERO_BALLOT
         self._is_loaded = False
         self._counter = 0
@@ -72,6 +74,7 @@
         self._durable_ballot = self._replica.accepted
         self._counter = self._replica.promised.counter
         if self._replica.value is not None:
+            self.durable_version = self._replica.value["version"]
             self._learn_addresses(self._replica.value)
         self._is_loaded = True
 
@@ -227,10 +230,12 @@
         self._addresses.update(state["members"])
 
     async def _persist(self) -> None:
-        replica, accepted = self._replica, self._replica.accepted
-        promised = json.dumps(replica.promised)
-        await self._write((REGISTER_KEY, promised, json.dumps(accepted), json.dumps(replica.value)))
-        self._durable_ballot = max(self._durable_ballot, accepted)
+        accepted, value = self._replica.accepted, self._replica.value
+        promised = json.dumps(self._replica.promised)
+        await self._write((REGISTER_KEY, promised, json.dumps(accepted), json.dumps(value)))
+        if accepted >= self._durable_ballot and value is not None:
+            self._durable_ballot = accepted
+            self.durable_version = value["version"]
 
     async def _persist_promise(self) -> None:
         """Writes the promise alone, unless what was accepted is not on disk yet: the reply tells of that as well."""
--- a/dewpin/controlplane/register_upkeep.py
+++ b/dewpin/controlplane/register_upkeep.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable
 
+from .majority_contact import RegisterConfirmation
 from .peers import Peer, PeerTable
 from .reconfiguration import Knowledge, drives, due_change
 from .register import RegisterUnavailable, SystemRegister
@@ -23,6 +24,7 @@
     def __init__(
         self,
         register: SystemRegister,
+        confirmation: RegisterConfirmation,
         peers: PeerTable,
         me: Callable[[], Peer],
         seed_addresses: Callable[[], list[str]],
@@ -30,6 +32,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._register = register
+        self._confirmation = confirmation
         self._peers = peers
         self._me = me
         self._seed_addresses = seed_addresses
@@ -43,7 +46,7 @@
         if self._register.newest is None:
             await self._begin_if_everyone_is_here()
             return
-        if self._register.chosen is None or self._unfinished_for_long():
+        if self._register.chosen is None or self._unfinished_for_long() or self._confirmation.needs_read():
             await self._learn_newest()
         for _ in range(MOST_CHANGES_AT_ONCE):
             if not await self._make_due_change():
@@ -66,7 +69,14 @@
         return True
 
     def _knowledge(self) -> Knowledge:
-        return Knowledge(self._me(), self._peers, self._replica_count, self._started_s, self._clock())
+        return Knowledge(
+            me=self._me(),
+            peers=self._peers,
+            full_count=self._replica_count,
+            started_s=self._started_s,
+            now_s=self._clock(),
+            contact_since_s=self._confirmation.contact_since_s(),
+        )
 
     async def _begin_if_everyone_is_here(self) -> None:
         members: dict[str, str] = {}
@@ -89,8 +99,10 @@
         return self._clock() - self._unfinished_since_s > UNFINISHED_WAIT_S
 
     async def _learn_newest(self) -> None:
+        asked_s = self._clock()
         try:
             await self._register.propose(lambda state: state, PROPOSE_TIMEOUT_S)
+            self._confirmation.confirmed_by_read(asked_s)
         except RegisterUnavailable as fault:
             log.info("register.state_unknown", extra={"why": repr(fault)})
 
--- a/dewpin/controlplane/sender_service.py
+++ b/dewpin/controlplane/sender_service.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from dewpin.cluster.errors import ErrorKind
 from dewpin.cluster.relay_messages import (
     LEASE_RELEASE,
     LEASE_RENEW,
@@ -13,10 +14,11 @@
     StateJson,
 )
 from dewpin.cluster.relay_service import RelayedKnowledge, RelayService
-from dewpin.cluster.rpc import Handler, Message
+from dewpin.cluster.rpc import Handler, Message, RpcError
 
 from .leases import LeaseTable
 from .list_reader import ListReader
+from .majority_contact import RegisterConfirmation
 from .peers import PeerTable
 from .register import SystemRegister
 from .system_state import SystemState
@@ -31,12 +33,14 @@
         self,
         leases: LeaseTable,
         register: SystemRegister,
+        confirmation: RegisterConfirmation,
         receivers: ListReader,
         peers: PeerTable,
         clock: Callable[[], float],
     ) -> None:
         self._leases = leases
         self._register = register
+        self._confirmation = confirmation
         self._receivers = receivers
         self._peers = peers
         self._clock = clock
@@ -58,6 +62,8 @@
 
     async def _handle_renew(self, message: Message) -> Message:
         request = RenewRequest.decode(message)
+        if not self._confirmation.is_current():
+            raise RpcError(ErrorKind.NO_QUORUM, "no majority has confirmed what is known here")
         now_s = self._clock()
         control_addresses = self._control_addresses()
         grantors = len(control_addresses)
@@ -69,6 +75,7 @@
             state_version=state["version"] if state is not None else -1,
             receivers_version=self._receivers.directory.version,
             list_age_s=self._receivers.age_s(),
+            knowledge_age_s=self._confirmation.age_s(),
             parents=tuple(self._leases.parents(request.sender, now_s)),
             control_addresses=control_addresses,
             senders=len(self._leases.live(now_s)),
@@ -89,7 +96,13 @@
         return tuple(sorted({self._register.address, *live}))
 
     def _knowledge(self) -> RelayedKnowledge:
-        return RelayedKnowledge(self._state_for_senders(), self._receivers.directory, self._receivers.age_s())
+        return RelayedKnowledge(
+            state=self._state_for_senders(),
+            directory=self._receivers.directory,
+            list_age_s=self._receivers.age_s(),
+            age_s=self._confirmation.age_s(),
+            is_current=self._confirmation.is_current(),
+        )
 
     def _state_for_senders(self) -> StateJson | None:
         """The chosen state without the orders that were taken before: senders have no use for them."""
--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -65,9 +65,12 @@
         self._stop_agent()
 
     def is_ready(self) -> bool:
-        """Whether clients may be sent here: routes, receivers and stores are known, and no stop has begun."""
+        """Whether clients may be sent here: routes, receivers and stores are known, a majority has confirmed the routes
+        since the start, a control process answers, and no stop has begun."""
         agent = self.agent
-        if self.stopping.is_set() or agent is None or not agent.has_lease:
+        if self.stopping.is_set() or agent is None:
+            return False
+        if not agent.hears_control or not agent.confirmation.is_confirmed:
             return False
         return self.state.configuration is not None and bool(self.state.receivers) and self.state.store_view is not None
 
@@ -97,7 +100,8 @@
         await server.start(*split_address(agent.address))
         agent.start()
         self.agent = agent
-        self.state.is_cut_off = lambda: not agent.has_lease
+        self.state.is_cut_off = lambda: not agent.hears_control
+        self.state.is_current = agent.knows_current_state
         self._started.set()
 
     def _stop_agent(self) -> None:
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from dewpin.cluster.errors import ErrorKind
 from dewpin.cluster.platform_list import PlatformUnavailable, ReadsPlatform, ThreadedPlatformReader
 from dewpin.cluster.ports import control_plane_address, data_plane_address
 from dewpin.cluster.receivers import DirectoryVersion, ReceiverDirectory
@@ -31,12 +32,14 @@
 
 from .keeper_list import KeeperList
 from .sender_count import SenderCount
+from .state_confirmation import StateConfirmation
 
 log = logging.getLogger(__name__)
 
 RENEWALS_IN_BOUND = 5
-LEASE_FRESH_RENEWALS = 4
+FRESH_RENEWALS = 4
 """A sender that has missed so many renewals in a row takes itself for cut off."""
+MOST_REFUSALS_COUNTED = 8
 RENEW_TIMEOUT_S = 0.35
 WATCH_TIMEOUT_S = 1.7
 WATCH_RETRY_S = 0.05
@@ -69,7 +72,9 @@
         self.sender = f"{settings.node_name}/{rng.getrandbits(48):012x}"
         self.state: StateJson | None = None
         self.directory = ReceiverDirectory()
-        self._lease_renewed_s = float("-inf")
+        self.confirmation = StateConfirmation(clock())
+        self._control_answered_s = float("-inf")
+        self._refusals = 0
         self.senders = 0
         self._client = client
         self._rng = rng
@@ -115,10 +120,19 @@
         await asyncio.gather(*calls, return_exceptions=True)
 
     @property
-    def has_lease(self) -> bool:
-        """Whether a keeper has granted or renewed the lease a short while ago; false where this sender is cut off."""
-        fresh_s = LEASE_FRESH_RENEWALS * self.settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND
-        return self._clock() - self._lease_renewed_s < fresh_s
+    def hears_control(self) -> bool:
+        """Whether a control process has answered a renewal a short while ago, if only that it reaches no majority;
+        false where this sender is cut off."""
+        fresh_s = FRESH_RENEWALS * self._renewal_period_s()
+        return self._clock() - self._control_answered_s < fresh_s
+
+    def knows_current_state(self) -> bool:
+        """Whether a majority has confirmed the state held here within the time that a configuration has to come into
+        force: what is not in it was not acknowledged before that time."""
+        return self.confirmation.age_s(self._clock()) <= self.settings.bounds.config_apply_ms / 1000
+
+    def _renewal_period_s(self) -> float:
+        return self.settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND
 
     def list_age_s(self) -> float:
         """How long ago the list that this sender's receivers come from was read, by anybody."""
@@ -130,17 +144,26 @@
     # The lease
 
     async def _renew_and_pause(self) -> None:
-        period_s = self.settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND
+        period_s = self._renewal_period_s()
         began_s = self._clock()
         if not await self._renew(self._keepers.next(began_s)):
-            has_others = bool(self._keepers.usable(self._clock()))
-            await asyncio.sleep(period_s / 8 if has_others else period_s / 4)
+            await asyncio.sleep(self._pause_after_failure_s())
             return
+        if not self.confirmation.is_confirmed:
+            period_s /= 4  # not ready yet: the next answer may bring a majority's word
         pause_s = period_s * (0.9 + 0.2 * self._rng.random()) - (self._clock() - began_s)
         await asyncio.sleep(max(pause_s, SHORTEST_PAUSE_S))
 
+    def _pause_after_failure_s(self) -> float:
+        """Short while another control process may be asked; all senders together are not to flood one that refuses."""
+        period_s = self._renewal_period_s()
+        if self._keepers.usable(self._clock()):
+            return period_s / 8
+        return min(period_s, period_s / 4 * float(2**self._refusals))
+
     async def _renew(self, keeper: str) -> bool:
-        """Renews the lease at one keeper and asks it for what it has newer; whether it answered."""
+        """Renews the lease at one keeper and asks it for what it has newer; whether it was granted."""
+        asked_s = self._clock()
         request = RenewRequest(self.sender, self.address, self.settings.zone, self.directory.version)
         try:
             grant = LeaseGrant.decode(await self._client.call(keeper, request.encode(), RENEW_TIMEOUT_S))
@@ -148,14 +171,26 @@
             if self._is_behind(grant):
                 await self._fetch(keeper)
             else:
-                self._note_age(grant.receivers_version, grant.list_age_s)
+                self._note_age(grant.receivers_version, asked_s - grant.list_age_s)
+            if self._state_version() >= grant.state_version:
+                self.confirmation.confirm(asked_s - grant.knowledge_age_s)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
-            self._keepers.failed(keeper, self._clock())
-            log.debug("lease.not_renewed", extra={"keeper": keeper, "why": repr(fault)})
+            self._note_failure(keeper, fault)
             return False
         self._keepers.answered(keeper, self._clock())
+        self._refusals = 0
         return True
 
+    def _note_failure(self, keeper: str, fault: Exception) -> None:
+        log.debug("lease.not_renewed", extra={"keeper": keeper, "why": repr(fault)})
+        now_s = self._clock()
+        if isinstance(fault, RpcError) and fault.kind == ErrorKind.NO_QUORUM:
+            self._control_answered_s = now_s
+            self._refusals = min(self._refusals + 1, MOST_REFUSALS_COUNTED)
+            self._keepers.refused(keeper, now_s)
+        else:
+            self._keepers.failed(keeper, now_s)
+
     def _take_lease(self, grant: LeaseGrant) -> None:
         self._keepers.named(grant.control_addresses, self._clock())
         self._parents = list(grant.parents)
@@ -163,7 +198,7 @@
         if senders != self.senders:
             self.senders = senders
             self._on_senders(senders)
-        self._lease_renewed_s = self._clock()
+        self._control_answered_s = self._clock()
 
     def _state_version(self) -> int:
         return int(self.state["version"]) if self.state is not None else -1
@@ -172,8 +207,9 @@
         return grant.state_version > self._state_version() or grant.receivers_version > self.directory.version
 
     async def _fetch(self, keeper: str) -> None:
+        asked_s = self._clock()
         answer = await self._client.call(keeper, self._watch_request(waits=False).encode(), WATCH_TIMEOUT_S)
-        self._take_news(RelayNews.decode(answer))
+        self._take_news(RelayNews.decode(answer), asked_s)
 
     def _seed_addresses(self) -> list[str]:
         ports = self.settings.port_range
@@ -182,14 +218,15 @@
     # The relay tree
 
     async def _watch(self) -> None:
-        source = self._watch_source()
+        source, asked_s = self._watch_source(), self._clock()
         try:
             answer = await self._client.call(source, self._watch_request(waits=True).encode(), WATCH_TIMEOUT_S)
-            self._take_news(RelayNews.decode(answer))
+            self._take_news(RelayNews.decode(answer), asked_s)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
             self._shunned_until_s[source] = self._clock() + PARENT_SHUN_S
             log.debug("relay.parent_failed", extra={"parent": source, "why": repr(fault)})
-            await asyncio.sleep(WATCH_RETRY_S)
+            has_others = self._watch_source() not in self._shunned_until_s
+            await asyncio.sleep(WATCH_RETRY_S if has_others else self._renewal_period_s())
 
     def _watch_source(self) -> str:
         now_s = self._clock()
@@ -200,27 +237,36 @@
     def _watch_request(self, waits: bool) -> WatchRequest:
         return WatchRequest(self._state_version(), self.directory.version, waits)
 
-    def _take_news(self, news: RelayNews) -> None:
+    def _take_news(self, news: RelayNews, asked_s: float) -> None:
+        """Takes an answer to a watch. Ages count from when it was asked: it may have been held up on its way."""
         changed = False
         if news.state is not None and news.state["version"] > self._state_version():
             self.state = news.state
             self._on_state(news.state)
             changed = True
         if news.receivers is not None and self.directory.take_copy(news.receivers_version, news.receivers):
-            self._shared_list_read_s = self._clock() - news.list_age_s
+            self._shared_list_read_s = asked_s - news.list_age_s
+            self._own_list_read_s = float("-inf")  # the copy took the place of what was read here
             self._on_receivers(self.directory)
             changed = True
-        self._note_age(news.receivers_version, news.list_age_s)
+        self._note_age(news.receivers_version, asked_s - news.list_age_s)
+        self.confirmation.confirm(asked_s - news.knowledge_age_s)
         if changed:
             self._relay.announce()
 
-    def _note_age(self, version: DirectoryVersion, list_age_s: float) -> None:
-        """Takes the age of another's list, if that is of the version held here: else its content may be missing."""
+    def _note_age(self, version: DirectoryVersion, read_s: float) -> None:
+        """Takes when another's list was read, if that is of the version held here: else its content may be missing."""
         if version == self.directory.version:
-            self._shared_list_read_s = max(self._shared_list_read_s, self._clock() - list_age_s)
+            self._shared_list_read_s = max(self._shared_list_read_s, read_s)
 
     def _relayed_knowledge(self) -> RelayedKnowledge:
-        return RelayedKnowledge(self.state, self.directory, self._shared_list_age_s())
+        return RelayedKnowledge(
+            state=self.state,
+            directory=self.directory,
+            list_age_s=self._shared_list_age_s(),
+            age_s=self.confirmation.age_s(self._clock()),
+            is_current=self.knows_current_state(),
+        )
 
     # The list, where no keeper can give it in time
 
--- a/dewpin/dataplane/cluster_state.py
+++ b/dewpin/dataplane/cluster_state.py
@@ -19,10 +19,11 @@
     """The newest values that this sender has heard of; `None` until the first one came.
 
     `senders` is the number of live senders, itself included, or 0 while it is unknown. `is_cut_off` tells whether this
-    sender takes itself for cut off from the control plane.
+    sender takes itself for cut off from the control plane, `is_current` whether a majority has confirmed the
+    configuration within the time that a new one has to come into force.
     """
 
-    __slots__ = ("configuration", "is_cut_off", "receivers", "senders", "store_view")
+    __slots__ = ("configuration", "is_current", "is_cut_off", "receivers", "senders", "store_view")
 
     def __init__(
         self,
@@ -36,3 +37,4 @@
         self.store_view = store_view
         self.senders = senders
         self.is_cut_off: Callable[[], bool] = lambda: False
+        self.is_current: Callable[[], bool] = lambda: True
--- a/dewpin/dataplane/keeper_list.py
+++ b/dewpin/dataplane/keeper_list.py
@@ -12,6 +12,8 @@
 
 FORGET_AFTER_S = 30.0
 RETRY_AFTER_S = 2.0
+RETRY_AFTER_REFUSAL_S = 0.5
+"""A process that reaches no majority is there, and may reach one at any moment."""
 
 
 @dataclass
@@ -52,8 +54,15 @@
 
     def failed(self, address: str, now_s: float) -> None:
         """Notes that the process gave no answer."""
+        self._leave_alone(address, now_s + RETRY_AFTER_S)
+
+    def refused(self, address: str, now_s: float) -> None:
+        """Notes that the process answered that it reaches no majority."""
+        self._leave_alone(address, now_s + RETRY_AFTER_REFUSAL_S)
+
+    def _leave_alone(self, address: str, until_s: float) -> None:
         if address in self._known:
-            self._known[address].failed_until_s = now_s + RETRY_AFTER_S
+            self._known[address].failed_until_s = until_s
 
     def usable(self, now_s: float) -> list[str]:
         """Those that did not fail just now, in this sender's own fixed order."""
--- a/dewpin/dataplane/request_path.py
+++ b/dewpin/dataplane/request_path.py
@@ -66,6 +66,8 @@
             raise TierError(ErrorKind.BAD_REQUEST, "X-Dewpin-Request-Id is missing")
         route = configuration.route_for(request.headers.get("host") or "", request.path)
         if route is None:
+            if not self._state.is_current():
+                raise TierError(ErrorKind.NO_CONFIGURATION, "no majority has confirmed the configuration held here")
             raise TierError(ErrorKind.NO_ROUTE)
         key = sticky_key(request) if route.sticky else None
         service = self._choose_service(configuration, route, key)
--- /dev/null
+++ b/tests/controlplane/test_cut_off.py
@@ -0,0 +1,339 @@
+"""A control process that is cut off serves nothing as current, and all go on when the cut heals. The clock jumps."""
+
+import asyncio
+import json
+
+import pytest
+from controlplane.test_keeper import APPLY_S, drain, listed, play, renewal, shows_drain
+
+from dewpin.cluster.errors import ErrorKind
+from dewpin.cluster.rpc import RpcError
+from dewpin.controlplane.keeper import knowledge_bound_s
+from dewpin.controlplane.operator_api import OperatorApi
+from dewpin.controlplane.register import RegisterUnavailable
+
+CUT_S = 20.0
+WATCH = {"state_version": -1, "receivers_version": [0, ""], "wait": False}
+
+
+def cut(world, how, number):
+    address = world.address(number)
+    {"both": world.network.cut, "out": world.network.cut_one_way, "in": world.network.cut_inwards}[how](address)
+
+
+HOW = ["both", "out", "in"]
+
+
+def bound_s(world):
+    return knowledge_bound_s(world.settings(1, False).bounds)
+
+
+async def is_refused(world, number, kind):
+    """Whether a control process answers a sender that it has no quorum."""
+    message = renewal() if kind == "lease.renew" else WATCH
+    try:
+        await world.keepers[number].handlers[kind](message)
+    except RpcError as fault:
+        assert fault.kind == ErrorKind.NO_QUORUM
+        return True
+    return False
+
+
+async def refusals(world, number):
+    return [await is_refused(world, number, kind) for kind in ("lease.renew", "relay.watch")]
+
+
+@pytest.mark.parametrize("how", HOW)
+@pytest.mark.parametrize("number", [1, 2, 3])
+def test_a_process_that_is_cut_off_grants_nothing_and_passes_nothing_on(number, how):
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await listed(world)
+        await asyncio.sleep(3.0)
+        assert await refusals(world, number) == [False, False]
+        cut(world, how, number)
+        await world.put(1 + number % 3, 8, 7)
+        await asyncio.sleep(bound_s(world) + 0.1)
+        answers = []
+        for _ in range(int(CUT_S / 0.1)):
+            await asyncio.sleep(0.1)
+            answers += await refusals(world, number)
+        assert all(answers) and answers
+        for other in {1, 2, 3} - {number}:
+            assert await refusals(world, other) == [False, False]
+        world.network.join()
+        took_s = await world.until(lambda: world.keepers[number].confirmation.is_current())
+        assert world.generation(number) == 8
+        return took_s
+
+    assert play(scene) < APPLY_S / 2
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_an_answer_of_a_process_that_is_cut_off_is_no_older_than_the_bound(how):
+    """Whatever it still answers was the newest state not longer ago than the bound."""
+
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await asyncio.sleep(3.0)
+        cut(world, how, 3)
+        began_s = asyncio.get_running_loop().time()
+        await world.put(1, 8, 7)
+        last_s = began_s
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            if not await is_refused(world, 3, "lease.renew"):
+                last_s = asyncio.get_running_loop().time()
+        return last_s - began_s, bound_s(world)
+
+    served_s, most_s = play(scene)
+    assert served_s <= most_s
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_a_process_that_is_cut_off_neither_confirms_nor_refuses_orders(how):
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await world.until(lambda: world.generation(3) == 7)
+        cut(world, how, 3)
+        await world.put(1, 8, 7)
+        for generation, base in ((9, 7), (9, 8), (7, 0), (3, 2)):
+            with pytest.raises(RegisterUnavailable):
+                await world.put(3, generation, base)
+
+    play(scene)
+
+
+def test_the_operators_calls_at_a_process_that_is_cut_off_are_answered_503():
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await world.until(lambda: world.generation(3) == 7)
+        world.network.cut(world.address(3))
+        loop = asyncio.get_running_loop()
+        api = OperatorApi(world.keepers[3].register, loop, 3)
+        body = json.dumps({"generation": 9, "routes": [], "services": {}}).encode()
+        calls = [api.get, lambda: api.retirement("store-1"), lambda: api.start_retirement("nobody")]
+        statuses = [(await loop.run_in_executor(None, call)).status for call in calls]
+        put = (await loop.run_in_executor(None, api.put, body, "1")).status
+        return statuses, put
+
+    statuses, put = play(scene)
+    assert statuses == [503, 503, 503]
+    assert put in {400, 503}  # 400 only for a body that is wrong by itself
+
+
+def test_a_process_started_anew_serves_nothing_from_its_disk():
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await world.until(lambda: world.generation(3) == 7)
+        await world.kill(1, 2, 3)
+        await world.start(3)
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            assert await refusals(world, 3) == [True, True]
+        await world.start(1)
+        return await world.until(lambda: all(world.keepers[number].confirmation.is_current() for number in (1, 3)))
+
+    assert play(scene) < 1.0
+
+
+def test_every_process_serves_soon_after_all_were_killed():
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await world.kill(1, 2, 3)
+        for number in (1, 2, 3):
+            await world.start(number)
+        return await world.until(lambda: all(world.keepers[number].confirmation.is_current() for number in (1, 2, 3)))
+
+    assert play(scene) < 0.4
+
+
+@pytest.mark.parametrize(
+    ("delay_s", "latency_s"),
+    [(0.0, 0.002), (0.3, 0.002), (0.0, 0.08), (0.3, 0.02)],
+    ids=["calm", "disk", "net", "both"],
+)
+def test_nothing_is_refused_while_all_are_there(delay_s, latency_s):
+    """Slow disks and slow links, with changes made now and then."""
+
+    async def scene(world):
+        await listed(world)
+        await asyncio.sleep(2.0)
+        world.network.latency_s = latency_s
+        for disk in world.disks.values():
+            disk.delay_s = delay_s
+        await asyncio.sleep(1.0)
+        answers = []
+        generation = 0
+        for step in range(300):
+            await asyncio.sleep(0.1)
+            if step % 30 == 10:
+                change = asyncio.ensure_future(put_for_long(world, generation + 1, generation))
+                generation += 1
+            for number in (1, 2, 3):
+                answers += await refusals(world, number)
+        await change
+        return answers
+
+    assert not any(play(scene))
+
+
+async def put_for_long(world, generation, base):
+    while True:
+        try:
+            return await world.put(1, generation, base)
+        except RegisterUnavailable:
+            await asyncio.sleep(0.1)
+
+
+def test_a_change_whose_proposer_dies_unheard_is_not_missed_by_what_counts_as_confirmed():
+    """Both others have accepted the change, and neither knows that it is chosen."""
+
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await world.until(lambda: world.generation(2) == world.generation(3) == 7)
+        await asyncio.sleep(1.0)
+        await world.put(1, 8, 7)
+        await world.kill(1)
+        acknowledged_s = asyncio.get_running_loop().time()
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            for number in (2, 3):
+                confirmation = world.keepers[number].confirmation
+                if world.generation(number) < 8:
+                    assert asyncio.get_running_loop().time() - confirmation.age_s() <= acknowledged_s
+        return world.generation(2), world.generation(3)
+
+    assert play(scene) == (8, 8)
+
+
+def test_a_member_that_accepted_tells_its_version_only_once_it_is_on_disk():
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await world.until(lambda: world.generation(2) == 7)
+        before = world.keepers[2].register.durable_version
+        world.disks[2].delay_s = 0.5
+        await world.put(1, 8, 7)
+        during = world.keepers[2].register.durable_version
+        await asyncio.sleep(2.0)
+        return before, during, world.keepers[2].register.durable_version
+
+    before, during, after = play(scene)
+    assert before == during < after
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_the_members_are_changed_although_the_one_that_drives_changes_is_cut_off_one_way(how):
+    """The process with the least id is heard by the others as before, where nothing reaches it but its own calls do."""
+
+    async def scene(world):
+        await asyncio.sleep(1.0)
+        cut(world, how, 1)
+        await asyncio.sleep(2.0)
+        await world.start(4)
+        return await world.until(lambda: world.address(4) in world.stores())
+
+    assert play(scene) < 4.0
+
+
+def test_a_process_cut_off_from_the_majority_plans_no_change():
+    async def scene(world):
+        await world.start(4)
+        await world.until(lambda: len(world.stores()) == 4)
+        await asyncio.sleep(2.0)
+        others = [world.address(number) for number in (1, 4)]
+        world.network.cut(*others)  # the one that drives, with a process beside it that could take a member's place
+        proposed = []
+        world.keepers[1].register.propose = lambda *order: proposed.append(order) or never()
+        await asyncio.sleep(CUT_S + 5.0)
+        return proposed
+
+    assert play(scene) == []
+
+
+async def never():
+    await asyncio.sleep(1e6)
+
+
+@pytest.mark.parametrize("frozen_s", [1.2, 5.0, 25.0])
+def test_a_planner_that_was_frozen_drops_nobody_when_it_thaws(frozen_s):
+    """By its own clock all others were silent all the while, and it hears them one after the other."""
+
+    async def scene(world):
+        await world.start(4)
+        await world.until(lambda: len(world.stores()) == 4)
+        await asyncio.sleep(2.0)
+        world.network.cut(*[world.address(number) for number in (2, 3, 4)])  # the others change nothing meanwhile
+        world.freeze(1)
+        await asyncio.sleep(frozen_s)
+        members = world.members()
+        world.network.join()
+        world.network.cuts = {frozenset((world.address(1), world.address(3)))}
+        world.thaw(1)
+        states = []
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            states.append((world.members(), world.addresses(world.next_stores() or {}) or world.stores()))
+            if len(states) == 30:
+                world.network.join()
+        return members, states
+
+    members, states = play(scene)
+    assert all(seen == members for seen, _ in states)
+    assert all({f"10.0.0.{number}:7380" for number in (2, 3, 4)} <= set(stores) for _, stores in states)
+
+
+@pytest.mark.parametrize("how", HOW)
+def test_an_end_is_known_although_the_reader_of_the_list_is_cut_off(how):
+    async def scene(world):
+        await listed(world)
+        await asyncio.sleep(1.0)
+        reader = world.readings[-1][1]
+        cut(world, how, reader)
+        await asyncio.sleep(2.0)
+        world.cut_from_platform = {reader}
+        drain(world)
+        others = {1, 2, 3} - {reader}
+        return await world.until(lambda: all(shows_drain(world, number) for number in others))
+
+    assert play(scene) < 1.5
+
+
+def test_two_readers_of_the_list_take_no_end_back():
+    """Each side of a cut reads for itself; the versions that they make cross when it heals."""
+
+    async def scene(world):
+        await listed(world)
+        world.network.cut(world.address(1))
+        await asyncio.sleep(4.0)
+        drain(world)
+        await world.until(lambda: all(shows_drain(world, number) for number in (1, 2, 3)))
+        versions = [world.keepers[number].directory.version for number in (1, 2, 3)]
+        world.network.join()
+        seen = []
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            seen += [shows_drain(world, number) for number in (1, 2, 3)]
+        after = [world.keepers[number].directory.version for number in (1, 2, 3)]
+        return versions, after, seen
+
+    versions, after, seen = play(scene)
+    assert all(seen)
+    assert len(set(after)) == 1 and after[0] >= max(versions)
+
+
+def test_a_list_that_travelled_long_is_as_old_as_it_is():
+    """The age that another process tells counts from when it was asked."""
+
+    async def scene(world):
+        await listed(world)
+        await asyncio.sleep(1.0)
+        world.platform_down = True
+        began_s = asyncio.get_running_loop().time()
+        world.network.latency_s = 0.25
+        await asyncio.sleep(5.0)
+        now_s = asyncio.get_running_loop().time()
+        last_read_s = max(at_s for at_s, _ in world.readings if at_s <= began_s)
+        return [keeper.list.age_s() - (now_s - last_read_s) for keeper in world.keepers.values()]
+
+    assert min(play(scene)) >= -0.01
--- a/tests/controlplane/test_senders_and_keepers.py
+++ b/tests/controlplane/test_senders_and_keepers.py
@@ -61,6 +61,17 @@
             self.went_back.append(number)
         self.generations[number] = generation
 
+    def is_ready(self, number):
+        """Whether a sender would tell clients to come, as the program of a sender decides it."""
+        agent = self.agents[number]
+        return agent.hears_control and agent.confirmation.is_confirmed and self.generations[number] > 0
+
+    def reaches_only(self, number, *control):
+        """Cuts a sender off from all control processes and senders but these control processes."""
+        own = self.agents[number].address if number in self.agents else f"10.5.0.{number}:7381"
+        kept = {self.address(one) for one in control}
+        self.network.cuts |= {frozenset((own, other)) for other in self.network.handlers if other not in kept}
+
     def take_receivers(self, number, directory):
         known = directory.receivers.get("i-1")
         self.drained[number] = known is not None and known.draining
@@ -175,3 +186,115 @@
         return await fleet.until(lambda: fleet.generations[SENDERS + 1] == 8)
 
     assert play(3, scene) < APPLY_S
+
+
+CUT_S = 20.0
+NEWCOMER = SENDERS + 1
+
+
+async def watched(fleet, seconds, look):
+    """What `look` returns from moment to moment."""
+    seen = []
+    for _ in range(int(seconds / 0.02)):
+        await asyncio.sleep(0.02)
+        seen.append(look())
+    return seen
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_sender_started_beside_a_process_that_is_cut_off_is_ready_only_with_another(seed):
+    async def scene(fleet, rng):
+        number = rng.choice([1, 2, 3])
+        await lose(fleet, "cut_from_keepers", number)
+        fleet.reaches_only(NEWCOMER, number)
+        if rng.random() < 0.5:
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+            fleet.start_sender(NEWCOMER)
+            await fleet.put(1 + number % 3, 8, 7)
+        else:
+            await fleet.put(1 + number % 3, 8, 7)
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+            fleet.start_sender(NEWCOMER)
+        seen = await watched(fleet, CUT_S, lambda: (fleet.is_ready(NEWCOMER), fleet.generations[NEWCOMER]))
+        assert not any(ready and generation != 8 for ready, generation in seen)
+        assert not any(ready for ready, _ in seen)
+        own = fleet.agents[NEWCOMER].address
+        fleet.network.cuts -= {frozenset((own, fleet.address(other))) for other in (1, 2, 3)}
+        took_s = await fleet.until(lambda: fleet.is_ready(NEWCOMER))
+        assert fleet.generations[NEWCOMER] == 8
+        return took_s
+
+    assert play(seed, scene) < APPLY_S
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_sender_started_beside_one_process_that_is_cut_off_among_others_is_ready_at_once(seed):
+    async def scene(fleet, rng):
+        number = rng.choice([1, 2, 3])
+        await lose(fleet, "cut_from_keepers", number)
+        await fleet.put(1 + number % 3, 8, 7)
+        await asyncio.sleep(rng.uniform(0.0, 4.0))
+        fleet.start_sender(NEWCOMER)
+        took_s = await fleet.until(lambda: fleet.is_ready(NEWCOMER))
+        assert fleet.generations[NEWCOMER] == 8
+        return took_s
+
+    assert play(seed, scene) < 0.75
+
+
+def test_a_sender_that_is_left_with_a_process_that_is_cut_off_goes_on_and_calls_nothing_unknown():
+    async def scene(fleet, rng):
+        await lose(fleet, "cut_from_keepers", 3)
+        fleet.reaches_only(1, 3)
+        agent = fleet.agents[1]
+        await fleet.until(lambda: not agent.knows_current_state())
+        await fleet.put(1, 8, 7)
+        seen = await watched(fleet, CUT_S, lambda: (fleet.is_ready(1), agent.knows_current_state()))
+        assert seen == [(True, False)] * len(seen)
+        fleet.network.join()
+        return await fleet.until(lambda: agent.knows_current_state() and fleet.generations[1] == 8)
+
+    assert play(2, scene) < APPLY_S
+
+
+def test_a_sender_counts_its_state_as_current_in_calm_times():
+    async def scene(fleet, rng):
+        return await watched(fleet, 30.0, lambda: all(agent.knows_current_state() for agent in fleet.agents.values()))
+
+    assert all(play(4, scene))
+
+
+def test_nobody_hears_a_sender_whose_state_is_not_confirmed():
+    """A child of a sender that is cut off leaves it, and one that is left with it alone is never ready."""
+
+    async def scene(fleet, rng):
+        fleet.reaches_only(1)
+        parent = fleet.agents[1]
+        await asyncio.sleep(3.0)
+        fleet.start_sender(NEWCOMER)
+        child = fleet.agents[NEWCOMER]
+        fleet.reaches_only(NEWCOMER)
+        fleet.network.cuts -= {frozenset((child.address, parent.address))}
+        child._parents = [parent.address]
+        seen = await watched(fleet, 5.0, lambda: child.confirmation.is_confirmed)
+        return any(seen), child.state
+
+    assert play(5, scene) == (False, None)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_all_are_ready_soon_after_every_process_was_killed(seed):
+    async def scene(fleet, rng):
+        fleet.readings.clear()
+        for agent in fleet.agents.values():
+            for task in agent._tasks:
+                task.cancel()
+        await fleet.kill(1, 2, 3)
+        await asyncio.sleep(1.0)
+        for number in (1, 2, 3):
+            await fleet.start(number)
+        for number in list(fleet.agents):
+            fleet.start_sender(number)
+        return await fleet.until(lambda: all(fleet.is_ready(number) for number in fleet.agents))
+
+    assert play(seed, scene) < 1.0
--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -103,6 +103,18 @@
     assert path.path.figures.not_routed == 1
 
 
+def test_a_request_without_a_route_is_refused_while_no_majority_has_confirmed_the_configuration():
+    path = Path([])
+    path.state.configuration = configuration(path_prefix="/other/")
+    path.state.is_current = lambda: False
+    answer = path(target="/x")
+    assert answer.status == 503
+    assert float(header(answer, "retry-after")) > 0
+    assert path.path.figures.not_routed == 0
+    path.state.is_current = lambda: True
+    assert path(target="/x").status == 404
+
+
 def test_before_the_first_configuration_requests_are_refused():
     path = Path([])
     path.state.configuration = None
