--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -89,8 +89,6 @@
 
 def drives(state: SystemState, knowledge: Knowledge) -> bool:
     """Whether this process is the one to make changes now."""
-    if knowledge.contact_since_s is None:
-        return False
     candidates = [member for member in state["members"] if knowledge.may_drive(member)]
     return knowledge.me.id == min(candidates, default=None)
 
--- a/tests/controlplane/test_cut_off.py
+++ b/tests/controlplane/test_cut_off.py
@@ -207,16 +207,23 @@
     assert play(scene) == (8, 8)
 
 
+async def told_version(world, number):
+    """The version that a process tells in its answer to a heartbeat."""
+    heartbeat = {"from": world.keepers[1].record(), "receivers": [0, ""]}
+    return (await world.keepers[number].handlers["keeper.hello"](heartbeat))["accepted_version"]
+
+
 def test_a_member_that_accepted_tells_its_version_only_once_it_is_on_disk():
     async def scene(world):
         await world.put(1, 7, 0)
         await world.until(lambda: world.generation(2) == 7)
-        before = world.keepers[2].register.durable_version
+        before = await told_version(world, 2)
         world.disks[2].delay_s = 0.5
         await world.put(1, 8, 7)
-        during = world.keepers[2].register.durable_version
+        during = await told_version(world, 2)
+        assert world.keepers[2].register.has_unfinished_value
         await asyncio.sleep(2.0)
-        return before, during, world.keepers[2].register.durable_version
+        return before, during, await told_version(world, 2)
 
     before, during, after = play(scene)
     assert before == during < after
@@ -257,7 +264,7 @@
 
 @pytest.mark.parametrize("frozen_s", [1.2, 5.0, 25.0])
 def test_a_planner_that_was_frozen_drops_nobody_when_it_thaws(frozen_s):
-    """By its own clock all others were silent all the while, and it hears them one after the other."""
+    """By its own clock all others were silent all the while, and it hears one of them later than the rest."""
 
     async def scene(world):
         await world.start(4)
@@ -274,7 +281,7 @@
         for _ in range(300):
             await asyncio.sleep(0.01)
             states.append((world.members(), world.addresses(world.next_stores() or {}) or world.stores()))
-            if len(states) == 30:
+            if len(states) == 60:
                 world.network.join()
         return members, states
 
@@ -283,6 +290,41 @@
     assert all({f"10.0.0.{number}:7380" for number in (2, 3, 4)} <= set(stores) for _, stores in states)
 
 
+@pytest.mark.parametrize("how", HOW)
+def test_another_reads_the_list_soon_after_its_reader_was_cut_off(how):
+    """The reader goes on reading; the others are not to wait for what they can't get from it."""
+
+    async def scene(world):
+        await listed(world)
+        await asyncio.sleep(1.0)
+        reader = world.readings[-1][1]
+        others = {1, 2, 3} - {reader}
+        cut(world, how, reader)
+        await asyncio.sleep(3.0)
+        ages_s = []
+        for _ in range(500):
+            await asyncio.sleep(0.01)
+            ages_s += [world.keepers[number].list.age_s() for number in others]
+        return max(ages_s) / world.keepers[1].list.period_s
+
+    assert play(scene) < 1.5
+
+
+@pytest.mark.parametrize("latency_s", [0.05, 0.1])
+def test_what_a_majority_confirmed_is_as_old_as_its_question(latency_s):
+    async def scene(world):
+        await asyncio.sleep(1.0)
+        world.network.latency_s = latency_s
+        await asyncio.sleep(2.0)
+        ages_s = []
+        for _ in range(2000):
+            await asyncio.sleep(0.001)
+            ages_s += [keeper.confirmation.age_s() for keeper in world.keepers.values()]
+        return min(ages_s)
+
+    assert play(scene) >= 2 * latency_s - 1e-6
+
+
 @pytest.mark.parametrize("how", HOW)
 def test_an_end_is_known_although_the_reader_of_the_list_is_cut_off(how):
     async def scene(world):
--- a/tests/controlplane/test_majority_contact.py
+++ b/tests/controlplane/test_majority_contact.py
@@ -61,6 +61,13 @@
     assert scene.answered("old-b", 100.0) == NEVER_S
 
 
+def test_what_others_than_members_said_is_not_kept():
+    scene = Scene()
+    for number in range(100):
+        scene.answered(f"stranger-{number}", 100.0 + number)
+    assert not scene.contact._words
+
+
 def test_a_newer_version_that_a_member_accepted_leaves_what_is_held_here_unconfirmed():
     scene = Scene()
     assert scene.answered("b", 100.0) == 100.0
--- a/tests/controlplane/test_reconfiguration.py
+++ b/tests/controlplane/test_reconfiguration.py
@@ -361,3 +361,30 @@
     scene.settle(synced=False)
     assert scene.state["stores"]["locations"]["d"] == "r/d"
     assert scene.state["stores"]["locations"]["c"] == "r/c"
+
+
+def test_a_process_that_reaches_no_majority_drives_no_changes():
+    scene = Scene()
+    assert drives(scene.state, scene.knowledge)
+    scene.contact_since_s = None
+    assert not drives(scene.state, scene.knowledge)
+
+
+def test_the_next_one_drives_while_the_first_reaches_no_majority_by_its_own_word():
+    scene = Scene(members="0bc", stores="0bc")
+    scene.state["members"] = {"0": "0:1", "a": "a:1", "c": "c:1"}
+    assert not drives(scene.state, scene.knowledge)
+    scene.peers.hear({**scene.record("0"), "reaches_majority": False}, scene.now_s)
+    assert drives(scene.state, scene.knowledge)
+
+
+def test_silence_from_before_the_own_contact_drops_nobody():
+    scene = Scene()
+    scene.after(2 * GONE_S, "d")
+    scene.contact_since_s = scene.now_s - 0.5
+    scene.synced = dict.fromkeys("abcd", scene.state["stores"]["epoch"])
+    scene.step()
+    assert scene.members == "abc" and {"a", "b", "c"} <= set(scene.next_stores or scene.stores)
+    scene.contact_since_s = scene.now_s - GONE_S - 1.0
+    scene.settle()
+    assert scene.members != "abc"
--- a/tests/controlplane/test_senders_and_keepers.py
+++ b/tests/controlplane/test_senders_and_keepers.py
@@ -264,6 +264,22 @@
     assert all(play(4, scene))
 
 
+def test_what_a_sender_holds_is_as_old_as_the_question_to_the_majority():
+    """There and back between sender and control process, and between that and the majority."""
+    latency_s = 0.05
+
+    async def scene(fleet, rng):
+        fleet.network.latency_s = latency_s
+        await asyncio.sleep(3.0)
+        now_s = asyncio.get_running_loop().time
+        seen = await watched(
+            fleet, 10.0, lambda: min(agent.confirmation.age_s(now_s()) for agent in fleet.agents.values())
+        )
+        return min(seen)
+
+    assert play(6, scene) >= 4 * latency_s - 1e-6
+
+
 def test_nobody_hears_a_sender_whose_state_is_not_confirmed():
     """A child of a sender that is cut off leaves it, and one that is left with it alone is never ready."""
 
--- a/tests/dataplane/test_cluster_agent.py
+++ b/tests/dataplane/test_cluster_agent.py
@@ -58,6 +58,9 @@
         self.parents = []
         self.senders = 4
         self.names = None  # the keepers that it names; None: all
+        self.told_version = None  # the version that its grants tell; None: the one that it has
+        self.news_age_s = 0.0  # how long ago a majority confirmed what its news tell
+        self.latency_s = 0.002
         self.changed = asyncio.Event()
 
     def set_version(self, version):
@@ -79,7 +82,7 @@
             return {
                 "type": "lease.granted",
                 "duration_s": 3.2,
-                "state_version": self.state_version,
+                "state_version": self.told_version or self.state_version,
                 "receivers_version": self.directory.version,
                 "list_age_s": self.age_s(),
                 "parents": self.parents,
@@ -100,6 +103,7 @@
             "type": "relay.news",
             "receivers_version": self.directory.version,
             "list_age_s": self.age_s(),
+            "knowledge_age_s": self.news_age_s,
         }
         if self.state_version > message["state_version"]:
             news["state"] = {"version": self.state_version}
@@ -171,6 +175,7 @@
         if source.frozen:
             await asyncio.sleep(1e6)
         answer = await source.answer(message)
+        await asyncio.sleep(source.latency_s)
         if not source.up:
             raise RpcError("closed", source.address)
         return answer
@@ -424,6 +429,55 @@
     assert own_s < DRAIN_S
 
 
+def test_a_copy_that_was_read_before_the_own_list_brings_its_own_age():
+    async def scene(world):
+        await asyncio.sleep(1.0)
+        for one in world.keepers:
+            one.up = False
+        world.platform_down = False
+        await world.until(lambda: world.own_readings)
+        read_s = world.now_s - 1.5
+        world.platform_down = True
+        for one in world.keepers:
+            one.read_s = read_s
+            one.read(receiver(), receiver(one="i-2"))
+            one.up = True
+        await world.until(lambda: len(world.drained[-1]) == 2)
+        return world.agent.list_age_s() - (world.now_s - read_s)
+
+    assert play(scene) >= -1e-6
+
+
+def test_an_age_told_counts_from_when_it_was_asked_for():
+    async def scene(world):
+        await asyncio.sleep(1.0)
+        for one in world.keepers:
+            one.latency_s = 0.3
+        await asyncio.sleep(3.0)
+        ages_s = []
+        for _ in range(300):
+            await asyncio.sleep(0.01)
+            ages_s.append(world.agent.list_age_s())
+        return min(ages_s)
+
+    assert play(scene) >= 0.1 + 0.3
+
+
+def test_a_sender_behind_the_version_that_it_is_told_has_nothing_confirmed():
+    async def begin():
+        world = World()
+        for one in world.keepers:
+            one.told_version, one.news_age_s = 9, 60.0
+        world.agent.start()
+        await world.until(lambda: world.states)
+        await asyncio.sleep(3.0)
+        confirmed = world.agent.confirmation.is_confirmed
+        await world.agent.stop()
+        return confirmed
+
+    assert run(begin()) is False
+
+
 def test_own_readings_of_many_senders_keep_within_the_platforms_rate():
     async def scene(world):
         for one in world.keepers:
