--- a/dewpin/cluster/relay_messages.py
+++ b/dewpin/cluster/relay_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Any, cast
 
@@ -161,3 +162,8 @@
     """The version of a directory from its form on the wire. TypeError or ValueError if it is none."""
     counter, reader = cast(tuple[int, str], pair)
     return DirectoryVersion(int(counter), str(reader))
+
+
+def rounded_up_s(age_s: float) -> float:
+    """An age as it is told: in whole milliseconds, which keeps messages short, and never too young."""
+    return math.ceil(age_s * 1000) / 1000
--- a/dewpin/cluster/relay_service.py
+++ b/dewpin/cluster/relay_service.py
@@ -11,7 +11,7 @@
 
 from .errors import ErrorKind
 from .receivers import ReceiverDirectory
-from .relay_messages import RelayNews, StateJson, WatchRequest
+from .relay_messages import RelayNews, StateJson, WatchRequest, rounded_up_s
 from .rpc import Message, RpcError
 
 WATCH_HEARTBEAT_S = 1.0
@@ -71,7 +71,7 @@
     return RelayNews(
         receivers_version=directory.version,
         list_age_s=knowledge.list_age_s,
-        knowledge_age_s=knowledge.age_s,
+        knowledge_age_s=rounded_up_s(knowledge.age_s),
         state=knowledge.state if _is_newer(knowledge.state, request.state_version) else None,
         receivers=tuple(directory.receivers.values()) if has_receivers else None,
     )
--- a/dewpin/controlplane/heartbeat.py
+++ b/dewpin/controlplane/heartbeat.py
@@ -56,6 +56,7 @@
 
     def send_to_all(self) -> None:
         """Sends a heartbeat to all others now; whoever is behind asks for what it lacks."""
+        self._confirmation.update()
         for address in self._addresses():
             self._begin_call(address)
 
--- a/dewpin/controlplane/leases.py
+++ b/dewpin/controlplane/leases.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import hashlib
+from bisect import bisect_left, insort
 from dataclasses import dataclass
+from heapq import heappop, heappush
 
 RELAY_FAN_OUT = 4
 LEASE_PERIODS = 8
@@ -27,6 +29,10 @@
     def __init__(self, period_s: float) -> None:
         self._period_s = period_s
         self._leases: dict[str, Lease] = {}
+        self._order: list[tuple[bytes, str]] = []
+        """Senders by their places in the relay tree; kept sorted, since each renewal asks for one."""
+        self._ends: list[tuple[float, str]] = []
+        """A heap of the times at which leases end unless they were renewed since."""
 
     def duration_s(self, grantors: int) -> float:
         """For how long a lease is granted where so many processes grant it."""
@@ -35,30 +41,46 @@
     def renew(self, sender: str, address: str, zone: str, now_s: float, grantors: int = 1) -> Lease:
         """Grants or renews a sender's lease."""
         lease = Lease(sender, address, zone, now_s + self.duration_s(grantors))
+        if sender not in self._leases:
+            insort(self._order, (_place(sender), sender))
         self._leases[sender] = lease
+        heappush(self._ends, (lease.expires_s, sender))
         return lease
 
     def release(self, sender: str) -> None:
         """Ends a lease that its holder gives up."""
-        self._leases.pop(sender, None)
+        if self._leases.pop(sender, None) is not None:
+            self._order.remove((_place(sender), sender))
 
     def live(self, now_s: float) -> list[Lease]:
         """The leases in force."""
-        for lease in list(self._leases.values()):
-            if lease.expires_s <= now_s:
-                del self._leases[lease.sender]
+        self._end_due(now_s)
         return list(self._leases.values())
 
+    def count(self, now_s: float) -> int:
+        """How many leases are in force."""
+        self._end_due(now_s)
+        return len(self._leases)
+
     def parents(self, sender: str, now_s: float) -> list[str]:
         """Addresses of the senders above `sender` in the relay tree, nearest first; none for one at the top."""
-        order = sorted(self.live(now_s), key=lambda lease: _place(lease.sender))
-        index = next((i for i, lease in enumerate(order) if lease.sender == sender), 0)
+        self._end_due(now_s)
+        if sender not in self._leases:
+            return []
+        index = bisect_left(self._order, (_place(sender), sender))
         above: list[str] = []
         while index >= RELAY_FAN_OUT:
             index = index // RELAY_FAN_OUT - 1
-            above.append(order[index].address)
+            above.append(self._leases[self._order[index][1]].address)
         return above
 
+    def _end_due(self, now_s: float) -> None:
+        while self._ends and self._ends[0][0] <= now_s:
+            _, sender = heappop(self._ends)
+            lease = self._leases.get(sender)
+            if lease is not None and lease.expires_s <= now_s:
+                self.release(sender)
+
 
 def _place(sender: str) -> bytes:
     return hashlib.blake2b(sender.encode(), digest_size=8).digest()
--- a/dewpin/controlplane/majority_contact.py
+++ b/dewpin/controlplane/majority_contact.py
@@ -113,7 +113,7 @@
     def answered(self, member: str, asked_s: float, accepted_version: int | None) -> None:
         """Takes a member's answer to a heartbeat."""
         self._contact.answered(member, MemberWord(asked_s, accepted_version))
-        self._update()
+        self.update()
 
     def confirmed_by_read(self, asked_s: float) -> None:
         """Notes that a quorum read that began then has ended."""
@@ -121,7 +121,6 @@
 
     def age_s(self) -> float:
         """How long ago the state held here was the newest for sure; infinite before a majority's first word."""
-        self._update()
         return self._clock() - self._contact.confirmed_s
 
     def is_current(self) -> bool:
@@ -130,14 +129,13 @@
 
     def contact_since_s(self) -> float | None:
         """Since when a majority has answered heartbeats without a break; None while none does."""
-        self._update()
         return self._contact.contact_since_s(self._clock())
 
     def needs_read(self) -> bool:
         """Whether a majority answers and yet leaves the state held here unconfirmed."""
-        self._update()
         return self._contact.unconfirmed_s > READ_AFTER_S
 
-    def _update(self) -> None:
+    def update(self) -> None:
+        """Draws the conclusions of what is known by now; due with each heartbeat and each newly chosen state."""
         if self._register.chosen is not None:
             self._contact.update(self._register.chosen, self._register.durable_version, self._clock())
--- a/dewpin/controlplane/sender_service.py
+++ b/dewpin/controlplane/sender_service.py
@@ -12,6 +12,7 @@
     LeaseGrant,
     RenewRequest,
     StateJson,
+    rounded_up_s,
 )
 from dewpin.cluster.relay_service import RelayedKnowledge, RelayService
 from dewpin.cluster.rpc import Handler, Message, RpcError
@@ -75,10 +76,10 @@
             state_version=state["version"] if state is not None else -1,
             receivers_version=self._receivers.directory.version,
             list_age_s=self._receivers.age_s(),
-            knowledge_age_s=self._confirmation.age_s(),
+            knowledge_age_s=rounded_up_s(self._confirmation.age_s()),
             parents=tuple(self._leases.parents(request.sender, now_s)),
             control_addresses=control_addresses,
-            senders=len(self._leases.live(now_s)),
+            senders=self._leases.count(now_s),
         )
         return grant.encode()
 
--- a/tests/controlplane/test_leases.py
+++ b/tests/controlplane/test_leases.py
@@ -1,5 +1,7 @@
 """Leases of senders, and the relay tree that is drawn from them."""
 
+import random
+
 import pytest
 
 from dewpin.controlplane.leases import LEASE_PERIODS, LEASE_ROUNDS, RELAY_FAN_OUT, LeaseTable
@@ -64,3 +66,27 @@
 
 def test_a_sender_without_a_lease_has_no_parents():
     assert table_of(30).parents("unknown", 0.0) == []
+
+
+def test_leases_that_come_and_go_leave_the_tree_as_if_the_rest_had_been_alone():
+    """Renewed, released, ended and granted anew in any order."""
+    dice, table, alive = random.Random(3), LeaseTable(PERIOD_S), {}
+    now_s = 0.0
+    for _ in range(3000):
+        now_s += dice.uniform(0.0, 0.1)
+        sender = f"sender-{dice.randrange(60)}"
+        if dice.random() < 0.2:
+            table.release(sender)
+            alive.pop(sender, None)
+        else:
+            grantors = dice.choice([1, 3, 5])
+            table.renew(sender, f"{sender}:1", "east", now_s, grantors)
+            alive[sender] = now_s + table.duration_s(grantors)
+        alive = {one: end_s for one, end_s in alive.items() if end_s > now_s}
+        assert table.count(now_s) == len(alive)
+    assert {lease.sender for lease in table.live(now_s)} == set(alive)
+    alone = LeaseTable(PERIOD_S)
+    for one in alive:
+        alone.renew(one, f"{one}:1", "east", now_s)
+    assert [table.parents(one, now_s) for one in alive] == [alone.parents(one, now_s) for one in alive]
+    assert len(alive) > 2 * RELAY_FAN_OUT
