Orders: remembered for a month on each member, in place of 2,000 in the register's value

One sent again after it was forgotten was refused with 412 though it had been taken, and each promise and accept carried all of them. A forgotten order is answered from the table: 200 if it is there, 412 if its place is another order's or lies between two that follow each other, else 503. Rows come from chosen states only, so no majority is asked. Ruled out: asking a majority's tables for a denial (a row never changes); rows written with the accept (an accepted value need not be chosen).

--- /dev/null
+++ b/benchmarks/register_catch_up.py
@@ -0,0 +1,193 @@
+"""Bytes and time of one change of the system state and of a restarted member's catch-up.
+
+Three control processes of `tests/controlplane/test_keeper.py` on a simulated loop; each machine's outgoing link
+carries its messages one after the other at the given rate. Link time is computed, processor time is
+measured, of all three processes together. Prints one row of JSON for each case:
+
+    python -m benchmarks.register_catch_up [--changes 10,100] [--bodies 4096] [--mbit 15,86,600]
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import itertools
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+
+from control_world import Client, Network  # noqa: E402
+from controlplane.test_keeper import World  # noqa: E402
+from store_world import run  # noqa: E402
+
+from dewpin.cluster import netstring  # noqa: E402
+from dewpin.cluster.rpc import RpcError  # noqa: E402
+from dewpin.controlplane.register import RegisterUnavailable  # noqa: E402
+from dewpin.controlplane.system_state import put_configuration  # noqa: E402
+
+LATENCY_S = 0.0014
+FILLING_BODY_BYTES = 4096
+GIVE_UP_S = 15.0
+ANSWER_S = 0.85
+OPERATOR_PAUSE_S = 0.2
+
+
+class LinkNetwork(Network):
+    """Each machine's outgoing link carries `mbit` million bits a second, first come, first served; None: at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.bytes = 0
+        self.largest = 0
+        self.set_rate(None)
+
+    def set_rate(self, mbit: float | None) -> None:
+        """Changes the rate; what waited for a link before is forgotten."""
+        self.mbit = mbit
+        self._free_s: dict[str, float] = {}
+
+    def client(self, source: str) -> Client:
+        return LinkClient(self, source)
+
+    async def carry(self, source: str, message: Any) -> None:
+        """Waits until the message has left the link and has arrived."""
+        if self.mbit is None:
+            return
+        size = len(netstring.encode(message))
+        self.bytes += size
+        self.largest = max(self.largest, size)
+        now_s = asyncio.get_running_loop().time()
+        sent_s = max(now_s, self._free_s.get(source, 0.0)) + size * 8 / (self.mbit * 1e6)
+        self._free_s[source] = sent_s
+        await asyncio.sleep(sent_s + LATENCY_S - now_s)
+
+
+class LinkClient(Client):
+    """Calls over the links. A call that is given up still takes its time on the link."""
+
+    async def _call(self, address: str, message: dict[str, Any]) -> dict[str, Any]:
+        if not self.network.reaches(self.source, address):
+            raise RpcError("connect", address)
+        exchange = asyncio.ensure_future(self._exchange(address, message))
+        exchange.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await asyncio.shield(exchange)
+
+    async def _exchange(self, address: str, message: dict[str, Any]) -> dict[str, Any]:
+        await self.network.carry(self.source, message)
+        handler = self.network.handlers.get(address, {}).get(message["type"])
+        if handler is None or not self.network.reaches(self.source, address):
+            raise RpcError("connect", address)
+        answer = await handler(message)
+        await self.network.carry(address, answer)
+        return answer
+
+
+def body_of(size: int, generation: int) -> bytes:
+    """A configuration's body of that size."""
+    return json.dumps({"generation": generation, "filling": "x" * max(size - 40, 0)}).encode()
+
+
+async def put(world: World, number: int, generation: int, base: int, size: int) -> tuple[int, float]:
+    """Sends an order to one process after the other, as operators do; calls and seconds until it is acknowledged."""
+    clock = asyncio.get_running_loop().time
+    began_s = clock()
+    body = body_of(size, generation)
+    for call in itertools.count():
+        target = world.keepers[[1, 2, 3][(number - 1 + call) % 3]]
+        try:
+            await target.register.propose(put_configuration(body, generation, base), ANSWER_S)
+            return call + 1, clock() - began_s
+        except RegisterUnavailable:
+            if clock() - began_s > GIVE_UP_S:
+                return call + 1, float("inf")
+            await asyncio.sleep(OPERATOR_PAUSE_S)
+    raise AssertionError
+
+
+async def until_equal(world: World, numbers: tuple[int, ...], generation: int) -> float:
+    """Seconds until these processes know the generation as chosen; infinite if they never do."""
+    clock = asyncio.get_running_loop().time
+    began_s = clock()
+    while any(world.generation(number) != generation for number in numbers):
+        await asyncio.sleep(0.005)
+        if clock() - began_s > GIVE_UP_S:
+            return float("inf")
+    return clock() - began_s
+
+
+class Meter:
+    """Bytes on the links and processor time since it began."""
+
+    def __init__(self, network: LinkNetwork) -> None:
+        self.network = network
+        self.bytes = network.bytes
+        self.cpu_s = time.process_time()
+        network.largest = 0
+
+    def row(self, name: str, **figures: Any) -> dict[str, Any]:
+        used_s = time.process_time() - self.cpu_s
+        sent = self.network.bytes - self.bytes
+        return {"step": name, "kilobytes": round(sent / 1000, 1), "cpu_ms": round(1000 * used_s, 1), **figures}
+
+
+async def measure(changes: int, sizes: list[int], rates: list[float]) -> list[dict[str, Any]]:
+    """The rows of all sizes and rates after that many changes."""
+    world = World()
+    network = world.network = LinkNetwork()
+    await world.begin()
+    generation = 0
+    for _ in range(changes):
+        generation += 1
+        await put(world, 1, generation, generation - 1, FILLING_BODY_BYTES)
+    rows = []
+    for size, mbit in itertools.product(sizes, rates):
+        case = {"changes": changes, "body": size, "mbit": mbit}
+        await until_equal(world, (1, 2, 3), generation)
+        network.set_rate(mbit)
+        generation += 1
+        meter = Meter(network)
+        calls, took_s = await put(world, 1, generation, generation - 1, size)
+        everywhere_s = await until_equal(world, (1, 2, 3), generation)
+        rows.append(
+            case
+            | meter.row("change", calls=calls, acknowledged_s=round(took_s, 3), known_s=round(took_s + everywhere_s, 3))
+        )
+        network.set_rate(None)
+        await put(world, 1, generation, generation - 1, size)
+        await world.kill(3)
+        generation += 1
+        await put(world, 1, generation, generation - 1, size)
+        network.set_rate(mbit)
+        meter = Meter(network)
+        await world.start(3)
+        assert world.keepers[3].register.chosen is None
+        took_s = await until_equal(world, (3,), generation)
+        rows.append(case | meter.row("catch_up", took_s=round(took_s, 3)))
+        network.set_rate(None)
+        await until_equal(world, (1, 2, 3), generation)
+        await asyncio.sleep(2.0)
+    for keeper in world.keepers.values():
+        await keeper.stop()
+    return rows
+
+
+def main() -> None:
+    """Prints the rows."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--changes", default="10,100,1000,3000")
+    parser.add_argument("--bodies", default="4096,300000,4000000")
+    parser.add_argument("--mbit", default="15,86,600")
+    told = parser.parse_args()
+    sizes = [int(one) for one in told.bodies.split(",")]
+    rates = [float(one) for one in told.mbit.split(",")]
+    for changes in told.changes.split(","):
+        for row in run(measure(int(changes), sizes, rates)):
+            print(json.dumps(row), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -91,8 +91,7 @@
         """The handlers of this process's messages, by type."""
         return {
             HEARTBEAT: self.heartbeats.handle,
-            "register.prepare": self.register.handle_prepare,
-            "register.accept": self.register.handle_accept,
+            **self.register.handlers,
             **self.senders.handlers,
         }
 
--- a/dewpin/controlplane/operator_api.py
+++ b/dewpin/controlplane/operator_api.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import threading
+import time
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -19,9 +20,11 @@
     Change,
     ChangeRefused,
     GenerationNotAbove,
+    OrderForgotten,
     SystemState,
     TooFewWouldRemain,
     UnknownMachine,
+    digest_of,
     put_configuration,
     retirement_is_done,
     start_retirement,
@@ -30,6 +33,8 @@
 log = logging.getLogger(__name__)
 
 ANSWER_WITHIN_S = 0.85
+LEAST_LOOKUP_S = 0.05
+"""For a look into the history of orders, also where the register took the whole time."""
 IDLE_TIMEOUT_S = 20.0
 MOST_BODY_BYTES = 16 * 1024 * 1024
 BASE_VERSION_HEADER = "X-Dewpin-Base-Version"
@@ -75,8 +80,14 @@
             return _fault(400, "the body is not UTF-8")
         except ValueError:
             return _fault(400, f"{BASE_VERSION_HEADER}: expected a whole number, got {base_header!r}")
-        answer = self._change(put_configuration(body, configuration.generation, base))
-        return answer or Answer(200, json.dumps({"generation": configuration.generation}).encode())
+        generation = configuration.generation
+        began_s = time.monotonic()
+        try:
+            answer = self._change(put_configuration(body, generation, base))
+        except OrderForgotten:
+            left_s = ANSWER_WITHIN_S - (time.monotonic() - began_s)
+            answer = self._answer_from_history(generation, digest_of(body, base), left_s)
+        return answer or Answer(200, json.dumps({"generation": generation}).encode())
 
     def get(self) -> Answer:
         """Config.Get: the newest configuration, by a quorum's word."""
@@ -109,12 +120,27 @@
         result = self._agreed(change)
         return result if isinstance(result, Answer) else None
 
+    def _answer_from_history(self, generation: int, digest: str, left_s: float) -> Answer | None:
+        """None if the order was taken. It is refused only if it surely wasn't."""
+        future: Future[bool | None] = asyncio.run_coroutine_threadsafe(
+            self._register.was_taken(generation, digest, max(left_s, LEAST_LOOKUP_S)), self._loop
+        )
+        try:
+            was_taken = future.result(ANSWER_WITHIN_S)
+        except FutureTimeout:
+            was_taken = None
+        if was_taken is None:
+            return _fault(503, f"generation {generation} is too old to tell whether it was taken")
+        return None if was_taken else _fault(412, f"generation {generation} is not the one that was taken")
+
     def _agreed(self, change: Change) -> SystemState | Answer:
         future: Future[SystemState] = asyncio.run_coroutine_threadsafe(
             self._register.propose(change, ANSWER_WITHIN_S), self._loop
         )
         try:
             return future.result(ANSWER_WITHIN_S + 0.1)
+        except OrderForgotten:
+            raise
         except ChangeRefused as refused:
             return _fault(_STATUS_OF_REFUSAL.get(type(refused), 503), str(refused))
         except (RegisterUnavailable, FutureTimeout) as fault:
--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from dewpin.cluster.rpc import Message, RpcClient, RpcError
+from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
 from dewpin.consensus import Accept, Accepted, Ballot, Conflict, Outcome, Prepare, Promise, Proposal, Replica, Reply
 from dewpin.consensus.proposal import Request
 from dewpin.consensus.replica import ZERO_BALLOT
 
+from .order_history import ORDERS, OrderHistory, OrderPage, OrdersRequest
 from .storage import StorageFailed
 from .system_state import Change, ChangeRefused, SystemState, quorum_sets
 
@@ -57,6 +58,17 @@
         self._counter = 0
         self._proposing = asyncio.Lock()
         self._addresses: dict[str, str] = {}
+        self._history = OrderHistory(storage, self._ask_for_orders)
+        self._notes: set[asyncio.Task[None]] = set()
+
+    @property
+    def handlers(self) -> dict[str, Handler]:
+        """The handlers of the register's messages, by type."""
+        return {
+            "register.prepare": self.handle_prepare,
+            "register.accept": self.handle_accept,
+            ORDERS: self._handle_orders,
+        }
 
     async def load(self) -> None:
         """Takes up what the disk holds. Before, the replica takes part in nothing: it would forget its promises."""
@@ -73,6 +85,7 @@
         self._counter = self._replica.promised.counter
         if self._replica.value is not None:
             self._learn_addresses(self._replica.value)
+        await self._history.load()
         self._is_loaded = True
 
     @property
@@ -102,6 +115,43 @@
         self.chosen = state
         self.chosen_ballot = max(ballot, self.chosen_ballot)
         self.on_chosen(state)
+        note = asyncio.ensure_future(self._note_orders(state))
+        self._notes.add(note)
+        note.add_done_callback(self._notes.discard)
+
+    async def was_taken(self, generation: int, digest: str, timeout_s: float) -> bool | None:
+        """Whether an order that the newest state has forgotten was taken; None if that can't be told in time."""
+        if self.chosen is None:
+            return None
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._history.note(self.chosen)
+                return await self._history.was_taken(generation, digest)
+        except (TimeoutError, StorageFailed):
+            return None
+
+    async def _note_orders(self, state: SystemState) -> None:
+        try:
+            await self._history.note(state)
+        except StorageFailed as fault:  # the next state tells of these orders too
+            log.warning("register.orders_not_noted", extra={"why": repr(fault)})
+
+    async def _handle_orders(self, message: Message) -> Message:
+        return (await self._history.page(OrdersRequest.decode(message))).encode()
+
+    async def _ask_for_orders(self, request: OrdersRequest) -> OrderPage | None:
+        best: OrderPage | None = None
+        for address in sorted(set(self._addresses.values()) - {self.address}):
+            try:
+                page = OrderPage.decode(await self._client.call(address, request.encode(), MEMBER_TIMEOUT_S))
+            except (RpcError, LookupError, TypeError, ValueError) as fault:
+                log.debug("register.no_orders", extra={"address": address, "why": repr(fault)})
+                continue
+            if best is None or (page.orders and (not best.orders or page.orders[0].number < best.orders[0].number)):
+                best = page
+            if best.orders and best.orders[0].number == request.after + 1:
+                return best
+        return best
 
     async def handle_prepare(self, message: Message) -> Message:
         """First round, as a member."""
--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -19,7 +19,7 @@
 """Name of the database file inside the data folder."""
 DAMAGED_MARK = "keeper.damaged"
 """Name of the file that tells the next start to set the database aside."""
-SCHEMA_VERSION = 1
+SCHEMA_VERSION = 2
 MOST_WAITING = 20_000
 """Jobs that may wait for the storage thread; one more is refused at once."""
 MOST_IN_COMMIT = 256
@@ -49,7 +49,14 @@
     "CREATE INDEX turns_previous ON turns (previous) WHERE previous IS NOT NULL",
     "CREATE TABLE turn_bodies (turn TEXT PRIMARY KEY, input BLOB NOT NULL, output BLOB NOT NULL)",
 )
-_MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1}
+_SCHEMA_2 = (
+    # Every order of the operator that was taken, in the order of their numbers: 1, 2, 3 and so on.
+    "CREATE TABLE orders (number INTEGER PRIMARY KEY, generation INTEGER NOT NULL, digest TEXT NOT NULL)",
+    "CREATE INDEX orders_generation ON orders (generation)",
+    # The operator's configuration of the register's value, which names it by its digest.
+    "CREATE TABLE register_bodies (digest TEXT PRIMARY KEY, body BLOB NOT NULL) WITHOUT ROWID",
+)
+_MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1, 1: _SCHEMA_2}
 """Statements that lead from a schema version to the next one."""
 
 
--- a/dewpin/controlplane/system_state.py
+++ b/dewpin/controlplane/system_state.py
@@ -11,7 +11,10 @@
 from types import MappingProxyType
 from typing import NotRequired, TypedDict
 
-MOST_REMEMBERED_CONFIGURATIONS = 2000
+MOST_REMEMBERED_CONFIGURATIONS = 128
+"""Orders of the operator that the state itself remembers; older ones are in each process's `OrderHistory`."""
+MOST_REMEMBERED_BEFORE = 2000
+"""What releases before `orders_taken` remembered at most."""
 
 Addresses = dict[str, str]
 
@@ -34,7 +37,8 @@
 
 
 class SystemState(TypedDict):
-    """The register's value. Members and stores are incarnations, by id, with the address of each."""
+    """The register's value. Members and stores are incarnations, by id, with the address of each. `accepted`: the
+    newest orders that were taken, generation and digest of each; `orders_taken` counts all of them."""
 
     version: int
     members: Addresses
@@ -45,6 +49,7 @@
     retired: list[str]
     configuration: StoredConfiguration | None
     accepted: list[list[int | str]]
+    orders_taken: NotRequired[int]
     note: NotRequired[str]
 
 
@@ -63,6 +68,10 @@
     """The order's generation is not above the present one."""
 
 
+class OrderForgotten(ChangeRefused):
+    """The order's generation is older than all that the state remembers: it may have been taken."""
+
+
 class StateMoved(ChangeRefused):
     """The state is no longer the one that the change was planned on."""
 
@@ -87,6 +96,7 @@
         retired=[],
         configuration=None,
         accepted=[],
+        orders_taken=0,
     )
 
 
@@ -113,6 +123,21 @@
     return hashlib.sha256(b"%d\n%b" % (base, body)).hexdigest()[:24]
 
 
+def orders_taken(state: SystemState) -> int:
+    """How many orders were ever taken. A state of an earlier release, which didn't count, may have forgotten some."""
+    remembered = len(state["accepted"])
+    return state.get("orders_taken", remembered + (remembered >= MOST_REMEMBERED_BEFORE))
+
+
+def is_forgotten(state: SystemState, generation: int, base: int) -> bool:
+    """Whether an order of that generation may have been taken before all that the state remembers. Generations rise
+    from order to order, and one that was taken is above its base."""
+    remembered = state["accepted"]
+    if generation <= base or orders_taken(state) == len(remembered):
+        return False
+    return generation < int(remembered[0][0])
+
+
 def put_configuration(body: bytes, generation: int, base: int) -> Change:
     """The change that takes a checked configuration in. The same order sent again changes nothing."""
     digest = digest_of(body, base)
@@ -120,6 +145,8 @@
     def change(state: SystemState) -> SystemState:
         if [generation, digest] in state["accepted"]:
             return state
+        if is_forgotten(state, generation, base):
+            raise OrderForgotten(f"generation {generation} is older than all that is remembered")
         current = state["configuration"]["generation"] if state["configuration"] else 0
         if base != current:
             raise AnotherVersionIsCurrent(f"version {current} is in place, not {base}")
@@ -130,6 +157,7 @@
             generation=generation, digest=digest, body=body.decode("utf-8")
         )
         entry: list[int | str] = [generation, digest]
+        following["orders_taken"] = orders_taken(state) + 1
         following["accepted"] = [*state["accepted"], entry][-MOST_REMEMBERED_CONFIGURATIONS:]
         return following
 
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -117,10 +117,7 @@
 
     def _member(self, name):
         register = SystemRegister(name, name, self.disks[name], self.network.client(name), random.Random(name))
-        self.network.handlers[name] = {
-            "register.prepare": register.handle_prepare,
-            "register.accept": register.handle_accept,
-        }
+        self.network.handlers[name] = register.handlers
         return register
 
     async def begin(self):
--- a/tests/controlplane/test_keeper_random.py
+++ b/tests/controlplane/test_keeper_random.py
@@ -6,8 +6,9 @@
 import pytest
 from controlplane.test_keeper import World, run
 
+from dewpin.controlplane.order_history import remembered_orders
 from dewpin.controlplane.register import RegisterUnavailable
-from dewpin.controlplane.system_state import ChangeRefused, digest_of, put_configuration
+from dewpin.controlplane.system_state import ChangeRefused, digest_of, orders_taken, put_configuration
 
 SEEDS = range(8)
 SCENE_S = 30.0
@@ -103,12 +104,22 @@
             await world.trouble(rng)
         await asyncio.gather(*works)
         state = await world.keepers[1].register.propose(lambda present: present, 5.0)
+        await asyncio.sleep(2.0)
+        histories = [
+            await world.disks[number].query("SELECT number, generation, digest FROM orders ORDER BY number")
+            for number in (1, 2, 3)
+        ]
         for keeper in world.keepers.values():
             await keeper.stop()
-        return operators, state
-
-    operators, state = run(scene())
-    orders = state["accepted"]
+        return operators, state, histories
+
+    operators, state, histories = run(scene())
+    newest = [(order.number, order.generation, order.digest) for order in remembered_orders(state)]
+    whole = [sorted({*history, *newest}) for history in histories]
+    orders = [[generation, digest] for _, generation, digest in whole[0]]
+    assert [number for number, _, _ in whole[0]] == list(range(1, orders_taken(state) + 1))
+    assert whole[0] == whole[1] == whole[2], "a member that was wiped or away took what it missed"
+    assert orders[-len(newest) :] == state["accepted"]
     generations = [generation for generation, _ in orders]
     assert generations == sorted(set(generations))
     assert [state["configuration"]["generation"], state["configuration"]["digest"]] == orders[-1]
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import threading
+import time
 
 import pytest
 from cluster import samples
@@ -13,7 +14,14 @@
 from dewpin.controlplane import operator_api
 from dewpin.controlplane.operator_api import OperatorApi, serve_operator
 from dewpin.controlplane.register import RegisterUnavailable
-from dewpin.controlplane.system_state import begin_stores, finish_retirement, genesis
+from dewpin.controlplane.system_state import (
+    MOST_REMEMBERED_CONFIGURATIONS,
+    begin_stores,
+    digest_of,
+    finish_retirement,
+    genesis,
+    put_configuration,
+)
 
 LEAST_STORES = 3
 
@@ -26,6 +34,7 @@
         names = {one: f"store-{one}" for one in "abcd"}
         self.state = begin_stores(ids, names)(genesis(ids, names))
         self.available = True
+        self.history = None
 
     async def propose(self, change, timeout_s):
         if not self.available:
@@ -33,6 +42,12 @@
         self.state = change(self.state)
         return self.state
 
+    async def was_taken(self, generation, digest, timeout_s):
+        if self.history is None:
+            await asyncio.sleep(timeout_s)
+            return None
+        return [generation, digest] in self.history
+
 
 class Operator:
     def __init__(self, register, port):
@@ -105,6 +120,45 @@
     assert operator.put(sample(8), 5) == 412
 
 
+def chunked(body, size):
+    parts = [body[start : start + size] for start in range(0, len(body), size)]
+    head = b"POST /dewpin/Config.Put HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+    return head + b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+
+
+def test_the_same_order_is_the_same_in_whatever_chunks_it_comes(operator):
+    body = json.dumps(sample()).encode()
+    assert operator.put(body, 0) == 200
+    assert operator.put(sample(9), 7) == 200
+    for size in (1, 7, 100, len(body)):
+        assert operator.raw(chunked(body, size)).startswith(b"HTTP/1.1 200"), size
+    assert operator.raw(chunked(body + b" ", 100)).startswith(b"HTTP/1.1 412")
+    assert json.loads(operator.call("GET", "/dewpin/Config.Get")[1])["generation"] == 9
+
+
+def take_more_than_the_state_remembers(operator):
+    state = operator.register.state
+    for generation in range(7, 7 + MOST_REMEMBERED_CONFIGURATIONS + 5):
+        base = generation - 1 if generation > 7 else 0
+        state = put_configuration(json.dumps(sample(generation)).encode(), generation, base)(state)
+    operator.register.state = state
+
+
+@pytest.mark.parametrize("was_taken", [True, False])
+def test_an_order_that_the_state_has_forgotten_is_answered_from_the_history(operator, was_taken):
+    take_more_than_the_state_remembers(operator)
+    body = json.dumps(sample(8)).encode()
+    operator.register.history = [[8, digest_of(body, 7)]] if was_taken else [[8, digest_of(b"other", 7)]]
+    assert operator.put(body, 7) == (200 if was_taken else 412)
+
+
+def test_a_forgotten_order_that_no_history_tells_of_gets_no_clear_answer_in_time(operator):
+    take_more_than_the_state_remembers(operator)
+    began_s = time.monotonic()
+    assert operator.put(sample(8), 7) == 503
+    assert time.monotonic() - began_s < 1.0
+
+
 def test_without_a_base_the_first_version_is_meant(operator):
     body = json.dumps(sample()).encode()
     assert operator.call("POST", "/dewpin/Config.Put", body)[0] == 200
