Ledgers: a copied value is no vote; two readers could see two histories

Cause: a store that copies a ledger for a change of the view took the greatest accepted ballot over as its own, also where it had promised a greater one. A reader counted it as a holder: with `a` alone having accepted ballot 5, a proposer of ballot 7 promised by `b` and `c` that died once `c` had accepted, and `b` and `d` copying from `a`, a reader of a, b, d called ballot 5 chosen without a round of its own; the next reader of b, c took ballot 7, in which the first one's reservation is missing.

Change: a copied value is marked (column `copied`, schema 3; `Promise.copied`) until the replica accepts for itself. It is told and counts in the choice of the value, and is left out where holders are counted, so the reader proposes it anew. Ruled out: refusing copies below the promise (a chosen value would be missing at the next replicas; the last test fails so).

Tests seen to fail without the mend: two readers see two histories (both cases: in the changing view, and after it).

--- a/dewpin/consensus/messages.py
+++ b/dewpin/consensus/messages.py
@@ -21,7 +21,7 @@
 def encode_reply(reply: Reply) -> dict[str, Any]:
     """The answer that tells a replica's reply."""
     if isinstance(reply, Promise):
-        return {"type": PROMISE, "accepted": list(reply.accepted), "value": reply.value}
+        return {"type": PROMISE, "accepted": list(reply.accepted), "value": reply.value, "copied": reply.copied}
     if isinstance(reply, Accepted):
         return {"type": ACCEPTED, "ballot": list(reply.ballot)}
     return {"type": CONFLICT, "promised": list(reply.promised)}
@@ -30,7 +30,7 @@
 def decode_reply(message: dict[str, Any]) -> Reply:
     """The reply that an answer tells. KeyError, TypeError or ValueError if it tells none."""
     if message["type"] == PROMISE:
-        return Promise(ballot_from_json(message["accepted"]), message["value"])
+        return Promise(ballot_from_json(message["accepted"]), message["value"], bool(message.get("copied", False)))
     if message["type"] == ACCEPTED:
         return Accepted(ballot_from_json(message["ballot"]))
     if message["type"] == CONFLICT:
--- a/dewpin/consensus/proposal.py
+++ b/dewpin/consensus/proposal.py
@@ -135,7 +135,7 @@
     def _on_promise(self, member: str, promise: Promise) -> list[Request]:
         if self._accept is not None:
             return []
-        self._promised[member] = promise.accepted
+        self._promised[member] = ZERO_BALLOT if promise.copied else promise.accepted
         if promise.value is not None and promise.accepted > self._highest_ballot:
             self._highest = promise.value
             self._highest_ballot = promise.accepted
@@ -157,7 +157,8 @@
         return self._send_accept(value, [*sets, *self._quorum_sets(value)])
 
     def _is_chosen(self, sets: Sequence[MemberSet]) -> bool:
-        """Whether the highest value is known to be accepted by majorities, so that nothing needs finishing."""
+        """Whether the highest value is known to be accepted by majorities, so that nothing needs finishing. A copy of
+        it is no vote: its holder may have promised a greater ballot before."""
         if self._prepared or self._highest_ballot == ZERO_BALLOT:
             return True
         holders = [member for member, accepted in self._promised.items() if accepted == self._highest_ballot]
--- a/dewpin/consensus/replica.py
+++ b/dewpin/consensus/replica.py
@@ -24,10 +24,14 @@
 
 @dataclass(frozen=True)
 class Promise:
-    """The replica takes part in no older ballot from here on; it tells what it accepted last."""
+    """The replica takes part in no older ballot from here on; it tells what it accepted last.
+
+    `copied`: it took that from another replica and never voted for it, so it counts for no majority.
+    """
 
     accepted: Ballot
     value: JsonValue
+    copied: bool = False
 
 
 @dataclass(frozen=True)
@@ -49,18 +53,19 @@
 
 @dataclass
 class Replica:
-    """State of one replica. `value` is None until something was accepted."""
+    """State of one replica. `value` is None until something was accepted; `copied`: by another replica, not by this."""
 
     promised: Ballot = ZERO_BALLOT
     accepted: Ballot = ZERO_BALLOT
     value: JsonValue = None
+    copied: bool = False
 
     def prepare(self, ballot: Ballot) -> Promise | Conflict:
         """First round: promises `ballot` if nothing as great was promised before."""
         if ballot <= self.promised:
             return Conflict(self.promised)
         self.promised = ballot
-        return Promise(self.accepted, self.value)
+        return Promise(self.accepted, self.value, self.copied)
 
     def accept(self, ballot: Ballot, value: JsonValue, next_ballot: Ballot | None = None) -> Accepted | Conflict:
         """Second round: accepts `value`. `next_ballot` is promised beside, so that the proposer may skip its next
@@ -69,5 +74,6 @@
             return Conflict(self.promised)
         self.accepted = ballot
         self.value = value
+        self.copied = False
         self.promised = max(ballot, next_ballot or ballot)
         return Accepted(ballot)
--- a/dewpin/controlplane/ledger_replica.py
+++ b/dewpin/controlplane/ledger_replica.py
@@ -8,7 +8,7 @@
 import json
 import sqlite3
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from dewpin.consensus import Accepted, Ballot, Conflict, Promise, Replica
@@ -50,23 +50,30 @@
 def load(connection: sqlite3.Connection, program: str) -> Replica:
     """Return the replica of the program's ledger as it stands."""
     row = connection.execute(
-        "SELECT promised, accepted_ballot, value FROM register_replica WHERE key = ?", (KEY_PREFIX + program,)
+        "SELECT promised, accepted_ballot, value, copied FROM register_replica WHERE key = ?", (KEY_PREFIX + program,)
     ).fetchone()
     if row is None:
         return Replica()
-    return Replica(ballot_from_json(json.loads(row[0])), ballot_from_json(json.loads(row[1])), json.loads(row[2]))
+    promised, accepted, value, copied = row
+    return Replica(
+        ballot_from_json(json.loads(promised)),
+        ballot_from_json(json.loads(accepted)),
+        json.loads(value),
+        bool(copied),
+    )
 
 
 def save(connection: sqlite3.Connection, program: str, replica: Replica, now_ms: int) -> None:
     """Write the replica of the program's ledger."""
     connection.execute(
-        "INSERT OR REPLACE INTO register_replica (key, promised, accepted_ballot, value, changed_ms)"
-        " VALUES (?, ?, ?, ?, ?)",
+        "INSERT OR REPLACE INTO register_replica (key, promised, accepted_ballot, value, copied, changed_ms)"
+        " VALUES (?, ?, ?, ?, ?, ?)",
         (
             KEY_PREFIX + program,
             json.dumps(replica.promised),
             json.dumps(replica.accepted),
             json.dumps(replica.value, separators=(",", ":")),
+            replica.copied,
             now_ms,
         ),
     )
@@ -98,14 +105,17 @@
 
 
 def merge(connection: sqlite3.Connection, records: Sequence[LedgerRecord], now_ms: int) -> None:
-    """Take over what other replicas hold: the greatest accepted ballot and the greatest promise win."""
+    """Take over what other replicas hold: the greatest accepted ballot and the greatest promise win.
+
+    A value that is taken over is marked as copied. It must be here, so that nobody who reads a majority misses a chosen
+    value; but this replica may have promised a greater ballot already, so it never counts as a vote for the value.
+    """
     for record in records:
         replica = load(connection, record.program)
         promised = max(replica.promised, record.promised)
-        accepted, value = replica.accepted, replica.value
-        if record.accepted > accepted:
-            accepted, value = record.accepted, record.value
-        merged = Replica(promised, accepted, value)
+        merged = replace(replica, promised=promised)
+        if record.accepted > replica.accepted:
+            merged = Replica(promised, record.accepted, record.value, copied=True)
         if merged != replica:
             save(connection, record.program, merged, now_ms)
 
--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -19,7 +19,7 @@
 """Name of the database file inside the data folder."""
 DAMAGED_MARK = "keeper.damaged"
 """Name of the file that tells the next start to set the database aside."""
-SCHEMA_VERSION = 1
+SCHEMA_VERSION = 3
 MOST_WAITING = 20_000
 """Jobs that may wait for the storage thread; one more is refused at once."""
 MOST_IN_COMMIT = 256
@@ -49,7 +49,15 @@
     "CREATE INDEX turns_previous ON turns (previous) WHERE previous IS NOT NULL",
     "CREATE TABLE turn_bodies (turn TEXT PRIMARY KEY, input BLOB NOT NULL, output BLOB NOT NULL)",
 )
-_MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1}
+_SCHEMA_2: tuple[str, ...] = ()
+_SCHEMA_3 = (
+    # The order in which this store took its turns, for the stores that follow it; empty for older turns.
+    "ALTER TABLE turns ADD COLUMN arrival INTEGER",
+    "CREATE UNIQUE INDEX turns_arrival ON turns (arrival) WHERE arrival IS NOT NULL",
+    # Whether the replica of a ledger got its value from another one, without a vote of its own.
+    "ALTER TABLE register_replica ADD COLUMN copied INTEGER NOT NULL DEFAULT 0",
+)
+_MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1, 1: _SCHEMA_2, 2: _SCHEMA_3}
 """Statements that lead from a schema version to the next one."""
 
 
--- /dev/null
+++ b/tests/controlplane/test_ledger_copies.py
@@ -0,0 +1,121 @@
+"""Ledgers that are copied to other stores: a copy keeps a chosen value known, and is no vote for one that is not."""
+
+import asyncio
+import json
+
+import pytest
+from store_world import World, run
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.store_view import StoreView
+from dewpin.consensus import Ballot
+from dewpin.controlplane import ledger_replica
+from dewpin.dataplane import ledger
+
+BEFORE = {"spent": 1, "open": {}}
+RESERVED = {"spent": 1, "open": {"t": 60}}
+SETTLED = {"spent": 2, "open": {}}
+
+
+async def ask(machine, kind, view, /, **fields):
+    message = wire.request(kind, view, machine.store.member_id, program="p", **fields)
+    return await machine.store.handlers[kind](json.loads(json.dumps(message)))
+
+
+async def accept(world, names, counter, value, following=None):
+    ballot, after = [counter, "s"], following and [following, "s"]
+    for name in names:
+        answer = await ask(
+            world.machines[name], wire.LEDGER_ACCEPT, world.view, ballot=ballot, value=value, next_ballot=after
+        )
+        assert answer["type"] == "ballot.accepted"
+
+
+async def prepare(world, names, counter):
+    for name in names:
+        answer = await ask(world.machines[name], wire.LEDGER_PREPARE, world.view, ballot=[counter, "s"])
+        assert answer["type"] == "ballot.promise"
+
+
+def cut(world, origin, names):
+    world.cuts = {pair for pair in world.cuts if pair[0] != origin} | {(origin, name) for name in names}
+
+
+async def copy(world, **unreachable):
+    """Let the named stores copy for the present view; each is cut from the stores that its argument names."""
+    for name, others in unreachable.items():
+        cut(world, name, others)
+        world.machines[name].sync.start(world.view)
+    await world.until(lambda: all(world.view.epoch in world.machines[name].synced for name in unreachable))
+
+
+@pytest.mark.parametrize("finished", [False, True])
+def test_two_readers_see_one_history_where_a_copy_brings_what_a_minority_accepted(finished):
+    """`a` alone accepts a reservation. In the next view a proposer that has not seen it gets promises of `b` and `c`
+    and dies once `c` has accepted; then `b` and `d` copy from `a`."""
+
+    async def scene():
+        world = World(names="abcd", in_view="abc", syncs=False)
+        await accept(world, "abc", 3, BEFORE)
+        await accept(world, "a", 5, RESERVED)
+        world.tell(StoreView(2, world.members("abc"), world.members("bcd")))
+        await prepare(world, "bc", 7)
+        await accept(world, "c", 7, SETTLED)
+        await copy(world, b="c", d="c")
+        if finished:
+            await copy(world, c="b")
+            world.tell(StoreView(3, world.members("bcd")))
+        first = world.client("first")
+        cut(world, "first", "c")
+        seen_first = await asyncio.wait_for(first._change("p", ledger.read), 5.0)
+        second = world.client("second")
+        cut(world, "second", "ad")
+        seen_second = await asyncio.wait_for(second._change("p", ledger.read), 5.0)
+        assert seen_second == seen_first
+
+    run(scene())
+
+
+def test_a_copied_value_is_no_vote_until_the_replica_accepts_it():
+    async def scene():
+        world = World(names="a", losses=0)
+        disk = world.machines["a"].disk
+        record = ledger_replica.LedgerRecord("p", Ballot(5, "x"), Ballot(5, "x"), BEFORE)
+        await disk.transact(lambda connection: ledger_replica.merge(connection, [record], 0))
+        answer = await ask(world.machines["a"], wire.LEDGER_PREPARE, world.view, ballot=[6, "x"])
+        assert (answer["accepted"], answer["value"], answer["copied"]) == ([5, "x"], BEFORE, True)
+        await accept(world, "a", 7, BEFORE)
+        answer = await ask(world.machines["a"], wire.LEDGER_PREPARE, world.view, ballot=[8, "s"])
+        assert (answer["accepted"], answer["copied"]) == ([7, "s"], False)
+
+    run(scene())
+
+
+def test_a_replica_that_voted_for_a_value_keeps_its_vote_when_it_reads_the_same_elsewhere():
+    async def scene():
+        world = World(names="a", losses=0)
+        await accept(world, "a", 5, BEFORE)
+        disk = world.machines["a"].disk
+        record = ledger_replica.LedgerRecord("p", Ballot(9, "x"), Ballot(5, "s"), BEFORE)
+        await disk.transact(lambda connection: ledger_replica.merge(connection, [record], 0))
+        replica = await disk.transact(lambda connection: ledger_replica.load(connection, "p"))
+        assert (replica.promised, replica.copied) == (Ballot(9, "x"), False)
+
+    run(scene())
+
+
+def test_a_chosen_value_is_known_after_the_change_although_the_newcomer_promised_a_greater_ballot_first():
+    """The copy must not be refused for a promise: nobody else among the next replicas may have the value."""
+
+    async def scene():
+        world = World(names="abcde", in_view="abc", syncs=False)
+        await accept(world, "ab", 5, RESERVED)
+        world.tell(StoreView(2, world.members("abc"), world.members("cde")))
+        await prepare(world, "abde", 9)
+        await copy(world, c="b", d="b", e="b")
+        world.tell(StoreView(3, world.members("cde")))
+        reader = world.client("reader")
+        cut(world, "reader", "c")
+        assert await asyncio.wait_for(reader._change("p", ledger.read), 5.0) == RESERVED
+
+    run(scene())
