Stores: repair missed turns in the background, from each other's arrival order

Cause: a sender hands missed turns on for ten seconds and may die; a store that was away longer and stayed in the view never got what it missed, so two copies stayed two until the next change of the view. Change: turns are numbered as a store takes them (column `arrival`, schema 3; purged turns leave the order, numbers are never given again). Each other store of an unchanging view asks once a second for what arrived until its visit before and is to be held there, and fetches the bodies that it lacks, at 4 MiB/s at most; how far it came with each source is kept in `meta`. A copy for a change of the view sets where the repair begins. Scripted machines that are down or frozen now make no calls. Ruled out: digests of key ranges (cost grows with what is stored); numbers from the time of day (clocks step).

--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -17,6 +17,7 @@
 
 from .keeper import Keeper
 from .operator_api import OperatorApi, serve_operator
+from .repair import TurnRepair
 from .storage import Storage
 from .store import Store
 from .sync import StoreSync
@@ -47,6 +48,7 @@
     keeper.on_state = on_state
     keeper.synced_epoch = lambda: synced
     asyncio.ensure_future(store.purge_forever())
+    asyncio.ensure_future(TurnRepair(store, client, random.Random()).run_forever())
     return store.handlers
 
 
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -74,6 +74,7 @@
             wire.PULL_INDEX: self._on_pull_index,
             wire.PULL_TURNS: self._on_pull_turns,
             wire.PULL_LEDGERS: self._on_pull_ledgers,
+            wire.PULL_ARRIVALS: self._on_pull_arrivals,
         }
 
     def now_ms(self) -> int:
@@ -205,14 +206,35 @@
         view = await self._check_pull(message)
         after: tuple[str, str] = (message["after"][0], message["after"][1])
         most, member, now_ms = int(message["most"]), str(message["member"]), self.now_ms()
-        page = await self._transact(
-            message["epoch"], lambda connection: turn_table.index_page(connection, after, most, now_ms)
+        page, newest = await self._transact(
+            message["epoch"],
+            lambda connection: (
+                turn_table.index_page(connection, after, most, now_ms),
+                turn_table.last_arrival(connection),
+            ),
         )
         wanted = [entry for entry in page if member in view.next_replicas(entry.program, self.replica_count)]
         return {
             "type": wire.PULLED,
             "entries": [[entry.turn, entry.program, entry.left_ms] for entry in wanted],
             "after": [page[-1].turn, page[-1].program] if len(page) == most else None,
+            "newest": newest,
+        }
+
+    async def _on_pull_arrivals(self, message: Message) -> Message:
+        """Answer what came here since a number and is held by a member under the unchanging view."""
+        view = self._check(message)
+        after, until, most = int(message["after"]), int(message["until"]), int(message["most"])
+        member, now_ms = str(message["member"]), self.now_ms()
+        page = await self._transact(
+            message["epoch"], lambda connection: turn_table.arrivals(connection, after, until, most, now_ms)
+        )
+        wanted = [entry for entry in page.entries if member in view.stable_replicas(entry.program, self.replica_count)]
+        return {
+            "type": wire.PULLED,
+            "entries": [[entry.turn, entry.program, entry.left_ms] for entry in wanted],
+            "after": page.after,
+            "newest": page.newest,
         }
 
     async def _on_pull_turns(self, message: Message) -> Message:
--- a/dewpin/controlplane/sync.py
+++ b/dewpin/controlplane/sync.py
@@ -11,22 +11,28 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import Message, RpcError
-from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.controlplane import ledger_replica, turn_table
 from dewpin.controlplane.ledger_replica import LedgerRecord
+from dewpin.controlplane.repair import write_cursor
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.turn_table import IndexEntry
+from dewpin.controlplane.turn_transfer import (
+    TURNS_IN_REQUEST,
+    Calls,
+    FetchedTurns,
+    Key,
+    body_request,
+    entries_of,
+    key_of,
+)
 
 INDEX_PAGE = 256
 LEDGER_PAGE = 500
-TURNS_IN_REQUEST = 64
-BODY_BYTES_IN_REQUEST = 512 * 1024
 PULL_TIMEOUT_S = 1.0
 CLAIM_S = 1.5
 """For how long a source keeps others from fetching the same bodies."""
@@ -34,15 +40,6 @@
 RETRY_S = 0.1
 
 log = logging.getLogger(__name__)
-Key = tuple[str, str]
-"""Turn and program."""
-
-
-class Calls(Protocol):
-    """The part of an RpcClient that is needed here."""
-
-    async def call(self, address: str, message: Message, timeout_s: float) -> Message:
-        """Return the answer; raises RpcError."""
 
 
 class StoreSync:
@@ -131,44 +128,48 @@
 
     async def _copy_turns(self, source: Member) -> None:
         after: list[str] | None = ["", ""]
+        arrivals: int | None = None
         while after is not None:
             answer = await self._pull(
                 source, wire.PULL_INDEX, member=self._store.member_id, after=after, most=INDEX_PAGE
             )
-            entries = [IndexEntry(str(turn), str(program), int(left)) for turn, program, left in answer["entries"]]
-            await self._copy_bodies(source, entries)
+            arrivals = int(answer["newest"]) if arrivals is None else arrivals
+            await self._copy_bodies(source, entries_of(answer))
             after = answer["after"]
+        await self._follow_from(source, arrivals or 0)
+
+    async def _follow_from(self, source: Member, arrival: int) -> None:
+        """Let the background repair begin with what came to the source after the copy had begun."""
+        await self._until_done(
+            lambda: self._store.storage.transact(lambda connection: write_cursor(connection, source.id, arrival))
+        )
 
     async def _copy_bodies(self, source: Member, entries: list[IndexEntry]) -> None:
         """Fetch those of `entries` that are not here; return once all are, or are gone at the source."""
         gone: set[Key] = set()
         while True:
-            wanted = [entry for entry in entries if (entry.turn, entry.program) not in gone]
-            lacking = await self._lacking(wanted)
+            lacking = await self._lacking([entry for entry in entries if key_of(entry) not in gone])
             if not lacking:
                 return
             now_s = asyncio.get_running_loop().time()
-            free = [entry for entry in lacking if self._claims.get((entry.turn, entry.program), 0.0) <= now_s]
+            free = [entry for entry in lacking if self._claims.get(key_of(entry), 0.0) <= now_s]
             if not free:
                 await asyncio.sleep(PAUSE_S)
                 continue
             gone |= await self._fetch(source, free[:TURNS_IN_REQUEST], now_s + CLAIM_S)
 
-    async def _fetch(self, source: Member, entries: list[IndexEntry], claimed_until_s: float) -> set[Key]:
+    async def _fetch(self, source: Member, entries: list[IndexEntry], claimed_until_s: float) -> frozenset[Key]:
         """Fetch and keep some turns; return those that the source has no more."""
-        left_ms = {(entry.turn, entry.program): entry.left_ms for entry in entries}
-        self._claims.update(dict.fromkeys(left_ms, claimed_until_s))
+        claimed = [key_of(entry) for entry in entries]
+        self._claims.update(dict.fromkeys(claimed, claimed_until_s))
         try:
-            answer = await self._pull(
-                source, wire.PULL_TURNS, keys=[list(key) for key in left_ms], most_bytes=BODY_BYTES_IN_REQUEST
-            )
-            records = [TurnRecord.from_json(value) for value in answer["turns"]]
-            await self._keep(records, left_ms)
+            answer = await self._pull(source, wire.PULL_TURNS, **body_request(entries))
+            fetched = FetchedTurns.from_answer(entries, answer)
+            await self._keep(fetched)
         finally:
-            for key in left_ms:
+            for key in claimed:
                 self._claims.pop(key, None)
-        unread = {(str(turn), str(program)) for turn, program in answer["unread"]}
-        return left_ms.keys() - {(record.turn, record.program) for record in records} - unread
+        return fetched.gone
 
     async def _lacking(self, entries: list[IndexEntry]) -> list[IndexEntry]:
         found: list[IndexEntry] = []
@@ -179,13 +180,10 @@
         await self._until_done(attempt)
         return found
 
-    async def _keep(self, records: list[TurnRecord], left_ms: dict[Key, int]) -> None:
-        left = [left_ms[(record.turn, record.program)] for record in records]
+    async def _keep(self, fetched: FetchedTurns) -> None:
         now_ms = self._store.now_ms()
         await self._until_done(
-            lambda: self._store.storage.transact(
-                lambda connection: turn_table.take_over(connection, records, left, now_ms)
-            )
+            lambda: self._store.storage.transact(lambda connection: fetched.keep(connection, now_ms))
         )
 
     async def _copy_ledgers(self, source: Member) -> None:
--- a/dewpin/controlplane/turn_table.py
+++ b/dewpin/controlplane/turn_table.py
@@ -22,17 +22,55 @@
     left_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Arrivals:
+    """A part of the order in which a store took its turns: all those after one number and up to `after`. `newest` is
+    the number given last."""
+
+    entries: tuple[IndexEntry, ...]
+    after: int
+    newest: int
+
+
+_LAST_PURGED_ARRIVAL = "last_purged_arrival"
+
+
+def last_arrival(connection: sqlite3.Connection) -> int:
+    """Return the number that the newest turn was given; numbers are never given twice."""
+    row = connection.execute(
+        "SELECT max(coalesce((SELECT max(arrival) FROM turns WHERE arrival IS NOT NULL), 0),"
+        " coalesce((SELECT CAST(value AS INTEGER) FROM meta WHERE name = ?), 0))",
+        (_LAST_PURGED_ARRIVAL,),
+    ).fetchone()
+    return int(row[0])
+
+
 def put(connection: sqlite3.Connection, records: Sequence[TurnRecord], now_ms: int, margin_ms: int) -> None:
     """Keep turns; one that is there already is kept at least as long."""
-    for record in records:
+    _insert(connection, records, now_ms, [margin_ms] * len(records))
+
+
+def _insert(
+    connection: sqlite3.Connection, records: Sequence[TurnRecord], now_ms: int, margins_ms: Sequence[int]
+) -> None:
+    """Write turns, each to be kept for its `retain_ms` and its margin from now on."""
+    first = last_arrival(connection) + 1
+    for arrival, (record, margin_ms) in enumerate(zip(records, margins_ms, strict=True), first):
         connection.execute(
             "INSERT OR IGNORE INTO turn_bodies (turn, input, output) VALUES (?, ?, ?)",
             (record.turn, record.input, record.output),
         )
         connection.execute(
-            "INSERT INTO turns (turn, program, previous, retain_ms, expires_ms) VALUES (?, ?, ?, ?, ?)"
+            "INSERT INTO turns (turn, program, previous, retain_ms, expires_ms, arrival) VALUES (?, ?, ?, ?, ?, ?)"
             " ON CONFLICT (turn, program) DO UPDATE SET expires_ms = max(expires_ms, excluded.expires_ms)",
-            (record.turn, record.program, record.previous, record.retain_ms, now_ms + record.retain_ms + margin_ms),
+            (
+                record.turn,
+                record.program,
+                record.previous,
+                record.retain_ms,
+                now_ms + record.retain_ms + margin_ms,
+                arrival,
+            ),
         )
 
 
@@ -75,6 +113,18 @@
     return [IndexEntry(turn, program, expires_ms - now_ms) for turn, program, expires_ms in rows]
 
 
+def arrivals(connection: sqlite3.Connection, after: int, until: int, most: int, now_ms: int) -> Arrivals:
+    """Return up to `most` turns by the order in which they came here: those above `after` and up to `until`."""
+    rows = connection.execute(
+        "SELECT arrival, turn, program, expires_ms FROM turns WHERE arrival > ? AND arrival <= ?"
+        " ORDER BY arrival LIMIT ?",
+        (after, until, most),
+    ).fetchall()
+    entries = tuple(IndexEntry(turn, program, expires_ms - now_ms) for _, turn, program, expires_ms in rows)
+    read_until = rows[-1][0] if len(rows) == most else max(after, until)
+    return Arrivals(entries, read_until, last_arrival(connection))
+
+
 def missing(connection: sqlite3.Connection, entries: Sequence[IndexEntry]) -> list[IndexEntry]:
     """Return those of `entries` that are not here."""
     return [
@@ -109,12 +159,13 @@
     connection: sqlite3.Connection, records: Sequence[TurnRecord], left_ms: Sequence[int], now_ms: int
 ) -> None:
     """Keep copies of other stores' turns for as long as those keep them."""
-    for record, left in zip(records, left_ms, strict=True):
-        put(connection, [record], now_ms, left - record.retain_ms)
+    kept_ms = [left - record.retain_ms for record, left in zip(records, left_ms, strict=True)]
+    _insert(connection, records, now_ms, kept_ms)
 
 
 def purge(connection: sqlite3.Connection, now_ms: int, most: int) -> int:
     """Delete up to `most` expired turns from which no turn goes on; return how many."""
+    newest = last_arrival(connection)
     rows = connection.execute(
         "DELETE FROM turns WHERE (turn, program) IN (SELECT turn, program FROM turns AS old WHERE expires_ms < ?"
         " AND NOT EXISTS (SELECT 1 FROM turns AS child WHERE child.previous = old.turn)"
@@ -126,4 +177,8 @@
             "DELETE FROM turn_bodies WHERE turn = ? AND NOT EXISTS (SELECT 1 FROM turns WHERE turns.turn = ?)",
             (turn, turn),
         )
+    if rows and last_arrival(connection) < newest:
+        connection.execute(
+            "INSERT OR REPLACE INTO meta (name, value) VALUES (?, ?)", (_LAST_PURGED_ARRIVAL, str(newest))
+        )
     return len(rows)
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -9,6 +9,7 @@
 from dewpin.cluster.rpc import RpcError
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.controlplane import storage as storage_module
+from dewpin.controlplane.repair import TurnRepair
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.sync import StoreSync
@@ -78,6 +79,7 @@
         self.refuses = set()  # message types that never arrive
         self.delay_s = world.delay_s
         self.seen = []
+        self.repairing = None
         self.start_empty()
 
     @property
@@ -100,6 +102,15 @@
             self.disk, member_id, self.world.count, wall_clock_ms=self.world.wall_ms, on_view=self._on_view
         )
         self.sync = StoreSync(self.store, self.world.link(self.name), self.synced.append)
+        self.repair = TurnRepair(self.store, self.world.link(self.name), random.Random(self.name))
+        if self.world.repairs:
+            self.start_repair()
+
+    def start_repair(self):
+        """Begin the background repair of this process; the one of a process before has ended."""
+        if self.repairing is not None:
+            self.repairing.cancel()
+        self.repairing = asyncio.ensure_future(self.repair.run_forever())
 
     def _on_view(self, view):
         if self.world.syncs:
@@ -121,11 +132,14 @@
 
     async def _call(self, address, message):
         machine = self.world.machines[address.partition(":")[0]]
+        caller = self.world.machines.get(self.origin)
+        if caller is not None and not caller.up:
+            raise RpcError("connect", address)
         cut = (self.origin, machine.name) in self.world.cuts or message["type"] in machine.refuses
         await asyncio.sleep(machine.delay_s)
         if not machine.up:
             raise RpcError("connect", address)
-        if machine.frozen or cut:
+        if machine.frozen or cut or (caller is not None and caller.frozen):
             await asyncio.sleep(3600)
         machine.seen.append(message["type"])
         handler = machine.store.handlers[message["type"]]
@@ -143,10 +157,11 @@
 class World:
     """Store machines under a view, and senders that use them."""
 
-    def __init__(self, names=("a", "b", "c"), losses=1, in_view=None, syncs=True, delay_s=0.001):
+    def __init__(self, names=("a", "b", "c"), losses=1, in_view=None, syncs=True, delay_s=0.001, repairs=False):
         self.count = 2 * losses + 1
         self.cuts = set()
         self.syncs = syncs
+        self.repairs = repairs
         self.delay_s = delay_s
         self.clock_ms = 1_000_000
         self.after_answer = lambda machine, message: None
