Calls to receivers: one reader per connection, bounds on every wait, a client's leaving

Change: ReceiverSocket waits with poll for all reads and sends of a call: until its deadline, until the client has gone (idempotent requests and streams; the connection to the receiver closes at once, outcome CLIENT_GONE, never repeated), and sends the rest of a body while the answer is awaited. Nothing is sent for a client that has left already, of whatever kind. One buffer for each connection; interim answers and late answers to earlier calls on the connection are skipped; bodies are read strictly (answer_body.py). Connections are kept only with the body sent whole before the answer and nothing behind it, and never carry the same request id twice. A request that must not be repeated goes only on connections that were idle for 2 s at most, less after an early end was seen at that service (idle_limit.py).

To cancel a call under way: Request.client.has_gone() and its descriptor becoming readable are all that is needed.

--- a/benchmarks/capacity/measures/process.py
+++ b/benchmarks/capacity/measures/process.py
@@ -13,10 +13,10 @@
 from functools import cache
 from multiprocessing.connection import Connection
 
-from urllib3.connection import HTTPConnection
-
 from benchmarks.capacity.series import Effort, Series, sample
 from benchmarks.capacity.timing import MICROSECONDS, in_fresh_process, resident_bytes
+from dewpin.dataplane.answer_body import framing_of
+from dewpin.dataplane.receiver_connection import ReceiverConnection
 from dewpin.dataplane.receiver_stream import ReceiverStream
 from dewpin.dataplane.streams import EventRelay
 
@@ -114,12 +114,13 @@
 
 def pass_on(source: socket.socket, sink: socket.socket) -> None:
     """Pass a receiver's events on until its body ends, as a sender's request thread does."""
-    connection = HTTPConnection("receiver.example")
-    connection.sock = source
+    connection = ReceiverConnection("receiver.example", 80, time.monotonic)
+    connection.use(source)
+    connection.begin_call("1", time.monotonic() + LONGEST_STREAM_S, None)
     connection.request("POST", "/", preload_content=False, decode_content=False)
-    deadline = time.monotonic() + LONGEST_STREAM_S
     response = connection.getresponse()
-    stream = ReceiverStream(connection, source, response, deadline, time.monotonic, None, lambda *_: None)
+    framing = framing_of("POST", response.status, response.headers.getlist)
+    stream = ReceiverStream(connection, response, framing, lambda *_: None)
     relay = EventRelay(stream, None, None, lambda: LONGEST_STREAM_S, lambda ended: None)
     with source, sink:
         for part in relay:
--- /dev/null
+++ b/dewpin/dataplane/idle_limit.py
@@ -0,0 +1,38 @@
+"""How long a connection to the receivers of a service may be idle and then carry a call.
+
+A receiver tells for how many whole seconds it keeps an idle connection, but may forget one sooner and without a word;
+the next thing sent on it is reset. That proves nothing of the request, so a request that must not be repeated is lost
+by it. It is sent only on a connection that was used lately; after an early end was seen at any receiver of the service,
+only on one that was used more lately still than that one.
+"""
+
+LONGEST_UNREPEATABLE_IDLE_S = 2.0
+UNREPEATABLE_SHARE = 0.85
+"""The part of the time told in which a connection may carry a request that must not be repeated."""
+EARLY_END_SHARE = 0.5
+"""After an early end, connections that were idle for more than this part of that one's time count as lost."""
+EARLY_END_MEMORY_S = 60.0
+
+
+class IdleLimit:
+    """The limit for one service. It is used from many threads; each method reads or replaces one value."""
+
+    def __init__(self) -> None:
+        self._early_end: tuple[float, float] | None = None
+
+    def allows(self, idle_s: float, kept_s: float, repeatable: bool, now: float) -> bool:
+        """Tell whether a connection that the receiver says it keeps for `kept_s` may carry a call."""
+        if repeatable:
+            return idle_s < kept_s
+        return idle_s < min(kept_s * UNREPEATABLE_SHARE, self.unrepeatable_idle_s(now))
+
+    def unrepeatable_idle_s(self, now: float) -> float:
+        """Return how long a connection may be idle for a call that must not be repeated."""
+        if self._early_end is None or now >= self._early_end[1]:
+            return LONGEST_UNREPEATABLE_IDLE_S
+        return self._early_end[0]
+
+    def count_early_end(self, idle_s: float, now: float) -> None:
+        """Take in that a connection had ended although the receiver's word allowed it to be idle for so long."""
+        limit_s = min(self.unrepeatable_idle_s(now), idle_s * EARLY_END_SHARE)
+        self._early_end = (limit_s, now + EARLY_END_MEMORY_S)
--- a/dewpin/dataplane/outcome.py
+++ b/dewpin/dataplane/outcome.py
@@ -32,4 +32,12 @@
         return self in _PROOFS
 
 
+class StreamCut(Exception):
+    """A receiver's answer ended before it was whole; `outcome` tells how."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__(outcome.value)
+        self.outcome = outcome
+
+
 _PROOFS = frozenset({Outcome.NOT_EXECUTED, Outcome.NEVER_SENT})
--- a/dewpin/dataplane/receiver_connections.py
+++ b/dewpin/dataplane/receiver_connections.py
@@ -1,20 +1,22 @@
 """The connections to one receiver that are kept and used again.
 
-Connections are urllib3's. Its pool stays unused: whether a connection may carry a call depends on how long it was idle,
-and the pool rewrites targets. A connection is kept only after a whole answer. It is dropped before use where bytes wait
-on it, or where it was idle for longer than the receiver keeps it.
+urllib3's pool stays unused: whether a connection may carry a call depends on how long it was idle, and the pool
+rewrites targets. A connection is kept only after a whole answer with nothing behind it. It is dropped before use where
+bytes wait on it, or where it was idle for longer than the receiver keeps it.
 """
 
-import socket
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from urllib3 import HTTPResponse
-from urllib3.connection import HTTPConnection
 
 from dewpin.cluster.receivers import Receiver
 
+from .answer_body import Framing
+from .idle_limit import IdleLimit
+from .receiver_connection import ReceiverConnection
+
 FIRST_CONNECT_TIMEOUT_S = 1.0
 LEAST_CONNECT_TIMEOUT_S = 0.25
 CONNECT_TIMES_ALLOWED = 8.0
@@ -24,56 +26,36 @@
 """A connection is not used in the last part of the time for which the receiver says that it keeps it."""
 UNTOLD_KEEP_ALIVE_S = 0.5
 """How long a connection may be idle if the receiver does not tell how long it keeps one."""
-UNREPEATABLE_SHARE = 0.85
-"""The part of the time that a connection is kept in which it may carry a request that must not be repeated."""
-
-
-class ReceiverConnection(HTTPConnection):
-    """A connection to an IP address, which needs no look-up."""
-
-    def connect(self) -> None:
-        """Connect within `timeout` seconds; raises an OSError if that fails."""
-        sock = socket.socket(socket.AF_INET6 if ":" in self.host else socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.settimeout(self.timeout)
-            sock.connect((self.host, self.port))
-        except BaseException:
-            sock.close()
-            raise
-        self.sock = sock
 
 
 @dataclass(slots=True, eq=False)
 class _Idle:
-    connection: HTTPConnection
+    connection: ReceiverConnection
     since: float
     kept_s: float
 
-    def may_carry(self, now: float, repeatable: bool) -> bool:
-        """Tell whether the receiver surely keeps this connection still."""
-        return now - self.since < (self.kept_s if repeatable else self.kept_s * UNREPEATABLE_SHARE)
-
 
 class ReceiverConnections:
     """The idle connections to one receiver; the one used last is taken first. Times are the clock's, in seconds."""
 
-    def __init__(self, receiver: Receiver, clock: Callable[[], float]) -> None:
+    def __init__(self, receiver: Receiver, clock: Callable[[], float], idle_limit: IdleLimit) -> None:
         host, _, port = receiver.address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
         self._clock = clock
+        self._idle_limit = idle_limit
         self._lock = threading.Lock()
         self._idle: list[_Idle] = []
         self._closed = False
         self._connect_timeout_s = FIRST_CONNECT_TIMEOUT_S
         self._connect_time_s: float | None = None
 
-    def take_idle(self, repeatable: bool) -> HTTPConnection | None:
+    def take_idle(self, repeatable: bool, request_id: str = "") -> ReceiverConnection | None:
         """Return a connection that may carry a call now, or None; those that may carry none any more are closed.
 
-        Where the newest one is only too old for a call that must not be repeated, the oldest one gives way to the new
-        connection that the call needs.
+        A connection that carried the same request before may still bring the answer to that, and is closed. Where the
+        newest one is only too old for a call that must not be repeated, the oldest one gives way to the new connection
+        that the call needs.
         """
         while True:
             with self._lock:
@@ -81,27 +63,36 @@
                     return None
                 now = self._clock()
                 newest = self._idle[-1]
-                is_usable = newest.may_carry(now, repeatable)
-                is_kept = not is_usable and newest.may_carry(now, repeatable=True)
-                idle = self._idle.pop(0) if is_kept else self._idle.pop()
-            if is_usable and idle.connection.is_connected:
-                return idle.connection
-            idle.connection.close()
+                idle_s = now - newest.since
+                is_usable = self._idle_limit.allows(idle_s, newest.kept_s, repeatable, now)
+                is_kept = not is_usable and idle_s < newest.kept_s
+                taken = self._idle.pop(0) if is_kept else self._idle.pop()
+            if is_usable and not taken.connection.has_carried(request_id):
+                if taken.connection.is_connected:
+                    taken.connection.idle_s = idle_s
+                    return taken.connection
+                self._idle_limit.count_early_end(idle_s, now)
+            taken.connection.close()
             if is_kept:
                 return None
 
-    def connect(self, timeout_s: float) -> HTTPConnection:
+    def count_early_end(self, connection: ReceiverConnection) -> None:
+        """Take in that a connection which was used again ended before a byte of the answer came."""
+        self._idle_limit.count_early_end(connection.idle_s, self._clock())
+
+    def connect(self, timeout_s: float) -> ReceiverConnection:
         """Return a new connection; raises an OSError if none comes up in time."""
         started = self._clock()
-        connection = ReceiverConnection(self._host, self._port, timeout=min(timeout_s, self._connect_timeout_s))
-        connection.connect()
+        connection = ReceiverConnection(self._host, self._port, self._clock)
+        connection.connect_within(min(timeout_s, self._connect_timeout_s))
         self._count_connect(self._clock() - started)
         return connection
 
-    def give_back(self, connection: HTTPConnection, response: HTTPResponse) -> None:
+    def give_back(self, connection: ReceiverConnection, response: HTTPResponse, framing: Framing) -> None:
         """Keep a connection whose last answer was whole, if the receiver does not end it."""
         kept_s = keep_alive_s(response)
-        if connection.sock is not None and kept_s > 0:
+        if connection.may_be_kept(framing) and kept_s > 0:
+            connection.end_call()
             with self._lock:
                 if not self._closed:
                     self._idle.append(_Idle(connection, self._clock(), kept_s))
@@ -112,8 +103,8 @@
         """Close the connections that may not be used any more."""
         now = self._clock()
         with self._lock:
-            expired = [idle for idle in self._idle if not idle.may_carry(now, repeatable=True)]
-            self._idle = [idle for idle in self._idle if idle.may_carry(now, repeatable=True)]
+            expired = [idle for idle in self._idle if now - idle.since >= idle.kept_s]
+            self._idle = [idle for idle in self._idle if now - idle.since < idle.kept_s]
         for idle in expired:
             idle.connection.close()
 
--- a/dewpin/dataplane/streams.py
+++ b/dewpin/dataplane/streams.py
@@ -20,6 +20,10 @@
 class EventSource(Protocol):
     """A receiver's body while it arrives."""
 
+    @property
+    def ends_by_close(self) -> bool:
+        """Tell whether nothing but the end of the connection marks the end of the body."""
+
     def read_part(self) -> bytes:
         """Return the next bytes, or nothing at the proper end; raises StreamCut."""
 
@@ -97,13 +101,20 @@
         while self._source is not None:
             part = self._source.read_part()
             if not part:
-                self._source = None
-                return b"".join([self._pass_on(event) for event in self._splitter.take_rest()])
+                return self._end_of(self._source)
             events = [event for event in self._splitter.feed(part) if not self._was_passed_on(event)]
             if events:
                 return b"".join([self._pass_on(event) for event in events])
         return b""
 
+    def _end_of(self, source: EventSource) -> bytes:
+        """Return what came after the last whole event; a connection that ends in the midst of an event broke off."""
+        self._source = None
+        rest = self._splitter.take_rest()
+        if rest and source.ends_by_close:
+            raise StreamCut(Outcome.CLOSED)
+        return b"".join([self._pass_on(event) for event in rest])
+
     def _was_passed_on(self, event: Event) -> bool:
         """Tell whether a resumed stream repeats an event that the client has."""
         if not self._resumed or event.id is None or self._last_id is None:
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -4,21 +4,20 @@
 answer counts only if it names the request that this call sent.
 """
 
-import socket
 import threading
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import cast
 
 from urllib3 import HTTPResponse
-from urllib3.connection import HTTPConnection
 from urllib3.util import SKIP_HEADER
 
 from dewpin.cluster.errors import PROMISING_STATUSES
 from dewpin.cluster.receivers import Receiver
 
+from .answer_body import framing_of
 from .figures import RequestFigures
+from .idle_limit import IdleLimit
 from .messages import (
     NOT_EXECUTED,
     REQUEST_DEADLINE,
@@ -26,27 +25,22 @@
     SERVER_LOAD,
     SIGNATURE,
     TARGET_INSTANCE,
+    Client,
     HeaderField,
     Request,
 )
-from .outcome import Outcome
+from .outcome import Outcome, StreamCut
+from .receiver_connection import ReceiverConnection
 from .receiver_connections import ReceiverConnections, read_seconds
 from .receiver_load import ServerLoad, parse_server_load
-from .receiver_stream import (
-    LEAST_TIMEOUT_S,
-    TRANSPORT_ERRORS,
-    BodyReader,
-    ReceiverStream,
-    StreamCut,
-    outcome_of_error,
-    wait_for_receiver,
-)
+from .receiver_socket import NothingSent
+from .receiver_stream import TRANSPORT_ERRORS, ReceiverStream, outcome_of_error
 
 CONNECT_SHARE_OF_TIME_LEFT = 0.25
 """A connect may take this share of the request's time, so that another receiver can be tried."""
-TIMER_SLACK_S = 0.01
-"""A time-out this far before the deadline is not the deadline's, but the network's."""
+LEAST_CONNECT_S = 0.001
 
+_ENDED_EARLY = frozenset({Outcome.NEVER_SENT, Outcome.RESET, Outcome.CLOSED})
 _LEFT_OUT = frozenset({"content-length", REQUEST_DEADLINE, TARGET_INSTANCE})
 
 
@@ -89,6 +83,22 @@
     body: bytes | None = None
     replaced_headers: Sequence[HeaderField] = ()
 
+    @property
+    def watched_client(self) -> Client | None:
+        """Return the client whose leaving ends the call; None where a call under way is better ended by its answer."""
+        return self.request.client if self.streaming or self.repeatable else None
+
+    @property
+    def has_client_gone(self) -> bool:
+        """Tell whether the client has closed its connection, so that nothing may be sent for it any more."""
+        client = self.request.client
+        return client is not None and client.has_gone()
+
+    @property
+    def request_id(self) -> str:
+        """Return the id that the answer has to name."""
+        return self.request.headers.get(REQUEST_ID) or ""
+
 
 class Upstream:
     """Makes calls to receivers; may be used from any thread."""
@@ -98,32 +108,28 @@
         self._figures = figures
         self._lock = threading.Lock()
         self._connections: dict[tuple[str, str], ReceiverConnections] = {}
+        self._idle_limits: dict[str, IdleLimit] = {}
 
     def call(self, receiver: Receiver, call: Call) -> CallResult:
-        """Send a request to a receiver and return how the call ended."""
+        """Send a request to a receiver and return how the call ended; raises nothing where the receiver fails.
+
+        A client that leaves ends a call that is `watched_client`'s at once, by closing the connection to the receiver.
+        """
+        if call.has_client_gone:
+            return CallResult(Outcome.CLIENT_GONE)
         connections = self._connections_to(receiver)
-        connection = connections.take_idle(call.repeatable)
-        is_new = connection is None
+        connection = connections.take_idle(call.repeatable, call.request_id)
+        if connection is not None:
+            result = self._call_on(receiver, connections, connection, call)
+            if result.outcome is not Outcome.NEVER_SENT:
+                return result
+        connection = self._connect(connections, call)
         if connection is None:
-            self._figures.connects += 1
-            connect_s = CONNECT_SHARE_OF_TIME_LEFT * (call.deadline - self._clock())
-            try:
-                connection = connections.connect(max(LEAST_TIMEOUT_S, connect_s))
-            except TRANSPORT_ERRORS:
-                return CallResult(Outcome.NEVER_SENT)
-        try:
-            return self._exchange(receiver, connections, connection, is_new, call)
-        except TRANSPORT_ERRORS as error:
-            outcome = outcome_of_error(error)
-        except StreamCut as cut:
-            outcome = cut.outcome
-        except BaseException:
+            return CallResult(Outcome.NEVER_SENT)
+        if call.has_client_gone:
             connection.close()
-            raise
-        connection.close()
-        if outcome is Outcome.TIMED_OUT and self._clock() < call.deadline - TIMER_SLACK_S:
-            outcome = Outcome.RESET
-        return CallResult(outcome)
+            return CallResult(Outcome.CLIENT_GONE)
+        return self._call_on(receiver, connections, connection, call)
 
     def retain_only(self, receivers: Sequence[Receiver]) -> None:
         """Close the idle connections to receivers that are listed no more, and those that have expired."""
@@ -145,41 +151,58 @@
         with self._lock:
             connections = self._connections.get(key)
             if connections is None:
-                connections = self._connections[key] = ReceiverConnections(receiver, self._clock)
+                limit = self._idle_limits.setdefault(receiver.backend, IdleLimit())
+                connections = self._connections[key] = ReceiverConnections(receiver, self._clock, limit)
             return connections
 
+    def _connect(self, connections: ReceiverConnections, call: Call) -> ReceiverConnection | None:
+        self._figures.connects += 1
+        connect_s = CONNECT_SHARE_OF_TIME_LEFT * (call.deadline - self._clock())
+        try:
+            return connections.connect(max(LEAST_CONNECT_S, connect_s))
+        except OSError:
+            return None
+
+    def _call_on(
+        self, receiver: Receiver, connections: ReceiverConnections, connection: ReceiverConnection, call: Call
+    ) -> CallResult:
+        """Make a call on a connection, which is closed where the call fails."""
+        try:
+            return self._exchange(receiver, connections, connection, call)
+        except NothingSent:
+            outcome = Outcome.NEVER_SENT
+        except StreamCut as cut:
+            outcome = cut.outcome
+        except TRANSPORT_ERRORS as error:
+            outcome = outcome_of_error(error)
+        except BaseException:
+            connection.close()
+            raise
+        connection.close()
+        if not connection.is_first_call and outcome in _ENDED_EARLY and not connection.raw.has_received:
+            connections.count_early_end(connection)
+        return CallResult(outcome)
+
     def _exchange(
-        self,
-        receiver: Receiver,
-        connections: ReceiverConnections,
-        connection: HTTPConnection,
-        is_new: bool,
-        call: Call,
+        self, receiver: Receiver, connections: ReceiverConnections, connection: ReceiverConnection, call: Call
     ) -> CallResult:
         """Send the request and read the answer, or its head where a stream follows; raises where that breaks."""
-        client = call.request.client if call.streaming else None
+        connection.begin_call(call.request_id, call.deadline, call.watched_client)
         self._send(receiver, connection, call)
-        sock = cast(socket.socket, connection.sock)
-        if client is not None:
-            ended = wait_for_receiver(sock, client, call.deadline, self._clock)
-            if ended is not None:
-                raise StreamCut(ended)
         response = connection.getresponse()
-        if not is_answer_to(response, call.request, is_new):
+        if not is_answer_to(response, call.request, connection.is_first_call):
             if is_refusal(response) and REQUEST_ID not in response.headers:
                 self._figures.unnamed_refusals += 1
             raise StreamCut(Outcome.MALFORMED)
+        framing = framing_of(call.request.method, response.status, response.headers.getlist)
+        stream = ReceiverStream(connection, response, framing, connections.give_back)
         answer = ReceiverAnswer(
             response.status, response.reason or "", tuple(response.headers.items()), SIGNATURE in response.headers
         )
         load = parse_server_load(response.headers.get(SERVER_LOAD))
         if call.streaming and answer.status == HTTPStatus.OK and answer.signed and not is_refusal(response):
-            stream = ReceiverStream(
-                connection, sock, response, call.deadline, self._clock, client, connections.give_back
-            )
             return CallResult(Outcome.SUCCESS, answer, stream, load)
-        body = BodyReader(sock, response, call.deadline, self._clock).read_all()
-        connections.give_back(connection, response)
+        body = stream.read_all()
         return CallResult(
             outcome=classify(response, answer),
             answer=ReceiverAnswer(answer.status, answer.reason, answer.headers, answer.signed, body),
@@ -188,16 +211,14 @@
             misdirected=response.status == HTTPStatus.MISDIRECTED_REQUEST,
         )
 
-    def _send(self, receiver: Receiver, connection: HTTPConnection, call: Call) -> None:
+    def _send(self, receiver: Receiver, connection: ReceiverConnection, call: Call) -> None:
         request = call.request
         body = request.body if call.body is None else call.body
-        left_s = call.deadline - self._clock()
-        connection.timeout = max(LEAST_TIMEOUT_S, left_s)
         connection.request(
             request.method,
             request.target,
             body=body or None,
-            headers=call_headers(call, receiver.id, len(body), left_s),
+            headers=call_headers(call, receiver.id, len(body), call.deadline - self._clock()),
             preload_content=False,
             decode_content=False,
         )
