--- a/tests/dataplane/peers.py
+++ b/tests/dataplane/peers.py
@@ -1,8 +1,11 @@
 """Scripted peers on loopback for the tests of the data plane; they go on by events, never by sleeping."""
 
+import fcntl
 import json
+import os
 import socket
 import struct
+import termios
 import threading
 from collections.abc import Callable, Sequence
 from contextlib import contextmanager
@@ -59,6 +62,11 @@
     def send(self, data: bytes) -> None:
         self._socket.sendall(data)
 
+    def wait_until_taken(self) -> None:
+        """Wait until the caller's system has acknowledged all that was sent, so that a reset cannot overtake it."""
+        while struct.unpack("i", fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0]:
+            os.sched_yield()
+
     def wait_for_close(self) -> bool:
         """Return whether the caller closes the connection."""
         try:
