--- a/dewpin/dataplane/receiver_socket.py
+++ b/dewpin/dataplane/receiver_socket.py
@@ -87,16 +87,15 @@
             return None
         while True:
             self._send_some()
-            try:
-                count = self._socket.recv_into(buffer)
-            except BlockingIOError:
-                self._wait(select.POLLIN | (select.POLLOUT if self._unsent else 0))
-                continue
-            if not count and self._send_error is not None:
-                raise self._send_error
-            self._has_received = self._has_received or count > 0
-            self._was_answered_early = self._was_answered_early or bool(self._unsent)
-            return count
+            ready = self._wait(select.POLLIN | (select.POLLOUT if self._unsent else 0))
+            if ready & ~select.POLLOUT:
+                break
+        count = self._socket.recv_into(buffer)
+        if not count and self._send_error is not None:
+            raise self._send_error
+        self._has_received = self._has_received or count > 0
+        self._was_answered_early = self._was_answered_early or bool(self._unsent)
+        return count
 
     def close(self) -> None:
         """Close the connection."""
