Two builds of one checkout wait for each other, and a broken-off environment is made anew

Cause: deploy/build and deploy/build-system installed into one place without a lock. An environment that was broken off before it had its pip passed the check of its version and stayed without pip for good.

The open folder is the lock, so that no file is made. deploy/check installs under the same lock. deploy/build asks the environment for its pip as well as for its version. Ruled out: a lock inside .venv or target/ (both are replaced by the build itself).

--- /dev/null
+++ b/tests/test_build_lock.py
@@ -0,0 +1,116 @@
+"""deploy/build and deploy/build-system: one build of a checkout at a time, and one that was broken off is made good.
+
+Stand-ins for Python write down what they are asked, so that nothing is fetched. The installation of the first build
+lasts until the test lets it go on; one that begins meanwhile says so and fails.
+"""
+
+import os
+import select
+import shutil
+import subprocess
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[1]
+LOCKS = {"build": "requirements.lock", "build-system": "system-requirements.lock"}
+PATIENCE_S = 60
+INSTALLER = """#!/bin/sh
+cd "{root}"
+case "$*" in
+    *"import pip"*) test -e .venv/pip && echo 3;;
+    -c*) echo 3;;
+    *venv*) rm -rf .venv; mkdir -p .venv/bin; cp "{python}" .venv/bin/python; touch .venv/pip; echo venv >> log;;
+    *install*)
+        mkdir installing || {{ echo overlap >> log; exit 1; }}
+        echo begun > begun
+        read -r _ < go-on
+        mkdir -p target/deps-new
+        rmdir installing
+        echo installed >> log;;
+esac
+"""
+
+
+class Checkout:
+    """A copy of the build scripts whose Python is the stand-in above, and the builds that were started in it."""
+
+    def __init__(self, root: Path):
+        self.root = root
+        (root / "deploy").mkdir()
+        for name in (*LOCKS, *LOCKS.values()):
+            shutil.copy(ROOT / "deploy" / name, root / "deploy" / name)
+        self.python = root / "bin/python3"
+        self.python.parent.mkdir()
+        self.python.write_text(INSTALLER.format(root=root, python=self.python))
+        self.python.chmod(0o755)
+        self.pipes = {name: self.pipe(name) for name in ("begun", "go-on")}
+        self.builds = []
+
+    def pipe(self, name):
+        os.mkfifo(self.root / name)
+        return os.open(self.root / name, os.O_RDWR)  # so that no end waits for the other one to open it
+
+    def start(self, script):
+        command = ["sh", str(self.root / "deploy" / script)]
+        environment = {"PATH": f"{self.python.parent}:/usr/bin:/bin"}
+        self.builds.append(subprocess.Popen(command, env=environment, stderr=subprocess.PIPE, text=True))
+        return self.builds[-1]
+
+    def wait_until_the_installation_began(self):
+        assert told(self.pipes["begun"]), "no installation began"
+        os.read(self.pipes["begun"], 100)
+
+    def let_the_installation_end(self):
+        os.write(self.pipes["go-on"], b"go on\n")
+
+    def steps(self):
+        return (self.root / "log").read_text().split()
+
+    def close(self):
+        for build in self.builds:
+            build.kill()
+            build.wait()
+            build.stderr.close()
+        os.write(self.pipes["go-on"], b"go on\n" * len(self.builds))  # a stand-in that outlived its build ends, too
+        for pipe in self.pipes.values():
+            os.close(pipe)
+
+
+def told(stream, wait_s=PATIENCE_S):
+    return select.select([stream], [], [], wait_s)[0]
+
+
+@pytest.fixture
+def checkout(tmp_path):
+    made = Checkout(tmp_path)
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("script, steps", [("build", ["venv", "installed"]), ("build-system", ["installed"])])
+def test_of_two_builds_side_by_side_the_second_waits_and_finds_all_done(checkout, script, steps):
+    first = checkout.start(script)
+    checkout.wait_until_the_installation_began()
+    second = checkout.start(script)
+    assert told(second.stderr) and "waiting for it" in second.stderr.readline(), "the second build does not wait"
+    assert not told(checkout.pipes["begun"], wait_s=0.2), "the second build does not wait"
+    checkout.let_the_installation_end()
+    assert [build.wait(PATIENCE_S) for build in (first, second)] == [0, 0]
+    assert checkout.steps() == steps
+
+
+def test_an_environment_that_was_broken_off_before_it_had_its_pip_is_made_anew(checkout):
+    (checkout.root / ".venv/bin").mkdir(parents=True)
+    shutil.copy(checkout.python, checkout.root / ".venv/bin/python")
+    build = checkout.start("build")
+    checkout.wait_until_the_installation_began()
+    checkout.let_the_installation_end()
+    assert build.wait(PATIENCE_S) == 0
+    assert checkout.steps() == ["venv", "installed"]
+
+
+def test_the_check_script_installs_under_the_lock_of_the_builds():
+    lines = (ROOT / "deploy/check").read_text().splitlines()
+    installs = [line for line in lines if " pip " in line]
+    assert installs and all(line.startswith("flock deploy ") for line in installs)
