--- a/tests/test_system_packages.py
+++ b/tests/test_system_packages.py
@@ -47,12 +47,14 @@
 
 def debian_packages():
     """{name or provided name: (essential, names it depends on, files)} of the packages installed here."""
-    form = "${Package}\t${Essential}\t${Pre-Depends}, ${Depends}\t${Provides}\n"
+    form = "${db:Status-Abbrev}\t${Package}\t${Essential}\t${Pre-Depends}, ${Depends}\t${Provides}\n"
     asked = ["dpkg-query", "-W", "-f", form]
     rows = subprocess.run(asked, capture_output=True, text=True, check=True).stdout.splitlines()
     packages = {}
     for row in rows:
-        name, essential, depends, provides = row.split("\t")
+        status, name, essential, depends, provides = row.split("\t")
+        if not status.startswith("ii"):
+            continue  # removed, but its settings are left
         entry = name, essential == "yes", re.findall(r"(?:^|[,|] *)([a-z0-9][a-z0-9+.-]+)", depends)
         packages[name] = entry
         for provided in re.findall(r"(?:^|, *)([a-z0-9][a-z0-9+.-]+)", provides):
