Settings and configuration of the tier by concern: fields, rules, checked model, reading

Cause: cluster/settings.py (426 lines) and configuration.py (419) held the fields as written, the checks, the checked types, the defaults and the reading in one file each.

Change: both are packages of six modules now, 26 to 134 lines each: schema (typed dictionaries), rules (checks between fields), model (what the programs use), building (defaults), faults, reading; their public names stay at dewpin.cluster.settings and dewpin.cluster.configuration, so no importer changes. What tells an address from other text (is_address, is_ipv4) is cluster/addresses.py. No behaviour is changed; tests of both are untouched. The labels in the capacity pages follow; benchmarks/capacity/results.json keeps its labels until it is measured again.

--- a/benchmarks/capacity/coverage.py
+++ b/benchmarks/capacity/coverage.py
@@ -86,7 +86,7 @@
         ),
         Entry(
             f"{target.tenants} tenants, {target.models} models",
-            "`dewpin/cluster/configuration.py`, `dewpin/controlplane/system_state.py`",
+            "`dewpin/cluster/configuration`, `dewpin/controlplane/system_state.py`",
             ("bytes of whole states, taken and passed on", "the same with changed routes and entries alone"),
             "quotas between tenants: none yet",
         ),
--- a/benchmarks/capacity/measures/control.py
+++ b/benchmarks/capacity/measures/control.py
@@ -108,7 +108,7 @@
     return Series(
         "state-take",
         "take up a system state: decode, read and check the configuration",
-        "dewpin/cluster/configuration.py, netstring.py",
+        "dewpin/cluster/configuration, netstring.py",
         "routes",
         "processor time a state",
         "µs",
@@ -144,7 +144,7 @@
     return Series(
         "sender-memory",
         "memory of a sender's modules with a system state and its parsed configuration",
-        "dewpin/dataplane, dewpin/cluster/configuration.py",
+        "dewpin/dataplane, dewpin/cluster/configuration",
         "routes",
         "resident memory",
         "B",
--- a/benchmarks/capacity/roles/sender.py
+++ b/benchmarks/capacity/roles/sender.py
@@ -247,7 +247,7 @@
             f"state-take at {context.routes:,} routes",
             lambda: context.at("state-take", context.routes) / 1000,
             "ms",
-            "`dewpin/cluster/configuration.py`",
+            "`dewpin/cluster/configuration`",
             target.token_gap_ms,
         ),
         context.row(
--- /dev/null
+++ b/dewpin/cluster/configuration/reading.py
@@ -0,0 +1,47 @@
+"""Reading a configuration: the request body as one JSON object, checked whole, every fault reported at once."""
+
+import json
+from typing import Any, cast
+
+from ..checking import Fault, JsonObject, check_shape, expected
+from .building import build_configuration
+from .faults import ConfigurationInvalid
+from .model import Configuration
+from .rules import check_rules
+from .schema import RawConfiguration
+
+
+def parse_configuration(body: bytes) -> Configuration:
+    """Read and check a configuration; raises ConfigurationInvalid with every fault."""
+    raw = _read_object(body)
+    faults = check_shape(raw, RawConfiguration)
+    faults += check_rules(raw, faults)
+    if faults:
+        raise ConfigurationInvalid(faults)
+    return build_configuration(cast(RawConfiguration, raw), raw)
+
+
+def _read_object(body: bytes) -> JsonObject:
+    try:
+        value = json.loads(body, parse_constant=_reject_constant, object_pairs_hook=_unique_fields)
+    except RecursionError:
+        raise ConfigurationInvalid([Fault("", "is not readable: nested too deeply")]) from None
+    except ValueError as error:
+        raise ConfigurationInvalid([Fault("", f"is not readable: {error}")]) from None
+    if not isinstance(value, dict):
+        raise ConfigurationInvalid([expected("an object", value, "")])
+    return value
+
+
+def _reject_constant(name: str) -> float:
+    raise ValueError(f"{name} is not a JSON number")
+
+
+def _unique_fields(pairs: list[tuple[str, Any]]) -> JsonObject:
+    """Build an object; a field that comes twice could not be read back, so the body is not readable whole."""
+    built = dict(pairs)
+    if len(built) < len(pairs):
+        names = [name for name, _ in pairs]
+        twice = sorted({name for name in names if names.count(name) > 1})
+        raise ValueError(f"fields given twice in one object: {', '.join(twice)}")
+    return built
--- /dev/null
+++ b/dewpin/cluster/settings/model.py
@@ -0,0 +1,130 @@
+"""The checked settings of a process, as the rest of the program uses them.
+
+Durations are in milliseconds where a name ends in `_ms`, in seconds where it ends in `_s`.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import MappingProxyType
+
+from ..placement import replica_count
+
+FRONT = "front"
+STORE = "store"
+CONTROL = "control"
+READY = "ready"
+
+LISTEN_ADDRESSES_OF_SERVICE: Mapping[str, tuple[str, ...]] = MappingProxyType(
+    {FRONT: (FRONT, READY), CONTROL: (CONTROL,), STORE: ()}
+)
+"""The `listen` entries that a process needs for each service that it serves."""
+
+
+@dataclass(frozen=True, slots=True)
+class MachineLimits:
+    """What the machine grants the process; 0 stands for a figure that the file leaves out."""
+
+    cpu_share: float = 0.0
+    cpus: float = 0.0
+    memory_mb: float = 0.0
+    max_fds: int = 0
+    link_mbps: float = 0.0
+    disk_mb: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class FaultTolerance:
+    """How many machines that count for the quorum, or zones, or regions may be lost at once."""
+
+    machines: int = 1
+    zones: int = 0
+    regions: int = 0
+
+    @property
+    def replica_count(self) -> int:
+        """How many replicas of everything bear these losses."""
+        return replica_count(self.machines, self.zones, self.regions)
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """The figures of the rules in force, with the defaults for those that the file leaves out.
+
+    The ones that the tier acts on: `config_apply_ms` until an acknowledged configuration is in force everywhere,
+    `downgrade_ms` for which an older one may still be, `ack_ms` for which an order is repeated, `contact_ms` after
+    which a machine that hears nothing is out of touch, `catch_up_s` granted to a machine after its start or return,
+    `recovery_s` until turns of before a fault are served again, `drain_ms` for which a receiver that is leaving goes
+    on, `grace_s` between SIGTERM and SIGKILL, `finish_s` for programs after the end of traffic, `seed_lag_s` by which
+    lists of seeds are old, `addr_reuse_s` after which a receiver's address may be handed on, `skew_ms` between the
+    clocks of machines.
+    """
+
+    seed_lag_s: float = 3.0
+    addr_reuse_s: float = 2.0
+    contact_ms: float = 3_000.0
+    ack_ms: float = 4_000.0
+    catch_up_s: float = 4.0
+    drain_ms: float = 3_000.0
+    grace_s: float = 8.0
+    loss_slack_ms: float = 200.0
+    config_apply_ms: float = 2_000.0
+    downgrade_ms: float = 250.0
+    skew_ms: float = 5_000.0
+    recovery_s: float = 12.0
+    pass_ms: float = 120.0
+    again_s: float = 0.0
+    finish_s: float = 10.0
+    settle_ms: float = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Cloud:
+    """Where the platform lists its receivers, how often it may be asked and how old its answers may be."""
+
+    address: str
+    rate_per_s: float
+    max_lag_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PortRange:
+    """The ports that are free for traffic between processes, both ends included."""
+
+    first: int
+    last: int
+
+    def __contains__(self, port: int) -> bool:
+        """Tell whether `port` lies in the range."""
+        return self.first <= port <= self.last
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The checked settings of a process."""
+
+    node_name: str
+    role: str
+    machine_class: str
+    serves: frozenset[str]
+    ip: str
+    zone: str
+    region: str
+    port_range: PortRange
+    seeds: tuple[str, ...]
+    bootstrap: bool
+    counts_for_quorum: bool
+    data_dir: Path | None
+    heartbeat_ms: float
+    contracts: frozenset[str]
+    log_level: str
+    zones: Mapping[str, str] = field(default_factory=dict)
+    listen: Mapping[str, str] = field(default_factory=dict)
+    limits: MachineLimits = MachineLimits()
+    fault_tolerance: FaultTolerance = FaultTolerance()
+    bounds: Bounds = Bounds()
+    cloud: Cloud | None = None
+
+    def region_of(self, zone: str) -> str:
+        """Return the region of a zone; a zone that the file does not list is a region of its own."""
+        return self.zones.get(zone, zone)
--- /dev/null
+++ b/dewpin/cluster/settings/reading.py
@@ -0,0 +1,54 @@
+"""Reading a settings file: its path from the environment, its content checked whole, every fault reported at once."""
+
+import os
+import sys
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import NoReturn, cast
+
+from ..checking import Fault, JsonObject, check_shape
+from .building import build_settings
+from .faults import SettingsInvalid
+from .model import Settings
+from .rules import check_rules
+from .schema import RawSettings
+
+BOOT_VARIABLE = "DEWPIN_BOOT"
+FAULTY_SETTINGS_EXIT_CODE = 2
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read and check a settings file; raises SettingsInvalid with every fault, also when it cannot be read."""
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsInvalid([Fault("", f"cannot read {path}: {error.strerror}")]) from None
+    except ValueError as error:
+        raise SettingsInvalid([Fault("", f"cannot read {path}: {error}")]) from None
+    return parse_settings(raw)
+
+
+def parse_settings(raw: JsonObject) -> Settings:
+    """Check the content of a settings file; raises SettingsInvalid with every fault."""
+    faults = check_shape(raw, RawSettings)
+    faults += check_rules(raw, faults)
+    if faults:
+        raise SettingsInvalid(faults)
+    return build_settings(cast(RawSettings, raw))
+
+
+def settings_or_exit(environment: Mapping[str, str] = os.environ) -> Settings:
+    """Load the settings named by the environment; on a fault, print one line per fault and exit with code 2."""
+    path = environment.get(BOOT_VARIABLE)
+    if not path:
+        _exit_with([f"{BOOT_VARIABLE}: expected the path of a settings file, got nothing"])
+    try:
+        return load_settings(path)
+    except SettingsInvalid as invalid:
+        _exit_with([f"{path}: {line}" for line in invalid.lines()])
+
+
+def _exit_with(lines: list[str]) -> NoReturn:
+    print("\n".join(lines), file=sys.stderr)
+    raise SystemExit(FAULTY_SETTINGS_EXIT_CODE)
