Calls between processes: frames over the limit, peers that do not read, answers that are none

Cause: a frame over the limit ended the connection at the other side, with all calls on it, and again on each repeat; an answer that could not be encoded left its caller waiting; what a peer did not read was kept without bound; an answer numbered true was taken for the answer to call 1.

Change: a frame that no decoder takes is refused where it is made (too_large); a connection with over 16 MB unread is ended before more is written; an answer has to have the version and a whole number.

--- a/dewpin/cluster/netstring.py
+++ b/dewpin/cluster/netstring.py
@@ -18,9 +18,11 @@
     """Bytes that are no frame, or a frame over the bound; the connection they came on is of no more use."""
 
 
-def encode(message: JsonObject) -> bytes:
-    """The frame of `message`."""
+def encode(message: JsonObject, most_bytes: int = MOST_BYTES) -> bytes:
+    """The frame of `message`. FrameError for one that no decoder takes: its connection would end at the other side."""
     payload = json.dumps(message, separators=(",", ":")).encode()
+    if len(payload) > most_bytes:
+        raise FrameError(f"{len(payload)} bytes")
     return b"%d:%b," % (len(payload), payload)
 
 
--- a/dewpin/cluster/rpc.py
+++ b/dewpin/cluster/rpc.py
@@ -2,6 +2,10 @@
 
 A request is `{"v": 1, "n": number, "m": message}`, its answer `{"v": 1, "r": number, "m": message}`. A message is an
 object with a `type`; an answer of type `error` raises `RpcError` at the caller.
+
+Each connection counts its own numbers and never uses one twice, so the answer to a call that was given up, however
+late, finds nobody waiting and is dropped. A call that failed may have been carried out: whoever repeats one does so only
+to handlers that may run twice.
 """
 
 from __future__ import annotations
@@ -22,13 +26,15 @@
 CONNECT_TIMEOUT_S = 1.0
 USER_TIMEOUT_MS = 2000
 MOST_UNANSWERED = 1000
+MOST_UNSENT_BYTES = 16 * 1024 * 1024
+"""A connection whose peer leaves so much unread is ended before more is written to it."""
 
 log = logging.getLogger(__name__)
 
 
 class RpcError(Exception):
     """A call that got no answer, or an error as its answer. `kind` is a word from the answer, or one of `timeout`,
-    `connect`, `closed`, `malformed`. `message` is the whole error answer where there was one."""
+    `connect`, `closed`, `too_large`. `message` is the whole error answer where there was one."""
 
     def __init__(self, kind: str, detail: str = "", message: Message | None = None) -> None:
         super().__init__(f"{kind}: {detail}" if detail else kind)
@@ -57,6 +63,15 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def _ends_unread(transport: asyncio.Transport) -> bool:
+    """End a connection whose peer does not read; tells whether it did."""
+    if transport.get_write_buffer_size() <= MOST_UNSENT_BYTES:
+        return False
+    log.warning("rpc.peer_does_not_read", extra={"peer": str(transport.get_extra_info("peername"))})
+    transport.abort()
+    return True
+
+
 class _ServerConnection(asyncio.Protocol):
     def __init__(self, server: RpcServer) -> None:
         self._server = server
@@ -83,7 +98,7 @@
             return
         for frame in frames:
             number, message = frame.get("n"), frame.get("m")
-            if frame.get("v") != PROTOCOL_VERSION or not isinstance(number, int) or not isinstance(message, dict):
+            if frame.get("v") != PROTOCOL_VERSION or type(number) is not int or not isinstance(message, dict):
                 self._refuse("not a request")
                 return
             if len(self._tasks) >= MOST_UNANSWERED:
@@ -100,8 +115,19 @@
 
     async def _answer(self, number: int, message: Message) -> None:
         answer = await self._server.dispatch(message)
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(encode({"v": PROTOCOL_VERSION, "r": number, "m": answer}))
+        transport = self._transport
+        if transport is not None and not transport.is_closing() and not _ends_unread(transport):
+            transport.write(_answer_frame(number, answer))
+
+
+def _answer_frame(number: int, answer: Message) -> bytes:
+    """The frame of an answer; an error in its place where it cannot be sent, so that its caller does not wait."""
+    try:
+        return encode({"v": PROTOCOL_VERSION, "r": number, "m": answer})
+    except (ValueError, TypeError) as fault:  # FrameError is a ValueError
+        log.error("rpc.answer_not_sent", extra={"message_type": answer.get("type"), "why": str(fault)})
+        refused = error_message("too_large" if isinstance(fault, FrameError) else "internal", str(fault))
+        return encode({"v": PROTOCOL_VERSION, "r": number, "m": refused})
 
 
 class RpcServer:
@@ -138,6 +164,14 @@
             return error_message("internal", repr(fault))
 
 
+def _request_frame(number: int, message: Message) -> bytes:
+    """The frame of a request. RpcError for one that is too large."""
+    try:
+        return encode({"v": PROTOCOL_VERSION, "n": number, "m": message})
+    except FrameError as fault:
+        raise RpcError("too_large", str(fault)) from None
+
+
 class _ClientConnection(asyncio.Protocol):
     def __init__(self) -> None:
         self._decoder = Decoder()
@@ -166,9 +200,12 @@
             self.abort()
             return
         for frame in frames:
-            future = self._waiting.pop(frame.get("r", -1), None)
-            message = frame.get("m")
-            if future is not None and not future.done() and isinstance(message, dict):
+            number, message = frame.get("r"), frame.get("m")
+            if frame.get("v") != PROTOCOL_VERSION or type(number) is not int or not isinstance(message, dict):
+                self.abort()
+                return
+            future = self._waiting.pop(number, None)
+            if future is not None and not future.done():
                 future.set_result(message)
 
     def abort(self) -> None:
@@ -176,13 +213,14 @@
             self.transport.abort()
 
     async def call(self, message: Message) -> Message:
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing() or _ends_unread(self.transport):
             raise RpcError("closed")
         self._number += 1
         number = self._number
+        frame = _request_frame(number, message)
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
-        self.transport.write(encode({"v": PROTOCOL_VERSION, "n": number, "m": message}))
+        self.transport.write(frame)
         try:
             return await future
         finally:
--- a/tests/cluster/test_rpc.py
+++ b/tests/cluster/test_rpc.py
@@ -223,6 +223,9 @@
     def write(self, data):
         self.written += 1
 
+    def get_write_buffer_size(self):
+        return 0
+
     def is_closing(self):
         return self.written > 0
 
--- /dev/null
+++ b/tests/cluster/test_rpc_endings.py
@@ -0,0 +1,260 @@
+"""How calls between processes end: late answers, connections that die, frames too large, peers that do not read."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from dewpin.cluster import netstring, rpc
+from dewpin.cluster.netstring import Decoder, encode
+from dewpin.cluster.rpc import RpcClient, RpcError, RpcServer
+
+SHORT_S = 0.05
+LONG_S = 5.0
+
+
+class ScriptedServer:
+    """Takes connections and notes the frames on each; a test answers them as it likes."""
+
+    def __init__(self):
+        self.calls = asyncio.Queue()
+        self.ended = asyncio.Queue()
+        self.address = ""
+        self._server = None
+        self._writers = []
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def _serve(self, reader, writer):
+        self._writers.append(writer)
+        decoder = Decoder()
+        try:
+            while data := await reader.read(65536):
+                for frame in decoder.feed(data):
+                    await self.calls.put((writer, frame["n"], frame["m"]))
+        except ConnectionError:
+            pass
+        await self.ended.put(writer)
+
+    async def next_call(self):
+        return await asyncio.wait_for(self.calls.get(), LONG_S)
+
+    def stop(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+
+@asynccontextmanager
+async def scripted():
+    server, client = ScriptedServer(), RpcClient()
+    await server.start()
+    try:
+        yield server, client
+    finally:
+        await client.close()
+        server.stop()
+
+
+def answer(number, text):
+    return encode({"v": 1, "r": number, "m": {"type": "said", "text": text}})
+
+
+def ask(client, server, text, timeout_s=LONG_S):
+    return asyncio.ensure_future(client.call(server.address, {"type": "say", "text": text}, timeout_s))
+
+
+def kind_of(outcome):
+    return outcome.kind if isinstance(outcome, RpcError) else outcome
+
+
+@pytest.mark.parametrize("how", ["timed out", "cancelled"])
+def test_the_late_answer_to_an_abandoned_call_reaches_nobody(how):
+    async def scene():
+        async with scripted() as (server, client):
+            abandoned = ask(client, server, "first", SHORT_S if how == "timed out" else LONG_S)
+            writer, first, _ = await server.next_call()
+            other = ask(client, server, "other")
+            _, second, _ = await server.next_call()
+            writer.write(answer(second, "for other"))
+            assert (await other)["text"] == "for other"
+            if how == "cancelled":
+                abandoned.cancel()
+            await asyncio.wait([abandoned])
+            later = ask(client, server, "later")
+            writer_of_later, third, message = await server.next_call()
+            writer.write(answer(first, "for the abandoned call"))
+            writer.write(answer(first, "once more"))
+            writer_of_later.write(answer(third, "for later"))
+            return message["text"], (await later)["text"], writer is writer_of_later, [first, second, third]
+
+    assert asyncio.run(scene()) == ("later", "for later", True, [1, 2, 3])
+
+
+def test_answers_in_another_order_reach_their_callers():
+    async def scene():
+        async with scripted() as (server, client):
+            calls = [ask(client, server, str(number)) for number in range(20)]
+            asked = [await server.next_call() for _ in calls]
+            for writer, number, message in reversed(asked):
+                writer.write(answer(number, message["text"]))
+            return [(await call)["text"] for call in calls], [number for _, number, _ in asked]
+
+    texts, numbers = asyncio.run(scene())
+    assert texts == [str(number) for number in range(20)]
+    assert len(set(numbers)) == 20
+
+
+@pytest.mark.parametrize("share", [0.0, 0.3, 0.99])
+def test_a_connection_that_dies_in_the_midst_of_an_answer_fails_its_calls_and_leaves_nothing_behind(share):
+    async def scene():
+        async with scripted() as (server, client):
+            calls = [ask(client, server, str(number)) for number in range(3)]
+            writer, number, _ = await server.next_call()
+            frame = answer(number, "x" * 1000)
+            writer.write(frame[: int(len(frame) * share)])
+            await writer.drain()
+            writer.transport.abort() if share == 0.0 else writer.close()
+            outcomes = await asyncio.gather(*calls, return_exceptions=True)
+            again = ask(client, server, "again")
+            while True:
+                later, number, message = await server.next_call()
+                if later is not writer:
+                    break
+            later.write(answer(number, message["text"]))
+            return [kind_of(outcome) for outcome in outcomes], (await again)["text"]
+
+    assert asyncio.run(scene()) == (["closed"] * 3, "again")
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [
+        {"v": 1, "r": True, "m": {"type": "said"}},
+        {"v": 1, "r": [1], "m": {"type": "said"}},
+        {"v": 1, "r": 1, "m": "said"},
+        {"v": 2, "r": 1, "m": {"type": "said"}},
+        {"m": {"type": "said"}},
+    ],
+)
+def test_an_answer_that_is_none_ends_the_connection(frame):
+    async def scene():
+        async with scripted() as (server, client):
+            call = ask(client, server, "x")
+            writer, _, _ = await server.next_call()
+            writer.write(encode(frame))
+            (outcome,) = await asyncio.gather(call, return_exceptions=True)
+            return kind_of(outcome)
+
+    assert asyncio.run(scene()) == "closed"
+
+
+@asynccontextmanager
+async def served(**handlers):
+    server, client = RpcServer(handlers), RpcClient()
+    await server.start("127.0.0.1", 0)
+    host, port = server._server.sockets[0].getsockname()
+    try:
+        yield server, client, f"{host}:{port}"
+    finally:
+        await client.close()
+        await server.stop()
+
+
+async def echo(message):
+    return {"type": "echo", "text": message["text"]}
+
+
+async def large(message):
+    return {"type": "echo", "text": "x" * 2000}
+
+
+async def unsendable(message):
+    return {"type": "echo", "text": object()}
+
+
+@pytest.mark.parametrize(
+    ("message", "kind"),
+    [
+        ({"type": "echo", "text": "x" * 2000}, "too_large"),
+        ({"type": "large"}, "too_large"),
+        ({"type": "unsendable"}, "internal"),
+    ],
+)
+def test_a_frame_over_the_limit_fails_its_call_and_no_other(message, kind, monkeypatch):
+    monkeypatch.setattr(rpc, "encode", lambda frame: netstring.encode(frame, most_bytes=1000))
+
+    async def scene():
+        async with served(echo=echo, large=large, unsendable=unsendable) as (server, client, address):
+            await client.call(address, {"type": "echo", "text": "before"}, LONG_S)
+            first = set(server.connections)
+            (outcome,) = await asyncio.gather(client.call(address, message, LONG_S), return_exceptions=True)
+            after = await client.call(address, {"type": "echo", "text": "after"}, LONG_S)
+            return kind_of(outcome), after["text"], server.connections == first
+
+    assert asyncio.run(scene()) == (kind, "after", True)
+
+
+def test_a_server_ends_a_connection_whose_peer_does_not_read(monkeypatch):
+    monkeypatch.setattr(rpc, "MOST_UNSENT_BYTES", 100_000)
+
+    async def answer_much(message):
+        return {"type": "much", "text": "x" * 50_000}
+
+    async def scene():
+        async with served(much=answer_much) as (server, _, address):
+            reader, writer = await asyncio.open_connection(*address.split(":"), limit=1000)
+            largest = 0
+            try:
+                for number in range(10_000):
+                    writer.write(encode({"v": 1, "n": number, "m": {"type": "much"}}))
+                    await writer.drain()
+                    await asyncio.sleep(0)
+                    largest = max([largest, *(each.get_write_buffer_size() for each in server.connections)])
+                    if number and not server.connections:
+                        break
+            except ConnectionError:
+                pass
+            writer.close()
+            return largest, bool(server.connections)
+
+    largest, is_open = asyncio.run(scene())
+    assert not is_open
+    assert largest <= 100_000 + 60_000
+
+
+def test_a_client_ends_a_connection_whose_peer_does_not_read(monkeypatch):
+    monkeypatch.setattr(rpc, "MOST_UNSENT_BYTES", 100_000)
+
+    async def scene():
+        held = asyncio.Event()
+
+        async def never_read(reader, writer):
+            await held.wait()
+            writer.close()
+
+        server = await asyncio.start_server(never_read, "127.0.0.1", 0, limit=1000)
+        host, port = server.sockets[0].getsockname()
+        client = RpcClient()
+        calls = []
+        for _ in range(2000):
+            message = {"type": "much", "text": "x" * 50_000}
+            calls.append(asyncio.ensure_future(client.call(f"{host}:{port}", message, LONG_S)))
+            await asyncio.sleep(0)
+            if calls[0].done():
+                break
+        while not calls[0].done():
+            await asyncio.sleep(0)
+        connection = client._established(f"{host}:{port}")
+        held.set()
+        for call in calls:
+            call.cancel()
+        outcomes = await asyncio.gather(*calls, return_exceptions=True)
+        await client.close()
+        server.close()
+        return kind_of(outcomes[0]), connection is None or connection.transport is None
+
+    assert asyncio.run(scene()) == ("closed", True)
