Unsafe requests on used connections: a bounded idle time, learnt from resets; repeats twice over

Connections that a receiver forgets without a word are reset when the next request is sent; that proves nothing. Ruled out: learning from connections that are found closed (that is how receivers end).

test_repeated_requests.py runs every handler of the control plane more than once for each request (at once, late, after a lost answer) and finds the records of a run without repeats.

--- a/dewpin/cluster/rpc.py
+++ b/dewpin/cluster/rpc.py
@@ -4,8 +4,8 @@
 object with a `type`; an answer of type `error` raises `RpcError` at the caller.
 
 Each connection counts its own numbers and never uses one twice, so the answer to a call that was given up, however
-late, finds nobody waiting and is dropped. A call that failed may have been carried out: whoever repeats one does so only
-to handlers that may run twice.
+late, finds nobody waiting and is dropped. A call that failed may have been carried out: whoever repeats one does so
+only to handlers that may run twice.
 """
 
 from __future__ import annotations
--- a/dewpin/dataplane/idle_limit.py
+++ b/dewpin/dataplane/idle_limit.py
@@ -2,8 +2,10 @@
 
 A receiver tells for how many whole seconds it keeps an idle connection, but may forget one sooner and without a word;
 the next thing sent on it is reset. That proves nothing of the request, so a request that must not be repeated is lost
-by it. It is sent only on a connection that was used lately; after an early end was seen at any receiver of the service,
-only on one that was used more lately still than that one.
+by it. It is sent only on a connection that was used lately; after such a reset was met at any receiver of the service,
+only on one that was used more lately still.
+
+A connection that is seen to have ended before it is used teaches nothing: that happens where a receiver ends as well.
 """
 
 LONGEST_UNREPEATABLE_IDLE_S = 2.0
@@ -11,7 +13,9 @@
 """The part of the time told in which a connection may carry a request that must not be repeated."""
 EARLY_END_SHARE = 0.5
 """After an early end, connections that were idle for more than this part of that one's time count as lost."""
-EARLY_END_MEMORY_S = 60.0
+EARLY_END_MEMORY_S = 30.0
+FORGOTTEN_WITHIN_S = 0.05
+"""A connection that was forgotten is reset as soon as something is sent on it; a later reset has another cause."""
 
 
 class IdleLimit:
@@ -32,7 +36,9 @@
             return LONGEST_UNREPEATABLE_IDLE_S
         return self._early_end[0]
 
-    def count_early_end(self, idle_s: float, now: float) -> None:
-        """Take in that a connection had ended although the receiver's word allowed it to be idle for so long."""
+    def count_reset(self, idle_s: float, after_s: float, now: float) -> None:
+        """Take in that a connection, used again after being idle, was reset so long after the call began."""
+        if after_s > FORGOTTEN_WITHIN_S:
+            return
         limit_s = min(self.unrepeatable_idle_s(now), idle_s * EARLY_END_SHARE)
         self._early_end = (limit_s, now + EARLY_END_MEMORY_S)
--- a/dewpin/dataplane/receiver_connection.py
+++ b/dewpin/dataplane/receiver_connection.py
@@ -98,7 +98,7 @@
 class ReceiverConnection(HTTPConnection):
     """A connection to an IP address, which needs no look-up; `connect` before use, `close` at the end.
 
-    `idle_s` is how long it was idle before the call under way.
+    `idle_s` is how long it was idle before the call under way, `call_began` the time when that began.
     """
 
     def __init__(self, host: str, port: int, clock: Callable[[], float]) -> None:
@@ -110,6 +110,7 @@
         self._request_id = ""
         self._reads_head = False
         self.idle_s = 0.0
+        self.call_began = 0.0
         self.response_class = self._new_answer  # type: ignore[assignment]
 
     @property
@@ -150,6 +151,7 @@
     def begin_call(self, request_id: str, deadline: float, client: Client | None) -> None:
         """Start a call on this connection."""
         self.raw.begin_call(deadline, client)
+        self.call_began = self._clock()
         self._request_id = request_id
 
     def end_call(self) -> None:
--- a/dewpin/dataplane/receiver_connections.py
+++ b/dewpin/dataplane/receiver_connections.py
@@ -67,18 +67,17 @@
                 is_usable = self._idle_limit.allows(idle_s, newest.kept_s, repeatable, now)
                 is_kept = not is_usable and idle_s < newest.kept_s
                 taken = self._idle.pop(0) if is_kept else self._idle.pop()
-            if is_usable and not taken.connection.has_carried(request_id):
-                if taken.connection.is_connected:
-                    taken.connection.idle_s = idle_s
-                    return taken.connection
-                self._idle_limit.count_early_end(idle_s, now)
+            if is_usable and not taken.connection.has_carried(request_id) and taken.connection.is_connected:
+                taken.connection.idle_s = idle_s
+                return taken.connection
             taken.connection.close()
             if is_kept:
                 return None
 
-    def count_early_end(self, connection: ReceiverConnection) -> None:
+    def count_reset(self, connection: ReceiverConnection) -> None:
         """Take in that a connection which was used again ended before a byte of the answer came."""
-        self._idle_limit.count_early_end(connection.idle_s, self._clock())
+        now = self._clock()
+        self._idle_limit.count_reset(connection.idle_s, now - connection.call_began, now)
 
     def connect(self, timeout_s: float) -> ReceiverConnection:
         """Return a new connection; raises an OSError if none comes up in time."""
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -40,7 +40,7 @@
 """A connect may take this share of the request's time, so that another receiver can be tried."""
 LEAST_CONNECT_S = 0.001
 
-_ENDED_EARLY = frozenset({Outcome.NEVER_SENT, Outcome.RESET, Outcome.CLOSED})
+_ENDED = frozenset({Outcome.RESET, Outcome.CLOSED})
 _LEFT_OUT = frozenset({"content-length", REQUEST_DEADLINE, TARGET_INSTANCE})
 
 
@@ -179,8 +179,8 @@
             connection.close()
             raise
         connection.close()
-        if not connection.is_first_call and outcome in _ENDED_EARLY and not connection.raw.has_received:
-            connections.count_early_end(connection)
+        if not connection.is_first_call and outcome in _ENDED and not connection.raw.has_received:
+            connections.count_reset(connection)
         return CallResult(outcome)
 
     def _exchange(
--- /dev/null
+++ b/tests/controlplane/test_repeated_requests.py
@@ -0,0 +1,193 @@
+"""Every handler of the control plane run more than once for one request: at once, or late, after others.
+
+A caller that got no answer asks again, and a request that it gave up may still be carried out much later. Whatever is
+repeated, the records are those of a run in which nothing was.
+"""
+
+import asyncio
+import random
+
+import control_world
+import pytest
+import store_world
+from controlplane.test_senders_and_keepers import SENDERS, Fleet
+from store_world import World, run
+
+from dewpin.cluster.rpc import RpcError
+from dewpin.controlplane.register import RegisterUnavailable
+from dewpin.dataplane import ledger
+from dewpin.dataplane.program_store import BudgetSpent, Turn
+
+LATE_S = (0.02, 1.5)
+"""A repeat comes so much later, drawn anew for each request."""
+LOST_SHARE = 0.3
+SEEDS = range(8)
+MODES = ("twice", "late", "answer lost")
+
+
+class Repeats:
+    """Carries requests out again, and notes which types were; `mode` tells how."""
+
+    def __init__(self, mode, seed):
+        self.types = set()
+        self._mode = mode
+        self._rng = random.Random(f"{mode}/{seed}")
+        self._tasks = set()
+
+    def around(self, call):
+        """Return a replacement of a link's `_call`."""
+
+        async def repeated(link, address, message):
+            self.types.add(message["type"])
+            if self._mode == "late":
+                self._start(self._again(call, link, address, message, self._rng.uniform(*LATE_S)))
+                return await call(link, address, message)
+            if self._mode == "answer lost" and self._rng.random() > LOST_SHARE:
+                return await call(link, address, message)
+            first = await call(link, address, message)
+            if self._mode == "answer lost":
+                return await call(link, address, message)
+            await self._again(call, link, address, message, 0.0)
+            return first
+
+        return repeated
+
+    async def _again(self, call, link, address, message, after_s):
+        await asyncio.sleep(after_s)
+        try:
+            await call(link, address, message)
+        except RpcError:
+            pass
+
+    def _start(self, work):
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def done(self):
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
+
+def turn(name, previous=None):
+    return Turn(name, "p", previous, b"<" + name.encode(), b">", 60.0)
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_turns_and_budgets_are_those_of_a_run_without_repeats(mode, seed, monkeypatch):
+    repeats = Repeats(mode, seed)
+    monkeypatch.setattr(store_world.Link, "_call", repeats.around(store_world.Link._call))
+
+    async def scene():
+        world = World()
+        one, two = world.client("one", seed), world.client("two", seed + 1)
+        first = await one.reserve("p", "t1", 40, 100, 10.0)
+        second = await two.reserve("p", "t2", 40, 100, 10.0)
+        await one.reserve("p", "t1", 40, 100, 10.0)
+        with pytest.raises(BudgetSpent):
+            await two.reserve("p", "t3", 30, 100, 10.0)
+        one.settle(first, 33)
+        one.settle(first, 33)
+        await one.append(turn("t1"), 10.0)
+        await one.append(turn("t1"), 10.0)
+        await two.append(turn("t2", "t1"), 10.0)
+        await one.settled()
+        two.settle(second, 7)
+        await two.settled()
+        chain = await world.client("three", seed + 2).chain("p", "t2", 10.0)
+        await repeats.done()
+        final = await world.client("four", seed + 3)._change("p", ledger.read)
+        rows = {
+            machine.disk.connection.execute("SELECT count(*) FROM turns").fetchone()
+            for machine in world.machines.values()
+        }
+        return chain, final, max(rows)
+
+    chain, final, rows = run(scene())
+    assert chain == b"<t1><t2>"
+    assert final == {"spent": 40, "open": {}}
+    assert rows == (2,)
+    assert repeats.types == {"turn.put", "turn.chain", "ledger.prepare", "ledger.accept"}
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_copy_for_a_new_view_is_that_of_a_run_without_repeats(mode, seed, monkeypatch):
+    repeats = Repeats(mode, seed)
+
+    async def scene():
+        world = World(names=("a", "b", "c", "d"), in_view=("a", "b", "c"))
+        client = world.client("one", seed)
+        held = await client.reserve("p", "t1", 40, 100, 10.0)
+        for number in range(1, 6):
+            await client.append(turn(f"t{number}", f"t{number - 1}" if number > 1 else None), 10.0)
+        client.settle(held, 33)
+        await client.settled()
+        monkeypatch.setattr(store_world.Link, "_call", repeats.around(store_world.Link._call))
+        view = type(world.view)(2, world.view.stable, world.members("bcd"))
+        world.tell(view)
+        await world.until(lambda: all(2 in world.machines[name].synced for name in "bcd"))
+        world.tell(type(world.view)(3, world.members("bcd"), None))
+        world.machines["a"].up = False
+        other = world.client("two", seed + 1)
+        other.adopt(world.view)
+        chain = await other.chain("p", "t5", 10.0)
+        final = await other._change("p", ledger.read)
+        await repeats.done()
+        return chain, final
+
+    chain, final = run(scene())
+    assert chain == b"<t1><t2><t3><t4><t5>"
+    assert final == {"spent": 33, "open": {}}
+    assert {"store.pull_index", "store.pull_turns", "store.pull_ledgers"} <= repeats.types
+
+
+@pytest.mark.parametrize("mode", MODES)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_register_leases_and_news_are_those_of_a_run_without_repeats(mode, seed, monkeypatch):
+    repeats = Repeats(mode, seed)
+    monkeypatch.setattr(control_world.Client, "_call", repeats.around(control_world.Client._call))
+
+    async def whole():
+        fleet = Fleet(random.Random(seed))
+        await fleet.begin()
+        try:
+            generation = 0
+            for following in range(1, 9):
+                await settle_order(fleet, 1 + following % 3, following, generation)
+                generation = following
+            for number in range(1, SENDERS + 1):
+                fleet.start_sender(number)
+            await fleet.until(lambda: set(fleet.generations.values()) == {8})
+            await settle_order(fleet, 2, 9, 8)
+            await fleet.until(lambda: set(fleet.generations.values()) == {9})
+            gone = fleet.agents.pop(1)
+            await gone.stop()
+            await asyncio.sleep(5.0)
+            live = {
+                number: len(fleet.keepers[number].leases.live(asyncio.get_running_loop().time()))
+                for number in (1, 2, 3)
+            }
+            assert fleet.went_back == []
+            assert fleet.is_whole(1, 2, 3)
+            return live
+        finally:
+            await fleet.stop()
+
+    live = run(whole())
+    assert set(live.values()) == {SENDERS - 1}
+    assert {"register.prepare", "register.accept", "keeper.hello", "lease.renew", "lease.release", "relay.watch"} <= (
+        repeats.types
+    )
+
+
+async def settle_order(fleet, number, generation, base):
+    """Send an order until it is acknowledged, as the operator does; that another version is current fails the test."""
+    for _ in range(20):
+        try:
+            await fleet.put(number, generation, base)
+            return
+        except RegisterUnavailable:
+            await asyncio.sleep(0.1)
+    raise AssertionError("never acknowledged")
