--- a/tests/controlplane/test_cut_off.py
+++ b/tests/controlplane/test_cut_off.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from cluster import samples
 from controlplane.test_keeper import APPLY_S, drain, listed, play, renewal, shows_drain
 
 from dewpin.cluster.errors import ErrorKind
@@ -111,15 +112,18 @@
         world.network.cut(world.address(3))
         loop = asyncio.get_running_loop()
         api = OperatorApi(world.keepers[3].register, loop, 3)
-        body = json.dumps({"generation": 9, "routes": [], "services": {}}).encode()
-        calls = [api.get, lambda: api.retirement("store-1"), lambda: api.start_retirement("nobody")]
-        statuses = [(await loop.run_in_executor(None, call)).status for call in calls]
-        put = (await loop.run_in_executor(None, api.put, body, "1")).status
-        return statuses, put
-
-    statuses, put = play(scene)
-    assert statuses == [503, 503, 503]
-    assert put in {400, 503}  # 400 only for a body that is wrong by itself
+        body = json.dumps({**samples.configuration(), "generation": 9}).encode()
+        calls = [
+            api.get,
+            lambda: api.put(body, "7"),
+            lambda: api.put(body, "1"),
+            lambda: api.retirement("store-1"),
+            lambda: api.start_retirement("store-1"),
+            lambda: api.start_retirement("nobody"),
+        ]
+        return [(await loop.run_in_executor(None, call)).status for call in calls]
+
+    assert play(scene) == [503] * 6
 
 
 def test_a_process_started_anew_serves_nothing_from_its_disk():
