A process without a majority is not flooded; news without an age confirm nothing

Cause: senders left with one refusing process would have asked it every 50 ms by their watches; news of a parent of an earlier release, which tells no age, would have counted as current. The capacity page's rows on heartbeats name heartbeat.py (figures as they were).

--- a/benchmarks/capacity/roles/store.py
+++ b/benchmarks/capacity/roles/store.py
@@ -15,7 +15,7 @@
 TURNS = "`dewpin/controlplane/turn_table.py`"
 LEDGERS = "`dewpin/controlplane/ledger_replica.py`, `dewpin/consensus`"
 STORE = "`dewpin/controlplane/store.py`, `dewpin/cluster/rpc.py`"
-KEEPER = "`dewpin/controlplane/keeper.py`"
+HEARTBEAT = "`dewpin/controlplane/heartbeat.py`"
 
 
 def disk_of(context: Context, replicas: int) -> Estimate:
@@ -223,7 +223,7 @@
             f"{plain(design.HEARTBEAT_PERIOD_S)} s",
             lambda: rate,
             "1/s",
-            KEEPER,
+            HEARTBEAT,
         ),
         context.row(
             "processor time of greetings at each keeper",
@@ -234,7 +234,7 @@
                 / MICROSECONDS
             ),
             "share",
-            KEEPER,
+            HEARTBEAT,
             context.target.control_processor_share,
         ),
         context.row(
@@ -242,6 +242,6 @@
             f"hello-bytes at {keepers} / {plain(design.HEARTBEAT_PERIOD_S)} s, asked and answered",
             lambda: 2 * context.at("hello-bytes", keepers) / design.HEARTBEAT_PERIOD_S,
             "B/s",
-            KEEPER,
+            HEARTBEAT,
         ),
     ]
--- a/dewpin/cluster/relay_messages.py
+++ b/dewpin/cluster/relay_messages.py
@@ -123,11 +123,12 @@
 @dataclass(frozen=True, slots=True)
 class RelayNews:
     """The answer to a watch. `state` and `receivers` are there if newer than asked for; `receivers_version`,
-    `list_age_s` and `knowledge_age_s` (as in a grant) are those of whoever answers."""
+    `list_age_s` and `knowledge_age_s` (as in a grant) are those of whoever answers; earlier releases don't tell the
+    latter, and confirm nothing."""
 
     receivers_version: DirectoryVersion
     list_age_s: float
-    knowledge_age_s: float = 0.0
+    knowledge_age_s: float = math.inf
     state: StateJson | None = None
     receivers: tuple[Receiver, ...] | None = None
 
@@ -152,7 +153,7 @@
         return cls(
             receivers_version=directory_version(message["receivers_version"]),
             list_age_s=float(message["list_age_s"]),
-            knowledge_age_s=float(message.get("knowledge_age_s", 0.0)),
+            knowledge_age_s=float(message.get("knowledge_age_s", math.inf)),
             state=message.get("state"),
             receivers=None if receivers is None else tuple(receiver_from_record(record) for record in receivers),
         )
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -39,6 +39,8 @@
 RENEWALS_IN_BOUND = 5
 FRESH_RENEWALS = 4
 """A sender that has missed so many renewals in a row takes itself for cut off."""
+UNCONFIRMED_PERIOD_S = 0.1
+"""Between renewals before the first confirmed state: the next answer may bring a majority's word."""
 MOST_REFUSALS_COUNTED = 8
 RENEW_TIMEOUT_S = 0.35
 WATCH_TIMEOUT_S = 1.7
@@ -150,7 +152,7 @@
             await asyncio.sleep(self._pause_after_failure_s())
             return
         if not self.confirmation.is_confirmed:
-            period_s /= 4  # not ready yet: the next answer may bring a majority's word
+            period_s = min(period_s / 4, UNCONFIRMED_PERIOD_S)
         pause_s = period_s * (0.9 + 0.2 * self._rng.random()) - (self._clock() - began_s)
         await asyncio.sleep(max(pause_s, SHORTEST_PAUSE_S))
 
--- a/tests/dataplane/test_cluster_agent.py
+++ b/tests/dataplane/test_cluster_agent.py
@@ -58,6 +58,7 @@
         self.parents = []
         self.senders = 4
         self.names = None  # the keepers that it names; None: all
+        self.refuses = False  # answers that it reaches no majority
         self.told_version = None  # the version that its grants tell; None: the one that it has
         self.news_age_s = 0.0  # how long ago a majority confirmed what its news tell
         self.latency_s = 0.002
@@ -78,6 +79,8 @@
 
     async def answer(self, message):
         kind = message["type"]
+        if self.refuses and kind != "lease.release":
+            raise RpcError("no_quorum", self.address)
         if kind == "lease.renew":
             return {
                 "type": "lease.granted",
@@ -103,8 +106,9 @@
             "type": "relay.news",
             "receivers_version": self.directory.version,
             "list_age_s": self.age_s(),
-            "knowledge_age_s": self.news_age_s,
         }
+        if self.news_age_s is not None:
+            news["knowledge_age_s"] = self.news_age_s
         if self.state_version > message["state_version"]:
             news["state"] = {"version": self.state_version}
         if self.directory.version > DirectoryVersion(*message["receivers_version"]):
@@ -513,6 +517,47 @@
     assert play(scene) <= 10.0 / (APPLY_S / 5 / 8)
 
 
+def test_a_process_without_a_majority_is_not_flooded_and_is_used_again_at_once():
+    """The others are gone: all senders are left with this one, and ask it little more often than in calm times."""
+
+    async def scene(world):
+        await asyncio.sleep(1.0)
+        for number in (1, 2):
+            world.keeper(number).up = False
+        world.keeper(3).refuses = True
+        began_s = world.now_s
+        await asyncio.sleep(20.0)
+        asked = sum(1 for at_s, address, _ in world.calls if address == keeper_address(3) and at_s >= began_s)
+        assert world.agent.hears_control
+        world.keeper(3).refuses = False
+        world.keeper(3).set_version(2)
+        return asked / 20.0, await world.until(lambda: world.states[-1] == 2)
+
+    asked_per_s, took_s = play(scene)
+    assert asked_per_s <= 1.5 * (5 / APPLY_S + 1.0 / WATCH_HEARTBEAT_S)
+    assert took_s < APPLY_S / 2
+
+
+def test_news_of_a_parent_that_tells_no_age_confirm_nothing():
+    """As earlier releases answer."""
+
+    async def begin():
+        world = World()
+        parent = world.add_parent()
+        parent.news_age_s = None
+        for one in world.keepers:
+            one.refuses = True
+        world.agent._parents = [parent.address]
+        world.agent.start()
+        await world.until(lambda: world.states)
+        await asyncio.sleep(3.0)
+        confirmed = world.agent.confirmation.is_confirmed
+        await world.agent.stop()
+        return confirmed
+
+    assert run(begin()) is False
+
+
 def test_news_are_passed_on_to_children_at_once():
     async def scene(world):
         await asyncio.sleep(1.0)
--- a/tests/dataplane/test_lease_readiness.py
+++ b/tests/dataplane/test_lease_readiness.py
@@ -1,12 +1,16 @@
-"""A sender's lease counts only while it was renewed a short while ago."""
+"""When a sender is ready: a control process answered a short while ago, and a majority has confirmed what it knows."""
 
 import random
+from types import SimpleNamespace
 
+import pytest
 from dataplane.test_cluster_agent import settings
 
 from dewpin.cluster.receivers import NO_VERSION
 from dewpin.cluster.relay_messages import LeaseGrant
+from dewpin.dataplane.__main__ import Sender
 from dewpin.dataplane.cluster_agent import FRESH_RENEWALS, RENEWALS_IN_BOUND, ClusterAgent
+from dewpin.dataplane.cluster_state import ClusterState
 
 
 class Clock:
@@ -34,3 +38,31 @@
     assert agent.hears_control
     clock.now_s += period_s
     assert not agent.hears_control
+
+
+@pytest.mark.parametrize(
+    ("missing", "is_ready"),
+    [
+        (None, True),
+        ("configuration", False),
+        ("receivers", False),
+        ("store_view", False),
+        ("hears_control", False),
+        ("is_confirmed", False),
+        ("running", False),
+    ],
+)
+def test_a_sender_is_ready_only_with_all_that_it_needs(missing, is_ready):
+    has = {name: name != missing for name in ("configuration", "receivers", "store_view", "hears_control")}
+    state = ClusterState(
+        configuration=object() if has["configuration"] else None,
+        receivers={"engines": (object(),)} if has["receivers"] else {},
+        store_view=object() if has["store_view"] else None,
+    )
+    confirmation = SimpleNamespace(is_confirmed=missing != "is_confirmed")
+    sender = SimpleNamespace(
+        state=state,
+        agent=SimpleNamespace(hears_control=has["hears_control"], confirmation=confirmation),
+        stopping=SimpleNamespace(is_set=lambda: missing == "running"),
+    )
+    assert Sender.is_ready(sender) is is_ready
