Checking: one InvalidInput with all faults of an input, for settings and configuration

Cause: cluster/settings and cluster/configuration each had an error class with all faults and one for a single fault, alike but for a name (the settings one called the place key, which nobody read). SettingsFault and ConfigurationFault had no user outside. Tests are untouched.

--- a/dewpin/cluster/checking.py
+++ b/dewpin/cluster/checking.py
@@ -3,15 +3,16 @@
 `check_shape` compares a value read from JSON or TOML with a type annotation and reports every fault with its place,
 such as `routes[3].split[0].weight`. It knows the annotations that messages are made of: `str`, `bool`, `int`, `float`,
 `None`, unions, `list[X]`, `dict[str, X]`, `object` and `TypedDict` classes. Fields that a typed dictionary does not
-name are ignored. An optional field that is `null` counts as absent when its annotation includes `None`.
+name are ignored. An optional field that is `null` counts as absent when its annotation includes `None`. Whoever rejects
+an input raises an `InvalidInput` with all its faults.
 """
 
 import math
 import types
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from functools import cache
-from typing import Any, NotRequired, Required, TypeVar, Union, get_args, get_origin, get_type_hints, is_typeddict
+from typing import Any, NotRequired, Required, Self, TypeVar, Union, get_args, get_origin, get_type_hints, is_typeddict
 
 JsonObject = dict[str, Any]
 """An object as `json.loads` or `tomllib.loads` returns it."""
@@ -43,6 +44,29 @@
         return self.place == place or self.place.startswith((place + ".", place + "["))
 
 
+class InputFault(ValueError):
+    """One fault of an input as an error; `place` names the field, `message` says what is wrong with it."""
+
+    def __init__(self, fault: Fault) -> None:
+        super().__init__(str(fault))
+        self.place = fault.place
+        self.message = fault.message
+
+
+class InvalidInput(ExceptionGroup[InputFault]):
+    """Every fault of an input that was rejected; a subclass for each kind of input says what it is."""
+
+    summary = "invalid input"
+
+    def __new__(cls, faults: Iterable[Fault]) -> Self:
+        """Group the faults; there has to be at least one."""
+        return super().__new__(cls, cls.summary, [InputFault(fault) for fault in faults])
+
+    def lines(self) -> list[str]:
+        """Return one line per fault, each with its place."""
+        return [str(fault) for fault in self.exceptions]
+
+
 def check_shape(value: object, annotation: Any, place: str = "") -> list[Fault]:
     """Return every fault of `value` against `annotation`; an empty list means that it may be cast to it."""
     if annotation is object or annotation is Any:
--- a/dewpin/cluster/configuration/__init__.py
+++ b/dewpin/cluster/configuration/__init__.py
@@ -16,7 +16,6 @@
     DEFAULT_MAX_BODY_BYTES,
     DEFAULT_MAX_HEADER_BYTES,
 )
-from .faults import ConfigurationFault, ConfigurationInvalid
 from .model import (
     IDEMPOTENT,
     NON_IDEMPOTENT,
@@ -29,7 +28,7 @@
     Share,
     normal_host,
 )
-from .reading import parse_configuration
+from .reading import ConfigurationInvalid, parse_configuration
 
 __all__ = [
     "DEFAULT_HEADER_TIMEOUT_MS",
@@ -40,7 +39,6 @@
     "NON_IDEMPOTENT",
     "STREAM",
     "Configuration",
-    "ConfigurationFault",
     "ConfigurationInvalid",
     "Engine",
     "Limits",
--- a/dewpin/cluster/configuration/building.py
+++ b/dewpin/cluster/configuration/building.py
@@ -21,6 +21,7 @@
 
 
 def build_configuration(checked: RawConfiguration, raw: JsonObject) -> Configuration:
+    """Make a configuration of checked fields; `raw` is the operator's own object."""
     return Configuration(
         generation=int(checked["generation"]),
         routes=tuple(_build_route(route) for route in checked["routes"]),
--- a/dewpin/cluster/configuration/reading.py
+++ b/dewpin/cluster/configuration/reading.py
@@ -3,14 +3,19 @@
 import json
 from typing import Any, cast
 
-from ..checking import Fault, JsonObject, check_shape, expected
+from ..checking import Fault, InvalidInput, JsonObject, check_shape, expected
 from .building import build_configuration
-from .faults import ConfigurationInvalid
 from .model import Configuration
 from .rules import check_rules
 from .schema import RawConfiguration
 
 
+class ConfigurationInvalid(InvalidInput):
+    """Every fault of a rejected configuration."""
+
+    summary = "invalid configuration"
+
+
 def parse_configuration(body: bytes) -> Configuration:
     """Read and check a configuration; raises ConfigurationInvalid with every fault."""
     raw = _read_object(body)
--- a/dewpin/cluster/settings/__init__.py
+++ b/dewpin/cluster/settings/__init__.py
@@ -9,9 +9,15 @@
 `building` makes these with their defaults, `reading` does it all in order.
 """
 
-from .faults import SettingsFault, SettingsInvalid
 from .model import CONTROL, FRONT, READY, STORE, Bounds, Cloud, FaultTolerance, MachineLimits, PortRange, Settings
-from .reading import BOOT_VARIABLE, FAULTY_SETTINGS_EXIT_CODE, load_settings, parse_settings, settings_or_exit
+from .reading import (
+    BOOT_VARIABLE,
+    FAULTY_SETTINGS_EXIT_CODE,
+    SettingsInvalid,
+    load_settings,
+    parse_settings,
+    settings_or_exit,
+)
 
 __all__ = [
     "BOOT_VARIABLE",
@@ -26,7 +32,6 @@
     "MachineLimits",
     "PortRange",
     "Settings",
-    "SettingsFault",
     "SettingsInvalid",
     "load_settings",
     "parse_settings",
--- a/dewpin/cluster/settings/building.py
+++ b/dewpin/cluster/settings/building.py
@@ -17,6 +17,7 @@
 
 
 def build_settings(raw: RawSettings) -> Settings:
+    """Make the settings of a file whose fields were checked."""
     zones = raw.get("zones", {})
     data_dir = raw.get("data_dir")
     first_port, last_port = raw["port_range"]
--- a/dewpin/cluster/settings/reading.py
+++ b/dewpin/cluster/settings/reading.py
@@ -7,9 +7,8 @@
 from pathlib import Path
 from typing import NoReturn, cast
 
-from ..checking import Fault, JsonObject, check_shape
+from ..checking import Fault, InvalidInput, JsonObject, check_shape
 from .building import build_settings
-from .faults import SettingsInvalid
 from .model import Settings
 from .rules import check_rules
 from .schema import RawSettings
@@ -18,6 +17,12 @@
 FAULTY_SETTINGS_EXIT_CODE = 2
 
 
+class SettingsInvalid(InvalidInput):
+    """Every fault of a settings file."""
+
+    summary = "invalid settings"
+
+
 def load_settings(path: str | Path) -> Settings:
     """Read and check a settings file; raises SettingsInvalid with every fault, also when it cannot be read."""
     try:
