Stand-ins: names of the field, one split_address; capacity: the three figures of calls share their frame

Change: wait_until polls a probe (POLL_INTERVAL_S) and raises WaitFailed (was NeverHappened); Slots.acquire and release (enter, leave); Operator has retried statuses, final answers, backoff and a deadline; text and reply in place of said and heard; SystemView.has_member. http_service.split_address was the same as cluster.rpc.split_address. benchmarks/capacity/measures/wire.py: CallServer is a context manager, the series of calls are made in one place. Tests: only the renamed names follow (tests/standin/test_parts.py, test_receiver.py, test_tier.py), no assertion is changed.

--- a/benchmarks/capacity/measures/wire.py
+++ b/benchmarks/capacity/measures/wire.py
@@ -6,7 +6,9 @@
 import multiprocessing
 import resource
 import time
+from collections.abc import Callable
 from multiprocessing.connection import Connection
+from types import TracebackType
 
 from benchmarks.capacity import shapes
 from benchmarks.capacity.series import Effort, Series, sample
@@ -105,12 +107,22 @@
         self._pipe.send("usage")
         return float(self._pipe.recv())
 
-    def close(self) -> None:
+    def __enter__(self) -> CallServer:
+        """Return the server; its process is ended behind the block."""
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
         """End the process and wait for it."""
         self._pipe.close()
         self._process.join()
 
 
+CallCost = Callable[[CallServer, int, float], float]
+"""Takes a server, the bytes of a call's text and the seconds to call for; returns the microseconds of one call."""
+
+
 async def call_in_turn(client: RpcClient, address: str, size: int, seconds: float) -> tuple[int, float]:
     """Calls one after the other: how many, and the seconds they took."""
     message = shapes.turn(1, size)
@@ -131,72 +143,42 @@
     return sum(calls for calls, _ in runs), max(took for _, took in runs)
 
 
+def call_series(effort: Effort, name: str, title: str, y_name: str, cost: CallCost) -> Series:
+    """A figure of calls to a server process, by the bytes of their text."""
+    with CallServer() as server:
+        points = sample(CALL_TEXT_BYTES, effort, lambda size: cost(server, size, effort.seconds))
+    return Series(name, title, RPC, "bytes of text", y_name, "µs", points)
+
+
 def round_trip(effort: Effort) -> Series:
     """Time of one call over loopback, by the bytes of its text."""
-    server = CallServer()
 
-    def at(size: int) -> float:
-        calls, took = asyncio.run(call_at_once(server.address, size, effort.seconds, callers=1))
+    def cost(server: CallServer, size: int, seconds: float) -> float:
+        calls, took = asyncio.run(call_at_once(server.address, size, seconds, callers=1))
         return took * MICROSECONDS / calls
 
-    try:
-        points = sample(CALL_TEXT_BYTES, effort, at)
-    finally:
-        server.close()
-    return Series(
-        "round-trip",
-        "a call and its answer over loopback, one at a time",
-        RPC,
-        "bytes of text",
-        "time a call",
-        "µs",
-        points,
-    )
+    return call_series(effort, "round-trip", "a call and its answer over loopback, one at a time", "time a call", cost)
 
 
 def server_call_cost(effort: Effort) -> Series:
     """Processor time of the serving process for one call, by the bytes of its text."""
-    server = CallServer()
 
-    def at(size: int) -> float:
+    def cost(server: CallServer, size: int, seconds: float) -> float:
         before = server.processor_seconds()
-        calls, _ = asyncio.run(call_at_once(server.address, size, effort.seconds, CALLS_AT_ONCE))
+        calls, _ = asyncio.run(call_at_once(server.address, size, seconds, CALLS_AT_ONCE))
         return (server.processor_seconds() - before) * MICROSECONDS / calls
 
-    try:
-        points = sample(CALL_TEXT_BYTES, effort, at)
-    finally:
-        server.close()
-    return Series(
-        "server-call",
-        f"processor time of the server for a call, {CALLS_AT_ONCE} at once",
-        RPC,
-        "bytes of text",
-        "processor time a call",
-        "µs",
-        points,
-    )
+    title = f"processor time of the server for a call, {CALLS_AT_ONCE} at once"
+    return call_series(effort, "server-call", title, "processor time a call", cost)
 
 
 def client_call_cost(effort: Effort) -> Series:
     """Processor time of the calling process for one call, by the bytes of its text."""
-    server = CallServer()
 
-    def at(size: int) -> float:
+    def cost(server: CallServer, size: int, seconds: float) -> float:
         before = time.process_time()
-        calls, _ = asyncio.run(call_at_once(server.address, size, effort.seconds, CALLS_AT_ONCE))
+        calls, _ = asyncio.run(call_at_once(server.address, size, seconds, CALLS_AT_ONCE))
         return (time.process_time() - before) * MICROSECONDS / calls
 
-    try:
-        points = sample(CALL_TEXT_BYTES, effort, at)
-    finally:
-        server.close()
-    return Series(
-        "client-call",
-        f"processor time of the caller for a call, {CALLS_AT_ONCE} at once",
-        RPC,
-        "bytes of text",
-        "processor time a call",
-        "µs",
-        points,
-    )
+    title = f"processor time of the caller for a call, {CALLS_AT_ONCE} at once"
+    return call_series(effort, "client-call", title, "processor time a call", cost)
--- a/dewpin/standin/__main__.py
+++ b/dewpin/standin/__main__.py
@@ -8,12 +8,14 @@
 from pathlib import Path
 from typing import NoReturn, cast
 
+from dewpin.cluster.rpc import split_address
+
 from .demonstration import FOREVER, DemonstrationFailed, FolderInUse, Loss, TierOptions, run_tier
-from .http_service import split_address, wait_for_signal
+from .http_service import wait_for_signal
 from .instances import CallRate, Instance, InstanceEntry, InstanceList
 from .platform import Platform, SenderHealth
 from .receiver import ReceiverOptions, ReceiverServer
-from .waiting import NeverHappened
+from .waiting import WaitFailed
 
 FAILED = 1
 
@@ -92,7 +94,7 @@
         run_tier(tier_options(options), _say)
     except KeyboardInterrupt:
         _say("interrupted; all processes are ended")
-    except (DemonstrationFailed, FolderInUse, NeverHappened) as fault:
+    except (DemonstrationFailed, FolderInUse, WaitFailed) as fault:
         _say(f"FAILED: {fault}")
         return FAILED
     return 0
--- a/dewpin/standin/client.py
+++ b/dewpin/standin/client.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from types import TracebackType
 
-from .http_service import split_address
+from dewpin.cluster.rpc import split_address
+
 from .protocol import BUDGET, PREVIOUS, PROGRAM, REQUEST_DEADLINE, REQUEST_ID, SIGNATURE, TOKEN_USAGE
 
 DEADLINE_MS = 8_000
@@ -109,21 +110,21 @@
         self._budget = budget
         self._most_tokens = most_tokens
 
-    def request(self, said: bytes, fields: Mapping[str, str] | None = None) -> ClientRequest:
+    def request(self, text: bytes, fields: Mapping[str, str] | None = None) -> ClientRequest:
         """Return the request of the next turn, which brings only its new input."""
         turn_fields = {
             PROGRAM: self.id,
             BUDGET: str(self._budget),
-            TOKEN_USAGE: f"{len(said.split())},{self._most_tokens}",
+            TOKEN_USAGE: f"{len(text.split())},{self._most_tokens}",
             **(fields or {}),
         }
         if self.last_turn is not None:
             turn_fields[PREVIOUS] = self.last_turn
-        return ClientRequest(self._host, self._path, said, fields=turn_fields)
+        return ClientRequest(self._host, self._path, text, fields=turn_fields)
 
-    def turn(self, sender: str, said: bytes) -> ClientAnswer:
+    def turn(self, sender: str, text: bytes) -> ClientAnswer:
         """Take the next turn; one that is served is what the turn after it goes on from."""
-        answer = send(sender, self.request(said))
+        answer = send(sender, self.request(text))
         if answer.is_served:
             self.last_turn = answer.request_id
         return answer
--- a/dewpin/standin/demonstration.py
+++ b/dewpin/standin/demonstration.py
@@ -20,7 +20,7 @@
 CONFIGURATION_TIMEOUT_S = 15.0
 CHANGED_PATH = "/changed/"
 FOREVER = float("inf")
-LOOK_EVERY_S = 0.5
+POLL_INTERVAL_S = 0.5
 
 
 class Loss(Enum):
@@ -57,7 +57,7 @@
         self._program = ProgramClient(HOST, STREAM_PATH, BUDGET_TOKENS, MOST_TOKENS_OF_TURN)
 
     def run(self, loss: Loss | None) -> None:
-        """Run all steps; raises DemonstrationFailed or NeverHappened."""
+        """Run all steps; raises DemonstrationFailed or WaitFailed."""
         self._announce_processes()
         self._put(PLAIN_PATH)
         self._tier.wait_until_ready()
@@ -95,18 +95,18 @@
         self._say(
             f"program {self._program.id}: a budget of {BUDGET_TOKENS} tokens, {MOST_TOKENS_OF_TURN} a turn at most"
         )
-        for said in TURNS:
-            self._check_served(self._turn(said))
+        for text in TURNS:
+            self._check_served(self._turn(text))
         self._say(f"the budget does not hold {MOST_TOKENS_OF_TURN} tokens more: a further turn is refused and not run")
         answer = self._turn(TURN_BEYOND_BUDGET)
         if answer.status != 402:
             raise DemonstrationFailed(f"the turn beyond the budget got {answer.status}")
 
-    def _turn(self, said: bytes) -> ClientAnswer:
+    def _turn(self, text: bytes) -> ClientAnswer:
         sender = self._tier.senders[0]
-        answer = self._program.turn(sender.front, said)
-        heard = " | ".join(answer.event_data) if answer.is_served else answer.body.decode().strip()
-        self._say(f"turn {said.decode().strip()!r} -> {answer.status} {heard}")
+        answer = self._program.turn(sender.front, text)
+        reply = " | ".join(answer.event_data) if answer.is_served else answer.body.decode().strip()
+        self._say(f"turn {text.decode().strip()!r} -> {answer.status} {reply}")
         return answer
 
     def _check_served(self, answer: ClientAnswer) -> None:
@@ -158,13 +158,13 @@
             raise
         if options.seconds > 0:
             say(f"addresses and process ids are in {write_address_file(tier)}")
-            _go_on(options.seconds, say)
+            _keep_running(options.seconds, say)
         say("ending all processes")
 
 
-def _go_on(seconds: float, say: Callable[[str], None]) -> None:
+def _keep_running(seconds: float, say: Callable[[str], None]) -> None:
     bound = "until Ctrl-C" if seconds == FOREVER else f"for {seconds:g} s or until Ctrl-C"
     say(f"the tier goes on {bound}")
-    ends_at = time.monotonic() + seconds
-    while time.monotonic() < ends_at:
-        time.sleep(min(LOOK_EVERY_S, max(0.0, ends_at - time.monotonic())))
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        time.sleep(min(POLL_INTERVAL_S, max(0.0, deadline - time.monotonic())))
--- a/dewpin/standin/http_service.py
+++ b/dewpin/standin/http_service.py
@@ -83,9 +83,3 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopping.set())
     stopping.wait()
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of `ip:port`."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/dewpin/standin/operator.py
+++ b/dewpin/standin/operator.py
@@ -7,15 +7,16 @@
 from dataclasses import dataclass
 from typing import Any
 
-from .http_service import split_address
+from dewpin.cluster.rpc import split_address
+
 from .protocol import BASE_VERSION, GET_PATH, PUT_PATH
-from .waiting import NeverHappened
+from .waiting import WaitFailed
 
 CALL_TIMEOUT_S = 2.0
-FIRST_PAUSE_S = 0.05
-MOST_PAUSE_S = 0.4
-FIRST_UNCLEAR_STATUS = 500
-UNCLEAR_STATUSES = frozenset({408, 429})
+FIRST_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 0.4
+FIRST_SERVER_ERROR = 500
+RETRIED_STATUSES = frozenset({408, 429})
 
 JsonObject = dict[str, Any]
 
@@ -29,13 +30,13 @@
     keeper: str
 
     @property
-    def is_clear(self) -> bool:
-        """Tell whether the call need not be made again."""
-        return self.status < FIRST_UNCLEAR_STATUS and self.status not in UNCLEAR_STATUSES
+    def is_final(self) -> bool:
+        """Tell whether the call need not be retried."""
+        return self.status < FIRST_SERVER_ERROR and self.status not in RETRIED_STATUSES
 
 
 class Operator:
-    """Calls the keepers in turn until one gives a clear answer."""
+    """Calls the keepers in turn until one gives a final answer."""
 
     def __init__(self, keepers: Sequence[str]) -> None:
         self._keepers = list(keepers)
@@ -43,38 +44,38 @@
     def put(
         self, configuration: JsonObject, base: int, timeout_s: float = 10.0, keepers: Sequence[str] = ()
     ) -> OperatorAnswer:
-        """Send a configuration that builds on version `base`; raises NeverHappened without a clear answer."""
+        """Send a configuration that builds on version `base`; raises WaitFailed without a final answer."""
         body = json.dumps(configuration).encode()
         fields = {BASE_VERSION: str(base), "Content-Type": "application/json"}
         return self._call("POST", PUT_PATH, body, fields, timeout_s, keepers)
 
     def get(self, timeout_s: float = 10.0, keepers: Sequence[str] = ()) -> JsonObject:
-        """Return the newest configuration; raises NeverHappened if none comes."""
+        """Return the newest configuration; raises WaitFailed if none comes."""
         answer = self._call("GET", GET_PATH, b"", {}, timeout_s, keepers)
         if answer.status != http.HTTPStatus.OK:
-            raise NeverHappened(f"Config.Get: {answer.status} {answer.body.decode(errors='replace')}")
+            raise WaitFailed(f"Config.Get: {answer.status} {answer.body.decode(errors='replace')}")
         configuration: JsonObject = json.loads(answer.body)
         return configuration
 
     def _call(
         self, method: str, path: str, body: bytes, fields: dict[str, str], timeout_s: float, keepers: Sequence[str]
     ) -> OperatorAnswer:
-        ends_at = time.monotonic() + timeout_s
-        pause_s = FIRST_PAUSE_S
-        last = "no keeper answered"
-        while time.monotonic() < ends_at:
+        deadline = time.monotonic() + timeout_s
+        backoff_s = FIRST_BACKOFF_S
+        last_failure = "no keeper answered"
+        while time.monotonic() < deadline:
             for keeper in keepers or self._keepers:
                 try:
                     answer = call_keeper(keeper, method, path, body, fields)
                 except (OSError, http.client.HTTPException) as fault:
-                    last = f"{keeper}: {fault!r}"
+                    last_failure = f"{keeper}: {fault!r}"
                     continue
-                if answer.is_clear:
+                if answer.is_final:
                     return answer
-                last = f"{keeper}: {answer.status} {answer.body.decode(errors='replace')}"
-            time.sleep(pause_s)
-            pause_s = min(2 * pause_s, MOST_PAUSE_S)
-        raise NeverHappened(f"{path}: no clear answer within {timeout_s:g} s; last: {last}")
+                last_failure = f"{keeper}: {answer.status} {answer.body.decode(errors='replace')}"
+            time.sleep(backoff_s)
+            backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+        raise WaitFailed(f"{path}: no final answer within {timeout_s:g} s; last: {last_failure}")
 
 
 def call_keeper(keeper: str, method: str, path: str, body: bytes, fields: dict[str, str]) -> OperatorAnswer:
--- a/dewpin/standin/platform.py
+++ b/dewpin/standin/platform.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable, Iterable
 from urllib.parse import parse_qs, urlsplit
 
-from .http_service import HttpHandler, HttpServer, split_address
+from dewpin.cluster.rpc import split_address
+
+from .http_service import HttpHandler, HttpServer
 from .instances import CallRate, InstanceList, UnknownPage
 from .protocol import DRAIN_PATH, INSTANCES_PATH, READY_PATH, SENDERS_PATH
 
@@ -59,14 +61,14 @@
     def start(self) -> None:
         """Serve and ask in the background."""
         self.server.start()
-        threading.Thread(target=self._ask_forever, daemon=True).start()
+        threading.Thread(target=self._poll_readiness, daemon=True).start()
 
     def stop(self) -> None:
         """Stop serving and asking."""
         self._stopping.set()
         self.server.stop()
 
-    def _ask_forever(self) -> None:
+    def _poll_readiness(self) -> None:
         while not self._stopping.wait(self._ask_every_s):
             for address in self.health.addresses:
                 self.health.record(address, is_ready(address, self._ask_every_s))
--- a/dewpin/standin/receiver.py
+++ b/dewpin/standin/receiver.py
@@ -133,7 +133,7 @@
             self._admit(body)
 
     def _admit(self, body: bytes) -> None:
-        admission = self.receiver.slots.enter(self._wait_s())
+        admission = self.receiver.slots.acquire(self._wait_s())
         if admission is not Admission.RUNS:
             self._refuse(503, admission.value)
             return
@@ -144,7 +144,7 @@
             else:
                 self._work(body)
         finally:
-            self.receiver.slots.leave()
+            self.receiver.slots.release()
 
     def _remember(self, body: bytes) -> None:
         seen = SeenRequest(
--- a/dewpin/standin/slots.py
+++ b/dewpin/standin/slots.py
@@ -28,8 +28,8 @@
         """Return how many wait for a slot."""
         return len(self._waiting)
 
-    def enter(self, wait_s: float) -> Admission:
-        """Take a slot, waiting in the queue for up to `wait_s`; one that runs must call `leave`."""
+    def acquire(self, wait_s: float) -> Admission:
+        """Take a slot, waiting in the queue for up to `wait_s`; one that runs must call `release`."""
         ticket = object()
         with self._changed:
             if self._is_free() and not self._waiting:
@@ -38,14 +38,14 @@
             if len(self._waiting) >= self.most_waiting:
                 return Admission.FULL
             self._waiting.append(ticket)
-            came = self._changed.wait_for(lambda: self._waiting[0] is ticket and self._is_free(), wait_s)
+            granted = self._changed.wait_for(lambda: self._waiting[0] is ticket and self._is_free(), wait_s)
             self._waiting.remove(ticket)
-            if came:
+            if granted:
                 self.running += 1
             self._changed.notify_all()
-            return Admission.RUNS if came else Admission.TOO_LATE
+            return Admission.RUNS if granted else Admission.TOO_LATE
 
-    def leave(self) -> None:
+    def release(self) -> None:
         """Give a slot back."""
         with self._changed:
             self.running -= 1
--- a/dewpin/standin/system_view.py
+++ b/dewpin/standin/system_view.py
@@ -21,7 +21,7 @@
     stores: dict[str, str]
     settled: bool
 
-    def takes_part(self, machine: str, other_than: str | None = None) -> bool:
+    def has_member(self, machine: str, other_than: str | None = None) -> bool:
         """Tell whether a machine is member and store, as another incarnation than the one named."""
         incarnation = self.members.get(machine)
         return incarnation not in (None, other_than) and self.stores.get(machine) == incarnation
@@ -30,14 +30,14 @@
 def read_system_view(keeper_ip: str) -> SystemView | None:
     """Ask the keeper at an address; None if it does not answer or knows nothing yet."""
     try:
-        answer = asyncio.run(_ask(f"{keeper_ip}:{FIRST_INTERNAL_PORT}"))
+        answer = asyncio.run(_fetch_state(f"{keeper_ip}:{FIRST_INTERNAL_PORT}"))
     except RpcError:
         return None
     state = answer.get("state")
     return None if state is None else _view_of(state)
 
 
-async def _ask(address: str) -> Message:
+async def _fetch_state(address: str) -> Message:
     client = RpcClient()
     message: Message = {
         "type": "relay.watch",
--- a/dewpin/standin/tier.py
+++ b/dewpin/standin/tier.py
@@ -24,7 +24,7 @@
 from .sample_configuration import PLAIN_SERVICE, STREAM_SERVICE, TOKENS_PER_EVENT
 from .settings_file import SettingsTable, SettingsValue, write_settings
 from .system_view import SystemView, read_system_view
-from .waiting import NeverHappened, wait_until
+from .waiting import WaitFailed, wait_until
 
 KEEPER_COUNT = 3
 SENDER_COUNT = 2
@@ -77,9 +77,9 @@
         return f"{self.ip}:{READY_PORT}"
 
     def is_ready(self) -> bool:
-        """Tell whether a sender calls itself ready; raises NeverHappened if its process has ended."""
+        """Tell whether a sender calls itself ready; raises WaitFailed if its process has ended."""
         if not self.process.is_running:
-            raise NeverHappened(f"{self.name} has ended:\n{self.process.last_lines()}")
+            raise WaitFailed(f"{self.name} has ended:\n{self.process.last_lines()}")
         return is_ready(self.ready)
 
 
@@ -134,7 +134,7 @@
         self.stop()
 
     def wait_until_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
-        """Return once every sender calls itself ready; raises NeverHappened, also for one that has ended."""
+        """Return once every sender calls itself ready; raises WaitFailed, also for one that has ended."""
         for sender in self.senders:
             wait_until(sender.is_ready, timeout_s, f"{sender.name} is ready")
 
@@ -145,18 +145,18 @@
         first = views[0] if views else None
         if first is None or not first.settled or any(view != first for view in views):
             return None
-        return first if all(first.takes_part(keeper.name) for keeper in running) else None
+        return first if all(first.has_member(keeper.name) for keeper in running) else None
 
     def wait_until_settled(self, timeout_s: float = SETTLED_TIMEOUT_S) -> SystemView:
-        """Return the state once no running keeper has anything to catch up with; raises NeverHappened."""
+        """Return the state once no running keeper has anything to catch up with; raises WaitFailed."""
         return wait_until(self.settled_view, timeout_s, "the keepers' members and stores are settled")
 
     def wait_until_replaced(self, keeper: Machine, incarnation: str, timeout_s: float = SETTLED_TIMEOUT_S) -> None:
-        """Return once a keeper takes part as another incarnation than the one named; raises NeverHappened."""
+        """Return once a keeper takes part as another incarnation than the one named; raises WaitFailed."""
 
         def is_replaced() -> bool:
             view = self.settled_view()
-            return view is not None and view.takes_part(keeper.name, other_than=incarnation)
+            return view is not None and view.has_member(keeper.name, other_than=incarnation)
 
         wait_until(is_replaced, timeout_s, f"{keeper.name} takes part as another incarnation")
 
--- a/dewpin/standin/waiting.py
+++ b/dewpin/standin/waiting.py
@@ -1,25 +1,25 @@
-"""Waiting for facts, with a bound."""
+"""Polling for a condition, with a time-out."""
 
 import time
 from collections.abc import Callable
 from typing import TypeVar
 
-LOOK_EVERY_S = 0.02
+POLL_INTERVAL_S = 0.02
 
-Fact = TypeVar("Fact")
+Value = TypeVar("Value")
 
 
-class NeverHappened(Exception):
-    """What was waited for did not become true in time."""
+class WaitFailed(Exception):
+    """What was waited for did not come about, or not in time."""
 
 
-def wait_until(look: Callable[[], Fact | None], timeout_s: float, what: str) -> Fact:
-    """Look until there is something true to return; raises NeverHappened after `timeout_s`."""
-    ends_at = time.monotonic() + timeout_s
+def wait_until(probe: Callable[[], Value | None], timeout_s: float, what: str) -> Value:
+    """Poll until the probe returns something true, and return it; raises WaitFailed after `timeout_s`."""
+    deadline = time.monotonic() + timeout_s
     while True:
-        fact = look()
-        if fact:
-            return fact
-        if time.monotonic() >= ends_at:
-            raise NeverHappened(f"{what}: not within {timeout_s:g} s")
-        time.sleep(LOOK_EVERY_S)
+        value = probe()
+        if value:
+            return value
+        if time.monotonic() >= deadline:
+            raise WaitFailed(f"{what}: not within {timeout_s:g} s")
+        time.sleep(POLL_INTERVAL_S)
--- a/tests/standin/test_parts.py
+++ b/tests/standin/test_parts.py
@@ -10,7 +10,7 @@
 from dewpin.standin.processes import ManagedProcess, end_all
 from dewpin.standin.settings_file import render_settings
 from dewpin.standin.tier import LocalTier
-from dewpin.standin.waiting import NeverHappened, wait_until
+from dewpin.standin.waiting import WaitFailed, wait_until
 
 
 def test_a_network_is_kept_from_others():
@@ -57,5 +57,5 @@
 
 def test_waiting_has_a_bound():
     assert wait_until(lambda: "a fact", 0.0, "it") == "a fact"
-    with pytest.raises(NeverHappened, match="it: not within 0 s"):
+    with pytest.raises(WaitFailed, match="it: not within 0 s"):
         wait_until(lambda: None, 0.0, "it")
--- a/tests/standin/test_receiver.py
+++ b/tests/standin/test_receiver.py
@@ -58,17 +58,17 @@
 
 def test_a_full_receiver_refuses_without_running(start):
     receiver = start(slots=1, most_waiting=0)
-    assert receiver.slots.enter(0.0) is Admission.RUNS
+    assert receiver.slots.acquire(0.0) is Admission.RUNS
     response, _ = ask(receiver)
     assert response.status == 503 and response.headers["X-Dewpin-Not-Executed"] == "full"
     assert not receiver.seen
-    receiver.slots.leave()
+    receiver.slots.release()
     assert ask(receiver)[0].status == 200
 
 
 def test_a_request_whose_time_ends_in_the_queue_is_refused(start):
     receiver = start(slots=1, most_waiting=1)
-    receiver.slots.enter(0.0)
+    receiver.slots.acquire(0.0)
     response, _ = ask(receiver, X_Dewpin_Request_Deadline="1")
     assert response.status == 503 and response.headers["X-Dewpin-Not-Executed"] == "too late"
 
@@ -76,12 +76,12 @@
 def test_slots_are_handed_out_in_the_order_of_asking():
     slots = Slots(1, 2)
     order = []
-    slots.enter(0.0)
+    slots.acquire(0.0)
 
     def wait_for_slot(name):
-        assert slots.enter(5.0) is Admission.RUNS
+        assert slots.acquire(5.0) is Admission.RUNS
         order.append(name)
-        slots.leave()
+        slots.release()
 
     waiting = []
     for number in (1, 2):
@@ -89,8 +89,8 @@
         waiting[-1].start()
         while slots.waiting < number:
             threading.Event().wait(0.001)
-    assert slots.enter(0.0) is Admission.FULL
-    slots.leave()
+    assert slots.acquire(0.0) is Admission.FULL
+    slots.release()
     for thread in waiting:
         thread.join(5.0)
     assert order == [1, 2] and slots.running == 0
--- a/tests/standin/test_tier.py
+++ b/tests/standin/test_tier.py
@@ -5,8 +5,8 @@
 import json
 import signal
 
+from dewpin.cluster.rpc import split_address
 from dewpin.standin.client import ClientRequest, OpenAnswer, ProgramClient, send
-from dewpin.standin.http_service import split_address
 from dewpin.standin.platform import is_ready
 from dewpin.standin.protocol import HOLD_AFTER, RELEASE_PATH, REQUESTS_PATH
 from dewpin.standin.sample_configuration import (
