--- a/benchmarks/compare.py
+++ b/benchmarks/compare.py
@@ -7,6 +7,7 @@
 median of the ratios pair by pair. Each tree runs by its own `.venv` and its own `run` line of deploy/balancer.toml.
 It owns no file but a temporary folder, and judges nothing.
 """
+
 import asyncio
 import json
 import os
@@ -34,6 +35,7 @@
 
 def free_port():
     import socket
+
     with socket.create_server(("127.0.0.1", 0)) as held:
         return held.getsockname()[1]
 
@@ -72,13 +74,15 @@
                 reader, writer = await asyncio.open_connection("127.0.0.1", port)
                 for at in range(mails // clients):
                     body = b"x" * 200
-                    writer.write(b"POST /api HTTP/1.1\r\nReq-Id: %d-%d\r\nReq-Kind: notice\r\n"
-                                 b"Req-Owner: acme\r\nReq-Deadline: 10\r\nX-Consignee: dest=7\r\n"
-                                 b"Idempotency-Key: t%d\r\nContent-Length: %d\r\n\r\n"
-                                 % (number, at, at, len(body)) + body)
+                    writer.write(
+                        b"POST /api HTTP/1.1\r\nReq-Id: %d-%d\r\nReq-Kind: notice\r\n"
+                        b"Req-Owner: acme\r\nReq-Deadline: 10\r\nX-Consignee: dest=7\r\n"
+                        b"Idempotency-Key: t%d\r\nContent-Length: %d\r\n\r\n" % (number, at, at, len(body)) + body
+                    )
                     assert b" 202 " in (await read_message(reader))[0]
                     await asyncio.sleep(0.02)
                 writer.close()
+
             await asyncio.gather(*(client(number) for number in range(clients)))
             while len(outside.calls) < mails // clients * clients:
                 await asyncio.sleep(0.02)
@@ -91,8 +95,13 @@
                 server.close()
             for writer in list(outside.connections):
                 writer.transport.abort()
-        return {"ready ms": ready, "cpu to ready ms": cpu_ready, "idle kB": idle, "loaded kB": loaded,
-                "cpu a mail us": (cpu - cpu_ready) * 1000.0 / mails}
+        return {
+            "ready ms": ready,
+            "cpu to ready ms": cpu_ready,
+            "idle kB": idle,
+            "loaded kB": loaded,
+            "cpu a mail us": (cpu - cpu_ready) * 1000.0 / mails,
+        }
 
 
 @click.command()
@@ -106,7 +115,7 @@
     held = []
     for at in range(pairs + 1):
         pair = [asyncio.run(once(tree, mails, clients, more)) for tree, more in ((before, ""), (after, flags))]
-        held += [pair] if at else []        # the first is a warm-up
+        held += [pair] if at else []  # the first is a warm-up
     click.echo(f"{'':18}{'before':>10}{'after':>10}{'ratio':>8}   ({pairs} pairs, {mails} mails each)")
     for name in held[0][0]:
         old, new = ([one[which][name] for one in held] for which in (0, 1))
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -5,6 +5,7 @@
 Prints for each size: periods from a death until the first and until all others call it lost; how many living members
 anyone called lost in a quiet minute, and in one with loss or with slow processes; bytes a second that one sender sends.
 """
+
 import argparse
 import random
 import sys
@@ -28,10 +29,10 @@
         self.dice, self.order, self.now = random.Random(seed), count(), 0.0
         self.due: list[tuple[float, int, int, tuple[str, Address, Said] | None]] = []
         self.members: dict[int, Members] = {}
-        self.away: dict[int, float] = {}            # stopped until
+        self.away: dict[int, float] = {}  # stopped until
         self.link: Callable[[int, int], float | None] = lambda a, b: self.dice.uniform(0.5, 2.0)
         self.measured, self.bytes = measured, 0
-        self.lost: list[tuple[float, str, str]] = []    # (when, who says so, who is meant)
+        self.lost: list[tuple[float, str, str]] = []  # (when, who says so, who is meant)
         for number in range(size):
             self.start(number)
 
@@ -55,7 +56,7 @@
             one = self.members.get(number)
             if one is None:
                 continue
-            if self.away.get(number, 0.0) > self.now:      # it reads all that when it goes on
+            if self.away.get(number, 0.0) > self.now:  # it reads all that when it goes on
                 heappush(self.due, (self.away[number] + self.dice.uniform(0.0, 5.0), next(self.order), number, message))
                 continue
             if message is None:
@@ -101,15 +102,17 @@
     world.until(world.agreed, 120.0 * PERIOD)
     world.lost.clear()
     slow = world.dice.sample(sorted(world.members), max(1, size // 10))
-    for _ in range(12):                     # a tenth of them stand still for 2.5 s of every 5 s, each by itself
+    for _ in range(12):  # a tenth of them stand still for 2.5 s of every 5 s, each by itself
         for number in slow:
             world.away[number] = world.now + world.dice.uniform(0.0, 2500.0) + 2500.0
         world.run(5.0 * PERIOD)
     stopped = {f"m{number}" for number in slow}
     healthy = len({name for _, _, name in world.lost} - stopped)
-    return (f"{size:5}  joined after {(joined or 0) / PERIOD:5.1f}  lost: first {first:5.1f}, all {all_of:5.1f}  "
-            f"false: quiet {quiet}, a tenth of messages lost {lossy}, a tenth stalling {healthy} (of the others)  "
-            f"{rate:6.0f} bytes a second each")
+    return (
+        f"{size:5}  joined after {(joined or 0) / PERIOD:5.1f}  lost: first {first:5.1f}, all {all_of:5.1f}  "
+        f"false: quiet {quiet}, a tenth of messages lost {lossy}, a tenth stalling {healthy} (of the others)  "
+        f"{rate:6.0f} bytes a second each"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -6,6 +6,7 @@
 Prints for each way of choosing the busiest and the idlest receiver's calls over their share, the 99th percentile of
 calls out at a receiver, and what a receiver gets of its share that joins in the middle.
 """
+
 import heapq
 import random
 
@@ -18,11 +19,21 @@
 
 
 def settings(senders, number):
-    told = {"Allowed": {"MaxAttempts": 6, "MaxOpen": 200, "IdleClose": 15000.0}, "FleetSize": senders, "Tick": 5.0,
-            "FamilyInfo": {"CallSlots": 8}, "Az": 0,
-            "Rules": {"DrainGrace": 1000.0, "ColdFrom": 0.2, "WarmAfter": 9000.0, "FallMultiple": 2.0,
-                      "OverloadFor": 2000.0},
-            "Services": [{"Deadline": 16000.0, "Effect": "safe", "GoalTime": 2000.0, "Value": 1.0, "LateWorth": 0.4}]}
+    told = {
+        "Allowed": {"MaxAttempts": 6, "MaxOpen": 200, "IdleClose": 15000.0},
+        "FleetSize": senders,
+        "Tick": 5.0,
+        "FamilyInfo": {"CallSlots": 8},
+        "Az": 0,
+        "Rules": {
+            "DrainGrace": 1000.0,
+            "ColdFrom": 0.2,
+            "WarmAfter": 9000.0,
+            "FallMultiple": 2.0,
+            "OverloadFor": 2000.0,
+        },
+        "Services": [{"Deadline": 16000.0, "Effect": "safe", "GoalTime": 2000.0, "Value": 1.0, "LateWorth": 0.4}],
+    }
     return told if number is None else told | {"SlotNo": number}
 
 
@@ -100,10 +111,12 @@
     while now < 1000.0 * seconds:
         now += dice.expovariate(rate / 1000.0)
         arrivals.append((now, dice.randrange(senders)))
-    turn = iter(range(10 ** 9))
-    for name, way in (("module", Modules(senders, receivers, numbered)),
-                      ("uniform", Choice(receivers, dice.randrange)),
-                      ("one turn for all", Choice(receivers, lambda count: next(turn) % count))):
+    turn = iter(range(10**9))
+    for name, way in (
+        ("module", Modules(senders, receivers, numbered)),
+        ("uniform", Choice(receivers, dice.randrange)),
+        ("one turn for all", Choice(receivers, lambda count: next(turn) % count)),
+    ):
         most, least, depth, newcomer = play(way, arrivals, receivers)
         print(f"{name:18} busiest {most:.2f}  idlest {least:.2f}  out at p99 {depth}  newcomer {newcomer:.2f}")
 
--- a/benchmarks/status.py
+++ b/benchmarks/status.py
@@ -5,6 +5,7 @@
 It builds the facts for a made-up sender in one process and prints the whole time and the longest stretch in which
 nothing else had its turn. It opens no socket and judges nothing.
 """
+
 import asyncio
 import time
 from types import SimpleNamespace
@@ -18,26 +19,39 @@
 from dewpin.spool.records import Sheet
 
 SETTINGS = {
-    "Allowed": {"MaxAttempts": 6, "MaxOpen": 10**6}, "FamilyInfo": {"CallSlots": 8}, "FleetSize": 2, "Tick": 5.0,
-    "Az": 0, "Rules": {"DrainGrace": 1000.0, "ColdFrom": 0.2, "WarmAfter": 9000.0, "FallMultiple": 2.0,
-                       "OverloadFor": 2000.0},
-    "Services": [{"Name": "status", "Effect": "safe", "GoalTime": 2000.0, "Deadline": 16000.0, "Value": 1.0,
-                  "LateWorth": 0.4}]}
+    "Allowed": {"MaxAttempts": 6, "MaxOpen": 10**6},
+    "FamilyInfo": {"CallSlots": 8},
+    "FleetSize": 2,
+    "Tick": 5.0,
+    "Az": 0,
+    "Rules": {"DrainGrace": 1000.0, "ColdFrom": 0.2, "WarmAfter": 9000.0, "FallMultiple": 2.0, "OverloadFor": 2000.0},
+    "Services": [
+        {"Name": "status", "Effect": "safe", "GoalTime": 2000.0, "Deadline": 16000.0, "Value": 1.0, "LateWorth": 0.4}
+    ],
+}
 
 
 async def once(destinations, told):
     facade = Facade(SETTINGS, 1)
-    facade.learn([(b"r%d" % at, at, model.READY, ("127.0.0.1", 9000), None, None, 1.0) for at in range(destinations)],
-                 True)
+    facade.learn(
+        [(b"r%d" % at, at, model.READY, ("127.0.0.1", 9000), None, None, 1.0) for at in range(destinations)], True
+    )
     for at in range(destinations):
         facade.take(Sheet(b"m%d" % at, b"status", b"", b"", b"%d" % at, b"", b"", 0.0, 16000.0), 0.0)
     parts = {
-        "told": SimpleNamespace(deployment=Deployment(), module=SETTINGS), "since": 0.0,
-        "relay": SimpleNamespace(facade=facade, clock=SimpleNamespace(now=lambda: 0.0), refusing=False,
-                                 notices=SimpleNamespace(owed={}), behind={}),
+        "told": SimpleNamespace(deployment=Deployment(), module=SETTINGS),
+        "since": 0.0,
+        "relay": SimpleNamespace(
+            facade=facade,
+            clock=SimpleNamespace(now=lambda: 0.0),
+            refusing=False,
+            notices=SimpleNamespace(owed={}),
+            behind={},
+        ),
         "spool": SimpleNamespace(sheets={}, size=0, live=0, room=1.0),
         "door": SimpleNamespace(clients={}, most=1, held=0, memory=1.0),
-        "pool": SimpleNamespace(opening=set(), resting=0, most_idle=1)}
+        "pool": SimpleNamespace(opening=set(), resting=0, most_idle=1),
+    }
     stretches, began = [], time.perf_counter()
 
     async def pause():
@@ -45,6 +59,7 @@
         stretches.append(time.perf_counter() - began)
         await asyncio.sleep(0)
         began = time.perf_counter()
+
     start = began
     await facts(parts, told, pause)
     stretches.append(time.perf_counter() - began)
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -1,4 +1,5 @@
 """The command line as its callers see it: what it prints, its exit codes, and that a live sender does not notice."""
+
 import asyncio
 import json
 import os
@@ -23,6 +24,7 @@
         code = main([str(one) for one in arguments])
         held = capsys.readouterr()
         return code, held.out, held.err
+
     return whole
 
 
@@ -60,16 +62,24 @@
     assert json.loads(run("config", "schema")[1])["properties"]["limits"]
     broken = {"settings": settings() | {"Services": [{"Name": "x"}]}}
     platform.write_text(json.dumps(broken))
-    code, _, words = run("config", "check", "--platform", platform)     # the decision module's own needs
+    code, _, words = run("config", "check", "--platform", platform)  # the decision module's own needs
     assert code == 2 and "config.json: settings: the decision module lacks" in words
 
 
-@pytest.mark.parametrize("arguments, code, words", [
-    (("nonsense",), 2, "No such command 'nonsense'"), (("config", "show", "--what"), 2, "No such option"),
-    (("spool", "ls", "--state", "/nowhere"), 1, "name a sender's folder"), (("spool", "ls"), 2, "name it with --state"),
-    (("status", "--socket", "/nowhere/at/all"), 4, "no sender answers at /nowhere/at/all"),
-    (("status",), 4, "name it with --socket"), (("run", "--platform", "/nowhere"), 2, "No such file"),
-    (("run", "--set", "limits.sockets=3"), 2, "128 or more"), (("completion", "tcsh"), 2, "'tcsh'")])
+@pytest.mark.parametrize(
+    "arguments, code, words",
+    [
+        (("nonsense",), 2, "No such command 'nonsense'"),
+        (("config", "show", "--what"), 2, "No such option"),
+        (("spool", "ls", "--state", "/nowhere"), 1, "name a sender's folder"),
+        (("spool", "ls"), 2, "name it with --state"),
+        (("status", "--socket", "/nowhere/at/all"), 4, "no sender answers at /nowhere/at/all"),
+        (("status",), 4, "name it with --socket"),
+        (("run", "--platform", "/nowhere"), 2, "No such file"),
+        (("run", "--set", "limits.sockets=3"), 2, "128 or more"),
+        (("completion", "tcsh"), 2, "'tcsh'"),
+    ],
+)
 def test_errors_are_sentences_on_standard_error_with_their_exit_code(run, arguments, code, words):
     given, out, told = run(*arguments)
     assert given == code and not out and told.startswith("dewpin: ") and words in told and "Traceback" not in told
@@ -89,14 +99,14 @@
 
     async def scene(outside, sender):
         sender.arguments = ["--set", f"control.socket={tmp_path}/control", "--set", "control.token=hush"]
-        sender.told["settings"]["Services"][2]["Deadline"] = 300_000.0      # nothing ends while commands start slowly
+        sender.told["settings"]["Services"][2]["Deadline"] = 300_000.0  # nothing ends while commands start slowly
         await sender.start()
         outside.script = lambda call: reply(429, b"Retry-After: 120")
         for at in range(5):
             await sender.hand_in(f"m{at}", kind="charge", key="k", left=290, body=b"\x1b[2Jx")
         await until(lambda: outside.calls)
         state = tmp_path / "state"
-        sender.process.send_signal(signal.SIGSTOP)      # it writes at times of its own
+        sender.process.send_signal(signal.SIGSTOP)  # it writes at times of its own
         files = {path: path.stat().st_mtime_ns for path in state.iterdir()}
         code, out, _ = await command("spool", "ls", "--json", "--state", state)
         held = json.loads(out)["mails"]
@@ -125,13 +135,21 @@
         code, out, _ = await command(*told)
         assert code == 0 and re.search(r"5 of \d+ in hand", out) and "r0" in out
 
-        second = await asyncio.create_subprocess_exec(      # another sender on the same folder
-            *("python3", "-c", "import sys; sys.path[:0] = sys.argv[1:2]; from dewpin.spool.lock import hold; "
-              "hold(sys.argv[2])", os.getcwd(), str(state)), stderr=asyncio.subprocess.PIPE)
+        second = await asyncio.create_subprocess_exec(  # another sender on the same folder
+            *(
+                "python3",
+                "-c",
+                "import sys; sys.path[:0] = sys.argv[1:2]; from dewpin.spool.lock import hold; hold(sys.argv[2])",
+                os.getcwd(),
+                str(state),
+            ),
+            stderr=asyncio.subprocess.PIPE,
+        )
         assert b"another sender holds" in (await second.communicate())[1]
         (state / "journal").write_bytes((state / "journal").read_bytes()[:-3])
         code, out, _ = await command("spool", "verify", "--state", state)
         assert code == 3 and re.search(r"at \d+: \d+ bytes torn", out)
+
     play(tmp_path, scene, start=False)
 
 
@@ -156,11 +174,12 @@
         assert b"can't be asked" in await ask(b'{"ask":"stop"}\n')
         assert await ask(b"x" * 5000) == b""
         began = time.monotonic()
-        assert await asyncio.gather(*(ask(b"") for _ in range(12))) == [b""] * 12       # they say nothing
+        assert await asyncio.gather(*(ask(b"") for _ in range(12))) == [b""] * 12  # they say nothing
         assert time.monotonic() - began < 5.0
         assert json.loads(await ask(b'{"ask":"status"}\n'))["name"] == "n0"
         assert (await sender.hand_in("m"))[0] == 202
-        await sender.end()                  # its file stays
+        await sender.end()  # its file stays
         await sender.start()
         assert json.loads(await ask(b'{"ask":"status","lines":1}\n'))["state"] == "ready"
+
     play(tmp_path, scene, start=False)
--- a/tests/config/test_layers.py
+++ b/tests/config/test_layers.py
@@ -1,4 +1,5 @@
 """Configuration: the order of the layers, every fault at once, and what must never be shown."""
+
 import json
 import tomllib
 from pathlib import Path
@@ -16,13 +17,16 @@
 @pytest.fixture
 def files(tmp_path):
     """Writes the platform's and the operator's file and reads all layers."""
+
     def read(operator="", platform=None, flags=(), ended=False, **variables):
         services = settings()
         services["Services"][0]["Name"] = "status"
         (tmp_path / "config.json").write_text(json.dumps({"settings": services} | (platform or {})))
         (tmp_path / "dewpin.toml").write_text(operator)
-        return layers.read({"LB_CONFIG": str(tmp_path / "config.json"), **variables}, flags,
-                           str(tmp_path / "dewpin.toml"), ended)
+        return layers.read(
+            {"LB_CONFIG": str(tmp_path / "config.json"), **variables}, flags, str(tmp_path / "dewpin.toml"), ended
+        )
+
     return read
 
 
@@ -34,59 +38,99 @@
 
 def test_flags_outrank_the_platform_it_the_operators_file_and_that_the_defaults(files):
     text = '[sender]\nname = "op"\nlisten = "127.0.0.1:1"\n[limits]\nmemory = "64MB"\n[door]\nidle = "20s"\n'
-    reading = files(text, {"name": "plat", "limits": {"memory_mb": 100}}, ["sender.name=flag", "log.rate=7"],
-                    LB_NAME="var", LB_LISTEN="127.0.0.1:2")
+    reading = files(
+        text,
+        {"name": "plat", "limits": {"memory_mb": 100}},
+        ["sender.name=flag", "log.rate=7"],
+        LB_NAME="var",
+        LB_LISTEN="127.0.0.1:2",
+    )
     d = reading.deployment
     assert (d.sender.name, d.sender.listen, d.limits.memory, d.door.idle, d.log.rate, d.stop.ends) == (
-        "flag", "127.0.0.1:2", 100e6, 20000.0, 7, 3500.0)
-    assert [reading.origins[key] for key in ("sender.name", "sender.listen", "limits.memory", "door.idle",
-                                             "stop.ends")] == [
-        "flag", "LB_LISTEN", "config.json limits.memory_mb", "dewpin.toml:7", "default"]
+        "flag",
+        "127.0.0.1:2",
+        100e6,
+        20000.0,
+        7,
+        3500.0,
+    )
+    assert [
+        reading.origins[key] for key in ("sender.name", "sender.listen", "limits.memory", "door.idle", "stop.ends")
+    ] == ["flag", "LB_LISTEN", "config.json limits.memory_mb", "dewpin.toml:7", "default"]
 
 
 def test_every_fault_of_every_layer_is_told_at_once_with_its_place_and_the_nearest_key(files):
-    text = ('format = 1\n[limts]\nmemory = "3MB"\n[limits]\nmemory = 64\ndsk = "3MB"\nsockets = "many"\n[stop]\n'
-            'sends = "5s"\nends = "3 parsecs"\n[log]\nlevel = "loud"\nheld = "1GB"\n[agent]\nidle = "1s"\n')
+    text = (
+        'format = 1\n[limts]\nmemory = "3MB"\n[limits]\nmemory = 64\ndsk = "3MB"\nsockets = "many"\n[stop]\n'
+        'sends = "5s"\nends = "3 parsecs"\n[log]\nlevel = "loud"\nheld = "1GB"\n[agent]\nidle = "1s"\n'
+    )
     found = told(files, text, {"discovery": "nowhere", "limits": {"memory_mb": "x"}, "known": []}, ["log.lvl=3", "x"])
-    for part in ("--set: log.lvl: no such key; did you mean log.level?", "--set: x: expected KEY=VALUE",
-                 "dewpin.toml:2: limts: no such section or key is known; did you mean limits?",
-                 'dewpin.toml:5: limits.memory: expected a size with its unit, as in "64MB" or "512KiB": a bare number',
-                 "dewpin.toml:6: limits.dsk: no such key is known; did you mean limits.disk?",
-                 "dewpin.toml:7: limits.sockets: expected a whole number, 128 or more, 1048576 at most, got 'many'",
-                 "dewpin.toml:10: stop.ends: expected a duration in one of ms, s, min, h, d",
-                 "dewpin.toml:12: log.level: expected a word, one of debug, info, warning, error, got 'loud'",
-                 "dewpin.toml:13: log.held: expected a size, 0B or more, 16MB at most, got '1GB'",
-                 "dewpin.toml:15: agent.idle: no such key is known; did you mean",
-                 "config.json: discovery: expected host:port, got 'nowhere'",
-                 "config.json: limits.memory_mb: expected a number, 32MB or more, got 'x'",
-                 "config.json: known: expected an object, got []",
-                 "dewpin.toml:9: stop.sends: connects would start for 5s, after the end"):
+    for part in (
+        "--set: log.lvl: no such key; did you mean log.level?",
+        "--set: x: expected KEY=VALUE",
+        "dewpin.toml:2: limts: no such section or key is known; did you mean limits?",
+        'dewpin.toml:5: limits.memory: expected a size with its unit, as in "64MB" or "512KiB": a bare number',
+        "dewpin.toml:6: limits.dsk: no such key is known; did you mean limits.disk?",
+        "dewpin.toml:7: limits.sockets: expected a whole number, 128 or more, 1048576 at most, got 'many'",
+        "dewpin.toml:10: stop.ends: expected a duration in one of ms, s, min, h, d",
+        "dewpin.toml:12: log.level: expected a word, one of debug, info, warning, error, got 'loud'",
+        "dewpin.toml:13: log.held: expected a size, 0B or more, 16MB at most, got '1GB'",
+        "dewpin.toml:15: agent.idle: no such key is known; did you mean",
+        "config.json: discovery: expected host:port, got 'nowhere'",
+        "config.json: limits.memory_mb: expected a number, 32MB or more, got 'x'",
+        "config.json: known: expected an object, got []",
+        "dewpin.toml:9: stop.sends: connects would start for 5s, after the end",
+    ):
         assert any(one.startswith(part) for one in found), (part, found)
     assert len(found) == 14
 
 
-@pytest.mark.parametrize("text, words", [
-    ('[stop]\nsends = "4s"\n', "dewpin.toml:2: stop.sends: connects would start for 4s"),
-    ('[door]\nidle = "1s"\n', "dewpin.toml:2: door.idle: a connection closes at door.idle = 1s, before door.rest = 2s"),
-    ("[door]\nclients = 1000\n[calls]\nidle = 100\n", "dewpin.toml:2: door.clients: door.clients + calls.idle = 1100"),
-    ('[limits]\nmemory = "32MB"\n[log]\nheld = "4MB"\n', "dewpin.toml:4: log.held: log.held = 4MB is over a sixteenth"),
-    ('[control]\ntoken = "hush"\n', "dewpin.toml:2: control.token: a token is set and control.socket is not"),
-    ('[sender]\nlisten = "127.0.0.1:8500"\n', "dewpin.toml:2: sender.listen: the sender would be its own agent"),
-    ('[control]\nsocket = "/a\\u0000b"\n', "dewpin.toml:2: control.socket: expected text without control characters"),
-    ('limits = 3\n', "dewpin.toml:1: limits: expected a table"),
-    ('format = 9\n[limits]\nnovel = 3\n', "dewpin.toml:1: format: this file is written for a newer program"),
-    ('format = true\n', "dewpin.toml:1: format: expected a whole number from 1"),
-    ('[end]\n[limits]\ndisk = "3MB"\n', "dewpin.toml:1: end: expected [end] as the last line"),
-    ('[end]\nmore = 1\n', "dewpin.toml:1: end: expected"), ("a = \n", "dewpin.toml:1: no TOML: invalid value"),
-    ('[limits]\ndisk = "3M', "dewpin.toml:2: no TOML"),
-    ('[limits]\ndisk = "3MB"\ndisk = "4MB"\n', "dewpin.toml:3: no")])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ('[stop]\nsends = "4s"\n', "dewpin.toml:2: stop.sends: connects would start for 4s"),
+        (
+            '[door]\nidle = "1s"\n',
+            "dewpin.toml:2: door.idle: a connection closes at door.idle = 1s, before door.rest = 2s",
+        ),
+        (
+            "[door]\nclients = 1000\n[calls]\nidle = 100\n",
+            "dewpin.toml:2: door.clients: door.clients + calls.idle = 1100",
+        ),
+        (
+            '[limits]\nmemory = "32MB"\n[log]\nheld = "4MB"\n',
+            "dewpin.toml:4: log.held: log.held = 4MB is over a sixteenth",
+        ),
+        ('[control]\ntoken = "hush"\n', "dewpin.toml:2: control.token: a token is set and control.socket is not"),
+        ('[sender]\nlisten = "127.0.0.1:8500"\n', "dewpin.toml:2: sender.listen: the sender would be its own agent"),
+        (
+            '[control]\nsocket = "/a\\u0000b"\n',
+            "dewpin.toml:2: control.socket: expected text without control characters",
+        ),
+        ("limits = 3\n", "dewpin.toml:1: limits: expected a table"),
+        ("format = 9\n[limits]\nnovel = 3\n", "dewpin.toml:1: format: this file is written for a newer program"),
+        ("format = true\n", "dewpin.toml:1: format: expected a whole number from 1"),
+        ('[end]\n[limits]\ndisk = "3MB"\n', "dewpin.toml:1: end: expected [end] as the last line"),
+        ("[end]\nmore = 1\n", "dewpin.toml:1: end: expected"),
+        ("a = \n", "dewpin.toml:1: no TOML: invalid value"),
+        ('[limits]\ndisk = "3M', "dewpin.toml:2: no TOML"),
+        ('[limits]\ndisk = "3MB"\ndisk = "4MB"\n', "dewpin.toml:3: no"),
+    ],
+)
 def test_a_file_that_contradicts_itself_or_is_for_a_newer_program_is_refused_whole(files, text, words):
     assert any(one.startswith(words) for one in told(files, text)), told(files, text)
 
 
 def test_what_the_platform_says_is_taken_as_it_comes_even_where_it_contradicts_itself(files):
-    reading = files("", {"stop": {"sends_ms": 5000.0, "ends_ms": 100}, "limits": {"cores": 0.3, "sockets": 128.0},
-                         "seed": 255, "more": 1})
+    reading = files(
+        "",
+        {
+            "stop": {"sends_ms": 5000.0, "ends_ms": 100},
+            "limits": {"cores": 0.3, "sockets": 128.0},
+            "seed": 255,
+            "more": 1,
+        },
+    )
     assert (reading.deployment.stop.sends, reading.deployment.sender.seed) == (5000.0, "ff")
     assert not reading.notes
     services = settings(slots=60) | {"Services": [{"Name": "x"}]}
@@ -101,7 +145,8 @@
     assert checks.notes(keys.Deployment(), told) == [
         "settings.RegistryMode = 'gossip' is not one of pushed, on_request; it is taken as pushed",
         "settings.FamilyInfo.Decay = 'steps' is not one of line, halves; it is taken as line",
-        "settings.Services[1].KeyScope = 'rack' is not one of all, zone, cell; it is taken as cell"]
+        "settings.Services[1].KeyScope = 'rack' is not one of all, zone, cell; it is taken as cell",
+    ]
 
 
 def test_a_file_that_ended_with_its_mark_is_not_followed_by_one_cut_short_at_any_line(files):
@@ -123,8 +168,9 @@
     assert (ROOT / "deploy/dewpin.toml").read_text() == page.example()
     assert (ROOT / "docs/configuration.md").read_text() == page.page()
     held = tomllib.loads(page.example())
-    assert {f"{part}.{name}" for part, inside in held.items() if isinstance(inside, dict) for name in inside} \
-        == set(keys.KEYS)
+    assert {f"{part}.{name}" for part, inside in held.items() if isinstance(inside, dict) for name in inside} == set(
+        keys.KEYS
+    )
     sections = page.schema()["properties"]
     for path, key in keys.KEYS.items():
         part, _, name = path.partition(".")
@@ -136,11 +182,27 @@
     assert units.read(kind, units.write(kind, float(amount))) == amount
 
 
-@pytest.mark.parametrize("kind, text, amount", [
-    ("duration", "250ms", 250.0), ("duration", " 1.5 s ", 1500.0), ("duration", "2min", 120000.0),
-    ("duration", "1h", 3.6e6), ("size", "64MB", 64e6), ("size", "1KiB", 1024.0), ("size", "0B", 0.0),
-    ("duration", "250", None), ("duration", 250, None), ("duration", "-1s", None), ("duration", "1 MB", None),
-    ("size", "3 mb", None), ("size", True, None), ("size", "1e3MB", None), ("size", "", None), ("size", [1], None)])
+@pytest.mark.parametrize(
+    "kind, text, amount",
+    [
+        ("duration", "250ms", 250.0),
+        ("duration", " 1.5 s ", 1500.0),
+        ("duration", "2min", 120000.0),
+        ("duration", "1h", 3.6e6),
+        ("size", "64MB", 64e6),
+        ("size", "1KiB", 1024.0),
+        ("size", "0B", 0.0),
+        ("duration", "250", None),
+        ("duration", 250, None),
+        ("duration", "-1s", None),
+        ("duration", "1 MB", None),
+        ("size", "3 mb", None),
+        ("size", True, None),
+        ("size", "1e3MB", None),
+        ("size", "", None),
+        ("size", [1], None),
+    ],
+)
 def test_units(kind, text, amount):
     if amount is None:
         with pytest.raises(ValueError, match="expected a"):
@@ -149,28 +211,56 @@
         assert units.read(kind, text) == amount
 
 
-@given(some.binary(max_size=200) | some.text(max_size=200).map(str.encode)
-       | some.lists(some.sampled_from([b"[limits]", b"\n", b"memory", b" = ", b'"1MB"', b"[", b"]", b"'''", b"{", b"#",
-                                       b"end",
-                                       b".", b"1", b"format", b"=", b'"'])).map(b"".join))
+@given(
+    some.binary(max_size=200)
+    | some.text(max_size=200).map(str.encode)
+    | some.lists(
+        some.sampled_from(
+            [
+                b"[limits]",
+                b"\n",
+                b"memory",
+                b" = ",
+                b'"1MB"',
+                b"[",
+                b"]",
+                b"'''",
+                b"{",
+                b"#",
+                b"end",
+                b".",
+                b"1",
+                b"format",
+                b"=",
+                b'"',
+            ]
+        )
+    ).map(b"".join)
+)
 def test_whatever_a_file_holds_only_faults_come_of_it(tmp_path_factory, content):
     path = tmp_path_factory.getbasetemp() / "any.toml"
     path.write_bytes(content)
-    with pytest.raises(faults.Faulty):      # at least: no platform's file is named
+    with pytest.raises(faults.Faulty):  # at least: no platform's file is named
         layers.read({}, (), str(path))
 
 
 def test_lines_are_found_behind_texts_and_lists_of_many_lines():
-    text = ('a = """\n[no]\nx = 1\n"""\nb = [\n  1,\n  {c = 2},\n]\n[ t . "u" ]\nd."e" = "# ["\n'
-            "'f' = 2\n[[g]]\nh = 1\n")
+    text = (
+        'a = """\n[no]\nx = 1\n"""\nb = [\n  1,\n  {c = 2},\n]\n[ t . "u" ]\nd."e" = "# ["\n\'f\' = 2\n[[g]]\nh = 1\n'
+    )
     assert where.lines(text) == {"a": 1, "b": 5, "t.u": 9, "t.u.d.e": 10, "t.u.f": 11, "g": 12, "g.h": 13}
 
 
 def test_no_file_a_folder_a_pipe_and_a_huge_one_are_faults(tmp_path, files):
     import os
+
     os.mkfifo(tmp_path / "pipe")
     (tmp_path / "huge").write_bytes(b"#" * (layers.MOST_OPERATOR + 1))
-    for name, words in (("none", "No such file"), (".", "Is a directory"), ("pipe", "regular file"),
-                            ("huge", "at most")):
+    for name, words in (
+        ("none", "No such file"),
+        (".", "Is a directory"),
+        ("pipe", "regular file"),
+        ("huge", "at most"),
+    ):
         found = told(lambda name=name: layers.read({}, (), str(tmp_path / name)))
         assert any(words in one for one in found), found
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 KNOWN-RED.txt at the root names tests that fail for a known fault. They run and are printed; one that passes fails the
 run until it leaves the list, and so does a list that is malformed, too long or names a test that there is not."""
+
 import pytest
 from hypothesis import settings
 
@@ -38,7 +39,8 @@
     collected = {nodeid.partition("::")[0] for nodeid in found}
     for test, (cause, issue) in rows.items():
         if test in found:
-            found[test].add_marker(pytest.mark.xfail(
-                reason=f"known red: {cause} (issue {issue})", strict=True, raises=AssertionError))
+            found[test].add_marker(
+                pytest.mark.xfail(reason=f"known red: {cause} (issue {issue})", strict=True, raises=AssertionError)
+            )
         elif test.partition("::")[0] in collected and not any("::" in given for given in config.args):
             raise pytest.UsageError(f"KNOWN-RED.txt: there is no {test}")
--- a/tests/core/test_cold_fleet.py
+++ b/tests/core/test_cold_fleet.py
@@ -3,6 +3,7 @@
 Each module is for itself. The destination answers in turn, slower while it is cold, and turns away what would wait too
 long. The rule: in `OverloadFor` it gets no more than N + 2 x root of N + 2 calls, N being `FallMultiple` times what it
 can do then; the sum breaks it where two thirds came from senders that had seen a call fail in the outage."""
+
 import heapq
 import random
 from bisect import bisect_left
@@ -15,9 +16,13 @@
 from driver import settings
 
 FAILS, RETURNS, ENDS = 12000.0, 22000.0, 34000.0
-DEPTH = 8               # calls that the destination lets wait
-OUTAGES = {"silent": (model.TIMED_OUT, None), "errors": (model.ERROR, 60.0), "refuses": (model.UNREACHED, 40.0),
-           "shut": (model.FULL, 60.0)}      # the outcome of a call, and the ms that it takes; None: its time-out
+DEPTH = 8  # calls that the destination lets wait
+OUTAGES = {
+    "silent": (model.TIMED_OUT, None),
+    "errors": (model.ERROR, 60.0),
+    "refuses": (model.UNREACHED, 40.0),
+    "shut": (model.FULL, 60.0),
+}  # the outcome of a call, and the ms that it takes; None: its time-out
 
 
 class Fleet:
@@ -33,7 +38,7 @@
                 model.Receiver(ident, destination)
             self.modules.append((Dispatcher(told | {"SlotNo": number}, self.dice.getrandbits(64)), destination))
         self.events, self.count, self.busy = [], 0, 0.0
-        self.calls, self.told = [], set()       # (time, sender) of each call; senders that saw one fail in the outage
+        self.calls, self.told = [], set()  # (time, sender) of each call; senders that saw one fail in the outage
         uneven, at = [self.dice.uniform(0.3, 1.7) ** 2 for _ in self.modules], 0.0
         while at < ENDS:
             at += self.dice.expovariate(self.capacity * load)
@@ -101,7 +106,7 @@
         for last, (at, _) in enumerate(self.calls):
             if not RETURNS <= at < RETURNS + self.rules["WarmAfter"]:
                 continue
-            window = self.calls[bisect_left(times, max(at - span, RETURNS)):last + 1]
+            window = self.calls[bisect_left(times, max(at - span, RETURNS)) : last + 1]
             n = self.rules["FallMultiple"] * self.now_can(at) * span
             over = len(window) / (n + 2.0 * sqrt(n) + 2.0)
             if over > 1.0 and 3 * sum(sender in self.told for _, sender in window) < 2 * len(window):
--- a/tests/core/test_plain.py
+++ b/tests/core/test_plain.py
@@ -1,4 +1,5 @@
 """Plain cases, each of them a failure that the module must not show again."""
+
 import heapq
 import random
 import sys
@@ -27,7 +28,7 @@
         d.run_until(lambda: d.sent(mail), 20000.0)
         pauses.append(d.now - before)
     assert 100.0 < pauses[0] < 400.0 and pauses[3] > 2.0 * pauses[0]
-    assert len({round(p / 2 ** n, 3) for n, p in enumerate(pauses)}) == 4
+    assert len({round(p / 2**n, 3) for n, p in enumerate(pauses)}) == 4
 
 
 def test_a_told_wait_holds_the_whole_destination_and_does_not_end_for_all_at_once():
@@ -57,7 +58,7 @@
     first = d.sent(mail)
     d.outcome(mail, model.RESET, 100.0)
     d.run(2000.0)
-    assert d.sent(mail) is first        # its own receiver drops what came twice, of the other that is not known
+    assert d.sent(mail) is first  # its own receiver drops what came twice, of the other that is not known
 
 
 def test_a_tagged_mail_keeps_to_its_zone():
@@ -105,7 +106,7 @@
     if ending == model.RELAYED:
         d.run_until(lambda: d.sent(first), 1900.0)
         d.outcome(first, model.DELIVERED, 20.0)
-    else:       # it finds no place before its window is over
+    else:  # it finds no place before its window is over
         d.destination.receivers[0].state = model.DRAINING
         d.run_until(lambda: first in d.ended, 1900.0)
         d.destination.receivers[0].state = model.READY
@@ -119,7 +120,7 @@
 def test_a_key_rests_after_a_start_that_finds_a_call_of_it_out():
     d = Driver(settings(effects=("unsafe",), order=True))
     receiver = d.destination.receivers[0]
-    first = d.mail(key=9, before=(1, d.now - 50.0, receiver), ask=False)     # it was out until just now
+    first = d.mail(key=9, before=(1, d.now - 50.0, receiver), ask=False)  # it was out until just now
     second = d.mail(key=9)
     assert d.ended[first] == model.BOUNCED
     d.run(95.0)
@@ -232,7 +233,7 @@
     d.keep_answering(5000.0, every=200.0, took=50.0)
     d.keep_answering(20000.0, every=200.0, took=20.0, outcome=model.FULL)
     calls = sum(at > d.now - 10000.0 for at, _, _ in d.sends)
-    assert 1 <= calls < 25      # half of the traffic, and falling
+    assert 1 <= calls < 25  # half of the traffic, and falling
 
 
 def test_idle_connections_close_where_few_mails_come_or_one_was_turned_away():
@@ -254,7 +255,7 @@
 def test_a_sparse_line_keeps_its_connection_where_no_table_is_full():
     d = Driver(settings(slots=20))
     d.settings["Allowed"]["IdleClose"] = 5000.0
-    for _ in range(4):          # a mail in two IdleClose: half of its connections are used again
+    for _ in range(4):  # a mail in two IdleClose: half of its connections are used again
         d.run(10000.0)
         mail = d.mail()
         mail.took = 50.0
@@ -271,8 +272,10 @@
     assert d.sent(d.mail())
 
 
-@pytest.mark.parametrize("effect, tries, ending", [("unsafe", 1, model.BOUNCED), ("keyed", 1, None),
-                                                   ("safe", 1, None), ("safe", 6, model.DEFERRED)])
+@pytest.mark.parametrize(
+    "effect, tries, ending",
+    [("unsafe", 1, model.BOUNCED), ("keyed", 1, None), ("safe", 1, None), ("safe", 6, model.DEFERRED)],
+)
 def test_what_an_earlier_life_did_counts(effect, tries, ending):
     """A call was out when the sender was killed: only a repeat that is allowed and left may follow."""
     d = Driver(settings(effects=(effect,)))
@@ -339,7 +342,7 @@
             d.run_until(lambda d=d, mail=mail: d.sent(mail), 5000.0)
             d.outcome(mail, model.UNREACHED, 2.0)
             if refusal == 1:
-                health.trickle.next_at = d.now      # the first trial is due
+                health.trickle.next_at = d.now  # the first trial is due
         gaps.append((health.trickle.next_at - d.now) * health.trickle.rate / 1000.0)
     assert 0.8 <= min(gaps) and max(gaps) <= 1.4
 
@@ -356,8 +359,7 @@
     assert not d.sent(second) and d.module.settle(first, model.DELIVERED, d.now + 50.0)[2]
 
 
-@pytest.mark.parametrize("marked, again, age", [
-    (False, False, 9000.0), (True, True, 9000.0), (True, False, 0.0)])
+@pytest.mark.parametrize("marked, again, age", [(False, False, 9000.0), (True, True, 9000.0), (True, False, 0.0)])
 def test_a_repeat_counts_from_when_it_was_first_handed_in(marked, again, age):
     module = Driver(settings() | {"Callers": {"MarksRetry": marked}}).module
     left = module.classes[0]["Deadline"] - 9000.0
@@ -387,17 +389,18 @@
             gate.pace.since, gate.pace.goods = d.now, goods
             d.now += grown * spans[-1]
         return spans[2] / spans[0]
+
     assert grows() == 4.0
-    assert grows(goods=4) == 1.0        # enough went well: it did not meet it by growing
-    assert grows(grown=0.1) == 1.0      # refusals of one moment
-    assert grows(every=100.0) == 1.0    # a busy line notices in time
-    assert grows(told=100.0) == 1.0     # a told wait says when there is room
+    assert grows(goods=4) == 1.0  # enough went well: it did not meet it by growing
+    assert grows(grown=0.1) == 1.0  # refusals of one moment
+    assert grows(every=100.0) == 1.0  # a busy line notices in time
+    assert grows(told=100.0) == 1.0  # a told wait says when there is room
 
 
 def test_a_receiver_that_refuses_for_itself_draws_in_no_mails_and_sets_no_pace():
     d = Driver(settings(), receivers=2)
     bad = d.destination.receivers[0]
-    for _ in range(40):             # one drains, told late, and turns calls away at once; the other is well
+    for _ in range(40):  # one drains, told late, and turns calls away at once; the other is well
         d.mail()
         for mail, (receiver, _, _) in list(d.out.items()):
             if receiver is bad:
@@ -413,7 +416,7 @@
 def test_a_destination_over_its_limit_sets_a_pace_though_it_has_two_receivers():
     d = Driver(settings(), receivers=2)
     d.keep_answering(3000.0, 100.0, 20.0)
-    for _ in range(1):              # with traffic spread thin over a fleet, one refusal is all that one sender sees
+    for _ in range(1):  # with traffic spread thin over a fleet, one refusal is all that one sender sees
         mail = d.mail()
         d.run_until(lambda: d.sent(mail), 1000.0)
         d.outcome(mail, model.FULL, 2.0)
@@ -424,15 +427,16 @@
     d = Driver(settings())
     d.keep_answering(4000.0, 100.0, 100.0)
     silent = d.mail()
-    assert d.out[silent][2] <= 750.0        # six usual times, and no less than what counts as silent
-    for _ in range(4):                      # others are answered meanwhile
+    assert d.out[silent][2] <= 750.0  # six usual times, and no less than what counts as silent
+    for _ in range(4):  # others are answered meanwhile
         d.outcome(d.mail(), model.DELIVERED, 100.0)
     d.outcome(silent, model.TIMED_OUT, 700.0)
     assert d.out[d.mail()][2] <= 750.0
 
     def doubled():
         return [limit for _, _, limit in d.out.values() if limit > 1300.0]
-    for _ in range(4):                      # nobody is answered: it may be slow
+
+    for _ in range(4):  # nobody is answered: it may be slow
         for mail, (_, _, limit) in list(d.out.items()):
             d.outcome(mail, model.TIMED_OUT, limit)
         d.run_until(lambda: doubled(), 1000.0)
@@ -454,7 +458,7 @@
             place = model.Destination(ident + 2)
             model.Receiver(ident + 2, place)
             d.outcome(d.mail(destination=place), model.DELIVERED, 1.0)
-        d.module.slots = d.settings["FamilyInfo"]["CallSlots"]      # none is free: the mail waits
+        d.module.slots = d.settings["FamilyInfo"]["CallSlots"]  # none is free: the mail waits
         d.mail(ask=False)
         sys.setprofile(lambda frame, event, _: entered.append(event))
         try:
@@ -462,6 +466,7 @@
         finally:
             sys.setprofile(None)
         return len(entered)
+
     assert calls(300) == calls(3)
 
 
@@ -486,8 +491,12 @@
         for d in fleet:
             if dice.random() < mails / len(fleet) / 50.0:
                 d.mail(ask=False)
-            if joined and spent >= down - 20.0 and d.destination.receivers[-1].state == model.READY \
-                    and len(d.destination.receivers) < 3:
+            if (
+                joined
+                and spent >= down - 20.0
+                and d.destination.receivers[-1].state == model.READY
+                and len(d.destination.receivers) < 3
+            ):
                 for receiver in d.destination.receivers:
                     receiver.state = model.GONE
                 model.Receiver(9, d.destination, weight=d.destination.receivers[0].weight)
@@ -504,9 +513,15 @@
     return weighed
 
 
-@pytest.mark.parametrize("bundle,joined,bad,well", [
-    (1, False, model.UNREACHED, 0.0), (20, False, model.UNREACHED, 0.0), (1, True, model.UNREACHED, 0.0),
-    (1, False, model.ERROR, 0.2)])
+@pytest.mark.parametrize(
+    "bundle,joined,bad,well",
+    [
+        (1, False, model.UNREACHED, 0.0),
+        (20, False, model.UNREACHED, 0.0),
+        (1, True, model.UNREACHED, 0.0),
+        (1, False, model.ERROR, 0.2),
+    ],
+)
 def test_senders_that_saw_an_outage_stay_under_what_a_cold_one_bears_together(bundle, joined, bad, well):
     limit = 30.0
     fleet = senders(40, rate=limit, bundle=bundle, effects=("keyed",), window=25000.0, room=30, slots=4)
@@ -532,7 +547,7 @@
             drawn["Az"], drawn["Zones"] = number % 3, ["a", "b", "c"]
         fleet.append(Driver(drawn, receivers=12, seed=number))
         for receiver in fleet[-1].destination.receivers if zones else ():
-            receiver.zone = (0, 0, 1, 1, 1, 1)[receiver.ident % 6]      # 4 and 8, and none in the third
+            receiver.zone = (0, 0, 1, 1, 1, 1)[receiver.ident % 6]  # 4 and 8, and none in the third
     while now < 41000.0:
         now += dice.expovariate(0.12)
         while over and over[0][0] <= now:
--- a/tests/core/test_random.py
+++ b/tests/core/test_random.py
@@ -1,4 +1,5 @@
 """Seeded random runs: drawn settings, destinations and troubles, with the six rules checked after every step."""
+
 import random
 
 import pytest
@@ -17,7 +18,7 @@
     def __init__(self, driver, services, rules, apart):
         self.driver, self.services, self.rules, self.apart = driver, services, rules, apart
         self.told, self.ran, self.tries, self.turns, self.rest = {}, {}, {}, {}, {}
-        self.back_at = 0.0          # when the sender came back last: nothing is overdue before that
+        self.back_at = 0.0  # when the sender came back last: nothing is overdue before that
         driver.check = self.answer
 
     def owner(self, receiver):
@@ -47,8 +48,9 @@
                 assert self.turns[mail.key][0] is mail, "out of turn"
                 assert now >= self.rest.get(mail.key, 0.0) or self.tries[mail] > 1, "the key did not rest"
         elif what != model.NOT_YET:
-            assert mail.withdrawn or now <= max(
-                mail.expires, self.back_at) + self.rules["AnswerSlack"], "answered too late"
+            assert mail.withdrawn or now <= max(mail.expires, self.back_at) + self.rules["AnswerSlack"], (
+                "answered too late"
+            )
             one = self.services[mail.queue_class]
             if what == model.DEFERRED and mail in self.ran and not mail.withdrawn:
                 assert effect == "safe" or (effect == "keyed" and one["KeyScope"] == "all")
@@ -84,17 +86,25 @@
 def test_the_rules_hold_whatever_happens(seed):
     dice = random.Random(seed)
     apart = dice.random() < 0.3
-    drawn = settings(effects=("safe", "keyed", "unsafe"), window=dice.choice((2000.0, 6000.0)),
-                     scope=dice.choice(("all", "zone")), order=dice.random() < 0.6, bundle=dice.choice((1, 4)),
-                     slots=dice.choice((2, 6, 15)), room=dice.choice((25, 200)), fleet=dice.choice((1, 3, 300)),
-                     apart=apart, attempts=dice.choice((1, 4, 8)))
-    drawn["Rules"]["TurnGap"] = (100.0, 400.0, 1500.0)[seed % 3]    # the first is over before any pause
+    drawn = settings(
+        effects=("safe", "keyed", "unsafe"),
+        window=dice.choice((2000.0, 6000.0)),
+        scope=dice.choice(("all", "zone")),
+        order=dice.random() < 0.6,
+        bundle=dice.choice((1, 4)),
+        slots=dice.choice((2, 6, 15)),
+        room=dice.choice((25, 200)),
+        fleet=dice.choice((1, 3, 300)),
+        apart=apart,
+        attempts=dice.choice((1, 4, 8)),
+    )
+    drawn["Rules"]["TurnGap"] = (100.0, 400.0, 1500.0)[seed % 3]  # the first is over before any pause
     driver = Driver(drawn, receivers=0, seed=seed)
     watch = Watch(driver, drawn["Services"], drawn["Rules"], apart)
     places = [model.Destination(n) for n in range(4)]
     receivers = [model.Receiver(n, places[n % 4], zone=dice.randrange(2)) for n in range(9)]
     dies = dice.choice((0.0, 0.003))
-    sick, busy = {}, dice.choice((1.0, 1.0, 0.1))     # the last: one of many senders, with sparse lines
+    sick, busy = {}, dice.choice((1.0, 1.0, 0.1))  # the last: one of many senders, with sparse lines
     for step in range(2000):
         for receiver in receivers:
             if dice.random() < 0.002:
@@ -102,12 +112,17 @@
         for place in places:
             if dice.random() < 0.003:
                 sick[place] = dice.choice((None,) + TROUBLES)
-        if dice.random() < 0.01:        # one queue class fails at one receiver
+        if dice.random() < 0.01:  # one queue class fails at one receiver
             sick[dice.choice(receivers), dice.randrange(3)] = dice.choice((None, model.ERROR, model.TIMED_OUT))
         mails = dice.choice((0, 0, 0, 0, 0, 1, 1, 8 if dice.random() < 0.05 else 0))
         for _ in range(mails if dice.random() < busy else 0):
-            mail = driver.mail(left=dice.choice((400.0, 3000.0, 16000.0)), ask=False, key=dice.randrange(4),
-                               destination=dice.choice(places), queue_class=dice.randrange(3))
+            mail = driver.mail(
+                left=dice.choice((400.0, 3000.0, 16000.0)),
+                ask=False,
+                key=dice.randrange(4),
+                destination=dice.choice(places),
+                queue_class=dice.randrange(3),
+            )
             watch.arrive(mail)
         driver.ask()
         deliver(driver, watch, sick, dice)
@@ -144,4 +159,5 @@
                 if driver.now - sent > 40.0:
                     driver.outcome(mail, dice.choice((model.DELIVERED, model.FULL)), 40.0, run=False)
         return [(at, mail.ident, receiver.ident) for at, mail, receiver in driver.sends]
+
     assert run() == run()
--- a/tests/daemon/test_late_connections.py
+++ b/tests/daemon/test_late_connections.py
@@ -1,5 +1,6 @@
 """Connections to receivers that come up late, and what happens in the meantime: the receiver's queue is full, so that
 the sender's first SYN is lost and its connection comes up with the second one, a second later."""
+
 import asyncio
 import signal
 import socket
@@ -48,8 +49,12 @@
         own = {one.getsockname()[1] for one in self.filling}
         with open("/proc/net/tcp") as file:
             rows = [line.split() for line in file.readlines()[1:]]
-        return any(row[3] == SYN_SENT and int(row[2].split(":")[1], 16) == self.port
-                   and int(row[1].split(":")[1], 16) not in own for row in rows)
+        return any(
+            row[3] == SYN_SENT
+            and int(row[2].split(":")[1], 16) == self.port
+            and int(row[1].split(":")[1], 16) not in own
+            for row in rows
+        )
 
     def close(self):
         self.serving.cancel()
@@ -83,7 +88,7 @@
         connection = await full.accept()
         reader, writer = await asyncio.open_connection(sock=connection)
         assert (await read_message(reader))[1][b"req-id"] == b"m"
-        closes = time.monotonic() + 0.9     # the window began before this
+        closes = time.monotonic() + 0.9  # the window began before this
         full.fill()
         connection = writer.get_extra_info("socket")
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -94,6 +99,7 @@
         await until(lambda: outside.notices or full.calls)
         assert not full.calls and outside.notices == [{"message": "m", "outcome": "given_up"}]
         full.close()
+
     play(tmp_path, scene, start=False)
 
 
@@ -106,6 +112,7 @@
         await until(lambda: outside.notices or full.calls)
         assert full.calls == [b"once"] and not outside.notices
         full.close()
+
     play(tmp_path, scene, start=False)
 
 
@@ -114,7 +121,7 @@
         sender.told["stop"] = {"sends_ms": 0.0, "ends_ms": 10000.0}
         full = await on_its_way(outside, sender)
         sender.process.send_signal(signal.SIGTERM)
-        while (await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200:      # until the signal is taken in
+        while (await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n"))[0] == 200:  # until the signal is taken in
             pass
         full.serve()
         assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
@@ -123,6 +130,7 @@
         await until(lambda: full.calls)
         assert full.calls == [b"once"] and not outside.notices
         full.close()
+
     play(tmp_path, scene, start=False)
 
 
@@ -139,4 +147,5 @@
         assert full.calls == [b"once"] and not outside.notices
         await again.end()
         full.close()
+
     play(tmp_path, scene, start=False)
--- a/tests/daemon/test_reload.py
+++ b/tests/daemon/test_reload.py
@@ -1,4 +1,5 @@
 """SIGHUP with an operator's file, and a log that nobody reads: the sender goes on."""
+
 import asyncio
 import json
 import os
@@ -20,13 +21,14 @@
     async def read():
         while line := await sender.process.stderr.readline():
             lines.append(line.decode())
+
     sender.log = asyncio.get_running_loop().create_task(read())
     return lines
 
 
 def test_a_file_is_swapped_whole_or_not_at_all_also_when_sighup_comes_while_it_is_written(tmp_path):
     file = tmp_path / "dewpin.toml"
-    whole = page.example().replace('rate = 5', 'rate = 50').replace('level = "info"', 'level = "debug"')
+    whole = page.example().replace("rate = 5", "rate = 50").replace('level = "info"', 'level = "debug"')
 
     async def scene(outside, sender):
         file.write_text(page.example())
@@ -36,21 +38,22 @@
 
         def kept():
             return [line for line in lines if " reload.kept: " in line]
-        half = whole[:whole.index("[log]") + 60]
-        file.write_text(half[:half.rindex("\n") + 1])       # a good file by itself, but not to its end
+
+        half = whole[: whole.index("[log]") + 60]
+        file.write_text(half[: half.rindex("\n") + 1])  # a good file by itself, but not to its end
         sender.process.send_signal(signal.SIGHUP)
         await until(lambda: kept())
         assert "it is taken for half written" in kept()[0]
         file.write_text(whole.replace('disk = "3MB"', "disk = 3").replace("sockets = 1024", "sokets = 3"))
         sender.process.send_signal(signal.SIGHUP)
-        await until(lambda: len(kept()) == 3)               # each fault a line
+        await until(lambda: len(kept()) == 3)  # each fault a line
         assert any("limits.disk: expected a size" in line for line in kept())
         assert any("did you mean limits.sockets?" in line for line in kept())
         assert (await sender.hand_in("before"))[0] == 202
-        with open(file, "w") as slow:                       # written in pieces while it is read
+        with open(file, "w") as slow:  # written in pieces while it is read
             sender.process.send_signal(signal.SIGHUP)
             for at in range(0, len(whole), 400):
-                slow.write(whole[at:at + 400])
+                slow.write(whole[at : at + 400])
                 slow.flush()
                 await asyncio.sleep(0.01)
         await until(lambda: any(" reload: agent at" in line for line in lines))
@@ -58,6 +61,7 @@
         assert (await sender.hand_in("after"))[0] == 202
         await until(lambda: any("mail.ended: relayed mail=after" in line for line in lines))
         assert not any("mail=before" in line for line in lines)
+
     play(tmp_path, scene, start=False, log=False)
 
 
@@ -71,11 +75,12 @@
         assert 'later="sender.name, settings"' in [line for line in lines if " reload: " in line][0]
         sender.reload()
         await until(lambda: sum(" reload: " in line for line in lines) == 2)
-        assert 'later="sender.name, settings"' in lines[-1]         # still: against what is in force
+        assert 'later="sender.name, settings"' in lines[-1]  # still: against what is in force
         outside.script = lambda call: None
         answers = [(await sender.hand_in(f"m{at}", body=b"x" * 60000))[0] for at in range(6)]
-        assert answers[:2] == [202, 202] and answers[-1] == 503     # the smaller disk, and more mails than one
+        assert answers[:2] == [202, 202] and answers[-1] == 503  # the smaller disk, and more mails than one
         await until(lambda: any(" spool.full: " in line for line in lines))
+
     play(tmp_path, scene, log=False)
 
 
@@ -83,13 +88,14 @@
     async def scene(outside, sender):
         sender.arguments = ["--set", "log.level=debug", "--set", "log.format=json"]
         sender.pipe = 0
-        await sender.start()                # from now on nobody reads
+        await sender.start()  # from now on nobody reads
 
         def resident():
             return int(re.search(r"RssAnon:\s+(\d+)", open(f"/proc/{sender.process.pid}/status").read())[1])
+
         connection, held = await sender.connect(), []
         for part in range(4):
-            for at in range(300):           # each mail is told of by four lines of 200 bytes and more
+            for at in range(300):  # each mail is told of by four lines of 200 bytes and more
                 assert (await sender.hand_in(f"m{part}-{at}", left=0.8, connection=connection))[0] == 202
             held.append(resident())
         await until(lambda: sender.owed() == 0, 30.0)
@@ -99,18 +105,23 @@
         while b'"log.lost"' not in text or not text.endswith(b"\n"):
             try:
                 text += os.read(sender.pipe, 65536)
-            except BlockingIOError:         # the pipe is free again: what is told next tells of the loss
+            except BlockingIOError:  # the pipe is free again: what is told next tells of the loss
                 count += 1
                 await sender.hand_in(f"x{count}", connection=connection)
                 await asyncio.sleep(0.01)
             assert count < 1000
         os.close(sender.pipe)
-        lines = bytes(text[:text.rindex(b"\n")]).splitlines()
-        events = [json.loads(line) for line in lines]       # every line is whole
+        lines = bytes(text[: text.rindex(b"\n")]).splitlines()
+        events = [json.loads(line) for line in lines]  # every line is whole
         lost = next(one["lines"] for one in events if one["event"] == "log.lost")
         assert lost > 1000
         assert {one["event"] for one in events if one.get("mail") == "m0-0"} == {
-            "mail.taken", "connect.out", "connect.heard", "mail.ended"}
+            "mail.taken",
+            "connect.out",
+            "connect.heard",
+            "mail.ended",
+        }
+
     play(tmp_path, scene, start=False, log=False)
 
 
@@ -125,28 +136,45 @@
 
         def course():
             return [one for one in map(json.loads, lines) if one.get("mail") == "m"]
+
         await until(lambda: course()[-1:] and course()[-1]["event"] == "mail.ended", 30.0)
         assert [(one["event"], one.get("outcome") or one.get("ending"), one.get("connect")) for one in course()] == [
-            ("mail.taken", None, None), ("connect.out", None, 1), ("connect.heard", "full", 1), ("mail.again", None, 1),
-            ("connect.out", None, 2), ("connect.heard", "reset", 2), ("mail.again", None, 2), ("connect.out", None, 3),
-            ("connect.heard", "delivered", 3), ("mail.ended", "relayed", 3)]
+            ("mail.taken", None, None),
+            ("connect.out", None, 1),
+            ("connect.heard", "full", 1),
+            ("mail.again", None, 1),
+            ("connect.out", None, 2),
+            ("connect.heard", "reset", 2),
+            ("mail.again", None, 2),
+            ("connect.out", None, 3),
+            ("connect.heard", "delivered", 3),
+            ("mail.ended", "relayed", 3),
+        ]
         assert [one["ran"] for one in course() if one["event"] == "connect.heard"] == [False, True, True]
         await sender.hand_in("n", kind="unheard-of")
         outside.script = lambda call: "reset"
         await sender.hand_in("o", kind="charge", key="k")
         await until(lambda: any('"notice.answered"' in line for line in lines), 30.0)
         assert any('"mail.ended"' in line and '"bounced"' in line for line in lines)
+
     play(tmp_path, scene, start=False, log=False)
 
 
 def test_senders_with_one_configured_seed_do_not_choose_alike():
     def made(name):
         return chance(SimpleNamespace(name=name, seed="1f"))
+
     assert made("n0") == made("n0") != made("n1") and made("n1") < 1 << 64
 
 
-@pytest.mark.parametrize("order", [(signal.SIGHUP, signal.SIGTERM), (signal.SIGTERM, signal.SIGHUP),
-                                   (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM)])
+@pytest.mark.parametrize(
+    "order",
+    [
+        (signal.SIGHUP, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGHUP),
+        (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM),
+    ],
+)
 def test_a_stop_and_a_reload_that_come_together_end_the_process_and_lose_nothing(tmp_path, order):
     async def scene(outside, sender):
         sender.told["stop"] = {"sends_ms": 0.0, "ends_ms": 300.0}
@@ -156,7 +184,7 @@
         await until(lambda: outside.calls)
         await sender.hand_in("next", kind="charge", key="k")
         await until(lambda: len(outside.calls) == 2)
-        await sender.hand_in("last", kind="charge", key="k")       # waits for its turn
+        await sender.hand_in("last", kind="charge", key="k")  # waits for its turn
         sender.process.send_signal(signal.SIGSTOP)
         (tmp_path / "config.json").write_text(json.dumps(sender.told | {"seed": "2e"}))
         for number in order:
@@ -168,6 +196,7 @@
         await until(lambda: not sender.owed())
         assert outside.idents() == [b"once", b"next", b"last"]
         assert {one["message"] for one in outside.notices} == {"once", "next"}
+
     play(tmp_path, scene, start=False)
 
 
@@ -191,7 +220,7 @@
         await sender.end()
         outside.calls.clear()
         outside.script = lambda call: reply(200)
-        for opened in ("", "journal"):    # in its first moment, in its replay
+        for opened in ("", "journal"):  # in its first moment, in its replay
             early = asyncio.create_task(sender.start())
             await until(lambda: sender.process.returncode is None)
             await until(lambda: opened in " ".join(files(sender.process.pid)))
@@ -201,4 +230,5 @@
         await sender.start()
         await until(lambda: not sender.owed())
         assert sorted(set(outside.idents())) == sorted(one.encode() for one in taken) and not outside.notices
+
     play(tmp_path, scene)
--- a/tests/daemon/test_sender.py
+++ b/tests/daemon/test_sender.py
@@ -1,4 +1,5 @@
 """The program as a whole, over sockets: each case starts it and plays the clients, the receivers and the agent."""
+
 import asyncio
 import json
 import random
@@ -22,6 +23,7 @@
         assert 0.0 < float(fields[b"req-deadline"]) <= 10.0
         assert first == b"a1" and outside.calls[0][4] is second[4]
         assert not outside.notices
+
     play(tmp_path, scene)
 
 
@@ -38,6 +40,7 @@
         await sender.hand_in("tagged")
         await until(lambda: outside.idents().count(b"tagged") == 2)
         assert outside.idents().count(b"once") == 1 and outside.idents().count(b"silent") <= 1
+
     play(tmp_path, scene)
 
 
@@ -49,10 +52,11 @@
         await until(lambda: outside.notices)
         assert outside.notices[0]["outcome"] == "handed_back" and outside.notices[0]["retry_in_ms"] > 100.0
         assert time.monotonic() - began < 0.6
-        await sender.hand_in("n", kind="status")        # the wait holds for the whole destination
+        await sender.hand_in("n", kind="status")  # the wait holds for the whole destination
         outside.script = lambda call: reply(200)
         await until(lambda: b"n" in outside.idents())
         assert outside.calls[-1][5] - outside.calls[0][5] >= 0.9
+
     play(tmp_path, scene)
 
 
@@ -64,6 +68,7 @@
         outside.servers[0] = await asyncio.start_server(lambda r, w: outside._receive(0, r, w), host, int(port))
         await until(lambda: b"m" in outside.idents())
         assert not outside.notices
+
     play(tmp_path, scene)
 
 
@@ -77,6 +82,7 @@
         await sender.hand_in("b", kind="charge")
         await until(lambda: b"b" in outside.idents())
         assert not outside.notices
+
     play(tmp_path, scene)
 
 
@@ -100,8 +106,9 @@
         await until(lambda: sender.owed() == 0)
         await sender.end()
         calls = len(outside.calls)
-        await sender.start()                # nothing is owed any more
+        await sender.start()  # nothing is owed any more
         assert " 0 mails taken up" in sender.first_line and len(outside.calls) == calls
+
     play(tmp_path, scene)
 
 
@@ -115,11 +122,12 @@
         late = time.monotonic() + 0.8
         await until(lambda: b"m" in outside.idents())
         await sender.end()
-        await until(lambda: time.monotonic() > late)    # its time passes while nobody runs
+        await until(lambda: time.monotonic() > late)  # its time passes while nobody runs
         await sender.start()
         await until(lambda: len(outside.notices) == 2)
         assert outside.idents().count(b"m") <= 2
         assert {notice["outcome"] for notice in outside.notices} == {"handed_back"}
+
     play(tmp_path, scene, start=False)
 
 
@@ -140,6 +148,7 @@
         outside.notice_status = 204
         await until(lambda: b"b" in outside.idents())
         assert {notice["message"] for notice in outside.notices} == {"a"} and outside.idents().count(b"a") == 1
+
     play(tmp_path, scene)
 
 
@@ -153,12 +162,13 @@
         async def slow(call):
             await free.wait()
             return reply(200)
+
         outside.script = slow
         await sender.hand_in("out", kind="charge")
         await until(lambda: outside.calls)
         await sender.hand_in("held", kind="charge")
         await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", idle)
-        used[1].write(b"POST /api HTTP/1.1\r\n")        # a request on its way is answered
+        used[1].write(b"POST /api HTTP/1.1\r\n")  # a request on its way is answered
         await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n")
         sender.process.send_signal(signal.SIGTERM)
         assert await asyncio.wait_for(idle[0].read(), 5.0) == b""
@@ -173,6 +183,7 @@
         await sender.start()
         await until(lambda: b"held" in outside.idents())
         assert outside.idents().count(b"out") == 1 and not outside.notices
+
     play(tmp_path, scene, start=False)
 
 
@@ -186,13 +197,14 @@
             await sender.hand_in(f"m{ident}")
         await until(lambda: len(outside.calls) == 4)
         assert {call[3] for call in outside.calls} == {1}
-        outside.members[0]["phase"], outside.revision = "active", 5     # told to nobody: the watch breaks
+        outside.members[0]["phase"], outside.revision = "active", 5  # told to nobody: the watch breaks
         del outside.members[1]
         outside.watching.pop().transport.abort()
         await until(lambda: outside.asked[-2:] == ["/api/targets", "/api/targets?index=5&wait=1500"])
         await sender.hand_in("last")
         await until(lambda: b"last" in outside.idents())
         assert outside.calls[-1][3] == 0
+
     play(tmp_path, scene, receivers=2)
 
 
@@ -203,8 +215,11 @@
         await until(lambda: outside.watching)
         await sender.end()
         outside.list_status = 503
-        sender.told["known"] = {"revision": 1, "complete": True, "members": [
-            one | {"phase": "active"} for one in outside.members]}
+        sender.told["known"] = {
+            "revision": 1,
+            "complete": True,
+            "members": [one | {"phase": "active"} for one in outside.members],
+        }
         asked = len(outside.asked)
         await sender.start()
         for ident in range(6):
@@ -212,23 +227,24 @@
         await until(lambda: len(outside.calls) == 6)
         assert {call[3] for call in outside.calls} == {1}
         await until(lambda: len(outside.asked) > asked)
-        outside.list_status = 200       # turned away, a watch goes on from where it was
+        outside.list_status = 200  # turned away, a watch goes on from where it was
         await until(lambda: outside.watching)
         assert set(outside.asked[asked:]) == {"/api/targets?index=2&wait=1500"}
         await sender.end()
-        outside.revision = 1            # the agent counts anew: the list that was kept holds no longer
+        outside.revision = 1  # the agent counts anew: the list that was kept holds no longer
         outside.members[0]["phase"] = "active"
         await sender.start()
         await until(lambda: len(outside.watching) == 2)
         outside.tell(outside.watching.pop(), False, [])
         await until(lambda: outside.asked[-2:] == ["/api/targets", "/api/targets?index=1&wait=1500"])
+
     play(tmp_path, scene, receivers=2)
 
 
 def test_a_new_configuration_moves_the_watch_and_owed_notices_and_a_faulty_one_changes_nothing(tmp_path):
     async def scene(outside, sender):
         await until(lambda: outside.watching)
-        outside.script, outside.notice_status = lambda call: "reset", None      # a notice stays owed
+        outside.script, outside.notice_status = lambda call: "reset", None  # a notice stays owed
         await sender.hand_in("owed", kind="charge")
         await until(lambda: outside.notices)
         for content in ("{", "{}", json.dumps(sender.told | {"discovery": "nowhere"})):
@@ -236,9 +252,9 @@
             assert b"keeps the old" in await sender.process.stderr.readline()
         asked = len(outside.asked)
         outside.change(0, "active")
-        await until(lambda: len(outside.asked) == asked + 1)        # the old watch goes on
+        await until(lambda: len(outside.asked) == asked + 1)  # the old watch goes on
         await outside.move_agent()
-        outside.notice_status, outside.revision = 204, 1            # it counts anew
+        outside.notice_status, outside.revision = 204, 1  # it counts anew
         sender.told["discovery"] = address(outside.agent)
         told, asked = len(outside.notices), len(outside.asked)
         sender.reload()
@@ -246,6 +262,7 @@
         assert outside.notices[-1] == {"message": "owed", "outcome": "given_up"}
         await until(lambda: outside.asked[asked:] == ["/api/targets", "/api/targets?index=1&wait=1500"])
         assert (await sender.hand_in("m"))[0] == 202 and sender.process.returncode is None
+
     play(tmp_path, scene, log=False)
 
 
@@ -261,17 +278,25 @@
             await sender.hand_in(f"m{ident}")
         await until(lambda: len(outside.calls) == 4)
         assert {call[3] for call in outside.calls} == {1}
+
     play(tmp_path, scene, receivers=2)
 
 
-@pytest.mark.parametrize("raw, status", [
-    (b"NONSENSE\r\n\r\n", 400), (b"GET / HTTP/2.0\r\n\r\n", 505), (b"GET / HTTP/1.1\r\nBad name: x\r\n\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413), (b"GET /%s HTTP/1.1\r\n" % (b"x" * 17000), 431),
-    (b"POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
-    (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1ffff\r\n", 413)])
+@pytest.mark.parametrize(
+    "raw, status",
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET / HTTP/2.0\r\n\r\n", 505),
+        (b"GET / HTTP/1.1\r\nBad name: x\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
+        (b"GET /%s HTTP/1.1\r\n" % (b"x" * 17000), 431),
+        (b"POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1ffff\r\n", 413),
+    ],
+)
 def test_what_is_no_request_is_refused_and_the_connection_ends(tmp_path, raw, status):
     async def scene(outside, sender):
         reader, writer = await sender.connect()
@@ -279,6 +304,7 @@
         message = await read_message(reader)
         assert int(message[0].split()[1]) == status and message[1][b"connection"] == b"close"
         assert await reader.read() == b""
+
     play(tmp_path, scene)
 
 
@@ -292,18 +318,33 @@
         assert (await sender.hand_in("a", left=-1, connection=kept))[0] == 400
         assert (await sender.hand_in("good", connection=kept))[0] == 202
         await until(lambda: outside.idents() == [b"good"])
+
     play(tmp_path, scene)
 
 
 OK = reply(200)
-BAD = [b"\x00\xff noise", b"HTTP/1.1 99\r\n\r\n", b"HTTP/1.1 500 x\r\nno header\r\n\r\n",
-       b"HTTP/1.1 429 x\r\nRetry-After: 9\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100000,
-       b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"HTTP/1.1 503 x\r\nX-Line-Busy: 1\r\n",
-       b"HTTP/1.1 429 x\r\nContent-Length: 9\r\n\r\nhalf", b"HTTP/1.1 503 x\r\nx: " + b"y" * 99999]
-TRUE = [b"HTTP/1.1 200 x\r\n", b"HTTP/1.1 200 x\r\nno header\r\n\r\n", b"HTTP/1.1 200 x\r\nx: " + b"y" * 99999,
-        b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n", b"HTTP/1.1 200 x\r\nContent-Length: -3\r\n\r\n",
-        b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhalf", b"HTTP/1.1 100 x\r\n\r\n" + OK, OK + OK, OK + b"\x00\xff",
-        b"HTTP/1.1 200 x\r\nSrv-Load: x0=\x00,\r\nContent-Length: 0\r\n\r\n"]
+BAD = [
+    b"\x00\xff noise",
+    b"HTTP/1.1 99\r\n\r\n",
+    b"HTTP/1.1 500 x\r\nno header\r\n\r\n",
+    b"HTTP/1.1 429 x\r\nRetry-After: 9\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100000,
+    b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"HTTP/1.1 503 x\r\nX-Line-Busy: 1\r\n",
+    b"HTTP/1.1 429 x\r\nContent-Length: 9\r\n\r\nhalf",
+    b"HTTP/1.1 503 x\r\nx: " + b"y" * 99999,
+]
+TRUE = [
+    b"HTTP/1.1 200 x\r\n",
+    b"HTTP/1.1 200 x\r\nno header\r\n\r\n",
+    b"HTTP/1.1 200 x\r\nx: " + b"y" * 99999,
+    b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n",
+    b"HTTP/1.1 200 x\r\nContent-Length: -3\r\n\r\n",
+    b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhalf",
+    b"HTTP/1.1 100 x\r\n\r\n" + OK,
+    OK + OK,
+    OK + b"\x00\xff",
+    b"HTTP/1.1 200 x\r\nSrv-Load: x0=\x00,\r\nContent-Length: 0\r\n\r\n",
+]
 
 
 def test_a_spoilt_answer_is_a_call_that_may_have_run_and_a_first_line_with_200_is_true(tmp_path):
@@ -314,24 +355,41 @@
                 began = time.monotonic()
                 assert (await sender.hand_in(ident, kind="charge"))[0] == 202
                 await until(lambda: ident.encode() in outside.idents() and sender.owed() == 0)
-                assert time.monotonic() - began < 1.4   # none is waited for until its time-out
+                assert time.monotonic() - began < 1.4  # none is waited for until its time-out
         assert {one["message"] for one in outside.notices} == {f"m{at}" for at in range(len(BAD))}
         assert {one["outcome"] for one in outside.notices} == {"given_up"}
-    play(tmp_path, scene)
-
 
-HEAD = (b"POST /api HTTP/1.1\r\nReq-Id: bad\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n"
-        b"Idempotency-Key: t\r\n")
+    play(tmp_path, scene)
 
 
-@pytest.mark.parametrize("raw", [
-    HEAD + b"Content-Length: 1\r\n\r\nxGET / HTTP/1.1\r\n\r\n",              # more than it says
-    (HEAD + b"\r\n") * 300, HEAD + b"Content-Length: 2\r\n\r\nx", b"", HEAD, b"POST",
-    HEAD + b"Content-Length: -1\r\n\r\n", HEAD + b"Content-Length: 60000000\r\n\r\n" + b"x" * 6000000,
-    HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + HEAD + b"\r\n",
-    HEAD.replace(b"dest=7", b"dest=8") + b"\r\n", HEAD.replace(b"dest=7", b"dest=x") + b"\r\n",
-    HEAD + b"Req-Deadline: soon\r\n\r\n", HEAD + b"Req-Deadline: nan\r\n\r\n", HEAD + b"Req-Deadline: 1_0\r\n\r\n",
-    HEAD + b"Req-Id: again\r\n\r\n", HEAD.replace(b"t\r", b"\xff\r") + b"\r\n", HEAD + b"x: " + b"y" * 9000000])
+HEAD = (
+    b"POST /api HTTP/1.1\r\nReq-Id: bad\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n"
+    b"Idempotency-Key: t\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        HEAD + b"Content-Length: 1\r\n\r\nxGET / HTTP/1.1\r\n\r\n",  # more than it says
+        (HEAD + b"\r\n") * 300,
+        HEAD + b"Content-Length: 2\r\n\r\nx",
+        b"",
+        HEAD,
+        b"POST",
+        HEAD + b"Content-Length: -1\r\n\r\n",
+        HEAD + b"Content-Length: 60000000\r\n\r\n" + b"x" * 6000000,
+        HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + HEAD + b"\r\n",
+        HEAD.replace(b"dest=7", b"dest=8") + b"\r\n",
+        HEAD.replace(b"dest=7", b"dest=x") + b"\r\n",
+        HEAD + b"Req-Deadline: soon\r\n\r\n",
+        HEAD + b"Req-Deadline: nan\r\n\r\n",
+        HEAD + b"Req-Deadline: 1_0\r\n\r\n",
+        HEAD + b"Req-Id: again\r\n\r\n",
+        HEAD.replace(b"t\r", b"\xff\r") + b"\r\n",
+        HEAD + b"x: " + b"y" * 9000000,
+    ],
+)
 def test_bad_clients_get_an_error_or_a_close_in_time_and_nothing_of_theirs_goes_on(tmp_path, raw):
     async def scene(outside, sender):
         began, (reader, writer) = time.monotonic(), await sender.connect()
@@ -347,6 +405,7 @@
         assert (await sender.hand_in("b", connection=usual))[0] == 202
         # without a key nothing orders them: on two new connections one may come before the other
         await until(lambda: sorted(outside.idents()) == [b"a", b"b"] and sender.owed() == 0)
+
     play(tmp_path, scene)
 
 
@@ -361,6 +420,7 @@
         assert (await sender.hand_in("m"))[0] == 409
         assert (await sender.hand_in("n"))[0] == 202
         await until(lambda: outside.idents() == [b"m", b"n"])
+
     play(tmp_path, scene)
 
 
@@ -373,6 +433,7 @@
         assert 3 < heard < 10
         for at in range(20):
             assert (await sender.hand_in(f"n{at}"))[0] == 202
+
     play(tmp_path, scene)
 
 
@@ -385,6 +446,7 @@
         answers = [await sender.hand_in(f"m{at}", kind="charge", key="k") for at in range(4)]
         assert [answer[0] for answer in answers] == [202, 202, 202, 503]
         assert 0.0 < float(answers[3][1][b"retry-after"]) <= 2.0
+
     play(tmp_path, scene, start=False)
 
 
@@ -393,47 +455,50 @@
         first = await sender.connect()
         await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", first)
         busy, tasks = [], []
-        while not any(task.done() for task in tasks):       # requests that do not come whole
+        while not any(task.done() for task in tasks):  # requests that do not come whole
             busy.append(await sender.connect())
             busy[-1][1].write(b"POST /api HTTP/1.1\r\n")
             tasks.append(asyncio.create_task(busy[-1][0].read()))
             await asyncio.sleep(0.01)
         assert b" 503 " in tasks[-1].result() and 4 < len(tasks) < 128
-        busy[0][1].write(b"\r\n")      # those inside go on
+        busy[0][1].write(b"\r\n")  # those inside go on
         assert b" 400 " in await asyncio.wait_for(tasks[0], 5.0)
-        assert await asyncio.wait_for(first[0].read(), 5.0) == b""      # between requests: closed for another
+        assert await asyncio.wait_for(first[0].read(), 5.0) == b""  # between requests: closed for another
         flood = [await sender.connect() for _ in range(500)]
-        for reader, writer in flood:        # they say nothing, and are closed in time
+        for reader, writer in flood:  # they say nothing, and are closed in time
             assert not (await asyncio.wait_for(reader.read(), 5.0)).startswith(b"HTTP/1.1 2")
             writer.close()
         assert (await sender.hand_in("m"))[0] == 202
         await until(lambda: b"m" in outside.idents())
         await sender.end(signal.SIGTERM)
         assert "fault" not in (await sender.log).decode()
+
     play(tmp_path, scene, sockets=128)
 
 
 def test_silent_connections_keep_no_client_out(tmp_path):
     async def scene(outside, sender):
-        silent = [await sender.connect() for _ in range(300)]       # more than there are places
+        silent = [await sender.connect() for _ in range(300)]  # more than there are places
         last = time.monotonic()
         await until(lambda: time.monotonic() > last + 0.6)
         for at in range(20):
             assert (await sender.hand_in(f"m{at}"))[0] == 202
         for _, writer in silent:
             writer.close()
+
     play(tmp_path, scene, sockets=256)
 
 
 def test_with_many_connections_open_answers_end_theirs(tmp_path):
     async def scene(outside, sender):
         held, ended = [], 0
-        for at in range(60):        # each asks once and holds on
+        for at in range(60):  # each asks once and holds on
             held.append(await sender.connect())
             status, fields = await sender.hand_in(f"m{at}", connection=held[-1])
             assert status == 202
             ended += fields.get(b"connection") == b"close"
         assert 30 < ended < 60 and (await sender.hand_in("first", connection=held[0]))[0] == 202
+
     play(tmp_path, scene, sockets=128)
 
 
@@ -441,14 +506,16 @@
     async def scene(outside, sender):
         sender.process.send_signal(signal.SIGSTOP)
         reader, writer = await sender.connect()
-        writer.write(b"POST /api HTTP/1.1\r\nReq-Id: m\r\nReq-Kind: notice\r\nReq-Owner: acme\r\n"
-                     b"X-Consignee: dest=7\r\n\r\n")
+        writer.write(
+            b"POST /api HTTP/1.1\r\nReq-Id: m\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n\r\n"
+        )
         writer.close()
         await writer.wait_closed()
         sender.process.send_signal(signal.SIGCONT)
         assert (await sender.hand_in("n"))[0] == 202
         await until(lambda: b"n" in outside.idents())
         assert outside.idents() == [b"n"] and sender.owed() <= 1
+
     play(tmp_path, scene)
 
 
@@ -460,9 +527,11 @@
                 answer = await sender.hand_in(f"{number}-{at}", kind="status", connection=connection)
                 assert answer[0] == 202
             connection[1].close()
+
         await asyncio.gather(*(client(number) for number in range(12)))
         await until(lambda: len(set(outside.idents())) == 120, 30.0)
         assert len(outside.calls) == 120 and len(outside.connections) <= 8
+
     play(tmp_path, scene)
 
 
@@ -470,12 +539,14 @@
     async def scene(outside, sender):
         def resident():
             return int(re.search(r"RssAnon:\s+(\d+)", open(f"/proc/{sender.process.pid}/status").read())[1])
+
         held = []
         for part in range(4):
             for at in range(700):
                 assert (await sender.hand_in(f"m{part}-{at}", left=0.8, body=b"x" * 2000))[0] == 202
             held.append(resident())
         assert held[3] - held[1] < 1500, held
+
     play(tmp_path, scene, memory_mb=64)
 
 
@@ -494,6 +565,7 @@
         await until(lambda: b"m" in outside.idents())
         status = open(f"/proc/{sender.process.pid}/status").read()
         assert int(re.search(r"VmHWM:\s+(\d+)", status)[1]) < 64000
+
     play(tmp_path, scene, memory_mb=64)
 
 
@@ -502,18 +574,23 @@
         for at in range(20):
             assert (await sender.hand_in(f"m{at}"))[0] == 202
         await until(lambda: len(set(outside.idents())) == 20)
+
     play(tmp_path, scene, memory_mb=24, sockets=80, disk_mb=0.2)
 
 
 def test_a_faulty_start_names_the_key(tmp_path):
     async def scene(outside, sender):
-        for part, value, key in (("discovery", "nowhere", "json: discovery"), ("settings", {}, "settings.Services"),
-                                 ("limits", {"memory_mb": "x"}, "limits.memory_mb")):
+        for part, value, key in (
+            ("discovery", "nowhere", "json: discovery"),
+            ("settings", {}, "settings.Services"),
+            ("limits", {"memory_mb": "x"}, "limits.memory_mb"),
+        ):
             before, sender.told[part] = sender.told[part], value
-            with pytest.raises(TypeError):      # no line says that it listens
+            with pytest.raises(TypeError):  # no line says that it listens
                 await sender.start()
             assert re.search(re.escape(key), sender.first_line) and await sender.process.wait() == 2
             sender.told[part] = before
+
     play(tmp_path, scene, start=False)
 
 
@@ -522,11 +599,11 @@
     dice, taken, kills = random.Random(seed), {}, []
 
     async def scene(outside, sender):
-        ran, over, told = {}, {}, []        # ident: its call may have run; when it was over; waits: from, until
+        ran, over, told = {}, {}, []  # ident: its call may have run; when it was over; waits: from, until
 
         async def script(call):
             ident, now = call[0].decode(), time.monotonic()
-            kind, key, _ = taken.get(ident) or (None, None, None)       # None: its answer is still on its way
+            kind, key, _ = taken.get(ident) or (None, None, None)  # None: its answer is still on its way
             over.update(outside.noted_at)
             assert ident not in outside.noted_at, "sent after its notice"
             assert not (kind == "charge" and ident in ran), "a once-only mail went again"
@@ -546,6 +623,7 @@
                 over.setdefault(ident, now)
                 return reply(200)
             return {"fault": reply(500), "reset": "reset", "silent": None}[what]
+
         faults = []
 
         async def watched(call):
@@ -553,6 +631,7 @@
                 return await script(call)
             except AssertionError as fault:
                 faults.append(fault)
+
         outside.script = watched
         for at in range(70):
             kind = dice.choice(("notice", "status", "charge", "charge"))
@@ -571,4 +650,5 @@
         for ident, (_, _, since) in taken.items():
             assert ident not in outside.noted_at or outside.noted_at[ident] < since + 3.3 or kills
         assert kills and len(set(over)) == 70
+
     play(tmp_path, scene, receivers=3)
--- a/tests/daemon/test_silent_lists.py
+++ b/tests/daemon/test_silent_lists.py
@@ -1,4 +1,5 @@
 """Calls for the list that go wrong: whatever becomes of one, the next answer comes before its news count as told."""
+
 import time
 
 from driver import address, play, until
@@ -23,15 +24,16 @@
         outside.members[0]["phase"], outside.revision = "leaving", 2
         await until(lambda: "/api/targets" in outside.asked, 6.0)
         assert time.monotonic() < silent + 6.0
-        await until(lambda: outside.watching)       # the list was taken in
+        await until(lambda: outside.watching)  # the list was taken in
         await only_the_second(outside, sender)
+
     play(tmp_path, scene, receivers=2, start=False)
 
 
 def test_a_watch_that_falls_silent_later_on_is_opened_anew(tmp_path):
     async def scene(outside, sender):
         asked = 0
-        for _ in range(2):      # it was answered twice, with news
+        for _ in range(2):  # it was answered twice, with news
             await until(lambda: len(outside.watching) and len(outside.asked) > asked)
             asked = len(outside.asked)
             outside.change(1, "active")
@@ -44,6 +46,7 @@
         assert time.monotonic() < silent + 6.0
         await until(lambda: outside.watching)
         await only_the_second(outside, sender)
+
     play(tmp_path, scene, receivers=2)
 
 
@@ -61,6 +64,7 @@
         outside.tell(outside.watching.pop(), False, [outside.members[0]])
         await until(lambda: outside.watching)
         await only_the_second(outside, sender)
+
     play(tmp_path, scene, receivers=2, start=False)
 
 
@@ -77,6 +81,7 @@
         sent = time.monotonic()
         sender.reload()
         await until(lambda: outside.watching, 4.0)
-        assert time.monotonic() < sent + 4.0            # it counts 4 s after the signal
+        assert time.monotonic() < sent + 4.0  # it counts 4 s after the signal
         await only_the_second(outside, sender)
+
     play(tmp_path, scene, receivers=2, start=False)
--- a/tests/daemon/test_upgrade.py
+++ b/tests/daemon/test_upgrade.py
@@ -1,4 +1,5 @@
 """A process takes over from another that still serves, over sockets, with the world around both."""
+
 import asyncio
 import fcntl
 import json
@@ -28,6 +29,7 @@
         started.append(call[0])
         await go.wait()
         return reply(200)
+
     outside.script = script
     return go
 
@@ -44,18 +46,19 @@
         status, fields = await sender.hand_in("a3", kind="charge", key="k", connection=held)
         assert status == 202 and fields[b"connection"] == b"close"
         await again.hand_in("a4", kind="charge", key="k")
-        assert started == [b"a1"]               # its outcome is not told yet
+        assert started == [b"a1"]  # its outcome is not told yet
         go.set()
         await until(lambda: len(outside.calls) == 4)
         assert outside.idents() == [b"a1", b"a2", b"a3", b"a4"] and not outside.notices
         assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
         await until(lambda: not again.owed())
         assert sorted(path.name for path in (tmp_path / "state").iterdir()) == ["journal", "list"]
-        third = await beside(outside, again)    # and once more
+        third = await beside(outside, again)  # and once more
         await third.hand_in("a5")
         await until(lambda: b"a5" in outside.idents())
         assert await asyncio.wait_for(again.process.wait(), 10.0) == 0
         await third.end()
+
     play(tmp_path, scene)
 
 
@@ -71,6 +74,7 @@
         await until(lambda: not again.owed(), 20.0)
         await again.end()
         assert "the process before has ended mails=0" in (await again.log).decode()
+
     play(tmp_path, scene)
 
 
@@ -90,6 +94,7 @@
         assert min(call[5] for call in outside.calls[1:]) - told_at >= 2.5
         assert len({call[3] for call in outside.calls}) == 1
         await again.end()
+
     play(tmp_path, scene, receivers=2)
 
 
@@ -114,6 +119,7 @@
         assert outside.idents().count(b"once") == 1
         await until(lambda: not again.owed())
         await again.end()
+
     play(tmp_path, scene)
 
 
@@ -125,6 +131,7 @@
             came.add(call[0].decode())
             await asyncio.sleep(0.02)
             return reply(200)
+
         outside.script = script
 
         async def client(number):
@@ -139,6 +146,7 @@
                 if fields.get(b"connection") == b"close":
                     connection[1].close()
                     connection = None
+
         clients = [asyncio.create_task(client(number)) for number in range(6)]
         await until(lambda: len(taken) > 50)
         again = await beside(outside, sender)
@@ -147,16 +155,17 @@
         count = len(taken)
         await until(lambda: len(taken) > count + 50)
         stop.set()
-        await asyncio.gather(*clients)          # none was refused or reset
+        await asyncio.gather(*clients)  # none was refused or reset
         await until(lambda: not again.owed(), 20.0)
         assert sorted(outside.idents()) == sorted(taken) and not outside.notices
         await again.end()
+
     play(tmp_path, scene, receivers=3)
 
 
 def test_a_process_that_dies_while_it_waits_for_the_folder_leaves_the_old_one_as_it_was(tmp_path):
     async def scene(outside, sender):
-        (tmp_path / "state" / "next").write_bytes(b"")      # what a killed one leaves
+        (tmp_path / "state" / "next").write_bytes(b"")  # what a killed one leaves
         for at in range(3):
             await sender.hand_in(f"m{at}")
             await until(lambda: len(outside.calls) > at)
@@ -164,6 +173,7 @@
         assert json.loads((tmp_path / "config.json").read_text())["name"] == "n0"
         again = await beside(outside, sender)
         await again.end()
+
     play(tmp_path, scene)
 
 
@@ -181,6 +191,7 @@
         assert await entering == (None, {"out": [1]})
         claim.drop()
         mark.release()
+
     asyncio.run(scene())
 
 
@@ -190,18 +201,19 @@
         with open(tmp_path / "state" / "next", "w") as claim:
             before = (tmp_path / "state").stat().st_mtime_ns
             fcntl.flock(claim, fcntl.LOCK_EX)
-            await until(lambda: (tmp_path / "state").stat().st_mtime_ns > before)       # a tail came and went
+            await until(lambda: (tmp_path / "state").stat().st_mtime_ns > before)  # a tail came and went
             await sender.hand_in("m")
             await until(lambda: outside.calls)
         assert sender.process.returncode is None
         assert await sender.end(signal.SIGTERM) == 0
         assert "fault: upgrade" in (await sender.log).decode()
+
     play(tmp_path, scene)
 
 
 def test_a_reload_that_comes_once_the_folder_is_handed_on_starts_nothing_anew(tmp_path):
     async def scene(outside, sender):
-        outside.script = lambda call: None      # a call that stays out keeps the old process
+        outside.script = lambda call: None  # a call that stays out keeps the old process
         await sender.hand_in("m")
         await until(lambda: outside.calls)
         again = await beside(outside, sender)
@@ -210,4 +222,5 @@
         log = (await sender.log).decode()
         assert "handed" in log and ": reload:" not in log
         await again.end()
+
     play(tmp_path, scene)
--- a/tests/drill/test_wire.py
+++ b/tests/drill/test_wire.py
@@ -1,4 +1,5 @@
 """The wire: worked examples of the interface's page to the byte, and input that is not of it."""
+
 import io
 import json
 import struct
@@ -11,7 +12,7 @@
 from dewpin.drill.adapter import Adapter
 from driver import settings
 
-QUERY = bytes.fromhex("1e0300c4913a5da92b070000000000640ad2557c3bf0910000000000006e40000000000000284000006442" "01")
+QUERY = bytes.fromhex("1e0300c4913a5da92b070000000000640ad2557c3bf0910000000000006e4000000000000028400000644201")
 
 
 def batch(number, now, *records):
@@ -29,8 +30,8 @@
     return [adapter.answer(*one) for one in iter(lambda: wire.read_batch(stream), None)]
 
 
-CENSUS = bytes.fromhex("6e0000000001000000" "010000803f00000000000000000000" "0000" "074a1203" "3900")
-TARGETS = bytes.fromhex("1403002900000002" "00000000")
+CENSUS = bytes.fromhex("6e0000000001000000010000803f000000000000000000000000074a12033900")
+TARGETS = bytes.fromhex("140300290000000200000000")
 
 
 def test_an_empty_batch_gets_an_empty_reply():
@@ -49,16 +50,17 @@
 def test_a_mail_goes_out_and_its_outcome_ends_it():
     adapter = Adapter()
     sent = play(adapter, batch(1, 0.0, provision(3, settings()), CENSUS, TARGETS, QUERY))[0]
-    assert sent[8] == 10 and sent[8 + 11:8 + 15].hex() == "074a1203"
-    returned = bytes.fromhex("320300c4913a5da92b070000074a12030a00000000000080324001" "0000000000")
-    adapter.instances[3].module.crowded.add(0)          # as one of its kind had a full table
+    assert sent[8] == 10 and sent[8 + 11 : 8 + 15].hex() == "074a1203"
+    returned = bytes.fromhex("320300c4913a5da92b070000074a12030a000000000000803240010000000000")
+    adapter.instances[3].module.crowded.add(0)  # as one of its kind had a full table
     reply = play(adapter, batch(2, 20.0, returned))[0]
     assert reply[8:15].hex() == "460300074a1203"
     assert not adapter.instances[3].mails
 
 
-@pytest.mark.parametrize("marks, bits, age", [
-    (True, 1, 0.0), (True, 3, 15760.0), (True, 17, 15760.0), (False, 1, 15760.0)])
+@pytest.mark.parametrize(
+    "marks, bits, age", [(True, 1, 0.0), (True, 3, 15760.0), (True, 17, 15760.0), (False, 1, 15760.0)]
+)
 def test_a_repeat_is_told_by_its_mark_or_where_none_is_made_by_its_time_left(marks, bits, age):
     adapter, told = Adapter(), settings() | {"Callers": {"MarksRetry": marks}}
     play(adapter, batch(1, 20000.0, provision(3, told), CENSUS, TARGETS, QUERY[:-1] + bytes([bits])))
@@ -68,7 +70,7 @@
 def test_a_restart_in_one_batch_starts_clean_and_late_news_is_ignored():
     adapter = Adapter()
     play(adapter, batch(1, 0.0, provision(3, settings()), CENSUS, TARGETS, QUERY))
-    late = bytes.fromhex("320300c4913a5da92b070000074a12032800000000000080324000" "0000000000")
+    late = bytes.fromhex("320300c4913a5da92b070000074a120328000000000000803240000000000000")
     play(adapter, batch(2, 5.0, bytes.fromhex("640300"), provision(3, settings()), TARGETS, late))
     assert adapter.instances[3].module.held == 0
 
@@ -83,12 +85,15 @@
     assert b"OverloadFor" in play(Adapter(), batch(1, 0.0, provision(3, what)))[0]
 
 
-@pytest.mark.parametrize("given, words", [
-    (batch(4, 0.0, b"\xee"), "record 0: expected a known record code, got 238"),
-    (batch(4, 0.0, QUERY[:20]), "record 0: expected a whole query"),
-    (batch(4, 0.0, QUERY), "expected an instance that runs for query, got 3"),
-    (batch(4, 0.0)[:15], "batch header"),
-])
+@pytest.mark.parametrize(
+    "given, words",
+    [
+        (batch(4, 0.0, b"\xee"), "record 0: expected a known record code, got 238"),
+        (batch(4, 0.0, QUERY[:20]), "record 0: expected a whole query"),
+        (batch(4, 0.0, QUERY), "expected an instance that runs for query, got 3"),
+        (batch(4, 0.0)[:15], "batch header"),
+    ],
+)
 def test_bad_input_ends_with_one_plain_line(given, words):
     done = subprocess.run([sys.executable, "-m", "dewpin.drill"], input=given, capture_output=True, timeout=30)
     lines = done.stderr.decode().splitlines()
--- a/tests/log/test_log.py
+++ b/tests/log/test_log.py
@@ -1,4 +1,5 @@
 """The log: what it says, what it leaves out, and that it never waits."""
+
 import json
 import os
 import random
@@ -30,8 +31,17 @@
     for form in ("lines", "json"):
         kept = Kept()
         log = Log(kept, form, level=events.DEBUG)
-        log.tell(events.HEARD, {"mail": b"m\n1", "outcome": "full", "took_ms": 1.23456, "ran": False, "told_ms": 0.0,
-                                "receiver": "a {mail} b\x1b[2J"})
+        log.tell(
+            events.HEARD,
+            {
+                "mail": b"m\n1",
+                "outcome": "full",
+                "took_ms": 1.23456,
+                "ran": False,
+                "told_ms": 0.0,
+                "receiver": "a {mail} b\x1b[2J",
+            },
+        )
         (line,) = kept.lines
         if form == "json":
             held = json.loads(line)
@@ -52,14 +62,16 @@
     now[0] = 6.0
     log.tell(events.STOP, {"name": "n"})
     assert [line.split("dewpin: ")[1] for line in kept.lines[6:]] == [
-        "warning: log.left_out: 7 lines of watch were left out\n", "warning: log.left_out: 7 lines of stop were left "
-        "out\n", "stop: n takes no new mails\n"]
+        "warning: log.left_out: 7 lines of watch were left out\n",
+        "warning: log.left_out: 7 lines of stop were left out\n",
+        "stop: n takes no new mails\n",
+    ]
     log.tell(events.TAKEN, {"mail": b"m"})
-    assert len(kept.lines) == 9             # below the level
+    assert len(kept.lines) == 9  # below the level
     log.level = events.DEBUG
     for _ in range(100):
         log.tell(events.TAKEN, {"mail": b"m"})
-    assert len(kept.lines) == 109           # a course has no gaps
+    assert len(kept.lines) == 109  # a course has no gaps
     log.debug_rate, now[0] = 5, 7.0
     for _ in range(100):
         log.tell(events.TAKEN, {"mail": b"m"})
@@ -70,6 +82,7 @@
     class Bad:
         def __str__(self):
             raise RuntimeError("no")
+
     kept = Kept()
     log = Log(kept)
     log.tell(events.NOTE, {"why": Bad()})
@@ -95,10 +108,11 @@
                 came.extend(part)
         except BlockingIOError:
             pass
+
     for at in range(3000):
         line = b"%d " % at + b"x" * dice.choice((10, 200, 3000, 9000)) + b"\n"
         sent.append(line)
-        pipe.write(line)                    # a blocking write would hang here: nobody reads
+        pipe.write(line)  # a blocking write would hang here: nobody reads
         assert pipe.size <= 20_000 + 9010
         if dice.random() < 0.01:
             drain()
@@ -110,9 +124,9 @@
     assert not pipe.waiting and set(lines) <= set(sent) and len(lines) + pipe.lost == len(sent) and pipe.lost > 100
     assert [int(line.split()[0]) for line in lines] == sorted(int(line.split()[0]) for line in lines)
     if kind == "pipe":
-        assert os.get_blocking(start)       # the mark of whoever gave us the pipe is as it was
+        assert os.get_blocking(start)  # the mark of whoever gave us the pipe is as it was
     os.close(end)
-    pipe.write(b"nobody is there\n")        # neither an exception nor a signal
+    pipe.write(b"nobody is there\n")  # neither an exception nor a signal
     pipe.write(b"nobody is there\n")
     os.close(start)
 
@@ -135,6 +149,7 @@
 
 def test_the_page_of_events_is_current_and_the_on_call_page_names_only_them():
     import re
+
     assert (ROOT / "docs/events.md").read_text() == events.page()
     named = set(re.findall(r"`event ([a-z_.]+)", (ROOT / "docs/oncall.md").read_text()))
     assert named and named <= set(events.EVENTS)
--- a/tests/net/test_calls.py
+++ b/tests/net/test_calls.py
@@ -1,4 +1,5 @@
 """One call each, on a real connection, to a receiver that acts at a given byte of it."""
+
 import asyncio
 import socket
 import struct
@@ -51,18 +52,27 @@
 
         def call(limit=5000.0, body=b"body"):
             pool.call(far.address, b"m", b"", body, limit, lambda: 5000.0, lambda *what: heard.append(what))
+
         try:
             await asyncio.wait_for(scene(far, pool, call, heard), 30.0)
         finally:
             pool.close()
             far.close()
+
     asyncio.run(whole())
 
 
-@pytest.mark.parametrize("sent, outcome", [
-    (b"HTTP/1.1 200 O", model.RESET), (b"HTTP/1.1 200 OK\r", model.RESET), (b"HTTP/1.1 200", model.RESET),
-    (b"HTTP/1.1 200 OK\r\n", model.DELIVERED), (b"HTTP/1.1 200\r\n", model.DELIVERED),
-    (b"HTTP/1.1 20\r\n\r\nHTTP/1.1 200 OK\r\nx", model.ERROR)])
+@pytest.mark.parametrize(
+    "sent, outcome",
+    [
+        (b"HTTP/1.1 200 O", model.RESET),
+        (b"HTTP/1.1 200 OK\r", model.RESET),
+        (b"HTTP/1.1 200", model.RESET),
+        (b"HTTP/1.1 200 OK\r\n", model.DELIVERED),
+        (b"HTTP/1.1 200\r\n", model.DELIVERED),
+        (b"HTTP/1.1 20\r\n\r\nHTTP/1.1 200 OK\r\nx", model.ERROR),
+    ],
+)
 def test_only_a_whole_first_line_says_that_a_call_was_delivered(sent, outcome):
     async def scene(far, pool, call, heard):
         call()
@@ -72,6 +82,7 @@
         one.shutdown(socket.SHUT_WR)
         await until(lambda: heard)
         assert heard[0][0] == outcome and not pool.resting
+
     play(scene)
 
 
@@ -83,18 +94,21 @@
         await far.read(one, b"body")
         await far.loop.sock_sendall(one, OK)
         await until(lambda: heard and pool.resting)
-        monkeypatch.setattr(outbound, "HELD", 3.0)      # the far side has all the time
+        monkeypatch.setattr(outbound, "HELD", 3.0)  # the far side has all the time
         call(body=b"next")
         await far.read(one, b"nex")
         await far.loop.sock_sendall(one, stray)
         await until(lambda: len(heard) == 2)
         assert heard[1][0] == model.DROPPED and heard[1][2] < 4900.0 and not heard[1][4] and not pool.resting
-        assert not await asyncio.wait_for(far.read(one, b"closed"), 5.0) == b"t"    # its last byte never left
+        assert not await asyncio.wait_for(far.read(one, b"closed"), 5.0) == b"t"  # its last byte never left
+
     play(scene)
 
 
-@pytest.mark.parametrize("early, outcome, told", [
-    (reply(429, b"Retry-After: 0.7"), model.FULL, 700.0), (reply(503), model.FULL, 0.0), (OK, model.DROPPED, 0.0)])
+@pytest.mark.parametrize(
+    "early, outcome, told",
+    [(reply(429, b"Retry-After: 0.7"), model.FULL, 700.0), (reply(503), model.FULL, 0.0), (OK, model.DROPPED, 0.0)],
+)
 def test_an_answer_that_waits_unread_when_the_last_byte_is_due_is_read_first(monkeypatch, early, outcome, told):
     async def scene(far, pool, call, heard):
         arrived, written = threading.Event(), threading.Event()
@@ -104,6 +118,7 @@
             arrived.wait(10.0)
             one.sendall(early)
             written.set()
+
         # the connection's far end is a thread's, so that it goes on while the loop stands still
         relay = socket.create_server(("127.0.0.1", 0))
         thread = threading.Thread(target=receiver)
@@ -113,13 +128,14 @@
         pool.rest(far.address, link)
         monkeypatch.setattr(outbound, "HELD", 0.05)
 
-        def between():          # in the loop's turn in which the last byte is due, after it has looked for news
+        def between():  # in the loop's turn in which the last byte is due, after it has looked for news
             arrived.set()
             written.wait(10.0)
             assert link.heard_from()
+
         call()
         far.loop.call_at(link.held.when() - 0.0001, between)
-        while far.loop.time() < link.held.when() - 0.002:       # both timers are due in one turn
+        while far.loop.time() < link.held.when() - 0.002:  # both timers are due in one turn
             await asyncio.sleep(0)
         blocked = link.held.when() + 0.002
         while far.loop.time() < blocked:
@@ -128,6 +144,7 @@
         assert heard[0][:2] == (outcome, told)
         thread.join()
         relay.close()
+
     play(scene)
 
 
@@ -147,10 +164,12 @@
         await far.loop.sock_sendall(one, OK)
         await until(lambda: heard)
         assert heard[0][0] == model.DELIVERED
+
     links = []
     make = outbound.Link.connection_made
-    monkeypatch.setattr(outbound.Link, "connection_made", lambda link, transport: (
-        links.append(link), make(link, transport))[1])
+    monkeypatch.setattr(
+        outbound.Link, "connection_made", lambda link, transport: (links.append(link), make(link, transport))[1]
+    )
     play(scene)
 
 
@@ -159,12 +178,13 @@
         call(limit=200.0)
         one = await far.accept()
         await far.read(one, b"body")
-        due = far.loop.time() + 0.2         # the call's limit is due before that
+        due = far.loop.time() + 0.2  # the call's limit is due before that
 
-        def between():          # in the loop's turn in which the time-out is due, after it has looked for news
+        def between():  # in the loop's turn in which the time-out is due, after it has looked for news
             one.setblocking(True)
             one.sendall(OK)
             assert links[-1].heard_from()
+
         far.loop.call_at(limits[-1].when() - 0.0001, between)
         while far.loop.time() < limits[-1].when() - 0.002:
             await asyncio.sleep(0)
@@ -172,16 +192,19 @@
             pass
         await until(lambda: heard)
         assert heard[0][0] == model.DELIVERED
+
     limits, links = [], []
     make, made = outbound.Call.__init__, outbound.Link.connection_made
 
     def watched(self, *rest):
         make(self, *rest)
         limits.append(self.limit)
+
     patch = pytest.MonkeyPatch()
     patch.setattr(outbound.Call, "__init__", watched)
-    patch.setattr(outbound.Link, "connection_made", lambda link, transport: (
-        links.append(link), made(link, transport))[1])
+    patch.setattr(
+        outbound.Link, "connection_made", lambda link, transport: (links.append(link), made(link, transport))[1]
+    )
     try:
         play(scene)
     finally:
@@ -197,4 +220,5 @@
         await far.loop.sock_sendall(one, OK)
         await until(lambda: heard)
         assert not pool.resting and await asyncio.wait_for(far.loop.sock_recv(one, 1), 5.0) == b""
+
     play(scene)
--- a/tests/net/test_closing.py
+++ b/tests/net/test_closing.py
@@ -1,4 +1,5 @@
 """How a client's connection ends: bytes that come in the very moment, and what is read and taken on after it."""
+
 import asyncio
 import select
 import signal
@@ -13,12 +14,15 @@
 from dewpin.net.outbound import Link
 from driver import play, read_message, until
 
-HEAD = (b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n"
-        b"Content-Length: 4\r\n\r\nbody")
+HEAD = (
+    b"POST /api HTTP/1.1\r\nReq-Id: %s\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n"
+    b"Content-Length: 4\r\n\r\nbody"
+)
 
 
 class Taker:
     """Stands for the relay: takes everything on; `between` happens while it does."""
+
     refusing = False
 
     def __init__(self):
@@ -69,12 +73,14 @@
         async def connect():
             callers.append(Caller(at, door))
             return await callers[-1].arrive(len(callers))
+
         try:
             await asyncio.wait_for(scene(door, taker, connect), 30.0)
         finally:
             for one in callers:
                 one.socket.close()
             door.close()
+
     asyncio.run(whole())
 
 
@@ -96,19 +102,21 @@
             held = transport.get_extra_info("socket")
             assert held.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         link.transport.abort()
+
     at_door(scene)
 
 
 def test_a_request_that_comes_as_a_stop_closes_what_rests_is_answered():
     async def scene(door, taker, connect):
         one, other = await rested(connect), await rested(connect, b"b")
-        one.write(HEAD % b"crosses")        # it waits unread
+        one.write(HEAD % b"crosses")  # it waits unread
         taker.refusing = True
         door.stop()
         answer = await one.read()
         assert answer.startswith(b"HTTP/1.1 503") and b"Connection: close" in answer
         assert await other.read() == b""
         assert taker.taken == [b"a", b"b"]
+
     at_door(scene)
 
 
@@ -120,32 +128,35 @@
         assert door._make_room(2) is False and one.client in door.clients
         assert b" 202 " in await asyncio.to_thread(one.socket.recv, 65536)
         assert await other.read() == b"" and taker.taken == [b"a", b"b", b"crosses"]
+
     at_door(scene)
 
 
 def test_a_first_request_that_comes_as_silent_connections_make_room_is_answered(monkeypatch):
     async def scene(door, taker, connect):
         one = await connect()
-        one.write(HEAD % b"late")           # it waits unread
+        one.write(HEAD % b"late")  # it waits unread
         door.most = 0
         monkeypatch.setattr(inbound, "MUTE", 0.0)
         door._make_room(1)
         assert b" 202 " in await one.read() and taker.taken == [b"late"]
+
     at_door(scene)
 
 
 def test_what_comes_behind_the_last_answer_neither_resets_it_nor_is_taken_on():
     async def scene(door, taker, connect):
         one = await rested(connect)
-        door.part()                         # each connection ends with its next answer
+        door.part()  # each connection ends with its next answer
         taker.between = lambda: one.write(HEAD % b"behind")
         one.write(HEAD % b"last")
         answer = await one.read()
         assert answer.startswith(b"HTTP/1.1 202") and answer.count(b"HTTP/1.1") == 1
-        one.socket.sendall(HEAD % b"after")     # its end was seen, and it writes nevertheless
+        one.socket.sendall(HEAD % b"after")  # its end was seen, and it writes nevertheless
         one.socket.close()
         await until(lambda: not door.clients)
         assert taker.taken == [b"a", b"last"] and not door.lingering
+
     at_door(scene)
 
 
@@ -156,8 +167,9 @@
         one.write(HEAD % b"last")
         await until(lambda: one.client.closing)
         assert one.client in door.lingering
-        await until(lambda: not door.clients)       # its own end never comes
+        await until(lambda: not door.clients)  # its own end never comes
         assert not door.lingering and b" 202 " in await one.read()
+
     at_door(scene)
 
 
@@ -175,12 +187,14 @@
         third.sendall(HEAD % b"c")
         assert b" 202 " in await asyncio.to_thread(third.recv, 65536)
         third.close()
+
     at_door(scene, most=2)
 
 
 def test_a_connection_that_only_the_system_has_accepted_is_answered_before_a_stop_ends():
     class Notices:
         """A connection comes as the stop looks whether all is done."""
+
         at = caller = None
 
         @property
@@ -193,12 +207,15 @@
     async def scene(door, taker, connect):
         notices = Notices()
         notices.at = door.listener.getsockname()
-        taker.out, deployment = 0, SimpleNamespace(
-            stop=SimpleNamespace(sends=0.0, ends=10000.0), sender=SimpleNamespace(name="n0"))
+        taker.out, deployment = (
+            0,
+            SimpleNamespace(stop=SimpleNamespace(sends=0.0, ends=10000.0), sender=SimpleNamespace(name="n0")),
+        )
         await process.finish({"relay": taker, "door": door, "told": SimpleNamespace(deployment=deployment)}, notices)
         assert not door.queued()
         assert b" 503 " in await asyncio.to_thread(notices.caller.recv, 65536)
         notices.caller.close()
+
     at_door(scene)
 
 
@@ -215,7 +232,7 @@
         sender.process.send_signal(signal.SIGSTOP)
         resting[1].write(HEAD % b"b")
         half[1].write(request[40:])
-        new = [await sender.connect() for _ in range(20)]       # accepted by the system alone
+        new = [await sender.connect() for _ in range(20)]  # accepted by the system alone
         for at, one in enumerate(new):
             one[1].write(HEAD % b"n%d" % at)
         silent = await sender.connect()
@@ -229,4 +246,5 @@
             writer.close()
         silent[1].close()
         assert await asyncio.wait_for(sender.process.wait(), 10.0) == 0
+
     play(tmp_path, scene, start=False)
--- a/tests/net/test_parts.py
+++ b/tests/net/test_parts.py
@@ -1,4 +1,5 @@
 """The reader, fed in any pieces, and the pool's calls."""
+
 import asyncio
 import random
 import socket
@@ -51,7 +52,7 @@
     reader = Reader(answers=dice.random() < 0.3, most_body=8000)
     try:
         for at in range(0, len(raw), 100):
-            reader.feed(raw[at:at + 100])
+            reader.feed(raw[at : at + 100])
             while reader.take():
                 pass
             assert len(reader.held) < 8000 + 16384 + 100
@@ -70,18 +71,26 @@
 
 
 def test_a_connection_reset_as_the_call_comes_proves_that_nothing_ran(monkeypatch):
-    monkeypatch.setattr("dewpin.net.outbound.HELD", 2.0)        # the far side has all the time
+    monkeypatch.setattr("dewpin.net.outbound.HELD", 2.0)  # the far side has all the time
 
     async def scene():
         outside, heard = await Outside().open(), []
         outside.early = True
         pool = Pool(asyncio.get_running_loop(), 300.0, 15000.0)
-        pool.call(outside.servers[0].sockets[0].getsockname(), b"m", b"", b"x", 5000.0,
-                  lambda: 5000.0, lambda *what: heard.append(what))
+        pool.call(
+            outside.servers[0].sockets[0].getsockname(),
+            b"m",
+            b"",
+            b"x",
+            5000.0,
+            lambda: 5000.0,
+            lambda *what: heard.append(what),
+        )
         await until(lambda: heard)
         assert heard[0][0] == model.DROPPED and heard[0][2] < 1900.0 and not outside.calls
         for one in (outside.agent, *outside.servers, *(c.transport for c in outside.connections)):
             one.close()
+
     asyncio.run(scene())
 
 
@@ -91,15 +100,16 @@
         outside.script = lambda call: None
         loop = asyncio.get_running_loop()
         pool = Pool(loop, 300.0, 15000.0)
-        shut = socket.create_server(("127.0.0.1", 0), backlog=0)    # its queue fills, and nobody accepts
+        shut = socket.create_server(("127.0.0.1", 0), backlog=0)  # its queue fills, and nobody accepts
         filling = [socket.socket() for _ in range(4)]
         for one in filling:
             one.setblocking(False)
             one.connect_ex(shut.getsockname())
 
         def call(name, address, limit=5000.0):
-            pool.call(address, name.encode(), b"", b"x", limit, lambda: 5000.0,
-                      lambda *what: heard.setdefault(name, what))
+            pool.call(
+                address, name.encode(), b"", b"x", limit, lambda: 5000.0, lambda *what: heard.setdefault(name, what)
+            )
 
         async def reset(*_):
             raise ConnectionResetError(104, "Connect call failed")
@@ -117,17 +127,18 @@
         create, loop.create_connection = loop.create_connection, reset
         call("reset", shut.getsockname())
         await until(lambda: "reset" in heard)
-        assert heard["reset"][0] == model.DROPPED       # while it was made: no crash, and no full table
+        assert heard["reset"][0] == model.DROPPED  # while it was made: no crash, and no full table
         loop.create_connection = create
         call("timed out", live, 100.0)
         await until(lambda: "timed out" in heard)
         assert heard["timed out"][0] == model.TIMED_OUT
         outside.script = lambda call: b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhalf"
         call("half", live, 100.0)
-        await until(lambda: "half" in heard)        # the first line counts
+        await until(lambda: "half" in heard)  # the first line counts
         assert heard["half"][0] == model.DELIVERED and pool.resting == 0 and not pool.opening
         for one in (shut, *filling, outside.agent, *outside.servers, *(c.transport for c in outside.connections)):
             one.close()
+
     asyncio.run(scene())
 
 
@@ -137,11 +148,11 @@
         for seed in range(20):
             turns = Turns(fleet, grace, seed, pushed)
             first = turns.first(True), turns.first(False)
-            assert not pushed or first == (0.0, 0.0)            # what its agent has counts at once
+            assert not pushed or first == (0.0, 0.0)  # what its agent has counts at once
             broken, refused = [turns.broken() for _ in range(20)], [turns.refused() for _ in range(20)]
             assert max(broken) <= PAUSE and max(refused) <= REFUSED and max(first) <= REFUSED
-            silent = WATCH + ANSWER + max(broken)               # from a watch that is never answered to the next call
-            again = ANSWER + max(broken)                        # and if that one is not answered either
+            silent = WATCH + ANSWER + max(broken)  # from a watch that is never answered to the next call
+            again = ANSWER + max(broken)  # and if that one is not answered either
             assert silent + again < FRESH and max(refused) + again < FRESH and max(first) + again < FRESH
 
 
@@ -174,6 +185,7 @@
                 heard.append(message[2])
                 if len(heard) > 3:
                     writer.write(reply(204))
+
         server = await asyncio.start_server(agent, "127.0.0.1", 0)
         notices = Notices(server.sockets[0].getsockname())
         ask, sleep = notices.channel.ask, asyncio.sleep
@@ -185,6 +197,7 @@
         def slept(seconds):
             pauses.append(seconds)
             return sleep(seconds)
+
         monkeypatch.setattr(notices.channel, "ask", asked)
         monkeypatch.setattr("dewpin.net.agent.asyncio.sleep", slept)
         notices.tell(b"m", False, 0.0, lambda: told.append(b"m"))
@@ -196,9 +209,10 @@
             await sleep(0.005)
         notices.channel.stop()
         server.close()
+
     asyncio.run(scene())
-    assert limits[0] == limits[-1] == (NOTICE, NOTICE)      # the next one begins anew
+    assert limits[0] == limits[-1] == (NOTICE, NOTICE)  # the next one begins anew
     # a connection that comes up late, an answer that never comes, and the pause behind it
     assert sum(limits[0]) + pauses[0] < 0.3
-    assert [limit for limit, _ in limits[:4]] == [min(NOTICE * 2.0 ** at, NOTICE_MOST) for at in range(4)]
+    assert [limit for limit, _ in limits[:4]] == [min(NOTICE * 2.0**at, NOTICE_MOST) for at in range(4)]
     assert all(limit / 8.0 <= pause <= 3.0 * limit / 8.0 for (limit, _), pause in zip(limits, pauses, strict=False))
--- a/tests/peers/test_lease.py
+++ b/tests/peers/test_lease.py
@@ -1,4 +1,5 @@
 """The lease protocol: messages lost, doubled and late in any order, with restarts, in a small world."""
+
 import copy
 import random
 
@@ -17,16 +18,23 @@
     def __init__(self, voter, candidate):
         self.now = 0.0
         self.voters = {name: voter(name, VOTERS, TERM, -TERM, {}) for name in VOTERS}
-        self.candidates = {name: candidate(name, at, 2, "d", VOTERS, TERM, 0, drift=0.0)
-                           for at, name in enumerate("ab")}
+        self.candidates = {
+            name: candidate(name, at, 2, "d", VOTERS, TERM, 0, drift=0.0) for at, name in enumerate("ab")
+        }
         self.soup, self.held, self.restarts = {}, (), 0
 
     def key(self):
-        return (self.now, frozenset(self.soup), self.held, self.restarts, tuple(
-            (tuple(one.votes.items()), tuple(one.until.items()), one.quiet) for one in self.voters.values()),
-            tuple((one.number, one.seen, one.round, one.until, frozenset(one.grants), one.wants,
-                   tuple(one.heard.items()))
-                  for one in self.candidates.values()))
+        return (
+            self.now,
+            frozenset(self.soup),
+            self.held,
+            self.restarts,
+            tuple((tuple(one.votes.items()), tuple(one.until.items()), one.quiet) for one in self.voters.values()),
+            tuple(
+                (one.number, one.seen, one.round, one.until, frozenset(one.grants), one.wants, tuple(one.heard.items()))
+                for one in self.candidates.values()
+            ),
+        )
 
     def fork(self):
         other = copy.copy(self)
@@ -43,7 +51,8 @@
 
     def send(self, name, sent):
         self.soup = self.soup | {
-            (name, to, plain(message)): None for to, message in sent if not isinstance(message, lease.Free)}
+            (name, to, plain(message)): None for to, message in sent if not isinstance(message, lease.Free)
+        }
 
     def note(self):
         """Who holds at this moment; None once two do, or a number did not grow."""
@@ -57,7 +66,7 @@
     def ways(self, rounds, end, restarts, kind):
         """What may happen next, each as a function and its arguments: the world after it."""
         if self.now < end:
-            yield self.later,
+            yield (self.later,)
         for name, one in self.candidates.items():
             if one.round < rounds:
                 yield self.asks, name
@@ -133,18 +142,21 @@
 
 class Forgets(Voter):
     """Its promises don't outlive it."""
+
     def __init__(self, name, voters, term, now, votes):
         super().__init__(name, voters, term, -1e9, {})
 
 
 class Hasty(Voter):
     """Restarted, it takes what it granted for over."""
+
     def __init__(self, name, voters, term, now, votes):
         super().__init__(name, voters, term, -1e9, votes)
 
 
 class Repeats(Voter):
     """Grants a number again that another had."""
+
     def _asked(self, peer, ask, now):
         if self.votes.get(ask.duty, (0, ""))[0] >= ask.number and now >= self.until.get(ask.duty, 0.0):
             self.votes[ask.duty] = ask.number - 1, ""
@@ -153,12 +165,14 @@
 
 class Timer(Candidate):
     """Asks its clock only when it is told something."""
+
     def holds(self, now):
         return self.number if self.number and self.until > 0.0 else None
 
 
 class FromAnswer(Candidate):
     """Counts the lease from when it heard of it."""
+
     def hear(self, peer, message, now):
         self.sent_at = now
         return super().hear(peer, message, now)
@@ -166,6 +180,7 @@
 
 class GoesOn(Candidate):
     """Counts grants of an ask that it gave up."""
+
     def hear(self, peer, message, now):
         number, round_, grants = self.number, self.round, set(self.grants)
         sent = super().hear(peer, message, now)
@@ -188,8 +203,18 @@
     assert broken is None and held > 300
 
 
-@pytest.mark.parametrize("kinds", [{"voter": Forgets}, {"voter": Hasty}, {"voter": Repeats}, {"candidate": Timer},
-                                   {"candidate": FromAnswer}, {"candidate": GoesOn}, {"candidate": Minority}])
+@pytest.mark.parametrize(
+    "kinds",
+    [
+        {"voter": Forgets},
+        {"voter": Hasty},
+        {"voter": Repeats},
+        {"candidate": Timer},
+        {"candidate": FromAnswer},
+        {"candidate": GoesOn},
+        {"candidate": Minority},
+    ],
+)
 def test_each_broken_variant_is_caught(kinds):
     assert walked(**kinds, walks=20000)[0] is not None
 
@@ -214,11 +239,12 @@
         if holding and (not holders or holders[-1] != (holding[0].name, holding[0].number)):
             holders.append((holding[0].name, holding[0].number))
         return holding[0] if holding else None
+
     for one in candidates:
         one.wants = True
     while not (first := step()):
         assert now < 2500.0
-    for _ in range(500):        # five terms: the same one keeps it
+    for _ in range(500):  # five terms: the same one keeps it
         assert step() is first
     way += [(first.name, *each) for each in first.release(now)]
     assert first.holds(now) is None
@@ -226,7 +252,7 @@
     while step() is None:
         assert now < began + 100.0
     silent = next(one for one in candidates if one.holds(now) is not None)
-    candidates.remove(silent)   # it is lost: the next one holds once its lease is over
+    candidates.remove(silent)  # it is lost: the next one holds once its lease is over
     began = now
     while step() is None:
         assert now < began + 2500.0
@@ -251,7 +277,7 @@
     assert [peer for peer, _ in blank.start()] == ["y", "z"]
     assert not blank.hear("a", ask, 5000.0)[0][1].granted
     blank.hear("y", Recalled(0, {"d": 7}), 5000.0)
-    blank.hear("a", Recalled(0, {"d": 1}), 5000.0)      # no voter
+    blank.hear("a", Recalled(0, {"d": 1}), 5000.0)  # no voter
     assert blank.blank and not blank.hear("a", ask, 5000.0)[0][1].granted
     blank.hear("z", Recalled(0, {"d": 12}), 5000.0)
     assert not blank.blank and not blank.start()
@@ -259,13 +285,13 @@
     assert not answer.granted and answer.seen == 12 and answer.wait_ms == 500.0
     assert not blank.hear("a", lease.Ask("d", 11, 2, 0), 6000.0)[0][1].granted
     assert blank.hear("a", lease.Ask("d", 14, 2, 0), 6000.0)[0][1].granted and blank.changed
-    assert not Voter("x", VOTERS, 1000.0, 0.0, None).hear("y", lease.Recall(0), 0.0)     # it can't tell either
+    assert not Voter("x", VOTERS, 1000.0, 0.0, None).hear("y", lease.Recall(0), 0.0)  # it can't tell either
 
 
 def test_one_that_was_started_anew_is_another_and_the_taking_side_refuses_older_numbers():
     voter = Voter("x", VOTERS, 1000.0, -1000.0, {})
     assert voter.hear("a", lease.Ask("d", 4, 1, 77), 0.0)[0][1].granted
-    assert not voter.hear("a", lease.Ask("d", 8, 1, 78), 500.0)[0][1].granted      # it may only have been stopped
+    assert not voter.hear("a", lease.Ask("d", 8, 1, 78), 500.0)[0][1].granted  # it may only have been stopped
     assert voter.hear("a", lease.Ask("d", 8, 1, 78), 1000.0)[0][1].granted
     fence = Fence()
     assert [fence.takes(number) for number in (4, 4, 8, 4, 8)] == [True, True, True, False, True] and fence.refused == 1
@@ -280,8 +306,8 @@
     for _ in range(300):
         spoilt = bytearray(content)
         spoilt[dice.randrange(len(spoilt))] = dice.randrange(256)
-        unpack(bytes(spoilt[:dice.randrange(len(spoilt) + 1)]))
+        unpack(bytes(spoilt[: dice.randrange(len(spoilt) + 1)]))
     assert unpack(b"") is None and unpack(content[:-1]) is None and unpack(b"x" * (MOST + 1)) is None
-    assert unpack(content.replace(b"\x01", b"\x02", 1)) is None        # another version
+    assert unpack(content.replace(b"\x01", b"\x02", 1)) is None  # another version
     with pytest.raises(ValueError):
         pack("a" * 2000, message)
--- a/tests/peers/test_members.py
+++ b/tests/peers/test_members.py
@@ -1,4 +1,5 @@
 """Members: on a clock of the benchmark's, with links and processes that fail; then as real processes."""
+
 import asyncio
 import importlib.util
 import json
@@ -134,10 +135,17 @@
 
     def start(self, name):
         peers = self.ways.peers(name)
-        told = {"name": name, "peers": peers, "seeds": [peers[one] for one in self.names[:2] if one != name],
-                "period": 250.0, "timeout": 80.0, "taker": self.address}
+        told = {
+            "name": name,
+            "peers": peers,
+            "seeds": [peers[one] for one in self.names[:2] if one != name],
+            "period": 250.0,
+            "timeout": 80.0,
+            "taker": self.address,
+        }
         self.running[name] = subprocess.Popen(
-            [sys.executable, "-m", "dewpin.lab.fleet.member", json.dumps(told)], cwd=ROOT)
+            [sys.executable, "-m", "dewpin.lab.fleet.member", json.dumps(told)], cwd=ROOT
+        )
 
     async def agree(self, names):
         """Waits until all of these say that these, and no others, are there."""
@@ -164,25 +172,26 @@
 
     async def faults(fleet, names):
         await fleet.agree(names)
-        fleet.lost.clear()                                      # while they start, one may be late
-        fleet.ways.cut(["c"], ["d"])                            # one way, and all others slow and lossy
+        fleet.lost.clear()  # while they start, one may be late
+        fleet.ways.cut(["c"], ["d"])  # one way, and all others slow and lossy
         for way in fleet.ways.ways.values():
             way.loses, way.doubles, way.lag = 0.05, 0.05, 30.0
         fleet.running["i"].kill()
-        await fleet.agree(names[:-1])                           # by the others' help c and d keep each other
+        await fleet.agree(names[:-1])  # by the others' help c and d keep each other
         fleet.ways.heal()
         fleet.running["h"].send_signal(signal.SIGSTOP)
         await fleet.agree(names[:-2])
-        fleet.running["h"].send_signal(signal.SIGCONT)          # it contradicts, and takes nobody for lost
+        fleet.running["h"].send_signal(signal.SIGCONT)  # it contradicts, and takes nobody for lost
         await fleet.agree(names[:-1])
         assert not [by for by, _ in fleet.lost if by == "h"] or {one for by, one in fleet.lost if by == "h"} == {"i"}
         fleet.running["g"].send_signal(signal.SIGTERM)
         await fleet.agree([*names[:6], "h"])
-        assert "g" not in {one for _, one in fleet.lost}        # it left, nobody lost it
+        assert "g" not in {one for _, one in fleet.lost}  # it left, nobody lost it
         fleet.ways.cut(names[:3], names[3:])
         fleet.ways.cut(names[3:], names[:3])
         await until(lambda: fleet.told["a"]["alive"] == names[:3], 60.0)
         fleet.ways.heal()
         fleet.start("i")
         await fleet.agree([*names[:6], "h", "i"])
+
     asyncio.run(scene())
--- a/tests/peers/test_processes.py
+++ b/tests/peers/test_processes.py
@@ -1,4 +1,5 @@
 """Five real processes, three of them voters, with faults between them; the taking side keeps a log of its own."""
+
 import asyncio
 import json
 import shutil
@@ -40,15 +41,22 @@
     async def open(self):
         await self.ways.open()
         _, self.taker = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: Taker(self.ways), ("127.0.0.1", 0))
+            lambda: Taker(self.ways), ("127.0.0.1", 0)
+        )
         for name in NAMES:
             self.start(name, first=True)
 
     def start(self, name, first=False):
-        told = {"name": name, "peers": self.ways.peers(name), "voters": VOTERS, "folder": str(self.folder / name),
-                "term": TERM, "first": first, "taker": self.taker.address}
-        self.running[name] = subprocess.Popen([sys.executable, str(HOLDER), json.dumps(told)],
-                                              cwd=HOLDER.parents[2])
+        told = {
+            "name": name,
+            "peers": self.ways.peers(name),
+            "voters": VOTERS,
+            "folder": str(self.folder / name),
+            "term": TERM,
+            "first": first,
+            "taker": self.taker.address,
+        }
+        self.running[name] = subprocess.Popen([sys.executable, str(HOLDER), json.dumps(told)], cwd=HOLDER.parents[2])
 
     def kill(self, *names):
         for name in names:
@@ -65,6 +73,7 @@
         def now():
             last = self.taker.acts[seen:][-count:]
             return len(last) == count and len({act[1] for act in last}) == 1 and last[0][1] not in other_than
+
         await until(now, 30.0)
         return self.holder()
 
@@ -90,41 +99,42 @@
         taken = [act for act in peers.taker.acts if act[3]]
         assert [act[2] for act in taken] == sorted(act[2] for act in taken)
         assert len({act[2] for act in taken}) == len({(act[1], act[2]) for act in taken}) >= 6
-        late = [act for act in peers.taker.acts if not act[3]]      # of one that was stopped between check and act
+        late = [act for act in peers.taker.acts if not act[3]]  # of one that was stopped between check and act
         assert {act[1] for act in late} <= peers.stopped and len(late) <= 2 * len(peers.stopped)
 
     async def faults(peers):
         first = await peers.acts()
-        peers.running[first].send_signal(signal.SIGSTOP)            # in mid-act or not: another goes on
+        peers.running[first].send_signal(signal.SIGSTOP)  # in mid-act or not: another goes on
         peers.stopped = {first}
         second = await peers.acts({first})
         peers.running[first].send_signal(signal.SIGCONT)
-        assert await peers.acts({first}, 20) == second              # and keeps it
-        peers.ways.cut(NAMES, [second])                             # it hears nobody and is heard: it stops by itself
+        assert await peers.acts({first}, 20) == second  # and keeps it
+        peers.ways.cut(NAMES, [second])  # it hears nobody and is heard: it stops by itself
         third = await peers.acts({second})
         peers.ways.heal()
-        peers.ways.cut([third], NAMES)                              # the other way round
+        peers.ways.cut([third], NAMES)  # the other way round
         fourth = await peers.acts({third})
         peers.ways.heal()
         for way in peers.ways.ways.values():
             way.loses, way.doubles, way.lag = 0.2, 0.3, 60.0
-        peers.running[fourth].send_signal(signal.SIGTERM)           # by intent
+        peers.running[fourth].send_signal(signal.SIGTERM)  # by intent
         fifth = await peers.acts({fourth})
         peers.ways.heal()
-        peers.kill(fourth)                                          # both may be voters: two of three must run
+        peers.kill(fourth)  # both may be voters: two of three must run
         peers.start(fourth)
         peers.kill(fifth)
         sixth = await peers.acts({fifth})
         peers.start(fifth)
         gone = [name for name in VOTERS if name != sixth][:2]
-        peers.kill(*gone)                                           # the majority is gone: nobody may act
+        peers.kill(*gone)  # the majority is gone: nobody may act
         await peers.silent(2.0 * TERM)
         peers.start(gone[0])
         back = await peers.acts()
-        shutil.rmtree(peers.folder / gone[1])                       # a voter without its folder learns from the others
+        shutil.rmtree(peers.folder / gone[1])  # a voter without its folder learns from the others
         peers.start(gone[1])
         peers.kill(back)
         if back in VOTERS:
             peers.start(back)
         await peers.acts({back} if back not in VOTERS else ())
+
     asyncio.run(scene())
--- a/tests/peers/test_takeover.py
+++ b/tests/peers/test_takeover.py
@@ -1,4 +1,5 @@
 """How long a duty stays without a holder: the lease protocol alone on a clock of the test's, with slow messages."""
+
 import heapq
 import random
 from itertools import count
--- a/tests/relay/test_memory.py
+++ b/tests/relay/test_memory.py
@@ -1,4 +1,5 @@
 """What relay and facade keep, and that it has an end."""
+
 import asyncio
 import gc
 import weakref
@@ -17,7 +18,7 @@
     services = settings(effects=("safe",)) | {"Zones": ["a"], "Kinds": ["k"]}
     services["Services"][0]["Name"] = "status"
     facade, spots = Facade(services, 1), [("127.0.0.1", 9000), ("127.0.0.1", 9001)]
-    for at in range(1000):      # each takes over the address of the last but one, in a destination of its own
+    for at in range(1000):  # each takes over the address of the last but one, in a destination of its own
         ident = b"r%d" % at
         left = facade.learn([(ident, at // 2, model.READY, spots[at % 2], "a", "k", 1.0)], True)
         assert (*spots[at % 2], ident) not in left
@@ -51,6 +52,7 @@
         kept = [weakref.ref(one) for one in relay.spool.sheets.values()]
         await until(lambda: not relay.spool.sheets)
         await until(lambda: not any(one() for one in kept), 1.0)
+
     told = settings(effects=("unsafe",)) | {"Zones": ["a"], "Kinds": ["k"]}
     told["Services"][0]["Name"] = "charge"
     monkeypatch.setattr("dewpin.relay.course.Sheet", Watched)
--- a/tests/spool/test_journal.py
+++ b/tests/spool/test_journal.py
@@ -1,4 +1,5 @@
 """The journal, cut off anywhere and filled to its bound."""
+
 import os
 import random
 
@@ -55,21 +56,21 @@
     for number in range(300):
         before, size, file = facts(spool.sheets, True), spool.size, os.stat(tmp_path / "journal").st_ino
         refused += step(dice, spool, number) is False
-        assert on_disk(tmp_path) <= SIZE - spool.live       # room for a second copy at any moment
+        assert on_disk(tmp_path) <= SIZE - spool.live  # room for a second copy at any moment
         now = facts(spool.sheets, True)
         content = (tmp_path / "journal").read_bytes()
         assert len(content) == spool.size
         other = tmp_path.parent / f"{tmp_path.name}-killed"
         if file != os.stat(tmp_path / "journal").st_ino:
-            size = len(content)     # written anew in one step: there is no half of that
+            size = len(content)  # written anew in one step: there is no half of that
         for cut in {len(content), dice.randint(size, len(content))}:
             other.mkdir(exist_ok=True)
             (other / "journal").write_bytes(content[:cut])
-            (other / "journal.new").write_bytes(content[:dice.randrange(50)])   # a compaction that did not end
+            (other / "journal.new").write_bytes(content[: dice.randrange(50)])  # a compaction that did not end
             again = Spool(other, SIZE)
             again.cut()
             assert facts(again.sheets, False) == (now if cut == len(content) else before)
-            late = sheet(dice, 10 ** 6)         # what is written behind a cut is read again
+            late = sheet(dice, 10**6)  # what is written behind a cut is read again
             if again.take(late):
                 again.close()
                 again = Spool(other, SIZE)
@@ -84,7 +85,7 @@
     while spool.take(one := sheet(dice, len(taken))):
         taken.append(one)
     assert 5 < len(taken)
-    for one in taken:               # all that may follow still has its place
+    for one in taken:  # all that may follow still has its place
         for at in range(30):
             assert spool.connect(one, b"receiver", float(at))
             spool.settle(one, False)
--- a/tests/spool/test_kept.py
+++ b/tests/spool/test_kept.py
@@ -1,4 +1,5 @@
 """The list that is kept in the folder: every prefix of the file is a list, and its size is bounded."""
+
 import random
 
 from dewpin.spool.kept import SHARE, Kept, entry, row
@@ -25,7 +26,7 @@
         lengths.append(file.stat().st_size)
     assert max(lengths) < 3 * 20 * 60 + 2 * 2048
     content = file.read_bytes()
-    file.write_bytes(content[:-1])      # killed while it wrote: as before that line
+    file.write_bytes(content[:-1])  # killed while it wrote: as before that line
     cut = Kept(tmp_path, "a:1", 3e6)
     assert cut.revision in (None, 298) and not cut.newer(299)
     file.write_bytes(b"{]" + content)
@@ -39,7 +40,7 @@
     assert kept.newer(39) and not kept.newer(40) and not kept.ended()
     other = Kept(tmp_path, "b:1", 3e6)
     assert not other.newer(0) and [one[0] for one in other.ended()] == [b"r2"]
-    other.learn([listed(3)], False, 7, 0.0)     # without a whole list of its own there is nothing to add to
+    other.learn([listed(3)], False, 7, 0.0)  # without a whole list of its own there is nothing to add to
     assert Kept(tmp_path, "a:1", 3e6).newer(39)
     other.learn([listed(3)], True, 7, 0.0)
     assert states(Kept(tmp_path, "b:1", 3e6)) == {b"r3": "ready"}
--- a/tests/spool/test_look.py
+++ b/tests/spool/test_look.py
@@ -1,4 +1,5 @@
 """Looking at a journal: what is told of it is what a start would take up, and nothing changes by it."""
+
 import random
 
 import pytest
@@ -32,7 +33,11 @@
     before = (tmp_path / "journal").read_bytes()
     look = Look(tmp_path)
     assert [state(sheet) for sheet in look.sheets()[:4]] == [
-        "connect out", "not run", "deferred, notice owed", "not sent"]
+        "connect out",
+        "not run",
+        "deferred, notice owed",
+        "not sent",
+    ]
     assert len(look.sheets()) == 19 and look.replay.past == [b"m3"] and not look.damages
     assert [kind for _, kind, _ in look.course(3)] == ["taken", "connect", "given up"]
     assert look.course(1)[1][2] == {"sent": 5.0, "receiver": b"r0"}
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,4 +1,5 @@
 """deploy/build and deploy/build-system: what they install when. A stand-in for Python writes down what it is asked."""
+
 import shutil
 import subprocess
 from pathlib import Path
@@ -23,8 +24,9 @@
     for name in ("build", "requirements.lock"):
         shutil.copy(ROOT / "deploy" / name, tmp_path / "deploy" / name)
     (tmp_path / ".venv/bin").mkdir(parents=True)
-    version = subprocess.run(["python3", "-c", "import sys; print(sys.version)"], capture_output=True, text=True,
-                             check=True).stdout.strip()
+    version = subprocess.run(
+        ["python3", "-c", "import sys; print(sys.version)"], capture_output=True, text=True, check=True
+    ).stdout.strip()
     inside, log = tmp_path / ".venv/bin/python", tmp_path / "log"
     inside.write_text(STAND_IN.format(version=version, log=log))
     inside.chmod(0o755)
@@ -33,8 +35,9 @@
         log.write_text("")
         subprocess.run(["sh", str(tmp_path / "deploy/build")], check=True, timeout=60)
         return ["install" in line for line in log.read_text().splitlines()]
-    assert asked() == [True, False]         # an old .venv without a mark: install, then compile
-    assert asked() == [False]               # the same lock again: compile alone
+
+    assert asked() == [True, False]  # an old .venv without a mark: install, then compile
+    assert asked() == [False]  # the same lock again: compile alone
     with open(tmp_path / "deploy/requirements.lock", "a") as lock:
         lock.write("# another dependency\n")
     assert asked() == [True, False]
@@ -51,14 +54,19 @@
 
     def asked(code=0):
         log.write_text("")
-        done = subprocess.run(["sh", str(tmp_path / "deploy/build-system")], timeout=60, capture_output=True,
-                              env={"PATH": f"{stand_in.parent}:/usr/bin:/bin"})
+        done = subprocess.run(
+            ["sh", str(tmp_path / "deploy/build-system")],
+            timeout=60,
+            capture_output=True,
+            env={"PATH": f"{stand_in.parent}:/usr/bin:/bin"},
+        )
         assert (done.returncode == 0) == (code == 0), done.stderr
         return ["install" in line for line in log.read_text().splitlines()]
+
     assert asked() == [True, False, False]  # install, compile what was installed, compile the sources
     assert "--require-hashes" in (ROOT / "deploy/build-system").read_text()
     (tmp_path / "target/deps/old").write_text("")
-    assert asked() == [False]               # the same lock again: compile the sources alone
+    assert asked() == [False]  # the same lock again: compile the sources alone
     with open(tmp_path / "deploy/system-requirements.lock", "a") as lock:
         lock.write("# another dependency\n")
     (tmp_path / "disk-full").write_text("")
@@ -71,6 +79,7 @@
 
 def test_the_tier_is_deployed_by_programs_of_its_own():
     import tomllib
+
     held = tomllib.loads((ROOT / "deploy/system.toml").read_text())
     assert held["build"] == "sh deploy/build-system"
     for role in held["roles"].values():
@@ -82,17 +91,20 @@
 
 def test_the_locks_name_every_dependency_with_its_hash():
     import tomllib
+
     held = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
-    runtime, tier, dev = ((ROOT / name).read_text() for name in (
-        "deploy/requirements.lock", "deploy/system-requirements.lock", "requirements-dev.lock"))
+    runtime, tier, dev = (
+        (ROOT / name).read_text()
+        for name in ("deploy/requirements.lock", "deploy/system-requirements.lock", "requirements-dev.lock")
+    )
     for wanted in held["dependencies"]:
         name = wanted.partition(">")[0]
         line = next(one for one in runtime.splitlines() if one.startswith(name + "=="))
-        assert line in dev                  # the checks run what the sender runs
+        assert line in dev  # the checks run what the sender runs
     for wanted in held["optional-dependencies"]["tier"]:
         name = wanted.partition(">")[0]
         line = next(one for one in tier.splitlines() if one.startswith(name + "=="))
-        assert line in dev                  # the checks run what the tier runs
+        assert line in dev  # the checks run what the tier runs
     for wanted in held["optional-dependencies"]["dev"]:
         name = wanted.partition(">")[0].partition("[")[0]
         assert name == "dewpin" or f"\n{name}==" in "\n" + dev
