--- a/tests/dataplane/peers.py
+++ b/tests/dataplane/peers.py
@@ -1,15 +1,18 @@
 """Scripted peers on loopback for the tests of the data plane; they go on by events, never by sleeping."""
 
+import fcntl
 import json
+import os
 import socket
 import struct
+import termios
 import threading
 from collections.abc import Callable, Sequence
 from contextlib import contextmanager
 
 from dewpin.cluster.configuration import Configuration, parse_configuration
 from dewpin.cluster.receivers import Receiver
-from dewpin.dataplane.messages import Headers, Request
+from dewpin.dataplane.messages import Client, Headers, Request
 from dewpin.dataplane.program_store import BudgetSpent, Reservation, StoreUnavailable, Turn, TurnUnknown
 
 PATIENCE_S = 10.0
@@ -59,6 +62,11 @@
     def send(self, data: bytes) -> None:
         self._socket.sendall(data)
 
+    def wait_until_taken(self) -> None:
+        """Wait until the caller's system has acknowledged all that was sent, so that a reset cannot overtake it."""
+        while struct.unpack("i", fcntl.ioctl(self._socket.fileno(), termios.TIOCOUTQ, b"\0" * 4))[0]:
+            os.sched_yield()
+
     def wait_for_close(self) -> bool:
         """Return whether the caller closes the connection."""
         try:
@@ -208,11 +216,36 @@
 
 
 def request(
-    *fields: tuple[str, str], method: str = "POST", target: str = "/work", body: bytes = b"input", now: float = 0.0
+    *fields: tuple[str, str],
+    method: str = "POST",
+    target: str = "/work",
+    body: bytes = b"input",
+    now: float = 0.0,
+    request_id: str = "r-1",
+    client: Client | None = None,
 ) -> Request:
     """Return a request as the ingress hands it on."""
-    given = [("Host", HOST), ("X-Dewpin-Request-Id", "r-1"), ("Content-Length", str(len(body))), *fields]
-    return Request(method, target, Headers(given), body, now)
+    given = [("Host", HOST), ("X-Dewpin-Request-Id", request_id), ("Content-Length", str(len(body))), *fields]
+    return Request(method, target, Headers(given), body, now, client)
+
+
+class LeavingClient:
+    """A client's end of a connection that can be closed."""
+
+    def __init__(self) -> None:
+        self.ours, self.theirs = socket.socketpair()
+
+    def fileno(self) -> int:
+        return self.ours.fileno()
+
+    def has_gone(self) -> bool:
+        try:
+            return self.ours.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+
+    def leave(self) -> None:
+        self.theirs.close()
 
 
 class MemoryStore:
