--- a/dewpin/controlplane/sync.py
+++ b/dewpin/controlplane/sync.py
@@ -31,10 +31,12 @@
     key_of,
 )
 
-INDEX_PAGE = 256
+INDEX_PAGE = 2000
+REQUESTS_AT_ONCE = 2
+"""Requests for bodies that are out to one source: one is answered while what another brought is written."""
 LEDGER_PAGE = 500
-PULL_TIMEOUT_S = 1.0
-CLAIM_S = 1.5
+PULL_TIMEOUT_S = 2.0
+CLAIM_S = 2.5
 """For how long a source keeps others from fetching the same bodies."""
 PAUSE_S = 0.02
 RETRY_S = 0.1
@@ -127,16 +129,24 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _copy_turns(self, source: Member) -> None:
-        after: list[str] | None = ["", ""]
-        arrivals: int | None = None
-        while after is not None:
-            answer = await self._pull(
-                source, wire.PULL_INDEX, member=self._store.member_id, after=after, most=INDEX_PAGE
-            )
-            arrivals = int(answer["newest"]) if arrivals is None else arrivals
-            await self._copy_bodies(source, entries_of(answer))
-            after = answer["after"]
-        await self._follow_from(source, arrivals or 0)
+        page = await self._pull_index(source, ["", ""])
+        arrivals = int(page["newest"])
+        while True:
+            following: asyncio.Task[Message] | None = None
+            if page["after"] is not None:  # on its way while the bodies of this page are fetched
+                following = asyncio.ensure_future(self._pull_index(source, page["after"]))
+            try:
+                await self._copy_bodies(source, entries_of(page))
+                if following is None:
+                    break
+                page = await following
+            finally:
+                if following is not None:
+                    following.cancel()
+        await self._follow_from(source, arrivals)
+
+    async def _pull_index(self, source: Member, after: list[str]) -> Message:
+        return await self._pull(source, wire.PULL_INDEX, member=self._store.member_id, after=after, most=INDEX_PAGE)
 
     async def _follow_from(self, source: Member, arrival: int) -> None:
         """Let the background repair begin with what came to the source after the copy had begun."""
@@ -146,22 +156,33 @@
 
     async def _copy_bodies(self, source: Member, entries: list[IndexEntry]) -> None:
         """Fetch those of `entries` that are not here; return once all are, or are gone at the source."""
-        gone: set[Key] = set()
-        while True:
-            lacking = await self._lacking([entry for entry in entries if key_of(entry) not in gone])
-            if not lacking:
-                return
-            now_s = asyncio.get_running_loop().time()
-            free = [entry for entry in lacking if self._claims.get(key_of(entry), 0.0) <= now_s]
-            if not free:
+        lacking = entries
+        while lacking:
+            unclaimed = {key_of(entry) for entry in lacking if self._is_unclaimed(entry)}
+            lacking = await self._lacking(lacking)
+            free = [entry for entry in lacking if key_of(entry) in unclaimed and self._is_unclaimed(entry)]
+            if free:
+                gone = await self._fetch_some(source, free)
+                lacking = [entry for entry in lacking if key_of(entry) not in gone]
+            elif lacking:
                 await asyncio.sleep(PAUSE_S)
-                continue
-            gone |= await self._fetch(source, free[:TURNS_IN_REQUEST], now_s + CLAIM_S)
 
-    async def _fetch(self, source: Member, entries: list[IndexEntry], claimed_until_s: float) -> frozenset[Key]:
+    def _is_unclaimed(self, entry: IndexEntry) -> bool:
+        """Whether nobody fetches the turn just now. Asked before and after the disk was: a turn that was kept meanwhile
+        is claimed no more, and the disk's answer does not show it."""
+        return self._claims.get(key_of(entry), 0.0) <= asyncio.get_running_loop().time()
+
+    async def _fetch_some(self, source: Member, entries: list[IndexEntry]) -> frozenset[Key]:
+        """Fetch and keep the first of `entries`, by a few requests at once; return those gone from the source."""
+        starts = range(0, min(len(entries), REQUESTS_AT_ONCE * TURNS_IN_REQUEST), TURNS_IN_REQUEST)
+        chunks = [entries[start : start + TURNS_IN_REQUEST] for start in starts]
+        gone = await asyncio.gather(*(self._fetch(source, chunk) for chunk in chunks))
+        return frozenset().union(*gone)
+
+    async def _fetch(self, source: Member, entries: list[IndexEntry]) -> frozenset[Key]:
         """Fetch and keep some turns; return those that the source has no more."""
         claimed = [key_of(entry) for entry in entries]
-        self._claims.update(dict.fromkeys(claimed, claimed_until_s))
+        self._claims.update(dict.fromkeys(claimed, asyncio.get_running_loop().time() + CLAIM_S))
         try:
             answer = await self._pull(source, wire.PULL_TURNS, **body_request(entries))
             fetched = FetchedTurns.from_answer(entries, answer)
--- a/dewpin/controlplane/turn_transfer.py
+++ b/dewpin/controlplane/turn_transfer.py
@@ -12,7 +12,7 @@
 from dewpin.controlplane import turn_table
 from dewpin.controlplane.turn_table import IndexEntry
 
-TURNS_IN_REQUEST = 64
+TURNS_IN_REQUEST = 250
 BODY_BYTES_IN_REQUEST = 512 * 1024
 
 Key = tuple[str, str]
