--- a/benchmarks/store_copy.py
+++ b/benchmarks/store_copy.py
@@ -4,8 +4,9 @@
 
 Fills the disks, leads the view through the change as the register's owner does, and prints a line of JSON: the time
 until every next store has copied, processor time of all stores over that time, bytes between stores, and the time that
-these take on a link of 600 Mbit/s. The time to notice a loss and to agree on the change comes on top. With `--change rest` or
-`--change traffic` nothing changes: the processor time of all stores over twenty seconds, for the background repair.
+these take on a link of 600 Mbit/s. The time to notice a loss and to agree on the change comes on top. With
+`--change rest` or `--change traffic` nothing changes: the processor time of all stores over twenty seconds, for the
+background repair.
 """
 
 import asyncio
