--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -49,7 +49,13 @@
     "CREATE INDEX turns_previous ON turns (previous) WHERE previous IS NOT NULL",
     "CREATE TABLE turn_bodies (turn TEXT PRIMARY KEY, input BLOB NOT NULL, output BLOB NOT NULL)",
 )
-_SCHEMA_2: tuple[str, ...] = ()
+_SCHEMA_2 = (
+    # Every order of the operator that was taken, in the order of their numbers: 1, 2, 3 and so on.
+    "CREATE TABLE orders (number INTEGER PRIMARY KEY, generation INTEGER NOT NULL, digest TEXT NOT NULL)",
+    "CREATE INDEX orders_generation ON orders (generation)",
+    # The operator's configuration of the register's value, which names it by its digest.
+    "CREATE TABLE register_bodies (digest TEXT PRIMARY KEY, body BLOB NOT NULL) WITHOUT ROWID",
+)
 _SCHEMA_3 = (
     # The order in which this store took its turns, for the stores that follow it; empty for older turns.
     "ALTER TABLE turns ADD COLUMN arrival INTEGER",
