Stores: a machine that freezes again and again is not replaced each time

Cause: where another machine can take its place a silent member was given up after 1.5 s, each time anew; a store that fell silent for 2 s during a change of the view made every copy begin again twice, at each silence. Change: the wait doubles for each silence (1.5 to 20 s) from which the machine came back in the last minute, up to 20 s. One known as replaced by another incarnation, retiring or leaving goes as before. Of equally placed spares the steadier is taken. Ruled out: one wait for all (a freeze of many would delay the replacement of another that is dead).

--- a/dewpin/controlplane/peers.py
+++ b/dewpin/controlplane/peers.py
@@ -8,6 +8,11 @@
 FORGET_AFTER_S = 60.0
 LIVE_S = 1.0
 """A process heard within this time counts as live."""
+INTERRUPTED_S = (1.5, 20.0)
+"""A process that is heard again after a silence between these was interrupted: frozen, cut off or started anew. After a
+longer one it had been given up."""
+INTERRUPTIONS_COUNT_S = 60.0
+"""For how long an interruption is remembered."""
 
 
 class PeerRecord(TypedDict):
@@ -29,7 +34,7 @@
 @dataclass(frozen=True)
 class Peer:
     """Another process of the control plane. `version` -1: it has no state yet; `list_fails`: its last reading of the
-    platform's list did; times are of the steady clock."""
+    platform's list did; `interrupted_s`: when it came back from a silence; times are of the steady clock."""
 
     id: str
     name: str
@@ -44,11 +49,16 @@
     last_heard_s: float
     first_heard_s: float = float("-inf")
     location: str = ""
+    interrupted_s: tuple[float, ...] = ()
 
     def silent_s(self, now_s: float) -> float:
         """For how long nothing was heard of it."""
         return now_s - self.last_heard_s
 
+    def interruptions(self, now_s: float) -> int:
+        """How often it came back from a silence lately."""
+        return sum(now_s - at_s < INTERRUPTIONS_COUNT_S for at_s in self.interrupted_s)
+
 
 class PeerTable:
     """All processes of the control plane heard of, by the id of their incarnation."""
@@ -73,6 +83,7 @@
             last_heard_s=now_s,
             first_heard_s=known.first_heard_s if known is not None else now_s,
             location=record.get("location", ""),
+            interrupted_s=_interruptions(known, now_s),
         )
         for other in list(self.peers.values()):
             if other.address == peer.address and other.id != peer.id:
@@ -111,3 +122,12 @@
         for peer in list(self.peers.values()):
             if peer.silent_s(now_s) > FORGET_AFTER_S:
                 del self.peers[peer.id]
+
+
+def _interruptions(known: Peer | None, now_s: float) -> tuple[float, ...]:
+    """When a peer that is heard now came back from a silence, as far as that counts still."""
+    if known is None:
+        return ()
+    counting = tuple(at_s for at_s in known.interrupted_s if now_s - at_s < INTERRUPTIONS_COUNT_S)
+    shortest_s, longest_s = INTERRUPTED_S
+    return (*counting, now_s) if shortest_s < known.silent_s(now_s) < longest_s else counting
--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -25,7 +25,9 @@
 )
 
 GONE_WITH_SUCCESSOR_S = 1.5
+"""A silent process is given up after this time where another can take its place; see `Knowledge.patience_s`."""
 GONE_S = 20.0
+"""A silent process is given up after this time in any case."""
 SUCCESSOR_JOINED_WITHIN_S = 30.0
 SUCCESSOR_UNCERTAIN_S = 3.0
 """Who is heard first this soon after the own start may have been there before."""
@@ -67,6 +69,13 @@
         earliest_s = max(self.started_s + SUCCESSOR_UNCERTAIN_S, self.now_s - SUCCESSOR_JOINED_WITHIN_S)
         return peer.first_heard_s >= earliest_s
 
+    def patience_s(self, peer_id: str) -> float:
+        """For how long a silent process is waited for where another can take its place: twice as long after each
+        silence from which it came back lately, so that one that freezes again and again is not replaced each time."""
+        peer = self.peers.peers.get(peer_id)
+        interruptions = peer.interruptions(self.now_s) if peer is not None and not peer.leaving else 0
+        return min(GONE_WITH_SUCCESSOR_S * 2.0**interruptions, GONE_S)
+
     def is_live(self, peer_id: str) -> bool:
         """Whether the process was heard just now."""
         return self.silent_s(peer_id) < LIVE_S
@@ -108,7 +117,7 @@
     spare = [peer for peer in _newcomers(state, knowledge) if peer.control and peer.id not in members]
     for member in list(members):
         name = state["names"].get(member)
-        if not spare or not _must_go(state, knowledge, member, name, GONE_WITH_SUCCESSOR_S):
+        if not spare or not _must_go(state, knowledge, member, name, knowledge.patience_s(member)):
             continue
         del members[member]
         successor_peer = next((peer for peer in spare if peer.name == name), _best_placed(spare, members, knowledge))
@@ -122,10 +131,10 @@
 
 
 def _best_placed(spare: list[Peer], members: dict[str, str], knowledge: Knowledge) -> Peer:
-    """The one of `spare` whose region and zone hold the fewest of `members`."""
+    """The one of `spare` whose region and zone hold the fewest of `members`, and that was interrupted the least."""
     locations = _locations_of(knowledge)
     counted = LocationCount(locations.get(member, "") for member in members)
-    return min(spare, key=lambda peer: (counted.crowding(peer.location), peer.id))
+    return min(spare, key=lambda peer: (counted.crowding(peer.location), peer.interruptions(knowledge.now_s), peer.id))
 
 
 def _must_go(state: SystemState, knowledge: Knowledge, peer_id: str, name: str | None, gone_s: float) -> bool:
@@ -161,12 +170,12 @@
     held = {**view["stable"], **(view["next"] or {})}
     joining = {peer.id: peer.address for peer in _newcomers(state, knowledge) if peer.store}
     has_successor = any(store not in held for store in joining) or view["next"] is not None
-    gone_s = GONE_WITH_SUCCESSOR_S if has_successor else GONE_S
+    gone_s = {store: knowledge.patience_s(store) if has_successor else GONE_S for store in held}
     has_left = _who_left_for_a_successor(state, knowledge, held)
     kept = {
         store: address
         for store, address in held.items()
-        if store not in has_left and not _must_go(state, knowledge, store, state["names"].get(store), gone_s)
+        if store not in has_left and not _must_go(state, knowledge, store, state["names"].get(store), gone_s[store])
     }
     wanted = dict(sorted({**kept, **joining}.items()))
     if len(wanted) >= min(knowledge.full_count, len(view["stable"])):
--- a/tests/controlplane/test_peers.py
+++ b/tests/controlplane/test_peers.py
@@ -64,3 +64,22 @@
     table.hear(record("a"), 10.0)
     table.hear(record("b", "other", "10.0.0.2:1"), 10.1 + FORGET_AFTER_S)
     assert set(table.peers) == {"b"}
+
+
+def test_interruptions_are_counted_for_a_minute():
+    table = PeerTable()
+    now_s = 100.0
+    for _ in range(50):
+        for silent_s in (0.25, 0.25, 2.0):
+            now_s += silent_s
+            table.hear(record("a"), now_s)
+    peer = table.peers["a"]
+    assert peer.interruptions(now_s) == len(peer.interrupted_s) == 24
+    assert peer.interruptions(now_s + 59.0) == 1
+    assert peer.interruptions(now_s + 61.0) == 0
+
+
+def test_a_silence_after_which_a_process_is_given_up_is_no_interruption():
+    table = PeerTable()
+    table.hear(record("a"), 100.0)
+    assert table.hear(record("a"), 125.0).interruptions(125.0) == 0
