--- a/dewpin/controlplane/peers.py
+++ b/dewpin/controlplane/peers.py
@@ -29,12 +29,14 @@
     bootstrap: bool
     list_fails: bool
     location: NotRequired[str]
+    reaches_majority: NotRequired[bool]
 
 
 @dataclass(frozen=True)
 class Peer:
     """Another process of the control plane. `version` -1: it has no state yet; `list_fails`: its last reading of the
-    platform's list did; `interrupted_s`: when it came back from a silence; times are of the steady clock."""
+    platform's list did; `reaches_majority`: by its own word, a majority of the register's members answers it;
+    `interrupted_s`: when it came back from a silence; times are of the steady clock."""
 
     id: str
     name: str
@@ -50,6 +52,7 @@
     first_heard_s: float = float("-inf")
     location: str = ""
     interrupted_s: tuple[float, ...] = ()
+    reaches_majority: bool = True
 
     def silent_s(self, now_s: float) -> float:
         """For how long nothing was heard of it."""
@@ -84,6 +87,7 @@
             first_heard_s=known.first_heard_s if known is not None else now_s,
             location=record.get("location", ""),
             interrupted_s=_interruptions(known, now_s),
+            reaches_majority=record.get("reaches_majority", True),
         )
         for other in list(self.peers.values()):
             if other.address == peer.address and other.id != peer.id:
