--- a/benchmarks/majority_contact.py
+++ b/benchmarks/majority_contact.py
@@ -13,7 +13,7 @@
 import json
 import random
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import Any
 
 import click
@@ -62,7 +62,7 @@
         self.counts = False
         self.messages: Counter[tuple[str, str]] = Counter()
         self.bytes: Counter[tuple[str, str]] = Counter()
-        self.processor_s: Counter[str] = Counter()
+        self.processor_s: defaultdict[str, float] = defaultdict(float)
 
     def note(self, address: str, kind: str, frame: bytes) -> None:
         """Counts a frame at the process that sent or received it."""
