Split the store client by concern: ledgers, turns, background work, facade

`read_ledger` is public: tests read ledgers by it in place of the private `_change`. Behaviour unchanged.

--- /dev/null
+++ b/dewpin/dataplane/turn_client.py
@@ -0,0 +1,156 @@
+"""A sender's part in the turns: they are written to a majority of the program's replicas, and chains are read back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.store_messages import ChainLinks, TurnRecord
+from dewpin.cluster.store_view import StoreView
+from dewpin.consensus.proposal import has_majorities
+from dewpin.dataplane.background import BackgroundTasks
+from dewpin.dataplane.chain_cache import ChainCache, Link
+from dewpin.dataplane.program_store import StoreUnavailable, TurnUnknown
+from dewpin.dataplane.replica_calls import ReplicaCalls, Round, ViewHolder, ViewMoved
+
+HEDGE_S = 0.06
+"""A read that has no answer for this long is asked of further stores."""
+HAND_OFF_S = 10.0
+"""For how long a turn is offered to replicas that did not answer."""
+MOST_HAND_OFF_BYTES = 8 * 1024 * 1024
+READ_FOR_S = 60.0
+"""For how long one store is asked; whoever wants the chain gives up before."""
+READ_CACHE_S = 10.0
+
+
+class TurnClient:
+    """Writes turns and reads chains."""
+
+    def __init__(
+        self,
+        calls: ReplicaCalls,
+        views: ViewHolder,
+        replica_count: int,
+        cache: ChainCache,
+        background: BackgroundTasks,
+    ) -> None:
+        self.cache = cache
+        self._calls = calls
+        self._views = views
+        self._count = replica_count
+        self._background = background
+        self._hand_off_bytes = 0
+
+    async def put(self, program: str, records: Sequence[TurnRecord]) -> None:
+        """Return once majorities of the program's replicas hold the turns."""
+        while True:
+            view = await self._views.current()
+            try:
+                await self._put_under(view, program, records)
+                return
+            except ViewMoved:
+                continue
+
+    async def _put_under(self, view: StoreView, program: str, records: Sequence[TurnRecord]) -> None:
+        sets = view.write_sets(program, self._count)
+        size = sum(len(record.input) + len(record.output) for record in records)
+        until_s = asyncio.get_running_loop().time() + HAND_OFF_S
+        fields = {"turns": [record.to_json() for record in records]}
+        stored: set[str] = set()
+        with Round(self._calls, view, hand_off=self._hand_off_bytes < MOST_HAND_OFF_BYTES) as task_round:
+            for member in frozenset().union(*sets):
+                task_round.ask(member, wire.TURN_PUT, fields, until_s)
+            while not has_majorities(sets, stored):
+                if not task_round.unanswered:
+                    raise StoreUnavailable("too few replicas took the turn")
+                answer = await task_round.next_answer()
+                if answer.message is not None:
+                    stored.add(answer.member)
+        if task_round.unanswered:
+            self._background.start(self._count_hand_off(task_round, size))
+
+    async def _count_hand_off(self, task_round: Round, size: int) -> None:
+        """Count the bytes that wait for replicas which have not answered yet."""
+        self._hand_off_bytes += size
+        try:
+            while task_round.unanswered:
+                await task_round.next_answer()
+        except ViewMoved:
+            pass
+        finally:
+            self._hand_off_bytes -= size
+
+    async def chain(self, program: str, previous: str) -> bytes:
+        """Return the bytes of the chain that ends with `previous`. Raises TurnUnknown, StoreUnavailable."""
+        links: list[TurnRecord] = []
+        copies: list[TurnRecord] = []
+        bodies: list[bytes] = []
+        following: str | None = previous
+        while following is not None:
+            cached = self.cache.get(program, following)
+            if cached is not None:
+                bodies.append(cached.body)
+                following = cached.previous
+                continue
+            try:
+                found = await self._read_links(program, following)
+            except TurnUnknown:
+                if not bodies:
+                    raise
+                raise StoreUnavailable(f"a link of the chain is gone: {following}") from None
+            links += found.links
+            bodies += [link.input + link.output for link in found.links]
+            copies += [_copy_for(program, link) for link in found.links if link.turn in found.foreign]
+            following = found.following
+        if copies:
+            await self.put(program, copies)
+        for link in links:
+            self.cache.put(program, link.turn, Link(link.previous, link.input + link.output), READ_CACHE_S)
+        return b"".join(reversed(bodies))
+
+    async def _read_links(self, program: str, last: str) -> ChainLinks:
+        """Return the links that end with turn `last`, from whichever store has them."""
+        while True:
+            view = await self._views.current()
+            try:
+                return await self._read_links_under(view, program, last)
+            except ViewMoved:
+                continue
+
+    async def _read_links_under(self, view: StoreView, program: str, last: str) -> ChainLinks:
+        until_s = asyncio.get_running_loop().time() + READ_FOR_S
+        fields = {"program": program, "previous": last}
+        stages = self._reading_stages(view, program)
+        absent: set[str] = set()
+        with Round(self._calls, view) as task_round:
+            while len(view.stable) - len(absent) > view.most_silent(self._count):
+                if not task_round.unanswered:
+                    if not stages:
+                        raise StoreUnavailable("too few stores could tell of the turn")
+                    for member in stages.pop(0):
+                        task_round.ask(member, wire.TURN_CHAIN, fields, until_s)
+                try:
+                    answer = await asyncio.wait_for(task_round.next_answer(), HEDGE_S if stages else None)
+                except TimeoutError:
+                    for member in stages.pop(0):
+                        task_round.ask(member, wire.TURN_CHAIN, fields, until_s)
+                    continue
+                if answer.message is None:
+                    continue
+                found = ChainLinks.from_json(answer.message)
+                if found.links:
+                    return found
+                absent.add(answer.member)
+        raise TurnUnknown(last)
+
+    def _reading_stages(self, view: StoreView, program: str) -> list[list[str]]:
+        """Return whom to ask, one group after the other: the fastest replica, the other ones, all other stores."""
+        replicas = self._calls.fastest_first(view.stable_replicas(program, self._count))
+        others = [member for member in view.stable_ids if member not in replicas]
+        return [group for group in (replicas[:1], replicas[1:], others) if group]
+
+
+def _copy_for(program: str, link: TurnRecord) -> TurnRecord:
+    """Return a turn of another program, to be kept for `program`, which goes on from it."""
+    return TurnRecord(link.turn, program, link.previous, link.retain_ms, link.input, link.output)
--- a/tests/controlplane/test_ledger_copies.py
+++ b/tests/controlplane/test_ledger_copies.py
@@ -10,7 +10,6 @@
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus import Ballot
 from dewpin.controlplane import ledger_replica
-from dewpin.dataplane import ledger
 
 BEFORE = {"spent": 1, "open": {}}
 RESERVED = {"spent": 1, "open": {"t": 60}}
@@ -67,10 +66,10 @@
             world.tell(StoreView(3, world.members("bcd")))
         first = world.client("first")
         cut(world, "first", "c")
-        seen_first = await asyncio.wait_for(first._change("p", ledger.read), 5.0)
+        seen_first = await asyncio.wait_for(first.read_ledger("p"), 5.0)
         second = world.client("second")
         cut(world, "second", "ad")
-        seen_second = await asyncio.wait_for(second._change("p", ledger.read), 5.0)
+        seen_second = await asyncio.wait_for(second.read_ledger("p"), 5.0)
         assert seen_second == seen_first
 
     run(scene())
@@ -116,6 +115,6 @@
         world.tell(StoreView(3, world.members("cde")))
         reader = world.client("reader")
         cut(world, "reader", "c")
-        assert await asyncio.wait_for(reader._change("p", ledger.read), 5.0) == RESERVED
+        assert await asyncio.wait_for(reader.read_ledger("p"), 5.0) == RESERVED
 
     run(scene())
--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -15,7 +15,6 @@
 
 from dewpin.cluster.rpc import RpcError
 from dewpin.controlplane.register import RegisterUnavailable
-from dewpin.dataplane import ledger
 from dewpin.dataplane.program_store import BudgetSpent, Turn
 
 LATE_S = (0.02, 1.5)
@@ -97,7 +96,7 @@
         await two.settled()
         chain = await world.client("three", seed + 2).chain("p", "t2", 10.0)
         await repeats.done()
-        final = await world.client("four", seed + 3)._change("p", ledger.read)
+        final = await world.client("four", seed + 3).read_ledger("p")
         rows = {
             machine.disk.connection.execute("SELECT count(*) FROM turns").fetchone()
             for machine in world.machines.values()
@@ -133,7 +132,7 @@
         other = world.client("two", seed + 1)
         other.adopt(world.view)
         chain = await other.chain("p", "t5", 10.0)
-        final = await other._change("p", ledger.read)
+        final = await other.read_ledger("p")
         await repeats.done()
         return chain, final
 
--- a/tests/controlplane/test_store_faults.py
+++ b/tests/controlplane/test_store_faults.py
@@ -130,6 +130,6 @@
         bodies[name] = bodies[previous] + name.encode() + b";"
     for program, name, _ in tally.kept[-40:] + tally.kept[::10]:
         assert await reader.chain(program, name, 2.0) == bodies[name]
-    value = await reader._change("shared", ledger.read)
+    value = await reader.read_ledger("shared")
     assert sum(tally.granted.values()) <= ledger.committed(value) <= BUDGET
     assert len(tally.kept) > 20
--- a/tests/controlplane/test_store_leaving.py
+++ b/tests/controlplane/test_store_leaving.py
@@ -186,7 +186,7 @@
 async def committed_without(world, program, away):
     world.machines[away].up = False
     reader = world.client(f"reader-{away}")
-    value = await asyncio.wait_for(reader._change(program, ledger.read), 5.0)
+    value = await asyncio.wait_for(reader.read_ledger(program), 5.0)
     reader.close()
     world.machines[away].up = True
     return ledger.committed(value)
