Repair: a source without news is visited every four seconds

Now a source without news is left out for up to three rounds; after a call that failed it is visited at once, so a store that was cut off waits no longer.

--- a/dewpin/controlplane/repair.py
+++ b/dewpin/controlplane/repair.py
@@ -24,6 +24,8 @@
 
 PERIOD_S = 1.0
 """Between two visits of a source. What came since the visit before is left alone: it may still be on its way here."""
+MOST_ROUNDS_LEFT_OUT = 3
+"""A source without news is visited more seldom, with so many periods left out at most."""
 ARRIVALS_PAGE = 500
 PAGE_PAUSE_S = 0.02
 BYTES_PER_S = 4 * 1024 * 1024
@@ -45,9 +47,11 @@
         self._epoch = -1
         self._cursors: dict[str, int] = {}
         self._settled: dict[str, int] = {}  # the newest arrival of each source at the visit before
+        self._visits_without_news: dict[str, int] = {}
+        self._rounds_left_out: dict[str, int] = {}
 
     async def run_forever(self) -> None:
-        """Visit every source once in a period, until cancelled."""
+        """Visit the sources, each once in a period while it has news, until cancelled."""
         while True:
             await asyncio.sleep(PERIOD_S * (0.75 + 0.5 * self._rng.random()))
             try:
@@ -56,25 +60,36 @@
                 log.info("repair.no_disk", extra={"why": str(failure)})
 
     async def visit_all(self) -> None:
-        """Visit every other store of the view, one after the other. Raises StorageFailed."""
+        """Visit every other store of the view whose turn it is, one after the other. Raises StorageFailed."""
         view = self._store.view
         if view is None or view.next is not None or self._store.member_id not in view.stable_ids:
             return
         await self._load_cursors(view)
         for source in view.stable:
-            if source.id == self._store.member_id or self._store.view is not view:
+            if source.id == self._store.member_id or self._store.view is not view or self._is_left_out(source):
                 continue
             try:
                 await self._visit(view, source)
             except RpcError as failure:
+                self._visits_without_news.pop(source.id, None)  # it, or this store, was away
                 log.info("repair.no_answer", extra={"source": source.id, "why": str(failure)})
 
+    def _is_left_out(self, source: Member) -> bool:
+        """Whether a source without news is left out in this round."""
+        left_out = self._rounds_left_out.get(source.id, 0)
+        if left_out < min(self._visits_without_news.get(source.id, 0), MOST_ROUNDS_LEFT_OUT):
+            self._rounds_left_out[source.id] = left_out + 1
+            return True
+        self._rounds_left_out[source.id] = 0
+        return False
+
     async def _load_cursors(self, view: StoreView) -> None:
         if view.epoch == self._epoch:
             return
         sources = view.stable_ids
         self._cursors = await self._store.storage.transact(lambda connection: _load_cursors(connection, sources))
         self._settled.clear()
+        self._visits_without_news.clear()
         self._epoch = view.epoch
 
     async def _visit(self, view: StoreView, source: Member) -> None:
@@ -83,7 +98,7 @@
         until = max(cursor, self._settled.get(source.id, cursor))
         while True:
             answer = await self._ask_for_arrivals(view, source, cursor, until)
-            self._settled[source.id] = int(answer["newest"])
+            self._note_newest(source, int(answer["newest"]))
             await self._fetch_missing(view, source, entries_of(answer))
             if int(answer["after"]) > cursor:
                 cursor = int(answer["after"])
@@ -92,6 +107,11 @@
                 return
             await asyncio.sleep(PAGE_PAUSE_S)
 
+    def _note_newest(self, source: Member, newest: int) -> None:
+        has_news = newest != self._settled.get(source.id, -1)
+        self._visits_without_news[source.id] = 0 if has_news else self._visits_without_news.get(source.id, 0) + 1
+        self._settled[source.id] = newest
+
     async def _ask_for_arrivals(self, view: StoreView, source: Member, after: int, until: int) -> Message:
         message = wire.request(
             wire.PULL_ARRIVALS,
