--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -25,6 +25,38 @@
 MODES = ("twice", "late", "answer lost")
 
 
+MAY_RUN_TWICE = {
+    "register.prepare": "a ballot is promised once; a repeat is told of the conflict and changes nothing",
+    "register.accept": "a ballot has one value; accepted again it stays, behind a greater promise it is refused",
+    "register.orders": "reads only",
+    "keeper.hello": "replaces what is known of the sender; the next heartbeat corrects one that came late",
+    "lease.renew": "replaces the lease; one that comes after the release ends with its time",
+    "lease.release": "removes what may be gone",
+    "relay.watch": "reads only",
+    "turn.put": "a turn is immutable: kept as it is, for the longer time",
+    "turn.chain": "reads only",
+    "ledger.prepare": "as register.prepare",
+    "ledger.accept": "as register.accept; a ballot made again finds the turn reserved or settled",
+    "store.pull_index": "reads only, after the view was made durable",
+    "store.pull_turns": "reads only, after the view was made durable",
+    "store.pull_ledgers": "reads only, after the view was made durable",
+    "store.pull_arrivals": "reads only",
+}
+"""Every type of request between processes, and why its handler may run more than once for one request."""
+
+
+def test_every_handler_is_known_to_bear_a_repeat():
+    async def scene():
+        fleet = Fleet(random.Random(1))
+        await fleet.begin()
+        fleet.start_sender(1)
+        handlers = {**fleet.keepers[1].handlers, **fleet.agents[1].handlers, **World().machines["a"].store.handlers}
+        await fleet.stop()
+        return set(handlers)
+
+    assert run(scene()) == set(MAY_RUN_TWICE)
+
+
 class Repeats:
     """Carries requests out again, and notes which types were; `mode` tells how."""
 
