--- a/dewpin/dataplane/receiver_connection.py
+++ b/dewpin/dataplane/receiver_connection.py
@@ -111,7 +111,6 @@
         self._reads_head = False
         self.idle_s = 0.0
         self.call_began = 0.0
-        self.response_class = self._new_answer  # type: ignore[assignment]
 
     @property
     def raw(self) -> ReceiverSocket:
@@ -194,5 +193,8 @@
         if self._raw is not None and not self._reads_head:
             self._raw.close()
 
-    def _new_answer(self, sock: socket.socket, method: str | None = None, **options: Any) -> _FinalAnswer:
+    def response_class(  # type: ignore[override]
+        self, sock: socket.socket, method: str | None = None, **options: Any
+    ) -> _FinalAnswer:
+        """Return the answer that is due; http.client calls this as a class."""
         return _FinalAnswer(self.reader, method, self._earlier_ids)
--- a/dewpin/dataplane/receiver_socket.py
+++ b/dewpin/dataplane/receiver_socket.py
@@ -18,6 +18,10 @@
     from _typeshed import ReadableBuffer, WriteableBuffer
 
 
+_NOTHING = memoryview(b"")
+"""In place of an empty part of a body, which would keep the whole body in memory."""
+
+
 class NothingSent(ConnectionError):
     """The connection had ended before a byte of the request could be sent on it."""
 
@@ -33,7 +37,7 @@
         self._in_call = False
         self._deadline = 0.0
         self._client: Client | None = None
-        self._unsent = b""
+        self._unsent = _NOTHING
         self._sent_bytes = 0
         self._send_error: ConnectionError | None = None
         self._has_received = False
@@ -44,7 +48,7 @@
         self._in_call = True
         self._deadline = deadline
         self._client = client
-        self._unsent = b""
+        self._unsent = _NOTHING
         self._sent_bytes = 0
         self._send_error = None
         self._has_received = False
@@ -71,7 +75,7 @@
         Raises NothingSent if the connection had ended before the first byte of the call. Where it ends later, the error
         is kept until the receiver's bytes that came before it are read.
         """
-        self._unsent += bytes(data)
+        self._unsent = memoryview(b"".join((self._unsent, data))) if self._unsent else memoryview(data)
         while self._unsent and self._send_error is None:
             self._send_some()
             if self._unsent and self._wait(select.POLLIN | select.POLLOUT) & ~select.POLLOUT:
@@ -117,7 +121,7 @@
             self._send_error = error
             return
         self._sent_bytes += count
-        self._unsent = self._unsent[count:]
+        self._unsent = self._unsent[count:] or _NOTHING
 
     def _wait(self, events: int) -> int:
         """Wait until the socket is ready and return how; raises StreamCut if the time ends or the client goes first."""
