A used connection that ends at once: what may run twice goes to the same receiver anew

Cause: an idempotent request on a connection that its receiver had forgotten lost an attempt of its route and 50 ms, and the receiver was counted as failing; with one attempt allowed the client got a 502. Change: where a used connection ends within 20 ms of the call and before a byte came, the call goes on on a new connection if it may run twice. If it surely does not run there (refused, no connection), the first end stands: it may have run before, and a refusal would promise that not. Learning from resets takes the same 20 ms (before: 50), which a crash seldom falls into.

--- a/dewpin/dataplane/idle_limit.py
+++ b/dewpin/dataplane/idle_limit.py
@@ -14,7 +14,7 @@
 EARLY_END_SHARE = 0.5
 """After an early end, connections that were idle for more than this part of that one's time count as lost."""
 EARLY_END_MEMORY_S = 30.0
-FORGOTTEN_WITHIN_S = 0.05
+FORGOTTEN_WITHIN_S = 0.02
 """A connection that was forgotten is reset as soon as something is sent on it; a later reset has another cause."""
 
 
@@ -36,9 +36,7 @@
             return LONGEST_UNREPEATABLE_IDLE_S
         return self._early_end[0]
 
-    def count_reset(self, idle_s: float, after_s: float, now: float) -> None:
-        """Take in that a connection, used again after being idle, was reset so long after the call began."""
-        if after_s > FORGOTTEN_WITHIN_S:
-            return
+    def count_forgotten(self, idle_s: float, now: float) -> None:
+        """Take in that a connection which had been idle for so long was forgotten by its receiver."""
         limit_s = min(self.unrepeatable_idle_s(now), idle_s * EARLY_END_SHARE)
         self._early_end = (limit_s, now + EARLY_END_MEMORY_S)
--- a/dewpin/dataplane/receiver_connections.py
+++ b/dewpin/dataplane/receiver_connections.py
@@ -14,7 +14,8 @@
 from dewpin.cluster.receivers import Receiver
 
 from .answer_body import Framing
-from .idle_limit import IdleLimit
+from .idle_limit import FORGOTTEN_WITHIN_S, IdleLimit
+from .outcome import Outcome
 from .receiver_connection import ReceiverConnection
 
 FIRST_CONNECT_TIMEOUT_S = 1.0
@@ -74,10 +75,17 @@
             if is_kept:
                 return None
 
-    def count_reset(self, connection: ReceiverConnection) -> None:
-        """Take in that a connection which was used again ended before a byte of the answer came."""
+    def was_forgotten(self, connection: ReceiverConnection, outcome: Outcome) -> bool:
+        """Tell whether the receiver had forgotten an idle connection, by how a call on it ended, and learn from it.
+
+        That proves nothing of the request: a receiver that runs it may fail as soon.
+        """
         now = self._clock()
-        self._idle_limit.count_reset(connection.idle_s, now - connection.call_began, now)
+        ended = outcome in (Outcome.RESET, Outcome.CLOSED) and not connection.raw.has_received
+        if not ended or now - connection.call_began > FORGOTTEN_WITHIN_S:
+            return False
+        self._idle_limit.count_forgotten(connection.idle_s, now)
+        return True
 
     def connect(self, timeout_s: float) -> ReceiverConnection:
         """Return a new connection; raises an OSError if none comes up in time."""
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -6,7 +6,7 @@
 
 import threading
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 from urllib3 import HTTPResponse
@@ -40,7 +40,6 @@
 """A connect may take this share of the request's time, so that another receiver can be tried."""
 LEAST_CONNECT_S = 0.001
 
-_ENDED = frozenset({Outcome.RESET, Outcome.CLOSED})
 _LEFT_OUT = frozenset({"content-length", REQUEST_DEADLINE, TARGET_INSTANCE})
 
 
@@ -113,16 +112,27 @@
     def call(self, receiver: Receiver, call: Call) -> CallResult:
         """Send a request to a receiver and return how the call ended; raises nothing where the receiver fails.
 
+        Where a used connection turns out to have ended, the call goes on on a new one: if nothing could be sent, or if
+        the receiver seems to have forgotten the connection and the request may run twice.
         A client that leaves ends a call that is `watched_client`'s at once, by closing the connection to the receiver.
         """
         if call.has_client_gone:
             return CallResult(Outcome.CLIENT_GONE)
         connections = self._connections_to(receiver)
         connection = connections.take_idle(call.repeatable, call.request_id)
-        if connection is not None:
-            result = self._call_on(receiver, connections, connection, call)
-            if result.outcome is not Outcome.NEVER_SENT:
-                return result
+        if connection is None:
+            return self._call_anew(receiver, connections, call)
+        result = self._call_on(receiver, connections, connection, call)
+        was_forgotten = connections.was_forgotten(connection, result.outcome)
+        if result.outcome is Outcome.NEVER_SENT:
+            return self._call_anew(receiver, connections, call)
+        if not was_forgotten or not call.repeatable:
+            return result
+        again = self._call_anew(receiver, connections, call)
+        return replace(again, outcome=result.outcome) if again.outcome.proves_no_effect else again
+
+    def _call_anew(self, receiver: Receiver, connections: ReceiverConnections, call: Call) -> CallResult:
+        """Make a call on a new connection."""
         connection = self._connect(connections, call)
         if connection is None:
             return CallResult(Outcome.NEVER_SENT)
@@ -179,8 +189,6 @@
             connection.close()
             raise
         connection.close()
-        if not connection.is_first_call and outcome in _ENDED and not connection.raw.has_received:
-            connections.count_reset(connection)
         return CallResult(outcome)
 
     def _exchange(
