--- /dev/null
+++ b/tests/daemon/test_agent_list.py
@@ -0,0 +1,100 @@
+"""The list of receivers that a sender follows at its agent: restarts, moves, faulty configurations."""
+
+import json
+
+from driver import address, play, until
+
+
+def test_the_watch_is_followed_and_begins_anew_when_it_breaks(tmp_path):
+    async def scene(outside, sender):
+        await until(lambda: outside.watching)
+        assert outside.asked == ["/api/targets?index=1&wait=1500"]
+        outside.change(0, "leaving")
+        await until(lambda: outside.asked[-1] == "/api/targets?index=2&wait=1500")
+        for ident in range(4):
+            await sender.hand_in(f"m{ident}")
+        await until(lambda: len(outside.calls) == 4)
+        assert {call[3] for call in outside.calls} == {1}
+        outside.members[0]["phase"], outside.revision = "active", 5  # told to nobody: the watch breaks
+        del outside.members[1]
+        outside.watching.pop().transport.abort()
+        await until(lambda: outside.asked[-2:] == ["/api/targets", "/api/targets?index=5&wait=1500"])
+        await sender.hand_in("last")
+        await until(lambda: b"last" in outside.idents())
+        assert outside.calls[-1][3] == 0
+
+    play(tmp_path, scene, receivers=2)
+
+
+def test_a_restart_goes_on_from_the_list_last_heard_while_nobody_is_answered(tmp_path):
+    async def scene(outside, sender):
+        await until(lambda: outside.watching)
+        outside.change(0, "leaving")
+        await until(lambda: outside.watching)
+        await sender.end()
+        outside.list_status = 503
+        sender.told["known"] = {
+            "revision": 1,
+            "complete": True,
+            "members": [one | {"phase": "active"} for one in outside.members],
+        }
+        asked = len(outside.asked)
+        await sender.start()
+        for ident in range(6):
+            await sender.hand_in(f"m{ident}")
+        await until(lambda: len(outside.calls) == 6)
+        assert {call[3] for call in outside.calls} == {1}
+        await until(lambda: len(outside.asked) > asked)
+        outside.list_status = 200  # turned away, a watch goes on from where it was
+        await until(lambda: outside.watching)
+        assert set(outside.asked[asked:]) == {"/api/targets?index=2&wait=1500"}
+        await sender.end()
+        outside.revision = 1  # the agent counts anew: the list that was kept holds no longer
+        outside.members[0]["phase"] = "active"
+        await sender.start()
+        await until(lambda: len(outside.watching) == 2)
+        outside.tell(outside.watching.pop(), False, [])
+        await until(lambda: outside.asked[-2:] == ["/api/targets", "/api/targets?index=1&wait=1500"])
+
+    play(tmp_path, scene, receivers=2)
+
+
+def test_a_new_configuration_moves_the_watch_and_owed_notices_and_a_faulty_one_changes_nothing(tmp_path):
+    async def scene(outside, sender):
+        await until(lambda: outside.watching)
+        outside.script, outside.notice_status = lambda call: "reset", None  # a notice stays owed
+        await sender.hand_in("owed", kind="charge")
+        await until(lambda: outside.notices)
+        for content in ("{", "{}", json.dumps(sender.told | {"discovery": "nowhere"})):
+            sender.reload(content)
+            assert b"keeps the old" in await sender.process.stderr.readline()
+        asked = len(outside.asked)
+        outside.change(0, "active")
+        await until(lambda: len(outside.asked) == asked + 1)  # the old watch goes on
+        await outside.move_agent()
+        outside.notice_status, outside.revision = 204, 1  # it counts anew
+        sender.told["discovery"] = address(outside.agent)
+        told, asked = len(outside.notices), len(outside.asked)
+        sender.reload()
+        await until(lambda: outside.notices[told:] and sender.owed() == 0)
+        assert outside.notices[-1] == {"message": "owed", "outcome": "given_up"}
+        await until(lambda: outside.asked[asked:] == ["/api/targets", "/api/targets?index=1&wait=1500"])
+        assert (await sender.hand_in("m"))[0] == 202 and sender.process.returncode is None
+
+    play(tmp_path, scene, log=False)
+
+
+def test_a_watch_that_moves_before_its_first_answer_learns_the_new_agent_s_list(tmp_path):
+    async def scene(outside, sender):
+        await until(lambda: outside.watching)
+        await outside.move_agent()
+        outside.members[0]["phase"] = "leaving"
+        sender.told["discovery"] = address(outside.agent)
+        sender.reload()
+        await until(lambda: outside.watching)
+        for ident in range(4):
+            await sender.hand_in(f"m{ident}")
+        await until(lambda: len(outside.calls) == 4)
+        assert {call[3] for call in outside.calls} == {1}
+
+    play(tmp_path, scene, receivers=2)
--- /dev/null
+++ b/tests/daemon/test_bounds.py
@@ -0,0 +1,168 @@
+"""What a sender bounds: mails, connections, memory, and clients that come back too soon."""
+
+import asyncio
+import re
+import signal
+import time
+
+from driver import play, until
+
+
+def test_an_id_that_was_taken_on_is_not_taken_on_again_not_even_after_its_end_or_a_kill(tmp_path):
+    async def scene(outside, sender):
+        assert (await sender.hand_in("m"))[0] == 202
+        assert (await sender.hand_in("m"))[0] == 409
+        await until(lambda: outside.idents() and sender.owed() == 0)
+        assert (await sender.hand_in("m"))[0] == 409
+        await sender.end()
+        await sender.start()
+        assert (await sender.hand_in("m"))[0] == 409
+        assert (await sender.hand_in("n"))[0] == 202
+        await until(lambda: outside.idents() == [b"m", b"n"])
+
+    play(tmp_path, scene)
+
+
+def test_a_client_that_asks_again_as_soon_as_it_is_turned_away_is_slowed_down(tmp_path):
+    async def scene(outside, sender):
+        kept, began, heard = await sender.connect(), time.monotonic(), 0
+        while time.monotonic() < began + 1.0:
+            assert (await sender.hand_in("m", kind="unheard-of", connection=kept))[0] == 400
+            heard += 1
+        assert 3 < heard < 10
+        for at in range(20):
+            assert (await sender.hand_in(f"n{at}"))[0] == 202
+
+    play(tmp_path, scene)
+
+
+def test_full_of_mails_it_refuses_and_tells_when_to_come_back(tmp_path):
+    async def scene(outside, sender):
+        sender.told["settings"]["Allowed"]["MaxOpen"] = 3
+        sender.told["settings"]["FamilyInfo"]["CallSlots"] = 1
+        await sender.start()
+        outside.script = lambda call: None
+        answers = [await sender.hand_in(f"m{at}", kind="charge", key="k") for at in range(4)]
+        assert [answer[0] for answer in answers] == [202, 202, 202, 503]
+        assert 0.0 < float(answers[3][1][b"retry-after"]) <= 2.0
+
+    play(tmp_path, scene, start=False)
+
+
+def test_connections_over_the_bound_take_the_place_of_idle_ones_or_hear_503(tmp_path):
+    async def scene(outside, sender):
+        first = await sender.connect()
+        await sender.ask(b"GET /-/ready HTTP/1.1\r\n\r\n", first)
+        busy, tasks = [], []
+        while not any(task.done() for task in tasks):  # requests that do not come whole
+            busy.append(await sender.connect())
+            busy[-1][1].write(b"POST /api HTTP/1.1\r\n")
+            tasks.append(asyncio.create_task(busy[-1][0].read()))
+            await asyncio.sleep(0.01)
+        assert b" 503 " in tasks[-1].result() and 4 < len(tasks) < 128
+        busy[0][1].write(b"\r\n")  # those inside go on
+        assert b" 400 " in await asyncio.wait_for(tasks[0], 5.0)
+        assert await asyncio.wait_for(first[0].read(), 5.0) == b""  # between requests: closed for another
+        flood = [await sender.connect() for _ in range(500)]
+        for reader, writer in flood:  # they say nothing, and are closed in time
+            assert not (await asyncio.wait_for(reader.read(), 5.0)).startswith(b"HTTP/1.1 2")
+            writer.close()
+        assert (await sender.hand_in("m"))[0] == 202
+        await until(lambda: b"m" in outside.idents())
+        await sender.end(signal.SIGTERM)
+        assert "fault" not in (await sender.log).decode()
+
+    play(tmp_path, scene, sockets=128)
+
+
+def test_silent_connections_keep_no_client_out(tmp_path):
+    async def scene(outside, sender):
+        silent = [await sender.connect() for _ in range(300)]  # more than there are places
+        last = time.monotonic()
+        await until(lambda: time.monotonic() > last + 0.6)
+        for at in range(20):
+            assert (await sender.hand_in(f"m{at}"))[0] == 202
+        for _, writer in silent:
+            writer.close()
+
+    play(tmp_path, scene, sockets=256)
+
+
+def test_with_many_connections_open_answers_end_theirs(tmp_path):
+    async def scene(outside, sender):
+        held, ended = [], 0
+        for at in range(60):  # each asks once and holds on
+            held.append(await sender.connect())
+            status, fields = await sender.hand_in(f"m{at}", connection=held[-1])
+            assert status == 202
+            ended += fields.get(b"connection") == b"close"
+        assert 30 < ended < 60 and (await sender.hand_in("first", connection=held[0]))[0] == 202
+
+    play(tmp_path, scene, sockets=128)
+
+
+def test_a_mail_whose_client_gave_up_while_the_process_stood_still_is_not_taken_on(tmp_path):
+    async def scene(outside, sender):
+        sender.process.send_signal(signal.SIGSTOP)
+        reader, writer = await sender.connect()
+        writer.write(
+            b"POST /api HTTP/1.1\r\nReq-Id: m\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n\r\n"
+        )
+        writer.close()
+        await writer.wait_closed()
+        sender.process.send_signal(signal.SIGCONT)
+        assert (await sender.hand_in("n"))[0] == 202
+        await until(lambda: b"n" in outside.idents())
+        assert outside.idents() == [b"n"] and sender.owed() <= 1
+
+    play(tmp_path, scene)
+
+
+def test_many_at_once_all_come_through_within_the_limits(tmp_path):
+    async def scene(outside, sender):
+        async def client(number):
+            connection = await sender.connect()
+            for at in range(10):
+                answer = await sender.hand_in(f"{number}-{at}", kind="status", connection=connection)
+                assert answer[0] == 202
+            connection[1].close()
+
+        await asyncio.gather(*(client(number) for number in range(12)))
+        await until(lambda: len(set(outside.idents())) == 120, 30.0)
+        assert len(outside.calls) == 120 and len(outside.connections) <= 8
+
+    play(tmp_path, scene)
+
+
+def test_memory_is_flat_while_mails_and_connections_come_and_go(tmp_path):
+    async def scene(outside, sender):
+        def resident():
+            return int(re.search(r"RssAnon:\s+(\d+)", open(f"/proc/{sender.process.pid}/status").read())[1])
+
+        held = []
+        for part in range(4):
+            for at in range(700):
+                assert (await sender.hand_in(f"m{part}-{at}", left=0.8, body=b"x" * 2000))[0] == 202
+            held.append(resident())
+        assert held[3] - held[1] < 1500, held
+
+    play(tmp_path, scene, memory_mb=64)
+
+
+def test_bodies_that_never_come_whole_are_held_in_bounds(tmp_path):
+    async def scene(outside, sender):
+        plain = b"POST /api HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+        chunked = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nea60\r\n"
+        busy, heard = [], []
+        for at in range(400):
+            busy.append(await sender.connect())
+            busy[-1][1].write((plain, chunked)[at % 2] + b"x" * 60000 + b"\r\n")
+            heard.append(asyncio.create_task(busy[-1][0].read()))
+        await until(lambda: sum(task.done() for task in heard) > 50)
+        assert all(b" 503 " in task.result() for task in heard if task.done())
+        assert (await sender.hand_in("m"))[0] == 202
+        await until(lambda: b"m" in outside.idents())
+        status = open(f"/proc/{sender.process.pid}/status").read()
+        assert int(re.search(r"VmHWM:\s+(\d+)", status)[1]) < 64000
+
+    play(tmp_path, scene, memory_mb=64)
--- /dev/null
+++ b/tests/daemon/test_malformed_messages.py
@@ -0,0 +1,134 @@
+"""Requests and answers that are malformed, cut off or too long: what the sender answers, and what it makes of them."""
+
+import time
+
+import pytest
+
+from driver import play, read_message, reply, until
+
+
+@pytest.mark.parametrize(
+    "raw, status",
+    [
+        (b"NONSENSE\r\n\r\n", 400),
+        (b"GET / HTTP/2.0\r\n\r\n", 505),
+        (b"GET / HTTP/1.1\r\nBad name: x\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
+        (b"GET /%s HTTP/1.1\r\n" % (b"x" * 17000), 431),
+        (b"POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1ffff\r\n", 413),
+    ],
+)
+def test_what_is_no_request_is_refused_and_the_connection_ends(tmp_path, raw, status):
+    async def scene(outside, sender):
+        reader, writer = await sender.connect()
+        writer.write(raw)
+        message = await read_message(reader)
+        assert int(message[0].split()[1]) == status and message[1][b"connection"] == b"close"
+        assert await reader.read() == b""
+
+    play(tmp_path, scene)
+
+
+def test_requests_that_mean_nothing_are_answered_and_the_connection_goes_on(tmp_path):
+    async def scene(outside, sender):
+        kept = await sender.connect()
+        assert (await sender.ask(b"GET /nowhere HTTP/1.1\r\n\r\n", kept))[0] == 404
+        assert (await sender.ask(b"GET /api HTTP/1.1\r\n\r\n", kept))[0] == 405
+        assert (await sender.ask(b"POST /api HTTP/1.1\r\nReq-Id: a\r\nContent-Length: 0\r\n\r\n", kept))[0] == 400
+        assert (await sender.hand_in("a", kind="unheard-of", connection=kept))[0] == 400
+        assert (await sender.hand_in("a", left=-1, connection=kept))[0] == 400
+        assert (await sender.hand_in("good", connection=kept))[0] == 202
+        await until(lambda: outside.idents() == [b"good"])
+
+    play(tmp_path, scene)
+
+
+OK = reply(200)
+BAD = [
+    b"\x00\xff noise",
+    b"HTTP/1.1 99\r\n\r\n",
+    b"HTTP/1.1 500 x\r\nno header\r\n\r\n",
+    b"HTTP/1.1 429 x\r\nRetry-After: 9\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100000,
+    b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"HTTP/1.1 503 x\r\nX-Line-Busy: 1\r\n",
+    b"HTTP/1.1 429 x\r\nContent-Length: 9\r\n\r\nhalf",
+    b"HTTP/1.1 503 x\r\nx: " + b"y" * 99999,
+]
+TRUE = [
+    b"HTTP/1.1 200 x\r\n",
+    b"HTTP/1.1 200 x\r\nno header\r\n\r\n",
+    b"HTTP/1.1 200 x\r\nx: " + b"y" * 99999,
+    b"HTTP/1.1 200 x\r\nContent-Length: 3000000000\r\n\r\n",
+    b"HTTP/1.1 200 x\r\nContent-Length: -3\r\n\r\n",
+    b"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nhalf",
+    b"HTTP/1.1 100 x\r\n\r\n" + OK,
+    OK + OK,
+    OK + b"\x00\xff",
+    b"HTTP/1.1 200 x\r\nSrv-Load: x0=\x00,\r\nContent-Length: 0\r\n\r\n",
+]
+
+
+def test_a_spoilt_answer_is_a_call_that_may_have_run_and_a_first_line_with_200_is_true(tmp_path):
+    async def scene(outside, sender):
+        outside.script = lambda call: (BAD + TRUE)[int(call[0][1:])] if call[0][:1] == b"m" else OK
+        for at in range(len(BAD + TRUE)):
+            for ident in (f"good{at}", f"m{at}"):
+                began = time.monotonic()
+                assert (await sender.hand_in(ident, kind="charge"))[0] == 202
+                await until(lambda: ident.encode() in outside.idents() and sender.owed() == 0)
+                assert time.monotonic() - began < 1.4  # none is waited for until its time-out
+        assert {one["message"] for one in outside.notices} == {f"m{at}" for at in range(len(BAD))}
+        assert {one["outcome"] for one in outside.notices} == {"given_up"}
+
+    play(tmp_path, scene)
+
+
+HEAD = (
+    b"POST /api HTTP/1.1\r\nReq-Id: bad\r\nReq-Kind: notice\r\nReq-Owner: acme\r\nX-Consignee: dest=7\r\n"
+    b"Idempotency-Key: t\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        HEAD + b"Content-Length: 1\r\n\r\nxGET / HTTP/1.1\r\n\r\n",  # more than it says
+        (HEAD + b"\r\n") * 300,
+        HEAD + b"Content-Length: 2\r\n\r\nx",
+        b"",
+        HEAD,
+        b"POST",
+        HEAD + b"Content-Length: -1\r\n\r\n",
+        HEAD + b"Content-Length: 60000000\r\n\r\n" + b"x" * 6000000,
+        HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + HEAD + b"\r\n",
+        HEAD.replace(b"dest=7", b"dest=8") + b"\r\n",
+        HEAD.replace(b"dest=7", b"dest=x") + b"\r\n",
+        HEAD + b"Req-Deadline: soon\r\n\r\n",
+        HEAD + b"Req-Deadline: nan\r\n\r\n",
+        HEAD + b"Req-Deadline: 1_0\r\n\r\n",
+        HEAD + b"Req-Id: again\r\n\r\n",
+        HEAD.replace(b"t\r", b"\xff\r") + b"\r\n",
+        HEAD + b"x: " + b"y" * 9000000,
+    ],
+)
+def test_bad_clients_get_an_error_or_a_close_in_time_and_nothing_of_theirs_goes_on(tmp_path, raw):
+    async def scene(outside, sender):
+        began, (reader, writer) = time.monotonic(), await sender.connect()
+        usual = await sender.connect()
+        assert (await sender.hand_in("a", connection=usual))[0] == 202
+        writer.write(raw)
+        try:
+            heard = await reader.read(1000)
+        except ConnectionError:
+            heard = b""
+        assert heard == b"" or heard.startswith((b"HTTP/1.1 4", b"HTTP/1.1 5"))
+        assert time.monotonic() - began < 2.9
+        assert (await sender.hand_in("b", connection=usual))[0] == 202
+        # without a key nothing orders them: on two new connections one may come before the other
+        await until(lambda: sorted(outside.idents()) == [b"a", b"b"] and sender.owed() == 0)
+
+    play(tmp_path, scene)
