Front: a call ends with its client or its time, whatever its receiver does

Cause: a client that closed its connection was noticed on stream routes alone; an idempotent request went on at its receiver and was repeated. A stream whose client had pipelined bytes was not watched any more. An answer whose head trickled in was not bounded at all: each byte began the socket's time-out anew. Change: the waits of all reads are in the socket of a receiver's connection (`receiver_socket.py`): a poll over the receiver's bytes and the hang-up of the client's socket (POLLRDHUP, which unread bytes do not hide), by the deadline of the whole call. A call that may not be repeated is left to end. `BodyReader` and `ReceiverStream` lose their own waits, deadlines and peeks. Ruled out: telling a client that ended its sending alone from one that closed. It is answered, without a promise. `LeavingClient` of `test_request_path.py` looked at its socket with a blocking read, which `has_gone` must not do.

--- a/benchmarks/capacity/measures/process.py
+++ b/benchmarks/capacity/measures/process.py
@@ -117,9 +117,9 @@
     connection = HTTPConnection("receiver.example")
     connection.sock = source
     connection.request("POST", "/", preload_content=False, decode_content=False)
-    deadline = time.monotonic() + LONGEST_STREAM_S
+    source.settimeout(LONGEST_STREAM_S)
     response = connection.getresponse()
-    stream = ReceiverStream(connection, source, response, deadline, time.monotonic, None, lambda *_: None)
+    stream = ReceiverStream(connection, response, lambda *_: None)
     relay = EventRelay(stream, None, None, lambda: LONGEST_STREAM_S, lambda ended: None)
     with source, sink:
         for part in relay:
--- a/dewpin/dataplane/balancing.py
+++ b/dewpin/dataplane/balancing.py
@@ -83,8 +83,8 @@
         self._book = PlaceBook(zone, randomness or random.Random())
         self._granted: dict[Ticket, threading.Event] = {}
 
-    def acquire(self, request: PlaceRequest) -> Place | NoPlace:
-        """Return a place, after waiting until `request.hold_until` at the latest, or NoPlace."""
+    def acquire(self, request: PlaceRequest, client_has_gone: Callable[[], bool] = lambda: False) -> Place | NoPlace:
+        """Return a place, after waiting until `request.hold_until` or until the client leaves, or NoPlace."""
         service = request.service.name
         with self._lock:
             now = self._clock()
@@ -96,7 +96,7 @@
                 return NoPlace(self._book.expected_wait(service, now))
             ticket = self._book.wait(request)
             granted = self._granted[ticket] = threading.Event()
-        return self._await_place(ticket, granted)
+        return self._await_place(ticket, granted, client_has_gone)
 
     def count_answered(self, place: Place) -> None:
         """Take in that a receiver began to answer the call of a place."""
@@ -151,7 +151,9 @@
         self._book.load(receiver.id).count_sent(now)
         return Place(self, service, receiver, now)
 
-    def _await_place(self, ticket: Ticket, granted: threading.Event) -> Place | NoPlace:
+    def _await_place(
+        self, ticket: Ticket, granted: threading.Event, client_has_gone: Callable[[], bool]
+    ) -> Place | NoPlace:
         request = ticket.request
         service = request.service.name
         while True:
@@ -161,7 +163,7 @@
                 now = self._clock()
                 if ticket.receiver is not None:
                     return self._place(service, ticket.receiver, now)
-                if now >= request.hold_until:
+                if now >= request.hold_until or client_has_gone():
                     self._book.give_up(ticket)
                     del self._granted[ticket]
                     return NoPlace(self._book.expected_wait(service, now))
--- a/dewpin/dataplane/connection.py
+++ b/dewpin/dataplane/connection.py
@@ -40,12 +40,9 @@
 
     def has_gone(self) -> bool:
         """Tell, without blocking, whether the client has closed the connection."""
-        try:
-            return self._socket.recv(1, socket.MSG_PEEK) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        poller = select.poll()
+        poller.register(self._socket, select.POLLRDHUP)
+        return bool(poller.poll(0))
 
     def wait_at_rest(self, rest_s: Callable[[], float]) -> bool:
         """Wait for the first byte of a request; False if none comes in `rest_s()`, or once the wake-up has come."""
--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/course.py
@@ -12,7 +12,7 @@
 from .messages import Answer, HeaderField, Headers, Request, own_answer
 from .outcome import Outcome
 from .places import PlaceRequest
-from .receiver_stream import StreamCut
+from .receiver_socket import StreamCut
 from .retry import GATEWAY_TIMED_OUT, EndUnknown, PassOn, Pause, Refuse, RetryPolicy, RetryStage, Send
 from .streams import EventRelay, EventSource
 from .turns import OpenTurn
@@ -95,6 +95,9 @@
         while True:
             step = self._stage.next_step(self._tools.clock())
             if isinstance(step, Send):
+                if self._client_has_gone():
+                    self._stage.record_client_gone()
+                    continue
                 result = self._send(step)
                 if result is not None and result.stream is not None:
                     return result
@@ -117,7 +120,7 @@
 
     def _send(self, step: Send) -> CallResult | None:
         """Send the request to a receiver with room; None if there is none in time."""
-        place = self._tools.balancer.acquire(self._place_request(step))
+        place = self._tools.balancer.acquire(self._place_request(step), self._client_has_gone)
         if isinstance(place, NoPlace):
             self._stage.record_no_place(place.retry_after_s)
             return None
@@ -133,6 +136,10 @@
             self._stream_place = place
         return result
 
+    def _client_has_gone(self) -> bool:
+        client = self._routed.request.client
+        return client is not None and client.has_gone()
+
     def _place_request(self, step: Send) -> PlaceRequest:
         routed = self._routed
         hold_until = routed.request.received_at + HOLD_SHARE_OF_AIM * routed.aim_s
--- a/dewpin/dataplane/messages.py
+++ b/dewpin/dataplane/messages.py
@@ -71,10 +71,14 @@
 
 
 class Client(Protocol):
-    """The client's side of a connection, watched while a stream has nothing to pass on."""
+    """The client's side of a connection, watched while its request is under way.
+
+    A client that ended its sending counts as gone, whatever bytes of it are still to be read: nothing tells it apart
+    from one that closed its connection. It gets an answer all the same, if it still reads.
+    """
 
     def fileno(self) -> int:
-        """Return the descriptor to poll; it becomes readable when the client closes."""
+        """Return the descriptor to poll for POLLRDHUP."""
 
     def has_gone(self) -> bool:
         """Tell, without blocking, whether the client has closed the connection."""
--- a/dewpin/dataplane/receiver_connections.py
+++ b/dewpin/dataplane/receiver_connections.py
@@ -15,6 +15,8 @@
 
 from dewpin.cluster.receivers import Receiver
 
+from .receiver_socket import ReceiverSocket
+
 FIRST_CONNECT_TIMEOUT_S = 1.0
 LEAST_CONNECT_TIMEOUT_S = 0.25
 CONNECT_TIMES_ALLOWED = 8.0
@@ -33,7 +35,7 @@
 
     def connect(self) -> None:
         """Connect within `timeout` seconds; raises an OSError if that fails."""
-        sock = socket.socket(socket.AF_INET6 if ":" in self.host else socket.AF_INET, socket.SOCK_STREAM)
+        sock = ReceiverSocket(socket.AF_INET6 if ":" in self.host else socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(self.timeout)
--- a/dewpin/dataplane/retry.py
+++ b/dewpin/dataplane/retry.py
@@ -131,6 +131,10 @@
         self._may_go_on = False
         self._retry_after_s = max(LEAST_RETRY_AFTER_S, retry_after_s)
 
+    def record_client_gone(self) -> None:
+        """Take in that nobody waits for the answer any more: nothing further is sent."""
+        self._may_go_on = False
+
     def expect_wait(self, retry_after_s: float) -> None:
         """Take in the wait that is expected until a receiver has room, for the client's `Retry-After`."""
         self._retry_after_s = max(LEAST_RETRY_AFTER_S, retry_after_s)
--- a/dewpin/dataplane/streams.py
+++ b/dewpin/dataplane/streams.py
@@ -13,7 +13,7 @@
 from .events import Event, EventSplitter
 from .messages import BodyBroken
 from .outcome import Outcome
-from .receiver_stream import StreamCut
+from .receiver_socket import StreamCut
 from .turns import OpenTurn
 
 
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -4,7 +4,6 @@
 answer counts only if it names the request that this call sent.
 """
 
-import socket
 import threading
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -26,21 +25,15 @@
     SERVER_LOAD,
     SIGNATURE,
     TARGET_INSTANCE,
+    Client,
     HeaderField,
     Request,
 )
 from .outcome import Outcome
 from .receiver_connections import ReceiverConnections, read_seconds
 from .receiver_load import ServerLoad, parse_server_load
-from .receiver_stream import (
-    LEAST_TIMEOUT_S,
-    TRANSPORT_ERRORS,
-    BodyReader,
-    ReceiverStream,
-    StreamCut,
-    outcome_of_error,
-    wait_for_receiver,
-)
+from .receiver_socket import ReceiverSocket, StreamCut
+from .receiver_stream import LEAST_TIMEOUT_S, TRANSPORT_ERRORS, BodyReader, ReceiverStream, outcome_of_error
 
 CONNECT_SHARE_OF_TIME_LEFT = 0.25
 """A connect may take this share of the request's time, so that another receiver can be tried."""
@@ -89,6 +82,11 @@
     body: bytes | None = None
     replaced_headers: Sequence[HeaderField] = ()
 
+    @property
+    def watched_client(self) -> Client | None:
+        """Return the client whose leaving ends the call; a call that may neither be repeated nor streams goes on."""
+        return self.request.client if self.streaming or self.repeatable else None
+
 
 class Upstream:
     """Makes calls to receivers; may be used from any thread."""
@@ -111,6 +109,9 @@
                 connection = connections.connect(max(LEAST_TIMEOUT_S, connect_s))
             except TRANSPORT_ERRORS:
                 return CallResult(Outcome.NEVER_SENT)
+            if call.request.client is not None and call.request.client.has_gone():
+                connection.close()
+                return CallResult(Outcome.CLIENT_GONE)
         try:
             return self._exchange(receiver, connections, connection, is_new, call)
         except TRANSPORT_ERRORS as error:
@@ -157,13 +158,8 @@
         call: Call,
     ) -> CallResult:
         """Send the request and read the answer, or its head where a stream follows; raises where that breaks."""
-        client = call.request.client if call.streaming else None
         self._send(receiver, connection, call)
-        sock = cast(socket.socket, connection.sock)
-        if client is not None:
-            ended = wait_for_receiver(sock, client, call.deadline, self._clock)
-            if ended is not None:
-                raise StreamCut(ended)
+        cast(ReceiverSocket, connection.sock).bound_reads(call.deadline, self._clock, call.watched_client)
         response = connection.getresponse()
         if not is_answer_to(response, call.request, is_new):
             if is_refusal(response) and REQUEST_ID not in response.headers:
@@ -174,11 +170,9 @@
         )
         load = parse_server_load(response.headers.get(SERVER_LOAD))
         if call.streaming and answer.status == HTTPStatus.OK and answer.signed and not is_refusal(response):
-            stream = ReceiverStream(
-                connection, sock, response, call.deadline, self._clock, client, connections.give_back
-            )
+            stream = ReceiverStream(connection, response, connections.give_back)
             return CallResult(Outcome.SUCCESS, answer, stream, load)
-        body = BodyReader(sock, response, call.deadline, self._clock).read_all()
+        body = BodyReader(response).read_all()
         connections.give_back(connection, response)
         return CallResult(
             outcome=classify(response, answer),
--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -418,7 +418,13 @@
         return self.ours.fileno()
 
     def has_gone(self):
-        return self.ours.recv(1, socket.MSG_PEEK) == b""
+        try:
+            return self.ours.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+
+    def leave(self):
+        self.theirs.close()
 
 
 @pytest.mark.parametrize("after_head", [True, False])
