--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/course.py
@@ -10,9 +10,8 @@
 from .balancing import Balancer, NoPlace, Place
 from .figures import RequestFigures
 from .messages import Answer, HeaderField, Headers, Request, own_answer
-from .outcome import Outcome
+from .outcome import Outcome, StreamCut
 from .places import PlaceRequest
-from .receiver_socket import StreamCut
 from .retry import GATEWAY_TIMED_OUT, EndUnknown, PassOn, Pause, Refuse, RetryPolicy, RetryStage, Send
 from .streams import EventRelay, EventSource
 from .turns import OpenTurn
--- a/dewpin/dataplane/receiver_stream.py
+++ b/dewpin/dataplane/receiver_stream.py
@@ -1,85 +1,64 @@
 """The body of a receiver's answer while it arrives."""
 
 import http.client
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from urllib3 import HTTPResponse
-from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError, InvalidChunkLength, ProtocolError, ReadTimeoutError
+from urllib3.exceptions import HTTPError
 
+from .answer_body import BodyEnd, Framing, read_body
 from .outcome import Outcome
-from .receiver_socket import StreamCut
-
-READ_SIZE = 65536
-LEAST_TIMEOUT_S = 0.001
+from .outcome import StreamCut as StreamCut
+from .receiver_connection import ReceiverConnection
 
 TRANSPORT_ERRORS = (OSError, http.client.HTTPException, HTTPError, ValueError)
 """What urllib3 and the library below it raise where a connection or an answer breaks."""
 
-
-class BodyReader:
-    """Reads the parts of a body as they arrive; the connection's socket bounds the waits."""
-
-    def __init__(self, response: HTTPResponse) -> None:
-        self._response = response
-        self._parts = self._read_parts()
-
-    def read_part(self) -> bytes:
-        """Return the bytes that come next, or nothing at the proper end; raises StreamCut."""
-        try:
-            return next(self._parts, b"")
-        except TRANSPORT_ERRORS as error:
-            raise StreamCut(outcome_of_error(error)) from error
-
-    def read_all(self) -> bytes:
-        """Return the whole body; raises StreamCut."""
-        parts = []
-        while part := self.read_part():
-            parts.append(part)
-        return b"".join(parts)
-
-    def _read_parts(self) -> Iterator[bytes]:
-        response = self._response
-        if response.chunked:
-            yield from response.read_chunked(decode_content=False)
-            return
-        if response.length_remaining is None:
-            raise StreamCut(Outcome.MALFORMED)
-        while response.length_remaining:
-            part = response.read1(READ_SIZE, decode_content=False)
-            if not part:
-                raise StreamCut(Outcome.CLOSED)
-            yield part
-        response.read1(READ_SIZE, decode_content=False)
+GiveBack = Callable[[ReceiverConnection, HTTPResponse, Framing], None]
+"""Takes the connection back after a whole answer, to keep or to close it."""
 
 
 class ReceiverStream:
-    """A receiver's stream; whoever has it must call `close`."""
+    """A body within the bounds of its call; whoever has it must call `close`."""
 
     def __init__(
-        self,
-        connection: HTTPConnection,
-        response: HTTPResponse,
-        give_back: Callable[[HTTPConnection, HTTPResponse], None],
+        self, connection: ReceiverConnection, response: HTTPResponse, framing: Framing, give_back: GiveBack
     ) -> None:
         self._connection = connection
         self._response = response
+        self._framing = framing
         self._give_back = give_back
-        self._reader = BodyReader(response)
+        self._parts = read_body(connection.reader, framing)
         self._open = True
 
+    @property
+    def ends_by_close(self) -> bool:
+        """Tell whether nothing but the end of the connection marks the end of the body."""
+        return self._framing.end is BodyEnd.CLOSE
+
     def read_part(self) -> bytes:
         """Return the bytes that come next, or nothing at the proper end; raises StreamCut."""
         try:
-            part = self._reader.read_part()
+            part = next(self._parts, b"")
         except StreamCut:
             self.close()
             raise
+        except TRANSPORT_ERRORS as error:
+            self.close()
+            raise StreamCut(outcome_of_error(error)) from error
         if not part and self._open:
             self._open = False
-            self._give_back(self._connection, self._response)
+            self._response.close()
+            self._give_back(self._connection, self._response, self._framing)
         return part
 
+    def read_all(self) -> bytes:
+        """Return the whole body; raises StreamCut."""
+        parts = []
+        while part := self.read_part():
+            parts.append(part)
+        return b"".join(parts)
+
     def close(self) -> None:
         """Close the connection, unless the answer was whole and the connection was given back."""
         if self._open:
@@ -89,18 +68,12 @@
 
 
 def outcome_of_error(error: Exception) -> Outcome:
-    """Return the outcome of a call that ended with an error after the request was sent."""
+    """Return the outcome of a call that ended with an error after a part of the request was sent."""
     cause: BaseException | None = error
     while cause is not None:
-        if isinstance(cause, InvalidChunkLength):
-            return Outcome.MALFORMED
         if isinstance(cause, http.client.RemoteDisconnected | http.client.IncompleteRead):
             return Outcome.CLOSED
-        if isinstance(cause, TimeoutError | ReadTimeoutError):
-            return Outcome.TIMED_OUT
-        if isinstance(cause, ConnectionError):
+        if isinstance(cause, OSError):
             return Outcome.RESET
         cause = cause.__cause__ or cause.__context__
-    if isinstance(error, ProtocolError):
-        return Outcome.CLOSED
-    return Outcome.RESET if isinstance(error, OSError) else Outcome.MALFORMED
+    return Outcome.MALFORMED
--- a/tests/dataplane/test_clients_that_leave.py
+++ b/tests/dataplane/test_clients_that_leave.py
@@ -8,6 +8,7 @@
 from dataplane.peers import (
     PATIENCE_S,
     STREAM_FIELDS,
+    LeavingClient,
     ScriptedReceiver,
     chunk,
     head,
@@ -16,7 +17,7 @@
     reset,
     whole,
 )
-from dataplane.test_request_path import LeavingClient, Path, read
+from dataplane.test_request_path import Path, read
 
 from dewpin.dataplane.connection import ClientConnection
 from dewpin.dataplane.upstream import Call
@@ -164,8 +165,7 @@
     with receivers(peer) as (receiver,):
         path = Path([receiver], kind="idempotent")
         upstream = path.path._tools.upstream
-        asked = request(now=path._clock())
-        asked = type(asked)(asked.method, asked.target, asked.headers, asked.body, asked.received_at, client)
+        asked = request(now=path._clock(), client=client)
         connections = upstream._connections_to(receiver)
         connect = connections.connect
         connections.connect = lambda timeout_s: (connect(timeout_s), client.leave())[0]
@@ -205,8 +205,28 @@
     assert connection.ours.has_gone()
 
 
+def test_a_call_goes_on_for_a_client_that_has_sent_its_next_request(connection):
+    begun, go_on = threading.Event(), threading.Event()
+
+    def answer(receiving, got):
+        begun.set()
+        assert go_on.wait(PATIENCE_S)
+        whole(b"done")(receiving, got)
+
+    answers = []
+    connection.theirs.sendall(b"GET /next HTTP/1.1\r\n\r\n")
+    with receivers(ScriptedReceiver(answer)) as listed:
+        path = Path(listed, kind="idempotent")
+        serving = threading.Thread(target=lambda: answers.append(path(client=connection.ours)))
+        serving.start()
+        assert begun.wait(PATIENCE_S)
+        go_on.set()
+        serving.join(PATIENCE_S)
+    assert [(answer.status, answer.body) for answer in answers] == [(200, b"done")]
+
+
 @pytest.mark.parametrize("sent", [b"", b"GET /next HTTP/1.1\r\n\r\n"])
-def test_a_call_goes_on_for_a_client_that_has_sent_its_next_request_and_ends_when_it_leaves(connection, sent):
+def test_a_call_ends_when_its_client_leaves_whatever_it_has_sent(connection, sent):
     work = Work(nothing)
     with receivers(ScriptedReceiver(work)) as listed:
         path = Path(listed, kind="idempotent", timeout_ms=LONG_MS)
--- a/tests/dataplane/test_time_allowed.py
+++ b/tests/dataplane/test_time_allowed.py
@@ -75,19 +75,26 @@
     assert path.path.figures.attempts == 1
 
 
-def test_a_stream_without_end_is_cut_at_the_time_allowed():
+def test_a_stream_without_a_pause_is_cut_at_the_time_allowed():
+    """Its bytes are there before they are waited for, so that no wait looks at the time."""
     clock = ScriptedClock()
+    sent, let_go = threading.Event(), threading.Event()
+    parts, timeout_s = 30, 5
 
-    def go_on(connection, got):
+    def send_ahead(connection, got):
         connection.send(stream_head(got))
-        while True:
-            connection.send(chunk(event(1)))
+        for number in range(parts):
+            connection.send(chunk(event(number, "x" * 20_000)))
+        sent.set()
+        let_go.wait(PATIENCE_S)
 
-    with receivers(ScriptedReceiver(go_on)) as listed:
-        path = Path(listed, kind="stream", resumable=True, timeout_ms=TIMEOUT_MS)
+    with receivers(ScriptedReceiver(send_ahead)) as listed:
+        path = Path(listed, kind="stream", resumable=True, timeout_ms=timeout_s * 1000)
         path._now = clock
         answer = path()
+        assert sent.wait(PATIENCE_S)
         with pytest.raises(BodyBroken):
             for _ in answer.body:
                 clock.now_s += 1.0
-    assert clock.now_s >= 1000.0 + TIMEOUT_MS / 1000
+        let_go.set()
+    assert clock.now_s <= 1000.0 + timeout_s + 1.0
