--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from dewpin.cluster.rpc import Message, RpcClient, RpcError
+from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
 from dewpin.consensus import Accept, Accepted, Ballot, Conflict, Outcome, Prepare, Promise, Proposal, Replica, Reply
 from dewpin.consensus.proposal import Request
 from dewpin.consensus.replica import ZERO_BALLOT
 
+from .order_history import ORDERS, OrderHistory, OrderPage, OrdersRequest
 from .storage import StorageFailed
 from .system_state import Change, ChangeRefused, SystemState, quorum_sets
 
@@ -52,11 +53,24 @@
         self._client = client
         self._rng = rng
         self._replica = Replica()
+        self.durable_version = -1
+        """The version of the newest value that the replica has accepted and that is on disk."""
         self._durable_ballot = ZERO_BALLOT
         self._is_loaded = False
         self._counter = 0
         self._proposing = asyncio.Lock()
         self._addresses: dict[str, str] = {}
+        self._history = OrderHistory(storage, self._ask_for_orders)
+        self._notes: set[asyncio.Task[None]] = set()
+
+    @property
+    def handlers(self) -> dict[str, Handler]:
+        """The handlers of the register's messages, by type."""
+        return {
+            "register.prepare": self.handle_prepare,
+            "register.accept": self.handle_accept,
+            ORDERS: self._handle_orders,
+        }
 
     async def load(self) -> None:
         """Takes up what the disk holds. Before, the replica takes part in nothing: it would forget its promises."""
@@ -72,7 +86,9 @@
         self._durable_ballot = self._replica.accepted
         self._counter = self._replica.promised.counter
         if self._replica.value is not None:
+            self.durable_version = self._replica.value["version"]
             self._learn_addresses(self._replica.value)
+        await self._history.load()
         self._is_loaded = True
 
     @property
@@ -102,6 +118,43 @@
         self.chosen = state
         self.chosen_ballot = max(ballot, self.chosen_ballot)
         self.on_chosen(state)
+        note = asyncio.ensure_future(self._note_orders(state))
+        self._notes.add(note)
+        note.add_done_callback(self._notes.discard)
+
+    async def was_taken(self, generation: int, digest: str, timeout_s: float) -> bool | None:
+        """Whether an order that the newest state has forgotten was taken; None if that can't be told in time."""
+        if self.chosen is None:
+            return None
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._history.note(self.chosen)
+                return await self._history.was_taken(generation, digest)
+        except (TimeoutError, StorageFailed):
+            return None
+
+    async def _note_orders(self, state: SystemState) -> None:
+        try:
+            await self._history.note(state)
+        except StorageFailed as fault:  # the next state tells of these orders too
+            log.warning("register.orders_not_noted", extra={"why": repr(fault)})
+
+    async def _handle_orders(self, message: Message) -> Message:
+        return (await self._history.page(OrdersRequest.decode(message))).encode()
+
+    async def _ask_for_orders(self, request: OrdersRequest) -> OrderPage | None:
+        best: OrderPage | None = None
+        for address in sorted(set(self._addresses.values()) - {self.address}):
+            try:
+                page = OrderPage.decode(await self._client.call(address, request.encode(), MEMBER_TIMEOUT_S))
+            except (RpcError, LookupError, TypeError, ValueError) as fault:
+                log.debug("register.no_orders", extra={"address": address, "why": repr(fault)})
+                continue
+            if best is None or (page.orders and (not best.orders or page.orders[0].number < best.orders[0].number)):
+                best = page
+            if best.orders and best.orders[0].number == request.after + 1:
+                return best
+        return best
 
     async def handle_prepare(self, message: Message) -> Message:
         """First round, as a member."""
@@ -227,10 +280,12 @@
         self._addresses.update(state["members"])
 
     async def _persist(self) -> None:
-        replica, accepted = self._replica, self._replica.accepted
-        promised = json.dumps(replica.promised)
-        await self._write((REGISTER_KEY, promised, json.dumps(accepted), json.dumps(replica.value)))
-        self._durable_ballot = max(self._durable_ballot, accepted)
+        accepted, value = self._replica.accepted, self._replica.value
+        promised = json.dumps(self._replica.promised)
+        await self._write((REGISTER_KEY, promised, json.dumps(accepted), json.dumps(value)))
+        if accepted >= self._durable_ballot and value is not None:
+            self._durable_ballot = accepted
+            self.durable_version = value["version"]
 
     async def _persist_promise(self) -> None:
         """Writes the promise alone, unless what was accepted is not on disk yet: the reply tells of that as well."""
