Front: every wait ends by the time that the client and the route allow

Cause: the body of a request could trickle in for 10 s from its start, and for 10 s more with each chunk, whatever its route allows; the chain of a turn was read with the time that was left before its budget was reserved; a request could wait for a place longer than it had left; a call whose connection came up after its time was still sent, with 1 ms. Change: a body may arrive for as long as its request may be held (408, which is true: nothing was sent); each question to the stores gets what is left then; a wait for a place ends by the deadline; nothing is sent after it. Tests: `test_time_allowed.py`, on the bytes that a receiver gets: safe, unsafe and keyed requests, with the client's deadline, with one beyond the route's and with none; repeats, streams that go on elsewhere, turns behind slow stores. `turn.open` takes a function in place of a number: `test_turns.py` and `test_streams.py` follow.

--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -21,7 +21,8 @@
 
 from .cluster_agent import ClusterAgent
 from .cluster_state import ClusterState
-from .ingress import Ingress, ReadyServer
+from .ingress import Ingress
+from .readiness import ReadyServer
 from .request_path import RequestPath
 from .stop_signal import StopSignal
 from .store_client import BlockingStoreClient, StoreClient
--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/course.py
@@ -143,13 +143,13 @@
         routed = self._routed
         hold_until = routed.request.received_at + HOLD_SHARE_OF_AIM * routed.aim_s
         if step.effect_unknown:
-            hold_until = min(routed.deadline, max(hold_until, self._tools.clock() + routed.aim_s))
+            hold_until = max(hold_until, self._tools.clock() + routed.aim_s)
         return PlaceRequest(
             service=routed.service,
             route=routed.route.name,
             priority=routed.route.priority,
             aim_s=routed.aim_s,
-            hold_until=hold_until,
+            hold_until=min(routed.deadline, hold_until),
             sticky_key=routed.sticky_key,
             avoid=step.avoid,
         )
--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -9,24 +9,19 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterable
-from contextlib import suppress
-from http.server import BaseHTTPRequestHandler, HTTPServer, ThreadingHTTPServer
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, HTTPServer
 from typing import Any, cast
 
-from dewpin.cluster.configuration import (
-    DEFAULT_HEADER_TIMEOUT_MS,
-    DEFAULT_IDLE_TIMEOUT_MS,
-    DEFAULT_MAX_BODY_BYTES,
-    DEFAULT_MAX_HEADER_BYTES,
-    Limits,
-)
+from dewpin.cluster.configuration import Configuration, Limits
 from dewpin.cluster.errors import ErrorKind
 
+from .answer_format import render_chunk, render_head, render_whole
 from .cluster_state import ClusterState
-from .connection import ClientConnection, TooLarge
-from .http_parsing import MalformedRequest, RequestHead, parse_chunk_size, parse_head
-from .messages import Answer, BodyBroken, BodyStream, HeaderField, Request, own_answer, reason_phrase
+from .connection import ClientConnection
+from .http_parsing import RequestHead
+from .messages import Answer, BodyBroken, BodyStream, Request, own_answer
+from .request_reader import RequestReader, limits_of
 from .workers import Workers
 
 log = logging.getLogger(__name__)
@@ -37,15 +32,8 @@
 IDLE_MARGIN = 1.1
 """A connection at rest is kept a little longer than the operator's limit says."""
 WRITE_TIMEOUT_S = 10.0
-BODY_TIMEOUT_S = 10.0
-CHUNK_LINE_BYTES = 256
-NO_BODY_STATUSES = frozenset({204, 304})
 MOST_CONNECTIONS = 3000
 
-_DEFAULT_LIMITS = Limits(
-    DEFAULT_MAX_HEADER_BYTES, DEFAULT_MAX_BODY_BYTES, DEFAULT_HEADER_TIMEOUT_MS, DEFAULT_IDLE_TIMEOUT_MS
-)
-
 HandleRequest = Callable[[Request], Answer]
 
 
@@ -119,8 +107,12 @@
 
     def limits(self) -> Limits:
         """Return the limits in force."""
-        configuration = self._state.configuration
-        return configuration.limits if configuration is not None else _DEFAULT_LIMITS
+        return limits_of(self._state.configuration)
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force."""
+        return self._state.configuration
 
     def take_connection(self) -> bool:
         """Count a new connection; False if there are too many."""
@@ -228,13 +220,14 @@
         self._ingress = ingress
         self._connection = connection
         self._clock = clock
+        self._reader = RequestReader(connection, clock)
 
     def serve(self) -> None:
         while self._connection.wait_at_rest(self._rest_s):
             self._connection.skip_empty_lines()
             if not self._connection.has_buffered_bytes:
                 continue
-            request_read = self._read_request()
+            request_read = self._reader.read(self._ingress.configuration)
             if isinstance(request_read, ErrorKind):
                 self._answer_unread(request_read)
                 return
@@ -255,56 +248,6 @@
     def _rest_s(self) -> float:
         return self._ingress.limits().idle_timeout_ms / 1000 * IDLE_MARGIN
 
-    def _read_request(self) -> tuple[RequestHead, Request] | ErrorKind:
-        """Return the next request, or the error that its answer tells."""
-        limits = self._ingress.limits()
-        received_at = self._clock()
-        head_by = received_at + limits.header_timeout_ms / 1000
-        try:
-            head = parse_head(self._connection.read_until(b"\r\n\r\n", limits.max_header_bytes, head_by))
-        except TooLarge:
-            return ErrorKind.HEADERS_TOO_LARGE
-        except MalformedRequest:
-            return ErrorKind.BAD_REQUEST
-        except TimeoutError:
-            return ErrorKind.REQUEST_TIMEOUT
-        try:
-            body = self._read_body(head, limits)
-        except TooLarge:
-            return ErrorKind.BODY_TOO_LARGE
-        except MalformedRequest:
-            return ErrorKind.BAD_REQUEST
-        except TimeoutError:
-            return ErrorKind.REQUEST_TIMEOUT
-        return head, Request(head.method, head.target, head.headers, body, received_at, self._connection)
-
-    def _read_body(self, head: RequestHead, limits: Limits) -> bytes:
-        if head.content_length is not None and head.content_length > limits.max_body_bytes:
-            raise TooLarge
-        if head.content_length == 0:
-            return b""
-        if head.expects_continue:
-            self._connection.send_all(b"HTTP/1.1 100 Continue\r\n\r\n", self._clock() + WRITE_TIMEOUT_S)
-        if head.content_length is not None:
-            return self._connection.read_exactly(head.content_length, self._clock() + BODY_TIMEOUT_S)
-        return self._read_chunks(limits)
-
-    def _read_chunks(self, limits: Limits) -> bytes:
-        body = bytearray()
-        while True:
-            deadline = self._clock() + BODY_TIMEOUT_S
-            size = parse_chunk_size(self._connection.read_until(b"\r\n", CHUNK_LINE_BYTES, deadline))
-            if size == 0:
-                break
-            if len(body) + size > limits.max_body_bytes:
-                raise TooLarge
-            body += self._connection.read_exactly(size, deadline)
-            if self._connection.read_exactly(2, deadline) != b"\r\n":
-                raise MalformedRequest("a chunk does not end where it should")
-        while self._connection.read_until(b"\r\n", limits.max_header_bytes, self._clock() + BODY_TIMEOUT_S):
-            pass
-        return bytes(body)
-
     def _answer_unread(self, kind: ErrorKind) -> None:
         """Answer a request that was not read whole, and close."""
         answer = own_answer(kind)
@@ -343,83 +286,3 @@
             data += b"0\r\n\r\n"
         self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
         return closing or self._ingress.draining
-
-
-def render_whole(answer: Answer, body: bytes, closing: bool, without_body: bool) -> bytes:
-    """Return the bytes of an answer with a whole body, or of its head alone."""
-    if without_body or answer.status in NO_BODY_STATUSES:
-        return render_head(answer, closing, [])
-    answer_headers = [field for field in answer.headers if field[0].lower() != "content-length"]
-    head = Answer(answer.status, answer_headers, b"", answer.reason)
-    return render_head(head, closing, [("Content-Length", str(len(body)))]) + body
-
-
-def render_head(answer: Answer, closing: bool, framing: Iterable[HeaderField]) -> bytes:
-    """Return the bytes of an answer's head."""
-    reason = answer.reason or reason_phrase(answer.status)
-    lines = [f"HTTP/1.1 {answer.status} {reason}"]
-    lines.extend(f"{name}: {value}" for name, value in answer.headers)
-    lines.extend(f"{name}: {value}" for name, value in framing)
-    if closing:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-
-def render_chunk(part: bytes) -> bytes:
-    """Return one chunk of a body."""
-    return b"%x\r\n%b\r\n" % (len(part), part)
-
-
-class ReadyServer:
-    """Tells the platform at `/dewpin/ready` whether clients may be sent here."""
-
-    PATH = "/dewpin/ready"
-
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
-        self._server: ThreadingHTTPServer | None = None
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """Return the host and port that the server listens at."""
-        assert self._server is not None
-        host, port = self._server.server_address[:2]
-        return str(host), int(port)
-
-    def start(self, address: tuple[str, int]) -> None:
-        """Listen at a host and port and serve in the background; raises OSError if it cannot listen."""
-        is_ready, path = self._is_ready, self.PATH
-
-        class Handler(BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-            timeout = 5.0
-
-            def do_GET(self) -> None:
-                status = 404 if self.path.partition("?")[0] != path else (200 if is_ready() else 503)
-                self.send_response_only(status)
-                self.send_header("Content-Length", "0")
-                self.end_headers()
-
-            def log_message(self, format: str, *args: object) -> None:
-                log.debug(format, *args)
-
-        server = self._server = _ReadyHttpServer(address, Handler)
-        threading.Thread(target=server.serve_forever, args=(ACCEPT_POLL_S,), name="ready", daemon=True).start()
-
-    def stop(self) -> None:
-        """Stop answering."""
-        if self._server is not None:
-            with suppress(OSError):
-                self._server.shutdown()
-                self._server.server_close()
-
-
-class _ReadyHttpServer(ThreadingHTTPServer):
-    daemon_threads = True
-    block_on_close = False
-
-    def server_bind(self) -> None:
-        """Bind without looking up the host's name."""
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(self.server_address)
-        self.server_address = self.socket.getsockname()
--- a/dewpin/dataplane/receiver_socket.py
+++ b/dewpin/dataplane/receiver_socket.py
@@ -86,7 +86,6 @@
         if not self._in_call:
             return None
         while True:
-            self._time_left_s()
             self._send_some()
             ready = self._wait(select.POLLIN | (select.POLLOUT if self._unsent else 0))
             if ready & ~select.POLLOUT:
--- a/dewpin/dataplane/request_path.py
+++ b/dewpin/dataplane/request_path.py
@@ -1,6 +1,5 @@
 """The way of a request into the sender: configuration, route, service, turn; its course does the rest."""
 
-import math
 import random
 import time
 from collections.abc import Callable
@@ -13,8 +12,9 @@
 from .cluster_state import ClusterState
 from .course import RequestCourse, RoutedRequest, Tools
 from .figures import RequestFigures
-from .messages import PROMPT_PREFIX, REQUEST_DEADLINE, REQUEST_ID, Answer, Request, own_answer
+from .messages import PROMPT_PREFIX, REQUEST_ID, Answer, Request, own_answer
 from .program_store import ProgramStore
+from .time_allowed import time_allowed_s
 from .turns import OpenTurn, plan_turn
 from .upstream import Upstream
 
@@ -71,7 +71,7 @@
             raise TierError(ErrorKind.NO_ROUTE)
         key = sticky_key(request) if route.sticky else None
         service = self._choose_service(configuration, route, key)
-        deadline = request.received_at + time_allowed_s(request, route)
+        deadline = request.received_at + time_allowed_s(request.headers, route)
         plan = plan_turn(request, route, service)
         if plan is None:
             return RequestCourse(self._tools, RoutedRequest(request, route, service, deadline, key)).run()
@@ -79,7 +79,7 @@
         return self._run_turn(turn, RoutedRequest(request, route, service, deadline, key, turn))
 
     def _run_turn(self, turn: OpenTurn, routed: RoutedRequest) -> Answer:
-        turn.open(routed.deadline - self._clock(), self._state.is_cut_off())
+        turn.open(lambda: routed.deadline - self._clock(), self._state.is_cut_off())
         answer = None
         try:
             answer = RequestCourse(self._tools, routed).run()
@@ -126,18 +126,6 @@
             self._upstream.retain_only([receiver for group in receivers.values() for receiver in group])
 
 
-def time_allowed_s(request: Request, route: Route) -> float:
-    """Return how long a request may be held: the client's time, or the route's time-out if that is less."""
-    told = request.headers.get(REQUEST_DEADLINE)
-    try:
-        told_ms = route.timeout_ms if told is None else float(told)
-    except ValueError:
-        told_ms = -1.0
-    if told_ms < 0 or not math.isfinite(told_ms):
-        raise TierError(ErrorKind.BAD_REQUEST, "X-Dewpin-Request-Deadline has to be a number of milliseconds")
-    return min(told_ms, route.timeout_ms) / 1000
-
-
 def sticky_key(request: Request) -> str | None:
     """Return what the cached part of a prompt hangs on: the program, the session or the last shared part."""
     key = request.headers.get("program") or request.headers.get("session")
--- a/dewpin/dataplane/turns.py
+++ b/dewpin/dataplane/turns.py
@@ -6,6 +6,7 @@
 whole is stored before the end of that answer goes to the client.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from dewpin.cluster.configuration import Route, Service
@@ -70,14 +71,16 @@
         self._output: list[bytes] = []
         self.body = request.body
 
-    def open(self, timeout_s: float, cut_off: bool = False) -> None:
+    def open(self, time_left_s: Callable[[], float], cut_off: bool = False) -> None:
         """Reserve the budget and fetch the chain; raises BudgetSpent, TurnUnknown or StoreUnavailable."""
         plan = self._plan
-        timeout_s = min(timeout_s, CUT_OFF_OPEN_TIMEOUT_S if cut_off else OPEN_TIMEOUT_S)
+        longest_s = CUT_OFF_OPEN_TIMEOUT_S if cut_off else OPEN_TIMEOUT_S
         if plan.budget is not None:
+            timeout_s = min(longest_s, time_left_s())
             self._reservation = self._store.reserve(plan.program, plan.turn_id, plan.most, plan.budget, timeout_s)
         if plan.retained and plan.previous is not None:
             try:
+                timeout_s = min(longest_s, time_left_s())
                 self.body = self._store.chain(plan.program, plan.previous, timeout_s) + self._request.body
             except BaseException:
                 self.settle()
--- a/dewpin/dataplane/upstream.py
+++ b/dewpin/dataplane/upstream.py
@@ -129,6 +129,9 @@
         if call.has_client_gone:
             connection.close()
             return CallResult(Outcome.CLIENT_GONE)
+        if call.deadline <= self._clock():
+            connection.close()
+            return CallResult(Outcome.NEVER_SENT)
         return self._call_on(receiver, connections, connection, call)
 
     def retain_only(self, receivers: Sequence[Receiver]) -> None:
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -10,8 +10,9 @@
 
 from dewpin.cluster.configuration import parse_configuration
 from dewpin.dataplane.cluster_state import ClusterState
-from dewpin.dataplane.ingress import Ingress, ReadyServer
+from dewpin.dataplane.ingress import Ingress
 from dewpin.dataplane.messages import Answer, BodyBroken
+from dewpin.dataplane.readiness import ReadyServer
 
 LIMITS = {"max_header_bytes": 1000, "max_body_bytes": 5000, "header_timeout_ms": 10_000, "idle_timeout_ms": 10_000}
 
--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -31,7 +31,8 @@
 from dewpin.dataplane.cluster_state import ClusterState
 from dewpin.dataplane.messages import BodyBroken
 from dewpin.dataplane.program_store import Turn
-from dewpin.dataplane.request_path import RequestPath, share_of_key, sticky_key, time_allowed_s
+from dewpin.dataplane.request_path import RequestPath, share_of_key, sticky_key
+from dewpin.dataplane.time_allowed import time_allowed_s
 
 FAILURES = [reset, close, whole(b"no", "500 Internal Server Error", signed=False)]
 
@@ -137,7 +138,7 @@
 @pytest.mark.parametrize(("told", "allowed_s"), [("1200", 1.2), ("99999", 5.0), (None, 5.0)])
 def test_the_time_allowed_is_the_clients_or_the_routes_whichever_is_less(told, allowed_s):
     fields = [("X-Dewpin-Request-Deadline", told)] if told else []
-    assert time_allowed_s(request(*fields), configuration().routes[0]) == allowed_s
+    assert time_allowed_s(request(*fields).headers, configuration().routes[0]) == allowed_s
 
 
 @pytest.mark.parametrize("failure", FAILURES)
--- a/tests/dataplane/test_streams.py
+++ b/tests/dataplane/test_streams.py
@@ -148,7 +148,7 @@
     asked = request(*fields)
     plan = plan_turn(asked, given.routes[0], next(iter(given.services.values())))
     turn = OpenTurn(store, plan, asked)
-    turn.open(1.0)
+    turn.open(lambda: 1.0)
     return turn
 
 
--- a/tests/dataplane/test_time_allowed.py
+++ b/tests/dataplane/test_time_allowed.py
@@ -1,12 +1,34 @@
 """Requests end by the time that their client and their route allow, whatever the receiver does."""
 
+import socket
 import threading
 
 import pytest
-from dataplane.peers import PATIENCE_S, ScriptedReceiver, chunk, event, head, receivers, stream_head
+from dataplane.peers import (
+    HOST,
+    PATIENCE_S,
+    MemoryStore,
+    ScriptedReceiver,
+    chunk,
+    configuration,
+    event,
+    head,
+    receivers,
+    request,
+    reset,
+    stream,
+    stream_head,
+    whole,
+)
 from dataplane.test_request_path import Path, read
 
+from dewpin.cluster.errors import ErrorKind
+from dewpin.dataplane.connection import ClientConnection
+from dewpin.dataplane.course import RequestCourse, RoutedRequest
 from dewpin.dataplane.messages import BodyBroken
+from dewpin.dataplane.program_store import Turn
+from dewpin.dataplane.request_reader import RequestReader
+from dewpin.dataplane.retry import Send
 
 TIMEOUT_MS = 10 * PATIENCE_S * 1000
 
@@ -98,3 +120,144 @@
                 clock.now_s += 1.0
         let_go.set()
     assert clock.now_s <= 1000.0 + timeout_s + 1.0
+
+
+def told_ms(peer):
+    return [int(got.headers["x-dewpin-request-deadline"]) for got in peer.requests]
+
+
+class SlowStore(MemoryStore):
+    """A store that takes its time, and notes how much it was given."""
+
+    def __init__(self, clock, takes_s):
+        super().__init__()
+        self._clock = clock
+        self._takes_s = takes_s
+        self.given_s = []
+
+    def reserve(self, program, turn, most, budget, timeout_s):
+        self.given_s.append(timeout_s)
+        self._clock.now_s += self._takes_s
+        return super().reserve(program, turn, most, budget, timeout_s)
+
+    def chain(self, program, previous, timeout_s):
+        self.given_s.append(timeout_s)
+        self._clock.now_s += self._takes_s
+        return super().chain(program, previous, timeout_s)
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+@pytest.mark.parametrize(
+    ("fields", "left_ms"),
+    [([("X-Dewpin-Request-Deadline", "1200")], 1200), ([("X-Dewpin-Request-Deadline", "9999")], 2000), ([], 2000)],
+)
+@pytest.mark.parametrize("keyed", [[], [("Idempotency-Key", "k-1")]])
+def test_a_receiver_is_told_the_time_that_is_left(kind, fields, left_ms, keyed):
+    peer = ScriptedReceiver(whole())
+    with receivers(peer) as listed:
+        path = Path(listed, frozen=True, kind=kind, timeout_ms=2000, target_ms=500)
+        assert path(*fields, *keyed).status == 200
+    assert told_ms(peer) == [left_ms]
+
+
+def test_a_repeat_is_told_less_by_the_pause_before_it():
+    failing = ScriptedReceiver(reset, id="i-1")
+    sound = ScriptedReceiver(whole(), id="i-2", zone="there")
+    with receivers(failing, sound) as listed:
+        path = Path(listed, frozen=True, kind="idempotent", target_ms=500)
+        assert path(("X-Dewpin-Request-Deadline", "1200")).status == 200
+        first, second = told_ms(failing) + told_ms(sound)
+        waited_ms = 1000 * sum(path.pauses)
+    assert first == 1200
+    assert waited_ms > 0
+    assert 1200 - waited_ms - 1 <= second <= 1200 - waited_ms
+
+
+def test_a_call_that_goes_on_with_a_stream_is_told_what_is_left_then():
+    clock = ScriptedClock()
+    broken = ScriptedReceiver(stream(event(1), whole=False), id="i-1")
+    sound = ScriptedReceiver(stream(event(2)), id="i-2", zone="there")
+    with receivers(broken, sound) as listed:
+        path = Path(listed, kind="stream", resumable=True, timeout_ms=4000)
+        path._now = clock
+        answer = path()
+        parts = iter(answer.body)
+        assert next(parts) == event(1)
+        clock.now_s += 1.5
+        assert b"".join(parts) == event(2)
+        waited_ms = 1000 * sum(path.pauses)
+    first, second = told_ms(broken) + told_ms(sound)
+    assert first == 4000
+    assert 2500 - waited_ms - 1 <= second <= 2500 - waited_ms
+
+
+def test_a_turn_is_told_what_the_stores_have_left_and_they_get_no_more_than_that():
+    clock = ScriptedClock()
+    store = SlowStore(clock, takes_s=0.5)
+    store.turns["t-1"] = Turn("t-1", "p", None, b"first", b"answer\n", 60.0)
+    peer = ScriptedReceiver(stream(event(1)))
+    with receivers(peer) as listed:
+        path = Path(listed, store, kind="stream", retained=True, target_ms=100)
+        path._now = clock
+        fields = [("Program", "p"), ("Budget", "100"), ("X-Dewpin-Token-Usage", "5,40"), ("Previous", "t-1")]
+        assert read(path(*fields, ("X-Dewpin-Request-Deadline", "1200"))) == (event(1), False)
+    assert told_ms(peer) == [200]
+    assert store.given_s == pytest.approx([1.0, 0.7])
+
+
+def test_nothing_is_sent_once_the_time_has_ended_while_a_connection_came_up():
+    clock = ScriptedClock()
+    peer = ScriptedReceiver(whole())
+    with receivers(peer) as (receiver,):
+        path = Path([receiver], kind="non_idempotent", retries=1, target_ms=100)
+        path._now = clock
+        connections = path.path._tools.upstream._connections_to(receiver)
+        connect = connections.connect
+
+        def connect_slowly(timeout_s):
+            clock.now_s += 2.0
+            return connect(timeout_s)
+
+        connections.connect = connect_slowly
+        assert path(("X-Dewpin-Request-Deadline", "1200")).status == 503
+    assert peer.requests == []
+
+
+def test_no_wait_for_a_place_outlasts_the_time_allowed():
+    path = Path([], frozen=True, kind="idempotent", target_ms=4000)
+    asked = request(("X-Dewpin-Request-Deadline", "500"), now=path._clock())
+    route = path.state.configuration.routes[0]
+    service = path.state.configuration.services[route.split[0].backend]
+    routed = RoutedRequest(asked, route, service, path._clock() + 0.5)
+    course = RequestCourse(path.path._tools, routed)
+    for effect_unknown in (False, True):
+        assert course._place_request(Send({}, effect_unknown)).hold_until <= routed.deadline
+
+
+class SteppingClock:
+    """A clock that goes on by five seconds whenever it is looked at."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self):
+        self.now_s += 5.0
+        return self.now_s
+
+
+@pytest.mark.parametrize("framing", ["Content-Length: 9", "Transfer-Encoding: chunked"])
+@pytest.mark.parametrize(("timeout_ms", "told"), [(4000, []), (9000, ["X-Dewpin-Request-Deadline: 4000"])])
+def test_a_body_may_arrive_for_as_long_as_its_request_may_be_held(framing, timeout_ms, told):
+    """The clock is looked at when the request begins and when the rest of its body is waited for; that is too late."""
+    clock = SteppingClock()
+    listener = socket.create_server(("127.0.0.1", 0))
+    client = socket.create_connection(listener.getsockname())
+    accepted, _ = listener.accept()
+    listener.close()
+    lines = ["POST /work HTTP/1.1", f"Host: {HOST}", "X-Dewpin-Request-Id: r-1", framing, *told, "", ""]
+    client.sendall("\r\n".join(lines).encode() + b"4\r\n")
+    reader = RequestReader(ClientConnection(accepted, 0, clock), clock)
+    assert reader.read(configuration(timeout_ms=timeout_ms, target_ms=500)) is ErrorKind.REQUEST_TIMEOUT
+    assert clock.now_s == 1000.0 + 2 * 5.0
+    client.close()
+    accepted.close()
--- a/tests/dataplane/test_turns.py
+++ b/tests/dataplane/test_turns.py
@@ -20,7 +20,7 @@
 
 def opened(store, *fields, **route):
     turn = OpenTurn(store, plan(*fields, **route), request(*fields))
-    turn.open(1.0)
+    turn.open(lambda: 1.0)
     return turn
 
 
@@ -142,5 +142,5 @@
     fields = [BUDGET, USAGE, PROGRAM]
     for cut_off in (False, True):
         with pytest.raises(StoreUnavailable):
-            OpenTurn(Store(), plan(*fields), request(*fields)).open(10.0, cut_off)
+            OpenTurn(Store(), plan(*fields), request(*fields)).open(lambda: 10.0, cut_off)
     assert waited == [OPEN_TIMEOUT_S, CUT_OFF_OPEN_TIMEOUT_S]
