Front: receivers are told how urgent a call is; tests of urgency, versions, resuming and of stops together

Cause: calls went out without `Priority`, so that receivers took all of them for 5; the less urgent ones of a service could be let in before the more urgent. Change: the header carries the route's `priority` (9 at most), also on repeats and on streams that go on elsewhere; where a client tells one itself, that one stands.

--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/course.py
@@ -9,7 +9,7 @@
 
 from .balancing import Balancer, NoPlace, Place
 from .figures import RequestFigures
-from .messages import Answer, HeaderField, Headers, Request, own_answer
+from .messages import PRIORITY, Answer, HeaderField, Headers, Request, own_answer
 from .outcome import Outcome, StreamCut
 from .places import PlaceRequest
 from .retry import GATEWAY_TIMED_OUT, EndUnknown, PassOn, Pause, Refuse, RetryPolicy, RetryStage, Send
@@ -22,6 +22,8 @@
 UNANSWERED = frozenset({Outcome.NEVER_SENT, Outcome.TIMED_OUT, Outcome.CLIENT_GONE})
 RECEIVER_ERRORS = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED})
 """Outcomes that count against a receiver; silence until the time's end may be the request's own doing."""
+LEAST_URGENT_PRIORITY = 9
+"""The last rank that receivers know; 0 goes first, as among the routes."""
 LENGTH_HEADERS = frozenset({"content-length"})
 
 
@@ -162,7 +164,7 @@
             repeatable=routed.repeatable,
             streaming=routed.route.is_stream,
             body=routed.turn.body if routed.turn else None,
-            replaced_headers=self._resume_headers,
+            replaced_headers=(*self._priority_headers(), *self._resume_headers),
         )
         self._tools.figures.attempts += 1
         started = self._stream_began = self._tools.clock()
@@ -176,6 +178,12 @@
             self._count(place, result, now, now - started)
         return result
 
+    def _priority_headers(self) -> tuple[HeaderField, ...]:
+        """Return the urgency that a receiver is told: its route's rank, unless the client told one itself."""
+        if self._routed.request.headers.get(PRIORITY) is not None:
+            return ()
+        return (("Priority", str(min(self._routed.route.priority, LEAST_URGENT_PRIORITY))),)
+
     def _count(self, place: Place, result: CallResult, now: float, took_s: float) -> None:
         """Tell the retry stage and the balancer how a call ended."""
         may_pass_on = result.answer is not None and result.answer.may_pass_on
--- a/dewpin/dataplane/messages.py
+++ b/dewpin/dataplane/messages.py
@@ -14,6 +14,7 @@
 NOT_EXECUTED = "x-dewpin-not-executed"
 SERVER_LOAD = "x-dewpin-server-load"
 TOKEN_USAGE = "x-dewpin-token-usage"
+PRIORITY = "priority"
 PROMPT_PREFIX = "x-dewpin-prompt-prefix"
 
 CONNECTION_HEADERS = frozenset(
--- /dev/null
+++ b/tests/dataplane/test_stopping.py
@@ -0,0 +1,65 @@
+"""Senders that are told to stop, one or many at once, are out of the platform's pick soon after."""
+
+import subprocess
+import sys
+
+SENDERS = 3
+QUESTIONS = 5
+
+PROGRAM = """
+import http.client, os, signal, threading
+from types import SimpleNamespace
+from dewpin.dataplane.__main__ import Sender
+from dewpin.dataplane.readiness import ReadyServer
+
+sender = Sender(None)
+sender.agent = SimpleNamespace(hears_control=True, confirmation=SimpleNamespace(is_confirmed=True))
+sender.state.configuration = sender.state.store_view = object()
+sender.state.receivers = {"service": (object(),)}
+server = ReadyServer(sender.is_ready)
+server.start(("127.0.0.1", 0))
+connection = http.client.HTTPConnection(*server.address, timeout=10)
+
+def ask():
+    connection.request("GET", ReadyServer.PATH)
+    answer = connection.getresponse()
+    answer.read()
+    print(answer.status, flush=True)
+
+def be_stopped():
+    ask()
+    sys.stdin.readline()
+    os.kill(os.getpid(), signal.SIGTERM)
+    for _ in range(QUESTIONS):
+        ask()
+
+import sys
+asking = threading.Thread(target=be_stopped, daemon=True)
+asking.start()
+sender.stopping.wait()
+asking.join(10)
+"""
+
+
+def test_senders_that_are_stopped_together_are_all_not_ready_at_once():
+    """Two questions in a row without a 200 take a sender out; the first one may cross the signal."""
+    program = PROGRAM.replace("QUESTIONS", str(QUESTIONS))
+    running = [
+        subprocess.Popen(
+            [sys.executable, "-c", program],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        for _ in range(SENDERS)
+    ]
+    for each in running:
+        assert each.stdout.readline() == "200\n", each.stderr.read()
+    for each in running:
+        each.stdin.write("stop\n")
+        each.stdin.flush()
+    for each in running:
+        told, faults = each.communicate(timeout=30)
+        assert len(told.split()) == QUESTIONS, faults
+        assert set(told.split()[1:]) == {"503"}
--- /dev/null
+++ b/tests/dataplane/test_urgency.py
@@ -0,0 +1,92 @@
+"""The more urgent routes go first: at the receivers, which are told, and where requests wait for a place here."""
+
+import random
+
+import pytest
+from dataplane.peers import SERVICE, ScriptedReceiver, configuration, event, receivers, stream, whole
+from dataplane.test_request_path import Path, read
+
+from dewpin.cluster.receivers import Receiver
+from dewpin.dataplane.places import PRIORITY_STEP_S, PlaceBook, PlaceRequest
+
+
+@pytest.mark.parametrize(("priority", "told"), [(0, "0"), (1, "1"), (9, "9"), (40, "9")])
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent", "stream"])
+def test_a_receiver_is_told_the_rank_of_the_route(kind, priority, told):
+    script = stream(event(1)) if kind == "stream" else whole()
+    peer = ScriptedReceiver(script)
+    with receivers(peer) as listed:
+        answer = Path(listed, kind=kind, priority=priority)()
+        assert answer.status == 200
+        read(answer)
+    assert [got.headers["priority"] for got in peer.requests] == [told]
+
+
+def test_the_urgency_that_a_client_tells_is_passed_on_as_it_is():
+    peer = ScriptedReceiver(whole())
+    with receivers(peer) as listed:
+        assert Path(listed, priority=0)(("Priority", "7")).status == 200
+    (got,) = peer.requests
+    assert [value for name, value in got.fields if name.lower() == "priority"] == ["7"]
+
+
+def test_a_call_that_goes_on_with_a_stream_is_as_urgent_as_the_first():
+    broken = ScriptedReceiver(stream(event(1), whole=False), id="i-1")
+    sound = ScriptedReceiver(stream(event(2)), id="i-2", zone="there")
+    with receivers(broken, sound) as listed:
+        assert read(Path(listed, frozen=True, kind="stream", resumable=True, priority=3)()) == (
+            event(1) + event(2),
+            False,
+        )
+    assert [got.headers["priority"] for got in broken.requests + sound.requests] == ["3", "3"]
+    assert sound.requests[0].headers["last-event-id"] == "1"
+
+
+def test_under_lasting_load_the_more_urgent_go_first_and_the_others_are_not_starved():
+    """One place comes free each 10 ms, and requests of both routes wait all the while."""
+    places = PlaceBook("here", random.Random(1))
+    places.list_receivers(SERVICE, (Receiver("i-1", SERVICE, "10.0.0.1:80", "here", 1, False, 0.0, "v1"),))
+    service = configuration().services[SERVICE]
+    now = 1000.0
+
+    def wanted(route, priority):
+        return PlaceRequest(service, route, priority, 0.1, now + 100.0)
+
+    while places.take(wanted("urgent", 0), now) is not None:
+        pass
+    waiting = [places.wait(wanted(route, priority)) for route, priority in (("usual", 1), ("urgent", 0))]
+    served = {"urgent": 0, "usual": 0}
+    longest_s, last_s = 0.0, now
+    for _ in range(1000):
+        now += 0.01
+        places.give_back("i-1")
+        (ticket,) = places.grant(SERVICE, now)
+        route = ticket.request.route
+        served[route] += 1
+        if route == "usual":
+            longest_s, last_s = max(longest_s, now - last_s), now
+        waiting.append(places.wait(wanted(route, ticket.request.priority)))
+    assert served["urgent"] > 5 * served["usual"]
+    assert 0 < longest_s <= PRIORITY_STEP_S + 0.02
+
+
+def test_a_request_that_names_a_version_moves_on_from_receivers_of_another_and_holds_nothing_against_them():
+    other = ScriptedReceiver(whole(b"", "421 Misdirected Request", "Versions: 3", signed=False), id="i-1")
+    meant = ScriptedReceiver(stream(b"versions: 4\nid: 1\ndata: a\n\n", event(2)), id="i-2", zone="there")
+    with receivers(other, meant) as listed:
+        path = Path(listed, frozen=True, kind="stream")
+        for _ in range(2):
+            answer = path(("Expect-Version", "4"))
+            assert read(answer) == (b"versions: 4\nid: 1\ndata: a\n\n" + event(2), False)
+        load = path.path._tools.balancer._book.load("i-1")
+        assert (load.failures, load.refusals, load.blocked_until) == (0, 0, 0.0)
+        assert load.error_share(1000.0) == 0.0
+    assert len(other.requests) == 2
+    assert {got.headers["expect-version"] for got in other.requests + meant.requests} == {"4"}
+
+
+def test_a_version_that_no_receiver_has_is_a_refusal_with_a_promise():
+    peer = ScriptedReceiver(whole(b"", "421 Misdirected Request", "Versions: 3", signed=False))
+    with receivers(peer) as listed:
+        answer = Path(listed, kind="non_idempotent", retries=1)(("Expect-Version", "4"))
+    assert answer.status == 503
