--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/request_attempts.py
@@ -1,4 +1,4 @@
-"""The course of one routed request: carries out what the retry stage says, until there is an answer."""
+"""The attempts of one routed request: carries out what the retry stage says, until there is an answer."""
 
 import random
 from collections.abc import Callable
@@ -61,7 +61,7 @@
         return min(self.route.target_ms, self.route.timeout_ms) / 1000
 
 
-class RequestCourse:
+class RequestAttempts:
     """Runs one request to its answer, in the thread of its client's connection."""
 
     def __init__(self, tools: Tools, routed: RoutedRequest) -> None:
--- a/dewpin/dataplane/request_path.py
+++ b/dewpin/dataplane/request_path.py
@@ -1,4 +1,4 @@
-"""The way of a request into the sender: configuration, route, service, turn; its course does the rest."""
+"""The way of a request into the sender: configuration, route, service, turn; its attempts do the rest."""
 
 import random
 import time
@@ -10,10 +10,10 @@
 
 from .balancing import Balancer
 from .cluster_state import ClusterState
-from .course import RequestCourse, RoutedRequest, Tools
 from .figures import RequestFigures
 from .messages import PROMPT_PREFIX, REQUEST_ID, Answer, Request, own_answer
 from .program_store import ProgramStore
+from .request_attempts import RequestAttempts, RoutedRequest, Tools
 from .time_allowed import time_allowed_s
 from .turns import OpenTurn, plan_turn
 from .upstream import Upstream
@@ -74,7 +74,7 @@
         deadline = request.received_at + time_allowed_s(request.headers, route)
         plan = plan_turn(request, route, service)
         if plan is None:
-            return RequestCourse(self._tools, RoutedRequest(request, route, service, deadline, key)).run()
+            return RequestAttempts(self._tools, RoutedRequest(request, route, service, deadline, key)).run()
         turn = OpenTurn(self._store, plan, request)
         return self._run_turn(turn, RoutedRequest(request, route, service, deadline, key, turn))
 
@@ -82,7 +82,7 @@
         turn.open(lambda: routed.deadline - self._clock(), self._state.is_cut_off())
         answer = None
         try:
-            answer = RequestCourse(self._tools, routed).run()
+            answer = RequestAttempts(self._tools, routed).run()
             return answer
         finally:
             if answer is None or isinstance(answer.body, bytes):
--- a/tests/dataplane/test_time_allowed.py
+++ b/tests/dataplane/test_time_allowed.py
@@ -24,9 +24,9 @@
 
 from dewpin.cluster.errors import ErrorKind
 from dewpin.dataplane.connection import ClientConnection
-from dewpin.dataplane.course import RequestCourse, RoutedRequest
 from dewpin.dataplane.messages import BodyBroken
 from dewpin.dataplane.program_store import Turn
+from dewpin.dataplane.request_attempts import RequestAttempts, RoutedRequest
 from dewpin.dataplane.request_reader import RequestReader
 from dewpin.dataplane.retry import Send
 
@@ -229,9 +229,9 @@
     route = path.state.configuration.routes[0]
     service = path.state.configuration.services[route.split[0].backend]
     routed = RoutedRequest(asked, route, service, path._clock() + 0.5)
-    course = RequestCourse(path.path._tools, routed)
+    attempts = RequestAttempts(path.path._tools, routed)
     for effect_unknown in (False, True):
-        assert course._place_request(Send({}, effect_unknown)).hold_until <= routed.deadline
+        assert attempts._place_request(Send({}, effect_unknown)).hold_until <= routed.deadline
 
 
 class SteppingClock:
