--- a/dewpin/dataplane/receiver_socket.py
+++ b/dewpin/dataplane/receiver_socket.py
@@ -129,16 +129,17 @@
         poller = select.poll()
         poller.register(receiver, events)
         if client is not None:
-            poller.register(client.fileno(), select.POLLIN)
+            poller.register(client.fileno(), select.POLLRDHUP)
         while True:
-            left_s = self._deadline - self._clock()
-            if left_s <= 0:
-                raise StreamCut(Outcome.TIMED_OUT)
-            ready = dict(poller.poll(left_s * 1000 + 1))
+            ready = dict(poller.poll(self._time_left_s() * 1000 + 1))
             if receiver in ready:
                 return ready[receiver]
-            if client is not None and ready:
-                if client.has_gone():
-                    raise StreamCut(Outcome.CLIENT_GONE)
-                poller.unregister(client.fileno())
-                self._client = client = None
+            if ready:
+                raise StreamCut(Outcome.CLIENT_GONE)
+
+    def _time_left_s(self) -> float:
+        """Return the time until the deadline; raises StreamCut if there is none."""
+        left_s = self._deadline - self._clock()
+        if left_s <= 0:
+            raise StreamCut(Outcome.TIMED_OUT)
+        return left_s
