--- a/benchmarks/capacity/measures/register.py
+++ b/benchmarks/capacity/measures/register.py
@@ -6,7 +6,9 @@
 import random
 import tempfile
 import time
+from collections.abc import Callable
 from contextlib import AsyncExitStack
+from typing import NamedTuple
 
 from benchmarks.capacity import shapes
 from benchmarks.capacity.series import Effort, Series, sample
@@ -21,11 +23,15 @@
 REGISTER_ROUTES = (50, 500, 1_000, 2_000)
 
 
-async def change_registers(routes: int, seconds: float) -> tuple[float, float]:
-    """Changes of a register of REGISTER_MEMBERS members in one process over loopback, each with its own file.
+class Change(NamedTuple):
+    """What one change of the register takes, all its members together."""
 
-    Returns the seconds and the processor seconds (all members together) of a change.
-    """
+    seconds: float
+    processor_seconds: float
+
+
+async def change_registers(routes: int, seconds: float) -> Change:
+    """Change a register of REGISTER_MEMBERS members in one process over loopback, each with its own file."""
     with tempfile.TemporaryDirectory() as folder:
         async with AsyncExitStack() as stack:
             registers = []
@@ -55,38 +61,26 @@
                 await registers[0].propose(put_configuration(body, generation + 1, generation), 10.0)
                 generation += 1
             changes = max(generation - 1, 1)
-            return (time.perf_counter() - start) / changes, (time.process_time() - used) / changes
+            return Change((time.perf_counter() - start) / changes, (time.process_time() - used) / changes)
 
 
-def register_change(effort: Effort) -> Series:
-    """Time of a change of the register, by the routes of the configuration in it."""
+def register_series(effort: Effort, name: str, title: str, y_name: str, figure: Callable[[Change], float]) -> Series:
+    """A figure of one change of the register, by the routes of the configuration in it."""
 
     def at(routes: int) -> float:
-        return asyncio.run(change_registers(routes, effort.seconds))[0] * MICROSECONDS
+        return figure(asyncio.run(change_registers(routes, effort.seconds))) * MICROSECONDS
+
+    return Series(name, title, REGISTER, "routes", y_name, "µs", sample(REGISTER_ROUTES, effort, at))
 
-    return Series(
-        "register-change",
-        f"a change of the register of {REGISTER_MEMBERS} members in one process, each with its file",
-        REGISTER,
-        "routes",
-        "time a change",
-        "µs",
-        sample(REGISTER_ROUTES, effort, at),
-    )
+
+def register_change(effort: Effort) -> Series:
+    """Time of a change of the register, by the routes of the configuration in it."""
+    title = f"a change of the register of {REGISTER_MEMBERS} members in one process, each with its file"
+    return register_series(effort, "register-change", title, "time a change", lambda change: change.seconds)
 
 
 def register_cost(effort: Effort) -> Series:
     """Processor time of a change of the register, all members together."""
-
-    def at(routes: int) -> float:
-        return asyncio.run(change_registers(routes, effort.seconds))[1] * MICROSECONDS
-
-    return Series(
-        "register-cost",
-        f"processor time of a change of the register, all {REGISTER_MEMBERS} members together",
-        REGISTER,
-        "routes",
-        "processor time a change",
-        "µs",
-        sample(REGISTER_ROUTES, effort, at),
-    )
+    title = f"processor time of a change of the register, all {REGISTER_MEMBERS} members together"
+    name, y_name = "register-cost", "processor time a change"
+    return register_series(effort, name, title, y_name, lambda change: change.processor_seconds)
