--- /dev/null
+++ b/tests/relay/test_late_repeats.py
@@ -0,0 +1,122 @@
+"""Repeats whose connections come up late, in simulated time: the window of a repeat holds to the millisecond."""
+
+import asyncio
+
+import pytest
+
+from dewpin.core import model
+from dewpin.lab.loop import SimLoop
+from dewpin.lab.network import Network, Way
+from dewpin.net.outbound import HELD, Link, Pool
+from dewpin.relay.course import Relay
+from dewpin.relay.facade import Facade
+from dewpin.spool.journal import Spool
+from driver import settings
+
+RECEIVER = ("10.0.0.1", 80)
+LATENCY_S = 0.0001
+WINDOW_S = 0.9
+MARGIN_S = 0.02
+"""What the dispatcher keeps of a window for its tick and the answer, with ticks of 5 ms."""
+LAST_S = WINDOW_S - MARGIN_S - HELD
+"""When a connection must be up for the last byte of a call, which is held back for a moment, to leave in time."""
+
+
+class Receiver:
+    """Resets the first call once it has it whole, and notes which calls reach it, and when."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.calls = []
+        self.received = []  # on each connection
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.received.append(b"")
+
+    def data_received(self, data):
+        self.received[-1] += data
+        if self.received[-1].endswith(b"\r\n\r\nbody"):
+            self.calls.append(self.loop.time())
+            if len(self.calls) == 1:
+                self.transport.abort()
+
+    def eof_received(self):
+        pass
+
+    def connection_lost(self, error):
+        pass
+
+
+class Notices:
+    """Answers each notice at once."""
+
+    def __init__(self):
+        self.told = []
+
+    def tell(self, ident, deferred, ms, answered):
+        self.told.append((ident, deferred))
+        answered()
+
+
+class Connections:
+    """The network's connections; the second one comes up at a moment that is told, counted from the first call."""
+
+    def __init__(self, loop, comes_up_s):
+        self.loop, self.network = loop, Network(loop)
+        self.comes_up_s = comes_up_s
+        self.began_s = []
+
+    async def open(self, factory, host, port):
+        self.began_s.append(self.loop.time())
+        out, back = Way(LATENCY_S), Way(LATENCY_S)
+        if len(self.began_s) == 2:
+            out.latency = self.began_s[0] + self.comes_up_s - self.loop.time() - LATENCY_S
+            assert out.latency > 0.0, "the repeat was chosen before its window is over"
+        self.network.way = lambda local, peer: out if peer == RECEIVER else back
+        opened = await self.network.connect((host, port), factory)
+        out.latency = LATENCY_S  # only the connection itself was late
+        return opened
+
+
+def play(folder, monkeypatch, comes_up_s):
+    """The times of the calls that came whole, counted from the choice of the first, what came on each connection, and
+    the notices."""
+    monkeypatch.setattr(Link, "heard_from", lambda link: False)  # looks at a socket, and there is none
+    loop = SimLoop()
+    receiver, notices, connections = Receiver(loop), Notices(), Connections(loop, comes_up_s)
+    connections.network.listen(RECEIVER, lambda: receiver)
+    loop.create_connection = connections.open
+    told = settings(effects=("keyed",), window=1000.0 * WINDOW_S) | {"Zones": ["a"], "Kinds": ["k"]}
+    told["Services"][0]["Name"] = "notice"
+    facade = Facade(told, 1)
+
+    async def scene():
+        facade.learn([(b"r", 7, model.READY, RECEIVER, "a", "k", 1.0)], True)
+        relay = Relay(loop, facade, Spool(folder, 1e6), Pool(loop, 1500.0, 0.0), notices)
+        assert relay.hand_in(b"m", b"notice", b"", b"", b"7", b"tag", b"body", 10_000.0) == (True, 0.0)
+        await asyncio.sleep(3.0)
+
+    loop.run(scene())
+    loop.close()
+    assert len(connections.began_s) == 2 and loop.faults == []
+    return [at_s - connections.began_s[0] for at_s in receiver.calls], receiver.received, notices.told
+
+
+@pytest.mark.parametrize("comes_up_s", [WINDOW_S - MARGIN_S + 0.001, WINDOW_S, WINDOW_S + 0.1, WINDOW_S + 0.5])
+def test_a_repeat_whose_connection_comes_up_after_its_window_is_not_sent(tmp_path, monkeypatch, comes_up_s):
+    calls, received, notices = play(tmp_path, monkeypatch, comes_up_s)
+    assert len(calls) == 1 and received[1] == b""
+    assert notices == [(b"m", False)]
+
+
+def test_the_last_byte_of_a_repeat_does_not_leave_after_its_window(tmp_path, monkeypatch):
+    calls, received, notices = play(tmp_path, monkeypatch, LAST_S + 0.001)
+    assert len(calls) == 1 and received[1].endswith(b"\r\n\r\nbod")
+    assert notices == [(b"m", False)]
+
+
+def test_a_repeat_whose_connection_comes_up_in_the_last_moment_of_its_window_is_sent(tmp_path, monkeypatch):
+    calls, received, _ = play(tmp_path, monkeypatch, LAST_S - 0.001)
+    assert len(calls) == 2 and received[1].endswith(b"\r\n\r\nbody")
+    assert calls[1] < WINDOW_S
