Test: how calls to receivers end, in files by concern; one listener under both peers

The table of endings stays; requests that do not leave whole, early answers and late answers have files of their own, and what they share is in call_endings.py.

--- a/tests/dataplane/peers.py
+++ b/tests/dataplane/peers.py
@@ -86,16 +86,12 @@
 """Handles one request; the connection is closed if it returns True."""
 
 
-class ScriptedReceiver:
-    """Serves each request by the next script; the last one serves all that follow."""
+class Listener:
+    """Accepts connections of callers, and serves each on a thread of its own."""
 
-    def __init__(self, *scripts: Script, id: str = "i-1", zone: str = "here", capacity: int = 4) -> None:
-        self._scripts = list(scripts)
+    def __init__(self, id: str, zone: str, capacity: int) -> None:
         self._listener = socket.create_server(("127.0.0.1", 0))
-        self._lock = threading.Lock()
-        self.requests: list[ReceivedRequest] = []
         self.connections = 0
-        self.faults: list[BaseException] = []
         host, port = self._listener.getsockname()
         self.receiver = Receiver(id, SERVICE, f"{host}:{port}", zone, capacity, False, 0.0, "v1")
         threading.Thread(target=self._accept, daemon=True).start()
@@ -112,9 +108,24 @@
             except OSError:
                 return
             self.connections += 1
-            threading.Thread(target=self._serve, args=(PeerConnection(sock),), daemon=True).start()
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
-    def _serve(self, connection: PeerConnection) -> None:
+    def _serve(self, sock: socket.socket) -> None:
+        raise NotImplementedError
+
+
+class ScriptedReceiver(Listener):
+    """Serves each request by the next script; the last one serves all that follow."""
+
+    def __init__(self, *scripts: Script, id: str = "i-1", zone: str = "here", capacity: int = 4) -> None:
+        self._scripts = list(scripts)
+        self._lock = threading.Lock()
+        self.requests: list[ReceivedRequest] = []
+        self.faults: list[BaseException] = []
+        super().__init__(id, zone, capacity)
+
+    def _serve(self, sock: socket.socket) -> None:
+        connection = PeerConnection(sock)
         try:
             while (request := connection.read_request()) is not None:
                 with self._lock:
@@ -128,6 +139,26 @@
             connection.close()
 
 
+class RawReceiver(Listener):
+    """Hands each connection to a script that reads for itself."""
+
+    def __init__(self, script: Callable[[socket.socket], None], id: str = "i-1") -> None:
+        self._script = script
+        super().__init__(id, "here", 4)
+
+    def _serve(self, sock: socket.socket) -> None:
+        sock.settimeout(PATIENCE_S)
+        self._script(sock)
+
+
+def read_head(sock: socket.socket) -> ReceivedRequest:
+    """Read a head byte by byte, so that nothing of the body is taken."""
+    data = b""
+    while not data.endswith(b"\r\n\r\n"):
+        data += sock.recv(1)
+    return ReceivedRequest(data[:-4], b"")
+
+
 @contextmanager
 def receivers(*scripted: ScriptedReceiver):
     """Close the receivers at the end."""
--- /dev/null
+++ b/tests/dataplane/test_early_answers.py
@@ -0,0 +1,109 @@
+"""Answers that come before the request was sent or read whole."""
+
+import contextlib
+import threading
+
+import pytest
+from dataplane.call_endings import (
+    ANSWERED,
+    BROKEN_BODY,
+    CONTINUE,
+    KINDS,
+    LONG_BODY,
+    OWN_ERROR,
+    PROVED,
+    SHORT_MS,
+    WHOLE,
+    Front,
+    check,
+    early_refusal,
+    framed,
+    second_receiver,
+    unframed,
+)
+from dataplane.peers import (
+    PATIENCE_S,
+    PeerConnection,
+    RawReceiver,
+    head,
+    read_head,
+    receivers,
+)
+
+EARLY = [
+    ("refusal", early_refusal, PROVED, 200),
+    ("error", lambda got: head(got, "500 No", "Content-Length: 2") + b"\r\nno", OWN_ERROR, 500),
+    ("success", framed, WHOLE, 200),
+    ("success behind 100 Continue", lambda got: CONTINUE + framed(got), WHOLE, 200),
+]
+
+
+@pytest.mark.parametrize("then", ["reads on", "resets"])
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize(("name", "make", "follows", "status"), EARLY, ids=[row[0] for row in EARLY])
+def test_an_answer_before_the_body_is_read_counts_and_ends_the_connection(name, make, follows, status, kind, then):
+    """Whoever reads on later gets the rest of that body or the end of the connection, and no other bytes."""
+    answered = threading.Event()
+    read_on: list[bytes] = []
+    done = threading.Event()
+
+    def answer_early(sock):
+        got = read_head(sock)
+        sock.sendall(make(got))
+        if got.id != "r-1":
+            return
+        if then == "resets":
+            PeerConnection(sock).wait_until_taken()
+            PeerConnection(sock).reset()
+        else:
+            assert answered.wait(PATIENCE_S)
+            with contextlib.suppress(ConnectionError):
+                while data := sock.recv(1 << 20):
+                    read_on.append(data)
+        done.set()
+
+    first, second = RawReceiver(answer_early), second_receiver()
+    with receivers(first, second) as listed:
+        front = Front(kind, listed)
+        given = front.ask(LONG_BODY)
+        check(kind, follows[KINDS.index(kind)], status, given, second)
+        answered.set()
+        front.ask(time_ms=SHORT_MS)
+        assert done.wait(PATIENCE_S)
+    rest = b"".join(read_on)
+    assert rest == LONG_BODY[: len(rest)]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_an_early_answer_without_a_length_that_is_reset_is_not_whole(kind):
+    """The reset may be met by sending the rest of the body; what is read then ends as if the connection were closed."""
+
+    def answer_early(sock):
+        sock.sendall(unframed(read_head(sock)))
+        PeerConnection(sock).wait_until_taken()
+        PeerConnection(sock).reset()
+
+    first, second = RawReceiver(answer_early), second_receiver()
+    with receivers(first, second) as listed:
+        given = Front(kind, listed).ask(LONG_BODY)
+    check(kind, BROKEN_BODY[KINDS.index(kind)], 200, given, second)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_an_answer_that_waits_for_the_rest_of_the_body_gets_it(kind):
+    """The head of an answer may come early and its body only once the request was read whole."""
+
+    def answer_head_first(sock):
+        got = read_head(sock)
+        data = framed(got)
+        split = data.index(b"\r\n\r\n") + 4
+        sock.sendall(data[:split])
+        left = int(got.headers["content-length"])
+        while left:
+            left -= len(sock.recv(min(left, 1 << 20)))
+        sock.sendall(data[split:])
+
+    first, second = RawReceiver(answer_head_first), second_receiver()
+    with receivers(first, second) as listed:
+        given = Front(kind, listed).ask(LONG_BODY)
+    check(kind, ANSWERED, 200, given, second)
--- /dev/null
+++ b/tests/dataplane/test_late_answers.py
@@ -0,0 +1,69 @@
+"""Bytes behind an answer and late copies of one: whose answer the next one on that connection is."""
+
+import pytest
+from dataplane.call_endings import (
+    KINDS,
+    Front,
+    answer_and_keep,
+    behind,
+    chunked,
+    early_refusal,
+    framed,
+    second_receiver,
+    twice,
+    whole_body,
+)
+from dataplane.peers import ScriptedReceiver, receivers
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_late_answer_in_the_place_of_the_next_is_skipped(kind):
+    """One answer too many comes once the next request is read; the answer that is due follows it."""
+    sent = []
+
+    def answer_again_and_then(connection, got):
+        connection.send(sent[0] + chunked(got))
+
+    def answer_and_remember(connection, got):
+        sent.append(chunked(got))
+        connection.send(sent[0])
+
+    first, second = ScriptedReceiver(answer_and_remember, answer_again_and_then, id="i-1"), second_receiver()
+    with receivers(first, second) as listed:
+        front = Front(kind, listed)
+        assert front.ask() == front.ask() == (200, whole_body(kind), False)
+    assert (first.connections, second.requests) == (1, [])
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize(
+    "extra", [twice(framed), twice(chunked), behind(framed, b"garbage"), behind(chunked, b"HTTP/1.1 2")]
+)
+def test_a_connection_with_bytes_behind_an_answer_is_not_used_again(extra, kind):
+    first, second = ScriptedReceiver(answer_and_keep(extra), answer_and_keep(chunked), id="i-1"), second_receiver()
+    with receivers(first, second) as listed:
+        front = Front(kind, listed)
+        assert front.ask() == front.ask() == (200, whole_body(kind), False)
+    assert (first.connections, second.requests) == (2, [])
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_late_copy_of_a_refusal_is_no_proof_for_the_request_sent_again(kind, monkeypatch):
+    """The same request never goes twice on one connection: a copy of its first refusal would look like the second's.
+
+    With one receiver only, the repeat goes to the one that refused.
+    """
+    monkeypatch.setattr("dewpin.dataplane.retry.REPEAT_PAUSE_S", 0.001)
+    monkeypatch.setattr("dewpin.dataplane.receiver_load.FIRST_FAILURE_WAIT_S", 0.001)
+
+    def refuse(connection, got):
+        connection.send(early_refusal(got))
+
+    def run_behind_a_copy(connection, got):
+        copy = early_refusal(got) if first.connections == 1 else b""
+        connection.send(copy + chunked(got))
+
+    first = ScriptedReceiver(refuse, run_behind_a_copy, id="i-1")
+    with receivers(first) as listed:
+        assert Front(kind, listed, target_ms=5000).ask() == (200, whole_body(kind), False)
+    assert (len(first.requests), first.connections) == (2, 2)
--- /dev/null
+++ b/tests/dataplane/test_unsent_requests.py
@@ -0,0 +1,113 @@
+"""Requests that do not leave whole: connects that fail, and connections that end before or while they are sent."""
+
+import socket
+import threading
+
+import pytest
+from dataplane.call_endings import (
+    KINDS,
+    LONG_BODY,
+    REPEATED,
+    UNKNOWN,
+    Front,
+    answer_and_keep,
+    check,
+    chunked,
+    second_receiver,
+    whole_body,
+)
+from dataplane.peers import (
+    PATIENCE_S,
+    SERVICE,
+    PeerConnection,
+    RawReceiver,
+    ScriptedReceiver,
+    read_head,
+    receivers,
+    whole,
+)
+
+from dewpin.cluster.receivers import Receiver
+from dewpin.dataplane.receiver_connections import ReceiverConnections
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_refused_connect_proves_that_nothing_ran(kind):
+    first, second = ScriptedReceiver(whole(), id="i-1"), second_receiver()
+    first.close()
+    with receivers(second) as listed:
+        given = Front(kind, [first.receiver, *listed]).ask()
+    check(kind, REPEATED, 200, given, second)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_connect_that_hangs_proves_that_nothing_ran(kind):
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    host, port = listener.getsockname()
+    waiting = [socket.socket() for _ in range(3)]
+    for sock in waiting:
+        sock.setblocking(False)
+        sock.connect_ex((host, port))
+    hanging = Receiver("i-1", SERVICE, f"{host}:{port}", "here", 4, False, 0.0, "v1")
+    second = second_receiver()
+    with receivers(second) as listed:
+        given = Front(kind, [hanging, *listed]).ask(time_ms=2400)
+    check(kind, REPEATED, 200, given, second)
+    for sock in [listener, *waiting]:
+        sock.close()
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_reset_before_the_request_is_out_proves_that_nothing_ran(kind, monkeypatch):
+    gone = threading.Event()
+    connect = ReceiverConnections.connect
+
+    def reset_at_once(sock):
+        PeerConnection(sock).reset()
+        gone.set()
+
+    def connect_and_wait(connections, timeout_s):
+        connection = connect(connections, timeout_s)
+        if connection.port == int(first.receiver.address.rpartition(":")[2]):
+            assert gone.wait(PATIENCE_S)
+        return connection
+
+    first, second = RawReceiver(reset_at_once), second_receiver()
+    monkeypatch.setattr(ReceiverConnections, "connect", connect_and_wait)
+    with receivers(first, second) as listed:
+        given = Front(kind, listed).ask()
+    check(kind, REPEATED, 200, given, second)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_used_connection_on_which_nothing_could_be_sent_gives_way_to_a_new_one(kind, monkeypatch):
+    """The end of the connection comes between the last look at it and the sending: the call goes on at its receiver."""
+    monkeypatch.setattr("dewpin.dataplane.receiver_connection.ReceiverConnection.is_connected", True)
+    gone = threading.Event()
+
+    def answer_and_reset_at_rest(connection, got):
+        connection.send(chunked(got))
+        connection.wait_until_taken()
+        connection.reset()
+        gone.set()
+        return True
+
+    first, second = ScriptedReceiver(answer_and_reset_at_rest, answer_and_keep(chunked), id="i-1"), second_receiver()
+    with receivers(first, second) as listed:
+        front = Front(kind, listed)
+        front.ask()
+        assert gone.wait(PATIENCE_S)
+        assert front.ask() == (200, whole_body(kind), False)
+    assert (len(first.requests), first.connections, second.requests) == (2, 2, [])
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_reset_after_a_part_of_the_request_proves_nothing(kind):
+    def read_some(sock):
+        read_head(sock)
+        PeerConnection(sock).reset()
+
+    first, second = RawReceiver(read_some), second_receiver()
+    with receivers(first, second) as listed:
+        given = Front(kind, listed).ask(LONG_BODY)
+    check(kind, UNKNOWN[KINDS.index(kind)], 200, given, second)
