--- /dev/null
+++ b/tests/controlplane/test_unsteady_machines.py
@@ -0,0 +1,179 @@
+"""Which change of members or stores is due while machines freeze, come back, leave and are lost beside each other."""
+
+import pytest
+from controlplane.reconfiguration_scene import Scene
+
+from dewpin.controlplane.reconfiguration import (
+    GONE_S,
+    GONE_WITH_SUCCESSOR_S,
+)
+from dewpin.controlplane.system_state import start_retirement
+
+# Machines that freeze again and again
+
+
+def freeze(scene, one, others, lasts_s=2.0):
+    """Let one process fall silent and be heard again; returns how many changes that led to."""
+    changes = 0
+    for _ in range(round(lasts_s / 0.25)):
+        scene.after(0.25, *others)
+        changes += changes_made(scene)
+    for _ in range(12):
+        scene.after(0.25, *others, one)
+        changes += changes_made(scene)
+    return changes
+
+
+def changes_made(scene):
+    before = scene.state["version"]
+    scene.settle(synced=False)
+    return scene.state["version"] - before
+
+
+def test_a_member_that_freezes_again_and_again_is_replaced_once():
+    scene = Scene(members="abcde", stores="abcdef", full=5)
+    scene.hear("f")
+    made = [freeze(scene, "c", "bdef")]
+    assert scene.members == "abdef"
+    for frozen in ("f", "c", "f", "c", "d", "d", "d"):
+        made.append(freeze(scene, frozen, [one for one in "bcdef" if one != frozen]))
+    made_by_member_changes = sum(made)
+    assert made_by_member_changes <= 3 * 2, "c, f and d went once each, by two versions each"
+
+
+def scene_after_freezes(times):
+    """The member `c` froze so many times, and is a member again."""
+    scene = Scene(members="abcde", stores="abcdef", full=5)
+    scene.hear("f")
+    for _ in range(times):
+        freeze(scene, "c", "bdef")
+    scene.state = {**scene.state, "members": {one: f"{one}:1" for one in "abcde"}}
+    scene.state = {**scene.state, "former_members": scene.state["members"]}
+    return scene
+
+
+def test_a_machine_lost_for_good_is_replaced_soon_whatever_it_did_before():
+    scene = scene_after_freezes(6)
+    scene.after(0.3, "b", "d", "e", "f", "c2")
+    scene.settle()
+    assert sorted(scene.state["members"]) == ["a", "b", "c2", "d", "e"], "its machine runs as another incarnation"
+
+
+def test_the_wait_for_a_machine_that_froze_often_ends_at_the_usual_bound():
+    scene = scene_after_freezes(8)
+    scene.after(GONE_S - 0.5, "b", "d", "e", "f")
+    scene.settle()
+    assert scene.members == "abcde"
+    scene.after(0.6, "b", "d", "e", "f")
+    scene.settle()
+    assert scene.members == "abdef"
+
+
+@pytest.mark.parametrize("steady_s, replaced", [(50, False), (70, True)])
+def test_a_machine_that_has_been_steady_for_a_minute_is_replaced_as_soon_as_any(steady_s, replaced):
+    scene = Scene(members="abcde", stores="abcde", full=5)
+    freeze(scene, "d", "bce")
+    assert scene.members == "abcde", "there is no other"
+    for _ in range(2 * steady_s):
+        scene.after(0.5, *"bcdef")
+    scene.after(GONE_WITH_SUCCESSOR_S + 0.1, *"bcef")
+    scene.settle(synced=False)
+    assert scene.members == ("abcef" if replaced else "abcde")
+
+
+def test_a_store_that_freezes_again_and_again_restarts_a_copy_under_way_once_only():
+    scene = Scene(members="abc", stores="abcd", full=3)
+    scene.hear("e")
+    scene.step()
+    assert scene.next_stores == ["a", "b", "c", "d", "e"]
+    epochs = [scene.state["stores"]["epoch"]]
+    for _ in range(4):
+        for _ in range(8):
+            scene.after(0.25, "b", "c", "e")
+            scene.settle(synced=False)
+        for _ in range(8):
+            scene.after(0.25, "b", "c", "d", "e")
+            scene.settle(synced=False)
+        epochs.append(scene.state["stores"]["epoch"])
+    assert epochs[1] - epochs[0] == 2, "left out, and taken in again"
+    assert epochs[-1] == epochs[1]
+
+
+# A cut that lasts for about as long as a silent machine is waited for
+
+
+def test_a_store_that_comes_back_while_it_is_being_dropped_stays():
+    scene = Scene(stores="abcd")
+    scene.after(GONE_S + 0.1, "b", "c")
+    scene.settle(synced=False)
+    assert (scene.stores, scene.next_stores) == (["a", "b", "c", "d"], ["a", "b", "c"])
+    scene.after(0.25, "b", "c", "d")
+    scene.settle()
+    assert (scene.stores, scene.next_stores) == (["a", "b", "c", "d"], [])
+
+
+def test_a_store_that_was_dropped_and_comes_back_is_no_replica_before_it_has_copied():
+    scene = Scene(stores="abcd")
+    scene.after(GONE_S + 0.1, "b", "c")
+    scene.settle()
+    assert scene.stores == ["a", "b", "c"]
+    old = scene.state["stores"]["epoch"] - 1
+    scene.synced = dict.fromkeys("abcd", old)
+    scene.after(0.25, "b", "c", "d")
+    scene.settle(synced=False)
+    assert (scene.stores, scene.next_stores) == (["a", "b", "c"], ["a", "b", "c", "d"])
+    epoch = scene.state["stores"]["epoch"]
+    scene.synced = {"a": epoch, "b": epoch, "c": epoch, "d": old}
+    scene.hear("b", "c", "d")
+    assert scene.step() == set(), "what it said of an older change counts for nothing"
+
+
+# A machine that is leaving, and the loss of another one
+
+
+@pytest.mark.parametrize("lost", "bcd")
+def test_a_leaving_store_stays_one_of_the_stable_while_another_is_lost(lost):
+    """Each step: the loss before the change begins, in the midst of it, and its new incarnation's copy."""
+    scene = Scene(members="abc", stores="abcde")
+    scene.state = start_retirement("machine-e", 3)(scene.state)
+    scene.step()
+    while scene.state["stores"]["next"] is None:
+        scene.step()
+    others = [one for one in "bcde" if one != lost]
+    scene.after(GONE_WITH_SUCCESSOR_S + 0.1, *others)
+    for _ in range(6):
+        scene.step()
+    assert "e" in scene.stores, "nobody has copied yet"
+    scene.hear(*others, lost + "2")
+    for _ in range(6):
+        scene.step()
+    assert "e" in scene.stores and lost + "2" in scene.next_stores
+    epoch = scene.state["stores"]["epoch"]
+    remaining = [one for one in scene.next_stores if one != lost + "2"]
+    scene.synced = dict.fromkeys(remaining, epoch)
+    scene.hear(*others, lost + "2")
+    scene.step()
+    assert "e" in scene.stores and scene.state["retiring"] == ["machine-e"], "the new one has not copied"
+    scene.synced[lost + "2"] = epoch
+    scene.hear(*others, lost + "2")
+    scene.settle(synced=False)
+    assert "e" not in scene.stores and scene.state["retired"] == ["machine-e"]
+
+
+def test_a_next_store_that_was_wiped_counts_for_no_copy_of_its_machine_before():
+    scene = Scene(members="abc", stores="abcd")
+    scene.state = start_retirement("machine-d", 3)(scene.state)
+    scene.step()
+    epoch = scene.state["stores"]["epoch"]
+    scene.synced = {"a": epoch, "b": epoch, "c": epoch - 1}
+    scene.hear("b", "c", "d")
+    assert scene.step() == set()
+    scene.synced["b2"] = epoch
+    scene.after(0.2, "c", "d")
+    scene.hear("b2")
+    scene.synced["c"] = epoch
+    scene.hear("c")
+    for _ in range(4):
+        scene.step()
+    assert "d" in scene.stores
+    assert scene.next_stores == ["a", "b2", "c"] and scene.state["stores"]["epoch"] > epoch
--- a/tests/dataplane/test_confirmed_state.py
+++ b/tests/dataplane/test_confirmed_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from dataplane.test_cluster_agent import APPLY_S, World, keeper_address, play, receiver
+from dataplane.agent_world import APPLY_S, World, keeper_address, play, receiver
 from store_world import run
 
 from dewpin.cluster.relay_service import WATCH_HEARTBEAT_S
@@ -42,17 +42,22 @@
     assert play(scene) >= 0.1 + 0.3
 
 
+async def is_confirmed_soon(world):
+    """Starts the agent; whether a majority has confirmed its state three seconds after it knows one."""
+    world.agent.start()
+    await world.until(lambda: world.states)
+    await asyncio.sleep(3.0)
+    confirmed = world.agent.confirmation.is_confirmed
+    await world.agent.stop()
+    return confirmed
+
+
 def test_a_sender_behind_the_version_that_it_is_told_has_nothing_confirmed():
     async def begin():
         world = World()
         for one in world.keepers:
             one.told_version, one.news_age_s = 9, 60.0
-        world.agent.start()
-        await world.until(lambda: world.states)
-        await asyncio.sleep(3.0)
-        confirmed = world.agent.confirmation.is_confirmed
-        await world.agent.stop()
-        return confirmed
+        return await is_confirmed_soon(world)
 
     assert run(begin()) is False
 
@@ -88,11 +93,6 @@
         for one in world.keepers:
             one.refuses = True
         world.agent._parents = [parent.address]
-        world.agent.start()
-        await world.until(lambda: world.states)
-        await asyncio.sleep(3.0)
-        confirmed = world.agent.confirmation.is_confirmed
-        await world.agent.stop()
-        return confirmed
+        return await is_confirmed_soon(world)
 
     assert run(begin()) is False
--- a/tests/dataplane/test_lease_readiness.py
+++ b/tests/dataplane/test_lease_readiness.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
-from dataplane.test_cluster_agent import settings
+from dataplane.agent_world import settings
 
 from dewpin.cluster.receivers import NO_VERSION
 from dewpin.cluster.relay_messages import LeaseGrant
