Capacity: one frame for figures of memory, one for a message's processor time

Five measures of resident memory and five of a message's processor time wrote the same frame; memory_series and message_series hold it.

--- a/benchmarks/capacity/measures/process.py
+++ b/benchmarks/capacity/measures/process.py
@@ -13,7 +13,7 @@
 from functools import cache
 from multiprocessing.connection import Connection
 
-from benchmarks.capacity.series import Effort, Series, sample
+from benchmarks.capacity.series import Effort, Series, memory_series
 from benchmarks.capacity.timing import MICROSECONDS, in_fresh_process, resident_bytes
 from dewpin.dataplane.answer_body import framing_of
 from dewpin.dataplane.receiver_connection import ReceiverConnection
@@ -50,14 +50,14 @@
 
 def thread_memory(effort: Effort) -> Series:
     """Memory of waiting threads."""
-    return Series(
+    return memory_series(
         "thread-memory",
         f"memory of waiting threads (stacks of {STACK_BYTES // 1024} KiB)",
         "Python itself",
         "threads",
-        "resident memory",
-        "B",
-        sample(THREADS, effort, lambda count: in_fresh_process(resident_of_threads, count)),
+        THREADS,
+        effort,
+        resident_of_threads,
     )
 
 
@@ -91,14 +91,14 @@
 
 def connection_memory(effort: Effort) -> Series:
     """Memory of idle asyncio connections, both ends in one process."""
-    return Series(
+    return memory_series(
         "connection-memory",
         "memory of idle asyncio connections, both ends",
         "Python itself",
         "connections",
-        "resident memory",
-        "B",
-        sample(CONNECTIONS, effort, lambda count: in_fresh_process(resident_of_connections, count)),
+        CONNECTIONS,
+        effort,
+        resident_of_connections,
     )
 
 
--- a/benchmarks/capacity/measures/receivers.py
+++ b/benchmarks/capacity/measures/receivers.py
@@ -5,8 +5,8 @@
 import json
 
 from benchmarks.capacity import shapes
-from benchmarks.capacity.series import ONCE, Effort, Series, sample
-from benchmarks.capacity.timing import in_fresh_process, processor_us_per_call, resident_bytes
+from benchmarks.capacity.series import ONCE, Effort, Series, memory_series, message_series, sample
+from benchmarks.capacity.timing import processor_us_per_call, resident_bytes
 from dewpin.cluster.netstring import Decoder, encode
 from dewpin.cluster.receivers import DirectoryVersion, ReceiverDirectory, receiver_from_platform, receiver_from_record
 
@@ -58,14 +58,14 @@
         held = directory(entries)
         return processor_us_per_call(lambda: receivers_news(held), effort.seconds)
 
-    return Series(
+    return message_series(
         "receiver-send",
         "make the message with all receivers",
         RECEIVERS_MODULE,
         "receivers",
-        "processor time a message",
-        "µs",
-        sample(RECEIVERS, effort, at),
+        RECEIVERS,
+        effort,
+        at,
     )
 
 
@@ -76,14 +76,14 @@
         frame = receivers_news(directory(entries))
         return processor_us_per_call(lambda: take_receivers(frame), effort.seconds)
 
-    return Series(
+    return message_series(
         "receiver-take",
         "take up the message with all receivers",
         RECEIVERS_MODULE,
         "receivers",
-        "processor time a message",
-        "µs",
-        sample(RECEIVERS, effort, at),
+        RECEIVERS,
+        effort,
+        at,
     )
 
 
@@ -118,12 +118,12 @@
 
 def receiver_memory(effort: Effort) -> Series:
     """Memory of the receivers held."""
-    return Series(
+    return memory_series(
         "receiver-memory",
         "memory of a process with all receivers, before and after the wire",
         RECEIVERS_MODULE,
         "receivers",
-        "resident memory",
-        "B",
-        sample(RECEIVERS, effort, lambda entries: in_fresh_process(resident_with_receivers, entries)),
+        RECEIVERS,
+        effort,
+        resident_with_receivers,
     )
--- a/benchmarks/capacity/measures/system_state.py
+++ b/benchmarks/capacity/measures/system_state.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from benchmarks.capacity import shapes
-from benchmarks.capacity.series import ONCE, Effort, Series, sample
-from benchmarks.capacity.timing import in_fresh_process, processor_us_per_call, resident_bytes
+from benchmarks.capacity.series import ONCE, Effort, Series, memory_series, message_series, sample
+from benchmarks.capacity.timing import processor_us_per_call, resident_bytes
 from dewpin.cluster.configuration import parse_configuration
 from dewpin.cluster.netstring import Decoder, encode
 from dewpin.controlplane.system_state import SystemState, digest_of, genesis, put_configuration
@@ -57,14 +57,14 @@
         state = system_state(routes)
         return processor_us_per_call(lambda: state_news(state), effort.seconds)
 
-    return Series(
+    return message_series(
         "state-send",
         "make the message with a whole system state",
         "dewpin/cluster/netstring.py",
         "routes",
-        "processor time a message",
-        "µs",
-        sample(ROUTES, effort, at),
+        ROUTES,
+        effort,
+        at,
     )
 
 
@@ -116,14 +116,14 @@
 
 def sender_memory(effort: Effort) -> Series:
     """Memory of a sender's process with a configuration, by its routes."""
-    return Series(
+    return memory_series(
         "sender-memory",
         "memory of a sender's modules with a system state and its parsed configuration",
         "dewpin/dataplane, dewpin/cluster/configuration",
         "routes",
-        "resident memory",
-        "B",
-        sample(ROUTES, effort, lambda routes: in_fresh_process(resident_of_sender, routes)),
+        ROUTES,
+        effort,
+        resident_of_sender,
     )
 
 
@@ -137,12 +137,12 @@
 
 def keeper_memory(effort: Effort) -> Series:
     """Memory of a keeper's process with a system state, by its routes."""
-    return Series(
+    return memory_series(
         "keeper-memory",
         "memory of a keeper's modules with a system state",
         "dewpin/controlplane",
         "routes",
-        "resident memory",
-        "B",
-        sample(ROUTES, effort, lambda routes: in_fresh_process(resident_of_keeper, routes)),
+        ROUTES,
+        effort,
+        resident_of_keeper,
     )
--- a/benchmarks/capacity/measures/wire.py
+++ b/benchmarks/capacity/measures/wire.py
@@ -11,7 +11,7 @@
 from types import TracebackType
 
 from benchmarks.capacity import shapes
-from benchmarks.capacity.series import Effort, Series, sample
+from benchmarks.capacity.series import Effort, Series, message_series, sample
 from benchmarks.capacity.timing import MICROSECONDS, free_port, processor_us_per_call
 from dewpin.cluster.netstring import Decoder, encode
 from dewpin.cluster.rpc import Message, RpcClient, RpcServer
@@ -31,14 +31,14 @@
         message = shapes.turn(1, size)
         return processor_us_per_call(lambda: encode(message), effort.seconds)
 
-    return Series(
+    return message_series(
         "encode",
         "encode a message (netstring of JSON)",
         NETSTRING,
         "bytes of text",
-        "processor time a message",
-        "µs",
-        sample(TEXT_BYTES, effort, at),
+        TEXT_BYTES,
+        effort,
+        at,
     )
 
 
@@ -49,14 +49,14 @@
         frame = encode(shapes.turn(1, size))
         return processor_us_per_call(lambda: Decoder().feed(frame), effort.seconds)
 
-    return Series(
+    return message_series(
         "decode",
         "decode a message (netstring of JSON)",
         NETSTRING,
         "bytes of text",
-        "processor time a message",
-        "µs",
-        sample(TEXT_BYTES, effort, at),
+        TEXT_BYTES,
+        effort,
+        at,
     )
 
 
--- a/benchmarks/capacity/series.py
+++ b/benchmarks/capacity/series.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from benchmarks.capacity.fit import Line, fit_line
+from benchmarks.capacity.timing import in_fresh_process
 
 
 @dataclass(frozen=True)
@@ -62,3 +63,24 @@
 def sample(xs: Sequence[int], effort: Effort, measure_at: Callable[[int], float]) -> tuple[tuple[float, float], ...]:
     """Points of measure_at at each x; rounds go over all x in turn, so that a slow moment harms no single x."""
     return tuple((float(x), measure_at(x)) for _ in range(effort.repeats) for x in xs)
+
+
+def message_series(
+    name: str, title: str, subject: str, x_name: str, xs: Sequence[int], effort: Effort, at: Callable[[int], float]
+) -> Series:
+    """Processor time that a message takes, by its size."""
+    return Series(name, title, subject, x_name, "processor time a message", "µs", sample(xs, effort, at))
+
+
+def memory_series(
+    name: str,
+    title: str,
+    subject: str,
+    x_name: str,
+    xs: Sequence[int],
+    effort: Effort,
+    resident: Callable[[int], float],
+) -> Series:
+    """Resident memory that a module-level function returns, run in a process of its own for each point."""
+    points = sample(xs, effort, lambda size: in_fresh_process(resident, size))
+    return Series(name, title, subject, x_name, "resident memory", "B", points)
