Register: bodies by digest and by pages, promises without known values, one body on disk

Cause: each promise, accept and heartbeat answer carried the whole state, body and 2,000 orders. Change: a prepare tells the ballot of the proposer's value, and a promise leaves out a value that isn't above it, as Proposal looks at no other; a state travels without a body that the other side holds or that is longer than a page of 128 KiB; whoever lacks it fetches it by pages, one body at a time, goes on where it broke off, and checks the digest. On disk the body stands in a row of its own. The register's replies use the codec of dewpin.consensus.messages; its calls are typed (register_messages.py), its rows stand in replica_storage.py. Ruled out: time-outs by size (one long message holds the heartbeats behind it up, and its peer counts as lost). Tests: tests/controlplane/test_catch_up.py. test_register_driver names the reply types by their constants, since they are the ledgers' now.

--- a/benchmarks/register_catch_up.py
+++ b/benchmarks/register_catch_up.py
@@ -20,70 +20,18 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
-from control_world import Client, Network  # noqa: E402
 from controlplane.test_keeper import World  # noqa: E402
+from link_network import LinkNetwork  # noqa: E402
 from store_world import run  # noqa: E402
 
-from dewpin.cluster import netstring  # noqa: E402
-from dewpin.cluster.rpc import RpcError  # noqa: E402
 from dewpin.controlplane.register import RegisterUnavailable  # noqa: E402
 from dewpin.controlplane.system_state import put_configuration  # noqa: E402
 
-LATENCY_S = 0.0014
 FILLING_BODY_BYTES = 4096
 GIVE_UP_S = 15.0
 ANSWER_S = 0.85
 OPERATOR_PAUSE_S = 0.2
-
-
-class LinkNetwork(Network):
-    """Each machine's outgoing link carries `mbit` million bits a second, first come, first served; None: at once."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.bytes = 0
-        self.largest = 0
-        self.set_rate(None)
-
-    def set_rate(self, mbit: float | None) -> None:
-        """Changes the rate; what waited for a link before is forgotten."""
-        self.mbit = mbit
-        self._free_s: dict[str, float] = {}
-
-    def client(self, source: str) -> Client:
-        return LinkClient(self, source)
-
-    async def carry(self, source: str, message: Any) -> None:
-        """Waits until the message has left the link and has arrived."""
-        if self.mbit is None:
-            return
-        size = len(netstring.encode(message))
-        self.bytes += size
-        self.largest = max(self.largest, size)
-        now_s = asyncio.get_running_loop().time()
-        sent_s = max(now_s, self._free_s.get(source, 0.0)) + size * 8 / (self.mbit * 1e6)
-        self._free_s[source] = sent_s
-        await asyncio.sleep(sent_s + LATENCY_S - now_s)
-
-
-class LinkClient(Client):
-    """Calls over the links. A call that is given up still takes its time on the link."""
-
-    async def _call(self, address: str, message: dict[str, Any]) -> dict[str, Any]:
-        if not self.network.reaches(self.source, address):
-            raise RpcError("connect", address)
-        exchange = asyncio.ensure_future(self._exchange(address, message))
-        exchange.add_done_callback(lambda done: done.cancelled() or done.exception())
-        return await asyncio.shield(exchange)
-
-    async def _exchange(self, address: str, message: dict[str, Any]) -> dict[str, Any]:
-        await self.network.carry(self.source, message)
-        handler = self.network.handlers.get(address, {}).get(message["type"])
-        if handler is None or not self.network.reaches(self.source, address):
-            raise RpcError("connect", address)
-        answer = await handler(message)
-        await self.network.carry(address, answer)
-        return answer
+KILLED_FOR_S = 0.5
 
 
 def body_of(size: int, generation: int) -> bytes:
@@ -161,6 +109,7 @@
         await world.kill(3)
         generation += 1
         await put(world, 1, generation, generation - 1, size)
+        await asyncio.sleep(KILLED_FOR_S)
         network.set_rate(mbit)
         meter = Meter(network)
         await world.start(3)
--- a/dewpin/consensus/proposal.py
+++ b/dewpin/consensus/proposal.py
@@ -35,9 +35,11 @@
 
 @dataclass(frozen=True)
 class Prepare:
-    """First round of a ballot."""
+    """First round of a ballot. `known`: the ballot of the proposer's value; a promise needs to tell a value only if
+    it was accepted above that, since `Proposal` looks at no other."""
 
     ballot: Ballot
+    known: Ballot = ZERO_BALLOT
 
 
 @dataclass(frozen=True)
@@ -130,7 +132,7 @@
     def _ask_members(self) -> list[Request]:
         wanted = frozenset().union(*self._quorum_sets(self._highest)) - self._asked
         self._asked |= wanted
-        return [Request(member, Prepare(self.ballot)) for member in sorted(wanted)]
+        return [Request(member, Prepare(self.ballot, self._highest_ballot)) for member in sorted(wanted)]
 
     def _on_promise(self, member: str, promise: Promise) -> list[Request]:
         if self._accept is not None:
--- a/dewpin/consensus/replica.py
+++ b/dewpin/consensus/replica.py
@@ -24,7 +24,8 @@
 
 @dataclass(frozen=True)
 class Promise:
-    """The replica takes part in no older ballot from here on; it tells what it accepted last."""
+    """The replica takes part in no older ballot from here on; it tells what it accepted last. The value is left out
+    where the proposer knows one as new."""
 
     accepted: Ballot
     value: JsonValue
@@ -55,12 +56,14 @@
     accepted: Ballot = ZERO_BALLOT
     value: JsonValue = None
 
-    def prepare(self, ballot: Ballot) -> Promise | Conflict:
-        """First round: promises `ballot` if nothing as great was promised before."""
+    def prepare(self, ballot: Ballot, known: Ballot | None = None) -> Promise | Conflict:
+        """First round: promises `ballot` if nothing as great was promised before. `known`: the ballot of the newest
+        value that the proposer has; it looks at none that isn't above it."""
         if ballot <= self.promised:
             return Conflict(self.promised)
         self.promised = ballot
-        return Promise(self.accepted, self.value)
+        is_known = known is not None and self.accepted <= known
+        return Promise(self.accepted, None if is_known else self.value)
 
     def accept(self, ballot: Ballot, value: JsonValue, next_ballot: Ballot | None = None) -> Accepted | Conflict:
         """Second round: accepts `value`. `next_ballot` is promised beside, so that the proposer may skip its next
--- a/dewpin/controlplane/heartbeat.py
+++ b/dewpin/controlplane/heartbeat.py
@@ -69,7 +69,7 @@
         peer = self.peers.hear(heartbeat.sender, self._clock())
         if self._is_behind(peer, heartbeat.receivers_version):
             self._begin_call(peer.address)
-        return self._answer(peer, heartbeat.receivers_version).encode()
+        return self._answer(peer, heartbeat).encode()
 
     def _begin_call(self, address: str) -> None:
         call = asyncio.ensure_future(self._call(address))
@@ -90,19 +90,19 @@
         return addresses - {self._register.address}
 
     async def _call(self, address: str) -> None:
-        heartbeat = Heartbeat(self._own.record(), self._receivers.directory.version)
+        heartbeat = Heartbeat(self._own.record(), self._receivers.directory.version, self._register.held_bodies())
         try:
             answer = await self._client.call(address, heartbeat.encode(), HEARTBEAT_TIMEOUT_S)
-            self._take(HeartbeatAnswer.decode(answer))
+            await self._take(HeartbeatAnswer.decode(answer), address)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
             log.debug("heartbeat.failed", extra={"address": address, "why": repr(fault)})
 
-    def _answer(self, peer: Peer, receivers_version: DirectoryVersion) -> HeartbeatAnswer:
+    def _answer(self, peer: Peer, heartbeat: Heartbeat) -> HeartbeatAnswer:
         directory, state = self._receivers.directory, self._register.chosen
         chosen = None
         if state is not None and state["version"] > peer.version:
-            chosen = ChosenState(state, self._register.chosen_ballot)
-        has_newer_list = directory.version > receivers_version
+            chosen = ChosenState(self._register.to_wire(state, heartbeat.held), self._register.chosen_ballot)
+        has_newer_list = directory.version > heartbeat.receivers_version
         return HeartbeatAnswer(
             sender=self._own.record(),
             receivers_version=directory.version,
@@ -116,11 +116,11 @@
         version = state["version"] if state is not None else -1
         return peer.version > version or receivers_version > self._receivers.directory.version
 
-    def _take(self, answer: HeartbeatAnswer) -> None:
+    async def _take(self, answer: HeartbeatAnswer, address: str) -> None:
         self.peers.hear(answer.sender, self._clock())
-        if answer.chosen is not None:
-            self._register.observe(answer.chosen.ballot, answer.chosen.state)
         version, age_s = answer.receivers_version, answer.list_age_s
         if answer.receivers is not None and self._receivers.take_copy(version, answer.receivers, age_s):
             self._on_receivers()
         self._receivers.note_age(version, age_s)
+        if answer.chosen is not None:
+            await self._register.take(answer.chosen.ballot, answer.chosen.state, address)
--- a/dewpin/controlplane/heartbeat_messages.py
+++ b/dewpin/controlplane/heartbeat_messages.py
@@ -12,7 +12,7 @@
 from dewpin.consensus.messages import ballot_from_json
 
 from .peers import PeerRecord
-from .system_state import SystemState
+from .register_messages import WireState, digests
 
 HEARTBEAT = "keeper.hello"
 """The type on the wire, as earlier releases have it."""
@@ -20,26 +20,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """A process tells who it is and which list of receivers it holds."""
+    """A process tells who it is, which list of receivers it holds, and the digests of the configurations' bodies."""
 
     sender: PeerRecord
     receivers_version: DirectoryVersion
+    held: tuple[str, ...] = ()
 
     def encode(self) -> Message:
         """The form on the wire."""
-        return {"type": HEARTBEAT, "from": self.sender, "receivers": self.receivers_version}
+        return {
+            "type": HEARTBEAT,
+            "from": self.sender,
+            "receivers": self.receivers_version,
+            "held": list(self.held),
+        }
 
     @classmethod
     def decode(cls, message: Message) -> Heartbeat:
         """The heartbeat of a message. KeyError, TypeError or ValueError if it is none."""
-        return cls(cast(PeerRecord, message["from"]), directory_version(message["receivers"]))
+        version = directory_version(message["receivers"])
+        return cls(cast(PeerRecord, message["from"]), version, digests(message.get("held", ())))
 
 
 @dataclass(frozen=True, slots=True)
 class ChosenState:
     """A system state that is chosen, and a ballot that it was chosen under or before."""
 
-    state: SystemState
+    state: WireState
     ballot: Ballot
 
 
@@ -73,7 +80,7 @@
         """The answer of a message. KeyError, TypeError or ValueError if it is none."""
         chosen = None
         if "state" in message:
-            chosen = ChosenState(cast(SystemState, message["state"]), ballot_from_json(message["ballot"]))
+            chosen = ChosenState(message["state"], ballot_from_json(message["ballot"]))
         receivers = message.get("receivers")
         return cls(
             sender=cast(PeerRecord, message["from"]),
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/keeper.py
@@ -25,8 +25,9 @@
 from .leases import LeaseTable
 from .list_reader import ListReader
 from .peers import Peer, PeerRecord
-from .register import SystemRegister, WritesRows
+from .register import SystemRegister
 from .register_upkeep import RegisterUpkeep
+from .replica_storage import WritesRows
 from .sender_service import SenderService
 from .system_state import SystemState
 
--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -3,26 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import random
-from collections.abc import Callable
-from typing import Any, Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
 from dewpin.consensus import Accept, Accepted, Ballot, Conflict, Outcome, Prepare, Promise, Proposal, Replica, Reply
+from dewpin.consensus.messages import decode_reply, encode_reply
 from dewpin.consensus.proposal import Request
 from dewpin.consensus.replica import ZERO_BALLOT
 
+from .configuration_bodies import ConfigurationBodies
 from .order_history import ORDERS, OrderHistory, OrderPage, OrdersRequest
+from .register_messages import ACCEPT, BODY, PREPARE, AcceptCall, PrepareCall, WireState
+from .replica_storage import ReplicaStorage, WritesRows
 from .storage import StorageFailed
 from .system_state import Change, ChangeRefused, SystemState, quorum_sets
 
 log = logging.getLogger(__name__)
 
-REGISTER_KEY = "system"
-PROMISE_KEY = "system/promise"
-"""A row of its own for the newest promise: reads make promises, and must not write the whole state each time."""
 MEMBER_TIMEOUT_S = 0.6
 BACKOFF_FIRST_S = 0.01
 BACKOFF_MOST_S = 0.2
@@ -32,14 +32,6 @@
     """No majority answered in time; the change may or may not have been made."""
 
 
-class WritesRows(Protocol):
-    """The part of the storage that the register needs."""
-
-    async def write(self, statements: list[tuple[str, tuple[Any, ...]]]) -> None: ...
-
-    async def query(self, sql: str, arguments: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]: ...
-
-
 class SystemRegister:
     """The replica of one member, and the newest state known to be chosen."""
 
@@ -49,14 +41,15 @@
         self.chosen: SystemState | None = None
         self.chosen_ballot = ZERO_BALLOT
         self.on_chosen: Callable[[SystemState], None] = lambda state: None
-        self._storage = storage
         self._client = client
         self._rng = rng
         self._replica = Replica()
-        self._durable_ballot = ZERO_BALLOT
+        self._disk = ReplicaStorage(storage, self._replica)
+        self._bodies = ConfigurationBodies(client)
         self._is_loaded = False
         self._counter = 0
         self._proposing = asyncio.Lock()
+        self._taking = asyncio.Lock()
         self._addresses: dict[str, str] = {}
         self._history = OrderHistory(storage, self._ask_for_orders)
         self._notes: set[asyncio.Task[None]] = set()
@@ -65,26 +58,19 @@
     def handlers(self) -> dict[str, Handler]:
         """The handlers of the register's messages, by type."""
         return {
-            "register.prepare": self.handle_prepare,
-            "register.accept": self.handle_accept,
+            PREPARE: self.handle_prepare,
+            ACCEPT: self.handle_accept,
+            BODY: self._bodies.handle_request,
             ORDERS: self._handle_orders,
         }
 
     async def load(self) -> None:
         """Takes up what the disk holds. Before, the replica takes part in nothing: it would forget its promises."""
-        rows = await self._storage.query(
-            "SELECT promised, accepted_ballot, value FROM register_replica WHERE key IN (?, ?)",
-            (REGISTER_KEY, PROMISE_KEY),
-        )
-        for promised, accepted, value in rows:
-            self._replica.promised = max(self._replica.promised, _ballot(json.loads(promised)))
-            if value is not None:
-                self._replica.accepted = _ballot(json.loads(accepted))
-                self._replica.value = json.loads(value)
-        self._durable_ballot = self._replica.accepted
+        await self._disk.load()
         self._counter = self._replica.promised.counter
         if self._replica.value is not None:
             self._learn_addresses(self._replica.value)
+            self._bodies.add(self._replica.value)
         await self._history.load()
         self._is_loaded = True
 
@@ -104,14 +90,17 @@
         """Takes the first state, the same at all first members, as chosen."""
         if self._replica.value is None and self._replica.accepted == ZERO_BALLOT:
             self._replica.value = state
-            await self._persist()
+            await self._synced(self._disk.persist())
         self.observe(ZERO_BALLOT, state)
 
     def observe(self, ballot: Ballot, state: SystemState) -> None:
         """Takes a state that is known to be chosen."""
         self._learn_addresses(state)
         if self.chosen is not None and state["version"] <= self.chosen["version"]:
+            if state["version"] == self.chosen["version"]:
+                self.chosen_ballot = max(ballot, self.chosen_ballot)
             return
+        self._bodies.add(state)
         self.chosen = state
         self.chosen_ballot = max(ballot, self.chosen_ballot)
         self.on_chosen(state)
@@ -119,6 +108,21 @@
         self._notes.add(note)
         note.add_done_callback(self._notes.discard)
 
+    def held_bodies(self) -> tuple[str, ...]:
+        """The digests of the configurations' bodies that this process holds."""
+        return self._bodies.held()
+
+    def to_wire(self, state: SystemState, held: tuple[str, ...]) -> WireState:
+        """A state for a process that holds these bodies."""
+        return self._bodies.to_wire(state, held)
+
+    async def take(self, ballot: Ballot, state: WireState, source: str) -> None:
+        """Takes a state that the process at `source` knows to be chosen, once its body is here. RpcError if it can't
+        be had now: what came of it is kept for the next try."""
+        async with self._taking:
+            if self.chosen is None or state["version"] > self.chosen["version"]:
+                self.observe(ballot, await self._bodies.from_wire(state, source))
+
     async def was_taken(self, generation: int, digest: str, timeout_s: float) -> bool | None:
         """Whether an order that the newest state has forgotten was taken; None if that can't be told in time."""
         if self.chosen is None:
@@ -155,20 +159,40 @@
 
     async def handle_prepare(self, message: Message) -> Message:
         """First round, as a member."""
-        self._check_addressee(message)
-        reply = self._replica.prepare(_ballot(message["ballot"]))
-        if isinstance(reply, Promise):
-            await self._persist_promise()
+        call = PrepareCall.decode(message)
+        self._check_addressee(call.to)
+        reply = await self._prepare(call.ballot, call.known)
+        if isinstance(reply, Promise) and reply.value is not None:
+            reply = Promise(reply.accepted, self._bodies.to_wire(reply.value, call.held))
         return encode_reply(reply)
 
     async def handle_accept(self, message: Message) -> Message:
         """Second round, as a member."""
-        self._check_addressee(message)
-        reply = self._replica.accept(_ballot(message["ballot"]), message["value"])
+        call = AcceptCall.decode(message)
+        self._check_addressee(call.to)
+        if call.ballot < self._replica.promised:
+            return encode_reply(Conflict(self._replica.promised))
+        state = await self._bodies.from_wire(call.value, call.source)
+        return encode_reply(await self._accept(call.ballot, state))
+
+    async def _prepare(self, ballot: Ballot, known: Ballot | None) -> Promise | Conflict:
+        reply = self._replica.prepare(ballot, known)
+        if isinstance(reply, Promise):
+            await self._synced(self._disk.persist_promise())
+        return reply
+
+    async def _accept(self, ballot: Ballot, state: SystemState) -> Accepted | Conflict:
+        reply = self._replica.accept(ballot, state)
         if isinstance(reply, Accepted):
-            self._learn_addresses(message["value"])
-            await self._persist()
-        return encode_reply(reply)
+            self._learn_addresses(state)
+            await self._synced(self._disk.persist())
+        return reply
+
+    async def _synced(self, write: Coroutine[Any, Any, None]) -> None:
+        try:
+            await write
+        except StorageFailed as fault:
+            raise RpcError("storage_failed", str(fault)) from fault
 
     async def propose(self, change: Change, timeout_s: float) -> SystemState:
         """Makes `change`, in as many ballots as it takes. RegisterUnavailable when the time is over; what the change
@@ -204,7 +228,7 @@
         proposal = Proposal(
             Ballot(self._counter, self.member), initial, quorum_sets, attempt.make, self._initial_ballot(initial)
         )
-        await self._drive(proposal)
+        await self._drive(proposal, _digests_of(initial))
         result = proposal.result
         if result is None:
             return None
@@ -222,14 +246,15 @@
     def _initial_ballot(self, initial: SystemState) -> Ballot:
         return self.chosen_ballot if initial is self.chosen else self._replica.accepted
 
-    async def _drive(self, proposal: Proposal) -> None:
-        """Sends requests and feeds replies until the proposal ends or nobody is left to answer."""
+    async def _drive(self, proposal: Proposal, held: tuple[str, ...]) -> None:
+        """Sends requests and feeds replies until the proposal ends or nobody is left to answer. `held`: the bodies
+        that the members are taken to hold; one that doesn't fetches it."""
         replies: asyncio.Queue[tuple[str, Reply | None]] = asyncio.Queue()
         tasks: set[asyncio.Task[None]] = set()
 
         def send(requests: list[Request]) -> int:
             for request in requests:
-                tasks.add(asyncio.ensure_future(self._ask(request, replies)))
+                tasks.add(asyncio.ensure_future(self._ask(request, held, replies)))
             return len(requests)
 
         waiting = send(proposal.start())
@@ -247,54 +272,51 @@
                 for task in tasks:
                     task.cancel()
 
-    async def _ask(self, request: Request, replies: asyncio.Queue[tuple[str, Reply | None]]) -> None:
+    async def _ask(
+        self, request: Request, held: tuple[str, ...], replies: asyncio.Queue[tuple[str, Reply | None]]
+    ) -> None:
         reply: Reply | None = None
         try:
-            reply = decode_reply(await self._deliver(request))
+            reply = await self._deliver(request, held)
         except Exception as fault:  # an unreachable member, a bad reply, a failed disk: no vote from there
             log.debug("register.no_reply", extra={"member": request.member, "why": repr(fault)})
         finally:
             replies.put_nowait((request.member, reply))
 
-    async def _deliver(self, request: Request) -> Message:
-        message = encode_request(request)
+    async def _deliver(self, request: Request, held: tuple[str, ...]) -> Reply:
+        body = request.body
         if request.member == self.member:
-            local = self.handle_prepare if isinstance(request.body, Prepare) else self.handle_accept
-            return await local(message)
+            if isinstance(body, Prepare):
+                return await self._prepare(body.ballot, body.known)
+            return await self._accept(body.ballot, body.value)
         address = self._addresses.get(request.member)
         if address is None:
             raise RpcError("unknown_member", request.member)
-        return await self._client.call(address, message, MEMBER_TIMEOUT_S)
-
-    def _check_addressee(self, message: Message) -> None:
+        call = self._call_of(request.member, body, held)
+        reply = decode_reply(await self._client.call(address, call.encode(), MEMBER_TIMEOUT_S))
+        if isinstance(reply, Promise) and reply.value is not None:
+            return Promise(reply.accepted, await self._bodies.from_wire(reply.value, address))
+        return reply
+
+    def _call_of(self, member: str, body: Prepare | Accept, held: tuple[str, ...]) -> PrepareCall | AcceptCall:
+        if isinstance(body, Prepare):
+            return PrepareCall(member, body.ballot, body.known, self._bodies.held())
+        return AcceptCall(member, body.ballot, self._bodies.to_wire(body.value, held), self.address)
+
+    def _check_addressee(self, member: str) -> None:
         if not self._is_loaded:
             raise RpcError("starting", self.member)
-        if message.get("to") != self.member:
+        if member != self.member:
             raise RpcError("another_incarnation", self.member)
 
     def _learn_addresses(self, state: SystemState) -> None:
         self._addresses.update(state["former_members"])
         self._addresses.update(state["members"])
 
-    async def _persist(self) -> None:
-        replica, accepted = self._replica, self._replica.accepted
-        promised = json.dumps(replica.promised)
-        await self._write((REGISTER_KEY, promised, json.dumps(accepted), json.dumps(replica.value)))
-        self._durable_ballot = max(self._durable_ballot, accepted)
-
-    async def _persist_promise(self) -> None:
-        """Writes the promise alone, unless what was accepted is not on disk yet: the reply tells of that as well."""
-        if self._replica.accepted > self._durable_ballot:
-            await self._persist()
-            return
-        await self._write((PROMISE_KEY, json.dumps(self._replica.promised), None, None))
 
-    async def _write(self, row: tuple[str, str, str | None, str | None]) -> None:
-        statement = "INSERT OR REPLACE INTO register_replica(key, promised, accepted_ballot, value) VALUES (?,?,?,?)"
-        try:
-            await self._storage.write([(statement, row)])
-        except StorageFailed as fault:
-            raise RpcError("storage_failed", str(fault)) from fault
+def _digests_of(state: SystemState) -> tuple[str, ...]:
+    configuration = state["configuration"]
+    return (configuration["digest"],) if configuration is not None else ()
 
 
 class _Attempt:
@@ -312,36 +334,3 @@
         except ChangeRefused as refusal:
             self.refusal = refusal
             return state
-
-
-def encode_request(request: Request) -> Message:
-    """The message of a proposal's request."""
-    body = request.body
-    if isinstance(body, Accept):
-        return {"type": "register.accept", "to": request.member, "ballot": body.ballot, "value": body.value}
-    return {"type": "register.prepare", "to": request.member, "ballot": body.ballot}
-
-
-def encode_reply(reply: Reply) -> Message:
-    """The message of a replica's reply."""
-    if isinstance(reply, Promise):
-        return {"type": "register.promise", "accepted": reply.accepted, "value": reply.value}
-    if isinstance(reply, Accepted):
-        return {"type": "register.accepted", "ballot": reply.ballot}
-    return {"type": "register.conflict", "promised": reply.promised}
-
-
-def decode_reply(message: Message) -> Reply:
-    """The replica's reply of a message. KeyError, TypeError or ValueError if it is none."""
-    if message["type"] == "register.promise":
-        return Promise(_ballot(message["accepted"]), message["value"])
-    if message["type"] == "register.accepted":
-        return Accepted(_ballot(message["ballot"]))
-    if message["type"] == "register.conflict":
-        return Conflict(_ballot(message["promised"]))
-    raise ValueError(str(message["type"]))
-
-
-def _ballot(pair: Any) -> Ballot:
-    counter, proposer = pair
-    return Ballot(int(counter), str(proposer))
--- /dev/null
+++ b/dewpin/controlplane/replica_storage.py
@@ -0,0 +1,92 @@
+"""The register's replica on disk: the value without its configuration's body, which stands once in a row of its own."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Protocol
+
+from dewpin.consensus import Replica
+from dewpin.consensus.messages import ballot_from_json
+from dewpin.consensus.replica import ZERO_BALLOT
+
+from .storage import StorageDamaged
+from .system_state import SystemState
+
+REGISTER_KEY = "system"
+PROMISE_KEY = "system/promise"
+"""A row of its own for the newest promise: reads make promises, and must not write the whole state each time."""
+
+Statement = tuple[str, tuple[Any, ...]]
+_REPLACE = "INSERT OR REPLACE INTO register_replica(key, promised, accepted_ballot, value) VALUES (?,?,?,?)"
+
+
+class WritesRows(Protocol):
+    """The part of the storage that the register needs."""
+
+    async def write(self, statements: list[Statement]) -> None: ...
+
+    async def query(self, sql: str, arguments: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]: ...
+
+
+class ReplicaStorage:
+    """Reads and writes one replica."""
+
+    def __init__(self, storage: WritesRows, replica: Replica) -> None:
+        self._storage = storage
+        self._replica = replica
+        self._durable_ballot = ZERO_BALLOT
+
+    async def load(self) -> None:
+        """Takes up what the disk holds."""
+        rows = await self._storage.query(
+            "SELECT promised, accepted_ballot, value FROM register_replica WHERE key IN (?, ?)",
+            (REGISTER_KEY, PROMISE_KEY),
+        )
+        for promised, accepted, value in rows:
+            self._replica.promised = max(self._replica.promised, ballot_from_json(json.loads(promised)))
+            if value is not None:
+                self._replica.accepted = ballot_from_json(json.loads(accepted))
+                self._replica.value = await self._with_body(json.loads(value))
+        self._durable_ballot = self._replica.accepted
+
+    async def persist(self) -> None:
+        """Writes the whole replica as it stands now; returns once it is synced. StorageFailed if it may not be."""
+        replica, accepted = self._replica, self._replica.accepted
+        value, bodies = _without_body(replica.value)
+        row = (REGISTER_KEY, json.dumps(replica.promised), json.dumps(accepted), json.dumps(value))
+        await self._storage.write([*bodies, (_REPLACE, row)])
+        self._durable_ballot = max(self._durable_ballot, accepted)
+
+    async def persist_promise(self) -> None:
+        """Writes the promise alone, unless what was accepted is not on disk yet: the reply tells of that as well."""
+        if self._replica.accepted > self._durable_ballot:
+            await self.persist()
+            return
+        await self._storage.write([(_REPLACE, (PROMISE_KEY, json.dumps(self._replica.promised), None, None))])
+
+    async def _with_body(self, value: dict[str, Any]) -> SystemState:
+        """The value with its body; a release before wrote it into the value."""
+        configuration = value["configuration"]
+        if configuration is not None and "body" not in configuration:
+            digest = configuration["digest"]
+            rows = await self._storage.query("SELECT body FROM register_bodies WHERE digest = ?", (digest,))
+            if not rows:
+                raise StorageDamaged(f"no body {digest}")
+            configuration["body"] = rows[0][0]
+        state: SystemState = value  # type: ignore[assignment]
+        return state
+
+
+def _without_body(state: SystemState | None) -> tuple[object, list[Statement]]:
+    """What stands in the replica's row, and the statements that keep its body, and no other, in the same commit.
+
+    Whether the body is there already is left to the statement: an earlier write may yet turn out to have failed."""
+    if state is None or state["configuration"] is None:
+        return state, []
+    configuration = state["configuration"]
+    digest = configuration["digest"]
+    row = {**state, "configuration": {name: field for name, field in configuration.items() if name != "body"}}
+    return row, [
+        ("INSERT OR IGNORE INTO register_bodies(digest, body) VALUES (?, ?)", (digest, configuration["body"])),
+        ("DELETE FROM register_bodies WHERE digest != ?", (digest,)),
+    ]
--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -54,7 +54,7 @@
     "CREATE TABLE orders (number INTEGER PRIMARY KEY, generation INTEGER NOT NULL, digest TEXT NOT NULL)",
     "CREATE INDEX orders_generation ON orders (generation)",
     # The operator's configuration of the register's value, which names it by its digest.
-    "CREATE TABLE register_bodies (digest TEXT PRIMARY KEY, body BLOB NOT NULL) WITHOUT ROWID",
+    "CREATE TABLE register_bodies (digest TEXT PRIMARY KEY, body TEXT NOT NULL)",
 )
 _MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1, 1: _SCHEMA_2}
 """Statements that lead from a schema version to the next one."""
--- a/dewpin/controlplane/system_state.py
+++ b/dewpin/controlplane/system_state.py
@@ -123,6 +123,12 @@
     return hashlib.sha256(b"%d\n%b" % (base, body)).hexdigest()[:24]
 
 
+def base_of(state: SystemState) -> int:
+    """The version that the present configuration was built on."""
+    remembered = state["accepted"]
+    return int(remembered[-2][0]) if len(remembered) > 1 else 0
+
+
 def orders_taken(state: SystemState) -> int:
     """How many orders were ever taken. A state of an earlier release, which didn't count, may have forgotten some."""
     remembered = len(state["accepted"])
--- /dev/null
+++ b/tests/controlplane/test_catch_up.py
@@ -0,0 +1,372 @@
+"""Catch-up over slow links, on a fake clock: bytes that stay flat, bodies by pages, nothing held up meanwhile."""
+
+import asyncio
+import json
+
+import pytest
+from control_world import Registers
+from controlplane.test_keeper import World
+from link_network import LinkNetwork
+from store_world import run
+
+from dewpin.cluster.rpc import RpcError
+from dewpin.consensus.replica import ZERO_BALLOT
+from dewpin.controlplane import configuration_bodies
+from dewpin.controlplane.configuration_bodies import PAGE_CHARACTERS, ConfigurationBodies
+from dewpin.controlplane.peers import LIVE_S
+from dewpin.controlplane.register import RegisterUnavailable
+from dewpin.controlplane.register_messages import BODY
+from dewpin.controlplane.storage import Storage, StorageDamaged
+from dewpin.controlplane.system_state import (
+    MOST_REMEMBERED_CONFIGURATIONS,
+    genesis,
+    orders_taken,
+    put_configuration,
+    successor,
+)
+
+WAIT_S = 5.0
+ANSWER_S = 0.85
+LONG = 4_000_000
+HEARD_AFTER_S = 0.5
+
+
+def body_of(generation, size):
+    return json.dumps({"generation": generation, "filling": "x" * size}).encode()
+
+
+def put(generation, base, size):
+    return put_configuration(body_of(generation, size), generation, base)
+
+
+def read(state):
+    return state
+
+
+async def linked_world():
+    world = World()
+    world.network = LinkNetwork()
+    await world.begin()
+    return world
+
+
+async def stop(world):
+    for keeper in world.keepers.values():
+        await keeper.stop()
+
+
+@pytest.mark.parametrize(
+    ("size", "mbit", "most_s"), [(4_096, 15, 0.1), (300_000, 15, 0.5), (LONG, 15, 3.0), (LONG, 86, 1)]
+)
+def test_a_restarted_member_catches_up_over_a_slow_link(size, mbit, most_s):
+    async def scene():
+        world = await linked_world()
+        await world.put(1, 7, 0)
+        await world.kill(3)
+        await world.keepers[1].register.propose(put(8, 7, size), WAIT_S)
+        await asyncio.sleep(0.5)
+        world.network.set_rate(mbit)
+        await world.start(3)
+        assert world.state(3) is None
+        took_s = await world.until(lambda: world.generation(3) == 8)
+        version = world.newest()["version"]
+        await stop(world)
+        return took_s, world.network.bytes, world.network.largest, version
+
+    took_s, sent, largest, version = run(scene())
+    assert took_s < most_s
+    assert sent < size * 1.1 + 100_000, "the body came once"
+    assert largest < PAGE_CHARACTERS + 10_000, "no message holds the link up for long"
+
+
+def test_the_others_are_heard_while_a_long_body_is_fetched_and_nobody_is_replaced():
+    async def scene():
+        world = await linked_world()
+        await world.put(1, 7, 0)
+        await world.kill(3)
+        await world.keepers[1].register.propose(put(8, 7, LONG), WAIT_S)
+        await asyncio.sleep(0.5)
+        world.network.set_rate(15)
+        before = world.newest()["version"]
+        await world.start(3)
+        await asyncio.sleep(HEARD_AFTER_S)
+        silences = []
+        clock = asyncio.get_running_loop().time
+        until_s = clock() + WAIT_S
+        while world.generation(3) != 8:
+            now_s = clock()
+            assert now_s < until_s
+            silences += [peer.silent_s(now_s) for peer in world.keepers[3].peers.peers.values()]
+            silences += [world.keepers[one].peers.silent_s(world.keepers[3].member, now_s) for one in (1, 2)]
+            await asyncio.sleep(0.05)
+        await stop(world)
+        return max(silences), world.newest()["version"] - before
+
+    longest_s, changes = run(scene())
+    assert longest_s < LIVE_S and changes == 0
+
+
+def test_a_restarted_member_knows_nothing_as_current_before_a_majority_spoke():
+    """Its disk holds a configuration. Alone, however long, it takes none for current; with a second member it does."""
+
+    async def scene():
+        world = await linked_world()
+        await world.put(1, 7, 0)
+        await world.until(lambda: all(world.generation(one) == 7 for one in (1, 2, 3)))
+        await world.kill(1, 2, 3)
+        await world.start(3)
+        await asyncio.sleep(10.0)
+        alone = world.state(3)
+        await world.start(2)
+        await world.until(lambda: world.generation(3) == 7)
+        await stop(world)
+        return alone
+
+    assert run(scene()) is None
+
+
+def test_a_change_costs_the_same_bytes_after_few_and_after_many_changes():
+    async def scene(changes):
+        world = await linked_world()
+        base = 0
+        for generation in range(1, changes + 1):
+            await world.keepers[1].register.propose(put(generation, base, 1000), WAIT_S)
+            base = generation
+        await asyncio.sleep(2.0)
+        world.network.set_rate(86)
+        await world.keepers[1].register.propose(put(base + 1, base, 1000), WAIT_S)
+        await world.until(lambda: all(world.generation(one) == base + 1 for one in (1, 2, 3)))
+        sent = world.network.bytes
+        await stop(world)
+        return sent
+
+    few, many = run(scene(MOST_REMEMBERED_CONFIGURATIONS)), run(scene(5 * MOST_REMEMBERED_CONFIGURATIONS))
+    assert many < few * 1.2
+
+
+def linked_registers():
+    registers = Registers()
+    registers.network = LinkNetwork()
+    registers.members = {name: registers._member(name) for name in "abc"}
+    return registers
+
+
+def test_a_change_of_members_and_a_read_ship_no_body():
+    async def scene():
+        registers = linked_registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0, 100_000), WAIT_S)
+        await asyncio.sleep(0.1)
+        registers.network.set_rate(86)
+        await registers.members["a"].propose(successor, WAIT_S)
+        await registers.members["a"].propose(read, WAIT_S)
+        await asyncio.sleep(1.0)
+        return registers.network.bytes
+
+    assert run(scene()) < 10_000
+
+
+def test_a_member_that_lacks_the_body_of_an_accepted_value_fetches_it():
+    async def scene():
+        registers = linked_registers()
+        await registers.begin()
+        registers.network.cut("c")
+        await registers.members["a"].propose(put(7, 0, 100_000), WAIT_S)
+        registers.network.join()
+        registers.network.down.add("b")
+        await registers.members["a"].propose(successor, WAIT_S)
+        registers.network.down = {"a"}
+        state = await registers.members["c"].propose(read, WAIT_S)
+        return state["configuration"]["body"], await registers.disks["c"].query("SELECT body FROM register_bodies")
+
+    body, rows = run(scene())
+    assert body.encode() == body_of(7, 100_000) and rows == [(body,)]
+
+
+def test_a_fetch_that_broke_off_goes_on_where_it_was_at_another_process():
+    async def scene():
+        registers = linked_registers()
+        await registers.begin()
+        registers.network.cut("c")
+        state = await registers.members["a"].propose(put(7, 0, LONG), WAIT_S)
+        await registers.members["b"].propose(read, WAIT_S)
+        registers.network.join()
+        registers.network.set_rate(86)
+        offsets = []
+
+        def on_call(source, target, message):
+            if message["type"] == BODY:
+                offsets.append((target, message["offset"]))
+                if target == "a" and message["offset"] > LONG / 2:
+                    raise RpcError("connect", target)
+
+        registers.network.on_call = on_call
+        member = registers.members["c"]
+        wire = registers.members["a"].to_wire(state, ())
+        with pytest.raises(RpcError):
+            await member.take(ZERO_BALLOT, wire, "a")
+        assert member.chosen["configuration"] is None
+        broken_at = offsets[-1][1]
+        await member.take(ZERO_BALLOT, wire, "b")
+        return member.chosen == state, offsets, broken_at
+
+    is_whole, offsets, broken_at = run(scene())
+    assert is_whole
+    assert [offset for target, offset in offsets if target == "b"][0] == broken_at > LONG / 2
+
+
+@pytest.mark.parametrize("answer", [("other", 5), ("x", 1), ("", 5)])
+def test_other_bytes_than_those_of_the_digest_are_not_taken(answer):
+    class Liar:
+        async def call(self, address, message, timeout_s):
+            return {"type": BODY, "part": answer[0], "length": answer[1]}
+
+    async def scene():
+        bodies = ConfigurationBodies(Liar())
+        state = put(7, 0, PAGE_CHARACTERS)(genesis({}, {}))
+        wire = ConfigurationBodies(Liar()).to_wire(state, ())
+        with pytest.raises(RpcError):
+            await bodies.from_wire(wire, "a")
+        return bodies.held()
+
+    assert run(scene()) == ()
+
+
+def test_a_body_that_was_replaced_meanwhile_can_still_be_fetched():
+    """A peer on a slow link may be halfway through it when the next configuration comes."""
+
+    async def scene():
+        registers = linked_registers()
+        await registers.begin()
+        registers.network.cut("c")
+        old = await registers.members["a"].propose(put(7, 0, LONG), WAIT_S)
+        await registers.members["a"].propose(put(8, 7, LONG), WAIT_S)
+        registers.network.join()
+        await registers.members["c"].take(ZERO_BALLOT, registers.members["a"].to_wire(old, ()), "a")
+        return registers.members["c"].chosen["configuration"]["generation"]
+
+    assert run(scene()) == 7
+
+
+def test_bodies_held_in_memory_are_few_whatever_comes():
+    bodies = ConfigurationBodies(None)
+    state = genesis({}, {})
+    for generation in range(1, 50):
+        state = put(generation, generation - 1, 3_000_000)(state)
+        bodies.add(state)
+        assert len(bodies.held()) <= configuration_bodies.MOST_BODIES
+        assert sum(map(len, bodies._bodies.values())) <= configuration_bodies.MOST_CHARACTERS
+
+
+@pytest.mark.parametrize("mbit", [15, 86, 600])
+def test_an_order_of_four_megabytes_is_acknowledged_and_taken_once(mbit):
+    """The operator sends it to one process after the other until one acknowledges it."""
+
+    async def scene():
+        world = await linked_world()
+        world.network.set_rate(mbit)
+        clock = asyncio.get_running_loop().time
+        began_s = clock()
+        for number in (1, 2, 3, 1, 2, 3):
+            try:
+                await world.keepers[number].register.propose(put(7, 0, LONG), ANSWER_S)
+                break
+            except RegisterUnavailable:
+                await asyncio.sleep(0.2)
+        took_s = clock() - began_s
+        state = await world.keepers[3].register.propose(read, WAIT_S)
+        await stop(world)
+        return took_s, orders_taken(state)
+
+    took_s, taken = run(scene())
+    assert took_s < 4.0 and taken == 1
+
+
+# On disk
+
+
+def test_the_body_stands_once_on_disk_and_is_there_after_a_restart():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        for generation in range(1, 6):
+            await registers.members["a"].propose(put(generation, generation - 1, 1000), WAIT_S)
+        await registers.members["a"].propose(successor, WAIT_S)
+        member = await registers.restart("a")
+        rows = await registers.disks["a"].query("SELECT digest, body FROM register_bodies")
+        values = await registers.disks["a"].query("SELECT value FROM register_replica WHERE key = 'system'")
+        return rows, values[0][0], member.newest
+
+    rows, value, state = run(scene())
+    assert rows == [(state["configuration"]["digest"], state["configuration"]["body"])]
+    assert state["configuration"]["body"].encode() == body_of(5, 1000)
+    assert "filling" not in value
+
+
+def test_a_body_whose_write_failed_is_written_with_the_next_value():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        member, disk = registers.members["b"], registers.disks["b"]
+        state = put(7, 0, 1000)(registers.genesis)
+        disk.fails = True
+        with pytest.raises(RpcError):
+            await member.handle_accept({"to": "b", "ballot": [5, "a"], "value": state})
+        disk.fails = False
+        await member.handle_accept({"to": "b", "ballot": [6, "a"], "value": successor(state)})
+        member = await registers.restart("b")
+        return member.newest["configuration"]["body"].encode()
+
+    assert run(scene()) == body_of(7, 1000)
+
+
+def test_a_value_with_its_body_inside_as_a_release_before_wrote_it_is_read():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        state = put(7, 0, 1000)(registers.genesis)
+        row = ("system", '[3, "a"]', '[3, "a"]', json.dumps(state))
+        sql = "INSERT OR REPLACE INTO register_replica(key, promised, accepted_ballot, value) VALUES (?,?,?,?)"
+        await registers.disks["a"].write([(sql, row)])
+        return (await registers.restart("a")).newest == state
+
+    assert run(scene())
+
+
+def test_a_value_without_its_body_is_a_damaged_disk():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        await registers.members["a"].propose(put(7, 0, 1000), WAIT_S)
+        await registers.disks["a"].write([("DELETE FROM register_bodies", ())])
+        with pytest.raises(StorageDamaged):
+            await registers.restart("a")
+
+    run(scene())
+
+
+def test_the_files_stay_the_same_size_after_many_changes(tmp_path):
+    """One member on a real database: its size, the write-ahead log's and the rows, after 60 and after 300 changes."""
+    storage = Storage(tmp_path / "data", log=lambda text: None)
+
+    async def scene():
+        registers = Registers("a", "a")
+        registers.disks["a"] = storage
+        registers.members["a"] = registers._member("a")
+        await registers.begin()
+        sizes = []
+        for generation in range(1, 301):
+            await registers.members["a"].propose(put(generation, generation - 1, 100_000), WAIT_S)
+            if generation in (60, 300):
+                await asyncio.sleep(0.05)
+                sizes.append({path.name: path.stat().st_size for path in (tmp_path / "data").iterdir()})
+        rows = await storage.query("SELECT count(*) FROM register_bodies")
+        return sizes, rows
+
+    try:
+        (few, many), rows = asyncio.run(scene())
+    finally:
+        storage.close()
+    assert rows == [(1,)]
+    for name, size in many.items():
+        assert size <= few[name] + 50_000, name
--- a/tests/controlplane/test_orders.py
+++ b/tests/controlplane/test_orders.py
@@ -336,7 +336,7 @@
 
         registers.network.on_call = on_call
         if "a" not in reached:
-            registers.members["a"].handle_accept = lambda message: asyncio.sleep(1e6)
+            registers.disks["a"].stalls = True
         order = asyncio.ensure_future(answer(registers.members["a"], 7, 0))
         await asyncio.sleep(0.02)
         registers.network.down.add("a")
@@ -355,7 +355,7 @@
                 raise RpcError("connect", target)
 
         registers.network.on_call = on_call
-        registers.members["a"].handle_accept = lambda message: asyncio.sleep(1e6)
+        registers.disks["a"].stalls = True
         order = asyncio.ensure_future(answer(registers.members["a"], 7, 0))
         await asyncio.sleep(0.02)
         registers.network.down.add("a")
--- a/tests/controlplane/test_register_driver.py
+++ b/tests/controlplane/test_register_driver.py
@@ -7,6 +7,7 @@
 from store_world import run
 
 from dewpin.cluster.rpc import RpcError
+from dewpin.consensus.messages import CONFLICT, PROMISE
 from dewpin.consensus.replica import ZERO_BALLOT
 from dewpin.controlplane.register import RegisterUnavailable
 from dewpin.controlplane.system_state import (
@@ -259,12 +260,12 @@
         await registers.begin()
         member = registers.members["b"]
         prepare = {"type": "register.prepare", "to": "b", "ballot": [50, "z"]}
-        assert (await member.handle_prepare(prepare))["type"] == "register.promise"
+        assert (await member.handle_prepare(prepare))["type"] == PROMISE
         member = await registers.restart("b")
         accept = {"type": "register.accept", "to": "b", "ballot": [49, "y"], "value": successor(registers.genesis)}
         return await member.handle_accept(accept)
 
-    assert run(scene())["type"] == "register.conflict"
+    assert run(scene())["type"] == CONFLICT
 
 
 def test_a_member_restarted_alone_tells_its_old_state_to_nobody():
--- /dev/null
+++ b/tests/link_network.py
@@ -0,0 +1,60 @@
+"""The network of `control_world` with links of a rate: what a message's bytes cost in time."""
+
+import asyncio
+
+from control_world import Client, Network
+
+from dewpin.cluster import netstring
+from dewpin.cluster.rpc import RpcError
+
+LATENCY_S = 0.0014
+
+
+class LinkNetwork(Network):
+    """Each machine's outgoing link carries `mbit` million bits a second, first come, first served; None: at once."""
+
+    def __init__(self):
+        super().__init__()
+        self.bytes = 0
+        self.largest = 0
+        self.set_rate(None)
+
+    def set_rate(self, mbit):
+        """Changes the rate; what waited for a link before is forgotten."""
+        self.mbit = mbit
+        self._free_s = {}
+
+    def client(self, source):
+        return LinkClient(self, source)
+
+    async def carry(self, source, message):
+        """Waits until the message has left the link and has arrived."""
+        if self.mbit is None:
+            return
+        size = len(netstring.encode(message))
+        self.bytes += size
+        self.largest = max(self.largest, size)
+        now_s = asyncio.get_running_loop().time()
+        sent_s = max(now_s, self._free_s.get(source, 0.0)) + size * 8 / (self.mbit * 1e6)
+        self._free_s[source] = sent_s
+        await asyncio.sleep(sent_s + LATENCY_S - now_s)
+
+
+class LinkClient(Client):
+    """Calls over the links. A call that is given up still takes its time on the link."""
+
+    async def _call(self, address, message):
+        if not self.network.reaches(self.source, address):
+            raise RpcError("connect", address)
+        exchange = asyncio.ensure_future(self._exchange(address, message))
+        exchange.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await asyncio.shield(exchange)
+
+    async def _exchange(self, address, message):
+        await self.network.carry(self.source, message)
+        handler = self.network.handlers.get(address, {}).get(message["type"])
+        if handler is None or not self.network.reaches(self.source, address):
+            raise RpcError("connect", address)
+        answer = await handler(message)
+        await self.network.carry(address, answer)
+        return answer
