--- a/dewpin/consensus/replica.py
+++ b/dewpin/consensus/replica.py
@@ -25,10 +25,14 @@
 @dataclass(frozen=True)
 class Promise:
     """The replica takes part in no older ballot from here on; it tells what it accepted last. The value is left out
-    where the proposer knows one as new."""
+    where the proposer knows one as new.
+
+    `copied`: it took that from another replica and never voted for it, so it counts for no majority.
+    """
 
     accepted: Ballot
     value: JsonValue
+    copied: bool = False
 
 
 @dataclass(frozen=True)
@@ -50,11 +54,12 @@
 
 @dataclass
 class Replica:
-    """State of one replica. `value` is None until something was accepted."""
+    """State of one replica. `value` is None until something was accepted; `copied`: by another replica, not by this."""
 
     promised: Ballot = ZERO_BALLOT
     accepted: Ballot = ZERO_BALLOT
     value: JsonValue = None
+    copied: bool = False
 
     def prepare(self, ballot: Ballot, known: Ballot | None = None) -> Promise | Conflict:
         """First round: promises `ballot` if nothing as great was promised before. `known`: the ballot of the newest
@@ -63,7 +68,7 @@
             return Conflict(self.promised)
         self.promised = ballot
         is_known = known is not None and self.accepted <= known
-        return Promise(self.accepted, None if is_known else self.value)
+        return Promise(self.accepted, None if is_known else self.value, self.copied)
 
     def accept(self, ballot: Ballot, value: JsonValue, next_ballot: Ballot | None = None) -> Accepted | Conflict:
         """Second round: accepts `value`. `next_ballot` is promised beside, so that the proposer may skip its next
@@ -72,5 +77,6 @@
             return Conflict(self.promised)
         self.accepted = ballot
         self.value = value
+        self.copied = False
         self.promised = max(ballot, next_ballot or ballot)
         return Accepted(ballot)
--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -6,6 +6,7 @@
 import logging
 import random
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
@@ -74,6 +75,11 @@
         await self._history.load()
         self._is_loaded = True
 
+    @property
+    def durable_version(self) -> int:
+        """The version of the newest value that the replica has accepted and that is on disk; -1 without."""
+        return self._disk.durable_version
+
     @property
     def newest(self) -> SystemState | None:
         """The newest state seen here, chosen or not: where to ask for the register."""
@@ -163,7 +169,7 @@
         self._check_addressee(call.to)
         reply = await self._prepare(call.ballot, call.known)
         if isinstance(reply, Promise) and reply.value is not None:
-            reply = Promise(reply.accepted, self._bodies.to_wire(reply.value, call.held))
+            reply = replace(reply, value=self._bodies.to_wire(reply.value, call.held))
         return encode_reply(reply)
 
     async def handle_accept(self, message: Message) -> Message:
@@ -295,7 +301,7 @@
         call = self._call_of(request.member, body, held)
         reply = decode_reply(await self._client.call(address, call.encode(), MEMBER_TIMEOUT_S))
         if isinstance(reply, Promise) and reply.value is not None:
-            return Promise(reply.accepted, await self._bodies.from_wire(reply.value, address))
+            return replace(reply, value=await self._bodies.from_wire(reply.value, address))
         return reply
 
     def _call_of(self, member: str, body: Prepare | Accept, held: tuple[str, ...]) -> PrepareCall | AcceptCall:
--- a/dewpin/controlplane/replica_storage.py
+++ b/dewpin/controlplane/replica_storage.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import json
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 from dewpin.consensus import Replica
 from dewpin.consensus.messages import ballot_from_json
 from dewpin.consensus.replica import ZERO_BALLOT
 
+from .register_messages import WireState
 from .storage import StorageDamaged
 from .system_state import SystemState
 
@@ -29,11 +30,12 @@
 
 
 class ReplicaStorage:
-    """Reads and writes one replica."""
+    """Reads and writes one replica. `durable_version`: of the newest value that was accepted and is on disk."""
 
     def __init__(self, storage: WritesRows, replica: Replica) -> None:
         self._storage = storage
         self._replica = replica
+        self.durable_version = -1
         self._durable_ballot = ZERO_BALLOT
 
     async def load(self) -> None:
@@ -47,6 +49,7 @@
             if value is not None:
                 self._replica.accepted = ballot_from_json(json.loads(accepted))
                 self._replica.value = await self._with_body(json.loads(value))
+                self.durable_version = self._replica.value["version"]
         self._durable_ballot = self._replica.accepted
 
     async def persist(self) -> None:
@@ -55,7 +58,9 @@
         value, bodies = _without_body(replica.value)
         row = (REGISTER_KEY, json.dumps(replica.promised), json.dumps(accepted), json.dumps(value))
         await self._storage.write([*bodies, (_REPLACE, row)])
-        self._durable_ballot = max(self._durable_ballot, accepted)
+        if accepted >= self._durable_ballot and value is not None:
+            self._durable_ballot = accepted
+            self.durable_version = value["version"]
 
     async def persist_promise(self) -> None:
         """Writes the promise alone, unless what was accepted is not on disk yet: the reply tells of that as well."""
@@ -77,12 +82,12 @@
         return state
 
 
-def _without_body(state: SystemState | None) -> tuple[object, list[Statement]]:
+def _without_body(state: SystemState | None) -> tuple[WireState | None, list[Statement]]:
     """What stands in the replica's row, and the statements that keep its body, and no other, in the same commit.
 
     Whether the body is there already is left to the statement: an earlier write may yet turn out to have failed."""
     if state is None or state["configuration"] is None:
-        return state, []
+        return cast("WireState | None", state), []
     configuration = state["configuration"]
     digest = configuration["digest"]
     row = {**state, "configuration": {name: field for name, field in configuration.items() if name != "body"}}
