--- a/tests/consensus/test_register.py
+++ b/tests/consensus/test_register.py
@@ -1,6 +1,7 @@
 """The register's replicas and proposals, by scripted deliveries."""
 
 import itertools
+import random
 
 import pytest
 
@@ -178,3 +179,43 @@
     result = fleet.propose("r", read) or fleet.propose("r", read)
     if chosen and result.value:
         assert result.value["word"] == chosen[0]
+
+
+@pytest.mark.parametrize(("known", "is_told"), [(None, True), (Ballot(1, "p"), True), (Ballot(2, "p"), False)])
+def test_a_promise_leaves_out_a_value_that_is_not_above_the_one_known(known, is_told):
+    replica = Replica(accepted=Ballot(2, "p"), promised=Ballot(2, "p"), value="value")
+    assert replica.prepare(Ballot(3, "q"), known) == Promise(Ballot(2, "p"), "value" if is_told else None)
+    assert Replica(accepted=Ballot(1, "p"), value="old").prepare(Ballot(3, "q"), known).value in (None, "old")
+
+
+class RandomFleet(Fleet):
+    """Proposers that know values of any age, requests lost at random; `tells` leaves known values out of promises."""
+
+    def __init__(self, seed, tells):
+        super().__init__("a", "b", "c", "d")
+        self.random = random.Random(seed)
+        self.tells = tells
+        self.known = dict.fromkeys("pq", (GENESIS, ZERO_BALLOT))
+
+    def deliver(self, request):
+        replica = self.replicas[request.member]
+        if isinstance(request.body, Prepare):
+            return replica.prepare(request.body.ballot, request.body.known if self.tells else None)
+        return super().deliver(request)
+
+    def step(self):
+        who, losses = self.random.choice("pq"), self.random.choice([0.0, 0.2, 0.5])
+        word = self.random.random()
+        change = self.random.choice([read, swap, lambda value: successor(value, word=word)])
+        result = self.propose(who, change, *self.known[who], lost=lambda request: self.random.random() < losses)
+        if result is not None and result.outcome is not Outcome.CONFLICT and self.random.random() < 0.7:
+            self.known[who] = result.value, result.ballot
+        return result
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_a_proposal_ends_the_same_whether_or_not_promises_leave_out_what_it_knows(seed):
+    full, lean = RandomFleet(seed, tells=False), RandomFleet(seed, tells=True)
+    for _ in range(30):
+        assert full.step() == lean.step()
+        assert full.replicas == lean.replicas
--- a/tests/controlplane/test_catch_up.py
+++ b/tests/controlplane/test_catch_up.py
@@ -239,10 +239,10 @@
         registers = linked_registers()
         await registers.begin()
         registers.network.cut("c")
-        old = await registers.members["a"].propose(put(7, 0, LONG), WAIT_S)
+        old = registers.members["a"].to_wire(await registers.members["a"].propose(put(7, 0, LONG), WAIT_S), ())
         await registers.members["a"].propose(put(8, 7, LONG), WAIT_S)
         registers.network.join()
-        await registers.members["c"].take(ZERO_BALLOT, registers.members["a"].to_wire(old, ()), "a")
+        await registers.members["c"].take(ZERO_BALLOT, old, "a")
         return registers.members["c"].chosen["configuration"]["generation"]
 
     assert run(scene()) == 7
