--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -15,7 +15,6 @@
 
 from dewpin.cluster.rpc import RpcError
 from dewpin.controlplane.register import RegisterUnavailable
-from dewpin.dataplane import ledger
 from dewpin.dataplane.program_store import BudgetSpent, Turn
 
 LATE_S = (0.02, 1.5)
@@ -25,6 +24,38 @@
 MODES = ("twice", "late", "answer lost")
 
 
+MAY_RUN_TWICE = {
+    "register.prepare": "a ballot is promised once; a repeat is told of the conflict and changes nothing",
+    "register.accept": "a ballot has one value; accepted again it stays, behind a greater promise it is refused",
+    "register.orders": "reads only",
+    "keeper.hello": "replaces what is known of the sender; the next heartbeat corrects one that came late",
+    "lease.renew": "replaces the lease; one that comes after the release ends with its time",
+    "lease.release": "removes what may be gone",
+    "relay.watch": "reads only",
+    "turn.put": "a turn is immutable: kept as it is, for the longer time",
+    "turn.chain": "reads only",
+    "ledger.prepare": "as register.prepare",
+    "ledger.accept": "as register.accept; a ballot made again finds the turn reserved or settled",
+    "store.pull_index": "reads only, after the view was made durable",
+    "store.pull_turns": "reads only, after the view was made durable",
+    "store.pull_ledgers": "reads only, after the view was made durable",
+    "store.pull_arrivals": "reads only",
+}
+"""Every type of request between processes, and why its handler may run more than once for one request."""
+
+
+def test_every_handler_is_known_to_bear_a_repeat():
+    async def scene():
+        fleet = Fleet(random.Random(1))
+        await fleet.begin()
+        fleet.start_sender(1)
+        handlers = {**fleet.keepers[1].handlers, **fleet.agents[1].handlers, **World().machines["a"].store.handlers}
+        await fleet.stop()
+        return set(handlers)
+
+    assert run(scene()) == set(MAY_RUN_TWICE)
+
+
 class Repeats:
     """Carries requests out again, and notes which types were; `mode` tells how."""
 
@@ -97,7 +128,7 @@
         await two.settled()
         chain = await world.client("three", seed + 2).chain("p", "t2", 10.0)
         await repeats.done()
-        final = await world.client("four", seed + 3)._change("p", ledger.read)
+        final = await world.client("four", seed + 3).read_ledger("p")
         rows = {
             machine.disk.connection.execute("SELECT count(*) FROM turns").fetchone()
             for machine in world.machines.values()
@@ -133,7 +164,7 @@
         other = world.client("two", seed + 1)
         other.adopt(world.view)
         chain = await other.chain("p", "t5", 10.0)
-        final = await other._change("p", ledger.read)
+        final = await other.read_ledger("p")
         await repeats.done()
         return chain, final
 
