--- a/benchmarks/capacity/roles/control.py
+++ b/benchmarks/capacity/roles/control.py
@@ -127,8 +127,8 @@
         ),
         context.row(
             "bytes of one change of the register",
-            f"promises carry the old state, accepts the new: 2 × {members} × state",
-            lambda: 2 * members * context.state_bytes,
+            f"accepts carry the new state, promises none that is known: {members} × state",
+            lambda: members * context.state_bytes,
             "B",
             REGISTER,
         ),
@@ -149,8 +149,8 @@
         ),
         context.row(
             "bytes written to disk for changes, a day, each member",
-            f"{target.changes_a_day} × 2 rounds (each writes the whole state) × state",
-            lambda: 2 * target.changes_a_day * context.state_bytes,
+            f"{target.changes_a_day} × state (a promise writes its ballot alone)",
+            lambda: target.changes_a_day * context.state_bytes,
             "B",
             "`dewpin/controlplane/storage.py`",
         ),
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -210,6 +210,7 @@
     assert operator.call("GET", "/dewpin/Retire.Get/store-a") == (200, b'{"state":"running"}')
     operator.register.state = finish_retirement("store-a")(operator.register.state)
     assert operator.call("GET", "/dewpin/Retire.Get/store-a") == (200, b'{"state":"done"}')
+    assert operator.call("POST", "/dewpin/Retire.Start/store-a", b'{"within_s":10}')[0] == 200
 
 
 def test_an_unknown_machine_and_one_too_many_are_refused(operator):
--- a/tests/controlplane/test_orders.py
+++ b/tests/controlplane/test_orders.py
@@ -15,10 +15,15 @@
     AnotherVersionIsCurrent,
     GenerationNotAbove,
     OrderForgotten,
+    TooFewWouldRemain,
+    UnknownMachine,
+    begin_stores,
     digest_of,
     genesis,
+    on_version,
     orders_taken,
     put_configuration,
+    start_retirement,
 )
 
 WAIT_S = 3.0
@@ -461,3 +466,38 @@
 
     assert play(lambda registers: scene(registers, True)) == (412, 412)
     assert play(lambda registers: scene(registers, False)) == (200, 200)
+
+
+# Orders to empty a machine
+
+
+def retire(name):
+    return start_retirement(name, 2)
+
+
+@pytest.mark.parametrize("reached", ["", "b", "c", "bc"])
+def test_an_order_to_empty_a_machine_whose_answer_was_lost_is_under_way_once_when_it_comes_again(reached):
+    async def scene(registers):
+        stores = {name: name for name in "abc"}
+        names = {name: f"machine-{name}" for name in "abc"}
+        await registers.members["a"].propose(on_version(0, begin_stores(stores, names)), WAIT_S)
+
+        def on_call(source, target, message):
+            if message["type"] == "register.accept" and source == "a" and target not in reached:
+                raise RpcError("connect", target)
+
+        registers.network.on_call = on_call
+        registers.disks["a"].stalls = True
+        order = asyncio.ensure_future(registers.members["a"].propose(retire("machine-b"), WAIT_S))
+        await asyncio.sleep(0.02)
+        registers.network.down.add("a")
+        order.cancel()
+        registers.network.on_call = lambda source, target, message: None
+        states = [await registers.members[name].propose(retire("machine-b"), WAIT_S) for name in "bcb"]
+        with pytest.raises(TooFewWouldRemain):
+            await registers.members["c"].propose(retire("machine-c"), WAIT_S)
+        with pytest.raises(UnknownMachine):
+            await registers.members["c"].propose(retire("machine-x"), WAIT_S)
+        return [state["retiring"] for state in states]
+
+    assert play(scene) == [["machine-b"]] * 3
