--- a/tests/controlplane/test_catch_up.py
+++ b/tests/controlplane/test_catch_up.py
@@ -5,7 +5,7 @@
 
 import pytest
 from control_world import Registers
-from controlplane.test_keeper import World
+from controlplane.keeper_world import World
 from link_network import LinkNetwork
 from store_world import run
 
--- a/tests/controlplane/test_currency_random.py
+++ b/tests/controlplane/test_currency_random.py
@@ -4,8 +4,9 @@
 import random
 
 import pytest
-from controlplane.test_keeper import APPLY_S, run
+from controlplane.keeper_world import APPLY_S
 from controlplane.test_senders_and_keepers import Fleet
+from store_world import run
 
 from dewpin.controlplane.keeper import knowledge_bound_s
 from dewpin.controlplane.register import RegisterUnavailable
--- a/tests/controlplane/test_cut_off.py
+++ b/tests/controlplane/test_cut_off.py
@@ -5,7 +5,7 @@
 
 import pytest
 from cluster import samples
-from controlplane.test_keeper import APPLY_S, drain, listed, play, renewal, shows_drain
+from controlplane.keeper_world import APPLY_S, drain, drain_known, listed, play, renewal, shows_drain
 
 from dewpin.cluster.errors import ErrorKind
 from dewpin.cluster.rpc import RpcError
@@ -340,7 +340,7 @@
         world.cut_from_platform = {reader}
         drain(world)
         others = {1, 2, 3} - {reader}
-        return await world.until(lambda: all(shows_drain(world, number) for number in others))
+        return await drain_known(world, others)
 
     assert play(scene) < 1.5
 
@@ -353,7 +353,7 @@
         world.network.cut(world.address(1))
         await asyncio.sleep(4.0)
         drain(world)
-        await world.until(lambda: all(shows_drain(world, number) for number in (1, 2, 3)))
+        await drain_known(world, (1, 2, 3))
         versions = [world.keepers[number].directory.version for number in (1, 2, 3)]
         world.network.join()
         seen = []
--- a/tests/controlplane/test_keeper.py
+++ b/tests/controlplane/test_keeper.py
@@ -1,198 +1,27 @@
 """Several control plane processes together, over a network and disks in memory. The clock jumps."""
 
 import asyncio
-import random
 
 import pytest
-from control_world import Disk, Network
-from store_world import run
+from controlplane.keeper_world import (
+    APPLY_S,
+    CATCH_UP_S,
+    DRAIN_S,
+    drain,
+    drain_known,
+    listed,
+    play,
+    reader_of,
+    renewal,
+    shows_drain,
+)
 
 from dewpin.cluster.errors import ErrorKind
-from dewpin.cluster.platform_list import PlatformUnavailable
-from dewpin.cluster.receivers import Receiver
 from dewpin.cluster.relay_service import WATCH_HEARTBEAT_S
 from dewpin.cluster.rpc import RpcError
-from dewpin.cluster.settings import parse_settings
 from dewpin.controlplane.heartbeat import HEARTBEAT_PERIOD_S
-from dewpin.controlplane.keeper import Keeper
 from dewpin.controlplane.register import RegisterUnavailable
-from dewpin.controlplane.system_state import put_configuration, start_retirement
-
-DRAIN_S = 3.0
-APPLY_S = 2.0
-CATCH_UP_S = 4.0
-
-
-class Platform:
-    """The platform's list, as one process sees it."""
-
-    def __init__(self, world, host):
-        self.world = world
-        self.host = host
-
-    async def read(self, address):
-        await asyncio.sleep(0.005)
-        self.world.readings.append((asyncio.get_running_loop().time(), self.host))
-        if self.world.platform_down or self.host in self.world.cut_from_platform:
-            raise PlatformUnavailable("down")
-        return list(self.world.receivers)
-
-
-class World:
-    """Machines by number; machine 1 to 3 are the seeds."""
-
-    def __init__(self, count=3):
-        self.network = Network()
-        self.keepers = {}
-        self.disks = {}
-        self.lives = 0
-        self.receivers = [Receiver("i-1", "engines", "10.9.0.1:80", "east", 4)]
-        self.readings = []
-        self.platform_down = False
-        self.cut_from_platform = set()
-        self.frozen_s = {}
-        self.seeds = (1, 2, 3)
-        self.numbers = list(range(1, count + 1))
-
-    def address(self, number):
-        return f"10.0.0.{number}:7380"
-
-    def settings(self, number, bootstrap, name=None):
-        raw = {
-            "node_name": name or f"store-{number}",
-            "serves": ["control", "store"],
-            "ip": f"10.0.0.{number}",
-            "zone": "east",
-            "port_range": [7380, 7395],
-            "seeds": [f"10.0.0.{seed}:8144" for seed in self.seeds],
-            "bootstrap": bootstrap,
-            "data_dir": "/unused",
-            "listen": {"control": f"10.0.0.{number}:8144"},
-            "fault_tolerance": {"machines": 1},
-            "bounds": {"drain_ms": 1000 * DRAIN_S, "config_apply_ms": 1000 * APPLY_S},
-            "cloud": {"address": "10.8.0.1:80"},
-        }
-        return parse_settings(raw)
-
-    async def begin(self):
-        for number in self.numbers:
-            await self.start(number, bootstrap=True)
-        await self.until(lambda: all(self.state(number) for number in self.numbers))
-        await self.until(lambda: self.stores() == self.members() and self.next_stores() is None)
-
-    async def start(self, number, bootstrap=False, wiped=False, name=None):
-        """Starts a machine's process, on its disk as it stands or on an empty one."""
-        if wiped or number not in self.disks:
-            self.lives += 1
-            self.disks[number] = Disk(f"{number}{self.lives:04d}")
-        address = self.address(number)
-        self.network.handlers.pop(address, None)
-        self.network.down.discard(address)
-        loop = asyncio.get_running_loop()
-        keeper = Keeper(
-            self.settings(number, bootstrap, name),
-            self.disks[number],
-            self.network.client(address),
-            random.Random(number),
-            lambda: self.frozen_s.get(number, loop.time()),
-            Platform(self, number),
-        )
-        keeper.on_state = lambda state: self.copy_stores(keeper, state)
-        self.keepers[number] = keeper
-        await keeper.load()
-        self.network.handlers[address] = keeper.handlers
-        keeper.start()
-
-    def copy_stores(self, keeper, state):
-        """The stores of these machines copy within a tenth of a second."""
-        epoch = state["stores"]["epoch"]
-
-        def done():
-            keeper.synced_epoch = lambda: epoch
-            keeper.send_heartbeats()
-
-        asyncio.get_running_loop().call_later(0.1, done)
-
-    def freeze(self, number):
-        """Stops a machine's clock and cuts it off: what it does meanwhile takes no time and reaches nobody."""
-        self.frozen_s[number] = asyncio.get_running_loop().time()
-        self.network.down.add(self.address(number))
-        self.cut_from_platform.add(number)
-
-    def thaw(self, number):
-        del self.frozen_s[number]
-        self.network.down.discard(self.address(number))
-        self.cut_from_platform.discard(number)
-
-    async def kill(self, *numbers):
-        for number in numbers:
-            self.network.down.add(self.address(number))
-            await self.keepers[number].stop()
-
-    async def put(self, number, generation, base):
-        change = put_configuration(b'{"generation": %d}' % generation, generation, base)
-        return await self.keepers[number].register.propose(change, 0.85)
-
-    async def until(self, condition, most_s=10.0):
-        """Lets time go by until something holds; how long that took."""
-        began_s = asyncio.get_running_loop().time()
-        while not condition():
-            await asyncio.sleep(0.01)
-            took_s = asyncio.get_running_loop().time() - began_s
-            assert took_s < most_s, f"not within {most_s} s"
-        return asyncio.get_running_loop().time() - began_s
-
-    def state(self, number):
-        return self.keepers[number].register.chosen
-
-    def newest(self):
-        states = [keeper.register.chosen for keeper in self.keepers.values() if keeper.register.chosen]
-        return max(states, key=lambda state: state["version"])
-
-    def generation(self, number):
-        state = self.state(number)
-        return state["configuration"]["generation"] if state and state["configuration"] else 0
-
-    def addresses(self, ids):
-        return sorted(ids.values())
-
-    def members(self):
-        return self.addresses(self.newest()["members"])
-
-    def stores(self):
-        return self.addresses(self.newest()["stores"]["stable"])
-
-    def next_stores(self):
-        return self.newest()["stores"]["next"]
-
-    def is_whole(self, *numbers):
-        """Whether these are all members and all stores, with no change under way."""
-        if any(self.keepers[number].register.chosen is None for number in numbers):
-            return False
-        state = self.newest()
-        wanted = [self.address(number) for number in numbers]
-        ids = {self.keepers[number].member for number in numbers}
-        return (
-            self.members() == self.stores() == wanted
-            and set(state["members"]) == set(state["stores"]["stable"]) == ids
-            and state["members"] == state["former_members"]
-            and state["stores"]["next"] is None
-        )
-
-
-def play(scene, count=3):
-    """Runs a scene on machines that have begun."""
-
-    async def whole():
-        world = World(count)
-        await world.begin()
-        try:
-            return await scene(world)
-        finally:
-            for keeper in world.keepers.values():
-                await keeper.stop()
-
-    return run(whole())
+from dewpin.controlplane.system_state import start_retirement
 
 
 def test_the_seeds_begin_together_and_take_the_first_stores():
@@ -346,27 +175,6 @@
     assert play(scene)
 
 
-def renewal(sender="s/1", version=(0, "")):
-    return {"sender": sender, "address": "10.5.0.1:7381", "zone": "east", "receivers_version": list(version)}
-
-
-def shows_drain(world, number):
-    known = world.keepers[number].directory.receivers.get("i-1")
-    return known is not None and known.draining
-
-
-def drain(world):
-    world.receivers = [Receiver("i-1", "engines", "10.9.0.1:80", "east", 4, draining=True)]
-
-
-async def listed(world):
-    await world.until(lambda: all(keeper.directory.receivers for keeper in world.keepers.values()))
-
-
-def reader_of(world):
-    return world.readings[-1][1]
-
-
 @pytest.mark.parametrize("trouble", ["none", "kill", "freeze", "cut", "cut_from_platform"])
 def test_a_drain_is_known_everywhere_in_time_whatever_happens_to_the_reader(trouble):
     async def scene(world):
@@ -383,7 +191,7 @@
         if trouble == "cut_from_platform":
             world.cut_from_platform.add(reader)
         drain(world)
-        return await world.until(lambda: all(shows_drain(world, number) for number in others))
+        return await drain_known(world, others)
 
     assert play(scene) < 0.75 * DRAIN_S
 
@@ -398,7 +206,7 @@
         await world.until(lambda: shows_drain(world, 1))
         world.platform_down = True
         world.network.join()
-        return await world.until(lambda: shows_drain(world, 2) and shows_drain(world, 3))
+        return await drain_known(world, (2, 3))
 
     assert play(scene) < 1.0
 
--- a/tests/controlplane/test_keeper_random.py
+++ b/tests/controlplane/test_keeper_random.py
@@ -4,7 +4,8 @@
 import random
 
 import pytest
-from controlplane.test_keeper import World, run
+from controlplane.keeper_world import World
+from store_world import run
 
 from dewpin.controlplane.order_history import remembered_orders
 from dewpin.controlplane.register import RegisterUnavailable
--- a/tests/controlplane/test_senders_and_keepers.py
+++ b/tests/controlplane/test_senders_and_keepers.py
@@ -4,7 +4,8 @@
 import random
 
 import pytest
-from controlplane.test_keeper import APPLY_S, DRAIN_S, Platform, World, drain, reader_of, run
+from controlplane.keeper_world import APPLY_S, DRAIN_S, Platform, World, drain, reader_of
+from store_world import run
 
 from dewpin.cluster.settings import parse_settings
 from dewpin.dataplane.cluster_agent import ClusterAgent
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from store_world import World, run
+from store_world import World, run, turn
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import RpcError
@@ -13,11 +13,7 @@
 from dewpin.consensus import Ballot
 from dewpin.controlplane import ledger_replica, turn_table
 from dewpin.controlplane.store import RETAIN_MARGIN_MS
-from dewpin.dataplane.program_store import BudgetSpent, Turn, TurnUnknown
-
-
-def turn(name, previous=None, program="p", body=b"", retain_s=60.0):
-    return Turn(name, program, previous, b"<" + name.encode() + body, b">", retain_s)
+from dewpin.dataplane.program_store import BudgetSpent, TurnUnknown
 
 
 def record(name, previous=None, program="p", retain_ms=60_000):
--- /dev/null
+++ b/tests/dataplane/conftest.py
@@ -0,0 +1,26 @@
+"""Fixtures of the data plane's tests."""
+
+import pytest
+from dataplane.ingress_world import Server
+from dataplane.upstream_caller import Caller
+
+
+@pytest.fixture
+def call():
+    caller = Caller()
+    yield caller
+    caller.upstream.close()
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(answer=None, **limits):
+        servers.append(Server(answer, **limits))
+        return servers[-1]
+
+    yield start
+    for server in servers:
+        if not server.ingress.stopped:
+            server.ingress.stop(0.0)
--- a/tests/dataplane/test_clients_that_leave.py
+++ b/tests/dataplane/test_clients_that_leave.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from dataplane.path_world import Path, read
 from dataplane.peers import (
     PATIENCE_S,
     STREAM_FIELDS,
@@ -17,7 +18,6 @@
     reset,
     whole,
 )
-from dataplane.test_request_path import Path, read
 
 from dewpin.dataplane.connection import ClientConnection
 from dewpin.dataplane.upstream import Call
--- a/tests/dataplane/test_idle_limit.py
+++ b/tests/dataplane/test_idle_limit.py
@@ -5,7 +5,7 @@
 
 import pytest
 from dataplane.peers import PATIENCE_S, ScriptedReceiver, close, receivers, refusal, reset, whole
-from dataplane.test_upstream import Caller
+from dataplane.upstream_caller import Caller
 
 from dewpin.dataplane.idle_limit import EARLY_END_MEMORY_S, LONGEST_UNREPEATABLE_IDLE_S, IdleLimit
 from dewpin.dataplane.outcome import Outcome
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -1,127 +1,16 @@
 """The server for clients, on loopback: framing, limits, keep-alive, streams that break, draining."""
 
 import http.client
-import json
-import socket
 import threading
 
 import pytest
+from dataplane.ingress_world import Client, Parts, Server, cluster
 from dataplane.peers import PATIENCE_S
 
-from dewpin.cluster.configuration import parse_configuration
-from dewpin.dataplane.cluster_state import ClusterState
 from dewpin.dataplane.ingress import Ingress
 from dewpin.dataplane.messages import Answer, BodyBroken
 from dewpin.dataplane.readiness import ReadyServer
 
-LIMITS = {"max_header_bytes": 1000, "max_body_bytes": 5000, "header_timeout_ms": 10_000, "idle_timeout_ms": 10_000}
-
-
-def cluster(**limits):
-    body = {"generation": 1, "routes": [], "services": [], "limits": {**LIMITS, **limits}}
-    return ClusterState(parse_configuration(json.dumps(body).encode()))
-
-
-class Parts:
-    """A body in parts; each may be bytes, a function to call first, or an error to raise."""
-
-    def __init__(self, *parts):
-        self._parts = parts
-        self.closed = threading.Event()
-
-    def __iter__(self):
-        for part in self._parts:
-            if isinstance(part, Exception):
-                raise part
-            if callable(part):
-                part()
-            else:
-                yield part
-
-    def close(self):
-        self.closed.set()
-
-
-class Server:
-    """An ingress that answers by a function of the request, and notes the requests."""
-
-    def __init__(self, answer=None, **limits):
-        self.requests = []
-        self._answer = answer or (lambda request: Answer(200, [("X-Thing", "a")], b"done"))
-        self.ingress = Ingress(cluster(**limits), self._handle, accept_poll_s=0.01)
-        self.ingress.start(("127.0.0.1", 0))
-
-    def _handle(self, request):
-        self.requests.append(request)
-        return self._answer(request)
-
-    def connect(self):
-        return Client(self.ingress.address)
-
-
-class Client:
-    def __init__(self, address):
-        self.socket = socket.create_connection(address, PATIENCE_S)
-        self._reader = self.socket.makefile("rb")
-
-    def send(self, *lines, body=b""):
-        self.socket.sendall("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
-
-    def read(self, method="GET"):
-        """Return the next answer: its status, its headers in lower case and its body."""
-        status = self._reader.readline()
-        if not status:
-            raise EOFError
-        headers = {}
-        while (line := self._reader.readline()) not in (b"\r\n", b""):
-            name, _, value = line.decode().strip().partition(": ")
-            headers[name.lower()] = value
-        code = int(status.split()[1])
-        if method == "HEAD" or code in (100, 204, 304):
-            return code, headers, b""
-        if "transfer-encoding" in headers:
-            return code, headers, b"".join(self.chunks())
-        return code, headers, self._reader.read(int(headers["content-length"]))
-
-    def read_head(self):
-        while self._reader.readline() not in (b"\r\n", b""):
-            pass
-
-    def chunks(self):
-        while True:
-            line = self._reader.readline()
-            if not line:
-                raise EOFError
-            size = int(line, 16)
-            data = self._reader.read(size + 2)
-            if size == 0:
-                return
-            if len(data) < size + 2:
-                raise EOFError
-            yield data[:-2]
-
-    def is_closed(self):
-        """Tell whether the server closes without sending anything more."""
-        return self._reader.read(1) == b""
-
-    def close(self):
-        self._reader.close()
-        self.socket.close()
-
-
-@pytest.fixture
-def serve():
-    servers = []
-
-    def start(answer=None, **limits):
-        servers.append(Server(answer, **limits))
-        return servers[-1]
-
-    yield start
-    for server in servers:
-        if not server.ingress.stopped:
-            server.ingress.stop(0.0)
-
 
 def test_requests_of_one_connection_are_answered_in_turn(serve):
     server = serve()
--- a/tests/dataplane/test_programs_that_come_back.py
+++ b/tests/dataplane/test_programs_that_come_back.py
@@ -1,8 +1,8 @@
 """Programs that loop or stop and come back within the time for which their turns are kept."""
 
 import pytest
+from dataplane.path_world import Path, read
 from dataplane.peers import MemoryStore, ScriptedReceiver, event, receivers, stream
-from dataplane.test_request_path import Path, read
 from store_world import World, run
 
 from dewpin.dataplane.program_store import BudgetSpent, Turn
--- a/tests/dataplane/test_time_allowed.py
+++ b/tests/dataplane/test_time_allowed.py
@@ -4,6 +4,7 @@
 import threading
 
 import pytest
+from dataplane.path_world import Path, read
 from dataplane.peers import (
     HOST,
     PATIENCE_S,
@@ -20,7 +21,6 @@
     stream_head,
     whole,
 )
-from dataplane.test_request_path import Path, read
 
 from dewpin.cluster.errors import ErrorKind
 from dewpin.dataplane.connection import ClientConnection
--- /dev/null
+++ b/tests/dataplane/test_upstream_streams.py
@@ -0,0 +1,140 @@
+"""Streams of scripted receivers: part by part, cut, or bounded by the time left."""
+
+import threading
+import time
+
+import pytest
+from dataplane.peers import (
+    END,
+    PATIENCE_S,
+    STREAM_FIELDS,
+    ScriptedReceiver,
+    chunk,
+    close,
+    event,
+    head,
+    receivers,
+    reset,
+    stream_head,
+    whole,
+)
+
+from dewpin.dataplane.outcome import Outcome
+from dewpin.dataplane.receiver_stream import StreamCut
+
+
+def test_a_stream_comes_part_by_part_and_its_connection_is_used_again(call):
+    first_read = threading.Event()
+
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)))
+        assert first_read.wait(PATIENCE_S)
+        connection.send(chunk(event(2)) + END)
+
+    peer = ScriptedReceiver(answer, whole())
+    with receivers(peer) as (receiver,):
+        result = call(receiver, streaming=True)
+        assert result.stream.read_part() == event(1)
+        first_read.set()
+        assert result.stream.read_part() == event(2)
+        assert result.stream.read_part() == b""
+        result.stream.close()
+        assert call(receiver).outcome is Outcome.SUCCESS
+    assert peer.connections == 1
+
+
+def test_parts_that_came_together_are_read_without_waiting(call):
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)) + chunk(event(2)))
+        connection.wait_for_close()
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        assert [result.stream.read_part(), result.stream.read_part()] == [event(1), event(2)]
+        result.stream.close()
+
+
+@pytest.mark.parametrize(("ending", "outcome"), [(reset, Outcome.RESET), (close, Outcome.CLOSED)])
+def test_a_stream_that_breaks_is_cut(call, ending, outcome):
+    read = threading.Event()
+
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)))
+        assert read.wait(PATIENCE_S)
+        return ending(connection, got)
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        assert result.stream.read_part() == event(1)
+        read.set()
+        with pytest.raises(StreamCut) as told:
+            result.stream.read_part()
+    assert told.value.outcome is outcome
+
+
+def test_a_stream_with_a_length_is_whole_at_that_length_only(call):
+    body = event(1) + event(2)
+
+    def answer(connection, got):
+        connection.send(head(got, "200 OK", f"Content-Length: {len(body)}") + b"\r\n" + body)
+
+    def answer_short(connection, got):
+        connection.send(head(got, "200 OK", f"Content-Length: {len(body)}") + b"\r\n" + event(1))
+        return True
+
+    def read_all(result):
+        parts = b""
+        while part := result.stream.read_part():
+            parts += part
+        return parts
+
+    with receivers(ScriptedReceiver(answer, answer_short)) as (receiver,):
+        assert read_all(call(receiver, streaming=True)) == body
+        with pytest.raises(StreamCut):
+            read_all(call(receiver, streaming=True))
+
+
+def test_closing_a_stream_closes_the_connection(call):
+    gone = threading.Event()
+
+    def answer(connection, got):
+        connection.send(stream_head(got) + chunk(event(1)))
+        if connection.wait_for_close():
+            gone.set()
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        result.stream.read_part()
+        result.stream.close()
+        assert gone.wait(PATIENCE_S)
+
+
+@pytest.mark.parametrize("fields", [STREAM_FIELDS, (*STREAM_FIELDS, "Connection: close")])
+def test_a_stream_is_cut_when_its_time_ends(call, fields):
+    def answer(connection, got):
+        connection.send(head(got, "200 OK", *fields) + b"\r\n" + chunk(event(1)))
+        connection.wait_for_close()
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        result.stream.read_part()
+        call.clock.ahead_s += PATIENCE_S
+        with pytest.raises(StreamCut) as told:
+            result.stream.read_part()
+    assert told.value.outcome is Outcome.TIMED_OUT
+
+
+def test_a_stream_of_a_receiver_that_leaves_is_bounded_by_the_time_left(call):
+    def answer(connection, got):
+        connection.send(head(got, "200 OK", *STREAM_FIELDS, "Connection: close") + b"\r\n" + chunk(event(1)))
+        connection.wait_for_close()
+
+    with receivers(ScriptedReceiver(answer)) as (receiver,):
+        result = call(receiver, streaming=True)
+        result.stream.read_part()
+        call.clock.ahead_s += PATIENCE_S - 0.1
+        started = time.monotonic()
+        with pytest.raises(StreamCut) as told:
+            result.stream.read_part()
+    assert told.value.outcome is Outcome.TIMED_OUT
+    assert time.monotonic() - started < PATIENCE_S / 2
--- a/tests/dataplane/test_urgency.py
+++ b/tests/dataplane/test_urgency.py
@@ -3,8 +3,8 @@
 import random
 
 import pytest
+from dataplane.path_world import Path, read
 from dataplane.peers import SERVICE, ScriptedReceiver, configuration, event, receivers, stream, whole
-from dataplane.test_request_path import Path, read
 
 from dewpin.cluster.receivers import Receiver
 from dewpin.dataplane.places import PRIORITY_STEP_S, PlaceBook, PlaceRequest
--- /dev/null
+++ b/tests/dataplane/upstream_caller.py
@@ -0,0 +1,39 @@
+"""Calls through one `Upstream`, on a steady clock that the test moves on."""
+
+import time
+
+from dataplane.peers import (
+    PATIENCE_S,
+    request,
+)
+
+from dewpin.dataplane.figures import RequestFigures
+from dewpin.dataplane.upstream import Call, Upstream
+
+
+class Clock:
+    """The steady clock, moved on by the test."""
+
+    def __init__(self):
+        self.ahead_s = 0.0
+
+    def __call__(self):
+        return time.monotonic() + self.ahead_s
+
+
+class Caller:
+    """Makes calls through one `Upstream`; each has an id of its own, from r-1 on."""
+
+    def __init__(self):
+        self.calls = 0
+        self.clock = Clock()
+        self.figures = RequestFigures()
+        self.upstream = Upstream(self.clock, self.figures)
+
+    def __call__(self, receiver, *fields, repeatable=True, time_s=PATIENCE_S, **options):
+        self.calls += 1
+        options.setdefault("request_id", f"r-{self.calls}")
+        named = ("method", "target", "body", "request_id", "client")
+        kwargs = {key: options.pop(key) for key in named if key in options}
+        asked = request(*fields, **kwargs)
+        return self.upstream.call(receiver, Call(asked, self.clock() + time_s, repeatable, **options))
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -13,9 +13,15 @@
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.sync import StoreSync
+from dewpin.dataplane.program_store import Turn
 from dewpin.dataplane.store_client import StoreClient
 
 
+def turn(name, previous=None, program="p", body=b"", retain_s=60.0):
+    """A turn whose input and output tell its name."""
+    return Turn(name, program, previous, b"<" + name.encode() + body, b">", retain_s)
+
+
 class _JumpingSelector(selectors.SelectSelector):
     """Lets the clock jump to the next timer instead of waiting for it."""
 
