--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -18,6 +18,7 @@
 
 from .keeper import Keeper
 from .operator_api import OperatorApi, serve_operator
+from .repair import TurnRepair
 from .storage import Storage
 from .store import Store, time_of_day_ms
 from .sync import StoreSync
@@ -39,7 +40,7 @@
     def on_synced(epoch: int) -> None:
         nonlocal synced
         synced = max(synced, epoch)
-        keeper.greet_everyone()
+        keeper.send_heartbeats()
 
     store = Store(storage, storage.incarnation, settings.fault_tolerance.replica_count, wall_clock_ms)
     sync = StoreSync(store, client, on_synced)
@@ -54,6 +55,7 @@
     keeper.on_state = on_state
     keeper.synced_epoch = lambda: synced
     asyncio.ensure_future(store.purge_forever())
+    asyncio.ensure_future(TurnRepair(store, client, random.Random()).run_forever())
     return store.handlers
 
 
--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -1,7 +1,8 @@
 """Which change of members or stores is due, from the system state and from who is heard. Free of I/O.
 
-One process at a time drives changes (the live member with the least id); that two do costs a conflict and no more,
-since every change is made on exactly the version it was planned on.
+One process at a time drives changes: the live member with the least id among those that reach a majority. That two do
+costs a conflict and no more, since every change is made on exactly the version it was planned on. Silence of another
+counts only while this process reached a majority itself: one that was cut off or frozen has heard nobody.
 """
 
 from __future__ import annotations
@@ -25,7 +26,9 @@
 )
 
 GONE_WITH_SUCCESSOR_S = 1.5
+"""A silent process is given up after this time where another can take its place; see `Knowledge.patience_s`."""
 GONE_S = 20.0
+"""A silent process is given up after this time in any case."""
 SUCCESSOR_JOINED_WITHIN_S = 30.0
 SUCCESSOR_UNCERTAIN_S = 3.0
 """Who is heard first this soon after the own start may have been there before."""
@@ -34,13 +37,15 @@
 
 @dataclass(frozen=True)
 class Knowledge:
-    """What a plan is made from. `started_s`: when this process did; times are of the steady clock."""
+    """What a plan is made from. `started_s`: when this process did; `contact_since_s`: since when it has reached a
+    majority without a break, None while it reaches none; times are of the steady clock."""
 
     me: Peer
     peers: PeerTable
     full_count: int
     started_s: float
     now_s: float
+    contact_since_s: float | None
 
     def everyone(self) -> list[Peer]:
         """This process and all it has heard of."""
@@ -50,32 +55,51 @@
         """For how long nothing was heard of a process."""
         return 0.0 if peer_id == self.me.id else self.peers.silent_s(peer_id, self.now_s)
 
+    def absent_s(self, peer_id: str) -> float:
+        """For how long nothing was heard of a process while this one reached a majority."""
+        if self.contact_since_s is None:
+            return 0.0
+        return min(self.silent_s(peer_id), self.now_s - self.contact_since_s)
+
     def is_replaced(self, peer_id: str, name: str | None) -> bool:
         """Whether the machine runs as another incarnation by now."""
-        if peer_id == self.me.id:
+        if peer_id == self.me.id or self.absent_s(peer_id) <= LIVE_S:
             return False
-        silent = self.silent_s(peer_id) > LIVE_S
-        return (silent and name == self.me.name) or self.peers.is_replaced(peer_id, name, self.now_s)
+        return name == self.me.name or self.peers.is_replaced(peer_id, name, self.now_s)
 
     def has_left(self, peer_id: str) -> bool:
         """Whether the process announced its end and has been silent since."""
         peer = self.peers.peers.get(peer_id)
-        return peer is not None and peer.leaving and peer.silent_s(self.now_s) > LIVE_S
+        return peer is not None and peer.leaving and self.absent_s(peer_id) > LIVE_S
 
     def joined_lately(self, peer: Peer) -> bool:
         """Whether the process came while this one was already there, and not long ago."""
         earliest_s = max(self.started_s + SUCCESSOR_UNCERTAIN_S, self.now_s - SUCCESSOR_JOINED_WITHIN_S)
         return peer.first_heard_s >= earliest_s
 
+    def patience_s(self, peer_id: str) -> float:
+        """For how long a silent process is waited for where another can take its place: twice as long after each
+        silence from which it came back lately, so that one that freezes again and again is not replaced each time."""
+        peer = self.peers.peers.get(peer_id)
+        interruptions = peer.interruptions(self.now_s) if peer is not None and not peer.leaving else 0
+        return min(GONE_WITH_SUCCESSOR_S * 2.0**interruptions, GONE_S)
+
     def is_live(self, peer_id: str) -> bool:
         """Whether the process was heard just now."""
         return self.silent_s(peer_id) < LIVE_S
 
+    def may_drive(self, peer_id: str) -> bool:
+        """Whether the process is live and reaches a majority, by its own word."""
+        if peer_id == self.me.id:
+            return self.contact_since_s is not None
+        peer = self.peers.peers.get(peer_id)
+        return peer is not None and peer.reaches_majority and self.is_live(peer_id)
+
 
 def drives(state: SystemState, knowledge: Knowledge) -> bool:
     """Whether this process is the one to make changes now."""
-    live = [member for member in state["members"] if knowledge.is_live(member)]
-    return knowledge.me.id == min(live, default=None)
+    candidates = [member for member in state["members"] if knowledge.may_drive(member)]
+    return knowledge.me.id == min(candidates, default=None)
 
 
 def due_change(state: SystemState, knowledge: Knowledge) -> Change | None:
@@ -108,7 +132,7 @@
     spare = [peer for peer in _newcomers(state, knowledge) if peer.control and peer.id not in members]
     for member in list(members):
         name = state["names"].get(member)
-        if not spare or not _must_go(state, knowledge, member, name, GONE_WITH_SUCCESSOR_S):
+        if not spare or not _must_go(state, knowledge, member, name, knowledge.patience_s(member)):
             continue
         del members[member]
         successor_peer = next((peer for peer in spare if peer.name == name), _best_placed(spare, members, knowledge))
@@ -122,16 +146,16 @@
 
 
 def _best_placed(spare: list[Peer], members: dict[str, str], knowledge: Knowledge) -> Peer:
-    """The one of `spare` whose region and zone hold the fewest of `members`."""
+    """The one of `spare` whose region and zone hold the fewest of `members`, and that was interrupted the least."""
     locations = _locations_of(knowledge)
     counted = LocationCount(locations.get(member, "") for member in members)
-    return min(spare, key=lambda peer: (counted.crowding(peer.location), peer.id))
+    return min(spare, key=lambda peer: (counted.crowding(peer.location), peer.interruptions(knowledge.now_s), peer.id))
 
 
 def _must_go(state: SystemState, knowledge: Knowledge, peer_id: str, name: str | None, gone_s: float) -> bool:
     if knowledge.is_replaced(peer_id, name) or name in state["retiring"]:
         return True
-    return knowledge.silent_s(peer_id) > gone_s
+    return knowledge.absent_s(peer_id) > gone_s
 
 
 def _change_of_stores(state: SystemState, knowledge: Knowledge) -> Change | None:
@@ -161,12 +185,12 @@
     held = {**view["stable"], **(view["next"] or {})}
     joining = {peer.id: peer.address for peer in _newcomers(state, knowledge) if peer.store}
     has_successor = any(store not in held for store in joining) or view["next"] is not None
-    gone_s = GONE_WITH_SUCCESSOR_S if has_successor else GONE_S
+    gone_s = {store: knowledge.patience_s(store) if has_successor else GONE_S for store in held}
     has_left = _who_left_for_a_successor(state, knowledge, held)
     kept = {
         store: address
         for store, address in held.items()
-        if store not in has_left and not _must_go(state, knowledge, store, state["names"].get(store), gone_s)
+        if store not in has_left and not _must_go(state, knowledge, store, state["names"].get(store), gone_s[store])
     }
     wanted = dict(sorted({**kept, **joining}.items()))
     if len(wanted) >= min(knowledge.full_count, len(view["stable"])):
