--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -32,6 +32,7 @@
     storage: Storage,
     client: RpcClient,
     keeper: Keeper,
+    rng: random.Random,
     wall_clock_ms: Callable[[], int] = time_of_day_ms,
 ) -> dict[str, Handler]:
     """Starts the store of this process, which follows the view in the system state; returns its handlers."""
@@ -55,7 +56,7 @@
     keeper.on_state = on_state
     keeper.synced_epoch = lambda: synced
     asyncio.ensure_future(store.purge_forever())
-    asyncio.ensure_future(TurnRepair(store, client, random.Random()).run_forever())
+    asyncio.ensure_future(TurnRepair(store, client, rng).run_forever())
     return store.handlers
 
 
@@ -90,7 +91,7 @@
     keeper = Keeper(settings, storage, client, random.Random())
     server = RpcServer(keeper.handlers)
     if "store" in settings.serves:
-        server.handlers.update(await start_store(settings, storage, client, keeper))
+        server.handlers.update(await start_store(settings, storage, client, keeper, random.Random()))
     await keeper.load()
     await server.start(*split_address(keeper.address))
     keeper.start()
--- a/tests/simulation/clients.py
+++ b/tests/simulation/clients.py
@@ -116,7 +116,7 @@
     async def _serve(self, front, program, turn, previous):
         """A turn at a front, in the order of `dewpin.dataplane.turns.OpenTurn`."""
         store = front.store_client
-        open_s = OPEN_TIMEOUT_S if front.sender.agent.has_lease else CUT_OFF_OPEN_TIMEOUT_S
+        open_s = OPEN_TIMEOUT_S if front.sender.agent.hears_control else CUT_OFF_OPEN_TIMEOUT_S
         try:
             reservation = await store.reserve(program.name, turn, program.most, program.budget, open_s)
         except TierError as error:
--- a/tests/simulation/contact.py
+++ b/tests/simulation/contact.py
@@ -96,6 +96,10 @@
         sides = [self._majority_side(moment_s) for moment_s in moments]
         return all(sides) and self._is_calm(ip, from_s, at_s) and self._has_paths(ip, sides[-1], from_s, at_s)
 
+    def life_began_s(self, ip, at_s):
+        """When the process that runs at a moment was started."""
+        return max(life.start_s for life in self._lives[ip] if life.start_s <= at_s)
+
     def is_calm(self, from_s, to_s):
         """Whether nothing at all befell anybody in a time."""
         spans = [*self._troubles, *self._cuts, *self._slow]
--- a/tests/simulation/hosts.py
+++ b/tests/simulation/hosts.py
@@ -104,7 +104,8 @@
             settings, self.disk, client, self.random("keeper"), clock=loop.time, platform=self.world.platform(self)
         )
         server = RpcServer(keeper.handlers)
-        server.handlers.update(await start_store(settings, self.disk, client, keeper, self.time_of_day_ms))
+        store = await start_store(settings, self.disk, client, keeper, self.random("repair"), self.time_of_day_ms)
+        server.handlers.update(store)
         server.handlers = self.world.disturbed(server.handlers)
         await keeper.load()
         await server.start(*split_address(keeper.address))
@@ -167,7 +168,8 @@
         await server.start(*split_address(agent.address))
         agent.start()
         sender.agent = agent
-        sender.state.is_cut_off = lambda: not agent.has_lease
+        sender.state.is_cut_off = lambda: not agent.hears_control
+        sender.state.is_current = agent.knows_current_state
         self.sender, self.store_client = sender, sender._store_client
 
     @property
--- a/tests/simulation/operator_calls.py
+++ b/tests/simulation/operator_calls.py
@@ -1,7 +1,7 @@
 """Runs the blocking calls of `OperatorApi` on a simulated loop, where no thread may block.
 
 A call is run until it waits for an agreement; the agreement is awaited, and the call is run again from its beginning
-with the outcome at hand. It has no other effects, so it does the same up to there.
+with the outcome at hand, and with the times that it read before. It has no other effects, and so does the same again.
 """
 
 import asyncio
@@ -46,14 +46,29 @@
         return settled
 
 
+class _ReplayedTime:
+    """Stands for the module `time` in `operator_api`."""
+
+    def __init__(self):
+        self.readings, self.position = [], 0
+
+    def monotonic(self):
+        if self.position == len(self.readings):
+            self.readings.append(asyncio.get_running_loop().time())
+        self.position += 1
+        return self.readings[self.position - 1]
+
+
 _REPLAYED = operator_api.asyncio = _ReplayedAsyncio()
+_TIME = operator_api.time = _ReplayedTime()
 
 
 async def answer_of(call):
     """The answer of a call of OperatorApi, given as a function without arguments."""
-    outcomes = []
+    outcomes, readings = [], []
     while True:
         _REPLAYED.settled = iter(outcomes)
+        _TIME.readings, _TIME.position = readings, 0
         try:
             return call()
         except _AgreementNeeded as needed:
--- a/tests/simulation/oracle.py
+++ b/tests/simulation/oracle.py
@@ -174,7 +174,7 @@
     def judge_served(self):
         """To be called at the end: which configurations requests met."""
         newest_met = {}
-        checked = set()
+        checked, first_ready = set(), set()
         for one in self.served:
             if one.met is None:
                 continue
@@ -182,6 +182,9 @@
                 checked.add(one.met)
                 self._check_in_force(one.met, f"at {one.ip}")
             life = one.ip, one.life
+            if one.ready and life not in first_ready:
+                first_ready.add(life)
+                self._judge_first(one)
             if one.met[0] < newest_met.get(life, 0):
                 self.breaks(
                     "CONFIG", f"{one.ip} went back to {one.met[0]} from {newest_met[life]} ({one.handled_s:.3f})"
@@ -189,6 +192,12 @@
             newest_met[life] = max(newest_met.get(life, 0), one.met[0])
         self._judge_ages()
 
+    def _judge_first(self, served):
+        """A front that has just started is ready only on what a majority has confirmed since its start."""
+        newest = self.newest_acknowledged(self.contact.life_began_s(served.ip, served.handled_s))
+        if newest is not None and served.met[0] < newest.generation:
+            self.breaks("FRESH", f"{served.ip} was ready with {served.met[0]} after a start later than {newest}")
+
     def _judge_ages(self):
         taken = sorted((one for one in self.orders if one.acknowledged_s is not None), key=lambda one: one.generation)
         for served in self.served:
