--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -27,6 +27,7 @@
 MAY_RUN_TWICE = {
     "register.prepare": "a ballot is promised once; a repeat is told of the conflict and changes nothing",
     "register.accept": "a ballot has one value; accepted again it stays, behind a greater promise it is refused",
+    "register.body": "reads only",
     "register.orders": "reads only",
     "keeper.hello": "replaces what is known of the sender; the next heartbeat corrects one that came late",
     "lease.renew": "replaces the lease; one that comes after the release ends with its time",
