--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -54,7 +54,7 @@
     "CREATE TABLE orders (number INTEGER PRIMARY KEY, generation INTEGER NOT NULL, digest TEXT NOT NULL)",
     "CREATE INDEX orders_generation ON orders (generation)",
     # The operator's configuration of the register's value, which names it by its digest.
-    "CREATE TABLE register_bodies (digest TEXT PRIMARY KEY, body BLOB NOT NULL) WITHOUT ROWID",
+    "CREATE TABLE register_bodies (digest TEXT PRIMARY KEY, body TEXT NOT NULL)",
 )
 _SCHEMA_3 = (
     # The order in which this store took its turns, for the stores that follow it; empty for older turns.
