Stores: the view never shrinks below its replicas for a wiped machine that may not join

Cause: where the next incarnation of a machine was heard but could not be taken in (it announced its end again), the one before was dropped without a successor: three stores became two, and one more loss left no majority. Change: where too few would be left even so, the stable stores stay until the successor may join. Test seen to fail without the mend (next was a, b).

--- a/dewpin/controlplane/reconfiguration.py
+++ b/dewpin/controlplane/reconfiguration.py
@@ -193,9 +193,12 @@
         if store not in has_left and not _must_go(state, knowledge, store, state["names"].get(store), gone_s[store])
     }
     wanted = dict(sorted({**kept, **joining}.items()))
-    if len(wanted) >= min(knowledge.full_count, len(view["stable"])):
-        return wanted
-    return dict(sorted({**_not_replaced(state, knowledge, held), **joining}.items()))
+    least = min(knowledge.full_count, len(view["stable"]))
+    if len(wanted) < least:
+        wanted = dict(sorted({**_not_replaced(state, knowledge, held), **joining}.items()))
+    if len(wanted) < least:  # a machine's next incarnation is there, but may not join yet
+        wanted = dict(sorted({**view["stable"], **joining}.items()))
+    return wanted
 
 
 def _who_left_for_a_successor(state: SystemState, knowledge: Knowledge, held: dict[str, str]) -> set[str]:
--- a/tests/controlplane/test_reconfiguration.py
+++ b/tests/controlplane/test_reconfiguration.py
@@ -557,3 +557,16 @@
         scene.step()
     assert "d" in scene.stores
     assert scene.next_stores == ["a", "b2", "c"] and scene.state["stores"]["epoch"] > epoch
+
+
+def test_the_stores_never_become_fewer_for_a_wiped_machine_that_may_not_join():
+    """The next incarnation is heard, so the one before is gone, but it is about to end again."""
+    scene = Scene()
+    scene.after(0.3, "b")
+    scene.hear("c2", leaving=True)
+    scene.settle(synced=False)
+    assert (scene.stores, scene.next_stores) == (["a", "b", "c"], [])
+    scene.after(3.0, "b")
+    scene.hear("c2")
+    scene.settle()
+    assert scene.stores == ["a", "b", "c2"]
