--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 
 from dewpin.cluster import logs
 from dewpin.cluster.rpc import Handler, RpcClient, RpcServer, split_address
@@ -19,14 +20,21 @@
 from .operator_api import OperatorApi, serve_operator
 from .repair import TurnRepair
 from .storage import Storage
-from .store import Store
+from .store import Store, time_of_day_ms
 from .sync import StoreSync
 from .system_state import SystemState
 
 LEAVE_NOTICE_S = 0.3
 
 
-async def start_store(settings: Settings, storage: Storage, client: RpcClient, keeper: Keeper) -> dict[str, Handler]:
+async def start_store(
+    settings: Settings,
+    storage: Storage,
+    client: RpcClient,
+    keeper: Keeper,
+    rng: random.Random,
+    wall_clock_ms: Callable[[], int] = time_of_day_ms,
+) -> dict[str, Handler]:
     """Starts the store of this process, which follows the view in the system state; returns its handlers."""
     synced = 0
 
@@ -35,7 +43,7 @@
         synced = max(synced, epoch)
         keeper.send_heartbeats()
 
-    store = Store(storage, storage.incarnation, settings.fault_tolerance.replica_count)
+    store = Store(storage, storage.incarnation, settings.fault_tolerance.replica_count, wall_clock_ms)
     sync = StoreSync(store, client, on_synced)
     await store.load()
 
@@ -48,7 +56,7 @@
     keeper.on_state = on_state
     keeper.synced_epoch = lambda: synced
     asyncio.ensure_future(store.purge_forever())
-    asyncio.ensure_future(TurnRepair(store, client, random.Random()).run_forever())
+    asyncio.ensure_future(TurnRepair(store, client, rng).run_forever())
     return store.handlers
 
 
@@ -83,7 +91,7 @@
     keeper = Keeper(settings, storage, client, random.Random())
     server = RpcServer(keeper.handlers)
     if "store" in settings.serves:
-        server.handlers.update(await start_store(settings, storage, client, keeper))
+        server.handlers.update(await start_store(settings, storage, client, keeper, random.Random()))
     await keeper.load()
     await server.start(*split_address(keeper.address))
     keeper.start()
