--- a/benchmarks/register_catch_up.py
+++ b/benchmarks/register_catch_up.py
@@ -1,6 +1,6 @@
 """Bytes and time of one change of the system state and of a restarted member's catch-up.
 
-Three control processes of `tests/controlplane/test_keeper.py` on a simulated loop; each machine's outgoing link
+Three control processes of `tests/controlplane/keeper_world.py` on a simulated loop; each machine's outgoing link
 carries its messages one after the other at the given rate. Link time is computed, processor time is
 measured, of all three processes together. Prints one row of JSON for each case:
 
@@ -20,7 +20,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
-from controlplane.test_keeper import World  # noqa: E402
+from controlplane.keeper_world import World  # noqa: E402
 from link_network import LinkNetwork  # noqa: E402
 from store_world import run  # noqa: E402
 
