Calls between processes: typed frames with one codec in place of bare maps

rpc.py made and checked the map around a message in four places, with the same three conditions at both ends. RequestFrame and AnswerFrame (rpc_frames.py) hold the number, the message, their form and what is none. The bytes on the wire are unchanged; tests/cluster/test_rpc_frames.py holds them byte for byte, and what is refused. Two tests of rpc reached for names that moved (encode, PROTOCOL_VERSION): they take them from rpc_frames, unchanged otherwise.

--- a/dewpin/cluster/rpc.py
+++ b/dewpin/cluster/rpc.py
@@ -1,7 +1,7 @@
 """Remote calls between dewpin's processes: netstrings of JSON over TCP, many calls at once on one connection.
 
-A request is `{"v": 1, "n": number, "m": message}`, its answer `{"v": 1, "r": number, "m": message}`. A message is an
-object with a `type`; an answer of type `error` raises `RpcError` at the caller.
+A message is an object with a `type`; an answer of type `error` raises `RpcError` at the caller. The frames around
+messages are those of `rpc_frames`.
 
 Each connection counts its own numbers and never uses one twice, so the answer to a call that was given up, however
 late, finds nobody waiting and is dropped. A call that failed may have been carried out: whoever repeats one does so
@@ -17,12 +17,12 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
-from .netstring import Decoder, FrameError, encode
+from .netstring import Decoder, FrameError
+from .rpc_frames import AnswerFrame, BadFrame, RequestFrame
+from .rpc_frames import Message as Message
 
-Message = dict[str, Any]
 Handler = Callable[[Message], Awaitable[Message]]
 
-PROTOCOL_VERSION = 1
 CONNECT_TIMEOUT_S = 1.0
 USER_TIMEOUT_MS = 2000
 MOST_UNANSWERED = 1000
@@ -97,14 +97,15 @@
             self._refuse(str(fault))
             return
         for frame in frames:
-            number, message = frame.get("n"), frame.get("m")
-            if frame.get("v") != PROTOCOL_VERSION or type(number) is not int or not isinstance(message, dict):
+            try:
+                request = RequestFrame.decode(frame)
+            except BadFrame:
                 self._refuse("not a request")
                 return
             if len(self._tasks) >= MOST_UNANSWERED:
                 self._refuse("too many requests unanswered")
                 return
-            task = asyncio.ensure_future(self._answer(number, message))
+            task = asyncio.ensure_future(self._answer(request))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -113,21 +114,21 @@
         if self._transport is not None:
             self._transport.abort()
 
-    async def _answer(self, number: int, message: Message) -> None:
-        answer = await self._server.dispatch(message)
+    async def _answer(self, request: RequestFrame) -> None:
+        answer = await self._server.dispatch(request.message)
         transport = self._transport
         if transport is not None and not transport.is_closing() and not _ends_unread(transport):
-            transport.write(_answer_frame(number, answer))
+            transport.write(_answer_bytes(AnswerFrame(request.number, answer)))
 
 
-def _answer_frame(number: int, answer: Message) -> bytes:
-    """The frame of an answer; an error in its place where it cannot be sent, so that its caller does not wait."""
+def _answer_bytes(answer: AnswerFrame) -> bytes:
+    """The bytes of an answer; of an error in its place where it cannot be sent, so that its caller does not wait."""
     try:
-        return encode({"v": PROTOCOL_VERSION, "r": number, "m": answer})
+        return answer.encode()
     except (ValueError, TypeError) as fault:  # FrameError is a ValueError
-        log.error("rpc.answer_not_sent", extra={"message_type": answer.get("type"), "why": str(fault)})
+        log.error("rpc.answer_not_sent", extra={"message_type": answer.message.get("type"), "why": str(fault)})
         refused = error_message("too_large" if isinstance(fault, FrameError) else "internal", str(fault))
-        return encode({"v": PROTOCOL_VERSION, "r": number, "m": refused})
+        return AnswerFrame(answer.number, refused).encode()
 
 
 class RpcServer:
@@ -164,10 +165,10 @@
             return error_message("internal", repr(fault))
 
 
-def _request_frame(number: int, message: Message) -> bytes:
-    """The frame of a request. RpcError for one that is too large."""
+def _request_bytes(request: RequestFrame) -> bytes:
+    """The bytes of a request. RpcError for one that is too large."""
     try:
-        return encode({"v": PROTOCOL_VERSION, "n": number, "m": message})
+        return request.encode()
     except FrameError as fault:
         raise RpcError("too_large", str(fault)) from None
 
@@ -200,13 +201,14 @@
             self.abort()
             return
         for frame in frames:
-            number, message = frame.get("r"), frame.get("m")
-            if frame.get("v") != PROTOCOL_VERSION or type(number) is not int or not isinstance(message, dict):
+            try:
+                answer = AnswerFrame.decode(frame)
+            except BadFrame:
                 self.abort()
                 return
-            future = self._waiting.pop(number, None)
+            future = self._waiting.pop(answer.number, None)
             if future is not None and not future.done():
-                future.set_result(message)
+                future.set_result(answer.message)
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -217,7 +219,7 @@
             raise RpcError("closed")
         self._number += 1
         number = self._number
-        frame = _request_frame(number, message)
+        frame = _request_bytes(RequestFrame(number, message))
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
         self.transport.write(frame)
--- /dev/null
+++ b/dewpin/cluster/rpc_frames.py
@@ -0,0 +1,54 @@
+"""The frames of calls between processes, and their one codec: a number of the connection, and a message.
+
+A request is `{"v": 1, "n": number, "m": message}`, its answer `{"v": 1, "r": number, "m": message}`, each a netstring.
+The classes are not frozen: two are made for each call at each end, and fields of a frozen class are set more slowly.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, ClassVar, Self
+
+from .netstring import encode
+
+Message = dict[str, Any]
+
+PROTOCOL_VERSION = 1
+
+
+class BadFrame(ValueError):
+    """A frame of another version or without its parts."""
+
+
+@dataclass(slots=True)
+class _Frame:
+    number: int
+    message: Message
+
+    number_key: ClassVar[str]
+
+    def encode(self) -> bytes:
+        """The form on the wire. FrameError if it is too large, ValueError or TypeError if it cannot be written."""
+        return encode({"v": PROTOCOL_VERSION, self.number_key: self.number, "m": self.message})
+
+    @classmethod
+    def decode(cls, frame: dict[str, Any]) -> Self:
+        """The frame of a netstring's object. BadFrame if it is none."""
+        number, message = frame.get(cls.number_key), frame.get("m")
+        if frame.get("v") != PROTOCOL_VERSION or type(number) is not int or not isinstance(message, dict):
+            raise BadFrame
+        return cls(number, message)
+
+
+@dataclass(slots=True)
+class RequestFrame(_Frame):
+    """A call; the connection never uses a number twice."""
+
+    number_key = "n"
+
+
+@dataclass(slots=True)
+class AnswerFrame(_Frame):
+    """The answer to the call of that number on the same connection."""
+
+    number_key = "r"
--- a/tests/cluster/test_rpc.py
+++ b/tests/cluster/test_rpc.py
@@ -7,6 +7,7 @@
 from dewpin.cluster import rpc
 from dewpin.cluster.netstring import encode
 from dewpin.cluster.rpc import RpcClient, RpcError, RpcServer
+from dewpin.cluster.rpc_frames import PROTOCOL_VERSION
 
 SHORT_S = 0.05
 LONG_S = 5.0
@@ -241,7 +242,7 @@
         connection, transport = rpc._ServerConnection(RpcServer({"hold": hold})), EndedTransport()
         connection.connection_made(transport)
         for number in range(10):
-            connection.data_received(encode({"v": rpc.PROTOCOL_VERSION, "n": number, "m": {"type": "hold"}}))
+            connection.data_received(encode({"v": PROTOCOL_VERSION, "n": number, "m": {"type": "hold"}}))
         held.set()
         await asyncio.gather(*connection._tasks)
         return transport.written
--- a/tests/cluster/test_rpc_endings.py
+++ b/tests/cluster/test_rpc_endings.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dewpin.cluster import netstring, rpc
+from dewpin.cluster import netstring, rpc, rpc_frames
 from dewpin.cluster.netstring import Decoder, encode
 from dewpin.cluster.rpc import RpcClient, RpcError, RpcServer
 
@@ -185,7 +185,7 @@
     ],
 )
 def test_a_frame_over_the_limit_fails_its_call_and_no_other(message, kind, monkeypatch):
-    monkeypatch.setattr(rpc, "encode", lambda frame: netstring.encode(frame, most_bytes=1000))
+    monkeypatch.setattr(rpc_frames, "encode", lambda frame: netstring.encode(frame, most_bytes=1000))
 
     async def scene():
         async with served(echo=echo, large=large, unsendable=unsendable) as (server, client, address):
--- /dev/null
+++ b/tests/cluster/test_rpc_frames.py
@@ -0,0 +1,40 @@
+"""The frames of calls as they go over the wire, byte for byte, and what is none."""
+
+import pytest
+
+from dewpin.cluster.netstring import Decoder
+from dewpin.cluster.rpc_frames import AnswerFrame, BadFrame, RequestFrame
+
+MESSAGE = {"type": "turn.stored", "text": "ä"}
+REQUEST = b'56:{"v":1,"n":7,"m":{"type":"turn.stored","text":"\\u00e4"}},'
+ANSWER = REQUEST.replace(b'"n"', b'"r"')
+
+
+@pytest.mark.parametrize(
+    ("frame", "wire"),
+    [(RequestFrame(7, MESSAGE), REQUEST), (AnswerFrame(7, MESSAGE), ANSWER)],
+    ids=["request", "answer"],
+)
+def test_a_frame_is_these_bytes_and_comes_back_as_it_was(frame, wire):
+    assert frame.encode() == wire
+    (read,) = Decoder().feed(wire)
+    assert type(frame).decode(read) == frame
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"v": 1, "r": 7, "m": MESSAGE},
+        {"v": 2, "n": 7, "m": MESSAGE},
+        {"n": 7, "m": MESSAGE},
+        {"v": 1, "m": MESSAGE},
+        {"v": 1, "n": True, "m": MESSAGE},
+        {"v": 1, "n": 7.0, "m": MESSAGE},
+        {"v": 1, "n": "7", "m": MESSAGE},
+        {"v": 1, "n": 7, "m": [MESSAGE]},
+        {"v": 1, "n": 7},
+    ],
+)
+def test_what_is_no_request_is_refused(wrong):
+    with pytest.raises(BadFrame):
+        RequestFrame.decode(wrong)
