Copies between stores: typed messages with one codec in place of bare maps

Four requests and four answers by which stores copy from each other were maps, made in sync.py, repair.py and store.py and read in others. They are classes in transfer_messages.py now. The form on the wire is unchanged: tests/controlplane/test_transfer_messages.py holds it as text, and the hand-written messages of test_store.py and the other tests pass as they were. 220 tests of stores and their client pass. Left as maps: what senders ask of stores (turn.put, turn.chain, ledger.prepare, ledger.accept), whose fields one round sends to many members.

--- a/dewpin/controlplane/repair.py
+++ b/dewpin/controlplane/repair.py
@@ -12,15 +12,17 @@
 import logging
 import random
 import sqlite3
+from collections.abc import Sequence
 
 from dewpin.cluster import store_messages as wire
-from dewpin.cluster.rpc import Message, RpcError
+from dewpin.cluster.rpc import RpcError
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.controlplane import turn_table
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
+from dewpin.controlplane.transfer_messages import ArrivalsPage, ArrivalsRequest, TurnsAnswer
 from dewpin.controlplane.turn_table import IndexEntry
-from dewpin.controlplane.turn_transfer import TURNS_IN_REQUEST, Calls, FetchedTurns, body_request, entries_of, key_of
+from dewpin.controlplane.turn_transfer import TURNS_IN_REQUEST, Calls, FetchedTurns, body_request, key_of
 
 PERIOD_S = 1.0
 """Between two visits of a source. What came since the visit before is left alone: it may still be on its way here."""
@@ -98,10 +100,10 @@
         until = max(cursor, self._settled.get(source.id, cursor))
         while True:
             answer = await self._ask_for_arrivals(view, source, cursor, until)
-            self._note_newest(source, int(answer["newest"]))
-            await self._fetch_missing(view, source, entries_of(answer))
-            if int(answer["after"]) > cursor:
-                cursor = int(answer["after"])
+            self._note_newest(source, answer.newest)
+            await self._fetch_missing(view, source, answer.entries)
+            if answer.after > cursor:
+                cursor = answer.after
                 await self._move_cursor(source, cursor)
             if cursor >= until:
                 return
@@ -112,31 +114,24 @@
         self._visits_without_news[source.id] = 0 if has_news else self._visits_without_news.get(source.id, 0) + 1
         self._settled[source.id] = newest
 
-    async def _ask_for_arrivals(self, view: StoreView, source: Member, after: int, until: int) -> Message:
-        message = wire.request(
-            wire.PULL_ARRIVALS,
-            view,
-            source.id,
-            member=self._store.member_id,
-            after=after,
-            until=until,
-            most=ARRIVALS_PAGE,
-        )
-        return await self._calls.call(source.address, message, CALL_TIMEOUT_S)
+    async def _ask_for_arrivals(self, view: StoreView, source: Member, after: int, until: int) -> ArrivalsPage:
+        request = ArrivalsRequest(self._store.member_id, after, until, ARRIVALS_PAGE)
+        message = wire.request(wire.PULL_ARRIVALS, view, source.id, **request.fields())
+        return ArrivalsPage.decode(await self._calls.call(source.address, message, CALL_TIMEOUT_S))
 
     async def _move_cursor(self, source: Member, cursor: int) -> None:
         await self._store.storage.transact(lambda connection: write_cursor(connection, source.id, cursor))
         self._cursors[source.id] = cursor
 
-    async def _fetch_missing(self, view: StoreView, source: Member, entries: list[IndexEntry]) -> None:
+    async def _fetch_missing(self, view: StoreView, source: Member, entries: Sequence[IndexEntry]) -> None:
         if not entries:
             return
         lacking = await self._store.storage.transact(lambda connection: turn_table.missing(connection, entries))
         while lacking:
             asked = lacking[:TURNS_IN_REQUEST]
-            message = wire.request(wire.PULL_TURNS, view, source.id, **body_request(asked))
+            message = wire.request(wire.PULL_TURNS, view, source.id, **body_request(asked).fields())
             answer = await self._calls.call(source.address, message, CALL_TIMEOUT_S)
-            fetched = FetchedTurns.from_answer(asked, answer)
+            fetched = FetchedTurns.from_answer(asked, TurnsAnswer.decode(answer))
             await self._keep(fetched)
             done = fetched.gone.union((record.turn, record.program) for record in fetched.records)
             lacking = [entry for entry in lacking if key_of(entry) not in done]
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -17,6 +17,16 @@
 from dewpin.consensus.messages import ballot_from_json, encode_reply
 from dewpin.controlplane import ledger_replica, turn_table
 from dewpin.controlplane.storage import StorageFailed
+from dewpin.controlplane.transfer_messages import (
+    ArrivalsPage,
+    ArrivalsRequest,
+    IndexPage,
+    IndexRequest,
+    LedgersPage,
+    LedgersRequest,
+    TurnsAnswer,
+    TurnsRequest,
+)
 
 RETAIN_MARGIN_MS = 30_000
 """Turns are kept for this much longer than asked: for steps of the clock and turns that are still running."""
@@ -205,62 +215,47 @@
 
     async def _on_pull_index(self, message: Message) -> Message:
         view = await self._check_pull(message)
-        after: tuple[str, str] = (message["after"][0], message["after"][1])
-        most, member, now_ms = int(message["most"]), str(message["member"]), self.now_ms()
+        request, now_ms = IndexRequest.decode(message), self.now_ms()
         page, newest = await self._transact(
             message["epoch"],
             lambda connection: (
-                turn_table.index_page(connection, after, most, now_ms),
+                turn_table.index_page(connection, request.after, request.most, now_ms),
                 turn_table.last_arrival(connection),
             ),
         )
-        wanted = [entry for entry in page if member in view.next_replicas(entry.program, self.replica_count)]
-        return {
-            "type": wire.PULLED,
-            "entries": [[entry.turn, entry.program, entry.left_ms] for entry in wanted],
-            "after": [page[-1].turn, page[-1].program] if len(page) == most else None,
-            "newest": newest,
-        }
+        wanted = [entry for entry in page if request.member in view.next_replicas(entry.program, self.replica_count)]
+        after = (page[-1].turn, page[-1].program) if len(page) == request.most else None
+        return IndexPage(wanted, after, newest).encode()
 
     async def _on_pull_arrivals(self, message: Message) -> Message:
         """Answer what came here since a number and is held by a member under the unchanging view."""
         view = self._check(message)
-        after, until, most = int(message["after"]), int(message["until"]), int(message["most"])
-        member, now_ms = str(message["member"]), self.now_ms()
+        asked, now_ms = ArrivalsRequest.decode(message), self.now_ms()
         page = await self._transact(
-            message["epoch"], lambda connection: turn_table.arrivals(connection, after, until, most, now_ms)
+            message["epoch"],
+            lambda connection: turn_table.arrivals(connection, asked.after, asked.until, asked.most, now_ms),
         )
-        wanted = [entry for entry in page.entries if member in view.stable_replicas(entry.program, self.replica_count)]
-        return {
-            "type": wire.PULLED,
-            "entries": [[entry.turn, entry.program, entry.left_ms] for entry in wanted],
-            "after": page.after,
-            "newest": page.newest,
-        }
+        count = self.replica_count
+        wanted = [entry for entry in page.entries if asked.member in view.stable_replicas(entry.program, count)]
+        return ArrivalsPage(wanted, page.after, page.newest).encode()
 
     async def _on_pull_turns(self, message: Message) -> Message:
         await self._check_pull(message)
-        keys = [(str(turn), str(program)) for turn, program in message["keys"]]
-        most_bytes = int(message["most_bytes"])
+        request = TurnsRequest.decode(message)
         records, unread = await self._transact(
-            message["epoch"], lambda connection: turn_table.read_exact(connection, keys, most_bytes)
+            message["epoch"],
+            lambda connection: turn_table.read_exact(connection, request.keys, request.most_bytes),
         )
-        return {
-            "type": wire.PULLED,
-            "turns": [record.to_json() for record in records],
-            "unread": [list(key) for key in unread],
-        }
+        return TurnsAnswer(records, unread).encode()
 
     async def _on_pull_ledgers(self, message: Message) -> Message:
         view = await self._check_pull(message)
-        after, most, member = str(message["after"]), int(message["most"]), str(message["member"])
-        page = await self._transact(message["epoch"], lambda connection: ledger_replica.page(connection, after, most))
-        wanted = [record for record in page if member in view.next_replicas(record.program, self.replica_count)]
-        return {
-            "type": wire.PULLED,
-            "ledgers": [record.to_json() for record in wanted],
-            "after": page[-1].program if len(page) == most else None,
-        }
+        request = LedgersRequest.decode(message)
+        page = await self._transact(
+            message["epoch"], lambda connection: ledger_replica.page(connection, request.after, request.most)
+        )
+        wanted = [record for record in page if request.member in view.next_replicas(record.program, self.replica_count)]
+        return LedgersPage(wanted, page[-1].program if len(page) == request.most else None).encode()
 
 
 def _read_view(connection: sqlite3.Connection) -> StoreView | None:
--- a/dewpin/controlplane/sync.py
+++ b/dewpin/controlplane/sync.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import Message, RpcError
@@ -20,14 +20,20 @@
 from dewpin.controlplane.repair import write_cursor
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
+from dewpin.controlplane.transfer_messages import (
+    IndexPage,
+    IndexRequest,
+    Key,
+    LedgersPage,
+    LedgersRequest,
+    TurnsAnswer,
+)
 from dewpin.controlplane.turn_table import IndexEntry
 from dewpin.controlplane.turn_transfer import (
     TURNS_IN_REQUEST,
     Calls,
     FetchedTurns,
-    Key,
     body_request,
-    entries_of,
     key_of,
 )
 
@@ -129,14 +135,14 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _copy_turns(self, source: Member) -> None:
-        page = await self._pull_index(source, ["", ""])
-        arrivals = int(page["newest"])
+        page = await self._pull_index(source, ("", ""))
+        arrivals = page.newest
         while True:
-            following: asyncio.Task[Message] | None = None
-            if page["after"] is not None:  # on its way while the bodies of this page are fetched
-                following = asyncio.ensure_future(self._pull_index(source, page["after"]))
+            following: asyncio.Task[IndexPage] | None = None
+            if page.after is not None:  # on its way while the bodies of this page are fetched
+                following = asyncio.ensure_future(self._pull_index(source, page.after))
             try:
-                await self._copy_bodies(source, entries_of(page))
+                await self._copy_bodies(source, page.entries)
                 if following is None:
                     break
                 page = await following
@@ -145,8 +151,9 @@
                     following.cancel()
         await self._follow_from(source, arrivals)
 
-    async def _pull_index(self, source: Member, after: list[str]) -> Message:
-        return await self._pull(source, wire.PULL_INDEX, member=self._store.member_id, after=after, most=INDEX_PAGE)
+    async def _pull_index(self, source: Member, after: Key) -> IndexPage:
+        request = IndexRequest(self._store.member_id, after, INDEX_PAGE)
+        return IndexPage.decode(await self._pull(source, wire.PULL_INDEX, **request.fields()))
 
     async def _follow_from(self, source: Member, arrival: int) -> None:
         """Let the background repair begin with what came to the source after the copy had begun."""
@@ -154,9 +161,9 @@
             lambda: self._store.storage.transact(lambda connection: write_cursor(connection, source.id, arrival))
         )
 
-    async def _copy_bodies(self, source: Member, entries: list[IndexEntry]) -> None:
+    async def _copy_bodies(self, source: Member, entries: Sequence[IndexEntry]) -> None:
         """Fetch those of `entries` that are not here; return once all are, or are gone at the source."""
-        lacking = entries
+        lacking = list(entries)
         while lacking:
             unclaimed = {key_of(entry) for entry in lacking if self._is_unclaimed(entry)}
             lacking = await self._lacking(lacking)
@@ -184,8 +191,8 @@
     async def _fetch(self, source: Member, entries: list[IndexEntry]) -> frozenset[Key]:
         """Fetch and keep some turns that are claimed; return those that the source has no more."""
         try:
-            answer = await self._pull(source, wire.PULL_TURNS, **body_request(entries))
-            fetched = FetchedTurns.from_answer(entries, answer)
+            answer = await self._pull(source, wire.PULL_TURNS, **body_request(entries).fields())
+            fetched = FetchedTurns.from_answer(entries, TurnsAnswer.decode(answer))
             await self._keep(fetched)
         finally:
             for entry in entries:
@@ -210,13 +217,12 @@
     async def _copy_ledgers(self, source: Member) -> None:
         after: str | None = ""
         while after is not None:
-            answer = await self._pull(
-                source, wire.PULL_LEDGERS, member=self._store.member_id, after=after, most=LEDGER_PAGE
-            )
-            await self._merge_ledgers([LedgerRecord.from_json(value) for value in answer["ledgers"]])
-            after = answer["after"]
+            request = LedgersRequest(self._store.member_id, after, LEDGER_PAGE)
+            page = LedgersPage.decode(await self._pull(source, wire.PULL_LEDGERS, **request.fields()))
+            await self._merge_ledgers(page.records)
+            after = page.after
 
-    async def _merge_ledgers(self, records: list[LedgerRecord]) -> None:
+    async def _merge_ledgers(self, records: Sequence[LedgerRecord]) -> None:
         now_ms = self._store.now_ms()
         await self._until_done(
             lambda: self._store.storage.transact(lambda connection: ledger_replica.merge(connection, records, now_ms))
--- /dev/null
+++ b/dewpin/controlplane/transfer_messages.py
@@ -0,0 +1,183 @@
+"""Messages by which one store copies from another: parts of an index, turns, and ledgers.
+
+A request is sent by `store_messages.request`, which adds the epoch, the member that is meant and the type.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.rpc import Message
+from dewpin.cluster.store_messages import TurnRecord
+from dewpin.controlplane.ledger_replica import LedgerRecord
+from dewpin.controlplane.turn_table import IndexEntry
+
+Key = tuple[str, str]
+"""Turn and program."""
+
+
+@dataclass(frozen=True, slots=True)
+class IndexRequest:
+    """Asks for the index of what `member` is to hold in the next view, behind the key `after`."""
+
+    member: str
+    after: Key
+    most: int
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        return {"member": self.member, "after": list(self.after), "most": self.most}
+
+    @classmethod
+    def decode(cls, message: Message) -> IndexRequest:
+        """The request of a message. KeyError, TypeError or ValueError if it is none."""
+        return cls(str(message["member"]), _key(message["after"]), int(message["most"]))
+
+
+@dataclass(frozen=True, slots=True)
+class IndexPage:
+    """A part of an index. `after`: where the next part begins, if there is one; `newest`: the number of the latest
+    turn that came to the store."""
+
+    entries: Sequence[IndexEntry]
+    after: Key | None
+    newest: int
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        after = None if self.after is None else list(self.after)
+        return {"type": wire.PULLED, "entries": _encode_entries(self.entries), "after": after, "newest": self.newest}
+
+    @classmethod
+    def decode(cls, message: Message) -> IndexPage:
+        """The page of an answer. KeyError, TypeError or ValueError if it is none."""
+        after = message["after"]
+        entries = _decode_entries(message["entries"])
+        return cls(entries, None if after is None else _key(after), int(message["newest"]))
+
+
+@dataclass(frozen=True, slots=True)
+class ArrivalsRequest:
+    """Asks for what came to a store behind the number `after` and up to `until`, as far as `member` holds it."""
+
+    member: str
+    after: int
+    until: int
+    most: int
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        return {"member": self.member, "after": self.after, "until": self.until, "most": self.most}
+
+    @classmethod
+    def decode(cls, message: Message) -> ArrivalsRequest:
+        """The request of a message. KeyError, TypeError or ValueError if it is none."""
+        return cls(str(message["member"]), int(message["after"]), int(message["until"]), int(message["most"]))
+
+
+@dataclass(frozen=True, slots=True)
+class ArrivalsPage:
+    """What came to a store up to the number `after`, and the number of its latest turn."""
+
+    entries: Sequence[IndexEntry]
+    after: int
+    newest: int
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        entries = _encode_entries(self.entries)
+        return {"type": wire.PULLED, "entries": entries, "after": self.after, "newest": self.newest}
+
+    @classmethod
+    def decode(cls, message: Message) -> ArrivalsPage:
+        """The page of an answer. KeyError, TypeError or ValueError if it is none."""
+        return cls(_decode_entries(message["entries"]), int(message["after"]), int(message["newest"]))
+
+
+@dataclass(frozen=True, slots=True)
+class TurnsRequest:
+    """Asks for turns by their keys, up to so many bytes."""
+
+    keys: Sequence[Key]
+    most_bytes: int
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        return {"keys": [list(key) for key in self.keys], "most_bytes": self.most_bytes}
+
+    @classmethod
+    def decode(cls, message: Message) -> TurnsRequest:
+        """The request of a message. KeyError, TypeError or ValueError if it is none."""
+        return cls([_key(key) for key in message["keys"]], int(message["most_bytes"]))
+
+
+@dataclass(frozen=True, slots=True)
+class TurnsAnswer:
+    """Turns that were asked for; `unread` are those left for the next request, what is in neither is not there."""
+
+    records: Sequence[TurnRecord]
+    unread: Sequence[Key]
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        turns = [record.to_json() for record in self.records]
+        return {"type": wire.PULLED, "turns": turns, "unread": [list(key) for key in self.unread]}
+
+    @classmethod
+    def decode(cls, message: Message) -> TurnsAnswer:
+        """The turns of an answer. KeyError, TypeError or ValueError if it is none."""
+        records = [TurnRecord.from_json(value) for value in message["turns"]]
+        return cls(records, [_key(key) for key in message["unread"]])
+
+
+@dataclass(frozen=True, slots=True)
+class LedgersRequest:
+    """Asks for the ledgers that `member` is to hold in the next view, behind the program `after`."""
+
+    member: str
+    after: str
+    most: int
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        return {"member": self.member, "after": self.after, "most": self.most}
+
+    @classmethod
+    def decode(cls, message: Message) -> LedgersRequest:
+        """The request of a message. KeyError, TypeError or ValueError if it is none."""
+        return cls(str(message["member"]), str(message["after"]), int(message["most"]))
+
+
+@dataclass(frozen=True, slots=True)
+class LedgersPage:
+    """Ledgers of a store. `after`: where the next part begins, if there is one."""
+
+    records: Sequence[LedgerRecord]
+    after: str | None
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        return {"type": wire.PULLED, "ledgers": [record.to_json() for record in self.records], "after": self.after}
+
+    @classmethod
+    def decode(cls, message: Message) -> LedgersPage:
+        """The ledgers of an answer. KeyError, TypeError or ValueError if it is none."""
+        after = message["after"]
+        records = [LedgerRecord.from_json(value) for value in message["ledgers"]]
+        return cls(records, None if after is None else str(after))
+
+
+def _key(value: Sequence[Any]) -> Key:
+    turn, program = value
+    return str(turn), str(program)
+
+
+def _encode_entries(entries: Sequence[IndexEntry]) -> list[list[str | int]]:
+    return [[entry.turn, entry.program, entry.left_ms] for entry in entries]
+
+
+def _decode_entries(values: Sequence[Any]) -> list[IndexEntry]:
+    return [IndexEntry(str(turn), str(program), int(left_ms)) for turn, program, left_ms in values]
--- a/dewpin/controlplane/turn_transfer.py
+++ b/dewpin/controlplane/turn_transfer.py
@@ -5,19 +5,17 @@
 import sqlite3
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Protocol
 
 from dewpin.cluster.rpc import Message
 from dewpin.cluster.store_messages import TurnRecord
 from dewpin.controlplane import turn_table
+from dewpin.controlplane.transfer_messages import Key, TurnsAnswer, TurnsRequest
 from dewpin.controlplane.turn_table import IndexEntry
 
 TURNS_IN_REQUEST = 250
 BODY_BYTES_IN_REQUEST = 512 * 1024
 
-Key = tuple[str, str]
-"""Turn and program."""
-
 
 class Calls(Protocol):
     """The part of an RpcClient that is needed here."""
@@ -31,14 +29,9 @@
     return entry.turn, entry.program
 
 
-def entries_of(answer: Message) -> list[IndexEntry]:
-    """Return the entries of an answer that holds a part of an index."""
-    return [IndexEntry(str(turn), str(program), int(left_ms)) for turn, program, left_ms in answer["entries"]]
-
-
-def body_request(entries: Sequence[IndexEntry]) -> dict[str, Any]:
-    """Return the fields of a request for the turns of `entries`."""
-    return {"keys": [list(key_of(entry)) for entry in entries], "most_bytes": BODY_BYTES_IN_REQUEST}
+def body_request(entries: Sequence[IndexEntry]) -> TurnsRequest:
+    """Return the request for the turns of `entries`."""
+    return TurnsRequest([key_of(entry) for entry in entries], BODY_BYTES_IN_REQUEST)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,14 +43,12 @@
     gone: frozenset[Key]
 
     @staticmethod
-    def from_answer(entries: Sequence[IndexEntry], answer: Message) -> FetchedTurns:
+    def from_answer(entries: Sequence[IndexEntry], answer: TurnsAnswer) -> FetchedTurns:
         """Return what the answer to `body_request(entries)` brings."""
         left_ms = {key_of(entry): entry.left_ms for entry in entries}
-        records = tuple(TurnRecord.from_json(value) for value in answer["turns"])
-        keys = [(record.turn, record.program) for record in records]
-        unread = {(str(turn), str(program)) for turn, program in answer["unread"]}
-        gone = frozenset(left_ms.keys() - set(keys) - unread)
-        return FetchedTurns(records, tuple(left_ms[key] for key in keys), gone)
+        keys = [(record.turn, record.program) for record in answer.records]
+        gone = frozenset(left_ms.keys() - set(keys) - set(answer.unread))
+        return FetchedTurns(tuple(answer.records), tuple(left_ms[key] for key in keys), gone)
 
     @property
     def body_bytes(self) -> int:
--- /dev/null
+++ b/tests/controlplane/test_transfer_messages.py
@@ -0,0 +1,67 @@
+"""The messages by which stores copy from each other, as they go over the wire."""
+
+import json
+
+import pytest
+
+from dewpin.cluster.store_messages import TurnRecord
+from dewpin.consensus import Ballot
+from dewpin.controlplane.ledger_replica import LedgerRecord
+from dewpin.controlplane.transfer_messages import (
+    ArrivalsPage,
+    ArrivalsRequest,
+    IndexPage,
+    IndexRequest,
+    LedgersPage,
+    LedgersRequest,
+    TurnsAnswer,
+    TurnsRequest,
+)
+from dewpin.controlplane.turn_table import IndexEntry
+
+ENTRIES = [IndexEntry("t1", "p", 60_000), IndexEntry("t2", "q", 1)]
+ENTRIES_TEXT = '[["t1", "p", 60000], ["t2", "q", 1]]'
+TURN = TurnRecord("t1", "p", None, 60_000, b"\xe4", b"out")
+TURN_TEXT = r'{"turn": "t1", "program": "p", "previous": null, "retain_ms": 60000, "input": "\u00e4", "output": "out"}'
+LEDGER = LedgerRecord("p", Ballot(3, "a"), Ballot(2, "b"), {"spent": 1})
+
+REQUESTS = [
+    (IndexRequest("m", ("t1", "p"), 2000), '{"member": "m", "after": ["t1", "p"], "most": 2000}'),
+    (ArrivalsRequest("m", 7, 90, 500), '{"member": "m", "after": 7, "until": 90, "most": 500}'),
+    (TurnsRequest([("t1", "p"), ("t2", "q")], 9), '{"keys": [["t1", "p"], ["t2", "q"]], "most_bytes": 9}'),
+    (LedgersRequest("m", "p", 500), '{"member": "m", "after": "p", "most": 500}'),
+]
+ANSWERS = [
+    (
+        IndexPage(ENTRIES, ("t2", "q"), 90),
+        f'{{"type": "store.pulled", "entries": {ENTRIES_TEXT}, "after": ["t2", "q"], "newest": 90}}',
+    ),
+    (IndexPage([], None, 0), '{"type": "store.pulled", "entries": [], "after": null, "newest": 0}'),
+    (
+        ArrivalsPage(ENTRIES, 8, 90),
+        f'{{"type": "store.pulled", "entries": {ENTRIES_TEXT}, "after": 8, "newest": 90}}',
+    ),
+    (
+        TurnsAnswer([TURN], [("t2", "q")]),
+        f'{{"type": "store.pulled", "turns": [{TURN_TEXT}], "unread": [["t2", "q"]]}}',
+    ),
+    (LedgersPage([], None), '{"type": "store.pulled", "ledgers": [], "after": null}'),
+]
+
+
+@pytest.mark.parametrize(("request_", "text"), REQUESTS, ids=lambda value: type(value).__name__)
+def test_a_request_has_these_fields_and_comes_back_as_it_was(request_, text):
+    assert json.dumps(request_.fields()) == text
+    assert type(request_).decode(json.loads(text)) == request_
+
+
+@pytest.mark.parametrize(("answer", "text"), ANSWERS, ids=lambda value: type(value).__name__)
+def test_an_answer_is_this_text_and_comes_back_as_it_was(answer, text):
+    assert json.dumps(answer.encode()) == text
+    assert type(answer).decode(json.loads(text)) == answer
+
+
+def test_ledgers_are_told_in_their_own_form():
+    page = LedgersPage([LEDGER], "p")
+    assert page.encode() == {"type": "store.pulled", "ledgers": [LEDGER.to_json()], "after": "p"}
+    assert LedgersPage.decode(json.loads(json.dumps(page.encode()))) == page
