--- a/dewpin/dataplane/course.py
+++ b/dewpin/dataplane/request_attempts.py
@@ -1,4 +1,4 @@
-"""The course of one routed request: carries out what the retry stage says, until there is an answer."""
+"""The attempts of one routed request: carries out what the retry stage says, until there is an answer."""
 
 import random
 from collections.abc import Callable
@@ -9,10 +9,9 @@
 
 from .balancing import Balancer, NoPlace, Place
 from .figures import RequestFigures
-from .messages import Answer, HeaderField, Headers, Request, own_answer
-from .outcome import Outcome
+from .messages import PRIORITY, Answer, HeaderField, Headers, Request, own_answer
+from .outcome import Outcome, StreamCut
 from .places import PlaceRequest
-from .receiver_stream import StreamCut
 from .retry import GATEWAY_TIMED_OUT, EndUnknown, PassOn, Pause, Refuse, RetryPolicy, RetryStage, Send
 from .streams import EventRelay, EventSource
 from .turns import OpenTurn
@@ -23,6 +22,8 @@
 UNANSWERED = frozenset({Outcome.NEVER_SENT, Outcome.TIMED_OUT, Outcome.CLIENT_GONE})
 RECEIVER_ERRORS = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED})
 """Outcomes that count against a receiver; silence until the time's end may be the request's own doing."""
+LEAST_URGENT_PRIORITY = 9
+"""The last rank that receivers know; 0 goes first, as among the routes."""
 LENGTH_HEADERS = frozenset({"content-length"})
 
 
@@ -60,7 +61,7 @@
         return min(self.route.target_ms, self.route.timeout_ms) / 1000
 
 
-class RequestCourse:
+class RequestAttempts:
     """Runs one request to its answer, in the thread of its client's connection."""
 
     def __init__(self, tools: Tools, routed: RoutedRequest) -> None:
@@ -95,6 +96,9 @@
         while True:
             step = self._stage.next_step(self._tools.clock())
             if isinstance(step, Send):
+                if self._client_has_gone():
+                    self._stage.record_client_gone()
+                    continue
                 result = self._send(step)
                 if result is not None and result.stream is not None:
                     return result
@@ -117,7 +121,7 @@
 
     def _send(self, step: Send) -> CallResult | None:
         """Send the request to a receiver with room; None if there is none in time."""
-        place = self._tools.balancer.acquire(self._place_request(step))
+        place = self._tools.balancer.acquire(self._place_request(step), self._client_has_gone)
         if isinstance(place, NoPlace):
             self._stage.record_no_place(place.retry_after_s)
             return None
@@ -133,17 +137,21 @@
             self._stream_place = place
         return result
 
+    def _client_has_gone(self) -> bool:
+        client = self._routed.request.client
+        return client is not None and client.has_gone()
+
     def _place_request(self, step: Send) -> PlaceRequest:
         routed = self._routed
         hold_until = routed.request.received_at + HOLD_SHARE_OF_AIM * routed.aim_s
         if step.effect_unknown:
-            hold_until = min(routed.deadline, max(hold_until, self._tools.clock() + routed.aim_s))
+            hold_until = max(hold_until, self._tools.clock() + routed.aim_s)
         return PlaceRequest(
             service=routed.service,
             route=routed.route.name,
             priority=routed.route.priority,
             aim_s=routed.aim_s,
-            hold_until=hold_until,
+            hold_until=min(routed.deadline, hold_until),
             sticky_key=routed.sticky_key,
             avoid=step.avoid,
         )
@@ -156,7 +164,7 @@
             repeatable=routed.repeatable,
             streaming=routed.route.is_stream,
             body=routed.turn.body if routed.turn else None,
-            replaced_headers=self._resume_headers,
+            replaced_headers=(*self._priority_headers(), *self._resume_headers),
         )
         self._tools.figures.attempts += 1
         started = self._stream_began = self._tools.clock()
@@ -170,6 +178,12 @@
             self._count(place, result, now, now - started)
         return result
 
+    def _priority_headers(self) -> tuple[HeaderField, ...]:
+        """Return the urgency that a receiver is told: its route's rank, unless the client told one itself."""
+        if self._routed.request.headers.get(PRIORITY) is not None:
+            return ()
+        return (("Priority", str(min(self._routed.route.priority, LEAST_URGENT_PRIORITY))),)
+
     def _count(self, place: Place, result: CallResult, now: float, took_s: float) -> None:
         """Tell the retry stage and the balancer how a call ended."""
         may_pass_on = result.answer is not None and result.answer.may_pass_on
