--- a/dewpin/dataplane/keeper_list.py
+++ b/dewpin/dataplane/keeper_list.py
@@ -71,9 +71,11 @@
         return sorted(found, key=lambda address: self._known[address].order)
 
     def next(self, now_s: float) -> str:
-        """The one to ask now: the usable one that was asked longest ago, or any where none is usable. After a failure it
-        is one that answered when it was asked last, if there is any: however many are gone, a time-out is followed by
-        an answer."""
+        """The one to ask now: the usable one that was asked longest ago, or any where none is usable.
+
+        After a failure it is one that answered when it was asked last, if there is any: however many are gone, a
+        time-out is followed by an answer.
+        """
         candidates = self.usable(now_s) or list(self._known)
         if self._has_failed(self._last_asked):
             candidates = [address for address in candidates if not self._has_failed(address)] or candidates
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -39,3 +39,16 @@
     digests = [line for line in one.stdout.splitlines() if line.startswith("digest")]
     assert len(digests) == 2 and digests[0] != digests[1]
     assert digests == [line for line in other.stdout.splitlines() if line.startswith("digest")]
+
+
+@pytest.mark.parametrize(
+    "variant", ["acknowledge before the sync", "refuse a repeated order", "renew without a majority"]
+)
+def test_a_wrong_variant_is_found(variant):
+    done = subprocess.run(
+        [sys.executable, "-m", "tests.simulation.wrong_variants", "--jobs", "1", "--variant", variant],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    assert done.returncode == 0 and "1 variants, 0 not found" in done.stdout, done.stdout + done.stderr
