--- /dev/null
+++ b/tests/model/ledger_parts.py
@@ -0,0 +1,257 @@
+"""A store and a sender as parts of the ledger model: the real `Store`, `StoreSync`'s copy and `StoreClient`, unmodified.
+
+Only what surrounds them is the model's: the disk is sqlite in memory, and a ballot's requests wait in the model's network
+instead of a `Round`.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Awaitable, Coroutine, Generator
+from typing import Any, NamedTuple
+
+from store_world import MemoryDisk
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.rpc import RpcError
+from dewpin.cluster.store_view import Member, StoreView
+from dewpin.consensus import Ballot, Proposal, Request
+from dewpin.consensus.messages import decode_reply
+from dewpin.controlplane import ledger_replica
+from dewpin.controlplane import store as store_module
+from dewpin.controlplane.ledger_replica import LedgerRecord
+from dewpin.controlplane.store import Store
+from dewpin.dataplane import ledger, store_client
+from dewpin.dataplane.program_store import BudgetSpent
+from dewpin.dataplane.replica_calls import ViewMoved
+from dewpin.dataplane.store_client import StoreClient
+from tests.model.component import Event, freeze, freeze_proposal, position
+
+PROGRAM = "program"
+REPLICA_COUNT = 3
+NOW_MS = 1
+
+Operation = tuple[str, str, int]
+"""`reserve` or `settle`, the turn, its tokens; or `read`."""
+
+
+def members(names: str) -> tuple[Member, ...]:
+    """Members named by single letters."""
+    return tuple(Member(name, f"{name}:1") for name in names)
+
+
+def finish(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """The result of a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as end:
+        return end.value
+    raise AssertionError("it waits")
+
+
+class StoreFingerprint(NamedTuple):
+    """What a store's behaviour depends on; epoch 0 stands for no view."""
+
+    epoch: int
+    durable_epoch: int
+    promised: Ballot
+    accepted: Ballot
+    rows: Any
+
+
+class SenderFingerprint(NamedTuple):
+    """What a sender's behaviour depends on. `ballot`: of the round under way, None while it is idle."""
+
+    epoch: int
+    done: int
+    ballots: int
+    ballot: Ballot | None
+    is_accepting: bool
+    kept: Any
+    under_way: Any
+
+
+class StorePart:
+    """A store with one program's ledger; a crash takes its memory and leaves its disk. Where none is to come, states
+    that differ only in what a crash would leave are one."""
+
+    def __init__(self, name: str, views: dict[int, StoreView], epoch: int | None, may_crash: bool) -> None:
+        self._may_crash = may_crash
+        self._name = name
+        self._views = views
+        self._disk = MemoryDisk()
+        self._start()
+        if epoch is not None:
+            self._store.adopt(views[epoch])
+
+    def _start(self) -> None:
+        self._store = Store(self._disk, self._name, REPLICA_COUNT, wall_clock_ms=lambda: NOW_MS)
+
+    def apply(self, event: Event) -> Any:
+        """`adopt EPOCH`, `request MESSAGE`, `pull MESSAGE`, `copying`, `merge RECORDS` or `crash`."""
+        kind, *rest = event
+        if kind == "adopt":
+            self._store.adopt(self._views[rest[0]])
+            return None
+        if kind == "crash":
+            self._start()
+            return finish(self._store.load())
+        if kind == "copying":
+            finish(self._store.make_view_durable())
+            return None
+        if kind == "merge":
+            records = [LedgerRecord.from_json(record) for record in json.loads(rest[0])]
+            work = finish(self._disk.transact(lambda connection: ledger_replica.merge(connection, records, NOW_MS)))
+            return work
+        return self._answer(json.loads(rest[0]))
+
+    def _answer(self, message: dict[str, Any]) -> str | None:
+        """The answer's text, or None where the request is refused."""
+        try:
+            return json.dumps(finish(self._store.handlers[message["type"]](message)))
+        except RpcError:
+            return None
+
+    def fingerprint(self) -> StoreFingerprint:
+        """The view in memory and on disk, and all rows of ledgers."""
+        view = self._store.view
+        durable = store_module._read_view(self._disk.connection)
+        held = ledger_replica.load(self._disk.connection, PROGRAM)
+        rows = self._disk.connection.execute("SELECT * FROM register_replica").fetchall()
+        epochs = (0 if view is None else view.epoch, 0 if durable is None or not self._may_crash else durable.epoch)
+        return StoreFingerprint(*epochs, held.promised, held.accepted, freeze(rows))
+
+
+class _Answers(Awaitable[None]):
+    """Waits for the model."""
+
+    def __await__(self) -> Generator[None, None, None]:
+        yield
+
+
+class _NoPauses(random.Random):
+    """Makes every pause between two ballots nothing: the model's steps are the time."""
+
+    def random(self) -> float:
+        """Half a unit below zero, so that pauses of 0.5 + random() units vanish."""
+        return -0.5
+
+
+class _ModelClient(StoreClient):
+    """The client whose ballots wait for the model."""
+
+    proposal: Proposal | None = None
+    under: StoreView | None = None
+    ballots = 0
+
+    async def _drive(self, proposal: Proposal, program: str, view: StoreView) -> None:
+        self.ballots += 1
+        self.proposal, self.under = proposal, view
+        self.waiting = proposal.start()
+        if proposal.result is None:
+            await _Answers()
+
+
+class SenderPart:
+    """A sender that makes its operations one after the other, each in as many ballots as it takes."""
+
+    def __init__(
+        self, name: str, views: dict[int, StoreView], operations: tuple[Operation, ...], budget: int, clock_ms: int
+    ) -> None:
+        self._views = views
+        self._operations = operations
+        self._budget = budget
+        self._client = _ModelClient(None, REPLICA_COUNT, _NoPauses(), proposer=name, wall_clock_ms=lambda: clock_ms)
+        self._client.adopt(views[1])
+        self._done = 0
+        self._running: Coroutine[Any, Any, Any] | None = None
+
+    def apply(self, event: Event) -> Any:
+        """`begin EPOCH`, `move EPOCH` (a newer view ends the ballot), `reply MEMBER MESSAGE` or `give_up`. Returns the
+        requests, and how the operation ended where it did."""
+        kind, *rest = event
+        self._client.waiting = []
+        if kind == "begin":
+            self._client.adopt(self._views[rest[0]])
+            self._running = self._operation(self._operations[self._done])
+            return self._resume()
+        if kind == "move":
+            self._client.adopt(self._views[rest[0]])
+            return self._resume(ViewMoved())
+        if kind == "give_up":
+            return self._resume()
+        member, answer = rest
+        proposal = self._client.proposal
+        assert proposal is not None
+        try:
+            requests = proposal.receive(member, decode_reply(json.loads(answer)))
+        except BudgetSpent as spent:  # it rises through the driver of the ballot
+            return self._resume(spent)
+        if proposal.result is None:
+            return self._texts(requests), None
+        return self._resume()
+
+    def _operation(self, operation: Operation) -> Coroutine[Any, Any, Any]:
+        kind, turn, tokens = operation
+        if kind == "reserve":
+            return self._client._reserve(PROGRAM, turn, tokens, self._budget)
+        if kind == "settle":
+            self._client._unsettled.setdefault(PROGRAM, {})[turn] = tokens
+            return self._client._change(PROGRAM, ledger.read, only_if_unsettled=turn)
+        return self._client._change(PROGRAM, ledger.read)
+
+    def _resume(self, failure: Exception | None = None) -> Any:
+        assert self._running is not None
+        ended = None
+        try:
+            while True:  # a pause between two ballots passes at once
+                if failure is None:
+                    self._running.send(None)
+                else:
+                    thrown, failure = failure, None
+                    self._running.throw(thrown)
+                if position(self._running)[-1][0] == "_drive":
+                    break
+        except StopIteration:
+            ended = "made"
+        except BudgetSpent:
+            ended = "spent"
+        if ended is None:
+            return self._texts(self._client.waiting), None
+        assert self._client.proposal is not None and self._client.proposal.result is not None
+        value = self._client.proposal.result.value
+        self._client.proposal, self._running = None, None
+        self._done += 1
+        return (), (ended, json.dumps(value))
+
+    def _texts(self, requests: list[Request]) -> tuple[str, ...]:
+        view = self._client.under
+        assert view is not None
+        texts = []
+        for request in requests:
+            kind, fields = store_client._ledger_message(request, PROGRAM)
+            texts.append(json.dumps(wire.request(kind, view, request.member, view=view.to_json(), **fields)))
+        return tuple(texts)
+
+    def fingerprint(self) -> SenderFingerprint:
+        """Where the sender stands, and all that it keeps."""
+        client, proposal = self._client, self._client.proposal
+        view = client._views.view
+        assert view is not None
+        kept = (client._counter, freeze(dict(client._prepared)), freeze(client._unsettled))
+        return SenderFingerprint(
+            view.epoch,
+            self._done,
+            client.ballots,
+            None if proposal is None else proposal.ballot,
+            proposal is not None and proposal._accept is not None,
+            kept,
+            (position(self._running), freeze_proposal(proposal)),
+        )
+
+
+def ballot_of(message: dict[str, Any]) -> Ballot:
+    """The ballot of a request."""
+    counter, proposer = message["ballot"]
+    return Ballot(counter, proposer)
