--- a/tests/model/ledger_parts.py
+++ b/tests/model/ledger_parts.py
@@ -89,7 +89,8 @@
         self._store = Store(self._disk, self._name, REPLICA_COUNT, wall_clock_ms=lambda: NOW_MS)
 
     def apply(self, event: Event) -> Any:
-        """`adopt EPOCH`, `request MESSAGE`, `pull MESSAGE`, `copying`, `merge RECORDS` or `crash`."""
+        """`adopt EPOCH`, `request MESSAGE`, `pull MESSAGE`, `copying EPOCH` (what a copy begins with), `merge RECORDS`
+        or `crash`. Returns the answer, or the records of a pull."""
         kind, *rest = event
         if kind == "adopt":
             self._store.adopt(self._views[rest[0]])
@@ -98,13 +99,16 @@
             self._start()
             return finish(self._store.load())
         if kind == "copying":
+            self._store.adopt(self._views[rest[0]])
             finish(self._store.make_view_durable())
             return None
         if kind == "merge":
             records = [LedgerRecord.from_json(record) for record in json.loads(rest[0])]
-            work = finish(self._disk.transact(lambda connection: ledger_replica.merge(connection, records, NOW_MS)))
-            return work
-        return self._answer(json.loads(rest[0]))
+            return finish(self._disk.transact(lambda connection: ledger_replica.merge(connection, records, NOW_MS)))
+        answer = self._answer(json.loads(rest[0]))
+        if kind == "pull" and answer is not None:
+            return json.dumps(json.loads(answer)["ledgers"])
+        return answer
 
     def _answer(self, message: dict[str, Any]) -> str | None:
         """The answer's text, or None where the request is refused."""
@@ -249,9 +253,3 @@
             kept,
             (position(self._running), freeze_proposal(proposal)),
         )
-
-
-def ballot_of(message: dict[str, Any]) -> Ballot:
-    """The ballot of a request."""
-    counter, proposer = message["ballot"]
-    return Ballot(counter, proposer)
--- /dev/null
+++ b/tests/model/register_parts.py
@@ -0,0 +1,246 @@
+"""A control process as a part of the register model: the real `SystemRegister` on a disk of the model's.
+
+It takes part as a member and proposes. Only what surrounds it is the model's: rows in memory for the disk, and a ballot's
+requests wait in the model's network instead of an `RpcClient`. A row counts as synced at once: no reply leaves before
+(`tests/model/member_model.py` explores what a crash leaves in between).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Coroutine, Generator
+from typing import Any, NamedTuple
+
+from dewpin.cluster.rpc import RpcError
+from dewpin.consensus import Ballot, Proposal, Request
+from dewpin.controlplane import register as register_module
+from dewpin.controlplane.register import SystemRegister
+from dewpin.controlplane.system_state import (
+    Change,
+    ChangeRefused,
+    SystemState,
+    genesis,
+    on_version,
+    put_configuration,
+    set_members,
+    successor,
+)
+from tests.model.component import Event, freeze, freeze_proposal, position
+
+FIRST_MEMBERS = ("a", "b", "c")
+Operation = tuple[Any, ...]
+"""`put GENERATION BASE BODY`, `read`, `members NAMES`, or `settle`: finish what a change of members began."""
+
+
+class ProcessFingerprint(NamedTuple):
+    """What a process's behaviour depends on. `ballot`: of the round under way, None while it is idle."""
+
+    member: str
+    promised: Ballot
+    ballot: Ballot | None
+    is_accepting: bool
+    ballots: int
+    done: int
+    chosen: str | None
+    chosen_ballot: Ballot
+    held: str | None
+    rest: Any
+
+
+def finish(coroutine: Coroutine[Any, Any, Any]) -> Any:
+    """The result of a coroutine that never waits."""
+    try:
+        coroutine.send(None)
+    except StopIteration as end:
+        return end.value
+    raise AssertionError("it waits")
+
+
+class _Rows:
+    """A disk that has synced everything that was written."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, tuple[Any, ...]] = {}
+
+    async def write(self, statements: list[tuple[str, tuple[Any, ...]]]) -> None:
+        for _, row in statements:
+            self.rows[row[0]] = row
+
+    async def query(self, sql: str, arguments: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+        return [self.rows[key][1:] for key in arguments if key in self.rows]
+
+
+class _Answers(Awaitable[None]):
+    """Waits for the model."""
+
+    def __await__(self) -> Generator[None, None, None]:
+        yield
+
+
+class _NoPauses(random.Random):
+    """Makes every pause between two ballots nothing: the model's steps are the time."""
+
+    def random(self) -> float:
+        """Half a unit below zero, so that pauses of 0.5 + random() units vanish."""
+        return -0.5
+
+
+class _ModelRegister(SystemRegister):
+    """The register whose ballots wait for the model."""
+
+    proposal: Proposal | None = None
+    ballots = 0
+
+    async def _drive(self, proposal: Proposal) -> None:
+        self.ballots += 1
+        self.proposal = proposal
+        self.waiting = proposal.start()
+        if proposal.result is None:
+            await _Answers()
+
+
+def change_of(operation: Operation, newest: SystemState | None) -> Change:
+    """The change that an operation makes; a change of members is planned on the newest state known."""
+    kind, *rest = operation
+    if kind == "put":
+        generation, base, body = rest
+        return put_configuration(body.encode(), generation, base)
+    if kind == "read" or newest is None:
+        return lambda state: state
+    if kind == "settle":
+        return on_version(newest["version"], successor)
+    members = {name: f"{name}:1" for name in rest[0]}
+    return on_version(newest["version"], set_members(members, {}))
+
+
+class ProcessPart:
+    """A process that makes its operations one after the other; a crash takes its memory, a wipe its disk as well."""
+
+    def __init__(self, name: str, operations: tuple[Operation, ...]) -> None:
+        self._operations = operations
+        self._disk = _Rows()
+        self._done = 0
+        self._running: Coroutine[Any, Any, SystemState] | None = None
+        self._start(name)
+        if name in FIRST_MEMBERS:
+            first = genesis({member: f"{member}:1" for member in FIRST_MEMBERS}, {})
+            finish(self._register.begin(first))
+
+    def _start(self, member: str, ballots: int = 0) -> None:
+        self._register = _ModelRegister(member, f"{member}:1", self._disk, None, _NoPauses())
+        self._register.ballots = ballots
+        finish(self._register.load())
+
+    def apply(self, event: Event) -> Any:
+        """`request TEXT` gives the answer's text. `begin SKIPPED` (so many ballots), `reply MEMBER TEXT`, `give_up` (no answer comes any more) and
+        `time_out` (of the operation) give the requests sent and how the operation ended where it did. `crash`,
+        `wipe NAME` and `hear BALLOT STATE` (a state that another process knows to be chosen) give nothing."""
+        kind, *rest = event
+        if kind == "request":
+            return self._answer(json.loads(rest[0]))
+        if kind == "hear":
+            self._register.observe(Ballot(*rest[0]), json.loads(rest[1]))
+            return None
+        if kind in ("crash", "wipe"):
+            return self._end(*rest)
+        self._register.waiting = []
+        if kind == "begin":
+            self._register._counter += rest[0]
+            change = change_of(self._operations[self._done], self._register.newest)
+            self._running = self._register._propose_in_turn(change)
+            return self._resume()
+        if kind == "reply":
+            return self._reply(*rest)
+        return self._resume(asyncio.CancelledError() if kind == "time_out" else None)
+
+    def _end(self, new_name: str | None = None) -> None:
+        """Ends the process; the next one starts on the same disk, or under a new name on an empty one."""
+        if self._running is not None:
+            self._running.close()
+            self._done += 1
+        self._running = None
+        if new_name is not None:
+            self._disk = _Rows()
+        self._start(new_name or self._register.member, self._register.ballots)
+
+    def _answer(self, message: dict[str, Any]) -> str | None:
+        handlers = {
+            "register.prepare": self._register.handle_prepare,
+            "register.accept": self._register.handle_accept,
+        }
+        try:
+            return json.dumps(finish(handlers[message["type"]](message)))
+        except RpcError:
+            return None
+
+    def _reply(self, member: str, text: str) -> Any:
+        proposal = self._register.proposal
+        assert proposal is not None
+        requests = proposal.receive(member, register_module.decode_reply(json.loads(text)))
+        return self._resume() if proposal.result is not None else (_texts(requests), None)
+
+    def _resume(self, failure: BaseException | None = None) -> Any:
+        assert self._running is not None
+        outcome = None
+        try:
+            while True:  # a pause between two ballots passes at once
+                if failure is None:
+                    self._running.send(None)
+                else:
+                    thrown, failure = failure, None
+                    self._running.throw(thrown)
+                if position(self._running)[-1][0] == "_drive":
+                    return _texts(self._register.waiting), None
+        except StopIteration:
+            outcome = "made"
+        except ChangeRefused as refusal:
+            outcome = type(refusal).__name__
+        except asyncio.CancelledError:
+            outcome = "unclear"
+        proposal = self._register.proposal
+        value = None
+        if outcome != "unclear" and proposal is not None and proposal.result is not None:
+            value = _text_of(proposal.result.value)
+        self._register.proposal, self._running = None, None
+        self._done += 1
+        return (), (outcome, value)
+
+    def fingerprint(self) -> ProcessFingerprint:
+        """Where the process stands, and all that it keeps."""
+        register = self._register
+        replica, proposal = register._replica, register.proposal if self._running is not None else None
+        refusal = None if proposal is None else type(_attempt_of(proposal).refusal).__name__
+        return ProcessFingerprint(
+            register.member,
+            replica.promised,
+            None if proposal is None else proposal.ballot,
+            proposal is not None and proposal._accept is not None,
+            register.ballots,
+            self._done,
+            None if register.chosen is None else _text_of(register.chosen),
+            register.chosen_ballot,
+            None if replica.value is None else _text_of(replica.value),
+            (
+                replica.accepted,
+                register._counter,
+                register._durable_ballot,
+                freeze(self._disk.rows),
+                refusal,
+                position(self._running),
+                freeze_proposal(proposal),
+            ),
+        )
+
+
+def _attempt_of(proposal: Proposal) -> Any:
+    return proposal._change.__self__  # type: ignore[attr-defined]
+
+
+def _text_of(state: SystemState) -> str:
+    return json.dumps(state, sort_keys=True)
+
+
+def _texts(requests: list[Request]) -> tuple[str, ...]:
+    return tuple(json.dumps(register_module.encode_request(request), sort_keys=True) for request in requests)
