--- a/tests/model/ledger_parts.py
+++ b/tests/model/ledger_parts.py
@@ -1,6 +1,6 @@
-"""A store and a sender as parts of the ledger model: the real `Store`, `StoreSync`'s copy and `StoreClient`, unmodified.
+"""A store and a sender as parts of the ledger model: the real `Store` and `StoreClient`, unmodified.
 
-Only what surrounds them is the model's: the disk is sqlite in memory, and a ballot's requests wait in the model's network
+Only what surrounds them is the model's: the disk is sqlite in memory, and a ballot's requests wait in its network
 instead of a `Round`.
 """
 
--- a/tests/model/quorum_model.py
+++ b/tests/model/quorum_model.py
@@ -1,7 +1,7 @@
-"""What the models of the register and of the ledgers share: proposers and replicas over a network that may do anything.
+"""What the models of the register and of the ledgers share: proposers and replicas over a network without promises.
 
-The network is the set of all requests ever sent, so that any may come late, twice, out of turn or never; an answer comes
-when its request is handled, or is lost. Steps are left out where others stand for them:
+The network is the set of all requests ever sent, so that any may come late, twice, out of turn or never; an answer
+comes when its request is handled, or is lost. Steps are left out where others stand for them:
 
 - a promise that nobody hears of or waits for any more: it only keeps older ballots out, as the loss of those does;
 - a lost answer to an accept that would not have ended the ballot: the loss of a later one stands for it;
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterator
 from typing import Any, NamedTuple, Protocol, TypeVar
 
@@ -144,7 +143,7 @@
                 continue
             label = ("prepare" if request.is_prepare else "accept", *request.ballot, "at", request.member)
             waiting = self.at(state, request.sender)
-            is_conflict = "conflict" in json.loads(answer)["type"]
+            is_conflict = 'conflict"' in answer
             ends = True
             if waiting.ballot == request.ballot and not (is_conflict and not self._may_hear_conflict(request, waiting)):
                 heard = self.sender_step(handled, request.sender, ("reply", request.member, answer))
--- a/tests/model/register_model.py
+++ b/tests/model/register_model.py
@@ -27,7 +27,7 @@
     for want of promises, before an operation's first one that gets some."""
 
     operations: dict[str, tuple[Operation, ...]]
-    ballots: int
+    ballots: dict[str, int]
     crashes: int = 0
     wipes: str = ""
     times_out: bool = False
@@ -57,8 +57,13 @@
 
     def __init__(self, bounds: Bounds) -> None:
         self._bounds = bounds
-        parts = [Component(functools.partial(ProcessPart, name, bounds.operations.get(name, ()))) for name in PROCESSES]
-        most_ballots = dict.fromkeys(range(len(PROCESSES)), bounds.ballots)
+        parts = [
+            Component(
+                functools.partial(ProcessPart, name, bounds.operations.get(name, ()), bounds.ballots.get(name, 0))
+            )
+            for name in PROCESSES
+        ]
+        most_ballots = {number: bounds.ballots.get(name, 0) for number, name in enumerate(PROCESSES)}
         super().__init__(parts, most_ballots, bounds.hears_conflicts, bounds.reaches_itself)
 
     def initial(self) -> World:
@@ -84,7 +89,7 @@
         at, operations = self.at(state, number), self._bounds.operations.get(name, ())
         if at.ballot is not None and self._bounds.times_out:
             yield ("times out", name), self.sender_step(state, number, ("time_out",))
-        if at.ballots >= self._bounds.ballots:
+        if at.ballots >= self._bounds.ballots.get(name, 0):
             return
         if at.ballot is not None:
             if at.is_accepting:
--- a/tests/model/register_parts.py
+++ b/tests/model/register_parts.py
@@ -1,8 +1,8 @@
 """A control process as a part of the register model: the real `SystemRegister` on a disk of the model's.
 
-It takes part as a member and proposes. Only what surrounds it is the model's: rows in memory for the disk, and a ballot's
-requests wait in the model's network instead of an `RpcClient`. A row counts as synced at once: no reply leaves before
-(`tests/model/member_model.py` explores what a crash leaves in between).
+It takes part as a member and proposes. Only what surrounds it is the model's: rows in memory for the disk, and a
+ballot's requests wait in the model's network instead of an `RpcClient`. A row counts as synced at once, as no reply
+leaves before. An operation ends unclear once its process has used up its ballots.
 """
 
 from __future__ import annotations
@@ -118,7 +118,8 @@
 class ProcessPart:
     """A process that makes its operations one after the other; a crash takes its memory, a wipe its disk as well."""
 
-    def __init__(self, name: str, operations: tuple[Operation, ...]) -> None:
+    def __init__(self, name: str, operations: tuple[Operation, ...], most_ballots: int) -> None:
+        self._most_ballots = most_ballots
         self._operations = operations
         self._disk = _Rows()
         self._done = 0
@@ -134,9 +135,9 @@
         finish(self._register.load())
 
     def apply(self, event: Event) -> Any:
-        """`request TEXT` gives the answer's text. `begin SKIPPED` (so many ballots), `reply MEMBER TEXT`, `give_up` (no answer comes any more) and
-        `time_out` (of the operation) give the requests sent and how the operation ended where it did. `crash`,
-        `wipe NAME` and `hear BALLOT STATE` (a state that another process knows to be chosen) give nothing."""
+        """`request TEXT` gives the answer's text. `begin SKIPPED` (so many ballots), `reply MEMBER TEXT`, `give_up` (no
+        answer comes any more) and `time_out` (of the operation) give the requests sent and how the operation ended
+        where it did. `crash`, `wipe NAME` and `hear BALLOT STATE` (known elsewhere to be chosen) give nothing."""
         kind, *rest = event
         if kind == "request":
             return self._answer(json.loads(rest[0]))
@@ -191,7 +192,9 @@
                 else:
                     thrown, failure = failure, None
                     self._running.throw(thrown)
-                if position(self._running)[-1][0] == "_drive":
+                if self._register.ballots > self._most_ballots:
+                    failure = asyncio.CancelledError()
+                elif position(self._running)[-1][0] == "_drive":
                     return _texts(self._register.waiting), None
         except StopIteration:
             outcome = "made"
