--- a/dewpin/controlplane/sync.py
+++ b/dewpin/controlplane/sync.py
@@ -11,38 +11,37 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import Message, RpcError
-from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.controlplane import ledger_replica, turn_table
 from dewpin.controlplane.ledger_replica import LedgerRecord
+from dewpin.controlplane.repair import write_cursor
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.turn_table import IndexEntry
-
-INDEX_PAGE = 256
+from dewpin.controlplane.turn_transfer import (
+    TURNS_IN_REQUEST,
+    Calls,
+    FetchedTurns,
+    Key,
+    body_request,
+    entries_of,
+    key_of,
+)
+
+INDEX_PAGE = 2000
+REQUESTS_AT_ONCE = 4
+"""Requests for bodies that are out to one source: one is answered while what another brought is written."""
 LEDGER_PAGE = 500
-TURNS_IN_REQUEST = 64
-BODY_BYTES_IN_REQUEST = 512 * 1024
-PULL_TIMEOUT_S = 1.0
-CLAIM_S = 1.5
+PULL_TIMEOUT_S = 2.0
+CLAIM_S = 2.5
 """For how long a source keeps others from fetching the same bodies."""
 PAUSE_S = 0.02
 RETRY_S = 0.1
 
 log = logging.getLogger(__name__)
-Key = tuple[str, str]
-"""Turn and program."""
-
-
-class Calls(Protocol):
-    """The part of an RpcClient that is needed here."""
-
-    async def call(self, address: str, message: Message, timeout_s: float) -> Message:
-        """Return the answer; raises RpcError."""
 
 
 class StoreSync:
@@ -130,45 +129,68 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _copy_turns(self, source: Member) -> None:
-        after: list[str] | None = ["", ""]
-        while after is not None:
-            answer = await self._pull(
-                source, wire.PULL_INDEX, member=self._store.member_id, after=after, most=INDEX_PAGE
-            )
-            entries = [IndexEntry(str(turn), str(program), int(left)) for turn, program, left in answer["entries"]]
-            await self._copy_bodies(source, entries)
-            after = answer["after"]
+        page = await self._pull_index(source, ["", ""])
+        arrivals = int(page["newest"])
+        while True:
+            following: asyncio.Task[Message] | None = None
+            if page["after"] is not None:  # on its way while the bodies of this page are fetched
+                following = asyncio.ensure_future(self._pull_index(source, page["after"]))
+            try:
+                await self._copy_bodies(source, entries_of(page))
+                if following is None:
+                    break
+                page = await following
+            finally:
+                if following is not None:
+                    following.cancel()
+        await self._follow_from(source, arrivals)
+
+    async def _pull_index(self, source: Member, after: list[str]) -> Message:
+        return await self._pull(source, wire.PULL_INDEX, member=self._store.member_id, after=after, most=INDEX_PAGE)
+
+    async def _follow_from(self, source: Member, arrival: int) -> None:
+        """Let the background repair begin with what came to the source after the copy had begun."""
+        await self._until_done(
+            lambda: self._store.storage.transact(lambda connection: write_cursor(connection, source.id, arrival))
+        )
 
     async def _copy_bodies(self, source: Member, entries: list[IndexEntry]) -> None:
         """Fetch those of `entries` that are not here; return once all are, or are gone at the source."""
-        gone: set[Key] = set()
-        while True:
-            wanted = [entry for entry in entries if (entry.turn, entry.program) not in gone]
-            lacking = await self._lacking(wanted)
-            if not lacking:
-                return
-            now_s = asyncio.get_running_loop().time()
-            free = [entry for entry in lacking if self._claims.get((entry.turn, entry.program), 0.0) <= now_s]
-            if not free:
+        lacking = entries
+        while lacking:
+            unclaimed = {key_of(entry) for entry in lacking if self._is_unclaimed(entry)}
+            lacking = await self._lacking(lacking)
+            free = [entry for entry in lacking if key_of(entry) in unclaimed and self._is_unclaimed(entry)]
+            if free:
+                gone = await self._fetch_some(source, free)
+                lacking = [entry for entry in lacking if key_of(entry) not in gone]
+            elif lacking:
                 await asyncio.sleep(PAUSE_S)
-                continue
-            gone |= await self._fetch(source, free[:TURNS_IN_REQUEST], now_s + CLAIM_S)
 
-    async def _fetch(self, source: Member, entries: list[IndexEntry], claimed_until_s: float) -> set[Key]:
-        """Fetch and keep some turns; return those that the source has no more."""
-        left_ms = {(entry.turn, entry.program): entry.left_ms for entry in entries}
-        self._claims.update(dict.fromkeys(left_ms, claimed_until_s))
+    def _is_unclaimed(self, entry: IndexEntry) -> bool:
+        """Whether nobody fetches the turn just now. Asked before and after the disk was: a turn that was kept meanwhile
+        is claimed no more, and the disk's answer does not show it."""
+        return self._claims.get(key_of(entry), 0.0) <= asyncio.get_running_loop().time()
+
+    async def _fetch_some(self, source: Member, entries: list[IndexEntry]) -> frozenset[Key]:
+        """Fetch and keep the first of `entries`, by a few requests at once; return those gone from the source."""
+        starts = range(0, min(len(entries), REQUESTS_AT_ONCE * TURNS_IN_REQUEST), TURNS_IN_REQUEST)
+        chunks = [entries[start : start + TURNS_IN_REQUEST] for start in starts]
+        claimed_until_s = asyncio.get_running_loop().time() + CLAIM_S
+        self._claims.update((key_of(entry), claimed_until_s) for chunk in chunks for entry in chunk)
+        gone = await asyncio.gather(*(self._fetch(source, chunk) for chunk in chunks))
+        return frozenset().union(*gone)
+
+    async def _fetch(self, source: Member, entries: list[IndexEntry]) -> frozenset[Key]:
+        """Fetch and keep some turns that are claimed; return those that the source has no more."""
         try:
-            answer = await self._pull(
-                source, wire.PULL_TURNS, keys=[list(key) for key in left_ms], most_bytes=BODY_BYTES_IN_REQUEST
-            )
-            records = [TurnRecord.from_json(value) for value in answer["turns"]]
-            await self._keep(records, left_ms)
+            answer = await self._pull(source, wire.PULL_TURNS, **body_request(entries))
+            fetched = FetchedTurns.from_answer(entries, answer)
+            await self._keep(fetched)
         finally:
-            for key in left_ms:
-                self._claims.pop(key, None)
-        unread = {(str(turn), str(program)) for turn, program in answer["unread"]}
-        return left_ms.keys() - {(record.turn, record.program) for record in records} - unread
+            for entry in entries:
+                self._claims.pop(key_of(entry), None)
+        return fetched.gone
 
     async def _lacking(self, entries: list[IndexEntry]) -> list[IndexEntry]:
         found: list[IndexEntry] = []
@@ -179,13 +201,10 @@
         await self._until_done(attempt)
         return found
 
-    async def _keep(self, records: list[TurnRecord], left_ms: dict[Key, int]) -> None:
-        left = [left_ms[(record.turn, record.program)] for record in records]
+    async def _keep(self, fetched: FetchedTurns) -> None:
         now_ms = self._store.now_ms()
         await self._until_done(
-            lambda: self._store.storage.transact(
-                lambda connection: turn_table.take_over(connection, records, left, now_ms)
-            )
+            lambda: self._store.storage.transact(lambda connection: fetched.keep(connection, now_ms))
         )
 
     async def _copy_ledgers(self, source: Member) -> None:
