--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -58,7 +58,7 @@
         (ORDER_X, ORDER_X), (ORDER_Y,), ballots=_ballots(2, 2), times_out=True
     ),
     "register: reads after a race": lambda: _register((ORDER_X, READ), (ORDER_Y, READ), ballots=_ballots(2, 2)),
-    "register: a change of members and an order": lambda: _register((ORDER_X,), (REPLACE_C,), ballots=_ballots(1, 1)),
+    "register: a change of members and an order": lambda: _register((ORDER_X,), (REPLACE_C,), ballots=_ballots(2, 1)),
     "register: a wiped member is replaced": lambda: _register(
         (ORDER_X,), (REPLACE_WIPED_C, SETTLE, READ), ballots=_ballots(1, 3), wipes="c"
     ),
--- a/tests/model/ledger_model.py
+++ b/tests/model/ledger_model.py
@@ -263,7 +263,7 @@
         peer = Peer(name, name, f"{name}:1", True, True, 1, epoch, False, False, False, last_heard_s=0.0)
         peers.peers[name] = peer
     me = Peer("planner", "planner", "planner:1", True, False, 1, 0, False, False, False, last_heard_s=0.0)
-    knowledge = Knowledge(me, peers, REPLICA_COUNT, 0.0, 0.0)
+    knowledge = Knowledge(me, peers, REPLICA_COUNT, 0.0, 0.0, 0.0)
     return _all_synced({name: f"{name}:1" for name in VIEWS[CHANGING].next_ids}, CHANGING, knowledge)
 
 
--- a/tests/model/ledger_parts.py
+++ b/tests/model/ledger_parts.py
@@ -1,4 +1,4 @@
-"""A store and a sender as parts of the ledger model: the real `Store` and `StoreClient`, unmodified.
+"""A store and a sender as parts of the ledger model: the real `Store` and `LedgerClient`, unmodified.
 
 Only what surrounds them is the model's: the disk is sqlite in memory, and a ballot's requests wait in its network
 instead of a `Round`.
@@ -22,10 +22,11 @@
 from dewpin.controlplane import store as store_module
 from dewpin.controlplane.ledger_replica import LedgerRecord
 from dewpin.controlplane.store import Store
-from dewpin.dataplane import ledger, store_client
+from dewpin.dataplane import ledger, ledger_client
+from dewpin.dataplane.background import BackgroundTasks
+from dewpin.dataplane.ledger_client import LedgerClient
 from dewpin.dataplane.program_store import BudgetSpent
-from dewpin.dataplane.replica_calls import ViewMoved
-from dewpin.dataplane.store_client import StoreClient
+from dewpin.dataplane.replica_calls import ViewHolder, ViewMoved
 from tests.model.component import Event, freeze, freeze_proposal, position
 
 PROGRAM = "program"
@@ -142,7 +143,7 @@
         return -0.5
 
 
-class _ModelClient(StoreClient):
+class _ModelClient(LedgerClient):
     """The client whose ballots wait for the model."""
 
     proposal: Proposal | None = None
@@ -166,8 +167,10 @@
         self._views = views
         self._operations = operations
         self._budget = budget
-        self._client = _ModelClient(None, REPLICA_COUNT, _NoPauses(), proposer=name, wall_clock_ms=lambda: clock_ms)
-        self._client.adopt(views[1])
+        holder = ViewHolder()
+        holder.adopt(views[1])
+        background = BackgroundTasks()
+        self._client = _ModelClient(None, holder, REPLICA_COUNT, name, _NoPauses(), lambda: clock_ms, background)
         self._done = 0
         self._running: Coroutine[Any, Any, Any] | None = None
 
@@ -177,11 +180,11 @@
         kind, *rest = event
         self._client.waiting = []
         if kind == "begin":
-            self._client.adopt(self._views[rest[0]])
+            self._client._views.adopt(self._views[rest[0]])
             self._running = self._operation(self._operations[self._done])
             return self._resume()
         if kind == "move":
-            self._client.adopt(self._views[rest[0]])
+            self._client._views.adopt(self._views[rest[0]])
             return self._resume(ViewMoved())
         if kind == "give_up":
             return self._resume()
@@ -202,8 +205,8 @@
             return self._client._reserve(PROGRAM, turn, tokens, self._budget)
         if kind == "settle":
             self._client._unsettled.setdefault(PROGRAM, {})[turn] = tokens
-            return self._client._change(PROGRAM, ledger.read, only_if_unsettled=turn)
-        return self._client._change(PROGRAM, ledger.read)
+            return self._client.change(PROGRAM, ledger.read, only_if_unsettled=turn)
+        return self._client.change(PROGRAM, ledger.read)
 
     def _resume(self, failure: Exception | None = None) -> Any:
         assert self._running is not None
@@ -234,7 +237,7 @@
         assert view is not None
         texts = []
         for request in requests:
-            kind, fields = store_client._ledger_message(request, PROGRAM)
+            kind, fields = ledger_client._ledger_message(request, PROGRAM)
             texts.append(json.dumps(wire.request(kind, view, request.member, view=view.to_json(), **fields)))
         return tuple(texts)
 
--- a/tests/model/register_parts.py
+++ b/tests/model/register_parts.py
@@ -14,9 +14,10 @@
 from typing import Any, NamedTuple
 
 from dewpin.cluster.rpc import RpcError
-from dewpin.consensus import Ballot, Proposal, Request
-from dewpin.controlplane import register as register_module
+from dewpin.consensus import Ballot, Prepare, Proposal, Request
+from dewpin.consensus.messages import decode_reply
 from dewpin.controlplane.register import SystemRegister
+from dewpin.controlplane.register_messages import AcceptCall, PrepareCall
 from dewpin.controlplane.system_state import (
     Change,
     ChangeRefused,
@@ -59,17 +60,29 @@
 
 
 class _Rows:
-    """A disk that has synced everything that was written."""
+    """A disk that has synced everything that was written: the replica's rows and the bodies."""
 
     def __init__(self) -> None:
         self.rows: dict[str, tuple[Any, ...]] = {}
+        self.bodies: dict[str, str] = {}
 
     async def write(self, statements: list[tuple[str, tuple[Any, ...]]]) -> None:
-        for _, row in statements:
-            self.rows[row[0]] = row
+        for sql, row in statements:
+            if "INTO register_replica" in sql:
+                self.rows[row[0]] = row
+            elif "INTO register_bodies" in sql:
+                self.bodies[row[0]] = row[1]
+            else:
+                assert sql.startswith("DELETE FROM register_bodies")
+                self.bodies = {digest: body for digest, body in self.bodies.items() if digest == row[0]}
 
     async def query(self, sql: str, arguments: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
-        return [self.rows[key][1:] for key in arguments if key in self.rows]
+        if "FROM register_replica" in sql:
+            return [self.rows[key][1:] for key in arguments if key in self.rows]
+        if "FROM register_bodies" in sql:
+            return [(self.bodies[arguments[0]],)] if arguments[0] in self.bodies else []
+        assert "FROM orders" in sql
+        return [(0,)]
 
 
 class _Answers(Awaitable[None]):
@@ -93,13 +106,25 @@
     proposal: Proposal | None = None
     ballots = 0
 
-    async def _drive(self, proposal: Proposal) -> None:
+    async def _drive(self, proposal: Proposal, held: tuple[str, ...]) -> None:
         self.ballots += 1
         self.proposal = proposal
         self.waiting = proposal.start()
         if proposal.result is None:
             await _Answers()
 
+    def _note_orders(self, state: SystemState) -> Any:
+        return _Noted()  # the history of orders decides nothing here
+
+
+class _Noted:
+    """What stands for the task that writes orders down."""
+
+    _asyncio_future_blocking = False
+
+    def add_done_callback(self, callback: Any) -> None:
+        """Takes a callback that is never called."""
+
 
 def change_of(operation: Operation, newest: SystemState | None) -> Change:
     """The change that an operation makes; a change of members is planned on the newest state known."""
@@ -179,7 +204,7 @@
     def _reply(self, member: str, text: str) -> Any:
         proposal = self._register.proposal
         assert proposal is not None
-        requests = proposal.receive(member, register_module.decode_reply(json.loads(text)))
+        requests = proposal.receive(member, decode_reply(json.loads(text)))
         return self._resume() if proposal.result is not None else (_texts(requests), None)
 
     def _resume(self, failure: BaseException | None = None) -> Any:
@@ -228,8 +253,9 @@
             (
                 replica.accepted,
                 register._counter,
-                register._durable_ballot,
+                register._disk._durable_ballot,
                 freeze(self._disk.rows),
+                freeze(self._disk.bodies),
                 refusal,
                 position(self._running),
                 freeze_proposal(proposal),
@@ -246,4 +272,12 @@
 
 
 def _texts(requests: list[Request]) -> tuple[str, ...]:
-    return tuple(json.dumps(register_module.encode_request(request), sort_keys=True) for request in requests)
+    return tuple(json.dumps(_call_of(request).encode(), sort_keys=True) for request in requests)
+
+
+def _call_of(request: Request) -> PrepareCall | AcceptCall:
+    """The call of a request, with bodies: where the other side has to fetch one is no matter here."""
+    body = request.body
+    if isinstance(body, Prepare):
+        return PrepareCall(request.member, body.ballot, body.known)
+    return AcceptCall(request.member, body.ballot, body.value)
