--- a/tests/model/quorum_model.py
+++ b/tests/model/quorum_model.py
@@ -30,6 +30,8 @@
     def _replace(self, **fields: Any) -> Any: ...
 
 
+CONFLICT = 'conflict"'
+"""Stands in the text of a refusal of both kinds of messages."""
 World = TypeVar("World", bound=HasParts)
 
 
@@ -124,15 +126,19 @@
         request = self._requests[number]
         key = (number, state.parts[request.target], state.parts[request.sender])
         if key not in self._spent:
-            self._spent[key] = self._judge(request, self.at(state, request.target), self.at(state, request.sender))
+            self._spent[key] = self._judge(request, state.parts[request.target], self.at(state, request.sender))
         return self._spent[key]
 
-    def _judge(self, request: Request, held: Any, waiting: Any) -> bool:
-        if self.is_refused_for_good(request, held):
+    def _judge(self, request: Request, target_state: int, waiting: Any) -> bool:
+        target = self.parts[request.target]
+        is_waited_for = waiting.ballot == request.ballot
+        if request.is_prepare and (not is_waited_for or waiting.is_accepting):
             return True
-        if request.is_prepare:
-            return waiting.ballot != request.ballot or waiting.is_accepting or held.promised >= request.ballot
-        return held.promised > request.ballot and (waiting.ballot != request.ballot or not self._hears_conflicts)
+        after, answer = target.step(target_state, ("request", request.text))
+        if answer is None and self.is_refused_for_good(request, target.fingerprint(target_state)):
+            return True
+        is_refused = after == target_state and answer is not None and CONFLICT in answer
+        return is_refused and (request.is_prepare or not is_waited_for or not self._hears_conflicts)
 
     def request_steps(self, state: World) -> Iterator[tuple[Label, World]]:
         """Each request on its way may be handled now."""
@@ -143,7 +149,7 @@
                 continue
             label = ("prepare" if request.is_prepare else "accept", *request.ballot, "at", request.member)
             waiting = self.at(state, request.sender)
-            is_conflict = 'conflict"' in answer
+            is_conflict = CONFLICT in answer
             ends = True
             if waiting.ballot == request.ballot and not (is_conflict and not self._may_hear_conflict(request, waiting)):
                 heard = self.sender_step(handled, request.sender, ("reply", request.member, answer))
--- a/tests/model/register_model.py
+++ b/tests/model/register_model.py
@@ -134,17 +134,24 @@
         is_prepare = message["type"] == "register.prepare"
         return Request(sender, target, member, Ballot(*message["ballot"]), is_prepare, 0, text)
 
+    def is_refused_for_good(self, request: Request, held: ProcessFingerprint) -> bool:
+        """Whether the member that is meant has lost its disk: another incarnation answers there."""
+        return request.member != held.member
+
     def after_result(self, state: World, sender: int, result: tuple[str, str | None]) -> World:
         """Judges how an operation ended."""
         outcome, text = result
-        if text is None:
+        if outcome == "unclear":
             return state
         operation = self._bounds.operations[PROCESSES[sender]][self.at(state, sender).done - 1]
         acknowledged, refused = state.acknowledged, state.refused
         if operation[0] == "put":
             acknowledged = acknowledged | {operation} if outcome == "made" else acknowledged
             refused = refused if outcome == "made" else refused | {operation}
-        after = state._replace(told=state.told | {text}, acknowledged=acknowledged, refused=refused)
+        after = state._replace(acknowledged=acknowledged, refused=refused)
+        if text is None:
+            return after._replace(fault="refused from a state that no ballot has chosen")
+        after = after._replace(told=state.told | {text})
         return after._replace(fault=self._fault_of(after, sender, text))
 
     def _fault_of(self, state: World, sender: int, text: str) -> str | None:
--- a/tests/model/register_parts.py
+++ b/tests/model/register_parts.py
@@ -204,7 +204,10 @@
     def _reply(self, member: str, text: str) -> Any:
         proposal = self._register.proposal
         assert proposal is not None
-        requests = proposal.receive(member, decode_reply(json.loads(text)))
+        try:
+            requests = proposal.receive(member, decode_reply(json.loads(text)))
+        except ChangeRefused as refusal:  # it would rise through the driver of the ballot
+            return self._resume(refusal)
         return self._resume() if proposal.result is not None else (_texts(requests), None)
 
     def _resume(self, failure: BaseException | None = None) -> Any:
