--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from tests.model import ledger_model, register_model
+from tests.model.contact_model import ContactModel
 from tests.model.explorer import Model
 from tests.model.ledger_model import LedgerModel
 from tests.model.register_model import RegisterModel
@@ -69,6 +70,7 @@
     "ledgers: before the change and after it": lambda: _ledger(
         ((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGED), crashes=0
     ),
+    "contact: two seconds": lambda: ContactModel(2),
 }
 """Explored whole with every run of the tests."""
 
@@ -99,5 +101,6 @@
         ((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGED), crashes=1
     ),
     "ledgers: before the change and within it": lambda: _ledger(((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGING)),
+    "contact: two seconds, two heartbeats on their way": lambda: ContactModel(2, in_flight=2),
 }
 """Explored by the command: minutes to an hour each."""
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -16,7 +16,8 @@
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus import Promise, Proposal, Replica, proposal
 from dewpin.consensus.replica import ZERO_BALLOT, Accepted
-from dewpin.controlplane import ledger_replica, register, replica_storage, system_state
+from dewpin.controlplane import ledger_replica, majority_contact, register, replica_storage, system_state
+from dewpin.controlplane.majority_contact import MajorityContact, MemberWord
 from dewpin.controlplane.register import SystemRegister
 from dewpin.controlplane.replica_storage import ReplicaStorage
 from dewpin.controlplane.store import Store
@@ -188,6 +189,19 @@
     patch.setattr(ledger, "fits", lambda value, turn, most, budget: True)
 
 
+def renew_without_a_majority(patch: Patch) -> None:
+    patch.setattr(majority_contact, "majority_of", lambda members: 1)
+
+
+def overlook_the_version_that_is_told(patch: Patch) -> None:
+    original = MajorityContact.answered
+
+    def answered(self: MajorityContact, member: str, word: MemberWord) -> None:
+        original(self, member, MemberWord(word.asked_s, 0))
+
+    patch.setattr(MajorityContact, "answered", answered)
+
+
 @dataclass(frozen=True)
 class Mutation:
     """A wrong variant and the check that catches it: a model's name with its bound, or `module::test`."""
@@ -207,6 +221,7 @@
 CRASH = "register: an order sent again after a crash"
 RESERVATIONS = "ledgers: two reservations"
 SETTLEMENT = "ledgers: a settlement under a prepared ballot"
+CONTACT = "contact: two seconds"
 CHANGE = "ledgers: before the change and after it"
 COPIES = "tests.model.test_copied_votes::test_a_copied_value_that_was_never_chosen_is_not_read_as_chosen"
 
@@ -228,6 +243,8 @@
     Mutation(answer_under_another_epoch, CHANGE, 500_000),
     Mutation(count_a_copy_as_a_vote, COPIES),
     Mutation(leave_copied_values_out, CHANGE, 100_000),
+    Mutation(renew_without_a_majority, CONTACT, 50_000),
+    Mutation(overlook_the_version_that_is_told, CONTACT, 50_000),
     Mutation(settle_twice, SETTLEMENT, 50_000),
     Mutation(lose_a_settlement, SETTLEMENT, 50_000),
     Mutation(reserve_over_the_budget, RESERVATIONS, 20_000),
