Mutations: former members left out, and thirteen more, each caught by a named check

Cause: the variant "quorum sets without the former members" was not caught: the models of a change of members mostly reach the own replica at once, and no reader asked while the change was at a majority of the new members alone. Others of the list had no check by name.

A check by test may now have arguments; a failure by pytest.fail within it (a refusal that did not come) counts as its failure too, beside AssertionError.

--- /dev/null
+++ b/tests/controlplane/test_configuration_bodies.py
@@ -0,0 +1,42 @@
+"""Bodies of configurations that are fetched from another process."""
+
+import asyncio
+
+import pytest
+
+from dewpin.controlplane.configuration_bodies import BodyUnavailable, ConfigurationBodies
+from dewpin.controlplane.register_messages import BodyPage
+from dewpin.controlplane.system_state import digest_of, genesis
+
+BODY = '{"services":{}}'
+BASE = 0
+SOURCE = "10.0.0.1:1"
+
+
+class Source:
+    """Another process that answers each request for a body with the next of its pages."""
+
+    def __init__(self, *bodies):
+        self._bodies = list(bodies)
+
+    async def call(self, address, message, timeout_s):
+        body = self._bodies.pop(0)
+        return BodyPage(body, len(body)).encode()
+
+
+def state_without_body():
+    digest = digest_of(BODY.encode(), BASE)
+    state = genesis({"a": SOURCE}, {})
+    return {**state, "accepted": [[1, digest]], "configuration": {"generation": 1, "digest": digest}}
+
+
+def test_a_body_of_other_bytes_than_its_digest_says_is_not_taken_and_is_fetched_anew():
+    async def scene():
+        bodies = ConfigurationBodies(Source(BODY.replace("{}", "[]"), BODY))
+        with pytest.raises(BodyUnavailable):
+            await bodies.from_wire(state_without_body(), SOURCE)
+        assert bodies.held() == ()
+        whole = await bodies.from_wire(state_without_body(), SOURCE)
+        assert whole["configuration"]["body"] == BODY
+
+    asyncio.run(scene())
--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -60,6 +60,9 @@
     ),
     "register: reads after a race": lambda: _register((ORDER_X, READ), (ORDER_Y, READ), ballots=_ballots(2, 2)),
     "register: a change of members and an order": lambda: _register((ORDER_X,), (REPLACE_C,), ballots=_ballots(2, 1)),
+    "register: a change of members and a read, the own replica may fail": lambda: _register(
+        (READ,), (REPLACE_C,), ballots=_ballots(1, 1), reaches_itself=False
+    ),
     "register: a wiped member is replaced": lambda: _register(
         (ORDER_X,), (REPLACE_WIPED_C, SETTLE, READ), ballots=_ballots(1, 3), wipes="c"
     ),
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -7,214 +7,42 @@
 from __future__ import annotations
 
 import importlib
-from collections.abc import Callable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import pytest
+from dataplane.upstream_caller import Caller
 
-from dewpin.cluster.store_view import StoreView
-from dewpin.consensus import Promise, Proposal, Replica, proposal
-from dewpin.consensus.replica import ZERO_BALLOT, Accepted
-from dewpin.controlplane import ledger_replica, majority_contact, register, replica_storage, system_state
-from dewpin.controlplane.majority_contact import MajorityContact, MemberWord
-from dewpin.controlplane.register import SystemRegister
-from dewpin.controlplane.replica_storage import ReplicaStorage
-from dewpin.controlplane.store import Store
-from dewpin.controlplane.sync import _Copy
-from dewpin.dataplane import ledger
-from tests.model import ledger_model, register_parts
+from dewpin.cluster import store_messages as wire
+from dewpin.dataplane.outcome import Outcome
 from tests.model.catalogue import QUICK
 from tests.model.explorer import explore
+from tests.mutations import variants
 
-Patch = pytest.MonkeyPatch
-
-
-def promise_anything(patch: Patch) -> None:
-    def prepare(self: Replica, ballot: Any, known: Any = None) -> Promise:
-        self.promised = ballot
-        return Promise(self.accepted, self.value, self.copied)
-
-    patch.setattr(Replica, "prepare", prepare)
-
-
-def accept_below_the_promise(patch: Patch) -> None:
-    def accept(self: Replica, ballot: Any, value: Any, next_ballot: Any = None) -> Accepted:
-        self.accepted, self.value, self.copied = ballot, value, False
-        self.promised = max(self.promised, ballot, next_ballot or ballot)
-        return Accepted(ballot)
-
-    patch.setattr(Replica, "accept", accept)
-
-
-def overlook_what_was_accepted(patch: Patch) -> None:
-    original = Proposal._on_promise
-
-    def on_promise(self: Proposal, member: str, promise: Promise) -> Any:
-        return original(self, member, Promise(ZERO_BALLOT, None))
-
-    patch.setattr(Proposal, "_on_promise", on_promise)
-
-
-def serve_without_a_majority(patch: Patch) -> None:
-    patch.setattr(proposal, "majority_of", lambda members: 1)
-
-
-def take_any_value_as_chosen(patch: Patch) -> None:
-    patch.setattr(Proposal, "_is_chosen", lambda self, sets: True)
-
-
-def build_on_a_half_made_change_of_members(patch: Patch) -> None:
-    def begin_accept(self: Proposal) -> Any:
-        sets = list(self._quorum_sets(self._highest))
-        value = self._change(self._highest)
-        return self._send_accept(value, [*sets, *self._quorum_sets(value)])
-
-    patch.setattr(Proposal, "_begin_accept", begin_accept)
-
-
-def forget_promises_over_a_restart(patch: Patch) -> None:
-    original = ReplicaStorage.load
-
-    async def load(self: ReplicaStorage) -> None:
-        await original(self)
-        self._replica.promised = ZERO_BALLOT
-
-    patch.setattr(ReplicaStorage, "load", load)
-
-
-def acknowledge_before_the_sync(patch: Patch) -> None:
-    async def persist(self: ReplicaStorage) -> None:
-        self.durable_version = self._replica.value["version"]
-
-    original = replica_storage.ReplicaStorage.persist
-
-    async def only_the_first(self: ReplicaStorage) -> None:
-        await (original(self) if self._replica.value["version"] == 0 else persist(self))
-
-    patch.setattr(ReplicaStorage, "persist", only_the_first)
-
-
-def count_a_wiped_member_under_its_former_id(patch: Patch) -> None:
-    patch.setattr(SystemRegister, "_check_addressee", lambda self, member: None)
-
-
-def refuse_from_a_state_that_is_not_chosen(patch: Patch) -> None:
-    patch.setattr(register._Attempt, "make", lambda self, state: self._change(state))
-
-
-def refuse_a_repeated_order(patch: Patch) -> None:
-    def put(body: bytes, generation: int, base: int) -> Any:
-        change = system_state.put_configuration(body, generation, base)
-        return lambda state: change({**state, "accepted": [], "orders_taken": 0})
-
-    patch.setattr(register_parts, "put_configuration", put)
-
-
-def confirm_both_of_two_orders(patch: Patch) -> None:
-    def put(body: bytes, generation: int, base: int) -> Any:
-        change = system_state.put_configuration(body, generation, base)
-
-        def lenient(state: Any) -> Any:
-            try:
-                return change(state)
-            except system_state.ChangeRefused:
-                return state
-
-        return lenient
-
-    patch.setattr(register_parts, "put_configuration", put)
-
-
-def end_the_view_before_copies_are_whole(patch: Patch) -> None:
-    patch.setattr(_Copy, "_check_whole", lambda self: self._whole.set())
-
-
-def end_the_view_before_all_have_copied(patch: Patch) -> None:
-    patch.setattr(ledger_model, "_all_synced", lambda stores, epoch, knowledge: True)
-
-
-def answer_under_another_epoch(patch: Patch) -> None:
-    check, transact = Store._check, Store._transact
-
-    def lenient_check(self: Store, message: Any) -> Any:
-        if message.get("view") is not None:
-            self.adopt(StoreView.from_json(message["view"]))
-        return check(self, {**message, "epoch": self.view.epoch if self.view is not None else None})
-
-    def lenient_transact(self: Store, view_epoch: int, work: Any) -> Any:
-        return transact(self, self.view.epoch if self.view is not None else view_epoch, work)
-
-    patch.setattr(Store, "_check", lenient_check)
-    patch.setattr(Store, "_transact", lenient_transact)
-
-
-def count_a_copy_as_a_vote(patch: Patch) -> None:
-    original = Proposal._on_promise
-
-    def on_promise(self: Proposal, member: str, promise: Promise) -> Any:
-        return original(self, member, replace(promise, copied=False))
-
-    patch.setattr(Proposal, "_on_promise", on_promise)
-
-
-def leave_copied_values_out(patch: Patch) -> None:
-    def merge(connection: Any, records: Any, now_ms: int) -> None:
-        for record in records:
-            held = ledger_replica.load(connection, record.program)
-            held.promised = max(held.promised, record.promised)
-            ledger_replica.save(connection, record.program, held, now_ms)
-
-    patch.setattr(ledger_replica, "merge", merge)
-
-
-def settle_twice(patch: Patch) -> None:
-    def settle(turn: str, used: int) -> ledger.Change:
-        def change(value: Any) -> Any:
-            if value is None:
-                return value
-            still_open = {other: most for other, most in value["open"].items() if other != turn}
-            return ledger.Ledger(spent=value["spent"] + used, open=still_open)
-
-        return change
-
-    patch.setattr(ledger, "settle", settle)
-
-
-def lose_a_settlement(patch: Patch) -> None:
-    patch.setattr(ledger, "settle", lambda turn, used: lambda value: value)
-
-
-def reserve_over_the_budget(patch: Patch) -> None:
-    patch.setattr(ledger, "fits", lambda value, turn, most, budget: True)
-
-
-def renew_without_a_majority(patch: Patch) -> None:
-    patch.setattr(majority_contact, "majority_of", lambda members: 1)
-
-
-def overlook_the_version_that_is_told(patch: Patch) -> None:
-    original = MajorityContact.answered
-
-    def answered(self: MajorityContact, member: str, word: MemberWord) -> None:
-        original(self, member, MemberWord(word.asked_s, 0))
-
-    patch.setattr(MajorityContact, "answered", answered)
+Patch = variants.Patch
 
 
 @dataclass(frozen=True)
 class Mutation:
-    """A wrong variant and the check that catches it: a model's name with its bound, or `module::test`."""
+    """A wrong variant and the check that catches it: a model's name with its bound, or `module::test` and what gives
+    the test's arguments."""
 
     make: Callable[[Patch], None]
     check: str
     most_states: int = 0
+    arguments: Callable[[], Mapping[str, Any]] = dict
 
 
 RACE = "register: two orders, two ballots each"
 READS = "register: reads after a race"
 AGAIN = "register: one order at two processes, sent again"
 WIPED = "register: a wiped member is replaced"
+FORMER = "register: a change of members and a read, the own replica may fail"
+FORMER_SCRIPTED = (
+    "tests.model.test_former_members::"
+    "test_a_change_of_members_that_the_former_ones_may_not_know_of_is_not_read_as_chosen"
+)
 HALF_MADE = (
     "tests.consensus.test_register::test_an_unfinished_change_of_members_is_confirmed_before_anything_is_built_on_it"
 )
@@ -223,31 +51,73 @@
 SETTLEMENT = "ledgers: a settlement under a prepared ballot"
 CONTACT = "contact: two seconds"
 CHANGE = "ledgers: before the change and after it"
+PREPARED = "tests.model.test_prepared_ballots::test_a_prepared_ballot_is_used_under_the_epoch_of_its_promises_alone"
 COPIES = "tests.model.test_copied_votes::test_a_copied_value_that_was_never_chosen_is_not_read_as_chosen"
 
+CUT_OFF = "tests.controlplane.test_cut_off::test_a_process_that_is_cut_off_grants_nothing_and_passes_nothing_on"
+STARTED_ANEW = "tests.controlplane.test_cut_off::test_a_process_started_anew_serves_nothing_from_its_disk"
+STORES_CHANGE = (
+    "tests.controlplane.test_reconfiguration::test_the_change_of_stores_ends_only_when_every_next_one_has_copied"
+)
+RETIREMENT = "tests.controlplane.test_reconfiguration::test_a_retirement_is_not_done_before_the_others_hold_everything"
+BODIES = (
+    "tests.controlplane.test_configuration_bodies::"
+    "test_a_body_of_other_bytes_than_its_digest_says_is_not_taken_and_is_fetched_anew"
+)
+NEWCOMER = (
+    "tests.controlplane.test_senders_and_keepers::"
+    "test_a_sender_started_beside_a_process_that_is_cut_off_is_ready_only_with_another"
+)
+NO_ROUTE = (
+    "tests.dataplane.test_request_path::"
+    "test_a_request_without_a_route_is_refused_while_no_majority_has_confirmed_the_configuration"
+)
+UNKNOWN_EFFECT = "tests.dataplane.test_retry::test_an_unknown_effect_ends_what_may_not_be_repeated"
+USED_CONNECTION = "tests.dataplane.test_upstream::test_a_refusal_without_an_id_proves_nothing_on_a_used_connection"
+LATE_ANSWER = "tests.cluster.test_rpc_endings::test_the_late_answer_to_an_abandoned_call_reaches_nobody"
+
 MUTATIONS = [
-    Mutation(promise_anything, RACE, 20_000),
-    Mutation(accept_below_the_promise, RESERVATIONS, 50_000),
-    Mutation(overlook_what_was_accepted, RACE, 20_000),
-    Mutation(serve_without_a_majority, RACE, 20_000),
-    Mutation(take_any_value_as_chosen, READS, 20_000),
-    Mutation(build_on_a_half_made_change_of_members, HALF_MADE),
-    Mutation(forget_promises_over_a_restart, CRASH, 20_000),
-    Mutation(acknowledge_before_the_sync, CRASH, 20_000),
-    Mutation(count_a_wiped_member_under_its_former_id, WIPED, 40_000),
-    Mutation(refuse_from_a_state_that_is_not_chosen, RACE, 20_000),
-    Mutation(refuse_a_repeated_order, AGAIN, 20_000),
-    Mutation(confirm_both_of_two_orders, RACE, 20_000),
-    Mutation(end_the_view_before_copies_are_whole, CHANGE, 100_000),
-    Mutation(end_the_view_before_all_have_copied, CHANGE, 500_000),
-    Mutation(answer_under_another_epoch, CHANGE, 500_000),
-    Mutation(count_a_copy_as_a_vote, COPIES),
-    Mutation(leave_copied_values_out, CHANGE, 100_000),
-    Mutation(renew_without_a_majority, CONTACT, 50_000),
-    Mutation(overlook_the_version_that_is_told, CONTACT, 50_000),
-    Mutation(settle_twice, SETTLEMENT, 50_000),
-    Mutation(lose_a_settlement, SETTLEMENT, 50_000),
-    Mutation(reserve_over_the_budget, RESERVATIONS, 20_000),
+    Mutation(variants.promise_anything, RACE, 20_000),
+    Mutation(variants.accept_below_the_promise, RESERVATIONS, 50_000),
+    Mutation(variants.overlook_what_was_accepted, RACE, 20_000),
+    Mutation(variants.serve_without_a_majority, RACE, 20_000),
+    Mutation(variants.take_any_value_as_chosen, READS, 20_000),
+    Mutation(variants.build_on_a_half_made_change_of_members, HALF_MADE),
+    Mutation(variants.leave_the_former_members_out, FORMER, 20_000),
+    Mutation(variants.leave_the_former_members_out, FORMER_SCRIPTED),
+    Mutation(variants.forget_promises_over_a_restart, CRASH, 20_000),
+    Mutation(variants.acknowledge_before_the_sync, CRASH, 20_000),
+    Mutation(variants.count_a_wiped_member_under_its_former_id, WIPED, 40_000),
+    Mutation(variants.refuse_from_a_state_that_is_not_chosen, RACE, 20_000),
+    Mutation(variants.refuse_a_repeated_order, AGAIN, 20_000),
+    Mutation(variants.confirm_both_of_two_orders, RACE, 20_000),
+    Mutation(variants.end_the_view_before_copies_are_whole, CHANGE, 100_000),
+    Mutation(variants.end_the_view_before_all_have_copied, CHANGE, 500_000),
+    Mutation(variants.answer_under_another_epoch, CHANGE, 500_000),
+    Mutation(variants.count_a_copy_as_a_vote, COPIES),
+    Mutation(variants.leave_copied_values_out, CHANGE, 100_000),
+    Mutation(variants.renew_without_a_majority, CONTACT, 50_000),
+    Mutation(variants.overlook_the_version_that_is_told, CONTACT, 50_000),
+    Mutation(variants.settle_twice, SETTLEMENT, 50_000),
+    Mutation(variants.lose_a_settlement, SETTLEMENT, 50_000),
+    Mutation(variants.reserve_over_the_budget, RESERVATIONS, 20_000),
+    Mutation(variants.take_whatever_ballot_is_copied, CHANGE, 500_000),
+    Mutation(variants.tell_no_value_to_a_proposer_that_knows_none, RESERVATIONS, 50_000),
+    Mutation(
+        variants.use_a_prepared_ballot_over_an_epoch,
+        PREPARED,
+        arguments=lambda: {"epoch": 2, "first_round": wire.LEDGER_PREPARE},
+    ),
+    Mutation(variants.take_an_answer_without_its_id, USED_CONNECTION, arguments=lambda: {"call": Caller()}),
+    Mutation(variants.take_a_reset_for_a_proof, UNKNOWN_EFFECT, arguments=lambda: {"outcome": Outcome.RESET}),
+    Mutation(variants.use_the_numbers_of_calls_again, LATE_ANSWER, arguments=lambda: {"how": "timed out"}),
+    Mutation(variants.let_a_store_go_before_one_has_copied, STORES_CHANGE),
+    Mutation(variants.let_a_retiring_store_go_at_once, RETIREMENT),
+    Mutation(variants.grant_and_tell_without_a_majority, CUT_OFF, arguments=lambda: {"number": 1, "how": "both"}),
+    Mutation(variants.serve_from_the_disk, STARTED_ANEW),
+    Mutation(variants.answer_404_while_unconfirmed, NO_ROUTE),
+    Mutation(variants.be_ready_before_a_majority_has_confirmed, NEWCOMER, arguments=lambda: {"seed": 3}),
+    Mutation(variants.take_a_body_without_its_digest, BODIES),
 ]
 
 
@@ -258,8 +128,8 @@
     mutation.make(monkeypatch)
     if not mutation.most_states:
         module, _, test = mutation.check.partition("::")
-        with pytest.raises(AssertionError):
-            getattr(importlib.import_module(module), test)()
+        with pytest.raises((AssertionError, pytest.fail.Exception)):
+            getattr(importlib.import_module(module), test)(**mutation.arguments())
         return
     report = explore(QUICK[mutation.check](), mutation.most_states)
     record_property("states", report.states)
--- /dev/null
+++ b/tests/mutations/variants.py
@@ -0,0 +1,312 @@
+"""Wrong variants of the control side and its clients, each made in process by a function that patches the program."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from dewpin.cluster import rpc
+from dewpin.cluster.store_view import StoreView
+from dewpin.consensus import Promise, Proposal, Replica, proposal
+from dewpin.consensus.replica import ZERO_BALLOT, Accepted
+from dewpin.controlplane import (
+    ledger_replica,
+    majority_contact,
+    reconfiguration,
+    register,
+    replica_storage,
+    system_state,
+)
+from dewpin.controlplane.configuration_bodies import ConfigurationBodies
+from dewpin.controlplane.majority_contact import MajorityContact, MemberWord, RegisterConfirmation
+from dewpin.controlplane.register import SystemRegister
+from dewpin.controlplane.replica_storage import ReplicaStorage
+from dewpin.controlplane.store import Store
+from dewpin.controlplane.sync import _Copy
+from dewpin.dataplane import ledger, ledger_client, upstream
+from dewpin.dataplane.outcome import Outcome
+from dewpin.dataplane.request_path import RequestPath
+from dewpin.dataplane.retry import RetryStage
+from dewpin.dataplane.state_confirmation import StateConfirmation
+from tests.model import ledger_model, register_parts
+
+Patch = pytest.MonkeyPatch
+
+
+def promise_anything(patch: Patch) -> None:
+    def prepare(self: Replica, ballot: Any, known: Any = None) -> Promise:
+        self.promised = ballot
+        return Promise(self.accepted, self.value, self.copied)
+
+    patch.setattr(Replica, "prepare", prepare)
+
+
+def accept_below_the_promise(patch: Patch) -> None:
+    def accept(self: Replica, ballot: Any, value: Any, next_ballot: Any = None) -> Accepted:
+        self.accepted, self.value, self.copied = ballot, value, False
+        self.promised = max(self.promised, ballot, next_ballot or ballot)
+        return Accepted(ballot)
+
+    patch.setattr(Replica, "accept", accept)
+
+
+def overlook_what_was_accepted(patch: Patch) -> None:
+    original = Proposal._on_promise
+
+    def on_promise(self: Proposal, member: str, promise: Promise) -> Any:
+        return original(self, member, Promise(ZERO_BALLOT, None))
+
+    patch.setattr(Proposal, "_on_promise", on_promise)
+
+
+def serve_without_a_majority(patch: Patch) -> None:
+    patch.setattr(proposal, "majority_of", lambda members: 1)
+
+
+def take_any_value_as_chosen(patch: Patch) -> None:
+    patch.setattr(Proposal, "_is_chosen", lambda self, sets: True)
+
+
+def build_on_a_half_made_change_of_members(patch: Patch) -> None:
+    def begin_accept(self: Proposal) -> Any:
+        sets = list(self._quorum_sets(self._highest))
+        value = self._change(self._highest)
+        return self._send_accept(value, [*sets, *self._quorum_sets(value)])
+
+    patch.setattr(Proposal, "_begin_accept", begin_accept)
+
+
+def leave_the_former_members_out(patch: Patch) -> None:
+    patch.setattr(register, "quorum_sets", lambda state: [frozenset(state["members"])])
+
+
+def forget_promises_over_a_restart(patch: Patch) -> None:
+    original = ReplicaStorage.load
+
+    async def load(self: ReplicaStorage) -> None:
+        await original(self)
+        self._replica.promised = ZERO_BALLOT
+
+    patch.setattr(ReplicaStorage, "load", load)
+
+
+def acknowledge_before_the_sync(patch: Patch) -> None:
+    async def persist(self: ReplicaStorage) -> None:
+        self.durable_version = self._replica.value["version"]
+
+    original = replica_storage.ReplicaStorage.persist
+
+    async def only_the_first(self: ReplicaStorage) -> None:
+        await (original(self) if self._replica.value["version"] == 0 else persist(self))
+
+    patch.setattr(ReplicaStorage, "persist", only_the_first)
+
+
+def count_a_wiped_member_under_its_former_id(patch: Patch) -> None:
+    patch.setattr(SystemRegister, "_check_addressee", lambda self, member: None)
+
+
+def refuse_from_a_state_that_is_not_chosen(patch: Patch) -> None:
+    patch.setattr(register._Attempt, "make", lambda self, state: self._change(state))
+
+
+def refuse_a_repeated_order(patch: Patch) -> None:
+    def put(body: bytes, generation: int, base: int) -> Any:
+        change = system_state.put_configuration(body, generation, base)
+        return lambda state: change({**state, "accepted": [], "orders_taken": 0})
+
+    patch.setattr(register_parts, "put_configuration", put)
+
+
+def confirm_both_of_two_orders(patch: Patch) -> None:
+    def put(body: bytes, generation: int, base: int) -> Any:
+        change = system_state.put_configuration(body, generation, base)
+
+        def lenient(state: Any) -> Any:
+            try:
+                return change(state)
+            except system_state.ChangeRefused:
+                return state
+
+        return lenient
+
+    patch.setattr(register_parts, "put_configuration", put)
+
+
+def end_the_view_before_copies_are_whole(patch: Patch) -> None:
+    patch.setattr(_Copy, "_check_whole", lambda self: self._whole.set())
+
+
+def end_the_view_before_all_have_copied(patch: Patch) -> None:
+    patch.setattr(ledger_model, "_all_synced", lambda stores, epoch, knowledge: True)
+
+
+def answer_under_another_epoch(patch: Patch) -> None:
+    check, transact = Store._check, Store._transact
+
+    def lenient_check(self: Store, message: Any) -> Any:
+        if message.get("view") is not None:
+            self.adopt(StoreView.from_json(message["view"]))
+        return check(self, {**message, "epoch": self.view.epoch if self.view is not None else None})
+
+    def lenient_transact(self: Store, view_epoch: int, work: Any) -> Any:
+        return transact(self, self.view.epoch if self.view is not None else view_epoch, work)
+
+    patch.setattr(Store, "_check", lenient_check)
+    patch.setattr(Store, "_transact", lenient_transact)
+
+
+def count_a_copy_as_a_vote(patch: Patch) -> None:
+    original = Proposal._on_promise
+
+    def on_promise(self: Proposal, member: str, promise: Promise) -> Any:
+        return original(self, member, replace(promise, copied=False))
+
+    patch.setattr(Proposal, "_on_promise", on_promise)
+
+
+def leave_copied_values_out(patch: Patch) -> None:
+    def merge(connection: Any, records: Any, now_ms: int) -> None:
+        for record in records:
+            held = ledger_replica.load(connection, record.program)
+            held.promised = max(held.promised, record.promised)
+            ledger_replica.save(connection, record.program, held, now_ms)
+
+    patch.setattr(ledger_replica, "merge", merge)
+
+
+def settle_twice(patch: Patch) -> None:
+    def settle(turn: str, used: int) -> ledger.Change:
+        def change(value: Any) -> Any:
+            if value is None:
+                return value
+            still_open = {other: most for other, most in value["open"].items() if other != turn}
+            return ledger.Ledger(spent=value["spent"] + used, open=still_open)
+
+        return change
+
+    patch.setattr(ledger, "settle", settle)
+
+
+def lose_a_settlement(patch: Patch) -> None:
+    patch.setattr(ledger, "settle", lambda turn, used: lambda value: value)
+
+
+def reserve_over_the_budget(patch: Patch) -> None:
+    patch.setattr(ledger, "fits", lambda value, turn, most, budget: True)
+
+
+def renew_without_a_majority(patch: Patch) -> None:
+    patch.setattr(majority_contact, "majority_of", lambda members: 1)
+
+
+def overlook_the_version_that_is_told(patch: Patch) -> None:
+    original = MajorityContact.answered
+
+    def answered(self: MajorityContact, member: str, word: MemberWord) -> None:
+        original(self, member, MemberWord(word.asked_s, 0))
+
+    patch.setattr(MajorityContact, "answered", answered)
+
+
+def take_whatever_ballot_is_copied(patch: Patch) -> None:
+    def merge(connection: Any, records: Any, now_ms: int) -> None:
+        for record in records:
+            promised = max(ledger_replica.load(connection, record.program).promised, record.promised)
+            copy = Replica(promised, record.accepted, record.value, copied=True)
+            ledger_replica.save(connection, record.program, copy, now_ms)
+
+    patch.setattr(ledger_replica, "merge", merge)
+
+
+def tell_no_value_to_a_proposer_that_knows_none(patch: Patch) -> None:
+    original = Replica.prepare
+
+    def prepare(self: Replica, ballot: Any, known: Any = None) -> Any:
+        reply = original(self, ballot, known)
+        return replace(reply, value=None) if isinstance(reply, Promise) and known is None else reply
+
+    patch.setattr(Replica, "prepare", prepare)
+
+
+def use_a_prepared_ballot_over_an_epoch(patch: Patch) -> None:
+    class AnyEpoch(int):
+        def __ne__(self, other: object) -> bool:
+            return False
+
+    original = ledger_client._Prepared
+    patch.setattr(ledger_client, "_Prepared", lambda epoch, *rest: original(AnyEpoch(epoch), *rest))
+
+
+def take_an_answer_without_its_id(patch: Patch) -> None:
+    patch.setattr(upstream, "is_answer_to", lambda response, request, is_first: True)
+
+
+def take_a_reset_for_a_proof(patch: Patch) -> None:
+    original = RetryStage.record_call
+
+    def record_call(self: RetryStage, receiver_id: str, outcome: Outcome, *rest: Any, **named: Any) -> None:
+        proves = outcome is Outcome.RESET and not self._policy.repeatable
+        original(self, receiver_id, Outcome.NOT_EXECUTED if proves else outcome, *rest, **named)
+
+    patch.setattr(RetryStage, "record_call", record_call)
+
+
+def use_the_numbers_of_calls_again(patch: Patch) -> None:
+    def least_free(self: Any) -> int:
+        return next(number for number in itertools.count(1) if number not in self._waiting)
+
+    patch.setattr(rpc._ClientConnection, "_number", property(least_free, lambda self, number: None), raising=False)
+
+
+def let_a_store_go_before_one_has_copied(patch: Patch) -> None:
+    def all_but_one(stores: dict[str, str], epoch: int, knowledge: Any) -> bool:
+        synced = {peer.id: peer.synced_epoch for peer in knowledge.everyone()}
+        return sum(synced.get(store, -1) >= epoch for store in stores) >= len(stores) - 1
+
+    patch.setattr(reconfiguration, "_all_synced", all_but_one)
+
+
+def let_a_retiring_store_go_at_once(patch: Patch) -> None:
+    def at_once(state: Any, knowledge: Any) -> Any:
+        return next((system_state.finish_retirement(name) for name in state["retiring"]), None)
+
+    patch.setattr(reconfiguration, "_retirement_that_is_done", at_once)
+
+
+def grant_and_tell_without_a_majority(patch: Patch) -> None:
+    patch.setattr(RegisterConfirmation, "is_current", lambda self: True)
+
+
+def serve_from_the_disk(patch: Patch) -> None:
+    original = RegisterConfirmation.age_s
+
+    def age_s(self: RegisterConfirmation) -> float:
+        return 0.0 if self._contact.confirmed_s == majority_contact.NEVER_S else original(self)
+
+    patch.setattr(RegisterConfirmation, "age_s", age_s)
+
+
+def answer_404_while_unconfirmed(patch: Patch) -> None:
+    original = RequestPath._handle
+
+    def handle(self: Any, request: Any) -> Any:
+        self._state.is_current = lambda: True
+        return original(self, request)
+
+    patch.setattr(RequestPath, "_handle", handle)
+
+
+def be_ready_before_a_majority_has_confirmed(patch: Patch) -> None:
+    patch.setattr(StateConfirmation, "is_confirmed", property(lambda self: True))
+
+
+def take_a_body_without_its_digest(patch: Patch) -> None:
+    async def body(self: ConfigurationBodies, digest: str, base: int, source: str) -> str:
+        self._bodies[digest] = await self._fetch(digest, source)
+        return self._bodies[digest]
+
+    patch.setattr(ConfigurationBodies, "_body", body)
