Model check: the retirement of a store, with copies in any order and one store wiped

Cause: retirement was listed as not covered by the models.

Change: retirement_model.py drives the unmodified due_change, the changes of system_state, the rule that ends a copy and the views' replicas: four stores of which d is retired, one record for each set of replicas, a store wiped at any moment that comes back or not, drivers just started. A test shows that it reaches a retirement that is done with a wiped store replaced.

--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -9,6 +9,7 @@
 from tests.model.explorer import Model
 from tests.model.ledger_model import LedgerModel
 from tests.model.register_model import RegisterModel
+from tests.model.retirement_model import RetirementModel, keys
 
 MOST_STATES = 20_000_000
 """Far above all models here: each is explored whole, or the search is cut off and says so."""
@@ -74,6 +75,10 @@
         ((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGED), crashes=0
     ),
     "contact: two seconds": lambda: ContactModel(2),
+    "retirement of d: a record at a, b and c": lambda: RetirementModel(keys()["abc"]),
+    "retirement of d: a record at a, b and d": lambda: RetirementModel(keys()["abd"]),
+    "retirement of d: a record at a, c and d": lambda: RetirementModel(keys()["acd"]),
+    "retirement of d: a record at b, c and d": lambda: RetirementModel(keys()["bcd"]),
 }
 """Explored whole with every run of the tests."""
 
--- /dev/null
+++ b/tests/model/test_retirement_model.py
@@ -0,0 +1,18 @@
+"""What the model of a retirement reaches: without these states its properties would hold for nothing."""
+
+import json
+
+from tests.model.retirement_model import RETURNED, RetirementModel, keys
+
+
+def test_the_model_reaches_a_retirement_that_is_done_after_a_store_was_wiped_and_replaced():
+    model = RetirementModel(keys()["abd"])
+    seen, waiting = {model.initial()}, [model.initial()]
+    while waiting:
+        after = {state for _, state in model.steps(waiting.pop())} - seen
+        seen |= after
+        waiting += after
+    done = [state for state in seen if state.acknowledged and json.loads(state.system)["retired"] == ["machine-d"]]
+    assert any(not state.wiped for state in done)
+    replaced = [state for state in done if state.fate == RETURNED and state.wiped == "a"]
+    assert any(set(json.loads(state.system)["stores"]["stable"]) == {"A", "b", "c"} for state in replaced)
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -60,6 +60,7 @@
     "tests.controlplane.test_reconfiguration::test_the_change_of_stores_ends_only_when_every_next_one_has_copied"
 )
 RETIREMENT = "tests.controlplane.test_reconfiguration::test_a_retirement_is_not_done_before_the_others_hold_everything"
+RETIRES = "retirement of d: a record at a, b and d"
 BODIES = (
     "tests.controlplane.test_configuration_bodies::"
     "test_a_body_of_other_bytes_than_its_digest_says_is_not_taken_and_is_fetched_anew"
@@ -113,6 +114,9 @@
     Mutation(variants.use_the_numbers_of_calls_again, LATE_ANSWER, arguments=lambda: {"how": "timed out"}),
     Mutation(variants.let_a_store_go_before_one_has_copied, STORES_CHANGE),
     Mutation(variants.let_a_retiring_store_go_at_once, RETIREMENT),
+    Mutation(variants.let_a_retiring_store_go_at_once, RETIRES, 5_000),
+    Mutation(variants.let_a_store_go_before_any_has_copied, RETIRES, 5_000),
+    Mutation(variants.end_the_view_before_copies_are_whole, RETIRES, 40_000),
     Mutation(variants.grant_and_tell_without_a_majority, CUT_OFF, arguments=lambda: {"number": 1, "how": "both"}),
     Mutation(variants.serve_from_the_disk, STARTED_ANEW),
     Mutation(variants.answer_404_while_unconfirmed, NO_ROUTE),
--- a/tests/mutations/variants.py
+++ b/tests/mutations/variants.py
@@ -270,6 +270,10 @@
     patch.setattr(reconfiguration, "_all_synced", all_but_one)
 
 
+def let_a_store_go_before_any_has_copied(patch: Patch) -> None:
+    patch.setattr(reconfiguration, "_all_synced", lambda stores, epoch, knowledge: True)
+
+
 def let_a_retiring_store_go_at_once(patch: Patch) -> None:
     def at_once(state: Any, knowledge: Any) -> Any:
         return next((system_state.finish_retirement(name) for name in state["retiring"]), None)
