Simulated runs: a machine's seeds are those of the operator's list, three seconds old

Change: the world keeps when machines came and went, and tells what was there 3 s before. The programs are unchanged.

--- a/tests/simulation/hosts.py
+++ b/tests/simulation/hosts.py
@@ -34,6 +34,7 @@
         self.day_step_ms = 0
         self.powered = True
         self.removed = False
+        self.first_started_s = self.removed_s = float("inf")
         self.boots = 0
 
     @property
@@ -45,6 +46,10 @@
         """Whether the process runs now, neither ended nor frozen."""
         return self.runs and not self.machine.paused
 
+    def was_there(self, now_s):
+        """Whether the machine had been started and was not yet taken away at a time."""
+        return self.first_started_s <= now_s < self.removed_s
+
     def time_of_day_ms(self):
         return int(DAY_BEGAN_MS + self.world.loop.now * 1000 + self.day_step_ms)
 
@@ -53,6 +58,7 @@
 
     def boot(self, bootstrap=False):
         """Start the process."""
+        self.first_started_s = min(self.first_started_s, self.world.loop.now)
         self.life += 1
         rate = 1.0 + MOST_DRIFT * self.world.dice.uniform(-1, 1)
         self.machine = Machine(self.world.loop, self.ip, rate)
@@ -66,7 +72,7 @@
             "zone": self.zone,
             "region": "west",
             "port_range": [FIRST_PORT, LAST_PORT],
-            "seeds": [f"{seed}:8144" for seed in self.world.seeds],
+            "seeds": [f"{seed}:8144" for seed in self.world.seeds()],
             "bootstrap": bootstrap,
             "listen": {name: f"{self.ip}:{port}" for name, port in self.world.listens[self.kind].items()},
             "fault_tolerance": {"machines": self.world.losses},
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -19,6 +19,9 @@
 SAME_ZONE_S, OTHER_ZONE_S, CLIENT_S = 0.0003, 0.0014, 0.003
 RETRANSMIT_S = 0.2
 BACK_AFTER_S = 0.4
+SEED_LAG_S = 3.0
+"""The operator's list of machines, from which settings files take their seeds, is older by this."""
+MOST_SEEDS = 3
 OPERATOR_IP = "10.255.0.1"
 PLATFORM_IP = "10.200.0.100"
 BOUNDS = {
@@ -91,12 +94,11 @@
         self.doubled = 0.0
         self.receivers = [Receiver(f"i-{n}", "lookup", f"10.9.0.{n}:80", ZONES[n % 3], 4) for n in range(3)]
         self.log = []
-        self.seeds = []
         for _ in range(stores):
             self.add(StoreHost)
         for _ in range(fronts):
             self.add(FrontHost)
-        self.seeds = [host.ip for host in self.stores()][:3]
+        self._first_seeds = [host.ip for host in self.stores()][:MOST_SEEDS]
 
     # Machines
 
@@ -118,6 +120,12 @@
     def stores(self):
         return [host for host in self.hosts.values() if host.kind == "store" and not host.removed]
 
+    def seeds(self):
+        """The addresses that a settings file written now names: of machines on the operator's list, which lags."""
+        listed_s = self.loop.now - SEED_LAG_S
+        listed = [host.ip for host in self.hosts.values() if host.kind == "store" and host.was_there(listed_s)]
+        return listed[:MOST_SEEDS] or self._first_seeds
+
     def fronts(self):
         return [host for host in self.hosts.values() if host.kind == "front" and not host.removed]
 
@@ -260,6 +268,7 @@
         """Take a machine away for good."""
         self.power_off(host, None)
         host.removed = True
+        host.removed_s = self.loop.now
         self.oracle.machine_removed(host.ip)
 
     def freeze(self, host):
