--- a/tests/test_system_packages.py
+++ b/tests/test_system_packages.py
@@ -103,7 +103,7 @@
         if directory in ("/bin", "/usr/bin") and os.access(file, os.X_OK) and not (commands / name).exists():
             (commands / name).symlink_to(file)
     for name in ("deploy", "dewpin"):
-        shutil.copytree(ROOT / name, checkout / name, ignore=shutil.ignore_patterns("__pycache__"))
+        shutil.copytree(ROOT / name, checkout / name, symlinks=True, ignore=shutil.ignore_patterns("__pycache__"))
     environment = {"PATH": str(commands), "HOME": str(home)}
     command = [str(commands / "sh"), "deploy/build-system"]
     done = subprocess.run(command, cwd=checkout, env=environment, capture_output=True, text=True, timeout=900)
@@ -127,7 +127,7 @@
             (commands / name).symlink_to(shutil.which(name, path="/usr/bin:/bin"))
     (commands / "python3").write_text(NO_NETWORK)
     (commands / "python3").chmod(0o755)
-    shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
+    shutil.copytree(ROOT / "deploy", tmp_path / "deploy", symlinks=True)
     for _ in ("a clean checkout", "one that was built before"):
         done = subprocess.run(
             [str(commands / "sh"), str(tmp_path / "deploy/build-system")],
