--- a/benchmarks/capacity/context.py
+++ b/benchmarks/capacity/context.py
@@ -85,9 +85,9 @@
         """Time between a sender's renewals."""
         return self.target.change_in_force_s / design.RENEWALS_IN_BOUND
 
-    def lease_s(self, keepers: int) -> float:
-        """How long a lease lasts that isn't renewed, where so many keepers grant it."""
-        return LeaseTable(self.renewal_s).duration_s(keepers)
+    def lease_s(self, control_servers: int) -> float:
+        """How long a lease lasts that isn't renewed, where so many control servers grant it."""
+        return LeaseTable(self.renewal_s).duration_s(control_servers)
 
     @property
     def reading_period_s(self) -> float:
--- a/benchmarks/capacity/coverage.py
+++ b/benchmarks/capacity/coverage.py
@@ -27,7 +27,7 @@
             "`dewpin/controlplane/leases.py`, `dewpin/dataplane/cluster_agent.py`",
             (
                 "processor time of renewals at each",
-                "time between a sender's visits to one keeper",
+                "time between a sender's visits to one control server",
             ),
             "a hollow run of as many stands under the control machines",
         ),
@@ -137,7 +137,7 @@
                 "processor time of renewals at each",
                 "processor time of changes at each member, mean of a day",
                 "processor time of reading the list",
-                "processor time of greetings at each keeper",
+                "processor time of greetings at each control server",
             ),
             "today's deployments run control on the store machines",
         ),
--- a/benchmarks/capacity/design.py
+++ b/benchmarks/capacity/design.py
@@ -71,7 +71,7 @@
 
 
 def relay_depth(senders: int) -> int:
-    """Hops from a keeper to the last of so many senders, as `LeaseTable.parents` lays the tree out."""
+    """Hops from a control server to the last of so many senders, as `LeaseTable.parents` lays the tree out."""
     table = LeaseTable(1.0)
     names = [f"sender-{number}" for number in range(senders)]
     for name in names:
--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -1,7 +1,8 @@
-"""A hollow run: real keepers beside hollow senders, the real protocol over loopback.
+"""A hollow run: real control servers beside hollow senders, the real protocol over loopback.
 
 A hollow sender is the agent of a real one (lease, relay tree, watches) without clients and without reading the
-configuration; many live in one process. Each keeper is a process of its own with its file. The run tells what the
+configuration; many live in one process. Each control server is a process of its own with its file. The run tells
+what the
 processes use when nothing changes, and how long a change takes to reach the senders.
 """
 
@@ -23,13 +24,13 @@
 from dewpin.cluster.receivers import Receiver, receiver_from_platform
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import Settings, parse_settings
-from dewpin.controlplane.keeper import Keeper
+from dewpin.controlplane.control_server import ControlServer
 from dewpin.controlplane.storage import Storage
 from dewpin.controlplane.system_state import put_configuration
 from dewpin.dataplane.cluster_agent import ClusterAgent
 
 PORTS = [17380, 17395]
-KEEPER_NETWORK = "127.77.0."
+CONTROL_NETWORK = "127.77.0."
 SENDER_NETWORK = "127.77."
 SENDERS_IN_NETWORK = 200
 CONTROL_PORT = 17400
@@ -46,11 +47,12 @@
 class HollowResult:
     """What one run told.
 
-    keeper_us_per_s, senders_us_per_s: processor microseconds a second of the busiest keeper and of all senders, when
+    control_server_us_per_s, senders_us_per_s: processor microseconds a second of the busiest control server and of
+    all senders, when
     nothing changes; half_s, all_s: until a change had reached half and all of the senders, the median of the changes.
     """
 
-    keeper_us_per_s: float
+    control_server_us_per_s: float
     senders_us_per_s: float
     half_s: float
     all_s: float
@@ -67,7 +69,7 @@
         return self._receivers
 
 
-def settings_of(name: str, ip: str, keepers: int, serves: list[str], data_dir: str | None) -> Settings:
+def settings_of(name: str, ip: str, control_servers: int, serves: list[str], data_dir: str | None) -> Settings:
     """The settings of one process of the run."""
     raw: dict[str, Any] = {
         "node_name": name,
@@ -75,7 +77,7 @@
         "ip": ip,
         "zone": "zone-1",
         "port_range": PORTS,
-        "seeds": [f"{KEEPER_NETWORK}{number + 1}:{CONTROL_PORT}" for number in range(min(keepers, 3))],
+        "seeds": [f"{CONTROL_NETWORK}{number + 1}:{CONTROL_PORT}" for number in range(min(control_servers, 3))],
         "bootstrap": True,
         "listen": dict.fromkeys(("control", "front", "ready"), f"{ip}:{CONTROL_PORT}"),
         "bounds": {"config_apply_ms": BOUND_S * 1000, "drain_ms": 4000},
@@ -103,32 +105,34 @@
         pipe.send(await answer(asked))
 
 
-def keeper_process(number: int, keepers: int, folder: str, pipe: Connection) -> None:
-    """One keeper; asked for "usage" or to put a generation of a configuration with so many routes."""
+def control_server_process(number: int, control_servers: int, folder: str, pipe: Connection) -> None:
+    """One control server; asked for "usage" or to put a generation of a configuration with so many routes."""
 
     async def serve() -> None:
-        settings = settings_of(f"keeper-{number}", f"{KEEPER_NETWORK}{number + 1}", keepers, ["control"], folder)
+        settings = settings_of(
+            f"control-server-{number}", f"{CONTROL_NETWORK}{number + 1}", control_servers, ["control"], folder
+        )
         storage = Storage(folder)
-        keeper = Keeper(settings, storage, RpcClient(), random.Random(number), platform=FixedPlatform())
-        server = RpcServer(keeper.handlers)
-        await keeper.load()
-        await server.start(*split_address(keeper.address))
-        keeper.start()
+        control_server = ControlServer(settings, storage, RpcClient(), random.Random(number), platform=FixedPlatform())
+        server = RpcServer(control_server.handlers)
+        await control_server.load()
+        await server.start(*split_address(control_server.address))
+        control_server.start()
 
         async def answer(asked: Any) -> Any:
             if asked == "usage":
                 return processor_s()
             if asked == "ready":
-                state = keeper.register.chosen
-                return state is not None and bool(keeper.directory.receivers)
+                state = control_server.register.chosen
+                return state is not None and bool(control_server.directory.receivers)
             generation, base, routes = asked
             change = put_configuration(shapes.configuration(routes), generation, base)
             started_s = time.monotonic()
-            await keeper.register.propose(change, PROPOSE_TIMEOUT_S)
+            await control_server.register.propose(change, PROPOSE_TIMEOUT_S)
             return started_s
 
         await answer_pipe(pipe, answer)
-        await keeper.stop()
+        await control_server.stop()
         await server.stop()
 
     asyncio.run(serve())
@@ -137,14 +141,14 @@
 class HollowSenders:
     """Many agents in one process, and when each of them got each generation of the configuration."""
 
-    def __init__(self, count: int, keepers: int) -> None:
+    def __init__(self, count: int, control_servers: int) -> None:
         self.arrived_s: dict[int, list[float]] = {}
-        self.agents = [self._agent(number, keepers) for number in range(count)]
+        self.agents = [self._agent(number, control_servers) for number in range(count)]
 
-    def _agent(self, number: int, keepers: int) -> ClusterAgent:
+    def _agent(self, number: int, control_servers: int) -> ClusterAgent:
         network, host = divmod(number, SENDERS_IN_NETWORK)
         ip = f"{SENDER_NETWORK}{network + 1}.{host + 1}"
-        settings = settings_of(f"sender-{number}", ip, keepers, ["front"], None)
+        settings = settings_of(f"sender-{number}", ip, control_servers, ["front"], None)
         return ClusterAgent(
             settings, RpcClient(), random.Random(number), self._on_state, lambda _: None, platform=FixedPlatform()
         )
@@ -171,11 +175,11 @@
         )
 
 
-def senders_process(count: int, keepers: int, pipe: Connection) -> None:
+def senders_process(count: int, control_servers: int, pipe: Connection) -> None:
     """The hollow senders; asked for "usage", "ready", or the arrivals of a generation."""
 
     async def serve() -> None:
-        senders = HollowSenders(count, keepers)
+        senders = HollowSenders(count, control_servers)
         await senders.start()
 
         async def answer(asked: Any) -> Any:
@@ -225,28 +229,32 @@
         time.sleep(0.1)
 
 
-def change_times(keeper: Child, senders: Child, count: int, changes: int, routes: int) -> list[list[float]]:
+def change_times(control_server: Child, senders: Child, count: int, changes: int, routes: int) -> list[list[float]]:
     """Arrivals of each change at the senders, in seconds after its order, in order."""
     found = []
     for generation in range(1, changes + 1):
-        started_s = keeper.ask((generation, generation - 1, routes))
+        started_s = control_server.ask((generation, generation - 1, routes))
         reached = lambda: len(senders.ask(generation)) >= count  # noqa: B023, E731
         wait_for(f"change {generation} at all {count} senders", reached, CHANGE_TIMEOUT_S)
         found.append(sorted(arrived_s - started_s for arrived_s in senders.ask(generation)))
     return found
 
 
-def hollow_run(count: int, keepers: int, window_s: float, changes: int, routes: int) -> HollowResult:
-    """Start `keepers` keepers and `count` hollow senders, measure them, end them. TimeoutError when a fact fails."""
+def hollow_run(count: int, control_servers: int, window_s: float, changes: int, routes: int) -> HollowResult:
+    """Start `control servers` control servers and `count` hollow senders, measure them, end them. TimeoutError when
+    a fact fails."""
     children: list[Child] = []
     with tempfile.TemporaryDirectory() as folder:
         try:
-            cores = [Child(keeper_process, number, keepers, f"{folder}/{number}") for number in range(keepers)]
+            cores = [
+                Child(control_server_process, number, control_servers, f"{folder}/{number}")
+                for number in range(control_servers)
+            ]
             children += cores
-            wait_for("keepers", lambda: all(core.ask("ready") for core in cores), START_TIMEOUT_S)
-            senders = Child(senders_process, count, keepers)
+            wait_for("control_servers", lambda: all(core.ask("ready") for core in cores), START_TIMEOUT_S)
+            senders = Child(senders_process, count, control_servers)
             children.append(senders)
-            wait_for("leases at all keepers", lambda: bool(senders.ask("ready")), START_TIMEOUT_S)
+            wait_for("leases at all control servers", lambda: bool(senders.ask("ready")), START_TIMEOUT_S)
             before, started_s = [child.ask("usage") for child in children], time.monotonic()
             time.sleep(window_s)
             used = [child.ask("usage") - was for child, was in zip(children, before, strict=True)]
@@ -257,7 +265,7 @@
                 child.close()
     middle = len(times) // 2
     return HollowResult(
-        keeper_us_per_s=max(used[:-1]) / took_s * 1e6,
+        control_server_us_per_s=max(used[:-1]) / took_s * 1e6,
         senders_us_per_s=used[-1] / took_s * 1e6,
         half_s=sorted(one[len(one) // 2] for one in times)[middle],
         all_s=sorted(one[-1] for one in times)[middle],
--- a/benchmarks/capacity/measures/leases.py
+++ b/benchmarks/capacity/measures/leases.py
@@ -1,4 +1,4 @@
-"""Leases and the greetings between keepers: bytes of records and answers, processor time of a renewal."""
+"""Leases and the greetings between control servers: bytes of records and answers, processor time of a renewal."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 LEASES_MODULE = "dewpin/controlplane/leases.py"
 SENDERS = (30, 100, 350, 1_000)
-KEEPERS = (3, 5, 9, 15)
+CONTROL_SERVERS = (3, 5, 9, 15)
 RENEWAL_S = 2.8
 LEASE_S = 42.0
 
@@ -27,7 +27,7 @@
 
 
 def lease_renew(effort: Effort) -> Series:
-    """Processor time of a keeper to renew one lease and find its sender's place in the relay tree."""
+    """Processor time of a control server to renew one lease and find its sender's place in the relay tree."""
 
     def at(senders: int) -> float:
         table = LeaseTable(RENEWAL_S)
@@ -54,9 +54,9 @@
 
 
 def lease_answer_bytes(_: Effort) -> Series:
-    """Bytes of the answer to a renewal, by the keepers it names."""
+    """Bytes of the answer to a renewal, by the control servers it names."""
 
-    def at(keepers: int) -> float:
+    def at(control_servers: int) -> float:
         answer = {
             "type": "lease.granted",
             "duration_s": LEASE_S,
@@ -64,7 +64,7 @@
             "receivers_version": [4711, "0123456789abcdef"],
             "list_age_s": 0.123456789012,
             "parents": [f"10.0.{number}.9:7381" for number in range(4)],
-            "keepers": [f"10.0.{number}.4:7380" for number in range(keepers)],
+            "control_servers": [f"10.0.{number}.4:7380" for number in range(control_servers)],
             "senders": 350,
         }
         return float(len(encode({"v": 1, "r": 12345, "m": answer})))
@@ -72,16 +72,16 @@
     return Series(
         "lease-answer-bytes",
         "bytes of a renewal's answer",
-        "the shape of dewpin/controlplane/keeper.py",
-        "keepers named",
+        "the shape of dewpin/controlplane/control_server.py",
+        "control servers named",
         "bytes of an answer",
         "B",
-        sample(KEEPERS, ONCE, at),
+        sample(CONTROL_SERVERS, ONCE, at),
     )
 
 
 def hello_bytes(_: Effort) -> Series:
-    """Bytes of one greeting between keepers, both ways, when nothing is new, by those that greet each other."""
+    """Bytes of one greeting between control servers, both ways, when nothing is new, by those that greet each other."""
     record = PeerRecord(
         id="0123456789abcdef",
         name="core-zone-1-1",
@@ -95,14 +95,18 @@
         list_fails=False,
     )
     version = [4711, "0123456789abcdef"]
-    asked = encode({"v": 1, "n": 12345, "m": {"type": "keeper.hello", "from": record, "receivers": version}})
-    told = encode({"v": 1, "r": 12345, "m": {"type": "keeper.hello", "from": record, "list_age_s": 0.123456789012}})
-    points = sample(KEEPERS, ONCE, lambda keepers: float(keepers - 1) * (len(asked) + len(told)))
+    asked = encode({"v": 1, "n": 12345, "m": {"type": "control.heartbeat", "from": record, "receivers": version}})
+    told = encode(
+        {"v": 1, "r": 12345, "m": {"type": "control.heartbeat", "from": record, "list_age_s": 0.123456789012}}
+    )
+    points = sample(
+        CONTROL_SERVERS, ONCE, lambda control_servers: float(control_servers - 1) * (len(asked) + len(told))
+    )
     return Series(
         "hello-bytes",
-        "bytes of one round of greetings of a keeper to all others",
-        "the shape of dewpin/controlplane/keeper.py",
-        "keepers",
+        "bytes of one round of greetings of a control server to all others",
+        "the shape of dewpin/controlplane/control_server.py",
+        "control_servers",
         "bytes a round",
         "B",
         points,
--- a/benchmarks/capacity/measures/scale.py
+++ b/benchmarks/capacity/measures/scale.py
@@ -1,4 +1,4 @@
-"""Series of the hollow run: keepers and senders as their number grows."""
+"""Series of the hollow run: control servers and senders as their number grows."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 from benchmarks.capacity.hollow import HollowResult, hollow_run
 from benchmarks.capacity.series import Effort, Series
 
-AGENT = "dewpin/dataplane/cluster_agent.py, dewpin/controlplane/keeper.py"
+AGENT = "dewpin/dataplane/cluster_agent.py, dewpin/controlplane/control_server.py"
 SENDERS = (30, 100, 200, 350)
 SENDERS_OF_A_TRIAL = (5, 10, 20)
 TRIAL_SECONDS = 0.1
-KEEPERS = 5
+CONTROL_SERVERS = 5
 WINDOW_FACTOR = 12
 CHANGES = 5
 ROUTES = 50
@@ -23,7 +23,7 @@
     """One run at each number of senders, kept for all series of this process."""
     counts = SENDERS if effort.seconds > TRIAL_SECONDS else SENDERS_OF_A_TRIAL
     window_s = effort.seconds * WINDOW_FACTOR
-    return tuple((count, hollow_run(count, KEEPERS, window_s, CHANGES, ROUTES)) for count in counts)
+    return tuple((count, hollow_run(count, CONTROL_SERVERS, window_s, CHANGES, ROUTES)) for count in counts)
 
 
 def series(effort: Effort, name: str, title: str, y_name: str, unit: str, y: Callable[[HollowResult], float]) -> Series:
@@ -32,15 +32,15 @@
     return Series(name, title, AGENT, "senders", y_name, unit, points)
 
 
-def keeper_load(effort: Effort) -> Series:
-    """Processor time of the busiest keeper when nothing changes."""
+def control_server_load(effort: Effort) -> Series:
+    """Processor time of the busiest control server when nothing changes."""
     return series(
         effort,
-        "hollow-keeper",
-        f"hollow run, {KEEPERS} keepers: the busiest one when nothing changes",
+        "hollow-control_server",
+        f"hollow run, {CONTROL_SERVERS} control servers: the busiest one when nothing changes",
         "processor time a second",
         "µs/s",
-        lambda result: result.keeper_us_per_s,
+        lambda result: result.control_server_us_per_s,
     )
 
 
@@ -49,7 +49,7 @@
     return series(
         effort,
         "hollow-senders",
-        f"hollow run, {KEEPERS} keepers: all senders, in one process, when nothing changes",
+        f"hollow run, {CONTROL_SERVERS} control servers: all senders, in one process, when nothing changes",
         "processor time a second",
         "µs/s",
         lambda result: result.senders_us_per_s,
--- a/benchmarks/capacity/measures/system_state.py
+++ b/benchmarks/capacity/measures/system_state.py
@@ -127,22 +127,22 @@
     )
 
 
-def resident_of_keeper(routes: int) -> float:
-    """Resident bytes of a keeper's modules with a system state; run in a process of its own."""
+def resident_of_control_server(routes: int) -> float:
+    """Resident bytes of a control server's modules with a system state; run in a process of its own."""
     import dewpin.controlplane.__main__  # noqa: F401
 
     state = system_state(routes)
     return float(resident_bytes()) if state["version"] else 0.0
 
 
-def keeper_memory(effort: Effort) -> Series:
-    """Memory of a keeper's process with a system state, by its routes."""
+def control_server_memory(effort: Effort) -> Series:
+    """Memory of a control server's process with a system state, by its routes."""
     return memory_series(
-        "keeper-memory",
-        "memory of a keeper's modules with a system state",
+        "control-server-memory",
+        "memory of a control server's modules with a system state",
         "dewpin/controlplane",
         "routes",
         ROUTES,
         effort,
-        resident_of_keeper,
+        resident_of_control_server,
     )
--- a/benchmarks/capacity/roles/control.py
+++ b/benchmarks/capacity/roles/control.py
@@ -13,7 +13,7 @@
 REGISTER = "`dewpin/controlplane/register.py`, `dewpin/consensus`"
 STATE = "`dewpin/controlplane/system_state.py`"
 LIST = "`dewpin/cluster/platform_list.py`, `receivers.py`"
-KEEPER = "`dewpin/controlplane/keeper.py`"
+CONTROL_SERVER = "`dewpin/controlplane/control_server.py`"
 TREE = "`dewpin/dataplane/cluster_agent.py`, `dewpin/controlplane/leases.py`"
 
 
@@ -37,11 +37,11 @@
     target, assumed = context.target, context.assumed
     renewals = target.senders / context.renewal_s
     each = renewals / target.control_machines
-    keepers_if_all = assumed.stores + target.control_machines
+    control_servers_if_all = assumed.stores + target.control_machines
     return [
         context.row(
             "leases held at each",
-            "a sender renews at the keepers in turn, so each comes to know all",
+            "a sender renews at the control servers in turn, so each comes to know all",
             lambda: target.senders,
             "",
             LEASES,
@@ -73,7 +73,7 @@
             1.0,
         ),
         context.row(
-            "the same if each sender renewed at all keepers",
+            "the same if each sender renewed at all control servers",
             f"{plain(renewals)}/s in place of {plain(each)}/s",
             lambda: (
                 renewals
@@ -85,8 +85,8 @@
             1.0,
         ),
         context.row(
-            "time between a sender's visits to one keeper",
-            f"{target.control_machines} keepers × {plain(context.renewal_s)} s, against a lease of "
+            "time between a sender's visits to one control server",
+            f"{target.control_machines} control servers × {plain(context.renewal_s)} s, against a lease of "
             f"max({design.LEASE_PERIODS}, {design.LEASE_ROUNDS} × {target.control_machines}) × "
             f"{plain(context.renewal_s)} s",
             lambda: target.control_machines * context.renewal_s,
@@ -96,11 +96,11 @@
         ),
         context.row(
             "the same if all stores served control too",
-            f"{keepers_if_all} keepers × {plain(context.renewal_s)} s",
-            lambda: keepers_if_all * context.renewal_s,
+            f"{control_servers_if_all} control servers × {plain(context.renewal_s)} s",
+            lambda: control_servers_if_all * context.renewal_s,
             "s",
             LEASES,
-            context.lease_s(keepers_if_all),
+            context.lease_s(control_servers_if_all),
         ),
     ]
 
@@ -156,7 +156,8 @@
         ),
         context.row(
             "depth of the relay tree",
-            f"hops from a keeper by `LeaseTable.parents` of {target.senders} senders, {design.RELAY_FAN_OUT} children "
+            f"hops from a control server by `LeaseTable.parents` of {target.senders} senders, "
+            f"{design.RELAY_FAN_OUT} children "
             "each",
             lambda: depth,
             "hops",
@@ -175,7 +176,7 @@
         ),
         context.row(
             "the same when the tree fails",
-            f"that + two renewals ({plain(context.renewal_s)} s × 1.1 each, one keeper silent)",
+            f"that + two renewals ({plain(context.renewal_s)} s × 1.1 each, one control server silent)",
             lambda: change_s(context) + 2 * 1.1 * context.renewal_s,
             "s",
             LEASES,
@@ -197,11 +198,11 @@
     senders = target.senders
     return [
         context.row(
-            "processor time of the busiest keeper, nothing new",
-            f"hollow-keeper at {senders} senders",
-            lambda: context.at("hollow-keeper", senders) / MICROSECONDS,
+            "processor time of the busiest control server, nothing new",
+            f"hollow-control-server at {senders} senders",
+            lambda: context.at("hollow-control-server", senders) / MICROSECONDS,
             "share",
-            KEEPER,
+            CONTROL_SERVER,
             1.0,
         ),
         context.row(
@@ -232,12 +233,12 @@
 
 
 def list_rows(context: Context) -> list[Row]:
-    """The reader of the platform's list, and the memory of a keeper."""
+    """The reader of the platform's list, and the memory of a control server."""
     target = context.target
     return [
         context.row(
             "processor time of reading the list",
-            f"list-read at {target.receivers} / {plain(context.reading_period_s)} s, at one keeper",
+            f"list-read at {target.receivers} / {plain(context.reading_period_s)} s, at one control server",
             lambda: context.at("list-read", target.receivers) / context.reading_period_s / MICROSECONDS,
             "share",
             LIST,
@@ -245,7 +246,8 @@
         ),
         context.row(
             "processor time of sending it while each reading differs",
-            f"(children + other keepers) = {design.RELAY_FAN_OUT + target.control_machines - 1} × receiver-send / "
+            f"(children + other control servers) = {design.RELAY_FAN_OUT + target.control_machines - 1} × "
+            f"receiver-send / "
             f"{plain(context.reading_period_s)} s",
             lambda: (
                 (design.RELAY_FAN_OUT + target.control_machines - 1)
@@ -254,15 +256,16 @@
                 / MICROSECONDS
             ),
             "share",
-            KEEPER,
+            CONTROL_SERVER,
             1.0,
         ),
         context.row(
-            "memory of a keeper with control alone",
-            f"keeper-memory at {context.routes:,} routes + receiver-memory × {target.receivers} + {target.senders} "
+            "memory of a control server with control alone",
+            f"control-server-memory at {context.routes:,} routes + receiver-memory × {target.receivers} + "
+            f"{target.senders} "
             "connections × connection-memory / 2 (one end)",
             lambda: (
-                context.at("keeper-memory", context.routes)
+                context.at("control-server-memory", context.routes)
                 + target.receivers * context.each("receiver-memory")
                 + target.senders * context.each("connection-memory") / 2
             ),
--- a/benchmarks/capacity/roles/failures.py
+++ b/benchmarks/capacity/roles/failures.py
@@ -102,7 +102,7 @@
             WATCH,
         ),
         context.row(
-            "bytes from the keepers when a region's senders start at once",
+            "bytes from the control servers when a region's senders start at once",
             f"{target.senders} / {target.regions} × (state + receivers): without a lease there is no parent yet",
             lambda: target.senders / target.regions * snapshot(context),
             "B",
--- a/benchmarks/capacity/roles/sender.py
+++ b/benchmarks/capacity/roles/sender.py
@@ -128,7 +128,7 @@
         ),
         context.row(
             "bytes of renewals",
-            f"({design.RENEWAL_REQUEST_BYTES} B + lease-answer-bytes at {target.control_machines} keepers) / "
+            f"({design.RENEWAL_REQUEST_BYTES} B + lease-answer-bytes at {target.control_machines} control servers) / "
             f"{plain(context.renewal_s)} s",
             lambda: renewal_bytes(context),
             "B/s",
--- a/benchmarks/capacity/roles/store.py
+++ b/benchmarks/capacity/roles/store.py
@@ -99,9 +99,10 @@
         ),
         context.row(
             "memory of a store's process",
-            f"keeper-memory at {context.routes:,} routes + {target.senders} connections × connection-memory",
+            f"control-server-memory at {context.routes:,} routes + {target.senders} connections × connection-memory",
             lambda: (
-                context.at("keeper-memory", context.routes) + target.senders * context.each("connection-memory") / 2
+                context.at("control-server-memory", context.routes)
+                + target.senders * context.each("connection-memory") / 2
             ),
             "B",
             "`dewpin/controlplane`",
@@ -213,12 +214,12 @@
 
 
 def hello_rows(context: Context) -> list[Row]:
-    """What keepers say to each other when nothing happens; each greets all others."""
-    keepers = context.assumed.stores + context.target.control_machines
-    rate = (keepers - 1) / design.HEARTBEAT_PERIOD_S
+    """What control servers say to each other when nothing happens; each greets all others."""
+    control_servers = context.assumed.stores + context.target.control_machines
+    rate = (control_servers - 1) / design.HEARTBEAT_PERIOD_S
     return [
         context.row(
-            "greetings a second of each keeper, out and in",
+            "greetings a second of each control server, out and in",
             f"({context.assumed.stores} stores + {context.target.control_machines} − 1) / "
             f"{plain(design.HEARTBEAT_PERIOD_S)} s",
             lambda: rate,
@@ -226,7 +227,7 @@
             HEARTBEAT,
         ),
         context.row(
-            "processor time of greetings at each keeper",
+            "processor time of greetings at each control server",
             f"{plain(rate)}/s × (client-call + server-call)",
             lambda: (
                 rate
@@ -238,9 +239,9 @@
             context.target.control_processor_share,
         ),
         context.row(
-            "bytes of greetings at each keeper",
-            f"hello-bytes at {keepers} / {plain(design.HEARTBEAT_PERIOD_S)} s, asked and answered",
-            lambda: 2 * context.at("hello-bytes", keepers) / design.HEARTBEAT_PERIOD_S,
+            "bytes of greetings at each control server",
+            f"hello-bytes at {control_servers} / {plain(design.HEARTBEAT_PERIOD_S)} s, asked and answered",
+            lambda: 2 * context.at("hello-bytes", control_servers) / design.HEARTBEAT_PERIOD_S,
             "B/s",
             HEARTBEAT,
         ),
--- a/benchmarks/capacity/shapes.py
+++ b/benchmarks/capacity/shapes.py
@@ -86,7 +86,7 @@
 
 
 def lease(number: int) -> JsonObject:
-    """The record that a keeper holds of one sender's lease."""
+    """The record that a control server holds of one sender's lease."""
     return {
         "node": f"sender-zone-{number % 9}-{number:04d}",
         "incarnation": f"{number:032x}",
--- a/benchmarks/majority_contact.py
+++ b/benchmarks/majority_contact.py
@@ -22,13 +22,13 @@
 from dewpin.cluster.receivers import Receiver
 from dewpin.cluster.rpc import RpcError
 from dewpin.cluster.settings import Settings, parse_settings
-from dewpin.controlplane.keeper import Keeper
+from dewpin.controlplane.control_server import ControlServer
 from dewpin.dataplane.cluster_agent import ClusterAgent
 from dewpin.lab.loop import SimLoop
 
 LATENCY_S = 0.002
 WARM_UP_S = 10.0
-HEARTBEAT = "keeper.hello"
+HEARTBEAT = "control.heartbeat"
 RECEIVERS = 40
 
 
@@ -124,17 +124,17 @@
 async def play(fronts: int, control: int, seconds: float, apply_ms: float) -> Network:
     """Lets so many processes run and counts what they send."""
     network, clock = Network(), asyncio.get_running_loop().time
-    keepers = []
+    control_servers = []
     for number in range(control):
         settings = settings_of(f"core-{number}", f"10.0.0.{number + 1}", control, "control", apply_ms)
         client = Client(network, f"10.0.0.{number + 1}:7380")
         rows = MemoryRows(f"{number:016x}")
-        keeper = Keeper(settings, rows, client, random.Random(number), clock, FixedPlatform())  # type: ignore[arg-type]
-        await keeper.load()
-        network.handlers[keeper.address] = keeper.handlers
-        keepers.append(keeper)
-    for keeper in keepers:
-        keeper.start()
+        control_server = ControlServer(settings, rows, client, random.Random(number), clock, FixedPlatform())  # type: ignore[arg-type]
+        await control_server.load()
+        network.handlers[control_server.address] = control_server.handlers
+        control_servers.append(control_server)
+    for control_server in control_servers:
+        control_server.start()
     await asyncio.sleep(1.0)
     for number in range(fronts):
         ip = f"10.5.{number // 200}.{number % 200 + 1}"
--- a/benchmarks/register_catch_up.py
+++ b/benchmarks/register_catch_up.py
@@ -1,6 +1,7 @@
 """Bytes and time of one change of the system state and of a restarted member's catch-up.
 
-Three control processes of `tests/controlplane/keeper_world.py` on a simulated loop; each machine's outgoing link
+Three control processes of `tests/controlplane/control_server_world.py` on a simulated loop; each machine's outgoing
+link
 carries its messages one after the other at the given rate. Link time is computed, processor time is
 measured, of all three processes together. Prints one row of JSON for each case:
 
@@ -20,7 +21,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
-from controlplane.keeper_world import World  # noqa: E402
+from controlplane.control_server_world import World  # noqa: E402
 from link_network import LinkNetwork  # noqa: E402
 from store_world import run  # noqa: E402
 
@@ -45,7 +46,7 @@
     began_s = clock()
     body = body_of(size, generation)
     for call in itertools.count():
-        target = world.keepers[[1, 2, 3][(number - 1 + call) % 3]]
+        target = world.control_servers[[1, 2, 3][(number - 1 + call) % 3]]
         try:
             await target.register.propose(put_configuration(body, generation, base), ANSWER_S)
             return call + 1, clock() - began_s
@@ -113,14 +114,14 @@
         network.set_rate(mbit)
         meter = Meter(network)
         await world.start(3)
-        assert world.keepers[3].register.chosen is None
+        assert world.control_servers[3].register.chosen is None
         took_s = await until_equal(world, (3,), generation)
         rows.append(case | meter.row("catch_up", took_s=round(took_s, 3)))
         network.set_rate(None)
         await until_equal(world, (1, 2, 3), generation)
         await asyncio.sleep(2.0)
-    for keeper in world.keepers.values():
-        await keeper.stop()
+    for control_server in world.control_servers.values():
+        await control_server.stop()
     return rows
 
 
--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -16,7 +16,7 @@
 from dewpin.cluster.settings_watch import POLL_PERIOD_S, SettingsWatch
 from dewpin.cluster.store_view import StoreView
 
-from .keeper import Keeper
+from .control_server import ControlServer
 from .operator_api import OperatorApi, serve_operator
 from .repair import TurnRepair
 from .storage import Storage
@@ -31,7 +31,7 @@
     settings: Settings,
     storage: Storage,
     client: RpcClient,
-    keeper: Keeper,
+    control_server: ControlServer,
     rng: random.Random,
     wall_clock_ms: Callable[[], int] = time_of_day_ms,
 ) -> dict[str, Handler]:
@@ -41,7 +41,7 @@
     def on_synced(epoch: int) -> None:
         nonlocal synced
         synced = max(synced, epoch)
-        keeper.send_heartbeats()
+        control_server.send_heartbeats()
 
     store = Store(storage, storage.incarnation, settings.fault_tolerance.replica_count, wall_clock_ms)
     sync = StoreSync(store, client, on_synced)
@@ -53,8 +53,8 @@
         if view.stable:
             sync.start(view)
 
-    keeper.on_state = on_state
-    keeper.synced_epoch = lambda: synced
+    control_server.on_state = on_state
+    control_server.synced_epoch = lambda: synced
     asyncio.ensure_future(store.purge_forever())
     asyncio.ensure_future(TurnRepair(store, client, rng).run_forever())
     return store.handlers
@@ -65,7 +65,7 @@
     loop.call_soon_threadsafe(stopping.set)
 
 
-async def follow_settings(keeper: Keeper, watch: SettingsWatch, hangup: asyncio.Event) -> None:
+async def follow_settings(control_server: ControlServer, watch: SettingsWatch, hangup: asyncio.Event) -> None:
     """Hands changes of the settings file on, at once after SIGHUP and soon without."""
     while True:
         with contextlib.suppress(TimeoutError):
@@ -73,7 +73,7 @@
         hangup.clear()
         settings = watch.poll()
         if settings is not None:
-            keeper.take_settings(settings)
+            control_server.take_settings(settings)
 
 
 async def run(settings: Settings) -> None:
@@ -88,25 +88,25 @@
     storage = Storage(settings.data_dir)
     storage.on_damaged = lambda: end_from_thread(loop, stopping)
     client = RpcClient()
-    keeper = Keeper(settings, storage, client, random.Random())
-    server = RpcServer(keeper.handlers)
+    control_server = ControlServer(settings, storage, client, random.Random())
+    server = RpcServer(control_server.handlers)
     if "store" in settings.serves:
-        server.handlers.update(await start_store(settings, storage, client, keeper, random.Random()))
-    await keeper.load()
-    await server.start(*split_address(keeper.address))
-    keeper.start()
+        server.handlers.update(await start_store(settings, storage, client, control_server, random.Random()))
+    await control_server.load()
+    await server.start(*split_address(control_server.address))
+    control_server.start()
     if "control" in settings.listen:
         least_stores = settings.fault_tolerance.replica_count
-        api = OperatorApi(keeper.register, loop, least_stores)
+        api = OperatorApi(control_server.register, loop, least_stores)
         serve_operator(split_address(settings.listen["control"]), api)
     following = asyncio.ensure_future(
-        follow_settings(keeper, SettingsWatch(os.environ[BOOT_VARIABLE], settings), hangup)
+        follow_settings(control_server, SettingsWatch(os.environ[BOOT_VARIABLE], settings), hangup)
     )
     await stopping.wait()
     following.cancel()
-    keeper.leave()
+    control_server.leave()
     await asyncio.sleep(LEAVE_NOTICE_S)
-    await keeper.stop()
+    await control_server.stop()
     await server.stop()
 
 
--- a/dewpin/controlplane/keeper.py
+++ b/dewpin/controlplane/control_server.py
@@ -57,7 +57,7 @@
     def incarnation(self) -> str: ...
 
 
-class Keeper:
+class ControlServer:
     """The control plane's process on one machine."""
 
     def __init__(
--- a/dewpin/controlplane/heartbeat_messages.py
+++ b/dewpin/controlplane/heartbeat_messages.py
@@ -14,7 +14,7 @@
 from .peers import PeerRecord
 from .register_messages import WireState, digests
 
-HEARTBEAT = "keeper.hello"
+HEARTBEAT = "control.heartbeat"
 """The type on the wire, as earlier releases have it."""
 
 
--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -1,4 +1,5 @@
-"""The durable state of a keeper: one sqlite3 database per data folder, written by one thread with group commit."""
+"""The durable state of a control server: one sqlite3 database per data folder, written by one thread with group
+commit."""
 
 from __future__ import annotations
 
@@ -15,9 +16,9 @@
 from pathlib import Path
 from typing import Any, Generic, TypeVar
 
-DATABASE_NAME = "keeper.sqlite3"
+DATABASE_NAME = "control_server.sqlite3"
 """Name of the database file inside the data folder."""
-DAMAGED_MARK = "keeper.damaged"
+DAMAGED_MARK = "control_server.damaged"
 """Name of the file that tells the next start to set the database aside."""
 SCHEMA_VERSION = 3
 MOST_WAITING = 20_000
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -1,7 +1,7 @@
 """A sender's part in the cluster: its lease, its place in the relay tree, and what it learns there.
 
 The agent runs on an asyncio loop in a thread of its own. News come from a parent in the relay tree; the answers to the
-renewals of the lease, given by the keepers in turn, tell what the parent has missed.
+renewals of the lease, given by the control servers in turn, tell what the parent has missed.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 from dewpin.cluster.settings import Settings
 from dewpin.cluster.settings_watch import reloaded
 
-from .keeper_list import KeeperList
+from .control_server_list import ControlServerList
 from .sender_count import SenderCount
 from .state_confirmation import StateConfirmation
 
@@ -86,7 +86,7 @@
         self._sender_count = SenderCount()
         self._clock = clock
         self._platform = platform or ThreadedPlatformReader()
-        self._keepers = KeeperList(self._seed_addresses(), rng)
+        self._control_servers = ControlServerList(self._seed_addresses(), rng)
         self._parents: list[str] = []
         self._shunned_until_s: dict[str, float] = {}
         self._shared_list_read_s = float("-inf")
@@ -111,14 +111,17 @@
     def take_settings(self, settings: Settings) -> None:
         """Takes up a changed settings file: the seeds and the platform's address; what was bound at the start stays."""
         self.settings = reloaded(self.settings, settings)
-        self._keepers.set_seeds(self._seed_addresses())
+        self._control_servers.set_seeds(self._seed_addresses())
 
     async def stop(self) -> None:
         """Gives the lease up, at all that grant it."""
         for task in self._tasks:
             task.cancel()
         message: Message = {"type": LEASE_RELEASE, "sender": self.sender}
-        calls = [self._client.call(keeper, message, RENEW_TIMEOUT_S) for keeper in self._keepers.all()]
+        calls = [
+            self._client.call(control_server, message, RENEW_TIMEOUT_S)
+            for control_server in self._control_servers.all()
+        ]
         await asyncio.gather(*calls, return_exceptions=True)
 
     @property
@@ -148,7 +151,7 @@
     async def _renew_and_pause(self) -> None:
         period_s = self._renewal_period_s()
         began_s = self._clock()
-        if not await self._renew(self._keepers.next(began_s)):
+        if not await self._renew(self._control_servers.next(began_s)):
             await asyncio.sleep(self._pause_after_failure_s())
             return
         if not self.confirmation.is_confirmed:
@@ -159,42 +162,42 @@
     def _pause_after_failure_s(self) -> float:
         """Short while another control process may be asked; all senders together are not to flood one that refuses."""
         period_s = self._renewal_period_s()
-        if self._keepers.usable(self._clock()):
+        if self._control_servers.usable(self._clock()):
             return period_s / 8
         return min(period_s, period_s / 4 * float(2**self._refusals))
 
-    async def _renew(self, keeper: str) -> bool:
-        """Renews the lease at one keeper and asks it for what it has newer; whether it was granted."""
+    async def _renew(self, control_server: str) -> bool:
+        """Renews the lease at one control server and asks it for what it has newer; whether it was granted."""
         asked_s = self._clock()
         request = RenewRequest(self.sender, self.address, self.settings.zone, self.directory.version)
         try:
-            grant = LeaseGrant.decode(await self._client.call(keeper, request.encode(), RENEW_TIMEOUT_S))
+            grant = LeaseGrant.decode(await self._client.call(control_server, request.encode(), RENEW_TIMEOUT_S))
             self._take_lease(grant)
             if self._is_behind(grant):
-                await self._fetch(keeper)
+                await self._fetch(control_server)
             else:
                 self._note_age(grant.receivers_version, asked_s - grant.list_age_s)
             if self._state_version() >= grant.state_version:
                 self.confirmation.confirm(asked_s - grant.knowledge_age_s)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
-            self._note_failure(keeper, fault)
+            self._note_failure(control_server, fault)
             return False
-        self._keepers.answered(keeper, self._clock())
+        self._control_servers.answered(control_server, self._clock())
         self._refusals = 0
         return True
 
-    def _note_failure(self, keeper: str, fault: Exception) -> None:
-        log.debug("lease.not_renewed", extra={"keeper": keeper, "why": repr(fault)})
+    def _note_failure(self, control_server: str, fault: Exception) -> None:
+        log.debug("lease.not_renewed", extra={"control_server": control_server, "why": repr(fault)})
         now_s = self._clock()
         if isinstance(fault, RpcError) and fault.kind == ErrorKind.NO_QUORUM:
             self._control_answered_s = now_s
             self._refusals = min(self._refusals + 1, MOST_REFUSALS_COUNTED)
-            self._keepers.refused(keeper, now_s)
+            self._control_servers.refused(control_server, now_s)
         else:
-            self._keepers.failed(keeper, now_s)
+            self._control_servers.failed(control_server, now_s)
 
     def _take_lease(self, grant: LeaseGrant) -> None:
-        self._keepers.named(grant.control_addresses, self._clock())
+        self._control_servers.named(grant.control_addresses, self._clock())
         self._parents = list(grant.parents)
         senders = self._sender_count.told(grant.senders, grant.duration_s, self._clock())
         if senders != self.senders:
@@ -208,9 +211,9 @@
     def _is_behind(self, grant: LeaseGrant) -> bool:
         return grant.state_version > self._state_version() or grant.receivers_version > self.directory.version
 
-    async def _fetch(self, keeper: str) -> None:
+    async def _fetch(self, control_server: str) -> None:
         asked_s = self._clock()
-        answer = await self._client.call(keeper, self._watch_request(waits=False).encode(), WATCH_TIMEOUT_S)
+        answer = await self._client.call(control_server, self._watch_request(waits=False).encode(), WATCH_TIMEOUT_S)
         self._take_news(RelayNews.decode(answer), asked_s)
 
     def _seed_addresses(self) -> list[str]:
@@ -233,7 +236,7 @@
     def _watch_source(self) -> str:
         now_s = self._clock()
         self._shunned_until_s = {one: until_s for one, until_s in self._shunned_until_s.items() if until_s > now_s}
-        sources = [*self._parents, *self._keepers.usable(now_s), *self._keepers.all()]
+        sources = [*self._parents, *self._control_servers.usable(now_s), *self._control_servers.all()]
         return next((one for one in sources if one not in self._shunned_until_s), sources[-1])
 
     def _watch_request(self, waits: bool) -> WatchRequest:
@@ -270,7 +273,7 @@
             is_current=self.knows_current_state(),
         )
 
-    # The list, where no keeper can give it in time
+    # The list, where no control server can give it in time
 
     async def _guard_list(self) -> None:
         drain_s = self.settings.bounds.drain_ms / 1000
--- a/dewpin/dataplane/keeper_list.py
+++ b/dewpin/dataplane/control_server_list.py
@@ -24,7 +24,7 @@
     failed_until_s: float = float("-inf")
 
 
-class KeeperList:
+class ControlServerList:
     """The addresses of control plane processes, asked in turn. Times are of the steady clock."""
 
     def __init__(self, seeds: Iterable[str], rng: random.Random) -> None:
--- a/dewpin/standin/__main__.py
+++ b/dewpin/standin/__main__.py
@@ -27,7 +27,9 @@
     tier = commands.add_parser("tier", help="run the whole tier on this machine and show what it does")
     tier.add_argument("--keep", action="store_true", help="go on until Ctrl-C")
     tier.add_argument("--seconds", type=float, help="go on for so long, or until Ctrl-C")
-    tier.add_argument("--kill", choices=[loss.value for loss in Loss], help="show a loss: of a keeper, or of its data")
+    tier.add_argument(
+        "--kill", choices=[loss.value for loss in Loss], help="show a loss: of a control server, or of its data"
+    )
     tier.add_argument("--folder", type=Path, help="an empty folder for settings, data and logs, which stays")
     platform = commands.add_parser("platform", help="run a stand-in platform")
     platform.add_argument("--listen", required=True, help="ip:port")
--- a/dewpin/standin/address_file.py
+++ b/dewpin/standin/address_file.py
@@ -10,9 +10,9 @@
 def address_variables(tier: LocalTier) -> dict[str, str]:
     """Return the variables: addresses of all machines, and the ids of their processes."""
     variables = {"PLATFORM": tier.platform_address}
-    for number, keeper in enumerate(tier.keepers, 1):
-        variables[f"KEEPER_{number}"] = keeper.control
-        variables[f"KEEPER_{number}_PID"] = str(keeper.process.pid)
+    for number, control_server in enumerate(tier.control_servers, 1):
+        variables[f"CONTROL_SERVER_{number}"] = control_server.control
+        variables[f"CONTROL_SERVER_{number}_PID"] = str(control_server.process.pid)
     for number, sender in enumerate(tier.senders, 1):
         variables[f"SENDER_{number}"] = sender.front
         variables[f"SENDER_{number}_READY"] = sender.ready
--- a/dewpin/standin/demonstration.py
+++ b/dewpin/standin/demonstration.py
@@ -24,9 +24,9 @@
 
 
 class Loss(Enum):
-    """What the demonstration may take away: a keeper's process, or a keeper's process with its data."""
+    """What the demonstration may take away: a control server's process, or a control server's process with its data."""
 
-    KEEPER = "keeper"
+    CONTROL_SERVER = "control_server"
     STORE = "store"
 
 
@@ -71,8 +71,8 @@
         self._say(f"folder: {self._tier.folder}")
         for process in self._tier.processes:
             self._say(f"started {process.name:<10} pid {process.pid}")
-        for keeper in self._tier.keepers:
-            self._say(f"operator's API of {keeper.name}: http://{keeper.control}")
+        for control_server in self._tier.control_servers:
+            self._say(f"operator's API of {control_server.name}: http://{control_server.control}")
         for sender in self._tier.senders:
             self._say(f"clients call {sender.name}: http://{sender.front}")
 
@@ -83,7 +83,7 @@
         if answer.status != 200:
             raise DemonstrationFailed(f"configuration {generation}: {answer.status} {answer.body!r}")
         self._generation = generation
-        self._say(f"configuration {generation} is acknowledged by {answer.keeper}")
+        self._say(f"configuration {generation} is acknowledged by {answer.control_server}")
 
     def _show_request(self, path: str) -> None:
         sender = self._tier.senders[0]
@@ -114,7 +114,7 @@
             raise DemonstrationFailed(f"not served: {answer.status} {answer.body!r}")
 
     def _show_loss(self, loss: Loss) -> None:
-        first, second = self._tier.keepers[:2]
+        first, second = self._tier.control_servers[:2]
         incarnation = self._tier.wait_until_settled().members[first.name]
         first.process.kill()
         self._say(f"killed {first.name}")
--- a/dewpin/standin/operator.py
+++ b/dewpin/standin/operator.py
@@ -1,4 +1,4 @@
-"""A stand-in operator: sends configurations to the keepers and reads them back."""
+"""A stand-in operator: sends configurations to the control servers and reads them back."""
 
 import http.client
 import json
@@ -23,11 +23,11 @@
 
 @dataclass(frozen=True, slots=True)
 class OperatorAnswer:
-    """The answer to a call, and the keeper that gave it."""
+    """The answer to a call, and the control server that gave it."""
 
     status: int
     body: bytes
-    keeper: str
+    control_server: str
 
     @property
     def is_final(self) -> bool:
@@ -36,54 +36,62 @@
 
 
 class Operator:
-    """Calls the keepers in turn until one gives a final answer."""
+    """Calls the control servers in turn until one gives a final answer."""
 
-    def __init__(self, keepers: Sequence[str]) -> None:
-        self._keepers = list(keepers)
+    def __init__(self, control_servers: Sequence[str]) -> None:
+        self._control_servers = list(control_servers)
 
     def put(
-        self, configuration: JsonObject, base: int, timeout_s: float = 10.0, keepers: Sequence[str] = ()
+        self, configuration: JsonObject, base: int, timeout_s: float = 10.0, control_servers: Sequence[str] = ()
     ) -> OperatorAnswer:
         """Send a configuration that builds on version `base`; raises WaitFailed without a final answer."""
         body = json.dumps(configuration).encode()
         fields = {BASE_VERSION: str(base), "Content-Type": "application/json"}
-        return self._call("POST", PUT_PATH, body, fields, timeout_s, keepers)
+        return self._call("POST", PUT_PATH, body, fields, timeout_s, control_servers)
 
-    def get(self, timeout_s: float = 10.0, keepers: Sequence[str] = ()) -> JsonObject:
+    def get(self, timeout_s: float = 10.0, control_servers: Sequence[str] = ()) -> JsonObject:
         """Return the newest configuration; raises WaitFailed if none comes."""
-        answer = self._call("GET", GET_PATH, b"", {}, timeout_s, keepers)
+        answer = self._call("GET", GET_PATH, b"", {}, timeout_s, control_servers)
         if answer.status != http.HTTPStatus.OK:
             raise WaitFailed(f"Config.Get: {answer.status} {answer.body.decode(errors='replace')}")
         configuration: JsonObject = json.loads(answer.body)
         return configuration
 
     def _call(
-        self, method: str, path: str, body: bytes, fields: dict[str, str], timeout_s: float, keepers: Sequence[str]
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        fields: dict[str, str],
+        timeout_s: float,
+        control_servers: Sequence[str],
     ) -> OperatorAnswer:
         deadline = time.monotonic() + timeout_s
         backoff_s = FIRST_BACKOFF_S
-        last_failure = "no keeper answered"
+        last_failure = "no control server answered"
         while time.monotonic() < deadline:
-            for keeper in keepers or self._keepers:
+            for control_server in control_servers or self._control_servers:
                 try:
-                    answer = call_keeper(keeper, method, path, body, fields)
+                    answer = call_control_server(control_server, method, path, body, fields)
                 except (OSError, http.client.HTTPException) as fault:
-                    last_failure = f"{keeper}: {fault!r}"
+                    last_failure = f"{control_server}: {fault!r}"
                     continue
                 if answer.is_final:
                     return answer
-                last_failure = f"{keeper}: {answer.status} {answer.body.decode(errors='replace')}"
+                last_failure = f"{control_server}: {answer.status} {answer.body.decode(errors='replace')}"
             time.sleep(backoff_s)
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
         raise WaitFailed(f"{path}: no final answer within {timeout_s:g} s; last: {last_failure}")
 
 
-def call_keeper(keeper: str, method: str, path: str, body: bytes, fields: dict[str, str]) -> OperatorAnswer:
+def call_control_server(
+    control_server: str, method: str, path: str, body: bytes, fields: dict[str, str]
+) -> OperatorAnswer:
     """Make one call; raises OSError or HTTPException if no answer comes."""
-    connection = http.client.HTTPConnection(*split_address(keeper), timeout=CALL_TIMEOUT_S)
+    connection = http.client.HTTPConnection(*split_address(control_server), timeout=CALL_TIMEOUT_S)
     try:
         connection.request(method, path, body or None, fields)
         response = connection.getresponse()
-        return OperatorAnswer(response.status, response.read(), keeper)
+        return OperatorAnswer(response.status, response.read(), control_server)
     finally:
         connection.close()
--- a/dewpin/standin/system_view.py
+++ b/dewpin/standin/system_view.py
@@ -1,4 +1,4 @@
-"""What a keeper holds as the system's state: its members and its stores. Read by the tier's own protocol."""
+"""What a control server holds as the system's state: its members and its stores. Read by the tier's own protocol."""
 
 import asyncio
 from dataclasses import dataclass
@@ -27,10 +27,10 @@
         return incarnation not in (None, other_than) and self.stores.get(machine) == incarnation
 
 
-def read_system_view(keeper_ip: str) -> SystemView | None:
-    """Ask the keeper at an address; None if it does not answer or knows nothing yet."""
+def read_system_view(control_server_ip: str) -> SystemView | None:
+    """Ask the control server at an address; None if it does not answer or knows nothing yet."""
     try:
-        answer = asyncio.run(_fetch_state(f"{keeper_ip}:{FIRST_INTERNAL_PORT}"))
+        answer = asyncio.run(_fetch_state(f"{control_server_ip}:{FIRST_INTERNAL_PORT}"))
     except RpcError:
         return None
     state = answer.get("state")
--- a/dewpin/standin/tier.py
+++ b/dewpin/standin/tier.py
@@ -1,4 +1,5 @@
-"""The whole tier on one machine: keepers, senders, the platform and receivers, each a process at its own address."""
+"""The whole tier on one machine: control servers, senders, the platform and receivers, each a process at its own
+address."""
 
 import json
 import shutil
@@ -26,7 +27,7 @@
 from .system_view import SystemView, read_system_view
 from .waiting import WaitFailed, wait_until
 
-KEEPER_COUNT = 3
+CONTROL_SERVER_COUNT = 3
 SENDER_COUNT = 2
 RECEIVERS_OF_SERVICE = 2
 RECEIVER_SLOTS = 4
@@ -63,7 +64,7 @@
 
     @property
     def control(self) -> str:
-        """Return the address at which the operator calls a keeper."""
+        """Return the address at which the operator calls a control server."""
         return f"{self.ip}:{CONTROL_PORT}"
 
     @property
@@ -93,19 +94,21 @@
         self.platform_address = f"{self._network.take_address()}:{PLATFORM_PORT}"
         for name in ("settings", "data", "logs"):
             (folder / name).mkdir(parents=True, exist_ok=True)
-        self.keepers = [self._machine(f"keeper-{number + 1}", number) for number in range(KEEPER_COUNT)]
+        self.control_servers = [
+            self._machine(f"control-server-{number + 1}", number) for number in range(CONTROL_SERVER_COUNT)
+        ]
         self.senders = [self._machine(f"sender-{number + 1}", number) for number in range(SENDER_COUNT)]
-        self.operator = Operator([keeper.control for keeper in self.keepers])
+        self.operator = Operator([control_server.control for control_server in self.control_servers])
         self.receivers = self._receiver_entries()
         self._receiver_processes = [self._receiver_process(entry) for entry in self.receivers]
         self._platform = self._platform_process()
-        for machine in (*self.keepers, *self.senders):
+        for machine in (*self.control_servers, *self.senders):
             self.write_settings(machine, first_start=True)
 
     @property
     def processes(self) -> list[ManagedProcess]:
         """Return all processes."""
-        machines = [machine.process for machine in (*self.keepers, *self.senders)]
+        machines = [machine.process for machine in (*self.control_servers, *self.senders)]
         return [self._platform, *self._receiver_processes, *machines]
 
     def start(self) -> None:
@@ -139,37 +142,40 @@
             wait_until(sender.is_ready, timeout_s, f"{sender.name} is ready")
 
     def settled_view(self) -> SystemView | None:
-        """Return the state that every running keeper holds and takes part in; None while they differ or change it."""
-        running = [keeper for keeper in self.keepers if keeper.process.is_running]
-        views = [read_system_view(keeper.ip) for keeper in running]
+        """Return the state that every running control server holds and takes part in; None while they differ or
+        change it."""
+        running = [control_server for control_server in self.control_servers if control_server.process.is_running]
+        views = [read_system_view(control_server.ip) for control_server in running]
         first = views[0] if views else None
         if first is None or not first.settled or any(view != first for view in views):
             return None
-        return first if all(first.has_member(keeper.name) for keeper in running) else None
+        return first if all(first.has_member(control_server.name) for control_server in running) else None
 
     def wait_until_settled(self, timeout_s: float = SETTLED_TIMEOUT_S) -> SystemView:
-        """Return the state once no running keeper has anything to catch up with; raises WaitFailed."""
-        return wait_until(self.settled_view, timeout_s, "the keepers' members and stores are settled")
+        """Return the state once no running control server has anything to catch up with; raises WaitFailed."""
+        return wait_until(self.settled_view, timeout_s, "the control servers' members and stores are settled")
 
-    def wait_until_replaced(self, keeper: Machine, incarnation: str, timeout_s: float = SETTLED_TIMEOUT_S) -> None:
-        """Return once a keeper takes part as another incarnation than the one named; raises WaitFailed."""
+    def wait_until_replaced(
+        self, control_server: Machine, incarnation: str, timeout_s: float = SETTLED_TIMEOUT_S
+    ) -> None:
+        """Return once a control server takes part as another incarnation than the one named; raises WaitFailed."""
 
         def is_replaced() -> bool:
             view = self.settled_view()
-            return view is not None and view.has_member(keeper.name, other_than=incarnation)
+            return view is not None and view.has_member(control_server.name, other_than=incarnation)
 
-        wait_until(is_replaced, timeout_s, f"{keeper.name} takes part as another incarnation")
+        wait_until(is_replaced, timeout_s, f"{control_server.name} takes part as another incarnation")
 
-    def restart(self, keepers: Sequence[Machine]) -> None:
-        """Start keepers that have ended, on the data that they left."""
-        for keeper in keepers:
-            self.write_settings(keeper, first_start=False)
-            keeper.process.start()
+    def restart(self, control_servers: Sequence[Machine]) -> None:
+        """Start control servers that have ended, on the data that they left."""
+        for control_server in control_servers:
+            self.write_settings(control_server, first_start=False)
+            control_server.process.start()
 
-    def wipe(self, keeper: Machine) -> None:
-        """Remove the data of a keeper that has ended."""
-        assert keeper.data_dir is not None
-        shutil.rmtree(keeper.data_dir)
+    def wipe(self, control_server: Machine) -> None:
+        """Remove the data of a control server that has ended."""
+        assert control_server.data_dir is not None
+        shutil.rmtree(control_server.data_dir)
 
     def receivers_of(self, service: str) -> list[InstanceEntry]:
         """Return the receivers of a service."""
@@ -181,38 +187,38 @@
         return "\n".join(f"== {name}\n{lines}" for name, lines in said if lines)
 
     def _machine(self, name: str, number: int) -> Machine:
-        is_keeper = name.startswith("keeper")
+        is_control_server = name.startswith("control-server")
         settings_path = self.folder / "settings" / f"{name}.toml"
         process = ManagedProcess(
             name,
-            "dewpin.controlplane" if is_keeper else "dewpin.dataplane",
+            "dewpin.controlplane" if is_control_server else "dewpin.dataplane",
             [],
             self.folder / "logs" / f"{name}.log",
             {BOOT_VARIABLE: str(settings_path)},
         )
-        data_dir = self.folder / "data" / name if is_keeper else None
+        data_dir = self.folder / "data" / name if is_control_server else None
         zone = ZONES[number % len(ZONES)]
         return Machine(name, self._network.take_address(), zone, process, settings_path, data_dir)
 
     def write_settings(self, machine: Machine, first_start: bool) -> None:
         """Write a machine's settings; `first_start` is that of the whole tier, when all data folders are empty."""
-        is_keeper = machine.data_dir is not None
+        is_control_server = machine.data_dir is not None
         fields: dict[str, SettingsValue] = {
             "node_name": machine.name,
-            "role": "keeper" if is_keeper else "sender",
-            "machine_class": "store" if is_keeper else "front",
-            "serves": ["store", "control"] if is_keeper else ["front"],
+            "role": "control_server" if is_control_server else "sender",
+            "machine_class": "store" if is_control_server else "front",
+            "serves": ["store", "control"] if is_control_server else ["front"],
             "ip": machine.ip,
             "zone": machine.zone,
             "region": REGION,
             "port_range": [FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT],
-            "seeds": [keeper.control for keeper in self.keepers],
+            "seeds": [control_server.control for control_server in self.control_servers],
             "bootstrap": first_start,
-            "counts_for_quorum": is_keeper,
+            "counts_for_quorum": is_control_server,
         }
-        if is_keeper:
+        if is_control_server:
             fields["data_dir"] = str(machine.data_dir)
-        listen = {"control": machine.control} if is_keeper else {"front": machine.front, "ready": machine.ready}
+        listen = {"control": machine.control} if is_control_server else {"front": machine.front, "ready": machine.ready}
         cloud: SettingsTable = {
             "address": self.platform_address,
             "rate_per_s": PLATFORM_CALLS_PER_S,
@@ -221,7 +227,7 @@
         tables: dict[str, SettingsTable] = {
             "zones": dict.fromkeys(ZONES, REGION),
             "listen": listen,
-            "fault_tolerance": {"machines": (KEEPER_COUNT - 1) // 2, "zones": 0, "regions": 0},
+            "fault_tolerance": {"machines": (CONTROL_SERVER_COUNT - 1) // 2, "zones": 0, "regions": 0},
             "bounds": BOUNDS,
             "cloud": cloud,
         }
--- a/tests/capacity/test_capacity_page.py
+++ b/tests/capacity/test_capacity_page.py
@@ -23,8 +23,8 @@
 
 middle / busiest or longest, by own machines
                                  10              30             100  power  at null
-keeper: processor %       6.3 / 6.7       4.8 / 5.4       3.6 / 5.4  -0.09  -
-keeper: connections     11.0 / 11.0     31.0 / 31.0       101 / 101   1.05  -
+control server: processor %       6.3 / 6.7       4.8 / 5.4       3.6 / 5.4  -0.09  -
+control server: connections     11.0 / 11.0     31.0 / 31.0       101 / 101   1.05  -
 power: the busiest grows as machines to this power
 """
 
@@ -113,7 +113,7 @@
 
 def test_the_table_of_a_sweep_is_read_with_its_lines():
     processor, connections = read_table(SWEEP)
-    assert processor.name == "keeper: processor %"
+    assert processor.name == "control server: processor %"
     assert processor.middle == (6.3, 4.8, 3.6) and processor.busiest == (6.7, 5.4, 5.4)
     assert connections.machines == (10, 30, 100)
     assert connections.line().slope == pytest.approx(1) and connections.line().intercept == pytest.approx(1)
--- a/tests/cluster/test_settings.py
+++ b/tests/cluster/test_settings.py
@@ -58,9 +58,9 @@
 
 def test_a_store_has_its_folder_and_needs_no_address_but_that_of_control():
     settings = parse_settings(
-        changed(serves=["store", "control"], data_dir="/data/keeper", listen={"control": "10.1.0.30:8144"})
+        changed(serves=["store", "control"], data_dir="/data/control_server", listen={"control": "10.1.0.30:8144"})
     )
-    assert settings.data_dir == Path("/data/keeper")
+    assert settings.data_dir == Path("/data/control_server")
 
 
 def test_what_is_left_out_gets_a_default():
--- a/tests/controlplane/keeper_world.py
+++ b/tests/controlplane/control_server_world.py
@@ -9,7 +9,7 @@
 from dewpin.cluster.platform_list import PlatformUnavailable
 from dewpin.cluster.receivers import Receiver
 from dewpin.cluster.settings import parse_settings
-from dewpin.controlplane.keeper import Keeper
+from dewpin.controlplane.control_server import ControlServer
 from dewpin.controlplane.system_state import put_configuration
 
 DRAIN_S = 3.0
@@ -37,7 +37,7 @@
 
     def __init__(self, count=3):
         self.network = Network()
-        self.keepers = {}
+        self.control_servers = {}
         self.disks = {}
         self.lives = 0
         self.receivers = [Receiver("i-1", "engines", "10.9.0.1:80", "east", 4)]
@@ -83,7 +83,7 @@
         self.network.handlers.pop(address, None)
         self.network.down.discard(address)
         loop = asyncio.get_running_loop()
-        keeper = Keeper(
+        control_server = ControlServer(
             self.settings(number, bootstrap, name),
             self.disks[number],
             self.network.client(address),
@@ -91,19 +91,19 @@
             lambda: self.frozen_s.get(number, loop.time()),
             Platform(self, number),
         )
-        keeper.on_state = lambda state: self.copy_stores(keeper, state)
-        self.keepers[number] = keeper
-        await keeper.load()
-        self.network.handlers[address] = keeper.handlers
-        keeper.start()
+        control_server.on_state = lambda state: self.copy_stores(control_server, state)
+        self.control_servers[number] = control_server
+        await control_server.load()
+        self.network.handlers[address] = control_server.handlers
+        control_server.start()
 
-    def copy_stores(self, keeper, state):
+    def copy_stores(self, control_server, state):
         """The stores of these machines copy within a tenth of a second."""
         epoch = state["stores"]["epoch"]
 
         def done():
-            keeper.synced_epoch = lambda: epoch
-            keeper.send_heartbeats()
+            control_server.synced_epoch = lambda: epoch
+            control_server.send_heartbeats()
 
         asyncio.get_running_loop().call_later(0.1, done)
 
@@ -121,11 +121,11 @@
     async def kill(self, *numbers):
         for number in numbers:
             self.network.down.add(self.address(number))
-            await self.keepers[number].stop()
+            await self.control_servers[number].stop()
 
     async def put(self, number, generation, base):
         change = put_configuration(b'{"generation": %d}' % generation, generation, base)
-        return await self.keepers[number].register.propose(change, 0.85)
+        return await self.control_servers[number].register.propose(change, 0.85)
 
     async def until(self, condition, most_s=10.0):
         """Lets time go by until something holds; how long that took."""
@@ -137,10 +137,14 @@
         return asyncio.get_running_loop().time() - began_s
 
     def state(self, number):
-        return self.keepers[number].register.chosen
+        return self.control_servers[number].register.chosen
 
     def newest(self):
-        states = [keeper.register.chosen for keeper in self.keepers.values() if keeper.register.chosen]
+        states = [
+            control_server.register.chosen
+            for control_server in self.control_servers.values()
+            if control_server.register.chosen
+        ]
         return max(states, key=lambda state: state["version"])
 
     def generation(self, number):
@@ -161,11 +165,11 @@
 
     def is_whole(self, *numbers):
         """Whether these are all members and all stores, with no change under way."""
-        if any(self.keepers[number].register.chosen is None for number in numbers):
+        if any(self.control_servers[number].register.chosen is None for number in numbers):
             return False
         state = self.newest()
         wanted = [self.address(number) for number in numbers]
-        ids = {self.keepers[number].member for number in numbers}
+        ids = {self.control_servers[number].member for number in numbers}
         return (
             self.members() == self.stores() == wanted
             and set(state["members"]) == set(state["stores"]["stable"]) == ids
@@ -183,8 +187,8 @@
         try:
             return await scene(world)
         finally:
-            for keeper in world.keepers.values():
-                await keeper.stop()
+            for control_server in world.control_servers.values():
+                await control_server.stop()
 
     return run(whole())
 
@@ -194,7 +198,7 @@
 
 
 def shows_drain(world, number):
-    known = world.keepers[number].directory.receivers.get("i-1")
+    known = world.control_servers[number].directory.receivers.get("i-1")
     return known is not None and known.draining
 
 
@@ -208,7 +212,9 @@
 
 
 async def listed(world):
-    await world.until(lambda: all(keeper.directory.receivers for keeper in world.keepers.values()))
+    await world.until(
+        lambda: all(control_server.directory.receivers for control_server in world.control_servers.values())
+    )
 
 
 def reader_of(world):
--- a/tests/controlplane/test_catch_up.py
+++ b/tests/controlplane/test_catch_up.py
@@ -5,7 +5,7 @@
 
 import pytest
 from control_world import Registers
-from controlplane.keeper_world import World
+from controlplane.control_server_world import World
 from link_network import LinkNetwork
 from store_world import run
 
@@ -51,8 +51,8 @@
 
 
 async def stop(world):
-    for keeper in world.keepers.values():
-        await keeper.stop()
+    for control_server in world.control_servers.values():
+        await control_server.stop()
 
 
 @pytest.mark.parametrize(
@@ -63,7 +63,7 @@
         world = await linked_world()
         await world.put(1, 7, 0)
         await world.kill(3)
-        await world.keepers[1].register.propose(put(8, 7, size), WAIT_S)
+        await world.control_servers[1].register.propose(put(8, 7, size), WAIT_S)
         await asyncio.sleep(0.5)
         world.network.set_rate(mbit)
         await world.start(3)
@@ -84,7 +84,7 @@
         world = await linked_world()
         await world.put(1, 7, 0)
         await world.kill(3)
-        await world.keepers[1].register.propose(put(8, 7, LONG), WAIT_S)
+        await world.control_servers[1].register.propose(put(8, 7, LONG), WAIT_S)
         await asyncio.sleep(0.5)
         world.network.set_rate(15)
         before = world.newest()["version"]
@@ -96,8 +96,10 @@
         while world.generation(3) != 8:
             now_s = clock()
             assert now_s < until_s
-            silences += [peer.silent_s(now_s) for peer in world.keepers[3].peers.peers.values()]
-            silences += [world.keepers[one].peers.silent_s(world.keepers[3].member, now_s) for one in (1, 2)]
+            silences += [peer.silent_s(now_s) for peer in world.control_servers[3].peers.peers.values()]
+            silences += [
+                world.control_servers[one].peers.silent_s(world.control_servers[3].member, now_s) for one in (1, 2)
+            ]
             await asyncio.sleep(0.05)
         await stop(world)
         return max(silences), world.newest()["version"] - before
@@ -130,11 +132,11 @@
         world = await linked_world()
         base = 0
         for generation in range(1, changes + 1):
-            await world.keepers[1].register.propose(put(generation, base, 1000), WAIT_S)
+            await world.control_servers[1].register.propose(put(generation, base, 1000), WAIT_S)
             base = generation
         await asyncio.sleep(2.0)
         world.network.set_rate(86)
-        await world.keepers[1].register.propose(put(base + 1, base, 1000), WAIT_S)
+        await world.control_servers[1].register.propose(put(base + 1, base, 1000), WAIT_S)
         await world.until(lambda: all(world.generation(one) == base + 1 for one in (1, 2, 3)))
         sent = world.network.bytes
         await stop(world)
@@ -269,12 +271,12 @@
         began_s = clock()
         for number in (1, 2, 3, 1, 2, 3):
             try:
-                await world.keepers[number].register.propose(put(7, 0, LONG), ANSWER_S)
+                await world.control_servers[number].register.propose(put(7, 0, LONG), ANSWER_S)
                 break
             except RegisterUnavailable:
                 await asyncio.sleep(0.2)
         took_s = clock() - began_s
-        state = await world.keepers[3].register.propose(read, WAIT_S)
+        state = await world.control_servers[3].register.propose(read, WAIT_S)
         await stop(world)
         return took_s, orders_taken(state)
 
--- a/tests/controlplane/test_keeper.py
+++ b/tests/controlplane/test_control_server.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from controlplane.keeper_world import (
+from controlplane.control_server_world import (
     APPLY_S,
     CATCH_UP_S,
     DRAIN_S,
@@ -31,7 +31,7 @@
     assert play(scene)
 
 
-def test_a_configuration_reaches_the_other_keepers_at_once():
+def test_a_configuration_reaches_the_other_control_servers_at_once():
     async def scene(world):
         await world.put(1, 7, 0)
         return await world.until(lambda: [world.generation(number) for number in (1, 2, 3)] == [7, 7, 7])
@@ -39,7 +39,7 @@
     assert play(scene) < 0.1
 
 
-def test_a_configuration_is_told_on_although_the_keeper_that_acknowledged_it_dies_right_after():
+def test_a_configuration_is_told_on_although_the_control_server_that_acknowledged_it_dies_right_after():
     async def scene(world):
         await world.put(1, 7, 0)
         await world.kill(1)
@@ -49,7 +49,7 @@
     assert play(scene) < APPLY_S / 2
 
 
-def test_everything_is_there_after_all_keepers_were_killed_right_after_an_acknowledgement():
+def test_everything_is_there_after_all_control_servers_were_killed_right_after_an_acknowledgement():
     async def scene(world):
         await world.put(2, 7, 0)
         await world.kill(1, 2, 3)
@@ -60,7 +60,7 @@
     assert play(scene) < 1.5
 
 
-def test_a_keeper_restarted_alone_with_an_old_state_tells_nobody():
+def test_a_control_server_restarted_alone_with_an_old_state_tells_nobody():
     async def scene(world):
         await world.put(1, 7, 0)
         await world.until(lambda: world.generation(3) == 7)
@@ -70,7 +70,7 @@
         world.network.cut(world.address(3))
         await asyncio.sleep(3.0)
         with pytest.raises(RpcError, match=ErrorKind.NO_QUORUM):
-            await world.keepers[3].handlers["lease.renew"](renewal())
+            await world.control_servers[3].handlers["lease.renew"](renewal())
         world.network.join()
         return await world.until(lambda: world.generation(3) == 8)
 
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize("number", [1, 2, 3])
-def test_a_wiped_keeper_is_a_full_member_and_store_again_in_time(number):
+def test_a_wiped_control_server_is_a_full_member_and_store_again_in_time(number):
     async def scene(world):
         await world.put(1, 7, 0)
         await world.kill(number)
@@ -124,7 +124,7 @@
         await asyncio.sleep(5.0)
         await world.start(4, name=name)
         await asyncio.sleep(1.0)
-        world.keepers[3].leave()
+        world.control_servers[3].leave()
         await asyncio.sleep(0.3)
         await world.kill(3)
         return await world.until(lambda: world.is_whole(1, 2, 4))
@@ -135,7 +135,7 @@
 def test_a_retired_machine_is_done_soon_and_another_may_be_wiped_right_after():
     async def scene(world):
         await world.until(lambda: world.stores() == [world.address(number) for number in (1, 2, 3, 4)])
-        await world.keepers[1].register.propose(start_retirement("store-2", 3), 0.85)
+        await world.control_servers[1].register.propose(start_retirement("store-2", 3), 0.85)
         took_s = await world.until(lambda: world.newest()["retired"] == ["store-2"])
         assert world.is_whole(1, 3, 4)
         await world.kill(2, 3)
@@ -151,7 +151,7 @@
     assert play(with_a_fourth) < 2.0
 
 
-def test_a_store_added_takes_part_and_a_frozen_keeper_is_back_where_it_was():
+def test_a_store_added_takes_part_and_a_frozen_control_server_is_back_where_it_was():
     async def scene(world):
         world.network.down.add(world.address(2))
         await asyncio.sleep(5.0)
@@ -166,11 +166,11 @@
 
 def test_new_seeds_are_greeted_at_once():
     async def scene(world):
-        keeper = world.keepers[1]
+        control_server = world.control_servers[1]
         world.seeds = (9,)
-        keeper.take_settings(world.settings(1, False))
+        control_server.take_settings(world.settings(1, False))
         await asyncio.sleep(0.01)
-        return (world.address(1), world.address(9), "keeper.hello") in world.network.calls
+        return (world.address(1), world.address(9), "control.heartbeat") in world.network.calls
 
     assert play(scene)
 
@@ -235,18 +235,18 @@
             ages_s = []
             for _ in range(100):
                 await asyncio.sleep(0.05)
-                ages_s += [keeper.list.age_s() for keeper in world.keepers.values()]
+                ages_s += [control_server.list.age_s() for control_server in world.control_servers.values()]
             oldest_s.append(max(ages_s))
         return oldest_s
 
     assert max(play(scene)) < DRAIN_S / 2
 
 
-def test_senders_with_versions_from_before_a_restart_of_every_keeper_get_newer_ones():
+def test_senders_with_versions_from_before_a_restart_of_every_control_server_get_newer_ones():
     async def scene(world):
         await listed(world)
-        await world.keepers[1].handlers["lease.renew"](renewal(version=(40, "z")))
-        await world.until(lambda: world.keepers[1].directory.version.counter > 40)
+        await world.control_servers[1].handlers["lease.renew"](renewal(version=(40, "z")))
+        await world.until(lambda: world.control_servers[1].directory.version.counter > 40)
 
     play(scene)
 
@@ -255,17 +255,17 @@
     async def scene(world):
         await listed(world)
         await asyncio.sleep(2.0)
-        keeper, clock = world.keepers[2], asyncio.get_running_loop().time
-        versions = {"state_version": world.newest()["version"], "receivers_version": keeper.directory.version}
+        control_server, clock = world.control_servers[2], asyncio.get_running_loop().time
+        versions = {"state_version": world.newest()["version"], "receivers_version": control_server.directory.version}
         began_s = clock()
-        watch = asyncio.ensure_future(keeper.handlers["relay.watch"]({**versions, "wait": True}))
+        watch = asyncio.ensure_future(control_server.handlers["relay.watch"]({**versions, "wait": True}))
         await asyncio.sleep(0.1)
         await world.put(1, 7, 0)
         news = await watch
         assert news["state"]["configuration"]["generation"] == 7 and clock() - began_s < 0.2
         began_s = clock()
-        versions = {"state_version": news["state"]["version"], "receivers_version": keeper.directory.version}
-        quiet = await keeper.handlers["relay.watch"]({**versions, "wait": True})
+        versions = {"state_version": news["state"]["version"], "receivers_version": control_server.directory.version}
+        quiet = await control_server.handlers["relay.watch"]({**versions, "wait": True})
         assert "state" not in quiet and "receivers" not in quiet
         return clock() - began_s
 
@@ -282,5 +282,5 @@
         return {kind for _, _, kind in world.network.calls}, len(world.network.calls)
 
     kinds, calls = play(scene)
-    assert kinds == {"keeper.hello"}
+    assert kinds == {"control.heartbeat"}
     assert calls <= 6 * 10.0 / HEARTBEAT_PERIOD_S * 1.2
--- a/tests/controlplane/test_keeper_random.py
+++ b/tests/controlplane/test_control_server_random.py
@@ -1,10 +1,11 @@
-"""Keepers under random kills, wipes, cuts, slow disks and orders: what was acknowledged stays, one order a version."""
+"""Control servers under random kills, wipes, cuts, slow disks and orders: what was acknowledged stays, one order a
+version."""
 
 import asyncio
 import random
 
 import pytest
-from controlplane.keeper_world import World
+from controlplane.control_server_world import World
 from store_world import run
 
 from dewpin.controlplane.order_history import remembered_orders
@@ -17,7 +18,8 @@
 
 
 class Operators:
-    """Operators that send orders to random keepers, build on what was acknowledged, and resend without an answer."""
+    """Operators that send orders to random control servers, build on what was acknowledged, and resend without an
+    answer."""
 
     def __init__(self, world, rng):
         self.world = world
@@ -39,12 +41,12 @@
     async def send(self, generation, base, body, until_s):
         change = put_configuration(body, generation, base)
         while asyncio.get_running_loop().time() < until_s:
-            keeper = self.world.keepers[self.rng.choice(sorted(self.world.keepers))]
-            if not self.world.is_up(keeper):
+            control_server = self.world.control_servers[self.rng.choice(sorted(self.world.control_servers))]
+            if not self.world.is_up(control_server):
                 await asyncio.sleep(0.05)
                 continue
             try:
-                state = await keeper.register.propose(change, 0.85)
+                state = await control_server.register.propose(change, 0.85)
             except RegisterUnavailable:
                 await asyncio.sleep(self.rng.uniform(0.0, 0.2))
                 continue
@@ -59,8 +61,8 @@
 class RandomWorld(World):
     """Troubles one after the other, each borne before the next, as the tolerance of one machine has it."""
 
-    def is_up(self, keeper):
-        return keeper.address not in self.network.down
+    def is_up(self, control_server):
+        return control_server.address not in self.network.down
 
     async def trouble(self, rng):
         number = rng.choice([1, 2, 3])
@@ -104,14 +106,14 @@
         while now_s() < until_s:
             await world.trouble(rng)
         await asyncio.gather(*works)
-        state = await world.keepers[1].register.propose(lambda present: present, 5.0)
+        state = await world.control_servers[1].register.propose(lambda present: present, 5.0)
         await asyncio.sleep(2.0)
         histories = [
             await world.disks[number].query("SELECT number, generation, digest FROM orders ORDER BY number")
             for number in (1, 2, 3)
         ]
-        for keeper in world.keepers.values():
-            await keeper.stop()
+        for control_server in world.control_servers.values():
+            await control_server.stop()
         return operators, state, histories
 
     operators, state, histories = run(scene())
--- a/tests/controlplane/test_currency_random.py
+++ b/tests/controlplane/test_currency_random.py
@@ -4,11 +4,11 @@
 import random
 
 import pytest
-from controlplane.keeper_world import APPLY_S
-from controlplane.test_senders_and_keepers import Fleet
+from controlplane.control_server_world import APPLY_S
+from controlplane.test_senders_and_control_servers import Fleet
 from store_world import run
 
-from dewpin.controlplane.keeper import knowledge_bound_s
+from dewpin.controlplane.control_server import knowledge_bound_s
 from dewpin.controlplane.register import RegisterUnavailable
 from dewpin.controlplane.system_state import ChangeRefused
 
@@ -34,11 +34,11 @@
 
     def look(self):
         now_s = asyncio.get_running_loop().time()
-        for number, keeper in self.fleet.keepers.items():
+        for number, control_server in self.fleet.control_servers.items():
             if number in self.fleet.frozen_s:
                 continue
-            assert self.fleet.generation(number) >= self.newest_before(now_s - keeper.confirmation.age_s())
-            if keeper.confirmation.is_current():
+            assert self.fleet.generation(number) >= self.newest_before(now_s - control_server.confirmation.age_s())
+            if control_server.confirmation.is_current():
                 self.looks["control"] += 1
                 assert self.fleet.generation(number) >= self.newest_before(now_s - self.bound_s)
         for number, agent in self.fleet.agents.items():
--- a/tests/controlplane/test_cut_off.py
+++ b/tests/controlplane/test_cut_off.py
@@ -5,11 +5,11 @@
 
 import pytest
 from cluster import samples
-from controlplane.keeper_world import APPLY_S, drain, drain_known, listed, play, renewal, shows_drain
+from controlplane.control_server_world import APPLY_S, drain, drain_known, listed, play, renewal, shows_drain
 
 from dewpin.cluster.errors import ErrorKind
 from dewpin.cluster.rpc import RpcError
-from dewpin.controlplane.keeper import knowledge_bound_s
+from dewpin.controlplane.control_server import knowledge_bound_s
 from dewpin.controlplane.operator_api import OperatorApi
 from dewpin.controlplane.register import RegisterUnavailable
 
@@ -33,7 +33,7 @@
     """Whether a control process answers a sender that it has no quorum."""
     message = renewal() if kind == "lease.renew" else WATCH
     try:
-        await world.keepers[number].handlers[kind](message)
+        await world.control_servers[number].handlers[kind](message)
     except RpcError as fault:
         assert fault.kind == ErrorKind.NO_QUORUM
         return True
@@ -63,7 +63,7 @@
         for other in {1, 2, 3} - {number}:
             assert await refusals(world, other) == [False, False]
         world.network.join()
-        took_s = await world.until(lambda: world.keepers[number].confirmation.is_current())
+        took_s = await world.until(lambda: world.control_servers[number].confirmation.is_current())
         assert world.generation(number) == 8
         return took_s
 
@@ -111,7 +111,7 @@
         await world.until(lambda: world.generation(3) == 7)
         world.network.cut(world.address(3))
         loop = asyncio.get_running_loop()
-        api = OperatorApi(world.keepers[3].register, loop, 3)
+        api = OperatorApi(world.control_servers[3].register, loop, 3)
         body = json.dumps({**samples.configuration(), "generation": 9}).encode()
         calls = [
             api.get,
@@ -136,7 +136,9 @@
             await asyncio.sleep(0.1)
             assert await refusals(world, 3) == [True, True]
         await world.start(1)
-        return await world.until(lambda: all(world.keepers[number].confirmation.is_current() for number in (1, 3)))
+        return await world.until(
+            lambda: all(world.control_servers[number].confirmation.is_current() for number in (1, 3))
+        )
 
     assert play(scene) < 1.0
 
@@ -147,7 +149,9 @@
         await world.kill(1, 2, 3)
         for number in (1, 2, 3):
             await world.start(number)
-        return await world.until(lambda: all(world.keepers[number].confirmation.is_current() for number in (1, 2, 3)))
+        return await world.until(
+            lambda: all(world.control_servers[number].confirmation.is_current() for number in (1, 2, 3))
+        )
 
     assert play(scene) < 0.4
 
@@ -203,7 +207,7 @@
         for _ in range(300):
             await asyncio.sleep(0.01)
             for number in (2, 3):
-                confirmation = world.keepers[number].confirmation
+                confirmation = world.control_servers[number].confirmation
                 if world.generation(number) < 8:
                     assert asyncio.get_running_loop().time() - confirmation.age_s() <= acknowledged_s
         return world.generation(2), world.generation(3)
@@ -213,8 +217,8 @@
 
 async def told_version(world, number):
     """The version that a process tells in its answer to a heartbeat."""
-    heartbeat = {"from": world.keepers[1].record(), "receivers": [0, ""]}
-    return (await world.keepers[number].handlers["keeper.hello"](heartbeat))["accepted_version"]
+    heartbeat = {"from": world.control_servers[1].record(), "receivers": [0, ""]}
+    return (await world.control_servers[number].handlers["control.heartbeat"](heartbeat))["accepted_version"]
 
 
 def test_a_member_that_accepted_tells_its_version_only_once_it_is_on_disk():
@@ -225,7 +229,7 @@
         world.disks[2].delay_s = 0.5
         await world.put(1, 8, 7)
         during = await told_version(world, 2)
-        assert world.keepers[2].register.has_unfinished_value
+        assert world.control_servers[2].register.has_unfinished_value
         await asyncio.sleep(2.0)
         return before, during, await told_version(world, 2)
 
@@ -255,7 +259,7 @@
         others = [world.address(number) for number in (1, 4)]
         world.network.cut(*others)  # the one that drives, with a process beside it that could take a member's place
         proposed = []
-        world.keepers[1].register.propose = lambda *order: proposed.append(order) or never()
+        world.control_servers[1].register.propose = lambda *order: proposed.append(order) or never()
         await asyncio.sleep(CUT_S + 5.0)
         return proposed
 
@@ -308,8 +312,8 @@
         ages_s = []
         for _ in range(500):
             await asyncio.sleep(0.01)
-            ages_s += [world.keepers[number].list.age_s() for number in others]
-        return max(ages_s) / world.keepers[1].list.period_s
+            ages_s += [world.control_servers[number].list.age_s() for number in others]
+        return max(ages_s) / world.control_servers[1].list.period_s
 
     assert play(scene) < 1.5
 
@@ -323,7 +327,7 @@
         ages_s = []
         for _ in range(2000):
             await asyncio.sleep(0.001)
-            ages_s += [keeper.confirmation.age_s() for keeper in world.keepers.values()]
+            ages_s += [control_server.confirmation.age_s() for control_server in world.control_servers.values()]
         return min(ages_s)
 
     assert play(scene) >= 2 * latency_s - 1e-6
@@ -354,13 +358,13 @@
         await asyncio.sleep(4.0)
         drain(world)
         await drain_known(world, (1, 2, 3))
-        versions = [world.keepers[number].directory.version for number in (1, 2, 3)]
+        versions = [world.control_servers[number].directory.version for number in (1, 2, 3)]
         world.network.join()
         seen = []
         for _ in range(300):
             await asyncio.sleep(0.01)
             seen += [shows_drain(world, number) for number in (1, 2, 3)]
-        after = [world.keepers[number].directory.version for number in (1, 2, 3)]
+        after = [world.control_servers[number].directory.version for number in (1, 2, 3)]
         return versions, after, seen
 
     versions, after, seen = play(scene)
@@ -380,6 +384,8 @@
         await asyncio.sleep(5.0)
         now_s = asyncio.get_running_loop().time()
         last_read_s = max(at_s for at_s, _ in world.readings if at_s <= began_s)
-        return [keeper.list.age_s() - (now_s - last_read_s) for keeper in world.keepers.values()]
+        return [
+            control_server.list.age_s() - (now_s - last_read_s) for control_server in world.control_servers.values()
+        ]
 
     assert min(play(scene)) >= -0.01
--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -10,7 +10,7 @@
 import control_world
 import pytest
 import store_world
-from controlplane.test_senders_and_keepers import SENDERS, Fleet
+from controlplane.test_senders_and_control_servers import SENDERS, Fleet
 from store_world import World, run
 
 from dewpin.cluster.rpc import RpcError
@@ -29,7 +29,7 @@
     "register.accept": "a ballot has one value; accepted again it stays, behind a greater promise it is refused",
     "register.body": "reads only",
     "register.orders": "reads only",
-    "keeper.hello": "replaces what is known of the sender; the next heartbeat corrects one that came late",
+    "control.heartbeat": "replaces what is known of the sender; the next heartbeat corrects one that came late",
     "lease.renew": "replaces the lease; one that comes after the release ends with its time",
     "lease.release": "removes what may be gone",
     "relay.watch": "reads only",
@@ -50,7 +50,11 @@
         fleet = Fleet(random.Random(1))
         await fleet.begin()
         fleet.start_sender(1)
-        handlers = {**fleet.keepers[1].handlers, **fleet.agents[1].handlers, **World().machines["a"].store.handlers}
+        handlers = {
+            **fleet.control_servers[1].handlers,
+            **fleet.agents[1].handlers,
+            **World().machines["a"].store.handlers,
+        }
         await fleet.stop()
         return set(handlers)
 
@@ -198,7 +202,7 @@
             await gone.stop()
             await asyncio.sleep(5.0)
             live = {
-                number: len(fleet.keepers[number].leases.live(asyncio.get_running_loop().time()))
+                number: len(fleet.control_servers[number].leases.live(asyncio.get_running_loop().time()))
                 for number in (1, 2, 3)
             }
             assert fleet.went_back == []
@@ -209,9 +213,14 @@
 
     live = run(whole())
     assert set(live.values()) == {SENDERS - 1}
-    assert {"register.prepare", "register.accept", "keeper.hello", "lease.renew", "lease.release", "relay.watch"} <= (
-        repeats.types
-    )
+    assert {
+        "register.prepare",
+        "register.accept",
+        "control.heartbeat",
+        "lease.renew",
+        "lease.release",
+        "relay.watch",
+    } <= (repeats.types)
 
 
 async def settle_order(fleet, number, generation, base):
--- a/tests/controlplane/test_senders_and_keepers.py
+++ b/tests/controlplane/test_senders_and_control_servers.py
@@ -1,10 +1,11 @@
-"""Senders' agents and keepers together: how soon a configuration or a drain is in force, whatever keeper is lost."""
+"""Senders' agents and control servers together: how soon a configuration or a drain is in force, whatever control
+server is lost."""
 
 import asyncio
 import random
 
 import pytest
-from controlplane.keeper_world import APPLY_S, DRAIN_S, Platform, World, drain, reader_of
+from controlplane.control_server_world import APPLY_S, DRAIN_S, Platform, World, drain, reader_of
 from store_world import run
 
 from dewpin.cluster.settings import parse_settings
@@ -15,7 +16,7 @@
 
 
 class Fleet(World):
-    """Three keepers and some senders; `generations` and `drained` are as each sender has them."""
+    """Three control servers and some senders; `generations` and `drained` are as each sender has them."""
 
     def __init__(self, rng):
         super().__init__()
@@ -80,8 +81,8 @@
     async def stop(self):
         for agent in self.agents.values():
             await agent.stop()
-        for keeper in self.keepers.values():
-            await keeper.stop()
+        for control_server in self.control_servers.values():
+            await control_server.stop()
 
 
 def play(seed, scene):
@@ -105,24 +106,24 @@
 
 
 async def lose(fleet, trouble, number):
-    """Loses one keeper in some way."""
+    """Loses one control server in some way."""
     if trouble == "kill":
         await fleet.kill(number)
     if trouble == "freeze":
         fleet.network.down.add(fleet.address(number))
         fleet.cut_from_platform.add(number)
-    if trouble == "cut_from_keepers":
+    if trouble == "cut_from_control_servers":
         others = [fleet.address(other) for other in (1, 2, 3) if other != number]
         fleet.network.cuts |= {frozenset((fleet.address(number), other)) for other in others}
 
 
-TROUBLES = ["none", "kill", "freeze", "cut_from_keepers"]
+TROUBLES = ["none", "kill", "freeze", "cut_from_control_servers"]
 
 
 @pytest.mark.parametrize("trouble", TROUBLES)
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_configuration_is_in_force_everywhere_within_the_bound(seed, trouble):
-    """The keeper that acknowledged it is lost right after; it may go on alone with what it has."""
+    """The control server that acknowledged it is lost right after; it may go on alone with what it has."""
 
     async def scene(fleet, rng):
         number = rng.choice([1, 2, 3])
@@ -133,9 +134,9 @@
     assert play(seed, scene) < APPLY_S
 
 
-@pytest.mark.parametrize("trouble", ["kill", "freeze", "cut_from_keepers"])
+@pytest.mark.parametrize("trouble", ["kill", "freeze", "cut_from_control_servers"])
 @pytest.mark.parametrize("seed", SEEDS)
-def test_a_configuration_is_in_force_within_the_bound_while_a_keeper_is_lost_for_long(seed, trouble):
+def test_a_configuration_is_in_force_within_the_bound_while_a_control_server_is_lost_for_long(seed, trouble):
     async def scene(fleet, rng):
         number = rng.choice([1, 2, 3])
         await lose(fleet, trouble, number)
@@ -149,7 +150,7 @@
 @pytest.mark.parametrize("trouble", TROUBLES)
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_drain_is_known_everywhere_within_the_bound(seed, trouble):
-    """The keeper that reads the list is lost just before the list shows it."""
+    """The control server that reads the list is lost just before the list shows it."""
 
     async def scene(fleet, rng):
         await lose(fleet, trouble, reader_of(fleet))
@@ -160,7 +161,7 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_a_drain_is_known_while_all_keepers_are_down(seed):
+def test_a_drain_is_known_while_all_control_servers_are_down(seed):
     async def scene(fleet, rng):
         await fleet.kill(1, 2, 3)
         drain(fleet)
@@ -178,9 +179,9 @@
     assert play(1, scene) == set()
 
 
-def test_a_sender_started_beside_a_keeper_cut_off_from_the_others_is_right_within_the_bound():
+def test_a_sender_started_beside_a_control_server_cut_off_from_the_others_is_right_within_the_bound():
     async def scene(fleet, rng):
-        await lose(fleet, "cut_from_keepers", 1)
+        await lose(fleet, "cut_from_control_servers", 1)
         await fleet.put(2, 8, 7)
         await asyncio.sleep(6.0)
         fleet.start_sender(SENDERS + 1)
@@ -206,7 +207,7 @@
 def test_a_sender_started_beside_a_process_that_is_cut_off_is_ready_only_with_another(seed):
     async def scene(fleet, rng):
         number = rng.choice([1, 2, 3])
-        await lose(fleet, "cut_from_keepers", number)
+        await lose(fleet, "cut_from_control_servers", number)
         fleet.reaches_only(NEWCOMER, number)
         if rng.random() < 0.5:
             await asyncio.sleep(rng.uniform(0.0, 2.0))
@@ -232,7 +233,7 @@
 def test_a_sender_started_beside_one_process_that_is_cut_off_among_others_is_ready_at_once(seed):
     async def scene(fleet, rng):
         number = rng.choice([1, 2, 3])
-        await lose(fleet, "cut_from_keepers", number)
+        await lose(fleet, "cut_from_control_servers", number)
         await fleet.put(1 + number % 3, 8, 7)
         await asyncio.sleep(rng.uniform(0.0, 4.0))
         fleet.start_sender(NEWCOMER)
@@ -245,7 +246,7 @@
 
 def test_a_sender_that_is_left_with_a_process_that_is_cut_off_goes_on_and_calls_nothing_unknown():
     async def scene(fleet, rng):
-        await lose(fleet, "cut_from_keepers", 3)
+        await lose(fleet, "cut_from_control_servers", 3)
         fleet.reaches_only(1, 3)
         agent = fleet.agents[1]
         await fleet.until(lambda: not agent.knows_current_state())
--- a/tests/controlplane/test_storage.py
+++ b/tests/controlplane/test_storage.py
@@ -1,4 +1,4 @@
-"""The keeper's database: durable writes, failures of the disk, damage, versions of the schema."""
+"""The control server's database: durable writes, failures of the disk, damage, versions of the schema."""
 
 import asyncio
 import shutil
--- a/tests/dataplane/agent_world.py
+++ b/tests/dataplane/agent_world.py
@@ -1,4 +1,4 @@
-"""A sender's agent among scripted keepers and parents, on a clock that jumps: the world of its tests."""
+"""A sender's agent among scripted control servers and parents, on a clock that jumps: the world of its tests."""
 
 import asyncio
 import random
@@ -17,7 +17,7 @@
 CALM_S = 10.0
 
 
-def keeper_address(number):
+def control_server_address(number):
     return f"10.0.0.{number}:7380"
 
 
@@ -42,7 +42,7 @@
 
 
 class Source:
-    """A keeper, or a sender above in the relay tree: what it knows, and whether it answers."""
+    """A control server, or a sender above in the relay tree: what it knows, and whether it answers."""
 
     def __init__(self, world, address):
         self.world = world
@@ -55,7 +55,7 @@
         self.read_s = None  # when the list was read; None: just now
         self.parents = []
         self.senders = 4
-        self.names = None  # the keepers that it names; None: all
+        self.names = None  # the control servers that it names; None: all
         self.refuses = False  # answers that it reaches no majority
         self.told_version = None  # the version that its grants tell; None: the one that it has
         self.news_age_s = 0.0  # how long ago a majority confirmed what its news tell
@@ -87,7 +87,7 @@
                 "receivers_version": self.directory.version,
                 "list_age_s": self.age_s(),
                 "parents": self.parents,
-                "keepers": self.names if self.names is not None else self.world.keeper_addresses,
+                "control_servers": self.names if self.names is not None else self.world.control_server_addresses,
                 "senders": self.senders,
             }
         if kind == "lease.release":
@@ -121,9 +121,9 @@
 class World:
     """The agent under test, its sources by address, and the platform's list."""
 
-    def __init__(self, keepers=3, seeds=(1, 2, 3), rate_per_s=44.0):
-        self.keeper_addresses = [keeper_address(number) for number in range(1, keepers + 1)]
-        self.sources = {address: Source(self, address) for address in self.keeper_addresses}
+    def __init__(self, control_servers=3, seeds=(1, 2, 3), rate_per_s=44.0):
+        self.control_server_addresses = [control_server_address(number) for number in range(1, control_servers + 1)]
+        self.sources = {address: Source(self, address) for address in self.control_server_addresses}
         self.calls = []
         self.own_readings = []
         self.platform = [receiver()]
@@ -146,17 +146,17 @@
     def now_s(self):
         return asyncio.get_running_loop().time()
 
-    def keeper(self, number):
-        return self.sources[keeper_address(number)]
+    def control_server(self, number):
+        return self.sources[control_server_address(number)]
 
     @property
-    def keepers(self):
-        return [self.sources[address] for address in self.keeper_addresses]
+    def control_servers(self):
+        return [self.sources[address] for address in self.control_server_addresses]
 
     def add_parent(self):
         parent = Source(self, "10.5.0.9:7381")
         self.sources[parent.address] = parent
-        for one in self.keepers:
+        for one in self.control_servers:
             one.parents = [parent.address]
         return parent
 
--- a/tests/dataplane/test_agent_receiver_list.py
+++ b/tests/dataplane/test_agent_receiver_list.py
@@ -13,7 +13,7 @@
         changed = settings()
         cloud = dataclasses.replace(changed.cloud, address="10.8.0.2:80")
         world.agent.take_settings(dataclasses.replace(changed, cloud=cloud))
-        for one in world.keepers:
+        for one in world.control_servers:
             one.up = False
         await world.until(lambda: world.own_readings)
         return world.own_readings[0][1]
@@ -21,10 +21,10 @@
     assert play(scene) == "10.8.0.2:80"
 
 
-def test_a_drain_is_known_in_time_while_the_keepers_are_gone():
+def test_a_drain_is_known_in_time_while_the_control_servers_are_gone():
     async def scene(world):
         await asyncio.sleep(1.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.up = False
         world.platform = [receiver(draining=True)]
         return await world.until(lambda: world.drained[-1] == [True])
@@ -32,10 +32,10 @@
     assert play(scene) < 0.9 * DRAIN_S
 
 
-def test_a_drain_is_known_in_time_while_the_keepers_lists_are_old():
+def test_a_drain_is_known_in_time_while_the_control_servers_lists_are_old():
     async def scene(world):
         await asyncio.sleep(1.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.read_s = world.now_s
         world.platform = [receiver(draining=True)]
         return await world.until(lambda: world.drained[-1] == [True])
@@ -44,13 +44,13 @@
 
 
 def test_the_age_of_a_list_that_is_not_held_here_counts_for_nothing():
-    """A keeper whose directory is older than the sender's reads on, without the ends that the sender lacks."""
+    """A control server whose directory is older than the sender's reads on, without the ends that the sender lacks."""
 
     async def scene(world):
-        for one in world.keepers:
+        for one in world.control_servers:
             one.read(receiver(), receiver(one="i-2"), reader="z")
         await world.until(lambda: world.drained[-1] == [False, False])
-        for one in world.keepers:
+        for one in world.control_servers:
             one.directory = ReceiverDirectory()
             one.directory.take_reading([receiver()], "a")
         await asyncio.sleep(DRAIN_S)
@@ -63,7 +63,7 @@
 def test_children_are_told_the_age_of_the_shared_list_only():
     async def scene(world):
         await asyncio.sleep(1.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.read_s = world.now_s
         await asyncio.sleep(5.0)
         version = {"state_version": 1, "receivers_version": world.agent.directory.version}
@@ -77,7 +77,7 @@
 
 def test_own_readings_of_many_senders_keep_within_the_platforms_rate():
     async def scene(world):
-        for one in world.keepers:
+        for one in world.control_servers:
             one.up = False
         await asyncio.sleep(20.0)
         return len(world.own_readings)
@@ -87,7 +87,7 @@
 
 def test_a_platform_that_is_down_is_asked_again_and_ends_nothing():
     async def scene(world):
-        for one in world.keepers:
+        for one in world.control_servers:
             one.up = False
         world.platform_down = True
         await asyncio.sleep(6.0)
--- a/tests/dataplane/test_cluster_agent.py
+++ b/tests/dataplane/test_cluster_agent.py
@@ -1,9 +1,9 @@
-"""A sender's agent among scripted keepers and parents, on a clock that jumps."""
+"""A sender's agent among scripted control servers and parents, on a clock that jumps."""
 
 import asyncio
 
 import pytest
-from dataplane.agent_world import APPLY_S, CALM_S, Source, World, keeper_address, play, receiver, settings
+from dataplane.agent_world import APPLY_S, CALM_S, Source, World, control_server_address, play, receiver, settings
 from store_world import run
 
 
@@ -14,15 +14,15 @@
     assert play(scene) == (True, [1], [[False]])
 
 
-def test_the_number_of_senders_is_told_when_it_changes_and_not_for_a_keeper_that_was_just_started():
+def test_the_number_of_senders_is_told_when_it_changes_and_not_for_a_control_server_that_was_just_started():
     async def scene(world):
         await asyncio.sleep(5.0)
-        world.keeper(2).senders = 1
+        world.control_server(2).senders = 1
         await asyncio.sleep(5.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.senders = 6
         await asyncio.sleep(5.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.senders = 5
         await asyncio.sleep(5.0)
         return world.counts
@@ -46,7 +46,7 @@
 def test_a_change_is_pushed_at_once():
     async def scene(world):
         await asyncio.sleep(1.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.set_version(2)
         return await world.until(lambda: world.states[-1] == 2)
 
@@ -54,10 +54,10 @@
 
 
 @pytest.mark.parametrize("knows", [1, 2, 3])
-def test_a_change_that_one_keeper_alone_knows_is_in_force_within_the_bound(knows):
+def test_a_change_that_one_control_server_alone_knows_is_in_force_within_the_bound(knows):
     async def scene(world):
         await asyncio.sleep(1.0)
-        world.keeper(knows).set_version(2)
+        world.control_server(knows).set_version(2)
         return await world.until(lambda: world.states[-1] == 2)
 
     assert play(scene) < APPLY_S / 1.5
@@ -65,11 +65,11 @@
 
 @pytest.mark.parametrize("trouble", ["up", "frozen"])
 @pytest.mark.parametrize("gone", [1, 2, 3])
-def test_a_change_is_in_force_within_the_bound_while_one_keeper_is_gone_and_one_is_stale(gone, trouble):
+def test_a_change_is_in_force_within_the_bound_while_one_control_server_is_gone_and_one_is_stale(gone, trouble):
     async def scene(world):
         await asyncio.sleep(1.0)
-        setattr(world.keeper(gone), trouble, trouble == "frozen")
-        world.keeper(1 + gone % 3).set_version(2)
+        setattr(world.control_server(gone), trouble, trouble == "frozen")
+        world.control_server(1 + gone % 3).set_version(2)
         return await world.until(lambda: world.states[-1] == 2)
 
     assert play(scene) < APPLY_S
@@ -80,7 +80,7 @@
         parent = world.add_parent()
         await asyncio.sleep(1.0)
         parent.frozen = True
-        for one in world.keepers:
+        for one in world.control_servers:
             one.set_version(2)
         return await world.until(lambda: world.states[-1] == 2)
 
@@ -88,12 +88,13 @@
 
 
 def test_a_parent_that_hears_nothing_itself_is_no_hindrance():
-    """Two senders may be named each other's parent by different keepers: the renewals tell them what they lack."""
+    """Two senders may be named each other's parent by different control servers: the renewals tell them what they
+    lack."""
 
     async def scene(world):
         world.add_parent()
         await asyncio.sleep(1.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.set_version(2)
             one.read(receiver(draining=True))
         return await world.until(lambda: world.states[-1] == 2 and world.drained[-1] == [True])
@@ -101,9 +102,9 @@
     assert play(scene) < APPLY_S / 2
 
 
-def test_no_version_is_taken_back_by_a_stale_keeper():
+def test_no_version_is_taken_back_by_a_stale_control_server():
     async def scene(world):
-        world.keeper(2).set_version(5)
+        world.control_server(2).set_version(5)
         await world.until(lambda: world.states[-1] == 5)
         await asyncio.sleep(5.0)
         return world.states
@@ -112,15 +113,15 @@
     assert states == sorted(set(states))
 
 
-def test_a_sender_started_while_one_keeper_is_stale_is_right_within_the_bound():
+def test_a_sender_started_while_one_control_server_is_stale_is_right_within_the_bound():
     async def scene(world):
         return await world.until(lambda: world.states[-1] == 9)
 
     async def begin():
         world = World()
         for number in (2, 3):
-            world.keeper(number).set_version(9)
-        world.keeper(1).names = [keeper_address(1)]
+            world.control_server(number).set_version(9)
+        world.control_server(1).names = [control_server_address(1)]
         world.agent.start()
         await world.until(lambda: world.states)
         took_s = await scene(world)
@@ -130,37 +131,37 @@
     assert run(begin()) < APPLY_S
 
 
-def test_a_keeper_cut_off_for_long_makes_the_sender_forget_none_of_the_others():
-    """The seeds are gone by now; the sender knows the present keepers from answers alone."""
+def test_a_control_server_cut_off_for_long_makes_the_sender_forget_none_of_the_others():
+    """The seeds are gone by now; the sender knows the present control servers from answers alone."""
 
     async def scene(world):
         await world.until(lambda: {4, 5} <= {int(address.split(".")[3].split(":")[0]) for _, address, _ in world.calls})
         for number in (1, 2, 3):
-            world.keeper(number).up = number == 3
-        world.keeper(3).names = [keeper_address(3)]
+            world.control_server(number).up = number == 3
+        world.control_server(3).names = [control_server_address(3)]
         await asyncio.sleep(8.0)
-        world.keeper(4).set_version(2)
-        world.keeper(5).set_version(2)
+        world.control_server(4).set_version(2)
+        world.control_server(5).set_version(2)
         return await world.until(lambda: world.states[-1] == 2)
 
-    assert play(scene, keepers=5) < APPLY_S
+    assert play(scene, control_servers=5) < APPLY_S
 
 
 def test_new_seeds_are_asked_after_the_settings_changed():
     async def scene(world):
         for number in (1, 2, 3):
-            world.keeper(number).up = False
-        world.sources[keeper_address(7)] = Source(world, keeper_address(7))
-        world.sources[keeper_address(7)].set_version(2)
+            world.control_server(number).up = False
+        world.sources[control_server_address(7)] = Source(world, control_server_address(7))
+        world.sources[control_server_address(7)].set_version(2)
         world.agent.take_settings(settings(seeds=(7,)))
         return await world.until(lambda: world.states[-1] == 2)
 
     assert play(scene) < APPLY_S
 
 
-def test_keepers_that_all_refuse_are_not_asked_without_a_pause():
+def test_control_servers_that_all_refuse_are_not_asked_without_a_pause():
     async def scene(world):
-        for one in world.keepers:
+        for one in world.control_servers:
             one.up = False
         began_s = world.now_s
         await asyncio.sleep(10.0)
@@ -175,7 +176,7 @@
         version = {"state_version": 1, "receivers_version": world.agent.directory.version}
         child = asyncio.ensure_future(world.agent.handlers["relay.watch"]({"wait": True, **version}))
         await asyncio.sleep(0.01)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.set_version(2)
         began_s = world.now_s
         news = await child
@@ -192,20 +193,20 @@
             raise ZeroDivisionError("a fault of the callback")
 
         world.agent._on_state = fail
-        for one in world.keepers:
+        for one in world.control_servers:
             one.set_version(2)
         await asyncio.sleep(2.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.set_version(3)
         return await world.until(lambda: world.states[-1] == 3)
 
     assert play(scene) < APPLY_S
 
 
-def test_a_lease_is_given_up_at_all_keepers():
+def test_a_lease_is_given_up_at_all_control_servers():
     async def scene(world):
         await asyncio.sleep(2.0)
         await world.agent.stop()
         return {address for _, address, kind in world.calls if kind == "lease.release"}
 
-    assert play(scene) == {keeper_address(number) for number in (1, 2, 3)}
+    assert play(scene) == {control_server_address(number) for number in (1, 2, 3)}
--- a/tests/dataplane/test_confirmed_state.py
+++ b/tests/dataplane/test_confirmed_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from dataplane.agent_world import APPLY_S, World, keeper_address, play, receiver
+from dataplane.agent_world import APPLY_S, World, control_server_address, play, receiver
 from store_world import run
 
 from dewpin.cluster.relay_service import WATCH_HEARTBEAT_S
@@ -11,13 +11,13 @@
 def test_a_copy_that_was_read_before_the_own_list_brings_its_own_age():
     async def scene(world):
         await asyncio.sleep(1.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.up = False
         world.platform_down = False
         await world.until(lambda: world.own_readings)
         read_s = world.now_s - 1.5
         world.platform_down = True
-        for one in world.keepers:
+        for one in world.control_servers:
             one.read_s = read_s
             one.read(receiver(), receiver(one="i-2"))
             one.up = True
@@ -30,7 +30,7 @@
 def test_an_age_told_counts_from_when_it_was_asked_for():
     async def scene(world):
         await asyncio.sleep(1.0)
-        for one in world.keepers:
+        for one in world.control_servers:
             one.latency_s = 0.3
         await asyncio.sleep(3.0)
         ages_s = []
@@ -55,7 +55,7 @@
 def test_a_sender_behind_the_version_that_it_is_told_has_nothing_confirmed():
     async def begin():
         world = World()
-        for one in world.keepers:
+        for one in world.control_servers:
             one.told_version, one.news_age_s = 9, 60.0
         return await is_confirmed_soon(world)
 
@@ -68,14 +68,14 @@
     async def scene(world):
         await asyncio.sleep(1.0)
         for number in (1, 2):
-            world.keeper(number).up = False
-        world.keeper(3).refuses = True
+            world.control_server(number).up = False
+        world.control_server(3).refuses = True
         began_s = world.now_s
         await asyncio.sleep(20.0)
-        asked = sum(1 for at_s, address, _ in world.calls if address == keeper_address(3) and at_s >= began_s)
+        asked = sum(1 for at_s, address, _ in world.calls if address == control_server_address(3) and at_s >= began_s)
         assert world.agent.hears_control
-        world.keeper(3).refuses = False
-        world.keeper(3).set_version(2)
+        world.control_server(3).refuses = False
+        world.control_server(3).set_version(2)
         return asked / 20.0, await world.until(lambda: world.states[-1] == 2)
 
     asked_per_s, took_s = play(scene)
@@ -90,7 +90,7 @@
         world = World()
         parent = world.add_parent()
         parent.news_age_s = None
-        for one in world.keepers:
+        for one in world.control_servers:
             one.refuses = True
         world.agent._parents = [parent.address]
         return await is_confirmed_soon(world)
--- a/tests/dataplane/test_lease_readiness.py
+++ b/tests/dataplane/test_lease_readiness.py
@@ -20,7 +20,7 @@
         return self.now_s
 
 
-def test_a_sender_that_no_keeper_answers_any_more_has_no_lease():
+def test_a_sender_that_no_control_server_answers_any_more_has_no_lease():
     clock, told = Clock(), settings()
     agent = ClusterAgent(
         told,
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -66,7 +66,7 @@
     "test_a_body_of_other_bytes_than_its_digest_says_is_not_taken_and_is_fetched_anew"
 )
 NEWCOMER = (
-    "tests.controlplane.test_senders_and_keepers::"
+    "tests.controlplane.test_senders_and_control_servers::"
     "test_a_sender_started_beside_a_process_that_is_cut_off_is_ready_only_with_another"
 )
 NO_ROUTE = (
--- a/tests/simulation/hosts.py
+++ b/tests/simulation/hosts.py
@@ -6,7 +6,7 @@
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import parse_settings
 from dewpin.controlplane.__main__ import LEAVE_NOTICE_S, start_store
-from dewpin.controlplane.keeper import Keeper
+from dewpin.controlplane.control_server import ControlServer
 from dewpin.controlplane.operator_api import OperatorApi
 from dewpin.dataplane.__main__ import Sender
 from dewpin.dataplane.chain_cache import ChainCache
@@ -95,7 +95,7 @@
     def __init__(self, world, name, ip, zone):
         super().__init__(world, name, ip, zone)
         self.disk = None
-        self.keeper = None
+        self.control_server = None
         self.api = None
         self.put_in_empty_disk()
 
@@ -103,21 +103,28 @@
         self.disk = Disk(self.world.loop, f"{self.world.dice.getrandbits(64):016x}")
 
     async def _run(self, bootstrap):
-        self.keeper = self.api = None
+        self.control_server = self.api = None
         settings, loop = self.settings(bootstrap), self.world.loop
         client = RpcClient()
-        keeper = Keeper(
-            settings, self.disk, client, self.random("keeper"), clock=loop.time, platform=self.world.platform(self)
+        control_server = ControlServer(
+            settings,
+            self.disk,
+            client,
+            self.random("control_server"),
+            clock=loop.time,
+            platform=self.world.platform(self),
+        )
+        server = RpcServer(control_server.handlers)
+        store = await start_store(
+            settings, self.disk, client, control_server, self.random("repair"), self.time_of_day_ms
         )
-        server = RpcServer(keeper.handlers)
-        store = await start_store(settings, self.disk, client, keeper, self.random("repair"), self.time_of_day_ms)
         server.handlers.update(store)
         server.handlers = self.world.disturbed(server.handlers)
-        await keeper.load()
-        await server.start(*split_address(keeper.address))
-        keeper.start()
-        self.keeper, self.server = keeper, server
-        self.api = OperatorApi(keeper.register, loop, settings.fault_tolerance.replica_count)
+        await control_server.load()
+        await server.start(*split_address(control_server.address))
+        control_server.start()
+        self.control_server, self.server = control_server, server
+        self.api = OperatorApi(control_server.register, loop, settings.fault_tolerance.replica_count)
 
     async def call_operator_api(self, make_call):
         """The answer of a call of the operator; None where the process doesn't take calls yet."""
@@ -128,10 +135,10 @@
         self.machine.start(self._stop())
 
     async def _stop(self):
-        if self.keeper is not None:
-            self.keeper.leave()
+        if self.control_server is not None:
+            self.control_server.leave()
             await asyncio.sleep(LEAVE_NOTICE_S)
-            await self.keeper.stop()
+            await self.control_server.stop()
             await self.server.stop()
         self.world.loop.call_soon(self.world.process_ended, self, self.life)
 
--- a/tests/standin/conftest.py
+++ b/tests/standin/conftest.py
@@ -26,7 +26,9 @@
     """Give the tier to a test, and make it whole again behind it; the logs are printed with a failure."""
     yield running_tier
     print(running_tier.logs())
-    running_tier.restart([keeper for keeper in running_tier.keepers if not keeper.process.is_running])
+    running_tier.restart(
+        [control_server for control_server in running_tier.control_servers if not control_server.process.is_running]
+    )
     for sender in running_tier.senders:
         if not sender.process.is_running:
             sender.process.start()
--- a/tests/standin/test_parts.py
+++ b/tests/standin/test_parts.py
@@ -30,12 +30,12 @@
 def test_the_tier_takes_the_settings_that_are_written_for_it(tmp_path):
     tier = LocalTier(tmp_path)
     try:
-        keeper, sender = tier.keepers[0], tier.senders[0]
-        settings = load_settings(keeper.settings_path)
-        assert settings.bootstrap and settings.data_dir == keeper.data_dir
-        assert settings.seeds == tuple(one.control for one in tier.keepers)
-        tier.write_settings(keeper, first_start=False)
-        assert not load_settings(keeper.settings_path).bootstrap
+        control_server, sender = tier.control_servers[0], tier.senders[0]
+        settings = load_settings(control_server.settings_path)
+        assert settings.bootstrap and settings.data_dir == control_server.data_dir
+        assert settings.seeds == tuple(one.control for one in tier.control_servers)
+        tier.write_settings(control_server, first_start=False)
+        assert not load_settings(control_server.settings_path).bootstrap
         assert load_settings(sender.settings_path).listen == {"front": sender.front, "ready": sender.ready}
     finally:
         tier.stop()
--- a/tests/standin/test_tier.py
+++ b/tests/standin/test_tier.py
@@ -45,11 +45,11 @@
     ]
 
 
-def change_configuration(tier, keepers=()):
+def change_configuration(tier, control_servers=()):
     """Put a configuration whose plain route has a path of its own; return that path."""
     base = tier.operator.get()["generation"]
     path = f"/changed-{next(_numbers)}/"
-    answer = tier.operator.put(sample_configuration(base + 1, path), base, FACT_TIMEOUT_S, keepers)
+    answer = tier.operator.put(sample_configuration(base + 1, path), base, FACT_TIMEOUT_S, control_servers)
     assert answer.status == 200, answer.body
     return path
 
@@ -105,39 +105,39 @@
     assert runs_of(tier, STREAM_SERVICE, refused.request_id) == []
 
 
-def test_a_configuration_put_at_another_keeper_is_in_force_at_both_senders(tier):
-    for keeper in tier.keepers[1:]:
-        path = change_configuration(tier, [keeper.control])
+def test_a_configuration_put_at_another_control_server_is_in_force_at_both_senders(tier):
+    for control_server in tier.control_servers[1:]:
+        path = change_configuration(tier, [control_server.control])
         wait_until_served(tier, path)
         assert [route["path_prefix"] for route in tier.operator.get()["routes"]] == [path, STREAM_PATH]
     for sender in tier.senders:
         assert send(sender.front, ClientRequest(HOST, f"{PLAIN_PATH}item")).status == 404
 
 
-def test_a_configuration_is_taken_while_one_keeper_is_dead(tier):
-    tier.keepers[0].process.kill()
+def test_a_configuration_is_taken_while_one_control_server_is_dead(tier):
+    tier.control_servers[0].process.kill()
     wait_until_served(tier, change_configuration(tier))
 
 
-def test_all_keepers_are_killed_and_nothing_acknowledged_is_lost(tier):
+def test_all_control_servers_are_killed_and_nothing_acknowledged_is_lost(tier):
     program = ProgramClient(HOST, STREAM_PATH, budget=10 * MOST_TOKENS, most_tokens=MOST_TOKENS)
     first = take_turn(program, tier.senders[0], b"before\n")
     change_configuration(tier)
     acknowledged = tier.operator.get()
 
-    for keeper in tier.keepers:
-        keeper.process.send(signal.SIGKILL)
-    for keeper in tier.keepers:
-        keeper.process.kill()
-    tier.restart(tier.keepers)
+    for control_server in tier.control_servers:
+        control_server.process.send(signal.SIGKILL)
+    for control_server in tier.control_servers:
+        control_server.process.kill()
+    tier.restart(tier.control_servers)
 
     assert tier.operator.get(FACT_TIMEOUT_S) == acknowledged
     second = take_turn(program, tier.senders[1], b"after\n")
     check_chain(tier, second, said_and_heard(b"before\n", first) + "after\n")
 
 
-def test_a_keeper_whose_data_is_lost_comes_back_and_then_another_may_be_killed(tier):
-    lost, other = tier.keepers[:2]
+def test_a_control_server_whose_data_is_lost_comes_back_and_then_another_may_be_killed(tier):
+    lost, other = tier.control_servers[:2]
     program = ProgramClient(HOST, STREAM_PATH, budget=10 * MOST_TOKENS, most_tokens=MOST_TOKENS)
     first = take_turn(program, tier.senders[0], b"before\n")
     incarnation = tier.wait_until_settled().members[lost.name]
