Tests: one scripted network under the registers' world and the stores' world

Cause: control_world.py and store_world.py each had a network, a client that copies messages, cuts and error answers of their own.

Change: tests/scripted holds the clock that jumps, the disks, one network and client, and on them the registers, the stores and links of a rate. A store's link says only what befalls a call on its way there and back. No test and no check changed but for imports.

Ruled out: running these tests in the simulated network of tests/simulation: they script single calls, which connections don't show.

Before and after: tests/controlplane, tests/model, tests/mutations and the store clients' tests pass.

--- a/benchmarks/register_catch_up.py
+++ b/benchmarks/register_catch_up.py
@@ -22,8 +22,8 @@
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
 from controlplane.control_server_world import World  # noqa: E402
-from link_network import LinkNetwork  # noqa: E402
-from store_world import run  # noqa: E402
+from scripted.clock import run  # noqa: E402
+from scripted.rated_links import LinkNetwork  # noqa: E402
 
 from dewpin.controlplane.register import RegisterUnavailable  # noqa: E402
 from dewpin.controlplane.system_state import put_configuration  # noqa: E402
--- a/tests/controlplane/control_server_world.py
+++ b/tests/controlplane/control_server_world.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 
-from control_world import Disk, Network
-from store_world import run
+from scripted.clock import run
+from scripted.disk import Disk
+from scripted.network import Network
 
 from dewpin.cluster.platform_list import PlatformUnavailable
 from dewpin.cluster.receivers import Receiver
--- a/tests/controlplane/order_scenes.py
+++ b/tests/controlplane/order_scenes.py
@@ -1,7 +1,7 @@
 """Orders of the operator at registers of three members, on a fake clock, and what the operator is told."""
 
-from control_world import Registers
-from store_world import run
+from scripted.clock import run
+from scripted.registers import Registers
 
 from dewpin.controlplane.register import RegisterUnavailable
 from dewpin.controlplane.system_state import (
--- a/tests/controlplane/test_catch_up.py
+++ b/tests/controlplane/test_catch_up.py
@@ -4,10 +4,10 @@
 import json
 
 import pytest
-from control_world import Registers
 from controlplane.control_server_world import World
-from link_network import LinkNetwork
-from store_world import run
+from scripted.clock import run
+from scripted.rated_links import LinkNetwork
+from scripted.registers import Registers
 
 from dewpin.cluster.rpc import RpcError
 from dewpin.consensus.replica import ZERO_BALLOT
--- a/tests/controlplane/test_control_server_random.py
+++ b/tests/controlplane/test_control_server_random.py
@@ -6,7 +6,7 @@
 
 import pytest
 from controlplane.control_server_world import World
-from store_world import run
+from scripted.clock import run
 
 from dewpin.controlplane.order_history import remembered_orders
 from dewpin.controlplane.register import RegisterUnavailable
--- a/tests/controlplane/test_currency_random.py
+++ b/tests/controlplane/test_currency_random.py
@@ -6,7 +6,7 @@
 import pytest
 from controlplane.control_server_world import APPLY_S
 from controlplane.test_senders_and_control_servers import Fleet
-from store_world import run
+from scripted.clock import run
 
 from dewpin.controlplane.control_server import knowledge_bound_s
 from dewpin.controlplane.register import RegisterUnavailable
--- a/tests/controlplane/test_register_driver.py
+++ b/tests/controlplane/test_register_driver.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import pytest
-from control_world import Registers
-from store_world import run
+from scripted.clock import run
+from scripted.registers import Registers
 
 from dewpin.cluster.rpc import RpcError
 from dewpin.consensus.messages import CONFLICT, PROMISE
--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -7,11 +7,11 @@
 import asyncio
 import random
 
-import control_world
 import pytest
-import store_world
 from controlplane.test_senders_and_control_servers import SENDERS, Fleet
-from store_world import World, run
+from scripted import network, stores
+from scripted.clock import run
+from scripted.stores import World
 
 from dewpin.cluster.rpc import RpcError
 from dewpin.controlplane.register import RegisterUnavailable
@@ -113,7 +113,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_turns_and_budgets_are_those_of_a_run_without_repeats(mode, seed, monkeypatch):
     repeats = Repeats(mode, seed)
-    monkeypatch.setattr(store_world.Link, "_call", repeats.around(store_world.Link._call))
+    monkeypatch.setattr(stores.Link, "_call", repeats.around(stores.Link._call))
 
     async def scene():
         world = World()
@@ -160,7 +160,7 @@
             await client.append(turn(f"t{number}", f"t{number - 1}" if number > 1 else None), 10.0)
         client.settle(held, 33)
         await client.settled()
-        monkeypatch.setattr(store_world.Link, "_call", repeats.around(store_world.Link._call))
+        monkeypatch.setattr(stores.Link, "_call", repeats.around(stores.Link._call))
         view = type(world.view)(2, world.view.stable, world.members("bcd"))
         world.tell(view)
         await world.until(lambda: all(2 in world.machines[name].synced for name in "bcd"))
@@ -183,7 +183,7 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_the_register_leases_and_news_are_those_of_a_run_without_repeats(mode, seed, monkeypatch):
     repeats = Repeats(mode, seed)
-    monkeypatch.setattr(control_world.Client, "_call", repeats.around(control_world.Client._call))
+    monkeypatch.setattr(network.Client, "_call", repeats.around(network.Client._call))
 
     async def whole():
         fleet = Fleet(random.Random(seed))
--- a/tests/controlplane/test_senders_and_control_servers.py
+++ b/tests/controlplane/test_senders_and_control_servers.py
@@ -6,7 +6,7 @@
 
 import pytest
 from controlplane.control_server_world import APPLY_S, DRAIN_S, Platform, World, drain, reader_of
-from store_world import run
+from scripted.clock import run
 
 from dewpin.cluster.settings import parse_settings
 from dewpin.dataplane.cluster_agent import ClusterAgent
--- a/tests/controlplane/test_store_faults.py
+++ b/tests/controlplane/test_store_faults.py
@@ -4,7 +4,8 @@
 import random
 
 import pytest
-from store_world import World, run
+from scripted.clock import run
+from scripted.stores import World
 
 from dewpin.cluster.store_view import StoreView
 from dewpin.dataplane import ledger
--- a/tests/dataplane/agent_world.py
+++ b/tests/dataplane/agent_world.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from store_world import run
+from scripted.clock import run
 
 from dewpin.cluster.platform_list import PlatformUnavailable
 from dewpin.cluster.receivers import DirectoryVersion, Receiver, ReceiverDirectory
--- a/tests/dataplane/test_cluster_agent.py
+++ b/tests/dataplane/test_cluster_agent.py
@@ -4,7 +4,7 @@
 
 import pytest
 from dataplane.agent_world import APPLY_S, CALM_S, Source, World, control_server_address, play, receiver, settings
-from store_world import run
+from scripted.clock import run
 
 
 def test_a_sender_learns_state_and_receivers_and_holds_a_lease():
--- a/tests/dataplane/test_confirmed_state.py
+++ b/tests/dataplane/test_confirmed_state.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from dataplane.agent_world import APPLY_S, World, control_server_address, play, receiver
-from store_world import run
+from scripted.clock import run
 
 from dewpin.cluster.relay_service import WATCH_HEARTBEAT_S
 
--- a/tests/dataplane/test_programs_that_come_back.py
+++ b/tests/dataplane/test_programs_that_come_back.py
@@ -3,7 +3,8 @@
 import pytest
 from dataplane.path_world import Path, read
 from dataplane.peers import MemoryStore, ScriptedReceiver, event, receivers, stream
-from store_world import World, run
+from scripted.clock import run
+from scripted.stores import World
 
 from dewpin.dataplane.program_store import BudgetSpent, Turn
 
--- a/tests/dataplane/test_store_client.py
+++ b/tests/dataplane/test_store_client.py
@@ -4,7 +4,8 @@
 import threading
 
 import pytest
-from store_world import World, run, turn
+from scripted.clock import run
+from scripted.stores import World, turn
 
 from dewpin.cluster.store_view import StoreView
 from dewpin.dataplane.chain_cache import ChainCache
--- a/tests/dataplane/test_store_client_budgets.py
+++ b/tests/dataplane/test_store_client_budgets.py
@@ -3,7 +3,8 @@
 import asyncio
 
 import pytest
-from store_world import World, run, turn
+from scripted.clock import run
+from scripted.stores import World, turn
 
 from dewpin.dataplane.program_store import BudgetSpent, Reservation, StoreUnavailable
 
--- a/tests/model/ledger_parts.py
+++ b/tests/model/ledger_parts.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Coroutine, Generator
 from typing import Any, NamedTuple
 
-from store_world import MemoryDisk
+from scripted.disk import MemoryDisk
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import RpcError
--- a/tests/model/test_copied_votes.py
+++ b/tests/model/test_copied_votes.py
@@ -1,6 +1,6 @@
 """A ledger's value that a store copied for a change of the view, and that was never chosen, by scripted deliveries."""
 
-from store_world import MemoryDisk
+from scripted.disk import MemoryDisk
 
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.consensus import Accept, Ballot, Outcome, Prepare, Proposal
--- /dev/null
+++ b/tests/scripted/disk.py
@@ -0,0 +1,63 @@
+"""Disks in memory: databases with the tier's schema that are full, slow or silent when a test says so."""
+
+import asyncio
+import sqlite3
+
+from dewpin.controlplane import storage as storage_module
+from dewpin.controlplane.storage import StorageFailed
+
+FOREVER_S = 1e6
+NO_ROOM = "database or disk is full"
+
+
+class MemoryDisk:
+    """A storage that runs each transaction at once. `full`: a transaction that changes something fails."""
+
+    def __init__(self):
+        self.connection = sqlite3.connect(":memory:", isolation_level=None, check_same_thread=False)
+        storage_module._migrate(self.connection)
+        self.full = False
+        self._changes = 0
+
+    async def transact(self, work):
+        self.connection.execute("BEGIN")
+        try:
+            result = work(self.connection)
+            if self.full and self.connection.total_changes != self._changes:
+                raise StorageFailed(NO_ROOM)
+            self.connection.execute("COMMIT")
+            return result
+        except BaseException:
+            self.connection.execute("ROLLBACK")
+            raise
+        finally:
+            self._changes = self.connection.total_changes
+
+
+class Disk(MemoryDisk):
+    """Rows of one machine. `fails`: writes raise; `stalls`: nothing returns; `delay_s`: how long each call takes."""
+
+    def __init__(self, incarnation="one"):
+        super().__init__()
+        self.incarnation = incarnation
+        self.fails = False
+        self.stalls = False
+        self.delay_s = 0.0
+        self.writes = 0
+
+    async def write(self, statements):
+        await self._wait()
+        if self.fails:
+            raise StorageFailed(NO_ROOM)
+        self.writes += 1
+        self.connection.execute("BEGIN")
+        for sql, values in statements:
+            self.connection.execute(sql, values)
+        self.connection.execute("COMMIT")
+
+    async def query(self, sql, arguments=()):
+        await self._wait()
+        return self.connection.execute(sql, arguments).fetchall()
+
+    async def _wait(self):
+        await asyncio.sleep(FOREVER_S if self.stalls else self.delay_s)
--- a/tests/link_network.py
+++ b/tests/scripted/rated_links.py
@@ -1,11 +1,10 @@
-"""The network of `control_world` with links of a rate: what a message's bytes cost in time."""
+"""Links of a rate: what a message's bytes cost in time."""
 
 import asyncio
 
-from control_world import Client, Network
-
 from dewpin.cluster import netstring
 from dewpin.cluster.rpc import RpcError
+from scripted.network import Client, Network
 
 LATENCY_S = 0.0014
 
--- /dev/null
+++ b/tests/scripted/registers.py
@@ -0,0 +1,39 @@
+"""Members of the register on scripted links and disks."""
+
+import random
+
+from dewpin.controlplane.register import SystemRegister
+from dewpin.controlplane.system_state import genesis
+from scripted.disk import Disk
+from scripted.network import Network
+
+
+class Registers:
+    """Several members of the register, named by single letters that are their addresses as well."""
+
+    def __init__(self, names="abc", members="abc"):
+        self.network = Network()
+        self.disks = {name: Disk() for name in names}
+        self.genesis = genesis({name: name for name in members}, {name: f"machine-{name}" for name in members})
+        self.members = {}
+        for name in names:
+            self.members[name] = self._member(name)
+
+    def _member(self, name):
+        register = SystemRegister(name, name, self.disks[name], self.network.client(name), random.Random(name))
+        self.network.handlers[name] = register.handlers
+        return register
+
+    async def begin(self):
+        for member in self.members.values():
+            await member.load()
+        for name in self.genesis["members"]:
+            await self.members[name].begin(self.genesis)
+
+    async def restart(self, name, wiped=False):
+        """Starts a member's process anew, from its disk or (under another id) from an empty one."""
+        if wiped:
+            self.disks[name] = Disk()
+        self.members[name] = self._member(name)
+        await self.members[name].load()
+        return self.members[name]
--- a/tests/store_world.py
+++ b/tests/scripted/stores.py
@@ -1,20 +1,17 @@
-"""Stores and senders in one process, on a fake clock: scripted links, disks in memory, lost machines."""
+"""Stores and senders on scripted links and disks in memory, with machines that are lost."""
 
 import asyncio
-import json
 import random
-import selectors
-import sqlite3
 
 from dewpin.cluster.rpc import RpcError
 from dewpin.cluster.store_view import Member, StoreView
-from dewpin.controlplane import storage as storage_module
 from dewpin.controlplane.repair import TurnRepair
-from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.sync import StoreSync
 from dewpin.dataplane.program_store import Turn
 from dewpin.dataplane.store_client import StoreClient
+from scripted.disk import MemoryDisk
+from scripted.network import FOREVER_S, Client, Network
 
 
 def turn(name, previous=None, program="p", body=b"", retain_s=60.0):
@@ -22,56 +19,6 @@
     return Turn(name, program, previous, b"<" + name.encode() + body, b">", retain_s)
 
 
-class _JumpingSelector(selectors.SelectSelector):
-    """Lets the clock jump to the next timer instead of waiting for it."""
-
-    now_s = 1000.0
-
-    def select(self, timeout=None):
-        if timeout is None:
-            raise RuntimeError("nothing is left that could happen")
-        self.now_s += max(timeout, 0.0)
-        return super().select(0)
-
-
-def run(scene):
-    """Run a coroutine on a loop whose clock jumps; the clock starts at 1000 s."""
-    selector = _JumpingSelector()
-    loop = asyncio.SelectorEventLoop(selector)
-    loop.time = lambda: selector.now_s
-    try:
-        return loop.run_until_complete(scene)
-    finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        for _ in range(5):  # a task that waits for others ends after them
-            loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
-
-
-class MemoryDisk:
-    """A storage that runs each transaction at once, on a database in memory."""
-
-    def __init__(self):
-        self.connection = sqlite3.connect(":memory:", isolation_level=None, check_same_thread=False)
-        storage_module._migrate(self.connection)
-        self.full = False
-
-    async def transact(self, work):
-        self.connection.execute("BEGIN")
-        try:
-            result = work(self.connection)
-            if self.full and self.connection.total_changes != getattr(self, "_changes", 0):
-                raise StorageFailed("database or disk is full")
-            self.connection.execute("COMMIT")
-            self._changes = self.connection.total_changes
-            return result
-        except BaseException:
-            self.connection.execute("ROLLBACK")
-            self._changes = self.connection.total_changes
-            raise
-
-
 class Machine:
     """One store machine: its disk, the store that runs on it, and what its link does to calls."""
 
@@ -109,6 +56,7 @@
             self.disk, member_id, self.world.count, wall_clock_ms=self.world.wall_ms, on_view=self._on_view
         )
         self.sync = StoreSync(self.store, self.world.link(self.name), self.synced.append)
+        self.world.network.handlers[self.address] = self.store.handlers
         self.repair = TurnRepair(self.store, self.world.link(self.name), random.Random(self.name))
         if self.world.repairs:
             self.start_repair()
@@ -124,41 +72,31 @@
             self.sync.start(view)
 
 
-class Link:
-    """The calls of one process."""
+class Link(Client):
+    """The calls of one process to stores. A machine that is down refuses connects; one cut off or frozen is silent."""
 
-    def __init__(self, world, origin):
+    def __init__(self, world, source):
+        super().__init__(world.network, source)
         self.world = world
-        self.origin = origin
-
-    async def call(self, address, message, timeout_s):
-        try:
-            return await asyncio.wait_for(self._call(address, message), timeout_s)
-        except TimeoutError:
-            raise RpcError("timeout", address) from None
 
-    async def _call(self, address, message):
-        machine = self.world.machines[address.partition(":")[0]]
-        caller = self.world.machines.get(self.origin)
+    async def deliver(self, address, message):
+        machine = self.world.machine_at(address)
+        caller = self.world.machines.get(self.source)
         if caller is not None and not caller.up:
             raise RpcError("connect", address)
-        cut = (self.origin, machine.name) in self.world.cuts or message["type"] in machine.refuses
+        is_cut = (self.source, machine.name) in self.world.cuts or message["type"] in machine.refuses
         await asyncio.sleep(machine.delay_s)
         if not machine.up:
             raise RpcError("connect", address)
-        if machine.frozen or cut or (caller is not None and caller.frozen):
-            await asyncio.sleep(3600)
+        if machine.frozen or is_cut or (caller is not None and caller.frozen):
+            await asyncio.sleep(FOREVER_S)
         machine.seen.append(message["type"])
-        handler = machine.store.handlers[message["type"]]
-        try:
-            answer = await handler(json.loads(json.dumps(message)))
-        except RpcError as error:
-            fields = json.loads(json.dumps(error.message))
-            raise RpcError(error.kind, error.detail, fields) from None
+
+    async def bring_back(self, address, message):
+        machine = self.world.machine_at(address)
         self.world.after_answer(machine, message)
         if machine.loses_answers:
-            await asyncio.sleep(3600)
-        return json.loads(json.dumps(answer))
+            await asyncio.sleep(FOREVER_S)
 
 
 class World:
@@ -166,6 +104,7 @@
 
     def __init__(self, names=("a", "b", "c"), losses=1, in_view=None, syncs=True, delay_s=0.001, repairs=False):
         self.count = 2 * losses + 1
+        self.network = Network()
         self.cuts = set()
         self.syncs = syncs
         self.repairs = repairs
@@ -183,6 +122,9 @@
     def link(self, origin):
         return Link(self, origin)
 
+    def machine_at(self, address):
+        return self.machines[address.partition(":")[0]]
+
     def tell(self, view, names=None):
         """Let stores adopt a view."""
         self.view = view
