Keep the names of files and messages over the rename of the control server

An upgraded process would have begun with an empty database beside the old one, and mixed releases would have heard no heartbeat of each other.

Ruled out: migrating the file's name at the start; nothing is gained by another name on disk.

--- a/benchmarks/capacity/measures/leases.py
+++ b/benchmarks/capacity/measures/leases.py
@@ -64,7 +64,7 @@
             "receivers_version": [4711, "0123456789abcdef"],
             "list_age_s": 0.123456789012,
             "parents": [f"10.0.{number}.9:7381" for number in range(4)],
-            "control_servers": [f"10.0.{number}.4:7380" for number in range(control_servers)],
+            "keepers": [f"10.0.{number}.4:7380" for number in range(control_servers)],
             "senders": 350,
         }
         return float(len(encode({"v": 1, "r": 12345, "m": answer})))
@@ -95,10 +95,8 @@
         list_fails=False,
     )
     version = [4711, "0123456789abcdef"]
-    asked = encode({"v": 1, "n": 12345, "m": {"type": "control.heartbeat", "from": record, "receivers": version}})
-    told = encode(
-        {"v": 1, "r": 12345, "m": {"type": "control.heartbeat", "from": record, "list_age_s": 0.123456789012}}
-    )
+    asked = encode({"v": 1, "n": 12345, "m": {"type": "keeper.hello", "from": record, "receivers": version}})
+    told = encode({"v": 1, "r": 12345, "m": {"type": "keeper.hello", "from": record, "list_age_s": 0.123456789012}})
     points = sample(
         CONTROL_SERVERS, ONCE, lambda control_servers: float(control_servers - 1) * (len(asked) + len(told))
     )
--- a/benchmarks/majority_contact.py
+++ b/benchmarks/majority_contact.py
@@ -28,7 +28,7 @@
 
 LATENCY_S = 0.002
 WARM_UP_S = 10.0
-HEARTBEAT = "control.heartbeat"
+HEARTBEAT = "keeper.hello"
 RECEIVERS = 40
 
 
--- a/dewpin/cluster/relay_messages.py
+++ b/dewpin/cluster/relay_messages.py
@@ -73,7 +73,7 @@
             "receivers_version": self.receivers_version,
             "list_age_s": self.list_age_s,
             "parents": self.parents,
-            "control_servers": self.control_addresses,
+            "keepers": self.control_addresses,  # the key of earlier releases
             "senders": self.senders,
             "knowledge_age_s": self.knowledge_age_s,
         }
@@ -87,7 +87,7 @@
             receivers_version=directory_version(message["receivers_version"]),
             list_age_s=float(message["list_age_s"]),
             parents=tuple(str(parent) for parent in message["parents"]),
-            control_addresses=tuple(str(address) for address in message["control_servers"]),
+            control_addresses=tuple(str(address) for address in message["keepers"]),
             senders=int(message["senders"]),
             knowledge_age_s=float(message.get("knowledge_age_s", 0.0)),
         )
--- a/dewpin/controlplane/heartbeat_messages.py
+++ b/dewpin/controlplane/heartbeat_messages.py
@@ -14,7 +14,7 @@
 from .peers import PeerRecord
 from .register_messages import WireState, digests
 
-HEARTBEAT = "control.heartbeat"
+HEARTBEAT = "keeper.hello"
 """The type on the wire, as earlier releases have it."""
 
 
--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -16,9 +16,9 @@
 from pathlib import Path
 from typing import Any, Generic, TypeVar
 
-DATABASE_NAME = "control_server.sqlite3"
-"""Name of the database file inside the data folder."""
-DAMAGED_MARK = "control_server.damaged"
+DATABASE_NAME = "keeper.sqlite3"
+"""Name of the database file inside the data folder; a new release must find the data of an earlier one."""
+DAMAGED_MARK = "keeper.damaged"
 """Name of the file that tells the next start to set the database aside."""
 SCHEMA_VERSION = 3
 MOST_WAITING = 20_000
--- a/tests/controlplane/test_control_server.py
+++ b/tests/controlplane/test_control_server.py
@@ -170,7 +170,7 @@
         world.seeds = (9,)
         control_server.take_settings(world.settings(1, False))
         await asyncio.sleep(0.01)
-        return (world.address(1), world.address(9), "control.heartbeat") in world.network.calls
+        return (world.address(1), world.address(9), "keeper.hello") in world.network.calls
 
     assert play(scene)
 
@@ -282,5 +282,5 @@
         return {kind for _, _, kind in world.network.calls}, len(world.network.calls)
 
     kinds, calls = play(scene)
-    assert kinds == {"control.heartbeat"}
+    assert kinds == {"keeper.hello"}
     assert calls <= 6 * 10.0 / HEARTBEAT_PERIOD_S * 1.2
--- a/tests/controlplane/test_cut_off.py
+++ b/tests/controlplane/test_cut_off.py
@@ -218,7 +218,7 @@
 async def told_version(world, number):
     """The version that a process tells in its answer to a heartbeat."""
     heartbeat = {"from": world.control_servers[1].record(), "receivers": [0, ""]}
-    return (await world.control_servers[number].handlers["control.heartbeat"](heartbeat))["accepted_version"]
+    return (await world.control_servers[number].handlers["keeper.hello"](heartbeat))["accepted_version"]
 
 
 def test_a_member_that_accepted_tells_its_version_only_once_it_is_on_disk():
--- /dev/null
+++ b/tests/controlplane/test_names_of_earlier_releases.py
@@ -0,0 +1,16 @@
+"""Names that an upgrade must find unchanged: files in the data folder, and words on the wire between mixed releases."""
+
+from dewpin.cluster.receivers import DirectoryVersion
+from dewpin.cluster.relay_messages import LeaseGrant
+from dewpin.controlplane import heartbeat_messages, storage
+
+
+def test_a_new_release_finds_the_files_of_an_earlier_one():
+    assert storage.DATABASE_NAME == "keeper.sqlite3"
+    assert storage.DAMAGED_MARK == "keeper.damaged"
+
+
+def test_heartbeats_and_grants_keep_their_words():
+    assert heartbeat_messages.HEARTBEAT == "keeper.hello"
+    grant = LeaseGrant(3.2, 1, DirectoryVersion(1, "r"), 0.1, (), ("10.0.0.1:1",), 4)
+    assert grant.encode()["keepers"] == ("10.0.0.1:1",)
--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -29,7 +29,7 @@
     "register.accept": "a ballot has one value; accepted again it stays, behind a greater promise it is refused",
     "register.body": "reads only",
     "register.orders": "reads only",
-    "control.heartbeat": "replaces what is known of the sender; the next heartbeat corrects one that came late",
+    "keeper.hello": "replaces what is known of the sender; the next heartbeat corrects one that came late",
     "lease.renew": "replaces the lease; one that comes after the release ends with its time",
     "lease.release": "removes what may be gone",
     "relay.watch": "reads only",
@@ -216,7 +216,7 @@
     assert {
         "register.prepare",
         "register.accept",
-        "control.heartbeat",
+        "keeper.hello",
         "lease.renew",
         "lease.release",
         "relay.watch",
--- a/tests/dataplane/agent_world.py
+++ b/tests/dataplane/agent_world.py
@@ -87,7 +87,7 @@
                 "receivers_version": self.directory.version,
                 "list_age_s": self.age_s(),
                 "parents": self.parents,
-                "control_servers": self.names if self.names is not None else self.world.control_server_addresses,
+                "keepers": self.names if self.names is not None else self.world.control_server_addresses,
                 "senders": self.senders,
             }
         if kind == "lease.release":
