--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 import threading
+import time
 from typing import Any
 
 from dewpin.cluster import logs
@@ -32,6 +33,11 @@
 NOT_READY_NOTICE_S = 2.2
 """How long new connections are taken after SIGTERM: until the platform has seen that this sender is not ready."""
 DRAIN_MARGIN_S = 0.7
+"""How long before the end of the grace requests under way are cut, so that the process can end by itself."""
+MOST_DRAIN_MARGIN = 0.125
+"""The margin's greatest share of the grace: a request may be cut in its last sixth only."""
+MOST_WIND_UP_S = 1.0
+"""How long a sender without requests still waits for its settlements and the release of its lease."""
 LOOP_START_TIMEOUT_S = 30.0
 
 
@@ -62,8 +68,10 @@
         ready.start(split_address(self.settings.listen["ready"]))
         threading.Thread(target=self._follow_settings, name="settings", daemon=True).start()
         self.stopping.wait()
-        ingress.stop(self.settings.bounds.grace_s - DRAIN_MARGIN_S, NOT_READY_NOTICE_S)
-        self._stop_agent()
+        grace_s = self.settings.bounds.grace_s
+        killed_at = time.monotonic() + grace_s
+        ingress.stop(drain_s(grace_s), NOT_READY_NOTICE_S)
+        self._stop_agent(min(MOST_WIND_UP_S, killed_at - time.monotonic()))
 
     def is_ready(self) -> bool:
         """Whether clients may be sent here: routes, receivers and stores are known, a majority has confirmed the routes
@@ -105,13 +113,18 @@
         self.state.is_current = agent.knows_current_state
         self._started.set()
 
-    def _stop_agent(self) -> None:
-        if self.agent is not None:
-            stopped = asyncio.run_coroutine_threadsafe(self.agent.stop(), self.loop)
-            try:
-                stopped.result(1.0)
-            except TimeoutError:
-                log.info("sender.lease_not_released")
+    def _stop_agent(self, within_s: float) -> None:
+        stopped = asyncio.run_coroutine_threadsafe(self._wind_up(), self.loop)
+        try:
+            stopped.result(max(0.0, within_s))
+        except TimeoutError:
+            log.info("sender.not_wound_up")
+
+    async def _wind_up(self) -> None:
+        """Releases the lease and settles the last turns, whose programs would else keep the most of them reserved."""
+        settled = self._store_client.settled() if self._store_client is not None else asyncio.sleep(0)
+        stopped = self.agent.stop() if self.agent is not None else asyncio.sleep(0)
+        await asyncio.gather(stopped, settled)
 
     def _on_state(self, state: dict[str, Any]) -> None:
         view = StoreView.from_json(state["stores"])
@@ -135,6 +148,11 @@
         self.state.senders = senders
 
 
+def drain_s(grace_s: float) -> float:
+    """Returns for how long after SIGTERM requests under way may go on."""
+    return grace_s - min(DRAIN_MARGIN_S, MOST_DRAIN_MARGIN * grace_s)
+
+
 def main() -> int:
     """Runs the sender; returns its exit code."""
     settings = settings_or_exit()
--- a/dewpin/dataplane/ingress.py
+++ b/dewpin/dataplane/ingress.py
@@ -250,10 +250,14 @@
 
     def _answer_unread(self, kind: ErrorKind) -> None:
         """Answer a request that was not read whole, and close."""
+        self._answer_with(kind)
+        self._connection.close_lingering()
+
+    def _answer_with(self, kind: ErrorKind) -> None:
+        """Write the answer to an error as the last one of the connection."""
         answer = own_answer(kind)
         data = render_whole(answer, cast(bytes, answer.body), closing=True, without_body=False)
         self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
-        self._connection.close_lingering()
 
     def _answer(self, head: RequestHead, answer: Answer) -> bool:
         """Write an answer; return whether the connection must be closed."""
@@ -269,16 +273,21 @@
             body.close()
 
     def _pass_on(self, head: RequestHead, answer: Answer, body: BodyStream, closing: bool) -> bool:
-        """Write a body as it arrives; one that breaks off is not given its end."""
+        """Write a body as it arrives; one that breaks off is not given its end, or is an error if nothing was sent."""
         chunked = not head.is_http_1_0
         closing = closing or not chunked
         data = render_head(answer, closing, [("Transfer-Encoding", "chunked")] if chunked else [])
+        has_begun = False
         try:
             for part in body:
                 data += render_chunk(part) if chunked else part
+                has_begun = True
                 self._connection.send_all(data, self._clock() + WRITE_TIMEOUT_S)
                 data = b""
         except BodyBroken:
+            if not has_begun:
+                self._answer_with(ErrorKind.RECEIVER_FAILED)
+                return True
             if not chunked:
                 self._connection.reset()
             raise
--- a/dewpin/dataplane/request_path.py
+++ b/dewpin/dataplane/request_path.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from hashlib import blake2b
 
-from dewpin.cluster.configuration import Configuration, Route, Service
+from dewpin.cluster.configuration import Configuration, Route, Service, Share
 from dewpin.cluster.errors import ErrorKind, TierError
 
 from .balancing import Balancer
@@ -90,7 +90,7 @@
 
     def _choose_service(self, configuration: Configuration, route: Route, key: str | None) -> Service:
         """Return a service of the route by weight; requests of one session get the same one."""
-        shares = [share for share in route.split if self._state.receivers.get(share.backend)] or list(route.split)
+        shares = [share for share in route.split if self._has_receivers(share)] or list(route.split)
         drawn = self._random.random() if key is None else share_of_key(key)
         mark = drawn * sum(share.weight for share in shares)
         chosen = shares[-1]
@@ -101,6 +101,10 @@
                 break
         return configuration.services[chosen.backend]
 
+    def _has_receivers(self, share: Share) -> bool:
+        """Tell whether a part of a split has receivers that stay."""
+        return any(not receiver.draining for receiver in self._state.receivers.get(share.backend, ()))
+
     def _answer_to_error(self, error: TierError) -> Answer:
         if error.kind is ErrorKind.NO_ROUTE:
             self.figures.not_routed += 1
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -187,6 +187,19 @@
     assert body.closed.wait(PATIENCE_S)
 
 
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_a_stream_that_breaks_before_its_first_byte_is_answered_as_failed(serve, version):
+    """A connection that is closed without an answer would leave the client without a word."""
+    body = Parts(BodyBroken("cut"))
+    client = serve(lambda request: Answer(200, [("X-Dewpin-Response-Signature", "s")], body)).connect()
+    client.send(f"GET / HTTP/{version}", "Host: h")
+    code, headers, _ = client.read()
+    assert (code, headers["connection"]) == (502, "close")
+    assert "x-dewpin-response-signature" not in headers
+    assert client.is_closed()
+    assert body.closed.wait(PATIENCE_S)
+
+
 def test_a_stream_to_an_old_client_ends_with_the_connection(serve):
     client = serve(lambda request: Answer(200, [], Parts(b"one", b"two"))).connect()
     client.send("GET / HTTP/1.0")
--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -21,6 +21,7 @@
 )
 
 from dewpin.cluster.configuration import parse_configuration
+from dewpin.cluster.receivers import Receiver
 from dewpin.dataplane.program_store import Turn
 from dewpin.dataplane.request_path import share_of_key, sticky_key
 from dewpin.dataplane.time_allowed import time_allowed_s
@@ -257,6 +258,53 @@
     assert len({choose(path.state.configuration, route, "session").name for _ in range(50)}) == 1
 
 
+def split_path(shares, listed):
+    """Return a path whose only route is split by (service, weight), and that route; `listed`: receivers by service."""
+    given = configuration(kind="stream", sticky=True)
+    body = {**given.raw, "services": [{"name": name} for name, _ in shares]}
+    split = [{"backend": name, "weight": weight} for name, weight in shares]
+    body["routes"] = [{**body["routes"][0], "split": split, "backend": None}]
+    path = Path([])
+    path.state.configuration = parse_configuration(json.dumps(body).encode())
+    path.state.receivers = listed
+    return path, path.state.configuration.routes[0]
+
+
+def receiver_of(service, number=1, draining=False, capacity=4):
+    return Receiver(f"i-{service}-{number}", service, "127.0.0.1:1", "here", capacity, draining, 0.0, "v1")
+
+
+CALM_REQUESTS = 200
+MOST_OFF = 0.2
+
+
+@pytest.mark.parametrize("weights", [(90, 10), (50, 50), (30, 70)])
+@pytest.mark.parametrize("key", ["none", "programs"])
+def test_each_part_of_a_split_gets_its_share_however_few_receivers_it_has(weights, key):
+    """Parts with one small receiver beside ten large ones; what a receiver bears counts for nothing here."""
+    shares = list(zip("ab", weights, strict=True))
+    listed = {"a": (receiver_of("a", capacity=1),), "b": tuple(receiver_of("b", n, capacity=64) for n in range(10))}
+    path, route = split_path(shares, listed)
+    for calm_time in range(20):
+        keys = [None if key == "none" else f"p-{calm_time}-{n}" for n in range(CALM_REQUESTS)]
+        drawn = [path.path._choose_service(path.state.configuration, route, each).name for each in keys]
+        assert abs(drawn.count("a") / CALM_REQUESTS - weights[0] / 100) < MOST_OFF
+
+
+@pytest.mark.parametrize("away", [(), (receiver_of("a", draining=True),)])
+def test_a_part_of_a_split_whose_receivers_are_all_leaving_gets_nothing_while_another_has_some(away):
+    path, route = split_path([("a", 90), ("b", 10)], {"a": away, "b": (receiver_of("b"),)})
+    drawn = {path.path._choose_service(path.state.configuration, route, None).name for _ in range(100)}
+    assert drawn == {"b"}
+
+
+def test_where_all_parts_of_a_split_are_leaving_the_weights_hold():
+    listed = {name: (receiver_of(name, draining=True),) for name in "ab"}
+    path, route = split_path([("a", 50), ("b", 50)], listed)
+    drawn = {path.path._choose_service(path.state.configuration, route, None).name for _ in range(100)}
+    assert drawn == {"a", "b"}
+
+
 @pytest.mark.parametrize(
     ("fields", "key"),
     [
--- /dev/null
+++ b/tests/dataplane/test_stop_in_time.py
@@ -0,0 +1,62 @@
+"""The end of a sender: how long requests under way have from SIGTERM on, and what is done before the process exits."""
+
+import asyncio
+import threading
+from types import SimpleNamespace
+
+import pytest
+
+from dewpin.dataplane.__main__ import Sender, drain_s
+
+LAST_SIXTH = 5 / 6
+
+
+@pytest.mark.parametrize("grace_s", [0.6, 1.0, 2.0, 3.0, 4.0, 8.0, 30.0])
+def test_requests_under_way_are_not_cut_before_the_last_sixth_of_the_grace(grace_s):
+    assert LAST_SIXTH * grace_s < drain_s(grace_s) < grace_s
+
+
+class Agent:
+    def __init__(self):
+        self.stopped = False
+
+    async def stop(self):
+        self.stopped = True
+
+
+class SlowStores:
+    """Settles after some turns of the loop, as after the answers of replicas; never with `dark`."""
+
+    def __init__(self, dark=False):
+        self.dark = dark
+        self.is_settled = False
+
+    async def settled(self):
+        for _ in range(50):
+            await asyncio.sleep(0)
+        if self.dark:
+            await asyncio.Event().wait()
+        self.is_settled = True
+
+
+def stopped_sender(stores, left_s):
+    """Return the agent of a sender with these stores that has been wound up with so much of its grace left."""
+    sender = Sender(SimpleNamespace(bounds=SimpleNamespace(grace_s=8.0)))
+    sender.agent, sender._store_client = Agent(), stores
+    thread = threading.Thread(target=sender.loop.run_forever, daemon=True)
+    thread.start()
+    sender._stop_agent(left_s)
+    sender.loop.call_soon_threadsafe(sender.loop.stop)
+    thread.join()
+    return sender.agent
+
+
+def test_the_last_turns_are_settled_before_the_process_exits():
+    """Otherwise their programs' budgets hold the most of these turns for good, and 402 comes too soon."""
+    stores = SlowStores()
+    assert stopped_sender(stores, 1.0).stopped
+    assert stores.is_settled
+
+
+def test_stores_that_do_not_answer_do_not_hold_up_the_exit():
+    assert stopped_sender(SlowStores(dark=True), 0.02).stopped
