Tests: reads of the configuration anywhere, requests of kept connections

Config.Get at every control process, right after an acknowledgement given by another and after the bound, with one process cut off in each way: the newest version or 503, never an older one. A request of a kept connection whose receiver is at work gets its answer, whatever gives the sender a reason to close: drain, stop, a shorter idle limit, too many connections.

--- a/tests/controlplane/test_cut_off.py
+++ b/tests/controlplane/test_cut_off.py
@@ -126,6 +126,37 @@
     assert play(scene) == [503] * 6
 
 
+async def read_configuration(world, number):
+    """Return the status of Config.Get at a process, and the generation that it tells, or None."""
+    loop = asyncio.get_running_loop()
+    api = OperatorApi(world.control_servers[number].register, loop, 3)
+    answer = await loop.run_in_executor(None, api.get)
+    return answer.status, json.loads(answer.body).get("generation")
+
+
+@pytest.mark.parametrize("how", [None, *HOW])
+@pytest.mark.parametrize("number", [1, 2, 3])
+def test_a_read_at_any_process_right_after_an_acknowledgement_tells_it_or_is_answered_503(number, how):
+    """Process `number` is cut off (or not), and the reads follow the acknowledgement at once and after the bound."""
+
+    async def scene(world):
+        await world.put(1, 7, 0)
+        await world.until(lambda: all(world.generation(each) == 7 for each in (1, 2, 3)))
+        if how is not None:
+            cut(world, how, number)
+        await world.put(1 + number % 3, 8, 7)
+        for wait_s in (0.0, APPLY_S):
+            await asyncio.sleep(wait_s)
+            for other in {1, 2, 3} - {number}:
+                assert await read_configuration(world, other) == (200, 8)
+            assert await read_configuration(world, number) == ((200, 8) if how is None else (503, None))
+        world.network.join()
+        await world.until(lambda: world.control_servers[number].confirmation.is_current())
+        assert await read_configuration(world, number) == (200, 8)
+
+    play(scene)
+
+
 def test_a_process_started_anew_serves_nothing_from_its_disk():
     async def scene(world):
         await world.put(1, 7, 0)
--- a/tests/dataplane/test_ingress.py
+++ b/tests/dataplane/test_ingress.py
@@ -283,6 +283,44 @@
     assert server.ingress.connections == 0
 
 
+@pytest.mark.parametrize("meanwhile", ["drain", "stop", "shorter idle limit", "full"])
+def test_a_request_of_a_kept_connection_is_answered_whatever_comes_meanwhile(meanwhile):
+    """The second request of a connection, whose receiver is at work, while the sender has a reason to close."""
+    asked, go_on = threading.Event(), threading.Event()
+
+    def answer(request):
+        if request.target == "/second":
+            asked.set()
+            assert go_on.wait(PATIENCE_S)
+        return Answer(200, [], b"done")
+
+    server = Server(answer)
+    client, resting = server.connect(), server.connect()
+    client.send("GET /first HTTP/1.1", "Host: h")
+    assert client.read()[0] == 200
+    client.send("GET /second HTTP/1.1", "Host: h")
+    assert asked.wait(PATIENCE_S)
+    stopping = threading.Thread(target=server.ingress.stop, args=(PATIENCE_S,))
+    if meanwhile == "drain":
+        server.ingress.begin_drain()
+    elif meanwhile == "stop":
+        stopping.start()
+        assert resting.is_closed()
+    elif meanwhile == "shorter idle limit":
+        server.ingress._state.configuration = cluster(idle_timeout_ms=1).configuration
+    else:
+        server.ingress._most_connections = 2
+        assert server.connect().is_closed()
+    go_on.set()
+    code, headers, body = client.read()
+    assert (code, body) == (200, b"done")
+    assert (headers.get("connection") == "close") == (meanwhile in ("drain", "stop"))
+    if meanwhile == "stop":
+        stopping.join(PATIENCE_S)
+    else:
+        assert server.ingress.stop(PATIENCE_S)
+
+
 def test_draining_goes_on_taking_connections_until_the_server_stops(serve):
     server = serve()
     resting = server.connect()
