Senders fetch long configurations by pages, the old one in force meanwhile

Cause: senders got the whole state with its body in one message down the relay tree. 4 MB take 2.2 s at 15 Mbit/s, the watch ends after 1.7 s, and each try sent all of it again; the receivers' list waited behind it, and each change of members or stores shipped the body anew.

Change: a watch tells which configuration the caller holds. News leave the body out where it is held, or longer than a page on the wire (64 KiB). The child fetches it by digest in pages from its parents or a control server, one page at a time, resumable at another source, checked against the digest. A page is passed on as soon as it is here (relay.body waits up to 0.5 s for one that is on its way), so depth costs a page a level. A parent serves six callers at a time, one page each. The old configuration stays in force with the newest view of stores; what confirms the state told confirms what is held only where that is the same. Callers of earlier releases get whole states only.

--- /dev/null
+++ b/benchmarks/relay_changes.py
@@ -0,0 +1,172 @@
+"""How long a change of the configuration takes to be in force at all senders, and whether the list waits behind it.
+
+Three control servers and so many senders' agents run in simulated time; each machine's outgoing link carries its
+messages one after the other (control servers 86 Mbit/s, senders 15 Mbit/s unless told otherwise). Counted from the
+operator's acknowledgement. A receiver is shown draining 0.3 s after it; `list_s` is until all senders know. Prints one
+row of JSON for each case:
+
+    python -m benchmarks.relay_changes [--senders 30,100,300] [--bodies 4096,300000,4000000] [--mbit 15]
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+
+from controlplane.control_server_world import Platform, World  # noqa: E402
+from link_network import LinkNetwork  # noqa: E402
+from store_world import run  # noqa: E402
+
+from dewpin.cluster.receivers import Receiver  # noqa: E402
+from dewpin.cluster.settings import parse_settings  # noqa: E402
+from dewpin.controlplane.register import RegisterUnavailable  # noqa: E402
+from dewpin.controlplane.system_state import put_configuration  # noqa: E402
+from dewpin.dataplane.cluster_agent import ClusterAgent  # noqa: E402
+
+CONTROL_MBIT = 86.0
+GIVE_UP_S = 60.0
+CALM_S = 6.0
+DRAIN_AFTER_S = 0.3
+PERIOD_S = 0.01
+
+
+def body_of(size: int, generation: int) -> bytes:
+    """A configuration's body of that size."""
+    return json.dumps({"generation": generation, "filling": "x" * max(size - 40, 0)}).encode()
+
+
+class Senders:
+    """The senders' agents, and what each has in force."""
+
+    def __init__(self, world: World, count: int, rng: random.Random) -> None:
+        self._world = world
+        self.generations = [0] * count
+        self.drained = [False] * count
+        self.agents = [self._start(number, rng) for number in range(count)]
+
+    def _start(self, number: int, rng: random.Random) -> ClusterAgent:
+        ip = f"10.5.{number // 200}.{number % 200 + 1}"
+        settings = parse_settings(
+            {
+                "node_name": f"front-{number}",
+                "serves": ["front"],
+                "ip": ip,
+                "zone": "east",
+                "port_range": [7380, 7395],
+                "seeds": [f"10.0.0.{seed}:8144" for seed in self._world.seeds],
+                "listen": {"front": f"{ip}:8149", "ready": f"{ip}:8141"},
+                "bounds": {"drain_ms": 3000, "config_apply_ms": 2000},
+                "cloud": {"address": "10.8.0.1:80"},
+            }
+        )
+
+        def take_state(state: dict[str, Any]) -> None:
+            if state["configuration"]:
+                self.generations[number] = state["configuration"]["generation"]
+
+        def take_receivers(directory: Any) -> None:
+            self.drained[number] = directory.receivers["i-1"].draining
+
+        agent = ClusterAgent(
+            settings,
+            self._world.network.client(f"{ip}:7381"),
+            random.Random(rng.random()),
+            take_state,
+            take_receivers,
+            asyncio.get_running_loop().time,
+            Platform(self._world, f"sender {number}"),
+        )
+        self._world.network.handlers[agent.address] = agent.handlers
+        agent.start()
+        return agent
+
+
+async def put(world: World, generation: int, size: int) -> None:
+    """Sends an order to one control server after the other until it is acknowledged."""
+    change = put_configuration(body_of(size, generation), generation, generation - 1)
+    for number in [1, 2, 3] * 20:
+        try:
+            await world.control_servers[number].register.propose(change, 0.85)
+            return
+        except RegisterUnavailable:
+            await asyncio.sleep(0.2)
+    raise RegisterUnavailable("not acknowledged")
+
+
+async def until(condition: Callable[[], bool], began_s: float) -> float | None:
+    """Seconds until something holds; None if it doesn't in GIVE_UP_S."""
+    clock = asyncio.get_running_loop().time
+    while not condition():
+        await asyncio.sleep(PERIOD_S)
+        if clock() - began_s > GIVE_UP_S:
+            return None
+    return round(clock() - began_s, 2)
+
+
+async def measure(count: int, size: int, mbit: float) -> dict[str, Any]:
+    """One change of that size at that many senders."""
+    clock = asyncio.get_running_loop().time
+    world = World()
+    network = world.network = LinkNetwork()
+    await world.begin()
+    await put(world, 1, 4096)
+    senders = Senders(world, count, random.Random(count))
+    await until(lambda: set(senders.generations) == {1}, clock())
+    await asyncio.sleep(CALM_S)
+    network.rates = {world.address(number): CONTROL_MBIT for number in world.numbers}
+    network.set_rate(mbit)
+    cpu_s = time.process_time()
+    await put(world, 2, size)
+    began_s, sent_bytes = clock(), network.bytes
+    world_drains = asyncio.ensure_future(_drain(world, senders))
+    applied_s = await until(lambda: set(senders.generations) == {2}, began_s)
+    row = {
+        "senders": count,
+        "body": size,
+        "mbit": mbit,
+        "in_force_s": applied_s,
+        "have_it": sum(generation == 2 for generation in senders.generations),
+        "list_s": await world_drains,
+        "megabytes": round((network.bytes - sent_bytes) / 1e6, 1),
+        "cpu_s": round(time.process_time() - cpu_s, 2),
+    }
+    network.set_rate(None)
+    network.rates = {}
+    for agent in senders.agents:
+        await agent.stop()
+    for control_server in world.control_servers.values():
+        await control_server.stop()
+    return row
+
+
+async def _drain(world: World, senders: Senders) -> float | None:
+    await asyncio.sleep(DRAIN_AFTER_S)
+    began_s = asyncio.get_running_loop().time()
+    world.receivers = [Receiver("i-1", "engines", "10.9.0.1:80", "east", 4, draining=True)]
+    return await until(lambda: all(senders.drained), began_s)
+
+
+def main() -> None:
+    """Prints the rows."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--senders", default="30,100,300")
+    parser.add_argument("--bodies", default="4096,300000,4000000")
+    parser.add_argument("--mbit", default="15")
+    told = parser.parse_args()
+    for count in map(int, told.senders.split(",")):
+        for size in map(int, told.bodies.split(",")):
+            for mbit in map(float, told.mbit.split(",")):
+                print(json.dumps(run(measure(count, size, mbit))), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/dewpin/cluster/relay_messages.py
+++ b/dewpin/cluster/relay_messages.py
@@ -95,20 +95,27 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchRequest:
-    """Asks for what is newer than these versions. `waits`: without news, the answer comes with the next one."""
+    """Asks for what is newer than these versions. `waits`: without news, the answer comes with the next one.
+
+    `held_generation`: of the configuration whose body the caller holds, 0 for none. Earlier releases tell none: they
+    don't know states without a body."""
 
     state_version: int
     receivers_version: DirectoryVersion
     waits: bool
+    held_generation: int | None = None
 
     def encode(self) -> Message:
         """The form on the wire."""
-        return {
+        message: Message = {
             "type": RELAY_WATCH,
             "state_version": self.state_version,
             "receivers_version": self.receivers_version,
             "wait": self.waits,
         }
+        if self.held_generation is not None:
+            message["held"] = self.held_generation
+        return message
 
     @classmethod
     def decode(cls, message: Message) -> WatchRequest:
@@ -117,12 +124,14 @@
             state_version=int(message["state_version"]),
             receivers_version=directory_version(message["receivers_version"]),
             waits=bool(message.get("wait", True)),
+            held_generation=None if message.get("held") is None else int(message["held"]),
         )
 
 
 @dataclass(frozen=True, slots=True)
 class RelayNews:
-    """The answer to a watch. `state` and `receivers` are there if newer than asked for; `receivers_version`,
+    """The answer to a watch. `state` and `receivers` are there if newer than asked for, the state without its
+    configuration's body where the caller has that or is to fetch it by pages; `receivers_version`,
     `list_age_s` and `knowledge_age_s` (as in a grant) are those of whoever answers; earlier releases don't tell the
     latter, and confirm nothing."""
 
@@ -159,6 +168,24 @@
         )
 
 
+def has_body(state: StateJson) -> bool:
+    """Whether the state's configuration, if there is one, is there with its body."""
+    configuration = state.get("configuration")
+    return configuration is None or "body" in configuration
+
+
+def without_body(state: StateJson) -> StateJson:
+    """The state without its configuration's body."""
+    configuration = {name: field for name, field in state["configuration"].items() if name != "body"}
+    return {**state, "configuration": configuration}
+
+
+def generation_of(state: StateJson | None) -> int:
+    """The generation of the state's configuration; 0 where there is none."""
+    configuration = state.get("configuration") if state is not None else None
+    return int(configuration["generation"]) if configuration is not None else 0
+
+
 def directory_version(pair: object) -> DirectoryVersion:
     """The version of a directory from its form on the wire. TypeError or ValueError if it is none."""
     counter, reader = cast(tuple[int, str], pair)
--- a/dewpin/cluster/relay_service.py
+++ b/dewpin/cluster/relay_service.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from .body_pages import fits_page
 from .errors import ErrorKind
 from .receivers import ReceiverDirectory
-from .relay_messages import RelayNews, StateJson, WatchRequest, rounded_up_s
+from .relay_messages import RelayNews, StateJson, WatchRequest, generation_of, has_body, rounded_up_s, without_body
 from .rpc import Message, RpcError
 
 WATCH_HEARTBEAT_S = 1.0
@@ -19,7 +20,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayedKnowledge:
-    """What a process passes on: the newest system state, the receivers, and how old their list is. `age_s`: how long
+    """What a process passes on: the newest system state, which may lack its configuration's body while that is on its
+    way here, the receivers, and how old their list is. `age_s`: how long
     ago a majority has confirmed the state as the newest; `is_current`: whether that is short enough to pass it on."""
 
     state: StateJson | None
@@ -65,6 +67,21 @@
     return has_state or knowledge.directory.version > request.receivers_version
 
 
+def _state_for(request: WatchRequest, state: StateJson | None) -> StateJson | None:
+    """The state as the caller is to have it: without a body that it has already, or that is longer than a page."""
+    configuration = state.get("configuration") if state is not None else None
+    if state is None or configuration is None:
+        return state
+    if request.held_generation is None:
+        if not has_body(state):
+            raise RpcError(ErrorKind.NO_QUORUM, "the newest configuration is not whole here")
+        return state
+    if not has_body(state) or "base" not in configuration:  # of a control server of an earlier release
+        return state
+    is_held = generation_of(state) == request.held_generation
+    return without_body(state) if is_held or not fits_page(configuration["body"]) else state
+
+
 def _news(knowledge: RelayedKnowledge, request: WatchRequest) -> RelayNews:
     directory = knowledge.directory
     has_receivers = directory.version > request.receivers_version
@@ -72,6 +89,6 @@
         receivers_version=directory.version,
         list_age_s=knowledge.list_age_s,
         knowledge_age_s=rounded_up_s(knowledge.age_s),
-        state=knowledge.state if _is_newer(knowledge.state, request.state_version) else None,
+        state=_state_for(request, knowledge.state) if _is_newer(knowledge.state, request.state_version) else None,
         receivers=tuple(directory.receivers.values()) if has_receivers else None,
     )
--- a/dewpin/controlplane/configuration_bodies.py
+++ b/dewpin/controlplane/configuration_bodies.py
@@ -12,10 +12,11 @@
 from collections.abc import Collection
 from typing import cast
 
+from dewpin.cluster.body_messages import BodyPage, BodyRequest, digest_of
 from dewpin.cluster.rpc import Message, RpcClient, RpcError
 
-from .register_messages import BodyPage, BodyRequest, WireState
-from .system_state import SystemState, base_of, digest_of
+from .register_messages import BODY, WireState
+from .system_state import SystemState, base_of
 
 log = logging.getLogger(__name__)
 
@@ -48,6 +49,10 @@
         """The digests of the bodies held here."""
         return tuple(self._bodies)
 
+    def body(self, digest: str) -> str | None:
+        """The body with that digest, if it is held here."""
+        return self._bodies.get(digest)
+
     def add(self, state: SystemState) -> None:
         """Holds the body of a state."""
         configuration = state["configuration"]
@@ -107,7 +112,7 @@
             self._partial_digest, self._partial = digest, []
         received = sum(map(len, self._partial))
         while True:
-            answer = await self._client.call(source, BodyRequest(digest, received).encode(), PAGE_TIMEOUT_S)
+            answer = await self._client.call(source, BodyRequest(BODY, digest, received).encode(), PAGE_TIMEOUT_S)
             page = BodyPage.decode(answer)
             self._partial.append(page.part)
             received += len(page.part)
--- a/dewpin/controlplane/register.py
+++ b/dewpin/controlplane/register.py
@@ -114,6 +114,10 @@
         self._notes.add(note)
         note.add_done_callback(self._notes.discard)
 
+    def body(self, digest: str) -> str | None:
+        """The body of a configuration by its digest, if it is held here."""
+        return self._bodies.body(digest)
+
     def held_bodies(self) -> tuple[str, ...]:
         """The digests of the configurations' bodies that this process holds."""
         return self._bodies.held()
--- a/dewpin/controlplane/register_messages.py
+++ b/dewpin/controlplane/register_messages.py
@@ -72,40 +72,6 @@
         return cls(str(message["to"]), ballot_from_json(message["ballot"]), value, str(message.get("source", "")))
 
 
-@dataclass(frozen=True, slots=True)
-class BodyRequest:
-    """Asks for the part of a configuration's body that begins at character `offset`."""
-
-    digest: str
-    offset: int
-
-    def encode(self) -> Message:
-        """The form on the wire."""
-        return {"type": BODY, "digest": self.digest, "offset": self.offset}
-
-    @classmethod
-    def decode(cls, message: Message) -> BodyRequest:
-        """The request of a message. KeyError, TypeError or ValueError if it is none."""
-        return cls(str(message["digest"]), int(message["offset"]))
-
-
-@dataclass(frozen=True, slots=True)
-class BodyPage:
-    """A part of a body, and how many characters the whole has."""
-
-    part: str
-    length: int
-
-    def encode(self) -> Message:
-        """The form on the wire."""
-        return {"type": BODY, "part": self.part, "length": self.length}
-
-    @classmethod
-    def decode(cls, message: Message) -> BodyPage:
-        """The page of a message. KeyError, TypeError or ValueError if it is none."""
-        return cls(str(message["part"]), int(message["length"]))
-
-
 def digests(words: Iterable[object]) -> tuple[str, ...]:
     """The digests of a message's field."""
     return tuple(str(word) for word in words)
--- a/dewpin/controlplane/sender_service.py
+++ b/dewpin/controlplane/sender_service.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 
+from dewpin.cluster.body_messages import RELAY_BODY
+from dewpin.cluster.body_pages import BodyPageService, KnownBody
 from dewpin.cluster.errors import ErrorKind
 from dewpin.cluster.relay_messages import (
     LEASE_RELEASE,
@@ -22,7 +24,7 @@
 from .majority_contact import RegisterConfirmation
 from .peers import PeerTable
 from .register import SystemRegister
-from .system_state import SystemState
+from .system_state import SystemState, base_of
 
 CONTROL_KNOWN_S = 5.0
 
@@ -46,6 +48,7 @@
         self._peers = peers
         self._clock = clock
         self._relay = RelayService(self._knowledge)
+        self._pages = BodyPageService(self._known_body, clock)
         self._relayed: tuple[SystemState, StateJson] | None = None
 
     @property
@@ -55,11 +58,13 @@
             LEASE_RENEW: self._handle_renew,
             LEASE_RELEASE: self._handle_release,
             RELAY_WATCH: self._relay.handle_watch,
+            RELAY_BODY: self._pages.handle,
         }
 
     def announce(self) -> None:
         """Tells the senders that wait that there is something new."""
         self._relay.announce()
+        self._pages.announce()
 
     async def _handle_renew(self, message: Message) -> Message:
         request = RenewRequest.decode(message)
@@ -106,10 +111,22 @@
         )
 
     def _state_for_senders(self) -> StateJson | None:
-        """The chosen state without the orders that were taken before: senders have no use for them."""
+        """The chosen state without the orders that were taken before: senders have no use for them. Of these, they
+        need the version that the configuration builds on, to check a body that they fetch."""
         state = self._register.chosen
         if state is None:
             return None
         if self._relayed is None or self._relayed[0] is not state:
-            self._relayed = state, {name: value for name, value in state.items() if name != "accepted"}
+            self._relayed = state, _for_senders(state)
         return self._relayed[1]
+
+    def _known_body(self, digest: str) -> KnownBody | None:
+        body = self._register.body(digest)
+        return KnownBody(body, len(body)) if body is not None else None
+
+
+def _for_senders(state: SystemState) -> StateJson:
+    told: StateJson = {name: value for name, value in state.items() if name != "accepted"}
+    if state["configuration"] is not None:
+        told["configuration"] = {**state["configuration"], "base": base_of(state)}
+    return told
--- a/dewpin/controlplane/system_state.py
+++ b/dewpin/controlplane/system_state.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import NotRequired, TypedDict
 
+from dewpin.cluster.body_messages import digest_of as digest_of
+
 MOST_REMEMBERED_CONFIGURATIONS = 128
 """Orders of the operator that the state itself remembers; older ones are in each process's `OrderHistory`."""
 MOST_REMEMBERED_BEFORE = 2000
@@ -118,11 +119,6 @@
     return following
 
 
-def digest_of(body: bytes, base: int) -> str:
-    """What tells one order from another under the same number: the body and the version that it builds on."""
-    return hashlib.sha256(b"%d\n%b" % (base, body)).hexdigest()[:24]
-
-
 def base_of(state: SystemState) -> int:
     """The version that the present configuration was built on."""
     remembered = state["accepted"]
--- a/dewpin/dataplane/cluster_agent.py
+++ b/dewpin/dataplane/cluster_agent.py
@@ -12,6 +12,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+from dewpin.cluster.body_messages import RELAY_BODY
+from dewpin.cluster.body_pages import BodyPageService, KnownBody
 from dewpin.cluster.errors import ErrorKind
 from dewpin.cluster.platform_list import PlatformUnavailable, ReadsPlatform, ThreadedPlatformReader
 from dewpin.cluster.ports import control_plane_address, data_plane_address
@@ -30,7 +32,9 @@
 from dewpin.cluster.settings import Settings
 from dewpin.cluster.settings_watch import reloaded
 
+from .body_fetch import BodyFetch
 from .control_server_list import ControlServerList
+from .held_state import HeldState
 from .sender_count import SenderCount
 from .state_confirmation import StateConfirmation
 
@@ -72,7 +76,7 @@
         self.settings = settings
         self.address = data_plane_address(settings.ip, settings.port_range)
         self.sender = f"{settings.node_name}/{rng.getrandbits(48):012x}"
-        self.state: StateJson | None = None
+        self.states = HeldState()
         self.directory = ReceiverDirectory()
         self.confirmation = StateConfirmation(clock())
         self._control_answered_s = float("-inf")
@@ -93,12 +97,19 @@
         self._own_list_read_s = float("-inf")
         self._own_reading_began_s = float("-inf")
         self._relay = RelayService(self._relayed_knowledge)
+        self._pages = BodyPageService(self._known_body, clock)
+        self._fetch = BodyFetch(client, self.address, self, self._pages.announce, self._take_body, clock)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
     def handlers(self) -> dict[str, Handler]:
         """What this sender answers to its children in the relay tree."""
-        return {RELAY_WATCH: self._relay.handle_watch}
+        return {RELAY_WATCH: self._relay.handle_watch, RELAY_BODY: self._pages.handle}
+
+    @property
+    def state(self) -> StateJson | None:
+        """The newest system state that is held whole."""
+        return self.states.whole
 
     def start(self) -> None:
         """Begins to renew the lease and to follow the relay tree. Called on the agent's loop."""
@@ -117,6 +128,7 @@
         """Gives the lease up, at all that grant it."""
         for task in self._tasks:
             task.cancel()
+        self._fetch.stop()
         message: Message = {"type": LEASE_RELEASE, "sender": self.sender}
         calls = [
             self._client.call(control_server, message, RENEW_TIMEOUT_S)
@@ -134,10 +146,13 @@
     def knows_current_state(self) -> bool:
         """Whether a majority has confirmed the state held here within the time that a configuration has to come into
         force: what is not in it was not acknowledged before that time."""
-        return self.confirmation.age_s(self._clock()) <= self.settings.bounds.config_apply_ms / 1000
+        return self.confirmation.age_s(self._clock()) <= self._apply_s()
+
+    def _apply_s(self) -> float:
+        return self.settings.bounds.config_apply_ms / 1000
 
     def _renewal_period_s(self) -> float:
-        return self.settings.bounds.config_apply_ms / 1000 / RENEWALS_IN_BOUND
+        return self._apply_s() / RENEWALS_IN_BOUND
 
     def list_age_s(self) -> float:
         """How long ago the list that this sender's receivers come from was read, by anybody."""
@@ -174,10 +189,10 @@
             grant = LeaseGrant.decode(await self._client.call(control_server, request.encode(), RENEW_TIMEOUT_S))
             self._take_lease(grant)
             if self._is_behind(grant):
-                await self._fetch(control_server)
+                await self._fetch_news(control_server)
             else:
                 self._note_age(grant.receivers_version, asked_s - grant.list_age_s)
-            if self._state_version() >= grant.state_version:
+            if self.states.told_version >= grant.state_version:
                 self.confirmation.confirm(asked_s - grant.knowledge_age_s)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
             self._note_failure(control_server, fault)
@@ -205,13 +220,10 @@
             self._on_senders(senders)
         self._control_answered_s = self._clock()
 
-    def _state_version(self) -> int:
-        return int(self.state["version"]) if self.state is not None else -1
-
     def _is_behind(self, grant: LeaseGrant) -> bool:
-        return grant.state_version > self._state_version() or grant.receivers_version > self.directory.version
+        return grant.state_version > self.states.told_version or grant.receivers_version > self.directory.version
 
-    async def _fetch(self, control_server: str) -> None:
+    async def _fetch_news(self, control_server: str) -> None:
         asked_s = self._clock()
         answer = await self._client.call(control_server, self._watch_request(waits=False).encode(), WATCH_TIMEOUT_S)
         self._take_news(RelayNews.decode(answer), asked_s)
@@ -236,18 +248,17 @@
     def _watch_source(self) -> str:
         now_s = self._clock()
         self._shunned_until_s = {one: until_s for one, until_s in self._shunned_until_s.items() if until_s > now_s}
-        sources = [*self._parents, *self._control_servers.usable(now_s), *self._control_servers.all()]
+        sources = [*self.parents(), *self.control_servers()]
         return next((one for one in sources if one not in self._shunned_until_s), sources[-1])
 
     def _watch_request(self, waits: bool) -> WatchRequest:
-        return WatchRequest(self._state_version(), self.directory.version, waits)
+        return WatchRequest(self.states.told_version, self.directory.version, waits, self.states.generation)
 
     def _take_news(self, news: RelayNews, asked_s: float) -> None:
         """Takes an answer to a watch. Ages count from when it was asked: it may have been held up on its way."""
         changed = False
-        if news.state is not None and news.state["version"] > self._state_version():
-            self.state = news.state
-            self._on_state(news.state)
+        if news.state is not None and self.states.take(news.state):
+            self._put_in_force()
             changed = True
         if news.receivers is not None and self.directory.take_copy(news.receivers_version, news.receivers):
             self._shared_list_read_s = asked_s - news.list_age_s
@@ -259,6 +270,30 @@
         if changed:
             self._relay.announce()
 
+    def _put_in_force(self) -> None:
+        """Puts the newest state in force as far as it is here, and fetches the body that it lacks."""
+        self.confirmation.note_held(self.states.is_whole)
+        self._on_state(self.states.in_force)
+        self._fetch.want(self.states.lacking)
+        self._pages.announce()
+
+    def _take_body(self, digest: str, body: str) -> None:
+        if self.states.take_body(digest, body):
+            self._put_in_force()
+            self._relay.announce()
+
+    def _known_body(self, digest: str) -> KnownBody | None:
+        body = self.states.body_of(digest)
+        return KnownBody(body, len(body)) if body is not None else self._fetch.known(digest)
+
+    def parents(self) -> list[str]:
+        """The senders above this one in the relay tree, the nearest first."""
+        return self._parents
+
+    def control_servers(self) -> list[str]:
+        """The control servers, those that failed just now at the end."""
+        return [*self._control_servers.usable(self._clock()), *self._control_servers.all()]
+
     def _note_age(self, version: DirectoryVersion, read_s: float) -> None:
         """Takes when another's list was read, if that is of the version held here: else its content may be missing."""
         if version == self.directory.version:
@@ -266,11 +301,11 @@
 
     def _relayed_knowledge(self) -> RelayedKnowledge:
         return RelayedKnowledge(
-            state=self.state,
+            state=self.states.told,
             directory=self.directory,
             list_age_s=self._shared_list_age_s(),
-            age_s=self.confirmation.age_s(self._clock()),
-            is_current=self.knows_current_state(),
+            age_s=self.confirmation.told_age_s(self._clock()),
+            is_current=self.confirmation.told_age_s(self._clock()) <= self._apply_s(),
         )
 
     # The list, where no control server can give it in time
--- /dev/null
+++ b/tests/controlplane/test_bodies_for_senders.py
@@ -0,0 +1,325 @@
+"""Long bodies of configurations on their way to the senders, over links on which they take seconds."""
+
+import asyncio
+import json
+import random
+
+import pytest
+from controlplane.control_server_world import APPLY_S, drain
+from controlplane.test_senders_and_control_servers import Fleet
+from link_network import LinkNetwork
+from store_world import run
+
+from dewpin.cluster.body_messages import RELAY_BODY
+from dewpin.cluster.body_pages import MOST_CALLERS, RELAY_PAGE_BYTES
+from dewpin.cluster.rpc import RpcError
+from dewpin.controlplane.leases import RELAY_FAN_OUT
+from dewpin.controlplane.register import RegisterUnavailable
+from dewpin.controlplane.system_state import put_configuration, start_retirement
+
+LONG = 600_000
+LONGEST = 2_000_000
+SHORT = RELAY_PAGE_BYTES - 100
+SENDER_MBIT = 15
+CONTROL_MBIT = 86
+SENDERS = 7
+CALM_S = 5.0
+
+
+class SlowFleet(Fleet):
+    """Senders on links of 15 Mbit/s. `bodies`: what each has in force."""
+
+    def __init__(self, rng):
+        super().__init__(rng)
+        self.network = LinkNetwork()
+        self.bodies = {}
+        self.called = []
+        self.network.on_call = self._note
+
+    def take_state(self, number, state):
+        super().take_state(number, state)
+        self.bodies[number] = state["configuration"]["body"] if state["configuration"] else None
+
+    def slow_down(self):
+        self.network.rates = {self.address(number): CONTROL_MBIT for number in self.numbers}
+        self.network.set_rate(SENDER_MBIT)
+
+    async def order(self, generation, base, size=LONG):
+        """Sends an order until it is acknowledged; the body."""
+        body = json.dumps({"generation": generation, "filling": "é" + "x" * size}, ensure_ascii=False)
+        change = put_configuration(body.encode(), generation, base)
+        for number in (1, 2, 3) * 10:
+            try:
+                await self.control_servers[number].register.propose(change, 0.85)
+                return body
+            except RegisterUnavailable:
+                await asyncio.sleep(0.1)
+        raise AssertionError
+
+    def pages_asked(self, *numbers):
+        """The calls for pages, by these senders or all: caller, source and offset of each."""
+        callers = {self.agents[number].address for number in numbers or self.agents}
+        return [(caller, source, offset) for caller, source, offset in self.called if caller in callers]
+
+    def _note(self, source, target, message):
+        if message["type"] == RELAY_BODY:
+            self.called.append((source, target, message["offset"]))
+
+    def is_fetching(self, number):
+        return self.agents[number].states.lacking is not None
+
+    def below(self):
+        """A sender that has a parent."""
+        return next(number for number, agent in self.agents.items() if agent.parents())
+
+    def number_of(self, address):
+        return next(number for number, agent in self.agents.items() if agent.address == address)
+
+    def all_have(self, body):
+        return lambda: all(self.bodies.get(number) == body for number in self.agents)
+
+
+def play(scene, senders=SENDERS, seed=1):
+    async def whole():
+        fleet = SlowFleet(random.Random(seed))
+        await fleet.begin()
+        await fleet.order(7, 0, size=100)
+        for number in range(1, senders + 1):
+            fleet.start_sender(number)
+        await fleet.until(lambda: set(fleet.generations.values()) == {7})
+        await asyncio.sleep(CALM_S)
+        fleet.slow_down()
+        try:
+            await scene(fleet)
+            assert fleet.went_back == []
+        finally:
+            await fleet.stop()
+
+    run(whole())
+
+
+def test_a_long_body_comes_over_slow_links_and_the_old_one_is_in_force_until_it_is_whole():
+    async def scene(fleet):
+        old = fleet.bodies[1]
+        body = await fleet.order(8, 7, LONGEST)
+        seen = set()
+
+        def all_have_it():
+            seen.update(fleet.bodies.values())
+            return fleet.all_have(body)()
+
+        await fleet.until(all_have_it, 40.0)
+        assert seen == {old, body}
+        offsets = [offset for _, _, offset in fleet.pages_asked(1)]
+        assert offsets == sorted(set(offsets))
+        assert len(offsets) == len(body) // RELAY_PAGE_BYTES + 1
+
+    play(scene)
+
+
+def test_a_short_body_costs_no_call_of_its_own():
+    async def scene(fleet):
+        body = await fleet.order(8, 7, SHORT)
+        assert await fleet.until(fleet.all_have(body)) < APPLY_S
+        assert fleet.called == []
+
+    play(scene)
+
+
+def test_a_change_of_stores_ships_no_body_and_is_in_force_while_a_body_is_fetched():
+    async def scene(fleet):
+        body = await fleet.order(8, 7)
+        await fleet.until(fleet.all_have(body), 20.0)
+        asked, sent = len(fleet.called), fleet.network.bytes
+        version = fleet.newest()["version"]
+        await fleet.control_servers[1].register.propose(start_retirement("store-3", 1), 0.85)
+        await fleet.until(lambda: all(agent.state["version"] > version for agent in fleet.agents.values()), 20.0)
+        assert len(fleet.called) == asked
+        assert fleet.network.bytes - sent < len(body) / 2
+        assert fleet.all_have(body)()
+
+    play(scene)
+
+
+def test_a_later_change_of_stores_is_known_while_the_body_before_it_is_fetched():
+    async def scene(fleet):
+        epochs = {}
+        body = await fleet.order(8, 7, LONGEST)
+        await fleet.until(lambda: fleet.is_fetching(1))
+        number = 1
+        take = fleet.agents[number]._on_state
+        fleet.agents[number]._on_state = lambda state: (epochs.update(now=state["retiring"]), take(state))
+        await fleet.control_servers[1].register.propose(start_retirement("store-3", 1), 0.85)
+        await fleet.until(lambda: epochs.get("now") == ["store-3"], APPLY_S)
+        assert fleet.is_fetching(1)
+        assert fleet.generations[1] == 7
+        offsets = [offset for _, _, offset in fleet.pages_asked(1)]
+        await fleet.until(fleet.all_have(body), 40.0)
+        after = [offset for _, _, offset in fleet.pages_asked(1)][len(offsets) :]
+        assert min(after) >= max(offsets)
+
+    play(scene)
+
+
+def test_the_list_of_receivers_does_not_wait_behind_a_long_body():
+    async def scene(fleet):
+        await fleet.order(8, 7, LONGEST)
+        await fleet.until(lambda: all(map(fleet.is_fetching, fleet.agents)))
+        drain(fleet)
+        await fleet.until(lambda: all(fleet.drained.values()), 1.0)
+        assert any(map(fleet.is_fetching, fleet.agents))
+
+    play(scene)
+
+
+def test_nothing_counts_as_confirmed_while_the_newest_body_is_on_its_way():
+    async def scene(fleet):
+        body = await fleet.order(8, 7, LONGEST)
+        told_s = asyncio.get_running_loop().time()
+        await fleet.until(lambda: all(map(fleet.is_fetching, fleet.agents)))
+        while fleet.generations[1] == 7:
+            now_s = asyncio.get_running_loop().time()
+            assert fleet.agents[1].confirmation.age_s(now_s) >= now_s - told_s - 0.1
+            await asyncio.sleep(0.1)
+        await fleet.until(fleet.all_have(body), 40.0)
+        now_s = asyncio.get_running_loop().time()
+        assert fleet.agents[1].confirmation.age_s(now_s) < APPLY_S
+
+    play(scene)
+
+
+def test_the_children_stay_with_a_parent_whose_body_is_on_its_way():
+    async def scene(fleet):
+        body = await fleet.order(8, 7, LONGEST)
+        shunned = set()
+
+        def done():
+            for number, agent in fleet.agents.items():
+                shunned.update((number, one) for one in agent._shunned_until_s)
+            return fleet.all_have(body)()
+
+        assert await fleet.until(done, 40.0) > APPLY_S
+        assert shunned == set()
+
+    play(scene)
+
+
+def test_a_fetch_that_broke_off_goes_on_where_it_was_at_another_source():
+    async def scene(fleet):
+        number = fleet.below()
+        parent = fleet.agents[number].parents()[0]
+        body = await fleet.order(8, 7)
+        await fleet.until(lambda: len([1 for _, source, _ in fleet.pages_asked(number) if source == parent]) > 5)
+        fleet.network.down.add(parent)
+        del fleet.agents[fleet.number_of(parent)]
+        await fleet.until(lambda: fleet.bodies[number] == body, 30.0)
+        offsets = [offset for _, _, offset in fleet.pages_asked(number)]
+        assert offsets == sorted(offsets)
+        sources = {source for _, source, offset in fleet.pages_asked(number) if offset > 5 * RELAY_PAGE_BYTES}
+        assert sources - {parent}
+
+    play(scene)
+
+
+def test_a_body_that_is_replaced_meanwhile_is_given_up_for_the_newer_one():
+    async def scene(fleet):
+        first = await fleet.order(8, 7, LONGEST)
+        await fleet.until(lambda: all(map(fleet.is_fetching, fleet.agents)))
+        second = await fleet.order(9, 8, SHORT)
+        assert await fleet.until(fleet.all_have(second)) < APPLY_S
+        await asyncio.sleep(1.0)
+        asked = len(fleet.called)
+        await asyncio.sleep(2.0)
+        assert len(fleet.called) == asked
+        assert first not in fleet.bodies.values()
+
+    play(scene)
+
+
+def test_a_long_body_that_is_replaced_by_a_long_one_comes_whole():
+    async def scene(fleet):
+        await fleet.order(8, 7)
+        await fleet.until(lambda: all(map(fleet.is_fetching, fleet.agents)))
+        second = await fleet.order(9, 8)
+        await fleet.until(fleet.all_have(second), 20.0)
+
+    play(scene)
+
+
+def test_other_bytes_than_the_digest_says_are_not_taken_and_come_from_a_control_server_then():
+    async def scene(fleet):
+        number = fleet.below()
+        parent = fleet.agents[number].parents()[0]
+        handlers = fleet.network.handlers[parent]
+        honest = handlers[RELAY_BODY]
+
+        async def spoilt(message):
+            page = await honest(message)
+            return {**page, "part": page["part"].replace("x", "y")}
+
+        fleet.network.handlers[parent] = {**handlers, RELAY_BODY: spoilt}
+        body = await fleet.order(8, 7)
+        await fleet.until(fleet.all_have(body), 20.0)
+        asked = fleet.pages_asked(number)
+        again = [at for at, (_, _, offset) in enumerate(asked) if offset == 0][-1]
+        assert parent in {source for _, source, _ in asked[:again]}
+        assert parent not in {source for _, source, _ in asked[again:]}
+
+    play(scene)
+
+
+def test_a_sender_started_while_a_long_configuration_is_in_force_becomes_ready():
+    async def scene(fleet):
+        body = await fleet.order(8, 7)
+        await fleet.until(fleet.all_have(body), 20.0)
+        fleet.start_sender(SENDERS + 1)
+        await fleet.until(lambda: fleet.is_fetching(SENDERS + 1))
+        assert not fleet.is_ready(SENDERS + 1)
+        await fleet.until(lambda: fleet.is_ready(SENDERS + 1), 10.0)
+        assert fleet.bodies[SENDERS + 1] == body
+
+    play(scene)
+
+
+@pytest.mark.parametrize("kind", ["most", "one more"])
+def test_one_parent_serves_few_at_a_time(kind):
+    """So that news wait behind so many pages at most, however many lost their own parents."""
+
+    async def scene(fleet):
+        await fleet.order(8, 7)
+        client = fleet.network.client("10.5.0.9:7381")
+        digest = fleet.newest()["configuration"]["digest"]
+        assert MOST_CALLERS >= RELAY_FAN_OUT
+
+        async def ask(caller):
+            message = {"type": RELAY_BODY, "digest": digest, "offset": 0, "caller": caller}
+            return await client.call(fleet.address(2), message, 1.0)
+
+        await asyncio.sleep(20.0)  # no sender of the fleet fetches any more
+        for caller in range(MOST_CALLERS):
+            await ask(f"caller {caller}")
+        if kind == "most":
+            assert (await ask("caller 0"))["part"]
+            return
+        with pytest.raises(RpcError):
+            await ask("one more")
+        await asyncio.sleep(1.1)
+        assert (await ask("one more"))["part"]
+
+    play(scene)
+
+
+def test_a_sender_of_an_earlier_release_gets_whole_states_only():
+    async def scene(fleet):
+        body = await fleet.order(8, 7)
+        await fleet.until(lambda: fleet.is_fetching(1))
+        client = fleet.network.client("10.5.0.9:7381")
+        message = {"type": "relay.watch", "state_version": -1, "receivers_version": [0, ""], "wait": False}
+        with pytest.raises(RpcError):
+            await client.call(fleet.agents[1].address, message, 5.0)
+        for address in (fleet.address(1), fleet.agents[2].address):
+            await fleet.until(fleet.all_have(body), 20.0)
+            news = await client.call(address, message, 5.0)
+            assert news["state"]["configuration"]["body"] == body
+
+    play(scene)
--- a/tests/controlplane/test_configuration_bodies.py
+++ b/tests/controlplane/test_configuration_bodies.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from dewpin.cluster.body_messages import BodyPage
 from dewpin.controlplane.configuration_bodies import BodyUnavailable, ConfigurationBodies
-from dewpin.controlplane.register_messages import BodyPage
 from dewpin.controlplane.system_state import digest_of, genesis
 
 BODY = '{"services":{}}'
--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -33,6 +33,7 @@
     "lease.renew": "replaces the lease; one that comes after the release ends with its time",
     "lease.release": "removes what may be gone",
     "relay.watch": "reads only",
+    "relay.body": "reads only; a caller takes one place among those that are served, however often it asks",
     "turn.put": "a turn is immutable: kept as it is, for the longer time",
     "turn.chain": "reads only",
     "ledger.prepare": "as register.prepare",
--- a/tests/link_network.py
+++ b/tests/link_network.py
@@ -17,6 +17,7 @@
         super().__init__()
         self.bytes = 0
         self.largest = 0
+        self.rates = {}  # by address, where a machine's link has a rate of its own
         self.set_rate(None)
 
     def set_rate(self, mbit):
@@ -29,13 +30,14 @@
 
     async def carry(self, source, message):
         """Waits until the message has left the link and has arrived."""
-        if self.mbit is None:
+        mbit = self.rates.get(source, self.mbit)
+        if mbit is None:
             return
         size = len(netstring.encode(message))
         self.bytes += size
         self.largest = max(self.largest, size)
         now_s = asyncio.get_running_loop().time()
-        sent_s = max(now_s, self._free_s.get(source, 0.0)) + size * 8 / (self.mbit * 1e6)
+        sent_s = max(now_s, self._free_s.get(source, 0.0)) + size * 8 / (mbit * 1e6)
         self._free_s[source] = sent_s
         await asyncio.sleep(sent_s + LATENCY_S - now_s)
 
