Connections: calls that may be repeated use the oldest ones

Cause: all calls took the connection that was used last, so the others aged beyond the 2 s within which one may carry a call that must not be repeated, and such a call made a new connection beside idle ones.

Change: a call that may be repeated takes the oldest connection, which is young again after it. A call that must not be repeated takes the newest, within the same limit as before. While a service's receivers are known to have forgotten a connection early, all take the newest.

Ruled out: raising the limit by what repeatable calls show. Receivers may begin to forget at any moment, so old evidence proves nothing.

--- a/dewpin/dataplane/idle_limit.py
+++ b/dewpin/dataplane/idle_limit.py
@@ -32,9 +32,15 @@
 
     def unrepeatable_idle_s(self, now: float) -> float:
         """Return how long a connection may be idle for a call that must not be repeated."""
-        if self._early_end is None or now >= self._early_end[1]:
+        early_end = self._early_end
+        if early_end is None or now >= early_end[1]:
             return LONGEST_UNREPEATABLE_IDLE_S
-        return self._early_end[0]
+        return early_end[0]
+
+    def remembers_early_end(self, now: float) -> bool:
+        """Tell whether receivers of the service have forgotten a connection lately."""
+        early_end = self._early_end
+        return early_end is not None and now < early_end[1]
 
     def count_forgotten(self, idle_s: float, now: float) -> None:
         """Take in that a connection which had been idle for so long was forgotten by its receiver."""
--- a/dewpin/dataplane/receiver_connections.py
+++ b/dewpin/dataplane/receiver_connections.py
@@ -3,6 +3,10 @@
 urllib3's pool stays unused: whether a connection may carry a call depends on how long it was idle, and the pool
 rewrites targets. A connection is kept only after a whole answer with nothing behind it. It is dropped before use where
 bytes wait on it, or where it was idle for longer than the receiver keeps it.
+
+A call that may be repeated takes the oldest connection and so makes it young again; the young ones are left to calls
+that must not be repeated, which need them, and take the newest. While receivers are known to forget idle connections
+early, all calls take the newest.
 """
 
 import threading
@@ -35,9 +39,13 @@
     since: float
     kept_s: float
 
+    def is_kept(self, now: float) -> bool:
+        """Tell whether the receiver keeps the connection still, by its own word."""
+        return now - self.since < self.kept_s
+
 
 class ReceiverConnections:
-    """The idle connections to one receiver; the one used last is taken first. Times are the clock's, in seconds."""
+    """The idle connections to one receiver, in the order of their last use. Times are the clock's, in seconds."""
 
     def __init__(self, receiver: Receiver, clock: Callable[[], float], idle_limit: IdleLimit) -> None:
         host, _, port = receiver.address.rpartition(":")
@@ -64,16 +72,27 @@
                     return None
                 now = self._clock()
                 newest = self._idle[-1]
-                idle_s = now - newest.since
-                is_usable = self._idle_limit.allows(idle_s, newest.kept_s, repeatable, now)
-                is_kept = not is_usable and idle_s < newest.kept_s
-                taken = self._idle.pop(0) if is_kept else self._idle.pop()
-            if is_usable and not taken.connection.has_carried(request_id) and taken.connection.is_connected:
-                taken.connection.idle_s = idle_s
+                gives_way = newest.is_kept(now) and not self._allows(newest, repeatable, now)
+                taken = self._idle.pop(0 if gives_way or self._takes_oldest(repeatable, now) else -1)
+            if gives_way:
+                taken.connection.close()
+                return None
+            if self._may_carry(taken, repeatable, request_id, now):
+                taken.connection.idle_s = now - taken.since
                 return taken.connection
             taken.connection.close()
-            if is_kept:
-                return None
+
+    def _takes_oldest(self, repeatable: bool, now: float) -> bool:
+        return repeatable and not self._idle_limit.remembers_early_end(now)
+
+    def _allows(self, idle: _Idle, repeatable: bool, now: float) -> bool:
+        return self._idle_limit.allows(now - idle.since, idle.kept_s, repeatable, now)
+
+    def _may_carry(self, idle: _Idle, repeatable: bool, request_id: str, now: float) -> bool:
+        connection = idle.connection
+        return (
+            self._allows(idle, repeatable, now) and not connection.has_carried(request_id) and connection.is_connected
+        )
 
     def was_forgotten(self, connection: ReceiverConnection, outcome: Outcome) -> bool:
         """Tell whether the receiver had forgotten an idle connection, by how a call on it ended, and learn from it.
--- a/tests/dataplane/test_idle_limit.py
+++ b/tests/dataplane/test_idle_limit.py
@@ -1,14 +1,19 @@
 """How long a connection may be idle for a call, and what an early end teaches; what new connections that costs."""
 
+import heapq
 import random
 import select
+from types import SimpleNamespace
 
 import pytest
 from dataplane.peers import PATIENCE_S, ScriptedReceiver, close, receivers, refusal, reset, whole
 from dataplane.upstream_caller import Caller
 
+from dewpin.cluster.receivers import Receiver
+from dewpin.dataplane.answer_body import BodyEnd, Framing
 from dewpin.dataplane.idle_limit import EARLY_END_MEMORY_S, LONGEST_UNREPEATABLE_IDLE_S, IdleLimit
 from dewpin.dataplane.outcome import Outcome
+from dewpin.dataplane.receiver_connections import ReceiverConnections
 
 KEPT_S = 4.85
 TOLD = "Keep-Alive: timeout=5"
@@ -174,3 +179,147 @@
     print(f"connects {before_connects:.0f} -> {connects:.0f}, calls lost {before_lost:.1f} -> {lost:.1f}")
     assert connects <= most_connects * before_connects
     assert lost <= most_lost * before_lost
+
+
+class HandClock:
+    """A clock that is set by hand, in seconds."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+class IdleConnection:
+    """Stands for a connection that carries calls; `forgotten_at`: when its receiver will have dropped it unheard."""
+
+    is_connected = True
+
+    def __init__(self):
+        self.idle_s = self.forgotten_at = 0.0
+        self.closed = False
+
+    def has_carried(self, request_id):
+        return False
+
+    def may_be_kept(self, framing):
+        return True
+
+    def end_call(self):
+        pass
+
+    def close(self):
+        self.closed = True
+
+
+class KeepingReceiver:
+    """The connections of one front to one receiver that tells 5 s, on a clock that is set by hand."""
+
+    response = SimpleNamespace(headers={"keep-alive": "timeout=5"})
+
+    def __init__(self, clock, limit=None):
+        receiver = Receiver("i-1", "engines", "10.0.0.1:80", "east", 4)
+        self.connections = ReceiverConnections(receiver, clock, limit or IdleLimit())
+
+    def give_back(self, connection):
+        self.connections.give_back(connection, self.response, Framing(BodyEnd.LENGTH, 0))
+
+    def take(self, repeatable):
+        return self.connections.take_idle(repeatable)
+
+
+def two_idle(clock, limit=None):
+    """A receiver with an older and a newer idle connection, 3 s and 0.5 s at the clock's time."""
+    kept, older, newer = KeepingReceiver(clock, limit), IdleConnection(), IdleConnection()
+    kept.give_back(older)
+    clock.now = 2.5
+    kept.give_back(newer)
+    clock.now = 3.0
+    return kept, older, newer
+
+
+def test_a_call_that_may_be_repeated_leaves_the_young_connections_to_those_that_must_not():
+    kept, older, newer = two_idle(HandClock())
+    assert kept.take(repeatable=True) is older
+    assert kept.take(repeatable=False) is newer
+
+
+def test_a_call_that_must_not_be_repeated_takes_the_newest_connection():
+    kept, older, newer = two_idle(HandClock())
+    assert kept.take(repeatable=False) is newer
+    assert not older.closed
+
+
+def test_all_calls_take_the_newest_connection_while_receivers_forget_early():
+    limit = IdleLimit()
+    limit.count_forgotten(1.2, 0.0)
+    kept, _, newer = two_idle(HandClock(), limit)
+    assert kept.take(repeatable=True) is newer
+
+
+def test_an_old_connection_that_the_receiver_keeps_no_more_is_passed_over():
+    clock = HandClock()
+    kept, older, newer = two_idle(clock)
+    clock.now = KEPT_S
+    assert kept.take(repeatable=True) is newer
+    assert older.closed
+
+
+class BusyDay:
+    """Calls that overlap and come in bursts, from fronts that prefer a receiver, over `ReceiverConnections`."""
+
+    def __init__(self, seed, forgets_after_s):
+        self.rng = random.Random(seed)
+        self.clock = HandClock()
+        limits = [IdleLimit() for _ in range(8)]
+        self.pools = [[KeepingReceiver(self.clock, limits[front]) for _ in range(4)] for front in range(8)]
+        self.limits = limits
+        self.forgets_after_s = forgets_after_s
+        self.ending = []
+        self.connects = self.lost = self.calls = 0
+
+    def run(self, length_s):
+        while self.clock.now < length_s:
+            rate = 235.0 if self.clock.now % 10 < 3 else 56.0
+            self.clock.now += self.rng.expovariate(rate)
+            self._end_calls()
+            self._call()
+        return self
+
+    def _call(self):
+        front = self.rng.randrange(8)
+        weights = [5 if receiver == front % 4 else 1 for receiver in range(4)]
+        kept = self.rng.choices(self.pools[front], weights)[0]
+        repeatable = self.rng.random() >= 0.37
+        connection = kept.take(repeatable)
+        self.calls += 1
+        if connection is not None and self.clock.now >= connection.forgotten_at:
+            self.limits[front].count_forgotten(connection.idle_s, self.clock.now)
+            self.lost += not repeatable
+            connection = None
+        if connection is None:
+            self.connects += 1
+            connection = IdleConnection()
+        ends = self.clock.now + self.rng.uniform(0.02, 1.0)
+        heapq.heappush(self.ending, (ends, self.calls, kept, connection))
+
+    def _end_calls(self):
+        now = self.clock.now
+        while self.ending and self.ending[0][0] <= now:
+            self.clock.now, _, kept, connection = heapq.heappop(self.ending)
+            connection.forgotten_at = self.clock.now + self.rng.uniform(*self.forgets_after_s)
+            kept.give_back(connection)
+        self.clock.now = now
+
+
+@pytest.mark.parametrize(("forgets_after_s", "most_connects", "most_lost"), [(TRUE_WORD, 0.12, 0), (EARLY, 0.29, 5)])
+def test_calls_that_may_be_repeated_save_new_connections_where_receivers_keep_their_word(
+    forgets_after_s, most_connects, most_lost
+):
+    """New connections as a share of the calls: 0.17 and 0.27 where all calls take the newest connection."""
+    played = [BusyDay(seed, forgets_after_s).run(50.0) for seed in range(3)]
+    connects, lost = sum(day.connects for day in played), sum(day.lost for day in played)
+    print(f"{connects} connects and {lost} lost of {sum(day.calls for day in played)} calls")
+    assert connects <= most_connects * sum(day.calls for day in played)
+    assert lost <= 3 * most_lost
