Control server at rest: fewer turns of the event loop

Cause: each call between processes made a task more than it needs (wait_for) and ended two tasks with a done callback, which takes a turn of the loop of its own; heartbeats and upkeep had a timer each; the reader of the list slept for no time after each look.

Change: calls use asyncio.timeout; tasks take themselves out of the sets that keep them; the upkeep takes its step with a heartbeat, whose period it had before; a step that waits by itself is not put to sleep. No message, period or bound changes.

--- a/dewpin/cluster/rpc.py
+++ b/dewpin/cluster/rpc.py
@@ -20,6 +20,7 @@
 from .netstring import Decoder, FrameError
 from .rpc_frames import AnswerFrame, BadFrame, RequestFrame
 from .rpc_frames import Message as Message
+from .running_tasks import forget_current_task
 
 Handler = Callable[[Message], Awaitable[Message]]
 
@@ -105,9 +106,7 @@
             if len(self._tasks) >= MOST_UNANSWERED:
                 self._refuse("too many requests unanswered")
                 return
-            task = asyncio.ensure_future(self._answer(request))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.add(asyncio.ensure_future(self._answer(request)))
 
     def _refuse(self, why: str) -> None:
         log.warning("rpc.bad_frame", extra={"why": why})
@@ -115,10 +114,13 @@
             self._transport.abort()
 
     async def _answer(self, request: RequestFrame) -> None:
-        answer = await self._server.dispatch(request.message)
-        transport = self._transport
-        if transport is not None and not transport.is_closing() and not _ends_unread(transport):
-            transport.write(_answer_bytes(AnswerFrame(request.number, answer)))
+        try:
+            answer = await self._server.dispatch(request.message)
+            transport = self._transport
+            if transport is not None and not transport.is_closing() and not _ends_unread(transport):
+                transport.write(_answer_bytes(AnswerFrame(request.number, answer)))
+        finally:
+            forget_current_task(self._tasks)
 
 
 def _answer_bytes(answer: AnswerFrame) -> bytes:
@@ -239,7 +241,8 @@
         """The answer of the process at `address`. RpcError on any failure, at the latest after `timeout_s`."""
         received = self._bytes_events(address)
         try:
-            answer = await asyncio.wait_for(self._call(address, message), timeout_s)
+            async with asyncio.timeout(timeout_s):  # wait_for would make a task of each call
+                answer = await self._call(address, message)
         except TimeoutError:
             if self._bytes_events(address) == received:
                 self._drop(address)  # silent all the while: a new connection finds a path sooner than this one
--- a/dewpin/controlplane/control_server.py
+++ b/dewpin/controlplane/control_server.py
@@ -34,7 +34,8 @@
 
 log = logging.getLogger(__name__)
 
-UPKEEP_PERIOD_S = 0.25
+FAULT_PAUSE_S = 0.25
+"""After a step that failed in an unforeseen way."""
 RENEWALS_IN_BOUND = 5
 READER_LIVE_S = 0.8
 
@@ -105,6 +106,7 @@
         self._rng = rng
         self._bootstrap = settings.bootstrap
         self._leaving = False
+        self._has_beaten = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -124,8 +126,8 @@
     def start(self) -> None:
         """Begins to speak to the others."""
         self._tasks = [
-            asyncio.ensure_future(self._repeat(HEARTBEAT_PERIOD_S, self.send_heartbeats)),
-            asyncio.ensure_future(self._repeat(UPKEEP_PERIOD_S, self._upkeep.step)),
+            asyncio.ensure_future(self._repeat(HEARTBEAT_PERIOD_S, self._beat)),
+            asyncio.ensure_future(self._repeat(0.0, self._keep_up)),
         ]
         if "control" in self.settings.serves:
             self._tasks.append(asyncio.ensure_future(self._repeat(0.0, self._read_list_when_due)))
@@ -185,7 +187,9 @@
         await self._storage.write([("INSERT OR REPLACE INTO meta(name, value) VALUES ('bootstrap', ?)", (value,))])
 
     async def _repeat(self, period_s: float, step: Callable[[], object]) -> None:
+        """Takes a step again and again, about once in `period_s`; a step that waits by itself has no period."""
         while True:
+            pause_s = period_s * (0.9 + 0.2 * self._rng.random())
             try:
                 result = step()
                 if asyncio.iscoroutine(result):
@@ -194,7 +198,22 @@
                 raise
             except Exception:
                 log.exception("control.step_failed", extra={"step": getattr(step, "__qualname__", "")})
-            await asyncio.sleep(period_s * (0.9 + 0.2 * self._rng.random()))
+                pause_s = max(pause_s, FAULT_PAUSE_S)
+            if pause_s > 0:
+                await asyncio.sleep(pause_s)
+
+    def _beat(self) -> None:
+        self.send_heartbeats()
+        self._has_beaten.set()
+
+    async def _keep_up(self) -> None:
+        """Takes a step of the upkeep with the next heartbeat, so that both share one wake-up; a step that takes longer
+        leaves heartbeats out."""
+        await self._has_beaten.wait()
+        try:
+            await self._upkeep.step()
+        finally:
+            self._has_beaten.clear()
 
     def _announce(self) -> None:
         self.senders.announce()
--- a/dewpin/controlplane/heartbeat.py
+++ b/dewpin/controlplane/heartbeat.py
@@ -9,6 +9,7 @@
 
 from dewpin.cluster.receivers import DirectoryVersion
 from dewpin.cluster.rpc import Message, RpcClient, RpcError
+from dewpin.cluster.running_tasks import forget_current_task
 
 from .heartbeat_messages import ChosenState, Heartbeat, HeartbeatAnswer
 from .list_reader import ListReader
@@ -76,9 +77,7 @@
         return self._answer(peer, heartbeat).encode()
 
     def _begin_call(self, address: str) -> None:
-        call = asyncio.ensure_future(self._call(address))
-        self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
+        self._calls.add(asyncio.ensure_future(self._call(address)))
 
     def _addresses(self) -> set[str]:
         addresses = set(self._own.seed_addresses())
@@ -101,6 +100,8 @@
             await self._take(HeartbeatAnswer.decode(answer), asked_s, address)
         except (RpcError, KeyError, TypeError, ValueError) as fault:
             log.debug("heartbeat.failed", extra={"address": address, "why": repr(fault)})
+        finally:
+            forget_current_task(self._calls)
 
     def _answer(self, peer: Peer, heartbeat: Heartbeat) -> HeartbeatAnswer:
         directory, state = self._receivers.directory, self._register.chosen
--- a/dewpin/dataplane/replica_calls.py
+++ b/dewpin/dataplane/replica_calls.py
@@ -15,6 +15,7 @@
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import Message, RpcError
+from dewpin.cluster.running_tasks import forget_current_task
 from dewpin.cluster.store_view import StoreView
 
 ATTEMPT_TIMEOUT_S = 0.6
@@ -81,9 +82,7 @@
 
     def start(self, task_round: Round, member: str, kind: str, fields: Message, until_s: float) -> None:
         """Ask one member, again and again until `until_s` of the loop's clock; the round gets one answer."""
-        task = asyncio.ensure_future(self._run(task_round, member, kind, fields, until_s))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.add(asyncio.ensure_future(self._run(task_round, member, kind, fields, until_s)))
 
     def close(self) -> None:
         """Give all calls up."""
@@ -102,6 +101,7 @@
             log.exception("replica_calls.fault", extra={"member": member, "why": repr(fault)})
         finally:
             task_round.answers.put_nowait(answer)
+            forget_current_task(self._tasks)
 
     async def _ask(self, task_round: Round, member: str, kind: str, fields: Message, until_s: float) -> Message:
         """Return the member's answer. Raises ViewMoved, or RpcError when the time is over or nobody waits."""
