--- a/benchmarks/relay_changes.py
+++ b/benchmarks/relay_changes.py
@@ -23,8 +23,8 @@
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
 from controlplane.control_server_world import Platform, World  # noqa: E402
-from link_network import LinkNetwork  # noqa: E402
-from store_world import run  # noqa: E402
+from scripted.clock import run  # noqa: E402
+from scripted.rated_links import LinkNetwork  # noqa: E402
 
 from dewpin.cluster.receivers import Receiver  # noqa: E402
 from dewpin.cluster.settings import parse_settings  # noqa: E402
--- a/tests/cluster/test_body_pages.py
+++ b/tests/cluster/test_body_pages.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from store_world import run
+from scripted.clock import run
 
 from dewpin.cluster import netstring
 from dewpin.cluster.body_messages import RELAY_BODY, BodyPage, BodyRequest
--- a/tests/controlplane/test_bodies_for_senders.py
+++ b/tests/controlplane/test_bodies_for_senders.py
@@ -7,8 +7,8 @@
 import pytest
 from controlplane.control_server_world import APPLY_S, drain
 from controlplane.test_senders_and_control_servers import Fleet
-from link_network import LinkNetwork
-from store_world import run
+from scripted.clock import run
+from scripted.rated_links import LinkNetwork
 
 from dewpin.cluster.body_messages import RELAY_BODY
 from dewpin.cluster.body_pages import MOST_CALLERS, RELAY_PAGE_BYTES
