--- a/tests/controlplane/test_bodies_for_senders.py
+++ b/tests/controlplane/test_bodies_for_senders.py
@@ -12,6 +12,8 @@
 
 from dewpin.cluster.body_messages import RELAY_BODY
 from dewpin.cluster.body_pages import MOST_CALLERS, RELAY_PAGE_BYTES
+from dewpin.cluster.relay_messages import RELAY_WATCH
+from dewpin.cluster.relay_service import WATCH_HEARTBEAT_S
 from dewpin.cluster.rpc import RpcError
 from dewpin.controlplane.leases import RELAY_FAN_OUT
 from dewpin.controlplane.register import RegisterUnavailable
@@ -126,9 +128,10 @@
     play(scene)
 
 
-def test_a_change_of_stores_ships_no_body_and_is_in_force_while_a_body_is_fetched():
+@pytest.mark.parametrize("size", [SHORT, LONG])
+def test_a_change_of_stores_ships_no_body(size):
     async def scene(fleet):
-        body = await fleet.order(8, 7)
+        body = await fleet.order(8, 7, size)
         await fleet.until(fleet.all_have(body), 20.0)
         asked, sent = len(fleet.called), fleet.network.bytes
         version = fleet.newest()["version"]
@@ -188,6 +191,19 @@
     play(scene)
 
 
+def test_watches_wait_for_news_while_a_body_is_on_its_way():
+    async def scene(fleet):
+        body = await fleet.order(8, 7, LONGEST)
+        await fleet.until(lambda: all(map(fleet.is_fetching, fleet.agents)))
+        began = len(fleet.network.calls)
+        took_s = await fleet.until(fleet.all_have(body), 40.0)
+        kinds = [(source, kind) for source, _, kind in fleet.network.calls[began:]]
+        for agent in fleet.agents.values():
+            assert kinds.count((agent.address, RELAY_WATCH)) <= took_s / WATCH_HEARTBEAT_S + 2
+
+    play(scene)
+
+
 def test_the_children_stay_with_a_parent_whose_body_is_on_its_way():
     async def scene(fleet):
         body = await fleet.order(8, 7, LONGEST)
