--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -16,7 +16,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from dewpin.peers.members import LOST, Address, Members, Said
+from dewpin.peers.member_messages import LOST, Address, Said
+from dewpin.peers.members import Members
 from dewpin.peers.wire import pack
 
 PERIOD, LOOK = 1000.0, 50.0
--- a/dewpin/lab/fleet/member.py
+++ b/dewpin/lab/fleet/member.py
@@ -10,7 +10,8 @@
 import time
 from typing import Any
 
-from ...peers.members import LOST, Members
+from ...peers.member_messages import LOST
+from ...peers.members import Members
 from ...peers.node import Node, clock
 
 
--- a/dewpin/peers/members.py
+++ b/dewpin/peers/members.py
@@ -13,78 +13,38 @@
 
 import msgspec
 
-ALIVE, SUSPECT, LOST, LEFT = range(4)       # of the same incarnation the greater one counts
-WORDS = ("alive", "suspect", "lost", "left")
-Address = tuple[str, int]
+from .member_messages import (
+    ALIVE,
+    LEFT,
+    LOST,
+    NAME,
+    ROOM,
+    SUSPECT,
+    Ack,
+    Address,
+    Entry,
+    Nack,
+    Out,
+    Page,
+    Ping,
+    Pull,
+    Said,
+    Try,
+    bytes_of,
+)
+from .member_news import News
 
 HELPERS = 3             # members asked to try one that did not answer
 CONFIRMS = 3            # further accusers that make a suspicion as short as it gets
 HEALTH = 8              # steps of doubt in oneself, at most
 TELLS = 4.0             # times log2 of the members that a piece of news is sent on
 ALPHA, BETA = 4.0, 6.0  # a suspicion's least time, in periods times log10 of the members; its longest, in least ones
-ROOM = 1100             # bytes of news in a datagram
 MOST = 1000             # members that are kept, lost ones included; further names are left out and counted
-NAME = 64               # characters of a name or host
 KEEPS = 60.0            # periods that a lost member is remembered, and tried again now and then
 PULLS = 30.0            # periods between two looks at another's whole list
 RELAYS = 64             # tries for others at a time
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """One member as told. `life`: drawn at its start, a later start has a greater one; `count`: how often it had to
-    contradict since; `by`: of a suspicion, who says so."""
-    name: str
-    host: str
-    port: int
-    life: int
-    count: int
-    state: int
-    by: str = ""
-
-    @property
-    def rank(self) -> tuple[int, int, int]:
-        return self.life, self.count, self.state
-
-
-class Ping(msgspec.Struct, frozen=True, tag="ping"):
-    seq: int
-    news: tuple[Entry, ...]
-
-
-class Ack(msgspec.Struct, frozen=True, tag="ack"):
-    seq: int
-    news: tuple[Entry, ...]
-
-
-class Try(msgspec.Struct, frozen=True, tag="try"):
-    """Asks another to ping `name` and to pass the answer on; a Nack says that none came in time."""
-    seq: int
-    name: str
-    host: str
-    port: int
-    news: tuple[Entry, ...]
-
-
-class Nack(msgspec.Struct, frozen=True, tag="nack"):
-    seq: int
-
-
-class Pull(msgspec.Struct, frozen=True, tag="pull"):
-    """Asks for the list from behind a name; one that has the same `digest` answers with nothing."""
-    after: str
-    digest: int
-    me: Entry
-
-
-class Page(msgspec.Struct, frozen=True, tag="page"):
-    entries: tuple[Entry, ...]
-    more: bool
-
-
-Said = Ping | Ack | Try | Nack | Pull | Page
-Out = list[tuple[str, Address, Said]]       # (name, or "" where it is not known yet; address; message)
-
-
 class Member:
     def __init__(self, entry: Entry, now: float) -> None:
         self.entry, self.since = entry, now
@@ -111,7 +71,7 @@
         self.me = Entry(name, *address, life, 0, ALIVE)
         self.members: dict[str, Member] = {}        # all others that were heard of
         self.here = 0                               # of these, alive or suspected
-        self.news: list[dict[str, Entry]] = [{}]    # by how often it was sent on
+        self.news = News()
         self.order: list[str] = []                  # of pings, drawn anew each round
         self.seq = self.doubt = 0                   # doubt: Lifeguard's local health, 0: none
         self.trial: Trial | None = None
@@ -122,7 +82,7 @@
         self.joined, self.replaced, self.left = not self.seeds, False, False
         self.told: list[tuple[str, int]] = []       # what changed since it was last taken: (name, state)
         self.refused = 0                            # names or entries that were out of bounds
-        self._tell(self.me)
+        self.news.add(self.me)
 
     # -- what others use ------------------------------------------------------------------------------------
 
@@ -143,7 +103,7 @@
         """By intent: some are told at once, they tell the others. Nothing is said after it."""
         self.me = msgspec.structs.replace(self.me, state=LEFT)
         self.left = True
-        self._tell(self.me)
+        self.news.add(self.me)
         return [self._to(name, Ping(self._next(), self._gossip(name))) for name in self._some(HELPERS, "")]
 
     def tick(self, now: float) -> Out:
@@ -303,7 +263,7 @@
         size = 0
         for name in names:
             entry = self.me if name == self.name else self.members[name].entry
-            size += _bytes(entry)
+            size += bytes_of(entry)
             if size > ROOM:
                 return Page(tuple(entries), True)
             entries.append(entry)
@@ -331,9 +291,9 @@
         elif entry.life == self.me.life and entry.state != ALIVE and entry.count >= self.me.count:
             self._doubt(1)
             self.me = msgspec.structs.replace(self.me, count=entry.count + 1)
-            self._tell(self.me)
+            self.news.add(self.me)
         elif entry.rank < self.me.rank and entry.state != ALIVE:
-            self._tell(self.me)             # of an earlier life: they have to hear that we are here
+            self.news.add(self.me)             # of an earlier life: they have to hear that we are here
 
     def _take(self, entry: Entry, now: float) -> None:
         one = self.members.get(entry.name)
@@ -354,7 +314,7 @@
                 self._confirm(one, entry, now)
             return
         self.here += (entry.state <= SUSPECT) - (before <= SUSPECT)
-        self._tell(entry)
+        self.news.add(entry)
         if entry.state != before:
             self.told.append((entry.name, entry.state))
         if entry.state == SUSPECT:
@@ -372,37 +332,13 @@
         one.ends_at = one.suspected_at + max(least, BETA * least - (BETA - 1.0) * least * share)
         heappush(self.due, (max(now, one.ends_at), entry.name, 0))
         if len(one.accusers) > 1:
-            self._tell(entry)
-
-    def _tell(self, entry: Entry) -> None:
-        for held in self.news:
-            held.pop(entry.name, None)
-        self.news[0][entry.name] = entry
+            self.news.add(entry)
 
     def _gossip(self, to: str) -> tuple[Entry, ...]:
-        """News for one datagram, what was sent least first; one that is doubted hears of it first of all."""
-        told: list[Entry] = []
-        one, size = self.members.get(to), 0
-        if one and one.entry.state != ALIVE:
-            told.append(one.entry)
-            size = _bytes(one.entry)
-        most = ceil(TELLS * log2(self.here + 2))
-        sent: list[tuple[int, Entry]] = []
-        for level, held in enumerate(self.news):
-            for entry in held.values():
-                size += _bytes(entry)
-                if size > ROOM:
-                    break
-                sent.append((level, entry))
-            if size > ROOM:
-                break
-        for level, entry in sent:
-            del self.news[level][entry.name]
-            if level + 1 < most:
-                if level + 1 == len(self.news):
-                    self.news.append({})
-                self.news[level + 1][entry.name] = entry
-        return (*told, *(entry for _, entry in sent))
+        """News for one datagram; one that is doubted hears of it first of all."""
+        one = self.members.get(to)
+        doubted = one.entry if one and one.entry.state != ALIVE else None
+        return self.news.take(doubted, ceil(TELLS * log2(self.here + 2)))
 
     # -- small things ---------------------------------------------------------------------------------------
 
@@ -429,7 +365,3 @@
     def _to(self, name: str, message: Said) -> tuple[str, Address, Said]:
         entry = self.members[name].entry
         return name, (entry.host, entry.port), message
-
-
-def _bytes(entry: Entry) -> int:
-    return len((entry.name + entry.host + entry.by).encode()) + 32
--- a/dewpin/peers/node.py
+++ b/dewpin/peers/node.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from .lease import Candidate, Message, Sent, Voter
-from .members import Address, Members, Out
+from .member_messages import Address, Out
+from .members import Members
 from .wire import Packet, pack, unpack
 
 LOOK = 0.02             # seconds between two looks at what is due
--- a/dewpin/peers/wire.py
+++ b/dewpin/peers/wire.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from .lease import Message
-from .members import Said
+from .member_messages import Said
 
 VERSION = 1
 MOST = 1400             # bytes; a message that needs more is a fault of ours
