--- a/benchmarks/majority_contact.py
+++ b/benchmarks/majority_contact.py
@@ -42,8 +42,8 @@
         """Keeps nothing: no process of the run starts anew."""
 
     async def query(self, sql: str, arguments: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
-        """Nothing was kept."""
-        return []
+        """Nothing was kept: a query that counts answers 0, any other no rows."""
+        return [(0,)] if sql.startswith("SELECT coalesce(max(") else []
 
 
 class FixedPlatform:
