--- a/benchmarks/capacity/measures/register.py
+++ b/benchmarks/capacity/measures/register.py
@@ -42,9 +42,7 @@
                 stack.push_async_callback(client.close)
                 address = f"127.0.0.1:{free_port()}"
                 register = SystemRegister(storage.incarnation, address, storage, client, random.Random(number))
-                server = RpcServer(
-                    {"register.prepare": register.handle_prepare, "register.accept": register.handle_accept}
-                )
+                server = RpcServer(register.handlers)
                 await server.start("127.0.0.1", int(address.rpartition(":")[2]))
                 stack.push_async_callback(server.stop)
                 registers.append(register)
