Test of the register's measure: a body long enough to be fetched

Change: 500 routes, above the 128 Ki characters of one page. Seen to fail without the mend, passes with it.

--- a/tests/capacity/test_register_measure.py
+++ b/tests/capacity/test_register_measure.py
@@ -6,5 +6,5 @@
 
 
 def test_the_register_of_the_measure_takes_changes():
-    change = asyncio.run(change_registers(routes=2, seconds=0.0))
+    change = asyncio.run(change_registers(routes=500, seconds=0.0))
     assert change.seconds > 0
