RPC: a handler passes another process's error answer on

Cause: an error answer's fields "kind" and "detail" were given twice to the answer made of it: a TypeError outside of all handlers, so the caller got nothing and waited for its whole time. Met where a member of the register can't fetch a configuration's body from the proposer.

Change: the fields that every error answer has are left out of those that are passed along. Test seen to fail before; tests/cluster passed.

--- a/dewpin/cluster/rpc.py
+++ b/dewpin/cluster/rpc.py
@@ -44,6 +44,10 @@
         self.message = message or {}
 
 
+ERROR_FIELDS = frozenset({"type", "kind", "detail"})
+"""What every error answer has; a fault that came in an answer has them too."""
+
+
 def error_message(kind: str, detail: str = "", **fields: Any) -> Message:
     """The answer that raises `RpcError` at the caller."""
     return {"type": "error", "kind": kind, "detail": detail, **fields}
@@ -161,7 +165,8 @@
         try:
             return await handler(message)
         except RpcError as fault:
-            return error_message(fault.kind, fault.detail, **{k: v for k, v in fault.message.items() if k != "type"})
+            told = {name: value for name, value in fault.message.items() if name not in ERROR_FIELDS}
+            return error_message(fault.kind, fault.detail, **told)
         except Exception as fault:  # a handler's fault must not end the process; the caller hears of it
             log.exception("rpc.handler_failed", extra={"message_type": message.get("type")})
             return error_message("internal", repr(fault))
--- a/tests/cluster/test_rpc.py
+++ b/tests/cluster/test_rpc.py
@@ -89,6 +89,22 @@
     assert (kind_of(caught), caught.value.detail, caught.value.message["view"]) == ("stale_epoch", "another one", 7)
 
 
+def test_an_error_answer_that_a_handler_got_from_another_process_goes_on_to_its_caller():
+    async def scene():
+        async with Server() as there:
+
+            async def pass_on(message):
+                return await there.call("refuse")
+
+            there.server.handlers["pass_on"] = pass_on
+            with pytest.raises(RpcError) as caught:
+                await there.call("pass_on", timeout_s=1.0)
+            return caught
+
+    caught = asyncio.run(scene())
+    assert (kind_of(caught), caught.value.detail, caught.value.message["view"]) == ("stale_epoch", "another one", 7)
+
+
 @pytest.mark.parametrize(("message_type", "kind"), [("fail", "internal"), ("nothing", "unknown_type")])
 def test_a_handler_that_fails_or_is_missing_is_an_error_and_the_connection_goes_on(message_type, kind):
     async def scene():
