Idle ledgers are kept for the longest retain_s, an hour at least

Cause: stores forgot a ledger an hour after its last change, whatever retain_s said. A program that its budget had stopped could come again within a longer retain_s and found an empty ledger.

Change: the store follows the configuration of the system state and keeps an idle ledger for the longest retain_s of all routes, an hour at least, plus the margin that turns have. What a configuration said stays in force for the ledgers changed under it, though a later one says less, and is kept in `meta`. No ledger goes before a configuration is known.

Ruled out: an expiry for each ledger, told by the sender with each accept: exact, but one more field in messages, records and copies. A store that joined under a later configuration keeps its copies as that one says.

--- a/dewpin/cluster/configuration/__init__.py
+++ b/dewpin/cluster/configuration/__init__.py
@@ -28,7 +28,7 @@
     Share,
     normal_host,
 )
-from .reading import ConfigurationInvalid, parse_configuration
+from .reading import ConfigurationInvalid, longest_retain_s, parse_configuration
 
 __all__ = [
     "DEFAULT_HEADER_TIMEOUT_MS",
@@ -45,6 +45,7 @@
     "Route",
     "Service",
     "Share",
+    "longest_retain_s",
     "normal_host",
     "parse_configuration",
 ]
--- a/dewpin/cluster/configuration/reading.py
+++ b/dewpin/cluster/configuration/reading.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any, cast
 
-from ..checking import Fault, InvalidInput, JsonObject, check_shape, expected
-from .building import build_configuration
+from ..checking import Fault, InvalidInput, JsonObject, check_shape, expected, value_or
+from .building import DEFAULT_RETAIN_S, build_configuration
 from .model import Configuration
 from .rules import check_rules
 from .schema import RawConfiguration
@@ -26,6 +26,12 @@
     return build_configuration(cast(RawConfiguration, raw), raw)
 
 
+def longest_retain_s(body: str) -> float:
+    """Return the longest `retain_s` of all routes of a body that was checked before; 0 without a route."""
+    routes = cast(RawConfiguration, json.loads(body))["routes"]
+    return max((float(value_or(route.get("retain_s"), DEFAULT_RETAIN_S)) for route in routes), default=0.0)
+
+
 def _read_object(body: bytes) -> JsonObject:
     try:
         value = json.loads(body, parse_constant=_reject_constant, object_pairs_hook=_unique_fields)
--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from dewpin.cluster import logs
+from dewpin.cluster.configuration import longest_retain_s
 from dewpin.cluster.rpc import Handler, RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import BOOT_VARIABLE, Settings, settings_or_exit
 from dewpin.cluster.settings_watch import POLL_PERIOD_S, SettingsWatch
@@ -46,8 +47,17 @@
     store = Store(storage, storage.incarnation, settings.fault_tolerance.replica_count, wall_clock_ms)
     sync = StoreSync(store, client, on_synced)
     await store.load()
+    known_digest = ""
+
+    def follow_configuration(state: SystemState) -> None:
+        nonlocal known_digest
+        configuration = state["configuration"]
+        if configuration is not None and configuration["digest"] != known_digest:
+            known_digest = configuration["digest"]
+            store.keep_ledgers_for(longest_retain_s(configuration["body"]))
 
     def on_state(state: SystemState) -> None:
+        follow_configuration(state)
         view = StoreView.from_json(dict(state["stores"]))
         store.adopt(view)
         if view.stable:
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -15,7 +15,7 @@
 from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus.messages import ballot_from_json, encode_reply
-from dewpin.controlplane import ledger_replica, turn_table
+from dewpin.controlplane import ledger_replica, ledger_retention, turn_table
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.transfer_messages import (
     ArrivalsPage,
@@ -29,9 +29,7 @@
 )
 
 RETAIN_MARGIN_MS = 30_000
-"""Turns are kept for this much longer than asked: for steps of the clock and turns that are still running."""
-LEDGER_IDLE_MS = 3_600_000
-"""A ledger without a change for this long is forgotten."""
+"""Turns and ledgers are kept for this much longer than asked: for steps of the clock and turns that still run."""
 MOST_CHAIN_BYTES = 4 * 1024 * 1024
 """Bodies in one answer of a chain; the sender asks on for the rest."""
 PURGE_STEP = 200
@@ -75,6 +73,7 @@
         self.view: StoreView | None = None
         self.storage = storage
         self._durable_epoch = -1
+        self._longest_retain_s: float | None = None
         self._wall_clock_ms = wall_clock_ms
         self._on_view = on_view
         self.handlers: dict[str, Callable[[Message], Awaitable[Message]]] = {
@@ -107,6 +106,10 @@
         self._on_view(view)
         return True
 
+    def keep_ledgers_for(self, longest_retain_s: float) -> None:
+        """Keep ledgers for as long as the newest configuration's longest `retain_s`, from the next purge on."""
+        self._longest_retain_s = longest_retain_s
+
     async def make_view_durable(self) -> StoreView:
         """Return the present view once no restart can bring an older one back. Raises StorageFailed."""
         view = self.view
@@ -127,12 +130,18 @@
                 log.warning("store.purge_failed", extra={"why": str(failure)})
 
     async def purge_step(self) -> int:
-        """Delete up to PURGE_STEP turns and as many ledgers; return how many went. Raises StorageFailed."""
-        now_ms = self.now_ms()
+        """Delete up to PURGE_STEP turns and as many ledgers; return how many went. Raises StorageFailed.
+
+        No ledger goes before a configuration has told for how long they are to be kept."""
+        now_ms, longest_retain_s = self.now_ms(), self._longest_retain_s
 
         def work(connection: sqlite3.Connection) -> int:
             turns = turn_table.purge(connection, now_ms, PURGE_STEP)
-            return turns + ledger_replica.purge(connection, now_ms - LEDGER_IDLE_MS, PURGE_STEP)
+            retention = ledger_retention.follow(connection, longest_retain_s, now_ms)
+            if retention is None:
+                return turns
+            unchanged_since_ms = now_ms - retention.idle_ms(now_ms) - RETAIN_MARGIN_MS
+            return turns + ledger_replica.purge(connection, unchanged_since_ms, PURGE_STEP)
 
         return await self.storage.transact(work)
 
--- /dev/null
+++ b/tests/controlplane/test_ledger_retention.py
@@ -0,0 +1,173 @@
+"""A program that its budget stopped may come again within `retain_s`: until then no store forgets its ledger."""
+
+import asyncio
+import json
+import random
+from types import SimpleNamespace
+
+import pytest
+from store_world import MemoryDisk, World, run
+
+from dewpin.cluster.configuration import longest_retain_s
+from dewpin.controlplane import ledger_replica, ledger_retention
+from dewpin.controlplane.__main__ import start_store
+from dewpin.controlplane.ledger_retention import LEAST_MS, MOST_MS, LedgerRetention
+from dewpin.controlplane.store import PURGE_EVERY_S, RETAIN_MARGIN_MS
+from dewpin.dataplane.program_store import BudgetSpent
+
+HOUR_MS = 3_600_000
+BUDGET = 100
+
+
+async def purge(world):
+    for machine in world.machines.values():
+        await machine.store.purge_step()
+
+
+def configure(world, retain_s):
+    for machine in world.machines.values():
+        machine.store.keep_ledgers_for(retain_s)
+
+
+async def spend(world):
+    writer = world.client("writer")
+    writer.settle(await writer.reserve("p", "t", BUDGET, BUDGET, 1.0), BUDGET)
+    await writer.settled()
+
+
+async def is_stopped_by_its_budget(world):
+    """Whether the program is refused one token more; asks as a sender that knows nothing."""
+    reader = world.client("reader")
+    try:
+        await reader.reserve("p", "again", 1, BUDGET, 1.0)
+    except BudgetSpent:
+        return True
+    return False
+
+
+@pytest.mark.parametrize(("retain_s", "kept_ms"), [(7_200.0, 2 * HOUR_MS), (60.0, HOUR_MS), (100_000.0, 100_000_000)])
+def test_a_program_stopped_by_its_budget_is_stopped_again_until_the_longest_retain_s_is_over(retain_s, kept_ms):
+    async def scene(later_ms):
+        world = World()
+        configure(world, retain_s)
+        await spend(world)
+        world.clock_ms += later_ms
+        await purge(world)
+        return await is_stopped_by_its_budget(world)
+
+    assert run(scene(kept_ms + RETAIN_MARGIN_MS))
+    assert not run(scene(kept_ms + RETAIN_MARGIN_MS + 1))
+
+
+def test_each_refusal_counts_anew():
+    async def scene():
+        world = World()
+        configure(world, 7_200.0)
+        await spend(world)
+        for _ in range(5):
+            world.clock_ms += 2 * HOUR_MS
+            await purge(world)
+            assert await is_stopped_by_its_budget(world)
+
+    run(scene())
+
+
+def test_no_ledger_goes_before_a_configuration_is_known_and_what_one_said_outlives_a_restart():
+    async def scene():
+        world = World()
+        await spend(world)
+        world.clock_ms += 10 * HOUR_MS
+        await purge(world)
+        configure(world, 20 * 3600.0)
+        await purge(world)
+        for machine in world.machines.values():
+            machine.restart()
+            await machine.store.load()
+            machine.store.adopt(world.view)
+        world.clock_ms += 9 * HOUR_MS
+        await purge(world)
+        assert await is_stopped_by_its_budget(world)
+
+    run(scene())
+
+
+def test_a_ledger_is_kept_for_what_was_said_when_it_was_changed_although_less_is_said_later():
+    async def scene(later_ms):
+        world = World()
+        configure(world, 7_200.0)
+        await purge(world)
+        await spend(world)
+        configure(world, 60.0)
+        await purge(world)
+        world.clock_ms += later_ms
+        await purge(world)
+        return await is_stopped_by_its_budget(world)
+
+    assert run(scene(2 * HOUR_MS - 1))
+    assert not run(scene(2 * HOUR_MS + RETAIN_MARGIN_MS + 1))
+
+
+def test_what_is_said_less_and_less_counts_for_as_long_as_any_ledger_was_promised():
+    long = LedgerRetention(10 * HOUR_MS)
+    shorter = long.followed_by(5 * 3600.0, 0)
+    assert [shorter.idle_ms(now) // HOUR_MS for now in (0, 10 * HOUR_MS - 1, 10 * HOUR_MS)] == [10, 10, 5]
+    shortest = shorter.followed_by(0.0, 8 * HOUR_MS)
+    assert shortest.idle_ms(13 * HOUR_MS - 1) >= 5 * HOUR_MS, "changed under five hours until the eighth"
+    assert shortest.idle_ms(13 * HOUR_MS) == LEAST_MS
+    assert shortest.followed_by(0.0, 12 * HOUR_MS) == shortest
+    assert shortest.followed_by(0.0, 14 * HOUR_MS) == LedgerRetention(LEAST_MS)
+    assert shortest.followed_by(10 * 3600.0, 9 * HOUR_MS) == long
+
+
+@pytest.mark.parametrize(
+    ("retain_s", "kept_ms"), [(0.0, LEAST_MS), (-5.0, LEAST_MS), (1e300, MOST_MS), (1e999, MOST_MS)]
+)
+def test_whatever_the_operator_writes_the_time_is_one_that_the_database_holds(retain_s, kept_ms):
+    assert ledger_retention.retention_ms(retain_s) == kept_ms
+
+
+def test_what_stays_the_same_is_not_written_again():
+    async def scene():
+        world = World(names="a", losses=0)
+        machine = world.machines["a"]
+        configure(world, 7_200.0)
+        await purge(world)
+        changes = machine.disk.connection.total_changes
+        for _ in range(5):
+            await purge(world)
+        assert machine.disk.connection.total_changes == changes
+
+    run(scene())
+
+
+def test_the_longest_retain_s_of_all_routes_counts_with_its_default():
+    routes = [{"retain_s": 30}, {"retain_s": None}, {}]
+    assert longest_retain_s(json.dumps({"routes": routes})) == 60.0
+    assert longest_retain_s(json.dumps({"routes": [*routes, {"retain_s": 7200.5}]})) == 7200.5
+    assert longest_retain_s(json.dumps({"routes": []})) == 0.0
+
+
+def test_the_store_of_a_process_follows_the_configuration_of_the_system_state():
+    async def scene():
+        disk, control_server, clock_ms = MemoryDisk(), SimpleNamespace(), [0]
+        disk.incarnation = "a-1"
+        settings = SimpleNamespace(fault_tolerance=SimpleNamespace(replica_count=1))
+        await start_store(settings, disk, None, control_server, random.Random(1), lambda: clock_ms[0])
+        record = ledger_replica.LedgerRecord("p", (5, "s"), (5, "s"), {"spent": 1, "open": {}})
+        await disk.transact(lambda connection: ledger_replica.merge(connection, [record], 0))
+
+        async def ledgers_after(hours, retain_s, digest):
+            body = json.dumps({"routes": [{"retain_s": retain_s}]})
+            stores = {"epoch": 0, "stable": {}, "next": None}
+            control_server.on_state({"stores": stores, "configuration": {"digest": digest, "body": body}})
+            clock_ms[0] = hours * HOUR_MS
+            await asyncio.sleep(2 * PURGE_EVERY_S)
+            return len(ledger_replica.page(disk.connection, "", 9))
+
+        control_server.on_state({"stores": {"epoch": 0, "stable": {}, "next": None}, "configuration": None})
+        assert await ledgers_after(5, 10 * 3600, "one") == 1
+        assert await ledgers_after(9, 20 * 3600, "two") == 1
+        assert await ledgers_after(19, 20 * 3600, "two") == 1
+        assert await ledgers_after(21, 20 * 3600, "two") == 0
+
+    run(scene())
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -141,7 +141,12 @@
         await world.client().reserve("p", "t1", 10, 100, 1.0)
         connection = world.machines["a"].disk.connection
         connection.execute("INSERT INTO register_replica (key, promised) VALUES ('system', '[1,\"x\"]')")
-        world.clock_ms += 3_600_001
+        world.machines["a"].store.keep_ledgers_for(60.0)
+        world.clock_ms += 3_600_000 + RETAIN_MARGIN_MS
+        await world.machines["a"].store.purge_step()
+        keys = connection.execute("SELECT key FROM register_replica").fetchall()
+        assert sorted(keys) == [("ledger/p",), ("system",)]
+        world.clock_ms += 1
         await world.machines["a"].store.purge_step()
         assert connection.execute("SELECT key FROM register_replica").fetchall() == [("system",)]
 
