Senders ask stores by typed messages, read by one codec

Cause: turn.put, turn.chain, ledger.prepare and ledger.accept travelled as bare maps. A malformed request ended in an internal error of the store, which the sender repeated for as long as it had time; a malformed answer rose as KeyError through the change of a ledger.

Change: sender_requests.py has one frozen class for each request and for the header of all of them, message_fields.py reads the fields and raises MalformedMessage with the field's name. A store refuses such a request as `malformed` before anything is written, and its sender does not ask it again. A round is made with the decoder of its answers, so its owner gets what they say in place of maps; a malformed answer counts as none and the store is asked again. The bytes on the wire are the same (pinned by test_sender_requests.py). Requests that stores ask of each other read their header by the same code.

Ruled out: Ballot in these classes, since `cluster` imports no other package: a ballot is the pair that it is on the wire.

--- /dev/null
+++ b/dewpin/cluster/message_fields.py
@@ -0,0 +1,104 @@
+"""Reading the fields of a message that came over the wire: each is of the kind that it has to be, or the message is
+refused by one error. Fields that nobody asks for are left alone: a newer release may send them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+Message = dict[str, Any]
+
+
+class MalformedMessage(ValueError):
+    """A message whose field is missing or of another kind. `field`: its name; `wanted`: what it has to be."""
+
+    def __init__(self, field: str, wanted: str) -> None:
+        super().__init__(f"{field}: expected {wanted}")
+        self.field = field
+        self.wanted = wanted
+
+
+def text(message: Message, field: str) -> str:
+    """Return a field that holds text."""
+    value = message.get(field)
+    if not isinstance(value, str):
+        raise MalformedMessage(field, "text")
+    return value
+
+
+def text_or_none(message: Message, field: str) -> str | None:
+    """Return a field that holds text or null; it has to be there."""
+    return None if _present(message, field) is None else text(message, field)
+
+
+def whole_number(message: Message, field: str) -> int:
+    """Return a field that holds a whole number."""
+    value = message.get(field)
+    if type(value) is not int:
+        raise MalformedMessage(field, "a whole number")
+    return value
+
+
+def truth(message: Message, field: str) -> bool:
+    """Return a field that holds true or false."""
+    value = message.get(field)
+    if not isinstance(value, bool):
+        raise MalformedMessage(field, "true or false")
+    return value
+
+
+def octets(message: Message, field: str) -> bytes:
+    """Return the bytes that a field holds as latin-1 text."""
+    try:
+        return text(message, field).encode("latin-1")
+    except UnicodeEncodeError:
+        raise MalformedMessage(field, "bytes as latin-1 text") from None
+
+
+def object_or_none(message: Message, field: str) -> Message | None:
+    """Return a field that holds an object or null; it has to be there."""
+    value = _present(message, field)
+    if value is not None and not isinstance(value, dict):
+        raise MalformedMessage(field, "an object or null")
+    return value
+
+
+def objects(message: Message, field: str) -> list[Message]:
+    """Return a field that holds a list of objects."""
+    values = message.get(field)
+    if not isinstance(values, list) or not all(isinstance(value, dict) for value in values):
+        raise MalformedMessage(field, "a list of objects")
+    return values
+
+
+def texts(message: Message, field: str) -> list[str]:
+    """Return a field that holds a list of texts."""
+    values = message.get(field)
+    if not isinstance(values, list) or not all(isinstance(value, str) for value in values):
+        raise MalformedMessage(field, "a list of texts")
+    return values
+
+
+def ballot(message: Message, field: str) -> tuple[int, str]:
+    """Return a field that holds the number of a proposal: a counter and its proposer."""
+    match message.get(field):
+        case [int(counter), str(proposer)] if not isinstance(counter, bool):
+            return counter, proposer
+        case _:
+            raise MalformedMessage(field, "a ballot")
+
+
+def ballot_or_none(message: Message, field: str) -> tuple[int, str] | None:
+    """Return a field that holds a ballot or null; it has to be there."""
+    return None if _present(message, field) is None else ballot(message, field)
+
+
+def check_type(message: Message, wanted: str) -> None:
+    """Raise MalformedMessage unless the message is of this type."""
+    if message.get("type") != wanted:
+        raise MalformedMessage("type", wanted)
+
+
+def _present(message: Message, field: str) -> Any:
+    if field not in message:
+        raise MalformedMessage(field, "a value or null")
+    return message[field]
--- /dev/null
+++ b/dewpin/cluster/sender_requests.py
@@ -0,0 +1,158 @@
+"""What senders ask of stores: turns to keep, chains to read, and the two rounds of a ledger's ballot.
+
+A ballot's replies are those of `dewpin.consensus.messages`; `ChainLinks` answers a read of a chain. A ballot travels as
+the pair of its counter and its proposer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, ClassVar, Protocol
+
+from . import message_fields as read
+from . import store_messages as wire
+from .store_messages import Message, TurnRecord
+from .store_view import StoreView
+
+BallotPair = tuple[int, str]
+LedgerValue = Mapping[str, Any]
+"""The value of a ledger's register; stores keep it as it is."""
+
+
+class SenderRequest(Protocol):
+    """One of the requests below."""
+
+    kind: ClassVar[str]
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHeader:
+    """What every request to a store begins with: the epoch of the caller's view, the member that is meant, and the view
+    itself where the store may not know it."""
+
+    epoch: int
+    member: str
+    view: StoreView | None = None
+
+    def encode(self, request_kind: str, fields: Message) -> Message:
+        """The form on the wire of a request with these fields of its own."""
+        message = {"type": request_kind, "epoch": self.epoch, "to": self.member, **fields}
+        if self.view is not None:
+            message["view"] = self.view.to_json()
+        return message
+
+    @classmethod
+    def decode(cls, message: Message) -> RequestHeader:
+        """The header of a message. MalformedMessage if there is none."""
+        epoch, member = read.whole_number(message, "epoch"), read.text(message, "to")
+        return cls(epoch, member, _view(message) if message.get("view") is not None else None)
+
+
+@dataclass(frozen=True, slots=True)
+class TurnPut:
+    """Asks to keep turns."""
+
+    kind: ClassVar[str] = wire.TURN_PUT
+    turns: tuple[TurnRecord, ...]
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        return {"turns": [turn.to_json() for turn in self.turns]}
+
+    @classmethod
+    def decode(cls, message: Message) -> TurnPut:
+        """The request of a message. MalformedMessage if it is none."""
+        return cls(tuple(TurnRecord.from_json(turn) for turn in read.objects(message, "turns")))
+
+
+@dataclass(frozen=True, slots=True)
+class TurnStored:
+    """Tells that the turns are on disk."""
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        return {"type": wire.TURN_STORED}
+
+    @classmethod
+    def decode(cls, message: Message) -> TurnStored:
+        """The answer of a message. MalformedMessage if it is none."""
+        read.check_type(message, wire.TURN_STORED)
+        return cls()
+
+
+@dataclass(frozen=True, slots=True)
+class TurnChain:
+    """Asks for the chain that ends with the turn `previous`, as far as it is there and fits an answer."""
+
+    kind: ClassVar[str] = wire.TURN_CHAIN
+    program: str
+    previous: str
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        return {"program": self.program, "previous": self.previous}
+
+    @classmethod
+    def decode(cls, message: Message) -> TurnChain:
+        """The request of a message. MalformedMessage if it is none."""
+        return cls(read.text(message, "program"), read.text(message, "previous"))
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerPrepare:
+    """First round of a ballot for a program's ledger."""
+
+    kind: ClassVar[str] = wire.LEDGER_PREPARE
+    program: str
+    ballot: BallotPair
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        return {"program": self.program, "ballot": list(self.ballot)}
+
+    @classmethod
+    def decode(cls, message: Message) -> LedgerPrepare:
+        """The request of a message. MalformedMessage if it is none."""
+        return cls(read.text(message, "program"), read.ballot(message, "ballot"))
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerAccept:
+    """Second round of a ballot. `next_ballot` is to be promised beside, for the sender's next change."""
+
+    kind: ClassVar[str] = wire.LEDGER_ACCEPT
+    program: str
+    ballot: BallotPair
+    value: LedgerValue | None
+    next_ballot: BallotPair | None
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        following = None if self.next_ballot is None else list(self.next_ballot)
+        return {
+            "program": self.program,
+            "ballot": list(self.ballot),
+            "value": self.value,
+            "next_ballot": following,
+        }
+
+    @classmethod
+    def decode(cls, message: Message) -> LedgerAccept:
+        """The request of a message. MalformedMessage if it is none."""
+        return cls(
+            read.text(message, "program"),
+            read.ballot(message, "ballot"),
+            read.object_or_none(message, "value"),
+            read.ballot_or_none(message, "next_ballot"),
+        )
+
+
+def _view(message: Message) -> StoreView:
+    try:
+        return StoreView.from_json(message["view"])
+    except ValueError:
+        raise read.MalformedMessage("view", "a view of stores") from None
--- a/dewpin/cluster/store_messages.py
+++ b/dewpin/cluster/store_messages.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from dewpin.cluster import message_fields as read
 from dewpin.cluster.store_view import StoreView
 
 Message = dict[str, Any]
@@ -33,6 +34,8 @@
 """Error: the store is no replica of the key under this epoch."""
 STORAGE_FAILED = "storage_failed"
 """Error: the disk did not take the write, or did not give the answer."""
+MALFORMED = "malformed"
+"""Error: a field of the request is missing or of another kind; the same request will not do better."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,14 +62,14 @@
 
     @staticmethod
     def from_json(value: Message) -> TurnRecord:
-        """Return the record of a JSON object made by `to_json`."""
+        """Return the record of a JSON object made by `to_json`. MalformedMessage if it is none."""
         return TurnRecord(
-            value["turn"],
-            value["program"],
-            value["previous"],
-            int(value["retain_ms"]),
-            value["input"].encode("latin-1"),
-            value["output"].encode("latin-1"),
+            read.text(value, "turn"),
+            read.text(value, "program"),
+            read.text_or_none(value, "previous"),
+            read.whole_number(value, "retain_ms"),
+            read.octets(value, "input"),
+            read.octets(value, "output"),
         )
 
 
@@ -92,9 +95,11 @@
 
     @staticmethod
     def from_json(value: Message) -> ChainLinks:
-        """Return the run of an answer made by `to_json`."""
-        links = tuple(TurnRecord.from_json(link) for link in value["links"])
-        return ChainLinks(links, value["following"], bool(value["absent"]), frozenset(value["foreign"]))
+        """Return the run of an answer made by `to_json`. MalformedMessage if it is none."""
+        read.check_type(value, TURN_LINKS)
+        links = tuple(TurnRecord.from_json(link) for link in read.objects(value, "links"))
+        following = read.text_or_none(value, "following")
+        return ChainLinks(links, following, read.truth(value, "absent"), frozenset(read.texts(value, "foreign")))
 
 
 def request(kind: str, view: StoreView, member: str, /, **fields: Any) -> Message:
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -8,13 +8,15 @@
 import sqlite3
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol, TypeVar
+from typing import Protocol, TypeVar
 
 from dewpin.cluster import store_messages as wire
+from dewpin.cluster.message_fields import MalformedMessage
 from dewpin.cluster.rpc import Message, RpcError
-from dewpin.cluster.store_messages import TurnRecord
+from dewpin.cluster.sender_requests import LedgerAccept, LedgerPrepare, RequestHeader, TurnChain, TurnPut, TurnStored
 from dewpin.cluster.store_view import StoreView
-from dewpin.consensus.messages import ballot_from_json, encode_reply
+from dewpin.consensus import Ballot
+from dewpin.consensus.messages import encode_reply
 from dewpin.controlplane import ledger_replica, ledger_retention, turn_table
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.transfer_messages import (
@@ -147,12 +149,13 @@
 
     def _check(self, message: Message) -> StoreView:
         """Return the view under which `message` is to be answered. Raises RpcError."""
-        if message.get("to") != self.member_id:
+        header = _decoded(RequestHeader.decode, message)
+        if header.member != self.member_id:
             raise RpcError(wire.WRONG_MEMBER, self.member_id)
-        if message.get("view") is not None:
-            self.adopt(StoreView.from_json(message["view"]))
+        if header.view is not None:
+            self.adopt(header.view)
         view = self.view
-        if view is None or message.get("epoch") != view.epoch:
+        if view is None or header.epoch != view.epoch:
             own = None if view is None else view.to_json()
             raise RpcError(wire.STALE_EPOCH, "another epoch is in force", {"view": own})
         return view
@@ -174,41 +177,43 @@
         return result
 
     async def _on_turn_put(self, message: Message) -> Message:
-        records = [TurnRecord.from_json(value) for value in message["turns"]]
-        for program in {record.program for record in records}:
+        turns = _decoded(TurnPut.decode, message).turns
+        for program in {turn.program for turn in turns}:
             self._check_key(message, program)
         now_ms = self.now_ms()
         await self._transact(
-            message["epoch"], lambda connection: turn_table.put(connection, records, now_ms, RETAIN_MARGIN_MS)
+            message["epoch"], lambda connection: turn_table.put(connection, turns, now_ms, RETAIN_MARGIN_MS)
         )
-        return {"type": wire.TURN_STORED}
+        return TurnStored().encode()
 
     async def _on_turn_chain(self, message: Message) -> Message:
+        asked = _decoded(TurnChain.decode, message)
         self._check(message)
-        program, last = str(message["program"]), str(message["previous"])
         links = await self._transact(
-            message["epoch"], lambda connection: turn_table.chain(connection, program, last, MOST_CHAIN_BYTES)
+            message["epoch"],
+            lambda connection: turn_table.chain(connection, asked.program, asked.previous, MOST_CHAIN_BYTES),
         )
         return links.to_json()
 
     async def _on_prepare(self, message: Message) -> Message:
-        program, ballot = str(message["program"]), ballot_from_json(message["ballot"])
-        self._check_key(message, program)
+        asked = _decoded(LedgerPrepare.decode, message)
+        ballot = Ballot(*asked.ballot)
+        self._check_key(message, asked.program)
         now_ms = self.now_ms()
         reply = await self._transact(
-            message["epoch"], lambda connection: ledger_replica.prepare(connection, program, ballot, now_ms)
+            message["epoch"], lambda connection: ledger_replica.prepare(connection, asked.program, ballot, now_ms)
         )
         return encode_reply(reply)
 
     async def _on_accept(self, message: Message) -> Message:
-        program, ballot = str(message["program"]), ballot_from_json(message["ballot"])
-        following = None if message["next_ballot"] is None else ballot_from_json(message["next_ballot"])
-        value: Any = message["value"]
-        self._check_key(message, program)
+        asked = _decoded(LedgerAccept.decode, message)
+        ballot = Ballot(*asked.ballot)
+        following = None if asked.next_ballot is None else Ballot(*asked.next_ballot)
+        self._check_key(message, asked.program)
         now_ms = self.now_ms()
         reply = await self._transact(
             message["epoch"],
-            lambda connection: ledger_replica.accept(connection, program, ballot, value, following, now_ms),
+            lambda connection: ledger_replica.accept(connection, asked.program, ballot, asked.value, following, now_ms),
         )
         return encode_reply(reply)
 
@@ -267,6 +272,14 @@
         return LedgersPage(wanted, page[-1].program if len(page) == request.most else None).encode()
 
 
+def _decoded(decode: Callable[[Message], Result], message: Message) -> Result:
+    """Return what a message says. Raises RpcError if it is malformed."""
+    try:
+        return decode(message)
+    except MalformedMessage as fault:
+        raise RpcError(wire.MALFORMED, str(fault)) from fault
+
+
 def _read_view(connection: sqlite3.Connection) -> StoreView | None:
     row = connection.execute("SELECT value FROM meta WHERE name = ?", (_VIEW_NAME,)).fetchone()
     return None if row is None else StoreView.from_json(json.loads(row[0]))
--- a/dewpin/dataplane/ledger_client.py
+++ b/dewpin/dataplane/ledger_client.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
-from dewpin.cluster import store_messages as wire
+from dewpin.cluster.message_fields import MalformedMessage
 from dewpin.cluster.rpc import Message
+from dewpin.cluster.sender_requests import LedgerAccept, LedgerPrepare
 from dewpin.cluster.store_view import StoreView
-from dewpin.consensus import Accept, Ballot, Outcome, Proposal, Request, Result
+from dewpin.consensus import Accept, Ballot, Outcome, Proposal, Reply, Request, Result
 from dewpin.consensus.messages import decode_reply
 from dewpin.consensus.replica import ZERO_BALLOT
 from dewpin.dataplane import ledger
@@ -194,18 +195,17 @@
     async def _drive(self, proposal: Proposal, program: str, view: StoreView) -> None:
         """Send the proposal's requests and feed it the replies, until it ends or nobody is left to answer."""
         until_s = asyncio.get_running_loop().time() + SETTLE_FOR_S
-        with Round(self._calls, view) as task_round:
+        with Round(self._calls, view, _reply_of) as task_round:
 
             def send(requests: Sequence[Request]) -> None:
                 for request in requests:
-                    kind, fields = _ledger_message(request, program)
-                    task_round.ask(request.member, kind, fields, until_s)
+                    task_round.ask([request.member], ledger_request(request, program), until_s)
 
             send(proposal.start())
             while proposal.result is None and task_round.unanswered:
                 answer = await task_round.next_answer()
-                if answer.message is not None:
-                    send(proposal.receive(answer.member, decode_reply(answer.message)))
+                if answer.content is not None:
+                    send(proposal.receive(answer.member, answer.content))
 
     def _new_ballot(self) -> Ballot:
         """Return a ballot above all that this sender has used or heard of."""
@@ -218,15 +218,17 @@
             self._prepared.popitem(last=False)
 
 
-def _ledger_message(request: Request, program: str) -> tuple[str, Message]:
-    """Return type and fields of the message that carries a proposal's request."""
+def ledger_request(request: Request, program: str) -> LedgerPrepare | LedgerAccept:
+    """Return what carries a proposal's request to a store."""
     body = request.body
-    if not isinstance(body, Accept):
-        return wire.LEDGER_PREPARE, {"program": program, "ballot": list(body.ballot)}
-    following = None if body.next_ballot is None else list(body.next_ballot)
-    return wire.LEDGER_ACCEPT, {
-        "program": program,
-        "ballot": list(body.ballot),
-        "value": body.value,
-        "next_ballot": following,
-    }
+    if isinstance(body, Accept):
+        return LedgerAccept(program, body.ballot, body.value, body.next_ballot)
+    return LedgerPrepare(program, body.ballot)
+
+
+def _reply_of(message: Message) -> Reply:
+    """Return the reply that a store's answer tells. MalformedMessage if it tells none."""
+    try:
+        return decode_reply(message)
+    except (KeyError, TypeError, ValueError) as fault:
+        raise MalformedMessage("reply", f"a replica's reply ({fault!r})") from fault
--- a/dewpin/dataplane/replica_calls.py
+++ b/dewpin/dataplane/replica_calls.py
@@ -9,12 +9,14 @@
 import asyncio
 import logging
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 from dewpin.cluster import store_messages as wire
+from dewpin.cluster.message_fields import MalformedMessage
 from dewpin.cluster.rpc import Message, RpcError
+from dewpin.cluster.sender_requests import RequestHeader, SenderRequest
 from dewpin.cluster.store_view import StoreView
 
 ATTEMPT_TIMEOUT_S = 0.6
@@ -22,7 +24,12 @@
 MOST_PAUSE_S = 1.0
 _LATENCY_WEIGHT = 0.2
 
+MALFORMED_ANSWER = "malformed_answer"
+"""The kind of the error that stands for an answer which is none to its question."""
+
 log = logging.getLogger(__name__)
+Content = TypeVar("Content")
+"""What an answer says."""
 
 
 class Calls(Protocol):
@@ -37,14 +44,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
-    """What came of one member: its message, or None when it failed for good; `moved` for a newer view."""
+class Answer(Generic[Content]):
+    """What came of one member: what its answer says, or None when it failed for good; `moved` for a newer view."""
 
     member: str
-    message: Message | None
+    content: Content | None
     moved: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _EncodedRequest:
+    """A request's type and fields, made once for all members that are asked."""
+
+    kind: str
+    fields: Message
+
+    def to_member(self, view: StoreView, member: str, tells_view: bool) -> Message:
+        """The message for one member; with the view itself where the member is behind."""
+        return RequestHeader(view.epoch, member, view if tells_view else None).encode(self.kind, self.fields)
+
+
 class ViewHolder:
     """The newest view that this sender knows."""
 
@@ -79,9 +98,9 @@
         """Return the members in the order of their usual time to answer; unknown ones come first."""
         return sorted(members, key=lambda member: (self._latency_s.get(member, 0.0), member))
 
-    def start(self, task_round: Round, member: str, kind: str, fields: Message, until_s: float) -> None:
+    def start(self, task_round: Round[Content], member: str, request: _EncodedRequest, until_s: float) -> None:
         """Ask one member, again and again until `until_s` of the loop's clock; the round gets one answer."""
-        task = asyncio.ensure_future(self._run(task_round, member, kind, fields, until_s))
+        task = asyncio.ensure_future(self._run(task_round, member, request, until_s))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -90,10 +109,11 @@
         for task in self._tasks:
             task.cancel()
 
-    async def _run(self, task_round: Round, member: str, kind: str, fields: Message, until_s: float) -> None:
-        answer = Answer(member, None)
+    async def _run(self, task_round: Round[Content], member: str, request: _EncodedRequest, until_s: float) -> None:
+        answer: Answer[Content] = Answer(member, None)
         try:
-            answer = Answer(member, await self._ask(task_round, member, kind, fields, until_s))
+            content = await self._ask(task_round, member, request, until_s)
+            answer = Answer(member, content)
         except ViewMoved:
             answer = Answer(member, None, moved=True)
         except RpcError:
@@ -103,27 +123,33 @@
         finally:
             task_round.answers.put_nowait(answer)
 
-    async def _ask(self, task_round: Round, member: str, kind: str, fields: Message, until_s: float) -> Message:
-        """Return the member's answer. Raises ViewMoved, or RpcError when the time is over or nobody waits."""
+    async def _ask(self, task_round: Round[Content], member: str, request: _EncodedRequest, until_s: float) -> Content:
+        """Return what the member answers. Raises ViewMoved, or RpcError when the time is over, nobody waits, or the
+        member takes the request for malformed."""
         loop = asyncio.get_running_loop()
         view = task_round.view
         pause_s = FIRST_PAUSE_S
+        tells_view = False
         while True:
             self._check_epoch(view)
             begun_s = loop.time()
             timeout_s = min(ATTEMPT_TIMEOUT_S, until_s - begun_s)
             if timeout_s <= 0:
                 raise RpcError("timeout", member)
-            message = wire.request(kind, view, member, **fields)
+            message = request.to_member(view, member, tells_view)
             try:
                 answer = await self._calls.call(view.members[member].address, message, timeout_s)
+                content = _content_of(answer, task_round.decode, member)
             except RpcError as failure:
                 self._note_latency(member, ATTEMPT_TIMEOUT_S)
+                if failure.kind == wire.MALFORMED:
+                    log.error("replica_calls.refused", extra={"member": member, "why": failure.detail})
+                    raise
                 if failure.kind == wire.STALE_EPOCH:
                     self._learn_view(failure)
                     self._check_epoch(view)
-                    if "view" not in fields:  # the store is behind: it takes the view from the next request
-                        fields = {**fields, "view": view.to_json()}
+                    if not tells_view:  # the store is behind: it takes the view from the next request
+                        tells_view = True
                         continue
                 if task_round.finished and not task_round.hand_off:
                     raise
@@ -131,7 +157,7 @@
                 pause_s = min(2 * pause_s, MOST_PAUSE_S)
                 continue
             self._note_latency(member, loop.time() - begun_s)
-            return answer
+            return content
 
     def _check_epoch(self, view: StoreView) -> None:
         newest = self._views.view
@@ -149,26 +175,32 @@
         self._latency_s[member] = before_s + _LATENCY_WEIGHT * (took_s - before_s)
 
 
-class Round:
-    """The answers of several members to one question under one view.
+class Round(Generic[Content]):
+    """The answers of several members to one question under one view; `decode` reads an answer, MalformedMessage if it
+    is none.
 
     With `hand_off`, members that have not answered are asked on after the owner has enough.
     """
 
-    def __init__(self, calls: ReplicaCalls, view: StoreView, hand_off: bool = False) -> None:
+    def __init__(
+        self, calls: ReplicaCalls, view: StoreView, decode: Callable[[Message], Content], hand_off: bool = False
+    ) -> None:
         self.view = view
+        self.decode = decode
         self.hand_off = hand_off
         self.finished = False
-        self.answers: asyncio.Queue[Answer] = asyncio.Queue()
+        self.answers: asyncio.Queue[Answer[Content]] = asyncio.Queue()
         self.unanswered = 0
         self._calls = calls
 
-    def ask(self, member: str, kind: str, fields: Message, until_s: float) -> None:
-        """Ask one member more."""
-        self.unanswered += 1
-        self._calls.start(self, member, kind, fields, until_s)
+    def ask(self, members: Iterable[str], request: SenderRequest, until_s: float) -> None:
+        """Ask some members more."""
+        encoded = _EncodedRequest(request.kind, request.fields())
+        for member in members:
+            self.unanswered += 1
+            self._calls.start(self, member, encoded, until_s)
 
-    async def next_answer(self) -> Answer:
+    async def next_answer(self) -> Answer[Content]:
         """Return the next answer. Raises ViewMoved once any member is known to be of a newer view."""
         answer = await self.answers.get()
         self.unanswered -= 1
@@ -176,8 +208,17 @@
             raise ViewMoved
         return answer
 
-    def __enter__(self) -> Round:
+    def __enter__(self) -> Round[Content]:
         return self
 
     def __exit__(self, *details: object) -> None:
         self.finished = True
+
+
+def _content_of(answer: Message, decode: Callable[[Message], Content], member: str) -> Content:
+    """Return what an answer says; RpcError for one that is malformed, which counts as none."""
+    try:
+        return decode(answer)
+    except MalformedMessage as fault:
+        log.error("replica_calls.malformed_answer", extra={"member": member, "why": str(fault)})
+        raise RpcError(MALFORMED_ANSWER, str(fault)) from fault
--- a/dewpin/dataplane/turn_client.py
+++ b/dewpin/dataplane/turn_client.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Sequence
 
-from dewpin.cluster import store_messages as wire
+from dewpin.cluster.sender_requests import TurnChain, TurnPut, TurnStored
 from dewpin.cluster.store_messages import ChainLinks, TurnRecord
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus.proposal import has_majorities
@@ -56,21 +56,20 @@
         sets = view.write_sets(program, self._count)
         size = sum(len(record.input) + len(record.output) for record in records)
         until_s = asyncio.get_running_loop().time() + HAND_OFF_S
-        fields = {"turns": [record.to_json() for record in records]}
         stored: set[str] = set()
-        with Round(self._calls, view, hand_off=self._hand_off_bytes < MOST_HAND_OFF_BYTES) as task_round:
-            for member in frozenset().union(*sets):
-                task_round.ask(member, wire.TURN_PUT, fields, until_s)
+        hands_off = self._hand_off_bytes < MOST_HAND_OFF_BYTES
+        with Round(self._calls, view, TurnStored.decode, hands_off) as task_round:
+            task_round.ask(frozenset().union(*sets), TurnPut(tuple(records)), until_s)
             while not has_majorities(sets, stored):
                 if not task_round.unanswered:
                     raise StoreUnavailable("too few replicas took the turn")
                 answer = await task_round.next_answer()
-                if answer.message is not None:
+                if answer.content is not None:
                     stored.add(answer.member)
         if task_round.unanswered:
             self._background.start(self._count_hand_off(task_round, size))
 
-    async def _count_hand_off(self, task_round: Round, size: int) -> None:
+    async def _count_hand_off(self, task_round: Round[TurnStored], size: int) -> None:
         """Count the bytes that wait for replicas which have not answered yet."""
         self._hand_off_bytes += size
         try:
@@ -120,25 +119,23 @@
 
     async def _read_links_under(self, view: StoreView, program: str, last: str) -> ChainLinks:
         until_s = asyncio.get_running_loop().time() + READ_FOR_S
-        fields = {"program": program, "previous": last}
+        request = TurnChain(program, last)
         stages = self._reading_stages(view, program)
         absent: set[str] = set()
-        with Round(self._calls, view) as task_round:
+        with Round(self._calls, view, ChainLinks.from_json) as task_round:
             while len(view.stable) - len(absent) > view.most_silent(self._count):
                 if not task_round.unanswered:
                     if not stages:
                         raise StoreUnavailable("too few stores could tell of the turn")
-                    for member in stages.pop(0):
-                        task_round.ask(member, wire.TURN_CHAIN, fields, until_s)
+                    task_round.ask(stages.pop(0), request, until_s)
                 try:
                     answer = await asyncio.wait_for(task_round.next_answer(), HEDGE_S if stages else None)
                 except TimeoutError:
-                    for member in stages.pop(0):
-                        task_round.ask(member, wire.TURN_CHAIN, fields, until_s)
+                    task_round.ask(stages.pop(0), request, until_s)
                     continue
-                if answer.message is None:
+                found = answer.content
+                if found is None:
                     continue
-                found = ChainLinks.from_json(answer.message)
                 if found.links:
                     return found
                 absent.add(answer.member)
--- /dev/null
+++ b/tests/cluster/test_sender_requests.py
@@ -0,0 +1,136 @@
+"""What senders ask of stores, as it goes over the wire, and what is refused as no such message."""
+
+import json
+
+import pytest
+
+from dewpin.cluster.message_fields import MalformedMessage
+from dewpin.cluster.sender_requests import (
+    LedgerAccept,
+    LedgerPrepare,
+    RequestHeader,
+    TurnChain,
+    TurnPut,
+    TurnStored,
+)
+from dewpin.cluster.store_messages import ChainLinks, TurnRecord
+from dewpin.cluster.store_view import Member, StoreView
+
+TURN = TurnRecord("t1", "p", None, 60_000, b"\xe4", b"out")
+TURN_TEXT = r'{"turn": "t1", "program": "p", "previous": null, "retain_ms": 60000, "input": "\u00e4", "output": "out"}'
+LINKS = ChainLinks((TURN,), "t0", False, frozenset({"t1"}))
+VIEW = StoreView(7, (Member("a-1", "a:1"),))
+VIEW_TEXT = '{"epoch": 7, "stable": {"a-1": "a:1"}, "next": null, "locations": {"a-1": ""}}'
+
+REQUESTS = [
+    (TurnPut((TURN,)), f'{{"turns": [{TURN_TEXT}]}}'),
+    (TurnChain("p", "t1"), '{"program": "p", "previous": "t1"}'),
+    (LedgerPrepare("p", (5, "s")), '{"program": "p", "ballot": [5, "s"]}'),
+    (
+        LedgerAccept("p", (5, "s"), {"spent": 1, "open": {}}, (6, "s")),
+        '{"program": "p", "ballot": [5, "s"], "value": {"spent": 1, "open": {}}, "next_ballot": [6, "s"]}',
+    ),
+    (
+        LedgerAccept("p", (5, "s"), None, None),
+        '{"program": "p", "ballot": [5, "s"], "value": null, "next_ballot": null}',
+    ),
+]
+NO_TEXT = [None, 5, ["x"], {}, True]
+NO_WHOLE_NUMBER = [None, "5", 5.5, 5.0, True, [5], {}]
+NO_BALLOT = [None, 5, "5s", [], [5], [5, "s", 1], ["5", "s"], [5, 5], [5.0, "s"], [True, "s"], {"counter": 5}]
+NO_BYTES = [*NO_TEXT, "\u2028"]
+
+WRONG_FIELDS = [
+    *[(TurnPut, ("turns",), value) for value in (None, "t", {}, ["t"], [None], 5)],
+    *[(TurnPut, ("turns", 0, field), value) for field in ("turn", "program") for value in NO_TEXT],
+    *[(TurnPut, ("turns", 0, "previous"), value) for value in NO_TEXT if value is not None],
+    *[(TurnPut, ("turns", 0, "retain_ms"), value) for value in NO_WHOLE_NUMBER],
+    *[(TurnPut, ("turns", 0, field), value) for field in ("input", "output") for value in NO_BYTES],
+    *[(TurnChain, (field,), value) for field in ("program", "previous") for value in NO_TEXT],
+    *[(LedgerPrepare, ("program",), value) for value in NO_TEXT],
+    *[(LedgerPrepare, ("ballot",), value) for value in NO_BALLOT],
+    *[(LedgerAccept, ("program",), value) for value in NO_TEXT],
+    *[(LedgerAccept, ("ballot",), value) for value in NO_BALLOT],
+    *[(LedgerAccept, ("next_ballot",), value) for value in NO_BALLOT if value is not None],
+    *[(LedgerAccept, ("value",), value) for value in (5, "x", [], True)],
+    *[(RequestHeader, ("epoch",), value) for value in NO_WHOLE_NUMBER],
+    *[(RequestHeader, ("to",), value) for value in NO_TEXT],
+    *[(RequestHeader, ("view",), value) for value in (5, "x", [], {}, {"epoch": "x", "stable": {}, "next": None})],
+    *[(ChainLinks, ("type",), value) for value in (None, "turn.stored")],
+    *[(ChainLinks, ("links",), value) for value in (None, "t", ["t"], [{}])],
+    *[(ChainLinks, ("following",), value) for value in NO_TEXT if value is not None],
+    *[(ChainLinks, ("absent",), value) for value in (None, 0, "no")],
+    *[(ChainLinks, ("foreign",), value) for value in (None, "t1", [1], {})],
+    *[(TurnStored, ("type",), value) for value in (None, "turn.links", 5)],
+]
+SOUND = {
+    TurnPut: TurnPut((TURN,)).fields,
+    TurnChain: TurnChain("p", "t1").fields,
+    LedgerPrepare: LedgerPrepare("p", (5, "s")).fields,
+    LedgerAccept: LedgerAccept("p", (5, "s"), {"spent": 1, "open": {}}, (6, "s")).fields,
+    RequestHeader: lambda: RequestHeader(7, "a-1", VIEW).encode("turn.chain", {}),
+    ChainLinks: LINKS.to_json,
+    TurnStored: TurnStored().encode,
+}
+
+
+def decode(kind, message):
+    return kind.from_json(message) if kind is ChainLinks else kind.decode(message)
+
+
+def holder_of(message, path):
+    for step in path[:-1]:
+        message = message[step]
+    return message
+
+
+@pytest.mark.parametrize(("request_", "text"), REQUESTS, ids=lambda value: type(value).__name__)
+def test_a_request_has_these_fields_and_comes_back_as_it_was(request_, text):
+    assert json.dumps(request_.fields()) == text
+    assert type(request_).decode(json.loads(text)) == request_
+
+
+def test_a_request_begins_with_its_epoch_and_member_and_ends_with_the_view_if_that_is_told():
+    plain = RequestHeader(7, "a-1").encode("turn.chain", {"program": "p"})
+    assert json.dumps(plain) == '{"type": "turn.chain", "epoch": 7, "to": "a-1", "program": "p"}'
+    assert RequestHeader.decode(plain) == RequestHeader(7, "a-1")
+    told = RequestHeader(7, "a-1", VIEW).encode("turn.chain", {"program": "p"})
+    assert json.dumps(told) == json.dumps(plain)[:-1] + f', "view": {VIEW_TEXT}}}'
+    assert RequestHeader.decode(told) == RequestHeader(7, "a-1", VIEW)
+
+
+def test_the_answers_have_this_form():
+    assert TurnStored().encode() == {"type": "turn.stored"}
+    assert TurnStored.decode({"type": "turn.stored"}) == TurnStored()
+    assert ChainLinks.from_json(json.loads(json.dumps(LINKS.to_json()))) == LINKS
+
+
+def test_fields_of_a_newer_release_are_left_alone():
+    for kind, sound in SOUND.items():
+        assert decode(kind, {**sound(), "newer": 1}) == decode(kind, sound())
+
+
+@pytest.mark.parametrize(
+    ("kind", "path", "value"), WRONG_FIELDS, ids=lambda value: getattr(value, "__name__", None) or repr(value)
+)
+def test_a_field_of_another_kind_is_refused_by_its_name(kind, path, value):
+    message = json.loads(json.dumps(SOUND[kind]()))
+    holder_of(message, path)[path[-1]] = value
+    if path == ("view",) or path[0] == "links" or path[-1] == "links":
+        with pytest.raises(MalformedMessage):
+            decode(kind, message)
+        return
+    with pytest.raises(MalformedMessage, match=f"^{path[-1]}: ") as refusal:
+        decode(kind, message)
+    assert refusal.value.field == path[-1]
+
+
+@pytest.mark.parametrize("kind", SOUND, ids=lambda kind: kind.__name__)
+def test_each_field_has_to_be_there_but_the_view(kind):
+    for field in SOUND[kind]().keys() - {"view"}:
+        if kind is RequestHeader and field == "type":
+            continue
+        message = json.loads(json.dumps(SOUND[kind]()))
+        del message[field]
+        with pytest.raises(MalformedMessage):
+            decode(kind, message)
--- /dev/null
+++ b/tests/controlplane/test_malformed_requests.py
@@ -0,0 +1,127 @@
+"""Requests to a store that are malformed: refused by one kind of error, with nothing written, and not asked again."""
+
+import asyncio
+import json
+
+import pytest
+from store_world import World, run, turn
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.rpc import RpcError
+from dewpin.cluster.sender_requests import LedgerAccept, LedgerPrepare, RequestHeader, TurnChain, TurnPut
+from dewpin.cluster.store_messages import TurnRecord
+from dewpin.dataplane.program_store import StoreUnavailable
+
+VALUE = {"spent": 1, "open": {}}
+REQUESTS = [
+    TurnPut((TurnRecord("t", "p", None, 60_000, b"<", b">"),)),
+    TurnChain("p", "t"),
+    LedgerPrepare("p", (5, "s")),
+    LedgerAccept("p", (5, "s"), VALUE, (6, "s")),
+]
+
+
+async def refusal_of(machine, message):
+    try:
+        await machine.store.handlers[message["type"]](message)
+    except RpcError as refusal:
+        return refusal.kind
+    return None
+
+
+@pytest.mark.parametrize("request_", REQUESTS, ids=lambda request: type(request).__name__)
+def test_a_store_refuses_each_request_without_one_of_its_fields_and_writes_nothing(request_):
+    async def scene():
+        world = World()
+        machine = world.machines["a"]
+        sound = RequestHeader(1, machine.store.member_id).encode(request_.kind, request_.fields())
+        changes = machine.disk.connection.total_changes
+        for field in sound.keys() - {"type"}:
+            message = {name: value for name, value in sound.items() if name != field}
+            assert await refusal_of(machine, message) == wire.MALFORMED
+        assert machine.disk.connection.total_changes == changes
+        assert await refusal_of(machine, json.loads(json.dumps(sound))) is None
+
+    run(scene())
+
+
+@pytest.mark.parametrize("kind", [wire.PULL_INDEX, wire.PULL_TURNS, wire.PULL_LEDGERS, wire.PULL_ARRIVALS])
+def test_a_copy_asked_for_without_an_epoch_is_malformed(kind):
+    async def scene():
+        machine = World().machines["a"]
+        assert await refusal_of(machine, {"type": kind, "to": machine.store.member_id}) == wire.MALFORMED
+
+    run(scene())
+
+
+def answering(machine, kind, answer):
+    """Let a store give this answer to all requests of a kind, or raise it."""
+    heard = []
+
+    async def handler(message):
+        heard.append(message)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    machine.store.handlers[kind] = handler
+    return heard
+
+
+def test_a_request_that_a_store_takes_for_malformed_is_not_sent_to_it_again():
+    async def scene():
+        world = World()
+        refused = RpcError(wire.MALFORMED, "turns: expected a list of objects")
+        heard = answering(world.machines["c"], wire.TURN_PUT, refused)
+        client = world.client()
+        await client.append(turn("t"), 1.0)
+        await client.settled()
+        assert len(heard) == 1
+        answering(world.machines["b"], wire.TURN_PUT, refused)
+        with pytest.raises(StoreUnavailable):
+            await client.append(turn("u"), 5.0)
+
+    run(scene())
+
+
+@pytest.mark.parametrize("answer", [{}, {"type": "turn.links"}, {"type": "ballot.promise"}, {"type": "turn.stored "}])
+def test_an_answer_that_is_malformed_counts_as_none(answer):
+    async def scene():
+        world = World()
+        await world.client("first").append(turn("t"), 1.0)
+        held = await world.client("second").reserve("p", "t", 5, 10, 1.0)
+        for kind in (wire.TURN_PUT, wire.TURN_CHAIN, wire.LEDGER_PREPARE, wire.LEDGER_ACCEPT):
+            answering(world.machines["c"], kind, answer)
+        client = world.client("third")
+        assert await client.chain("p", "t", 1.0) == b"<t>"
+        await client.append(turn("u", "t"), 1.0)
+        assert await asyncio.wait_for(client.read_ledger("p"), 5.0) == {"spent": 0, "open": {"t": held.most}}
+        for kind in (wire.TURN_PUT, wire.TURN_CHAIN, wire.LEDGER_PREPARE, wire.LEDGER_ACCEPT):
+            answering(world.machines["b"], kind, answer)
+        with pytest.raises(StoreUnavailable):
+            await client.append(turn("v", "u"), 1.0)
+        with pytest.raises(StoreUnavailable):
+            await client.reserve("p", "v", 1, 10, 1.0)
+        client.close()
+
+    run(scene())
+
+
+def test_a_store_whose_answer_was_malformed_is_asked_again():
+    async def scene():
+        world = World()
+        machine = world.machines["c"]
+        sound = machine.store.handlers[wire.TURN_PUT]
+        answers = iter([{}, {"type": "turn.links"}])
+
+        async def handler(message):
+            answer = next(answers, None)
+            return await sound(message) if answer is None else answer
+
+        machine.store.handlers[wire.TURN_PUT] = handler
+        client = world.client()
+        await client.append(turn("t"), 1.0)
+        await client.settled()
+        assert machine.disk.connection.execute("SELECT turn FROM turns").fetchall() == [("t",)]
+
+    run(scene())
--- a/tests/model/ledger_parts.py
+++ b/tests/model/ledger_parts.py
@@ -13,8 +13,8 @@
 
 from store_world import MemoryDisk
 
-from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import RpcError
+from dewpin.cluster.sender_requests import RequestHeader
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.consensus import Ballot, Proposal, Request
 from dewpin.consensus.messages import decode_reply
@@ -237,8 +237,9 @@
         assert view is not None
         texts = []
         for request in requests:
-            kind, fields = ledger_client._ledger_message(request, PROGRAM)
-            texts.append(json.dumps(wire.request(kind, view, request.member, view=view.to_json(), **fields)))
+            asked = ledger_client.ledger_request(request, PROGRAM)
+            header = RequestHeader(view.epoch, request.member, view)
+            texts.append(json.dumps(header.encode(asked.kind, asked.fields())))
         return tuple(texts)
 
     def fingerprint(self) -> SenderFingerprint:
