Stores copy bodies as raw bytes; one batch at a time waits for the disk

Cause: for a change of the view bodies went as latin-1 text inside JSON: a byte that is not ASCII took six bytes on the link, and every body was escaped and parsed. All batches that had been fetched (up to 250 turns of each of four requests to each source) shared one commit, for which a turn that was written beside waited. An answer that could not be read ended the reading of its source for good. Sources walked the index in step, since each waited at a page for what the others fetched.

Change: a frame's JSON part may be followed by a second netstring of raw bytes. Turns that were asked for with `raw_bodies` come in that form; an earlier release does not ask for it, and its JSON answers are read too. One batch waits for the disk at a time. A source is asked for a page's unclaimed turns, and goes on with the next page while others fetch the rest. Answers that can't be read are asked for again.

benchmarks/store_copy.py called a name that rpc.py has no more; mended, with text and incompressible bodies, the appends' times beside the copy and the peak memory. The tests' networks carry messages through the real codec in place of JSON alone.

Wrong variants made by hand and caught: no lock, no asking again, lengths unchecked, raw without being asked, halves of a body swapped, one request for each part, claims without an end, all taken as lacking.

--- a/benchmarks/store_copy.py
+++ b/benchmarks/store_copy.py
@@ -1,17 +1,22 @@
 """How long the stores need for a change of their view: a process for each store, real disks, real sockets, traffic.
 
     python benchmarks/store_copy.py [--turns 1000] [--change wipe|add|retire] [--stores 3] [--losses 1] [--rate 40]
+                                    [--bodies hex|text|random]
 
 Fills the disks, leads the view through the change as the register's owner does, and prints a line of JSON: the time
 until every next store has copied, processor time of all stores over that time, bytes between stores, and the time that
-these take on a link of 600 Mbit/s. The time to notice a loss and to agree on the change comes on top. With
+these take on a link of 600 Mbit/s, how long the appends beside took, and the largest memory of a store's process. The
+time to notice a loss and to agree on the change comes on top. `--bodies`: hexadecimal digits, words as in a
+conversation, or bytes that no compression makes shorter. With
 `--change rest` or `--change traffic` nothing changes: the processor time of all stores over twenty seconds, for the
 background repair.
 """
 
 import asyncio
+import functools
 import json
 import multiprocessing
+import os
 import random
 import resource
 import tempfile
@@ -20,7 +25,7 @@
 
 import click
 
-from dewpin.cluster import rpc
+from dewpin.cluster import rpc_frames
 from dewpin.cluster.rpc import RpcClient, RpcError, RpcServer
 from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import Member, StoreView
@@ -40,19 +45,20 @@
 CHANGE_TIMEOUT_S = 900.0
 WATCH_S = 20.0
 RETAIN_MS = 3_600_000
+TEXT_BYTES = 3_000_000
 
 
 def count_bytes_sent():
     """Count the bytes that this process's frames have."""
     sent = [0]
-    encode = rpc.encode
+    encode = rpc_frames.encode
 
     def counting(message):
         frame = encode(message)
         sent[0] += len(frame)
         return frame
 
-    rpc.encode = counting
+    rpc_frames.encode = counting
     return sent
 
 
@@ -61,6 +67,13 @@
     return usage.ru_utime + usage.ru_stime
 
 
+def peak_memory_bytes():
+    """The most memory that this process had resident since it was started; that of `getrusage` has the parent's too."""
+    status = Path("/proc/self/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+    return int(line.split()[1]) * 1024
+
+
 def run_store(folder, port, count, repairs):
     """The process of one store."""
     sent = count_bytes_sent()
@@ -78,7 +91,8 @@
             return {"type": "adopted"}
 
         async def on_state(message):
-            return {"type": "state", "synced": synced, "cpu_s": cpu_s(), "sent": sent[0]}
+            figures = {"cpu_s": cpu_s(), "sent": sent[0], "memory": peak_memory_bytes()}
+            return {"type": "state", "synced": synced, **figures}
 
         server = RpcServer({**store.handlers, "adopt": on_adopt, "state": on_state})
         await server.start("127.0.0.1", port)
@@ -89,14 +103,34 @@
     asyncio.run(serve())
 
 
-async def fill(storage, member, stable, count, turns, body_bytes):
+def make_body(rng, kind, length):
+    """Half a turn's bodies."""
+    if kind == "hex":
+        return rng.randbytes(length // 2).hex().encode()
+    if kind == "random":
+        return rng.randbytes(length)
+    text = make_text()
+    first = rng.randrange(len(text) - length)
+    return text[first : first + length]
+
+
+@functools.cache
+def make_text():
+    """Words of a small language, the frequent ones many."""
+    rng = random.Random(2)
+    words = ["".join(rng.choices("etaoinshrdlucmfw", k=rng.randint(2, 9))) for _ in range(5000)]
+    weights = [1 / (rank + 1) for rank in range(len(words))]
+    return " ".join(rng.choices(words, weights, k=TEXT_BYTES // 6)).encode()
+
+
+async def fill(storage, member, stable, count, turns, body_bytes, bodies):
     """Write those of `turns` turns that the member holds among `stable`."""
     rng = random.Random(1)
     view = StoreView(1, tuple(Member(one, "") for one in stable))
     records = []
     for number in range(turns):
         program = f"program-{number // TURNS_OF_PROGRAM:07}"
-        body = rng.randbytes(body_bytes // 4).hex().encode()
+        body = make_body(rng, bodies, body_bytes // 2)
         if member not in view.stable_replicas(program, count):
             continue
         previous = f"turn-{number - 1:08}" if number % TURNS_OF_PROGRAM else None
@@ -128,12 +162,12 @@
         self.processes = []
         self.client = RpcClient()
 
-    async def fill(self, stable, turns, body_bytes):
+    async def fill(self, stable, turns, body_bytes, bodies):
         """Make the disks; the first `stable` stores hold the turns."""
         storages = [Storage(folder) for folder in self.folders]
         ids = [storage.incarnation for storage in storages]
         for storage in storages[:stable]:
-            await fill(storage, storage.incarnation, ids[:stable], self.count, turns, body_bytes)
+            await fill(storage, storage.incarnation, ids[:stable], self.count, turns, body_bytes, bodies)
         for storage in storages:
             storage.close()
         self.members = [Member(one, f"127.0.0.1:{FIRST_PORT + number}") for number, one in enumerate(ids)]
@@ -200,6 +234,11 @@
     def worst_ms(self):
         return round(1000 * max(self.took_s, default=0.0))
 
+    def at_most_ms(self, share):
+        """What that share of the appends took at most, in ms."""
+        ordered = sorted(self.took_s)
+        return round(1000 * ordered[int(share * (len(ordered) - 1))]) if ordered else 0
+
 
 def views(change, members, stores):
     """Stable and next members, and those of them that are dead."""
@@ -212,11 +251,11 @@
     return members[:stores], None, []
 
 
-async def play(root, turns, change, stores, losses, rate, body_bytes, repairs):
+async def play(root, turns, change, stores, losses, rate, body_bytes, bodies, repairs):
     spare = 0 if change in ("rest", "traffic") else 1
     fleet = Stores(root, stores + spare, losses, repairs)
     stable, following, dead = views(change, list(range(stores + spare)), stores)
-    await fleet.fill(len(stable), turns, body_bytes)
+    await fleet.fill(len(stable), turns, body_bytes, bodies)
     fleet.start()
     stable, dead = [fleet.members[one] for one in stable], [fleet.members[one] for one in dead]
     view = StoreView(1, tuple(stable))
@@ -232,15 +271,18 @@
         alive = [member for member in fleet.members if member not in dead]
         changing = StoreView(2, tuple(stable), tuple(following))
         before = await fleet.states(alive)
+        traffic.took_s.clear()
         began_s = time.monotonic()
         await fleet.tell(changing, alive)
         await fleet.until_synced(2, following)
         took_s = time.monotonic() - began_s
+        load = os.getloadavg()[0]
         after = await fleet.states(alive)
         cpu = [b["cpu_s"] - a["cpu_s"] for a, b in zip(before, after, strict=True)]
         sent = sum(state["sent"] for state in after) - sum(state["sent"] for state in before)
         return {
             "turns": turns,
+            "bodies": bodies,
             "change": change,
             "stores": stores,
             "losses": losses,
@@ -249,7 +291,11 @@
             "busiest_cpu_s": round(max(cpu), 2),
             "sent_mb": round(sent / 1e6, 1),
             "link_s": round(sent / LINK_BYTES_PER_S, 2),
+            "append_p50_ms": traffic.at_most_ms(0.5),
+            "append_p99_ms": traffic.at_most_ms(0.99),
             "worst_append_ms": traffic.worst_ms(),
+            "memory_mb": round(max(state["memory"] for state in after) / 1e6),
+            "load": round(load),
             "disk_mb": round(sum(file.stat().st_size for file in fleet.folders[1].iterdir()) / 1e6),
         }
     finally:
@@ -279,11 +325,13 @@
 @click.option("--losses", default=1)
 @click.option("--rate", default=40.0)
 @click.option("--body-bytes", default=1300)
+@click.option("--bodies", default="hex", type=click.Choice(["hex", "text", "random"]))
 @click.option("--no-repair", is_flag=True, help="Leave the background repair out.")
-def main(turns, change, stores, losses, rate, body_bytes, no_repair):
+def main(turns, change, stores, losses, rate, body_bytes, bodies, no_repair):
     """Play one change and print its figures."""
     with tempfile.TemporaryDirectory() as root:
-        figures = asyncio.run(play(Path(root), turns, change, stores, losses, rate, body_bytes, not no_repair))
+        played = play(Path(root), turns, change, stores, losses, rate, body_bytes, bodies, not no_repair)
+        figures = asyncio.run(played)
     print(json.dumps(figures))
 
 
--- a/dewpin/cluster/rpc_frames.py
+++ b/dewpin/cluster/rpc_frames.py
@@ -1,6 +1,8 @@
 """The frames of calls between processes, and their one codec: a number of the connection, and a message.
 
 A request is `{"v": 1, "n": number, "m": message}`, its answer `{"v": 1, "r": number, "m": message}`, each a netstring.
+The raw bytes of a message, its `raw`, are those of the whole frame and follow as a second netstring (`netstring`); a
+process sends them only to one that asked for them, since releases before them take the second netstring for garbage.
 The classes are not frozen: two are made for each call at each end, and fields of a frozen class are set more slowly.
 """
 
@@ -9,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar, Self
 
-from .netstring import encode
+from .netstring import RAW, encode
 
 Message = dict[str, Any]
 
@@ -29,7 +31,11 @@
 
     def encode(self) -> bytes:
         """The form on the wire. FrameError if it is too large, ValueError or TypeError if it cannot be written."""
-        return encode({"v": PROTOCOL_VERSION, self.number_key: self.number, "m": self.message})
+        frame = {"v": PROTOCOL_VERSION, self.number_key: self.number, "m": self.message}
+        if RAW in self.message:
+            frame["m"] = {key: value for key, value in self.message.items() if key != RAW}
+            frame[RAW] = self.message[RAW]
+        return encode(frame)
 
     @classmethod
     def decode(cls, frame: dict[str, Any]) -> Self:
@@ -37,6 +43,10 @@
         number, message = frame.get(cls.number_key), frame.get("m")
         if frame.get("v") != PROTOCOL_VERSION or type(number) is not int or not isinstance(message, dict):
             raise BadFrame
+        if RAW in message:  # raw bytes stand beside the message, never in its JSON
+            raise BadFrame
+        if RAW in frame:
+            message[RAW] = frame[RAW]
         return cls(number, message)
 
 
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -246,7 +246,8 @@
             message["epoch"],
             lambda connection: turn_table.read_exact(connection, request.keys, request.most_bytes),
         )
-        return TurnsAnswer(records, unread).encode()
+        answer = TurnsAnswer(records, unread)
+        return answer.encode_raw() if request.raw else answer.encode()
 
     async def _on_pull_ledgers(self, message: Message) -> Message:
         view = await self._check_pull(message)
--- a/dewpin/controlplane/sync.py
+++ b/dewpin/controlplane/sync.py
@@ -11,6 +11,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import Message, RpcError
@@ -38,7 +39,7 @@
 )
 
 INDEX_PAGE = 2000
-REQUESTS_AT_ONCE = 4
+REQUESTS_AT_ONCE = 3
 """Requests for bodies that are out to one source: one is answered while what another brought is written."""
 LEDGER_PAGE = 500
 PULL_TIMEOUT_S = 2.0
@@ -48,6 +49,7 @@
 RETRY_S = 0.1
 
 log = logging.getLogger(__name__)
+Answer = TypeVar("Answer")
 
 
 class StoreSync:
@@ -90,6 +92,9 @@
         self._claims: dict[Key, float] = {}
         self._unread = 0
         self._whole = asyncio.Event()
+        self._writing = (
+            asyncio.Lock()
+        )  # one batch of turns waits for the disk at a time, so a put waits for one at most
 
     async def run(self) -> None:
         """Return once the copy is whole."""
@@ -124,36 +129,38 @@
                 log.info("sync.retry", extra={"why": str(failure)})
                 await asyncio.sleep(RETRY_S)
 
-    async def _pull(self, source: Member, kind: str, **fields: object) -> Message:
-        """Return a source's answer to a pull, asked again until it comes."""
+    async def _pull(self, source: Member, kind: str, decode: Callable[[Message], Answer], **fields: object) -> Answer:
+        """Return a source's answer to a pull, asked again until one comes that can be read."""
         message = wire.request(kind, self._view, source.id, view=self._view.to_json(), **fields)
         while True:
             try:
-                return await self._calls.call(source.address, message, PULL_TIMEOUT_S)
-            except RpcError as failure:
+                return decode(await self._calls.call(source.address, message, PULL_TIMEOUT_S))
+            except (RpcError, KeyError, TypeError, ValueError) as failure:
                 log.info("sync.no_answer", extra={"source": source.id, "why": str(failure)})
                 await asyncio.sleep(RETRY_S)
 
     async def _copy_turns(self, source: Member) -> None:
         page = await self._pull_index(source, ("", ""))
         arrivals = page.newest
+        left: list[IndexEntry] = []
         while True:
             following: asyncio.Task[IndexPage] | None = None
             if page.after is not None:  # on its way while the bodies of this page are fetched
                 following = asyncio.ensure_future(self._pull_index(source, page.after))
             try:
-                await self._copy_bodies(source, page.entries)
+                left = await self._copy_unclaimed(source, [*left, *page.entries])
                 if following is None:
                     break
                 page = await following
             finally:
                 if following is not None:
                     following.cancel()
+        await self._copy_rest(source, left)
         await self._follow_from(source, arrivals)
 
     async def _pull_index(self, source: Member, after: Key) -> IndexPage:
         request = IndexRequest(self._store.member_id, after, INDEX_PAGE)
-        return IndexPage.decode(await self._pull(source, wire.PULL_INDEX, **request.fields()))
+        return await self._pull(source, wire.PULL_INDEX, IndexPage.decode, **request.fields())
 
     async def _follow_from(self, source: Member, arrival: int) -> None:
         """Let the background repair begin with what came to the source after the copy had begun."""
@@ -161,64 +168,84 @@
             lambda: self._store.storage.transact(lambda connection: write_cursor(connection, source.id, arrival))
         )
 
-    async def _copy_bodies(self, source: Member, entries: Sequence[IndexEntry]) -> None:
-        """Fetch those of `entries` that are not here; return once all are, or are gone at the source."""
-        lacking = list(entries)
-        while lacking:
-            unclaimed = {key_of(entry) for entry in lacking if self._is_unclaimed(entry)}
-            lacking = await self._lacking(lacking)
-            free = [entry for entry in lacking if key_of(entry) in unclaimed and self._is_unclaimed(entry)]
-            if free:
-                gone = await self._fetch_some(source, free)
-                lacking = [entry for entry in lacking if key_of(entry) not in gone]
-            elif lacking:
+    async def _copy_rest(self, source: Member, entries: list[IndexEntry]) -> None:
+        """Return once all of `entries` are here, or are gone at the source."""
+        while entries:
+            entries = await self._copy_unclaimed(source, entries)
+            if entries:
                 await asyncio.sleep(PAUSE_S)
 
+    async def _copy_unclaimed(self, source: Member, entries: list[IndexEntry]) -> list[IndexEntry]:
+        """Fetch those of `entries` that are not here and that nobody fetches; return those that others fetch."""
+        unclaimed = {key_of(entry) for entry in entries if self._is_unclaimed(entry)}
+        lacking = await self._lacking(entries)
+        free = [entry for entry in lacking if key_of(entry) in unclaimed and self._is_unclaimed(entry)]
+        await self._fetch_all(source, free)
+        fetched = {key_of(entry) for entry in free}
+        return [entry for entry in lacking if key_of(entry) not in fetched]
+
     def _is_unclaimed(self, entry: IndexEntry) -> bool:
         """Whether nobody fetches the turn just now. Asked before and after the disk was: a turn that was kept meanwhile
         is claimed no more, and the disk's answer does not show it."""
         return self._claims.get(key_of(entry), 0.0) <= asyncio.get_running_loop().time()
 
-    async def _fetch_some(self, source: Member, entries: list[IndexEntry]) -> frozenset[Key]:
-        """Fetch and keep the first of `entries`, by a few requests at once; return those gone from the source."""
-        starts = range(0, min(len(entries), REQUESTS_AT_ONCE * TURNS_IN_REQUEST), TURNS_IN_REQUEST)
-        chunks = [entries[start : start + TURNS_IN_REQUEST] for start in starts]
+    def _claim(self, entries: Sequence[IndexEntry]) -> None:
         claimed_until_s = asyncio.get_running_loop().time() + CLAIM_S
-        self._claims.update((key_of(entry), claimed_until_s) for chunk in chunks for entry in chunk)
-        gone = await asyncio.gather(*(self._fetch(source, chunk) for chunk in chunks))
-        return frozenset().union(*gone)
+        self._claims.update((key_of(entry), claimed_until_s) for entry in entries)
+
+    async def _fetch_all(self, source: Member, entries: list[IndexEntry]) -> None:
+        """Fetch and keep `entries`, by a few requests at once; return once all are here, or are gone at the source."""
+        self._claim(entries)
+        parts = iter([entries[at : at + TURNS_IN_REQUEST] for at in range(0, len(entries), TURNS_IN_REQUEST)])
+
+        async def fetch_parts() -> None:
+            for part in parts:
+                await self._fetch(source, part)
 
-    async def _fetch(self, source: Member, entries: list[IndexEntry]) -> frozenset[Key]:
-        """Fetch and keep some turns that are claimed; return those that the source has no more."""
         try:
-            answer = await self._pull(source, wire.PULL_TURNS, **body_request(entries).fields())
-            fetched = FetchedTurns.from_answer(entries, TurnsAnswer.decode(answer))
-            await self._keep(fetched)
+            await asyncio.gather(*(fetch_parts() for _ in range(REQUESTS_AT_ONCE)))
         finally:
             for entry in entries:
                 self._claims.pop(key_of(entry), None)
-        return fetched.gone
+
+    async def _fetch(self, source: Member, entries: list[IndexEntry]) -> None:
+        """Fetch and keep some turns, by as many requests one after the other as their bodies take."""
+        while entries:
+            self._claim(entries)
+            fetched = await self._pull_turns(source, entries)
+            await self._keep(fetched)
+            done = fetched.done
+            entries = [entry for entry in entries if key_of(entry) not in done]
+
+    async def _pull_turns(self, source: Member, entries: list[IndexEntry]) -> FetchedTurns:
+        def decode(answer: Message) -> FetchedTurns:
+            return FetchedTurns.from_answer(entries, TurnsAnswer.decode(answer))
+
+        return await self._pull(source, wire.PULL_TURNS, decode, **body_request(entries).fields())
 
     async def _lacking(self, entries: list[IndexEntry]) -> list[IndexEntry]:
         found: list[IndexEntry] = []
 
         async def attempt() -> None:
-            found[:] = await self._store.storage.transact(lambda connection: turn_table.missing(connection, entries))
+            found[:] = await self._store.storage.transact(
+                lambda connection: turn_table.missing_of_page(connection, entries)
+            )
 
         await self._until_done(attempt)
         return found
 
     async def _keep(self, fetched: FetchedTurns) -> None:
-        now_ms = self._store.now_ms()
-        await self._until_done(
-            lambda: self._store.storage.transact(lambda connection: fetched.keep(connection, now_ms))
-        )
+        async with self._writing:
+            now_ms = self._store.now_ms()
+            await self._until_done(
+                lambda: self._store.storage.transact(lambda connection: fetched.keep(connection, now_ms))
+            )
 
     async def _copy_ledgers(self, source: Member) -> None:
         after: str | None = ""
         while after is not None:
             request = LedgersRequest(self._store.member_id, after, LEDGER_PAGE)
-            page = LedgersPage.decode(await self._pull(source, wire.PULL_LEDGERS, **request.fields()))
+            page = await self._pull(source, wire.PULL_LEDGERS, LedgersPage.decode, **request.fields())
             await self._merge_ledgers(page.records)
             after = page.after
 
--- a/dewpin/controlplane/turn_table.py
+++ b/dewpin/controlplane/turn_table.py
@@ -33,6 +33,8 @@
     newest: int
 
 
+_SWEPT_FOR_EACH = 4
+"""Rows of a stretch of keys that are read at most for each key that is looked up in it."""
 _LAST_PURGED_ARRIVAL = "last_purged_arrival"
 
 
@@ -139,6 +141,23 @@
     return [entries[position] for (position,) in rows]
 
 
+def missing_of_page(connection: sqlite3.Connection, entries: Sequence[IndexEntry]) -> list[IndexEntry]:
+    """Return those of `entries` that are not here, as `missing`; cheaper where they lie close together by their keys:
+    the stretch of keys that they span is read in one sweep, unless far more turns than that are in it."""
+    if not entries:
+        return []
+    keys = [(entry.turn, entry.program) for entry in entries]
+    most = len(entries) * _SWEPT_FOR_EACH
+    here = connection.execute(
+        "SELECT turn, program FROM turns WHERE (turn, program) >= (?, ?) AND (turn, program) <= (?, ?) LIMIT ?",
+        (*min(keys), *max(keys), most),
+    ).fetchall()
+    if len(here) == most:
+        return missing(connection, entries)
+    held = set(here)
+    return [entry for entry, key in zip(entries, keys, strict=True) if key not in held]
+
+
 def read_exact(
     connection: sqlite3.Connection, keys: Sequence[tuple[str, str]], most_bytes: int
 ) -> tuple[list[TurnRecord], Sequence[tuple[str, str]]]:
@@ -149,14 +168,24 @@
     for position, (turn, program) in enumerate(keys):
         if size >= most_bytes:
             return found, keys[position:]
-        record = _read(connection, program, turn)
-        if record is None or record.program != program:
+        record = _read_exact(connection, turn, program)
+        if record is None:
             continue
         found.append(record)
         size += len(record.input) + len(record.output)
     return found, ()
 
 
+def _read_exact(connection: sqlite3.Connection, turn: str, program: str) -> TurnRecord | None:
+    """Return a turn as kept for `program`."""
+    row = connection.execute(
+        "SELECT turns.previous, turns.retain_ms, turn_bodies.input, turn_bodies.output"
+        " FROM turns JOIN turn_bodies USING (turn) WHERE turns.turn = ? AND turns.program = ?",
+        (turn, program),
+    ).fetchone()
+    return None if row is None else TurnRecord(turn, program, row[0], row[1], bytes(row[2]), bytes(row[3]))
+
+
 def take_over(
     connection: sqlite3.Connection, records: Sequence[TurnRecord], left_ms: Sequence[int], now_ms: int
 ) -> None:
--- a/dewpin/controlplane/turn_transfer.py
+++ b/dewpin/controlplane/turn_transfer.py
@@ -31,7 +31,7 @@
 
 def body_request(entries: Sequence[IndexEntry]) -> TurnsRequest:
     """Return the request for the turns of `entries`."""
-    return TurnsRequest([key_of(entry) for entry in entries], BODY_BYTES_IN_REQUEST)
+    return TurnsRequest([key_of(entry) for entry in entries], BODY_BYTES_IN_REQUEST, raw=True)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +50,11 @@
         gone = frozenset(left_ms.keys() - set(keys) - set(answer.unread))
         return FetchedTurns(tuple(answer.records), tuple(left_ms[key] for key in keys), gone)
 
+    @property
+    def done(self) -> frozenset[Key]:
+        """The keys of all turns that need no further request."""
+        return self.gone.union((record.turn, record.program) for record in self.records)
+
     @property
     def body_bytes(self) -> int:
         """The bytes of all bodies."""
--- a/tests/cluster/test_netstring.py
+++ b/tests/cluster/test_netstring.py
@@ -4,7 +4,15 @@
 
 from dewpin.cluster.netstring import Decoder, FrameError, encode
 
-MESSAGES = [{}, {"type": "a", "text": "é,:1"}, {"list": [1, 2.5, None, True]}]
+EVERY_BYTE = bytes(range(256))
+MESSAGES = [
+    {},
+    {"type": "a", "text": "é,:1"},
+    {"type": "b", "raw": EVERY_BYTE},
+    {"list": [1, 2.5, None, True]},
+    {"raw": b""},
+    {"raw": b"2:{},"},
+]
 STREAM = b"".join(encode(message) for message in MESSAGES)
 
 
@@ -12,6 +20,10 @@
     assert encode({"a": 1}) == b'7:{"a":1},'
 
 
+def test_raw_bytes_stand_in_a_second_netstring_behind_the_json_that_tells_their_number():
+    assert encode({"a": 1, "raw": b"\x00\xff,"}) == b'15:{"a":1,"raw":3},3:\x00\xff,,'
+
+
 @pytest.mark.parametrize("cut", range(len(STREAM) + 1))
 def test_messages_come_out_whole_wherever_the_stream_is_cut(cut):
     decoder = Decoder()
@@ -46,6 +58,16 @@
         b"999999999999999",
         b"\x00\x01\x02\x03\x04\x05\x06\x07\x08\x09\x0a",
         b"2:\xff\xfe,",
+        b'9:{"raw":2},3:abc,',
+        b'9:{"raw":3},2:ab,',
+        b'9:{"raw":2},2:{}x',
+        b'9:{"raw":2},{"a":1},',
+        b'10:{"raw":-1},',
+        b'11:{"raw":1.0},1:a,',
+        b'12:{"raw":true},1:a,',
+        b'11:{"raw":"1"},1:a,',
+        b'12:{"raw":null},',
+        b'18:{"raw":9999999999},',
     ],
 )
 def test_garbage_is_refused(garbage):
@@ -57,3 +79,29 @@
     with pytest.raises(FrameError):
         Decoder(most_bytes=10).feed(b"11:")
     assert Decoder(most_bytes=10).feed(b'10:{"a":1234},') == [{"a": 1234}]
+
+
+def test_nothing_comes_out_before_the_raw_bytes_are_whole():
+    decoder = Decoder()
+    assert decoder.feed(b'9:{"raw":2},2:ab') == []
+    assert decoder.feed(b",2:{},") == [{"raw": b"ab"}, {}]
+
+
+@pytest.mark.parametrize("raw", [b"1:a,", b"3:abc,"])
+def test_raw_bytes_of_another_length_than_told_are_refused(raw):
+    with pytest.raises(FrameError):
+        Decoder().feed(b'9:{"raw":2},' + raw)
+
+
+def test_raw_bytes_over_the_bound_are_refused_at_either_end():
+    with pytest.raises(FrameError):
+        encode({"raw": bytes(20)}, most_bytes=19)
+    with pytest.raises(FrameError):
+        Decoder(most_bytes=19).feed(b'10:{"raw":20},')
+    assert Decoder(most_bytes=20).feed(encode({"raw": bytes(20)}, most_bytes=20)) == [{"raw": bytes(20)}]
+
+
+@pytest.mark.parametrize("raw", [1, "text", [1]])
+def test_raw_bytes_are_bytes(raw):
+    with pytest.raises(FrameError):
+        encode({"raw": raw})
--- a/tests/cluster/test_rpc_frames.py
+++ b/tests/cluster/test_rpc_frames.py
@@ -38,3 +38,17 @@
 def test_what_is_no_request_is_refused(wrong):
     with pytest.raises(BadFrame):
         RequestFrame.decode(wrong)
+
+
+def test_raw_bytes_of_a_message_stand_behind_the_frame_and_come_back_in_the_message():
+    message = {"type": "store.pulled", "raw": bytes(range(256))}
+    wire = AnswerFrame(7, message).encode()
+    assert wire == b'51:{"v":1,"r":7,"m":{"type":"store.pulled"},"raw":256},256:' + message["raw"] + b","
+    (read,) = Decoder().feed(wire)
+    assert AnswerFrame.decode(read) == AnswerFrame(7, message)
+    assert message["raw"] == bytes(range(256))
+
+
+def test_raw_bytes_in_the_json_part_are_refused():
+    with pytest.raises(BadFrame):
+        RequestFrame.decode({"v": 1, "n": 7, "m": {"type": "a", "raw": 3}})
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import contextlib
-import json
 import random
 
-from store_world import MemoryDisk
+from store_world import MemoryDisk, over_the_wire
 
 from dewpin.cluster.rpc import RpcError, error_message
 from dewpin.controlplane.register import SystemRegister
@@ -91,11 +90,11 @@
         self.source = source
 
     async def call(self, address, message, timeout_s):
-        message = json.loads(json.dumps(message))
+        message = over_the_wire(message)
         self.network.calls.append((self.source, address, message["type"]))
         self.network.on_call(self.source, address, message)
         try:
-            return json.loads(json.dumps(await asyncio.wait_for(self._call(address, message), timeout_s)))
+            return over_the_wire(await asyncio.wait_for(self._call(address, message), timeout_s))
         except TimeoutError:
             raise RpcError("timeout", address) from None
 
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -13,6 +13,7 @@
 from dewpin.consensus import Ballot
 from dewpin.controlplane import ledger_replica, turn_table
 from dewpin.controlplane.store import RETAIN_MARGIN_MS
+from dewpin.controlplane.transfer_messages import TurnsAnswer
 from dewpin.dataplane.program_store import BudgetSpent, TurnUnknown
 
 
@@ -380,7 +381,7 @@
 def noting_turns(handler, fetched):
     async def note(message):
         answer = await handler(message)
-        fetched.extend(value["turn"] for value in answer["turns"])
+        fetched.extend(record.turn for record in TurnsAnswer.decode(answer).records)
         return answer
 
     return note
--- /dev/null
+++ b/tests/controlplane/test_store_copy.py
@@ -0,0 +1,225 @@
+"""The copying of turns for a change of the view: its messages between releases, faults on the way, load on the disk."""
+
+import asyncio
+
+import pytest
+from store_world import World, run, turn
+
+from dewpin.cluster import store_messages as wire
+from dewpin.cluster.store_view import StoreView
+from dewpin.controlplane import sync, turn_table, turn_transfer
+from dewpin.controlplane.turn_table import IndexEntry
+from dewpin.controlplane.turn_transfer import TURNS_IN_REQUEST
+
+EVERY_BYTE = bytes(range(256))
+
+
+async def filled(turns=40, body=EVERY_BYTE):
+    """A world whose stores a, b and c hold `turns` turns, and d none."""
+    world = World(names="abcd", in_view="abc")
+    client = world.client()
+    for number in range(turns):
+        await client.append(turn(f"t{number:04}", program=f"p{number}", body=body), 1.0)
+    await client.settled()
+    client.close()
+    return world
+
+
+def change(world):
+    """Begin the change in which d takes the place of a."""
+    world.machines["a"].up = False
+    world.tell(StoreView(world.view.epoch + 1, world.members("abc"), world.members("bcd")))
+
+
+def bodies_of(machine):
+    return machine.disk.connection.execute("SELECT turn, input, output FROM turn_bodies ORDER BY turn").fetchall()
+
+
+async def until_copied(world, name="d"):
+    epoch = world.view.epoch
+    await world.until(lambda: epoch in world.machines[name].synced)
+
+
+def wrap(world, names, kind, wrapped):
+    """Let `wrapped(handler, message)` answer the requests of `kind` at the machines of `names`."""
+    for name in names:
+        handlers = world.machines[name].store.handlers
+        handler = handlers[kind]
+        handlers[kind] = lambda message, handler=handler: wrapped(handler, message)
+
+
+def test_bodies_are_copied_byte_for_byte_and_raw():
+    async def scene():
+        world = await filled()
+        raw = []
+
+        async def noting(handler, message):
+            answer = await handler(message)
+            raw.append("raw" in answer and "turns" not in answer)
+            return answer
+
+        wrap(world, "bc", wire.PULL_TURNS, noting)
+        change(world)
+        await until_copied(world)
+        assert bodies_of(world.machines["d"]) == bodies_of(world.machines["b"])
+        assert len(bodies_of(world.machines["d"])) == 40
+        assert raw and all(raw)
+
+    run(scene())
+
+
+def test_a_source_of_an_earlier_release_answers_in_json_and_is_understood():
+    async def scene():
+        world = await filled()
+
+        async def earlier(handler, message):
+            answer = await handler({key: value for key, value in message.items() if key != "raw_bodies"})
+            assert "raw" not in answer
+            return answer
+
+        wrap(world, "bc", wire.PULL_TURNS, earlier)
+        change(world)
+        await until_copied(world)
+        assert bodies_of(world.machines["d"]) == bodies_of(world.machines["b"])
+
+    run(scene())
+
+
+def cut_short(answer):
+    return {**answer, "raw": answer["raw"][:-1]}
+
+
+def without_rows(answer):
+    return {key: value for key, value in answer.items() if key != "rows"}
+
+
+def never_asked_for(answer):
+    return {**answer, "rows": [["other", "p", None, 1, 0, len(answer["raw"])]]}
+
+
+@pytest.mark.parametrize("spoil", [cut_short, without_rows, never_asked_for])
+def test_an_answer_that_cannot_be_read_is_asked_for_again(spoil):
+    async def scene():
+        world = await filled()
+        spoilt = []
+
+        async def spoiling(handler, message):
+            answer = await handler(message)
+            if len(spoilt) < 4:
+                spoilt.append(1)
+                return spoil(answer)
+            return answer
+
+        wrap(world, "bc", wire.PULL_TURNS, spoiling)
+        change(world)
+        await until_copied(world)
+        assert len(spoilt) == 4
+        assert bodies_of(world.machines["d"]) == bodies_of(world.machines["b"])
+
+    run(scene())
+
+
+def test_a_copy_that_was_interrupted_goes_on_with_what_lacks(monkeypatch):
+    monkeypatch.setattr(sync, "TURNS_IN_REQUEST", 10)
+
+    async def scene():
+        world = await filled()
+        asked = []
+
+        async def noting(handler, message):
+            asked.extend(turn for turn, _ in message["keys"])
+            answer = await handler(message)
+            if len(asked) == 20:
+                await asyncio.sleep(3600)
+            return answer
+
+        wrap(world, "bc", wire.PULL_TURNS, noting)
+        change(world)
+        await world.until(lambda: len(bodies_of(world.machines["d"])) >= 10)
+        kept = {name for name, _, _ in bodies_of(world.machines["d"])}
+        world.machines["d"].sync.stop()
+        world.machines["d"].restart()
+        del asked[:]
+        asked.append("of the interrupted copy")
+        world.tell(StoreView(world.view.epoch + 1, world.members("abc"), world.members("bcd")))
+        await until_copied(world)
+        assert kept.isdisjoint(asked)
+        assert bodies_of(world.machines["d"]) == bodies_of(world.machines["b"])
+
+    run(scene())
+
+
+def test_one_batch_of_a_copy_at_most_waits_for_the_disk(monkeypatch):
+    """A put shares its commit with what waits beside it, so it takes as long as all that."""
+    monkeypatch.setattr(sync, "TURNS_IN_REQUEST", 5)
+
+    async def scene():
+        world = await filled(turns=100)
+        disk = world.machines["d"].disk
+        transact, waiting, most = disk.transact, [], []
+
+        async def slow(work):
+            waiting.append(work)
+            most.append(len([one for one in waiting if "keep" in one.__qualname__]))
+            await asyncio.sleep(0.05)
+            waiting.remove(work)
+            return await transact(work)
+
+        monkeypatch.setattr(disk, "transact", slow)
+        change(world)
+        await until_copied(world)
+        assert max(most) == 1
+        assert bodies_of(world.machines["d"]) == bodies_of(world.machines["b"])
+
+    run(scene())
+
+
+def test_large_bodies_take_as_many_requests_as_they_need(monkeypatch):
+    monkeypatch.setattr(turn_transfer, "BODY_BYTES_IN_REQUEST", 1000)
+
+    async def scene():
+        world = await filled(turns=20, body=bytes(900))
+        change(world)
+        await until_copied(world)
+        assert len(bodies_of(world.machines["d"])) == 20
+
+    run(scene())
+
+
+def test_a_source_that_falls_silent_leaves_its_part_to_the_others():
+    async def scene():
+        world = await filled()
+        asked = []
+
+        async def silent(handler, message):
+            asked.append(message["to"])
+            await asyncio.sleep(3600)
+
+        wrap(world, "b", wire.PULL_TURNS, silent)
+        change(world)
+        d = world.machines["d"]
+        await world.until(lambda: len(bodies_of(d)) == 40)
+        assert asked
+
+    run(scene())
+
+
+@pytest.mark.parametrize("held", [0, 3, 200])
+def test_what_of_a_page_is_missing(held):
+    async def scene():
+        world = await filled(turns=held)
+        connection = world.machines["b"].disk.connection
+        entries = [IndexEntry(f"t{number:04}", f"p{number}", 1) for number in (0, 2, 3, 199, 500)]
+        expected = turn_table.missing(connection, entries)
+        assert turn_table.missing_of_page(connection, entries) == expected
+        assert [entry.turn for entry in expected] == [entry.turn for entry in entries if int(entry.turn[1:]) >= held]
+        assert turn_table.missing_of_page(connection, []) == []
+        other = [IndexEntry("t0000", "another program", 1)]
+        assert turn_table.missing_of_page(connection, other) == other
+
+    run(scene())
+
+
+def test_a_batch_of_a_copy_is_bounded():
+    assert TURNS_IN_REQUEST <= 500
+    assert turn_transfer.BODY_BYTES_IN_REQUEST <= 1024 * 1024
--- a/tests/controlplane/test_transfer_messages.py
+++ b/tests/controlplane/test_transfer_messages.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dewpin.cluster.netstring import Decoder, encode
 from dewpin.cluster.store_messages import TurnRecord
 from dewpin.consensus import Ballot
 from dewpin.controlplane.ledger_replica import LedgerRecord
@@ -29,6 +30,7 @@
     (IndexRequest("m", ("t1", "p"), 2000), '{"member": "m", "after": ["t1", "p"], "most": 2000}'),
     (ArrivalsRequest("m", 7, 90, 500), '{"member": "m", "after": 7, "until": 90, "most": 500}'),
     (TurnsRequest([("t1", "p"), ("t2", "q")], 9), '{"keys": [["t1", "p"], ["t2", "q"]], "most_bytes": 9}'),
+    (TurnsRequest([("t1", "p")], 9, raw=True), '{"keys": [["t1", "p"]], "most_bytes": 9, "raw_bodies": true}'),
     (LedgersRequest("m", "p", 500), '{"member": "m", "after": "p", "most": 500}'),
 ]
 ANSWERS = [
@@ -65,3 +67,35 @@
     page = LedgersPage([LEDGER], "p")
     assert page.encode() == {"type": "store.pulled", "ledgers": [LEDGER.to_json()], "after": "p"}
     assert LedgersPage.decode(json.loads(json.dumps(page.encode()))) == page
+
+
+EVERY_BYTE = bytes(range(256))
+TURNS = [
+    TURN,
+    TurnRecord("t2", "ü", "t1", 1, b"", EVERY_BYTE),
+    TurnRecord("t3", "p", "t2", 2, EVERY_BYTE, b""),
+]
+
+
+def test_bodies_of_every_byte_travel_raw_and_come_back_as_they_were():
+    message = TurnsAnswer(TURNS, [("t4", "q")]).encode_raw()
+    assert message["raw"] == b"\xe4out" + EVERY_BYTE + EVERY_BYTE
+    (read,) = Decoder().feed(encode(message))
+    assert TurnsAnswer.decode(read) == TurnsAnswer(TURNS, [("t4", "q")])
+
+
+@pytest.mark.parametrize(
+    ("rows", "raw"),
+    [
+        ([["t1", "p", None, 1, 2, 3]], b"1234"),
+        ([["t1", "p", None, 1, 2, 3]], b"123456"),
+        ([["t1", "p", None, 1, -2, 7]], b"12345"),
+        ([["t1", "p", None, 1, 7, -2]], b"12345"),
+        ([["t1", "p", None, 1, 5]], b"12345"),
+        ([["t1", "p", None, 1, "2", "3"]], b"12345"),
+        ([], b"1"),
+    ],
+)
+def test_rows_that_do_not_fit_the_raw_bytes_are_refused(rows, raw):
+    with pytest.raises((TypeError, ValueError)):
+        TurnsAnswer.decode({"type": "store.pulled", "rows": rows, "unread": [], "raw": raw})
--- a/tests/store_world.py
+++ b/tests/store_world.py
@@ -6,6 +6,7 @@
 import selectors
 import sqlite3
 
+from dewpin.cluster.netstring import Decoder, encode
 from dewpin.cluster.rpc import RpcError
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.controlplane import storage as storage_module
@@ -22,6 +23,12 @@
     return Turn(name, program, previous, b"<" + name.encode() + body, b">", retain_s)
 
 
+def over_the_wire(message):
+    """A message as the other side reads it."""
+    (read,) = Decoder().feed(encode(message))
+    return read
+
+
 class _JumpingSelector(selectors.SelectSelector):
     """Lets the clock jump to the next timer instead of waiting for it."""
 
@@ -151,14 +158,14 @@
         machine.seen.append(message["type"])
         handler = machine.store.handlers[message["type"]]
         try:
-            answer = await handler(json.loads(json.dumps(message)))
+            answer = await handler(over_the_wire(message))
         except RpcError as error:
             fields = json.loads(json.dumps(error.message))
             raise RpcError(error.kind, error.detail, fields) from None
         self.world.after_answer(machine, message)
         if machine.loses_answers:
             await asyncio.sleep(3600)
-        return json.loads(json.dumps(answer))
+        return over_the_wire(answer)
 
 
 class World:
