--- a/tests/scripted/network.py
+++ b/tests/scripted/network.py
@@ -1,14 +1,20 @@
 """A network that carries calls whole between processes of one test, with links that are cut."""
 
 import asyncio
-import json
 
+from dewpin.cluster.netstring import Decoder, encode
 from dewpin.cluster.rpc import RpcError, error_message
 
 LATENCY_S = 0.002
 FOREVER_S = 1e6
 
 
+def over_the_wire(message):
+    """A message as the other side reads it."""
+    (read,) = Decoder().feed(encode(message))
+    return read
+
+
 class Network:
     """Carries calls between addresses."""
 
@@ -57,11 +63,11 @@
         self.source = source
 
     async def call(self, address, message, timeout_s):
-        message = json.loads(json.dumps(message))
+        message = over_the_wire(message)
         self.network.calls.append((self.source, address, message["type"]))
         self.network.on_call(self.source, address, message)
         try:
-            return json.loads(json.dumps(await asyncio.wait_for(self._call(address, message), timeout_s)))
+            return over_the_wire(await asyncio.wait_for(self._call(address, message), timeout_s))
         except TimeoutError:
             raise RpcError("timeout", address) from None
 
@@ -85,7 +91,7 @@
         try:
             return await handler(message)
         except RpcError as fault:
-            return json.loads(json.dumps({**fault.message, **error_message(fault.kind, fault.detail)}))
+            return over_the_wire({**fault.message, **error_message(fault.kind, fault.detail)})
 
     async def bring_back(self, address, message):
         """Return once the answer has come back."""
