Laboratory: nothing of a killed machine runs; rests in the simulated runs

Found 1: tasks that only a killed machine's own objects knew were closed by the collection of garbage, at any moment of a run: their finally blocks ran for no machine and opened connections. Test, seen to fail first: test_nothing_of_a_killed_machine_runs_when_its_objects_are_collected.

--- a/tests/lab/test_loop.py
+++ b/tests/lab/test_loop.py
@@ -1,5 +1,6 @@
 """Simulated time: order, kills, pauses and clocks, and the same digest whatever the hashes."""
 import asyncio
+import gc
 import os
 import subprocess
 import sys
@@ -165,3 +166,31 @@
     loop.run(work(), 1000.0)
     assert heard == sorted(range(0, 1000, 4), key=lambda number: (number % 7, number))
     assert not loop._timers and loop._cancelled_timers == 0
+
+
+def test_nothing_of_a_killed_machine_runs_when_its_objects_are_collected():
+    """Seen to fail: a task that only its own future knew was closed by the collection of garbage, at any moment of the
+    run, and what stood in its `finally` ran for no machine."""
+    loop, heard = SimLoop(), []
+
+    async def wait_for_ever():
+        never = asyncio.get_running_loop().create_future()
+        never.itself = never
+        try:
+            await never
+        finally:
+            heard.append("closed")
+
+    async def serve():
+        asyncio.ensure_future(wait_for_ever())
+
+    async def watch():
+        machine = Machine(loop, "one")
+        machine.start(serve())
+        await asyncio.sleep(1.0)
+        machine.kill()
+        del machine
+        gc.collect()
+        await asyncio.sleep(1.0)
+        return list(heard)
+    assert loop.run(watch(), 10.0) == []
--- a/tests/simulation/contact.py
+++ b/tests/simulation/contact.py
@@ -32,6 +32,7 @@
         self._core_events_s = []
         self._kinds = {}
         self._lives = {}
+        self._rests = []
 
     # What befell
 
@@ -72,6 +73,13 @@
         if all(self._kinds.get(ip) == "store" for ip in ips):
             self._core_events_s.append(self._now())
 
+    def rest_began(self):
+        """More is lost at once than the system has to bear: service may rest, and no bound in time holds."""
+        self._rests.append(Span("all", self._now()))
+
+    def rest_ended(self):
+        self._end(self._rests, "all")
+
     def _end(self, spans, what):
         for span in spans:
             if span.what == what and span.end_s == INFINITY:
@@ -81,6 +89,8 @@
 
     def in_touch(self, ip, at_s):
         """Whether the machine is in touch at a moment."""
+        if self._rests_at(at_s):
+            return False
         from_s = at_s - self._contact_s
         if any(from_s <= event_s <= at_s for event_s in self._core_events_s):
             return False
@@ -91,6 +101,8 @@
 
     def is_outer(self, ip, since_s, at_s):
         """Whether only the core's troubles, none of them a loss of its majority, have befallen since a moment."""
+        if any(span.touches(since_s, at_s) for span in self._rests):
+            return False
         from_s = at_s - self._contact_s
         moments = [since_s, *[event_s for event_s in self._core_events_s if since_s < event_s <= at_s]]
         sides = [self._majority_side(moment_s) for moment_s in moments]
@@ -105,6 +117,9 @@
         spans = [*self._troubles, *self._cuts, *self._slow]
         return not any(span.touches(from_s, to_s) for span in spans)
 
+    def _rests_at(self, at_s):
+        return any(span.touches(at_s, at_s) for span in self._rests)
+
     def _is_calm(self, ip, from_s, to_s):
         if not any(life.start_s <= from_s and life.end_s >= to_s for life in self._lives.get(ip, ())):
             return False
--- a/tests/simulation/scenarios/overlapping_losses.py
+++ b/tests/simulation/scenarios/overlapping_losses.py
@@ -30,8 +30,10 @@
         await play.wait(1, 4)
         if play.dice.random() < 0.4:
             await _order_on_slow_disks(play)
+        world.oracle.contact.rest_began()
         await _losses(play)
         await asyncio.sleep(world.bounds["recovery_s"])
+        world.oracle.contact.rest_ended()
         await take_an_order(play)
         await read_back(play)
 
