--- a/tests/controlplane/test_ledger_losses.py
+++ b/tests/controlplane/test_ledger_losses.py
@@ -5,7 +5,8 @@
 import itertools
 
 import pytest
-from store_world import World, run
+from scripted.clock import run
+from scripted.stores import World
 
 from dewpin.cluster.store_view import StoreView
 from dewpin.dataplane.program_store import BudgetSpent, StoreUnavailable
--- a/tests/controlplane/test_ledger_retention.py
+++ b/tests/controlplane/test_ledger_retention.py
@@ -6,7 +6,9 @@
 from types import SimpleNamespace
 
 import pytest
-from store_world import MemoryDisk, World, run
+from scripted.clock import run
+from scripted.disk import MemoryDisk
+from scripted.stores import World
 
 from dewpin.cluster.configuration import longest_retain_s
 from dewpin.controlplane import ledger_replica, ledger_retention
--- a/tests/controlplane/test_store_copy.py
+++ b/tests/controlplane/test_store_copy.py
@@ -3,7 +3,8 @@
 import asyncio
 
 import pytest
-from store_world import World, run, turn
+from scripted.clock import run
+from scripted.stores import World, turn
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.store_view import StoreView
