Simulated runs: directed scenarios find the wrong variants left over

Drawn trouble seldom has the order of events that they need.

Change: five scenarios that bring that order about, drawn by seed: races, short_cuts, moved_ledgers, retired_at_once, lone_writes. Each variant counts where it decides otherwise than the right text, and the command prints it. A member that forgets promises forgets the counter of its ballots too; otherwise its first read outbids what it forgot.

Ruled out: a copy that is left out does not show in turns, since their repair brings them back in time; budgets show it.

--- a/tests/simulation/clients.py
+++ b/tests/simulation/clients.py
@@ -65,6 +65,18 @@
         task = asyncio.ensure_future(self._run_program(program, self.dice.randint(2, 14)))
         return task
 
+    def add_program(self, most, turns_in_budget):
+        """A program whose turns a scenario takes one by one (`take_turn`)."""
+        self.started += 1
+        program = self.oracle.program(f"program-{self.started}", most * turns_in_budget, most)
+        self.programs.append(program)
+        return program
+
+    async def take_turn(self, front, program, previous=None):
+        """One try of one turn at a front: the turn's id, and how the try ended (`_client_try`)."""
+        turn = self._new_turn()
+        return turn, await self._client_try(front, program, turn, previous)
+
     async def _run_program(self, program, turns):
         previous, failures = None, 0
         while turns and failures < 8:
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -23,7 +23,9 @@
 
 
 def test_there_is_a_scenario_for_each_of_the_five_points():
-    assert SCENARIOS == ["answers", "catch_up", "cut_off", "orders", "second_loss"]
+    drawn = ["answers", "catch_up", "cut_off", "orders", "second_loss"]
+    directed = ["lone_writes", "moved_ledgers", "races", "retired_at_once", "short_cuts"]
+    assert sorted(drawn + directed) == SCENARIOS
 
 
 @pytest.mark.parametrize("scenario", SCENARIOS)
@@ -42,7 +44,16 @@
 
 
 @pytest.mark.parametrize(
-    "variant", ["acknowledge before the sync", "refuse a repeated order", "renew without a majority"]
+    "variant",
+    [
+        "acknowledge before the sync",
+        "refuse a repeated order",
+        "renew without a majority",
+        "count a wiped member",
+        "take what one member accepted as chosen",
+        "copy nothing",
+        "write a turn to one replica",
+    ],
 )
 def test_a_wrong_variant_is_found(variant):
     done = subprocess.run(
--- a/tests/simulation/wrong_variants.py
+++ b/tests/simulation/wrong_variants.py
@@ -1,6 +1,7 @@
 """Wrong variants of the programs, with the scenario that has to find each: `python -m tests.simulation.wrong_variants`.
 
-A variant is put in place in a process of its own; the seeds are tried one after the other until one breaks a rule.
+A variant is put in place in a process of its own; the seeds are tried one after the other until one breaks a rule. Each
+counts how often it decided otherwise than the right text: one that never does shows nothing.
 """
 
 import argparse
@@ -10,7 +11,7 @@
 from dataclasses import dataclass, replace
 from functools import partial
 
-from dewpin.cluster import rpc
+from dewpin.cluster import relay_service, rpc
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus import proposal
 from dewpin.controlplane import ledger_replica, operator_api, reconfiguration
@@ -36,12 +37,33 @@
     most_seeds: int
 
 
+@dataclass(frozen=True)
+class Trial:
+    """How a variant fared: the seed that found it and what it broke, None without; how many seeds were run, and how
+    often the variant decided otherwise than the right text in them."""
+
+    seed: int | None
+    broken: str | None
+    seeds: int
+    deviations: int
+
+
+_deviations = 0
+
+
+def _deviates(is_other=True):
+    """Count a decision that the right text would not have made, if it is one."""
+    global _deviations
+    _deviations += bool(is_other)
+
+
 def _acknowledge_before_sync():
     make = Disk.__init__
 
     def made(self, *given):
         make(self, *given)
         self.acknowledges_early = True
+        _deviates()
 
     Disk.__init__ = made
 
@@ -51,7 +73,9 @@
 
     async def loaded(self):
         await load(self)
+        _deviates(self._replica.promised != self._replica.accepted)
         self._replica.promised = self._replica.accepted
+        self._counter = self._replica.promised.counter
 
     SystemRegister.load = loaded
 
@@ -64,12 +88,19 @@
         empty(self)
         if before is not None:
             self.disk.incarnation = before.incarnation
+            _deviates()
 
     StoreHost.put_in_empty_disk = emptied
 
 
 def _take_what_one_member_accepted_as_chosen():
-    proposal.Proposal._is_chosen = lambda self, sets: True
+    is_chosen = proposal.Proposal._is_chosen
+
+    def taken(self, sets):
+        _deviates(not is_chosen(self, sets))
+        return True
+
+    proposal.Proposal._is_chosen = taken
 
 
 def _read_without_a_majority():
@@ -79,13 +110,22 @@
 def _from_what_is_known(agreed):
     def known(self, change):
         state = self._register.newest
-        return state if state is not None and change(state) is state else agreed(self, change)
+        if state is None or change(state) is not state:
+            return agreed(self, change)
+        _deviates()
+        return state
 
     return known
 
 
 def _renew_without_a_majority():
-    RegisterConfirmation.is_current = lambda self: True
+    is_current = RegisterConfirmation.is_current
+
+    def current(self):
+        _deviates(not is_current(self))
+        return True
+
+    RegisterConfirmation.is_current = current
     RegisterConfirmation.age_s = lambda self: 0.0
 
 
@@ -97,6 +137,7 @@
 
         def changed(state):
             if [state["configuration"] and state["configuration"]["generation"]] == [given[1]]:
+                _deviates()
                 raise operator_api.AnotherVersionIsCurrent("refused again")
             return change(state)
 
@@ -106,11 +147,18 @@
 
 
 def _finish_a_view_before_all_have_copied():
-    reconfiguration._all_synced = lambda stores, epoch, knowledge: True
+    all_synced = reconfiguration._all_synced
+
+    def synced(stores, epoch, knowledge):
+        _deviates(not all_synced(stores, epoch, knowledge))
+        return True
+
+    reconfiguration._all_synced = synced
 
 
 def _copy_nothing():
     async def at_once(self, view):
+        _deviates(self._store.member_id in view.next_ids)
         self._on_synced(view.epoch)
 
     StoreSync._run = at_once
@@ -121,22 +169,39 @@
 
     def early(state, knowledge):
         for name in state["retiring"]:
+            _deviates(done(state, knowledge) is None)
             return reconfiguration.finish_retirement(name)
-        return done(state, knowledge)
+        return None
 
     reconfiguration._retirement_that_is_done = early
 
 
 def _write_a_turn_to_one_replica():
-    turn_client.has_majorities = lambda sets, stored: bool(stored)
+    has_majorities = turn_client.has_majorities
+
+    def stored_once(sets, stored):
+        _deviates(stored and not has_majorities(sets, stored))
+        return bool(stored)
+
+    turn_client.has_majorities = stored_once
 
 
 def _believe_one_store_that_denies_a_turn():
-    StoreView.most_silent = lambda self, count: len(self.stable) - 1
+    most_silent = StoreView.most_silent
+
+    def all_but_one(self, count):
+        _deviates(most_silent(self, count) < len(self.stable) - 1)
+        return len(self.stable) - 1
+
+    StoreView.most_silent = all_but_one
 
 
 def _two_majorities_that_do_not_meet():
-    proposal.majority_of = lambda members: max(1, len(members) // 2)
+    def half_of(members):
+        _deviates()
+        return max(1, len(members) // 2)
+
+    proposal.majority_of = half_of
 
 
 def _give_a_reservation_back_twice():
@@ -144,6 +209,7 @@
         def change(value):
             if value is None or turn not in value["open"]:
                 return value
+            _deviates()
             left = {other: most for other, most in value["open"].items() if other != turn}
             return ledger.Ledger(spent=max(0, value["spent"] + used - value["open"][turn]), open=left)
 
@@ -153,27 +219,40 @@
 
 
 def _take_any_state_that_is_told():
-    take = ClusterAgent._take_news
+    """Both guards are gone: a parent tells what it has, newer or not, and its child takes it."""
+    take, tell = ClusterAgent._take_news, relay_service._news
 
     def taken(self, news, asked_s):
         if news.state is not None:
+            _deviates(self.state is not None and news.state["version"] < self.state["version"])
             self.state = None
         take(self, news, asked_s)
 
+    def told(knowledge, request):
+        return replace(tell(knowledge, request), state=knowledge.state)
+
     ClusterAgent._take_news = taken
-    ClusterAgent._state_version = lambda self: -1
+    relay_service._news = told
 
 
 def _answer_under_any_epoch():
+    """Both guards are gone: the check before the disk is asked, and the one behind it."""
     check = Store._check
 
     def checked(self, message):
         view = self.view
         if view is not None and message.get("to") == self.member_id:
+            _deviates(message.get("epoch") != view.epoch)
             return view
         return check(self, message)
 
+    async def transact(self, view_epoch, work):
+        view = self.view
+        return await make_transaction(self, view.epoch if view is not None else view_epoch, work)
+
+    make_transaction = Store._transact
     Store._check = checked
+    Store._transact = transact
 
 
 def _take_an_answer_without_its_number():
@@ -184,7 +263,9 @@
 
         class InTheirOrder(dict):
             def pop(self, number, default=None):
-                return waiting.pop(next(iter(waiting), number), default)
+                first = next(iter(waiting), number)
+                _deviates(first != number)
+                return waiting.pop(first, default)
 
         self._waiting = InTheirOrder(waiting)
         try:
@@ -197,57 +278,67 @@
 
 def _count_a_copied_ledger_as_a_vote():
     load = ledger_replica.load
-    ledger_replica.load = lambda connection, program: replace(load(connection, program), copied=False)
+
+    def voted(connection, program):
+        replica = load(connection, program)
+        _deviates(replica.copied)
+        return replace(replica, copied=False)
+
+    ledger_replica.load = voted
 
 
 VARIANTS = {
     "acknowledge before the sync": Variant(_acknowledge_before_sync, "orders", 60),
-    "forget promises over a restart": Variant(_forget_promises_over_a_restart, "orders", 100),
-    "count a wiped member": Variant(_count_a_wiped_member, "catch_up", 60),
-    "take what one member accepted as chosen": Variant(_take_what_one_member_accepted_as_chosen, "orders", 60),
+    "forget promises over a restart": Variant(_forget_promises_over_a_restart, "races", 40),
+    "count a wiped member": Variant(_count_a_wiped_member, "races", 5),
+    "take what one member accepted as chosen": Variant(_take_what_one_member_accepted_as_chosen, "races", 5),
     "read without a majority": Variant(_read_without_a_majority, "cut_off", 20),
     "renew without a majority": Variant(_renew_without_a_majority, "cut_off", 20),
     "refuse a repeated order": Variant(_refuse_a_repeated_order, "orders", 10),
     "finish a view before all have copied": Variant(_finish_a_view_before_all_have_copied, "second_loss", 60),
-    "copy nothing": Variant(_copy_nothing, "second_loss", 60),
-    "let a leaving store go early": Variant(_let_a_leaving_store_go_early, "second_loss", 60),
-    "write a turn to one replica": Variant(_write_a_turn_to_one_replica, "second_loss", 60),
+    "copy nothing": Variant(_copy_nothing, "moved_ledgers", 5),
+    "let a leaving store go early": Variant(_let_a_leaving_store_go_early, "retired_at_once", 5),
+    "write a turn to one replica": Variant(_write_a_turn_to_one_replica, "lone_writes", 5),
     "believe one store that denies a turn": Variant(_believe_one_store_that_denies_a_turn, "second_loss", 60),
     "two majorities that do not meet": Variant(_two_majorities_that_do_not_meet, "orders", 20),
     "give a reservation back twice": Variant(_give_a_reservation_back_twice, "orders", 20),
-    "take any state that is told": Variant(_take_any_state_that_is_told, "cut_off", 20),
-    "answer under any epoch": Variant(_answer_under_any_epoch, "second_loss", 60),
+    "take any state that is told": Variant(_take_any_state_that_is_told, "short_cuts", 5),
+    "answer under any epoch": Variant(_answer_under_any_epoch, "lone_writes", 20),
     "take an answer without its number": Variant(_take_an_answer_without_its_number, "answers", 20),
     "count a copied ledger as a vote": Variant(_count_a_copied_ledger_as_a_vote, "second_loss", 60),
 }
 
 
-def first_broken(name, most_seeds=None):
-    """The first seed that finds a variant, and what it breaks; None where none does."""
+def first_broken(name, scenario=None, most_seeds=None):
+    """Run a variant until a seed finds it."""
     variant = VARIANTS[name]
     variant.put_in_place()
-    for seed in range(1, (most_seeds or variant.most_seeds) + 1):
-        result = run(variant.scenario, seed)
+    most_seeds = most_seeds or variant.most_seeds
+    for seed in range(1, most_seeds + 1):
+        result = run(scenario or variant.scenario, seed)
         if result.broken:
-            return seed, result.broken[0]
-    return None
+            return Trial(seed, result.broken[0], seed, _deviations)
+    return Trial(None, None, most_seeds, _deviations)
 
 
 def main():
     parser = argparse.ArgumentParser(prog="python -m tests.simulation.wrong_variants", description=__doc__)
     parser.add_argument("--variant", action="append", choices=sorted(VARIANTS), help="default: all")
+    parser.add_argument("--scenario", help="in place of the one that has to find the variant")
+    parser.add_argument("--seeds", type=int, help="at most, in place of the variant's own bound")
     parser.add_argument("--jobs", type=int, default=4)
     given = parser.parse_args()
     names = given.variant or list(VARIANTS)
     missed = 0
     with ProcessPoolExecutor(given.jobs, max_tasks_per_child=1) as pool:
         began_s = time.monotonic()
-        asked = {pool.submit(partial(first_broken, name)): name for name in names}
+        asked = {pool.submit(partial(first_broken, name, given.scenario, given.seeds)): name for name in names}
         for future in as_completed(asked):
-            name, found = asked[future], future.result()
-            missed += found is None
-            told = f"seed {found[0]}: {found[1]}" if found else f"NOT FOUND in {VARIANTS[name].most_seeds} seeds"
-            print(f"{name} ({VARIANTS[name].scenario}): {told}", flush=True)
+            name, trial = asked[future], future.result()
+            missed += trial.seed is None
+            told = f"seed {trial.seed}: {trial.broken}" if trial.seed else f"NOT FOUND in {trial.seeds} seeds"
+            scenario = given.scenario or VARIANTS[name].scenario
+            print(f"{name} ({scenario}, {trial.deviations} deviations): {told}", flush=True)
     print(f"{len(names)} variants, {missed} not found; {time.monotonic() - began_s:.0f} s")
     return 1 if missed else 0
 
