--- a/tests/simulation/recovery.py
+++ b/tests/simulation/recovery.py
@@ -4,6 +4,8 @@
 
 LONGEST_ORDER_S = 30.0
 READ_WITHIN_S = 2.0
+PROGRAMS_AT_A_FRONT = 6
+TRIES_OF_A_TURN = 4
 
 
 async def take_an_order(play):
@@ -30,3 +32,16 @@
         if not front.is_ready:
             oracle.breaks("RECOVER", f"{front.name} is not ready after the trouble")
     await play.clients.read_everything(play.dice.choice(world.fronts()), world.loop.now + READ_WITHIN_S)
+
+
+async def turns_are_taken(play):
+    """New programs get turns at every front. Programs differ in the stores that hold them, so there are a few."""
+    for front in play.world.fronts():
+        for _ in range(PROGRAMS_AT_A_FRONT):
+            program = play.clients.add_program(most=40, turns_in_budget=10)
+            ends = []
+            while len(ends) < TRIES_OF_A_TURN and "done" not in ends:
+                _, status = await play.clients.take_turn(front, program)
+                ends.append(status)
+            if "done" not in ends:
+                play.world.oracle.breaks("RECOVER", f"{front.name} takes no turn of {program.name}: {ends}")
