Model check: settlements, changing members and late answers

Cause: the models left out settlements through a change of the view, changes of members under majority contact, and answers that come later than their request is handled; contact with a heartbeat in each tick was cut off.

Change: a settlement begun before the change of the view and retried after it, counted exactly once; MajorityContact while members and former_members differ; answers as messages of their own, delayed, doubled or lost. Reductions, argued in the docstrings: a whole copy is remembered as such; nothing is where no ballot begins after the change; which version an answer tells is decided on its arrival; overtaken heartbeats are left out.

--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from tests.model import ledger_model, register_model
-from tests.model.contact_model import ContactModel
+from tests.model.contact_model import C_FOR_D, C_FOR_D_BEGINS, C_FOR_D_ENDS, SELF_FOR_D, ContactModel
 from tests.model.explorer import Model
 from tests.model.ledger_model import LedgerModel
 from tests.model.register_model import RegisterModel
@@ -40,6 +40,19 @@
     return LedgerModel(ledger_model.Bounds(operations, BUDGET, ballots, clocks_ms, **bounds))  # type: ignore[arg-type]
 
 
+def _settlement(
+    reserved_at: str,
+    other: ledger_model.Operation = READ_LEDGER,
+    other_epochs: tuple[tuple[int, ...], ...] = (CHANGED,),
+    **bounds: object,
+) -> Model:
+    """A settlement whose first ballot begins before the change and the second one after it, and another sender."""
+    operations = ((EARLY, SETTLE_EARLY), (other,))
+    epochs = ((STABLE, STABLE, CHANGED), other_epochs)
+    ballots = (3, len(other_epochs))
+    return _ledger(operations, ballots, epochs_by_sender=epochs, reserved_at=reserved_at, **bounds)
+
+
 QUICK: dict[str, Callable[[], Model]] = {
     "register: two orders, two ballots each": lambda: _register(
         (ORDER_X,), (ORDER_Y,), ballots=_ballots(2, 2), skips=(0, 1)
@@ -67,6 +80,12 @@
     "register: a wiped member is replaced": lambda: _register(
         (ORDER_X,), (REPLACE_WIPED_C, SETTLE, READ), ballots=_ballots(1, 3), wipes="c"
     ),
+    "register: two orders, answers come late": lambda: _register(
+        (ORDER_X,), (ORDER_Y,), ballots=_ballots(1, 2), late_answers=True
+    ),
+    "ledgers: two reservations, answers come late": lambda: _ledger(
+        ((EARLY,), (LATE,)), (1, 1), epochs=(STABLE,), late_answers=True
+    ),
     "ledgers: two reservations": lambda: _ledger(((EARLY,), (LATE,)), (2, 2), epochs=(STABLE,)),
     "ledgers: a settlement under a prepared ballot": lambda: _ledger(
         ((EARLY, SETTLE_EARLY), (LATE,)), (3, 2), epochs=(STABLE,)
@@ -74,7 +93,12 @@
     "ledgers: before the change and after it": lambda: _ledger(
         ((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGED), crashes=0
     ),
+    "ledgers: a settlement through the change, reserved at a and b": lambda: _settlement("ab"),
+    "ledgers: a settlement through the change, reserved at b and c": lambda: _settlement("bc"),
     "contact: two seconds": lambda: ContactModel(2),
+    "contact: a change of members begins": lambda: ContactModel(2, C_FOR_D_BEGINS, tells_least=True),
+    "contact: a change of members ends": lambda: ContactModel(1, C_FOR_D_ENDS),
+    "contact: the change that drops the process ends": lambda: ContactModel(1, SELF_FOR_D[1:]),
     "retirement of d: a record at a, b and c": lambda: RetirementModel(keys()["abc"]),
     "retirement of d: a record at a, b and d": lambda: RetirementModel(keys()["abd"]),
     "retirement of d: a record at a, c and d": lambda: RetirementModel(keys()["acd"]),
@@ -96,6 +120,16 @@
     "register: a change of members, a crash": lambda: _register(
         (ORDER_X, READ), (REPLACE_C,), ballots=_ballots(2, 1), crashes=1
     ),
+    "register: an order and a read, answers come late": lambda: _register(
+        (ORDER_X, READ), (ORDER_Y,), ballots=_ballots(2, 1), late_answers=True
+    ),
+    "register: two orders, two ballots each, answers come late": lambda: _register(
+        (ORDER_X,), (ORDER_Y,), ballots=_ballots(2, 2), late_answers=True
+    ),
+    "ledgers: a settlement, answers come late": lambda: _ledger(
+        ((EARLY, SETTLE_EARLY), (LATE,)), (2, 1), epochs=(STABLE,), late_answers=True
+    ),
+    "ledgers: a settlement through the change, answers come late": lambda: _settlement("ab", late_answers=True),
     "ledgers: conflicts are heard": lambda: _ledger(
         ((EARLY, SETTLE_EARLY), (LATE,)), (2, 2), epochs=(STABLE,), hears_conflicts=True
     ),
@@ -109,6 +143,18 @@
         ((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGED), crashes=1
     ),
     "ledgers: before the change and within it": lambda: _ledger(((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGING)),
-    "contact: two seconds, two heartbeats on their way": lambda: ContactModel(2, in_flight=2),
+    "ledgers: a settlement through the change, another reserves before or after it": lambda: _settlement(
+        "ab", other=LATE, other_epochs=(STABLE, CHANGED)
+    ),
+    "ledgers: a settlement through the change, a store crashes, reserved at a and b": lambda: _settlement(
+        "ab", crashes=1
+    ),
+    "ledgers: a settlement through the change, a store crashes, reserved at b and c": lambda: _settlement(
+        "bc", crashes=1
+    ),
+    "contact: three seconds": lambda: ContactModel(3),
+    "contact: a change of members begins, two seconds": lambda: ContactModel(2, C_FOR_D_BEGINS),
+    "contact: a whole change of members": lambda: ContactModel(1, C_FOR_D, tells_least=True),
+    "contact: the change that drops the process": lambda: ContactModel(1, SELF_FOR_D, tells_least=True),
 }
 """Explored by the command: minutes to an hour each."""
--- a/tests/model/contact_model.py
+++ b/tests/model/contact_model.py
@@ -1,28 +1,58 @@
-"""The model of majority contact: a control process that may be cut off, the answers to its heartbeats, a newer version.
-
-Answers are handled and arrive at any later time, or never; the process may stand still in between (only the clock goes
-on). Property: it counts its version as confirmed as of T only if no newer one was chosen before T.
+"""The model of majority contact: a control process that may be cut off, the answers to its heartbeats, newer versions.
+
+A heartbeat goes to each member in each tick. It is handled and its answer arrives at any later time, or never; the
+process may stand still in between (only the clock goes on). Versions may change the members, so that two sets vote.
+Property: the process counts its version as confirmed as of T only if no newer one was chosen before T. A version counts
+as chosen as soon as majorities of its own sets have accepted it; what a proposer waits for is never less.
+
+Runs that can't be told apart are one state:
+
+- an answer tells some version that the member held between the question and the arrival. Which one is decided when it
+  arrives, so a heartbeat on its way carries the versions that it may tell;
+- a heartbeat that was never sent, or is lost on either way, is one whose answer never arrives;
+- a heartbeat is left out once a later one of the same member was heard: `MajorityContact.answered` takes none that was
+  asked earlier. Only a member that votes no more is forgotten, and here none comes back;
+- once the process holds the last version nothing follows: no newer one can be chosen, so that none can be missed;
+- with `tells_least` an answer tells what the member held when it was asked. A word counts where its version is not
+  above the one held, so one that tells more never confirms more: `_majority_time` rises with each time in `confirming`.
 """
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
+from dewpin.consensus.proposal import has_majorities
 from dewpin.controlplane.majority_contact import MajorityContact, MemberWord
-from dewpin.controlplane.system_state import genesis
+from dewpin.controlplane.system_state import SystemState, genesis, quorum_sets
 from tests.model.component import Component, Event, freeze
 from tests.model.explorer import Label
 
-MEMBERS = "abc"
-"""The process is a."""
+OWN = "a"
+"""The process itself."""
+
+
+class Version(NamedTuple):
+    """Who votes on a version, by single letters."""
+
+    members: str
+    former_members: str
+
+
+UNCHANGED = (Version("abc", "abc"), Version("abc", "abc"))
+C_FOR_D = (Version("abc", "abc"), Version("abd", "abc"), Version("abd", "abd"))
+C_FOR_D_BEGINS, C_FOR_D_ENDS = C_FOR_D[:2], C_FOR_D[1:]
+SELF_FOR_D = (Version("abc", "abc"), Version("bcd", "abc"), Version("bcd", "bcd"))
+Versions = tuple[Version, ...]
 
 
 class ContactPart:
     """The real contact; takes `answered MEMBER ASKED VERSION NOW HELD OWN` and `update NOW HELD OWN`."""
 
-    def __init__(self) -> None:
-        self._contact = MajorityContact("a")
+    def __init__(self, versions: Versions) -> None:
+        self._versions = versions
+        self._contact = MajorityContact(OWN)
 
     def apply(self, event: Event) -> Any:
         """Returns the time as of which the version held is confirmed."""
@@ -31,9 +61,7 @@
             member, asked_s, version, *rest = rest
             self._contact.answered(member, MemberWord(asked_s, version))
         now_s, held, own = rest
-        state = genesis({member: member for member in MEMBERS}, {})
-        state["version"] = held
-        self._contact.update(state, own, now_s)
+        self._contact.update(_state_of(self._versions, held), own, now_s)
         return self._contact.confirmed_s
 
     def fingerprint(self) -> Any:
@@ -41,68 +69,114 @@
         return freeze(vars(self._contact))
 
 
+class Heartbeat(NamedTuple):
+    """A heartbeat on its way, and the versions that its answer may tell."""
+
+    member: str
+    asked_s: int
+    versions: tuple[int, ...]
+
+
 class World(NamedTuple):
-    """A state. `accepted`: versions of the members; `asked`: heartbeats on their way; `answers`: what was said to them;
-    `chosen_s`: when version 1 was."""
+    """A state. `accepted`: versions of the members; `chosen_s`: for each version but the first when it was chosen."""
 
     contact: int
     now_s: int
     accepted: tuple[int, ...]
-    asked: frozenset[tuple[str, int]]
-    answers: frozenset[tuple[str, int, int]]
+    on_their_way: frozenset[Heartbeat]
     held: int
-    chosen_s: int | None
+    chosen_s: tuple[int | None, ...]
     fault: str | None
 
 
 class ContactModel:
-    """Explores the real contact over `last_s` ticks of the clock, with up to `in_flight` heartbeats to a member."""
+    """Explores the real contact over `last_s` ticks of the clock, while `versions` are chosen one after the other."""
 
-    def __init__(self, last_s: int, in_flight: int = 1) -> None:
-        self._in_flight = in_flight
+    def __init__(self, last_s: int, versions: Versions = UNCHANGED, tells_least: bool = False) -> None:
         self._last_s = last_s
-        self._contact = Component(ContactPart)
+        self._tells_least = tells_least
+        self._versions = versions
+        self._members = sorted({member for version in versions for names in version for member in names})
+        self._sets = [quorum_sets(_state_of(versions, number)) for number in range(len(versions))]
+        self._contact = Component(functools.partial(ContactPart, versions))
 
     def initial(self) -> World:
-        """All hold version 0, which is chosen; nothing was asked."""
-        return World(0, 0, (0,) * len(MEMBERS), frozenset(), frozenset(), 0, None, None)
+        """Who votes twice on version 0 holds it, so that it is chosen; the first heartbeats are on their way."""
+        holders = set.intersection(*map(set, self._versions[0]))
+        accepted = tuple(0 if member in holders else -1 for member in self._members)
+        state = World(0, 0, accepted, frozenset(), 0, (None,) * (len(self._versions) - 1), None)
+        return self._asked(state)
 
     def fault(self, state: World) -> str | None:
         """The property that was broken by the step that led here."""
         return state.fault
 
     def steps(self, state: World) -> Iterator[tuple[Label, World]]:
-        """The clock goes on, members accept, heartbeats are asked, answered and taken, the new version is learnt."""
+        """The clock goes on, members accept, answers arrive, a newer version is learnt."""
+        if state.held == len(self._versions) - 1:
+            return
         if state.now_s < self._last_s:
-            yield ("tick",), state._replace(now_s=state.now_s + 1)
-        for number, member in enumerate(MEMBERS):
-            if not state.accepted[number]:
-                yield ("accepts", member), self._accept(state, number)
-            if member != "a" and self._may_ask(state, member):
-                yield ("asks", member), state._replace(asked=state.asked | {(member, state.now_s)})
-        for member, asked_s in state.asked:
-            answer = (member, asked_s, state.accepted[MEMBERS.index(member)])
-            asked = state.asked - {(member, asked_s)}
-            yield ("answers", member, asked_s), state._replace(asked=asked, answers=state.answers | {answer})
-            yield ("is lost", member, asked_s), state._replace(asked=asked)
-        for answer in state.answers:
-            rest = state._replace(answers=state.answers - {answer})
-            yield ("hears", *answer), self._judged(rest, ("answered", *answer))
-        if state.chosen_s is not None and not state.held:
-            yield ("learns",), self._judged(state._replace(held=1), ("update",))
-
-    def _may_ask(self, state: World, member: str) -> bool:
-        flights = [one[:2] for one in (*state.asked, *state.answers) if one[0] == member]
-        return len(flights) < self._in_flight and (member, state.now_s) not in flights
-
-    def _accept(self, state: World, number: int) -> World:
-        accepted = (*state.accepted[:number], 1, *state.accepted[number + 1 :])
-        chosen_s = state.now_s if sum(accepted) == 2 and state.chosen_s is None else state.chosen_s
-        return state._replace(accepted=accepted, chosen_s=chosen_s)
+            yield ("tick",), self._asked(state._replace(now_s=state.now_s + 1))
+        for number, member in enumerate(self._members):
+            for version in range(state.accepted[number] + 1, len(self._versions)):
+                if self._may_accept(state, member, version):
+                    yield ("accepts", member, version), self._accept(state, number, version)
+        for heartbeat in state.on_their_way:
+            member, asked_s, versions = heartbeat
+            later = [one for one in state.on_their_way if one.member != member or one.asked_s > asked_s]
+            rest = state._replace(on_their_way=frozenset(later))
+            for version in versions:
+                yield ("hears", member, asked_s, version), self._judged(rest, ("answered", member, asked_s, version))
+        for version in range(state.held + 1, len(self._versions)):
+            if state.chosen_s[version - 1] is not None:
+                yield ("learns", version), self._judged(state._replace(held=version), ("update",))
+
+    def _asked(self, state: World) -> World:
+        new = {
+            Heartbeat(member, state.now_s, (accepted,))
+            for member, accepted in zip(self._members, state.accepted, strict=True)
+            if member != OWN
+        }
+        return state._replace(on_their_way=state.on_their_way | new)
+
+    def _may_accept(self, state: World, member: str, version: int) -> bool:
+        """Whether the version may be proposed to the member: the one before it is chosen, and it votes on either."""
+        is_chosen = version <= 1 or state.chosen_s[version - 2] is not None
+        voters = frozenset[str]().union(*self._sets[max(version - 1, 0)], *self._sets[version])
+        return is_chosen and member in voters
+
+    def _accept(self, state: World, number: int, version: int) -> World:
+        member = self._members[number]
+        accepted = (*state.accepted[:number], version, *state.accepted[number + 1 :])
+        on_their_way = frozenset(
+            one._replace(versions=(*one.versions, version)) if one.member == member and not self._tells_least else one
+            for one in state.on_their_way
+        )
+        chosen_s = tuple(
+            state.now_s if known_s is None and self._is_chosen(accepted, newer) else known_s
+            for newer, known_s in enumerate(state.chosen_s, 1)
+        )
+        return state._replace(accepted=accepted, on_their_way=on_their_way, chosen_s=chosen_s)
+
+    def _is_chosen(self, accepted: tuple[int, ...], version: int) -> bool:
+        holders = {member for member, held in zip(self._members, accepted, strict=True) if held >= version}
+        return has_majorities(self._sets[version], holders)
 
     def _judged(self, state: World, event: Event) -> World:
-        number, confirmed_s = self._contact.step(state.contact, (*event, state.now_s, state.held, state.accepted[0]))
+        own_accepted = state.accepted[self._members.index(OWN)]
+        number, confirmed_s = self._contact.step(state.contact, (*event, state.now_s, state.held, own_accepted))
         fault = None
-        if not state.held and state.chosen_s is not None and state.chosen_s < confirmed_s:
-            fault = f"version 0 counts as the newest as of {confirmed_s}, version 1 was chosen at {state.chosen_s}"
+        for newer, chosen_s in enumerate(state.chosen_s, 1):
+            if newer > state.held and chosen_s is not None and chosen_s < confirmed_s:
+                fault = (
+                    f"version {state.held} counts as the newest as of {confirmed_s}, {newer} was chosen at {chosen_s}"
+                )
         return state._replace(contact=number, fault=fault)
+
+
+@functools.cache
+def _state_of(versions: Versions, number: int) -> SystemState:
+    state = genesis({member: member for member in versions[number].members}, {})
+    state["former_members"] = {member: member for member in versions[number].former_members}
+    state["version"] = number
+    return state
--- a/tests/model/ledger_model.py
+++ b/tests/model/ledger_model.py
@@ -1,6 +1,14 @@
 """The model of budget ledgers through a change of the stores: three stores, a newcomer, senders with prepared ballots.
 
 A store or sender takes a newer view when it first has a use for it: until then it refuses, as if messages were lost.
+
+States that can't be told apart are one, by what is remembered of the copies:
+
+- a copy that is whole is remembered as such, not by the sources that were read: a whole copy reads no other, and
+  nothing else asks for its sources;
+- where no ballot may begin after the change, nothing is remembered: how far the copies are decides only when the
+  change ends, and so nothing there. A store may then copy a source again and again, which is more than a real one
+  does: it does so once in each of its lives.
 """
 
 from __future__ import annotations
@@ -28,7 +36,7 @@
     StorePart,
     members,
 )
-from tests.model.quorum_model import QuorumModel, Request
+from tests.model.quorum_model import Answer, QuorumModel, Request
 
 STORES = "abcd"
 SENDERS = "pqr"
@@ -45,15 +53,20 @@
 @dataclass(frozen=True)
 class Bounds:
     """What the senders do, and how often what goes wrong. `clocks_ms` set whose first ballot is the greater one;
-    `epochs`: under which views the n-th ballot of any sender may be begun (the last entry goes for all later ones)."""
+    `epochs`: under which views the n-th ballot of any sender may be begun (the last entry goes for all later ones);
+    `epochs_by_sender`: the same for each sender. `reserved_at`: the stores that hold the first sender's first operation
+    from the beginning; the accept of a store that is not named may still come."""
 
     operations: tuple[tuple[Operation, ...], ...]
     budget: int
     ballots: tuple[int, ...]
     clocks_ms: tuple[int, ...]
     epochs: tuple[tuple[int, ...], ...] = ((1, 2, 3),)
+    epochs_by_sender: tuple[tuple[tuple[int, ...], ...], ...] = ()
+    reserved_at: str = ""
     crashes: int = 0
     hears_conflicts: bool = False
+    late_answers: bool = False
 
 
 class World(NamedTuple):
@@ -68,6 +81,7 @@
     reads: frozenset[Stages]
     crashes: int
     fault: str | None
+    answers: frozenset[Answer] = frozenset()
 
 
 class LedgerModel(QuorumModel):
@@ -79,7 +93,7 @@
         senders = [Component(functools.partial(_new_sender, number, bounds)) for number in numbers]
         self._senders = [len(stores) + number for number in numbers]
         most_ballots = dict(zip(self._senders, bounds.ballots, strict=True))
-        super().__init__([*stores, *senders], most_ballots, bounds.hears_conflicts)
+        super().__init__([*stores, *senders], most_ballots, bounds.hears_conflicts, late_answers=bounds.late_answers)
         self._bounds = bounds
         self._turns = sorted({turn for script in bounds.operations for kind, turn, _ in script if kind == "reserve"})
         self._used = {turn: used for script in bounds.operations for kind, turn, used in script if kind == "settle"}
@@ -89,8 +103,26 @@
     def initial(self) -> World:
         """Three stores of the first view that hold nothing, senders that have sent nothing."""
         floors = ((0,) * len(self._turns),) * len(self._senders)
-        epoch = CHANGING if max(max(epochs) for epochs in self._bounds.epochs) > 1 else 1
-        return World((0,) * len(self.parts), epoch, frozenset(), frozenset(), floors, frozenset(), 0, None)
+        epoch = CHANGING if self._last_epoch() > 1 else 1
+        state = World((0,) * len(self.parts), epoch, frozenset(), frozenset(), floors, frozenset(), 0, None)
+        return self._after_first_operation(state) if self._bounds.reserved_at else state
+
+    def _last_epoch(self) -> int:
+        every = (self._bounds.epochs,) if not self._bounds.epochs_by_sender else self._bounds.epochs_by_sender
+        return max(epoch for ballots in every for epochs in ballots for epoch in epochs)
+
+    def _after_first_operation(self, state: World) -> World:
+        """The state once the first sender's first operation was handled by the stores of `reserved_at` alone."""
+        sender = self._senders[0]
+        state = self.sender_step(state, sender, ("begin", 1))
+        while self.at(state, sender).ballot is not None:
+            requests = {self._requests[number].member: number for number in sorted(state.requests)}
+            for store in self._bounds.reserved_at:
+                state, answer = self.part_step(
+                    state, STORES.index(store), ("request", self._requests[requests[store]].text)
+                )
+                state = self.sender_step(state, sender, ("reply", store, answer))
+        return state
 
     def fault(self, state: World) -> str | None:
         """The property that was broken by the step that led here."""
@@ -115,7 +147,7 @@
             at, name, operations = self.at(state, sender), SENDERS[number], self._bounds.operations[number]
             if at.ballots >= self._bounds.ballots[number]:
                 continue
-            for epoch in self._epochs_of_next_ballot(at, state):
+            for epoch in self._epochs_of_next_ballot(number, at, state):
                 if at.ballot is not None and epoch == at.epoch:
                     if not at.is_accepting:
                         continue
@@ -127,8 +159,10 @@
                     label = ("begins", name, *operations[at.done], f"epoch {epoch}")
                     yield label, self.sender_step(state._replace(floors=floors), sender, ("begin", epoch))
 
-    def _epochs_of_next_ballot(self, at: SenderFingerprint, state: World) -> list[int]:
-        allowed = self._bounds.epochs[min(at.ballots, len(self._bounds.epochs) - 1)]
+    def _epochs_of_next_ballot(self, number: int, at: SenderFingerprint, state: World) -> list[int]:
+        by_sender = self._bounds.epochs_by_sender
+        epochs = by_sender[number] if by_sender else self._bounds.epochs
+        allowed = epochs[min(at.ballots, len(epochs) - 1)]
         return [epoch for epoch in allowed if at.epoch <= epoch <= state.epoch]
 
     def read_request(self, sender: int, text: str) -> Request:
@@ -164,8 +198,15 @@
                 return f"two histories: {stages} and {other}"
         if value is not None and value["spent"] + sum(value["open"].values()) > self._bounds.budget:
             return f"over the budget: {value}"
+        if value is not None and not self._is_settled_once(value, stages):
+            return f"not settled exactly once: {value}"
         return self._fault_of_operation(state, number, ended, stages)
 
+    def _is_settled_once(self, value: Any, stages: Stages) -> bool:
+        """Whether the tokens spent are those of the settled turns, each once, and none of these is open still."""
+        settled = [turn for turn, stage in zip(self._turns, stages, strict=True) if stage == 2]
+        return value["spent"] == sum(self._used[turn] for turn in settled) and not set(settled) & set(value["open"])
+
     def _fault_of_operation(self, state: World, number: int, ended: str, stages: Stages) -> str | None:
         done = self.at(state, self._senders[number]).done
         kind, turn, _ = self._bounds.operations[number][done - 1]
@@ -206,9 +247,19 @@
         if records is None:
             return
         merged, _ = self.part_step(answered, target, ("merge", records))
-        after = merged._replace(copied=merged.copied | {(target, source)})
+        after = merged._replace(copied=self._noted(merged.copied, target, source))
         yield ("copy", STORES[source], "to", STORES[target]), self.without_spent_requests(after)
 
+    def _noted(self, copied: frozenset[tuple[int, int]], target: int, source: int) -> frozenset[tuple[int, int]]:
+        """The pairs with one more; see the module's text on when they are left out."""
+        if self._last_epoch() == CHANGING:
+            return copied
+        noted = copied | {(target, source)}
+        if not self._judge_copy(target, sum(1 for pair in noted if pair[0] == target)):
+            return noted
+        sources = [STORES.index(source) for source in VIEWS[CHANGING].stable_ids]
+        return noted | {(target, source) for source in sources if source != target}
+
     def _all_synced(self, state: World) -> bool:
         """Whether the planner's rule lets the change end, by the copies that the rule of the copy calls whole."""
         synced = frozenset(target for target in range(len(STORES)) if self._is_whole(state, target))
--- a/tests/model/quorum_model.py
+++ b/tests/model/quorum_model.py
@@ -6,6 +6,12 @@
 - a promise that nobody hears of or waits for any more: it only keeps older ballots out, as the loss of those does;
 - a lost answer to an accept that would not have ended the ballot: the loss of a later one stands for it;
 - a ballot given up before its second round: it has only raised promises.
+
+With `late_answers` an answer is a message of its own: once its request is handled, it may come at any later time, twice
+or never. It comes to the ballot that asked: the program takes an answer by the number of its call, and each ballot has
+its own calls. It is left out once it can have no effect: its ballot has ended, or the real `Proposal` stands as it did
+and sends nothing when it takes it. It does so for a promise once the second round began, and for an answer that was
+taken before (a member makes one promise and accepts one value for a ballot); both hold until the ballot ends.
 """
 
 from __future__ import annotations
@@ -17,9 +23,12 @@
 from tests.model.component import Component, Interned
 from tests.model.explorer import Label
 
+Answer = tuple[int, str]
+"""The number of a request and what was answered."""
+
 
 class HasParts(Protocol):
-    """A state of such a model: each part's state by number, and the requests that are on their way."""
+    """A state of such a model: each part's state by number, and the requests and answers that are on their way."""
 
     @property
     def parts(self) -> tuple[int, ...]: ...
@@ -27,6 +36,9 @@
     @property
     def requests(self) -> frozenset[int]: ...
 
+    @property
+    def answers(self) -> frozenset[Answer]: ...
+
     def _replace(self, **fields: Any) -> Any: ...
 
 
@@ -59,8 +71,10 @@
         most_ballots: dict[int, int],
         hears_conflicts: bool,
         reaches_itself: bool = False,
+        late_answers: bool = False,
     ) -> None:
         self.parts = parts
+        self._late_answers = late_answers
         self._reaches_itself = reaches_itself
         self._most_ballots = most_ballots
         self._hears_conflicts = hears_conflicts
@@ -118,10 +132,20 @@
         return number
 
     def without_spent_requests(self, state: World) -> World:
-        """Leaves out requests that can have no effect any more."""
+        """Leaves out requests and answers that can have no effect any more."""
+        answers = frozenset([answer for answer in state.answers if not self._is_answer_spent(state, answer)])
+        state = state if len(answers) == len(state.answers) else state._replace(answers=answers)
         kept = frozenset([number for number in state.requests if not self._is_spent(state, number)])
         return state if len(kept) == len(state.requests) else state._replace(requests=kept)
 
+    def _is_answer_spent(self, state: HasParts, answer: Answer) -> bool:
+        request, text = self._requests[answer[0]], answer[1]
+        if self.at(state, request.sender).ballot != request.ballot:
+            return True
+        standing = state.parts[request.sender]
+        after, (texts, result) = self.parts[request.sender].step(standing, ("reply", request.member, text))
+        return after == standing and not texts and result is None
+
     def _is_spent(self, state: HasParts, number: int) -> bool:
         request = self._requests[number]
         key = (number, state.parts[request.target], state.parts[request.sender])
@@ -141,7 +165,10 @@
         return is_refused and (request.is_prepare or not is_waited_for or not self._hears_conflicts)
 
     def request_steps(self, state: World) -> Iterator[tuple[Label, World]]:
-        """Each request on its way may be handled now."""
+        """Each request on its way may be handled now, and each answer may come."""
+        if self._late_answers:
+            yield from self._late_steps(state)
+            return
         for number in state.requests:
             request = self._requests[number]
             handled, answer = self.part_step(state, request.target, ("request", request.text))
@@ -158,6 +185,23 @@
             if not request.is_prepare and ends and handled is not state:
                 yield (*label, "answer lost"), self.without_spent_requests(handled)
 
+    def _late_steps(self, state: World) -> Iterator[tuple[Label, World]]:
+        for number in state.requests:
+            request = self._requests[number]
+            handled, answer = self.part_step(state, request.target, ("request", request.text))
+            if answer is None:
+                continue
+            waiting = self.at(state, request.sender)
+            if CONFLICT not in answer or self._may_hear_conflict(request, waiting):
+                handled = handled._replace(answers=handled.answers | {(number, answer)})
+            label = ("prepare" if request.is_prepare else "accept", *request.ballot, "at", request.member, "handled")
+            yield label, self.without_spent_requests(handled)
+        for number, answer in state.answers:
+            request = self._requests[number]
+            label = ("answer to prepare" if request.is_prepare else "answer to accept", *request.ballot)
+            heard = self.sender_step(state, request.sender, ("reply", request.member, answer))
+            yield (*label, "comes from", request.member), heard
+
     def _may_hear_conflict(self, request: Request, waiting: Any) -> bool:
         """Whether a refusal may come within the bounds: the sender begins another ballot then."""
         return self._hears_conflicts and waiting.ballots < self._most_ballots[request.sender]
--- a/tests/model/register_model.py
+++ b/tests/model/register_model.py
@@ -11,7 +11,7 @@
 from dewpin.consensus import Ballot
 from tests.model.component import Component
 from tests.model.explorer import Label
-from tests.model.quorum_model import QuorumModel, Request
+from tests.model.quorum_model import Answer, QuorumModel, Request
 from tests.model.register_parts import Operation, ProcessFingerprint, ProcessPart
 
 PROCESSES = "abcd"
@@ -35,6 +35,7 @@
     hears_conflicts: bool = False
     reaches_itself: bool = True
     skips: tuple[int, ...] = (0,)
+    late_answers: bool = False
 
 
 class World(NamedTuple):
@@ -50,6 +51,7 @@
     crashes: int
     wiped: str
     fault: str | None
+    answers: frozenset[Answer] = frozenset()
 
 
 class RegisterModel(QuorumModel):
@@ -64,7 +66,7 @@
             for name in PROCESSES
         ]
         most_ballots = {number: bounds.ballots.get(name, 0) for number, name in enumerate(PROCESSES)}
-        super().__init__(parts, most_ballots, bounds.hears_conflicts, bounds.reaches_itself)
+        super().__init__(parts, most_ballots, bounds.hears_conflicts, bounds.reaches_itself, bounds.late_answers)
 
     def initial(self) -> World:
         """All first members hold the first state and know that it is chosen."""
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -50,6 +50,11 @@
 RESERVATIONS = "ledgers: two reservations"
 SETTLEMENT = "ledgers: a settlement under a prepared ballot"
 CONTACT = "contact: two seconds"
+MEMBERS_CHANGE = "contact: a change of members ends"
+LATE_ORDERS = "register: two orders, answers come late"
+LATE_RESERVATIONS = "ledgers: two reservations, answers come late"
+SETTLED_AB = "ledgers: a settlement through the change, reserved at a and b"
+SETTLED_BC = "ledgers: a settlement through the change, reserved at b and c"
 CHANGE = "ledgers: before the change and after it"
 PREPARED = "tests.model.test_prepared_ballots::test_a_prepared_ballot_is_used_under_the_epoch_of_its_promises_alone"
 COPIES = "tests.model.test_copied_votes::test_a_copied_value_that_was_never_chosen_is_not_read_as_chosen"
@@ -99,6 +104,13 @@
     Mutation(variants.leave_copied_values_out, CHANGE, 100_000),
     Mutation(variants.renew_without_a_majority, CONTACT, 50_000),
     Mutation(variants.overlook_the_version_that_is_told, CONTACT, 50_000),
+    Mutation(variants.take_promises_after_the_accept, LATE_ORDERS, 20_000),
+    Mutation(variants.count_an_answer_twice, LATE_RESERVATIONS, 20_000),
+    Mutation(variants.leave_the_new_members_out_of_contact, MEMBERS_CHANGE, 50_000),
+    Mutation(variants.forget_settlements_as_the_view_moves, SETTLED_AB, 50_000),
+    Mutation(variants.settle_twice, SETTLED_AB, 50_000),
+    Mutation(variants.end_the_view_before_copies_are_whole, SETTLED_BC, 50_000),
+    Mutation(variants.leave_copied_values_out, SETTLED_BC, 50_000),
     Mutation(variants.settle_twice, SETTLEMENT, 50_000),
     Mutation(variants.lose_a_settlement, SETTLEMENT, 50_000),
     Mutation(variants.reserve_over_the_budget, RESERVATIONS, 20_000),
--- a/tests/mutations/variants.py
+++ b/tests/mutations/variants.py
@@ -27,7 +27,9 @@
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.sync import _Copy
 from dewpin.dataplane import ledger, ledger_client, upstream
+from dewpin.dataplane.ledger_client import LedgerClient
 from dewpin.dataplane.outcome import Outcome
+from dewpin.dataplane.replica_calls import ViewMoved
 from dewpin.dataplane.request_path import RequestPath
 from dewpin.dataplane.retry import RetryStage
 from dewpin.dataplane.state_confirmation import StateConfirmation
@@ -212,6 +214,47 @@
     patch.setattr(MajorityContact, "answered", answered)
 
 
+def leave_the_new_members_out_of_contact(patch: Patch) -> None:
+    patch.setattr(majority_contact, "quorum_sets", lambda state: [frozenset(state["former_members"])])
+
+
+def take_promises_after_the_accept(patch: Patch) -> None:
+    original = Proposal._on_promise
+
+    def on_promise(self: Proposal, member: str, promise: Promise) -> Any:
+        sent, self._accept = self._accept, None
+        requests = original(self, member, promise)
+        self._accept = self._accept or sent
+        return requests
+
+    patch.setattr(Proposal, "_on_promise", on_promise)
+
+
+def count_an_answer_twice(patch: Patch) -> None:
+    def on_accepted(self: Proposal, member: str, reply: Accepted) -> Any:
+        if self._accept is not None and reply.ballot == self.ballot:
+            member = f"{member} again" if member in self._accepted else member
+            self._accepted.add(member)
+            if all(len(self._accepted) >= proposal.majority_of(members) for members in self._accept_sets):
+                self.result = proposal.Result(proposal.Outcome.CHOSEN, self._accept.value, self.ballot)
+        return []
+
+    patch.setattr(Proposal, "_on_accepted", on_accepted)
+
+
+def forget_settlements_as_the_view_moves(patch: Patch) -> None:
+    original = LedgerClient._one_ballot
+
+    async def one_ballot(self: LedgerClient, program: str, *rest: Any) -> Any:
+        try:
+            return await original(self, program, *rest)
+        except ViewMoved:
+            self._forget_settled(program, list(self._unsettled.get(program, {})))
+            raise
+
+    patch.setattr(LedgerClient, "_one_ballot", one_ballot)
+
+
 def take_whatever_ballot_is_copied(patch: Patch) -> None:
     def merge(connection: Any, records: Any, now_ms: int) -> None:
         for record in records:
