Mutations: the sender that is ready too early is looked for by another seed

Cause: lets the upkeep share the heartbeat's wake-up, so the check draws other times, and with seed 3 the newcomer gets no lease from the process that is cut off before that one refuses. The wrong variant then shows nothing.

Change: seed 2. Of the seeds 0 to 29, the check fails with the wrong variant on 2, 6, 10, 11, 20 and 23, on this text. The check itself and its other seeds are unchanged; the right text passes all.

Ruled out: a mutation that is no longer caught: six of thirty seeds catch it.

--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -135,7 +135,7 @@
     Mutation(variants.grant_and_tell_without_a_majority, CUT_OFF, arguments=lambda: {"number": 1, "how": "both"}),
     Mutation(variants.serve_from_the_disk, STARTED_ANEW),
     Mutation(variants.answer_404_while_unconfirmed, NO_ROUTE),
-    Mutation(variants.be_ready_before_a_majority_has_confirmed, NEWCOMER, arguments=lambda: {"seed": 3}),
+    Mutation(variants.be_ready_before_a_majority_has_confirmed, NEWCOMER, arguments=lambda: {"seed": 2}),
     Mutation(variants.take_a_body_without_its_digest, BODIES),
 ]
 
