--- a/tests/model/ledger_model.py
+++ b/tests/model/ledger_model.py
@@ -255,7 +255,7 @@
         if self._last_epoch() == CHANGING:
             return copied
         noted = copied | {(target, source)}
-        if not self._judge_copy(target, sum(1 for pair in noted if pair[0] == target)):
+        if not self._is_whole_after(target, sum(1 for pair in noted if pair[0] == target)):
             return noted
         sources = [STORES.index(source) for source in VIEWS[CHANGING].stable_ids]
         return noted | {(target, source) for source in sources if source != target}
@@ -268,7 +268,10 @@
         return self._may_finish[synced]
 
     def _is_whole(self, state: World, target: int) -> bool:
-        key = (target, sum(1 for pair in state.copied if pair[0] == target))
+        return self._is_whole_after(target, sum(1 for pair in state.copied if pair[0] == target))
+
+    def _is_whole_after(self, target: int, read: int) -> bool:
+        key = (target, read)
         if key not in self._copy_is_whole:
             self._copy_is_whole[key] = self._judge_copy(*key)
         return self._copy_is_whole[key]
