Leases: a renewal that comes after the release grants nothing

Change: a release is remembered for 60 s; a sender's id is of one life of its process, so no living sender is refused.

Ruled out: waiting longer in the test; that would have hidden the lease that came back.

--- a/dewpin/controlplane/leases.py
+++ b/dewpin/controlplane/leases.py
@@ -11,6 +11,8 @@
 LEASE_PERIODS = 8
 LEASE_ROUNDS = 3
 """A lease lasts for this many rounds of its sender through all processes that grant it, and LEASE_PERIODS at least."""
+RELEASES_COUNT_S = 60.0
+"""For how long a release is remembered: a renewal that comes late, after it, grants nothing."""
 
 
 @dataclass(frozen=True)
@@ -33,22 +35,34 @@
         """Senders by their places in the relay tree; kept sorted, since each renewal asks for one."""
         self._ends: list[tuple[float, str]] = []
         """A heap of the times at which leases end unless they were renewed since."""
+        self._released_s: dict[str, float] = {}
+        """When senders gave their leases up, the oldest first. A sender's id is of one life of its process."""
 
     def duration_s(self, grantors: int) -> float:
         """For how long a lease is granted where so many processes grant it."""
         return self._period_s * max(LEASE_PERIODS, LEASE_ROUNDS * grantors)
 
     def renew(self, sender: str, address: str, zone: str, now_s: float, grantors: int = 1) -> Lease:
-        """Grants or renews a sender's lease."""
+        """Grants or renews a sender's lease; one that was given up is not in force again."""
         lease = Lease(sender, address, zone, now_s + self.duration_s(grantors))
+        if sender in self._released_s:
+            return lease
         if sender not in self._leases:
             insort(self._order, (_place(sender), sender))
         self._leases[sender] = lease
         heappush(self._ends, (lease.expires_s, sender))
         return lease
 
-    def release(self, sender: str) -> None:
-        """Ends a lease that its holder gives up."""
+    def release(self, sender: str, now_s: float) -> None:
+        """Ends a lease that its holder gives up, for good."""
+        self._end(sender)
+        self._released_s.setdefault(sender, now_s)
+        for released, at_s in list(self._released_s.items()):
+            if now_s - at_s < RELEASES_COUNT_S:
+                break
+            del self._released_s[released]
+
+    def _end(self, sender: str) -> None:
         if self._leases.pop(sender, None) is not None:
             self._order.remove((_place(sender), sender))
 
@@ -79,7 +93,7 @@
             _, sender = heappop(self._ends)
             lease = self._leases.get(sender)
             if lease is not None and lease.expires_s <= now_s:
-                self.release(sender)
+                self._end(sender)
 
 
 def _place(sender: str) -> bytes:
--- a/dewpin/controlplane/sender_service.py
+++ b/dewpin/controlplane/sender_service.py
@@ -89,7 +89,7 @@
         return grant.encode()
 
     async def _handle_release(self, message: Message) -> Message:
-        self._leases.release(str(message["sender"]))
+        self._leases.release(str(message["sender"]), self._clock())
         return {"type": "lease.released"}
 
     def _control_addresses(self) -> tuple[str, ...]:
