Fetch of a long configuration: an unforeseen fault does not end it

Cause: only four kinds of fault were expected of a source. Any other ended the task, and the same body was not asked for again, so the sender kept the old configuration until the next one came.

Change: any fault is logged and its source left alone for a moment, as with an expected one. The test fails without it.

Ruled out: asking again from outside; the fetch alone knows what has come.

--- a/dewpin/dataplane/body_fetch.py
+++ b/dewpin/dataplane/body_fetch.py
@@ -118,6 +118,9 @@
             self._take(BodyPage.decode(await self._client.call(source, request.encode(), PAGE_TIMEOUT_S)))
         except (RpcError, KeyError, TypeError, ValueError) as fault:
             self._shun(source, fault)
+        except Exception as fault:  # whatever it is, the body is lacking still
+            log.exception("configuration.fetch_fault", extra={"source": source})
+            self._shun(source, fault)
 
     def _source(self) -> str | None:
         now_s = self._clock()
--- /dev/null
+++ b/tests/dataplane/test_body_fetch.py
@@ -0,0 +1,44 @@
+"""The fetch of one configuration's body, from a source whose calls are scripted."""
+
+import asyncio
+
+from scripted.clock import run
+
+from dewpin.cluster.body_messages import BodyPage, digest_of
+from dewpin.dataplane.body_fetch import BodyFetch, BodyName
+
+BODY = "the body"
+
+
+class Sources:
+    def parents(self):
+        return []
+
+    def control_servers(self):
+        return ["10.0.0.1:1"]
+
+
+class Client:
+    """Answers with the whole body after calls that fail with the faults given."""
+
+    def __init__(self, faults):
+        self.faults = faults
+
+    async def call(self, address, message, timeout_s):
+        await asyncio.sleep(0.01)
+        if self.faults:
+            raise self.faults.pop(0)
+        return BodyPage(BODY, len(BODY)).encode()
+
+
+def test_a_fault_that_nobody_foresaw_does_not_end_the_fetch():
+    async def scene():
+        name, taken = BodyName(digest_of(BODY.encode(), 3), 3), []
+        client = Client([OSError("no descriptor is left"), RuntimeError("a fault of the program")])
+        clock = asyncio.get_running_loop().time
+        fetch = BodyFetch(client, "me", Sources(), lambda: None, lambda digest, body: taken.append(body), clock)
+        fetch.want(name)
+        await asyncio.sleep(5.0)
+        return taken
+
+    assert run(scene()) == [BODY]
