Leases: releases are forgotten from the oldest on, without a copy of all

Cause: each release copied the whole list of those before it, which grows with the senders that restart within a minute.

Change: the oldest ones are looked at until one still counts. A second release of the same id, long after the first, forgets it; the test covers that. A lock's declaration in the copy of turns stands on a line of its own again.

Ruled out: nothing else changed.

--- a/dewpin/controlplane/leases.py
+++ b/dewpin/controlplane/leases.py
@@ -57,10 +57,14 @@
         """Ends a lease that its holder gives up, for good."""
         self._end(sender)
         self._released_s.setdefault(sender, now_s)
-        for released, at_s in list(self._released_s.items()):
-            if now_s - at_s < RELEASES_COUNT_S:
-                break
-            del self._released_s[released]
+        self._forget_releases(now_s)
+
+    def _forget_releases(self, now_s: float) -> None:
+        while self._released_s:
+            oldest = next(iter(self._released_s))
+            if now_s - self._released_s[oldest] < RELEASES_COUNT_S:
+                return
+            del self._released_s[oldest]
 
     def _end(self, sender: str) -> None:
         if self._leases.pop(sender, None) is not None:
--- a/dewpin/controlplane/sync.py
+++ b/dewpin/controlplane/sync.py
@@ -92,9 +92,8 @@
         self._claims: dict[Key, float] = {}
         self._unread = 0
         self._whole = asyncio.Event()
-        self._writing = (
-            asyncio.Lock()
-        )  # one batch of turns waits for the disk at a time, so a put waits for one at most
+        self._writing = asyncio.Lock()
+        """One batch of turns waits for the disk at a time, so a put waits for one at most."""
 
     async def run(self) -> None:
         """Return once the copy is whole."""
--- a/tests/controlplane/test_leases.py
+++ b/tests/controlplane/test_leases.py
@@ -44,7 +44,7 @@
     table.renew("sender-1", "10.0.0.1:1", "east", 1.5)
     assert [lease.sender for lease in table.live(1.5)] == ["sender-0"]
     assert table.parents("sender-1", 1.5) == []
-    table.release("sender-0", 1.0 + RELEASES_COUNT_S)
+    table.release("sender-1", 1.0 + RELEASES_COUNT_S)  # again: the first one counts, and has counted for long enough
     table.renew("sender-1", "10.0.0.1:1", "east", 1.0 + RELEASES_COUNT_S)
     assert [lease.sender for lease in table.live(1.0 + RELEASES_COUNT_S)] == ["sender-1"]  # nothing is kept for ever
 
