--- /dev/null
+++ b/tests/controlplane/test_order_history.py
@@ -0,0 +1,199 @@
+"""Orders older than what the state remembers: the members' history of them, its bounds, and who catches up on it."""
+
+import asyncio
+
+import pytest
+from controlplane.order_scenes import ANSWER_S, WAIT_S, answer, body_of, play, put, read, take
+
+from dewpin.controlplane import order_history
+from dewpin.controlplane.order_history import OrderHistory, OrdersRequest, TakenOrder
+from dewpin.controlplane.system_state import (
+    MOST_REMEMBERED_CONFIGURATIONS,
+    AnotherVersionIsCurrent,
+    OrderForgotten,
+    digest_of,
+    genesis,
+    orders_taken,
+)
+
+
+def test_an_order_older_than_all_that_the_state_remembers_is_acknowledged_again_everywhere():
+    last = 3 * MOST_REMEMBERED_CONFIGURATIONS
+
+    async def scene(registers):
+        await take(registers.members["a"], 1, last)
+        state = await registers.members["b"].propose(read, WAIT_S)
+        assert len(state["accepted"]) == MOST_REMEMBERED_CONFIGURATIONS and orders_taken(state) == last
+        return [
+            await answer(registers.members[name], generation, generation - 1)
+            for name in "abc"
+            for generation in (
+                1,
+                2,
+                MOST_REMEMBERED_CONFIGURATIONS,
+                last - MOST_REMEMBERED_CONFIGURATIONS,
+                last - 1,
+                last,
+            )
+        ]
+
+    assert set(play(scene)) == {200}
+
+
+def test_another_body_under_an_old_number_and_a_number_that_was_left_out_are_refused():
+    async def scene(registers):
+        member = registers.members["a"]
+        base = 0
+        for generation in range(10, 10 * (MOST_REMEMBERED_CONFIGURATIONS + 20), 10):
+            await member.propose(put(generation, base), WAIT_S)
+            base = generation
+        return (
+            await answer(member, 20, 10, b"other"),
+            await answer(member, 25, 20),
+            await answer(member, 5, 0),
+            await answer(member, 20, 10),
+        )
+
+    assert play(scene) == (412, 412, 412, 200)
+
+
+def test_an_order_that_nobody_remembers_gets_no_clear_answer(monkeypatch):
+    monkeypatch.setattr(order_history, "MOST_ORDERS", MOST_REMEMBERED_CONFIGURATIONS + 10)
+
+    async def scene(registers):
+        member = registers.members["a"]
+        await take(member, 1, MOST_REMEMBERED_CONFIGURATIONS + 50)
+        await asyncio.sleep(1.0)
+        rows = [await disk.query("SELECT count(*) FROM orders") for disk in registers.disks.values()]
+        return await answer(member, 3, 2), await answer(member, 3, 2, b"other"), await answer(member, 45, 44), rows[0]
+
+    assert play(scene) == (503, 503, 200, [(MOST_REMEMBERED_CONFIGURATIONS + 10,)])
+
+
+def test_a_generation_not_above_its_base_was_never_taken_however_old():
+    async def scene(registers):
+        await take(registers.members["a"], 1, MOST_REMEMBERED_CONFIGURATIONS + 50)
+        return await answer(registers.members["a"], 3, 3), await answer(registers.members["a"], 3, 9)
+
+    assert play(scene) == (412, 412)
+
+
+def test_a_month_of_850_changes_a_day_is_remembered_and_the_rows_stay_bounded():
+    """The changes of a month go into the history of one process; a peer that slept through it takes them by pages."""
+    changes = 30 * 850
+
+    async def scene(registers):
+        history = registers.members["a"]._history
+        state = genesis({}, {})
+        for generation in range(1, changes + 1):
+            state = put(generation, generation - 1)(state)
+            if generation % MOST_REMEMBERED_CONFIGURATIONS == 0 or generation == changes:
+                await history.note(state)
+        pages = []
+
+        async def ask(request):
+            pages.append(request)
+            return await history.page(request)
+
+        late = OrderHistory(registers.disks["b"], ask)
+        await late.load()
+        await late.note(state)
+        return [
+            await late.was_taken(generation, digest_of(body_of(generation), generation - 1))
+            for generation in (1, 12_345, changes - MOST_REMEMBERED_CONFIGURATIONS, changes)
+        ], len(pages)
+
+    taken, pages = play(scene)
+    assert taken == [True] * 4
+    assert pages <= changes / order_history.ORDERS_IN_PAGE + 2
+
+
+def test_a_member_that_slept_through_more_than_the_state_remembers_takes_the_rest_from_its_peers():
+    last = 2 * MOST_REMEMBERED_CONFIGURATIONS
+
+    async def scene(registers):
+        registers.network.cut("c")
+        await take(registers.members["a"], 1, last)
+        registers.network.join()
+        member = await registers.restart("c")
+        assert member.chosen is None
+        await member.propose(read, WAIT_S)
+        await asyncio.sleep(1.0)
+        registers.network.cut("c")
+        rows = await registers.disks["c"].query("SELECT count(*) FROM orders")
+        return rows, await member.was_taken(5, digest_of(body_of(5), 4), ANSWER_S)
+
+    assert play(scene) == ([(last,)], True)
+
+
+def test_a_page_that_was_lost_is_asked_for_again_and_those_before_it_are_kept(monkeypatch):
+    monkeypatch.setattr(order_history, "ORDERS_IN_PAGE", 50)
+
+    async def scene(registers):
+        history = registers.members["a"]._history
+        state = genesis({}, {})
+        for generation in range(1, 401):
+            state = put(generation, generation - 1)(state)
+            await history.note(state)
+        answers = 0
+
+        async def ask(request):
+            nonlocal answers
+            answers += 1
+            return None if answers == 3 else await history.page(request)
+
+        late = OrderHistory(registers.disks["b"], ask)
+        await late.note(state)
+        before = await late._is_known(80, "?"), await late._is_known(120, "?")
+        await late.fill_gaps()
+        return before, await late._is_known(120, "?"), answers
+
+    before, after, answers = play(scene)
+    assert before == (False, None) and after is False
+    assert answers == 7, "two pages, one lost, and the four that were missing"
+
+
+def test_a_failed_write_of_the_history_is_made_up_by_the_next_state():
+    async def scene(registers):
+        member, disk = registers.members["a"], registers.disks["a"]
+        await take(member, 1, 5)
+        disk.fails = True
+        await registers.members["b"].propose(put(6, 5), WAIT_S)
+        member.observe(registers.members["b"].chosen_ballot, registers.members["b"].chosen)
+        await asyncio.sleep(0.1)
+        disk.fails = False
+        await take(member, 7, 7)
+        await asyncio.sleep(0.1)
+        return await disk.query("SELECT number, generation FROM orders ORDER BY number")
+
+    assert play(scene) == [(number, number) for number in range(1, 8)]
+
+
+def test_a_state_of_the_release_before_that_may_have_forgotten_orders_denies_none():
+    """It holds no count; with the 2,000 orders that it remembered at most, older ones may have been taken."""
+    entries = [[generation, digest_of(body_of(generation), generation - 1)] for generation in range(501, 2501)]
+    old = {**genesis({}, {}), "accepted": entries, "configuration": {"generation": 2500, "digest": "", "body": "{}"}}
+    del old["orders_taken"]
+    with pytest.raises(OrderForgotten):
+        put(3, 2)(old)
+    assert put(501, 500)(old) is old
+    few = {**old, "accepted": entries[-5:]}
+    with pytest.raises(AnotherVersionIsCurrent):
+        put(3, 2)(few)
+    state = put(2501, 2500)(old)
+    assert orders_taken(state) == 2002 and len(state["accepted"]) == MOST_REMEMBERED_CONFIGURATIONS
+    with pytest.raises(OrderForgotten):
+        put(501, 500)(state)
+
+
+def test_the_orders_of_a_page_are_those_asked_for():
+    async def scene(registers):
+        await take(registers.members["a"], 1, 9)
+        await asyncio.sleep(0.1)
+        return await registers.members["a"]._history.page(OrdersRequest(3, 6))
+
+    page = play(scene)
+    assert page.orders == (
+        TakenOrder(4, 4, digest_of(body_of(4), 3)),
+        TakenOrder(5, 5, digest_of(body_of(5), 4)),
+    )
