Config.Patch: single items of the configuration are put and removed by name

Its order has a digest of its own, so a lost acknowledgement, a race and an order that the state has forgotten are answered as for a whole configuration. Ruled out: applying it before the proposal (another version may be chosen meanwhile).

--- a/dewpin/cluster/body_messages.py
+++ b/dewpin/cluster/body_messages.py
@@ -15,6 +15,11 @@
     return hashlib.sha256(b"%d\n%b" % (base, body)).hexdigest()[:24]
 
 
+def patch_digest_of(body: bytes, base: int) -> str:
+    """The same for a patch; never that of a whole configuration with the same bytes."""
+    return hashlib.sha256(b"patch of %d\n%b" % (base, body)).hexdigest()[:24]
+
+
 @dataclass(frozen=True, slots=True)
 class BodyRequest:
     """Asks for the part of a configuration's body that begins at character `offset`. `caller`: the address of a sender
--- a/dewpin/cluster/configuration/__init__.py
+++ b/dewpin/cluster/configuration/__init__.py
@@ -7,7 +7,7 @@
 register, not here. Times are in milliseconds where a name ends in `_ms`, in seconds where it ends in `_s`.
 
 `schema` has the fields as the operator writes them, `rules` the checks between fields, `model` the checked
-configuration, `building` makes it with its defaults, `reading` does it all in order.
+configuration, `building` makes it with its defaults, `reading` does it all in order; `patch` changes single items.
 """
 
 from .building import (
@@ -28,6 +28,7 @@
     Share,
     normal_host,
 )
+from .patch import ConfigurationPatch, parse_patch
 from .reading import ConfigurationInvalid, longest_retain_s, parse_configuration
 
 __all__ = [
@@ -40,6 +41,7 @@
     "STREAM",
     "Configuration",
     "ConfigurationInvalid",
+    "ConfigurationPatch",
     "Engine",
     "Limits",
     "Route",
@@ -48,4 +50,5 @@
     "longest_retain_s",
     "normal_host",
     "parse_configuration",
+    "parse_patch",
 ]
--- a/dewpin/cluster/configuration/reading.py
+++ b/dewpin/cluster/configuration/reading.py
@@ -18,7 +18,7 @@
 
 def parse_configuration(body: bytes) -> Configuration:
     """Read and check a configuration; raises ConfigurationInvalid with every fault."""
-    raw = _read_object(body)
+    raw = read_object(body)
     faults = check_shape(raw, RawConfiguration)
     faults += check_rules(raw, faults)
     if faults:
@@ -32,7 +32,8 @@
     return max((float(value_or(route.get("retain_s"), DEFAULT_RETAIN_S)) for route in routes), default=0.0)
 
 
-def _read_object(body: bytes) -> JsonObject:
+def read_object(body: bytes) -> JsonObject:
+    """Return the one JSON object of a body. Raises ConfigurationInvalid if there is none."""
     try:
         value = json.loads(body, parse_constant=_reject_constant, object_pairs_hook=_unique_fields)
     except RecursionError:
--- a/dewpin/controlplane/operator_api.py
+++ b/dewpin/controlplane/operator_api.py
@@ -1,4 +1,4 @@
-"""The operator's API over HTTP: Config.Put, Config.Get, Retire.Start, Retire.Get."""
+"""The operator's API over HTTP: Config.Put, Config.Patch, Config.Get, Retire.Start, Retire.Get."""
 
 from __future__ import annotations
 
@@ -7,12 +7,15 @@
 import logging
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
-from typing import Any
+from typing import Any, TypeVar
 
-from dewpin.cluster.configuration import ConfigurationInvalid, parse_configuration
+from dewpin.cluster.body_messages import patch_digest_of
+from dewpin.cluster.configuration import ConfigurationInvalid, parse_configuration, parse_patch
 
 from .register import RegisterUnavailable, SystemRegister
 from .system_state import (
@@ -21,16 +24,19 @@
     ChangeRefused,
     GenerationNotAbove,
     OrderForgotten,
+    PatchInvalid,
     SystemState,
     TooFewWouldRemain,
     UnknownMachine,
     digest_of,
+    patch_configuration,
     put_configuration,
     retirement_is_done,
     start_retirement,
 )
 
 log = logging.getLogger(__name__)
+Parsed = TypeVar("Parsed")
 
 ANSWER_WITHIN_S = 0.85
 LEAST_LOOKUP_S = 0.05
@@ -60,6 +66,33 @@
     return Answer(status, json.dumps({"errors": list(faults)}).encode())
 
 
+@dataclass(frozen=True, slots=True)
+class _Order:
+    """What tells an order that changes the configuration from all others."""
+
+    generation: int
+    digest: str
+
+
+def _base_version(header: str | None) -> int:
+    """The version that an order builds on. Raises the answer that refuses the order."""
+    try:
+        return int(header or "0")
+    except ValueError:
+        raise _fault(400, f"{BASE_VERSION_HEADER}: expected a whole number, got {header!r}") from None
+
+
+def _checked(parse: Callable[[bytes], Parsed], body: bytes) -> Parsed:
+    """What an order's body says. Raises the answer that refuses the order."""
+    try:
+        body.decode("utf-8")
+        return parse(body)
+    except ConfigurationInvalid as invalid:
+        raise _fault(400, *invalid.lines()) from None
+    except UnicodeDecodeError:
+        raise _fault(400, "the body is not UTF-8") from None
+
+
 class OperatorApi:
     """Turns the operator's calls into changes and reads of the register, which lives on `loop`."""
 
@@ -70,24 +103,27 @@
 
     def put(self, body: bytes, base_header: str | None) -> Answer:
         """Config.Put."""
-        try:
-            base = int(base_header or "0")
-            body.decode("utf-8")
-            configuration = parse_configuration(body)
-        except ConfigurationInvalid as invalid:
-            return _fault(400, *invalid.lines())
-        except UnicodeDecodeError:
-            return _fault(400, "the body is not UTF-8")
-        except ValueError:
-            return _fault(400, f"{BASE_VERSION_HEADER}: expected a whole number, got {base_header!r}")
-        generation = configuration.generation
+        base = _base_version(base_header)
+        configuration = _checked(parse_configuration, body)
+        order = _Order(configuration.generation, digest_of(body, base))
+        return self._take(order, put_configuration(body, configuration.generation, base))
+
+    def patch(self, body: bytes, base_header: str | None) -> Answer:
+        """Config.Patch."""
+        base = _base_version(base_header)
+        patch = _checked(parse_patch, body)
+        order = _Order(patch.generation, patch_digest_of(body, base))
+        return self._take(order, patch_configuration(patch, order.digest, base))
+
+    def _take(self, order: _Order, change: Change) -> Answer:
+        """Makes the change of an order. One that is too old to be remembered is looked up."""
         began_s = time.monotonic()
         try:
-            answer = self._change(put_configuration(body, generation, base))
+            answer = self._change(change)
         except OrderForgotten:
             left_s = ANSWER_WITHIN_S - (time.monotonic() - began_s)
-            answer = self._answer_from_history(generation, digest_of(body, base), left_s)
-        return answer or Answer(200, json.dumps({"generation": generation}).encode())
+            answer = self._answer_from_history(order, left_s)
+        return answer or Answer(200, json.dumps({"generation": order.generation}).encode())
 
     def get(self) -> Answer:
         """Config.Get: the newest configuration, by a quorum's word."""
@@ -120,10 +156,11 @@
         result = self._agreed(change)
         return result if isinstance(result, Answer) else None
 
-    def _answer_from_history(self, generation: int, digest: str, left_s: float) -> Answer | None:
+    def _answer_from_history(self, order: _Order, left_s: float) -> Answer | None:
         """None if the order was taken. It is refused only if it surely wasn't."""
+        generation = order.generation
         future: Future[bool | None] = asyncio.run_coroutine_threadsafe(
-            self._register.was_taken(generation, digest, max(left_s, LEAST_LOOKUP_S)), self._loop
+            self._register.was_taken(generation, order.digest, max(left_s, LEAST_LOOKUP_S)), self._loop
         )
         try:
             was_taken = future.result(ANSWER_WITHIN_S)
@@ -141,6 +178,8 @@
             return future.result(ANSWER_WITHIN_S + 0.1)
         except OrderForgotten:
             raise
+        except PatchInvalid as invalid:
+            return _fault(400, *invalid.faults)
         except ChangeRefused as refused:
             return _fault(_STATUS_OF_REFUSAL.get(type(refused), 503), str(refused))
         except (RegisterUnavailable, FutureTimeout) as fault:
@@ -161,9 +200,9 @@
 
     def _serve(self) -> None:
         try:
-            answer = self._route()
-        except Answer as early:
-            answer = early
+            answer = self._answer(self._body())
+        except Answer as unread:
+            answer = unread
             self.close_connection = True
         except Exception as fault:
             log.exception("operator.call_failed")
@@ -171,11 +210,18 @@
             self.close_connection = True
         self._reply(answer)
 
-    def _route(self) -> Answer:
-        body = self._body()
+    def _answer(self, body: bytes) -> Answer:
+        try:
+            return self._route(body)
+        except Answer as refusal:
+            return refusal
+
+    def _route(self, body: bytes) -> Answer:
         path = self.path.partition("?")[0]
         if path == "/dewpin/Config.Put" and self.command == "POST":
             return self.api.put(body, self.headers.get(BASE_VERSION_HEADER))
+        if path == "/dewpin/Config.Patch" and self.command == "POST":
+            return self.api.patch(body, self.headers.get(BASE_VERSION_HEADER))
         if path == "/dewpin/Config.Get":
             return self.api.get()
         if path.startswith("/dewpin/Retire.Start/") and self.command == "POST":
--- a/dewpin/controlplane/system_state.py
+++ b/dewpin/controlplane/system_state.py
@@ -11,6 +11,7 @@
 from typing import NotRequired, TypedDict
 
 from dewpin.cluster.body_messages import digest_of as digest_of
+from dewpin.cluster.configuration import ConfigurationInvalid, ConfigurationPatch
 
 MOST_REMEMBERED_CONFIGURATIONS = 128
 """Orders of the operator that the state itself remembers; older ones are in each process's `OrderHistory`."""
@@ -77,6 +78,14 @@
     """The state is no longer the one that the change was planned on."""
 
 
+class PatchInvalid(ChangeRefused):
+    """The patch would make an invalid configuration; `faults` has a line for each fault."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
 class UnknownMachine(ChangeRefused):
     """No store machine has that name."""
 
@@ -143,22 +152,46 @@
 def put_configuration(body: bytes, generation: int, base: int) -> Change:
     """The change that takes a checked configuration in. The same order sent again changes nothing."""
     digest = digest_of(body, base)
+    return _take_configuration(generation, base, digest, lambda current: body)
+
+
+def patch_configuration(patch: ConfigurationPatch, order_digest: str, base: int) -> Change:
+    """The change that patches the configuration of version `base`. The same order sent again changes nothing. It raises
+    PatchInvalid where the patched configuration would be invalid."""
+
+    def patched(current: StoredConfiguration | None) -> bytes:
+        if current is None:
+            raise PatchInvalid(["there is no configuration to patch yet"])
+        try:
+            return patch.apply(current["body"])
+        except ConfigurationInvalid as invalid:
+            raise PatchInvalid(invalid.lines()) from None
+
+    return _take_configuration(patch.generation, base, order_digest, patched)
+
+
+def _take_configuration(
+    generation: int, base: int, order_digest: str, body_after: Callable[[StoredConfiguration | None], bytes]
+) -> Change:
+    """The change that takes an order in. `order_digest` tells the order from others, `body_after` makes the body."""
 
     def change(state: SystemState) -> SystemState:
-        if [generation, digest] in state["accepted"]:
+        if [generation, order_digest] in state["accepted"]:
             return state
         if is_forgotten(state, generation, base):
             raise OrderForgotten(f"generation {generation} is older than all that is remembered")
-        current = state["configuration"]["generation"] if state["configuration"] else 0
+        configuration = state["configuration"]
+        current = configuration["generation"] if configuration else 0
         if base != current:
             raise AnotherVersionIsCurrent(f"version {current} is in place, not {base}")
         if generation <= current:
             raise GenerationNotAbove(f"generation {generation} is not above {current}")
+        body = body_after(configuration)
         following = successor(state)
         following["configuration"] = StoredConfiguration(
-            generation=generation, digest=digest, body=body.decode("utf-8")
+            generation=generation, digest=digest_of(body, base), body=body.decode("utf-8")
         )
-        entry: list[int | str] = [generation, digest]
+        entry: list[int | str] = [generation, order_digest]
         following["orders_taken"] = orders_taken(state) + 1
         following["accepted"] = [*state["accepted"], entry][-MOST_REMEMBERED_CONFIGURATIONS:]
         return following
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -11,6 +11,7 @@
 import pytest
 from cluster import samples
 
+from dewpin.cluster.body_messages import patch_digest_of
 from dewpin.controlplane import operator_api
 from dewpin.controlplane.operator_api import OperatorApi, serve_operator
 from dewpin.controlplane.register import RegisterUnavailable
@@ -66,6 +67,13 @@
         body = configuration if isinstance(configuration, bytes) else json.dumps(configuration).encode()
         return self.call("POST", "/dewpin/Config.Put", body, X_Dewpin_Base_Version=str(base))[0]
 
+    def patch(self, patch, base):
+        body = json.dumps(patch).encode()
+        return self.call("POST", "/dewpin/Config.Patch", body, X_Dewpin_Base_Version=str(base))[0]
+
+    def routes(self):
+        return {route["name"] for route in json.loads(self.call("GET", "/dewpin/Config.Get")[1])["routes"]}
+
     def raw(self, data):
         with socket.create_connection(("127.0.0.1", self.port), timeout=5) as connection:
             connection.sendall(data)
@@ -120,6 +128,62 @@
     assert operator.put(sample(8), 5) == 412
 
 
+def added_route(generation, name="r-added"):
+    route = {**samples.configuration()["routes"][0], "name": name, "path_prefix": f"/{name}/"}
+    return {"generation": generation, "upsert": {"routes": [route]}}
+
+
+def test_a_patch_is_acknowledged_and_read_back_as_a_whole_configuration(operator):
+    operator.put(sample(7), 0)
+    before = operator.routes()
+    assert operator.patch(added_route(9), 7) == 200
+    assert operator.routes() == before | {"r-added"}
+    assert operator.patch({"generation": 12, "delete": {"routes": ["r-added"]}}, 9) == 200
+    assert json.loads(operator.call("GET", "/dewpin/Config.Get")[1]) == sample(12)
+
+
+def test_a_patch_whose_acknowledgement_was_lost_is_acknowledged_again(operator):
+    operator.put(sample(7), 0)
+    assert [operator.patch(added_route(9), 7), operator.patch(added_route(9), 7)] == [200, 200]
+    assert operator.patch({"generation": 12, "delete": {"routes": ["r-added"]}}, 9) == 200
+    assert operator.patch(added_route(9), 7) == 200
+    assert "r-added" not in operator.routes()
+
+
+def test_of_two_patches_on_one_version_one_wins(operator):
+    operator.put(sample(7), 0)
+    assert operator.patch(added_route(9, "r-one"), 7) == 200
+    assert operator.patch(added_route(9, "r-two"), 7) == 412
+    assert operator.patch(added_route(10, "r-two"), 7) == 412
+    assert operator.put(sample(10), 7) == 412
+    assert "r-one" in operator.routes()
+
+
+def test_a_patch_is_refused_without_a_configuration_or_where_its_result_is_invalid(operator):
+    assert operator.patch(added_route(9), 0) == 400
+    operator.put(sample(7), 0)
+    services = [service["name"] for service in sample()["services"]]
+    assert operator.patch({"generation": 9, "delete": {"services": services}}, 7) == 400
+    assert operator.patch({"generation": 7}, 7) == 400
+    assert operator.patch({"generation": 9, "upsert": 3}, 7) == 400
+    assert operator.patch({"generation": 9}, "seven") == 400
+    assert json.loads(operator.call("GET", "/dewpin/Config.Get")[1]) == sample(7)
+
+
+def test_a_body_sent_whole_and_as_a_patch_are_two_orders(operator):
+    operator.put(sample(7), 0)
+    assert operator.put(sample(9), 7) == 200
+    assert operator.patch(sample(9), 7) == 412
+
+
+def test_a_forgotten_patch_is_looked_up_under_its_own_digest(operator):
+    take_more_than_the_state_remembers(operator)
+    body = json.dumps(added_route(8)).encode()
+    operator.register.history = [[8, patch_digest_of(body, 7)]]
+    assert operator.patch(added_route(8), 7) == 200
+    assert operator.patch(added_route(8, "r-other"), 7) == 412
+
+
 def chunked(body, size):
     parts = [body[start : start + size] for start in range(0, len(body), size)]
     head = b"POST /dewpin/Config.Put HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
