Stores: a round asks the nearest majority first, and the others only if that takes too long

Hypothesis: a round of turns and ledgers asks all five replicas and waits for three; the other two are bytes between zones and processor time at both ends, for nothing but a shorter tail. Change: `QuorumRound` asks the nearest majority of each replica set (by usual time to answer; a member of another zone has to be twice as fast), and the rest once one fails or takes three usual times of the slowest (20 to 200 ms). Reads ask the replicas one by one until one of a majority has told. To the replicas a request that is never made is one that was lost, so the arguments of control-safety.md hold as they stand. A turn on a bare majority is then the ordinary case, so the background repair, which would copy every turn twice more, goes: it guarded only losses beyond those that are to be borne (3.3), and with it the numbering of arrivals (schema 4 drops its column), its messages and its tests. Tests that meant all replicas by one write now say so (`hold_everywhere`); one replica in trouble may delay the first round that meets it by one hedge, and nothing after it, which is tested for itself.

--- a/dewpin/cluster/store_messages.py
+++ b/dewpin/cluster/store_messages.py
@@ -23,7 +23,6 @@
 PULL_INDEX = "store.pull_index"
 PULL_TURNS = "store.pull_turns"
 PULL_LEDGERS = "store.pull_ledgers"
-PULL_ARRIVALS = "store.pull_arrivals"
 PULLED = "store.pulled"
 
 STALE_EPOCH = "stale_epoch"
--- a/dewpin/controlplane/__main__.py
+++ b/dewpin/controlplane/__main__.py
@@ -19,7 +19,6 @@
 
 from .control_server import ControlServer
 from .operator_api import OperatorApi, serve_operator
-from .repair import TurnRepair
 from .storage import Storage
 from .store import Store, time_of_day_ms
 from .sync import StoreSync
@@ -33,7 +32,6 @@
     storage: Storage,
     client: RpcClient,
     control_server: ControlServer,
-    rng: random.Random,
     wall_clock_ms: Callable[[], int] = time_of_day_ms,
 ) -> dict[str, Handler]:
     """Starts the store of this process, which follows the view in the system state; returns its handlers."""
@@ -66,7 +64,6 @@
     control_server.on_state = on_state
     control_server.synced_epoch = lambda: synced
     asyncio.ensure_future(store.purge_forever())
-    asyncio.ensure_future(TurnRepair(store, client, rng).run_forever())
     return store.handlers
 
 
@@ -101,7 +98,7 @@
     control_server = ControlServer(settings, storage, client, random.Random())
     server = RpcServer(control_server.handlers)
     if "store" in settings.serves:
-        server.handlers.update(await start_store(settings, storage, client, control_server, random.Random()))
+        server.handlers.update(await start_store(settings, storage, client, control_server))
     await control_server.load()
     await server.start(*split_address(control_server.address))
     control_server.start()
--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -64,7 +64,13 @@
     # Whether the replica of a ledger got its value from another one, without a vote of its own.
     "ALTER TABLE register_replica ADD COLUMN copied INTEGER NOT NULL DEFAULT 0",
 )
-_MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1, 1: _SCHEMA_2, 2: _SCHEMA_3}
+_SCHEMA_4 = (
+    # Stores follow each other's order of arrival no more.
+    "DROP INDEX turns_arrival",
+    "ALTER TABLE turns DROP COLUMN arrival",
+    "DELETE FROM meta WHERE name = 'last_purged_arrival' OR (name > 'repair/' AND name < 'repair0')",
+)
+_MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1, 1: _SCHEMA_2, 2: _SCHEMA_3, 3: _SCHEMA_4}
 """Statements that lead from a schema version to the next one."""
 
 
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -20,8 +20,6 @@
 from dewpin.controlplane import ledger_replica, ledger_retention, turn_table
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.transfer_messages import (
-    ArrivalsPage,
-    ArrivalsRequest,
     IndexPage,
     IndexRequest,
     LedgersPage,
@@ -86,7 +84,6 @@
             wire.PULL_INDEX: self._on_pull_index,
             wire.PULL_TURNS: self._on_pull_turns,
             wire.PULL_LEDGERS: self._on_pull_ledgers,
-            wire.PULL_ARRIVALS: self._on_pull_arrivals,
         }
 
     def now_ms(self) -> int:
@@ -230,28 +227,13 @@
     async def _on_pull_index(self, message: Message) -> Message:
         view = await self._check_pull(message)
         request, now_ms = IndexRequest.decode(message), self.now_ms()
-        page, newest = await self._transact(
+        page = await self._transact(
             message["epoch"],
-            lambda connection: (
-                turn_table.index_page(connection, request.after, request.most, now_ms),
-                turn_table.last_arrival(connection),
-            ),
+            lambda connection: turn_table.index_page(connection, request.after, request.most, now_ms),
         )
         wanted = [entry for entry in page if request.member in view.next_replicas(entry.program, self.replica_count)]
         after = (page[-1].turn, page[-1].program) if len(page) == request.most else None
-        return IndexPage(wanted, after, newest).encode()
-
-    async def _on_pull_arrivals(self, message: Message) -> Message:
-        """Answer what came here since a number and is held by a member under the unchanging view."""
-        view = self._check(message)
-        asked, now_ms = ArrivalsRequest.decode(message), self.now_ms()
-        page = await self._transact(
-            message["epoch"],
-            lambda connection: turn_table.arrivals(connection, asked.after, asked.until, asked.most, now_ms),
-        )
-        count = self.replica_count
-        wanted = [entry for entry in page.entries if asked.member in view.stable_replicas(entry.program, count)]
-        return ArrivalsPage(wanted, page.after, page.newest).encode()
+        return IndexPage(wanted, after).encode()
 
     async def _on_pull_turns(self, message: Message) -> Message:
         await self._check_pull(message)
--- a/dewpin/controlplane/sync.py
+++ b/dewpin/controlplane/sync.py
@@ -18,7 +18,6 @@
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.controlplane import ledger_replica, turn_table
 from dewpin.controlplane.ledger_replica import LedgerRecord
-from dewpin.controlplane.repair import write_cursor
 from dewpin.controlplane.storage import StorageFailed
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.transfer_messages import (
@@ -140,7 +139,6 @@
 
     async def _copy_turns(self, source: Member) -> None:
         page = await self._pull_index(source, ("", ""))
-        arrivals = page.newest
         left: list[IndexEntry] = []
         while True:
             following: asyncio.Task[IndexPage] | None = None
@@ -155,18 +153,11 @@
                 if following is not None:
                     following.cancel()
         await self._copy_rest(source, left)
-        await self._follow_from(source, arrivals)
 
     async def _pull_index(self, source: Member, after: Key) -> IndexPage:
         request = IndexRequest(self._store.member_id, after, INDEX_PAGE)
         return await self._pull(source, wire.PULL_INDEX, IndexPage.decode, **request.fields())
 
-    async def _follow_from(self, source: Member, arrival: int) -> None:
-        """Let the background repair begin with what came to the source after the copy had begun."""
-        await self._until_done(
-            lambda: self._store.storage.transact(lambda connection: write_cursor(connection, source.id, arrival))
-        )
-
     async def _copy_rest(self, source: Member, entries: list[IndexEntry]) -> None:
         """Return once all of `entries` are here, or are gone at the source."""
         while entries:
--- a/dewpin/controlplane/transfer_messages.py
+++ b/dewpin/controlplane/transfer_messages.py
@@ -41,64 +41,29 @@
         return cls(str(message["member"]), _key(message["after"]), int(message["most"]))
 
 
+_NO_ARRIVAL = 0
+"""Stores of earlier releases number their turns as they come, and read from an index how far the numbers went."""
+
+
 @dataclass(frozen=True, slots=True)
 class IndexPage:
-    """A part of an index. `after`: where the next part begins, if there is one; `newest`: the number of the latest
-    turn that came to the store."""
+    """A part of an index. `after`: where the next part begins, if there is one."""
 
     entries: Sequence[IndexEntry]
     after: Key | None
-    newest: int
 
     def encode(self) -> Message:
         """The form on the wire."""
         after = None if self.after is None else list(self.after)
-        return {"type": wire.PULLED, "entries": _encode_entries(self.entries), "after": after, "newest": self.newest}
+        entries = _encode_entries(self.entries)
+        return {"type": wire.PULLED, "entries": entries, "after": after, "newest": _NO_ARRIVAL}
 
     @classmethod
     def decode(cls, message: Message) -> IndexPage:
         """The page of an answer. KeyError, TypeError or ValueError if it is none."""
         after = message["after"]
         entries = _decode_entries(message["entries"])
-        return cls(entries, None if after is None else _key(after), int(message["newest"]))
-
-
-@dataclass(frozen=True, slots=True)
-class ArrivalsRequest:
-    """Asks for what came to a store behind the number `after` and up to `until`, as far as `member` holds it."""
-
-    member: str
-    after: int
-    until: int
-    most: int
-
-    def fields(self) -> Message:
-        """The request's own part of its form on the wire."""
-        return {"member": self.member, "after": self.after, "until": self.until, "most": self.most}
-
-    @classmethod
-    def decode(cls, message: Message) -> ArrivalsRequest:
-        """The request of a message. KeyError, TypeError or ValueError if it is none."""
-        return cls(str(message["member"]), int(message["after"]), int(message["until"]), int(message["most"]))
-
-
-@dataclass(frozen=True, slots=True)
-class ArrivalsPage:
-    """What came to a store up to the number `after`, and the number of its latest turn."""
-
-    entries: Sequence[IndexEntry]
-    after: int
-    newest: int
-
-    def encode(self) -> Message:
-        """The form on the wire."""
-        entries = _encode_entries(self.entries)
-        return {"type": wire.PULLED, "entries": entries, "after": self.after, "newest": self.newest}
-
-    @classmethod
-    def decode(cls, message: Message) -> ArrivalsPage:
-        """The page of an answer. KeyError, TypeError or ValueError if it is none."""
-        return cls(_decode_entries(message["entries"]), int(message["after"]), int(message["newest"]))
+        return cls(entries, None if after is None else _key(after))
 
 
 @dataclass(frozen=True, slots=True)
--- a/dewpin/controlplane/turn_table.py
+++ b/dewpin/controlplane/turn_table.py
@@ -23,29 +23,8 @@
     left_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class Arrivals:
-    """A part of the order in which a store took its turns: all those after one number and up to `after`. `newest` is
-    the number given last."""
-
-    entries: tuple[IndexEntry, ...]
-    after: int
-    newest: int
-
-
 _SWEPT_FOR_EACH = 4
 """Rows of a stretch of keys that are read at most for each key that is looked up in it."""
-_LAST_PURGED_ARRIVAL = "last_purged_arrival"
-
-
-def last_arrival(connection: sqlite3.Connection) -> int:
-    """Return the number that the newest turn was given; numbers are never given twice."""
-    row = connection.execute(
-        "SELECT max(coalesce((SELECT max(arrival) FROM turns WHERE arrival IS NOT NULL), 0),"
-        " coalesce((SELECT CAST(value AS INTEGER) FROM meta WHERE name = ?), 0))",
-        (_LAST_PURGED_ARRIVAL,),
-    ).fetchone()
-    return int(row[0])
 
 
 def put(connection: sqlite3.Connection, records: Sequence[TurnRecord], now_ms: int, margin_ms: int) -> None:
@@ -61,20 +40,12 @@
         "INSERT OR IGNORE INTO turn_bodies (turn, input, output) VALUES (?, ?, ?)",
         [(record.turn, record.input, record.output) for record in records],
     )
-    first = last_arrival(connection) + 1
     connection.executemany(
-        "INSERT INTO turns (turn, program, previous, retain_ms, expires_ms, arrival) VALUES (?, ?, ?, ?, ?, ?)"
+        "INSERT INTO turns (turn, program, previous, retain_ms, expires_ms) VALUES (?, ?, ?, ?, ?)"
         " ON CONFLICT (turn, program) DO UPDATE SET expires_ms = max(expires_ms, excluded.expires_ms)",
         [
-            (
-                record.turn,
-                record.program,
-                record.previous,
-                record.retain_ms,
-                now_ms + record.retain_ms + margin_ms,
-                arrival,
-            )
-            for arrival, (record, margin_ms) in enumerate(zip(records, margins_ms, strict=True), first)
+            (record.turn, record.program, record.previous, record.retain_ms, now_ms + record.retain_ms + margin_ms)
+            for record, margin_ms in zip(records, margins_ms, strict=True)
         ],
     )
 
@@ -118,18 +89,6 @@
     return [IndexEntry(turn, program, expires_ms - now_ms) for turn, program, expires_ms in rows]
 
 
-def arrivals(connection: sqlite3.Connection, after: int, until: int, most: int, now_ms: int) -> Arrivals:
-    """Return up to `most` turns by the order in which they came here: those above `after` and up to `until`."""
-    rows = connection.execute(
-        "SELECT arrival, turn, program, expires_ms FROM turns WHERE arrival > ? AND arrival <= ?"
-        " ORDER BY arrival LIMIT ?",
-        (after, until, most),
-    ).fetchall()
-    entries = tuple(IndexEntry(turn, program, expires_ms - now_ms) for _, turn, program, expires_ms in rows)
-    read_until = rows[-1][0] if len(rows) == most else max(after, until)
-    return Arrivals(entries, read_until, last_arrival(connection))
-
-
 def missing(connection: sqlite3.Connection, entries: Sequence[IndexEntry]) -> list[IndexEntry]:
     """Return those of `entries` that are not here."""
     keys = json.dumps([[entry.turn, entry.program] for entry in entries])
@@ -196,7 +155,6 @@
 
 def purge(connection: sqlite3.Connection, now_ms: int, most: int) -> int:
     """Delete up to `most` expired turns from which no turn goes on; return how many."""
-    newest = last_arrival(connection)
     rows = connection.execute(
         "DELETE FROM turns WHERE (turn, program) IN (SELECT turn, program FROM turns AS old WHERE expires_ms < ?"
         " AND NOT EXISTS (SELECT 1 FROM turns AS child WHERE child.previous = old.turn)"
@@ -208,8 +166,4 @@
             "DELETE FROM turn_bodies WHERE turn = ? AND NOT EXISTS (SELECT 1 FROM turns WHERE turns.turn = ?)",
             (turn, turn),
         )
-    if rows and last_arrival(connection) < newest:
-        connection.execute(
-            "INSERT OR REPLACE INTO meta (name, value) VALUES (?, ?)", (_LAST_PURGED_ARRIVAL, str(newest))
-        )
     return len(rows)
--- a/dewpin/dataplane/__main__.py
+++ b/dewpin/dataplane/__main__.py
@@ -14,6 +14,7 @@
 
 from dewpin.cluster import logs
 from dewpin.cluster.configuration import ConfigurationInvalid, parse_configuration
+from dewpin.cluster.placement import location_of
 from dewpin.cluster.receivers import ReceiverDirectory
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import BOOT_VARIABLE, Settings, settings_or_exit
@@ -101,7 +102,8 @@
     async def _start_agent(self) -> None:
         client = RpcClient()
         replica_count = self.settings.fault_tolerance.replica_count
-        self._store_client = StoreClient(client, replica_count)
+        location = location_of(self.settings.region, self.settings.zone)
+        self._store_client = StoreClient(client, replica_count, location=location)
         agent = ClusterAgent(
             self.settings, client, random.Random(), self._on_state, self._on_receivers, on_senders=self._on_senders
         )
--- a/dewpin/dataplane/ledger_client.py
+++ b/dewpin/dataplane/ledger_client.py
@@ -6,7 +6,7 @@
 import logging
 import random
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from dewpin.cluster.message_fields import MalformedMessage
@@ -20,6 +20,7 @@
 from dewpin.dataplane.background import BackgroundTasks, in_time
 from dewpin.dataplane.ledger import Ledger
 from dewpin.dataplane.program_store import BudgetSpent, Reservation, StoreUnavailable
+from dewpin.dataplane.quorum_round import QuorumRound
 from dewpin.dataplane.replica_calls import ReplicaCalls, Round, ViewHolder, ViewMoved
 
 SETTLE_FOR_S = 60.0
@@ -195,17 +196,14 @@
     async def _drive(self, proposal: Proposal, program: str, view: StoreView) -> None:
         """Send the proposal's requests and feed it the replies, until it ends or nobody is left to answer."""
         until_s = asyncio.get_running_loop().time() + SETTLE_FOR_S
+        sets = view.write_sets(program, self._count)
         with Round(self._calls, view, _reply_of) as task_round:
-
-            def send(requests: Sequence[Request]) -> None:
-                for request in requests:
-                    task_round.ask([request.member], ledger_request(request, program), until_s)
-
-            send(proposal.start())
-            while proposal.result is None and task_round.unanswered:
-                answer = await task_round.next_answer()
+            quorum_round = QuorumRound(self._calls, task_round, sets, until_s)
+            quorum_round.ask(_by_member(proposal.start(), program))
+            while proposal.result is None and quorum_round.may_answer:
+                answer = await quorum_round.next_answer()
                 if answer.content is not None:
-                    send(proposal.receive(answer.member, answer.content))
+                    quorum_round.ask(_by_member(proposal.receive(answer.member, answer.content), program))
 
     def _new_ballot(self) -> Ballot:
         """Return a ballot above all that this sender has used or heard of."""
@@ -226,6 +224,10 @@
     return LedgerPrepare(program, body.ballot)
 
 
+def _by_member(requests: Iterable[Request], program: str) -> dict[str, LedgerPrepare | LedgerAccept]:
+    return {request.member: ledger_request(request, program) for request in requests}
+
+
 def _reply_of(message: Message) -> Reply:
     """Return the reply that a store's answer tells. MalformedMessage if it tells none."""
     try:
--- a/dewpin/dataplane/replica_calls.py
+++ b/dewpin/dataplane/replica_calls.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -24,6 +25,13 @@
 FIRST_PAUSE_S = 0.03
 MOST_PAUSE_S = 1.0
 _LATENCY_WEIGHT = 0.2
+LATENCY_HALF_LIFE_S = 5.0
+"""How fast a member's usual time is forgotten while it is not asked, so that one that was slow is tried again."""
+OTHER_ZONE_TIMES = 2.0
+"""A member of another zone is nearer if it answers in less than one part in so many of the time of one of this zone."""
+
+_LEAST_TIME_S = 0.001
+"""Members that answer faster are equally near."""
 
 MALFORMED_ANSWER = "malformed_answer"
 """The kind of the error that stands for an answer which is none to its question."""
@@ -53,6 +61,18 @@
     moved: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _UsualTime:
+    """How long a member takes to answer, as of `noted_s` of the loop's clock."""
+
+    seconds: float
+    noted_s: float
+
+    def at(self, now_s: float) -> float:
+        """Return the usual time, as far as it still counts."""
+        return self.seconds * math.exp2((self.noted_s - now_s) / LATENCY_HALF_LIFE_S)
+
+
 @dataclass(frozen=True, slots=True)
 class _EncodedRequest:
     """A request's type and fields, made once for all members that are asked."""
@@ -88,16 +108,34 @@
 class ReplicaCalls:
     """Makes the calls, and remembers how long each member takes."""
 
-    def __init__(self, calls: Calls, views: ViewHolder, rng: random.Random) -> None:
+    def __init__(self, calls: Calls, views: ViewHolder, rng: random.Random, location: str = "") -> None:
+        """Make them for a process at `location`."""
         self._calls = calls
         self._views = views
         self._rng = rng
-        self._latency_s: dict[str, float] = {}
+        self._location = location
+        self._usual: dict[str, _UsualTime] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def fastest_first(self, members: Iterable[str]) -> list[str]:
-        """Return the members in the order of their usual time to answer; unknown ones come first."""
-        return sorted(members, key=lambda member: (self._latency_s.get(member, 0.0), member))
+    def usual_s(self, member: str) -> float:
+        """Return how long a member usually takes to answer; 0 where that is not known."""
+        usual = self._usual.get(member)
+        return usual.at(asyncio.get_running_loop().time()) if usual is not None else 0.0
+
+    def nearest_first(self, view: StoreView, members: Iterable[str]) -> list[str]:
+        """Return the members by their usual time, where one of this zone may take longer."""
+
+        def cost_s(member: str) -> float:
+            is_near = view.members[member].location == self._location
+            return max(self.usual_s(member), _LEAST_TIME_S) * (1.0 if is_near else OTHER_ZONE_TIMES)
+
+        return sorted(members, key=lambda member: (cost_s(member), member))
+
+    def note_silent(self, members: Iterable[str], waited_s: float) -> None:
+        """Take in that members have not answered for so long; their calls go on."""
+        now_s = asyncio.get_running_loop().time()
+        for member in members:
+            self._usual[member] = _UsualTime(max(waited_s, self.usual_s(member)), now_s)
 
     def start(self, task_round: Round[Content], member: str, request: _EncodedRequest, until_s: float) -> None:
         """Ask one member, again and again until `until_s` of the loop's clock; the round gets one answer."""
@@ -171,8 +209,10 @@
             self._views.adopt(StoreView.from_json(told))
 
     def _note_latency(self, member: str, took_s: float) -> None:
-        before_s = self._latency_s.get(member, took_s)
-        self._latency_s[member] = before_s + _LATENCY_WEIGHT * (took_s - before_s)
+        now_s = asyncio.get_running_loop().time()
+        usual = self._usual.get(member)
+        before_s = usual.at(now_s) if usual is not None else took_s
+        self._usual[member] = _UsualTime(before_s + _LATENCY_WEIGHT * (took_s - before_s), now_s)
 
 
 class Round(Generic[Content]):
--- a/dewpin/dataplane/store_client.py
+++ b/dewpin/dataplane/store_client.py
@@ -40,13 +40,15 @@
         cache: ChainCache | None = None,
         proposer: str | None = None,
         wall_clock_ms: Callable[[], int] = lambda: int(time.time() * 1000),
+        location: str = "",
     ) -> None:
-        """Make the client, on a running loop; each program lives on `replica_count` stores (2 f + 1)."""
+        """Make the client of a process at `location`, on a running loop; each program lives on `replica_count` stores
+        (2 f + 1)."""
         rng = rng or random.Random()
         proposer = proposer or secrets.token_hex(_PROPOSER_BYTES)
         self.cache = cache or ChainCache()
         self._views = ViewHolder()
-        self._calls = ReplicaCalls(calls, self._views, rng)
+        self._calls = ReplicaCalls(calls, self._views, rng, location)
         self._background = BackgroundTasks()
         self._ledgers = LedgerClient(
             self._calls, self._views, replica_count, proposer, rng, wall_clock_ms, self._background
--- a/dewpin/dataplane/turn_client.py
+++ b/dewpin/dataplane/turn_client.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Sequence
 
+from dewpin.cluster.placement import majority
 from dewpin.cluster.sender_requests import TurnChain, TurnPut, TurnStored
 from dewpin.cluster.store_messages import ChainLinks, TurnRecord
 from dewpin.cluster.store_view import StoreView
@@ -12,6 +13,7 @@
 from dewpin.dataplane.background import BackgroundTasks
 from dewpin.dataplane.chain_cache import ChainCache, Link
 from dewpin.dataplane.program_store import StoreUnavailable, TurnUnknown
+from dewpin.dataplane.quorum_round import QuorumRound
 from dewpin.dataplane.replica_calls import ReplicaCalls, Round, ViewHolder, ViewMoved
 
 HEDGE_S = 0.06
@@ -59,11 +61,12 @@
         stored: set[str] = set()
         hands_off = self._hand_off_bytes < MOST_HAND_OFF_BYTES
         with Round(self._calls, view, TurnStored.decode, hands_off) as task_round:
-            task_round.ask(frozenset().union(*sets), TurnPut(tuple(records)), until_s)
+            quorum_round = QuorumRound(self._calls, task_round, sets, until_s)
+            quorum_round.ask(dict.fromkeys(frozenset().union(*sets), TurnPut(tuple(records))))
             while not has_majorities(sets, stored):
-                if not task_round.unanswered:
+                if not quorum_round.may_answer:
                     raise StoreUnavailable("too few replicas took the turn")
-                answer = await task_round.next_answer()
+                answer = await quorum_round.next_answer()
                 if answer.content is not None:
                     stored.add(answer.member)
         if task_round.unanswered:
@@ -142,10 +145,13 @@
         raise TurnUnknown(last)
 
     def _reading_stages(self, view: StoreView, program: str) -> list[list[str]]:
-        """Return whom to ask, one group after the other: the fastest replica, the other ones, all other stores."""
-        replicas = self._calls.fastest_first(view.stable_replicas(program, self._count))
+        """Return whom to ask, one group after the other: so many replicas, one by one and the nearest first, that one
+        of them holds what a majority holds, then the other replicas, then all other stores."""
+        replicas = self._calls.nearest_first(view, view.stable_replicas(program, self._count))
+        one_by_one = majority(len(replicas))
         others = [member for member in view.stable_ids if member not in replicas]
-        return [group for group in (replicas[:1], replicas[1:], others) if group]
+        stages = [[member] for member in replicas[:one_by_one]]
+        return [group for group in (*stages, replicas[one_by_one:], others) if group]
 
 
 def _copy_for(program: str, link: TurnRecord) -> TurnRecord:
--- a/tests/controlplane/test_ledger_losses.py
+++ b/tests/controlplane/test_ledger_losses.py
@@ -27,9 +27,21 @@
     await writer.settled()
     await writer.reserve(PROGRAM, "running", 30, BUDGET, 1.0)
     writer.close()
+    deliver_to_all(world, voters)
     assert {name for name, machine in world.machines.items() if accepted_at(machine)} == set(voters)
 
 
+def deliver_to_all(world, voters):
+    """Let those voters that the writer did not need take what the others took."""
+    asked = next(world.machines[name] for name in voters if accepted_at(world.machines[name]))
+    columns = "key, promised, accepted_ballot, value, changed_ms, copied"
+    rows = asked.disk.connection.execute(f"SELECT {columns} FROM register_replica WHERE key LIKE 'ledger/%'").fetchall()
+    for name in voters:
+        world.machines[name].disk.connection.executemany(
+            f"INSERT OR REPLACE INTO register_replica ({columns}) VALUES (?, ?, ?, ?, ?, ?)", rows
+        )
+
+
 def accepted_at(machine):
     """The ballots of the machine's ledgers, copied ones included."""
     rows = machine.disk.connection.execute("SELECT accepted_ballot FROM register_replica WHERE key LIKE 'ledger/%'")
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -373,6 +373,7 @@
         client = world.client()
         for number in range(40):
             await client.append(turn(f"t{number}", program=f"p{number}"), 1.0)
+        await world.hold_everywhere()
         fetched = []
         for name in "abc":
             handlers = world.machines[name].store.handlers
--- a/tests/controlplane/test_store_copy.py
+++ b/tests/controlplane/test_store_copy.py
@@ -23,6 +23,7 @@
         await client.append(turn(f"t{number:04}", program=f"p{number}", body=body), 1.0)
     await client.settled()
     client.close()
+    await world.hold_everywhere()
     return world
 
 
--- /dev/null
+++ b/tests/dataplane/test_quorum_round.py
@@ -0,0 +1,106 @@
+"""Rounds that ask the nearest majority first: whom they ask, and when they ask the others."""
+
+import asyncio
+import itertools
+
+import pytest
+from scripted.clock import run
+from scripted.stores import World, turn
+
+from dewpin.cluster.placement import majority
+from dewpin.dataplane.quorum_round import LEAST_HEDGE_S, MOST_HEDGE_S, nearest_majorities
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 5])
+def test_a_majority_of_one_set_is_made_of_its_nearest_members(size):
+    members = "abcdefg"[:size]
+    chosen = nearest_majorities([frozenset(members)], list(members))
+    assert sorted(chosen) == list(members[: majority(size)])
+
+
+def test_every_set_has_its_majority_whatever_the_ranks_are():
+    sets = [frozenset("abc"), frozenset("bcd"), frozenset("defgh")]
+    for ranked in itertools.islice(itertools.permutations("abcdefgh"), 0, None, 97):
+        chosen = set(nearest_majorities(sets, list(ranked)))
+        assert all(len(chosen & members) >= majority(len(members)) for members in sets)
+
+
+def test_a_set_takes_those_that_another_set_has_chosen_already():
+    assert set(nearest_majorities([frozenset("abc"), frozenset("abd")], list("dabc"))) == {"a", "b"}
+
+
+def asked(world, kind="turn.put"):
+    return sorted(name for name, machine in world.machines.items() if kind in machine.seen)
+
+
+def test_the_others_are_asked_once_the_first_ones_take_too_long():
+    async def scene():
+        world = World(names="abcde", losses=2)
+        world.machines["a"].frozen = world.machines["b"].frozen = True
+        client = world.client()
+        began_s = asyncio.get_running_loop().time()
+        await client.append(turn("t"), 1.0)
+        return asked(world), asyncio.get_running_loop().time() - began_s
+
+    names, took_s = run(scene())
+    assert names == ["c", "d", "e"]
+    assert LEAST_HEDGE_S <= took_s < LEAST_HEDGE_S + 0.01
+
+
+def test_the_others_are_asked_at_once_where_a_first_one_refuses_for_good():
+    async def scene():
+        world = World()
+
+        async def refuse(message):
+            return {"type": "none of the answers"}
+
+        world.machines["a"].store.handlers["turn.put"] = refuse
+        client = world.client()
+        began_s = asyncio.get_running_loop().time()
+        await client.reserve("p", "t", 5, 10, 1.0)
+        await client.append(turn("t"), 1.0)
+        return asyncio.get_running_loop().time() - began_s
+
+    assert run(scene()) < MOST_HEDGE_S
+
+
+def test_slow_replicas_are_given_a_few_of_their_usual_times():
+    """All replicas of a busy tier are slow: to ask more of them would make them slower."""
+
+    async def scene():
+        world = World(names="abcde", losses=2, delay_s=0.03)
+        client = world.client()
+        for number in range(10):
+            await client.append(turn(f"t{number}"), 1.0)
+        await client.settled()
+        return {name: machine.seen.count("turn.put") for name, machine in world.machines.items()}
+
+    counts = run(scene())
+    assert sum(counts.values()) <= 10 * 3 + 2
+
+
+def test_a_budget_is_kept_by_senders_that_ask_different_majorities():
+    async def scene():
+        world = World(names="abcde", losses=2)
+        world.tell_locations({name: f"r/{name}" for name in "abcde"})
+        clients = [
+            world.client(f"sender-{name}", seed=number, location=f"r/{name}") for number, name in enumerate("abcde")
+        ]
+        taken = 0
+        for number in range(40):
+            client = clients[number % len(clients)]
+            try:
+                held = await client.reserve("p", f"t{number}", 10, 100, 1.0)
+            except Exception as refusal:
+                assert type(refusal).__name__ == "BudgetSpent"
+                continue
+            taken += 10
+            client.settle(held, 5)
+            await client.settled()
+            taken -= 5
+        ledger = await clients[0].read_ledger("p")
+        return taken, ledger
+
+    taken, ledger = run(scene())
+    assert ledger == {"spent": taken, "open": {}}
+    assert 90 < taken <= 100
