Sticky routes: requests of plain services stick to the object that they are about

Hypothesis: work goes faster at a receiver that has lately seen the object named by the header or cookie X-Dewpin-Session-Affinity, which was not read: tools stuck to their program, which no receiver knows anything of. Change: requests without a prompt stick to that header or cookie, those with one to their program as before.

--- a/dewpin/dataplane/messages.py
+++ b/dewpin/dataplane/messages.py
@@ -16,6 +16,8 @@
 TOKEN_USAGE = "x-dewpin-token-usage"
 PRIORITY = "priority"
 PROMPT_PREFIX = "x-dewpin-prompt-prefix"
+AFFINITY = "x-dewpin-session-affinity"
+"""A header, or a cookie: what the requests about one object have in common."""
 
 CONNECTION_HEADERS = frozenset(
     {
--- a/dewpin/dataplane/request_path.py
+++ b/dewpin/dataplane/request_path.py
@@ -11,7 +11,7 @@
 from .balancing import Balancer
 from .cluster_state import ClusterState
 from .figures import RequestFigures
-from .messages import PROMPT_PREFIX, REQUEST_ID, Answer, Request, own_answer
+from .messages import AFFINITY, PROMPT_PREFIX, REQUEST_ID, Answer, Headers, Request, own_answer
 from .program_store import ProgramStore
 from .request_attempts import RequestAttempts, RoutedRequest, Tools
 from .time_allowed import time_allowed_s
@@ -131,13 +131,32 @@
 
 
 def sticky_key(request: Request) -> str | None:
-    """Return what the cached part of a prompt hangs on: the program, the session or the last shared part."""
-    key = request.headers.get("program") or request.headers.get("session")
-    if key is not None:
-        return key
-    parts = (request.headers.get(PROMPT_PREFIX) or "").split(",")
+    """Return what the state that a receiver keeps hangs on.
+
+    The cached part of a prompt hangs on the program, the session or the last shared part; what else a receiver has at
+    hand, on the object that the request is about.
+    """
+    headers = request.headers
+    prompt_prefix = headers.get(PROMPT_PREFIX)
+    program = headers.get("program") or headers.get("session")
+    if prompt_prefix is None:
+        return affinity_of(headers) or program
+    parts = prompt_prefix.split(",")
     shared = parts[-2] if len(parts) > 1 else parts[-1]
-    return shared.partition(":")[0].strip() or None
+    return program or shared.partition(":")[0].strip() or None
+
+
+def affinity_of(headers: Headers) -> str | None:
+    """Return the object that a request is about, from the header or the first cookie of that name (RFC 6265, 4.2)."""
+    named = (headers.get(AFFINITY) or "").strip()
+    if named:
+        return named
+    for pair in "; ".join(headers.get_all("cookie")).split(";"):
+        name, _, value = pair.partition("=")
+        value = value.strip().strip('"')
+        if name.strip().lower() == AFFINITY and value:
+            return value
+    return None
 
 
 def share_of_key(key: str) -> float:
--- a/tests/dataplane/test_request_path.py
+++ b/tests/dataplane/test_request_path.py
@@ -319,6 +319,27 @@
     assert sticky_key(request(*fields)) == key
 
 
+@pytest.mark.parametrize(
+    ("fields", "key"),
+    [
+        ([("X-Dewpin-Session-Affinity", "17"), ("Program", "p")], "17"),
+        ([("Cookie", "X-Dewpin-Session-Affinity=17"), ("Program", "p")], "17"),
+        ([("Cookie", "a=b; x-dewpin-session-affinity=17; c")], "17"),
+        ([("Cookie", "a=b"), ("Cookie", "X-Dewpin-Session-Affinity=17")], "17"),
+        ([("Cookie", 'X-Dewpin-Session-Affinity="17"')], "17"),
+        ([("Cookie", "X-Dewpin-Session-Affinity=1=7")], "1=7"),
+        ([("Cookie", "X-Dewpin-Session-Affinity=17; X-Dewpin-Session-Affinity=18")], "17"),
+        ([("Cookie", "X-Dewpin-Session-Affinity=; =; ;"), ("Program", "p")], "p"),
+        ([("Cookie", "NotX-Dewpin-Session-Affinity=17")], None),
+        ([("X-Dewpin-Session-Affinity", " ")], None),
+        ([("Cookie", "X-Dewpin-Session-Affinity=17"), ("Program", "p"), ("X-Dewpin-Prompt-Prefix", "a:1,b:2")], "p"),
+        ([("Cookie", "X-Dewpin-Session-Affinity=17"), ("X-Dewpin-Prompt-Prefix", "a:1,b:2")], "a"),
+    ],
+)
+def test_what_is_no_prompt_sticks_to_the_object_that_it_is_about(fields, key):
+    assert sticky_key(request(*fields)) == key
+
+
 def test_the_share_of_a_key_is_the_same_at_every_sender():
     assert share_of_key("session") == share_of_key("session")
     assert 0 <= share_of_key("session") < 1
