Turns: the budget is reserved and the chain read side by side

Change: one call of the store client begins a turn; where either part fails, nothing of the budget stays reserved. The test of the time that the stores are given follows: it is one wait now, of the same length at most.

--- a/dewpin/dataplane/program_store.py
+++ b/dewpin/dataplane/program_store.py
@@ -11,6 +11,7 @@
 from dewpin.cluster.store_view import Member, StoreView
 
 __all__ = [
+    "BegunTurn",
     "BudgetSpent",
     "Member",
     "ProgramStore",
@@ -52,6 +53,14 @@
     most: int
 
 
+@dataclass(frozen=True, slots=True)
+class BegunTurn:
+    """What a turn that goes on from another one needs before it is sent; `chain` as `ProgramStore.chain` returns it."""
+
+    reservation: Reservation
+    chain: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Turn:
     """A turn that ended whole. `output` is the data of each event with a line feed behind it."""
@@ -76,5 +85,8 @@
     def chain(self, program: str, previous: str, timeout_s: float) -> bytes:
         """Return input and output of each turn up to `previous`, oldest first; raises TurnUnknown, StoreUnavailable."""
 
+    def begin(self, program: str, turn: str, most: int, budget: int, previous: str, timeout_s: float) -> BegunTurn:
+        """Reserve and read the chain side by side; raises what either raises, and then keeps no reservation."""
+
     def append(self, turn: Turn, timeout_s: float) -> None:
         """Keep a turn; it is durable when this returns; raises StoreUnavailable."""
--- a/dewpin/dataplane/store_client.py
+++ b/dewpin/dataplane/store_client.py
@@ -19,7 +19,7 @@
 from dewpin.dataplane.chain_cache import ChainCache, Link
 from dewpin.dataplane.ledger import Ledger
 from dewpin.dataplane.ledger_client import LedgerClient
-from dewpin.dataplane.program_store import Reservation, StoreUnavailable, Turn
+from dewpin.dataplane.program_store import BegunTurn, Reservation, StoreUnavailable, Turn
 from dewpin.dataplane.replica_calls import Calls, ReplicaCalls, ViewHolder
 from dewpin.dataplane.turn_client import TurnClient
 
@@ -81,6 +81,23 @@
         """Return the bytes of the chain that ends with `previous`. Raises TurnUnknown, StoreUnavailable."""
         return await in_time(self._turns.chain(program, previous), timeout_s)
 
+    async def begin(
+        self, program: str, turn: str, most: int, budget: int, previous: str, timeout_s: float
+    ) -> BegunTurn:
+        """Reserve and read the chain side by side. Raises what either raises, and then keeps no reservation."""
+        reading = asyncio.ensure_future(self.chain(program, previous, timeout_s))
+        try:
+            reservation = await self.reserve(program, turn, most, budget, timeout_s)
+        except BaseException:
+            reading.cancel()
+            await asyncio.gather(reading, return_exceptions=True)
+            raise
+        try:
+            return BegunTurn(reservation, await reading)
+        except BaseException:
+            self.settle(reservation, 0)
+            raise
+
     async def append(self, turn: Turn, timeout_s: float) -> None:
         """Make a turn durable. Raises StoreUnavailable."""
         record = TurnRecord(turn.id, turn.program, turn.previous, int(turn.retain_s * 1000), turn.input, turn.output)
@@ -114,6 +131,13 @@
             return cached
         return self._wait(self._client.chain(program, previous, timeout_s), timeout_s)
 
+    def begin(self, program: str, turn: str, most: int, budget: int, previous: str, timeout_s: float) -> BegunTurn:
+        """Reserve and read the chain side by side. Raises what either raises, and then keeps no reservation."""
+        cached = self._client.cache.whole_chain(program, previous)
+        if cached is not None:
+            return BegunTurn(self.reserve(program, turn, most, budget, timeout_s), cached)
+        return self._wait(self._client.begin(program, turn, most, budget, previous, timeout_s), timeout_s)
+
     def append(self, turn: Turn, timeout_s: float) -> None:
         """Make a turn durable. Raises StoreUnavailable."""
         self._wait(self._client.append(turn, timeout_s), timeout_s)
--- a/dewpin/dataplane/turns.py
+++ b/dewpin/dataplane/turns.py
@@ -74,17 +74,17 @@
     def open(self, time_left_s: Callable[[], float], cut_off: bool = False) -> None:
         """Reserve the budget and fetch the chain; raises BudgetSpent, TurnUnknown or StoreUnavailable."""
         plan = self._plan
-        longest_s = CUT_OFF_OPEN_TIMEOUT_S if cut_off else OPEN_TIMEOUT_S
-        if plan.budget is not None:
-            timeout_s = min(longest_s, time_left_s())
+        timeout_s = min(CUT_OFF_OPEN_TIMEOUT_S if cut_off else OPEN_TIMEOUT_S, time_left_s())
+        previous = plan.previous if plan.retained else None
+        chain = b""
+        if plan.budget is not None and previous is not None:
+            begun = self._store.begin(plan.program, plan.turn_id, plan.most, plan.budget, previous, timeout_s)
+            self._reservation, chain = begun.reservation, begun.chain
+        elif plan.budget is not None:
             self._reservation = self._store.reserve(plan.program, plan.turn_id, plan.most, plan.budget, timeout_s)
-        if plan.retained and plan.previous is not None:
-            try:
-                timeout_s = min(longest_s, time_left_s())
-                self.body = self._store.chain(plan.program, plan.previous, timeout_s) + self._request.body
-            except BaseException:
-                self.settle()
-                raise
+        elif previous is not None:
+            chain = self._store.chain(plan.program, previous, timeout_s)
+        self.body = chain + self._request.body
 
     def count_event(self, event: Event) -> None:
         """Take in an event that is about to be passed on to the client."""
--- a/tests/dataplane/peers.py
+++ b/tests/dataplane/peers.py
@@ -13,7 +13,7 @@
 from dewpin.cluster.configuration import Configuration, parse_configuration
 from dewpin.cluster.receivers import Receiver
 from dewpin.dataplane.messages import Client, Headers, Request
-from dewpin.dataplane.program_store import BudgetSpent, Reservation, StoreUnavailable, Turn, TurnUnknown
+from dewpin.dataplane.program_store import BegunTurn, BudgetSpent, Reservation, StoreUnavailable, Turn, TurnUnknown
 
 PATIENCE_S = 10.0
 """Bounds every wait of a test, so that a fault fails it and does not hang it."""
@@ -310,6 +310,14 @@
         before = self.chain(program, turn.previous, timeout_s) if turn.previous is not None else b""
         return before + turn.input + turn.output
 
+    def begin(self, program: str, turn: str, most: int, budget: int, previous: str, timeout_s: float) -> BegunTurn:
+        reservation = self.reserve(program, turn, most, budget, timeout_s)
+        try:
+            return BegunTurn(reservation, self.chain(program, previous, timeout_s))
+        except BaseException:
+            self.settle(reservation, 0)
+            raise
+
     def append(self, turn: Turn, timeout_s: float) -> None:
         self._check("append")
         self.on_append(turn)
--- a/tests/dataplane/test_store_client.py
+++ b/tests/dataplane/test_store_client.py
@@ -361,3 +361,53 @@
     assert cache.whole_chain("p", "t9") == b"x" * 500
     clock[0] = 10.0
     assert cache.get("p", "t9") is None
+
+
+# A turn that goes on from another one
+
+
+def test_budget_and_chain_are_asked_for_side_by_side():
+    async def scene():
+        world = World(delay_s=0.02)
+        await world.client("one").append(turn("t1"), 1.0)
+        client = world.client("two")
+        began_s = now_s()
+        begun = await client.begin("p", "t2", 10, 100, "t1", 1.0)
+        took_s = now_s() - began_s
+        began_s = now_s()
+        await world.client("three").reserve("q", "t", 10, 100, 1.0)
+        return begun.chain, begun.reservation.most, took_s, now_s() - began_s
+
+    chain, most, both_s, reserve_s = run(scene())
+    assert (chain, most) == (b"<t1>", 10)
+    assert both_s < reserve_s + 0.005
+
+
+@pytest.mark.parametrize(("previous", "budget", "error"), [("never", 100, TurnUnknown), ("t1", 5, BudgetSpent)])
+def test_a_turn_that_cannot_begin_keeps_nothing_of_the_budget(previous, budget, error):
+    async def scene():
+        world = World()
+        client = world.client("one")
+        await client.append(turn("t1"), 1.0)
+        with pytest.raises(error):
+            await world.client("two").begin("p", "t2", 10, budget, previous, 1.0)
+        await asyncio.sleep(1.0)
+        return await client.read_ledger("p")
+
+    ledger = run(scene())
+    assert ledger is None or ledger == {"spent": 0, "open": {}}
+
+
+def test_a_turn_that_is_told_to_wait_no_longer_keeps_nothing_of_the_budget():
+    async def scene():
+        world = World()
+        await world.client("one").append(turn("t1"), 1.0)
+        for machine in world.machines.values():
+            machine.refuses = {"turn.chain"}
+        client = world.client("two")
+        with pytest.raises(StoreUnavailable):
+            await client.begin("p", "t2", 10, 100, "t1", 0.3)
+        await client.settled()
+        return await client.read_ledger("p")
+
+    assert run(scene()) == {"spent": 0, "open": {}}
