Mutations: three wrong variants that nothing noticed, each with the test that catches it

A copy that takes back a promise, an accept that asks the new value's sets alone, and a write under an older epoch, which the check before the write alone keeps from the disk.

--- a/tests/consensus/test_register.py
+++ b/tests/consensus/test_register.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dewpin.consensus import Accept, Ballot, Conflict, Outcome, Prepare, Promise, Proposal, Replica
+from dewpin.consensus import Accept, Accepted, Ballot, Conflict, Outcome, Prepare, Promise, Proposal, Replica
 from dewpin.consensus.replica import ZERO_BALLOT
 
 GENESIS = {"version": 0, "members": ["a", "b", "c"], "former": ["a", "b", "c"]}
@@ -118,6 +118,27 @@
     assert fleet.propose("q", read) is None
 
 
+def test_a_value_needs_majorities_of_the_sets_of_the_value_that_it_follows():
+    """Also where the new value does not name them: whoever reads by the former sets would miss it otherwise."""
+
+    def only_members(value):
+        return [frozenset(value["members"])]
+
+    proposal = Proposal(
+        Ballot(1, "p"), GENESIS, only_members, lambda value: {**value, "members": ["c", "d", "e"]}, ZERO_BALLOT
+    )
+    proposal.start()
+    for member in "ab":
+        requests = proposal.receive(member, Promise(ZERO_BALLOT, None, False))
+    assert {request.member for request in requests} == set("abcde")
+    for member in "de":
+        proposal.receive(member, Accepted(Ballot(1, "p")))
+    assert proposal.result is None
+    for member in "ab":
+        proposal.receive(member, Accepted(Ballot(1, "p")))
+    assert proposal.result is not None and proposal.result.outcome is Outcome.CHOSEN
+
+
 def test_an_unfinished_change_of_members_is_confirmed_before_anything_is_built_on_it():
     fleet = Fleet("a", "b", "c", "d")
     fleet.propose("p", swap, lost=lambda request: isinstance(request.body, Accept) and request.member != "a")
--- a/tests/controlplane/test_ledger_copies.py
+++ b/tests/controlplane/test_ledger_copies.py
@@ -119,3 +119,20 @@
         assert await asyncio.wait_for(reader.read_ledger("p"), 5.0) == RESERVED
 
     run(scene())
+
+
+def test_a_copy_takes_back_no_promise_of_the_store_that_copies():
+    """An older ballot accepted after the promise would be overwritten by the newer one, which has not read it."""
+
+    async def scene():
+        world = World(syncs=False)
+        store = world.machines["a"]
+        await prepare(world, "a", 9)
+        older = ledger_replica.LedgerRecord("p", Ballot(5, "s"), Ballot(3, "s"), BEFORE)
+        await store.disk.transact(lambda connection: ledger_replica.merge(connection, [older], 0))
+        answer = await ask(store, wire.LEDGER_ACCEPT, world.view, ballot=[7, "s"], value=RESERVED, next_ballot=None)
+        assert answer["type"] == "ballot.conflict"
+        replica = ledger_replica.load(store.disk.connection, "p")
+        assert (replica.promised, replica.accepted, replica.copied) == (Ballot(9, "s"), Ballot(3, "s"), True)
+
+    run(scene())
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -46,6 +46,27 @@
     run(scene())
 
 
+def test_a_write_of_an_older_epoch_leaves_nothing_on_the_disk():
+    async def scene():
+        world = World(syncs=False)
+        store = world.machines["a"]
+        older = world.view
+        world.tell(StoreView(older.epoch + 1, older.stable))
+        writes = [
+            (wire.TURN_PUT, {"turns": [record("t").to_json()]}),
+            (wire.LEDGER_PREPARE, {"program": "p", "ballot": [1, "s"]}),
+            (wire.LEDGER_ACCEPT, {"program": "p", "ballot": [1, "s"], "value": {}, "next_ballot": None}),
+        ]
+        for kind, fields in writes:
+            with pytest.raises(RpcError) as refusal:
+                await ask(store, kind, older, **fields)
+            assert refusal.value.kind == wire.STALE_EPOCH
+        assert turns_of(store) == set()
+        assert store.disk.connection.execute("SELECT count(*) FROM register_replica").fetchone() == (0,)
+
+    run(scene())
+
+
 def test_a_request_meant_for_another_incarnation_is_refused():
     async def scene():
         world = World()
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -79,6 +79,9 @@
     "tests.dataplane.test_request_path::"
     "test_a_request_without_a_route_is_refused_while_no_majority_has_confirmed_the_configuration"
 )
+COPIED_PROMISE = "tests.controlplane.test_ledger_copies::test_a_copy_takes_back_no_promise_of_the_store_that_copies"
+OLD_SETS = "tests.consensus.test_register::test_a_value_needs_majorities_of_the_sets_of_the_value_that_it_follows"
+OLDER_EPOCH = "tests.controlplane.test_store::test_a_write_of_an_older_epoch_leaves_nothing_on_the_disk"
 UNKNOWN_EFFECT = "tests.dataplane.test_retry::test_an_unknown_effect_ends_what_may_not_be_repeated"
 USED_CONNECTION = "tests.dataplane.test_upstream::test_a_refusal_without_an_id_proves_nothing_on_a_used_connection"
 LATE_ANSWER = "tests.cluster.test_rpc_endings::test_the_late_answer_to_an_abandoned_call_reaches_nobody"
@@ -137,6 +140,9 @@
     Mutation(variants.answer_404_while_unconfirmed, NO_ROUTE),
     Mutation(variants.be_ready_before_a_majority_has_confirmed, NEWCOMER, arguments=lambda: {"seed": 2}),
     Mutation(variants.take_a_body_without_its_digest, BODIES),
+    Mutation(variants.take_the_copied_promise_in_place_of_the_greater, COPIED_PROMISE),
+    Mutation(variants.accept_by_the_new_sets_alone, OLD_SETS),
+    Mutation(variants.write_under_an_older_epoch, OLDER_EPOCH),
 ]
 
 
--- a/tests/mutations/variants.py
+++ b/tests/mutations/variants.py
@@ -357,3 +357,35 @@
         return self._bodies[digest]
 
     patch.setattr(ConfigurationBodies, "_body", body)
+
+
+def take_the_copied_promise_in_place_of_the_greater(patch: Patch) -> None:
+    def merge(connection: Any, records: Any, now_ms: int) -> None:
+        for record in records:
+            own = ledger_replica.load(connection, record.program)
+            merged = replace(own, promised=record.promised)
+            if record.accepted > own.accepted:
+                merged = Replica(record.promised, record.accepted, record.value, copied=True)
+            ledger_replica.save(connection, record.program, merged, now_ms)
+
+    patch.setattr(ledger_replica, "merge", merge)
+
+
+def accept_by_the_new_sets_alone(patch: Patch) -> None:
+    send_accept = Proposal._send_accept
+
+    def send(self: Proposal, value: Any, sets: Any) -> Any:
+        return send_accept(self, value, list(self._quorum_sets(value)))
+
+    patch.setattr(Proposal, "_send_accept", send)
+
+
+def write_under_an_older_epoch(patch: Patch) -> None:
+    check = Store._check
+
+    def lenient(self: Store, message: Any) -> Any:
+        view = self.view
+        is_older = view is not None and message["epoch"] < view.epoch
+        return view if is_older else check(self, message)
+
+    patch.setattr(Store, "_check", lenient)
