Rounds rely on replicas that have proved that they answer, and probe the others beside them

Change: what is known of replicas has a module of its own (`replica_health.py`). One that failed, was silent past the hedge or was never heard is asked beside the majority every two seconds and relied on once it answers. Of equal ones the order differs between senders. A fresh sender asks all replicas in its first round.

--- a/dewpin/dataplane/quorum_round.py
+++ b/dewpin/dataplane/quorum_round.py
@@ -1,8 +1,9 @@
 """A round of calls that asks no more replicas than are needed, and the others once that takes too long.
 
-Of each replica set the nearest majority is asked first. The others are asked as soon as one of these fails or takes
-longer than the slowest of them usually does. To the replicas a request that is never made is one that was lost on its
-way, so what holds for a round that asks all of them holds for this one.
+Of each replica set the nearest majority is asked first, and beside it whoever has to prove now that it answers. The
+others are asked as soon as one of the first fails or takes longer than the slowest of them usually does. To the
+replicas a request that is never made is one that was lost on its way, so what holds for a round that asks all of them
+holds for this one.
 """
 
 from __future__ import annotations
@@ -30,14 +31,13 @@
     def __init__(
         self, calls: ReplicaCalls, task_round: Round[Content], sets: Sequence[ReplicaSet], until_s: float
     ) -> None:
-        self._calls = calls
+        self._health = calls.health
         self._round = task_round
         self._sets = sets
         self._members = frozenset().union(*sets)
         self._until_s = until_s
         self._held_back: Mapping[str, SenderRequest] = {}
         self._unanswered: set[str] = set()
-        self._asked_s = 0.0
         self._hedge_at_s = 0.0
         task_round.on_failure = self._ask_the_others
 
@@ -50,13 +50,15 @@
         """Ask the nearest members, by id; what was held back of the requests before is asked of nobody any more."""
         if not requests:
             return
-        nearest = nearest_majorities(self._sets, self._calls.nearest_first(self._round.view, self._members))
-        first = {member: request for member, request in requests.items() if member in nearest}
-        self._held_back = {member: request for member, request in requests.items() if member not in nearest}
-        usual_s = max((self._calls.usual_s(member) for member in first), default=0.0)
-        self._asked_s = asyncio.get_running_loop().time()
-        self._hedge_at_s = self._asked_s + min(MOST_HEDGE_S, max(LEAST_HEDGE_S, HEDGE_TIMES * usual_s))
-        self._unanswered = set(first)
+        now_s = asyncio.get_running_loop().time()
+        ranked = self._health.nearest_first(self._round.view, self._members, now_s)
+        nearest = nearest_majorities(self._sets, ranked)
+        probed = self._health.take_due_probes(requests.keys() - nearest, now_s)
+        first = {member: request for member, request in requests.items() if member in nearest or member in probed}
+        self._held_back = {member: request for member, request in requests.items() if member not in first}
+        usual_s = max((self._health.usual_s(member, now_s) for member in nearest), default=0.0)
+        self._hedge_at_s = now_s + min(MOST_HEDGE_S, max(LEAST_HEDGE_S, HEDGE_TIMES * usual_s))
+        self._unanswered = set(nearest)
         self._ask_now(first)
 
     async def next_answer(self) -> Answer[Content]:
@@ -66,7 +68,8 @@
                 async with asyncio.timeout_at(self._hedge_at_s):
                     return self._looked_at(await self._round.next_answer())
             except TimeoutError:
-                self._calls.note_silent(self._unanswered, self._hedge_at_s - self._asked_s)
+                for member in self._unanswered:
+                    self._health.note_failure(member, self._hedge_at_s)
         self._ask_the_others()
         return self._looked_at(await self._round.next_answer())
 
--- a/dewpin/dataplane/replica_calls.py
+++ b/dewpin/dataplane/replica_calls.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import math
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -20,19 +19,11 @@
 from dewpin.cluster.running_tasks import forget_current_task
 from dewpin.cluster.sender_requests import RequestHeader, SenderRequest
 from dewpin.cluster.store_view import StoreView
+from dewpin.dataplane.replica_health import ReplicaHealth
 
 ATTEMPT_TIMEOUT_S = 0.6
 FIRST_PAUSE_S = 0.03
 MOST_PAUSE_S = 1.0
-_LATENCY_WEIGHT = 0.2
-LATENCY_HALF_LIFE_S = 5.0
-"""How fast a member's usual time is forgotten while it is not asked, so that one that was slow is tried again."""
-OTHER_ZONE_TIMES = 2.0
-"""A member of another zone is nearer if it answers in less than one part in so many of the time of one of this zone."""
-
-_LEAST_TIME_S = 0.001
-"""Members that answer faster are equally near."""
-
 MALFORMED_ANSWER = "malformed_answer"
 """The kind of the error that stands for an answer which is none to its question."""
 
@@ -61,18 +52,6 @@
     moved: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class _UsualTime:
-    """How long a member takes to answer, as of `noted_s` of the loop's clock."""
-
-    seconds: float
-    noted_s: float
-
-    def at(self, now_s: float) -> float:
-        """Return the usual time, as far as it still counts."""
-        return self.seconds * math.exp2((self.noted_s - now_s) / LATENCY_HALF_LIFE_S)
-
-
 @dataclass(frozen=True, slots=True)
 class _EncodedRequest:
     """A request's type and fields, made once for all members that are asked."""
@@ -113,30 +92,9 @@
         self._calls = calls
         self._views = views
         self._rng = rng
-        self._location = location
-        self._usual: dict[str, _UsualTime] = {}
+        self.health = ReplicaHealth(location, rng)
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def usual_s(self, member: str) -> float:
-        """Return how long a member usually takes to answer; 0 where that is not known."""
-        usual = self._usual.get(member)
-        return usual.at(asyncio.get_running_loop().time()) if usual is not None else 0.0
-
-    def nearest_first(self, view: StoreView, members: Iterable[str]) -> list[str]:
-        """Return the members by their usual time, where one of this zone may take longer."""
-
-        def cost_s(member: str) -> float:
-            is_near = view.members[member].location == self._location
-            return max(self.usual_s(member), _LEAST_TIME_S) * (1.0 if is_near else OTHER_ZONE_TIMES)
-
-        return sorted(members, key=lambda member: (cost_s(member), member))
-
-    def note_silent(self, members: Iterable[str], waited_s: float) -> None:
-        """Take in that members have not answered for so long; their calls go on."""
-        now_s = asyncio.get_running_loop().time()
-        for member in members:
-            self._usual[member] = _UsualTime(max(waited_s, self.usual_s(member)), now_s)
-
     def start(self, task_round: Round[Content], member: str, request: _EncodedRequest, until_s: float) -> None:
         """Ask one member, again and again until `until_s` of the loop's clock; the round gets one answer."""
         self._tasks.add(asyncio.ensure_future(self._run(task_round, member, request, until_s)))
@@ -179,7 +137,7 @@
                 answer = await self._calls.call(view.members[member].address, message, timeout_s)
                 content = _content_of(answer, task_round.decode, member)
             except RpcError as failure:
-                self._note_latency(member, ATTEMPT_TIMEOUT_S)
+                self.health.note_failure(member, loop.time())
                 task_round.on_failure()
                 if failure.kind == wire.MALFORMED:
                     log.error("replica_calls.refused", extra={"member": member, "why": failure.detail})
@@ -195,7 +153,7 @@
                 await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
                 pause_s = min(2 * pause_s, MOST_PAUSE_S)
                 continue
-            self._note_latency(member, loop.time() - begun_s)
+            self.health.note_answer(member, loop.time() - begun_s, loop.time())
             return content
 
     def _check_epoch(self, view: StoreView) -> None:
@@ -209,12 +167,6 @@
         if told is not None:
             self._views.adopt(StoreView.from_json(told))
 
-    def _note_latency(self, member: str, took_s: float) -> None:
-        now_s = asyncio.get_running_loop().time()
-        usual = self._usual.get(member)
-        before_s = usual.at(now_s) if usual is not None else took_s
-        self._usual[member] = _UsualTime(before_s + _LATENCY_WEIGHT * (took_s - before_s), now_s)
-
 
 class Round(Generic[Content]):
     """The answers of several members to one question under one view; `decode` reads an answer, MalformedMessage if it
--- a/dewpin/dataplane/turn_client.py
+++ b/dewpin/dataplane/turn_client.py
@@ -153,7 +153,8 @@
     def _reading_stages(self, view: StoreView, program: str) -> list[list[str]]:
         """Return whom to ask, one group after the other: so many replicas, one by one and the nearest first, that one
         of them holds what a majority holds, then the other replicas, then all other stores."""
-        replicas = self._calls.nearest_first(view, view.stable_replicas(program, self._count))
+        now_s = asyncio.get_running_loop().time()
+        replicas = self._calls.health.nearest_first(view, view.stable_replicas(program, self._count), now_s)
         one_by_one = majority(len(replicas))
         others = [member for member in view.stable_ids if member not in replicas]
         stages = [[member] for member in replicas[:one_by_one]]
--- a/tests/dataplane/test_quorum_round.py
+++ b/tests/dataplane/test_quorum_round.py
@@ -8,6 +8,7 @@
 from scripted.stores import World, turn
 
 from dewpin.cluster.placement import majority
+from dewpin.cluster.store_view import StoreView
 from dewpin.dataplane.quorum_round import LEAST_HEDGE_S, MOST_HEDGE_S, nearest_majorities
 
 
@@ -36,8 +37,13 @@
 def test_the_others_are_asked_once_the_first_ones_take_too_long():
     async def scene():
         world = World(names="abcde", losses=2)
+        world.tell_locations({"a": "r/near", "b": "r/near", "c": "r/near", "d": "r/far", "e": "r/far"})
+        client = world.client(location="r/near")
+        await client.append(turn("before"), 1.0)
+        await client.settled()
+        for machine in world.machines.values():
+            del machine.seen[:]
         world.machines["a"].frozen = world.machines["b"].frozen = True
-        client = world.client()
         began_s = asyncio.get_running_loop().time()
         await client.append(turn("t"), 1.0)
         return asked(world), asyncio.get_running_loop().time() - began_s
@@ -104,3 +110,48 @@
     taken, ledger = run(scene())
     assert ledger == {"spent": taken, "open": {}}
     assert 90 < taken <= 100
+
+
+def test_a_replica_that_was_silent_is_asked_beside_the_others_until_it_answers_and_delays_nothing():
+    async def scene():
+        world = World()
+        client = world.client()
+        await client.append(turn("before"), 1.0)
+        await client.settled()
+        world.machines["a"].frozen = True
+        longest_s = 0.0
+        for number in range(30):
+            began_s = asyncio.get_running_loop().time()
+            await client.append(turn(f"t{number}"), 1.0)
+            if number > 1:
+                longest_s = max(longest_s, asyncio.get_running_loop().time() - began_s)
+            await asyncio.sleep(0.5)
+        world.machines["a"].frozen = False
+        for number in range(30, 40):
+            await client.append(turn(f"t{number}"), 1.0)
+            await asyncio.sleep(0.5)
+        world.machines["b"].up = False
+        began_s = asyncio.get_running_loop().time()
+        await client.append(turn("last"), 1.0)
+        return longest_s, asyncio.get_running_loop().time() - began_s
+
+    longest_s, last_s = run(scene())
+    assert longest_s < LEAST_HEDGE_S
+    assert last_s < LEAST_HEDGE_S
+
+
+def test_a_new_replica_is_relied_on_only_once_it_has_answered():
+    async def scene():
+        world = World(names="abcd", in_view="abc")
+        client = world.client()
+        await client.append(turn("before"), 1.0)
+        await client.settled()
+        world.machines["d"].frozen = True
+        view = StoreView(2, world.members("abd"))
+        world.tell(view)
+        client.adopt(view)
+        began_s = asyncio.get_running_loop().time()
+        await client.append(turn("t"), 1.0)
+        return asyncio.get_running_loop().time() - began_s
+
+    assert run(scene()) < LEAST_HEDGE_S
