--- a/benchmarks/capacity/coverage.py
+++ b/benchmarks/capacity/coverage.py
@@ -29,7 +29,7 @@
                 "processor time of renewals at each",
                 "time between a sender's visits to one control server",
             ),
-            "a hollow run of as many stands under the control machines",
+            "measured parts; the sweep below has the whole tier at 100 machines",
         ),
         Entry(
             f"{target.receivers} receivers, {target.accelerators:,} accelerators",
@@ -102,7 +102,7 @@
             f"{target.changes_a_day} changes a day in force in {target.change_in_force_s:g} s",
             "`dewpin/consensus`, `dewpin/controlplane/register.py`, `dewpin/dataplane/cluster_agent.py`",
             ("time of a change to the last sender, nothing failing", "the same when the tree fails"),
-            "measured parts added up on paper; see the hollow run below",
+            "measured parts added up on paper",
         ),
         Entry(
             f"control: {target.control_processor_share:.1%} of a core a sender",
