A kept turn carries its settlement: one round at the stores in place of two

Hypothesis: of the thirteen calls that a turn makes at the stores (three promises, three accepts, a chain, three copies, three accepts of its settlement) the last three go to the stores that take the turn, at the moment when they take it. Carried by the turn they cost neither calls nor transactions of their own.

Change: `turn.put` may carry the accept of a ballot; a store takes part in it in the same transaction and tells its reply beside. The sender carries its settlement when it holds the promise of the program's replicas and makes no other change of that ledger at the moment; whatever is not settled at the end is settled behind, as before. Ballots are a module of their own (ledger_ballot). Stores of an earlier release leave the ballot alone and are settled with behind. The simulation's clients begin and end turns as the product does.

Ruled out: a store that proposes for the senders (it would save the first round, but makes the stores call each other: about as many calls in all, and bodies that cross zones twice).

Also: the mutation test that failed now and then ("AST constructor recursion depth mismatch") is traced: an import in the midst of which a failed test's task was collected and logged; the modules are imported beforehand.

--- a/dewpin/cluster/message_fields.py
+++ b/dewpin/cluster/message_fields.py
@@ -62,6 +62,14 @@
     return value
 
 
+def mapping(message: Message, field: str) -> Message:
+    """Return a field that holds an object."""
+    value = message.get(field)
+    if not isinstance(value, dict):
+        raise MalformedMessage(field, "an object")
+    return value
+
+
 def objects(message: Message, field: str) -> list[Message]:
     """Return a field that holds a list of objects."""
     values = message.get(field)
--- a/dewpin/cluster/sender_requests.py
+++ b/dewpin/cluster/sender_requests.py
@@ -10,6 +10,9 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar, Protocol
 
+from dewpin.consensus import Reply
+from dewpin.consensus.messages import decode_reply, encode_reply
+
 from . import message_fields as read
 from . import store_messages as wire
 from .store_messages import Message, TurnRecord
@@ -52,38 +55,6 @@
         return cls(epoch, member, _view(message) if message.get("view") is not None else None)
 
 
-@dataclass(frozen=True, slots=True)
-class TurnPut:
-    """Asks to keep turns."""
-
-    kind: ClassVar[str] = wire.TURN_PUT
-    turns: tuple[TurnRecord, ...]
-
-    def fields(self) -> Message:
-        """The request's own part of its form on the wire."""
-        return {"turns": [turn.to_json() for turn in self.turns]}
-
-    @classmethod
-    def decode(cls, message: Message) -> TurnPut:
-        """The request of a message. MalformedMessage if it is none."""
-        return cls(tuple(TurnRecord.from_json(turn) for turn in read.objects(message, "turns")))
-
-
-@dataclass(frozen=True, slots=True)
-class TurnStored:
-    """Tells that the turns are on disk."""
-
-    def encode(self) -> Message:
-        """The form on the wire."""
-        return {"type": wire.TURN_STORED}
-
-    @classmethod
-    def decode(cls, message: Message) -> TurnStored:
-        """The answer of a message. MalformedMessage if it is none."""
-        read.check_type(message, wire.TURN_STORED)
-        return cls()
-
-
 @dataclass(frozen=True, slots=True)
 class TurnChain:
     """Asks for the chain that ends with the turn `previous`, as far as it is there and fits an answer."""
@@ -151,6 +122,60 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class TurnPut:
+    """Asks to keep turns, and to take part in the second round of a ballot beside. Earlier releases know turns only:
+    they keep them and leave the ballot alone."""
+
+    kind: ClassVar[str] = wire.TURN_PUT
+    turns: tuple[TurnRecord, ...]
+    accept: LedgerAccept | None = None
+
+    def fields(self) -> Message:
+        """The request's own part of its form on the wire."""
+        fields: Message = {"turns": [turn.to_json() for turn in self.turns]}
+        if self.accept is not None:
+            fields["accept"] = self.accept.fields()
+        return fields
+
+    @classmethod
+    def decode(cls, message: Message) -> TurnPut:
+        """The request of a message. MalformedMessage if it is none."""
+        turns = tuple(TurnRecord.from_json(turn) for turn in read.objects(message, "turns"))
+        if message.get("accept") is None:
+            return cls(turns)
+        return cls(turns, LedgerAccept.decode(read.mapping(message, "accept")))
+
+
+@dataclass(frozen=True, slots=True)
+class TurnStored:
+    """Tells that the turns are on disk; `reply` is that to the ballot beside them, if there was one."""
+
+    reply: Reply | None = None
+
+    def encode(self) -> Message:
+        """The form on the wire."""
+        if self.reply is None:
+            return {"type": wire.TURN_STORED}
+        return {"type": wire.TURN_STORED, "reply": encode_reply(self.reply)}
+
+    @classmethod
+    def decode(cls, message: Message) -> TurnStored:
+        """The answer of a message. MalformedMessage if it is none."""
+        read.check_type(message, wire.TURN_STORED)
+        if message.get("reply") is None:
+            return cls()
+        return cls(ledger_reply(read.mapping(message, "reply")))
+
+
+def ledger_reply(message: Message) -> Reply:
+    """Return the reply to a round of a ballot. MalformedMessage if the message tells none."""
+    try:
+        return decode_reply(message)
+    except (KeyError, TypeError, ValueError) as fault:
+        raise read.MalformedMessage("reply", f"a replica's reply ({fault!r})") from fault
+
+
 def _view(message: Message) -> StoreView:
     try:
         return StoreView.from_json(message["view"])
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -15,7 +15,7 @@
 from dewpin.cluster.rpc import Message, RpcError
 from dewpin.cluster.sender_requests import LedgerAccept, LedgerPrepare, RequestHeader, TurnChain, TurnPut, TurnStored
 from dewpin.cluster.store_view import StoreView
-from dewpin.consensus import Ballot
+from dewpin.consensus import Ballot, Reply
 from dewpin.consensus.messages import encode_reply
 from dewpin.controlplane import ledger_replica, ledger_retention, turn_table
 from dewpin.controlplane.storage import StorageFailed
@@ -174,14 +174,19 @@
         return result
 
     async def _on_turn_put(self, message: Message) -> Message:
-        turns = _decoded(TurnPut.decode, message).turns
-        for program in {turn.program for turn in turns}:
+        asked = _decoded(TurnPut.decode, message)
+        programs = {turn.program for turn in asked.turns}
+        if asked.accept is not None:
+            programs.add(asked.accept.program)
+        for program in programs:
             self._check_key(message, program)
         now_ms = self.now_ms()
-        await self._transact(
-            message["epoch"], lambda connection: turn_table.put(connection, turns, now_ms, RETAIN_MARGIN_MS)
-        )
-        return TurnStored().encode()
+
+        def work(connection: sqlite3.Connection) -> Reply | None:
+            turn_table.put(connection, asked.turns, now_ms, RETAIN_MARGIN_MS)
+            return None if asked.accept is None else _accept(connection, asked.accept, now_ms)
+
+        return TurnStored(await self._transact(message["epoch"], work)).encode()
 
     async def _on_turn_chain(self, message: Message) -> Message:
         asked = _decoded(TurnChain.decode, message)
@@ -204,14 +209,9 @@
 
     async def _on_accept(self, message: Message) -> Message:
         asked = _decoded(LedgerAccept.decode, message)
-        ballot = Ballot(*asked.ballot)
-        following = None if asked.next_ballot is None else Ballot(*asked.next_ballot)
         self._check_key(message, asked.program)
         now_ms = self.now_ms()
-        reply = await self._transact(
-            message["epoch"],
-            lambda connection: ledger_replica.accept(connection, asked.program, ballot, asked.value, following, now_ms),
-        )
+        reply = await self._transact(message["epoch"], lambda connection: _accept(connection, asked, now_ms))
         return encode_reply(reply)
 
     async def _check_pull(self, message: Message) -> StoreView:
@@ -263,6 +263,13 @@
         raise RpcError(wire.MALFORMED, str(fault)) from fault
 
 
+def _accept(connection: sqlite3.Connection, asked: LedgerAccept, now_ms: int) -> Reply:
+    """Take part in the second round of a ledger's ballot."""
+    ballot = Ballot(*asked.ballot)
+    following = None if asked.next_ballot is None else Ballot(*asked.next_ballot)
+    return ledger_replica.accept(connection, asked.program, ballot, asked.value, following, now_ms)
+
+
 def _read_view(connection: sqlite3.Connection) -> StoreView | None:
     row = connection.execute("SELECT value FROM meta WHERE name = ?", (_VIEW_NAME,)).fetchone()
     return None if row is None else StoreView.from_json(json.loads(row[0]))
--- a/dewpin/dataplane/ledger_client.py
+++ b/dewpin/dataplane/ledger_client.py
@@ -3,23 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import random
-from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass
 
-from dewpin.cluster.message_fields import MalformedMessage
-from dewpin.cluster.rpc import Message
-from dewpin.cluster.sender_requests import LedgerAccept, LedgerPrepare
+from dewpin.cluster.sender_requests import ledger_reply
 from dewpin.cluster.store_view import StoreView
-from dewpin.consensus import Accept, Ballot, Outcome, Proposal, Reply, Request, Result
-from dewpin.consensus.messages import decode_reply
-from dewpin.consensus.replica import ZERO_BALLOT
+from dewpin.consensus import Outcome, Result
 from dewpin.dataplane import ledger
 from dewpin.dataplane.background import BackgroundTasks, in_time
 from dewpin.dataplane.ledger import Ledger
-from dewpin.dataplane.program_store import BudgetSpent, Reservation, StoreUnavailable
+from dewpin.dataplane.ledger_ballot import CarriedBallot, LedgerBallot, LedgerBallots
+from dewpin.dataplane.program_store import BudgetSpent, Reservation, Settlement, StoreUnavailable
 from dewpin.dataplane.quorum_round import QuorumRound
 from dewpin.dataplane.replica_calls import ReplicaCalls, Round, ViewHolder, ViewMoved
 
@@ -27,21 +24,12 @@
 """For how long a settlement is tried; after that the reservation counts at its most for good."""
 FIRST_BACKOFF_S = 0.005
 MOST_BACKOFF_S = 0.1
-MOST_PREPARED = 4000
+_KNOWN_OUTCOMES = (Outcome.CHOSEN, Outcome.UNCHANGED)
+"""The ledger's value is known, the change being made."""
 
 log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class _Prepared:
-    """A ledger as chosen last by this sender, and the ballot that its replicas promised beside."""
-
-    epoch: int
-    ballot: Ballot
-    value: Ledger | None
-    value_ballot: Ballot
-
-
 @dataclass(slots=True)
 class _ProgramLock:
     """Makes the changes of one program's ledger at this sender one after the other."""
@@ -69,13 +57,9 @@
     ) -> None:
         self._calls = calls
         self._views = views
-        self._count = replica_count
-        self._proposer = proposer
+        self._ballots = LedgerBallots(replica_count, proposer, wall_clock_ms)
         self._rng = rng
-        self._wall_clock_ms = wall_clock_ms
         self._background = background
-        self._counter = 0
-        self._prepared: OrderedDict[str, _Prepared] = OrderedDict()
         self._locks: dict[str, _ProgramLock] = {}
         self._unsettled: dict[str, dict[str, int]] = {}
 
@@ -96,6 +80,39 @@
         self._unsettled.setdefault(reservation.program, {})[reservation.turn] = used
         self._background.start(self._settle(reservation))
 
+    @contextlib.asynccontextmanager
+    async def settling_beside(self, settlement: Settlement | None) -> AsyncIterator[CarriedBallot | None]:
+        """Give a ballot that settles, for a write to the program's replicas to carry, or None where none can be
+        carried. What is not settled at the end is settled behind."""
+        if settlement is None:
+            yield None
+            return
+        reservation = settlement.reservation
+        self._unsettled.setdefault(reservation.program, {})[reservation.turn] = settlement.used
+        try:
+            async with self._ballot_beside(reservation.program) as ballot:
+                yield ballot
+        finally:
+            if reservation.turn in self._unsettled.get(reservation.program, {}):
+                self._background.start(self._settle(reservation))
+
+    @contextlib.asynccontextmanager
+    async def _ballot_beside(self, program: str) -> AsyncIterator[CarriedBallot | None]:
+        """Give a ballot that begins with its second round; None without a promise, or beside another change."""
+        view = self._views.view
+        if view is None or program in self._locks or not self._ballots.has_promise(program, view):
+            yield None
+            return
+        async with self._locked(program):
+            settlements = dict(self._unsettled.get(program, {}))
+            ballot = self._ballots.begin(program, view, ledger.after_settlements(settlements, ledger.read))
+            try:
+                yield CarriedBallot(ballot)
+            finally:
+                result = self._ballots.end(ballot)
+                if result is not None and result.outcome in _KNOWN_OUTCOMES:
+                    self._forget_settled(program, settlements)
+
     async def read(self, program: str) -> Ledger | None:
         """Return the ledger as a majority has it; what another sender left half done is finished."""
         return await self.change(program, ledger.read)
@@ -106,7 +123,7 @@
                 await self.change(program, ledger.reserve(turn, most, budget))
                 return
             except BudgetSpent:
-                self._prepared.pop(program, None)
+                self._ballots.forget_promise(program)
                 proved = await self.change(program, ledger.read)
                 if not ledger.fits(proved, turn, most, budget):
                     raise
@@ -132,13 +149,19 @@
 
         With `only_if_unsettled`, nothing is done if an earlier change has settled that turn.
         """
+        async with self._locked(program):
+            if only_if_unsettled is not None and only_if_unsettled not in self._unsettled.get(program, {}):
+                return None
+            return await self._change_locked(program, change)
+
+    @contextlib.asynccontextmanager
+    async def _locked(self, program: str) -> AsyncIterator[None]:
+        """Keep the other changes of a program's ledger at this sender waiting."""
         lock = self._locks.setdefault(program, _ProgramLock())
         lock.users += 1
         try:
             async with lock.lock:
-                if only_if_unsettled is not None and only_if_unsettled not in self._unsettled.get(program, {}):
-                    return None
-                return await self._change_locked(program, change)
+                yield
         finally:
             lock.users -= 1
             if lock.users == 0:
@@ -149,12 +172,12 @@
         while True:
             view = await self._views.current()
             settlements = dict(self._unsettled.get(program, {}))
-            had_promise = program in self._prepared
+            had_promise = self._ballots.has_promise(program, view)
             try:
                 result = await self._one_ballot(program, view, ledger.after_settlements(settlements, change))
             except ViewMoved:
                 continue
-            if result is not None and result.outcome in (Outcome.CHOSEN, Outcome.UNCHANGED):
+            if result is not None and result.outcome in _KNOWN_OUTCOMES:
                 self._forget_settled(program, settlements)
                 value: Ledger | None = result.value
                 return value
@@ -166,71 +189,18 @@
             backoff_s = min(2 * backoff_s, MOST_BACKOFF_S)
 
     async def _one_ballot(self, program: str, view: StoreView, change: ledger.Change) -> Result | None:
-        """Run one ballot; the promise that it leaves behind is kept for the program's next change."""
-        prepared = self._prepared.pop(program, None)
-        if prepared is not None and prepared.epoch != view.epoch:
-            prepared = None
-        sets = view.write_sets(program, self._count)
-        ballot = prepared.ballot if prepared is not None else self._new_ballot()
-        following = self._new_ballot()
-        proposal = Proposal(
-            ballot,
-            None if prepared is None else prepared.value,
-            lambda value: sets,
-            change,
-            ZERO_BALLOT if prepared is None else prepared.value_ballot,
-            prepared=prepared is not None,
-            next_ballot=following,
-        )
-        await self._drive(proposal, program, view)
-        result = proposal.result
-        if result is None:
-            return None
-        self._counter = max(self._counter, result.ballot.counter)
-        if result.outcome in (Outcome.CHOSEN, Outcome.CONFIRMED):
-            self._keep_prepared(program, _Prepared(view.epoch, following, result.value, ballot))
-        elif result.outcome is Outcome.UNCHANGED:
-            self._keep_prepared(program, _Prepared(view.epoch, ballot, result.value, result.ballot))
-        return result
-
-    async def _drive(self, proposal: Proposal, program: str, view: StoreView) -> None:
-        """Send the proposal's requests and feed it the replies, until it ends or nobody is left to answer."""
+        """Run one ballot; None if nobody knows how it ended."""
+        ballot = self._ballots.begin(program, view, change)
+        await self._drive(ballot)
+        return self._ballots.end(ballot)
+
+    async def _drive(self, ballot: LedgerBallot) -> None:
+        """Send the ballot's requests and feed it the replies, until it ends or nobody is left to answer."""
         until_s = asyncio.get_running_loop().time() + SETTLE_FOR_S
-        sets = view.write_sets(program, self._count)
-        with Round(self._calls, view, _reply_of) as task_round:
-            quorum_round = QuorumRound(self._calls, task_round, sets, until_s)
-            quorum_round.ask(_by_member(proposal.start(), program))
-            while proposal.result is None and quorum_round.may_answer:
+        with Round(self._calls, ballot.view, ledger_reply) as task_round:
+            quorum_round = QuorumRound(self._calls, task_round, ballot.sets, until_s)
+            quorum_round.ask(ballot.start())
+            while not ballot.has_ended and quorum_round.may_answer:
                 answer = await quorum_round.next_answer()
                 if answer.content is not None:
-                    quorum_round.ask(_by_member(proposal.receive(answer.member, answer.content), program))
-
-    def _new_ballot(self) -> Ballot:
-        """Return a ballot above all that this sender has used or heard of."""
-        self._counter = max(self._counter + 1, self._wall_clock_ms())
-        return Ballot(self._counter, self._proposer)
-
-    def _keep_prepared(self, program: str, prepared: _Prepared) -> None:
-        self._prepared[program] = prepared
-        while len(self._prepared) > MOST_PREPARED:
-            self._prepared.popitem(last=False)
-
-
-def ledger_request(request: Request, program: str) -> LedgerPrepare | LedgerAccept:
-    """Return what carries a proposal's request to a store."""
-    body = request.body
-    if isinstance(body, Accept):
-        return LedgerAccept(program, body.ballot, body.value, body.next_ballot)
-    return LedgerPrepare(program, body.ballot)
-
-
-def _by_member(requests: Iterable[Request], program: str) -> dict[str, LedgerPrepare | LedgerAccept]:
-    return {request.member: ledger_request(request, program) for request in requests}
-
-
-def _reply_of(message: Message) -> Reply:
-    """Return the reply that a store's answer tells. MalformedMessage if it tells none."""
-    try:
-        return decode_reply(message)
-    except (KeyError, TypeError, ValueError) as fault:
-        raise MalformedMessage("reply", f"a replica's reply ({fault!r})") from fault
+                    quorum_round.ask(ballot.receive(answer.member, answer.content))
--- a/dewpin/dataplane/program_store.py
+++ b/dewpin/dataplane/program_store.py
@@ -16,6 +16,7 @@
     "Member",
     "ProgramStore",
     "Reservation",
+    "Settlement",
     "StoreUnavailable",
     "StoreView",
     "Turn",
@@ -53,6 +54,14 @@
     most: int
 
 
+@dataclass(frozen=True, slots=True)
+class Settlement:
+    """The end of a reservation: how many of its tokens were handed out."""
+
+    reservation: Reservation
+    used: int
+
+
 @dataclass(frozen=True, slots=True)
 class BegunTurn:
     """What a turn that goes on from another one needs before it is sent; `chain` as `ProgramStore.chain` returns it."""
@@ -88,5 +97,6 @@
     def begin(self, program: str, turn: str, most: int, budget: int, previous: str, timeout_s: float) -> BegunTurn:
         """Reserve and read the chain side by side; raises what either raises, and then keeps no reservation."""
 
-    def append(self, turn: Turn, timeout_s: float) -> None:
-        """Keep a turn; it is durable when this returns; raises StoreUnavailable."""
+    def append(self, turn: Turn, timeout_s: float, settlement: Settlement | None = None) -> None:
+        """Keep a turn; it is durable when this returns; raises StoreUnavailable. A settlement goes along with it and is
+        repeated in the background, whether the turn is kept or not."""
--- a/dewpin/dataplane/store_client.py
+++ b/dewpin/dataplane/store_client.py
@@ -19,7 +19,7 @@
 from dewpin.dataplane.chain_cache import ChainCache, Link
 from dewpin.dataplane.ledger import Ledger
 from dewpin.dataplane.ledger_client import LedgerClient
-from dewpin.dataplane.program_store import BegunTurn, Reservation, StoreUnavailable, Turn
+from dewpin.dataplane.program_store import BegunTurn, Reservation, Settlement, StoreUnavailable, Turn
 from dewpin.dataplane.replica_calls import Calls, ReplicaCalls, ViewHolder
 from dewpin.dataplane.turn_client import TurnClient
 
@@ -98,10 +98,11 @@
             self.settle(reservation, 0)
             raise
 
-    async def append(self, turn: Turn, timeout_s: float) -> None:
-        """Make a turn durable. Raises StoreUnavailable."""
+    async def append(self, turn: Turn, timeout_s: float, settlement: Settlement | None = None) -> None:
+        """Make a turn durable, and settle its reservation beside or behind. Raises StoreUnavailable."""
         record = TurnRecord(turn.id, turn.program, turn.previous, int(turn.retain_s * 1000), turn.input, turn.output)
-        await in_time(self._turns.put(turn.program, [record]), timeout_s)
+        async with self._ledgers.settling_beside(settlement) as ballot:
+            await in_time(self._turns.put(turn.program, [record], ballot), timeout_s)
         self.cache.put(turn.program, turn.id, Link(turn.previous, turn.input + turn.output), turn.retain_s)
 
     async def settled(self) -> None:
@@ -138,9 +139,14 @@
             return BegunTurn(self.reserve(program, turn, most, budget, timeout_s), cached)
         return self._wait(self._client.begin(program, turn, most, budget, previous, timeout_s), timeout_s)
 
-    def append(self, turn: Turn, timeout_s: float) -> None:
-        """Make a turn durable. Raises StoreUnavailable."""
-        self._wait(self._client.append(turn, timeout_s), timeout_s)
+    def append(self, turn: Turn, timeout_s: float, settlement: Settlement | None = None) -> None:
+        """Make a turn durable, and settle its reservation beside or behind. Raises StoreUnavailable."""
+        try:
+            self._wait(self._client.append(turn, timeout_s, settlement), timeout_s)
+        except StoreUnavailable:
+            if settlement is not None:  # the loop may be held up so long that it never began
+                self.settle(settlement.reservation, settlement.used)
+            raise
 
     def _wait(self, work: Coroutine[Any, Any, T], timeout_s: float) -> T:
         future = asyncio.run_coroutine_threadsafe(work, self._loop)
--- a/dewpin/dataplane/turn_client.py
+++ b/dewpin/dataplane/turn_client.py
@@ -12,6 +12,7 @@
 from dewpin.consensus.proposal import has_majorities
 from dewpin.dataplane.background import BackgroundTasks
 from dewpin.dataplane.chain_cache import ChainCache, Link
+from dewpin.dataplane.ledger_ballot import CarriedBallot
 from dewpin.dataplane.program_store import StoreUnavailable, TurnUnknown
 from dewpin.dataplane.quorum_round import QuorumRound
 from dewpin.dataplane.replica_calls import ReplicaCalls, Round, ViewHolder, ViewMoved
@@ -44,31 +45,42 @@
         self._background = background
         self._hand_off_bytes = 0
 
-    async def put(self, program: str, records: Sequence[TurnRecord]) -> None:
-        """Return once majorities of the program's replicas hold the turns."""
+    async def put(self, program: str, records: Sequence[TurnRecord], carried: CarriedBallot | None = None) -> None:
+        """Return once majorities of the program's replicas hold the turns; a ballot that they carry may not have ended
+        by then."""
         while True:
             view = await self._views.current()
             try:
-                await self._put_under(view, program, records)
+                await self._put_under(view, program, records, carried)
                 return
             except ViewMoved:
                 continue
 
-    async def _put_under(self, view: StoreView, program: str, records: Sequence[TurnRecord]) -> None:
+    async def _put_under(
+        self, view: StoreView, program: str, records: Sequence[TurnRecord], carried: CarriedBallot | None
+    ) -> None:
         sets = view.write_sets(program, self._count)
+        turns = tuple(records)
+        requests = {
+            member: TurnPut(turns, None if carried is None else carried.accept_for(member, view))
+            for member in sorted(frozenset().union(*sets))
+        }
         size = sum(len(record.input) + len(record.output) for record in records)
         until_s = asyncio.get_running_loop().time() + HAND_OFF_S
         stored: set[str] = set()
         hands_off = self._hand_off_bytes < MOST_HAND_OFF_BYTES
         with Round(self._calls, view, TurnStored.decode, hands_off) as task_round:
             quorum_round = QuorumRound(self._calls, task_round, sets, until_s)
-            quorum_round.ask(dict.fromkeys(frozenset().union(*sets), TurnPut(tuple(records))))
+            quorum_round.ask(requests)
             while not has_majorities(sets, stored):
                 if not quorum_round.may_answer:
                     raise StoreUnavailable("too few replicas took the turn")
                 answer = await quorum_round.next_answer()
-                if answer.content is not None:
-                    stored.add(answer.member)
+                if answer.content is None:
+                    continue
+                stored.add(answer.member)
+                if carried is not None and answer.content.reply is not None:
+                    carried.receive(answer.member, answer.content.reply)
         if task_round.unanswered:
             self._background.start(self._count_hand_off(task_round, size))
 
--- a/dewpin/dataplane/turns.py
+++ b/dewpin/dataplane/turns.py
@@ -14,16 +14,16 @@
 
 from .events import Event
 from .messages import REQUEST_ID, TOKEN_USAGE, Request
-from .program_store import ProgramStore, Reservation, Turn
+from .program_store import ProgramStore, Reservation, Settlement, Turn
 
 PROGRAM = "program"
 PREVIOUS = "previous"
 BUDGET = "budget"
 
 OPEN_TIMEOUT_S = 1.0
+"""How long the stores may take before a turn is sent; a refusal serves the client better than a longer wait."""
 CUT_OFF_OPEN_TIMEOUT_S = 0.15
 """How long a sender that takes itself for cut off still waits for the stores before it refuses a turn."""
-"""How long the stores may take before a turn is sent; a refusal serves the client better than a longer wait."""
 LEAST_KEEP_TIMEOUT_S = 0.05
 
 
@@ -99,13 +99,20 @@
             return
         output = b"".join(data + b"\n" for data in self._output)
         turn = Turn(plan.turn_id, plan.program, plan.previous, self._request.body, output, plan.retain_s)
-        self._store.append(turn, max(LEAST_KEEP_TIMEOUT_S, timeout_s))
+        self._store.append(turn, max(LEAST_KEEP_TIMEOUT_S, timeout_s), self._take_settlement())
 
     def settle(self) -> None:
-        """Tell the store how many tokens were handed to the client; only the first call counts."""
+        """Tell the store how many tokens were handed to the client, if it was not told yet."""
+        settlement = self._take_settlement()
+        if settlement is not None:
+            self._store.settle(settlement.reservation, settlement.used)
+
+    def _take_settlement(self) -> Settlement | None:
+        """Return the turn's settlement; only the first call gives one."""
         reservation, self._reservation = self._reservation, None
-        if reservation is not None:
-            self._store.settle(reservation, self._events_passed * self._plan.tokens_per_event)
+        if reservation is None:
+            return None
+        return Settlement(reservation, self._events_passed * self._plan.tokens_per_event)
 
 
 def _most_tokens(request: Request) -> int:
--- a/tests/cluster/test_sender_requests.py
+++ b/tests/cluster/test_sender_requests.py
@@ -15,6 +15,8 @@
 )
 from dewpin.cluster.store_messages import ChainLinks, TurnRecord
 from dewpin.cluster.store_view import Member, StoreView
+from dewpin.consensus import Accepted, Ballot, Conflict
+from dewpin.consensus.messages import ACCEPTED, encode_reply
 
 TURN = TurnRecord("t1", "p", None, 60_000, b"\xe4", b"out")
 TURN_TEXT = r'{"turn": "t1", "program": "p", "previous": null, "retain_ms": 60000, "input": "\u00e4", "output": "out"}'
@@ -24,6 +26,11 @@
 
 REQUESTS = [
     (TurnPut((TURN,)), f'{{"turns": [{TURN_TEXT}]}}'),
+    (
+        TurnPut((TURN,), LedgerAccept("p", (5, "s"), {"spent": 1, "open": {}}, None)),
+        f'{{"turns": [{TURN_TEXT}], "accept": '
+        '{"program": "p", "ballot": [5, "s"], "value": {"spent": 1, "open": {}}, "next_ballot": null}}',
+    ),
     (TurnChain("p", "t1"), '{"program": "p", "previous": "t1"}'),
     (LedgerPrepare("p", (5, "s")), '{"program": "p", "ballot": [5, "s"]}'),
     (
@@ -46,6 +53,7 @@
     *[(TurnPut, ("turns", 0, "previous"), value) for value in NO_TEXT if value is not None],
     *[(TurnPut, ("turns", 0, "retain_ms"), value) for value in NO_WHOLE_NUMBER],
     *[(TurnPut, ("turns", 0, field), value) for field in ("input", "output") for value in NO_BYTES],
+    *[(TurnPut, ("accept",), value) for value in (5, "x", [], True)],
     *[(TurnChain, (field,), value) for field in ("program", "previous") for value in NO_TEXT],
     *[(LedgerPrepare, ("program",), value) for value in NO_TEXT],
     *[(LedgerPrepare, ("ballot",), value) for value in NO_BALLOT],
@@ -62,6 +70,7 @@
     *[(ChainLinks, ("absent",), value) for value in (None, 0, "no")],
     *[(ChainLinks, ("foreign",), value) for value in (None, "t1", [1], {})],
     *[(TurnStored, ("type",), value) for value in (None, "turn.links", 5)],
+    *[(TurnStored, ("reply",), value) for value in (5, "x", [], True, {}, {"type": "turn.stored"}, {"type": ACCEPTED})],
 ]
 SOUND = {
     TurnPut: TurnPut((TURN,)).fields,
@@ -105,6 +114,21 @@
     assert ChainLinks.from_json(json.loads(json.dumps(LINKS.to_json()))) == LINKS
 
 
+@pytest.mark.parametrize("reply", [Accepted(Ballot(5, "s")), Conflict(Ballot(6, "t"))])
+def test_the_answer_to_a_turn_tells_the_reply_to_the_ballot_that_it_carried(reply):
+    message = TurnStored(reply).encode()
+    assert message["reply"] == encode_reply(reply)
+    assert TurnStored.decode(json.loads(json.dumps(message))) == TurnStored(reply)
+
+
+@pytest.mark.parametrize("field", ["program", "ballot", "value", "next_ballot"])
+def test_a_turn_that_carries_a_ballot_without_its_parts_is_refused(field):
+    message = TurnPut((TURN,), LedgerAccept("p", (5, "s"), None, None)).fields()
+    del message["accept"][field]
+    with pytest.raises(MalformedMessage):
+        TurnPut.decode(message)
+
+
 def test_fields_of_a_newer_release_are_left_alone():
     for kind, sound in SOUND.items():
         assert decode(kind, {**sound(), "newer": 1}) == decode(kind, sound())
--- a/tests/dataplane/peers.py
+++ b/tests/dataplane/peers.py
@@ -13,7 +13,15 @@
 from dewpin.cluster.configuration import Configuration, parse_configuration
 from dewpin.cluster.receivers import Receiver
 from dewpin.dataplane.messages import Client, Headers, Request
-from dewpin.dataplane.program_store import BegunTurn, BudgetSpent, Reservation, StoreUnavailable, Turn, TurnUnknown
+from dewpin.dataplane.program_store import (
+    BegunTurn,
+    BudgetSpent,
+    Reservation,
+    Settlement,
+    StoreUnavailable,
+    Turn,
+    TurnUnknown,
+)
 
 PATIENCE_S = 10.0
 """Bounds every wait of a test, so that a fault fails it and does not hang it."""
@@ -318,7 +326,9 @@
             self.settle(reservation, 0)
             raise
 
-    def append(self, turn: Turn, timeout_s: float) -> None:
+    def append(self, turn: Turn, timeout_s: float, settlement: Settlement | None = None) -> None:
+        if settlement is not None:
+            self.settle(settlement.reservation, settlement.used)
         self._check("append")
         self.on_append(turn)
         self.turns[turn.id] = turn
--- a/tests/dataplane/test_store_client_budgets.py
+++ b/tests/dataplane/test_store_client_budgets.py
@@ -1,12 +1,14 @@
 """Budgets of programs at the stores: reserved, settled, taken back, and never passed."""
 
 import asyncio
+import random
 
 import pytest
 from scripted.clock import run
 from scripted.stores import World, turn
 
-from dewpin.dataplane.program_store import BudgetSpent, Reservation, StoreUnavailable
+from dewpin.cluster.store_view import StoreView
+from dewpin.dataplane.program_store import BudgetSpent, Reservation, Settlement, StoreUnavailable
 
 
 def test_a_budget_is_exact_at_its_edge():
@@ -184,3 +186,139 @@
             await client.reserve("p", "t4", 1, 100, 1.0)
 
     run(scene())
+
+
+async def kept_with_its_settlement(client, name, previous=None, most=60, used=7, budget=100):
+    """Let a turn be reserved, kept and settled at once."""
+    held = await client.reserve("p", name, most, budget, 1.0)
+    await client.append(turn(name, previous), 1.0, Settlement(held, used))
+
+
+def test_a_turn_that_is_kept_carries_its_settlement():
+    async def scene():
+        world = World()
+        client = world.client()
+        held = await client.reserve("p", "t1", 60, 100, 1.0)
+        for machine in world.machines.values():
+            machine.seen.clear()
+        await client.append(turn("t1"), 1.0, Settlement(held, 7))
+        await client.settled()
+        seen = sorted(machine.seen for machine in world.machines.values())
+        assert seen == [[], ["turn.put"], ["turn.put"]]
+        assert await world.client("reader").read_ledger("p") == {"spent": 7, "open": {}}
+        return client
+
+    run(scene())
+
+
+def test_the_promise_beside_a_carried_settlement_serves_the_next_turn():
+    async def scene():
+        world = World()
+        client = world.client()
+        await kept_with_its_settlement(client, "t1")
+        for machine in world.machines.values():
+            machine.seen.clear()
+        await kept_with_its_settlement(client, "t2", "t1")
+        await client.settled()
+        return sorted(machine.seen for machine in world.machines.values())
+
+    assert run(scene()) == [[], ["ledger.accept", "turn.put"], ["ledger.accept", "turn.put"]]
+
+
+def test_a_settlement_is_made_behind_where_another_sender_has_changed_the_ledger():
+    async def scene():
+        world = World()
+        one, two = world.client("one"), world.client("two")
+        held = await one.reserve("p", "t1", 60, 100, 1.0)
+        await two.reserve("p", "t2", 20, 100, 1.0)
+        await one.append(turn("t1"), 1.0, Settlement(held, 7))
+        await one.settled()
+        assert await world.client("reader").read_ledger("p") == {"spent": 7, "open": {"t2": 20}}
+
+    run(scene())
+
+
+def test_a_settlement_is_made_though_its_turn_cannot_be_kept():
+    async def scene():
+        world = World()
+        client = world.client()
+        held = await client.reserve("p", "t1", 60, 100, 1.0)
+        for machine in world.machines.values():
+            machine.refuses = {"turn.put"}
+        with pytest.raises(StoreUnavailable):
+            await client.append(turn("t1"), 0.3, Settlement(held, 7))
+        await client.settled()
+        assert await world.client("reader").read_ledger("p") == {"spent": 7, "open": {}}
+        client.close()
+
+    run(scene())
+
+
+def test_stores_of_an_earlier_release_keep_the_turn_and_are_settled_with_behind():
+    async def scene():
+        world = World()
+        for machine in world.machines.values():
+            put = machine.store.handlers["turn.put"]
+
+            def without_ballots(message, put=put):
+                return put({key: value for key, value in message.items() if key != "accept"})
+
+            machine.store.handlers["turn.put"] = without_ballots
+            world.network.handlers[machine.address] = machine.store.handlers
+        client = world.client()
+        await kept_with_its_settlement(client, "t1")
+        await client.settled()
+        reader = world.client("reader")
+        assert await reader.read_ledger("p") == {"spent": 7, "open": {}}
+        assert await reader.chain("p", "t1", 1.0) == b"<t1>"
+
+    run(scene())
+
+
+def test_a_settlement_beside_another_change_of_the_same_sender_is_taken_along_by_that():
+    async def scene():
+        world = World()
+        client = world.client()
+        held = await client.reserve("p", "t1", 60, 100, 1.0)
+        _, other = await asyncio.gather(
+            client.append(turn("t1"), 1.0, Settlement(held, 7)), client.reserve("p", "t2", 50, 100, 1.0)
+        )
+        await client.settled()
+        assert await world.client("reader").read_ledger("p") == {"spent": 7, "open": {"t2": other.most}}
+
+    run(scene())
+
+
+def test_a_settlement_whose_view_moves_under_way_is_made_under_the_new_one():
+    async def scene():
+        world = World(names=("a", "b", "c", "d"), in_view=("a", "b", "c"))
+        client = world.client()
+        held = await client.reserve("p", "t1", 60, 100, 1.0)
+        changing = StoreView(2, world.view.stable, world.members("abd"))
+        world.tell(changing)
+        await client.append(turn("t1"), 1.0, Settlement(held, 7))
+        await client.settled()
+        assert await world.client("reader").read_ledger("p") == {"spent": 7, "open": {}}
+
+    run(scene())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_turns_of_many_senders_that_carry_their_settlements_add_up(seed):
+    async def scene():
+        world = World()
+        rng = random.Random(seed)
+        clients = [world.client(f"s{number}", seed=number) for number in range(4)]
+
+        async def one_turn(number):
+            client = rng.choice(clients)
+            held = await client.reserve("p", f"t{number}", 10, 1000, 5.0)
+            await asyncio.sleep(rng.random() * 0.01)
+            await client.append(turn(f"t{number}"), 5.0, Settlement(held, number))
+
+        await asyncio.gather(*(one_turn(number) for number in range(20)))
+        for client in clients:
+            await client.settled()
+        assert await world.client("reader").read_ledger("p") == {"spent": sum(range(20)), "open": {}}
+
+    run(scene())
--- a/tests/model/ledger_parts.py
+++ b/tests/model/ledger_parts.py
@@ -14,16 +14,17 @@
 from scripted.disk import MemoryDisk
 
 from dewpin.cluster.rpc import RpcError
-from dewpin.cluster.sender_requests import RequestHeader
+from dewpin.cluster.sender_requests import LedgerAccept, LedgerPrepare, RequestHeader
 from dewpin.cluster.store_view import Member, StoreView
-from dewpin.consensus import Ballot, Proposal, Request
+from dewpin.consensus import Ballot
 from dewpin.consensus.messages import decode_reply
 from dewpin.controlplane import ledger_replica
 from dewpin.controlplane import store as store_module
 from dewpin.controlplane.ledger_replica import LedgerRecord
 from dewpin.controlplane.store import Store
-from dewpin.dataplane import ledger, ledger_client
+from dewpin.dataplane import ledger
 from dewpin.dataplane.background import BackgroundTasks
+from dewpin.dataplane.ledger_ballot import LedgerBallot
 from dewpin.dataplane.ledger_client import LedgerClient
 from dewpin.dataplane.program_store import BudgetSpent
 from dewpin.dataplane.replica_calls import ViewHolder, ViewMoved
@@ -146,15 +147,14 @@
 class _ModelClient(LedgerClient):
     """The client whose ballots wait for the model."""
 
-    proposal: Proposal | None = None
-    under: StoreView | None = None
+    ballot: LedgerBallot | None = None
     ballots = 0
 
-    async def _drive(self, proposal: Proposal, program: str, view: StoreView) -> None:
+    async def _drive(self, ballot: LedgerBallot) -> None:
         self.ballots += 1
-        self.proposal, self.under = proposal, view
-        self.waiting = proposal.start()
-        if proposal.result is None:
+        self.ballot = ballot
+        self.waiting = ballot.start()
+        if not ballot.has_ended:
             await _Answers()
 
 
@@ -178,7 +178,7 @@
         """`begin EPOCH`, `move EPOCH` (a newer view ends the ballot), `reply MEMBER MESSAGE` or `give_up`. Returns the
         requests, and how the operation ended where it did."""
         kind, *rest = event
-        self._client.waiting = []
+        self._client.waiting = {}
         if kind == "begin":
             self._client._views.adopt(self._views[rest[0]])
             self._running = self._operation(self._operations[self._done])
@@ -189,13 +189,13 @@
         if kind == "give_up":
             return self._resume()
         member, answer = rest
-        proposal = self._client.proposal
-        assert proposal is not None
+        ballot = self._client.ballot
+        assert ballot is not None
         try:
-            requests = proposal.receive(member, decode_reply(json.loads(answer)))
+            requests = ballot.receive(member, decode_reply(json.loads(answer)))
         except BudgetSpent as spent:  # it rises through the driver of the ballot
             return self._resume(spent)
-        if proposal.result is None:
+        if not ballot.has_ended:
             return self._texts(requests), None
         return self._resume()
 
@@ -226,28 +226,28 @@
             ended = "spent"
         if ended is None:
             return self._texts(self._client.waiting), None
-        assert self._client.proposal is not None and self._client.proposal.result is not None
-        value = self._client.proposal.result.value
-        self._client.proposal, self._running = None, None
+        assert self._client.ballot is not None and self._client.ballot.proposal.result is not None
+        value = self._client.ballot.proposal.result.value
+        self._client.ballot, self._running = None, None
         self._done += 1
         return (), (ended, json.dumps(value))
 
-    def _texts(self, requests: list[Request]) -> tuple[str, ...]:
-        view = self._client.under
-        assert view is not None
+    def _texts(self, requests: dict[str, LedgerPrepare | LedgerAccept]) -> tuple[str, ...]:
+        assert self._client.ballot is not None
+        view = self._client.ballot.view
         texts = []
-        for request in requests:
-            asked = ledger_client.ledger_request(request, PROGRAM)
-            header = RequestHeader(view.epoch, request.member, view)
+        for member, asked in requests.items():
+            header = RequestHeader(view.epoch, member, view)
             texts.append(json.dumps(header.encode(asked.kind, asked.fields())))
         return tuple(texts)
 
     def fingerprint(self) -> SenderFingerprint:
         """Where the sender stands, and all that it keeps."""
-        client, proposal = self._client, self._client.proposal
+        client, ballots = self._client, self._client._ballots
+        proposal = None if client.ballot is None else client.ballot.proposal
         view = client._views.view
         assert view is not None
-        kept = (client._counter, freeze(dict(client._prepared)), freeze(client._unsettled))
+        kept = (ballots._counter, freeze(dict(ballots._prepared)), freeze(client._unsettled))
         return SenderFingerprint(
             view.epoch,
             self._done,
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -80,6 +80,10 @@
     "test_a_request_without_a_route_is_refused_while_no_majority_has_confirmed_the_configuration"
 )
 COPIED_PROMISE = "tests.controlplane.test_ledger_copies::test_a_copy_takes_back_no_promise_of_the_store_that_copies"
+CARRIED = (
+    "tests.dataplane.test_store_client_budgets::"
+    "test_a_settlement_is_made_behind_where_another_sender_has_changed_the_ledger"
+)
 OLD_SETS = "tests.consensus.test_register::test_a_value_needs_majorities_of_the_sets_of_the_value_that_it_follows"
 OLDER_EPOCH = "tests.controlplane.test_store::test_a_write_of_an_older_epoch_leaves_nothing_on_the_disk"
 UNKNOWN_EFFECT = "tests.dataplane.test_retry::test_an_unknown_effect_ends_what_may_not_be_repeated"
@@ -142,10 +146,20 @@
     Mutation(variants.take_a_body_without_its_digest, BODIES),
     Mutation(variants.take_the_copied_promise_in_place_of_the_greater, COPIED_PROMISE),
     Mutation(variants.accept_by_the_new_sets_alone, OLD_SETS),
+    Mutation(variants.take_a_conflict_for_a_settlement, CARRIED),
     Mutation(variants.write_under_an_older_epoch, OLDER_EPOCH),
 ]
 
 
+CHECKS = {
+    name: importlib.import_module(name)
+    for name in sorted({mutation.check.partition("::")[0] for mutation in MUTATIONS if not mutation.most_states})
+}
+"""The modules of the tests, imported before any of them runs. What a failed test leaves behind is collected at any
+moment after it; if that is in the midst of an import, the traceback that asyncio then logs parses source while the
+import does, which CPython 3.11 ends with a SystemError (gh-106905)."""
+
+
 @pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda mutation: mutation.make.__name__)
 def test_the_mutation_is_caught(
     mutation: Mutation, monkeypatch: Patch, record_property: Callable[[str, object], None]
@@ -154,7 +168,7 @@
     if not mutation.most_states:
         module, _, test = mutation.check.partition("::")
         with pytest.raises((AssertionError, pytest.fail.Exception)):
-            getattr(importlib.import_module(module), test)(**mutation.arguments())
+            getattr(CHECKS[module], test)(**mutation.arguments())
         return
     report = explore(QUICK[mutation.check](), mutation.most_states)
     record_property("states", report.states)
--- a/tests/mutations/variants.py
+++ b/tests/mutations/variants.py
@@ -26,7 +26,7 @@
 from dewpin.controlplane.replica_storage import ReplicaStorage
 from dewpin.controlplane.store import Store
 from dewpin.controlplane.sync import _Copy
-from dewpin.dataplane import ledger, ledger_client, upstream
+from dewpin.dataplane import ledger, ledger_ballot, ledger_client, upstream
 from dewpin.dataplane.ledger_client import LedgerClient
 from dewpin.dataplane.outcome import Outcome
 from dewpin.dataplane.replica_calls import ViewMoved
@@ -255,6 +255,10 @@
     patch.setattr(LedgerClient, "_one_ballot", one_ballot)
 
 
+def take_a_conflict_for_a_settlement(patch: Patch) -> None:
+    patch.setattr(ledger_client, "_KNOWN_OUTCOMES", tuple(proposal.Outcome))
+
+
 def take_whatever_ballot_is_copied(patch: Patch) -> None:
     def merge(connection: Any, records: Any, now_ms: int) -> None:
         for record in records:
@@ -280,8 +284,8 @@
         def __ne__(self, other: object) -> bool:
             return False
 
-    original = ledger_client._Prepared
-    patch.setattr(ledger_client, "_Prepared", lambda epoch, *rest: original(AnyEpoch(epoch), *rest))
+    original = ledger_ballot._Prepared
+    patch.setattr(ledger_ballot, "_Prepared", lambda epoch, *rest: original(AnyEpoch(epoch), *rest))
 
 
 def take_an_answer_without_its_id(patch: Patch) -> None:
--- a/tests/simulation/clients.py
+++ b/tests/simulation/clients.py
@@ -8,7 +8,7 @@
 
 from dewpin.cluster.errors import TierError
 from dewpin.dataplane.chain_cache import ChainCache
-from dewpin.dataplane.program_store import Turn
+from dewpin.dataplane.program_store import Settlement, Turn
 
 from .oracle import Served
 
@@ -130,28 +130,36 @@
         store = front.store_client
         open_s = OPEN_TIMEOUT_S if front.sender.agent.hears_control else CUT_OFF_OPEN_TIMEOUT_S
         try:
-            reservation = await store.reserve(program.name, turn, program.most, program.budget, open_s)
+            reservation = await self._begin(store, program, turn, previous, open_s)
         except TierError as error:
             return error.kind.value, 0, b""
-        used = 0
+        settlement = Settlement(reservation, 0)
         try:
-            if previous is not None:
-                chain = await self._chain(store, program, previous, open_s)
-                self.oracle.chain_read(program, previous, chain)
             await asyncio.sleep(WORK_S * self.dice.uniform(0.2, 4))
             used = self.dice.randint(1, program.most)
             self.oracle.tokens_handed_out(program, turn, used)
             said, answer = f"[{turn}?]".encode(), f"[{turn}!{'y' * used}]".encode()
-            await store.append(Turn(turn, program.name, previous, said, answer, RETAIN_S), KEEP_TIMEOUT_S)
+            kept = Turn(turn, program.name, previous, said, answer, RETAIN_S)
+            settlement, carried = None, Settlement(reservation, used)
+            await store.append(kept, KEEP_TIMEOUT_S, carried)
         except TierError as error:
             return error.kind.value, used, b""
         finally:
-            store.settle(reservation, used)
+            if settlement is not None:
+                store.settle(settlement.reservation, settlement.used)
         return "done", used, said + answer
 
-    async def _chain(self, store, program, previous, timeout_s):
-        cached = store.cache.whole_chain(program.name, previous)
-        return cached if cached is not None else await store.chain(program.name, previous, timeout_s)
+    async def _begin(self, store, program, turn, previous, open_s):
+        """The turn's reservation, once the chain that it goes on from is read."""
+        cached = b"" if previous is None else store.cache.whole_chain(program.name, previous)
+        if cached is not None:
+            reservation, chain = await store.reserve(program.name, turn, program.most, program.budget, open_s), cached
+        else:
+            begun = await store.begin(program.name, turn, program.most, program.budget, previous, open_s)
+            reservation, chain = begun.reservation, begun.chain
+        if previous is not None:
+            self.oracle.chain_read(program, previous, chain)
+        return reservation
 
     # After the end
 
--- a/tests/simulation/test_oracle.py
+++ b/tests/simulation/test_oracle.py
@@ -90,7 +90,7 @@
     ("scenario", "variant", "seeds", "rule"),
     [
         ("halves", "read without a majority", range(1, 4), "CONFIG"),
-        ("halves", "renew without a majority", range(12, 13), "FRESH"),
+        ("halves", "renew without a majority", range(1, 41), "FRESH"),  # about one seed in five shows it
         ("overlapping_losses", "read without a majority", range(1, 7), "CONFIG"),
     ],
 )
