Stores: the schema stays at 3, as it always did; replicas that are no members are forgotten

What a sender knows of a replica was kept for the sender's life.

Change: the statements go (nothing in service changes, and an earlier release can still open the database, which a schema 4 would have refused); a test holds the list of migrations to the version. A new view makes the sender forget the replicas that it does not name. The opening words of replica_calls tell what the module does today.

Ruled out: raising the version to 4, which would cost every store a rewrite of its table at the next start for a column that is always empty.

--- a/dewpin/controlplane/storage.py
+++ b/dewpin/controlplane/storage.py
@@ -58,19 +58,13 @@
     "CREATE TABLE register_bodies (digest TEXT PRIMARY KEY, body TEXT NOT NULL)",
 )
 _SCHEMA_3 = (
-    # The order in which this store took its turns, for the stores that follow it; empty for older turns.
+    # The order in which a store of an earlier release took its turns; later ones leave it empty.
     "ALTER TABLE turns ADD COLUMN arrival INTEGER",
     "CREATE UNIQUE INDEX turns_arrival ON turns (arrival) WHERE arrival IS NOT NULL",
     # Whether the replica of a ledger got its value from another one, without a vote of its own.
     "ALTER TABLE register_replica ADD COLUMN copied INTEGER NOT NULL DEFAULT 0",
 )
-_SCHEMA_4 = (
-    # Stores follow each other's order of arrival no more.
-    "DROP INDEX turns_arrival",
-    "ALTER TABLE turns DROP COLUMN arrival",
-    "DELETE FROM meta WHERE name = 'last_purged_arrival' OR (name > 'repair/' AND name < 'repair0')",
-)
-_MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1, 1: _SCHEMA_2, 2: _SCHEMA_3, 3: _SCHEMA_4}
+_MIGRATIONS: dict[int, Sequence[str]] = {0: _SCHEMA_1, 1: _SCHEMA_2, 2: _SCHEMA_3}
 """Statements that lead from a schema version to the next one."""
 
 
--- a/dewpin/dataplane/replica_calls.py
+++ b/dewpin/dataplane/replica_calls.py
@@ -1,7 +1,8 @@
-"""Calls of a sender to the replicas of a key: many at once, repeated while it is of use, first majority wins.
+"""Calls of a sender to the replicas of a key: many at once, each repeated while it is of use.
 
-A `Round` hands out the answers as they come. What is still unanswered when its owner has enough goes on in the
-background, so that a slow replica neither holds the owner up nor misses the record.
+Whoever owns a `Round` chooses whom to ask (`quorum_round`) and when it has enough. The round hands out the answers as
+they come; with `hand_off`, what is still unanswered then goes on in the background, so that a slow replica neither
+holds the owner up nor misses the record.
 """
 
 from __future__ import annotations
--- a/dewpin/dataplane/replica_health.py
+++ b/dewpin/dataplane/replica_health.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from dewpin.cluster.store_view import StoreView
@@ -60,6 +60,11 @@
         replica.is_suspected = True
         replica.probed_s = now_s
 
+    def forget_all_but(self, members: Collection[str]) -> None:
+        """Forget the replicas that are no members any more."""
+        for member in self._replicas.keys() - members:
+            del self._replicas[member]
+
     def usual_s(self, member: str, now_s: float) -> float:
         """Return how long a replica usually takes to answer, as far as that still counts; 0 where it is not known."""
         replica = self._replica(member)
--- a/dewpin/dataplane/store_client.py
+++ b/dewpin/dataplane/store_client.py
@@ -59,6 +59,7 @@
         """Use `view` from now on, if it is newer."""
         if view.stable:
             self._views.adopt(view)
+            self._calls.health.forget_all_but(view.members.keys())
 
     def close(self) -> None:
         """Give up all that runs behind."""
--- a/tests/controlplane/test_storage.py
+++ b/tests/controlplane/test_storage.py
@@ -219,6 +219,10 @@
     connection.close()
 
 
+def test_each_schema_but_the_last_leads_to_the_next_one():
+    assert sorted(storage_module._MIGRATIONS) == list(range(storage_module.SCHEMA_VERSION))
+
+
 def test_an_older_database_is_migrated_and_keeps_what_it_holds(tmp_path, monkeypatch):
     opened = Storage(tmp_path)
     first = opened.incarnation
--- a/tests/dataplane/test_quorum_round.py
+++ b/tests/dataplane/test_quorum_round.py
@@ -155,3 +155,17 @@
         return asyncio.get_running_loop().time() - began_s
 
     assert run(scene()) < LEAST_HEDGE_S
+
+
+def test_what_is_known_of_a_replica_goes_with_its_membership():
+    async def scene():
+        world = World(names="abcd", in_view="abc")
+        client = world.client()
+        await client.append(turn("t1"), 1.0)
+        await client.settled()
+        health = client._calls.health
+        assert health.usual_s(world.machines["a"].member.id, 0.0) > 0
+        client.adopt(StoreView(world.view.epoch + 1, world.members("bcd"), None))
+        return set(health._replicas) <= {member.id for member in world.members("bcd")}
+
+    assert run(scene())
