--- a/tests/dataplane/test_quorum_round.py
+++ b/tests/dataplane/test_quorum_round.py
@@ -169,3 +169,20 @@
         return set(health._replicas) <= {member.id for member in world.members("bcd")}
 
     assert run(scene())
+
+
+def test_the_others_are_asked_at_once_where_a_first_one_refuses_the_connection():
+    async def scene():
+        world = World(names="abcde", losses=2, delay_s=0.05)
+        world.tell_locations({"a": "r/near", "b": "r/near", "c": "r/near", "d": "r/far", "e": "r/far"})
+        client = world.client(location="r/near")
+        for number in range(10):
+            await client.append(turn(f"t{number}"), 1.0)
+        await client.settled()
+        world.machines["a"].up = False
+        began_s = asyncio.get_running_loop().time()
+        await client.append(turn("t"), 1.0)
+        return asyncio.get_running_loop().time() - began_s
+
+    refused_s, answered_s = 0.05, 0.05
+    assert run(scene()) < refused_s + answered_s + 0.02
--- a/tests/dataplane/test_store_client_budgets.py
+++ b/tests/dataplane/test_store_client_budgets.py
@@ -322,3 +322,27 @@
         assert await world.client("reader").read_ledger("p") == {"spent": sum(range(20)), "open": {}}
 
     run(scene())
+
+
+def test_a_turn_carries_no_ballot_into_a_newer_view():
+    """Its majorities are those of the view that its promises were given under."""
+
+    async def scene():
+        world = World(names=("a", "b", "c", "d"), in_view=("a", "b", "c"))
+        client = world.client()
+        held = await client.reserve("p", "t1", 60, 100, 1.0)
+        world.tell(StoreView(2, world.view.stable, world.members("abd")))
+        carried = []
+        for machine in world.machines.values():
+            put = machine.store.handlers["turn.put"]
+
+            def noted(message, put=put):
+                carried.append((message["epoch"], "accept" in message))
+                return put(message)
+
+            world.network.handlers[machine.address] = {**machine.store.handlers, "turn.put": noted}
+        await client.append(turn("t1"), 1.0, Settlement(held, 7))
+        await client.settled()
+        return set(carried)
+
+    assert run(scene()) == {(1, True), (2, False)}
