Messages of cluster import nothing of consensus: replies are read where they are used

`cluster/sender_requests.py` had come to import dewpin.consensus, for the reply that a kept turn brings back; the arrow goes the other way.

Change: TurnStored carries the reply as it stands on the wire; the store encodes it, the sender's ledger_ballot reads it. A malformed one makes the whole answer count as none, as before, with a case of it among the tests of malformed answers.

Ruled out: another arrow in the test's list.

--- a/dewpin/cluster/sender_requests.py
+++ b/dewpin/cluster/sender_requests.py
@@ -10,9 +10,6 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar, Protocol
 
-from dewpin.consensus import Reply
-from dewpin.consensus.messages import decode_reply, encode_reply
-
 from . import message_fields as read
 from . import store_messages as wire
 from .store_messages import Message, TurnRecord
@@ -149,15 +146,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnStored:
-    """Tells that the turns are on disk; `reply` is that to the ballot beside them, if there was one."""
+    """Tells that the turns are on disk; `reply` is that to the ballot beside them, if there was one, in the form of
+    `dewpin.consensus.messages`."""
 
-    reply: Reply | None = None
+    reply: Message | None = None
 
     def encode(self) -> Message:
         """The form on the wire."""
         if self.reply is None:
             return {"type": wire.TURN_STORED}
-        return {"type": wire.TURN_STORED, "reply": encode_reply(self.reply)}
+        return {"type": wire.TURN_STORED, "reply": self.reply}
 
     @classmethod
     def decode(cls, message: Message) -> TurnStored:
@@ -165,15 +163,7 @@
         read.check_type(message, wire.TURN_STORED)
         if message.get("reply") is None:
             return cls()
-        return cls(ledger_reply(read.mapping(message, "reply")))
-
-
-def ledger_reply(message: Message) -> Reply:
-    """Return the reply to a round of a ballot. MalformedMessage if the message tells none."""
-    try:
-        return decode_reply(message)
-    except (KeyError, TypeError, ValueError) as fault:
-        raise read.MalformedMessage("reply", f"a replica's reply ({fault!r})") from fault
+        return cls(read.mapping(message, "reply"))
 
 
 def _view(message: Message) -> StoreView:
--- a/dewpin/controlplane/store.py
+++ b/dewpin/controlplane/store.py
@@ -182,9 +182,9 @@
             self._check_key(message, program)
         now_ms = self.now_ms()
 
-        def work(connection: sqlite3.Connection) -> Reply | None:
+        def work(connection: sqlite3.Connection) -> Message | None:
             turn_table.put(connection, asked.turns, now_ms, RETAIN_MARGIN_MS)
-            return None if asked.accept is None else _accept(connection, asked.accept, now_ms)
+            return None if asked.accept is None else encode_reply(_accept(connection, asked.accept, now_ms))
 
         return TurnStored(await self._transact(message["epoch"], work)).encode()
 
--- a/dewpin/dataplane/ledger_ballot.py
+++ b/dewpin/dataplane/ledger_ballot.py
@@ -10,9 +10,11 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
+from dewpin.cluster.message_fields import MalformedMessage, Message
 from dewpin.cluster.sender_requests import LedgerAccept, LedgerPrepare
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus import Accept, Ballot, Outcome, Proposal, Reply, Request, Result
+from dewpin.consensus.messages import decode_reply
 from dewpin.consensus.replica import ZERO_BALLOT
 from dewpin.dataplane import ledger
 from dewpin.dataplane.ledger import Ledger
@@ -33,6 +35,14 @@
     value_ballot: Ballot
 
 
+def ledger_reply(message: Message) -> Reply:
+    """Return the reply to a round of a ballot. MalformedMessage if the message tells none."""
+    try:
+        return decode_reply(message)
+    except (KeyError, TypeError, ValueError) as fault:
+        raise MalformedMessage("reply", f"a replica's reply ({fault!r})") from fault
+
+
 class LedgerBallot:
     """One ballot for the ledger of a program, under one view. It asks nobody by itself and never waits."""
 
--- a/dewpin/dataplane/ledger_client.py
+++ b/dewpin/dataplane/ledger_client.py
@@ -9,13 +9,12 @@
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass
 
-from dewpin.cluster.sender_requests import ledger_reply
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus import Outcome, Result
 from dewpin.dataplane import ledger
 from dewpin.dataplane.background import BackgroundTasks, in_time
 from dewpin.dataplane.ledger import Ledger
-from dewpin.dataplane.ledger_ballot import CarriedBallot, LedgerBallot, LedgerBallots
+from dewpin.dataplane.ledger_ballot import CarriedBallot, LedgerBallot, LedgerBallots, ledger_reply
 from dewpin.dataplane.program_store import BudgetSpent, Reservation, Settlement, StoreUnavailable
 from dewpin.dataplane.quorum_round import QuorumRound
 from dewpin.dataplane.replica_calls import ReplicaCalls, Round, ViewHolder, ViewMoved
--- a/dewpin/dataplane/turn_client.py
+++ b/dewpin/dataplane/turn_client.py
@@ -4,15 +4,18 @@
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import dataclass
 
+from dewpin.cluster.message_fields import Message
 from dewpin.cluster.placement import majority
 from dewpin.cluster.sender_requests import TurnChain, TurnPut, TurnStored
 from dewpin.cluster.store_messages import ChainLinks, TurnRecord
 from dewpin.cluster.store_view import StoreView
+from dewpin.consensus import Reply
 from dewpin.consensus.proposal import has_majorities
 from dewpin.dataplane.background import BackgroundTasks
 from dewpin.dataplane.chain_cache import ChainCache, Link
-from dewpin.dataplane.ledger_ballot import CarriedBallot
+from dewpin.dataplane.ledger_ballot import CarriedBallot, ledger_reply
 from dewpin.dataplane.program_store import StoreUnavailable, TurnUnknown
 from dewpin.dataplane.quorum_round import QuorumRound
 from dewpin.dataplane.replica_calls import ReplicaCalls, Round, ViewHolder, ViewMoved
@@ -27,6 +30,19 @@
 READ_CACHE_S = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Stored:
+    """A replica holds the turns; `reply`: its reply to the ballot that they carried."""
+
+    reply: Reply | None
+
+
+def _stored(message: Message) -> _Stored:
+    """Return what a store's answer to turns tells. MalformedMessage if it tells nothing of them."""
+    told = TurnStored.decode(message)
+    return _Stored(None if told.reply is None else ledger_reply(told.reply))
+
+
 class TurnClient:
     """Writes turns and reads chains."""
 
@@ -69,7 +85,7 @@
         until_s = asyncio.get_running_loop().time() + HAND_OFF_S
         stored: set[str] = set()
         hands_off = self._hand_off_bytes < MOST_HAND_OFF_BYTES
-        with Round(self._calls, view, TurnStored.decode, hands_off) as task_round:
+        with Round(self._calls, view, _stored, hands_off) as task_round:
             quorum_round = QuorumRound(self._calls, task_round, sets, until_s)
             quorum_round.ask(requests)
             while not has_majorities(sets, stored):
@@ -84,7 +100,7 @@
         if task_round.unanswered:
             self._background.start(self._count_hand_off(task_round, size))
 
-    async def _count_hand_off(self, task_round: Round[TurnStored], size: int) -> None:
+    async def _count_hand_off(self, task_round: Round[_Stored], size: int) -> None:
         """Count the bytes that wait for replicas which have not answered yet."""
         self._hand_off_bytes += size
         try:
--- a/tests/cluster/test_sender_requests.py
+++ b/tests/cluster/test_sender_requests.py
@@ -17,6 +17,7 @@
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.consensus import Accepted, Ballot, Conflict
 from dewpin.consensus.messages import ACCEPTED, encode_reply
+from dewpin.dataplane.ledger_ballot import ledger_reply
 
 TURN = TurnRecord("t1", "p", None, 60_000, b"\xe4", b"out")
 TURN_TEXT = r'{"turn": "t1", "program": "p", "previous": null, "retain_ms": 60000, "input": "\u00e4", "output": "out"}'
@@ -70,7 +71,7 @@
     *[(ChainLinks, ("absent",), value) for value in (None, 0, "no")],
     *[(ChainLinks, ("foreign",), value) for value in (None, "t1", [1], {})],
     *[(TurnStored, ("type",), value) for value in (None, "turn.links", 5)],
-    *[(TurnStored, ("reply",), value) for value in (5, "x", [], True, {}, {"type": "turn.stored"}, {"type": ACCEPTED})],
+    *[(TurnStored, ("reply",), value) for value in (5, "x", [], True)],
 ]
 SOUND = {
     TurnPut: TurnPut((TURN,)).fields,
@@ -116,9 +117,16 @@
 
 @pytest.mark.parametrize("reply", [Accepted(Ballot(5, "s")), Conflict(Ballot(6, "t"))])
 def test_the_answer_to_a_turn_tells_the_reply_to_the_ballot_that_it_carried(reply):
-    message = TurnStored(reply).encode()
-    assert message["reply"] == encode_reply(reply)
-    assert TurnStored.decode(json.loads(json.dumps(message))) == TurnStored(reply)
+    message = TurnStored(encode_reply(reply)).encode()
+    told = TurnStored.decode(json.loads(json.dumps(message))).reply
+    assert told is not None
+    assert ledger_reply(told) == reply
+
+
+@pytest.mark.parametrize("reply", [{}, {"type": "turn.stored"}, {"type": ACCEPTED}, {"type": ACCEPTED, "ballot": 5}])
+def test_what_is_no_reply_to_a_ballot_is_refused_as_malformed(reply):
+    with pytest.raises(MalformedMessage, match="^reply: "):
+        ledger_reply(reply)
 
 
 @pytest.mark.parametrize("field", ["program", "ballot", "value", "next_ballot"])
--- a/tests/controlplane/test_malformed_requests.py
+++ b/tests/controlplane/test_malformed_requests.py
@@ -85,7 +85,16 @@
     run(scene())
 
 
-@pytest.mark.parametrize("answer", [{}, {"type": "turn.links"}, {"type": "ballot.promise"}, {"type": "turn.stored "}])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        {},
+        {"type": "turn.links"},
+        {"type": "ballot.promise"},
+        {"type": "turn.stored "},
+        {"type": "turn.stored", "reply": {}},
+    ],
+)
 def test_an_answer_that_is_malformed_counts_as_none(answer):
     async def scene():
         world = World()
