--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -50,11 +50,11 @@
 
 
 def played_days(entry: dict[str, Any]) -> list[PlayedDay]:
-    """Return the days of a journal entry that came to a worth, in its order."""
+    """Return the days of a journal entry that were played to their end, in its order."""
     return [
         PlayedDay(entry["id"], entry["site"], day["name"], day["score"], day["G"], losses_of(day))
         for day in entry["days"]
-        if day.get("parts") and day.get("G") is not None
+        if day["fault"] is None
     ]
 
 
--- a/tests/dataplane/test_store_client.py
+++ b/tests/dataplane/test_store_client.py
@@ -8,8 +8,9 @@
 from scripted.stores import World, turn
 
 from dewpin.cluster.store_view import StoreView
+from dewpin.dataplane import store_client
 from dewpin.dataplane.chain_cache import ChainCache
-from dewpin.dataplane.program_store import BudgetSpent, StoreUnavailable, TurnUnknown
+from dewpin.dataplane.program_store import BudgetSpent, Reservation, Settlement, StoreUnavailable, TurnUnknown
 from dewpin.dataplane.quorum_round import LEAST_HEDGE_S
 from dewpin.dataplane.store_client import BlockingStoreClient, StoreClient
 
@@ -417,3 +418,25 @@
         return await client.read_ledger("p")
 
     assert run(scene()) == {"spent": 0, "open": {}}
+
+
+def test_a_settlement_that_the_loop_never_began_to_carry_is_made_later(monkeypatch):
+    """Its turn may not be durable, but what it used has to be counted."""
+    monkeypatch.setattr(store_client, "FACADE_SLACK_S", 0.0)
+    settled = []
+
+    class Client:
+        async def append(self, turn, timeout_s, settlement):
+            raise AssertionError("it was given up before it began")
+
+        def settle(self, reservation, used):
+            settled.append((reservation.turn, used))
+
+    loop = asyncio.new_event_loop()
+    reservation = Reservation("p", "t", 10)
+    with pytest.raises(StoreUnavailable):
+        store_client.BlockingStoreClient(Client(), loop).append(turn("t"), 0.0, Settlement(reservation, 7))
+    loop.call_soon(loop.stop)
+    loop.run_forever()
+    loop.close()
+    assert settled == [("t", 7)]
--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -13,6 +13,7 @@
         "name": name,
         "G": 0.75,
         "score": 0.6,
+        "fault": None,
         "parts": [["whole day", 0.7, 0.9], ["worst windows", 0.15, 0.5], ["worst class", 0.15, 1.0]],
         "prices": [["machine-seconds", 5040.7, 0.03], ["cloud calls", 181.0, 0.0001], ["duties missed", 0.0, 0.0]],
         **changed,
@@ -36,7 +37,7 @@
 
 
 def test_a_day_that_was_given_up_has_no_row():
-    given_up = day("trouble-1", parts=[], G=None)
+    given_up = day("trouble-1", parts=[["whole day", 1.0, 0.0]], G=-0.065, score=0.0, fault="too slow")
     assert [played.name for played in losses.played_days(entry(given_up, day()))] == ["quiet-1"]
 
 
