Hand-over log: an event whose handling raises is read again, none is skipped

When handling an event raised, the offset had moved on and the bytes had not, so that the next call read at a wrong place and skipped events.

--- a/dewpin/spool/handover_log.py
+++ b/dewpin/spool/handover_log.py
@@ -112,7 +112,6 @@
         self.path = os.path.join(folder, HANDOVER_FILE)
         self.descriptors = 0
         self._journal = journal
-        self._unparsed = b""
         self._descriptor: int | None = None
 
     def exists(self) -> bool:
@@ -120,25 +119,29 @@
         return os.path.exists(self.path)
 
     def read_events(self) -> Iterator[HandoverEvent]:
-        """What was written since the last call. An event counts as consumed once the next one is asked for."""
+        """What was written since the last call. An event counts as consumed once the next one is asked for.
+
+        Reading starts at the first event that is not consumed, so one whose handling raises is read again.
+        """
         if self._descriptor is None:
             try:
                 self._descriptor = os.open(self.path, os.O_RDONLY)
             except FileNotFoundError:
                 return
         journal = self._journal
-        while content := os.pread(self._descriptor, READ_BYTES, journal.consumed_handover_bytes + len(self._unparsed)):
-            self._unparsed += content
+        unparsed = b""
+        while content := os.pread(self._descriptor, READ_BYTES, journal.consumed_handover_bytes + len(unparsed)):
+            unparsed += content
             offset = 0
             while True:
-                frame = codec.read_frame(self._unparsed, offset)
+                frame = codec.read_frame(unparsed, offset)
                 if isinstance(frame, DamagedFrame):
                     break
                 if event := self._decode(frame.payload):
                     yield event
                 journal.mark_handover_consumed(journal.consumed_handover_bytes + frame.end_offset - offset)
                 offset = frame.end_offset
-            self._unparsed = self._unparsed[offset:]
+            unparsed = unparsed[offset:]
 
     def close(self) -> None:
         """Removes the file: all of it is consumed, and its writer is gone."""
