Sender: two events reach the tier's own log, and the agent's start has an owner

Cause: sender.not_wound_up and sender.configuration_invalid went to the logger __main__, which the tier's handler does not serve: the first was lost, the second came as bare text. The task that starts the agent was held by nobody.

Change: both go to their module's logger; the first is a warning, since turns stay unsettled. The task is kept.

--- a/dewpin/dataplane/agent_thread.py
+++ b/dewpin/dataplane/agent_thread.py
@@ -17,7 +17,7 @@
 
 LOOP_START_TIMEOUT_S = 30.0
 
-log = logging.getLogger("__main__")  # not below `dewpin`: see docs/ROADMAP.md, faults seen and left
+log = logging.getLogger(__name__)
 
 
 class AgentThread:
@@ -36,6 +36,7 @@
         self._state = state
         self._loop = asyncio.new_event_loop()
         self._has_started = threading.Event()
+        self._starting: asyncio.Task[None] | None = None
 
     def start(self) -> BlockingStoreClient:
         """Start the thread; return the store for request threads once everything runs.
@@ -59,11 +60,11 @@
         try:
             stopped.result(max(0.0, timeout_s))
         except TimeoutError:
-            log.info("sender.not_wound_up")
+            log.warning("sender.not_wound_up")
 
     def _run_loop(self) -> None:
         asyncio.set_event_loop(self._loop)
-        self._loop.create_task(self._start())
+        self._starting = self._loop.create_task(self._start())
         self._loop.run_forever()
 
     async def _start(self) -> None:
--- a/dewpin/dataplane/cluster_state_updater.py
+++ b/dewpin/dataplane/cluster_state_updater.py
@@ -11,7 +11,7 @@
 from dewpin.cluster.store_view import StoreView
 from dewpin.dataplane.membership.cluster_state import ClusterState
 
-log = logging.getLogger("__main__")  # not below `dewpin`: see docs/ROADMAP.md, faults seen and left
+log = logging.getLogger(__name__)
 
 
 class ClusterStateUpdater:
