--- a/dewpin/controlplane/control_server.py
+++ b/dewpin/controlplane/control_server.py
@@ -163,6 +163,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, self.heartbeats.stop(), return_exceptions=True)
+        await self.register.stop()
 
     async def _repeat(self, period_s: float, step: Callable[[], object]) -> None:
         """Runs a step again and again, about once in `period_s`; 0 for a step that waits by itself."""
--- a/dewpin/controlplane/register/proposer.py
+++ b/dewpin/controlplane/register/proposer.py
@@ -7,6 +7,7 @@
 import random
 from dataclasses import replace
 
+from dewpin.cluster.background_tasks import BackgroundTasks
 from dewpin.cluster.errors import DewpinError
 from dewpin.cluster.rpc import RpcClient, RpcError
 from dewpin.consensus import Accept, Ballot, Outcome, Prepare, Promise, Proposal, Reply
@@ -38,7 +39,10 @@
 
 
 class RegisterProposer:
-    """Proposes changes on behalf of one process, one at a time."""
+    """Proposes changes on behalf of one process, one at a time.
+
+    `background` owns the requests of each ballot: those of a chosen value go on after their ballot has ended.
+    """
 
     def __init__(
         self,
@@ -47,12 +51,14 @@
         rng: random.Random,
         acceptor: RegisterAcceptor,
         learner: RegisterLearner,
+        background: BackgroundTasks,
     ) -> None:
         self._address = address
         self._client = client
         self._rng = rng
         self._acceptor = acceptor
         self._learner = learner
+        self._background = background
         self._counter = 0
         self._proposing = asyncio.Lock()
 
@@ -128,7 +134,7 @@
 
         def send(requests: list[Request]) -> int:
             for request in requests:
-                tasks.add(asyncio.ensure_future(self._request_reply(request, body_digests, replies)))
+                tasks.add(self._background.start(self._request_reply(request, body_digests, replies)))
             return len(requests)
 
         pending = send(proposal.start())
@@ -163,7 +169,7 @@
             if isinstance(body, Prepare):
                 return await self._acceptor.prepare(body.ballot, body.known)
             return await self._acceptor.accept(body.ballot, body.value)
-        address = self._learner.addresses.get(request.member)
+        address = self._learner.address_of(request.member)
         if address is None:
             raise RpcError("unknown_member", request.member)
         message = self._message_for(request.member, body, body_digests).encode()
--- a/dewpin/controlplane/register/register.py
+++ b/dewpin/controlplane/register/register.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 
+from dewpin.cluster.background_tasks import BackgroundTasks
 from dewpin.cluster.rpc import Handler, Message, RpcClient, RpcError
 from dewpin.consensus import Ballot
 from dewpin.consensus.replica import ZERO_BALLOT
@@ -53,9 +54,9 @@
         self._bodies = ConfigurationBodies(client)
         self._learner = RegisterLearner(self._bodies, self._handle_chosen)
         self.acceptor = RegisterAcceptor(member, storage, self._learner)
-        self._proposer = RegisterProposer(address, client, rng, self.acceptor, self._learner)
+        self._background = BackgroundTasks()
+        self._proposer = RegisterProposer(address, client, rng, self.acceptor, self._learner, self._background)
         self._history = ChangeHistory(storage, self._query_peers)
-        self._history_writes: set[asyncio.Task[None]] = set()
         self._on_chosen = on_chosen
 
     @property
@@ -74,6 +75,10 @@
         await self._history.load()
         self.acceptor.is_loaded = True
 
+    async def stop(self) -> None:
+        """Ends requests of ballots and writes of the change history: the next state tells of these changes too."""
+        await self._background.stop()
+
     @property
     def chosen(self) -> SystemState | None:
         """The newest state known to be chosen."""
@@ -141,9 +146,7 @@
 
     def _handle_chosen(self, state: SystemState) -> None:
         self._on_chosen(state)
-        write = asyncio.ensure_future(self._record_changes(state))
-        self._history_writes.add(write)
-        write.add_done_callback(self._history_writes.discard)
+        self._background.start(self._record_changes(state))
 
     async def _record_changes(self, state: SystemState) -> None:
         try:
@@ -157,7 +160,7 @@
     async def _query_peers(self, request: ChangeHistoryRequest) -> ChangeHistoryPage | None:
         """The page of the peer that knows the oldest changes asked for; None where no peer answers."""
         best: ChangeHistoryPage | None = None
-        for address in sorted(set(self._learner.addresses.values()) - {self.address}):
+        for address in sorted(self._learner.addresses() - {self.address}):
             try:
                 reply = await self._client.call(address, request.encode(), MEMBER_TIMEOUT_S)
                 page = ChangeHistoryPage.decode(reply)
--- a/dewpin/dataplane/programs/ledger_client.py
+++ b/dewpin/dataplane/programs/ledger_client.py
@@ -9,10 +9,10 @@
 from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass, field
 
+from dewpin.cluster.background_tasks import BackgroundTasks
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus import Outcome, Result
 from dewpin.dataplane.programs import ledger
-from dewpin.dataplane.programs.background import BackgroundTasks, run_with_timeout
 from dewpin.dataplane.programs.errors import BudgetExceededError, StaleViewError, StoreUnavailableError
 from dewpin.dataplane.programs.ledger import Ledger
 from dewpin.dataplane.programs.ledger_ballot import LedgerBallot, LedgerProposer, PiggybackedBallot, ledger_reply
@@ -20,6 +20,7 @@
 from dewpin.dataplane.programs.quorum_round import QuorumRound
 from dewpin.dataplane.programs.replica_calls import ReplicaCalls
 from dewpin.dataplane.programs.store_view_tracker import StoreViewTracker
+from dewpin.dataplane.programs.timeouts import run_with_timeout
 
 SETTLEMENT_TIMEOUT_S = 60.0
 """For how long a settlement is retried; after that the whole reservation counts as used for good."""
@@ -118,8 +119,13 @@
                     self._forget_settlements(program, settlements)
 
     async def read(self, program: str) -> Ledger | None:
-        """Return the ledger as a majority has it; a change that another sender left unfinished is completed."""
-        return await self.change(program, ledger.read)
+        """Return the ledger as a majority has it; a change that another sender left unfinished is completed.
+
+        A remembered promise would answer with the value that this sender has seen last: the read asks the replicas.
+        """
+        async with self._locked(program):
+            self._proposer.forget_promise(program)
+            return await self._change_locked(program, ledger.read)
 
     async def _reserve(self, program: str, turn_id: str, max_tokens: int, budget: int) -> None:
         while True:
@@ -127,8 +133,7 @@
                 await self.change(program, ledger.reserve(turn_id, max_tokens, budget))
                 return
             except BudgetExceededError:  # the value may be one that was never chosen: only a read proves it
-                self._proposer.forget_promise(program)
-                proven = await self.change(program, ledger.read)
+                proven = await self.read(program)
                 if not ledger.can_reserve(proven, turn_id, max_tokens, budget):
                     raise
 
--- a/dewpin/dataplane/programs/store_client.py
+++ b/dewpin/dataplane/programs/store_client.py
@@ -13,9 +13,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
+from dewpin.cluster.background_tasks import BackgroundTasks
 from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import StoreView
-from dewpin.dataplane.programs.background import BackgroundTasks, run_with_timeout
 from dewpin.dataplane.programs.errors import StoreUnavailableError
 from dewpin.dataplane.programs.history_cache import CachedTurn, HistoryCache
 from dewpin.dataplane.programs.ledger import Ledger
@@ -23,6 +23,7 @@
 from dewpin.dataplane.programs.program_store import Reservation, Settlement, Turn, TurnStart
 from dewpin.dataplane.programs.replica_calls import ReplicaCalls, RpcCaller
 from dewpin.dataplane.programs.store_view_tracker import StoreViewTracker
+from dewpin.dataplane.programs.timeouts import run_with_timeout
 from dewpin.dataplane.programs.turn_client import TurnClient
 
 THREAD_WAIT_MARGIN_S = 0.25
--- a/dewpin/dataplane/programs/turn_client.py
+++ b/dewpin/dataplane/programs/turn_client.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from dewpin.cluster.background_tasks import BackgroundTasks
 from dewpin.cluster.message_fields import Message
 from dewpin.cluster.placement import majority
 from dewpin.cluster.store_messages import HistoryPage, TurnRecord
@@ -13,7 +14,6 @@
 from dewpin.cluster.store_view import StoreView
 from dewpin.consensus import Reply
 from dewpin.consensus.proposal import has_majorities
-from dewpin.dataplane.programs.background import BackgroundTasks
 from dewpin.dataplane.programs.errors import StaleViewError, StoreUnavailableError, TurnNotFoundError
 from dewpin.dataplane.programs.history_cache import CachedTurn, HistoryCache
 from dewpin.dataplane.programs.ledger_ballot import PiggybackedBallot, ledger_reply
--- a/tests/controlplane/test_system_register.py
+++ b/tests/controlplane/test_system_register.py
@@ -383,3 +383,26 @@
         return registers.members["b"].has_unfinished_value
 
     assert run(scene()) is False
+
+
+def test_stopped_register_leaves_no_task_behind():
+    async def scene():
+        registers = Registers()
+        await registers.begin()
+        registers.disks["c"].delay_s = 0.3  # its accept is still under way when the value is chosen
+        await registers.members["a"].propose(put(7, 0), WAIT_S)
+        registers.disks["a"].stalls = True  # so that a write of the change history does not end by itself
+        registers.members["a"].record_chosen(*_next_chosen(registers.members["a"]))
+        await asyncio.sleep(0)
+        pending = asyncio.all_tasks() - {asyncio.current_task()}
+        assert pending
+        await registers.members["a"].stop()
+        return asyncio.all_tasks() - {asyncio.current_task()}
+
+    assert run(scene()) == set()
+
+
+def _next_chosen(member):
+    """A newer state, as another process tells it, with a change that the history lacks."""
+    state = put(8, 7)(member.chosen)
+    return member.chosen_ballot, state
--- a/tests/dataplane/test_store_client_budgets.py
+++ b/tests/dataplane/test_store_client_budgets.py
@@ -189,6 +189,17 @@
     run(scene())
 
 
+def test_ledger_read_asks_the_replicas_despite_a_remembered_promise():
+    async def scene():
+        world = World()
+        one, two = world.client("one"), world.client("two")
+        await one.reserve("p", "t1", 60, 100, 1.0)
+        await two.reserve("p", "t2", 20, 100, 1.0)
+        return await one.read_ledger("p")
+
+    assert run(scene()) == {"spent": 0, "open": {"t1": 60, "t2": 20}}
+
+
 async def store_with_settlement(client, name, previous=None, max_tokens=60, used=7, budget=100):
     """Let a turn be reserved, kept and settled at once."""
     reservation = await client.reserve("p", name, max_tokens, budget, 1.0)
--- a/tests/model/ledger_parts.py
+++ b/tests/model/ledger_parts.py
@@ -12,6 +12,7 @@
 
 from scripted.disk import MemoryDisk
 
+from dewpin.cluster.background_tasks import BackgroundTasks
 from dewpin.cluster.rpc import RpcError
 from dewpin.cluster.store_requests import LedgerAcceptRequest, LedgerPrepareRequest, RequestHeader
 from dewpin.cluster.store_view import Member, StoreView
@@ -22,7 +23,6 @@
 from dewpin.controlplane.store.store import Store
 from dewpin.controlplane.store.view_guard import read_durable_view
 from dewpin.dataplane.programs import ledger
-from dewpin.dataplane.programs.background import BackgroundTasks
 from dewpin.dataplane.programs.errors import BudgetExceededError, StaleViewError
 from dewpin.dataplane.programs.ledger_ballot import LedgerBallot
 from dewpin.dataplane.programs.ledger_client import LedgerClient
