Load test: a fault waits for a sender that an earlier fault is still restarting

Cause: of 'twelve senders under faults' failing once under load: a sender that kill had just restarted was hit by term before its handler was there. Two faults on one sender could also start two processes, the second of which takes over.

Change: a lock for each sender keeps its faults in turn.

Measured: tests/lab/test_fault_injector.py brings both orders about in four pairs; all four fail without the lock.

--- a/dewpin/lab/fleet/fault_injector.py
+++ b/dewpin/lab/fleet/fault_injector.py
@@ -45,6 +45,7 @@
         self._senders = senders
         self._start_sender = start_sender
         self._random = random_source
+        self._process_locks = {sender.number: asyncio.Lock() for sender in senders}
 
     async def inject(self, fault: Fault) -> None:
         """Inject a fault and end it when its time is over."""
@@ -98,7 +99,15 @@
             self._record_life(sender, SenderEvent.READY)
 
     async def _end_process(self, sender: SenderProcess, fault: Fault) -> None:
-        """End a sender's process, and start it again after the fault's time."""
+        """End a sender's process, and start it again after the fault's time.
+
+        A sender that an earlier fault has ended is ended once it is ready again: a process that still starts has no
+        handler for SIGTERM yet, and a second start beside it would take over from it.
+        """
+        async with self._process_locks[sender.number]:
+            await self._end_running_process(sender, fault)
+
+    async def _end_running_process(self, sender: SenderProcess, fault: Fault) -> None:
         loop = asyncio.get_running_loop()
         sender.send_signal(signal.SIGTERM if fault.kind == FaultKind.TERM else signal.SIGKILL)
         self._record_life(sender, SenderEvent.KILLED)
