Reload: an operator's file without its end is read again while its writer may pause

Cause: of test_file_is_swapped_... failing once under load: two equal readings 50 ms apart sufficed, so a writer that stalled for longer had its file rejected as half written, and no SIGHUP followed.

Change: where the file before ended with [end], one without is read again for up to a second before it is rejected.

--- a/dewpin/config/operator_file.py
+++ b/dewpin/config/operator_file.py
@@ -24,6 +24,12 @@
     return _OperatorFile(os.path.basename(path), issues).read(content, must_end)
 
 
+def is_unfinished(path: str) -> bool:
+    """Return whether the file exists and no `[end]` table closes it."""
+    content = read_regular_file(path, MAX_BYTES, [])
+    return content is not None and toml_lines.last_table(content.decode(errors="replace")) != END_TABLE
+
+
 class _OperatorFile:
     """One reading of the file.
 
--- a/dewpin/daemon/configuration_source.py
+++ b/dewpin/daemon/configuration_source.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping, Sequence
 
 from ..config.errors import ConfigurationError, ConfigurationIssue
-from ..config.loading import Configuration, load_configuration
+from ..config.loading import OPERATOR_FILE_VARIABLE, Configuration, load_configuration
 from ..config.sections import Sender
 from ..relay.facade import Facade
 
@@ -57,22 +57,31 @@
     async def read_stable(self, must_end: bool) -> Configuration:
         """Read until two readings a moment apart agree, so that no file is taken while it is being written.
 
-        Raises ConfigurationError where the configuration is invalid or keeps changing.
+        With `must_end`, an operator's file without its end is read again for as long as one that changes: its writer
+        may have paused. Raises ConfigurationError where the configuration is invalid or keeps changing.
         """
         previous: Configuration | list[ConfigurationIssue] | None = None
+        current = self._read_or_issues(must_end)
         for _ in range(STABLE_READ_ATTEMPTS):
-            current = self._read_or_issues(must_end)
-            if current == previous:
+            if current == previous and not (must_end and self._is_operator_file_unfinished()):
                 break
-            previous = current
             await asyncio.sleep(STABLE_READ_INTERVAL_SECONDS)
-        else:
+            previous, current = current, self._read_or_issues(must_end)
+        if current != previous:
             message = "it still changes while it is read; send SIGHUP once it is whole"
-            current = [ConfigurationIssue("configuration", "", message)]
+            raise ConfigurationError([ConfigurationIssue("configuration", "", message)])
         if isinstance(current, list):
             raise ConfigurationError(current)
         return current
 
+    def _is_operator_file_unfinished(self) -> bool:
+        path = self.operator_path or self.environment.get(OPERATOR_FILE_VARIABLE)
+        if not path:
+            return False
+        from ..config.operator_file import is_unfinished  # loads the TOML parser, which most senders do not need
+
+        return is_unfinished(path)
+
     def _read_or_issues(self, must_end: bool) -> Configuration | list[ConfigurationIssue]:
         try:
             return self.read(must_end)
