Simulation: nine scenarios more, with the wrong variants that each catches

Cause: docs/control-safety.md left uncovered: mixed releases, many processes lost at once, quotas of processor time, slow links beside a copy, machines taken away for good, full disks, processes that wake, and two losses at once (f = 2).

Change: scenarios mixed_releases, many_at_once, processor_quota, slow_links, taken_away, full_disks, frozen_and_woken, second_loss_of_two, halves_of_five; links with a rate in the laboratory; a planned stop restarts its machine (it never did: the restart belonged to the process that ended). Two new wrong variants. The deep models have one more.

--- a/dewpin/lab/transport.py
+++ b/dewpin/lab/transport.py
@@ -43,6 +43,10 @@
         self.max_piece_bytes = max_piece_bytes
         self.is_cut = is_cut
 
+    def arrival_s(self, now_s: float, size: int) -> float:
+        """Return when `size` bytes that are written now arrive; a link with a rate takes longer for more."""
+        return now_s + self.latency_s
+
 
 class SimulatedTransport(asyncio.Transport):
     """One end of a connection, owned by the machine that opened or accepted it.
@@ -196,18 +200,18 @@
                 data = data[:limit]
             self._write_buffer_bytes -= len(data)
             self._bytes_in_flight += len(data)
-            self._send(partial(SimulatedTransport._receive, data=data))
+            self._send(partial(SimulatedTransport._receive, data=data), len(data))
         if self._is_eof_written and not self._write_buffer and not self.is_dead:
             self._send(SimulatedTransport._receive_eof)
         if self._is_writing_paused and self._write_buffer_bytes <= self._low_water_bytes:
             self._is_writing_paused = False
             self._loop.call_soon(self.protocol.resume_writing)
 
-    def _send(self, delivery: Callable[["SimulatedTransport"], None]) -> None:
-        """Have `delivery` called with the other end when it arrives there."""
+    def _send(self, delivery: Callable[["SimulatedTransport"], None], size: int = 0) -> None:
+        """Have `delivery`, of `size` bytes, called with the other end when it arrives there."""
         if self.link.drops_all:
             return
-        self._last_arrival_at = max(self._last_arrival_at, self._loop.now + self.link.latency_s)
+        self._last_arrival_at = max(self._last_arrival_at, self.link.arrival_s(self._loop.now, size))
         self._network.call_at(self._last_arrival_at, self._arrive, delivery)
 
     def _arrive(self, delivery: Callable[["SimulatedTransport"], None]) -> None:
--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -142,6 +142,9 @@
     "ledgers: before the change and after it, a store crashes": lambda: _ledger(
         ((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGED), crashes=1
     ),
+    "ledgers: before the change and within it, two ballots each": lambda: _ledger(
+        ((EARLY,), (LATE,)), (2, 2), epochs=(STABLE, CHANGING)
+    ),
     "ledgers: before the change and within it": lambda: _ledger(((EARLY,), (LATE,)), (2, 1), epochs=(STABLE, CHANGING)),
     "ledgers: a settlement through the change, another reserves before or after it": lambda: _settlement(
         "ab", other=LATE, other_epochs=(STABLE, CHANGED)
--- a/tests/simulation/hosts.py
+++ b/tests/simulation/hosts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextvars import Context
 
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import parse_settings
@@ -19,6 +20,7 @@
 
 from .disk import Disk
 from .operator_calls import answer_of
+from .release_messages import EarlierReleaseClient, earlier_handlers
 
 FIRST_PORT, LAST_PORT = 7380, 7395
 DAY_BEGAN_MS = 1_790_000_000_000
@@ -26,7 +28,10 @@
 
 
 class Host:
-    """A machine: its place, and the process that runs on it or none. `life` counts its processes."""
+    """A machine: its place, and the process that runs on it or none. `life` counts its processes.
+
+    `is_earlier_release`: its next process sends and reads the messages of an earlier release.
+    """
 
     kind = ""
 
@@ -37,6 +42,7 @@
         self.day_step_ms = 0
         self.powered = True
         self.removed = False
+        self.is_earlier_release = False
         self.first_started_s = self.removed_s = float("inf")
         self.boots = 0
 
@@ -59,6 +65,14 @@
     def random(self, purpose):
         return random.Random(f"{self.world.seed}/{self.name}/{self.life}/{purpose}")
 
+    def client(self):
+        """The client of a process that starts now."""
+        return EarlierReleaseClient() if self.is_earlier_release else RpcClient()
+
+    def handlers(self, handlers):
+        """What a process that starts now does with messages."""
+        return self.world.disturbed(earlier_handlers(handlers) if self.is_earlier_release else handlers)
+
     def boot(self, bootstrap=False):
         """Start the process."""
         self.first_started_s = min(self.first_started_s, self.world.loop.now)
@@ -86,9 +100,21 @@
             settings["data_dir"] = "/unused"
         return parse_settings(settings)
 
+    def stop(self):
+        """As SIGTERM: the process ends by itself."""
+        self.machine.start(self._stop())
+
+    async def _stop(self):
+        await self._wind_up()
+        # as the world's own work: what follows must not end with this process
+        self.world.loop.call_soon(self.world.process_ended, self, self.life, context=Context())
+
     async def _run(self, bootstrap):
         raise NotImplementedError
 
+    async def _wind_up(self):
+        raise NotImplementedError
+
 
 class StoreHost(Host):
     """A machine that runs `dewpin.controlplane`."""
@@ -108,7 +134,7 @@
     async def _run(self, bootstrap):
         self.control_server = self.api = None
         settings, loop = self.settings(bootstrap), self.world.loop
-        client = RpcClient()
+        client = self.client()
         control_server = ControlServer(
             settings,
             self.disk,
@@ -123,7 +149,7 @@
         await store.start()
         control_server.attach_store(store)
         server.handlers.update(store.handlers)
-        server.handlers = self.world.disturbed(server.handlers)
+        server.handlers = self.handlers(server.handlers)
         await control_server.load()
         await server.start(*split_address(control_server.address))
         control_server.start()
@@ -134,17 +160,12 @@
         """The answer of a call of the operator; None where the process doesn't take calls yet."""
         return None if self.api is None else await answer_of(lambda: make_call(self.api))
 
-    def stop(self):
-        """As SIGTERM: ends by itself after a notice."""
-        self.machine.start(self._stop())
-
-    async def _stop(self):
+    async def _wind_up(self):
         if self.control_server is not None:
             self.control_server.leave()
             await asyncio.sleep(LEAVE_NOTICE_S)
             await self.control_server.stop()
             await self.server.stop()
-        self.world.loop.call_soon(self.world.process_ended, self, self.life)
 
 
 class FrontHost(Host):
@@ -161,7 +182,7 @@
     async def _run(self, bootstrap):
         self.agent = self.state = self.store_client = None
         settings, loop = self.settings(bootstrap), self.world.loop
-        client = RpcClient()
+        client = self.client()
         state = ClusterState()
         store_client = StoreClient(
             client,
@@ -182,13 +203,17 @@
             platform=self.world.platform(self),
             on_sender_count=updater.update_sender_count,
         )
-        server = RpcServer(self.world.disturbed(agent.handlers))
+        server = RpcServer(self.handlers(agent.handlers))
         await server.start(*split_address(agent.address))
         agent.start()
         state.is_cut_off = lambda: not agent.has_control_plane_contact
         state.is_current = agent.is_state_current
         self.agent, self.state, self.store_client = agent, state, store_client
 
+    async def _wind_up(self):
+        if self.agent is not None:
+            await asyncio.gather(self.agent.stop(), self.store_client.wait_until_settled())
+
     @property
     def is_ready(self):
         return self.serves and self.agent is not None and sender_readiness.is_ready(self.state, self.agent)
--- a/tests/simulation/scenarios/second_loss.py
+++ b/tests/simulation/scenarios/second_loss.py
@@ -14,7 +14,7 @@
     play.begin(play.operators.change_for_ever(4.0))
     await play.wait(2, 5)
     for _ in range(ROUNDS):
-        loss = play.dice.choice((_wipe, _wipe, _power_off, _freeze, _replace, _replace_planned, _retire, _cut))
+        loss = play.dice.choice(LOSSES)
         victim = play.dice.choice(play.world.stores())
         play.world.note(loss.__name__, victim)
         await loss(play, victim)
@@ -72,3 +72,6 @@
     world.boot(world.add(StoreHost))
     await asyncio.sleep(world.bounds["catch_up_s"] + play.dice.uniform(0, 3))
     await play.operators.retire(victim, within_s=20.0)
+
+
+LOSSES = (_wipe, _wipe, _power_off, _freeze, _replace, _replace_planned, _retire, _cut)
--- a/tests/simulation/test_oracle.py
+++ b/tests/simulation/test_oracle.py
@@ -92,6 +92,16 @@
         ("halves", "read without a majority", range(1, 4), "CONFIG"),
         ("halves", "renew without a majority", range(1, 41), "FRESH"),  # about one seed in five shows it
         ("overlapping_losses", "read without a majority", range(1, 7), "CONFIG"),
+        ("many_at_once", "acknowledge before the sync", range(1, 5), "CONFIG"),
+        ("mixed_releases", "leave bodies out for every release", range(1, 5), "CONFIG"),
+        ("processor_quota", "renew without a majority", range(1, 13), "FRESH"),
+        ("slow_links", "copy nothing", range(1, 4), "LOST"),
+        ("taken_away", "copy nothing", range(1, 4), "LOST"),
+        ("taken_away", "finish a view before all have copied", range(1, 4), "LOST"),
+        ("full_disks", "take a full disk for a sync", range(1, 4), "LOST"),
+        ("frozen_and_woken", "renew without a majority", range(1, 13), "FRESH"),
+        ("second_loss_of_two", "write a turn to one replica", range(1, 4), "LOST"),
+        ("halves_of_five", "two majorities that do not meet", range(1, 4), "CONFIG"),
     ],
 )
 def test_wrong_variant_breaks_scenario(scenario, variant, seeds, rule):
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -37,14 +37,35 @@
 }
 
 
+class Uplink:
+    """A machine's way into the network, which all its connections share. `rate_mbit`: None for no limit."""
+
+    __slots__ = ("rate_mbit", "_free_s")
+
+    def __init__(self):
+        self.rate_mbit = None
+        self._free_s = 0.0
+
+    def departure_s(self, now_s, size):
+        """When `size` bytes written now have left."""
+        if self.rate_mbit is None:
+            return now_s
+        self._free_s = max(now_s, self._free_s) + size * 8 / (self.rate_mbit * 1e6)
+        return self._free_s
+
+
 class Link(LinkConditions):
-    """One direction between two machines. `loss`: share of deliveries that are sent again; `jitter_s`: at most."""
+    """One direction between two machines. `loss`: share of deliveries that are sent again; `jitter_s`: at most;
+    `uplink`: of the machine that sends."""
 
-    __slots__ = ("base_s", "loss", "jitter_s", "dice")
+    __slots__ = ("base_s", "loss", "jitter_s", "dice", "uplink")
 
-    def __init__(self, base_s, dice):
+    def __init__(self, base_s, dice, uplink):
         super().__init__()
-        self.base_s, self.loss, self.jitter_s, self.dice = base_s, 0.0, 0.0, dice
+        self.base_s, self.loss, self.jitter_s, self.dice, self.uplink = base_s, 0.0, 0.0, dice, uplink
+
+    def arrival_s(self, now_s, size):
+        return self.uplink.departure_s(now_s, size) + self.latency_s
 
     @property
     def latency_s(self):
@@ -89,6 +110,7 @@
         self.network = self.loop.network
         self.network.link_between = self._way
         self.links = {}
+        self.uplinks = {}
         self.hosts = {}
         self.zone_of = {}
         self.doubled = 0.0
@@ -146,7 +168,8 @@
     def link(self, source, target):
         found = self.links.get((source, target))
         if found is None:
-            found = self.links[source, target] = Link(self._base_s(source, target), self.loop.random)
+            uplink = self.uplinks.setdefault(source, Uplink())
+            found = self.links[source, target] = Link(self._base_s(source, target), self.loop.random, uplink)
         return found
 
     def _base_s(self, source, target):
@@ -194,6 +217,11 @@
             for ip in pair:
                 self.oracle.slowed(ip, False)
 
+    def limit_rate(self, host, rate_mbit):
+        """Give a machine's link a rate; None for none."""
+        self.uplinks.setdefault(host.ip, Uplink()).rate_mbit = rate_mbit
+        self.note(f"link of {rate_mbit} Mbit/s", host)
+
     def reset_any_connection(self):
         sides = sorted(self.network.transports, key=lambda side: side.number)
         if sides:
@@ -330,6 +358,8 @@
             if host.kind == "store":
                 self.oracle.slowed(host.ip, False)
                 host.disk.slow_s, host.disk.full, host.disk.silent = 0.0, False, False
+        for uplink in self.uplinks.values():
+            uplink.rate_mbit = None
         self.join([pair for pair, link in sorted(self.links.items()) if link.is_cut])
         self.speed_up([pair for pair, link in self.links.items() if link.loss or link.jitter_s])
         self.oracle.healed()
--- a/tests/simulation/wrong_variants.py
+++ b/tests/simulation/wrong_variants.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import sqlite3
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor, as_completed
@@ -19,6 +20,7 @@
 from dewpin.controlplane.membership import reconfiguration
 from dewpin.controlplane.membership.majority_contact import StateFreshness
 from dewpin.controlplane.register.register import SystemRegister
+from dewpin.controlplane.storage import StorageError
 from dewpin.controlplane.store import ledger_replica
 from dewpin.controlplane.store.replica_sync import StoreSync
 from dewpin.controlplane.store.view_guard import ViewGuard
@@ -292,6 +294,32 @@
     ledger_replica.load = voted
 
 
+def _leave_bodies_out_for_every_release():
+    state_for = relay_service._state_for
+
+    def state_without_body(request, state):
+        known = replace(request, body_generation=request.body_generation or 0)
+        _deviates(request.body_generation is None)
+        return state_for(known, state)
+
+    relay_service._state_for = state_without_body
+
+
+def _take_a_full_disk_for_a_sync():
+    transact = Disk.transact
+
+    async def transacted(self, work):
+        try:
+            return await transact(self, work)
+        except StorageError:
+            _deviates()
+            connection = sqlite3.connect(":memory:", isolation_level=None)
+            self._connection.backup(connection)
+            return work(connection)
+
+    Disk.transact = transacted
+
+
 VARIANTS = {
     "acknowledge before the sync": Variant(_acknowledge_before_sync, "orders", 60),
     "forget promises over a restart": Variant(_forget_promises_over_a_restart, "races", 40),
@@ -311,6 +339,8 @@
     "answer under any epoch": Variant(_answer_under_any_epoch, "lone_writes", 20),
     "take an answer without its number": Variant(_take_an_answer_without_its_number, "answers", 20),
     "count a copied ledger as a vote": Variant(_count_a_copied_ledger_as_a_vote, "second_loss", 60),
+    "leave bodies out for every release": Variant(_leave_bodies_out_for_every_release, "mixed_releases", 20),
+    "take a full disk for a sync": Variant(_take_a_full_disk_for_a_sync, "full_disks", 20),
 }
 
 
