--- a/tests/model/ledger_parts.py
+++ b/tests/model/ledger_parts.py
@@ -152,11 +152,17 @@
         self._done = 0
         self._running: Coroutine[Any, Any, Any] | None = None
 
+    def add(self, operation: Operation) -> None:
+        """Adds an operation behind the others."""
+        self._operations = (*self._operations, operation)
+
     def apply(self, event: Event) -> Any:
-        """`begin EPOCH`, `move EPOCH` (a newer view ends the ballot), `reply MEMBER MESSAGE` or `give_up`. Returns the
-        requests, and how the operation ended where it did."""
+        """`begin EPOCH`, `move EPOCH` (a newer view ends the ballot), `reply MEMBER MESSAGE`, `give_up` or `time_out`.
+        Returns the requests, and how the operation ended where it did."""
         kind, *rest = event
         self._client.waiting = {}
+        if kind == "time_out":
+            return self._end_unclear()
         if kind == "begin":
             self._client._views.adopt(self._views[rest[0]])
             self._running = self._operation(self._operations[self._done])
@@ -177,6 +183,13 @@
             return self._texts(requests), None
         return self._resume()
 
+    def _end_unclear(self) -> Any:
+        assert self._running is not None
+        self._running.close()
+        self._client.ballot, self._running = None, None
+        self._done += 1
+        return (), None
+
     def _operation(self, operation: Operation) -> Coroutine[Any, Any, Any]:
         kind, turn, tokens = operation
         if kind == "reserve":
@@ -184,7 +197,7 @@
         if kind == "settle":
             self._client._pending_settlements.setdefault(PROGRAM, {})[turn] = tokens
             return self._client.change(PROGRAM, ledger.read, only_if_unsettled=turn)
-        return self._client.change(PROGRAM, ledger.read)
+        return self._client.read(PROGRAM)
 
     def _resume(self, failure: Exception | None = None) -> Any:
         assert self._running is not None
--- /dev/null
+++ b/tests/model/test_ledger_machine.py
@@ -0,0 +1,15 @@
+"""Random runs of a ledger through changes of the stores, without `RUNS` the same each time, with it drawn anew.
+
+`RUNS=2000 python -m pytest tests/model/test_ledger_machine.py` draws so many.
+"""
+
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.model.ledger_machine import LedgerMachine
+from tests.model.random_runs import run_settings
+
+STEPS = 100
+
+
+def test_random_runs_of_a_ledger_through_view_changes_satisfy_properties(shrinks=True):
+    run_state_machine_as_test(LedgerMachine, settings=run_settings(STEPS, shrinks))
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -53,6 +53,7 @@
 LATE_ORDERS = "register: two orders, answers come late"
 LATE_RESERVATIONS = "ledgers: two reservations, answers come late"
 FIVE_REGISTERS = "tests.model.test_register_machine::test_random_runs_of_five_registers_satisfy_properties"
+LEDGER_RUNS = "tests.model.test_ledger_machine::test_random_runs_of_a_ledger_through_view_changes_satisfy_properties"
 SETTLED_AB = "ledgers: a settlement through the change, reserved at a and b"
 SETTLED_BC = "ledgers: a settlement through the change, reserved at b and c"
 CHANGE = "ledgers: before the change and after it"
@@ -107,6 +108,11 @@
     Mutation(variants.overlook_the_version_that_is_told, CONTACT, 50_000),
     Mutation(variants.serve_without_a_majority, FIVE_REGISTERS, arguments=lambda: {"shrinks": False}),
     Mutation(variants.overlook_what_was_accepted, FIVE_REGISTERS, arguments=lambda: {"shrinks": False}),
+    Mutation(variants.serve_without_a_majority, LEDGER_RUNS, arguments=lambda: {"shrinks": False}),
+    Mutation(variants.overlook_what_was_accepted, LEDGER_RUNS, arguments=lambda: {"shrinks": False}),
+    Mutation(variants.count_an_answer_twice, LEDGER_RUNS, arguments=lambda: {"shrinks": False}),
+    Mutation(variants.reserve_over_the_budget, LEDGER_RUNS, arguments=lambda: {"shrinks": False}),
+    Mutation(variants.read_from_a_remembered_promise, LEDGER_RUNS, arguments=lambda: {"shrinks": False}),
     Mutation(variants.take_promises_after_the_accept, LATE_ORDERS, 20_000),
     Mutation(variants.count_an_answer_twice, LATE_RESERVATIONS, 20_000),
     Mutation(variants.leave_the_new_members_out_of_contact, MEMBERS_CHANGE, 50_000),
--- a/tests/mutations/variants.py
+++ b/tests/mutations/variants.py
@@ -283,6 +283,10 @@
     patch.setattr(ledger_ballot, "_Promise", lambda epoch, *rest: original(AnyEpoch(epoch), *rest))
 
 
+def read_from_a_remembered_promise(patch: Patch) -> None:
+    patch.setattr(ledger_ballot.LedgerProposer, "forget_promise", lambda self, program: None)
+
+
 def take_an_answer_without_its_id(patch: Patch) -> None:
     patch.setattr(receiver_client, "is_response_to", lambda response, request, is_first: True)
 
