--- a/benchmarks/relay_changes.py
+++ b/benchmarks/relay_changes.py
@@ -5,7 +5,10 @@
 operator's acknowledgement. A receiver is shown draining 0.3 s after it; `list_s` is until all senders know. Prints one
 row of JSON for each case:
 
-    python -m benchmarks.relay_changes [--senders 30,100,300] [--bodies 4096,300000,4000000] [--mbit 15]
+    python -m benchmarks.relay_changes [--senders 30,100,300] [--bodies 4096,300000,4000000] [--mbit 15] [--compressed]
+
+With `--compressed` the configuration is all routes with random names, and links carry what the connections between
+dewpin's processes carry: one compressed stream each way. Without it nothing is made shorter.
 """
 
 from __future__ import annotations
@@ -31,6 +34,7 @@
     PROPOSAL_TIMEOUT_S,
     configuration_body,
     parse_list,
+    realistic_body,
 )
 from dewpin.cluster.receivers import Receiver  # noqa: E402
 from dewpin.cluster.settings import parse_settings  # noqa: E402
@@ -91,9 +95,9 @@
         return agent
 
 
-async def put(world: World, generation: int, size: int) -> None:
+async def put(world: World, generation: int, body: bytes) -> None:
     """Put a configuration, at one control server after the other until it is acknowledged."""
-    change = put_configuration(configuration_body(size, generation), generation, generation - 1)
+    change = put_configuration(body, generation, generation - 1)
     for number in [1, 2, 3] * 20:
         try:
             await world.control_servers[number].register.propose(change, PROPOSAL_TIMEOUT_S)
@@ -113,27 +117,32 @@
     return round(clock() - began_s, 2)
 
 
-async def measure(count: int, size: int, mbit: float) -> dict[str, Any]:
+async def measure(count: int, size: int, mbit: float, compressed: bool) -> dict[str, Any]:
     """One change of that size at that many senders."""
     clock = asyncio.get_running_loop().time
     world = World()
-    network = world.network = LinkNetwork()
+    network = world.network = LinkNetwork(compressed)
+    make_body = realistic_body if compressed else configuration_body
     await world.begin()
-    await put(world, 1, 4096)
+    await put(world, 1, make_body(4096, 1))
     senders = Senders(world, count, random.Random(count))
     await until(lambda: set(senders.generations) == {1}, clock())
     await asyncio.sleep(CALM_S)
     network.rates = {world.address(number): CONTROL_MBIT for number in world.numbers}
     network.set_rate(mbit)
+    body = make_body(size, 2)
     cpu_s = time.process_time()
-    await put(world, 2, size)
+    asked_s = clock()
+    await put(world, 2, body)
     began_s, sent_bytes = clock(), network.bytes
     world_drains = asyncio.ensure_future(_drain(world, senders))
     applied_s = await until(lambda: set(senders.generations) == {2}, began_s)
     row = {
         "senders": count,
-        "body": size,
+        "body": len(body),
+        "compressed": compressed,
         "mbit": mbit,
+        "acknowledged_s": round(began_s - asked_s, 2),
         "in_force_s": applied_s,
         "have_it": sum(generation == 2 for generation in senders.generations),
         "list_s": await world_drains,
@@ -162,11 +171,12 @@
     parser.add_argument("--senders", default="30,100,300")
     parser.add_argument("--bodies", default="4096,300000,4000000")
     parser.add_argument("--mbit", default="15")
+    parser.add_argument("--compressed", action="store_true", help="routes with random names, as connections carry them")
     options = parser.parse_args()
     for count in parse_list(options.senders, int):
         for size in parse_list(options.bodies, int):
             for mbit in parse_list(options.mbit, float):
-                print(json.dumps(run(measure(count, size, mbit))), flush=True)
+                print(json.dumps(run(measure(count, size, mbit, options.compressed))), flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/scripted/rated_links.py
+++ b/tests/scripted/rated_links.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from dewpin.cluster import netstring
+from dewpin.cluster.compression import CompressedOutput
 from dewpin.cluster.rpc import RpcError
 from scripted.network import Client, Network
 
@@ -10,10 +11,16 @@
 
 
 class LinkNetwork(Network):
-    """Each machine's outgoing link carries `mbit` million bits a second, first come, first served; None: at once."""
+    """Each machine's outgoing link carries `mbit` million bits a second, first come, first served; None: at once.
 
-    def __init__(self):
+    `compresses`: count what a connection between dewpin's processes carries, one compressed stream each way; else the
+    plain netstrings, as if nothing could be made shorter.
+    """
+
+    def __init__(self, compresses=False):
         super().__init__()
+        self.compresses = compresses
+        self._streams = {}
         self.bytes = 0
         self.largest = 0
         self.rates = {}  # by address, where a machine's link has a rate of its own
@@ -27,12 +34,19 @@
     def client(self, source):
         return LinkClient(self, source)
 
-    async def carry(self, source, message):
+    def _size(self, source, target, message):
+        frame = netstring.encode(message)
+        if not self.compresses:
+            return len(frame)
+        stream = self._streams.setdefault((source, target), CompressedOutput())
+        return len(stream.encode(frame))
+
+    async def carry(self, source, target, message):
         """Waits until the message has left the link and has arrived."""
         mbit = self.rates.get(source, self.mbit)
         if mbit is None:
             return
-        size = len(netstring.encode(message))
+        size = self._size(source, target, message)
         self.bytes += size
         self.largest = max(self.largest, size)
         now_s = asyncio.get_running_loop().time()
@@ -52,10 +66,10 @@
         return await asyncio.shield(exchange)
 
     async def _exchange(self, address, message):
-        await self.network.carry(self.source, message)
+        await self.network.carry(self.source, address, message)
         handler = self.network.handlers.get(address, {}).get(message["type"])
         if handler is None or not self.network.reaches(self.source, address):
             raise RpcError("connect", address)
         answer = await handler(message)
-        await self.network.carry(address, answer)
+        await self.network.carry(address, self.source, answer)
         return answer
