Recovery of a register whose majority is lost: command, log of the loss, guard and tests

Cause: with the disks of a majority gone nothing can be chosen again; the program said nothing and there was no way out.

Ruled out: keeping the survivor's id. Former members that come back then win it over by a higher ballot; the test test_lost_member_that_comes_back_is_overruled showed it.

--- a/dewpin/controlplane/membership/register_maintenance.py
+++ b/dewpin/controlplane/membership/register_maintenance.py
@@ -8,6 +8,7 @@
 from dewpin.controlplane.membership.cluster_observation import ClusterObservation
 from dewpin.controlplane.membership.local_peer import LocalPeer
 from dewpin.controlplane.membership.majority_contact import StateFreshness
+from dewpin.controlplane.membership.majority_loss import MajorityLossLog
 from dewpin.controlplane.membership.peers import PeerTable
 from dewpin.controlplane.membership.reconfiguration import is_coordinator, next_change
 from dewpin.controlplane.register.proposer import RegisterUnavailableError
@@ -42,18 +43,24 @@
         self._clock = clock
         self._started_at_s = clock()
         self._unfinished_since_s: float | None = None
+        self._majority_loss = MajorityLossLog(self._started_at_s)
 
     async def step(self) -> None:
         """Sets the initial state, finishes what others left, and makes the reconfigurations that are due."""
         if self._register.newest is None:
             await self._bootstrap_if_all_seeds_are_here()
             return
+        self._log_lost_majority(self._register.newest)
         if self._needs_quorum_read():
             await self._read_newest()
         for _ in range(MAX_CHANGES_PER_STEP):
             if not await self._make_due_change():
                 return
 
+    def _log_lost_majority(self, state: SystemState) -> None:
+        has_contact = self._freshness.contact_since_s() is not None
+        self._majority_loss.update(state, self._register.member, self._peers, has_contact, self._clock())
+
     def _needs_quorum_read(self) -> bool:
         if self._register.chosen is None or self._has_unfinished_value_for_long():
             return True
--- a/dewpin/controlplane/register/register.py
+++ b/dewpin/controlplane/register/register.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import random
 from collections.abc import Callable
@@ -22,7 +23,7 @@
 from dewpin.controlplane.register.learner import RegisterLearner
 from dewpin.controlplane.register.messages import BODY, WireState
 from dewpin.controlplane.register.proposer import MEMBER_TIMEOUT_S, RegisterProposer
-from dewpin.controlplane.register.replica_storage import RegisterDatabase
+from dewpin.controlplane.register.replica_storage import RECOVERY_KEY, RegisterDatabase
 from dewpin.controlplane.register.system_state import ChangeFunction, SystemState
 from dewpin.controlplane.storage import StorageError
 
@@ -51,6 +52,7 @@
         self.member = member
         self.address = address
         self._client = client
+        self._storage = storage
         self._bodies = ConfigurationBodies(client)
         self._learner = RegisterLearner(self._bodies, self._handle_chosen)
         self.acceptor = RegisterAcceptor(member, storage, self._learner)
@@ -73,12 +75,18 @@
         await self.acceptor.load()
         self._proposer.resume()
         await self._history.load()
+        await self._log_recovery()
         self.acceptor.is_loaded = True
 
     async def stop(self) -> None:
         """Ends requests of ballots and writes of the change history: the next state tells of these changes too."""
         await self._background.stop()
 
+    async def _log_recovery(self) -> None:
+        """Tells of a recovery that an operator has made on this disk (`recovery.py`)."""
+        for (plan,) in await self._storage.query("SELECT value FROM meta WHERE name = ?", (RECOVERY_KEY,)):
+            log.warning("register.recovered", extra={"plan": json.loads(plan)})
+
     @property
     def chosen(self) -> SystemState | None:
         """The newest state known to be chosen."""
--- a/dewpin/controlplane/register/replica_storage.py
+++ b/dewpin/controlplane/register/replica_storage.py
@@ -16,6 +16,9 @@
 PROMISE_KEY = "system/promise"
 """A row of its own for the newest promise: reads make promises, and must not write the whole state each time."""
 
+RECOVERY_KEY = "register_recovery"
+"""Row of `meta` that tells of an operator's recovery of this disk (`recovery.py`); each start logs it."""
+
 Statement = tuple[str, tuple[Any, ...]]
 _REPLACE = "INSERT OR REPLACE INTO register_replica(key, promised, accepted_ballot, value) VALUES (?,?,?,?)"
 
--- a/dewpin/tier_cli/commands.py
+++ b/dewpin/tier_cli/commands.py
@@ -7,6 +7,7 @@
 import json
 import platform
 from collections.abc import Iterable
+from dataclasses import asdict
 from http import HTTPStatus
 from pathlib import Path
 from typing import Annotated, NoReturn
@@ -16,6 +17,13 @@
 from dewpin import __version__
 from dewpin.cluster.configuration import Configuration, InvalidConfigurationError, parse_configuration
 from dewpin.cluster.settings import InvalidSettingsError, load_settings
+from dewpin.controlplane.register.recovery import (
+    RecoveryFileError,
+    RecoveryRefusedError,
+    describe_replica,
+    plan_recovery,
+    recover,
+)
 
 from .exit_codes import ExitCode
 
@@ -32,12 +40,19 @@
 )
 config = typer.Typer(help="The operator's configuration.", epilog=EXIT_CODES, no_args_is_help=True)
 settings = typer.Typer(help="The settings file of a process.", epilog=EXIT_CODES, no_args_is_help=True)
+register = typer.Typer(
+    help="The register's replica in the data directory of a stopped control server.",
+    epilog=EXIT_CODES,
+    no_args_is_help=True,
+)
 app.add_typer(config, name="config")
 app.add_typer(settings, name="settings")
+app.add_typer(register, name="register")
 
 AsJson = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
 Address = Annotated[str, typer.Option(help="HOST:PORT where the tier answers its operator.")]
 Timeout = Annotated[float, typer.Option("--timeout", help="Seconds to wait for a response.", min=0.1)]
+DataDirectory = Annotated[Path, typer.Argument(help="The data directory of a control server that is stopped.")]
 ConfigurationFile = Annotated[Path, typer.Argument(help="A configuration, as JSON.")]
 
 
@@ -119,6 +134,43 @@
     _finish(as_json, text, valid=True, node_name=checked.node_name, serves=serves)
 
 
+@register.command("show")
+def show_replica(data_dir: DataDirectory, as_json: AsJson = False) -> None:
+    """Print what a replica holds: compare the versions of all survivors before a recovery."""
+    try:
+        found = describe_replica(data_dir)
+    except RecoveryFileError as error:
+        _fail(ExitCode.FILE_ERROR, [str(error)], as_json)
+    except RecoveryRefusedError as refusal:
+        _fail(ExitCode.INVALID, refusal.faults, as_json)
+    role = "a member" if found.is_member else "no member"
+    lines = [f"{data_dir}: {found.member}, {role}, version {found.version}, configuration {found.generation}"]
+    lines += [f"member {one} {name}" for one, name in found.members.items()]
+    lines += [f"store {one} {name}" for one, name in found.stores.items()]
+    _finish(as_json, "\n".join(lines), **asdict(found))
+
+
+@register.command("recover")
+def recover_register(
+    data_dir: DataDirectory,
+    lost: Annotated[list[str], typer.Option(help="Id of a member or store that never comes back; once for each.")],
+    apply: Annotated[
+        bool, typer.Option("--apply", help="Write it; without this, only print what would change.")
+    ] = False,
+    as_json: AsJson = False,
+) -> None:
+    """Leave lost members out of a register that has no majority any more. What only they held is gone for good."""
+    try:
+        plan = recover(data_dir, set(lost)) if apply else plan_recovery(data_dir, set(lost))
+    except RecoveryFileError as error:
+        _fail(ExitCode.FILE_ERROR, [str(error)], as_json)
+    except RecoveryRefusedError as refusal:
+        _fail(ExitCode.INVALID, refusal.faults, as_json)
+    text = f"{'recovered' if apply else 'would recover'}: version {plan.version_before} becomes {plan.version_after}"
+    text += f", configuration {plan.generation}, member {plan.member} alone, stores {', '.join(plan.remaining_stores)}"
+    _finish(as_json, text if apply else f"{text}; nothing is written without --apply", applied=apply, **asdict(plan))
+
+
 @app.command("version")
 def show_version(as_json: AsJson = False) -> None:
     """Print the program's version and what it runs on."""
--- a/tests/model/register_parts.py
+++ b/tests/model/register_parts.py
@@ -75,6 +75,8 @@
             return [self.rows[key][1:] for key in arguments if key in self.rows]
         if "FROM register_bodies" in sql:
             return [(self.bodies[arguments[0]],)] if arguments[0] in self.bodies else []
+        if "FROM meta" in sql:
+            return []
         assert "FROM orders" in sql
         return [(0,)]
 
