Imports: modules no longer name each other in circles, but for one group that the layout names

Cause: seven groups of modules imported each other, most for their types alone (daemon/application with four, net's connections, calls and pool, the laboratory, peers).

Change: small protocols at the lower module (lab, peers, net), sender_parts.py as what the daemon's modules share. The layout's test finds every circle and names the one that is left: a message, its destination and its receivers have slots for the dispatcher's state, which refers back to them.

--- a/dewpin/daemon/application.py
+++ b/dewpin/daemon/application.py
@@ -27,7 +27,6 @@
 from ..relay.facade import Facade
 from ..relay.message_lifecycle import Relay
 from ..spool.endpoint_cache import EndpointCache
-from ..spool.folder_lock import FolderLock
 from ..spool.handover_log import HandoverLogReader
 from ..spool.journal import Journal
 from .configuration_source import ConfigurationSource, dispatcher_seed
@@ -37,6 +36,7 @@
 from .operator_actions import OperatorActions
 from .reload import reload_at_signals
 from .resource_limits import apply_limits
+from .sender_parts import SenderParts
 from .status import collect_status
 from .upgrade import HandedOverState, TakeoverClaim
 
@@ -51,52 +51,15 @@
 DEFAULT_CONNECT_TIMEOUT_MS = 1500.0
 
 
-class SenderApplication:
-    """All parts of one sender's process.
+class SenderApplication(SenderParts):
+    """One sender's process.
 
     `run` makes the parts in the order below, each once, and closes them. Parts may use each other from the end of the
     start on.
-
-    Attributes:
-        configuration: what is in force; a reload replaces it whole.
-        source: where the configuration is read from.
-        folder: the state folder.
-        console: the server for operators' calls, and `operator_actions` that answers them.
-        pool: connections to receivers.
-        facade: the decision module.
-        claim: this process's claim on a folder that a previous process still holds.
-        folder_lock: the lock of the state folder; None while the previous process has it.
-        journal: messages on disk.
-        handover_reader: reads what the previous process reports during an upgrade.
-        notices: notices to the platform's agent of messages that were given up.
-        relay: the life of messages.
-        server: the HTTP server for clients.
-        started_ms: Unix time of the start.
-        endpoint_cache: the list of receivers on disk.
-        watch: the watch on the agent's list of receivers.
-        control_socket: answers `dewpin status`.
     """
 
-    operator_actions: OperatorActions
-    console: ConsoleServer
-    pool: ConnectionPool
-    facade: Facade
-    claim: TakeoverClaim
-    folder_lock: FolderLock | None
-    journal: Journal
-    handover_reader: HandoverLogReader
-    notices: AgentNoticePublisher
-    relay: Relay
-    server: HttpServer
-    started_ms: float
-    endpoint_cache: EndpointCache
-    watch: EndpointWatch
-    control_socket: ControlSocket
-
     def __init__(self, configuration: Configuration, source: ConfigurationSource) -> None:
-        self.configuration = configuration
-        self.source = source
-        self.folder = configuration.deployment.sender.state_folder
+        super().__init__(configuration, source)
         self.loop = asyncio.get_running_loop()
         self.stop_requested = asyncio.Event()
         self.reload_requested = asyncio.Event()
@@ -231,7 +194,7 @@
 
     async def _serve(self) -> None:
         """Serve until a stop is requested or the next process has taken over, then drain."""
-        reloading = self.loop.create_task(reload_at_signals(self, self.reload_requested))
+        reloading = self.loop.create_task(reload_at_signals(self, self.reload_requested, self.apply))
         claimed = self.loop.create_task(wait_for_next_process(self))
         stopping = self.loop.create_task(self.stop_requested.wait())
         is_handed_over = False
--- a/dewpin/daemon/handover.py
+++ b/dewpin/daemon/handover.py
@@ -2,23 +2,20 @@
 
 import asyncio
 import os
-from typing import TYPE_CHECKING
 
 from ..log import events, log_event, log_internal_error
 from ..relay import learned_state
 from ..spool.handover_log import HandoverLogWriter
 from . import upgrade
 from .resource_limits import apply_limits
-
-if TYPE_CHECKING:
-    from .application import SenderApplication
+from .sender_parts import SenderParts
 
 RETRY_SECONDS = 1.0  # after a fault of the state folder
 ACCEPT_QUEUE_SECONDS = 0.1  # for which the listener stays open once new connections go to the next process
 DRAIN_CHECK_SECONDS = 0.05
 
 
-async def wait_for_next_process(application: "SenderApplication") -> None:
+async def wait_for_next_process(application: SenderParts) -> None:
     """Wait until the previous process has ended, if there is one; then until the next one claims the folder.
 
     A fault of the folder must neither pass for a claim nor end the process: the wait begins anew.
@@ -32,7 +29,7 @@
             await asyncio.sleep(RETRY_SECONDS)
 
 
-async def _follow_previous_process(application: "SenderApplication") -> None:
+async def _follow_previous_process(application: SenderParts) -> None:
     """Take in what the previous process still reports until it has ended and the folder's lock is ours."""
     relay, reader, claim = application.relay, application.handover_reader, application.claim
     descriptors = reader.descriptors
@@ -51,7 +48,7 @@
         await asyncio.sleep(upgrade.TAKEOVER_POLL_SECONDS)
 
 
-async def hand_over(application: "SenderApplication") -> bool:
+async def hand_over(application: SenderParts) -> bool:
     """Hand journal and decisions over to the next process, then drain.
 
     The hand-over itself happens in one turn of the loop. After it calls in flight are finished here, and messages on
@@ -80,7 +77,7 @@
     return True
 
 
-def _write_handed_over_state(application: "SenderApplication") -> HandoverLogWriter | None:
+def _write_handed_over_state(application: SenderParts) -> HandoverLogWriter | None:
     """Write the state for the next process; return the hand-over log, or None where the folder refuses."""
     handover_log = None
     try:
@@ -100,7 +97,7 @@
     return handover_log
 
 
-def _stop_deciding(application: "SenderApplication", handover_log: HandoverLogWriter) -> None:
+def _stop_deciding(application: SenderParts, handover_log: HandoverLogWriter) -> None:
     """Leave journal, endpoint list, notices and idle connections to the next process."""
     application.relay.hand_over(handover_log)
     application.endpoint_cache.stop_writing()
--- a/dewpin/daemon/reload.py
+++ b/dewpin/daemon/reload.py
@@ -1,21 +1,24 @@
 """Reload at SIGHUP: the configuration is read anew, checked whole, and swapped in one turn of the loop."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable
 
 from ..config.errors import ConfigurationError
 from ..config.keys import KEYS
 from ..config.loading import Configuration
 from ..log import events, log_event, log_internal_error
-
-if TYPE_CHECKING:
-    from .application import SenderApplication
+from .sender_parts import SenderParts
 
 MODULE_SETTINGS = "settings"  # the platform's settings of the decision module, which are no key
 
 
-async def reload_at_signals(application: "SenderApplication", requested: asyncio.Event) -> None:
-    """Reload whenever `requested` is set, until cancelled. An invalid configuration changes nothing."""
+async def reload_at_signals(
+    application: SenderParts, requested: asyncio.Event, apply: Callable[[Configuration], Awaitable[None]]
+) -> None:
+    """Reload whenever `requested` is set, until cancelled; `apply` puts a configuration in force.
+
+    An invalid configuration changes nothing.
+    """
     while await requested.wait():
         requested.clear()
         running = application.configuration
@@ -32,7 +35,7 @@
             continue
         pending_keys = keys_pending_restart(running, new)
         keep_running_values(running, new, pending_keys)
-        await application.apply(new)
+        await apply(new)
         address = new.deployment.agent.address
         log_event(events.CONFIGURATION_RELOADED, at=address, pending=", ".join(pending_keys), keys=len(pending_keys))
 
--- a/dewpin/daemon/resource_limits.py
+++ b/dewpin/daemon/resource_limits.py
@@ -1,12 +1,8 @@
 """How a process's limits on descriptors, memory and disk are shared out among its parts."""
 
-from typing import TYPE_CHECKING
-
 from ..console.server import MAX_DESCRIPTORS as CONSOLE_DESCRIPTORS
 from ..net.connection_table import MAX_ACCEPTED_AT_ONCE, MAX_REJECTED_CONNECTIONS, ServerLimits
-
-if TYPE_CHECKING:
-    from .application import SenderApplication
+from .sender_parts import SenderParts
 
 OTHER_DESCRIPTORS = 16  # beside connections of clients and to receivers
 MIN_CLIENT_CONNECTIONS = 8
@@ -15,7 +11,7 @@
 REQUEST_MEMORY_SHARE = 4.0  # one part in so many of the memory is for requests that are not complete
 
 
-def apply_limits(application: "SenderApplication") -> None:
+def apply_limits(application: SenderParts) -> None:
     """Put the limits and the time-outs of clients' connections in force, at the start and at a reload."""
     deployment = application.configuration.deployment
     pool, server = application.pool, application.server
--- a/dewpin/daemon/status.py
+++ b/dewpin/daemon/status.py
@@ -11,17 +11,17 @@
 
 from .. import __version__
 from ..relay.queue_description import describe_queue, queue_size
+from .sender_parts import SenderParts
 
 if TYPE_CHECKING:
     from ..relay.facade import Facade
-    from .application import SenderApplication
 
 SLICE_SIZE = 200  # queues or receivers that are read before others have their turn
 
 Pause = Callable[[], Awaitable[None]]
 
 
-async def collect_status(application: "SenderApplication", max_queues: int, pause: Pause) -> dict[str, Any]:
+async def collect_status(application: SenderParts, max_queues: int, pause: Pause) -> dict[str, Any]:
     """Return the whole status.
 
     `max_queues`: destinations listed at most; `pause`: gives other tasks their turn.
@@ -83,7 +83,7 @@
     return "failing" if health.failures else "well"
 
 
-def _message_counts(application: "SenderApplication") -> dict[str, int]:
+def _message_counts(application: SenderParts) -> dict[str, int]:
     relay, facade = application.relay, application.relay.facade
     return {
         "held": facade.dispatcher.pending_messages,
@@ -94,7 +94,7 @@
     }
 
 
-def _call_counts(application: "SenderApplication") -> dict[str, int]:
+def _call_counts(application: SenderParts) -> dict[str, int]:
     pool = application.pool
     return {
         "out": application.relay.facade.dispatcher.calls_in_flight,
@@ -105,7 +105,7 @@
     }
 
 
-def _client_counts(application: "SenderApplication") -> dict[str, int]:
+def _client_counts(application: SenderParts) -> dict[str, int]:
     server = application.server
     return {
         "open": len(server.clients),
@@ -115,7 +115,7 @@
     }
 
 
-def _journal_sizes(application: "SenderApplication") -> dict[str, float]:
+def _journal_sizes(application: SenderParts) -> dict[str, float]:
     journal = application.journal
     used_bytes = max(journal.size_bytes, journal.live_bytes) + journal.live_bytes
     return {
@@ -126,7 +126,7 @@
     }
 
 
-def _process_resources(application: "SenderApplication") -> dict[str, int]:
+def _process_resources(application: SenderParts) -> dict[str, int]:
     limits = application.configuration.deployment.limits
     return {
         "memory_bytes": resident_bytes(),
--- a/dewpin/lab/machine.py
+++ b/dewpin/lab/machine.py
@@ -4,15 +4,25 @@
 from collections import deque
 from collections.abc import Callable, Coroutine
 from contextvars import ContextVar, copy_context
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from .event_loop import ScheduledCall, SimulatedEventLoop
+from typing import Any, Protocol
 
 CURRENT_MACHINE: "ContextVar[Machine | None]" = ContextVar("machine", default=None)
 """The machine whose work runs now; None: work of the experiment itself or of the network."""
 
 
+class MachineLoop(Protocol):
+    """What a machine needs of the event loop that runs its work."""
+
+    def create_task(self, coro: Any) -> "asyncio.Task[Any]":
+        """Start a task."""
+
+    def record(self, *words: Any) -> None:
+        """Record an event of the run."""
+
+    def run_soon(self, calls: Any) -> None:
+        """Run calls that were held."""
+
+
 class Machine:
     """A simulated process.
 
@@ -27,13 +37,13 @@
         context: the context that its work runs in.
     """
 
-    def __init__(self, loop: "SimulatedEventLoop", name: str, clock_rate: float = 1.0) -> None:
+    def __init__(self, loop: MachineLoop, name: str, clock_rate: float = 1.0) -> None:
         self.loop = loop
         self.name = name
         self.clock_rate = clock_rate
         self.alive = True
         self.paused = False
-        self.held_calls: deque[ScheduledCall] = deque()
+        self.held_calls: deque[asyncio.TimerHandle] = deque()
         self.on_killed: list[Callable[[], None]] = []
         self.context = copy_context()
         self.context.run(CURRENT_MACHINE.set, self)
--- a/dewpin/lab/transport.py
+++ b/dewpin/lab/transport.py
@@ -4,13 +4,11 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from random import Random
+from typing import Any, Protocol
 
 from .machine import Machine
 
-if TYPE_CHECKING:
-    from .network import SimulatedNetwork
-
 WINDOW_BYTES = 65536  # in flight or unread by the other side, beyond which a writer's own buffer fills
 DEFAULT_HIGH_WATER_BYTES = 65536
 DEFAULT_LATENCY_S = 0.0002
@@ -18,6 +16,33 @@
 Address = tuple[str, int]
 
 
+class TransportLoop(Protocol):
+    """What one end of a connection needs of the event loop."""
+
+    now: float
+    random: Random
+
+    def record(self, *words: Any) -> None:
+        """Record an event of the run."""
+
+    def call_soon(self, callback: Callable[..., Any], *args: Any, context: Any = None) -> Any:
+        """Part of asyncio's loop."""
+
+
+class TransportNetwork(Protocol):
+    """What one end of a connection needs of the network: see `SimulatedNetwork`."""
+
+    user_timeout_s: float | None
+    transports: "set[SimulatedTransport]"
+
+    @property
+    def loop(self) -> TransportLoop:
+        """The event loop."""
+
+    def call_at(self, when: float, callback: Callable[..., Any], *args: Any) -> Any:
+        """Have a call made as the network's own work."""
+
+
 class LinkConditions:
     """How bytes go in one direction; both ends of a connection have one. It is changed while it is in use.
 
@@ -63,7 +88,7 @@
 
     def __init__(
         self,
-        network: "SimulatedNetwork",
+        network: TransportNetwork,
         machine: Machine | None,
         local: Address,
         remote: Address,
--- a/dewpin/net/call.py
+++ b/dewpin/net/call.py
@@ -3,23 +3,41 @@
 import asyncio
 import errno
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from ..core.model import Outcome
-from ..ports import AttemptRequest, AttemptResult
+from ..ports import Address, AttemptRequest, AttemptResult
 from .connection import Connection, ExchangeResult
 from .http_messages import Response
 from .receiver_messages import GONE, format_call, outcome_of_status, read_response
 
-if TYPE_CHECKING:
-    from .connection_pool import ConnectionPool
-
 LAST_BYTE_HOLD_SECONDS = 0.003  # the receiver executes nothing before the last byte
 RESPONSE_TIMEOUT_SECONDS = 0.25  # for a response that has begun to become complete
 NEXT_TURN_SECONDS = 0.001  # a timer of the event loop's next turn, in which it reads before it looks at timers
 OWN_RESOURCE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # no fault of the receiver
 
 
+class CallPool(Protocol):
+    """What a call needs of the pool that owns its connection: see `ConnectionPool`."""
+
+    connect_timeout_ms: float
+    max_body_bytes: int
+    connecting_calls: "set[Call]"
+
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """The event loop."""
+
+    def take_idle(self, address: Address) -> Connection | None:
+        """Take an idle connection to a receiver out of the pool."""
+
+    def keep_idle(self, address: Address, connection: Connection) -> None:
+        """Put a connection back."""
+
+    def count_sent(self) -> None:
+        """Count a request that has left whole."""
+
+
 class Call:
     """One call.
 
@@ -30,7 +48,7 @@
         attempt: what is to be sent, where, and how its result is reported.
     """
 
-    def __init__(self, pool: "ConnectionPool", attempt: AttemptRequest) -> None:
+    def __init__(self, pool: CallPool, attempt: AttemptRequest) -> None:
         """Make a call on a connection of the pool; `start` sends it."""
         self.attempt = attempt
         self._pool = pool
--- a/dewpin/net/client_connection.py
+++ b/dewpin/net/client_connection.py
@@ -2,19 +2,16 @@
 
 import asyncio
 import select
-from typing import TYPE_CHECKING
 
 from ..log import events, log_event
+from .connection_table import ConnectionTable
 from .errors import MalformedMessageError
 from .http_messages import CONTINUE_RESPONSE, format_response
 from .http_parser import RequestParser
 from .http_protocol import HttpProtocol
+from .request_handler import RequestHandler
 from .sockets import has_pending_event
 
-if TYPE_CHECKING:
-    from .connection_table import ConnectionTable
-    from .request_handler import RequestHandler
-
 MAX_CONSECUTIVE_ERRORS = 3  # after more errors in a row each further request is read with a delay
 ERROR_DELAY_SECONDS = 0.25
 MAX_DISCARDED_BYTES = 65536  # that a client may send after our end until they are not read any more
@@ -30,9 +27,7 @@
         has_sent_request: a complete request has arrived.
     """
 
-    def __init__(
-        self, loop: asyncio.AbstractEventLoop, connections: "ConnectionTable", handler: "RequestHandler"
-    ) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, connections: ConnectionTable, handler: RequestHandler) -> None:
         super().__init__(RequestParser())
         self._loop = loop
         self._connections = connections
--- a/dewpin/net/connection_table.py
+++ b/dewpin/net/connection_table.py
@@ -1,13 +1,10 @@
 """The HTTP server's open connections: how many there may be, which give way to others, and their time-outs."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
-if TYPE_CHECKING:
-    from .client_connection import ClientConnection
-
 MAX_ACCEPTED_AT_ONCE = 10  # connections accepted in one turn of the event loop; one too many lasts three turns
 MAX_REJECTED_CONNECTIONS = 16  # over the limit that still get a 503
 SWEEP_INTERVAL_SECONDS = 0.1
@@ -37,6 +34,50 @@
     keep_alive_timeout_seconds: float = 10.0
 
 
+class BufferingParser(Protocol):
+    """What the table needs of a connection's parser."""
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that were received and are kept."""
+
+    @property
+    def has_partial_message(self) -> bool:
+        """Whether a part of a request has been received."""
+
+
+class TrackedConnection(Protocol):
+    """What the table needs of a client's connection: see `ClientConnection`."""
+
+    request_started_at: float | None
+    last_active_at: float
+    is_closing: bool
+    has_sent_request: bool
+    transport: asyncio.Transport
+
+    @property
+    def parser(self) -> BufferingParser:
+        """The parser of its requests."""
+
+    def __hash__(self) -> int:
+        """Connections are keys."""
+
+    def abort(self) -> None:
+        """End it at once."""
+
+    def end(self) -> None:
+        """End it once what was written has left."""
+
+    def reject(self, status: int) -> None:
+        """Answer with an error and end it."""
+
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered."""
+
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes wait at its socket."""
+
+
 class ConnectionTable:
     """The open connections.
 
@@ -52,16 +93,16 @@
         self._loop = loop
         self.limits = ServerLimits()
         self.is_stopping = False
-        self.buffered_bytes_by_client: dict[ClientConnection, int] = {}
+        self.buffered_bytes_by_client: dict[TrackedConnection, int] = {}
         self.buffered_bytes = 0
-        self._silent: dict[ClientConnection, None] = {}  # that have sent nothing yet, the oldest first
-        self._incomplete: dict[ClientConnection, None] = {}  # in their first request, the longest silent first
-        self.lingering: dict[ClientConnection, None] = {}
+        self._silent: dict[TrackedConnection, None] = {}  # that have sent nothing yet, the oldest first
+        self._incomplete: dict[TrackedConnection, None] = {}  # in their first request, the longest silent first
+        self.lingering: dict[TrackedConnection, None] = {}
         self._sweep_timer: asyncio.TimerHandle | None = None
 
     # -- called by connections ----------------------------------------------------------------------------------------
 
-    def add(self, client: "ClientConnection") -> None:
+    def add(self, client: TrackedConnection) -> None:
         """Take in a new connection; over the limit another one gives way, or this one is rejected."""
         self.buffered_bytes_by_client[client] = 0
         self._silent[client] = None
@@ -81,25 +122,25 @@
         else:
             client.abort()
 
-    def remove(self, client: "ClientConnection") -> None:
+    def remove(self, client: TrackedConnection) -> None:
         """Forget a connection that is closed."""
         self.buffered_bytes -= self.buffered_bytes_by_client.pop(client, 0)
         self._silent.pop(client, None)
         self._incomplete.pop(client, None)
         self.lingering.pop(client, None)
 
-    def note_received(self, client: "ClientConnection") -> None:
+    def note_received(self, client: TrackedConnection) -> None:
         """Note that bytes arrived on a connection."""
         self._silent.pop(client, None)
         if not client.has_sent_request:
             self._incomplete.pop(client, None)
             self._incomplete[client] = None
 
-    def note_request_complete(self, client: "ClientConnection") -> None:
+    def note_request_complete(self, client: TrackedConnection) -> None:
         """Note that a connection's first request has arrived whole."""
         self._incomplete.pop(client, None)
 
-    def note_served(self, client: "ClientConnection") -> None:
+    def note_served(self, client: TrackedConnection) -> None:
         """Make a connection the most recently used one and count the bytes that it buffers."""
         if client not in self.buffered_bytes_by_client:
             return
@@ -109,7 +150,7 @@
         if self.buffered_bytes > self.limits.max_buffered_bytes:
             client.reject(503)
 
-    def start_lingering(self, client: "ClientConnection") -> None:
+    def start_lingering(self, client: TrackedConnection) -> None:
         """Wait, for a bounded time, until the client of a connection that we have ended ends its side."""
         self.lingering[client] = None
         self._loop.call_later(LINGER_SECONDS, client.transport.abort)
@@ -169,7 +210,7 @@
                 closed += 1
         return closed >= wanted
 
-    def _abort_silent(self, clients: "dict[ClientConnection, None]", last_use_before: float, wanted: int) -> int:
+    def _abort_silent(self, clients: dict[TrackedConnection, None], last_use_before: float, wanted: int) -> int:
         """Abort up to `wanted` of these clients that have been silent since this time; return how many."""
         closed = 0
         while closed < wanted and len(self.buffered_bytes_by_client) > self.limits.max_connections and clients:
@@ -192,7 +233,7 @@
         kept_count = 0 if self.is_stopping else self.limits.max_connections // CROWDED_DIVISOR
         self.make_room(self._active_count() - kept_count)
 
-    def _check_timeout(self, client: "ClientConnection", now: float) -> None:
+    def _check_timeout(self, client: TrackedConnection, now: float) -> None:
         if client.request_started_at is None:
             is_expired = now - client.last_active_at > self.limits.keep_alive_timeout_seconds
         else:
--- a/dewpin/net/request_handler.py
+++ b/dewpin/net/request_handler.py
@@ -4,16 +4,13 @@
 """
 
 import re
-from typing import TYPE_CHECKING
+from typing import Protocol
 from urllib.parse import unquote_to_bytes
 
 from ..log import events, log_event
 from ..ports import Accepted, MessageIntake, Rejected, RejectionReason, SubmitRequest
 from .http_messages import Request
 
-if TYPE_CHECKING:
-    from .client_connection import ClientConnection
-
 SUBMIT_PATH = b"/api"
 READINESS_PATH = b"/-/ready"
 MAX_ORDERING_KEY_BYTES = 256
@@ -34,13 +31,34 @@
 SERVICE_UNAVAILABLE: ResponseParts = (503, b"")
 
 
+class PipeliningParser(Protocol):
+    """What the handler needs of a connection's parser."""
+
+    def has_pipelined_bytes(self) -> bool:
+        """Whether bytes came behind the request."""
+
+
+class RequestConnection(Protocol):
+    """What the handler needs of the connection that a request came on: see `ClientConnection`."""
+
+    @property
+    def parser(self) -> PipeliningParser:
+        """The parser of its requests."""
+
+    def reject(self, status: int) -> None:
+        """Answer with an error and end the connection."""
+
+    def is_closed_by_client(self) -> bool:
+        """Whether the client has ended its side."""
+
+
 class RequestHandler:
     """Answers clients' requests."""
 
     def __init__(self, relay: MessageIntake) -> None:
         self._relay = relay
 
-    def handle(self, request: Request, connection: "ClientConnection") -> ResponseParts:
+    def handle(self, request: Request, connection: RequestConnection) -> ResponseParts:
         """Return the response to a request that arrived whole on this connection."""
         path, _, query = request.target.partition(b"?")
         if path == SUBMIT_PATH:
--- a/dewpin/peers/probing.py
+++ b/dewpin/peers/probing.py
@@ -1,12 +1,20 @@
 """Failure detection after SWIM: each period one member is pinged, by itself and then through others. Free of I/O."""
 
 from heapq import heappop, heappush
-from typing import TYPE_CHECKING, NamedTuple
-
-from .membership_messages import Ack, Address, MembershipEnvelope, Nack, Ping, PingRequest
-
-if TYPE_CHECKING:
-    from .membership import Membership
+from random import Random
+from typing import NamedTuple, Protocol
+
+from .membership_messages import (
+    Ack,
+    Address,
+    MemberRecord,
+    MembershipEnvelope,
+    MembershipMessage,
+    Nack,
+    Ping,
+    PingRequest,
+)
+from .suspicion import KnownMember, LocalHealth
 
 INDIRECT_PROBE_MEMBERS = 3
 """Members that are asked to ping one that did not answer."""
@@ -38,13 +46,35 @@
     sequence: int
 
 
+class ProbingMember(Protocol):
+    """What the probes need of the member that makes them: see `Membership`."""
+
+    random: Random
+    period_ms: float
+    timeout_ms: float
+    local_health: LocalHealth
+    members: dict[str, KnownMember]
+
+    def updates_for(self, name: str) -> tuple[MemberRecord, ...]:
+        """The updates that a message to a member takes along."""
+
+    def envelope_to(self, name: str, message: MembershipMessage) -> MembershipEnvelope:
+        """A message with a member's address."""
+
+    def random_members(self, count: int, excluding: str = "") -> list[str]:
+        """Some active members."""
+
+    def suspect(self, name: str, now_ms: float) -> None:
+        """Takes a member for suspect."""
+
+
 class Prober:
     """The probes of one member.
 
     `probe`: the one that is out. `next_probe_at_ms`: when the next period begins. `indirect_probes`: those that others
     asked for, by our sequence number."""
 
-    def __init__(self, membership: "Membership", now_ms: float) -> None:
+    def __init__(self, membership: ProbingMember, now_ms: float) -> None:
         self._membership = membership
         self.probe: Probe | None = None
         self.next_probe_at_ms = now_ms + membership.random.uniform(0.0, membership.period_ms)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -166,3 +166,52 @@
         for name in imports(path):
             if name[:2] == ["dewpin", "core"] and len(name) > 2 and name[2] != "model":
                 assert name[2] == "dispatcher", f"{path}: {'.'.join(name)}"
+
+
+MUTUAL_IMPORTS = {
+    # a message, its destination and its receivers have slots for what the dispatcher keeps with each, and that refers
+    # back to them: the types name each other, the modules don't import each other when they run
+    frozenset(
+        f"dewpin.core.{name}"
+        for name in ("call", "destination_limits", "destination_queue", "message_state", "model", "receiver_health")
+    ),
+}
+"""Groups of modules that may name each other."""
+
+
+def module_name(path):
+    return ".".join(path.relative_to(ROOT).with_suffix("").parts).removesuffix(".__init__")
+
+
+def imported_modules(path, known):
+    """The modules that a module imports, for its types alone too: the longest known part of each name."""
+    found = set()
+    for name in imports(path):
+        parts = [".".join(name[:length]) for length in range(len(name), 0, -1)]
+        found |= set([part for part in parts if part in known][:1])
+    return found - {module_name(path)}
+
+
+def mutual_imports(graph):
+    """The groups of modules that import each other, also in a circle."""
+    reached = {module: set(targets) for module, targets in graph.items()}
+    for middle in graph:  # Warshall's closure
+        for targets in reached.values():
+            if middle in targets:
+                targets |= reached[middle]
+    return {
+        frozenset(other for other in targets if module in reached[other])
+        for module, targets in reached.items()
+        if module in targets
+    }
+
+
+def test_no_modules_import_each_other():
+    paths = {module_name(path): path for path in (ROOT / "dewpin").rglob("*.py")}
+    graph = {name: imported_modules(path, paths) for name, path in paths.items()}
+    assert mutual_imports(graph) == MUTUAL_IMPORTS
+
+
+def test_circle_of_imports_is_found():
+    graph = {"a": {"b"}, "b": {"c"}, "c": {"a"}, "d": {"a"}, "e": set()}
+    assert mutual_imports(graph) == {frozenset("abc")}
