--- a/tests/controlplane/test_isolation.py
+++ b/tests/controlplane/test_isolation.py
@@ -419,3 +419,30 @@
         ]
 
     assert min(play(scene)) >= -0.01
+
+
+@pytest.mark.parametrize("pair", [(1, 2), (1, 3), (2, 3)])
+@pytest.mark.parametrize("has_spare", [False, True])
+def test_two_members_that_hear_all_but_each_other_end_with_one_replaced_and_changes_go_on(pair, has_spare):
+    """Both count as coordinators to themselves; their plans exclude each other by the version."""
+
+    async def scene(world):
+        if has_spare:
+            await world.start(4)
+            await world.until(lambda: len(world.stores()) == 4)
+        await asyncio.sleep(2.0)
+        world.network.cuts.add(frozenset(world.address(number) for number in pair))
+        first_version = world.newest()["version"]
+        for generation in range(1, 31):
+            third = ({1, 2, 3} - set(pair)).pop()
+            await world.put(third, generation, generation - 1)
+            await asyncio.sleep(1.0)
+        changes = world.newest()["version"] - first_version - 30
+        await asyncio.sleep(5.0)
+        settled = world.newest()["version"]
+        await asyncio.sleep(10.0)
+        return changes, len(world.members()), world.newest()["version"] - settled
+
+    changes, members, later_changes = play(scene)
+    assert members == 3 and later_changes == 0
+    assert changes <= 8  # of members and stores, in 30 s
