Relay: the previous process and detached receivers in modules of their own

Change: previous_process.py reads the hand-over log and knows the attempts in flight there; receiver_detachment.py records detachments. Relay keeps its interface, but that attempts_at_previous_process is a count.

--- a/dewpin/daemon/handover.py
+++ b/dewpin/daemon/handover.py
@@ -40,7 +40,7 @@
             apply_limits(application)
         application.folder_lock = claim.try_lock_folder()
         if application.folder_lock:
-            log_event(events.TAKEOVER_FINISHED, messages=len(relay.attempts_at_previous_process))
+            log_event(events.TAKEOVER_FINISHED, messages=relay.attempts_at_previous_process)
             relay.consume_handover_log(is_writer_gone=True)
             claim.drop()
             reader.descriptors = 0
--- a/dewpin/relay/message_lifecycle.py
+++ b/dewpin/relay/message_lifecycle.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum
 
 from ..core.model import Decision, Outcome, Receiver
 from ..log import events, log_event, log_internal_error
@@ -24,7 +23,7 @@
     SubmitResult,
     Transport,
 )
-from ..spool.handover_log import AcceptedMessage, FinishedAttempt, HandoverLogReader, HandoverLogWriter
+from ..spool.handover_log import HandoverLogReader, HandoverLogWriter
 from ..spool.journal import Journal
 from ..spool.records import MessageRecord, PendingNotice
 from .clock import UnixClock
@@ -40,6 +39,9 @@
     log_retry_scheduled,
 )
 from .notice_barrier import NoticeBarrier, PostponedAttempt
+from .previous_process import PreviousProcess
+from .receiver_detachment import DetachmentResult as DetachmentResult
+from .receiver_detachment import ReceiverDetachment
 from .recent_message_ids import RecentMessageIds
 
 MAX_POSTPONEMENT_MS = 50.0
@@ -50,24 +52,13 @@
 MIN_TIMEOUT_MS = 1.0
 
 
-class DetachmentResult(Enum):
-    """What came of detaching or attaching a receiver."""
-
-    APPLIED = "applied"
-    UNKNOWN_RECEIVER = "unknown receiver"
-    """No endpoint list ever named it."""
-    NOT_RECORDED = "not recorded"
-    """The journal has no capacity for it, or can't be written."""
-
-
 class Relay:
     """All messages of a sender.
 
     `is_draining`: no message is accepted any more. `may_start_attempts`: attempts still start. `attempts_in_flight`:
     those of which the result is not known, postponed ones and those at the previous process included.
-    `attempts_at_previous_process`: by serial number, the message and the receiver of an attempt that the process before
-    has in flight. `handover_log`: set once the next process has the journal; then what still happens here is written to
-    it. `end_counts`: messages by queue class and the decision that ended them."""
+    `handover_log`: set once the next process has the journal; then what still happens here is written to it.
+    `end_counts`: messages by queue class and the decision that ended them."""
 
     def __init__(
         self,
@@ -86,9 +77,9 @@
         self.may_start_attempts = True
         self.attempts_in_flight = 0
         self.notice_barrier = NoticeBarrier()
-        self.handover_reader: HandoverLogReader | None = None
         self.handover_log: HandoverLogWriter | None = None
-        self.attempts_at_previous_process: dict[int, tuple[MessageRecord, Receiver]] = {}
+        self._previous_process: PreviousProcess | None = None
+        self._detachment = ReceiverDetachment(facade.endpoints, transport, lambda: self.record_store, self.wake)
         self.end_counts: dict[bytes, dict[Decision, int]] = {
             queue_class: dict.fromkeys((Decision.RELAYED, Decision.DEFERRED, Decision.BOUNCED), 0)
             for queue_class in facade.queue_class_indexes
@@ -103,6 +94,11 @@
         """Where messages are recorded: the journal, or the hand-over log once the next process has the journal."""
         return self.handover_log or self.journal
 
+    @property
+    def attempts_at_previous_process(self) -> int:
+        """How many attempts the previous process has in flight."""
+        return self._previous_process.attempt_count if self._previous_process is not None else 0
+
     # -- start and submission ---------------------------------------------------------------------------------
 
     def resume(
@@ -114,9 +110,10 @@
         it nobody has them, and they may have been executed. `serials_in_flight`: the messages of those attempts, None
         where the previous process did not say."""
         now_ms = self.clock.now_ms()
-        self.handover_reader = handover_reader
-        if not handover_reader:
+        if handover_reader is None:
             self.journal.assume_attempts_executed()
+        else:
+            self._previous_process = PreviousProcess(handover_reader, self)
         for message_id in self.journal.finished_ids:
             self._recent_ids.add(message_id, now_ms)
         for record in list(self.journal.pending.values()):
@@ -139,7 +136,8 @@
         if record.in_flight:
             self.attempts_in_flight += 1
             receiver = self.facade.adopt_attempt(record, now_ms)
-            self.attempts_at_previous_process[record.serial] = record, receiver
+            assert self._previous_process is not None  # without one, no attempt is in flight any more
+            self._previous_process.add_attempt(record, receiver)
         else:
             self.facade.add_message(record, now_ms)
 
@@ -253,7 +251,7 @@
                 record.body,
                 timeout_ms,
                 self._send_window_opener(record, receiver, timeout_ms),
-                lambda result: self._handle_result(record, receiver, result),
+                lambda result: self.handle_result(record, receiver, result),
             )
         )
 
@@ -278,9 +276,10 @@
     def _drop_postponed_attempt(self, record: MessageRecord, receiver: Receiver) -> None:
         """The notice of an earlier message of the key is not acknowledged in time: the attempt was never sent."""
         self.notice_barrier.drop(record)
-        self._handle_result(record, receiver, AttemptResult(Outcome.NOT_SENT, 0.0, 0.0, {}, False))
+        self.handle_result(record, receiver, AttemptResult(Outcome.NOT_SENT, 0.0, 0.0, {}, False))
 
-    def _handle_result(self, record: MessageRecord, receiver: Receiver, result: AttemptResult) -> None:
+    def handle_result(self, record: MessageRecord, receiver: Receiver, result: AttemptResult) -> None:
+        """Handles the result of an attempt, made here or at the previous process."""
         self.attempts_in_flight -= 1
         if self.handover_log:
             self.handover_log.finish_attempt(record, result)
@@ -357,27 +356,14 @@
         self.handover_log = handover_log
 
     def consume_handover_log(self, is_writer_gone: bool = False) -> None:
-        """Handles what the previous process has written since the last call.
-
-        `is_writer_gone`: it has ended; attempts of which it did not report the result are lost."""
-        if not self.handover_reader:
-            return
-        for event in self.handover_reader.read_events():
-            if isinstance(event, AcceptedMessage):
-                self._handle_accepted_elsewhere(event.message)
-            elif isinstance(event, FinishedAttempt):
-                self._handle_result_elsewhere(event.serial, event.result)
-            elif event.is_detached:
-                self.detach(event.receiver)
-            else:
-                self.attach(event.receiver)
-        if is_writer_gone:
-            self.handover_reader.close()
-            self.handover_reader = None
-            for serial in list(self.attempts_at_previous_process):
-                self._handle_result_elsewhere(serial, AttemptResult(Outcome.RESET, 0.0, 0.0, {}, False))
-
-    def _handle_accepted_elsewhere(self, record: MessageRecord) -> None:
+        """Handles what the previous process has written since the last call; see `PreviousProcess.consume_log`."""
+        if self._previous_process is not None:
+            self._previous_process.consume_log(is_writer_gone)
+            if is_writer_gone:
+                self._previous_process = None
+
+    def handle_accepted_elsewhere(self, record: MessageRecord) -> None:
+        """Takes over a message that the previous process has accepted."""
         if record.message_id in self._recent_ids:
             return  # read before a kill, and not marked as consumed
         now_ms = self.clock.now_ms()
@@ -387,34 +373,12 @@
         log_accepted(record, now_ms)
         self.wake()
 
-    def _handle_result_elsewhere(self, serial: int, result: AttemptResult) -> None:
-        if attempt := self.attempts_at_previous_process.pop(serial, None):
-            self._handle_result(*attempt, result)
-
     # -- receivers that operators detach ----------------------------------------------------------------------
 
     def detach(self, receiver_id: bytes) -> DetachmentResult:
         """No attempt starts to this receiver, whatever the endpoint list says, until it is attached again."""
-        if not self.facade.endpoints.is_known(receiver_id):
-            return DetachmentResult.UNKNOWN_RECEIVER
-        if not self.record_store.set_detached(receiver_id, True):
-            return DetachmentResult.NOT_RECORDED
-        if receiver_id not in self.facade.endpoints.detached_receivers:
-            log_event(events.RECEIVER_DETACHED, receiver=receiver_id)
-        if address := self.facade.endpoints.detach(receiver_id):
-            self.transport.cancel_unsent(address)
-            self.transport.close_idle(address)
-        self.wake()
-        return DetachmentResult.APPLIED
+        return self._detachment.detach(receiver_id)
 
     def attach(self, receiver_id: bytes) -> DetachmentResult:
         """What the endpoint list says of this receiver holds again."""
-        if not self.facade.endpoints.is_known(receiver_id):
-            return DetachmentResult.UNKNOWN_RECEIVER
-        if not self.record_store.set_detached(receiver_id, False):
-            return DetachmentResult.NOT_RECORDED
-        if receiver_id in self.facade.endpoints.detached_receivers:
-            log_event(events.RECEIVER_ATTACHED, receiver=receiver_id)
-            self.facade.endpoints.attach(receiver_id)
-        self.wake()
-        return DetachmentResult.APPLIED
+        return self._detachment.attach(receiver_id)
--- /dev/null
+++ b/dewpin/relay/receiver_detachment.py
@@ -0,0 +1,68 @@
+"""Receivers that operators detach: recorded, then left alone by the dispatcher until they are attached again."""
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+from ..log import events, log_event
+from ..ports import Transport
+from .endpoint_directory import EndpointDirectory
+
+
+class DetachmentResult(Enum):
+    """What came of detaching or attaching a receiver."""
+
+    APPLIED = "applied"
+    UNKNOWN_RECEIVER = "unknown receiver"
+    """No endpoint list ever named it."""
+    NOT_RECORDED = "not recorded"
+    """The journal has no capacity for it, or can't be written."""
+
+
+class DetachmentRecords(Protocol):
+    """Where detachments are recorded: the journal, or the hand-over log."""
+
+    def set_detached(self, receiver: bytes, is_detached: bool) -> bool:
+        """Records a detachment or its end; False if that is not possible."""
+
+
+class ReceiverDetachment:
+    """Detaches and attaches receivers; `records` gives where that is recorded, `on_change` is called after each."""
+
+    def __init__(
+        self,
+        endpoints: EndpointDirectory,
+        transport: Transport,
+        records: Callable[[], DetachmentRecords],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._endpoints = endpoints
+        self._transport = transport
+        self._records = records
+        self._on_change = on_change
+
+    def detach(self, receiver_id: bytes) -> DetachmentResult:
+        """No attempt starts to this receiver, whatever the endpoint list says, until it is attached again."""
+        if not self._endpoints.is_known(receiver_id):
+            return DetachmentResult.UNKNOWN_RECEIVER
+        if not self._records().set_detached(receiver_id, True):
+            return DetachmentResult.NOT_RECORDED
+        if receiver_id not in self._endpoints.detached_receivers:
+            log_event(events.RECEIVER_DETACHED, receiver=receiver_id)
+        if address := self._endpoints.detach(receiver_id):
+            self._transport.cancel_unsent(address)
+            self._transport.close_idle(address)
+        self._on_change()
+        return DetachmentResult.APPLIED
+
+    def attach(self, receiver_id: bytes) -> DetachmentResult:
+        """What the endpoint list says of this receiver holds again."""
+        if not self._endpoints.is_known(receiver_id):
+            return DetachmentResult.UNKNOWN_RECEIVER
+        if not self._records().set_detached(receiver_id, False):
+            return DetachmentResult.NOT_RECORDED
+        if receiver_id in self._endpoints.detached_receivers:
+            log_event(events.RECEIVER_ATTACHED, receiver=receiver_id)
+            self._endpoints.attach(receiver_id)
+        self._on_change()
+        return DetachmentResult.APPLIED
