Sender: protocols of its parts are made for the type checker alone

Change: they stand under TYPE_CHECKING; annotations are not evaluated.

Measured: tests/net, relay and layout: 126 passed.

--- a/dewpin/net/call.py
+++ b/dewpin/net/call.py
@@ -1,9 +1,11 @@
 """One call of a receiver: from the wish to send a message to the attempt's outcome."""
 
+from __future__ import annotations
+
 import asyncio
 import errno
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ..core.model import Outcome
 from ..ports import Address, AttemptRequest, AttemptResult
@@ -17,25 +19,27 @@
 OWN_RESOURCE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # no fault of the receiver
 
 
-class CallPool(Protocol):
-    """What a call needs of the pool that owns its connection: see `ConnectionPool`."""
+if TYPE_CHECKING:  # a protocol is costly to make, and each start would make it
+
+    class CallPool(Protocol):
+        """What a call needs of the pool that owns its connection: see `ConnectionPool`."""
 
-    connect_timeout_ms: float
-    max_body_bytes: int
-    connecting_calls: "set[Call]"
+        connect_timeout_ms: float
+        max_body_bytes: int
+        connecting_calls: set[Call]
 
-    @property
-    def loop(self) -> asyncio.AbstractEventLoop:
-        """The event loop."""
+        @property
+        def loop(self) -> asyncio.AbstractEventLoop:
+            """The event loop."""
 
-    def take_idle(self, address: Address) -> Connection | None:
-        """Take an idle connection to a receiver out of the pool."""
+        def take_idle(self, address: Address) -> Connection | None:
+            """Take an idle connection to a receiver out of the pool."""
 
-    def keep_idle(self, address: Address, connection: Connection) -> None:
-        """Put a connection back."""
+        def keep_idle(self, address: Address, connection: Connection) -> None:
+            """Put a connection back."""
 
-    def count_sent(self) -> None:
-        """Count a request that has left whole."""
+        def count_sent(self) -> None:
+            """Count a request that has left whole."""
 
 
 class Call:
--- a/dewpin/net/connection_table.py
+++ b/dewpin/net/connection_table.py
@@ -1,7 +1,9 @@
 """The HTTP server's open connections: how many there may be, which give way to others, and their time-outs."""
 
+from __future__ import annotations
+
 import asyncio
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
@@ -34,48 +36,49 @@
     keep_alive_timeout_seconds: float = 10.0
 
 
-class BufferingParser(Protocol):
-    """What the table needs of a connection's parser."""
+if TYPE_CHECKING:  # a protocol is costly to make, and each start would make it
 
-    @property
-    def buffered_bytes(self) -> int:
-        """Bytes that were received and are kept."""
+    class BufferingParser(Protocol):
+        """What the table needs of a connection's parser."""
 
-    @property
-    def has_partial_message(self) -> bool:
-        """Whether a part of a request has been received."""
+        @property
+        def buffered_bytes(self) -> int:
+            """Bytes that were received and are kept."""
 
+        @property
+        def has_partial_message(self) -> bool:
+            """Whether a part of a request has been received."""
 
-class TrackedConnection(Protocol):
-    """What the table needs of a client's connection: see `ClientConnection`."""
+    class TrackedConnection(Protocol):
+        """What the table needs of a client's connection: see `ClientConnection`."""
 
-    request_started_at: float | None
-    last_active_at: float
-    is_closing: bool
-    has_sent_request: bool
-    transport: asyncio.Transport
+        request_started_at: float | None
+        last_active_at: float
+        is_closing: bool
+        has_sent_request: bool
+        transport: asyncio.Transport
 
-    @property
-    def parser(self) -> BufferingParser:
-        """The parser of its requests."""
+        @property
+        def parser(self) -> BufferingParser:
+            """The parser of its requests."""
 
-    def __hash__(self) -> int:
-        """Connections are keys."""
+        def __hash__(self) -> int:
+            """Connections are keys."""
 
-    def abort(self) -> None:
-        """End it at once."""
+        def abort(self) -> None:
+            """End it at once."""
 
-    def end(self) -> None:
-        """End it once what was written has left."""
+        def end(self) -> None:
+            """End it once what was written has left."""
 
-    def reject(self, status: int) -> None:
-        """Answer with an error and end it."""
+        def reject(self, status: int) -> None:
+            """Answer with an error and end it."""
 
-    def is_idle(self) -> bool:
-        """Whether no request is being read or answered."""
+        def is_idle(self) -> bool:
+            """Whether no request is being read or answered."""
 
-    def has_unread_bytes(self) -> bool:
-        """Whether bytes wait at its socket."""
+        def has_unread_bytes(self) -> bool:
+            """Whether bytes wait at its socket."""
 
 
 class ConnectionTable:
--- a/dewpin/net/request_handler.py
+++ b/dewpin/net/request_handler.py
@@ -3,8 +3,10 @@
 The handler decides nothing about a message: it checks the form of a request and asks the relay.
 """
 
+from __future__ import annotations
+
 import re
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 from urllib.parse import unquote_to_bytes
 
 from ..log import events, log_event
@@ -31,25 +33,26 @@
 SERVICE_UNAVAILABLE: ResponseParts = (503, b"")
 
 
-class PipeliningParser(Protocol):
-    """What the handler needs of a connection's parser."""
+if TYPE_CHECKING:  # a protocol is costly to make, and each start would make it
 
-    def has_pipelined_bytes(self) -> bool:
-        """Whether bytes came behind the request."""
+    class PipeliningParser(Protocol):
+        """What the handler needs of a connection's parser."""
 
+        def has_pipelined_bytes(self) -> bool:
+            """Whether bytes came behind the request."""
 
-class RequestConnection(Protocol):
-    """What the handler needs of the connection that a request came on: see `ClientConnection`."""
+    class RequestConnection(Protocol):
+        """What the handler needs of the connection that a request came on: see `ClientConnection`."""
 
-    @property
-    def parser(self) -> PipeliningParser:
-        """The parser of its requests."""
+        @property
+        def parser(self) -> PipeliningParser:
+            """The parser of its requests."""
 
-    def reject(self, status: int) -> None:
-        """Answer with an error and end the connection."""
+        def reject(self, status: int) -> None:
+            """Answer with an error and end the connection."""
 
-    def is_closed_by_client(self) -> bool:
-        """Whether the client has ended its side."""
+        def is_closed_by_client(self) -> bool:
+            """Whether the client has ended its side."""
 
 
 class RequestHandler:
--- a/dewpin/relay/previous_process.py
+++ b/dewpin/relay/previous_process.py
@@ -1,27 +1,30 @@
 """The process that handed its folder over: what it reports by the hand-over log, and its attempts in flight."""
 
-from typing import Protocol
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
 
 from ..core.model import Outcome, Receiver
 from ..ports import AttemptResult
 from ..spool.handover_log import AcceptedMessage, FinishedAttempt, HandoverLogReader
 from ..spool.records import MessageRecord
 
+if TYPE_CHECKING:  # a protocol is costly to make, and each start would make it
 
-class Successor(Protocol):
-    """What takes over from the previous process: see `Relay`."""
+    class Successor(Protocol):
+        """What takes over from the previous process: see `Relay`."""
 
-    def handle_accepted_elsewhere(self, record: MessageRecord) -> None:
-        """Takes over a message that the previous process has accepted."""
+        def handle_accepted_elsewhere(self, record: MessageRecord) -> None:
+            """Takes over a message that the previous process has accepted."""
 
-    def handle_result(self, record: MessageRecord, receiver: Receiver, result: AttemptResult) -> None:
-        """Handles the result of an attempt."""
+        def handle_result(self, record: MessageRecord, receiver: Receiver, result: AttemptResult) -> None:
+            """Handles the result of an attempt."""
 
-    def detach(self, receiver_id: bytes) -> object:
-        """Detaches a receiver."""
+        def detach(self, receiver_id: bytes) -> object:
+            """Detaches a receiver."""
 
-    def attach(self, receiver_id: bytes) -> object:
-        """Attaches a receiver."""
+        def attach(self, receiver_id: bytes) -> object:
+            """Attaches a receiver."""
 
 
 class PreviousProcess:
--- a/dewpin/relay/receiver_detachment.py
+++ b/dewpin/relay/receiver_detachment.py
@@ -1,8 +1,10 @@
 """Receivers that operators detach: recorded, then left alone by the dispatcher until they are attached again."""
 
+from __future__ import annotations
+
 from collections.abc import Callable
 from enum import Enum
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ..log import events, log_event
 from ..ports import Transport
@@ -19,11 +21,13 @@
     """The journal has no capacity for it, or can't be written."""
 
 
-class DetachmentRecords(Protocol):
-    """Where detachments are recorded: the journal, or the hand-over log."""
+if TYPE_CHECKING:  # a protocol is costly to make, and each start would make it
+
+    class DetachmentRecords(Protocol):
+        """Where detachments are recorded: the journal, or the hand-over log."""
 
-    def set_detached(self, receiver: bytes, is_detached: bool) -> bool:
-        """Records a detachment or its end; False if that is not possible."""
+        def set_detached(self, receiver: bytes, is_detached: bool) -> bool:
+            """Records a detachment or its end; False if that is not possible."""
 
 
 class ReceiverDetachment:
