--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -14,7 +14,7 @@
 MOST_STATES = 20_000_000
 """Far above all models here: each is explored whole, or the search is cut off and says so."""
 
-ORDER_X, ORDER_Y, READ = ("put", 1, 0, "x"), ("put", 1, 0, "y"), ("read",)
+CONFIGURATION_X, CONFIGURATION_Y, READ = ("put", 1, 0, "x"), ("put", 1, 0, "y"), ("read",)
 REPLACE_C, REPLACE_WIPED_C, SETTLE = ("members", "abd"), ("members", "abC"), ("settle",)
 EARLY, LATE = ("reserve", "early", 2), ("reserve", "late", 2)
 SETTLE_EARLY, READ_LEDGER = ("settle", "early", 1), ("read", "", 0)
@@ -54,34 +54,38 @@
 
 
 QUICK: dict[str, Callable[[], Model]] = {
-    "register: two orders, two ballots each": lambda: _register(
-        (ORDER_X,), (ORDER_Y,), ballots=_ballots(2, 2), skips=(0, 1)
+    "register: two configurations, two ballots each": lambda: _register(
+        (CONFIGURATION_X,), (CONFIGURATION_Y,), ballots=_ballots(2, 2), skips=(0, 1)
     ),
-    "register: two orders, processes tell each other": lambda: _register(
-        (ORDER_X,), (ORDER_Y,), ballots=_ballots(2, 2), hears=True
+    "register: two configurations, processes tell each other": lambda: _register(
+        (CONFIGURATION_X,), (CONFIGURATION_Y,), ballots=_ballots(2, 2), hears=True
     ),
-    "register: two orders, the own replica may fail": lambda: _register(
-        (ORDER_X,), (ORDER_Y,), ballots=_ballots(1, 2), reaches_itself=False
+    "register: two configurations, the own replica may fail": lambda: _register(
+        (CONFIGURATION_X,), (CONFIGURATION_Y,), ballots=_ballots(1, 2), reaches_itself=False
     ),
-    "register: an order sent again after a crash": lambda: _register(
-        (ORDER_X, ORDER_X), (ORDER_Y,), ballots=_ballots(2, 1), crashes=1
+    "register: a configuration sent again after a crash": lambda: _register(
+        (CONFIGURATION_X, CONFIGURATION_X), (CONFIGURATION_Y,), ballots=_ballots(2, 1), crashes=1
     ),
-    "register: one order at two processes, sent again": lambda: _register(
-        (ORDER_X, ORDER_X), (ORDER_X,), ballots=_ballots(2, 2), times_out=True
+    "register: one configuration at two processes, sent again": lambda: _register(
+        (CONFIGURATION_X, CONFIGURATION_X), (CONFIGURATION_X,), ballots=_ballots(2, 2), times_out=True
     ),
-    "register: an order sent again, and another": lambda: _register(
-        (ORDER_X, ORDER_X), (ORDER_Y,), ballots=_ballots(2, 2), times_out=True
+    "register: a configuration sent again, and another": lambda: _register(
+        (CONFIGURATION_X, CONFIGURATION_X), (CONFIGURATION_Y,), ballots=_ballots(2, 2), times_out=True
+    ),
+    "register: reads after a race": lambda: _register(
+        (CONFIGURATION_X, READ), (CONFIGURATION_Y, READ), ballots=_ballots(2, 2)
+    ),
+    "register: a change of members and a configuration": lambda: _register(
+        (CONFIGURATION_X,), (REPLACE_C,), ballots=_ballots(2, 1)
     ),
-    "register: reads after a race": lambda: _register((ORDER_X, READ), (ORDER_Y, READ), ballots=_ballots(2, 2)),
-    "register: a change of members and an order": lambda: _register((ORDER_X,), (REPLACE_C,), ballots=_ballots(2, 1)),
     "register: a change of members and a read, the own replica may fail": lambda: _register(
         (READ,), (REPLACE_C,), ballots=_ballots(1, 1), reaches_itself=False
     ),
     "register: a wiped member is replaced": lambda: _register(
-        (ORDER_X,), (REPLACE_WIPED_C, SETTLE, READ), ballots=_ballots(1, 3), wipes="c"
+        (CONFIGURATION_X,), (REPLACE_WIPED_C, SETTLE, READ), ballots=_ballots(1, 3), wipes="c"
     ),
-    "register: two orders, answers come late": lambda: _register(
-        (ORDER_X,), (ORDER_Y,), ballots=_ballots(1, 2), late_answers=True
+    "register: two configurations, answers come late": lambda: _register(
+        (CONFIGURATION_X,), (CONFIGURATION_Y,), ballots=_ballots(1, 2), late_answers=True
     ),
     "ledgers: two reservations, answers come late": lambda: _ledger(
         ((EARLY,), (LATE,)), (1, 1), epochs=(STABLE,), late_answers=True
@@ -107,24 +111,26 @@
 """Explored whole with every run of the tests."""
 
 DEEP: dict[str, Callable[[], Model]] = {
-    "register: two orders, three ballots each": lambda: _register((ORDER_X,), (ORDER_Y,), ballots=_ballots(3, 3)),
-    "register: two orders, two ballots each, the own replica may fail": lambda: _register(
-        (ORDER_X,), (ORDER_Y,), ballots=_ballots(2, 2), reaches_itself=False
+    "register: two configurations, three ballots each": lambda: _register(
+        (CONFIGURATION_X,), (CONFIGURATION_Y,), ballots=_ballots(3, 3)
+    ),
+    "register: two configurations, two ballots each, the own replica may fail": lambda: _register(
+        (CONFIGURATION_X,), (CONFIGURATION_Y,), ballots=_ballots(2, 2), reaches_itself=False
     ),
-    "register: an order sent again after a crash, two ballots each": lambda: _register(
-        (ORDER_X, ORDER_X), (ORDER_Y,), ballots=_ballots(2, 2), crashes=1
+    "register: a configuration sent again after a crash, two ballots each": lambda: _register(
+        (CONFIGURATION_X, CONFIGURATION_X), (CONFIGURATION_Y,), ballots=_ballots(2, 2), crashes=1
     ),
-    "register: a change of members, an order and a read": lambda: _register(
-        (ORDER_X, READ), (REPLACE_C,), ballots=_ballots(2, 1)
+    "register: a change of members, a configuration and a read": lambda: _register(
+        (CONFIGURATION_X, READ), (REPLACE_C,), ballots=_ballots(2, 1)
     ),
     "register: a change of members, a crash": lambda: _register(
-        (ORDER_X, READ), (REPLACE_C,), ballots=_ballots(2, 1), crashes=1
+        (CONFIGURATION_X, READ), (REPLACE_C,), ballots=_ballots(2, 1), crashes=1
     ),
-    "register: an order and a read, answers come late": lambda: _register(
-        (ORDER_X, READ), (ORDER_Y,), ballots=_ballots(2, 1), late_answers=True
+    "register: a configuration and a read, answers come late": lambda: _register(
+        (CONFIGURATION_X, READ), (CONFIGURATION_Y,), ballots=_ballots(2, 1), late_answers=True
     ),
-    "register: two orders, two ballots each, answers come late": lambda: _register(
-        (ORDER_X,), (ORDER_Y,), ballots=_ballots(2, 2), late_answers=True
+    "register: two configurations, two ballots each, answers come late": lambda: _register(
+        (CONFIGURATION_X,), (CONFIGURATION_Y,), ballots=_ballots(2, 2), late_answers=True
     ),
     "ledgers: a settlement, answers come late": lambda: _ledger(
         ((EARLY, SETTLE_EARLY), (LATE,)), (2, 1), epochs=(STABLE,), late_answers=True
--- a/tests/model/test_former_members.py
+++ b/tests/model/test_former_members.py
@@ -6,7 +6,7 @@
 from tests.model.register_parts import ProcessPart
 
 MOST_BALLOTS = 9
-REPLACE_C, ORDER_X, READ = ("members", "abd"), ("put", 1, 0, "x"), ("read",)
+REPLACE_C, CONFIGURATION_X, READ = ("members", "abd"), ("put", 1, 0, "x"), ("read",)
 
 
 class Registers:
@@ -39,7 +39,7 @@
 def test_member_change_unknown_to_former_members_is_not_read_as_chosen():
     """Found by the model, with quorum sets that leave the former members out: the change is at a and d, a majority of
     {a, b, d}; b and c, a majority of {a, b, c}, know nothing of it."""
-    registers = Registers(a=(READ, READ), b=(REPLACE_C, ORDER_X))
+    registers = Registers(a=(READ, READ), b=(REPLACE_C, CONFIGURATION_X))
     assert registers.run("b", "ab", "ad") == "unclear"
     registers.run("a", "ad", "ad")
     assert registers.run("b", "bc", "bc") == "made"
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -38,19 +38,19 @@
     arguments: Callable[[], Mapping[str, Any]] = dict
 
 
-RACE = "register: two orders, two ballots each"
+RACE = "register: two configurations, two ballots each"
 READS = "register: reads after a race"
-AGAIN = "register: one order at two processes, sent again"
+AGAIN = "register: one configuration at two processes, sent again"
 WIPED = "register: a wiped member is replaced"
 FORMER = "register: a change of members and a read, the own replica may fail"
 FORMER_SCRIPTED = "tests.model.test_former_members::test_member_change_unknown_to_former_members_is_not_read_as_chosen"
 HALF_MADE = "tests.consensus.test_register::test_unfinished_member_change_is_confirmed_first"
-CRASH = "register: an order sent again after a crash"
+CRASH = "register: a configuration sent again after a crash"
 RESERVATIONS = "ledgers: two reservations"
 SETTLEMENT = "ledgers: a settlement under a prepared ballot"
 CONTACT = "contact: two seconds"
 MEMBERS_CHANGE = "contact: a change of members ends"
-LATE_ORDERS = "register: two orders, answers come late"
+LATE_CONFIGURATIONS = "register: two configurations, answers come late"
 LATE_RESERVATIONS = "ledgers: two reservations, answers come late"
 FIVE_REGISTERS = "tests.model.test_register_machine::test_random_runs_of_five_registers_satisfy_properties"
 LEDGER_RUNS = "tests.model.test_ledger_machine::test_random_runs_of_a_ledger_through_view_changes_satisfy_properties"
@@ -116,7 +116,7 @@
     Mutation(variants.forget_settlements_as_the_view_moves, LEDGER_RUNS, arguments=lambda: {"shrinks": False}),
     Mutation(variants.take_whatever_ballot_is_copied, LEDGER_RUNS, arguments=lambda: {"shrinks": False}),
     Mutation(variants.read_from_a_remembered_promise, LEDGER_RUNS, arguments=lambda: {"shrinks": False}),
-    Mutation(variants.take_promises_after_the_accept, LATE_ORDERS, 20_000),
+    Mutation(variants.take_promises_after_the_accept, LATE_CONFIGURATIONS, 20_000),
     Mutation(variants.count_an_answer_twice, LATE_RESERVATIONS, 20_000),
     Mutation(variants.leave_the_new_members_out_of_contact, MEMBERS_CHANGE, 50_000),
     Mutation(variants.forget_settlements_as_the_view_moves, SETTLED_AB, 50_000),
