Recovery: a damaged database is refused and left as it is

Cause: read again, the recovery opened the database as a start does, which sets a damaged one aside: a write by a command that refuses.

Change: open_intact_database neither creates nor sets aside; no program that serves uses it.

Measured: test_register_recovery.py, two cases more (bytes, marker): exit code 1, all files as before.

--- a/dewpin/controlplane/register/recovery.py
+++ b/dewpin/controlplane/register/recovery.py
@@ -25,8 +25,8 @@
 from dewpin.consensus import Ballot, Replica, majority_of
 from dewpin.controlplane.register.replica_storage import RECOVERY_KEY, ReplicaStorage, Statement
 from dewpin.controlplane.register.system_state import StoreViewState, SystemState, quorum_sets
-from dewpin.controlplane.storage.database import DATABASE_NAME, open_database
-from dewpin.controlplane.storage.errors import StorageError
+from dewpin.controlplane.storage.database import open_intact_database
+from dewpin.controlplane.storage.errors import SchemaTooNewError, StorageError
 from dewpin.controlplane.storage.schema import INCARNATION_BYTES, incarnation_of
 
 VERSION_STEP = 1_000_000
@@ -145,15 +145,11 @@
 
 @contextmanager
 def _opened(data_dir: Path) -> Iterator[sqlite3.Connection]:
-    """The database of a stopped control server; it is never created here. Raises RecoveryFileError."""
-    if not (data_dir / DATABASE_NAME).is_file():
-        raise RecoveryFileError(f"{data_dir}: expected a data directory with {DATABASE_NAME}")
+    """The database of a stopped control server. Raises RecoveryFileError."""
     try:
-        connection = open_database(data_dir, lambda text: None)
-    except StorageError as error:
-        is_locked = "locked" in str(error)
-        reason = "its control server still runs; stop it first" if is_locked else str(error)
-        raise RecoveryFileError(f"{data_dir}: {reason}") from error
+        connection = open_intact_database(data_dir)
+    except (StorageError, SchemaTooNewError) as error:
+        raise RecoveryFileError(str(error)) from error
     try:
         yield connection
     except (sqlite3.Error, StorageError) as error:
--- a/dewpin/controlplane/storage/database.py
+++ b/dewpin/controlplane/storage/database.py
@@ -42,6 +42,23 @@
         raise StorageError(f"the database in {folder} cannot be opened: {error}") from error
 
 
+def open_intact_database(folder: Path) -> sqlite3.Connection:
+    """Open the database of `folder`, which is neither created nor set aside; an older schema is migrated.
+
+    Raises StorageError where there is none, where it is damaged or in use, and SchemaTooNewError.
+    """
+    if not (folder / DATABASE_NAME).is_file():
+        raise StorageError(f"{folder}: expected a data directory with {DATABASE_NAME}")
+    if (folder / DAMAGED_MARKER_NAME).exists():
+        raise StorageError(f"{folder}: the database is marked as damaged")
+    try:
+        return _connect(folder)
+    except sqlite3.Error as error:
+        is_locked = "locked" in str(error)
+        reason = "its control server still runs; stop it first" if is_locked else str(error)
+        raise StorageError(f"{folder}: {reason}") from error
+
+
 def read_incarnation(data_dir: str | os.PathLike[str]) -> str:
     """Return the random id of the folder's database, which is created (and synced) if the folder has none.
 
--- a/tests/controlplane/test_register_recovery.py
+++ b/tests/controlplane/test_register_recovery.py
@@ -221,6 +221,19 @@
     assert done.exit_code == 1 and not (tmp_path / "none").exists()
 
 
+@pytest.mark.parametrize("damage", ["bytes", "marker"])
+def test_damaged_database_is_left_as_it_is(world, damage):
+    folder = world.folders["a"]
+    if damage == "bytes":
+        (folder / "keeper.sqlite3").write_bytes(b"no database at all" * 400)
+    else:
+        (folder / "keeper.damaged").touch()
+    before = {path.name: path.read_bytes() for path in folder.iterdir()}
+    done = run_command("recover", folder, "--lost", world.ids["b"], "--lost", world.ids["c"], "--apply")
+    assert done.exit_code == 1 and str(folder) in done.stderr
+    assert {path.name: path.read_bytes() for path in folder.iterdir()} == before
+
+
 def test_recovery_is_atomic_when_it_is_interrupted(world, monkeypatch):
     before = snapshot(world.folders["a"])
     monkeypatch.setattr("dewpin.controlplane.register.recovery.json.dumps", _interrupt)
