Tier's command line: config check tells the least time until all senders have a configuration

Cause: beyond what the senders' links can carry, an operator learned only afterwards how long a configuration takes.

--- a/dewpin/tier_cli/commands.py
+++ b/dewpin/tier_cli/commands.py
@@ -17,6 +17,7 @@
 
 from .exit_codes import ExitCode
 from .output import EXIT_CODES, AsJson, fail, finish
+from .propagation import estimate_propagation
 from .register_commands import register
 
 DEFAULT_TIMEOUT_S = 5.0
@@ -40,12 +41,23 @@
 
 
 @config.command("check")
-def check_configuration(file: ConfigurationFile, as_json: AsJson = False) -> None:
+def check_configuration(
+    file: ConfigurationFile,
+    link_mbps: Annotated[
+        float | None, typer.Option(help="Estimate the time to all senders, whose links have this rate.", min=0.001)
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
     """Check a configuration and name every fault with its place."""
     configuration = _read_configuration(file, as_json)
     counts = {"routes": len(configuration.routes), "services": len(configuration.services)}
     text = f"{file}: valid, generation {configuration.generation}, {_format_counts(counts)}"
-    finish(as_json, text, valid=True, generation=configuration.generation, **counts)
+    result: dict[str, object] = {"valid": True, "generation": configuration.generation, **counts}
+    if link_mbps is not None:
+        estimate = estimate_propagation(file.read_bytes(), link_mbps)
+        text += f"; {estimate.compressed_bytes} bytes compressed, at least {estimate.seconds:.2f} s to all senders"
+        result |= {"compressed_bytes": estimate.compressed_bytes, "least_seconds": round(estimate.seconds, 3)}
+    finish(as_json, text, **result)
 
 
 @config.command("get")
--- a/tests/tier_cli/test_tier_cli.py
+++ b/tests/tier_cli/test_tier_cli.py
@@ -16,6 +16,7 @@
 from typer.testing import CliRunner
 
 from dewpin import __version__
+from dewpin.controlplane.membership.leases import RELAY_FAN_OUT
 from dewpin.tier_cli.commands import app
 
 
@@ -93,6 +94,21 @@
     assert json.loads(done.stdout) == {"valid": True, "generation": 7, "routes": 2, "services": 2}
 
 
+def test_check_tells_the_least_time_until_all_senders_have_a_configuration(valid_file: Path):
+    done = run("config", "check", valid_file, "--link-mbps", "15", "--json")
+    told = json.loads(done.stdout)
+    compressed = told["compressed_bytes"]
+    assert 100 < compressed < valid_file.stat().st_size
+    assert told["least_seconds"] == round(compressed * 8 * RELAY_FAN_OUT / 15e6, 3)
+    done = run("config", "check", valid_file, "--link-mbps", "0.1")
+    assert f"{compressed} bytes compressed, at least {compressed * 8 * RELAY_FAN_OUT / 1e5:.2f} s to all" in done.stdout
+
+
+def test_check_rejects_a_link_without_a_rate(valid_file: Path):
+    done = run("config", "check", valid_file, "--link-mbps", "0")
+    assert done.exit_code == 2 and "--link-mbps" in done.stderr
+
+
 def test_check_of_invalid_configuration_lists_every_fault(invalid_file: Path):
     done = run("config", "check", invalid_file)
     assert (done.exit_code, done.stdout, done.stderr.splitlines()) == (2, "", FAULTS)
