--- a/review/common/case_support.py
+++ b/review/common/case_support.py
@@ -85,7 +85,9 @@
         if response.status != http.client.OK:
             raise ConditionNotMetError(f"the first configuration got {response.status}")
         self.tier.wait_until_ready()
-        self.record.write("the tier is ready: three control servers (stores), two senders, four receivers")
+        tier = self.tier
+        count = f"{len(tier.control_servers)} control servers (stores), {len(tier.senders)} senders"
+        self.record.write(f"the tier is ready: {count}, {len(tier.receivers)} receivers")
 
     def send(self, what: str, sender: Machine, request: ClientRequest, is_logged: bool = True) -> ClientResponse | None:
         """Send one request and write it down; None if the connection ended without a complete answer."""
