--- a/review/common/case_support.py
+++ b/review/common/case_support.py
@@ -54,6 +54,10 @@
     return os.environ.get("TROUBLE") != "0"
 
 
+class InterruptedCaseError(BaseException):
+    """The watchdog or a SIGTERM ends the case; not an Exception, so that no client takes it for a failed request."""
+
+
 class Record:
     """record.txt: what was sent, answered and run, each line with the seconds since the start. Thread-safe."""
 
@@ -135,7 +139,7 @@
     try:
         with LocalTier(folder) as tier:
             held = play(Case(tier, record))
-    except (ConditionNotMetError, InterruptedError, OSError) as error:
+    except (Exception, InterruptedCaseError) as error:
         record.write(f"the case could not run: {error!r}")
         return NOT_RUN
     finally:
@@ -146,4 +150,4 @@
 
 
 def _interrupt(number: int, frame: object) -> None:
-    raise InterruptedError(f"signal {number}")
+    raise InterruptedCaseError(f"signal {number}")
