--- a/review/common/case_support.py
+++ b/review/common/case_support.py
@@ -135,10 +135,11 @@
     folder = Path(tempfile.mkdtemp(prefix="review-"))
     signal.signal(signal.SIGTERM, _interrupt)
     signal.signal(signal.SIGALRM, _interrupt)
-    signal.setitimer(signal.ITIMER_REAL, WATCHDOG_S - 12.0)
+    signal.setitimer(signal.ITIMER_REAL, WATCHDOG_S - 10.0)
     try:
         with LocalTier(folder) as tier:
             held = play(Case(tier, record))
+            signal.setitimer(signal.ITIMER_REAL, 0.0)  # the result stands; what is left is to end the processes
     except (Exception, InterruptedCaseError) as error:
         record.write(f"the case could not run: {error!r}")
         return NOT_RUN
