Logs: which store took and deleted which turn, and which turn of a history is missing

Cause: a turn answered 503 ("a link of the chain is gone") left no trace of what the stores held.

Change: at level debug a store logs each turn that it stores, with the newest turn that it lacks of the turn's history (store.turn_stored), and each batch of deleted turns (store.turns_deleted). A sender logs which stores denied a turn (turn.not_found, info) and a history that has a gap (turn.history_incomplete, warning).

Result: a test for either side.

--- a/dewpin/controlplane/store/sender_handlers.py
+++ b/dewpin/controlplane/store/sender_handlers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sqlite3
 from collections.abc import Awaitable, Callable
 
@@ -24,6 +25,8 @@
 MAX_HISTORY_BYTES = 4 * 1024 * 1024
 """Limit on the bodies in one history reply; the sender requests the rest separately."""
 
+log = logging.getLogger(__name__)
+
 
 class SenderHandlers:
     """Answers senders for one store; `handlers` maps message types to handlers."""
@@ -47,9 +50,13 @@
         for program in programs:
             self._guard.check_replica(message, program)
         now_ms = self._now_ms()
+        is_logged = log.isEnabledFor(logging.DEBUG)
 
         def work(connection: sqlite3.Connection) -> Message | None:
             turn_table.put(connection, request.turns, now_ms, RETENTION_MARGIN_MS)
+            for turn in request.turns if is_logged else ():
+                missing = turn_table.missing_ancestor(connection, turn.program, turn.turn)
+                log.debug("store.turn_stored", extra={"turn": turn.turn, "missing_ancestor": missing})
             return None if request.accept is None else encode_reply(_accept(connection, request.accept, now_ms))
 
         return PutTurnsReply(await self._guard.transact(message["epoch"], work)).encode()
--- a/dewpin/controlplane/store/store.py
+++ b/dewpin/controlplane/store/store.py
@@ -14,6 +14,7 @@
 from dewpin.controlplane.store import ledger_replica, ledger_retention, turn_table
 from dewpin.controlplane.store.copy_handlers import CopyHandlers
 from dewpin.controlplane.store.sender_handlers import RETENTION_MARGIN_MS, SenderHandlers
+from dewpin.controlplane.store.turn_table import TurnKey
 from dewpin.controlplane.store.view_guard import TransactionalStorage, ViewGuard
 
 PURGE_BATCH_SIZE = 200
@@ -104,12 +105,15 @@
         """
         now_ms, longest_retain_s = self.now_ms(), self._longest_retain_s
 
-        def work(connection: sqlite3.Connection) -> int:
-            turn_count = turn_table.purge(connection, now_ms, PURGE_BATCH_SIZE)
+        def work(connection: sqlite3.Connection) -> tuple[list[TurnKey], int]:
+            turns = turn_table.purge(connection, now_ms, PURGE_BATCH_SIZE)
             retention = ledger_retention.update(connection, longest_retain_s, now_ms)
             if retention is None:
-                return turn_count
+                return turns, 0
             unchanged_since_ms = now_ms - retention.max_idle_ms(now_ms) - RETENTION_MARGIN_MS
-            return turn_count + ledger_replica.purge(connection, unchanged_since_ms, PURGE_BATCH_SIZE)
+            return turns, ledger_replica.purge(connection, unchanged_since_ms, PURGE_BATCH_SIZE)
 
-        return await self.storage.transact(work)
+        turns, ledger_count = await self.storage.transact(work)
+        if turns:
+            log.debug("store.turns_deleted", extra={"turns": [turn for turn, _ in turns]})
+        return len(turns) + ledger_count
--- a/dewpin/controlplane/store/turn_table.py
+++ b/dewpin/controlplane/store/turn_table.py
@@ -174,17 +174,31 @@
     return None if row is None else TurnRecord(turn, program, row[0], row[1], bytes(row[2]), bytes(row[3]))
 
 
-def purge(connection: sqlite3.Connection, now_ms: int, limit: int) -> int:
-    """Delete up to `limit` expired turns that no other turn continues; return the number deleted."""
-    rows = connection.execute(
+def missing_ancestor(connection: sqlite3.Connection, program: str, turn: str) -> str | None:
+    """Return the newest turn that is missing in the history of a stored turn; None if `program` has all of it."""
+    row = connection.execute(
+        "WITH RECURSIVE history (turn, previous) AS ("
+        " SELECT turn, previous FROM turns WHERE turn = :turn AND program = :program"
+        " UNION SELECT turns.turn, turns.previous FROM history"
+        " JOIN turns ON turns.turn = history.previous AND turns.program = :program)"
+        " SELECT previous FROM history WHERE previous IS NOT NULL AND NOT EXISTS"
+        " (SELECT 1 FROM turns WHERE turns.turn = history.previous AND turns.program = :program)",
+        {"turn": turn, "program": program},
+    ).fetchone()
+    return None if row is None else str(row[0])
+
+
+def purge(connection: sqlite3.Connection, now_ms: int, limit: int) -> list[TurnKey]:
+    """Delete up to `limit` expired turns that no other turn continues; return their keys."""
+    rows: list[TurnKey] = connection.execute(
         "DELETE FROM turns WHERE (turn, program) IN (SELECT turn, program FROM turns AS old WHERE expires_ms < ?"
         " AND NOT EXISTS (SELECT 1 FROM turns AS child WHERE child.previous = old.turn)"
-        " ORDER BY expires_ms LIMIT ?) RETURNING turn",
+        " ORDER BY expires_ms LIMIT ?) RETURNING turn, program",
         (now_ms, limit),
     ).fetchall()
-    for (turn,) in rows:
+    for turn, _ in rows:
         connection.execute(
             "DELETE FROM turn_bodies WHERE turn = ? AND NOT EXISTS (SELECT 1 FROM turns WHERE turns.turn = ?)",
             (turn, turn),
         )
-    return len(rows)
+    return rows
--- a/dewpin/dataplane/programs/turn_client.py
+++ b/dewpin/dataplane/programs/turn_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -32,6 +33,8 @@
 READ_CACHE_S = 10.0
 """How long turns that were read are cached; their retention time is unknown to the reader."""
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class _StoredReply:
@@ -136,6 +139,7 @@
             except TurnNotFoundError:
                 if not contents:
                     raise
+                log.warning("turn.history_incomplete", extra={"turn": previous_id, "missing": next_id})
                 raise StoreUnavailableError(f"a link of the chain is gone: {next_id}") from None
             records += found.turns
             contents += [record.input + record.output for record in found.turns]
@@ -194,6 +198,7 @@
                 if found.turns:
                     return found
                 without_turn.add(reply.member)
+        log.info("turn.not_found", extra={"turn": self._last_id, "stores_without_it": sorted(without_turn)})
         raise TurnNotFoundError(self._last_id)
 
     def _ask_next_group(self) -> None:
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 
 import pytest
 from scripted.clock import run
@@ -415,3 +416,23 @@
         return reply
 
     return record_turns
+
+
+# Logs
+
+
+def test_logs_tell_which_turns_a_store_took_lacked_and_deleted(caplog):
+    async def scene():
+        world = World(names="a", losses=0)
+        store = world.machines["a"]
+        for one in (record("t1"), record("t3", "t2")):
+            await request(store, wire.TURN_PUT, world.view, turns=[one.to_json()])
+        world.clock_ms += 60_000 + RETENTION_MARGIN_MS + 1
+        await store.store.purge_batch()
+
+    with caplog.at_level(logging.DEBUG, "dewpin.controlplane.store"):
+        run(scene())
+    taken = [(line.turn, line.missing_ancestor) for line in caplog.records if line.message == "store.turn_stored"]
+    deleted = [sorted(line.turns) for line in caplog.records if line.message == "store.turns_deleted"]
+    assert taken == [("t1", None), ("t3", "t2")]
+    assert deleted == [["t1", "t3"]]
--- a/tests/dataplane/test_store_client.py
+++ b/tests/dataplane/test_store_client.py
@@ -1,6 +1,7 @@
 """The store client: quorum writes and reads of turns, under faults and changes of the store view."""
 
 import asyncio
+import logging
 import threading
 
 import pytest
@@ -210,6 +211,25 @@
     run(scenario())
 
 
+def test_log_tells_which_turn_of_a_history_is_missing_and_where(caplog):
+    async def scenario():
+        world = World()
+        writer = world.client("one")
+        await writer.store_turn(turn("t1"), 1.0)
+        await writer.store_turn(turn("t2", "t1"), 1.0)
+        for machine in world.machines.values():
+            machine.disk.connection.execute("DELETE FROM turns WHERE turn = 't1'")
+        with pytest.raises(StoreUnavailableError):
+            await world.client("two").read_history("p", "t2", 1.0)
+
+    with caplog.at_level(logging.INFO, "dewpin.dataplane.programs"):
+        run(scenario())
+    incomplete = next(line for line in caplog.records if line.message == "turn.history_incomplete")
+    not_found = next(line for line in caplog.records if line.message == "turn.not_found")
+    assert (incomplete.turn, incomplete.missing) == ("t2", "t1")
+    assert not_found.turn == "t1" and len(not_found.stores_without_it) == 2
+
+
 def test_program_continues_turn_of_another_program_on_its_own_replicas():
     async def scenario():
         world = World(names="abcdefg")
