A replica counts for a turn only together with the turn's whole history

Cause: a store keeps an expired turn while one of its own turns continues it. A turn counted wherever a majority had stored it, and that majority changes with sender, latency and health. So every store had gaps, and deleted what it held from before a gap although the conversation went on elsewhere.

Change: a store replies to a write with the newest turn that it lacks of the turn's history; the sender supplies it from the history that it read when the turn began, and counts the store only when nothing is missing. Retention and margin are unchanged. History and cache hold turns in place of joined bodies; reads, writes and histories are modules of their own.

Why it works: on a store without a gap the existing rule keeps a history as long as its newest turn, so each acknowledged turn has its whole history on a majority of its replicas for as long as it is retained (docs/control-safety.md 3.7).

The golden driver and the tests of histories follow the changed interface; a put whose store lacks a turn is asserted to name it.

--- a/dewpin/cluster/store_requests.py
+++ b/dewpin/cluster/store_requests.py
@@ -169,23 +169,29 @@
     """Acknowledges that the turns are on disk.
 
     `reply`: the reply to the ballot of the request, if any, as encoded by `dewpin.consensus.messages`.
+    `missing_turn`: id of the newest turn that precedes them and that the store lacks, field `missing` on the wire; None
+        if it has all of them. Stores of earlier releases do not look.
     """
 
     reply: Message | None = None
+    missing_turn: str | None = None
 
     def encode(self) -> Message:
         """Return the message to send."""
-        if self.reply is None:
-            return {"type": wire.TURN_STORED}
-        return {"type": wire.TURN_STORED, "reply": self.reply}
+        message: Message = {"type": wire.TURN_STORED}
+        if self.reply is not None:
+            message["reply"] = self.reply
+        if self.missing_turn is not None:
+            message["missing"] = self.missing_turn
+        return message
 
     @classmethod
     def decode(cls, message: Message) -> PutTurnsReply:
         """Decode a reply. Raises MalformedMessageError if it is invalid."""
         read.check_type(message, wire.TURN_STORED)
-        if message.get("reply") is None:
-            return cls()
-        return cls(read.mapping(message, "reply"))
+        reply = None if message.get("reply") is None else read.mapping(message, "reply")
+        missing_turn = None if message.get("missing") is None else read.text(message, "missing")
+        return cls(reply, missing_turn)
 
 
 def _view(message: Message) -> StoreView:
--- a/dewpin/controlplane/store/sender_handlers.py
+++ b/dewpin/controlplane/store/sender_handlers.py
@@ -50,16 +50,20 @@
         for program in programs:
             self._guard.check_replica(message, program)
         now_ms = self._now_ms()
-        is_logged = log.isEnabledFor(logging.DEBUG)
 
-        def work(connection: sqlite3.Connection) -> Message | None:
+        def work(connection: sqlite3.Connection) -> PutTurnsReply:
             turn_table.put(connection, request.turns, now_ms, RETENTION_MARGIN_MS)
-            for turn in request.turns if is_logged else ():
-                missing = turn_table.missing_ancestor(connection, turn.program, turn.turn)
-                log.debug("store.turn_stored", extra={"turn": turn.turn, "missing_ancestor": missing})
-            return None if request.accept is None else encode_reply(_accept(connection, request.accept, now_ms))
-
-        return PutTurnsReply(await self._guard.transact(message["epoch"], work)).encode()
+            missing = turn_table.newest_missing_turn(connection, request.turns)
+            if request.accept is None:
+                return PutTurnsReply(None, missing)
+            return PutTurnsReply(encode_reply(_accept(connection, request.accept, now_ms)), missing)
+
+        reply = await self._guard.transact(message["epoch"], work)
+        log.debug(
+            "store.turns_stored",
+            extra={"turns": [turn.turn for turn in request.turns], "missing": reply.missing_turn},
+        )
+        return reply.encode()
 
     async def _read_history(self, message: Message) -> Message:
         request = decode_request(HistoryRequest.decode, message)
--- a/dewpin/controlplane/store/turn_table.py
+++ b/dewpin/controlplane/store/turn_table.py
@@ -174,8 +174,22 @@
     return None if row is None else TurnRecord(turn, program, row[0], row[1], bytes(row[2]), bytes(row[3]))
 
 
-def missing_ancestor(connection: sqlite3.Connection, program: str, turn: str) -> str | None:
-    """Return the newest turn that is missing in the history of a stored turn; None if `program` has all of it."""
+def newest_missing_turn(connection: sqlite3.Connection, records: Sequence[TurnRecord]) -> str | None:
+    """Return the newest turn that stored `records` continue and that their program lacks; None if it has all of them.
+
+    `records` are turns of one conversation.
+    """
+    continued = {record.previous for record in records}
+    for record in records:
+        if record.turn not in continued:
+            missing = _newest_missing_turn_before(connection, record.program, record.turn)
+            if missing is not None:
+                return missing
+    return None
+
+
+def _newest_missing_turn_before(connection: sqlite3.Connection, program: str, turn: str) -> str | None:
+    """Return the newest turn that is missing in the history of a stored turn of `program`; None if there is none."""
     row = connection.execute(
         "WITH RECURSIVE history (turn, previous) AS ("
         " SELECT turn, previous FROM turns WHERE turn = :turn AND program = :program"
--- a/dewpin/dataplane/programs/program_store.py
+++ b/dewpin/dataplane/programs/program_store.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from dewpin.dataplane.programs.history import EMPTY_HISTORY, History
+
 
 @dataclass(frozen=True, slots=True)
 class Reservation:
@@ -38,7 +40,7 @@
     """
 
     reservation: Reservation
-    history: bytes
+    history: History
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +49,8 @@
 
     previous_id: id of the turn that this one continues; None for the first turn of a conversation.
     output: the data of all events, each followed by a line feed.
-    retain_s: how long the stores must retain the turn.
+    retain_s: how long the stores must retain the turn, together with its history.
+    history: the history up to `previous_id`; a replica gets what it lacks of it.
     """
 
     id: str
@@ -56,6 +59,7 @@
     input: bytes
     output: bytes
     retain_s: float
+    history: History = EMPTY_HISTORY
 
 
 class ProgramStore(Protocol):
@@ -76,8 +80,8 @@
         Return immediately; the settlement is made, and retried, in the background.
         """
 
-    def read_history(self, program: str, previous_id: str, timeout_s: float) -> bytes:
-        """Return the concatenated input and output of all turns up to `previous_id`, oldest first.
+    def read_history(self, program: str, previous_id: str, timeout_s: float) -> History:
+        """Return the history up to `previous_id`.
 
         Raises TurnNotFoundError or StoreUnavailableError.
         """
@@ -91,7 +95,7 @@
         """
 
     def store_turn(self, turn: Turn, timeout_s: float, settlement: Settlement | None = None) -> None:
-        """Store a turn durably. Raises StoreUnavailableError.
+        """Store a turn and its history durably. Raises StoreUnavailableError.
 
         The settlement is sent with the turn and retried in the background, even if the turn cannot be stored.
         """
--- a/dewpin/dataplane/programs/quorum_round.py
+++ b/dewpin/dataplane/programs/quorum_round.py
@@ -84,6 +84,14 @@
         self._awaited = set(preferred)
         self._send(first)
 
+    def ask_again(self, member: str, request: SenderRequest) -> None:
+        """Send a further request to a member that has replied."""
+        self._send({member: request})
+
+    def give_up_on(self, member: str) -> None:
+        """Ask the deferred members at once: the reply of `member` does not count for a quorum."""
+        self._ask_deferred()
+
     async def next_reply(self) -> ReplicaReply[Content]:
         """Wait for the next reply. Raises StaleViewError once a newer view is known."""
         if self._deferred and self.replica_round.unanswered:
--- a/dewpin/dataplane/programs/store_client.py
+++ b/dewpin/dataplane/programs/store_client.py
@@ -17,7 +17,8 @@
 from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import StoreView
 from dewpin.dataplane.programs.errors import StoreUnavailableError
-from dewpin.dataplane.programs.history_cache import CachedTurn, HistoryCache
+from dewpin.dataplane.programs.history import History
+from dewpin.dataplane.programs.history_cache import HistoryCache
 from dewpin.dataplane.programs.ledger import Ledger
 from dewpin.dataplane.programs.ledger_client import LedgerClient
 from dewpin.dataplane.programs.program_store import Reservation, Settlement, Turn, TurnStart
@@ -84,8 +85,8 @@
         """Read the program's ledger from a majority, without a time-out."""
         return await self._ledgers.read(program)
 
-    async def read_history(self, program: str, previous_id: str, timeout_s: float) -> bytes:
-        """Return the conversation up to turn `previous_id`. Raises TurnNotFoundError or StoreUnavailableError."""
+    async def read_history(self, program: str, previous_id: str, timeout_s: float) -> History:
+        """Return the history up to turn `previous_id`. Raises TurnNotFoundError or StoreUnavailableError."""
         return await run_with_timeout(self._turns.read_history(program, previous_id), timeout_s)
 
     async def begin_turn(
@@ -106,12 +107,15 @@
             raise
 
     async def store_turn(self, turn: Turn, timeout_s: float, settlement: Settlement | None = None) -> None:
-        """Store a turn durably, and settle its reservation with it or later. Raises StoreUnavailableError."""
+        """Store a turn and its history durably; settle its reservation with it or later.
+
+        Raises StoreUnavailableError.
+        """
         retain_ms = int(turn.retain_s * 1000)
         record = TurnRecord(turn.id, turn.program, turn.previous_id, retain_ms, turn.input, turn.output)
         async with self._ledgers.piggybacked_settlement(settlement) as ballot:
-            await run_with_timeout(self._turns.put(turn.program, [record], ballot), timeout_s)
-        self.cache.put(turn.program, turn.id, CachedTurn(turn.previous_id, turn.input + turn.output), turn.retain_s)
+            await run_with_timeout(self._turns.put(turn.program, [record], turn.history, ballot), timeout_s)
+        self.cache.put(record, turn.retain_s)
 
     async def wait_until_settled(self) -> None:
         """Wait until no settlement and no other background task is pending."""
@@ -133,8 +137,8 @@
         """Replace a reservation by the tokens used; return immediately."""
         self._loop.call_soon_threadsafe(self._client.settle, reservation, used_tokens)
 
-    def read_history(self, program: str, previous_id: str, timeout_s: float) -> bytes:
-        """Return the conversation up to turn `previous_id`. Raises TurnNotFoundError or StoreUnavailableError."""
+    def read_history(self, program: str, previous_id: str, timeout_s: float) -> History:
+        """Return the history up to turn `previous_id`. Raises TurnNotFoundError or StoreUnavailableError."""
         cached = self._client.cache.complete_history(program, previous_id)
         if cached is not None:
             return cached
--- a/dewpin/dataplane/programs/turns.py
+++ b/dewpin/dataplane/programs/turns.py
@@ -13,6 +13,7 @@
 from dewpin.cluster.errors import ErrorKind, TierError
 from dewpin.dataplane.http11.event_splitter import Event
 from dewpin.dataplane.http11.messages import REQUEST_ID, TOKEN_USAGE, Request
+from dewpin.dataplane.programs.history import EMPTY_HISTORY, History, HistoryTurn
 from dewpin.dataplane.programs.program_store import ProgramStore, Reservation, Settlement, Turn
 
 PROGRAM_HEADER = "program"
@@ -80,6 +81,7 @@
         self._reservation: Reservation | None = None
         self._event_count = 0
         self._output: list[bytes] = []
+        self._previous_turns: tuple[HistoryTurn, ...] = ()
         self.body = request.body
 
     def begin(self, time_left_s: Callable[[], float], is_cut_off: bool = False) -> None:
@@ -90,7 +92,7 @@
         plan = self._plan
         timeout_s = min(CUT_OFF_BEGIN_TIMEOUT_S if is_cut_off else BEGIN_TIMEOUT_S, time_left_s())
         previous_id = plan.previous_id if plan.is_retained else None
-        history = b""
+        history = EMPTY_HISTORY
         if plan.budget is not None and previous_id is not None:
             start = self._store.begin_turn(
                 plan.program, plan.turn_id, plan.max_tokens, plan.budget, previous_id, timeout_s
@@ -100,7 +102,8 @@
             self._reservation = self._store.reserve(plan.program, plan.turn_id, plan.max_tokens, plan.budget, timeout_s)
         elif previous_id is not None:
             history = self._store.read_history(plan.program, previous_id, timeout_s)
-        self.body = history + self._request.body
+        self._previous_turns = history.turns
+        self.body = history.content + self._request.body
 
     def record_event(self, event: Event) -> None:
         """Record an event before it is sent to the client."""
@@ -109,12 +112,16 @@
             self._output.append(event.data or b"")
 
     def store(self, timeout_s: float) -> None:
-        """Store the turn, whose response must be complete. Raises StoreUnavailableError if it may not be durable."""
+        """Store the turn, whose response must be complete, and its history.
+
+        Raises StoreUnavailableError if they may not be durable.
+        """
         plan = self._plan
         if not plan.is_retained:
             return
         output = b"".join(data + b"\n" for data in self._output)
-        turn = Turn(plan.turn_id, plan.program, plan.previous_id, self._request.body, output, plan.retain_s)
+        history = History(self._previous_turns, self.body) if self._previous_turns else EMPTY_HISTORY
+        turn = Turn(plan.turn_id, plan.program, plan.previous_id, self._request.body, output, plan.retain_s, history)
         self._store.store_turn(turn, max(MIN_STORE_TIMEOUT_S, timeout_s), self._claim_settlement())
 
     def settle(self) -> None:
--- a/tests/cluster/test_store_requests.py
+++ b/tests/cluster/test_store_requests.py
@@ -72,6 +72,7 @@
     *[(HistoryPage, ("foreign",), value) for value in (None, "t1", [1], {})],
     *[(PutTurnsReply, ("type",), value) for value in (None, "turn.links", 5)],
     *[(PutTurnsReply, ("reply",), value) for value in (5, "x", [], True)],
+    *[(PutTurnsReply, ("missing",), value) for value in (5, [], {}, True)],
 ]
 VALID_MESSAGES = {
     PutTurnsRequest: PutTurnsRequest((TURN,)).fields,
@@ -112,6 +113,12 @@
 def test_replies_have_recorded_form():
     assert PutTurnsReply().encode() == {"type": "turn.stored"}
     assert PutTurnsReply.decode({"type": "turn.stored"}) == PutTurnsReply()
+
+
+def test_put_turns_reply_names_the_missing_turn():
+    message = PutTurnsReply(missing_turn="t").encode()
+    assert message == {"type": "turn.stored", "missing": "t"}
+    assert PutTurnsReply.decode(message) == PutTurnsReply(None, "t")
     assert HistoryPage.from_json(json.loads(json.dumps(PAGE.to_json()))) == PAGE
 
 
--- a/tests/controlplane/test_malformed_requests.py
+++ b/tests/controlplane/test_malformed_requests.py
@@ -99,6 +99,7 @@
         {"type": "ballot.promise"},
         {"type": "turn.stored "},
         {"type": "turn.stored", "reply": {}},
+        {"type": "turn.stored", "missing": 5},
     ],
 )
 def test_malformed_reply_counts_as_missing(answer):
@@ -109,7 +110,7 @@
         for kind in (wire.TURN_PUT, wire.TURN_HISTORY, wire.LEDGER_PREPARE, wire.LEDGER_ACCEPT):
             script_reply(world.machines["c"], kind, answer)
         client = world.client("third")
-        assert await client.read_history("p", "t", 1.0) == b"<t>"
+        assert (await client.read_history("p", "t", 1.0)).content == b"<t>"
         await client.store_turn(turn("u", "t"), 1.0)
         assert await asyncio.wait_for(client.read_ledger("p"), 5.0) == {
             "spent": 0,
--- a/tests/controlplane/test_repeated_requests.py
+++ b/tests/controlplane/test_repeated_requests.py
@@ -132,7 +132,7 @@
         await one.wait_until_settled()
         two.settle(second, 7)
         await two.wait_until_settled()
-        chain = await world.client("three", seed + 2).read_history("p", "t2", 10.0)
+        chain = (await world.client("three", seed + 2).read_history("p", "t2", 10.0)).content
         await repeater.wait_until_done()
         final = await world.client("four", seed + 3).read_ledger("p")
         rows = {
@@ -169,7 +169,7 @@
         world.machines["a"].up = False
         other = world.client("two", seed + 1)
         other.adopt(world.view)
-        chain = await other.read_history("p", "t5", 10.0)
+        chain = (await other.read_history("p", "t5", 10.0)).content
         final = await other.read_ledger("p")
         await repeater.wait_until_done()
         return chain, final
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -6,7 +6,7 @@
 
 import pytest
 from scripted.clock import run
-from scripted.stores import World, turn
+from scripted.stores import World, take_turn, turn
 
 from dewpin.cluster import store_messages as wire
 from dewpin.cluster.rpc import RpcError
@@ -119,7 +119,7 @@
         for number in range(9):
             await client.store_turn(turn(f"t{number}", previous), 1.0)
             previous = f"t{number}"
-        return await world.client("two").read_history("p", previous, 1.0)
+        return (await world.client("two").read_history("p", previous, 1.0)).content
 
     assert run(scene()) == b"".join(b"<t%d>" % number for number in range(9))
 
@@ -134,7 +134,7 @@
         await client.store_turn(turn("t2", "t1", retain_s=10.0), 1.0)
         world.clock_ms += 9_000 + RETENTION_MARGIN_MS
         await store.purge_batch()
-        assert await world.client("other").read_history("p", "t2", 1.0) == b"<t1><t2>"
+        assert (await world.client("other").read_history("p", "t2", 1.0)).content == b"<t1><t2>"
         world.clock_ms += 2_000
         purged_counts = [await store.purge_batch() for _ in range(3)]
         assert turns_of(world.machines["a"]) == set()
@@ -222,7 +222,7 @@
         for number in range(30):
             program = f"p{number}"
             expected = f"<a{program}><b{program}>".encode()
-            assert await other.read_history(program, "b" + program, 1.0) == expected
+            assert (await other.read_history(program, "b" + program, 1.0)).content == expected
             with pytest.raises(BudgetExceededError):
                 await other.reserve(program, "u", 60, 100, 1.0)
             await other.reserve(program, "u", 40, 100, 1.0)
@@ -242,7 +242,7 @@
         await change_view(world, "abc")
         assert [turns_of(machine) for machine in world.machines.values()] == [{"t1"}] * 3
         world.machines["c"].up = False
-        assert await world.client("other").read_history("p", "t1", 1.0) == b"<t1>"
+        assert (await world.client("other").read_history("p", "t1", 1.0)).content == b"<t1>"
 
     run(scene())
 
@@ -317,7 +317,7 @@
             while not stop.is_set():
                 name = f"{program}.{step}"
                 step += 1
-                await client.store_turn(turn(name, previous, program), 5.0)
+                await take_turn(client, turn(name, previous, program), 5.0)
                 stored.append((program, name))
                 previous = name
                 try:
@@ -343,7 +343,7 @@
         world.machines["ade"[seed % 3]].up = False
         reader = world.client("reader", seed=seed)
         for program, name in stored:
-            assert (await reader.read_history(program, name, 2.0)).endswith(f"<{name}>".encode())
+            assert (await reader.read_history(program, name, 2.0)).content.endswith(f"<{name}>".encode())
         spent = sum(granted.values())
         assert spent <= 700
         remaining = 700 - spent
@@ -432,7 +432,7 @@
 
     with caplog.at_level(logging.DEBUG, "dewpin.controlplane.store"):
         run(scene())
-    taken = [(line.turn, line.missing_ancestor) for line in caplog.records if line.message == "store.turn_stored"]
+    taken = [(*line.turns, line.missing) for line in caplog.records if line.message == "store.turns_stored"]
     deleted = [sorted(line.turns) for line in caplog.records if line.message == "store.turns_deleted"]
     assert taken == [("t1", None), ("t3", "t2")]
     assert deleted == [["t1", "t3"]]
--- a/tests/controlplane/test_store_faults.py
+++ b/tests/controlplane/test_store_faults.py
@@ -131,7 +131,7 @@
     for program, name, previous in outcomes.stored:
         bodies[name] = bodies[previous] + name.encode() + b";"
     for program, name, _ in outcomes.stored[-40:] + outcomes.stored[::10]:
-        assert await reader.read_history(program, name, 2.0) == bodies[name]
+        assert (await reader.read_history(program, name, 2.0)).content == bodies[name]
     value = await reader.read_ledger("shared")
     assert sum(outcomes.granted.values()) <= ledger.committed_tokens(value) <= BUDGET
     assert len(outcomes.stored) > 20
--- a/tests/controlplane/test_store_leaving.py
+++ b/tests/controlplane/test_store_leaving.py
@@ -50,7 +50,7 @@
 async def is_readable(world, program, name):
     reader = world.client("reader")
     try:
-        return await reader.read_history(program, name, 2.0) == f"<{name}>".encode()
+        return (await reader.read_history(program, name, 2.0)).content == f"<{name}>".encode()
     except (TurnNotFoundError, StoreUnavailableError):
         return False
     finally:
--- a/tests/dataplane/peers.py
+++ b/tests/dataplane/peers.py
@@ -12,8 +12,10 @@
 
 from dewpin.cluster.configuration import Configuration, parse_configuration
 from dewpin.cluster.receivers import Receiver
+from dewpin.cluster.store_messages import TurnRecord
 from dewpin.dataplane.http11.messages import Client, Headers, Request
 from dewpin.dataplane.programs.errors import BudgetExceededError, StoreUnavailableError, TurnNotFoundError
+from dewpin.dataplane.programs.history import History
 from dewpin.dataplane.programs.program_store import (
     Reservation,
     Settlement,
@@ -308,13 +310,18 @@
         self.spent[reservation.program] += used_tokens - reservation.max_tokens
         self.settled.append((reservation.turn_id, used_tokens))
 
-    def read_history(self, program: str, previous_id: str, timeout_s: float) -> bytes:
+    def read_history(self, program: str, previous_id: str, timeout_s: float) -> History:
         self._check("read_history")
-        turn = self.turns.get(previous_id)
-        if turn is None or turn.program != program:
-            raise TurnNotFoundError
-        earlier = self.read_history(program, turn.previous_id, timeout_s) if turn.previous_id is not None else b""
-        return earlier + turn.input + turn.output
+        records: list[TurnRecord] = []
+        next_id: str | None = previous_id
+        while next_id is not None:
+            turn = self.turns.get(next_id)
+            if turn is None or turn.program != program:
+                raise TurnNotFoundError
+            retain_ms = int(turn.retain_s * 1000)
+            records.append(TurnRecord(turn.id, program, turn.previous_id, retain_ms, turn.input, turn.output))
+            next_id = turn.previous_id
+        return History.of(reversed(records))
 
     def begin_turn(
         self, program: str, turn_id: str, max_tokens: int, budget: int, previous_id: str, timeout_s: float
--- a/tests/dataplane/test_program_continuation.py
+++ b/tests/dataplane/test_program_continuation.py
@@ -36,7 +36,7 @@
         await after.reserve("p", "t4", 40, BUDGET, 1.0)
         with pytest.raises(BudgetExceededError):
             await after.reserve("p", "t5", 1, BUDGET, 1.0)
-        return await after.read_history("p", "t2", 1.0)
+        return (await after.read_history("p", "t2", 1.0)).content
 
     assert run(scenario()) == b"<t1><t2>"
 
--- a/tests/dataplane/test_request_handler.py
+++ b/tests/dataplane/test_request_handler.py
@@ -19,6 +19,7 @@
 )
 from dataplane.request_handler_harness import RequestHandlerHarness, header, read
 
+from dewpin.dataplane.programs.history import History, HistoryTurn
 from dewpin.dataplane.programs.program_store import Turn
 
 FAILURES = [reset, close, full_response(b"no", "500 Internal Server Error", signed=False)]
@@ -248,6 +249,7 @@
 def test_turn_is_sent_with_its_history_then_stored_and_settled():
     store = MemoryStore()
     store.turns["t-1"] = Turn("t-1", "p", None, b"first", b"answer\n", 60.0)
+    history = History((HistoryTurn("t-1", 60_000, len(b"first"), len(b"answer\n")),), b"firstanswer\ninput")
     peer = ScriptedReceiver(stream(event(1, "a"), event(2, "b")))
     with receivers(peer) as listed:
         harness = RequestHandlerHarness(listed, store, kind="stream", retained=True)
@@ -256,7 +258,7 @@
     assert received.body == b"firstanswer\ninput"
     assert received.headers["content-length"] == str(len(received.body))
     assert received.headers["previous"] == "t-1"
-    assert store.turns["r-1"] == Turn("r-1", "p", "t-1", b"input", b"a\nb\n", 60.0)
+    assert store.turns["r-1"] == Turn("r-1", "p", "t-1", b"input", b"a\nb\n", 60.0, history)
     assert store.settled == [("r-1", 20)]
 
 
--- a/tests/dataplane/test_store_client.py
+++ b/tests/dataplane/test_store_client.py
@@ -8,10 +8,11 @@
 from scripted.clock import run
 from scripted.stores import World, turn
 
+from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import StoreView
 from dewpin.dataplane.programs import store_client
 from dewpin.dataplane.programs.errors import BudgetExceededError, StoreUnavailableError, TurnNotFoundError
-from dewpin.dataplane.programs.history_cache import CachedTurn, HistoryCache
+from dewpin.dataplane.programs.history_cache import HistoryCache
 from dewpin.dataplane.programs.program_store import Reservation, Settlement
 from dewpin.dataplane.programs.quorum_round import MIN_HEDGE_DELAY_S
 from dewpin.dataplane.programs.store_client import BlockingStoreClient, StoreClient
@@ -31,7 +32,7 @@
         await first.store_turn(turn("t1", body=bytes(range(256))), 1.0)
         await second.store_turn(turn("t2", "t1"), 1.0)
         await first.store_turn(turn("t3", "t2"), 1.0)
-        return await second.read_history("p", "t3", 1.0)
+        return (await second.read_history("p", "t3", 1.0)).content
 
     assert run(scenario()) == b"<t1" + bytes(range(256)) + b"><t2><t3>"
 
@@ -42,7 +43,7 @@
         client = world.client()
         await client.store_turn(turn("t1"), 1.0)
         await client.store_turn(turn("t2", "t1"), 1.0)
-        history = await client.read_history("p", "t2", 1.0)
+        history = (await client.read_history("p", "t2", 1.0)).content
         return history, [kind for machine in world.machines.values() for kind in machine.received_types]
 
     history, seen = run(scenario())
@@ -57,9 +58,9 @@
         await client.store_turn(turn("t1"), 1.0)
         await client.store_turn(turn("left", "t1"), 1.0)
         await client.store_turn(turn("right", "t1"), 1.0)
-        return await other.read_history("p", "left", 1.0), await other.read_history("p", "right", 1.0)
+        return [(await other.read_history("p", name, 1.0)).content for name in ("left", "right")]
 
-    assert run(scenario()) == (b"<t1><left>", b"<t1><right>")
+    assert run(scenario()) == [b"<t1><left>", b"<t1><right>"]
 
 
 @pytest.mark.parametrize("fault", ["up", "frozen", "loses_answers"])
@@ -73,7 +74,7 @@
         await client.store_turn(turn("t1"), 1.0)
         write_s = now_s() - started_s
         started_s = now_s()
-        assert await reader.read_history("p", "t1", 1.0) == b"<t1>"
+        assert (await reader.read_history("p", "t1", 1.0)).content == b"<t1>"
         return write_s, now_s() - started_s
 
     write_s, read_s = run(scenario())
@@ -139,7 +140,7 @@
         world = World(names="abcde", losses=2)
         writer, reader = world.client("one"), world.client("two")
         await writer.store_turn(turn("t1"), 1.0)
-        assert await reader.read_history("p", "t1", 1.0) == b"<t1>"
+        assert (await reader.read_history("p", "t1", 1.0)).content == b"<t1>"
         return sum(machine.received_types.count("turn.chain") for machine in world.machines.values())
 
     assert run(scenario()) == 1
@@ -163,7 +164,7 @@
         world = World()
         world.machines["a"].dropped_types = {"turn.put"}
         await world.client("one").store_turn(turn("t1"), 1.0)
-        histories = {await world.client("two", seed).read_history("p", "t1", 1.0) for seed in range(10)}
+        histories = {(await world.client("two", seed).read_history("p", "t1", 1.0)).content for seed in range(10)}
         return histories, "turn.chain" in world.machines["a"].received_types
 
     assert run(scenario()) == ({b"<t1>"}, True)
@@ -178,7 +179,7 @@
         await writer.store_turn(turn("t2", "t1"), 1.0)
         world.machines["a"].dropped_types = set()
         await writer.store_turn(turn("t3", "t2"), 1.0)
-        return await world.client("two").read_history("p", "t3", 1.0)
+        return (await world.client("two").read_history("p", "t3", 1.0)).content
 
     assert run(scenario()) == b"<t1><t2><t3>"
 
@@ -243,7 +244,7 @@
             ),
         )
         await writer.store_turn(turn("t1", program=old_program), 1.0)
-        history = await reader.read_history(new_program, "t1", 1.0)
+        history = (await reader.read_history(new_program, "t1", 1.0)).content
         holders = [
             machine.store.member_id
             for machine in world.machines.values()
@@ -293,7 +294,7 @@
         client = world.client()
         world.announce_view(StoreView(2, world.view.stable))
         await client.store_turn(turn("t1"), 1.0)
-        return await client.read_history("p", "t1", 1.0)
+        return (await client.read_history("p", "t1", 1.0)).content
 
     assert run(scenario()) == b"<t1>"
 
@@ -328,7 +329,7 @@
         with pytest.raises(StoreUnavailableError):
             await world.client("two").read_history("p", "t1", 1.0)
         world.machines["c"].frozen = False
-        return await world.client("two").read_history("p", "t1", 1.0)
+        return (await world.client("two").read_history("p", "t1", 1.0)).content
 
     assert run(scenario()) == b"<t1>"
 
@@ -370,7 +371,7 @@
             store.reserve("p", "t2", 1, 10, 5.0)
         store.store_turn(turn("t1"), 5.0)
         store.settle(reservation, 5)
-        assert store.read_history("p", "t1", 5.0) == b"<t1>"
+        assert store.read_history("p", "t1", 5.0).content == b"<t1>"
         with pytest.raises(TurnNotFoundError):
             store.read_history("p", "never", 5.0)
         assert store.reserve("p", "t3", 5, 10, 5.0).max_tokens == 5
@@ -384,9 +385,9 @@
     clock = [0.0]
     cache = HistoryCache(max_bytes=3000, clock_s=lambda: clock[0])
     for number in range(10):
-        cache.put("p", f"t{number}", CachedTurn(None, b"x" * 500), 10.0)
+        cache.put(TurnRecord(f"t{number}", "p", None, 60_000, b"x" * 400, b"y" * 100), 10.0)
     assert cache.get("p", "t0") is None
-    assert cache.complete_history("p", "t9") == b"x" * 500
+    assert cache.complete_history("p", "t9").content == b"x" * 400 + b"y" * 100
     clock[0] = 10.0
     assert cache.get("p", "t9") is None
 
@@ -404,7 +405,7 @@
         took_s = now_s() - started_s
         started_s = now_s()
         await world.client("three").reserve("q", "t", 10, 100, 1.0)
-        return start.history, start.reservation.max_tokens, took_s, now_s() - started_s
+        return start.history.content, start.reservation.max_tokens, took_s, now_s() - started_s
 
     history, max_tokens, begin_s, reserve_s = run(scenario())
     assert (history, max_tokens) == (b"<t1>", 10)
--- a/tests/dataplane/test_store_client_budgets.py
+++ b/tests/dataplane/test_store_client_budgets.py
@@ -282,7 +282,7 @@
         await client.wait_until_settled()
         reader = world.client("reader")
         assert await reader.read_ledger("p") == {"spent": 7, "open": {}}
-        assert await reader.read_history("p", "t1", 1.0) == b"<t1>"
+        assert (await reader.read_history("p", "t1", 1.0)).content == b"<t1>"
 
     run(scenario())
 
--- a/tests/golden/tier_api.py
+++ b/tests/golden/tier_api.py
@@ -676,16 +676,16 @@
 async def _write_turns(machine: _Machine) -> None:
     """Write chains of two programs that share turns, a turn put twice, and an expired turn with a successor."""
 
-    async def put_turns(*turns: Json) -> None:
+    async def put_turns(*turns: Json, missing: str | None = None) -> None:
         reply = await machine.call_store("turn.put", _STABLE_VIEW, turns=list(turns))
-        assert reply == {"type": "turn.stored"}
+        assert reply == {"type": "turn.stored", **({} if missing is None else {"missing": missing})}
 
     await put_turns(_turn("t-0", "p-1", None, 10), _turn("t-gone", "p-1", None, 10))
     machine.now_ms += 60_000
     await put_turns(_turn("t-1", "p-1", "t-0", 20 * DAY_MS), _turn("t-2", "p-1", "t-1", 60_000, "\x00\u00e4"))
-    await put_turns(_turn("t-2", "p-2", "t-1", 5 * DAY_MS), _turn("t-3", "p-2", "t-2", 5 * DAY_MS, ""))
+    await put_turns(_turn("t-2", "p-2", "t-1", 5 * DAY_MS), _turn("t-3", "p-2", "t-2", 5 * DAY_MS, ""), missing="t-1")
     machine.now_ms += 1
-    await put_turns(_turn("t-1", "p-1", "t-0", 1), _turn("t-3", "p-2", "t-2", 6 * DAY_MS, "another"))
+    await put_turns(_turn("t-1", "p-1", "t-0", 1), _turn("t-3", "p-2", "t-2", 6 * DAY_MS, "another"), missing="t-1")
 
 
 async def _write_ledgers(machine: _Machine) -> None:
@@ -1090,12 +1090,12 @@
     await step("append and settle", first.store_turn(turn("t-1", None), TIMEOUT_S, Settlement(reserved, 15)))
     started = await step("begin at another sender", second.begin_turn("p-1", "t-2", 30, 100, "t-1", TIMEOUT_S))
     reservation, chain = (getattr(started, field.name) for field in fields(started))
-    transcript["begin at another sender"]["chain"] = chain.decode("latin-1")
+    transcript["begin at another sender"]["chain"] = chain.content.decode("latin-1")
     await step("append", second.store_turn(turn("t-2", "t-1"), TIMEOUT_S))
     await step("reserve too much", first.reserve("p-1", "t-3", 90, 100, TIMEOUT_S))
     await step("chain of unknown turn", first.read_history("p-1", "t-9", TIMEOUT_S))
     chain = await step("chain", _store_client(store, "sender-c").read_history("p-1", "t-2", TIMEOUT_S))
-    transcript["chain"]["chain"] = chain.decode("latin-1")
+    transcript["chain"]["chain"] = chain.content.decode("latin-1")
     await step("settle behind", _settle(second, reservation))
     ledger = await step("read of the ledger", first.read_ledger("p-1"))
     transcript["read of the ledger"]["ledger"] = ledger
--- a/tests/scripted/stores.py
+++ b/tests/scripted/stores.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from dewpin.cluster.rpc import RpcError
 from dewpin.cluster.store_view import Member, StoreView
@@ -19,6 +20,14 @@
     return Turn(name, program, previous, b"<" + name.encode() + body, b">", retain_s)
 
 
+async def take_turn(client, next_turn, timeout_s):
+    """Read the history that a turn continues, as before its request is forwarded, and then store the turn."""
+    if next_turn.previous_id is not None:
+        history = await client.read_history(next_turn.program, next_turn.previous_id, timeout_s)
+        next_turn = replace(next_turn, history=history)
+    await client.store_turn(next_turn, timeout_s)
+
+
 def all_turns(machine):
     """Return all turns of a store."""
     connection = machine.disk.connection
@@ -135,11 +144,12 @@
         stable = tuple(Member(member.id, member.address, locations[member.address[0]]) for member in self.view.stable)
         self.announce_view(StoreView(self.view.epoch + 1, stable, None))
 
-    def client(self, name="sender", seed=1, location=""):
+    def client(self, name="sender", seed=1, location="", cache=None):
         client = StoreClient(
             self.link(name),
             self.count,
             random.Random(seed),
+            cache,
             proposer_id=name,
             wall_clock_ms=lambda: self.clock_ms,
             location=location,
--- a/tests/simulation/clients.py
+++ b/tests/simulation/clients.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from dewpin.cluster.errors import TierError
+from dewpin.dataplane.programs.history import EMPTY_HISTORY
 from dewpin.dataplane.programs.history_cache import HistoryCache
 from dewpin.dataplane.programs.program_store import Settlement, Turn
 
@@ -132,7 +133,7 @@
         store = front.store_client
         open_s = OPEN_TIMEOUT_S if front.agent.has_control_plane_contact else CUT_OFF_OPEN_TIMEOUT_S
         try:
-            reservation = await self._reserve(store, program, turn, previous, open_s)
+            reservation, history = await self._reserve(store, program, turn, previous, open_s)
         except TierError as error:
             return error.kind.value, 0, b""
         settlement = Settlement(reservation, 0)
@@ -141,7 +142,7 @@
             used = self.rng.randint(1, program.max_tokens)
             self.oracle.tokens_emitted(program, turn, used)
             input_text, answer = f"[{turn}?]".encode(), f"[{turn}!{'y' * used}]".encode()
-            kept = Turn(turn, program.name, previous, input_text, answer, RETAIN_S)
+            kept = Turn(turn, program.name, previous, input_text, answer, RETAIN_S, history)
             settlement, carried = None, Settlement(reservation, used)
             await store.store_turn(kept, KEEP_TIMEOUT_S, carried)
         except TierError as error:
@@ -152,8 +153,9 @@
         return "done", used, input_text + answer
 
     async def _reserve(self, store, program, turn, previous, open_s):
-        """Reserve tokens for the turn and read the history that it continues. Returns the reservation."""
-        cached = b"" if previous is None else store.cache.complete_history(program.name, previous)
+        """Reserve tokens for the turn and read the history that it continues. Returns the reservation
+        and the history."""
+        cached = EMPTY_HISTORY if previous is None else store.cache.complete_history(program.name, previous)
         if cached is not None:
             reservation, history = (
                 await store.reserve(program.name, turn, program.max_tokens, program.budget, open_s),
@@ -163,8 +165,8 @@
             start = await store.begin_turn(program.name, turn, program.max_tokens, program.budget, previous, open_s)
             reservation, history = start.reservation, start.history
         if previous is not None:
-            self.oracle.history_read(program, previous, history)
-        return reservation
+            self.oracle.history_read(program, previous, history.content)
+        return reservation, history
 
     # Checks after the run
 
@@ -182,7 +184,7 @@
             await asyncio.wait({task})
             error = task.exception()
             if error is None:
-                self.oracle.history_read(program, turn, task.result())
+                self.oracle.history_read(program, turn, task.result().content)
                 self.oracle.statistics["chains_read"] += 1
                 return
             if not isinstance(error, TierError):
--- a/tests/simulation/wrong_variants.py
+++ b/tests/simulation/wrong_variants.py
@@ -25,7 +25,7 @@
 from dewpin.controlplane.store.replica_sync import StoreSync
 from dewpin.controlplane.store.view_guard import ViewGuard
 from dewpin.dataplane.membership.cluster_knowledge import ClusterKnowledge
-from dewpin.dataplane.programs import ledger, turn_client
+from dewpin.dataplane.programs import ledger, turn_write
 
 from .__main__ import reexec_with_fixed_hash_seed
 from .disk import Disk
@@ -183,13 +183,13 @@
 
 
 def _write_a_turn_to_one_replica():
-    original_has_majorities = turn_client.has_majorities
+    original_has_majorities = turn_write.has_majorities
 
     def is_stored_anywhere(sets, stored):
         _record_deviation(stored and not original_has_majorities(sets, stored))
         return bool(stored)
 
-    turn_client.has_majorities = is_stored_anywhere
+    turn_write.has_majorities = is_stored_anywhere
 
 
 def _believe_one_store_that_denies_a_turn():
