A store deletes no turns while turns are copied to it

What callers would have seen: 503 for good in a conversation older than its retention, after a store has lost its disk and then the next one, more than catch_up_s later.

Cause: a copy brings turns in the order of their keys, with the retention left at the source, which is below zero for the older turns of a long conversation. The new store deleted each expired turn whose successor had not arrived yet; the copy counted it as done.

Change: purge leaves turns alone while a copy for a view change runs at the store.

Why it works: nothing is judged by what is only half there; when the copy has ended, each turn has its successors beside it. A turn deleted just before the copy began is read again by it.

--- a/dewpin/controlplane/store/replica_sync.py
+++ b/dewpin/controlplane/store/replica_sync.py
@@ -47,7 +47,8 @@
 
     async def _run(self, view: StoreView) -> None:
         if view.next is not None and self._store.member_id in view.next_ids:
-            await ViewCopy(self._store, self._rpc, view).run()
+            with self._store.turns_kept():
+                await ViewCopy(self._store, self._rpc, view).run()
         self._on_synced(view.epoch)
 
 
--- a/dewpin/controlplane/store/store.py
+++ b/dewpin/controlplane/store/store.py
@@ -6,7 +6,8 @@
 import logging
 import sqlite3
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 from dewpin.cluster.rpc import Message
 from dewpin.cluster.store_view import StoreView
@@ -58,6 +59,7 @@
         self.storage = storage
         self._wall_clock_ms = wall_clock_ms
         self._longest_retain_s: float | None = None
+        self._copies_in_progress = 0
         self._guard = ViewGuard(storage, member_id, replica_count, on_view)
         self.handlers: dict[str, Callable[[Message], Awaitable[Message]]] = {
             **SenderHandlers(self._guard, self.now_ms).handlers,
@@ -89,6 +91,18 @@
         """Set the longest `retain_s` of the newest configuration, effective from the next purge."""
         self._longest_retain_s = longest_retain_s
 
+    @contextmanager
+    def turns_kept(self) -> Iterator[None]:
+        """Delete no turns during the block, in which turns are copied to this store in any order.
+
+        Until its successors have arrived, an expired turn looks as if no turn continued it.
+        """
+        self._copies_in_progress += 1
+        try:
+            yield
+        finally:
+            self._copies_in_progress -= 1
+
     async def purge_forever(self) -> None:
         """Delete expired turns and idle ledgers in small batches until cancelled."""
         while True:
@@ -101,12 +115,14 @@
     async def purge_batch(self) -> int:
         """Delete up to PURGE_BATCH_SIZE turns and as many ledgers; return the number deleted. Raises StorageError.
 
-        No ledger is deleted before a configuration has set the retention.
+        No ledger is deleted before a configuration has set the retention, and no turn while turns are copied to this
+        store.
         """
         now_ms, longest_retain_s = self.now_ms(), self._longest_retain_s
+        max_turns = 0 if self._copies_in_progress else PURGE_BATCH_SIZE
 
         def work(connection: sqlite3.Connection) -> tuple[list[TurnKey], int]:
-            turns = turn_table.purge(connection, now_ms, PURGE_BATCH_SIZE)
+            turns = turn_table.purge(connection, now_ms, max_turns)
             retention = ledger_retention.update(connection, longest_retain_s, now_ms)
             if retention is None:
                 return turns, 0
--- a/tests/controlplane/test_conversation_retention.py
+++ b/tests/controlplane/test_conversation_retention.py
@@ -1,5 +1,6 @@
 """Conversations that last longer than the retention of their turns: kept whole while they go on, deleted afterwards."""
 
+import asyncio
 import math
 from dataclasses import replace
 
@@ -7,6 +8,7 @@
 from scripted.clock import run
 from scripted.stores import World, take_turn, turn
 
+from dewpin.cluster.store_view import StoreView
 from dewpin.controlplane.store.sender_handlers import RETENTION_MARGIN_MS
 from dewpin.dataplane.programs.errors import StoreUnavailableError, TurnNotFoundError
 from dewpin.dataplane.programs.history_cache import HistoryCache
@@ -269,3 +271,82 @@
     requests, stores = run(scenario())
     assert requests <= 2 + math.log2(turns + 1)
     assert stores == {"a", "b"}
+
+
+# Changes of the store view
+
+
+async def purge_forever(world):
+    """Purge all stores far more often than they do by themselves."""
+    while True:
+        await asyncio.sleep(0.0005)
+        await purge(world)
+
+
+async def replace_by_empty_store(world, name):
+    """Let a store lose its disk; wait until the view change that follows has ended."""
+    world.machines[name].start_empty()
+    changing = StoreView(world.view.epoch + 1, world.view.stable, world.members("abc"))
+    world.announce_view(changing)
+    await world.until(lambda: all(changing.epoch in machine.synced for machine in world.machines.values()))
+    world.announce_view(StoreView(changing.epoch + 1, world.members("abc")))
+
+
+@pytest.fixture
+def slow_copies(monkeypatch):
+    """Copies take a request and a transaction for each turn."""
+    monkeypatch.setattr("dewpin.controlplane.store.turn_copy.TURNS_PER_REQUEST", 1)
+
+
+@pytest.mark.parametrize("wiped", "abc")
+def test_copy_to_a_new_store_keeps_expired_turns_that_are_still_continued(wiped, slow_copies):
+    """Guards against a new store that deletes expired turns whose successors it has not copied yet."""
+
+    async def scenario():
+        world = zoned_world()
+        await converse(world)
+        purging = asyncio.ensure_future(purge_forever(world))
+        await replace_by_empty_store(world, wiped)
+        purging.cancel()
+        return complete_stores(world, f"t{LAST_TURN}")
+
+    assert wiped in run(scenario())
+
+
+@pytest.mark.parametrize("first", "abc")
+def test_conversation_survives_one_loss_after_the_other(first, slow_copies):
+    """Guards against a history that a copy has left incomplete: it is lost with the next store."""
+
+    async def scenario():
+        world = zoned_world()
+        await converse(world)
+        purging = asyncio.ensure_future(purge_forever(world))
+        for name in sorted("abc", key=lambda name: name != first):
+            await replace_by_empty_store(world, name)
+        purging.cancel()
+        return await read(world, f"t{LAST_TURN}")
+
+    assert run(scenario()) == EVERY_TURN
+
+
+def test_store_purges_again_after_a_copy_that_was_replaced_by_another(slow_copies):
+    """Guards against a store that keeps expired turns for ever after a copy was cancelled."""
+
+    async def scenario():
+        world = zoned_world()
+        await converse(world, last_turn=3)
+        world.machines["a"].start_empty()
+        for name in "bc":
+            world.machines[name].frozen = True
+        world.announce_view(StoreView(world.view.epoch + 1, world.view.stable, world.members("abc")), names="a")
+        await asyncio.sleep(1.0)
+        for name in "bc":
+            world.machines[name].frozen = False
+        await replace_by_empty_store(world, "a")
+        world.clock_ms += int(RETAIN_S * 1000) + RETENTION_MARGIN_MS + 1
+        await purge(world)
+        return [
+            machine.disk.connection.execute("SELECT turn FROM turns").fetchall() for machine in world.machines.values()
+        ]
+
+    assert run(scenario()) == [[], [], []]
