An ended history is deleted in whole batches, not by one turn a second

What callers saw: nothing; the stores kept an ended conversation for a second per turn beyond its retention.

Cause: a history is deleted from its end, and a batch (one a second) looked for ends only once.

Why it works: a turn that nothing continues is an end, whenever it became one; the condition of each deletion is unchanged.

--- a/dewpin/controlplane/store/turn_table.py
+++ b/dewpin/controlplane/store/turn_table.py
@@ -203,16 +203,40 @@
 
 
 def purge(connection: sqlite3.Connection, now_ms: int, limit: int) -> list[TurnKey]:
-    """Delete up to `limit` expired turns that no other turn continues; return their keys."""
-    rows: list[TurnKey] = connection.execute(
-        "DELETE FROM turns WHERE (turn, program) IN (SELECT turn, program FROM turns AS old WHERE expires_ms < ?"
-        " AND NOT EXISTS (SELECT 1 FROM turns AS child WHERE child.previous = old.turn)"
-        " ORDER BY expires_ms LIMIT ?) RETURNING turn, program",
+    """Delete up to `limit` expired turns that no other turn continues, each history from its end; return their keys."""
+    deleted: list[TurnKey] = []
+    ends: list[TurnKey] = connection.execute(
+        "SELECT turn, program FROM turns AS old WHERE expires_ms < ?"
+        " AND NOT EXISTS (SELECT 1 FROM turns AS child WHERE child.previous = old.turn) ORDER BY expires_ms LIMIT ?",
         (now_ms, limit),
     ).fetchall()
-    for turn, _ in rows:
+    while ends:
+        previous_turns = _delete(connection, ends)
+        deleted += ends
+        ends = _expired_ends(connection, previous_turns, now_ms, limit - len(deleted))
+    return deleted
+
+
+def _delete(connection: sqlite3.Connection, keys: Sequence[TurnKey]) -> list[str]:
+    """Delete turns, and their bodies unless another program holds them; return the ids of the turns they continued."""
+    previous_turns: list[str] = []
+    for turn, program in keys:
+        (previous,) = connection.execute(
+            "DELETE FROM turns WHERE turn = ? AND program = ? RETURNING previous", (turn, program)
+        ).fetchone()
         connection.execute(
             "DELETE FROM turn_bodies WHERE turn = ? AND NOT EXISTS (SELECT 1 FROM turns WHERE turns.turn = ?)",
             (turn, turn),
         )
-    return rows
+        if previous is not None:
+            previous_turns.append(previous)
+    return previous_turns
+
+
+def _expired_ends(connection: sqlite3.Connection, turns: Sequence[str], now_ms: int, limit: int) -> list[TurnKey]:
+    """Return the keys of those `turns`, of any program, that have expired and that no other turn continues."""
+    return connection.execute(
+        "SELECT turn, program FROM turns AS old WHERE turn IN (SELECT value FROM json_each(?)) AND expires_ms < ?"
+        " AND NOT EXISTS (SELECT 1 FROM turns AS child WHERE child.previous = old.turn) LIMIT ?",
+        (json.dumps(turns), now_ms, limit),
+    ).fetchall()
