--- a/tests/controlplane/test_conversation_retention.py
+++ b/tests/controlplane/test_conversation_retention.py
@@ -28,6 +28,22 @@
     return world
 
 
+async def take_turn_or_fail(client, next_turn, timeout_s):
+    """Take a turn; the test fails if its history cannot be read or the turn cannot be stored."""
+    try:
+        await take_turn(client, next_turn, timeout_s)
+    except StoreUnavailableError as error:
+        pytest.fail(f"{next_turn.id} was not served: {error}")
+
+
+async def read(world, last_turn, program="p"):
+    """Read a history through a sender that has cached nothing; the test fails if it is incomplete."""
+    try:
+        return (await world.client("reader").read_history(program, last_turn, 1.0)).content
+    except StoreUnavailableError as error:
+        pytest.fail(f"{last_turn} cannot be continued: {error}")
+
+
 async def purge(world):
     for machine in world.machines.values():
         if machine.up:
@@ -50,7 +66,7 @@
         before_turn(number)
         previous = f"t{number - 1}" if number > 1 else None
         sender = senders[number % len(senders)]
-        await take_turn(sender, turn(f"t{number}", previous, retain_s=RETAIN_S), 1.0)
+        await take_turn_or_fail(sender, turn(f"t{number}", previous, retain_s=RETAIN_S), 1.0)
         await sender.wait_until_settled()
         world.clock_ms += PAUSE_MS
         await purge(world)
@@ -71,11 +87,6 @@
     return complete
 
 
-async def read(world, last_turn, program="p"):
-    """Read a history through a sender that has cached nothing."""
-    return (await world.client("reader").read_history(program, last_turn, 1.0)).content
-
-
 def test_conversation_through_changing_senders_outlives_the_retention_of_its_turns():
     """Guards against the loss of the oldest turns of a live conversation that changing majorities store."""
 
@@ -168,7 +179,10 @@
         world.clock_ms += int(RETAIN_S * 1000) + RETENTION_MARGIN_MS + 1
         await purge(world)
         held = [complete_stores(world, "t5")]
-        await sender.store_turn(replace(turn("t6", "t5"), history=history), 1.0)
+        try:
+            await sender.store_turn(replace(turn("t6", "t5"), history=history), 1.0)
+        except StoreUnavailableError as error:
+            pytest.fail(f"t6 was not stored: {error}")
         return held, complete_stores(world, "t6"), await read(world, "t6")
 
     held, stored, history = run(scenario())
@@ -204,7 +218,7 @@
             if number <= 3:
                 branch = "left"
             name = f"{branch}{number}"
-            await take_turn(senders[number % 3], turn(name, previous[branch], retain_s=RETAIN_S), 1.0)
+            await take_turn_or_fail(senders[number % 3], turn(name, previous[branch], retain_s=RETAIN_S), 1.0)
             previous[branch], expected[branch] = name, expected[branch] + f"<{name}>".encode()
             if number == 3:
                 previous["right"], expected["right"] = name, expected["left"]
@@ -226,7 +240,7 @@
         previous = "t4"
         for number in range(1, LAST_TURN + 1):
             name = f"s{number}"
-            await take_turn(senders[number % 3], turn(name, previous, "sub-agent", retain_s=RETAIN_S), 1.0)
+            await take_turn_or_fail(senders[number % 3], turn(name, previous, "sub-agent", retain_s=RETAIN_S), 1.0)
             previous = name
             world.clock_ms += PAUSE_MS
             await purge(world)
@@ -244,7 +258,7 @@
         world = zoned_world()
         await converse(world, last_turn=5)
         for sender in uncached_senders(world):
-            await take_turn(sender, turn("t6", "t5", retain_s=RETAIN_S), 1.0)
+            await take_turn_or_fail(sender, turn("t6", "t5", retain_s=RETAIN_S), 1.0)
             world.clock_ms += PAUSE_MS
             await purge(world)
         return complete_stores(world, "t6"), await read(world, "t6")
@@ -265,7 +279,7 @@
         world.machines["a"].dropped_types = set()
         world.machines["c"].up = False
         world.machines["a"].received_types.clear()
-        await take_turn(world.client("sender"), turn("last", f"t{turns}"), 1.0)
+        await take_turn_or_fail(world.client("sender"), turn("last", f"t{turns}"), 1.0)
         return world.machines["a"].received_types.count("turn.put"), complete_stores(world, "last")
 
     requests, stores = run(scenario())
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -15,6 +15,7 @@
 from dewpin.consensus import Ballot
 from dewpin.controlplane.store import ledger_replica, turn_table
 from dewpin.controlplane.store.sender_handlers import RETENTION_MARGIN_MS
+from dewpin.controlplane.store.store import PURGE_BATCH_SIZE
 from dewpin.controlplane.store.transfer_messages import TurnsReply
 from dewpin.dataplane.programs.errors import BudgetExceededError, TurnNotFoundError
 
@@ -146,14 +147,14 @@
     run(scene())
 
 
-def test_ended_history_is_purged_in_whole_batches_from_its_end(monkeypatch):
+def test_ended_history_is_purged_in_whole_batches_from_its_end():
     """Guards against an ended conversation that is deleted by one turn a second."""
-    monkeypatch.setattr("dewpin.controlplane.store.store.PURGE_BATCH_SIZE", 70)
+    size = PURGE_BATCH_SIZE
 
     async def scene():
         world = World(names="a", losses=0)
         previous = None
-        for number in range(150):
+        for number in range(2 * size + 10):
             turn_id = f"t{number:03}"
             await request(world.machines["a"], wire.TURN_PUT, world.view, turns=[record(turn_id, previous).to_json()])
             previous = turn_id
@@ -165,8 +166,8 @@
         return purged_counts, remaining
 
     purged_counts, remaining = run(scene())
-    assert purged_counts == [70, 70, 10, 0]
-    assert remaining == [[f"t{number:03}" for number in range(count)] for count in (80, 10, 0, 0)]
+    assert purged_counts == [size, size, 10, 0]
+    assert remaining == [[f"t{number:03}" for number in range(count)] for count in (size + 10, 10, 0, 0)]
 
 
 def test_purge_stops_at_a_turn_that_another_one_continues_or_that_has_not_expired():
@@ -175,6 +176,7 @@
         disk = world.machines["a"].disk
         ended = [record("root"), record("left", "root"), record("left2", "left"), record("sub", "left", "other")]
         living = [record("right", "root", retain_ms=90_000), record("late", "left2", retain_ms=10)]
+        living += [record("long", retain_ms=90_000), record("short", "long", retain_ms=10)]
         now_ms = world.wall_ms()
         await disk.transact(lambda connection: turn_table.put(connection, [*ended, *living], now_ms, 0))
         deleted = [
@@ -185,8 +187,37 @@
         return [[turn for turn, _ in keys] for keys in deleted]
 
     first, second = run(scene())
-    assert sorted(first) == ["late", "left", "left2", "sub"] and first[-1] == "left"
-    assert second == ["right", "root"]
+    assert sorted(first) == ["late", "left", "left2", "short", "sub"]
+    assert first.index("left") > max(first.index("left2"), first.index("sub"))
+    assert sorted(second) == ["long", "right", "root"]
+    assert second.index("root") > second.index("right")
+
+
+def test_write_names_the_newest_turn_that_the_program_lacks():
+    """Guards against a store that looks for the previous turn only, or takes another program's turns for its own."""
+
+    async def scene():
+        world = World(names="a", losses=0)
+
+        async def put(*records):
+            reply = await request(
+                world.machines["a"], wire.TURN_PUT, world.view, turns=[one.to_json() for one in records]
+            )
+            return reply.get("missing")
+
+        return [
+            await put(record("t4", "t3")),
+            await put(record("t3", "t2"), record("t2", "t1")),
+            await put(record("t5", "t4")),
+            await put(record("t1")),
+            await put(record("t5", "t4")),
+            await put(record("s1", "t5", program="q")),
+            await put(*(record(f"t{n}", f"t{n - 1}" if n > 1 else None, program="q") for n in (5, 4, 3, 2))),
+            await put(record("t1", program="q")),
+            await put(record("s1", "t5", program="q")),
+        ]
+
+    assert run(scene()) == ["t3", "t1", "t1", None, None, "t5", "t1", None, None]
 
 
 def test_body_is_kept_while_any_program_holds_the_turn():
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -93,6 +93,19 @@
     "tests.dataplane.test_receiver_client::test_rejection_without_id_proves_nothing_on_reused_connection"
 )
 LATE_REPLY = "tests.cluster.test_rpc_endings::test_late_reply_to_abandoned_call_is_dropped"
+CONVERSATIONS = "tests.controlplane.test_conversation_retention::"
+CHANGING_SENDERS = CONVERSATIONS + "test_conversation_through_changing_senders_outlives_the_retention_of_its_turns"
+WHOLE_HISTORIES = CONVERSATIONS + "test_majority_has_the_whole_history_of_each_acknowledged_turn"
+HANDED_OVER_TURN = CONVERSATIONS + "test_turn_handed_over_to_another_sender_leaves_one_history"
+RETURNED_STORE = CONVERSATIONS + "test_store_that_was_absent_gets_the_whole_history_before_it_counts"
+MISSING_TURN = "tests.controlplane.test_store::test_write_names_the_newest_turn_that_the_program_lacks"
+LONG_GAP = CONVERSATIONS + "test_replica_that_lacks_a_long_history_gets_it_in_few_requests"
+LONG_TURN = CONVERSATIONS + "test_turn_that_lasts_longer_than_the_retention_is_stored_with_its_history"
+COPIED_HISTORY = CONVERSATIONS + "test_copy_to_a_new_store_keeps_expired_turns_that_are_still_continued"
+PURGE_IN_BATCHES = "tests.controlplane.test_store::test_ended_history_is_purged_in_whole_batches_from_its_end"
+PURGE_LIMITS = (
+    "tests.controlplane.test_store::test_purge_stops_at_a_turn_that_another_one_continues_or_that_has_not_expired"
+)
 
 MUTATIONS = [
     Mutation(variants.promise_any_ballot, RACE, 20_000),
@@ -162,6 +175,23 @@
     Mutation(variants.omit_quorums_of_previous_value, PREVIOUS_QUORUMS),
     Mutation(variants.treat_conflict_as_settled, BACKGROUND_SETTLEMENT),
     Mutation(variants.write_in_older_epoch, OLDER_EPOCH),
+    Mutation(variants.count_replicas_with_gaps, CHANGING_SENDERS),
+    Mutation(variants.count_replicas_with_gaps, WHOLE_HISTORIES),
+    Mutation(variants.count_replicas_with_gaps, HANDED_OVER_TURN),
+    Mutation(variants.supply_newest_missing_turn_only, RETURNED_STORE, arguments=lambda: {"absent": "a"}),
+    Mutation(variants.report_no_missing_turns, CHANGING_SENDERS),
+    Mutation(variants.look_for_the_previous_turn_only, MISSING_TURN),
+    Mutation(variants.look_for_turns_of_any_program, MISSING_TURN),
+    Mutation(variants.supply_one_turn_per_request, LONG_GAP, arguments=lambda: {"turns": 60}),
+    Mutation(variants.forget_history_while_a_turn_is_in_progress, LONG_TURN),
+    Mutation(
+        variants.purge_turns_while_they_are_copied,
+        COPIED_HISTORY,
+        arguments=lambda: {"wiped": "a", "slow_copies": None},
+    ),
+    Mutation(variants.purge_continued_turns, CHANGING_SENDERS),
+    Mutation(variants.purge_one_end_per_batch, PURGE_IN_BATCHES),
+    Mutation(variants.purge_unexpired_turns_that_ended_ones_continue, PURGE_LIMITS),
 ]
 
 
--- a/tests/mutations/variants.py
+++ b/tests/mutations/variants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 from dataclasses import replace
 from typing import Any
@@ -18,12 +19,15 @@
 from dewpin.controlplane.register.acceptor import RegisterAcceptor
 from dewpin.controlplane.register.configuration_bodies import ConfigurationBodies
 from dewpin.controlplane.register.replica_storage import ReplicaStorage
-from dewpin.controlplane.store import ledger_replica, replica_sync
+from dewpin.controlplane.store import ledger_replica, replica_sync, turn_copy, turn_table
+from dewpin.controlplane.store.store import Store
 from dewpin.controlplane.store.view_guard import ViewGuard
 from dewpin.dataplane.membership.state_confirmation import StateConfirmation
 from dewpin.dataplane.programs import ledger, ledger_ballot, ledger_client
 from dewpin.dataplane.programs.errors import StaleViewError
+from dewpin.dataplane.programs.history import History
 from dewpin.dataplane.programs.ledger_client import LedgerClient
+from dewpin.dataplane.programs.turn_write import TurnWrite
 from dewpin.dataplane.routing.request_handler import RequestHandler
 from dewpin.dataplane.routing.retry import RetryStateMachine
 from dewpin.dataplane.upstream import receiver_client
@@ -394,3 +398,94 @@
         return view if is_older else check(self, message)
 
     patch.setattr(ViewGuard, "check_view", lenient)
+
+
+def count_replicas_with_gaps(patch: Patch) -> None:
+    original = TurnWrite._process
+
+    def process(self: TurnWrite, reply: Any) -> None:
+        if reply.content is not None:
+            reply = replace(reply, content=replace(reply.content, missing_turn=None))
+        original(self, reply)
+
+    patch.setattr(TurnWrite, "_process", process)
+
+
+def supply_newest_missing_turn_only(patch: Patch) -> None:
+    original = TurnWrite._process
+
+    def process(self: TurnWrite, reply: Any) -> None:
+        if reply.content is not None and reply.member in self._supplied_turns:
+            reply = replace(reply, content=replace(reply.content, missing_turn=None))
+        original(self, reply)
+
+    patch.setattr(TurnWrite, "_process", process)
+
+
+def report_no_missing_turns(patch: Patch) -> None:
+    patch.setattr(turn_table, "newest_missing_turn", lambda connection, records: None)
+
+
+def look_for_the_previous_turn_only(patch: Patch) -> None:
+    def newest_missing_turn(connection: Any, records: Any) -> str | None:
+        for record in records:
+            row = connection.execute(
+                "SELECT 1 FROM turns WHERE turn = ? AND program = ?", (record.previous, record.program)
+            ).fetchone()
+            if record.previous is not None and row is None:
+                return str(record.previous)
+        return None
+
+    patch.setattr(turn_table, "newest_missing_turn", newest_missing_turn)
+
+
+def look_for_turns_of_any_program(patch: Patch) -> None:
+    original = turn_table._newest_missing_turn_before
+
+    def newest_missing_turn_before(connection: Any, program: str, turn: str) -> str | None:
+        missing = original(connection, program, turn)
+        row = connection.execute("SELECT 1 FROM turns WHERE turn = ?", (missing,)).fetchone()
+        return missing if row is None else None
+
+    patch.setattr(turn_table, "_newest_missing_turn_before", newest_missing_turn_before)
+
+
+def supply_one_turn_per_request(patch: Patch) -> None:
+    original = TurnWrite._supply
+
+    def supply(self: TurnWrite, member: str, missing_turn: str) -> None:
+        self._supplied_turns.pop(member, None)
+        original(self, member, missing_turn)
+
+    patch.setattr(TurnWrite, "_supply", supply)
+
+
+def forget_history_while_a_turn_is_in_progress(patch: Patch) -> None:
+    patch.setattr(History, "records_before", lambda self, program, last_turn: iter(()))
+
+
+def purge_turns_while_they_are_copied(patch: Patch) -> None:
+    patch.setattr(Store, "turns_kept", lambda self: contextlib.nullcontext())
+    patch.setattr(turn_copy, "TURNS_PER_REQUEST", 1)  # so that a purge falls into the copy
+
+
+def purge_continued_turns(patch: Patch) -> None:
+    def purge(connection: Any, now_ms: int, limit: int) -> list[Any]:
+        return connection.execute(
+            "DELETE FROM turns WHERE expires_ms < ? RETURNING turn, program", (now_ms,)
+        ).fetchall()
+
+    patch.setattr(turn_table, "purge", purge)
+
+
+def purge_one_end_per_batch(patch: Patch) -> None:
+    patch.setattr(turn_table, "_expired_ends", lambda connection, turns, now_ms, limit: [])
+
+
+def purge_unexpired_turns_that_ended_ones_continue(patch: Patch) -> None:
+    original = turn_table._expired_ends
+
+    def expired_ends(connection: Any, turns: Any, now_ms: int, limit: int) -> Any:
+        return original(connection, turns, now_ms + 10**12, limit)
+
+    patch.setattr(turn_table, "_expired_ends", expired_ends)
--- a/tests/simulation/clients.py
+++ b/tests/simulation/clients.py
@@ -22,12 +22,13 @@
 
 
 class Clients:
-    """Sends all client requests and runs all agent programs."""
+    """Sends all client requests and runs all agent programs. `retain_s`: the retention of their turns."""
 
     def __init__(self, world):
         self.world = world
         self.oracle = world.oracle
         self.rng = world.rng
+        self.retain_s = RETAIN_S
         self.turns = 0
         self.started = 0
         self.programs = []
@@ -83,7 +84,7 @@
     async def _run_program(self, program, turns):
         previous, failures = None, 0
         while turns and failures < 8:
-            front = self._front()
+            front = self.random_front()
             status = None
             if front is not None:
                 turn = self._new_turn()
@@ -95,7 +96,7 @@
             else:
                 failures += 1
             if self.rng.random() < 0.1 and previous is not None:  # a sub-agent runs concurrently
-                other_front = self._front()
+                other_front = self.random_front()
                 if other_front is not None:
                     asyncio.ensure_future(self._attempt_turn(other_front, program, self._new_turn(), previous))
             await asyncio.sleep(self.rng.uniform(0.02, 0.6) * (1 + failures))
@@ -104,7 +105,7 @@
         self.turns += 1
         return f"turn-{self.turns}"
 
-    def _front(self):
+    def random_front(self):
         """A ready front, or sometimes any running one: the platform's list of ready fronts is slightly outdated."""
         fronts = self.world.fronts()
         ready = [front for front in fronts if front.is_ready]
@@ -125,7 +126,7 @@
         if status == "done":
             self.oracle.turn_completed(program, turn, previous, tokens, body)
         else:
-            self.oracle.turn_failed(program, turn, status, previous, RETAIN_S)
+            self.oracle.turn_failed(program, turn, status, previous, self.retain_s)
         return status
 
     async def _run_turn(self, front, program, turn, previous):
@@ -142,7 +143,7 @@
             used = self.rng.randint(1, program.max_tokens)
             self.oracle.tokens_emitted(program, turn, used)
             input_text, answer = f"[{turn}?]".encode(), f"[{turn}!{'y' * used}]".encode()
-            kept = Turn(turn, program.name, previous, input_text, answer, RETAIN_S, history)
+            kept = Turn(turn, program.name, previous, input_text, answer, self.retain_s, history)
             settlement, carried = None, Settlement(reservation, used)
             await store.store_turn(kept, KEEP_TIMEOUT_S, carried)
         except TierError as error:
@@ -174,7 +175,7 @@
         """Read every history that must be stored, from the stores alone, retrying until `until_s`."""
         front.store_client.cache = HistoryCache(clock_s=self.world.loop.time)
         for program in self.programs:
-            kept = [turn for turn, (_, _, at_s) in program.turns.items() if self.world.loop.now - at_s < RETAIN_S]
+            kept = [turn for turn, (_, _, at_s) in program.turns.items() if self.world.loop.now - at_s < self.retain_s]
             if kept:
                 await self._read(front, program, kept[-1], until_s)
 
--- a/tests/simulation/oracle.py
+++ b/tests/simulation/oracle.py
@@ -296,6 +296,15 @@
         if kind == "budget_spent":
             self._check_budget_error(program, turn)
 
+    def conversation_not_continued(self, program, previous, first_try_s, outcomes, retain_s):
+        """Check a turn of which no try was served, although its previous turn was retained and there has been no fault
+        since `contact_ms` before the first try."""
+        self.statistics["conversations_not_continued"] += 1
+        acknowledged = program.turns.get(previous)
+        is_retained = acknowledged is not None and first_try_s - acknowledged[2] < retain_s
+        if is_retained and self.contact.is_fault_free(first_try_s - self.bounds["contact_ms"] / 1000, self.now()):
+            self.report_violation("LOST", f"{program.name}: {previous} cannot be continued: {outcomes}")
+
     def _check_budget_error(self, program, turn):
         settle_s = self.bounds["settle_ms"] / 1000
         committed_tokens = 0
--- a/tests/simulation/wrong_variants.py
+++ b/tests/simulation/wrong_variants.py
@@ -21,11 +21,12 @@
 from dewpin.controlplane.membership.majority_contact import StateFreshness
 from dewpin.controlplane.register.register import SystemRegister
 from dewpin.controlplane.storage import StorageError
-from dewpin.controlplane.store import ledger_replica
+from dewpin.controlplane.store import ledger_replica, turn_table
 from dewpin.controlplane.store.replica_sync import StoreSync
 from dewpin.controlplane.store.view_guard import ViewGuard
 from dewpin.dataplane.membership.cluster_knowledge import ClusterKnowledge
 from dewpin.dataplane.programs import ledger, turn_write
+from dewpin.dataplane.programs.turn_write import TurnWrite
 
 from .__main__ import reexec_with_fixed_hash_seed
 from .disk import Disk
@@ -192,6 +193,51 @@
     turn_write.has_majorities = is_stored_anywhere
 
 
+def _count_a_replica_with_gaps():
+    original_process = TurnWrite._process
+
+    def process_without_gaps(self, reply):
+        if reply.content is not None:
+            _record_deviation(reply.content.missing_turn is not None)
+            reply = replace(reply, content=replace(reply.content, missing_turn=None))
+        original_process(self, reply)
+
+    TurnWrite._process = process_without_gaps
+
+
+def _supply_the_newest_missing_turn_only():
+    """A replica counts once it has got one of the turns that it lacks."""
+    original_process, original_supply = TurnWrite._process, TurnWrite._supply
+
+    def process_first_gap(self, reply):
+        was_supplied = reply.member in self._supplied_turns
+        if reply.content is not None and was_supplied:
+            _record_deviation(reply.content.missing_turn is not None)
+            reply = replace(reply, content=replace(reply.content, missing_turn=None))
+        original_process(self, reply)
+
+    TurnWrite._process, TurnWrite._supply = process_first_gap, original_supply
+
+
+def _purge_expired_turns_that_are_continued():
+    def purge_all_expired(connection, now_ms, limit):
+        rows = connection.execute(
+            "DELETE FROM turns WHERE expires_ms < ? RETURNING turn, program, previous", (now_ms,)
+        ).fetchall()
+        _record_deviation(bool(rows))
+        return [(turn, program) for turn, program, _ in rows]
+
+    turn_table.purge = purge_all_expired
+
+
+def _keep_turns_for_ever():
+    def purge_nothing(connection, now_ms, limit):
+        _record_deviation()
+        return []
+
+    turn_table.purge = purge_nothing
+
+
 def _believe_one_store_that_denies_a_turn():
     max_unreachable = StoreView.max_unreachable
 
@@ -332,6 +378,10 @@
     "copy nothing": Variant(_copy_nothing, "moved_ledgers", 5),
     "let a leaving store go early": Variant(_let_a_leaving_store_go_early, "retired_at_once", 5),
     "write a turn to one replica": Variant(_write_a_turn_to_one_replica, "lone_writes", 5),
+    "count a replica with gaps": Variant(_count_a_replica_with_gaps, "long_conversations", 5),
+    "supply the newest missing turn only": Variant(_supply_the_newest_missing_turn_only, "long_conversations", 20),
+    "purge expired turns that are continued": Variant(_purge_expired_turns_that_are_continued, "long_conversations", 5),
+    "keep turns for ever": Variant(_keep_turns_for_ever, "long_conversations", 2),
     "believe one store that denies a turn": Variant(_believe_one_store_that_denies_a_turn, "second_loss", 60),
     "two majorities that do not meet": Variant(_two_majorities_that_do_not_meet, "orders", 20),
     "give a reservation back twice": Variant(_give_a_reservation_back_twice, "orders", 20),
