Model of a conversation on three stores, with purges at any moment and lost disks

Real stores with their tables in memory, time reduced to the number of acknowledged turns (all earlier ones have expired). Property: the newest acknowledged turn has its whole history on a majority, on one store less while a lost disk is copied.

--- a/tests/model/catalogue.py
+++ b/tests/model/catalogue.py
@@ -6,6 +6,7 @@
 
 from tests.model import ledger_model, register_model
 from tests.model.contact_model import C_FOR_D, C_FOR_D_BEGINS, C_FOR_D_ENDS, SELF_FOR_D, ContactModel
+from tests.model.conversation_model import ConversationModel
 from tests.model.explorer import Model
 from tests.model.ledger_model import LedgerModel
 from tests.model.register_model import RegisterModel
@@ -103,6 +104,8 @@
     "contact: a change of members begins": lambda: ContactModel(2, C_FOR_D_BEGINS, reports_earliest=True),
     "contact: a change of members ends": lambda: ContactModel(1, C_FOR_D_ENDS),
     "contact: the change that drops the process ends": lambda: ContactModel(1, SELF_FOR_D[1:]),
+    "conversation: four turns": lambda: ConversationModel(turns=4, wipes=0),
+    "conversation: four turns, one disk lost": lambda: ConversationModel(turns=4, wipes=1),
     "retirement of d: a record at a, b and c": lambda: RetirementModel(keys()["abc"]),
     "retirement of d: a record at a, b and d": lambda: RetirementModel(keys()["abd"]),
     "retirement of d: a record at a, c and d": lambda: RetirementModel(keys()["acd"]),
@@ -161,6 +164,7 @@
     "ledgers: a settlement through the change, a store crashes, reserved at b and c": lambda: _settlement(
         "bc", crashes=1
     ),
+    "conversation: five turns, two disks lost one after the other": lambda: ConversationModel(turns=5, wipes=2),
     "contact: three seconds": lambda: ContactModel(3),
     "contact: a change of members begins, two seconds": lambda: ContactModel(2, C_FOR_D_BEGINS),
     "contact: a whole change of members": lambda: ContactModel(1, C_FOR_D, reports_earliest=True),
--- a/tests/mutations/test_mutations.py
+++ b/tests/mutations/test_mutations.py
@@ -93,6 +93,8 @@
     "tests.dataplane.test_receiver_client::test_rejection_without_id_proves_nothing_on_reused_connection"
 )
 LATE_REPLY = "tests.cluster.test_rpc_endings::test_late_reply_to_abandoned_call_is_dropped"
+LONG_CONVERSATION = "conversation: four turns"
+CONVERSATION_AND_LOSS = "conversation: four turns, one disk lost"
 CONVERSATIONS = "tests.controlplane.test_conversation_retention::"
 CHANGING_SENDERS = CONVERSATIONS + "test_conversation_through_changing_senders_outlives_the_retention_of_its_turns"
 WHOLE_HISTORIES = CONVERSATIONS + "test_majority_has_the_whole_history_of_each_acknowledged_turn"
@@ -175,6 +177,10 @@
     Mutation(variants.omit_quorums_of_previous_value, PREVIOUS_QUORUMS),
     Mutation(variants.treat_conflict_as_settled, BACKGROUND_SETTLEMENT),
     Mutation(variants.write_in_older_epoch, OLDER_EPOCH),
+    Mutation(variants.report_no_missing_turns, LONG_CONVERSATION, 2_000),
+    Mutation(variants.look_for_the_previous_turn_only, LONG_CONVERSATION, 2_000),
+    Mutation(variants.purge_continued_turns, LONG_CONVERSATION, 2_000),
+    Mutation(variants.purge_turns_while_they_are_copied, CONVERSATION_AND_LOSS, 20_000),
     Mutation(variants.count_replicas_with_gaps, CHANGING_SENDERS),
     Mutation(variants.count_replicas_with_gaps, WHOLE_HISTORIES),
     Mutation(variants.count_replicas_with_gaps, HANDED_OVER_TURN),
