--- a/dewpin/standin/tier.py
+++ b/dewpin/standin/tier.py
@@ -39,15 +39,19 @@
     receivers: the receivers' entries in the platform's list.
     """
 
-    def __init__(self, folder: Path) -> None:
-        """Choose addresses and write the settings files, without starting processes."""
+    def __init__(self, folder: Path, sender_count: int | None = None) -> None:
+        """Choose addresses and write the settings files, without starting processes.
+
+        sender_count: number of senders; SENDER_COUNT if it is None.
+        """
         self.folder = folder
+        senders = SENDER_COUNT if sender_count is None else sender_count
         self._network = LoopbackNetwork()
         self.platform_address = f"{self._network.take_address()}:{PLATFORM_PORT}"
         for name in ("settings", "data", "logs"):
             (folder / name).mkdir(parents=True, exist_ok=True)
         self.control_servers = [self._create_control_server(number) for number in range(CONTROL_SERVER_COUNT)]
-        self.senders = [self._create_sender(number) for number in range(SENDER_COUNT)]
+        self.senders = [self._create_sender(number) for number in range(senders)]
         self.operator = OperatorClient([control_server.operator_address for control_server in self.control_servers])
         self.receivers = self._receiver_entries()
         self._receiver_processes = [self._receiver_process(entry) for entry in self.receivers]
