--- a/dewpin/dataplane/programs/turn_client.py
+++ b/dewpin/dataplane/programs/turn_client.py
@@ -26,6 +26,28 @@
 log = logging.getLogger(__name__)
 
 
+class _FoundTurns:
+    """The turns of a history that were found so far, as turns of the program that reads it.
+
+    newest_first: all of them.
+    read: those that were read from a store.
+    other_program_turns: those of `read` that the store has for other programs only.
+    """
+
+    def __init__(self, program: str) -> None:
+        self.program = program
+        self.newest_first: list[TurnRecord] = []
+        self.read: list[TurnRecord] = []
+        self.other_program_turns: list[TurnRecord] = []
+
+    def add_page(self, page: HistoryPage) -> None:
+        """Add the turns of a page."""
+        records = [replace(record, program=self.program) for record in page.turns]
+        self.newest_first += records
+        self.read += records
+        self.other_program_turns += [record for record in records if record.turn in page.other_program_turns]
+
+
 class TurnClient:
     """Writes turns and reads conversation histories; each program has `replica_count` replicas."""
 
@@ -97,35 +119,38 @@
         Turns of another program that this one continues are first copied to this program. Raises TurnNotFoundError or
         StoreUnavailableError.
         """
-        newest_first: list[TurnRecord] = []
-        read: list[TurnRecord] = []
-        copies: list[TurnRecord] = []
+        found = _FoundTurns(program)
         next_id: str | None = previous_id
         while next_id is not None:
             cached = self.cache.get(program, next_id)
             if cached is not None:
-                newest_first.append(cached)
+                found.newest_first.append(cached)
                 next_id = cached.previous
-                continue
-            try:
-                found = await self._read_turns(program, next_id)
-            except TurnNotFoundError:
-                if not newest_first:
-                    raise
-                log.warning("turn.history_incomplete", extra={"turn": previous_id, "missing": next_id})
-                raise StoreUnavailableError(f"a link of the chain is gone: {next_id}") from None
-            records = [replace(record, program=program) for record in found.turns]
-            newest_first += records
-            read += records
-            copies += [record for record in records if record.turn in found.other_program_turns]
-            next_id = found.next_turn
-        history = History.of(reversed(newest_first))
-        if copies:
-            await self.put(program, copies, history)
-        for record in read:
+            else:
+                next_id = await self._read_further(found, next_id)
+        history = History.of(reversed(found.newest_first))
+        if found.other_program_turns:
+            await self.put(program, found.other_program_turns, history)
+        for record in found.read:
             self.cache.put(record, READ_CACHE_S)
         return history
 
+    async def _read_further(self, found: _FoundTurns, next_id: str) -> str | None:
+        """Read a page of turns that starts with `next_id`; return the turn that precedes the page, if any.
+
+        Raises TurnNotFoundError for the newest turn of a history, StoreUnavailableError for an earlier one.
+        """
+        try:
+            page = await self._read_turns(found.program, next_id)
+        except TurnNotFoundError:
+            if not found.newest_first:
+                raise
+            newest_id = found.newest_first[0].turn
+            log.warning("turn.history_incomplete", extra={"turn": newest_id, "missing": next_id})
+            raise StoreUnavailableError(f"a link of the chain is gone: {next_id}") from None
+        found.add_page(page)
+        return page.next_turn
+
     async def _read_turns(self, program: str, last_id: str) -> HistoryPage:
         """Read a page of turns that starts with `last_id`, newest first, from any store that has them."""
         while True:
--- a/tests/controlplane/test_conversation_retention.py
+++ b/tests/controlplane/test_conversation_retention.py
@@ -11,7 +11,9 @@
 from dewpin.cluster.store_view import StoreView
 from dewpin.controlplane.store.sender_handlers import RETENTION_MARGIN_MS
 from dewpin.dataplane.programs.errors import StoreUnavailableError, TurnNotFoundError
+from dewpin.dataplane.programs.history import EMPTY_HISTORY
 from dewpin.dataplane.programs.history_cache import HistoryCache
+from dewpin.dataplane.programs.program_store import Settlement
 
 RETAIN_S = 10.0
 PAUSE_MS = 4_000
@@ -287,6 +289,35 @@
     assert stores == {"a", "b"}
 
 
+@pytest.mark.parametrize("lost", "abc")
+def test_budget_of_a_conversation_counts_every_turn_although_stores_delete_idle_ledgers(lost):
+    """Guards against a budget that begins anew because the stores that took part in its last change deleted it."""
+    retain_s, pause_ms, used_tokens, budget = 7_200.0, 1_500_000, 7, 1_000
+
+    async def scenario():
+        world = zoned_world()
+        for machine in world.machines.values():
+            machine.store.set_ledger_retention(retain_s)
+        senders, previous = uncached_senders(world), None
+        for number in range(1, LAST_TURN + 1):
+            sender, name = senders[number % 3], f"t{number}"
+            if previous is None:
+                reservation, history = await sender.reserve("p", name, 10, budget, 1.0), EMPTY_HISTORY
+            else:
+                start = await sender.begin_turn("p", name, 10, budget, previous, 1.0)
+                reservation, history = start.reservation, start.history
+            next_turn = replace(turn(name, previous, retain_s=retain_s), history=history)
+            await sender.store_turn(next_turn, 1.0, Settlement(reservation, used_tokens))
+            await sender.wait_until_settled()
+            previous = name
+            world.clock_ms += pause_ms
+            await purge(world)
+        world.machines[lost].up = False
+        return await world.client("reader").read_ledger("p")
+
+    assert run(scenario()) == {"spent": LAST_TURN * used_tokens, "open": {}}
+
+
 # Changes of the store view
 
 
