--- a/dewpin/controlplane/store/turn_table.py
+++ b/dewpin/controlplane/store/turn_table.py
@@ -191,12 +191,12 @@
 def _newest_missing_turn_before(connection: sqlite3.Connection, program: str, turn: str) -> str | None:
     """Return the newest turn that is missing in the history of a stored turn of `program`; None if there is none."""
     row = connection.execute(
-        "WITH RECURSIVE history (turn, previous) AS ("
-        " SELECT turn, previous FROM turns WHERE turn = :turn AND program = :program"
-        " UNION SELECT turns.turn, turns.previous FROM history"
-        " JOIN turns ON turns.turn = history.previous AND turns.program = :program)"
-        " SELECT previous FROM history WHERE previous IS NOT NULL AND NOT EXISTS"
-        " (SELECT 1 FROM turns WHERE turns.turn = history.previous AND turns.program = :program)",
+        "WITH RECURSIVE history (turn, previous, is_stored) AS ("
+        " SELECT turn, previous, 1 FROM turns WHERE turn = :turn AND program = :program"
+        " UNION SELECT history.previous, turns.previous, turns.turn IS NOT NULL FROM history"
+        " LEFT JOIN turns ON turns.turn = history.previous AND turns.program = :program"
+        " WHERE history.previous IS NOT NULL)"
+        " SELECT turn FROM history WHERE NOT is_stored",
         {"turn": turn, "program": program},
     ).fetchone()
     return None if row is None else str(row[0])
