--- a/dewpin/dataplane/programs/quorum_round.py
+++ b/dewpin/dataplane/programs/quorum_round.py
@@ -47,7 +47,7 @@
         deadline_s: float,
         continues_after_end: bool = False,
     ) -> None:
-        self.replica_round = ReplicaRound(calls, view, decode, self._ask_deferred, continues_after_end)
+        self.replica_round = ReplicaRound(calls, view, decode, self.ask_deferred, continues_after_end)
         self._health = calls.health
         self._quorum_sets = quorum_sets
         self._members: frozenset[str] = frozenset().union(*quorum_sets)
@@ -88,10 +88,6 @@
         """Send a further request to a member that has replied."""
         self._send({member: request})
 
-    def give_up_on(self, member: str) -> None:
-        """Ask the deferred members at once: the reply of `member` does not count for a quorum."""
-        self._ask_deferred()
-
     async def next_reply(self) -> ReplicaReply[Content]:
         """Wait for the next reply. Raises StaleViewError once a newer view is known."""
         if self._deferred and self.replica_round.unanswered:
@@ -101,17 +97,18 @@
             except TimeoutError:
                 for member in self._awaited:
                     self._health.record_failure(member, self._hedge_at_s)
-        self._ask_deferred()
+        self.ask_deferred()
         return self._hedge_if_failed(await self.replica_round.next_reply())
 
     def _hedge_if_failed(self, reply: ReplicaReply[Content]) -> ReplicaReply[Content]:
         """Return the reply; send the deferred requests first if the call failed."""
         self._awaited.discard(reply.member)
         if reply.content is None:
-            self._ask_deferred()
+            self.ask_deferred()
         return reply
 
-    def _ask_deferred(self) -> None:
+    def ask_deferred(self) -> None:
+        """Send the deferred requests at once."""
         deferred, self._deferred = self._deferred, {}
         if not self.replica_round.has_ended:
             self._send(deferred)
--- a/dewpin/dataplane/programs/turn_write.py
+++ b/dewpin/dataplane/programs/turn_write.py
@@ -127,4 +127,4 @@
         if supplied:
             self._round.ask_again(member, PutTurnsRequest(tuple(supplied)))
         else:
-            self._round.give_up_on(member)
+            self._round.ask_deferred()  # this replica cannot be completed
