--- a/tests/simulation/conversations.py
+++ b/tests/simulation/conversations.py
@@ -15,10 +15,11 @@
 
 
 class Conversation:
-    """A line of turns of one program. `last_turn`: the newest turn that was served; `is_stopped`: no turn begins."""
+    """A line of turns of one program. `last_turn`: the newest turn that was served; `owner`: the program that took it;
+    `is_stopped`: no turn begins."""
 
-    def __init__(self, context, program, last_turn=None):
-        self.context, self.program, self.last_turn = context, program, last_turn
+    def __init__(self, context, program, last_turn=None, owner=None):
+        self.context, self.program, self.last_turn, self.owner = context, program, last_turn, owner or program
         self.is_stopped = False
 
     async def run(self):
@@ -38,7 +39,7 @@
                 turn, status = await clients.take_turn(front, self.program, self.last_turn)
                 outcomes.append(status)
                 if status == "done":
-                    self.last_turn = turn
+                    self.last_turn, self.owner = turn, self.program
                     return True
             await self.context.wait(*RETRY_PAUSE_S)
         oracle = self.context.world.oracle
@@ -64,8 +65,8 @@
         for _ in range(count):
             self._start(context.clients.add_program(MAX_TOKENS, TURNS_IN_BUDGET))
 
-    def _start(self, program, last_turn=None):
-        conversation = Conversation(self._context, program, last_turn)
+    def _start(self, program, last_turn=None, owner=None):
+        conversation = Conversation(self._context, program, last_turn, owner)
         self._all.append(conversation)
         self._tasks.append(asyncio.ensure_future(conversation.run()))
 
@@ -78,7 +79,7 @@
             if is_due and parent.last_turn is not None and len(self._all) < MAX_CONVERSATIONS:
                 program = self._context.clients.add_program(MAX_TOKENS, TURNS_IN_BUDGET)
                 program.turns.update(parent.program.turns)
-                self._start(program, parent.last_turn)
+                self._start(program, parent.last_turn, parent.owner)
 
     async def stop(self):
         """Let the turns in progress end; begin no others."""
@@ -91,7 +92,7 @@
         for conversation in self._all:
             if not conversation.is_retained:
                 continue
-            program, last_turn = conversation.program, conversation.last_turn
+            program, last_turn = conversation.owner, conversation.last_turn
             complete = [
                 host.name
                 for host in self._context.world.stores()
