--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,6 +26,8 @@
         for result in pool.map(run_one, range(arguments.first, arguments.first + arguments.seeds)):
             for name, value in result.observations.items():
                 totals[name] = totals.get(name, 0) + value
+            for abandonment in result.abandonments:
+                print(f"seed {result.seed}: abandoned {abandonment}", flush=True)
             if result.violations:
                 failed.append(result.seed)
                 print(f"seed {result.seed}: " + "\n    ".join(result.violations[:6]), flush=True)
--- a/tests/soak/conversations.py
+++ b/tests/soak/conversations.py
@@ -30,12 +30,15 @@
 
 @dataclass
 class Observations:
-    """What the clients of a run observed. Thread-safe."""
+    """What the clients of a run observed. Thread-safe.
+
+    `abandonments`: conversations that began anew, with the failed tries of the turn that was not served in time.
+    """
 
     turns: int = 0
     refused: int = 0
     unanswered: int = 0
-    abandoned: int = 0
+    abandonments: list = field(default_factory=list)
     violations: list = field(default_factory=list)
     lock: threading.Lock = field(default_factory=threading.Lock)
 
@@ -43,6 +46,10 @@
         with self.lock:
             setattr(self, name, getattr(self, name) + 1)
 
+    def report_abandonment(self, text):
+        with self.lock:
+            self.abandonments.append(text)
+
     def report_violation(self, text):
         with self.lock:
             self.violations.append(text)
@@ -91,14 +98,15 @@
         self._program = secrets.token_hex(4)
         self._last_turn, self._history, self._answered_s = None, b"", time.monotonic()
         self._number = 0
+        self._failures = []
 
     def run(self, stopped):
         """Take turns until `stopped` is set; begin anew if one was not served while its previous one was retained."""
         while not stopped.is_set():
             time.sleep(self._rng.uniform(*PAUSE_S))
             while not self._try_turn() and not stopped.is_set():
-                if not self._is_retained():
-                    self.observations.count("abandoned")
+                if self._last_turn is not None and not self._is_retained():
+                    self.observations.report_abandonment(f"{self.name}: {' / '.join(self._failures)}")
                     self._begin()
                 time.sleep(self._rng.uniform(*RETRY_PAUSE_S))
 
@@ -130,15 +138,18 @@
         if self._last_turn is not None:
             fields[PREVIOUS] = self._last_turn
         retained_at_start = self._is_retained()
+        address = self._rng.choice(self.addresses)
         try:
-            status, is_signed, body = self._connections.post(self._rng.choice(self.addresses), new_input, fields)
-        except (OSError, http.client.HTTPException):
+            status, is_signed, body = self._connections.post(address, new_input, fields)
+        except (OSError, http.client.HTTPException) as error:
             self.observations.count("unanswered")
+            self._record_failure(address, repr(error))
             return False
         if status == http.HTTPStatus.OK and is_signed:
             self._record_served(turn, new_input, body, usage)
             return True
         self.observations.count("refused")
+        self._record_failure(address, f"{status} {body[:60]!r}")
         self._check_refusal(status, body, retained_at_start)
         return False
 
@@ -151,8 +162,13 @@
         output = "".join(f"{data}\n" for data in received).encode()
         self._last_turn, self._history, self._answered_s = turn, sent_body + output, time.monotonic()
         self._number += 1
+        self._failures = []
         self.observations.count("turns")
 
+    def _record_failure(self, address, what):
+        age_s = time.monotonic() - self._answered_s
+        self._failures.append(f"{age_s:.1f} s {address} {what}")
+
     def _check_refusal(self, status, body, was_retained):
         if was_retained and (status in (404, 410) or GAP_IN_HISTORY in body):
             self.observations.report_violation(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,11 +20,12 @@
 
 @dataclass
 class Result:
-    """The result of a run: rule violations, and what was observed."""
+    """The result of a run: rule violations, what was observed, and why conversations were abandoned."""
 
     seed: int
     violations: list = field(default_factory=list)
     observations: dict = field(default_factory=dict)
+    abandonments: list = field(default_factory=list)
 
 
 def run(seed, duration_s, senders=3, conversations=4):
@@ -69,8 +70,9 @@
     if ended:
         result.violations.append(f"FAULT: ended by themselves: {ended}")
     result.violations += observations.violations + disruptions.violations
-    counters = ("turns", "refused", "unanswered", "abandoned")
-    result.observations = {**{name: getattr(observations, name) for name in counters}, **disruptions.counts}
+    result.abandonments = observations.abandonments
+    counters = {name: getattr(observations, name) for name in ("turns", "refused", "unanswered")}
+    result.observations = {**counters, "abandoned": len(result.abandonments), **disruptions.counts}
 
 
 def _end(threads, event, result):
