--- a/tests/controlplane/test_conversation_retention.py
+++ b/tests/controlplane/test_conversation_retention.py
@@ -337,6 +337,17 @@
     world.announce_view(StoreView(changing.epoch + 1, world.members("abc")))
 
 
+async def world_after_losses(names):
+    """A conversation, after which the named stores lost their disks one after the other, beside frequent purges."""
+    world = zoned_world()
+    await converse(world)
+    purging = asyncio.ensure_future(purge_forever(world))
+    for name in names:
+        await replace_by_empty_store(world, name)
+    purging.cancel()
+    return world
+
+
 @pytest.fixture
 def slow_copies(monkeypatch):
     """Copies take a request and a transaction for each turn."""
@@ -348,11 +359,7 @@
     """Guards against a new store that deletes expired turns whose successors it has not copied yet."""
 
     async def scenario():
-        world = zoned_world()
-        await converse(world)
-        purging = asyncio.ensure_future(purge_forever(world))
-        await replace_by_empty_store(world, wiped)
-        purging.cancel()
+        world = await world_after_losses([wiped])
         return complete_stores(world, f"t{LAST_TURN}")
 
     assert wiped in run(scenario())
@@ -363,12 +370,7 @@
     """Guards against a history that a copy has left incomplete: it is lost with the next store."""
 
     async def scenario():
-        world = zoned_world()
-        await converse(world)
-        purging = asyncio.ensure_future(purge_forever(world))
-        for name in sorted("abc", key=lambda name: name != first):
-            await replace_by_empty_store(world, name)
-        purging.cancel()
+        world = await world_after_losses(sorted("abc", key=lambda name: name != first))
         return await read(world, f"t{LAST_TURN}")
 
     assert run(scenario()) == EVERY_TURN
