--- a/review/common-2/small_tier.py
+++ b/review/common-2/small_tier.py
@@ -1,8 +1,8 @@
 """A small deployment of the serving tier for the cases of this review.
 
 The project's own programs run as separate processes (`python3 -m dewpin.dataplane`, `python3 -m dewpin.controlplane`),
-each at a loopback address of its own. The platform, the receivers and the clients are threads of the script. They keep to
-PROTOCOL.md and behave like sound ones, unless a case says otherwise.
+each at a loopback address of its own. The platform, the receivers and the clients are threads of the script. They keep
+to PROTOCOL.md and behave like sound ones, unless a case says otherwise.
 """
 
 import http.client
