KNOWN-RED.txt: one entry for each case; scripts do not count as tests

The limit is meant for tests that pytest passes over. It still holds for these (at most three). Entries of scripts are checked instead: the file exists, the cause has the command that runs it, one test to a row, and the issue is a number. They are printed after each run.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -19,11 +19,15 @@
     raise OSError
 """
 ROW = "test_one.py::test_%s | a cause | 38\n"
+SCRIPT_ROW = "case/%s/run.sh::RULE | sh case/%s/run.sh, no seed: what was seen | 39\n"
 
 
 def run_pytest(folder, known_red, *arguments):
     (folder / "test_one.py").write_text(TEST_MODULE)
     (folder / "KNOWN-RED.txt").write_text(known_red)
+    for number in (1, 2, 3, 4):
+        (folder / f"case/{number}").mkdir(parents=True, exist_ok=True)
+        (folder / f"case/{number}/run.sh").write_text("")
     (folder / "pyproject.toml").write_text("[tool.pytest.ini_options]\naddopts = '-q -rfExX -p no:cacheprovider'\n")
     shutil.copy(TESTS_FOLDER / "conftest.py", folder)
     completed = subprocess.run([sys.executable, "-m", "pytest", *arguments], cwd=folder, capture_output=True, text=True)
@@ -35,6 +39,15 @@
     assert code == 0 and "known red: a cause (issue 38)" in output and "1 passed, 1 xfailed" in output
 
 
+def test_scripts_are_printed_and_do_not_count_as_tests(tmp_path):
+    scripts = "".join(SCRIPT_ROW % (number, number) for number in (1, 2, 3, 4))
+    code, output = run_pytest(tmp_path, ROW % "red" + scripts, "-k", "not broken")
+    assert code == 0 and "1 passed, 1 deselected, 1 xfailed" in output
+    for number in (1, 2, 3, 4):
+        assert f"known red, not run: case/{number}/run.sh::RULE: sh case/{number}/run.sh" in output
+    assert "what was seen (issue 39)" in output
+
+
 @pytest.mark.parametrize(
     "known_red, expected",
     [
@@ -47,6 +60,10 @@
         ("test_one.py::test_red | a cause | soon\n", "expected"),
         ("\n" + ROW % "red", "KNOWN-RED.txt:1"),
         ("".join(ROW % name for name in ("red", "a", "b", "c")), "4 tests, 3 at most"),
+        ("test_one.py::test_red, test_one.py::test_broken | a cause | 38\n", "expected one test"),
+        (ROW % "red" + SCRIPT_ROW % (5, 5), "there is no case/5/run.sh"),
+        (ROW % "red" + SCRIPT_ROW % (1, 2), "expected the command `sh case/1/run.sh`"),
+        (ROW % "red" + SCRIPT_ROW % (1, 1) * 2, "named twice"),
     ],
 )
 def test_any_other_failure_fails_the_run(tmp_path, known_red, expected):
