Programs of the tier: signals from the first module on, starts that wait, and log lines for every end

Two of the causes are one class: a start that takes a condition that passes for a final one, and says nothing.

SIGHUP during a start ended the process, with no line in its log: handlers were installed after all imports. They are now installed by the first module that is imported, and only assign attributes; the pipe that Python writes to wakes the main thread. A SIGTERM or SIGINT during a start ends the process with code 0 and says so. 2. An address or a database in use, a data folder that can't be made, a full disk: the control server ended at once, a sender whose internal port was taken was silent for 30 s and then ended. Steps of a start are now repeated, with a growing pause of at most 1 s, and logged ('start_waits' with step and reason, every 5 s); SIGTERM ends a start that waits. 4. Closed standard error: no start, since its descriptor was asked for; the descriptors 0 to 2 are opened first now.

What was missing to tell these apart: the events starting, start_waits, started (with the time of each step), ready, stopping, stopped and failed (with reason, exit code and step); exit codes of their own for a newer (3) and a damaged database (4, before: 0); tracebacks keep their end; exceptions that nothing handles go through the log, which never blocks. Threads that a process can't serve without run again after an exception, instead of leaving a process that serves nobody.

The modules of the processes are now dataplane/sender_process.py and controlplane/control_process.py. test_stop_signal.py moved to tests/processes/test_process_signals.py, with the new class and one assertion more.

--- a/benchmarks/capacity/measures/system_state.py
+++ b/benchmarks/capacity/measures/system_state.py
@@ -118,7 +118,7 @@
 
     To be run in a separate process.
     """
-    import dewpin.dataplane.__main__  # noqa: F401
+    import dewpin.dataplane.sender_process  # noqa: F401
 
     state = system_state(routes)
     configuration = parse_configuration(shapes.configuration(routes))
@@ -140,7 +140,7 @@
 
 def resident_of_control_server(routes: int) -> float:
     """Return the resident bytes of a control server's modules with a system state; to be run in a separate process."""
-    import dewpin.controlplane.__main__  # noqa: F401
+    import dewpin.controlplane.control_process  # noqa: F401
 
     state = system_state(routes)
     return float(resident_bytes()) if state["version"] else 0.0
--- a/dewpin/cluster/logs.py
+++ b/dewpin/cluster/logs.py
@@ -10,7 +10,6 @@
 import logging
 import os
 import select
-import sys
 import time
 from collections.abc import Callable, Mapping
 from enum import StrEnum, unique
@@ -36,9 +35,11 @@
 )
 """Logging levels by their names in the settings file."""
 
+STDERR_DESCRIPTOR = 2
 MAX_LINES_PER_SECOND = 50
 MAX_TEXT_CHARACTERS = 1_000
 """Longer text fields are truncated."""
+TRACEBACK_FIELD = "exc_info"
 
 _MAX_LINE_BYTES = select.PIPE_BUF
 """A pipe that polls as writable accepts a write of this many bytes without blocking."""
@@ -48,10 +49,13 @@
 class Event(StrEnum):
     """The type of a log line; its value is the line's `event` field."""
 
+    STARTING = "starting"
+    START_WAITS = "start_waits"
     STARTED = "started"
     READY = "ready"
     STOPPING = "stopping"
     STOPPED = "stopped"
+    FAILED = "failed"
     SETTINGS_RELOADED = "settings_reloaded"
     SETTINGS_REJECTED = "settings_rejected"
     CONFIGURATION_ACCEPTED = "configuration_accepted"
@@ -71,10 +75,13 @@
 
 EVENT_LEVELS: Mapping[Event, int] = MappingProxyType(
     {
+        Event.STARTING: NOTICE,
+        Event.START_WAITS: logging.WARNING,
         Event.STARTED: NOTICE,
         Event.READY: NOTICE,
         Event.STOPPING: NOTICE,
         Event.STOPPED: NOTICE,
+        Event.FAILED: logging.ERROR,
         Event.SETTINGS_RELOADED: NOTICE,
         Event.SETTINGS_REJECTED: logging.ERROR,
         Event.CONFIGURATION_ACCEPTED: NOTICE,
@@ -96,10 +103,12 @@
 _logger = logging.getLogger(LOGGER_NAME)
 
 
-def _truncated(value: object) -> object:
-    if isinstance(value, str) and len(value) > MAX_TEXT_CHARACTERS:
-        return value[:MAX_TEXT_CHARACTERS] + "..."
-    return value
+def _truncated(key: str, value: object) -> object:
+    if not isinstance(value, str) or len(value) <= MAX_TEXT_CHARACTERS:
+        return value
+    if key == TRACEBACK_FIELD:  # its last lines have the exception and the place where it was raised
+        return "..." + value[-MAX_TEXT_CHARACTERS:]
+    return value[:MAX_TEXT_CHARACTERS] + "..."
 
 
 class BoundedHandler(logging.Handler):
@@ -157,9 +166,9 @@
             if handler.dropped:
                 line["dropped_lines"] = handler.dropped
             extra_fields = {key: value for key, value in fields.items() if key not in line}
-            return {key: _truncated(value) for key, value in {**line, **extra_fields}.items()}
+            return {key: _truncated(key, value) for key, value in {**line, **extra_fields}.items()}
 
-    handler = BoundedHandler(sys.stderr.fileno() if descriptor is None else descriptor)
+    handler = BoundedHandler(STDERR_DESCRIPTOR if descriptor is None else descriptor)
     handler.setFormatter(
         LineFormatter(
             "%(created)f %(levelname)s %(message)s",
--- a/dewpin/controlplane/operator_http.py
+++ b/dewpin/controlplane/operator_http.py
@@ -4,16 +4,17 @@
 
 import logging
 import socket
-import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
 from dewpin.cluster.errors import DewpinError
+from dewpin.cluster.process.supervised_thread import start_supervised_thread
 from dewpin.controlplane.operator_api import BASE_VERSION_HEADER, ApiResponse, OperatorApi, error_response
 
 log = logging.getLogger(__name__)
 
 IDLE_TIMEOUT_S = 20.0
+SHUTDOWN_POLL_S = 0.5
 MAX_BODY_BYTES = 16 * 1024 * 1024
 _HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 
@@ -138,5 +139,5 @@
     """Start serving the API in threads. Raises OSError if the address cannot be bound."""
     handler = type("OperatorRequestHandler", (_RequestHandler,), {"api": api})
     server = _HttpServer(address, handler)
-    threading.Thread(target=server.serve_forever, args=(0.5,), name="operator", daemon=True).start()
+    start_supervised_thread("operator", lambda: server.serve_forever(SHUTDOWN_POLL_S))
     return server
--- a/dewpin/controlplane/storage/database.py
+++ b/dewpin/controlplane/storage/database.py
@@ -18,6 +18,8 @@
 DAMAGED_MARKER_NAME = "keeper.damaged"
 """Name of the marker file that makes the next start quarantine the database."""
 PAGE_CACHE_KIB = 4096
+LOCK_TIMEOUT_S = 1.0
+"""How long an attempt to open waits for another process that uses the database."""
 MAX_WAL_BYTES = 8 * 1024 * 1024
 """Size to which the write-ahead log is truncated after a checkpoint."""
 
@@ -27,6 +29,13 @@
 
     `log` receives a message for the operator in that case. Raises StorageError and SchemaTooNewError.
     """
+    try:
+        return _open_or_quarantine(folder, log)
+    except OSError as error:
+        raise StorageError(f"the database in {folder} cannot be opened: {error}") from error
+
+
+def _open_or_quarantine(folder: Path, log: Callable[[str], None]) -> sqlite3.Connection:
     folder.mkdir(parents=True, exist_ok=True)
     if (folder / DAMAGED_MARKER_NAME).exists():
         _quarantine(folder, log)
@@ -108,7 +117,8 @@
 
 def _connect(folder: Path) -> sqlite3.Connection:
     """Open the database with durable settings and migrate its schema to the current version."""
-    connection = sqlite3.connect(folder / DATABASE_NAME, isolation_level=None, check_same_thread=False)
+    path = folder / DATABASE_NAME
+    connection = sqlite3.connect(path, timeout=LOCK_TIMEOUT_S, isolation_level=None, check_same_thread=False)
     try:
         connection.execute("PRAGMA locking_mode = EXCLUSIVE")
         connection.execute("PRAGMA journal_mode = WAL")
--- a/dewpin/dataplane/agent_thread.py
+++ b/dewpin/dataplane/agent_thread.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 import logging
 import random
-import threading
 
+from dewpin.cluster.logs import log_unexpected
 from dewpin.cluster.placement import location_of
+from dewpin.cluster.process.start_steps import StartSteps
+from dewpin.cluster.process.supervised_thread import start_supervised_thread
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import Settings
 from dewpin.dataplane.cluster_state_updater import ClusterStateUpdater
@@ -15,7 +18,7 @@
 from dewpin.dataplane.membership.cluster_state import ClusterState
 from dewpin.dataplane.programs.store_client import BlockingStoreClient, StoreClient
 
-LOOP_START_TIMEOUT_S = 30.0
+STOP_SIGNAL_POLL_S = 0.1
 
 log = logging.getLogger(__name__)
 
@@ -35,17 +38,17 @@
         self._settings = settings
         self._state = state
         self._loop = asyncio.new_event_loop()
-        self._has_started = threading.Event()
-        self._start_task: asyncio.Task[None] | None = None
 
-    def start(self) -> BlockingStoreClient:
+    def start(self, steps: StartSteps) -> BlockingStoreClient:
         """Start the thread; return the store client for request threads once the agent has started.
 
-        Raises RuntimeError after `LOOP_START_TIMEOUT_S`.
+        Raises StartInterruptedError and any exception of the start.
         """
-        threading.Thread(target=self._run_loop, name="agent", daemon=True).start()
-        if not self._has_started.wait(LOOP_START_TIMEOUT_S):
-            raise RuntimeError("the cluster agent did not start in time")
+        start_supervised_thread("agent", self._run_loop)
+        started = asyncio.run_coroutine_threadsafe(self._start(steps), self._loop)
+        while not concurrent.futures.wait((started,), STOP_SIGNAL_POLL_S).done:
+            steps.check_stop_signal()
+        started.result()
         assert self.store_client is not None
         return BlockingStoreClient(self.store_client, self._loop)
 
@@ -61,13 +64,14 @@
             stopped.result(max(0.0, timeout_s))
         except TimeoutError:
             log.warning("sender.not_wound_up")
+        except Exception as error:  # the process must end all the same
+            log_unexpected(error)
 
     def _run_loop(self) -> None:
         asyncio.set_event_loop(self._loop)
-        self._start_task = self._loop.create_task(self._start())
         self._loop.run_forever()
 
-    async def _start(self) -> None:
+    async def _start(self, steps: StartSteps) -> None:
         settings = self._settings
         client = RpcClient()
         location = location_of(settings.region, settings.zone)
@@ -83,12 +87,12 @@
             on_sender_count=updater.update_sender_count,
         )
         server = RpcServer(agent.handlers)
-        await server.start(*split_address(agent.address))
+        host, port = split_address(agent.address)
+        await steps.run_async("internal_address", lambda: server.start(host, port))
         agent.start()
         self.agent = agent
         self._state.is_cut_off = lambda: not agent.has_control_plane_contact
         self._state.is_current = agent.is_state_current
-        self._has_started.set()
 
     async def _stop(self) -> None:
         """Release the lease and settle the last turns, whose maximum tokens would otherwise stay reserved."""
--- a/dewpin/dataplane/ingress/readiness.py
+++ b/dewpin/dataplane/ingress/readiness.py
@@ -2,12 +2,13 @@
 
 import logging
 import socket
-import threading
 from collections.abc import Callable
 from contextlib import suppress
 from http import HTTPStatus
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+from dewpin.cluster.process.supervised_thread import start_supervised_thread
+
 SHUTDOWN_POLL_S = 0.5
 REQUEST_TIMEOUT_S = 5.0
 
@@ -33,7 +34,7 @@
     def start(self, address: tuple[str, int]) -> None:
         """Listen on a host and port and serve in the background. Raises OSError if it cannot listen."""
         server = self._server = _HttpServer(address, _handler_class(self.PATH, self._is_ready))
-        threading.Thread(target=server.serve_forever, args=(SHUTDOWN_POLL_S,), name="ready", daemon=True).start()
+        start_supervised_thread("ready", lambda: server.serve_forever(SHUTDOWN_POLL_S))
 
     def stop(self) -> None:
         """Stop serving."""
--- a/tests/dataplane/test_graceful_shutdown.py
+++ b/tests/dataplane/test_graceful_shutdown.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from dewpin.dataplane.__main__ import drain_s
 from dewpin.dataplane.agent_thread import AgentThread
 from dewpin.dataplane.membership.cluster_state import ClusterState
+from dewpin.dataplane.sender_process import drain_s
 
 LAST_SIXTH = 5 / 6
 
--- a/tests/dataplane/test_readiness_while_stopping.py
+++ b/tests/dataplane/test_readiness_while_stopping.py
@@ -9,10 +9,11 @@
 PROGRAM = """
 import http.client, os, signal, threading
 from types import SimpleNamespace
-from dewpin.dataplane.__main__ import Sender
+from dewpin.cluster.process.signals import ProcessSignals
 from dewpin.dataplane.ingress.readiness import ReadinessServer
+from dewpin.dataplane.sender_process import Sender
 
-sender = Sender(None)
+sender = Sender(None, ProcessSignals())
 confirmation = SimpleNamespace(is_confirmed=True)
 sender.agent_thread.agent = SimpleNamespace(has_control_plane_contact=True, confirmation=confirmation)
 sender.state.configuration = sender.state.store_view = object()
@@ -38,7 +39,7 @@
 import sys
 checking = threading.Thread(target=stop_and_check, daemon=True)
 checking.start()
-sender.stop_signal.wait()
+sender.wait_for_stop_signal()
 checking.join(10)
 """
 
--- a/tests/dataplane/test_sender_readiness.py
+++ b/tests/dataplane/test_sender_readiness.py
@@ -1,6 +1,7 @@
 """Readiness of a sender: it needs contact with the control plane and a state confirmed by a majority."""
 
 import random
+import signal
 from types import SimpleNamespace
 
 import pytest
@@ -8,10 +9,10 @@
 
 from dewpin.cluster.receivers import NO_VERSION
 from dewpin.cluster.relay_messages import LeaseGrant
-from dewpin.dataplane.__main__ import Sender
 from dewpin.dataplane.membership.cluster_agent import ClusterAgent
 from dewpin.dataplane.membership.cluster_state import ClusterState
 from dewpin.dataplane.membership.lease_renewer import MISSED_RENEWALS_UNTIL_CUT_OFF, renewal_period_s
+from dewpin.dataplane.sender_process import Sender
 
 
 class Clock:
@@ -70,6 +71,7 @@
                 has_control_plane_contact=present["has_control_plane_contact"], confirmation=confirmation
             )
         ),
-        stop_signal=SimpleNamespace(is_set=lambda: missing == "running"),
+        signals=SimpleNamespace(stop_signal=signal.SIGTERM if missing == "running" else None),
+        _has_been_ready=False,
     )
     assert Sender.is_ready(sender) is is_ready
--- a/tests/dataplane/test_stop_signal.py
+++ b/tests/processes/test_process_signals.py
@@ -7,11 +7,10 @@
 
 PROGRAM = """
 import signal, threading
-from dewpin.dataplane.stop_signal import StopSignal
+from dewpin.cluster.process.signals import ProcessSignals
 
-stop = StopSignal()
-assert not stop.is_set()
-signal.signal(signal.SIGHUP, lambda *_: None)
+signals = ProcessSignals()
+assert signals.stop_signal is None and not signals.take_reload_request()
 
 def receive_signals():
     may_signal.wait()
@@ -21,8 +20,10 @@
 may_signal = threading.Event()
 threading.Thread(target=receive_signals, daemon=True).start()
 may_signal.set()
-stop.wait()
-assert stop.is_set()
+while signals.stop_signal is None:
+    signals.wait()
+assert signals.stop_signal is signal.{name}
+assert signals.take_reload_request() and not signals.take_reload_request()
 print("stopped")
 """
 
--- a/tests/simulation/hosts.py
+++ b/tests/simulation/hosts.py
@@ -6,7 +6,7 @@
 
 from dewpin.cluster.rpc import RpcClient, RpcServer, split_address
 from dewpin.cluster.settings import parse_settings
-from dewpin.controlplane.__main__ import LEAVE_NOTICE_S
+from dewpin.controlplane.control_process import LEAVE_NOTICE_S
 from dewpin.controlplane.control_server import ControlServer
 from dewpin.controlplane.local_store import LocalStore
 from dewpin.controlplane.operator_api import OperatorApi
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -46,12 +46,12 @@
         "local_store",
         "operator_api",
         "operator_http",
+        "control_process",
         "__main__",
     ),
     "dataplane": (
         "errors",
         "metrics",
-        "stop_signal",
         "http11",
         "programs",
         "membership",
@@ -61,6 +61,7 @@
         "upstream",
         "routing",
         "ingress",
+        "sender_process",
         "__main__",
     ),
 }
