Settings that are half written at a start are read again

A process that started while its settings file was being rewritten ended with exit code 2: an empty or cut file is invalid, and it was read once. It is read again for a second before its faults are printed. Shown by a file of which a third is there at the start and the rest half a second later: failed for both programs on, passes now.

--- a/dewpin/cluster/settings/reading.py
+++ b/dewpin/cluster/settings/reading.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import time
 import tomllib
 from collections.abc import Mapping
 from pathlib import Path
@@ -15,6 +16,9 @@
 
 BOOT_VARIABLE = "DEWPIN_BOOT"
 INVALID_SETTINGS_EXIT_CODE = 2
+READ_AGAIN_S = 1.0
+"""How long an invalid file is read again at the start: it may be in the middle of being written."""
+READ_AGAIN_DELAY_S = 0.1
 
 
 class InvalidSettingsError(InvalidInputError):
@@ -43,15 +47,22 @@
     return build_settings(cast(RawSettings, raw))
 
 
-def settings_or_exit(environment: Mapping[str, str] = os.environ) -> Settings:
-    """Load the settings file named by the environment; if invalid, print one line per fault and exit with code 2."""
+def settings_or_exit(environment: Mapping[str, str] = os.environ, read_again_s: float = READ_AGAIN_S) -> Settings:
+    """Load the settings file named by the environment; if invalid, print one line per fault and exit with code 2.
+
+    An invalid file is read again for `read_again_s`.
+    """
     path = environment.get(BOOT_VARIABLE)
     if not path:
         _exit_with([f"{BOOT_VARIABLE}: expected the path of a settings file, got nothing"])
-    try:
-        return load_settings(path)
-    except InvalidSettingsError as invalid:
-        _exit_with([f"{path}: {line}" for line in invalid.lines()])
+    give_up_s = time.monotonic() + read_again_s
+    while True:
+        try:
+            return load_settings(path)
+        except InvalidSettingsError as invalid:
+            if time.monotonic() >= give_up_s:
+                _exit_with([f"{path}: {line}" for line in invalid.lines()])
+        time.sleep(READ_AGAIN_DELAY_S)
 
 
 def _exit_with(lines: list[str]) -> NoReturn:
--- a/tests/processes/test_start.py
+++ b/tests/processes/test_start.py
@@ -1,8 +1,9 @@
-"""A start survives what passes by itself: addresses and files that are in use, full disks."""
+"""A start survives what passes by itself: addresses and files that are in use, settings half written, full disks."""
 
 import os
 import resource
 import sqlite3
+import threading
 import time
 
 import pytest
@@ -25,6 +26,14 @@
     assert program.wait_for_event("started")["steps"]
 
 
+def test_start_reads_settings_again_that_were_half_written(program):
+    complete = program.settings_path.read_text()
+    program.settings_path.write_text(complete[: len(complete) // 3])
+    threading.Timer(0.5, program.settings_path.write_text, (complete,)).start()
+    program.start()
+    program.wait_until_serving()
+
+
 def test_start_waits_for_a_database_that_another_process_has_locked(create_program):
     program = create_program(CONTROL_SERVER)
     program.start()
