Stores: an unexpected exception no longer ends a copy or the deletion of expired records

A copy reads each source in a task. An exception other than those expected ended the task, nobody saw it, and the view change that waited for the copy never ended; in the purge it ended the deletion until the next start.

--- a/dewpin/controlplane/store/replica_sync.py
+++ b/dewpin/controlplane/store/replica_sync.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Sequence
 from enum import Enum, auto
 
+from dewpin.cluster.logs import log_unexpected
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.controlplane.store import ledger_replica
 from dewpin.controlplane.store.ledger_replica import LedgerRecord
@@ -19,6 +20,9 @@
 from dewpin.controlplane.store.store import Store
 from dewpin.controlplane.store.turn_copy import SourceTurnCopy, TurnClaims, TurnWriter
 
+UNEXPECTED_ERROR_DELAY_S = 0.25
+"""Delay after an unexpected exception, before a source is read again."""
+
 
 class StoreSync:
     """Runs the copy for the newest view; at most one copy is in progress."""
@@ -104,7 +108,17 @@
             self._is_complete.set()
 
     async def _read_source(self, member: Member) -> None:
-        """Read one source completely, updating its state."""
+        """Read one source completely; after an unexpected exception, read it again: the copy must not end half done."""
+        while True:
+            try:
+                await self._read_source_once(member)
+                return
+            except Exception as error:
+                log_unexpected(error, task="copy", source=member.id)
+            await asyncio.sleep(UNEXPECTED_ERROR_DELAY_S)
+
+    async def _read_source_once(self, member: Member) -> None:
+        """Read one source completely, updating its state. Turns that are stored already are not fetched again."""
         source = SourceClient(self._rpc, self._view, member, self._store.member_id)
         await SourceTurnCopy(source, self._claims, self._turns).run()
         self._source_states[member.id] = SourceState.READING_LEDGERS
--- a/dewpin/controlplane/store/store.py
+++ b/dewpin/controlplane/store/store.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 
+from dewpin.cluster.logs import log_unexpected
 from dewpin.cluster.rpc import Message
 from dewpin.cluster.store_view import StoreView
 from dewpin.controlplane.storage import StorageError
@@ -111,6 +112,8 @@
                 await self.purge_batch()
             except StorageError as failure:
                 log.warning("store.purge_failed", extra={"why": str(failure)})
+            except Exception as error:  # otherwise nothing would be deleted any more
+                log_unexpected(error, task="purge")
 
     async def purge_batch(self) -> int:
         """Delete up to PURGE_BATCH_SIZE turns and as many ledgers; return the number deleted. Raises StorageError.
--- a/tests/controlplane/test_store_copy.py
+++ b/tests/controlplane/test_store_copy.py
@@ -52,6 +52,26 @@
         handlers[kind] = lambda message, handler=handler: wrapped(handler, message)
 
 
+def test_unexpected_exceptions_do_not_end_a_copy(monkeypatch):
+    async def scene():
+        world = await world_with_turns()
+        failures = [ZeroDivisionError("a bug")] * 4
+        find_missing = turn_table.find_missing_of_page
+
+        def failing(connection, entries):
+            if failures:
+                raise failures.pop()
+            return find_missing(connection, entries)
+
+        monkeypatch.setattr(turn_table, "find_missing_of_page", failing)
+        change(world)
+        await until_copied(world)
+        assert not failures and len(bodies_of(world.machines["d"])) == 40
+        assert bodies_of(world.machines["d"]) == bodies_of(world.machines["b"])
+
+    run(scene())
+
+
 def test_bodies_are_copied_exactly_as_raw_bytes():
     async def scene():
         world = await world_with_turns()
