Soak: ends that nobody asked for are seen during the whole run, and SIGHUP comes at any time

The soak looked for ended processes once, at its end, started each disrupted process again without a look at its exit code, and sent SIGHUP only 2 s after a start.

--- a/dewpin/standin/processes.py
+++ b/dewpin/standin/processes.py
@@ -41,8 +41,17 @@
     def start(self) -> None:
         """Start the process; it must not be running."""
         assert not self.is_running, f"{self.name} is already running"
+        self._process = self._spawn()
+
+    def start_successor(self) -> subprocess.Popen[bytes]:
+        """Start another process beside the present one; return the latter, whose end the caller must wait for."""
+        assert self._process is not None
+        predecessor, self._process = self._process, self._spawn()
+        return predecessor
+
+    def _spawn(self) -> subprocess.Popen[bytes]:
         with self.log_path.open("ab") as output:
-            self._process = subprocess.Popen(
+            return subprocess.Popen(
                 self._command,
                 env=self._environment,
                 stdin=subprocess.DEVNULL,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 
 from .conversations import Conversation, Observations
 from .disruptions import SETTLED_TIMEOUT_S, Disruptions, configuration_with_retention
+from .own_ends import OwnEnds
 
 RETAIN_S = 12.0
 FIRST_PUT_TIMEOUT_S = 30.0
@@ -53,11 +54,13 @@
         Conversation(f"conversation-{number}", addresses, RETAIN_S, observations, result.seed)
         for number in range(conversation_count)
     ]
-    disruptions = Disruptions(tier, configuration_of, result.seed)
-    disruptions_end, conversations_end = threading.Event(), threading.Event()
+    own_ends = OwnEnds(tier)
+    disruptions = Disruptions(tier, configuration_of, result.seed, own_ends)
+    disruptions_end, conversations_end, watch_end = threading.Event(), threading.Event(), threading.Event()
     disrupting = [threading.Thread(target=one, args=(disruptions_end,)) for one in disruptions.series()]
+    watching = [threading.Thread(target=own_ends.run, args=(watch_end,))]
     talking = [threading.Thread(target=one.run, args=(conversations_end,)) for one in conversations]
-    for thread in (*disrupting, *talking):
+    for thread in (*watching, *disrupting, *talking):
         thread.start()
     time.sleep(duration_s)
     _end(disrupting, disruptions_end, result)
@@ -66,10 +69,11 @@
     _end(talking, conversations_end, result)
     for conversation in conversations:
         conversation.check_goes_on()
+    _end(watching, watch_end, result)
     ended = [process.name for process in tier.processes if not process.is_running]
     if ended:
         result.violations.append(f"FAULT: ended by themselves: {ended}")
-    result.violations += observations.violations + disruptions.violations
+    result.violations += own_ends.violations + observations.violations + disruptions.violations
     result.abandonments = observations.abandonments
     counters = {name: getattr(observations, name) for name in ("turns", "refused", "unanswered")}
     result.observations = {**counters, "abandoned": len(result.abandonments), **disruptions.counts}
