Servers of the tier pause after a failed accept; their binding stands once

The server for clients had the pause already; the three servers share it and the binding without name lookups (cluster/listening_server.py).

Tests beside it: a disk that does not answer while the state is loaded (the start waits), and a failing poll of the settings.

--- a/dewpin/controlplane/operator_http.py
+++ b/dewpin/controlplane/operator_http.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import logging
-import socket
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
 from dewpin.cluster.errors import DewpinError
+from dewpin.cluster.listening_server import ListeningServerMixin
 from dewpin.cluster.process.supervised_thread import start_supervised_thread
 from dewpin.controlplane.operator_api import BASE_VERSION_HEADER, ApiResponse, OperatorApi, error_response
 
@@ -120,16 +120,10 @@
         log.debug("operator.http", extra={"line": format % args})
 
 
-class _HttpServer(ThreadingHTTPServer):
+class _HttpServer(ListeningServerMixin, ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 256
 
-    def server_bind(self) -> None:
-        """Bind without a lookup of the host name."""
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(self.server_address)
-        self.server_name, self.server_port = self.server_address[:2]  # type: ignore[assignment]
-
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Log a failed connection at debug level."""
         log.debug("operator.connection_failed", exc_info=True)
--- a/dewpin/dataplane/ingress/connection_acceptor.py
+++ b/dewpin/dataplane/ingress/connection_acceptor.py
@@ -5,20 +5,19 @@
 
 import logging
 import socket
-import threading
 from collections.abc import Callable
 from socketserver import BaseRequestHandler, TCPServer
 from typing import Any
 
+from dewpin.cluster.listening_server import ListeningServerMixin
 from dewpin.dataplane.ingress.worker_threads import WorkerThreads
 
 log = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 1024
-ACCEPT_ERROR_BACKOFF_S = 0.01
 
 
-class ConnectionAcceptor(TCPServer):
+class ConnectionAcceptor(ListeningServerMixin, TCPServer):
     """A listening socket; `serve_forever` accepts connections until `shutdown`.
 
     For each connection, `try_admit` is called first and may reject it by returning False. Then `serve` is called on a
@@ -49,19 +48,9 @@
         while not self._has_accepted_all:
             self.handle_request()
 
-    def server_bind(self) -> None:
-        """Bind without resolving the host name."""
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(self.server_address)
-        self.server_address = self.socket.getsockname()
-
     def get_request(self) -> tuple[socket.socket, Any]:
-        """Accept a connection; pause after an error, since one for lack of file descriptors would recur immediately."""
-        try:
-            accepted, address = self.socket.accept()
-        except OSError:
-            threading.Event().wait(ACCEPT_ERROR_BACKOFF_S)
-            raise
+        """Accept a connection; pause after an error."""
+        accepted, address = super().get_request()
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return accepted, address
 
--- a/dewpin/dataplane/ingress/readiness.py
+++ b/dewpin/dataplane/ingress/readiness.py
@@ -1,12 +1,12 @@
 """The readiness endpoint, which the platform polls to decide whether to direct clients to this sender."""
 
 import logging
-import socket
 from collections.abc import Callable
 from contextlib import suppress
 from http import HTTPStatus
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+from dewpin.cluster.listening_server import ListeningServerMixin
 from dewpin.cluster.process.supervised_thread import start_supervised_thread
 
 SHUTDOWN_POLL_S = 0.5
@@ -65,12 +65,6 @@
     return Handler
 
 
-class _HttpServer(ThreadingHTTPServer):
+class _HttpServer(ListeningServerMixin, ThreadingHTTPServer):
     daemon_threads = True
     block_on_close = False
-
-    def server_bind(self) -> None:
-        """Bind without resolving the host name."""
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(self.server_address)
-        self.server_address = self.socket.getsockname()
--- a/tests/processes/test_ends.py
+++ b/tests/processes/test_ends.py
@@ -1,15 +1,18 @@
 """Ends of a process that nobody asked for: the exit code, and log lines that say why."""
 
+import asyncio
 import json
 import logging
 import os
 import threading
+from types import SimpleNamespace
 
 import pytest
 
 from dewpin.cluster import logs
 from dewpin.cluster.process import program as program_module
 from dewpin.cluster.process.supervised_thread import start_supervised_thread
+from dewpin.controlplane import control_process
 
 from .program import CONTROL_SERVER, SENDER, TIMEOUT_S
 
@@ -139,3 +142,25 @@
         logs.log_unexpected(error)
     (line,) = log_lines()
     assert line["exc_info"].endswith("ValueError: the cause at depth 0")
+
+
+def test_failing_poll_of_the_settings_does_not_end_the_polling(log_lines, monkeypatch):
+    monkeypatch.setattr(control_process, "POLL_PERIOD_S", 0.0)
+    polls, applied = [OSError("first poll"), None, "settings"], []
+
+    def poll():
+        if not polls:
+            raise asyncio.CancelledError
+        result = polls.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    process = SimpleNamespace(_control_server=SimpleNamespace(apply_settings=applied.append))
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(
+            control_process.ControlProcess.follow_settings(process, SimpleNamespace(poll=poll), asyncio.Event())
+        )
+    assert applied == ["settings"]
+    (line,) = log_lines()
+    assert "first poll" in line["exc_info"]
--- a/tests/processes/test_start.py
+++ b/tests/processes/test_start.py
@@ -10,6 +10,21 @@
 
 from .program import CONTROL_SERVER, SENDER, occupy
 
+FAIL_TRANSACTIONS = """
+import os
+from dewpin.controlplane.__main__ import main
+from dewpin.controlplane.storage import Storage, StorageError
+
+transact = Storage.transact
+
+async def transact_unless_failing(self, work):
+    if os.path.exists({trigger!r}):
+        raise StorageError("the disk does not answer")
+    return await transact(self, work)
+
+Storage.transact = transact_unless_failing
+main()
+"""
 ADDRESSES = [(SENDER, "internal"), (SENDER, "front"), (SENDER, "ready")]
 ADDRESSES += [(CONTROL_SERVER, "internal"), (CONTROL_SERVER, "operator")]
 
@@ -108,3 +123,14 @@
     assert program.process.wait(30.0) == 3
     (line,) = program.events("failed")
     assert "schema 99" in line["why"] and line["exit_code"] == 3 and line["level"] == "ERROR"
+
+
+def test_start_waits_for_a_disk_that_cannot_be_read(create_program):
+    program = create_program(CONTROL_SERVER)
+    trigger = program.folder / "trigger"
+    trigger.write_text("")
+    program.start(code=FAIL_TRANSACTIONS.format(trigger=str(trigger)))
+    line = program.wait_for_event("start_waits")
+    assert (line["step"], line["why"]) == ("store", "the disk does not answer")
+    trigger.unlink()
+    program.wait_until_serving()
