Build: environments of another kind of machine are made again

A folder that was carried over from x86-64 to arm64 was kept when both machines have the same Python: .venv with its compiled msgspec can't be loaded there, so that a sender would not start. Not run on x86-64.

--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,10 +1,14 @@
 """When deploy/build and deploy/build-system install dependencies. A fake Python logs its command lines."""
 
+import os
 import shutil
 import subprocess
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).resolve().parents[1]
+MACHINE = os.uname().machine
 FAKE_VENV_PYTHON = """#!/bin/sh
 case "$1" in -c) printf '%s\\n' "{version}";; *) echo "$*" >> "{log}";; esac
 """
@@ -30,6 +34,7 @@
     venv_python, log = tmp_path / ".venv/bin/python", tmp_path / "log"
     venv_python.write_text(FAKE_VENV_PYTHON.format(version=version, log=log))
     venv_python.chmod(0o755)
+    (tmp_path / ".venv/machine-mark").write_text(f"{MACHINE}\n")
 
     def run_build():
         log.write_text("")
@@ -43,6 +48,41 @@
     assert run_build() == [True, False]
 
 
+@pytest.mark.parametrize("machine, is_created_again", [(MACHINE, False), ("another", True), (None, True)])
+def test_environment_of_another_kind_of_machine_is_created_again(tmp_path, machine, is_created_again):
+    shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
+    commands, log = tmp_path / "bin", tmp_path / "log"
+    (tmp_path / ".venv/bin").mkdir(parents=True)
+    commands.mkdir()
+    fake_python = FAKE_VENV_PYTHON.format(version="3", log=log)
+    for python in (commands / "python3", tmp_path / ".venv/bin/python"):
+        python.write_text(fake_python)
+        python.chmod(0o755)
+    if machine is not None:
+        (tmp_path / ".venv/machine-mark").write_text(f"{machine}\n")
+    environment = {"PATH": f"{commands}:/usr/bin:/bin"}
+    for created in (is_created_again, False):
+        log.write_text("")
+        subprocess.run(["sh", str(tmp_path / "deploy/build")], check=True, timeout=60, env=environment)
+        assert ("-m venv --clear .venv" in log.read_text()) == created
+        assert (tmp_path / ".venv/machine-mark").read_text() == f"{MACHINE}\n"
+
+
+def test_dependencies_of_another_kind_of_machine_are_installed_again(tmp_path):
+    shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
+    commands, log = tmp_path / "bin", tmp_path / "log"
+    commands.mkdir()
+    fake_python = FAKE_SYSTEM_PYTHON.format(log=log, target=tmp_path / "target", failure_marker=tmp_path / "fail")
+    for machine, is_installed in (("x86_64", True), ("x86_64", False), ("aarch64", True), ("aarch64", False)):
+        (commands / "python3").write_text(fake_python.replace("-c) echo 3;", f"-c) echo '{machine}' | grep . ;"))
+        (commands / "python3").chmod(0o755)
+        log.write_text("")
+        environment = {"PATH": f"{commands}:/usr/bin:/bin"}
+        subprocess.run(["sh", str(tmp_path / "deploy/build-system")], check=True, timeout=60, env=environment)
+        assert ("install" in log.read_text()) == is_installed
+    assert "os.uname().machine" in (ROOT / "deploy/build-system").read_text()
+
+
 def test_build_system_installs_when_the_lock_file_has_changed_or_the_last_build_failed(tmp_path):
     (tmp_path / "deploy").mkdir()
     for name in ("build-system", "system-requirements.lock"):
