--- a/tests/processes/test_ends.py
+++ b/tests/processes/test_ends.py
@@ -4,6 +4,8 @@
 import json
 import logging
 import os
+import random
+import socket
 import threading
 from types import SimpleNamespace
 
@@ -12,7 +14,9 @@
 from dewpin.cluster import logs
 from dewpin.cluster.process import program as program_module
 from dewpin.cluster.process.supervised_thread import start_supervised_thread
-from dewpin.controlplane import control_process
+from dewpin.controlplane import control_process, control_server
+from dewpin.dataplane.ingress.connection_acceptor import ConnectionAcceptor
+from dewpin.dataplane.membership import cluster_agent
 
 from .program import CONTROL_SERVER, SENDER, TIMEOUT_S
 
@@ -164,3 +168,63 @@
     assert applied == ["settings"]
     (line,) = log_lines()
     assert "first poll" in line["exc_info"]
+
+
+def failing_once(error):
+    """Return a step that raises `error`, then returns once, then cancels its loop; and the list of its calls."""
+    calls = []
+
+    async def step():
+        calls.append(1)
+        if len(calls) == 1:
+            raise error
+        if len(calls) == 3:
+            raise asyncio.CancelledError
+
+    return step, calls
+
+
+def test_step_of_a_control_server_that_raised_is_repeated(log_lines, monkeypatch):
+    monkeypatch.setattr(control_server, "ERROR_BACKOFF_S", 0.0)
+    step, calls = failing_once(ValueError("a bug"))
+    server = SimpleNamespace(_rng=random.Random(1))
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(control_server.ControlServer._repeat(server, 0.0, step))
+    (line,) = log_lines()
+    assert len(calls) == 3 and line["event"] == "control.step_failed" and "a bug" in line["exc_info"]
+
+
+def test_step_of_a_sender_that_raised_is_repeated(log_lines, monkeypatch):
+    monkeypatch.setattr(cluster_agent, "STEP_ERROR_BACKOFF_S", 0.0)
+    step, calls = failing_once(ValueError("a bug"))
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(cluster_agent._run_repeatedly("a step", step))
+    (line,) = log_lines()
+    assert len(calls) == 3 and line["event"] == "agent.step_failed" and "a bug" in line["exc_info"]
+
+
+def test_connection_without_a_thread_is_closed_and_the_next_one_served(log_lines):
+    served, closed = threading.Event(), []
+    acceptor = ConnectionAcceptor(
+        ("127.0.0.1", 0), lambda: True, lambda sock: (sock.close(), served.set()), lambda: closed.append(1)
+    )
+    submit, failures = acceptor._workers.submit, [RuntimeError("can't start new thread")]
+
+    def submit_or_fail(sock):
+        if failures:
+            raise failures.pop()
+        submit(sock)
+
+    acceptor._workers.submit = submit_or_fail
+    thread = threading.Thread(target=acceptor.serve_forever, args=(0.05,))
+    thread.start()
+    with socket.create_connection(acceptor.server_address) as first:
+        first.settimeout(TIMEOUT_S)
+        assert first.recv(1) == b""
+    socket.create_connection(acceptor.server_address).close()
+    assert served.wait(TIMEOUT_S)
+    acceptor.shutdown()
+    thread.join()
+    acceptor.server_close()
+    (line,) = log_lines()
+    assert len(closed) >= 1 and "can't start new thread" in line["exc_info"]
