--- a/tests/dataplane/test_sender_logs.py
+++ b/tests/dataplane/test_sender_logs.py
@@ -1,15 +1,12 @@
 """Life-cycle events of a sender: each is logged as one JSON line by the tier's log handler."""
 
 import asyncio
-import json
-import logging
-import os
 import threading
 from types import SimpleNamespace
 
 import pytest
+from tier_log import captured_log
 
-from dewpin.cluster import logs
 from dewpin.dataplane.agent_thread import AgentThread
 from dewpin.dataplane.cluster_state_updater import ClusterStateUpdater
 from dewpin.dataplane.membership.cluster_state import ClusterState
@@ -17,24 +14,8 @@
 
 @pytest.fixture
 def log_lines():
-    """Configure logging at the default level; provide a function that returns the lines written since its last call."""
-    read_fd, write_fd = os.pipe()
-    os.set_blocking(read_fd, False)
-    handler = logs.configure("notice", "front-1", "sender", write_fd)
-
-    def read():
-        try:
-            return [json.loads(line) for line in os.read(read_fd, 1 << 16).splitlines()]
-        except BlockingIOError:
-            return []
-
-    yield read
-    logger = logging.getLogger(logs.LOGGER_NAME)
-    logger.removeHandler(handler)
-    logger.propagate = True
-    logger.setLevel(logging.NOTSET)
-    os.close(read_fd)
-    os.close(write_fd)
+    with captured_log("front-1", "sender") as read:
+        yield read
 
 
 def test_faulty_configuration_is_logged_as_one_line_with_all_its_faults(log_lines):
--- a/tests/processes/test_ends.py
+++ b/tests/processes/test_ends.py
@@ -1,15 +1,14 @@
 """Ends of a process that nobody asked for: the exit code, and log lines that say why."""
 
 import asyncio
-import json
 import logging
-import os
 import random
 import socket
 import threading
 from types import SimpleNamespace
 
 import pytest
+from tier_log import captured_log
 
 from dewpin.cluster import logs
 from dewpin.cluster.process import program as program_module
@@ -44,24 +43,8 @@
 
 @pytest.fixture
 def log_lines():
-    """Log to a pipe; provide a function that returns the lines written since its last call."""
-    reader, writer = os.pipe()
-    os.set_blocking(reader, False)
-    handler = logs.configure("notice", "one", "sender", writer)
-
-    def read():
-        try:
-            return [json.loads(line) for line in os.read(reader, 1 << 16).splitlines()]
-        except BlockingIOError:
-            return []
-
-    yield read
-    logger = logging.getLogger(logs.LOGGER_NAME)
-    logger.removeHandler(handler)
-    logger.propagate = True
-    logger.setLevel(logging.NOTSET)
-    os.close(reader)
-    os.close(writer)
+    with captured_log("one", "sender") as read:
+        yield read
 
 
 def test_unexpected_exception_ends_the_process_with_its_traceback(create_program):
