--- a/tests/processes/test_start.py
+++ b/tests/processes/test_start.py
@@ -134,3 +134,14 @@
     assert (line["step"], line["why"]) == ("store", "the disk does not answer")
     trigger.unlink()
     program.wait_until_serving()
+
+
+def test_start_waits_for_an_address_that_this_machine_does_not_have_yet(create_program):
+    program = create_program(SENDER)
+    settings = program.settings_path.read_text()
+    elsewhere = settings.replace(program.addresses["ready"], "192.0.2.1:18141")  # an address for documentation
+    program.settings_path.write_text(elsewhere)
+    program.start()
+    line = program.wait_for_event("start_waits")
+    assert line["step"] == "ready_address" and "assign" in line["why"]
+    assert program.stop() == 0
