Starts of the tier wait for a thread when the system has none left

A start at which one thread could not be started ended with exit code 1, though the machine's limit of threads is a condition that passes: 'can't start new thread' is a RuntimeError, and the start repeats what the system refuses (OSError). It is turned into one, and what was opened for the thread (address, database) is released before the next attempt. test_start_waits_for_a_thread_when_the_system_has_none_left: 6 of 6 failed on, 6 of 6 pass now (agent, ingress, ready and settings of a sender; storage and operator of a control server).

--- a/dewpin/cluster/listening_server.py
+++ b/dewpin/cluster/listening_server.py
@@ -2,8 +2,11 @@
 
 import threading
 from socket import SO_REUSEADDR, SOL_SOCKET
+from socketserver import BaseServer
 from typing import Any
 
+from .process.supervised_thread import start_supervised_thread
+
 ACCEPT_ERROR_BACKOFF_S = 0.01
 
 
@@ -26,3 +29,15 @@
         except OSError:
             threading.Event().wait(ACCEPT_ERROR_BACKOFF_S)
             raise
+
+
+def serve_in_background(name: str, server: BaseServer, poll_s: float) -> None:
+    """Accept connections on a thread. Raises OSError, with the address released, if no thread is left.
+
+    poll_s: interval at which the server checks whether it has been shut down.
+    """
+    try:
+        start_supervised_thread(name, lambda: server.serve_forever(poll_s))
+    except OSError:
+        server.server_close()
+        raise
--- a/dewpin/cluster/process/supervised_thread.py
+++ b/dewpin/cluster/process/supervised_thread.py
@@ -1,5 +1,6 @@
 """Threads that a program cannot serve without: one that raises is logged and runs again."""
 
+import errno
 import threading
 import time
 from collections.abc import Callable
@@ -10,7 +11,10 @@
 
 
 def start_supervised_thread(name: str, run: Callable[[], None], delay_s: float = RESTART_DELAY_S) -> threading.Thread:
-    """Start a daemon thread that calls `run` until it returns; after an exception it is called again."""
+    """Start a daemon thread that calls `run` until it returns; after an exception it is called again.
+
+    Raises OSError if the system has no thread left.
+    """
 
     def supervise() -> None:
         while True:
@@ -22,5 +26,13 @@
             time.sleep(delay_s)
 
     thread = threading.Thread(target=supervise, name=name, daemon=True)
-    thread.start()
+    start_thread(thread)
     return thread
+
+
+def start_thread(thread: threading.Thread) -> None:
+    """Start a thread. Raises OSError if the system has no thread left, for which `threading` has no exception."""
+    try:
+        thread.start()
+    except RuntimeError as error:
+        raise OSError(errno.EAGAIN, str(error)) from error
--- a/dewpin/controlplane/operator_http.py
+++ b/dewpin/controlplane/operator_http.py
@@ -7,8 +7,7 @@
 from typing import Any
 
 from dewpin.cluster.errors import DewpinError
-from dewpin.cluster.listening_server import ListeningServerMixin
-from dewpin.cluster.process.supervised_thread import start_supervised_thread
+from dewpin.cluster.listening_server import ListeningServerMixin, serve_in_background
 from dewpin.controlplane.operator_api import BASE_VERSION_HEADER, ApiResponse, OperatorApi, error_response
 
 log = logging.getLogger(__name__)
@@ -130,8 +129,8 @@
 
 
 def serve_operator(address: tuple[str, int], api: OperatorApi) -> ThreadingHTTPServer:
-    """Start serving the API in threads. Raises OSError if the address cannot be bound."""
+    """Start serving the API in threads. Raises OSError if the address cannot be bound, or if no thread is left."""
     handler = type("OperatorRequestHandler", (_RequestHandler,), {"api": api})
     server = _HttpServer(address, handler)
-    start_supervised_thread("operator", lambda: server.serve_forever(SHUTDOWN_POLL_S))
+    serve_in_background("operator", server, SHUTDOWN_POLL_S)
     return server
--- a/dewpin/controlplane/storage/storage.py
+++ b/dewpin/controlplane/storage/storage.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import Any, Generic, TypeVar
 
+from dewpin.cluster.process.supervised_thread import start_thread
+
 from .database import is_damage, mark_damaged, open_database, sync_folder
 from .errors import StorageDamagedError, StorageError
 from .schema import incarnation_of
@@ -73,7 +75,7 @@
         clock: Callable[[], float] = time.monotonic,
         on_damaged: Callable[[], None] = _ignore_damage,
     ) -> None:
-        """Open or create the database, blocking until it is durable. Raises StorageError or SchemaTooNewError.
+        """Open or create the database, blocking until it is durable. Raises StorageError, SchemaTooNewError or OSError.
 
         `log` receives messages for the operator; `clock` returns monotonic seconds; `on_damaged` is called on the
         storage thread when the file is found to be damaged: the process should then exit.
@@ -90,7 +92,11 @@
         self._jobs_changed = threading.Condition()
         self._is_closing = False
         self._thread = threading.Thread(target=self._run_jobs, name="storage", daemon=True)
-        self._thread.start()
+        try:
+            start_thread(self._thread)
+        except OSError:
+            self._connection.close()
+            raise
 
     async def write(self, statements: Sequence[Statement]) -> None:
         """Run `statements` atomically; return once they are synced to disk. Raises StorageError."""
--- a/dewpin/dataplane/agent_thread.py
+++ b/dewpin/dataplane/agent_thread.py
@@ -44,7 +44,7 @@
 
         Raises StartInterruptedError and any exception of the start.
         """
-        start_supervised_thread("agent", self._run_loop)
+        steps.run("agent_thread", lambda: start_supervised_thread("agent", self._run_loop))
         started = asyncio.run_coroutine_threadsafe(self._start(steps), self._loop)
         while not concurrent.futures.wait((started,), STOP_SIGNAL_POLL_S).done:
             steps.check_stop_signal()
--- a/dewpin/dataplane/ingress/readiness.py
+++ b/dewpin/dataplane/ingress/readiness.py
@@ -6,8 +6,7 @@
 from http import HTTPStatus
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-from dewpin.cluster.listening_server import ListeningServerMixin
-from dewpin.cluster.process.supervised_thread import start_supervised_thread
+from dewpin.cluster.listening_server import ListeningServerMixin, serve_in_background
 
 SHUTDOWN_POLL_S = 0.5
 REQUEST_TIMEOUT_S = 5.0
@@ -33,8 +32,8 @@
 
     def start(self, address: tuple[str, int]) -> None:
         """Listen on a host and port and serve in the background. Raises OSError if it cannot listen."""
-        server = self._server = _HttpServer(address, _handler_class(self.PATH, self._is_ready))
-        start_supervised_thread("ready", lambda: server.serve_forever(SHUTDOWN_POLL_S))
+        self._server = _HttpServer(address, _handler_class(self.PATH, self._is_ready))
+        serve_in_background("ready", self._server, SHUTDOWN_POLL_S)
 
     def stop(self) -> None:
         """Stop serving."""
--- a/dewpin/dataplane/ingress/server.py
+++ b/dewpin/dataplane/ingress/server.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable
 
-from dewpin.cluster.process.supervised_thread import start_supervised_thread
+from dewpin.cluster.listening_server import serve_in_background
 from dewpin.dataplane.http11.messages import IncompleteBodyError
 from dewpin.dataplane.ingress.client_connection import ClientConnection
 from dewpin.dataplane.ingress.connection_acceptor import ConnectionAcceptor
@@ -72,7 +72,7 @@
         threading.stack_size(THREAD_STACK_BYTES)
         acceptor = ConnectionAcceptor(address, self._try_admit, self._serve_connection, self._on_connection_closed)
         self._acceptor = acceptor
-        start_supervised_thread("ingress", lambda: acceptor.serve_forever(self._accept_poll_s))
+        serve_in_background("ingress", acceptor, self._accept_poll_s)
 
     def begin_drain(self) -> None:
         """Send `Connection: close` in all responses from now on; new connections are still accepted."""
--- a/dewpin/dataplane/sender_process.py
+++ b/dewpin/dataplane/sender_process.py
@@ -60,7 +60,7 @@
         readiness = ReadinessServer(self.is_ready)
         steps.run("front_address", lambda: ingress.start(split_address(settings.listen[FRONT])))
         steps.run("ready_address", lambda: readiness.start(split_address(settings.listen[READY])))
-        start_supervised_thread("settings", self._watch_settings)
+        steps.run("settings_thread", lambda: start_supervised_thread("settings", self._watch_settings))
         return ingress
 
     def wait_for_stop_signal(self) -> None:
--- a/tests/processes/test_start.py
+++ b/tests/processes/test_start.py
@@ -25,6 +25,22 @@
 Storage.transact = transact_unless_failing
 main()
 """
+FAIL_THREADS = """
+import os, threading
+from {role}.__main__ import main
+
+start = threading.Thread.start
+
+def start_unless_failing(self):
+    if os.path.exists({trigger!r} + "-" + self.name):
+        raise RuntimeError("can't start new thread")
+    start(self)
+
+threading.Thread.start = start_unless_failing
+main()
+"""
+THREADS = [(SENDER, name) for name in ("agent", "ingress", "ready", "settings")]
+THREADS += [(CONTROL_SERVER, name) for name in ("storage", "operator")]
 ADDRESSES = [(SENDER, "internal"), (SENDER, "front"), (SENDER, "ready")]
 ADDRESSES += [(CONTROL_SERVER, "internal"), (CONTROL_SERVER, "operator")]
 
@@ -145,3 +161,16 @@
     line = program.wait_for_event("start_waits")
     assert line["step"] == "ready_address" and "assign" in line["why"]
     assert program.stop() == 0
+
+
+@pytest.mark.parametrize("role, name", THREADS)
+def test_start_waits_for_a_thread_when_the_system_has_none_left(create_program, role, name):
+    program = create_program(role)
+    trigger = program.folder / "trigger"
+    missing = program.folder / f"trigger-{name}"
+    missing.write_text("")
+    program.start(code=FAIL_THREADS.format(role=role, trigger=str(trigger)))
+    assert "can't start new thread" in program.wait_for_event("start_waits")["why"]
+    missing.unlink()
+    program.wait_until_serving()
+    program.wait_for_event("started")
