Stand-in tier: ready once its receivers listen, too

The wait now covers the receivers. test_tier_is_not_ready_before_all_receivers_listen starts a receiver 3 s late: refused before, passes now.

--- a/dewpin/standin/tier.py
+++ b/dewpin/standin/tier.py
@@ -5,10 +5,14 @@
 
 import json
 import shutil
+import socket
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from types import TracebackType
 
+from dewpin.cluster.rpc import split_address
+
 from .addresses import PLATFORM_PORT, RECEIVER_PORT, LoopbackNetwork
 from .instances import InstanceEntry
 from .machine import Machine
@@ -24,11 +28,21 @@
 RECEIVERS_PER_SERVICE = 2
 RECEIVER_SLOTS = 4
 READY_TIMEOUT_S = 20.0
+CONNECT_TIMEOUT_S = 1.0
 SETTLED_TIMEOUT_S = 20.0
 SETTINGS_PATH_VARIABLE = "DEWPIN_BOOT"
 STANDIN_MODULE = "dewpin.standin"
 
 
+def is_listening(address: str) -> bool:
+    """Return whether a process accepts connections at an address."""
+    try:
+        socket.create_connection(split_address(address), timeout=CONNECT_TIMEOUT_S).close()
+    except OSError:
+        return False
+    return True
+
+
 class LocalTier:
     """A context manager that starts and stops all processes of a tier, with their files in one folder.
 
@@ -91,7 +105,13 @@
         self.stop()
 
     def wait_until_ready(self, timeout_s: float = READY_TIMEOUT_S) -> None:
-        """Wait until all senders are ready. Raises ConditionNotMetError, at once if a sender has ended."""
+        """Wait until all receivers listen and all senders are ready.
+
+        Raises ConditionNotMetError, at once if a sender has ended.
+        """
+        for receiver in self.receivers:
+            listens = partial(is_listening, receiver["address"])
+            wait_until(listens, timeout_s, f"{receiver['id']} listens")
         for sender in self.senders:
             wait_until(sender.is_ready, timeout_s, f"{sender.name} is ready")
 
--- a/tests/processes/program.py
+++ b/tests/processes/program.py
@@ -14,6 +14,7 @@
 from dewpin.standin.machine_settings import write_machine_settings
 from dewpin.standin.polling import wait_until
 from dewpin.standin.processes import ROOT, ManagedProcess
+from dewpin.standin.tier import is_listening
 
 SENDER, CONTROL_SERVER = "dewpin.dataplane", "dewpin.controlplane"
 ROLES = (SENDER, CONTROL_SERVER)
@@ -60,7 +61,7 @@
     def is_serving(self):
         """Return whether the process accepts connections at all its addresses; it must be running."""
         assert self.process.poll() is None, f"ended with {self.process.returncode}: {self.log_text()}"
-        return all(accepts_connections(address) for address in self.addresses.values())
+        return all(is_listening(address) for address in self.addresses.values())
 
     def wait_until_serving(self):
         wait_until(self.is_serving, TIMEOUT_S, "the process serves")
@@ -92,14 +93,6 @@
         return wait_until(find, TIMEOUT_S, f"{name} is logged")[0]
 
 
-def accepts_connections(address):
-    try:
-        socket.create_connection(split_address(address), timeout=1.0).close()
-    except OSError:
-        return False
-    return True
-
-
 def occupy(address):
     """Return a socket that listens at an address, as another process would."""
     sock = socket.socket()
--- a/tests/standin/test_processes_and_settings.py
+++ b/tests/standin/test_processes_and_settings.py
@@ -1,6 +1,7 @@
 """Addresses, settings files and processes of the local tier."""
 
 import signal
+import threading
 import tomllib
 
 import pytest
@@ -10,8 +11,9 @@
 from dewpin.standin.errors import ConditionNotMetError
 from dewpin.standin.polling import wait_until
 from dewpin.standin.processes import ManagedProcess, terminate_all
+from dewpin.standin.sample_configuration import sample_configuration
 from dewpin.standin.settings_file import render_settings
-from dewpin.standin.tier import LocalTier
+from dewpin.standin.tier import LocalTier, is_listening
 
 
 def test_networks_of_two_tiers_have_no_common_address():
@@ -63,3 +65,20 @@
     assert wait_until(lambda: "a fact", 0.0, "it") == "a fact"
     with pytest.raises(ConditionNotMetError, match="it: not met within 0 s"):
         wait_until(lambda: None, 0.0, "it")
+
+
+def test_tier_is_not_ready_before_all_receivers_listen(tmp_path):
+    tier = LocalTier(tmp_path)
+    late = next(process for process in tier.processes if process.name == tier.receivers[0]["id"])
+    start, begun = late.start, []
+
+    def start_late():
+        begun.append(threading.Timer(3.0, start))
+        begun[0].start()
+
+    late.start = start_late
+    with tier:
+        assert tier.operator.put(sample_configuration(1), base=0).status == 200
+        tier.wait_until_ready()
+        assert is_listening(tier.receivers[0]["address"])
+        begun[0].join()
