--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from checkout_copy import copy_folders
 
 ROOT = Path(__file__).resolve().parents[1]
 MACHINE = os.uname().machine
@@ -48,9 +49,17 @@
     assert run_build() == [True, False]
 
 
+def test_copied_folder_keeps_a_link_whose_target_is_missing(tmp_path):
+    checkout, copy = tmp_path / "checkout", tmp_path / "copy"
+    (checkout / "deploy/site").mkdir(parents=True)
+    (checkout / "deploy/site/wire.json").symlink_to("../../../outside/wire.json")
+    copy_folders(copy, "deploy", source=checkout)
+    assert os.readlink(copy / "deploy/site/wire.json") == "../../../outside/wire.json"
+
+
 @pytest.mark.parametrize("machine, is_created_again", [(MACHINE, False), ("another", True), (None, True)])
 def test_environment_of_another_kind_of_machine_is_created_again(tmp_path, machine, is_created_again):
-    shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
+    copy_folders(tmp_path, "deploy")
     commands, log = tmp_path / "bin", tmp_path / "log"
     (tmp_path / ".venv/bin").mkdir(parents=True)
     commands.mkdir()
@@ -69,7 +78,7 @@
 
 
 def test_dependencies_of_another_kind_of_machine_are_installed_again(tmp_path):
-    shutil.copytree(ROOT / "deploy", tmp_path / "deploy")
+    copy_folders(tmp_path, "deploy")
     commands, log = tmp_path / "bin", tmp_path / "log"
     commands.mkdir()
     fake_python = FAKE_SYSTEM_PYTHON.format(log=log, target=tmp_path / "target", failure_marker=tmp_path / "fail")
--- a/tests/test_system_packages.py
+++ b/tests/test_system_packages.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import pytest
+from checkout_copy import copy_folders
 
 ROOT = Path(__file__).resolve().parents[1]
 LISTED_PACKAGES = tomllib.loads((ROOT / "deploy/system.toml").read_text())["packages"]
@@ -102,8 +103,7 @@
         directory, name = os.path.split(file)
         if directory in ("/bin", "/usr/bin") and os.access(file, os.X_OK) and not (commands / name).exists():
             (commands / name).symlink_to(file)
-    for name in ("deploy", "dewpin"):
-        shutil.copytree(ROOT / name, checkout / name, symlinks=True, ignore=shutil.ignore_patterns("__pycache__"))
+    copy_folders(checkout, "deploy", "dewpin")
     environment = {"PATH": str(commands), "HOME": str(home)}
     command = [str(commands / "sh"), "deploy/build-system"]
     completed = subprocess.run(command, cwd=checkout, env=environment, capture_output=True, text=True, timeout=900)
@@ -128,7 +128,7 @@
             (commands / name).symlink_to(shutil.which(name, path="/usr/bin:/bin"))
     (commands / "python3").write_text(FAKE_PYTHON)
     (commands / "python3").chmod(0o755)
-    shutil.copytree(ROOT / "deploy", tmp_path / "deploy", symlinks=True)
+    copy_folders(tmp_path, "deploy")
     for _ in ("first build", "repeated build"):
         completed = subprocess.run(
             [str(commands / "sh"), str(tmp_path / "deploy/build-system")],
