Tests: one loopback server and one recorder of logged events

The scripted receivers of the data plane's tests and the scripted server of the golden exchanges had the same accept loop, and two tests replaced log_event in the same way. Both stand once now (tests/loopback_server.py, tests/tier_log.py); no check, bound or scripted exchange changes.

--- a/tests/cluster/test_settings_watch.py
+++ b/tests/cluster/test_settings_watch.py
@@ -2,6 +2,7 @@
 
 import pytest
 from cluster import samples
+from tier_log import recorded_events
 
 from dewpin.cluster import settings_watch
 from dewpin.cluster.settings import Cloud, load_settings
@@ -20,9 +21,7 @@
 
 @pytest.fixture
 def events(monkeypatch):
-    logged = []
-    monkeypatch.setattr(settings_watch, "log_event", lambda event, **fields: logged.append((event.value, fields)))
-    return logged
+    return recorded_events(monkeypatch, settings_watch)
 
 
 def test_unchanged_file_gives_nothing(path):
--- a/tests/dataplane/peers.py
+++ b/tests/dataplane/peers.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable, Sequence
 from contextlib import contextmanager
 
+from loopback_server import LoopbackServer
+
 from dewpin.cluster.configuration import Configuration, parse_configuration
 from dewpin.cluster.receivers import Receiver
 from dewpin.cluster.store_messages import TurnRecord
@@ -94,32 +96,12 @@
 """Handles one request; the connection is closed if it returns True."""
 
 
-class Listener:
-    """Accepts connections and serves each in a separate thread."""
+class Listener(LoopbackServer):
+    """A server that routing finds as a receiver."""
 
     def __init__(self, id: str, zone: str, capacity: int) -> None:
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.connections = 0
-        host, port = self._listener.getsockname()
-        self.receiver = Receiver(id, SERVICE, f"{host}:{port}", zone, capacity, False, 0.0, "v1")
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        # Closing the socket alone does not wake the thread that is blocked in accept().
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            self.connections += 1
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
-    def _serve(self, sock: socket.socket) -> None:
-        raise NotImplementedError
+        super().__init__()
+        self.receiver = Receiver(id, SERVICE, self.address, zone, capacity, False, 0.0, "v1")
 
 
 class ScriptedReceiver(Listener):
@@ -132,19 +114,19 @@
         self.faults: list[BaseException] = []
         super().__init__(id, zone, capacity)
 
-    def _serve(self, sock: socket.socket) -> None:
-        connection = PeerConnection(sock)
+    def _serve(self, connection: socket.socket) -> None:
+        peer = PeerConnection(connection)
         try:
-            while (request := connection.read_request()) is not None:
+            while (request := peer.read_request()) is not None:
                 with self._lock:
                     self.requests.append(request)
                     script = self._scripts.pop(0) if len(self._scripts) > 1 else self._scripts[0]
-                if script(connection, request):
+                if script(peer, request):
                     break
         except OSError as fault:
             self.faults.append(fault)
         finally:
-            connection.close()
+            peer.close()
 
 
 class RawReceiver(Listener):
@@ -154,9 +136,9 @@
         self._script = script
         super().__init__(id, "here", 4)
 
-    def _serve(self, sock: socket.socket) -> None:
-        sock.settimeout(PATIENCE_S)
-        self._script(sock)
+    def _serve(self, connection: socket.socket) -> None:
+        connection.settimeout(PATIENCE_S)
+        self._script(connection)
 
 
 def read_head(sock: socket.socket) -> ReceivedRequest:
--- a/tests/golden/tier_http.py
+++ b/tests/golden/tier_http.py
@@ -7,13 +7,13 @@
 import re
 import socket
 import tempfile
-import threading
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from typing import Any
 
 from golden import tier_api
+from loopback_server import LoopbackServer
 
 TIMEOUT_S = 10.0
 _VARYING = (
@@ -82,7 +82,7 @@
     return b"Transfer-Encoding" in head and body.endswith(b"0\r\n\r\n")
 
 
-class ScriptedServer:
+class ScriptedServer(LoopbackServer):
     """Sends the next response to each request, the last one also to all further requests, and records the requests.
 
     `{id}` in a response is replaced by the request's ID. None closes the connection.
@@ -91,22 +91,8 @@
     def __init__(self, *responses: bytes | None, beside: "ScriptedServer | None" = None) -> None:
         """`beside`: another server, whose responses and recorded requests this one shares."""
         self._responses = list(responses) if beside is None else beside._responses
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
         self.requests: list[str] = [] if beside is None else beside.requests
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+        super().__init__()
 
     def _serve(self, connection: socket.socket) -> None:
         with connection:
--- a/tests/processes/test_start_steps.py
+++ b/tests/processes/test_start_steps.py
@@ -4,6 +4,7 @@
 import signal
 
 import pytest
+from tier_log import recorded_events
 
 from dewpin.cluster.process import start_steps
 from dewpin.cluster.process.start_steps import LOG_PERIOD_S, MAX_DELAY_S, StartInterruptedError, StartSteps
@@ -38,9 +39,7 @@
 
 @pytest.fixture
 def logged(monkeypatch):
-    lines = []
-    monkeypatch.setattr(start_steps, "log_event", lambda event, **fields: lines.append((event.value, fields)))
-    return lines
+    return recorded_events(monkeypatch, start_steps)
 
 
 def test_step_is_repeated_until_it_succeeds(logged):
--- a/tests/tier_log.py
+++ b/tests/tier_log.py
@@ -28,3 +28,10 @@
     logger.setLevel(logging.NOTSET)
     os.close(reader)
     os.close(writer)
+
+
+def recorded_events(monkeypatch, module):
+    """Replace `log_event` in a module; return a list of (event, fields) that grows with each of its calls."""
+    recorded = []
+    monkeypatch.setattr(module, "log_event", lambda event, **fields: recorded.append((event.value, fields)))
+    return recorded
