--- a/tests/golden/test_tier_http.py
+++ b/tests/golden/test_tier_http.py
@@ -4,7 +4,8 @@
 from pathlib import Path
 
 import pytest
-from golden import tier_api, tier_http
+from golden import tier_http
+from golden.tier_api import encodings, http_servers, lease_release
 
 GOLDEN = json.loads((Path(__file__).parent / "tier" / "http.json").read_text())
 
@@ -31,20 +32,20 @@
 
 
 def test_error_responses_of_sender_have_recorded_bytes():
-    assert tier_api.own_answers() == GOLDEN["own_answers"]
+    assert http_servers.own_answers() == GOLDEN["own_answers"]
 
 
 def test_chunk_to_client_has_recorded_bytes():
-    assert tier_api.rendered_chunk(b"part of a body \xff").decode("latin-1") == GOLDEN["chunk"]
+    assert http_servers.rendered_chunk(b"part of a body \xff").decode("latin-1") == GOLDEN["chunk"]
 
 
 def test_stopping_sender_sends_recorded_releases():
-    assert tier_api.releases_of_stopping_sender() == GOLDEN["releases"]
+    assert lease_release.releases_of_stopping_sender() == GOLDEN["releases"]
 
 
 def test_release_of_lease_gets_recorded_reply():
-    assert tier_api.released_answer() == GOLDEN["released"]
+    assert lease_release.released_answer() == GOLDEN["released"]
 
 
 def test_keys_are_placed_as_recorded():
-    assert tier_api.placements() == GOLDEN["placements"]
+    assert encodings.placements() == GOLDEN["placements"]
--- a/tests/golden/test_tier_messages.py
+++ b/tests/golden/test_tier_messages.py
@@ -4,12 +4,12 @@
 from pathlib import Path
 
 import pytest
-from golden import tier_api
+from golden.tier_api import encodings, message_cases
 
 GOLDEN = json.loads((Path(__file__).parent / "tier" / "messages.json").read_text())
 FRAMES = {name: text.encode("latin-1") for name, text in GOLDEN["frames"].items()}
-CASES = {case.name: case for case in tier_api.message_cases()}
-EARLIER_FORMS = tier_api.earlier_forms()
+CASES = {case.name: case for case in message_cases.all_cases()}
+EARLIER_FORMS = message_cases.earlier_forms()
 
 
 def test_recorded_messages_and_cases_match():
@@ -18,13 +18,13 @@
 
 @pytest.mark.parametrize("name", FRAMES)
 def test_message_encodes_to_recorded_bytes(name):
-    assert tier_api.encode_frame(CASES[name]) == FRAMES[name]
+    assert message_cases.encode_frame(CASES[name]) == FRAMES[name]
 
 
 @pytest.mark.parametrize("name", FRAMES)
 def test_recorded_bytes_decode_to_the_same_object(name):
     case = CASES[name]
-    number, message = tier_api.decode_frame(FRAMES[name], case.is_answer)
+    number, message = message_cases.decode_frame(FRAMES[name], case.is_answer)
     assert number == 7
     assert case.decode(message) == case.value
 
@@ -37,27 +37,27 @@
 
 def test_compressed_connection_sends_recorded_bytes():
     frames = ("lease.renew/full", "relay.news/full", "lease.renew/full")
-    assert tier_api.compress([FRAMES[name] for name in frames]) == GOLDEN["compressed"].encode("latin-1")
+    assert encodings.compress([FRAMES[name] for name in frames]) == GOLDEN["compressed"].encode("latin-1")
 
 
 def test_recorded_compressed_bytes_are_decoded():
     recorded = GOLDEN["compressed"].encode("latin-1")
-    assert tier_api.decompress(recorded) == GOLDEN["decompressed"].encode("latin-1")
+    assert encodings.decompress(recorded) == GOLDEN["decompressed"].encode("latin-1")
 
 
 def test_digests_of_bodies_are_as_recorded():
-    assert tier_api.digests() == GOLDEN["digests"]
+    assert encodings.digests() == GOLDEN["digests"]
 
 
 def test_error_kinds_have_recorded_names_and_responses():
-    assert tier_api.error_table() == GOLDEN["error_table"]
+    assert encodings.error_table() == GOLDEN["error_table"]
 
 
 def test_calls_that_cannot_be_served_get_recorded_error_replies():
-    assert tier_api.rpc_answers() == GOLDEN["rpc_answers"]
+    assert encodings.rpc_answers() == GOLDEN["rpc_answers"]
 
 
 @pytest.mark.parametrize("name", GOLDEN["platform"])
 def test_platform_entry_gives_recorded_record(name):
     case = GOLDEN["platform"][name]
-    assert list(tier_api.platform_entry(case["entry"]).items()) == list(case["record"].items())
+    assert list(encodings.platform_entry(case["entry"]).items()) == list(case["record"].items())
--- a/tests/golden/test_tier_programs.py
+++ b/tests/golden/test_tier_programs.py
@@ -6,10 +6,10 @@
 import json
 from pathlib import Path
 
-from golden import tier_api
+from golden.tier_api import programs
 
 GOLDEN = json.loads((Path(__file__).parent / "tier" / "programs.json").read_text())
 
 
 def test_senders_call_the_store_as_recorded():
-    assert json.dumps(tier_api.program_transcript()) == json.dumps(GOLDEN)
+    assert json.dumps(programs.program_transcript()) == json.dumps(GOLDEN)
--- a/tests/golden/tier/make_database.py
+++ b/tests/golden/tier/make_database.py
@@ -8,7 +8,7 @@
 import tempfile
 from pathlib import Path
 
-from golden import tier_api
+from golden.tier_api import control_machine, stored_data
 
 FOLDER = Path(__file__).parent
 
@@ -17,11 +17,11 @@
     written = {}
     for scene in ("first", "full"):
         with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / tier_api.DATABASE
-            states = tier_api.write_database(Path(folder), scene)
+            path = Path(folder) / control_machine.DATABASE
+            states = stored_data.write_database(Path(folder), scene)
             shutil.copyfile(path, FOLDER / f"keeper-{scene}.sqlite3")
-            dump = tier_api.dump_database(path)
-            written[scene] = {"states": states, "dump": dump, "read": tier_api.read_database(Path(folder), scene)}
+            dump = stored_data.dump_database(path)
+            written[scene] = {"states": states, "dump": dump, "read": stored_data.read_database(Path(folder), scene)}
     (FOLDER / "database.json").write_text(json.dumps(written, indent=1) + "\n")
 
 
--- a/tests/golden/tier/make_messages.py
+++ b/tests/golden/tier/make_messages.py
@@ -6,7 +6,7 @@
 import json
 from pathlib import Path
 
-from golden import tier_api
+from golden.tier_api import encodings, message_cases
 
 PLATFORM_ENTRIES = {
     "full": {
@@ -35,17 +35,18 @@
 
 
 def main() -> None:
-    frames = {case.name: tier_api.encode_frame(case) for case in tier_api.message_cases()}
+    frames = {case.name: message_cases.encode_frame(case) for case in message_cases.all_cases()}
     some = [frames["lease.renew/full"], frames["relay.news/full"], frames["lease.renew/full"]]
     written = {
         "frames": {name: data.decode("latin-1") for name, data in frames.items()},
-        "compressed": tier_api.compress(some).decode("latin-1"),
+        "compressed": encodings.compress(some).decode("latin-1"),
         "decompressed": b"".join(some).decode("latin-1"),
-        "digests": tier_api.digests(),
-        "error_table": tier_api.error_table(),
-        "rpc_answers": tier_api.rpc_answers(),
+        "digests": encodings.digests(),
+        "error_table": encodings.error_table(),
+        "rpc_answers": encodings.rpc_answers(),
         "platform": {
-            name: {"entry": entry, "record": tier_api.platform_entry(entry)} for name, entry in PLATFORM_ENTRIES.items()
+            name: {"entry": entry, "record": encodings.platform_entry(entry)}
+            for name, entry in PLATFORM_ENTRIES.items()
         },
     }
     path = Path(__file__).with_name("messages.json")
--- a/tests/golden/tier/make_programs.py
+++ b/tests/golden/tier/make_programs.py
@@ -6,12 +6,12 @@
 import json
 from pathlib import Path
 
-from golden import tier_api
+from golden.tier_api import programs
 
 
 def main() -> None:
     path = Path(__file__).with_name("programs.json")
-    path.write_text(json.dumps(tier_api.program_transcript(), indent=1) + "\n")
+    path.write_text(json.dumps(programs.program_transcript(), indent=1) + "\n")
 
 
 if __name__ == "__main__":
--- a/tests/golden/tier_http.py
+++ b/tests/golden/tier_http.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from golden import tier_api
+from golden.tier_api import encodings, http_servers
 from loopback_server import LoopbackServer
 
 TIMEOUT_S = 10.0
@@ -191,7 +191,7 @@
 def operator_transcript() -> dict[str, list[str]]:
     """Return each operator call with its response; the calls are made in order, to one control server."""
     with tempfile.TemporaryDirectory() as folder:
-        operator = tier_api.Operator(Path(folder))
+        operator = http_servers.Operator(Path(folder))
         try:
             transcript = {
                 name: [mask_varying(sent), exchange_once(operator.address, sent)]
@@ -230,7 +230,7 @@
         ("not ready", "/dewpin/ready?x=1", False),
         ("another path", "/", True),
     ):
-        with tier_api.ready_server(is_ready) as address:
+        with http_servers.ready_server(is_ready) as address:
             sent = request(f"GET {path} HTTP/1.1")
             transcript[name] = [mask_varying(sent), exchange(address, sent)]
     return transcript
@@ -275,7 +275,7 @@
     for name, responses in pages.items():
         server = ScriptedServer(*responses)
         with running(server) as (address,):
-            records = tier_api.read_platform(address)
+            records = encodings.read_platform(address)
         transcript[name] = {"records": records, "requests": server.requests}
     return transcript
 
@@ -453,7 +453,7 @@
     servers = [server, ScriptedServer(beside=server)] if len(responses) > 1 else [server]
     with ExitStack() as stack:
         listed = stack.enter_context(running(*servers))
-        address = stack.enter_context(tier_api.sender(configuration, listed, store_fault))
+        address = stack.enter_context(http_servers.sender(configuration, listed, store_fault))
         response = exchange(address, *requests)
     return {"client": [mask_varying(data) for data in requests], "receiver": server.requests, "answer": response}
 
