--- a/tests/golden/sender/make_process_day.py
+++ b/tests/golden/sender/make_process_day.py
@@ -9,10 +9,10 @@
 import sys
 import tempfile
 
-from golden import sender_api
 from golden.sender.process_day import play_day
+from golden.sender_api import paths
 
-LINES, HANDED = sender_api.FOLDER / "process-day.jsonl.xz", sender_api.FOLDER / "stored" / "handed.json"
+LINES, HANDED = paths.FOLDER / "process-day.jsonl.xz", paths.FOLDER / "stored" / "handed.json"
 
 
 def main(arguments):
--- a/tests/golden/sender/make_program.py
+++ b/tests/golden/sender/make_program.py
@@ -6,11 +6,11 @@
 import json
 import tempfile
 
-from golden import sender_api
 from golden.sender import program_scene
+from golden.sender_api import paths
 
 if __name__ == "__main__":
     with tempfile.TemporaryDirectory() as folder:
         found = program_scene.play(folder)
     lines = [f"{json.dumps(name)}: {json.dumps(facts)}" for name, facts in found.items()]
-    (sender_api.FOLDER / "program.json").write_text("{\n" + ",\n".join(lines) + "\n}\n")
+    (paths.FOLDER / "program.json").write_text("{\n" + ",\n".join(lines) + "\n}\n")
--- a/tests/golden/sender/make_simulator_day.py
+++ b/tests/golden/sender/make_simulator_day.py
@@ -7,15 +7,15 @@
 import lzma
 import sys
 
-from golden import sender_api
 from golden.sender.simulated_day import play_day
+from golden.sender_api import paths, simulator_program
 
 
 def main(arguments):
-    with sender_api.SimulatorProgram() as program:
+    with simulator_program.SimulatorProgram() as program:
         streams = dict(zip(("batches", "replies"), play_day(program.answer), strict=True))
     for name, content in streams.items():
-        path = sender_api.FOLDER / f"simulator-{name}.xz"
+        path = paths.FOLDER / f"simulator-{name}.xz"
         if "--check" in arguments:
             print(name, "same" if lzma.decompress(path.read_bytes()) == content else "DIFFERENT")
         else:
--- a/tests/golden/sender/make_stored_data.py
+++ b/tests/golden/sender/make_stored_data.py
@@ -10,10 +10,10 @@
 import tempfile
 from pathlib import Path
 
-from golden import sender_api
 from golden.sender import stored_scenes as scenes
+from golden.sender_api import paths, stored_data
 
-STORED = sender_api.FOLDER / "stored"
+STORED = paths.FOLDER / "stored"
 
 
 def lines(facts, depth=2):
@@ -43,7 +43,7 @@
             self.facts(f"{name}.json", {"answers": answers, "when_written": contents, "when_opened": again})
             executed = scenes.opened(state, assume_executed=True)
             self.facts(f"{name}-assumed-executed.json", executed)
-            self.facts(f"{name}-inspected.json", sender_api.inspected(state))
+            self.facts(f"{name}-inspected.json", stored_data.inspected(state))
         return (self.folder / f"{name}.journal").read_bytes()
 
     def broken_journal(self, name, content, spare=None):
@@ -56,7 +56,7 @@
             path.write_bytes(content)
             if spare is not None:
                 (Path(state) / "journal.new").write_bytes(spare)
-            inspected = sender_api.inspected(state)
+            inspected = stored_data.inspected(state)
             contents = scenes.opened(state)
             left = sorted(one.name for one in Path(state).iterdir())
             self.facts(
@@ -68,8 +68,8 @@
         with tempfile.TemporaryDirectory() as state:
             contents = scenes.write_list(state, steps)
             self.put(f"{name}.list", (Path(state) / "list").read_bytes())
-            other = sender_api.CachedList(state, scenes.OTHER_AGENT, scenes.DISK_BYTES)
-            again = sender_api.CachedList(state, scenes.AGENT, scenes.DISK_BYTES)
+            other = stored_data.CachedList(state, scenes.OTHER_AGENT, scenes.DISK_BYTES)
+            again = stored_data.CachedList(state, scenes.AGENT, scenes.DISK_BYTES)
             self.facts(
                 f"{name}.json",
                 {"when_written": contents, "when_opened": again.contents(), "at_another_agent": other.contents()},
@@ -80,8 +80,8 @@
             answers = scenes.write_hand_over_log(state)
             self.put("hand-over.journal", (Path(state) / "journal").read_bytes())
             self.put("hand-over.tail", (Path(state) / "tail").read_bytes())
-            journal = sender_api.Journal(state, scenes.DISK_BYTES)
-            consumed = sender_api.consumed_hand_over_log(state, journal)
+            journal = stored_data.Journal(state, scenes.DISK_BYTES)
+            consumed = stored_data.consumed_hand_over_log(state, journal)
             journal.close()
             self.facts("hand-over.json", {"answers": answers, "consumed": consumed})
             self.put("hand-over-consumed.journal", (Path(state) / "journal").read_bytes())
--- a/tests/golden/sender/make_wires.py
+++ b/tests/golden/sender/make_wires.py
@@ -7,10 +7,10 @@
 import json
 import sys
 
-from golden import sender_api
 from golden.sender import wire_scenes
+from golden.sender_api import paths
 
-WIRES = sender_api.FOLDER / "wires.json"
+WIRES = paths.FOLDER / "wires.json"
 
 
 def main(arguments):
--- a/tests/golden/sender/process_day.py
+++ b/tests/golden/sender/process_day.py
@@ -11,9 +11,9 @@
 from pathlib import Path
 from zlib import crc32
 
-from golden import sender_api
 from golden.sender.simulated_day import message_class, site_settings
 from golden.sender.stored_scenes import message, receiver
+from golden.sender_api import sender_process
 
 SEED = 1729
 START = 1764690000.0
@@ -178,7 +178,7 @@
 
     def start_process(self, name):
         self.network = SimulatedNetwork(self, name)
-        self.process = sender_api.SenderProcess(
+        self.process = sender_process.SenderProcess(
             self.folder, settings(), 0xFEED + len(name), self.network.loop, self.network, self.network
         )
 
--- a/tests/golden/sender/program_scene.py
+++ b/tests/golden/sender/program_scene.py
@@ -6,8 +6,8 @@
 import tempfile
 from pathlib import Path
 
-from golden import sender_api
 from golden.sender.wire_scenes import converse, response, submission
+from golden.sender_api import complete_program
 
 TIMING_DEPENDENT = {"health", "usual_ms", "pace", "trickle"}  # vary with the receivers, chosen by the time of day
 QUEUE_CLASSES = {"good": "notice", "broken": "charge", "told": "status", "held": "notice", "unknown": "of no class"}
@@ -78,7 +78,7 @@
 
     with tempfile.TemporaryDirectory() as control_folder:
         control = Path(control_folder) / "control"
-        sender_api.run_program(Path(folder), use_program, control)
+        complete_program.run_program(Path(folder), use_program, control)
     return json.loads(json.dumps(recorded))
 
 
--- a/tests/golden/sender/stored_scenes.py
+++ b/tests/golden/sender/stored_scenes.py
@@ -1,6 +1,6 @@
 """The steps that wrote the fixtures of the sender's stored data and that have to write the same bytes again.
 
-A step is the name of a method of `sender_api.Journal`, `CachedList` or `HandOverLog`, followed by its arguments.
+A step is the name of a method of `stored_data.Journal`, `CachedList` or `HandOverLog`, followed by its arguments.
 """
 
 import shutil
@@ -8,7 +8,7 @@
 from pathlib import Path
 from zlib import crc32
 
-from golden import sender_api
+from golden.sender_api import stored_data
 
 AGENT, OTHER_AGENT = "10.1.2.3:8080", "10.9.9.9:8080"
 DISK_BYTES = 3_000_000
@@ -106,7 +106,7 @@
 
 
 def write_journal(folder, *scenes, disk_bytes=DISK_BYTES):
-    journal = sender_api.Journal(folder, disk_bytes)
+    journal = stored_data.Journal(folder, disk_bytes)
     results = [result for steps in scenes for result in execute(journal, steps)]
     contents = journal.contents()
     journal.close()
@@ -115,7 +115,7 @@
 
 def sizes_on_the_way(folder, steps):
     """Return [size in bytes, checksum] of the journal's file after each step."""
-    journal, states = sender_api.Journal(folder, DISK_BYTES), []
+    journal, states = stored_data.Journal(folder, DISK_BYTES), []
     for step in steps:
         execute(journal, [step])
         content = (Path(folder) / "journal").read_bytes()
@@ -126,7 +126,7 @@
 
 def opened(folder, assume_executed=False):
     """Return the contents of a folder's journal at a start."""
-    journal = sender_api.Journal(folder, DISK_BYTES)
+    journal = stored_data.Journal(folder, DISK_BYTES)
     if assume_executed:
         journal.assume_attempts_executed()
     contents = journal.contents()
@@ -196,7 +196,7 @@
 
 
 def write_list(folder, steps, agent=AGENT):
-    cached = sender_api.CachedList(folder, agent, DISK_BYTES)
+    cached = stored_data.CachedList(folder, agent, DISK_BYTES)
     execute(cached, steps)
     return cached.contents()
 
@@ -204,7 +204,7 @@
 # -- the hand-over log --------------------------------------------------------------------------------------------
 
 LOAD = {"left": 0.5, "limit": 3.0}
-IN_FLIGHT = list(sender_api.OUTCOMES)
+IN_FLIGHT = list(stored_data.OUTCOMES)
 BEFORE_HAND_OVER = [
     step for ident in IN_FLIGHT for step in (("accept", message(ident)), ("attempt", ident, "r1", 1764690001000.0))
 ] + [("mark_consumed", 0)]
@@ -232,9 +232,9 @@
 
 def write_hand_over_log(folder):
     """Write `journal` and `tail` as the process that hands the folder over leaves them."""
-    journal = sender_api.Journal(folder, DISK_BYTES)
+    journal = stored_data.Journal(folder, DISK_BYTES)
     execute(journal, BEFORE_HAND_OVER)
-    log = sender_api.HandOverLog(folder, journal)
+    log = stored_data.HandOverLog(folder, journal)
     results = execute(log, HAND_OVER)
     log.close()
     journal.close()
--- a/tests/golden/sender/wire_scenes.py
+++ b/tests/golden/sender/wire_scenes.py
@@ -12,8 +12,8 @@
 from itertools import groupby
 from pathlib import Path
 
-from golden import sender_api
-from golden.sender_api import text
+from golden.sender_api import protocols
+from golden.sender_api.text_encoding import text
 
 QUIET_S = 0.15  # nothing more is expected after this time without a byte
 TIMEOUT_S = 10.0
@@ -141,16 +141,16 @@
 
 async def client_scene(name, expected):
     content, submit_result = CLIENTS[name]
-    relay = sender_api.StubRelay(submit_result)
-    async with sender_api.client_listener(relay) as address:
+    relay = protocols.StubRelay(submit_result)
+    async with protocols.client_listener(relay) as address:
         connection = await asyncio.open_connection(*address)
         result = await converse(*connection, content, expected)
     return result | {"request": text(content), "handed_in": relay.calls}
 
 
 async def stopping_scene(name, expected):
-    relay = sender_api.StubRelay(DEFERRED, is_stopping=True)
-    async with sender_api.client_listener(relay) as address:
+    relay = protocols.StubRelay(DEFERRED, is_stopping=True)
+    async with protocols.client_listener(relay) as address:
         connection = await asyncio.open_connection(*address)
         return await converse(*connection, request(b"GET /-/ready HTTP/1.1", body=b""), expected)
 
@@ -271,7 +271,7 @@
 async def receiver_scene(name, _expected):
     """Make two calls in sequence; the second shows whether the connection was reused."""
     timeout_ms = 400.5 if SILENT in RECEIVERS[name] else 5000.5
-    async with Server([*RECEIVERS[name], response(200)]) as server, sender_api.receiver_calls() as call:
+    async with Server([*RECEIVERS[name], response(200)]) as server, protocols.receiver_calls() as call:
         first = await call(*server.address, "m1", "tag-1", b"body \xff", timeout_ms)
         second = await call(*server.address, "m2", "", b"", 5000.0)
     return {"outcomes": [first, second], "requests": server.requests}
@@ -280,12 +280,12 @@
 async def unreachable_receiver_scene(_name, _expected):
     async with Server([]) as server:
         address = server.address
-    async with sender_api.receiver_calls() as call:
+    async with protocols.receiver_calls() as call:
         return {"outcome": await call(*address, "m1", "", b"", 400.0)}
 
 
 async def closed_window_scene(_name, _expected):
-    async with Server([]) as server, sender_api.receiver_calls() as call:
+    async with Server([]) as server, protocols.receiver_calls() as call:
         outcome = await call(*server.address, "m1", "", b"", 400.0, send_window_ms=0.0)
     return {"outcome": outcome, "requests": server.requests}
 
@@ -362,7 +362,7 @@
 async def watch_scene(name, _expected):
     revision, script = WATCHES[name]
     updates = []
-    async with Server(script) as server, sender_api.agent_watch(server.address, revision, updates):
+    async with Server(script) as server, protocols.agent_watch(server.address, revision, updates):
         await wait_until(lambda: len(server.requests) == len(script) + 1)
     return {"requests": server.requests, "learned": updates}
 
@@ -388,7 +388,7 @@
 async def notices_scene(name, _expected):
     """Publish notices; drop repeated requests, which the protocol sends if a slow machine responds too late."""
     acknowledged = []
-    async with Server(NOTICES[name]()) as server, sender_api.agent_notices(server.address) as publish:
+    async with Server(NOTICES[name]()) as server, protocols.agent_notices(server.address) as publish:
         for ident, retryable, ms in (("m1", True, 1250.12345), ("m2\xe9", False, 500.0), ("m3", True, 0.0)):
             publish(ident, retryable, ms, partial(acknowledged.append, ident))
         await wait_until(lambda: len(acknowledged) == 3)
@@ -433,7 +433,7 @@
 
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "control"
-        async with sender_api.control_socket(path, token, describe):
+        async with protocols.control_socket(path, token, describe):
             connection = await asyncio.open_unix_connection(str(path))
             return {"question": text(line)} | await converse(*connection, line, expected)
 
@@ -461,7 +461,7 @@
 
 async def console_scene(name, expected):
     line, sender = CONSOLE[name]
-    async with sender_api.operators_console(sender_api.StubOperatorActions(**sender)) as address:
+    async with protocols.operators_console(protocols.StubOperatorActions(**sender)) as address:
         connection = await asyncio.open_connection(*address)
         return await converse(*connection, line + b" HTTP/1.1\r\nHost: x\r\n\r\n", expected)
 
@@ -470,8 +470,8 @@
 
 
 def parse(content, are_responses):
-    whole = sender_api.read_messages([content], are_responses)
-    pieces = sender_api.read_messages([content[at : at + 1] for at in range(len(content))], are_responses)
+    whole = protocols.read_messages([content], are_responses)
+    pieces = protocols.read_messages([content[at : at + 1] for at in range(len(content))], are_responses)
     assert whole[0] == pieces[0] and whole[1] == pieces[1]
     return {"messages": whole[0], "refused": whole[1]}
 
--- a/tests/golden/test_sender_process_day.py
+++ b/tests/golden/test_sender_process_day.py
@@ -4,19 +4,19 @@
 import lzma
 
 import pytest
-from golden import sender_api
 from golden.sender import process_day
+from golden.sender_api import paths, sender_process, stored_data
 
 
 @pytest.fixture(scope="module")
 def recorded():
-    content = lzma.decompress((sender_api.FOLDER / "process-day.jsonl.xz").read_bytes())
+    content = lzma.decompress((paths.FOLDER / "process-day.jsonl.xz").read_bytes())
     return [json.loads(line) for line in content.splitlines()]
 
 
 @pytest.fixture(scope="module")
 def handed():
-    return (sender_api.FOLDER / "stored" / "handed.json").read_bytes()
+    return (paths.FOLDER / "stored" / "handed.json").read_bytes()
 
 
 def test_simulation_matches_recording(recorded, handed, tmp_path):
@@ -30,7 +30,7 @@
 def test_recorded_hand_over_is_taken_over_completely(handed, tmp_path):
     (tmp_path / "handed").write_bytes(handed)
     network = process_day.SimulatedNetwork(process_day.Day(tmp_path), "next")
-    process = sender_api.SenderProcess(tmp_path, process_day.settings(), 5, network.loop, network, network)
+    process = sender_process.SenderProcess(tmp_path, process_day.settings(), 5, network.loop, network, network)
     read = process.take_over()
     exported = process.export_state()
     process.close()
@@ -40,7 +40,7 @@
 
 def test_recording_covers_outcomes_and_learned_state(recorded, handed):
     outcomes = {line[4] for line in recorded if line[2] == "call ended"}
-    assert outcomes == set(sender_api.OUTCOMES) - {"cancelled"}  # occurs only on the simulator's wire
+    assert outcomes == set(stored_data.OUTCOMES) - {"cancelled"}  # occurs only on the simulator's wire
     handed_on = json.loads(handed)
     assert handed_on["out"] and handed_on["crowded"] and handed_on["rests"]
     gates = [gate for *_, gate in handed_on["destinations"] + handed_on["receivers"] if gate]
--- a/tests/golden/test_sender_program.py
+++ b/tests/golden/test_sender_program.py
@@ -2,12 +2,12 @@
 
 import json
 
-from golden import sender_api
 from golden.sender import program_scene
+from golden.sender_api import paths
 
 
 def test_program_output_is_as_recorded(tmp_path):
-    recorded = json.loads((sender_api.FOLDER / "program.json").read_text())
+    recorded = json.loads((paths.FOLDER / "program.json").read_text())
     found = program_scene.play(tmp_path)
     for name, expected in recorded.items():
         assert found[name] == expected, name
--- a/tests/golden/test_sender_simulator_wire.py
+++ b/tests/golden/test_sender_simulator_wire.py
@@ -5,12 +5,12 @@
 from collections import Counter
 
 import pytest
-from golden import sender_api
 from golden.sender.simulated_day import SITES, read_actions, split_batches
+from golden.sender_api import paths, simulator_program
 
 
 def recorded(name):
-    return lzma.decompress((sender_api.FOLDER / f"simulator-{name}.xz").read_bytes())
+    return lzma.decompress((paths.FOLDER / f"simulator-{name}.xz").read_bytes())
 
 
 @pytest.fixture(scope="module")
@@ -24,7 +24,7 @@
 
 
 def test_replayed_day_gives_recorded_replies(batches, replies):
-    actual = sender_api.replies_to(batches)
+    actual = simulator_program.replies_to(batches)
 
     pairs = zip(split_batches(actual), split_batches(replies), strict=False)
     for number, (reply, expected) in enumerate(pairs):
@@ -35,7 +35,7 @@
 def test_replayed_events_of_two_senders_give_their_recorded_actions(batches, replies):
     """Senders share no state: a sender decides the same without the events of the others."""
     senders = {3, 7}
-    separate = sender_api.replies_to(b"".join(events_of(senders, batch) for batch in split_batches(batches)))
+    separate = simulator_program.replies_to(b"".join(events_of(senders, batch) for batch in split_batches(batches)))
 
     def actions(stream):
         return [[action for action in read_actions(reply) if action[1] in senders] for reply in split_batches(stream)]
--- a/tests/golden/test_sender_stored_data.py
+++ b/tests/golden/test_sender_stored_data.py
@@ -6,10 +6,10 @@
 import json
 
 import pytest
-from golden import sender_api
 from golden.sender import stored_scenes as scenes
+from golden.sender_api import paths, stored_data
 
-STORED = sender_api.FOLDER / "stored"
+STORED = paths.FOLDER / "stored"
 WRITTEN = {
     "every-state": ([scenes.EVERY_STATE], scenes.DISK_BYTES),
     "just-compacted": ([scenes.EVERY_STATE, scenes.AFTER_COMPACTION[:1]], scenes.DISK_BYTES),
@@ -61,7 +61,7 @@
 @pytest.mark.parametrize("name", WRITTEN)
 def test_inspected_journal_has_recorded_contents(name, tmp_path):
     scenes.copy_fixtures({"journal": f"{name}.journal"}, STORED, tmp_path)
-    assert as_json(sender_api.inspected(tmp_path)) == expected(f"{name}-inspected")
+    assert as_json(stored_data.inspected(tmp_path)) == expected(f"{name}-inspected")
 
 
 @pytest.mark.parametrize("name", WRITTEN)
@@ -85,7 +85,7 @@
         files["journal.new"] = f"{name}.journal.new"
     scenes.copy_fixtures(files, STORED, tmp_path)
     expected_state = expected(name)
-    assert as_json(sender_api.inspected(tmp_path)) == expected_state["inspected"]
+    assert as_json(stored_data.inspected(tmp_path)) == expected_state["inspected"]
     assert as_json(scenes.opened(tmp_path)) == expected_state["when_opened"]
     assert sorted(path.name for path in tmp_path.iterdir()) == expected_state["files"]
     remaining = (tmp_path / "journal").read_bytes()
@@ -104,8 +104,8 @@
 @pytest.mark.parametrize("name", LISTS)
 def test_opened_cached_list_has_recorded_contents(name, tmp_path):
     scenes.copy_fixtures({"list": f"{name}.list"}, STORED, tmp_path)
-    same_agent = sender_api.CachedList(tmp_path, scenes.AGENT, scenes.DISK_BYTES)
-    other_agent = sender_api.CachedList(tmp_path, scenes.OTHER_AGENT, scenes.DISK_BYTES)
+    same_agent = stored_data.CachedList(tmp_path, scenes.AGENT, scenes.DISK_BYTES)
+    other_agent = stored_data.CachedList(tmp_path, scenes.OTHER_AGENT, scenes.DISK_BYTES)
     assert as_json(same_agent.contents()) == expected(name)["when_opened"]
     assert as_json(other_agent.contents()) == expected(name)["at_another_agent"]
     revision = expected(name)["when_opened"]["revision"]
@@ -123,10 +123,10 @@
 def test_truncated_cached_list_keeps_its_complete_lines(tmp_path):
     content = stored_bytes("cached.list")
     (tmp_path / "list").write_bytes(content[:-1])
-    cached = sender_api.CachedList(tmp_path, scenes.AGENT, scenes.DISK_BYTES)
+    cached = stored_data.CachedList(tmp_path, scenes.AGENT, scenes.DISK_BYTES)
     assert cached.contents()["revision"] == 42
     (tmp_path / "list").write_bytes(b"{]" + content)
-    cached = sender_api.CachedList(tmp_path, scenes.AGENT, scenes.DISK_BYTES)
+    cached = stored_data.CachedList(tmp_path, scenes.AGENT, scenes.DISK_BYTES)
     assert cached.contents()["receivers"] == [] and not (tmp_path / "list").exists()
 
 
@@ -135,10 +135,10 @@
 
 def test_hand_over_log_is_read_as_recorded(tmp_path):
     scenes.copy_fixtures({"journal": "hand-over.journal", "tail": "hand-over.tail"}, STORED, tmp_path)
-    journal = sender_api.Journal(tmp_path, scenes.DISK_BYTES)
-    consumed = sender_api.consumed_hand_over_log(tmp_path, journal)
+    journal = stored_data.Journal(tmp_path, scenes.DISK_BYTES)
+    consumed = stored_data.consumed_hand_over_log(tmp_path, journal)
     assert as_json(consumed) == expected("hand-over")["consumed"]
-    assert sender_api.consumed_hand_over_log(tmp_path, journal)["records"] == []
+    assert stored_data.consumed_hand_over_log(tmp_path, journal)["records"] == []
     journal.close()
     assert (tmp_path / "journal").read_bytes() == stored_bytes("hand-over-consumed.journal")
 
@@ -152,4 +152,4 @@
 
 def test_recorded_hand_over_log_has_every_outcome():
     records = expected("hand-over")["consumed"]["records"]
-    assert {record["outcome"] for record in records if "outcome" in record} == set(sender_api.OUTCOMES)
+    assert {record["outcome"] for record in records if "outcome" in record} == set(stored_data.OUTCOMES)
--- a/tests/golden/test_sender_wires.py
+++ b/tests/golden/test_sender_wires.py
@@ -3,10 +3,10 @@
 import json
 
 import pytest
-from golden import sender_api
 from golden.sender import wire_scenes
+from golden.sender_api import paths
 
-RECORDED = json.loads((sender_api.FOLDER / "wires.json").read_text())
+RECORDED = json.loads((paths.FOLDER / "wires.json").read_text())
 
 
 @pytest.mark.parametrize("name", RECORDED)
