Tests: the purge goes on after an exception; ends by SIGKILL and SIGUSR1

A store whose purge has ended would delete nothing and grow until its disk is full; after an end by a signal the next process has to start on the same addresses and the same database.

--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -13,9 +13,10 @@
 from dewpin.cluster.store_messages import TurnRecord
 from dewpin.cluster.store_view import Member, StoreView
 from dewpin.consensus import Ballot
+from dewpin.controlplane.storage import StorageError
 from dewpin.controlplane.store import ledger_replica, turn_table
 from dewpin.controlplane.store.sender_handlers import RETENTION_MARGIN_MS
-from dewpin.controlplane.store.store import PURGE_BATCH_SIZE
+from dewpin.controlplane.store.store import PURGE_BATCH_SIZE, PURGE_PERIOD_S
 from dewpin.controlplane.store.transfer_messages import TurnsReply
 from dewpin.dataplane.programs.errors import BudgetExceededError, TurnNotFoundError
 
@@ -170,6 +171,35 @@
     assert remaining == [[f"t{number:03}" for number in range(count)] for count in (size + 10, 10, 0, 0)]
 
 
+def test_unexpected_exception_does_not_end_the_purge(monkeypatch, caplog):
+    """Guards against a store that deletes nothing any more after one failed purge, and grows until its disk is full."""
+    failures = [ZeroDivisionError("a bug"), StorageError("disk full")]
+    purge = turn_table.purge
+
+    def failing(*arguments):
+        if failures:
+            raise failures.pop(0)
+        return purge(*arguments)
+
+    monkeypatch.setattr(turn_table, "purge", failing)
+
+    async def scene():
+        world = World(names="a", losses=0)
+        store = world.machines["a"]
+        await request(store, wire.TURN_PUT, world.view, turns=[record("t").to_json()])
+        world.clock_ms += 60_000 + RETENTION_MARGIN_MS + 1
+        purging = asyncio.ensure_future(store.store.purge_forever())
+        await asyncio.sleep(2.5 * PURGE_PERIOD_S)
+        assert turns_of(store) == {"t"} and not failures and not purging.done()
+        await asyncio.sleep(PURGE_PERIOD_S)
+        assert turns_of(store) == set()
+        purging.cancel()
+
+    with caplog.at_level(logging.WARNING):
+        run(scene())
+    assert [record.getMessage() for record in caplog.records] == ["unexpected", "store.purge_failed"]
+
+
 def test_purge_stops_at_a_turn_that_another_one_continues_or_that_has_not_expired():
     async def scene():
         world = World(names="a", losses=0)
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -60,3 +60,15 @@
         program.send(signal.SIGHUP)
         program.send(signal.SIGINT)
     assert program.stop() == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGUSR1], ids=lambda number: number.name)
+def test_process_ended_by_another_signal_leaves_nothing_that_keeps_the_next_from_starting(program, number):
+    program.start()
+    program.wait_until_serving()
+    program.send(number)
+    assert program.process.wait(TIMEOUT_S) == -number
+    assert not program.events("stopped") and not program.events("failed")
+    program.start()
+    program.wait_until_serving()
+    assert program.stop() == 0
