Message sender: SIGHUP while it starts no longer ends the process

What users saw: a reload (SIGHUP) that met a sender in its start ended it with -1 and no line in the log.

`dewpin run`, with or without options, now records SIGHUP before the slow imports; when the event loop takes over, a recorded one asks for a reload after the start, as one during the start does. SIGTERM and SIGINT keep their default action until then: someone asked for these ends.

--- a/dewpin/__main__.py
+++ b/dewpin/__main__.py
@@ -9,6 +9,10 @@
 
 def main() -> int:
     """Run the command in the arguments of the process and return the exit code."""
+    if sys.argv[1:2] == ["run"]:
+        from .daemon.start_signals import record_reload_requests
+
+        record_reload_requests()  # before the slow imports, which take most of the start
     if sys.argv[1:] == ["run"]:
         from .daemon.process import main as run_sender
 
--- a/dewpin/daemon/application.py
+++ b/dewpin/daemon/application.py
@@ -37,6 +37,7 @@
 from .reload import reload_at_signals
 from .resource_limits import apply_limits
 from .sender_parts import SenderParts
+from .start_signals import was_reload_requested
 from .status import collect_status
 from .upgrade import HandedOverState, TakeoverClaim
 
@@ -82,6 +83,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop_requested.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload_requested.set)  # takes effect after the start
+        if was_reload_requested():
+            self.reload_requested.set()
 
     async def _start(self) -> None:
         """Create and open all components: the console first, which reports "not ready", the control socket last."""
