Load test: twice the load where a sender that ignores Retry-After must be found

The case submits 60 messages a second in place of 30. The checks are as they were: the rule found is this one alone, and by faulty senders alone; with twice the calls a false finding is likelier, a missed one rarer.

--- a/tests/lab/test_load_test.py
+++ b/tests/lab/test_load_test.py
@@ -84,7 +84,11 @@
         (
             IGNORES_RETRY_AFTER,
             "wait",
-            {"receivers": {"destinations": 1, "limit": 6.0, "tells_wait": 1.0}, "slack_ms": 0.0},
+            {
+                "load": {"rate": 60.0, "seconds": 4.0},
+                "receivers": {"destinations": 1, "limit": 6.0, "tells_wait": 1.0},
+                "slack_ms": 0.0,
+            },
         ),
         (
             RECORDS_NOTHING,
