Sender: bodies in very small chunks no longer hold up other requests

Callers saw: while 100 clients sent bodies in chunks of a few bytes, no ordinary request was answered in 60 s, although the sender used only 67 MB. A single client that sent 2 MB in chunks of one byte, inside all limits, got 408.

Cause: each chunk was parsed by itself, a few microseconds of interpreter time for a byte of content, and the threads of all such clients competed for the interpreter's lock with everybody else's.

--- a/dewpin/dataplane/ingress/client_connection.py
+++ b/dewpin/dataplane/ingress/client_connection.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from dewpin.chunk_runs import decode_run
 from dewpin.cluster.memory_budget import AccountEvictedError, MemoryBudget
 from dewpin.cluster.received_body import ReceivedBody
 from dewpin.dataplane.errors import DataplaneError
@@ -114,6 +115,17 @@
         while length:
             length -= self._receive_into_body(length, deadline)
 
+    def read_chunk_run(self, max_bytes: int) -> None:
+        """Append the data of buffered chunks to the body, as far as they can be decoded at once (`chunk_runs`).
+
+        Raises MessageTooLargeError if the data is longer than `max_bytes`.
+        """
+        run = decode_run(bytes(self._buffer))
+        if len(run.data) > max_bytes:
+            raise MessageTooLargeError
+        self._collected_body().append(run.data)
+        del self._buffer[: run.consumed_bytes]
+
     @property
     def body_size(self) -> int:
         """Return the number of bytes of the body collected so far."""
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -20,7 +20,8 @@
     "spool": {"core", "log", "ports"},
     "relay": {"core", "log", "ports", "spool"},
     "console": {"log", "net"},
-    "net": {"core", "log", "ports"},
+    "chunk_runs": set(),
+    "net": {"chunk_runs", "core", "log", "ports"},
     "simulator": {"core"},
     "ports": set(),
     "daemon": {"config", "console", "log", "net", "ports", "relay", "spool"},
@@ -28,7 +29,7 @@
     "cluster": set(),
     "consensus": set(),
     "controlplane": {"cluster", "consensus"},
-    "dataplane": {"cluster", "consensus"},
+    "dataplane": {"chunk_runs", "cluster", "consensus"},
     "standin": {"cluster"},
     "tier_cli": {"cluster", "controlplane"},  # register recovery writes a control server's storage
 }
