Sender: turns that are stored stay inside the memory budget

Cause: each call to a store kept the encoded frame of its request for as long as it waited for the reply. Retries added frames to connections whose earlier bytes had not been sent. A write that had failed or was cancelled went on in the background for nobody. Only three copies of a turn were charged.

Change: a frame is released once it is written; calls wait while a connection has more than 2 MB unsent; a failed write ends; seven copies of a turn are charged while it is stored, and the request waits until they fit.

--- a/dewpin/cluster/memory_budget.py
+++ b/dewpin/cluster/memory_budget.py
@@ -81,12 +81,14 @@
                 self._evict(victim)
             return victim is not None
 
-    def _charge(self, account: MemoryAccount, held_bytes: int, has_priority: bool) -> None:
+    def _charge(
+        self, account: MemoryAccount, held_bytes: int, has_priority: bool = False, max_wait_s: float = 0.0
+    ) -> None:
         """Change what an account holds, with the lock held."""
         growth = held_bytes - account.held_bytes
         if growth > 0:
             if not self._fits(account, held_bytes, has_priority):
-                self._make_room(account, held_bytes, has_priority)
+                self._make_room(account, held_bytes, has_priority, max_wait_s)
             self._record_progress(account, growth)
         self.held_bytes += growth
         account.held_bytes = held_bytes
@@ -101,17 +103,17 @@
         limit_bytes = self.limit_bytes if may_use_reserve else self.limit_bytes - self._reserved_bytes
         return others_bytes + held_bytes <= limit_bytes
 
-    def _make_room(self, account: MemoryAccount, held_bytes: int, has_priority: bool) -> None:
-        """Evict stalled accounts until a charge fits. Raises MemoryBudgetExceededError."""
-        waits_for_release = False
+    def _make_room(self, account: MemoryAccount, held_bytes: int, has_priority: bool, max_wait_s: float) -> None:
+        """Evict stalled accounts until a charge fits, or wait until it does. Raises MemoryBudgetExceededError."""
         while not self._fits(account, held_bytes, has_priority):
             victim = self._next_stalled(account)
             if victim is None:
                 break
-            waits_for_release = waits_for_release or not victim.is_released_by_eviction
+            if not victim.is_released_by_eviction:
+                max_wait_s = max(max_wait_s, EVICTION_WAIT_S)
             self._evict(victim)
-        if waits_for_release and account.may_wait:
-            self._released.wait_for(lambda: self._fits(account, held_bytes, has_priority), EVICTION_WAIT_S)
+        if max_wait_s > 0 and account.may_wait:
+            self._released.wait_for(lambda: self._fits(account, held_bytes, has_priority), max_wait_s)
             account.check_not_evicted()
         if not self._fits(account, held_bytes, has_priority):
             raise MemoryBudgetExceededError
@@ -184,20 +186,23 @@
             self.check_not_evicted()
             self._budget._charge(self, held_bytes, has_priority)
 
-    def add(self, count: int, has_priority: bool = False) -> None:
-        """Charge further bytes; with priority, also from the part that is reserved for small requests.
+    def add(self, count: int, has_priority: bool = False, max_wait_s: float = 0.0) -> None:
+        """Charge further bytes.
+
+        has_priority: whether the part that is reserved for small requests may be used, too.
+        max_wait_s: how long to wait, in seconds, until the charge fits.
 
         Raises MemoryBudgetExceededError, and then nothing has changed.
         """
         with self._budget._released:
             self.check_not_evicted()
-            self._budget._charge(self, self.held_bytes + count, has_priority)
+            self._budget._charge(self, self.held_bytes + count, has_priority, max_wait_s)
 
     def release_to(self, held_bytes: int) -> None:
         """Release what the holder holds beyond this number of bytes."""
         with self._budget._released:
             if held_bytes < self.held_bytes:
-                self._budget._charge(self, held_bytes, has_priority=False)
+                self._budget._charge(self, held_bytes)
 
     def begin_transfer(self, is_released_by_eviction: bool = True) -> None:
         """Begin to wait for the peer, which counts as progress: the account may be evicted. Raises AccountEvictedError.
@@ -244,7 +249,7 @@
 class UncountedMemory:
     """Stands in for an account where no budget applies."""
 
-    def add(self, count: int, has_priority: bool = False) -> None:
+    def add(self, count: int, has_priority: bool = False, max_wait_s: float = 0.0) -> None:
         """Do nothing."""
 
 
--- a/dewpin/cluster/rpc/client.py
+++ b/dewpin/cluster/rpc/client.py
@@ -12,6 +12,8 @@
 from .errors import RpcError
 
 CONNECT_TIMEOUT_S = 1.0
+MAX_QUEUED_BYTES = 2 * 1024 * 1024
+"""Calls wait while a connection has more unsent bytes than this."""
 UNCOMPRESSED_PERIOD_S = 60.0
 """How long uncompressed frames are sent to a peer that closed a compressed connection without a reply: earlier releases
 do not support compression."""
@@ -113,6 +115,8 @@
         self._output = CompressedOutput() if is_compressed else None
         self._pending: dict[int, asyncio.Future[Message]] = {}
         self._last_number = 0
+        self._may_write = asyncio.Event()
+        self._may_write.set()
         self.received_chunks = 0
         self.transport: asyncio.Transport | None = None
 
@@ -120,11 +124,21 @@
         """Store the transport and set its socket options."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.set_write_buffer_limits(high=MAX_QUEUED_BYTES)
         set_socket_options(transport)
 
+    def pause_writing(self) -> None:
+        """Make further calls wait: the peer does not read as fast as requests are written."""
+        self._may_write.clear()
+
+    def resume_writing(self) -> None:
+        """Let the waiting calls go on."""
+        self._may_write.set()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail all pending calls."""
         self.transport = None
+        self._may_write.set()
         for future in self._pending.values():
             if not future.done():
                 future.set_exception(RpcError("closed", str(exc or "")))
@@ -158,22 +172,30 @@
             self.transport.abort()
 
     async def call(self, message: Message) -> Message:
-        """Return the reply to `message`. Raises RpcError (`closed`, `too_large`)."""
+        """Return the reply to `message`. Raises RpcError (`closed`, `too_large`).
+
+        The request is encoded once the bytes of earlier ones have been sent, so that retries of a call to a slow peer
+        do not add up.
+        """
+        if not self._may_write.is_set():
+            await self._may_write.wait()
         if self.transport is None or self.transport.is_closing() or abort_if_peer_does_not_read(self.transport):
             raise RpcError("closed")
         self._last_number += 1
         number = self._last_number
-        frame = _encode_request(RequestFrame(number, message))
-        if self._output is not None:
-            frame = self._output.encode(frame)
+        self._write(self.transport, RequestFrame(number, message))
         future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self._pending[number] = future
-        self.transport.write(frame)
         try:
             return await future
         finally:
             self._pending.pop(number, None)
 
+    def _write(self, transport: asyncio.Transport, request: RequestFrame) -> None:
+        """Write a request, whose encoded form is not held while its reply is awaited. Raises RpcError (`too_large`)."""
+        frame = _encode_request(request)
+        transport.write(frame if self._output is None else self._output.encode(frame))
+
 
 def _encode_request(request: RequestFrame) -> bytes:
     """Encode a request. Raises RpcError (`too_large`)."""
--- a/dewpin/dataplane/http11/messages.py
+++ b/dewpin/dataplane/http11/messages.py
@@ -93,7 +93,7 @@
 class RequestMemory(Protocol):
     """The account to which bytes are charged that are held for a request."""
 
-    def add(self, count: int, has_priority: bool = False) -> None:
+    def add(self, count: int, has_priority: bool = False, max_wait_s: float = 0.0) -> None:
         """Charge further bytes until the end of the request. Raises MemoryBudgetExceededError."""
 
 
--- a/dewpin/dataplane/programs/turn_write.py
+++ b/dewpin/dataplane/programs/turn_write.py
@@ -81,16 +81,24 @@
     async def run(self) -> ReplicaRound[StoredReply]:
         """Return once a majority of each set is complete; the returned calls may be unanswered.
 
-        Raises StoreUnavailableError or StaleViewError.
+        Raises StoreUnavailableError or StaleViewError. A write that fails or is cancelled does not continue in the
+        background, where the turns would be held for nobody.
         """
         with self._round as quorum_round:
-            quorum_round.ask({member: self._first_request(member) for member in self._members()})
-            while not has_majorities(self._quorum_sets, self._complete):
-                if not quorum_round.may_get_replies:
-                    raise StoreUnavailableError("too few replicas took the turn")
-                self._process(await quorum_round.next_reply())
+            try:
+                await self._write(quorum_round)
+            except BaseException:
+                quorum_round.replica_round.continues_after_end = False
+                raise
         return quorum_round.replica_round
 
+    async def _write(self, quorum_round: QuorumRound[StoredReply]) -> None:
+        quorum_round.ask({member: self._first_request(member) for member in self._members()})
+        while not has_majorities(self._quorum_sets, self._complete):
+            if not quorum_round.may_get_replies:
+                raise StoreUnavailableError("too few replicas took the turn")
+            self._process(await quorum_round.next_reply())
+
     def _members(self) -> list[str]:
         return sorted(frozenset().union(*self._quorum_sets))
 
--- a/dewpin/dataplane/programs/turns.py
+++ b/dewpin/dataplane/programs/turns.py
@@ -25,8 +25,9 @@
 """Time-out of the store operations before a turn is forwarded; a rejection is better than a longer wait."""
 CUT_OFF_BEGIN_TIMEOUT_S = 0.15
 """As `BEGIN_TIMEOUT_S`, while this sender is cut off from the control plane."""
-STORED_COPIES = 3
-"""Copies of a turn that are charged while it is stored: the requests to its replicas."""
+STORED_COPIES = 7
+"""Copies of a turn that are charged while it is stored: its encoded form, and for each of three replicas the frame and
+the compressed bytes that are sent."""
 MIN_STORE_TIMEOUT_S = 0.05
 """Minimum time-out of storing a complete turn, even if the request's deadline has passed."""
 
@@ -134,12 +135,13 @@
         plan = self._plan
         if not plan.is_retained:
             return
+        timeout_s = max(MIN_STORE_TIMEOUT_S, timeout_s)
         turn_bytes = len(self._request.body) + sum(map(len, self._output))
-        self._request.memory.add(STORED_COPIES * turn_bytes, has_priority=True)
+        self._request.memory.add(STORED_COPIES * turn_bytes, has_priority=True, max_wait_s=timeout_s)
         output = b"".join(data + b"\n" for data in self._output)
         history = History(self._previous_turns, self.body) if self._previous_turns else EMPTY_HISTORY
         turn = Turn(plan.turn_id, plan.program, plan.previous_id, self._request.body, output, plan.retain_s, history)
-        self._store.store_turn(turn, max(MIN_STORE_TIMEOUT_S, timeout_s), self._claim_settlement())
+        self._store.store_turn(turn, timeout_s, self._claim_settlement())
 
     def settle(self) -> None:
         """Settle the tokens that the client received, unless a settlement has already been sent to the stores."""
--- a/tests/cluster/test_rpc.py
+++ b/tests/cluster/test_rpc.py
@@ -137,7 +137,7 @@
             with pytest.raises(RpcError) as caught:
                 await loopback.call("hold", SHORT_S)
             await loopback.call("echo", text="x")
-            return kind_of(caught), initial & loopback.server.connections
+            return kind_of(caught), initial & set(loopback.server.connections)
 
     assert asyncio.run(scenario()) == ("timeout", set())
 
@@ -153,7 +153,7 @@
                 await timed_out_call
             loopback.released.set()
             reply = await loopback.call("echo", text="after")
-            return kind_of(caught), initial == loopback.server.connections, reply["text"]
+            return kind_of(caught), initial == set(loopback.server.connections), reply["text"]
 
     assert asyncio.run(scenario()) == ("timeout", True, "after")
 
@@ -245,6 +245,9 @@
     def get_write_buffer_size(self):
         return 0
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
     def is_closing(self):
         return self.written > 0
 
