Operator's and readiness port: bounded connections, header sections and bodies

Operators and the platform saw: a control server or a sender was killed for its memory, or had no descriptor left, when clients used its operator's or readiness port without end.

Cause: both ports had a thread for each of any number of connections; http.server reads up to 100 header lines of 64 KB; the operator's port read bodies of up to 16 MB for all of them, parsed them side by side and appended chunks to a growing copy.

Change: `cluster/bounded_http_server` for both. At most 64 connections, the oldest is closed for a new one; a header section of 64 KB; bodies are charged to the process's budget as they arrive, in one buffer, six copies more while a configuration is parsed, and the response until it is sent. Without room the operator gets 503 and sends it again.

--- a/dewpin/controlplane/control_process.py
+++ b/dewpin/controlplane/control_process.py
@@ -8,6 +8,7 @@
 import random
 
 from dewpin.cluster.logs import Event, log_event, log_unexpected
+from dewpin.cluster.memory_budget import MemoryBudget
 from dewpin.cluster.process.exit_codes import ExitCode, ProgramEndError
 from dewpin.cluster.process.program import log_started
 from dewpin.cluster.process.signals import ProcessSignals
@@ -32,6 +33,7 @@
         self._loop = asyncio.get_running_loop()
         client = RpcClient()
         self._control_server = ControlServer(settings, storage, client, random.Random())
+        self._budget = MemoryBudget.for_process(settings.limits.memory_mb)
         self._rpc_server = RpcServer(self._control_server.handlers)
         self._store: LocalStore | None = None
         if STORE in settings.serves:
@@ -54,7 +56,7 @@
     async def _serve_operator(self) -> None:
         min_stores = self._settings.fault_tolerance.replica_count
         api = OperatorApi(self._control_server.register, self._loop, min_stores)
-        serve_operator(split_address(self._settings.listen[CONTROL]), api)
+        serve_operator(split_address(self._settings.listen[CONTROL]), api, self._budget)
 
     async def follow_settings(self, watch: SettingsWatch, hangup: asyncio.Event) -> None:
         """Apply changes of the settings file: immediately when `hangup` is set, otherwise at the next poll."""
--- a/dewpin/controlplane/operator_http.py
+++ b/dewpin/controlplane/operator_http.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import ThreadingHTTPServer
 from typing import Any
 
+from dewpin.cluster.bounded_http_server import BoundedHttpServer, BoundedRequestHandler
 from dewpin.cluster.errors import DewpinError
-from dewpin.cluster.listening_server import ListeningServerMixin, serve_in_background
+from dewpin.cluster.listening_server import serve_in_background
+from dewpin.cluster.memory_budget import MemoryBudget, MemoryBudgetExceededError
 from dewpin.controlplane.operator_api import BASE_VERSION_HEADER, ApiResponse, OperatorApi, error_response
 
 log = logging.getLogger(__name__)
@@ -15,6 +17,10 @@
 IDLE_TIMEOUT_S = 20.0
 SHUTDOWN_POLL_S = 0.5
 MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_TRAILERS = 100
+MAX_TRAILER_BYTES = 1024
+PARSED_COPIES = 6
+"""Copies of a body that are charged while it is parsed: the text, and the values that it consists of."""
 _HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 
 
@@ -26,7 +32,7 @@
         self.response = error_response(status, message)
 
 
-class _RequestHandler(BaseHTTPRequestHandler):
+class _RequestHandler(BoundedRequestHandler):
     """Serves the requests of one connection."""
 
     protocol_version = "HTTP/1.1"
@@ -45,9 +51,13 @@
     def _serve(self) -> None:
         try:
             response = self._route(self._read_body())
+            self.memory.add(len(response.body), has_priority=True)
         except _UnreadableRequestError as error:
             response = error.response
             self.close_connection = True
+        except MemoryBudgetExceededError as error:
+            response = error_response(503, str(error))
+            self.close_connection = True
         except Exception as error:
             log.exception("operator.call_failed")
             response = error_response(500, repr(error))
@@ -58,8 +68,10 @@
         path = self.path.partition("?")[0]
         is_post = self.command == "POST"
         if path == "/dewpin/Config.Put" and is_post:
+            self.memory.add(PARSED_COPIES * len(body))
             return self.api.put(body, self.headers.get(BASE_VERSION_HEADER))
         if path == "/dewpin/Config.Patch" and is_post:
+            self.memory.add(PARSED_COPIES * len(body))
             return self.api.patch(body, self.headers.get(BASE_VERSION_HEADER))
         if path == "/dewpin/Config.Get":
             return self.api.get()
@@ -70,6 +82,7 @@
         return error_response(404, f"no such call: {path}")
 
     def _read_body(self) -> bytes:
+        """Return the body. Raises _UnreadableRequestError, MemoryBudgetExceededError and OSError."""
         if "chunked" in (self.headers.get("Transfer-Encoding") or "").lower():
             return self._read_chunked_body()
         try:
@@ -78,30 +91,29 @@
             raise _UnreadableRequestError(400, "Content-Length is no number") from None
         if not 0 <= length <= MAX_BODY_BYTES:
             raise _UnreadableRequestError(413, "the body is too large")
-        body = self.rfile.read(length)
-        if len(body) < length:
+        self.begin_body()
+        if not self.read_into_body(length):
+            self.memory.check_not_evicted()
             raise _UnreadableRequestError(400, "the body is cut short")
-        return body
+        return self.take_body()
 
     def _read_chunked_body(self) -> bytes:
-        body = b""
-        while True:
-            size = self._read_chunk_size()
-            if size == 0:
-                break
-            if len(body) + size > MAX_BODY_BYTES:
+        self.begin_body()
+        while size := self._read_chunk_size():
+            if self.body_size + size > MAX_BODY_BYTES:
                 raise _UnreadableRequestError(413, "the body is too large")
-            chunk = self.rfile.read(size)
-            if len(chunk) < size or self.rfile.readline(4).strip():
+            if not self.read_into_body(size) or self.rfile.readline(4).strip():
+                self.memory.check_not_evicted()
                 raise _UnreadableRequestError(400, "a chunk is cut short")
-            body += chunk
-        while self.rfile.readline(1024).strip():  # trailer fields are ignored
-            pass
-        return body
+        for _ in range(MAX_TRAILERS):  # trailer fields are ignored
+            if not self.rfile.readline(MAX_TRAILER_BYTES).strip():
+                return self.take_body()
+        raise _UnreadableRequestError(431, "too many trailer fields")
 
     def _read_chunk_size(self) -> int:
         digits = self.rfile.readline(64).partition(b";")[0].strip()
         if not digits or set(digits) - _HEX_DIGITS:
+            self.memory.check_not_evicted()
             raise _UnreadableRequestError(400, "bad chunk")
         return int(digits, 16)
 
@@ -119,18 +131,17 @@
         log.debug("operator.http", extra={"line": format % args})
 
 
-class _HttpServer(ListeningServerMixin, ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 256
-
+class _HttpServer(BoundedHttpServer):
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Log a failed connection at debug level."""
         log.debug("operator.connection_failed", exc_info=True)
 
 
-def serve_operator(address: tuple[str, int], api: OperatorApi) -> ThreadingHTTPServer:
+def serve_operator(
+    address: tuple[str, int], api: OperatorApi, budget: MemoryBudget | None = None
+) -> ThreadingHTTPServer:
     """Start serving the API in threads. Raises OSError if the address cannot be bound, or if no thread is left."""
     handler = type("OperatorRequestHandler", (_RequestHandler,), {"api": api})
-    server = _HttpServer(address, handler)
+    server = _HttpServer(address, handler, budget or MemoryBudget.for_process(0.0))
     serve_in_background("operator", server, SHUTDOWN_POLL_S)
     return server
--- a/dewpin/dataplane/ingress/readiness.py
+++ b/dewpin/dataplane/ingress/readiness.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable
 from contextlib import suppress
 from http import HTTPStatus
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-from dewpin.cluster.listening_server import ListeningServerMixin, serve_in_background
+from dewpin.cluster.bounded_http_server import BoundedHttpServer, BoundedRequestHandler
+from dewpin.cluster.listening_server import serve_in_background
+from dewpin.cluster.memory_budget import MemoryBudget
 
 SHUTDOWN_POLL_S = 0.5
 REQUEST_TIMEOUT_S = 5.0
@@ -19,9 +20,10 @@
 
     PATH = "/dewpin/ready"
 
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
+    def __init__(self, is_ready: Callable[[], bool], budget: MemoryBudget | None = None) -> None:
         self._is_ready = is_ready
-        self._server: ThreadingHTTPServer | None = None
+        self._budget = budget or MemoryBudget.for_process(0.0)
+        self._server: BoundedHttpServer | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -32,7 +34,7 @@
 
     def start(self, address: tuple[str, int]) -> None:
         """Listen on a host and port and serve in the background. Raises OSError if it cannot listen."""
-        self._server = _HttpServer(address, _handler_class(self.PATH, self._is_ready))
+        self._server = BoundedHttpServer(address, _handler_class(self.PATH, self._is_ready), self._budget)
         serve_in_background("ready", self._server, SHUTDOWN_POLL_S)
 
     def stop(self) -> None:
@@ -43,8 +45,8 @@
                 self._server.server_close()
 
 
-def _handler_class(ready_path: str, is_ready: Callable[[], bool]) -> type[BaseHTTPRequestHandler]:
-    class Handler(BaseHTTPRequestHandler):
+def _handler_class(ready_path: str, is_ready: Callable[[], bool]) -> type[BoundedRequestHandler]:
+    class Handler(BoundedRequestHandler):
         protocol_version = "HTTP/1.1"
         timeout = REQUEST_TIMEOUT_S
 
@@ -62,8 +64,3 @@
             log.debug(format, *args)
 
     return Handler
-
-
-class _HttpServer(ListeningServerMixin, ThreadingHTTPServer):
-    daemon_threads = True
-    block_on_close = False
--- a/dewpin/dataplane/sender_process.py
+++ b/dewpin/dataplane/sender_process.py
@@ -65,7 +65,7 @@
             max_connections=connection_limit(settings.limits),
             budget=budget,
         )
-        readiness = ReadinessServer(self.is_ready)
+        readiness = ReadinessServer(self.is_ready, budget)
         steps.run("front_address", lambda: ingress.start(split_address(settings.listen[FRONT])))
         steps.run("ready_address", lambda: readiness.start(split_address(settings.listen[READY])))
         steps.run("settings_thread", lambda: start_supervised_thread("settings", self._watch_settings))
--- a/tests/cluster/test_listening_server.py
+++ b/tests/cluster/test_listening_server.py
@@ -4,21 +4,21 @@
 import socket
 import threading
 import time
-from http.server import BaseHTTPRequestHandler
 from types import SimpleNamespace
 
 import pytest
 
+from dewpin.cluster.bounded_http_server import BoundedHttpServer, BoundedRequestHandler
 from dewpin.cluster.listening_server import ACCEPT_ERROR_BACKOFF_S
+from dewpin.cluster.memory_budget import MemoryBudget
 from dewpin.controlplane import operator_http
-from dewpin.dataplane.ingress import readiness
 
 OBSERVED_S = 0.3
 
 
-@pytest.mark.parametrize("server_class", [operator_http._HttpServer, readiness._HttpServer])
+@pytest.mark.parametrize("server_class", [operator_http._HttpServer, BoundedHttpServer])
 def test_accept_without_descriptors_does_not_spin(server_class):
-    server = server_class(("127.0.0.1", 0), BaseHTTPRequestHandler)
+    server = server_class(("127.0.0.1", 0), BoundedRequestHandler, MemoryBudget.for_process(0.0))
     listening, attempts = server.socket, []
 
     def accept():
--- /dev/null
+++ b/tests/crowds/test_operator_and_readiness_ports.py
@@ -0,0 +1,65 @@
+"""Crowds at the ports of the tier's processes for operators and for the platform."""
+
+import itertools
+import random
+
+import pytest
+from crowds import behaviours
+from crowds.behaviours import PIECE_BYTES, length_head, request_head
+from crowds.small_tier import MAX_DESCRIPTORS, play_crowd
+
+pytestmark = pytest.mark.crowd
+
+CLIENTS = 30
+SEED = 88
+MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
+CONFIGURATION_PATH = "/dewpin/Config.Put?"
+HEADER_LINES = 90
+HEADER_LINE_BYTES = 60_000
+BODY = random.Random(SEED).randbytes(MAX_CONFIGURATION_BYTES)
+NUMBERS = b"[" + b"0," * (MAX_CONFIGURATION_BYTES // 2 - 2) + b"0]"
+
+
+def long_head():
+    """Return a header section of several megabytes, short of its end."""
+    return request_head(*(f"Field-{number}: {'a' * HEADER_LINE_BYTES}" for number in range(HEADER_LINES)))[:-2]
+
+
+OPERATOR_REQUESTS = {
+    "whole": lambda: behaviours.incomplete(length_head(len(BODY), path=CONFIGURATION_PATH) + BODY),
+    "whole_json": lambda: behaviours.incomplete(length_head(len(NUMBERS), path=CONFIGURATION_PATH) + NUMBERS),
+    "one_byte_short": lambda: behaviours.one_byte_short(BODY, path=CONFIGURATION_PATH),
+    "chunks_short": lambda: behaviours.chunks_without_end(BODY, itertools.repeat(PIECE_BYTES), CONFIGURATION_PATH),
+    "one_byte_chunks": lambda: behaviours.chunks_without_end(
+        BODY[: MAX_CONFIGURATION_BYTES // 8], itertools.repeat(1), CONFIGURATION_PATH
+    ),
+    "long_head": lambda: behaviours.incomplete(long_head()),
+}
+
+
+@pytest.mark.parametrize("name", OPERATOR_REQUESTS)
+def test_crowd_at_the_operator_port(small_tier, name):
+    control_server = small_tier.tier.control_servers[0]
+    play_crowd(small_tier, control_server, control_server.operator_address, CLIENTS, OPERATOR_REQUESTS[name]())
+    small_tier.put_configuration(generation=2, base=1)
+
+
+def test_crowd_of_connections_at_the_operator_port(small_tier):
+    control_server = small_tier.tier.control_servers[0]
+    behaviour = behaviours.incomplete(b"")
+    play_crowd(small_tier, control_server, control_server.operator_address, 2 * MAX_DESCRIPTORS, behaviour)
+    small_tier.put_configuration(generation=2, base=1)
+
+
+READINESS_REQUESTS = {
+    "long_head": (CLIENTS, long_head),
+    "silent": (2 * MAX_DESCRIPTORS, lambda: b""),
+}
+
+
+@pytest.mark.parametrize("name", READINESS_REQUESTS)
+def test_crowd_at_the_readiness_port(small_tier, name):
+    client_count, data = READINESS_REQUESTS[name]
+    sender = small_tier.sender
+    play_crowd(small_tier, sender, sender.readiness_address, client_count, behaviours.incomplete(data()))
+    small_tier.tier.wait_until_ready()
