Message sender: small chunks and empty lines no longer hold up other messages

Clients saw: while 500 clients sent bodies in chunks of one or two bytes, or nothing but empty lines, no message was accepted in 60 s.

Cause: each chunk and each empty line was parsed by itself on the event loop, and each small chunk was kept as an object of many times its size. A client could send empty lines without end.

Change: runs of chunks are decoded at once into one buffer; empty lines are skipped at once, 16 KB of them at most. The kernel's receive buffer of a client is bounded to 32 KB.

--- a/dewpin/chunk_runs.py
+++ b/dewpin/chunk_runs.py
@@ -12,7 +12,7 @@
 CRLF = b"\r\n"
 FRAMING_BYTES = 2 * len(CRLF)
 """Bytes of a chunk besides its size and its data."""
-_SIZE_LINES = re.compile(rb"(?:[0-9A-Fa-f]{1,8}\r\n)*")
+_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,22 +38,15 @@
     pair_count = (len(parts) - 1) // 2
     size_lines = parts[0 : 2 * pair_count : 2]
     contents = parts[1 : 2 * pair_count : 2]
-    valid_count = _count_valid(size_lines)
-    sizes = list(map(int, size_lines[:valid_count], repeat(16)))
-    count = _count_matching(sizes, list(map(len, contents[:valid_count])))
+    # There are few different lines, so that each of them is checked and converted only once.
+    values = {line: int(line, 16) for line in set(size_lines) if _SIZE.fullmatch(line)}
+    sizes = list(map(values.get, size_lines, repeat(0)))
+    count = _count_matching(sizes, list(map(len, contents)))
     data = b"".join(contents[:count])
     size_line_bytes = sum(map(len, size_lines[:count]))
     return ChunkRun(data, len(data) + size_line_bytes + count * FRAMING_BYTES)
 
 
-def _count_valid(size_lines: list[bytes]) -> int:
-    """Return the number of lines before the first one that is not only a size."""
-    joined = CRLF.join(size_lines) + CRLF
-    match = _SIZE_LINES.match(joined)
-    assert match is not None  # the pattern matches empty input
-    return min(len(size_lines), joined.count(CRLF, 0, match.end()))
-
-
 def _count_matching(sizes: list[int], lengths: list[int]) -> int:
     """Return the number of chunks before the first one with another length than its size, or with size 0."""
     if sizes == lengths and 0 not in sizes:
--- a/dewpin/net/client_connection.py
+++ b/dewpin/net/client_connection.py
@@ -84,8 +84,19 @@
             self._connections.on_request_complete(self)
         if self.request_started_at is None and not self.is_closing and self.parser.has_partial_message:
             self.request_started_at = self.last_active_at
+        self._pause_after_costly_parsing()
         self._connections.on_requests_handled(self)
 
+    def _pause_after_costly_parsing(self) -> None:
+        """Read no further bytes of an incomplete request for a while if it took long to parse the last ones."""
+        if self.is_closing or not self.parser.has_partial_message or not self.transport.is_reading():
+            return
+        now = self._loop.time()
+        pause_seconds = self._connections.parsing_pacer.pause_seconds(now, now - self.last_active_at)
+        if pause_seconds > 0.0:
+            self.transport.pause_reading()
+            self._loop.call_later(pause_seconds, self.resume_writing)
+
     def _answer_requests(self) -> None:
         while not self.is_closing and (request := self.parser.next_message()):
             self.request_started_at = None
--- a/dewpin/net/connection_table.py
+++ b/dewpin/net/connection_table.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from .parsing_pacer import ParsingPacer
+
 MAX_ACCEPTED_AT_ONCE = 10  # per event loop iteration; a connection over the limit stays open for three iterations
 MAX_REJECTED_CONNECTIONS = 16  # connections over the limit that still get a 503
 SWEEP_INTERVAL_SECONDS = 0.1
@@ -86,6 +88,7 @@
 
     Attributes:
         limits: the current limits.
+        parsing_pacer: delays requests that are costly to parse.
         is_stopping: whether each connection is closed after its next response.
         buffered_bytes_by_client: number of buffered bytes of each open connection, least recently used first.
         buffered_bytes: sum of these numbers.
@@ -95,6 +98,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
         self.limits = ServerLimits()
+        self.parsing_pacer = ParsingPacer()
         self.is_stopping = False
         self.buffered_bytes_by_client: dict[TrackedConnection, int] = {}
         self.buffered_bytes = 0
--- a/dewpin/net/http_body.py
+++ b/dewpin/net/http_body.py
@@ -6,10 +6,13 @@
 import re
 from typing import Protocol
 
+from ..chunk_runs import CRLF, decode_run
 from .errors import MalformedMessageError
 
 MAX_CHUNK_LINE_BYTES = 256
 MAX_TRAILER_BYTES = 16384
+MIN_RUN_BYTES = 256  # fewer buffered bytes are decoded chunk by chunk
+MAX_SMALL_CHUNK_BYTES = 64
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,8}")
 
 
@@ -66,17 +69,18 @@
 class ChunkedBody:
     """A body in chunked transfer coding (RFC 9112, section 7.1); chunk extensions and trailer fields are discarded."""
 
-    __slots__ = ("decoded_bytes", "_max_bytes", "_chunks", "_trailer_bytes", "_is_in_trailer")
+    __slots__ = ("decoded_bytes", "_max_bytes", "_content", "_trailer_bytes", "_is_in_trailer")
 
     def __init__(self, max_bytes: int) -> None:
         self.decoded_bytes = 0
         self._max_bytes = max_bytes
-        self._chunks: list[bytes] = []
+        self._content = bytearray()  # one buffer: an object for each small chunk would take many times its size
         self._trailer_bytes = 0
         self._is_in_trailer = False
 
     def decode(self, buffer: bytearray) -> bytes | None:
         """See `BodyDecoder`."""
+        self._decode_run(buffer)
         while True:
             line_end = buffer.find(b"\r\n")
             if line_end < 0:
@@ -86,11 +90,26 @@
             if self._is_in_trailer:
                 del buffer[: line_end + 2]
                 if line_end == 0:
-                    return b"".join(self._chunks)
+                    return bytes(self._content)
                 self._skip_trailer_line(line_end)
             elif not self._decode_chunk(buffer, line_end):
                 return None
 
+    def _decode_run(self, buffer: bytearray) -> None:
+        """Decode many small chunks at once."""
+        has_small_chunks = buffer.count(CRLF, 0, MAX_SMALL_CHUNK_BYTES) > 1
+        if self._is_in_trailer or len(buffer) < MIN_RUN_BYTES or not has_small_chunks:
+            return
+        run = decode_run(bytes(buffer))
+        self._append(run.data)
+        del buffer[: run.consumed_bytes]
+
+    def _append(self, data: bytes) -> None:
+        if self.decoded_bytes + len(data) > self._max_bytes:
+            raise MalformedMessageError(413, "body is too large")
+        self.decoded_bytes += len(data)
+        self._content += data
+
     def _skip_trailer_line(self, length: int) -> None:
         self._trailer_bytes += length
         if self._trailer_bytes >= MAX_TRAILER_BYTES:
@@ -114,7 +133,6 @@
             return False
         if buffer[end : end + 2] != b"\r\n":
             raise MalformedMessageError(400, "chunk data is not followed by a line end")
-        self.decoded_bytes += size  # only now: an incomplete chunk is checked again whenever bytes arrive
-        self._chunks.append(bytes(buffer[start:end]))
+        self._append(bytes(buffer[start:end]))
         del buffer[: end + 2]
         return True
--- a/dewpin/net/http_parser.py
+++ b/dewpin/net/http_parser.py
@@ -19,6 +19,7 @@
 HTTP_1_VERSION = re.compile(rb"HTTP/1\.[01]")
 COMPLETE_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-9]\d\d)(?: [^\r\n]*)?\r\n")
 BODILESS_STATUSES = (204, 304)
+EMPTY_LINES = re.compile(rb"(?:\r\n)*")
 EMPTY_BODY = FixedLengthBody(0)
 
 MessageT = TypeVar("MessageT", Request, Response)
@@ -34,6 +35,7 @@
         self.max_body_bytes = max_body_bytes
         self._buffer = bytearray()
         self._searched_bytes = 0  # length of the buffer that was searched for the end of the header section
+        self._skipped_bytes = 0  # size of the empty lines before the message
         self._message: MessageT | None = None  # set while its header section is complete and its body is not
         self._body: BodyDecoder = EMPTY_BODY
 
@@ -83,10 +85,8 @@
 
     def _parse_head(self) -> bool:
         """Parse the start line and the header fields; return whether a message's header section is complete."""
+        self._skip_empty_lines()
         buffer = self._buffer
-        while buffer[:2] == b"\r\n":  # RFC 9112, section 2.2: empty lines before a message are ignored
-            del buffer[:2]
-            self._searched_bytes = 0
         end = buffer.find(b"\r\n\r\n", max(0, self._searched_bytes - 3))
         if (end < 0 and len(buffer) > MAX_HEAD_BYTES) or end > MAX_HEAD_BYTES:
             raise MalformedMessageError(431, "header section is too large")
@@ -97,7 +97,7 @@
         message = self._message = self._parse_start_line(start_line)
         # Only now: a malformed start line must stay in the buffer so that the next line is not parsed in its place.
         del buffer[: end + 4]
-        self._searched_bytes = 0
+        self._searched_bytes = self._skipped_bytes = 0
         self._parse_fields(field_lines, message.fields)
         _set_persistence(message)
         body = self._choose_framing(message)
@@ -107,6 +107,17 @@
         self._body = body
         return True
 
+    def _skip_empty_lines(self) -> None:
+        """Skip empty lines before a message (RFC 9112, section 2.2), as many as a header section may have bytes."""
+        match = EMPTY_LINES.match(self._buffer)
+        if match is None or not match.end():
+            return
+        self._skipped_bytes += match.end()
+        if self._skipped_bytes > MAX_HEAD_BYTES:
+            raise MalformedMessageError(400, "too many empty lines")
+        del self._buffer[: match.end()]
+        self._searched_bytes = 0
+
     def _parse_fields(self, lines: list[bytes], fields: dict[bytes, bytes]) -> None:
         for line in lines:
             name, colon, value = line.partition(b":")
--- a/dewpin/net/server.py
+++ b/dewpin/net/server.py
@@ -17,6 +17,7 @@
 from .request_handler import RequestHandler
 from .sockets import create_listening_socket, has_pending_event
 
+CLIENT_RECEIVE_BUFFER_BYTES = 32 * 1024  # bytes that arrive while the event loop is busy take memory, too
 LISTEN_BACKLOG = 512  # connections that the kernel queues while the event loop is busy
 SO_ATTACH_REUSEPORT_CBPF = 51  # Linux socket option, which Python's socket module does not define
 BPF_RETURN = 6  # BPF instruction that returns a constant, here the index of the selected listener
@@ -53,7 +54,9 @@
 
         The port is reusable: during an upgrade the next process listens on the same address.
         """
-        self.listener = create_listening_socket(host, port, reuse_port=True)
+        self.listener = create_listening_socket(
+            host, port, reuse_port=True, receive_buffer_bytes=CLIENT_RECEIVE_BUFFER_BYTES
+        )
         self._server = await self._loop.create_server(
             lambda: ClientConnection(self._loop, self.connections, self._handler),
             sock=self.listener,
