--- /dev/null
+++ b/tests/cluster/test_rpc_memory.py
@@ -0,0 +1,115 @@
+"""An RPC server within its memory budget and its maximum of connections."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from dewpin.cluster.memory_budget import STALLED_AFTER_S, MemoryBudget
+from dewpin.cluster.netstring import encode
+from dewpin.cluster.rpc import RpcClient, RpcServer
+from dewpin.cluster.rpc.server import MAX_REPEATED_CHARACTERS
+
+BUDGET_BYTES = 1_000_000
+RAW_BYTES = 600_000
+TIMEOUT_S = 10.0
+
+
+async def measure(message):
+    return {"type": "measured", "length": len(message.get("raw", b""))}
+
+
+@contextlib.asynccontextmanager
+async def served(max_connections=100):
+    budget, client = MemoryBudget(BUDGET_BYTES), RpcClient()
+    server = RpcServer({"measure": measure}, budget, max_connections)
+    await server.start("127.0.0.1", 0)
+    try:
+        yield server, client, "%s:%d" % server._server.sockets[0].getsockname()[:2]
+    finally:
+        await client.close()
+        await server.stop()
+
+
+async def connect(address):
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def incomplete_request():
+    return encode({"v": 1, "n": 1, "m": {"type": "measure"}, "raw": bytes(RAW_BYTES)})[:-1]
+
+
+async def measured_length(client, address):
+    reply = await client.call(address, {"type": "measure", "raw": bytes(RAW_BYTES)}, TIMEOUT_S)
+    return reply["length"]
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_handled_messages_are_released():
+    async def scenario():
+        async with served() as (server, client, address):
+            lengths = [await measured_length(client, address) for _ in range(4)]
+            await wait_until(lambda: not server.budget.held_bytes)
+            return lengths
+
+    assert asyncio.run(scenario()) == [RAW_BYTES] * 4
+
+
+def test_stalled_message_gives_way_to_another():
+    async def scenario():
+        async with served() as (server, client, address):
+            reader, writer = await connect(address)
+            writer.write(incomplete_request())
+            await wait_until(lambda: server.budget.held_bytes >= RAW_BYTES)
+            await asyncio.sleep(STALLED_AFTER_S)
+            length = await measured_length(client, address)
+            with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+                await reader.readexactly(1)
+            writer.close()
+            return length
+
+    assert asyncio.run(scenario()) == RAW_BYTES
+
+
+def test_connection_whose_message_does_not_fit_is_aborted():
+    async def scenario():
+        async with served() as (server, client, address):
+            first, second = await connect(address), await connect(address)
+            first[1].write(incomplete_request())
+            await wait_until(lambda: server.budget.held_bytes >= RAW_BYTES)
+            second[1].write(incomplete_request())
+            with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+                await asyncio.wait_for(second[0].readexactly(1), TIMEOUT_S)
+            await wait_until(lambda: len(server.connections) == 1)
+            for _, writer in (first, second):
+                writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_silent_connection_above_the_maximum_is_aborted():
+    async def scenario():
+        async with served(max_connections=2) as (server, client, address):
+            length = await measured_length(client, address)
+            silent = [await connect(address) for _ in range(5)]
+            await wait_until(lambda: len(server.connections) == 2)
+            assert await measured_length(client, address) == length
+            for _, writer in silent:
+                writer.close()
+            return client._established(address).received_chunks
+
+    assert asyncio.run(scenario()) >= 2  # on one connection, which was not aborted
+
+
+def test_error_repeats_little_of_an_unknown_type():
+    async def scenario():
+        async with served() as (server, _, _):
+            return await server.dispatch({"type": "a" * 10_000})
+
+    assert asyncio.run(scenario())["detail"] == "a" * MAX_REPEATED_CHARACTERS
--- a/tests/net/test_http_parser.py
+++ b/tests/net/test_http_parser.py
@@ -68,3 +68,35 @@
     assert parser.next_message() is None
     response = parser.end_of_input()
     assert response.body == b"to the end" and response.closes_connection
+
+
+def test_body_in_many_small_chunks_is_kept_in_one_buffer():
+    parser = RequestParser()
+    body = bytes(range(256)) * 64
+    parser.feed(b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for start in range(0, len(body), 1024):
+        parser.feed(b"".join(b"2\r\n%b\r\n" % body[at : at + 2] for at in range(start, start + 1024, 2)))
+        assert parser.next_message() is None
+        assert parser.buffered_bytes == start + 1024
+    parser.feed(b"0\r\n\r\n")
+    assert parser.next_message().body == body
+
+
+def test_small_chunks_over_the_limit_are_rejected():
+    parser = RequestParser(max_body_bytes=1000)
+    parser.feed(b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 1001)
+    with pytest.raises(MalformedMessageError) as caught:
+        parser.next_message()
+    assert caught.value.status == 413
+
+
+def test_empty_lines_before_a_request_are_skipped_up_to_a_limit():
+    parser = RequestParser()
+    parser.feed(b"\r\n" * 8000 + b"POST /api HTTP/1.1\r\n\r\n")
+    assert parser.next_message().target == b"/api"
+    parser.feed(b"\r\n" * 8000)
+    assert parser.next_message() is None
+    parser.feed(b"\r\n" * 8000)
+    with pytest.raises(MalformedMessageError) as caught:
+        parser.next_message()
+    assert caught.value.status == 400
