--- a/dewpin/cluster/rpc/connection.py
+++ b/dewpin/cluster/rpc/connection.py
@@ -32,13 +32,14 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def set_backlog(descriptor: int, backlog: int) -> None:
-    """Set the number of connections that the kernel queues at a listening socket.
+def bound_listener(descriptor: int, backlog: int, receive_buffer_bytes: int) -> None:
+    """Set the number of connections that the kernel queues at a listening socket, and its receive buffer for each.
 
-    asyncio takes the same number as the maximum of connections accepted at once.
+    asyncio takes the number that it is given as the maximum of connections accepted at once, too.
     """
     with socket.socket(fileno=os.dup(descriptor)) as listener:
         listener.listen(backlog)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
 
 
 def abort_if_peer_does_not_read(transport: asyncio.Transport) -> bool:
--- a/dewpin/cluster/rpc/server.py
+++ b/dewpin/cluster/rpc/server.py
@@ -13,7 +13,7 @@
 from ..netstring import Decoder, FrameError
 from ..rpc_frames import InvalidFrameError, Message, ReplyFrame, RequestFrame
 from ..running_tasks import forget_current_task
-from .connection import abort_if_peer_does_not_read, set_backlog, set_socket_options
+from .connection import abort_if_peer_does_not_read, bound_listener, set_socket_options
 from .connection_table import DEFAULT_MAX_CONNECTIONS, MAX_ACCEPTED_AT_ONCE, ConnectionTable
 from .errors import ERROR_FIELDS, RpcError, error_message
 
@@ -23,6 +23,8 @@
 MAX_PENDING_REQUESTS = 1000
 """Maximum number of requests of one connection that are handled concurrently."""
 LISTEN_BACKLOG = 512
+RECEIVE_BUFFER_BYTES = 200 * 1024
+"""The kernel's receive buffer of a connection: what arrives while the event loop is busy takes memory, too."""
 MAX_REPEATED_CHARACTERS = 200
 """Maximum length of a received text that an error message repeats."""
 MAX_UNCHARGED_BYTES = 16 * 1024
@@ -60,7 +62,7 @@
             lambda: ServerConnection(self), host, port, backlog=MAX_ACCEPTED_AT_ONCE
         )
         for listener in getattr(self._server, "sockets", ()):  # there are none in simulated time
-            set_backlog(listener.fileno(), LISTEN_BACKLOG)
+            bound_listener(listener.fileno(), LISTEN_BACKLOG, RECEIVE_BUFFER_BYTES)
 
     async def stop(self) -> None:
         """Stop listening and abort all connections."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,7 @@
 
 KNOWN-RED.txt at the root lists tests that fail because of a known fault. Listed pytest tests run and are reported as
 expected failures. The run fails if one of them passes, or if the list is malformed, too long or names a nonexistent
-test; only tests of UNCOUNTED_ISSUES that are listed as unsteady may pass. Entries of scripts are not run; their file
-must exist, and the cause must contain the command that runs it.
+test. Entries of scripts are not run; their file must exist, and the cause must contain the command that runs it.
 """
 
 from dataclasses import dataclass
@@ -17,7 +16,6 @@
 MAX_KNOWN_RED = 3
 """Maximum number of pytest tests in the list; scripts and the tests of UNCOUNTED_ISSUES do not count."""
 UNCOUNTED_ISSUES = frozenset({"88"})
-UNSTEADY = "unsteady: "
 SCRIPT_SUFFIX = ".sh"
 
 
@@ -37,11 +35,6 @@
     def is_script(self):
         return self.file.endswith(SCRIPT_SUFFIX)
 
-    @property
-    def is_unsteady(self):
-        """Return whether the test passes in some runs: only in an uncounted issue, and only if the cause says so."""
-        return self.issue in UNCOUNTED_ISSUES and self.cause.startswith(UNSTEADY)
-
     @property
     def is_counted(self):
         return not self.is_script and self.issue not in UNCOUNTED_ISSUES
@@ -95,9 +88,7 @@
     for entry in read_known_red(config.rootpath).values():
         if entry.test in items_by_id:
             reason = f"known red: {entry.cause} (issue {entry.issue})"
-            items_by_id[entry.test].add_marker(
-                pytest.mark.xfail(reason=reason, strict=not entry.is_unsteady, raises=AssertionError)
-            )
+            items_by_id[entry.test].add_marker(pytest.mark.xfail(reason=reason, strict=True, raises=AssertionError))
         elif entry.file in collected and not any("::" in argument for argument in config.args):
             raise pytest.UsageError(f"KNOWN-RED.txt: there is no {entry.test}")
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -54,13 +54,6 @@
     assert code == 0 and "1 passed, 1 deselected, 1 xfailed" in output
 
 
-@pytest.mark.parametrize(("issue", "passes"), [("88", True), ("38", False)])
-def test_unsteady_test_may_pass_in_an_uncounted_issue_only(tmp_path, issue, passes):
-    rows = ROW % "red" + f"test_one.py::test_green | unsteady: a cause | {issue}\n"
-    code, _ = run_pytest(tmp_path, rows, "-k", "not broken")
-    assert (code == 0) == passes
-
-
 @pytest.mark.parametrize(
     "known_red, expected",
     [
