--- a/dewpin/cluster/bounded_http_server.py
+++ b/dewpin/cluster/bounded_http_server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import http.client
+import logging
 import socket
 import threading
 from collections import OrderedDict
@@ -19,8 +20,11 @@
 from .memory_budget import MemoryBudget
 from .received_body import ReceivedBody
 
+log = logging.getLogger(__name__)
+
 MAX_CONNECTIONS = 64
 MAX_HEAD_BYTES = 64 * 1024
+"""Maximum size of the header fields; http.server bounds the request line, which precedes them, by itself."""
 PIECE_BYTES = 64 * 1024
 LISTEN_BACKLOG = 256
 
@@ -53,6 +57,10 @@
             shut_down(oldest)  # its thread closes it
         super().process_request(request, client_address)
 
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Log a failed connection at debug level: clients may disconnect at any time."""
+        log.debug("http.connection_failed", exc_info=True)
+
     def shutdown_request(self, request: Any) -> None:
         """Close a connection."""
         with self._lock:
@@ -83,8 +91,8 @@
         super().finish()
 
     def handle_one_request(self) -> None:
-        """Serve one request, whose header section is bounded."""
-        self._head_reader.begin_head()
+        """Serve one request, whose header fields are bounded."""
+        self._head_reader.begin_request()
         super().handle_one_request()
         self._body = None
         self.memory.release_to(0)
@@ -135,13 +143,15 @@
 
 
 class _HeadReader(BufferedIOBase):
-    """The bytes of a connection; the lines of a header section are bounded as a whole."""
+    """The bytes of a connection; the lines of a request's header fields are bounded as a whole."""
 
     def __init__(self, reader: Any) -> None:
         self._reader = reader
+        self._is_request_line = True
         self._head_bytes_left: int | None = None
 
-    def begin_head(self) -> None:
+    def begin_request(self) -> None:
+        self._is_request_line = True
         self._head_bytes_left = MAX_HEAD_BYTES
 
     def end_head(self) -> None:
@@ -150,7 +160,9 @@
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return the next line. Raises http.client.LineTooLong in a header section that is too large."""
         line: bytes = self._reader.readline(size)
-        if self._head_bytes_left is not None:
+        if self._is_request_line:
+            self._is_request_line = False
+        elif self._head_bytes_left is not None:
             self._head_bytes_left -= len(line)
             if self._head_bytes_left < 0:
                 raise http.client.LineTooLong("header section")
--- a/dewpin/controlplane/operator_http.py
+++ b/dewpin/controlplane/operator_http.py
@@ -131,17 +131,11 @@
         log.debug("operator.http", extra={"line": format % args})
 
 
-class _HttpServer(BoundedHttpServer):
-    def handle_error(self, request: Any, client_address: Any) -> None:
-        """Log a failed connection at debug level."""
-        log.debug("operator.connection_failed", exc_info=True)
-
-
 def serve_operator(
     address: tuple[str, int], api: OperatorApi, budget: MemoryBudget | None = None
 ) -> ThreadingHTTPServer:
     """Start serving the API in threads. Raises OSError if the address cannot be bound, or if no thread is left."""
     handler = type("OperatorRequestHandler", (_RequestHandler,), {"api": api})
-    server = _HttpServer(address, handler, budget or MemoryBudget.for_process(0.0))
+    server = BoundedHttpServer(address, handler, budget or MemoryBudget.for_process(0.0))
     serve_in_background("operator", server, SHUTDOWN_POLL_S)
     return server
--- a/dewpin/dataplane/ingress/client_connection.py
+++ b/dewpin/dataplane/ingress/client_connection.py
@@ -138,7 +138,7 @@
         self._body = None
         return body
 
-    def end_request(self) -> None:
+    def end_receiving(self) -> None:
         """End the reading of a request: its account is not evicted any more. Raises AccountEvictedError if it was."""
         if self._is_receiving:
             self._is_receiving = False
--- a/dewpin/dataplane/ingress/request_reader.py
+++ b/dewpin/dataplane/ingress/request_reader.py
@@ -50,7 +50,7 @@
         memory = self._connection.memory
         try:
             received = self._read(configuration)
-            self._connection.end_request()
+            self._connection.end_receiving()
         except MemoryBudgetExceededError:
             return ErrorKind.OVERLOADED
         # An error that follows from the eviction says nothing about the request.
--- a/tests/cluster/test_bounded_http_server.py
+++ b/tests/cluster/test_bounded_http_server.py
@@ -42,7 +42,6 @@
 @pytest.fixture
 def server():
     server = BoundedHttpServer(("127.0.0.1", 0), _Handler, MemoryBudget(BUDGET_BYTES))
-    server.handle_error = lambda request, address: None
     threading.Thread(target=server.serve_forever, args=(0.01,), daemon=True).start()
     yield server
     server.shutdown()
@@ -89,6 +88,12 @@
         assert client.recv(100).startswith(b"HTTP/1.1 431 ")
 
 
+def test_request_line_that_is_too_long_is_rejected(server):
+    with connect(server) as client:
+        client.sendall(b"POST /" + b"a" * 70_000 + b" HTTP/1.1\r\n")
+        assert client.recv(100).startswith(b"HTTP/1.1 414 ")
+
+
 def test_oldest_connection_is_closed_for_a_new_one(server):
     clients = [connect(server) for _ in range(MAX_CONNECTIONS + 1)]
     assert clients[0].recv(1) == b""
--- a/tests/cluster/test_listening_server.py
+++ b/tests/cluster/test_listening_server.py
@@ -6,19 +6,16 @@
 import time
 from types import SimpleNamespace
 
-import pytest
-
 from dewpin.cluster.bounded_http_server import BoundedHttpServer, BoundedRequestHandler
 from dewpin.cluster.listening_server import ACCEPT_ERROR_BACKOFF_S
 from dewpin.cluster.memory_budget import MemoryBudget
-from dewpin.controlplane import operator_http
 
 OBSERVED_S = 0.3
 
 
-@pytest.mark.parametrize("server_class", [operator_http._HttpServer, BoundedHttpServer])
-def test_accept_without_descriptors_does_not_spin(server_class):
-    server = server_class(("127.0.0.1", 0), BoundedRequestHandler, MemoryBudget.for_process(0.0))
+def test_accept_without_descriptors_does_not_spin():
+    """The operator's and the readiness port are served by the same class."""
+    server = BoundedHttpServer(("127.0.0.1", 0), BoundedRequestHandler, MemoryBudget.for_process(0.0))
     listening, attempts = server.socket, []
 
     def accept():
--- a/tests/net/test_parsing_pacer.py
+++ b/tests/net/test_parsing_pacer.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dewpin.net.parsing_pacer import MIN_COSTLY_SECONDS, PAUSE_FACTOR, ParsingPacer
+from dewpin.net.parsing_pacer import MAX_COSTLY_SECONDS, MIN_COSTLY_SECONDS, PAUSE_FACTOR, ParsingPacer
 
 
 def test_pauses_follow_each_other():
@@ -14,3 +14,7 @@
 
 def test_cheap_parsing_is_not_delayed():
     assert ParsingPacer().pause_seconds(100.0, MIN_COSTLY_SECONDS / 2) == 0.0
+
+
+def test_process_that_was_stopped_while_it_parsed_does_not_pause_for_long():
+    assert ParsingPacer().pause_seconds(100.0, 5.0) == pytest.approx(PAUSE_FACTOR * MAX_COSTLY_SECONDS)
