--- a/tests/cluster/test_rpc_memory.py
+++ b/tests/cluster/test_rpc_memory.py
@@ -2,17 +2,20 @@
 
 import asyncio
 import contextlib
+import secrets
 
 import pytest
 
 from dewpin.cluster.memory_budget import STALLED_AFTER_S, MemoryBudget
 from dewpin.cluster.netstring import encode
-from dewpin.cluster.rpc import RpcClient, RpcServer
+from dewpin.cluster.rpc import RpcClient, RpcError, RpcServer
+from dewpin.cluster.rpc.client import MAX_QUEUED_BYTES
 from dewpin.cluster.rpc.server import MAX_REPEATED_CHARACTERS
 
 BUDGET_BYTES = 1_000_000
 RAW_BYTES = 600_000
 TIMEOUT_S = 10.0
+RETRY_S = 0.05
 
 
 async def measure(message):
@@ -113,3 +116,71 @@
             return await server.dispatch({"type": "a" * 10_000})
 
     assert asyncio.run(scenario())["detail"] == "a" * MAX_REPEATED_CHARACTERS
+
+
+@contextlib.asynccontextmanager
+async def connected(address):
+    """Provide the connection of a client."""
+    client = RpcClient()
+    connection = await client._connection(address)
+    try:
+        yield connection
+    finally:
+        await client.close()
+
+
+def test_retries_to_a_peer_that_does_not_read_do_not_add_up():
+    async def scenario():
+        server = await asyncio.start_server(lambda reader, writer: writer.transport.pause_reading(), "127.0.0.1", 0)
+        async with connected("%s:%d" % server.sockets[0].getsockname()[:2]) as connection:
+            for _ in range(30):
+                with pytest.raises(TimeoutError):
+                    async with asyncio.timeout(RETRY_S):
+                        await connection.call({"type": "measure", "raw": secrets.token_bytes(RAW_BYTES)})
+            unsent_bytes = connection.transport.get_write_buffer_size()
+        server.close()
+        return unsent_bytes
+
+    assert MAX_QUEUED_BYTES < asyncio.run(scenario()) < MAX_QUEUED_BYTES + 2 * RAW_BYTES
+
+
+def test_waiting_call_goes_on_once_the_peer_reads():
+    async def scenario():
+        async with served() as (_, _, address), connected(address) as connection:
+            connection.pause_writing()
+            call = asyncio.ensure_future(connection.call({"type": "measure", "raw": bytes(RAW_BYTES)}))
+            await asyncio.sleep(RETRY_S)
+            was_waiting = not call.done() and not connection._pending
+            connection.resume_writing()
+            return was_waiting, (await call)["length"]
+
+    assert asyncio.run(scenario()) == (True, RAW_BYTES)
+
+
+def test_waiting_call_fails_with_its_connection():
+    async def scenario():
+        async with served() as (_, _, address), connected(address) as connection:
+            connection.pause_writing()
+            call = asyncio.ensure_future(connection.call({"type": "measure"}))
+            await asyncio.sleep(RETRY_S)
+            connection.abort()
+            with pytest.raises(RpcError) as caught:
+                await asyncio.wait_for(call, TIMEOUT_S)
+            return caught.value.kind
+
+    assert asyncio.run(scenario()) == "closed"
+
+
+def test_encoded_request_is_not_held_while_its_reply_is_awaited():
+    async def scenario():
+        async with served() as (server, _, address), connected(address) as connection:
+            never = asyncio.Event()
+            server.handlers["measure"] = lambda message: never.wait()
+            call = connection.call({"type": "measure", "raw": bytes(RAW_BYTES)})
+            waiting = asyncio.ensure_future(call)
+            await wait_until(lambda: connection._pending)
+            held = [value for value in call.cr_frame.f_locals.values() if isinstance(value, bytes)]
+            waiting.cancel()
+            return held
+
+    assert asyncio.run(scenario()) == []
--- a/tests/crowds/test_internal_ports.py
+++ b/tests/crowds/test_internal_ports.py
@@ -14,6 +14,8 @@
 CLIENTS = 30
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 LONG_TYPE_BYTES = 1_000_000
+NESTED_BEGIN, NESTED_END = b'{"v":1,"n":1,"m":{"type":"nested","a":[', b"0]}}"
+NESTED = NESTED_BEGIN + b"[]," * ((MAX_FRAME_BYTES - len(NESTED_BEGIN + NESTED_END)) // 3) + NESTED_END
 
 
 def _netstring(payload):
@@ -32,6 +34,7 @@
 INTERNAL_MESSAGES = {
     "frame_short": lambda: behaviours.incomplete(_netstring(bytes(MAX_FRAME_BYTES))[:-1]),
     "compressed_frame_short": lambda: behaviours.incomplete(_compressed(_netstring(bytes(MAX_FRAME_BYTES))[:-1])),
+    "nested_json": lambda: behaviours.incomplete(_netstring(NESTED)),
     "unread_replies": lambda: behaviours.unread(b"".join(map(_request_with_long_type, range(16)))),
     "silent": lambda: behaviours.incomplete(b""),
 }
--- a/tests/crowds/test_operator_and_readiness_ports.py
+++ b/tests/crowds/test_operator_and_readiness_ports.py
@@ -18,6 +18,7 @@
 HEADER_LINE_BYTES = 60_000
 BODY = random.Random(SEED).randbytes(MAX_CONFIGURATION_BYTES)
 NUMBERS = b"[" + b"0," * (MAX_CONFIGURATION_BYTES // 2 - 2) + b"0]"
+NESTED = b"[" + b"[]," * (MAX_CONFIGURATION_BYTES // 3 - 1) + b"0]"
 
 
 def long_head():
@@ -28,6 +29,7 @@
 OPERATOR_REQUESTS = {
     "whole": lambda: behaviours.incomplete(length_head(len(BODY), path=CONFIGURATION_PATH) + BODY),
     "whole_json": lambda: behaviours.incomplete(length_head(len(NUMBERS), path=CONFIGURATION_PATH) + NUMBERS),
+    "whole_nested_json": lambda: behaviours.incomplete(length_head(len(NESTED), path=CONFIGURATION_PATH) + NESTED),
     "one_byte_short": lambda: behaviours.one_byte_short(BODY, path=CONFIGURATION_PATH),
     "chunks_short": lambda: behaviours.chunks_without_end(BODY, itertools.repeat(PIECE_BYTES), CONFIGURATION_PATH),
     "one_byte_chunks": lambda: behaviours.chunks_without_end(
--- a/tests/dataplane/test_store_client.py
+++ b/tests/dataplane/test_store_client.py
@@ -159,6 +159,22 @@
     assert run(scenario()) is None
 
 
+def test_failed_write_does_not_continue_in_the_background():
+    """The turns would be held for nobody: the client was not told that they are stored."""
+
+    async def scenario():
+        world = World()
+        client = world.client()
+        for name in "bc":
+            world.machines[name].up = False
+        with pytest.raises(StoreUnavailableError):
+            await client.store_turn(turn("t1"), 0.5)
+        await asyncio.sleep(3.0)
+        return len(client._calls._tasks)
+
+    assert run(scenario()) == 0
+
+
 def test_read_finds_turn_that_the_first_replica_lacks():
     async def scenario():
         world = World()
