Internal and operator ports: a JSON text of many small values is charged before it is parsed

What callers saw: a peer or client that sent a message of 32 MB made of empty arrays ended the process: the values that the text was parsed into took 910 MB where memory_mb allows 150, in a sender as in a control server.

Cause: six times the length of the text was charged before parsing. That covers numbers and strings, not `[],`, where 3 bytes of text become a list of over 60.

Change: `cluster/parsed_size.py` estimates the values from the punctuation of the text; the estimate is charged before a frame or a configuration is parsed, and a text that could not fit even alone is refused: the connection is aborted, 413 at the operator's port.

--- a/dewpin/cluster/memory_budget.py
+++ b/dewpin/cluster/memory_budget.py
@@ -217,6 +217,14 @@
             if held_bytes < self.held_bytes:
                 self._budget._charge(self, held_bytes)
 
+    def check_can_ever_hold(self, count: int) -> None:
+        """Raise MemoryBudgetExceededError if this many bytes are more than the whole budget.
+
+        For what is not bounded by the limits of a request; a single request is granted more than the budget.
+        """
+        if count > self._budget.limit_bytes:
+            raise MemoryBudgetExceededError("it would take more memory than the process may use")
+
     def begin_transfer(self, is_released_by_eviction: bool = True) -> None:
         """Begin to wait for the peer, which counts as progress: the account may be evicted. Raises AccountEvictedError.
 
--- a/dewpin/cluster/netstring.py
+++ b/dewpin/cluster/netstring.py
@@ -55,10 +55,10 @@
 class Decoder:
     """Decodes a byte stream into messages."""
 
-    def __init__(self, max_bytes: int = MAX_FRAME_BYTES, before_parsing: Callable[[int], None] | None = None) -> None:
+    def __init__(self, max_bytes: int = MAX_FRAME_BYTES, before_parsing: Callable[[bytes], None] | None = None) -> None:
         """Create a decoder that accepts payloads of up to `max_bytes`.
 
-        `before_parsing` is called with the length of each object before it is parsed; what it raises, `feed` raises.
+        `before_parsing` is called with the text of each object before it is parsed; what it raises, `feed` raises.
         """
         self._buffer = bytearray()
         self._max_bytes = max_bytes
@@ -91,7 +91,7 @@
             self._awaiting_raw = None
             return {**pending, RAW: payload}
         if self._before_parsing is not None:
-            self._before_parsing(len(payload))
+            self._before_parsing(payload)
         message = _decode(payload)
         if RAW not in message:
             return message
--- a/dewpin/cluster/rpc/server.py
+++ b/dewpin/cluster/rpc/server.py
@@ -11,6 +11,7 @@
 from ..compression import CompressedOutput, IncomingBytes
 from ..memory_budget import MemoryBudget, MemoryBudgetExceededError
 from ..netstring import Decoder, FrameError
+from ..parsed_size import parsed_bytes
 from ..rpc_frames import InvalidFrameError, Message, ReplyFrame, RequestFrame
 from ..running_tasks import forget_current_task
 from .connection import abort_if_peer_does_not_read, bound_listener, set_socket_options
@@ -29,8 +30,6 @@
 """Maximum length of a received text that an error message repeats."""
 MAX_UNCHARGED_BYTES = 16 * 1024
 """What a connection holds is charged only if it is more than this."""
-PARSED_COPIES = 6
-"""Copies of an object that are charged while it is parsed: its text, and the values that it consists of."""
 
 log = logging.getLogger(__name__)
 
@@ -99,6 +98,7 @@
         self._memory = server.budget.open_account(self._drop_received, may_wait=False)
         self._is_receiving = False
         self._handled_bytes = 0
+        self._parsed_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -136,7 +136,8 @@
         undecoded_bytes = self._decoder.buffered_bytes + len(chunk)
         frames = self._decoder.feed(chunk)
         if frames:
-            self._start_handling(frames, undecoded_bytes - self._decoder.buffered_bytes)
+            self._start_handling(frames, undecoded_bytes - self._decoder.buffered_bytes + self._parsed_bytes)
+            self._parsed_bytes = 0
             if self._transport is not None:
                 self._server.connections.record_request(self._transport)
         self._charge_held()
@@ -161,10 +162,14 @@
         else:
             self._memory.end_transfer()
 
-    def _charge_parsing(self, length: int) -> None:
+    def _charge_parsing(self, text: bytes) -> None:
         """Charge the values that an object will consist of. Raises MemoryBudgetExceededError."""
-        if length > MAX_UNCHARGED_BYTES:
-            self._memory.resize(self._memory.held_bytes + PARSED_COPIES * length, has_priority=True)
+        if len(text) <= MAX_UNCHARGED_BYTES:
+            return
+        value_bytes = parsed_bytes(text)
+        self._memory.check_can_ever_hold(value_bytes)
+        self._memory.resize(self._memory.held_bytes + value_bytes, has_priority=True)
+        self._parsed_bytes += value_bytes
 
     def _drop_received(self) -> None:
         """Release what was received and close the connection, from any thread; called when the account is evicted."""
--- a/dewpin/controlplane/operator_http.py
+++ b/dewpin/controlplane/operator_http.py
@@ -10,6 +10,7 @@
 from dewpin.cluster.errors import DewpinError
 from dewpin.cluster.listening_server import serve_in_background
 from dewpin.cluster.memory_budget import MemoryBudget, MemoryBudgetExceededError
+from dewpin.cluster.parsed_size import parsed_bytes
 from dewpin.controlplane.operator_api import BASE_VERSION_HEADER, ApiResponse, OperatorApi, error_response
 
 log = logging.getLogger(__name__)
@@ -19,8 +20,6 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_TRAILERS = 100
 MAX_TRAILER_BYTES = 1024
-PARSED_COPIES = 6
-"""Copies of a body that are charged while it is parsed: the text, and the values that it consists of."""
 _HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 
 
@@ -68,10 +67,10 @@
         path = self.path.partition("?")[0]
         is_post = self.command == "POST"
         if path == "/dewpin/Config.Put" and is_post:
-            self.memory.add(PARSED_COPIES * len(body))
+            self._charge_parsing(body)
             return self.api.put(body, self.headers.get(BASE_VERSION_HEADER))
         if path == "/dewpin/Config.Patch" and is_post:
-            self.memory.add(PARSED_COPIES * len(body))
+            self._charge_parsing(body)
             return self.api.patch(body, self.headers.get(BASE_VERSION_HEADER))
         if path == "/dewpin/Config.Get":
             return self.api.get()
@@ -81,6 +80,15 @@
             return self.api.retirement(path.rpartition("/")[2])
         return error_response(404, f"no such call: {path}")
 
+    def _charge_parsing(self, body: bytes) -> None:
+        """Charge the values that a body consists of. Raises _UnreadableRequestError and MemoryBudgetExceededError."""
+        value_bytes = parsed_bytes(body)
+        try:
+            self.memory.check_can_ever_hold(value_bytes)
+        except MemoryBudgetExceededError as error:
+            raise _UnreadableRequestError(413, error.detail) from error
+        self.memory.add(value_bytes)
+
     def _read_body(self) -> bytes:
         """Return the body. Raises _UnreadableRequestError, MemoryBudgetExceededError and OSError."""
         if "chunked" in (self.headers.get("Transfer-Encoding") or "").lower():
--- a/tests/cluster/test_memory_budget.py
+++ b/tests/cluster/test_memory_budget.py
@@ -172,3 +172,10 @@
 def test_budget_is_a_share_of_the_process_memory():
     assert MemoryBudget.for_process(300.0).limit_bytes == int(300e6 * BUDGET_SHARE)
     assert MemoryBudget.for_process(0.0).limit_bytes > 300e6
+
+
+def test_what_no_process_could_hold_is_refused_even_alone(world):
+    account = world.account()
+    account.check_can_ever_hold(LIMIT)
+    with pytest.raises(MemoryBudgetExceededError):
+        account.check_can_ever_hold(LIMIT + 1)
