Crowds at all ports of a process at the same time stay inside one budget

Change: `tests/crowds/test_several_ports.py` lets crowds use the front port, the internal port and the readiness port of a sender, and the operator's and the internal port of a control server, at the same time, with the bounds of the other crowd tests. No change of the programs.

--- a/tests/crowds/small_tier.py
+++ b/tests/crowds/small_tier.py
@@ -1,7 +1,9 @@
 """A tier of real processes with low limits, and what must hold at one of its processes beside a crowd."""
 
+import contextlib
 import http.client
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 from crowds.crowd import Behaviour, Crowd
@@ -84,10 +86,18 @@
 
 def play_crowd(small_tier: SmallTier, machine: Machine, address: str, client_count: int, behaviour: Behaviour) -> None:
     """Let a crowd use an address of a machine; check its process and that ordinary requests are served."""
+    play_crowds(small_tier, machine, [Crowd(address, client_count, behaviour)])
+
+
+def play_crowds(small_tier: SmallTier, machine: Machine, crowds: Sequence[Crowd]) -> None:
+    """Let crowds use the ports of a machine at the same time; check the same as `play_crowd`."""
     with ProcessMonitor(machine.process.pid, PORTS) as monitor:
-        with Crowd(address, client_count, behaviour) as crowd:
+        with contextlib.ExitStack() as running:
+            for crowd in crowds:
+                running.enter_context(crowd)
             time.sleep(CROWD_S)
             small_tier.serve_ordinary_request()
-        print(f"answers to the crowd: {dict(crowd.answers)}")
+        for crowd in crowds:
+            print(f"answers to the crowd: {dict(crowd.answers)}")
         small_tier.serve_ordinary_request(bytes(MAX_BODY_BYTES))
     check_process(machine, monitor)
--- /dev/null
+++ b/tests/crowds/test_several_ports.py
@@ -0,0 +1,51 @@
+"""Crowds at all ports of a process at the same time: what they hold together stays inside one budget."""
+
+import random
+
+import pytest
+from crowds import behaviours
+from crowds.crowd import Crowd
+from crowds.small_tier import MAX_BODY_BYTES, play_crowds
+
+from dewpin.standin.addresses import FIRST_INTERNAL_PORT
+
+pytestmark = pytest.mark.crowd
+
+FRONT_CLIENTS = 100
+OTHER_CLIENTS = 30
+SEED = 88
+BODY = random.Random(SEED).randbytes(MAX_BODY_BYTES)
+CONFIGURATION = random.Random(SEED).randbytes(16 * 1024 * 1024)
+CONFIGURATION_PATH = "/dewpin/Config.Put?"
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+FRAME_SHORT = b"%d:" % MAX_FRAME_BYTES + bytes(MAX_FRAME_BYTES)
+LONG_HEAD = behaviours.request_head(*(f"Field-{number}: {'a' * 60_000}" for number in range(90)))[:-2]
+
+
+@pytest.mark.parametrize(
+    "front_behaviour",
+    [behaviours.whole_bodies(BODY), behaviours.one_byte_short(BODY), behaviours.turns(BODY)],
+    ids=["whole", "one_byte_short", "turns"],
+)
+def test_crowds_at_all_ports_of_a_sender(small_tier, front_behaviour):
+    sender = small_tier.sender
+    internal_address = f"{sender.ip}:{FIRST_INTERNAL_PORT + 1}"
+    crowds = [
+        Crowd(sender.client_address, FRONT_CLIENTS, front_behaviour),
+        Crowd(internal_address, OTHER_CLIENTS, behaviours.incomplete(FRAME_SHORT)),
+        Crowd(sender.readiness_address, OTHER_CLIENTS, behaviours.incomplete(LONG_HEAD)),
+    ]
+    play_crowds(small_tier, sender, crowds)
+    small_tier.tier.wait_until_ready()
+
+
+def test_crowds_at_all_ports_of_a_control_server(small_tier):
+    control_server = small_tier.tier.control_servers[0]
+    internal_address = f"{control_server.ip}:{FIRST_INTERNAL_PORT}"
+    operator_behaviour = behaviours.one_byte_short(CONFIGURATION, path=CONFIGURATION_PATH)
+    crowds = [
+        Crowd(control_server.operator_address, OTHER_CLIENTS, operator_behaviour),
+        Crowd(internal_address, OTHER_CLIENTS, behaviours.incomplete(FRAME_SHORT)),
+    ]
+    play_crowds(small_tier, control_server, crowds)
+    small_tier.put_configuration(generation=2, base=1)
