Store: pages of histories are charged to the memory budget while they are read

What callers saw: a crowd of 100 clients that continue conversations of 2 MB with requests of a few bytes took a control server to 371 MB where memory_mb allows 150, and for 10 s after the crowd had ended no configuration was accepted (503, no quorum).

Cause: the storage thread reads the pages of all waiting requests as one group and delivers them together; nothing bounded the pages between the database and the connection.

Change: `controlplane/store/history_reader.py` charges three copies of the bodies as the turns are read. A page that does not fit is not read further and answered with the error `busy`, on which a sender asks another store or again later, as after any failed call. A single page is always read.

--- a/dewpin/cluster/store_messages.py
+++ b/dewpin/cluster/store_messages.py
@@ -33,6 +33,8 @@
 """Error: the store is not a replica of the program in this epoch."""
 STORAGE_FAILED = "storage_failed"
 """Error: reading from or writing to storage failed."""
+BUSY = "busy"
+"""Error: the store has no memory for the reply at present."""
 MALFORMED = "malformed"
 """Error: a field of the request is missing or of the wrong type; retrying the request cannot succeed."""
 
--- a/dewpin/controlplane/control_process.py
+++ b/dewpin/controlplane/control_process.py
@@ -40,7 +40,9 @@
         self._rpc_server = RpcServer(self._control_server.handlers, self._budget, max_connections)
         self._store: LocalStore | None = None
         if STORE in settings.serves:
-            self._store = LocalStore(settings, storage, client, self._control_server.record_synced_epoch)
+            self._store = LocalStore(
+                settings, storage, client, self._control_server.record_synced_epoch, budget=self._budget
+            )
 
     async def start(self, steps: StartSteps) -> None:
         """Load the state from disk, then serve senders, other control servers and the operator."""
--- a/dewpin/controlplane/local_store.py
+++ b/dewpin/controlplane/local_store.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from dewpin.cluster.configuration import longest_retain_s
+from dewpin.cluster.memory_budget import MemoryBudget
 from dewpin.cluster.rpc import Handler, RpcClient
 from dewpin.cluster.settings import Settings
 from dewpin.cluster.store_view import StoreView
@@ -25,9 +26,10 @@
         client: RpcClient,
         on_synced: Callable[[int], None],
         wall_clock_ms: Callable[[], int] = unix_time_ms,
+        budget: MemoryBudget | None = None,
     ) -> None:
         replica_count = settings.fault_tolerance.replica_count
-        self._store = Store(storage, storage.incarnation, replica_count, wall_clock_ms)
+        self._store = Store(storage, storage.incarnation, replica_count, wall_clock_ms, budget=budget)
         self._sync = StoreSync(self._store, client, on_synced)
         self._configuration_digest = ""
         self._purge_task: asyncio.Task[None] | None = None
--- a/dewpin/controlplane/store/sender_handlers.py
+++ b/dewpin/controlplane/store/sender_handlers.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from dewpin.cluster import store_messages as wire
+from dewpin.cluster.memory_budget import MemoryBudget
 from dewpin.cluster.rpc import Message
 from dewpin.cluster.store_requests import (
     HistoryRequest,
@@ -18,12 +19,11 @@
 from dewpin.consensus import Ballot, Reply
 from dewpin.consensus.messages import encode_reply
 from dewpin.controlplane.store import ledger_replica, turn_table
+from dewpin.controlplane.store.history_reader import HistoryReader
 from dewpin.controlplane.store.view_guard import ViewGuard, decode_request
 
 RETENTION_MARGIN_MS = 30_000
 """Turns and ledgers are kept this much longer than requested, to allow for clock steps and turns in progress."""
-MAX_HISTORY_BYTES = 4 * 1024 * 1024
-"""Limit on the bodies in one history reply; the sender requests the rest separately."""
 
 log = logging.getLogger(__name__)
 
@@ -31,9 +31,10 @@
 class SenderHandlers:
     """Answers senders for one store; `handlers` maps message types to handlers."""
 
-    def __init__(self, guard: ViewGuard, now_ms: Callable[[], int]) -> None:
-        """Answer under the view of `guard`; `now_ms` returns the wall-clock time in ms."""
+    def __init__(self, guard: ViewGuard, now_ms: Callable[[], int], budget: MemoryBudget) -> None:
+        """Answer under the view of `guard`; `now_ms` returns the wall-clock time in ms; histories use `budget`."""
         self._guard = guard
+        self._history_reader = HistoryReader(guard, budget)
         self._now_ms = now_ms
         self.handlers: dict[str, Callable[[Message], Awaitable[Message]]] = {
             wire.TURN_PUT: self._put_turns,
@@ -68,13 +69,7 @@
     async def _read_history(self, message: Message) -> Message:
         request = decode_request(HistoryRequest.decode, message)
         self._guard.check_view(message)
-        page = await self._guard.transact(
-            message["epoch"],
-            lambda connection: turn_table.read_history(
-                connection, request.program, request.last_turn, MAX_HISTORY_BYTES
-            ),
-        )
-        return page.to_json()
+        return await self._history_reader.read(message["epoch"], request)
 
     async def _prepare_ledger(self, message: Message) -> Message:
         request = decode_request(LedgerPrepareRequest.decode, message)
--- a/dewpin/controlplane/store/store.py
+++ b/dewpin/controlplane/store/store.py
@@ -10,6 +10,7 @@
 from contextlib import contextmanager
 
 from dewpin.cluster.logs import log_unexpected
+from dewpin.cluster.memory_budget import MemoryBudget
 from dewpin.cluster.rpc import Message
 from dewpin.cluster.store_view import StoreView
 from dewpin.controlplane.storage import StorageError
@@ -53,8 +54,12 @@
         replica_count: int,
         wall_clock_ms: Callable[[], int] = unix_time_ms,
         on_view: Callable[[StoreView], None] = _ignore_view,
+        budget: MemoryBudget | None = None,
     ) -> None:
-        """Create the store of member `member_id`; `on_view` is called with each adopted view."""
+        """Create the store of member `member_id`; `on_view` is called with each adopted view.
+
+        budget: the memory budget of the process, for the histories that are read.
+        """
         self.member_id = member_id
         self.replica_count = replica_count
         self.storage = storage
@@ -63,7 +68,7 @@
         self._copies_in_progress = 0
         self._guard = ViewGuard(storage, member_id, replica_count, on_view)
         self.handlers: dict[str, Callable[[Message], Awaitable[Message]]] = {
-            **SenderHandlers(self._guard, self.now_ms).handlers,
+            **SenderHandlers(self._guard, self.now_ms, budget or MemoryBudget.for_process(0.0)).handlers,
             **CopyHandlers(self._guard, self.now_ms).handlers,
         }
 
--- a/dewpin/controlplane/store/turn_table.py
+++ b/dewpin/controlplane/store/turn_table.py
@@ -8,7 +8,7 @@
 
 import json
 import sqlite3
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from dewpin.cluster.store_messages import HistoryPage, TurnRecord
@@ -76,10 +76,21 @@
     )
 
 
-def read_history(connection: sqlite3.Connection, program: str, last_turn: str, max_bytes: int) -> HistoryPage:
+def _charge_nothing(size_bytes: int) -> None:
+    """Default of `charge`."""
+
+
+def read_history(
+    connection: sqlite3.Connection,
+    program: str,
+    last_turn: str,
+    max_bytes: int,
+    charge: Callable[[int], None] = _charge_nothing,
+) -> HistoryPage:
     """Return the stored part of the history that ends with `last_turn`, newest turn first.
 
-    The page ends with the turn at which the total size of the bodies reaches `max_bytes`.
+    The page ends with the turn at which the total size of the bodies reaches `max_bytes`. `charge` is called with that
+    size after each turn, and may raise MemoryBudgetExceededError.
     """
     turns: list[TurnRecord] = []
     other_program_turns: set[str] = set()
@@ -91,6 +102,7 @@
             return HistoryPage(tuple(turns), next_turn, True, frozenset(other_program_turns))
         turns.append(record)
         size += len(record.input) + len(record.output)
+        charge(size)
         if record.program != program:
             other_program_turns.add(record.turn)
         next_turn = record.previous
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -112,7 +112,7 @@
 
 
 def test_long_history_takes_several_replies(monkeypatch):
-    monkeypatch.setattr("dewpin.controlplane.store.sender_handlers.MAX_HISTORY_BYTES", 10)
+    monkeypatch.setattr("dewpin.controlplane.store.history_reader.MAX_HISTORY_BYTES", 10)
 
     async def scene():
         world = World()
--- a/tests/crowds/behaviours.py
+++ b/tests/crowds/behaviours.py
@@ -4,7 +4,8 @@
 import itertools
 import secrets
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
 
 from crowds.crowd import Behaviour, Connection
 
@@ -20,6 +21,14 @@
 ENDLESS_PIECES = 2_000
 
 
+@dataclass(frozen=True, slots=True)
+class Conversation:
+    """A stored conversation: its program and the id of its last turn."""
+
+    program: str
+    last_turn: str
+
+
 def request_head(*fields: str, path: str = PLAIN_PATH, method: str = "POST") -> bytes:
     """Return the header section of a request with a new id; its path is `path` and one more letter."""
     lines = (
@@ -187,6 +196,19 @@
     return behave
 
 
+def later_turns(conversations: Sequence[Conversation], body: bytes) -> Behaviour:
+    """Turns that continue stored conversations, each connection another one."""
+    next_conversation = itertools.cycle(conversations)
+
+    async def behave(connection: Connection) -> None:
+        conversation = next(next_conversation)
+        fields = f"Program: {conversation.program}", f"Previous: {conversation.last_turn}", "Connection: close"
+        await connection.send(length_head(len(body), *fields, path=STREAM_PATH) + body)
+        await connection.read_to_end()
+
+    return behave
+
+
 def exchange(address: str, request: bytes) -> bytes:
     """Send one request from a client of its own; return the beginning of the response."""
     host, _, port = address.rpartition(":")
