Crowd test: turns that continue conversations of several long turns

Cause of the change: the crowd of later turns read histories of one page only; with four turns of 2 MB a history takes two pages, which a sender holds until both are there.

Change: `test_later_turns.py` plays both shapes, with the same bounds. No change of the programs.

--- a/tests/crowds/test_later_turns.py
+++ b/tests/crowds/test_later_turns.py
@@ -1,5 +1,6 @@
 """A crowd of clients that continue long conversations: each short request makes a sender read a long history."""
 
+import contextlib
 import http.client
 import random
 import secrets
@@ -16,33 +17,46 @@
 pytestmark = pytest.mark.crowd
 
 CLIENTS = 100
-CONVERSATIONS = 20
 SEED = 88
 
 
-def store_conversation(address, body):
-    """Store a conversation of one long turn; the request is repeated until it is served."""
+def store_conversation(address, bodies):
+    """Store a conversation with a turn for each body."""
     program = secrets.token_hex(8)
+    last_turn = None
+    for body in bodies:
+        fields = {"Program": program, "Connection": "close"}
+        if last_turn is not None:
+            fields["Previous"] = last_turn
+        last_turn = store_turn(address, ClientRequest(HOST, f"{STREAM_PATH}a", body, fields=fields))
+    return Conversation(program, last_turn)
+
+
+def store_turn(address, request):
+    """Send a turn until it is served; return its id."""
     ends_s = time.monotonic() + ORDINARY_TIMEOUT_S
     while time.monotonic() < ends_s:
-        request = ClientRequest(HOST, f"{STREAM_PATH}a", body, fields={"Program": program, "Connection": "close"})
-        try:
+        with contextlib.suppress(OSError, http.client.HTTPException):
             response = send(address, request)
-        except (OSError, http.client.HTTPException):
-            continue
-        if response.is_served:
-            return Conversation(program, response.request_id)
+            if response.is_served:
+                return response.request_id
         time.sleep(RETRY_DELAY_S)
-    raise AssertionError("no conversation was stored")
+    raise AssertionError("no turn was stored")
+
+
+def long_body(source):
+    return source.randbytes(MAX_BODY_BYTES // 2).hex().encode()
 
 
 @pytest.mark.parametrize("role", ["sender", "control_server"])
-def test_crowd_of_turns_that_continue_long_conversations(small_tier, role):
+@pytest.mark.parametrize(("conversation_count", "turn_count"), [(20, 1), (6, 4)])
+def test_crowd_of_turns_that_continue_long_conversations(small_tier, role, conversation_count, turn_count):
     machine = small_tier.sender if role == "sender" else small_tier.tier.control_servers[0]
     address = small_tier.sender.client_address
     source = random.Random(SEED)
-    bodies = (source.randbytes(MAX_BODY_BYTES // 2).hex().encode() for _ in range(CONVERSATIONS))
-    conversations = [store_conversation(address, body) for body in bodies]
+    conversations = [
+        store_conversation(address, [long_body(source) for _ in range(turn_count)]) for _ in range(conversation_count)
+    ]
     play_crowd(small_tier, machine, address, CLIENTS, behaviours.later_turns(conversations, b"next"))
     small_tier.put_configuration(generation=2, base=1)
-    store_conversation(address, b"after the crowd")
+    store_conversation(address, [b"after the crowd"])
