Crowd tests: chunk extensions and chunk sizes without an end

Cause of the change: two further ways to send a chunked body without an end; no crowd used them.

Change: `chunk_extensions` (4,000 bytes for each byte of the body) and `long_chunk_size` (zeros only) at the front port and at the message sender, `long_chunk_size` at the operator's port; same bounds as the others. No change of the programs.

--- a/tests/crowds/test_front_port.py
+++ b/tests/crowds/test_front_port.py
@@ -14,6 +14,7 @@
 SEED = 88
 BODY = random.Random(SEED).randbytes(MAX_BODY_BYTES)
 REQUESTS_SENT_AHEAD = 200
+EXTENSION_BYTES = 4_000
 HEAD_BYTES = 16_000  # of the 16,384 allowed
 
 
@@ -34,6 +35,8 @@
     "announced_past_the_limit": lambda: behaviours.announced_past_the_limit(10 * MAX_BODY_BYTES),
     "empty_lines": lambda: behaviours.endless(b"", CRLF * (PIECE_BYTES // 2)),
     "trailers": lambda: behaviours.endless(chunked_head() + b"0\r\n", b"a: b\r\n" * (PIECE_BYTES // 6)),
+    "chunk_extensions": lambda: behaviours.endless(chunked_head(), b"1;%b\r\nx\r\n" % (b"a" * EXTENSION_BYTES)),
+    "long_chunk_size": lambda: behaviours.endless(chunked_head(), b"0" * PIECE_BYTES),
     "sent_ahead": lambda: behaviours.endless(b"", length_head(0) * REQUESTS_SENT_AHEAD),
     "unread_answers": lambda: behaviours.unread_answers(MAX_BODY_BYTES),
     "turns": lambda: behaviours.turns(BODY),
--- a/tests/crowds/test_message_sender.py
+++ b/tests/crowds/test_message_sender.py
@@ -43,6 +43,8 @@
     ),
     "empty_lines": lambda: behaviours.endless(b"", CRLF * (PIECE_BYTES // 2)),
     "trailers": lambda: behaviours.endless(CHUNKED + b"0\r\n", b"a: b\r\n" * (PIECE_BYTES // 6)),
+    "chunk_extensions": lambda: behaviours.endless(CHUNKED, b"1;%b\r\nx\r\n" % (b"a" * 4_000)),
+    "long_chunk_size": lambda: behaviours.endless(CHUNKED, b"0" * PIECE_BYTES),
     "sent_ahead": lambda: behaviours.endless(b"", b"GET /-/ready HTTP/1.1\r\n\r\n" * 2_000),
     "long_head": lambda: behaviours.incomplete(SUBMIT % b"crowd" + b"Padding: " + b"a" * 15_000),
     "silent": lambda: behaviours.incomplete(b""),
--- a/tests/crowds/test_operator_and_readiness_ports.py
+++ b/tests/crowds/test_operator_and_readiness_ports.py
@@ -5,7 +5,7 @@
 
 import pytest
 from crowds import behaviours
-from crowds.behaviours import PIECE_BYTES, length_head, request_head
+from crowds.behaviours import PIECE_BYTES, chunked_head, length_head, request_head
 from crowds.small_tier import MAX_DESCRIPTORS, play_crowd
 
 pytestmark = pytest.mark.crowd
@@ -35,6 +35,7 @@
     "one_byte_chunks": lambda: behaviours.chunks_without_end(
         BODY[: MAX_CONFIGURATION_BYTES // 8], itertools.repeat(1), CONFIGURATION_PATH
     ),
+    "long_chunk_size": lambda: behaviours.endless(chunked_head(CONFIGURATION_PATH), b"0" * PIECE_BYTES),
     "long_head": lambda: behaviours.incomplete(long_head()),
 }
 
