--- a/dewpin/controlplane/membership/register_maintenance.py
+++ b/dewpin/controlplane/membership/register_maintenance.py
@@ -11,9 +11,10 @@
 from dewpin.controlplane.membership.majority_loss import MajorityLossLog
 from dewpin.controlplane.membership.peers import PeerTable
 from dewpin.controlplane.membership.reconfiguration import is_coordinator, next_change
+from dewpin.controlplane.register.change_errors import ChangeRejectedError
 from dewpin.controlplane.register.proposer import RegisterUnavailableError
 from dewpin.controlplane.register.register import SystemRegister
-from dewpin.controlplane.register.system_state import ChangeRejectedError, SystemState, initial_state
+from dewpin.controlplane.register.system_state import SystemState, initial_state
 
 log = logging.getLogger(__name__)
 
--- a/dewpin/controlplane/operator_api.py
+++ b/dewpin/controlplane/operator_api.py
@@ -14,18 +14,20 @@
 from dewpin.cluster.body_messages import patch_digest
 from dewpin.cluster.configuration import InvalidConfigurationError, parse_configuration, parse_patch
 from dewpin.cluster.errors import DewpinError
-from dewpin.controlplane.register.proposer import RegisterUnavailableError
-from dewpin.controlplane.register.register import SystemRegister
-from dewpin.controlplane.register.system_state import (
+from dewpin.controlplane.register.change_errors import (
     ChangeForgottenError,
-    ChangeFunction,
     ChangeRejectedError,
     GenerationTooLowError,
     InvalidPatchError,
-    SystemState,
     TooFewStoresRemainError,
     UnknownMachineError,
     VersionMismatchError,
+)
+from dewpin.controlplane.register.proposer import RegisterUnavailableError
+from dewpin.controlplane.register.register import SystemRegister
+from dewpin.controlplane.register.system_state import (
+    ChangeFunction,
+    SystemState,
     configuration_digest,
     is_retired,
     patch_configuration,
--- a/dewpin/controlplane/register/proposer.py
+++ b/dewpin/controlplane/register/proposer.py
@@ -14,14 +14,10 @@
 from dewpin.consensus.messages import decode_reply
 from dewpin.consensus.proposal import Request
 from dewpin.controlplane.register.acceptor import RegisterAcceptor
+from dewpin.controlplane.register.change_errors import ChangeRejectedError
 from dewpin.controlplane.register.learner import RegisterLearner
 from dewpin.controlplane.register.messages import AcceptRequest, PrepareRequest
-from dewpin.controlplane.register.system_state import (
-    ChangeFunction,
-    ChangeRejectedError,
-    SystemState,
-    quorum_sets,
-)
+from dewpin.controlplane.register.system_state import ChangeFunction, SystemState, quorum_sets
 
 log = logging.getLogger(__name__)
 
--- a/dewpin/controlplane/register/system_state.py
+++ b/dewpin/controlplane/register/system_state.py
@@ -12,7 +12,15 @@
 
 from dewpin.cluster.body_messages import configuration_digest as configuration_digest
 from dewpin.cluster.configuration import ConfigurationPatch, InvalidConfigurationError
-from dewpin.cluster.errors import DewpinError
+from dewpin.controlplane.register.change_errors import (
+    ChangeForgottenError,
+    GenerationTooLowError,
+    InvalidPatchError,
+    StateVersionChangedError,
+    TooFewStoresRemainError,
+    UnknownMachineError,
+    VersionMismatchError,
+)
 
 MAX_CHANGES_IN_STATE = 128
 """Operator changes listed in the state itself; older ones are in the `ChangeHistory` of each process."""
@@ -77,42 +85,6 @@
 ChangeFunction = Callable[[SystemState], SystemState]
 
 
-class ChangeRejectedError(DewpinError):
-    """The change is not allowed in the current state."""
-
-
-class VersionMismatchError(ChangeRejectedError):
-    """The operator's change is based on a configuration that is not the current one."""
-
-
-class GenerationTooLowError(ChangeRejectedError):
-    """The generation of the operator's change is not greater than the current one."""
-
-
-class ChangeForgottenError(ChangeRejectedError):
-    """The change is older than all changes listed in the state, so it may have been accepted before."""
-
-
-class StateVersionChangedError(ChangeRejectedError):
-    """The state no longer has the version that the change was planned for."""
-
-
-class InvalidPatchError(ChangeRejectedError):
-    """The patched configuration would be invalid; `errors` has one line per reason."""
-
-    def __init__(self, errors: list[str]) -> None:
-        super().__init__("; ".join(errors))
-        self.errors = errors
-
-
-class UnknownMachineError(ChangeRejectedError):
-    """No machine with a store has the requested name."""
-
-
-class TooFewStoresRemainError(ChangeRejectedError):
-    """Without the machine, too few stores would remain to tolerate the required number of failures."""
-
-
 def initial_state(members: Addresses, names: Mapping[str, str]) -> SystemState:
     """Return the state before the first change. It is identical on every member that creates it."""
     return SystemState(
--- a/dewpin/lab/network.py
+++ b/dewpin/lab/network.py
@@ -10,8 +10,9 @@
 from typing import Any
 
 from .event_loop import SimulatedEventLoop
+from .link_conditions import LinkConditions
 from .machine import CURRENT_MACHINE, Machine
-from .transport import Address, LinkConditions, SimulatedTransport
+from .transport import Address, SimulatedTransport
 
 FIRST_CLIENT_PORT = 40_001
 
--- a/tests/controlplane/change_scenes.py
+++ b/tests/controlplane/change_scenes.py
@@ -3,14 +3,9 @@
 from scripted.clock import run
 from scripted.registers import Registers
 
+from dewpin.controlplane.register.change_errors import ChangeForgottenError, GenerationTooLowError, VersionMismatchError
 from dewpin.controlplane.register.proposer import RegisterUnavailableError
-from dewpin.controlplane.register.system_state import (
-    ChangeForgottenError,
-    GenerationTooLowError,
-    VersionMismatchError,
-    configuration_digest,
-    put_configuration,
-)
+from dewpin.controlplane.register.system_state import configuration_digest, put_configuration
 
 PROPOSE_TIMEOUT_S = 3.0
 OPERATOR_TIMEOUT_S = 0.85
--- a/tests/controlplane/test_change_history.py
+++ b/tests/controlplane/test_change_history.py
@@ -15,11 +15,10 @@
 )
 
 from dewpin.controlplane.register import change_history
+from dewpin.controlplane.register.change_errors import ChangeForgottenError, VersionMismatchError
 from dewpin.controlplane.register.change_history import AcceptedChange, ChangeHistory, ChangeHistoryRequest
 from dewpin.controlplane.register.system_state import (
     MAX_CHANGES_IN_STATE,
-    ChangeForgottenError,
-    VersionMismatchError,
     accepted_change_count,
     configuration_digest,
     initial_state,
--- a/tests/controlplane/test_control_server_random.py
+++ b/tests/controlplane/test_control_server_random.py
@@ -8,14 +8,10 @@
 from controlplane.control_server_world import World
 from scripted.clock import run
 
+from dewpin.controlplane.register.change_errors import ChangeRejectedError
 from dewpin.controlplane.register.change_history import changes_in_state
 from dewpin.controlplane.register.proposer import RegisterUnavailableError
-from dewpin.controlplane.register.system_state import (
-    ChangeRejectedError,
-    accepted_change_count,
-    configuration_digest,
-    put_configuration,
-)
+from dewpin.controlplane.register.system_state import accepted_change_count, configuration_digest, put_configuration
 
 SEEDS = range(8)
 SCENE_S = 30.0
--- a/tests/controlplane/test_operator_api.py
+++ b/tests/controlplane/test_operator_api.py
@@ -16,10 +16,10 @@
 from dewpin.controlplane import operator_api
 from dewpin.controlplane.operator_api import LOOP_MARGIN_S, MIN_HISTORY_LOOKUP_S, RESPONSE_TIMEOUT_S, OperatorApi
 from dewpin.controlplane.operator_http import serve_operator
+from dewpin.controlplane.register.change_errors import ChangeForgottenError
 from dewpin.controlplane.register.proposer import RegisterUnavailableError
 from dewpin.controlplane.register.system_state import (
     MAX_CHANGES_IN_STATE,
-    ChangeForgottenError,
     configuration_digest,
     finish_retirement,
     initial_state,
--- a/tests/controlplane/test_operator_changes.py
+++ b/tests/controlplane/test_operator_changes.py
@@ -13,10 +13,9 @@
 )
 
 from dewpin.cluster.rpc import RpcError
+from dewpin.controlplane.register.change_errors import TooFewStoresRemainError, UnknownMachineError
 from dewpin.controlplane.register.system_state import (
     MAX_CHANGES_IN_STATE,
-    TooFewStoresRemainError,
-    UnknownMachineError,
     accepted_change_count,
     require_version,
     set_initial_stores,
--- a/tests/controlplane/test_state_freshness_random.py
+++ b/tests/controlplane/test_state_freshness_random.py
@@ -9,8 +9,8 @@
 from scripted.clock import run
 
 from dewpin.controlplane.control_server import max_state_age_s
+from dewpin.controlplane.register.change_errors import ChangeRejectedError
 from dewpin.controlplane.register.proposer import RegisterUnavailableError
-from dewpin.controlplane.register.system_state import ChangeRejectedError
 
 SEEDS = range(10)
 DURATION_S = 40.0
--- a/tests/controlplane/test_system_register.py
+++ b/tests/controlplane/test_system_register.py
@@ -9,13 +9,9 @@
 from dewpin.cluster.rpc import RpcError
 from dewpin.consensus.messages import CONFLICT, PROMISE
 from dewpin.consensus.replica import ZERO_BALLOT
+from dewpin.controlplane.register.change_errors import VersionMismatchError
 from dewpin.controlplane.register.proposer import RegisterUnavailableError
-from dewpin.controlplane.register.system_state import (
-    VersionMismatchError,
-    put_configuration,
-    set_members,
-    successor,
-)
+from dewpin.controlplane.register.system_state import put_configuration, set_members, successor
 
 PROPOSE_TIMEOUT_S = 3.0
 
--- a/tests/controlplane/test_system_state.py
+++ b/tests/controlplane/test_system_state.py
@@ -2,12 +2,14 @@
 
 import pytest
 
-from dewpin.controlplane.register.system_state import (
+from dewpin.controlplane.register.change_errors import (
     GenerationTooLowError,
     StateVersionChangedError,
     TooFewStoresRemainError,
     UnknownMachineError,
     VersionMismatchError,
+)
+from dewpin.controlplane.register.system_state import (
     configuration_digest,
     finish_retirement,
     finish_store_change,
--- a/tests/lab/test_network.py
+++ b/tests/lab/test_network.py
@@ -6,9 +6,9 @@
 import pytest
 
 from dewpin.lab.event_loop import SimulatedEventLoop
+from dewpin.lab.link_conditions import LinkConditions
 from dewpin.lab.machine import Machine
 from dewpin.lab.network import AddressFault, SimulatedNetwork
-from dewpin.lab.transport import LinkConditions
 
 SERVER_ADDRESS = ("10.0.0.1", 80)
 
--- a/tests/model/register_parts.py
+++ b/tests/model/register_parts.py
@@ -17,12 +17,12 @@
 from dewpin.cluster.rpc import RpcError
 from dewpin.consensus import Ballot, Prepare, Proposal, Request
 from dewpin.consensus.messages import decode_reply
+from dewpin.controlplane.register.change_errors import ChangeRejectedError
 from dewpin.controlplane.register.messages import AcceptRequest, PrepareRequest
 from dewpin.controlplane.register.proposer import RegisterProposer
 from dewpin.controlplane.register.register import SystemRegister
 from dewpin.controlplane.register.system_state import (
     ChangeFunction,
-    ChangeRejectedError,
     SystemState,
     initial_state,
     put_configuration,
--- a/tests/mutations/variants.py
+++ b/tests/mutations/variants.py
@@ -17,6 +17,7 @@
 from dewpin.controlplane.membership.majority_contact import MajorityContact, MemberAcknowledgement, StateFreshness
 from dewpin.controlplane.register import proposer, replica_storage, system_state
 from dewpin.controlplane.register.acceptor import RegisterAcceptor
+from dewpin.controlplane.register.change_errors import ChangeRejectedError
 from dewpin.controlplane.register.configuration_bodies import ConfigurationBodies
 from dewpin.controlplane.register.replica_storage import ReplicaStorage
 from dewpin.controlplane.store import ledger_replica, replica_sync, turn_copy, turn_table
@@ -129,7 +130,7 @@
         def lenient(state: Any) -> Any:
             try:
                 return change(state)
-            except system_state.ChangeRejectedError:
+            except ChangeRejectedError:
                 return state
 
         return lenient
--- a/tests/relay/test_late_retries.py
+++ b/tests/relay/test_late_retries.py
@@ -6,8 +6,8 @@
 
 from dewpin.core import model
 from dewpin.lab.event_loop import SimulatedEventLoop
+from dewpin.lab.link_conditions import LinkConditions
 from dewpin.lab.network import SimulatedNetwork
-from dewpin.lab.transport import LinkConditions
 from dewpin.net.call import LAST_BYTE_HOLD_SECONDS
 from dewpin.net.connection import Connection
 from dewpin.net.connection_pool import ConnectionPool
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -9,7 +9,7 @@
 
 from dewpin.cluster.platform_list import PlatformUnavailableError
 from dewpin.cluster.receivers import Receiver
-from dewpin.lab.transport import LinkConditions
+from dewpin.lab.link_conditions import LinkConditions
 
 from .hosts import FrontHost, StoreHost
 from .loop import SimulatedLoop
