Store: a history read that is abandoned without an event loop releases its page, too

Cause: `HistoryReader.read` scheduled the release on the running event loop in every case; a coroutine that is closed by the garbage collector, at the end of a process or of a simulated run, has none: RuntimeError, logged as rpc.handler_failed.

`test_a_read_that_is_abandoned_without_an_event_loop_releases_its_page` failed before.

Change: only a page that is returned is released by the event loop, after its reply has been encoded.

--- a/dewpin/controlplane/store/history_reader.py
+++ b/dewpin/controlplane/store/history_reader.py
@@ -38,12 +38,15 @@
         account = self._budget.open_account(_ignore_eviction, may_wait=False)
         try:
             page = await self._guard.transact(epoch, lambda connection: _read_page(connection, request, account))
-            if page is None:
-                raise RpcError(wire.BUSY, "no memory for the history")
-            return page.to_json()
-        finally:
-            # The server encodes the reply before the event loop runs this.
-            asyncio.get_running_loop().call_soon(account.close)
+        except BaseException:
+            account.close()
+            raise
+        if page is None:
+            account.close()
+            raise RpcError(wire.BUSY, "no memory for the history")
+        # The server encodes the reply before the event loop runs this.
+        asyncio.get_running_loop().call_soon(account.close)
+        return page.to_json()
 
 
 def _read_page(connection: sqlite3.Connection, request: HistoryRequest, account: MemoryAccount) -> HistoryPage | None:
--- a/tests/controlplane/test_history_reader.py
+++ b/tests/controlplane/test_history_reader.py
@@ -62,3 +62,22 @@
         assert budget.held_bytes == 0
 
     run(scene())
+
+
+def test_a_read_that_is_abandoned_without_an_event_loop_releases_its_page():
+    async def scene():
+        reader, budget, epoch = await reader_of_stored_turn()
+
+        class NeverEndingGuard:
+            async def transact(self, epoch, work):
+                work(reader._guard.storage.connection)
+                await asyncio.Event().wait()
+
+        read = HistoryReader(NeverEndingGuard(), budget).read(epoch, HistoryRequest("p", "t"))
+        read.send(None)
+        assert budget.held_bytes > 0
+        return read, budget
+
+    read, budget = run(scene())
+    read.close()  # as the garbage collector does at the end of a process
+    assert budget.held_bytes == 0
