Internal ports: the values of many short messages are charged, too

What peers could do: send many messages of under 16 KB made of empty arrays; each takes up to 40 times its length while a handler waits, and only its text was charged. One connection was also granted any sum of messages, since a single holder is always granted what it needs.

Cause: texts up to 16 KB were not estimated, and the bound of the whole budget was checked for each message alone.

Evidence: `test_values_of_many_short_messages_are_charged_while_they_are_handled` failed before (time-out: the connection stayed open).

Change: every message is charged with its values before it is parsed and until its handler has ended; what a connection's messages hold together may not exceed the whole budget.

--- a/dewpin/cluster/parsed_size.py
+++ b/dewpin/cluster/parsed_size.py
@@ -8,7 +8,7 @@
 NAME_BYTES = 64
 """The name of an object's member."""
 OBJECT_BYTES = 240
-BASE_BYTES = 4096
+BASE_BYTES = 2048
 """A text of any length: the parser's buffers."""
 TEXT_COPIES = 2
 """Copies of the text: decoded, and the contents of its strings."""
--- a/dewpin/cluster/rpc/server.py
+++ b/dewpin/cluster/rpc/server.py
@@ -85,7 +85,11 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """A connection of a client; replies are sent in the order in which the handlers finish."""
+    """A connection of a client; replies are sent in the order in which the handlers finish.
+
+    Each message is charged with its values before it is parsed, as `_parsed_bytes`, and until its handler has ended, as
+    part of `_handled_bytes`.
+    """
 
     def __init__(self, server: RpcServer) -> None:
         """Create the protocol of a connection accepted by `server`."""
@@ -114,6 +118,7 @@
             self._server.connections.discard(self._transport)
         self._transport = None
         self._decoder.discard()
+        self._parsed_bytes = 0
         self._charge_or_abort()  # the messages that are still handled remain charged
 
     def resume_writing(self) -> None:
@@ -146,7 +151,7 @@
         """Charge what is held now. Raises MemoryBudgetExceededError."""
         unsent_bytes = 0 if self._transport is None else self._transport.get_write_buffer_size()
         received_bytes = self._decoder.buffered_bytes
-        held_bytes = received_bytes + self._handled_bytes + unsent_bytes
+        held_bytes = received_bytes + self._parsed_bytes + self._handled_bytes + unsent_bytes
         if held_bytes <= MAX_UNCHARGED_BYTES and not self._memory.held_bytes:
             return
         self._memory.resize(held_bytes, has_priority=True)
@@ -164,12 +169,10 @@
 
     def _charge_parsing(self, text: bytes) -> None:
         """Charge the values that an object will consist of. Raises MemoryBudgetExceededError."""
-        if len(text) <= MAX_UNCHARGED_BYTES:
-            return
-        value_bytes = parsed_bytes(text)
-        self._memory.check_can_ever_hold(value_bytes)
-        self._memory.resize(self._memory.held_bytes + value_bytes, has_priority=True)
-        self._parsed_bytes += value_bytes
+        message_bytes = len(text) + parsed_bytes(text)
+        self._memory.check_can_ever_hold(self._handled_bytes + self._parsed_bytes + message_bytes)
+        self._parsed_bytes += message_bytes
+        self._charge_held()
 
     def _drop_received(self) -> None:
         """Release what was received and close the connection, from any thread; called when the account is evicted."""
--- a/tests/cluster/test_rpc_memory.py
+++ b/tests/cluster/test_rpc_memory.py
@@ -16,6 +16,8 @@
 RAW_BYTES = 600_000
 TIMEOUT_S = 10.0
 RETRY_S = 0.05
+SHORT_MESSAGES, SHORT_VALUES = 40, 1_000
+"""Messages of 3 KB, together an eighth of the budget, whose values take three times the budget."""
 
 
 async def measure(message):
@@ -184,3 +186,19 @@
             return held
 
     assert asyncio.run(scenario()) == []
+
+
+def test_values_of_many_short_messages_are_charged_while_they_are_handled():
+    async def scenario():
+        async with served() as (server, _, address):
+            server.handlers["wait"] = lambda message: asyncio.Event().wait()
+            reader, writer = await connect(address)
+            short = {"type": "wait", "nested": [[]] * SHORT_VALUES}
+            for number in range(SHORT_MESSAGES):
+                writer.write(encode({"v": 1, "n": number, "m": short}))
+            with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+                async with asyncio.timeout(TIMEOUT_S):
+                    await reader.readexactly(1)
+            writer.close()
+
+    asyncio.run(scenario())
