Crowd tests and history reader: one copy of what stood twice

Cause: test_several_ports repeated constants and a header section of two other crowd tests, test_later_turns the retry loop of SmallTier; the history reader had a callback that the budget already has, `read_history` a default that hid what it charges.

No bound, crowd or check changed.

--- a/benchmarks/capacity/measures/storage.py
+++ b/benchmarks/capacity/measures/storage.py
@@ -234,7 +234,9 @@
 
             async def read() -> None:
                 page = await storage.transact(
-                    lambda connection: turn_table.read_history(connection, "a" * 6, last, UNLIMITED_BYTES)
+                    lambda connection: turn_table.read_history(
+                        connection, "a" * 6, last, UNLIMITED_BYTES, charge=lambda size_bytes: None
+                    )
                 )
                 encode(page.to_json())
 
--- a/dewpin/cluster/memory_budget.py
+++ b/dewpin/cluster/memory_budget.py
@@ -45,6 +45,10 @@
     """The account was evicted: what it held is lost."""
 
 
+def _do_nothing() -> None:
+    """Callback of an account that is closed, or that waits for no peer and so is never evicted."""
+
+
 class MemoryBudget:
     """Thread-safe. Times are those of the clock, in seconds.
 
@@ -67,7 +71,7 @@
         """Create the budget of a process whose settings allow this much memory; 0 if they set no limit."""
         return MemoryBudget(int((memory_mb or DEFAULT_MEMORY_MB) * BUDGET_SHARE * BYTES_PER_MB))
 
-    def open_account(self, on_evicted: Callable[[], None], may_wait: bool = True) -> MemoryAccount:
+    def open_account(self, on_evicted: Callable[[], None] = _do_nothing, may_wait: bool = True) -> MemoryAccount:
         """Open an account.
 
         on_evicted: may be called by any thread, and must neither block nor use the budget.
@@ -263,10 +267,6 @@
             raise AccountEvictedError
 
 
-def _do_nothing() -> None:
-    """Replace the callback of a closed account."""
-
-
 class UncountedMemory:
     """Stands in for an account where no budget applies."""
 
--- a/dewpin/controlplane/store/history_reader.py
+++ b/dewpin/controlplane/store/history_reader.py
@@ -20,7 +20,7 @@
 MAX_HISTORY_BYTES = 4 * 1024 * 1024
 """Limit on the bodies in one history reply; the sender requests the rest separately."""
 PAGE_COPIES = 3
-"""Copies of the bodies that are charged for a page: as stored, as text, and a share of the encoded replies."""
+"""Copies of the bodies that are charged for a page: as stored, as text, and as the reply that is encoded."""
 
 
 class HistoryReader:
@@ -35,7 +35,7 @@
 
         Raises RpcError: `busy` if the page does not fit into the memory budget, or as `ViewGuard.transact`.
         """
-        account = self._budget.open_account(_ignore_eviction, may_wait=False)
+        account = self._budget.open_account(may_wait=False)
         try:
             page = await self._guard.transact(epoch, lambda connection: _read_page(connection, request, account))
         except BaseException:
@@ -59,7 +59,3 @@
         return turn_table.read_history(connection, request.program, request.last_turn, MAX_HISTORY_BYTES, charge)
     except MemoryBudgetExceededError:
         return None
-
-
-def _ignore_eviction() -> None:
-    """Accounts of pages wait for no peer, so none is evicted."""
--- a/dewpin/controlplane/store/turn_table.py
+++ b/dewpin/controlplane/store/turn_table.py
@@ -76,16 +76,8 @@
     )
 
 
-def _charge_nothing(size_bytes: int) -> None:
-    """Default of `charge`."""
-
-
 def read_history(
-    connection: sqlite3.Connection,
-    program: str,
-    last_turn: str,
-    max_bytes: int,
-    charge: Callable[[int], None] = _charge_nothing,
+    connection: sqlite3.Connection, program: str, last_turn: str, max_bytes: int, charge: Callable[[int], None]
 ) -> HistoryPage:
     """Return the stored part of the history that ends with `last_turn`, newest turn first.
 
--- a/tests/controlplane/test_store.py
+++ b/tests/controlplane/test_store.py
@@ -259,7 +259,9 @@
         later = [record("t", program="new", retain_ms=90_000)]
         await disk.transact(lambda connection: turn_table.put(connection, later, now_ms, 0))
         await disk.transact(lambda connection: turn_table.purge(connection, now_ms + 70_000, 10))
-        page = await disk.transact(lambda connection: turn_table.read_history(connection, "new", "t", 100))
+        page = await disk.transact(
+            lambda connection: turn_table.read_history(connection, "new", "t", 100, charge=lambda size_bytes: None)
+        )
         assert [turn.program for turn in page.turns] == ["new"]
 
     run(scene())
--- a/tests/crowds/behaviours.py
+++ b/tests/crowds/behaviours.py
@@ -19,6 +19,8 @@
 CRLF = b"\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 ENDLESS_PIECES = 2_000
+HEADER_LINES = 90
+HEADER_LINE_BYTES = 60_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,11 @@
     return "\r\n".join(lines).encode() + CRLF + CRLF
 
 
+def long_head() -> bytes:
+    """Return a header section of several megabytes, short of its end."""
+    return request_head(*(f"Field-{number}: {'a' * HEADER_LINE_BYTES}" for number in range(HEADER_LINES)))[:-2]
+
+
 def length_head(length: int, *fields: str, path: str = PLAIN_PATH) -> bytes:
     return request_head(f"Content-Length: {length}", *fields, path=path)
 
--- a/tests/crowds/small_tier.py
+++ b/tests/crowds/small_tier.py
@@ -12,12 +12,16 @@
 from dewpin.standin.addresses import CONTROL_PORT, FIRST_INTERNAL_PORT, FRONT_PORT, READY_PORT
 from dewpin.standin.client import ClientRequest, ClientResponse, send
 from dewpin.standin.machine import Machine
+from dewpin.standin.protocol import PUT_PATH
 from dewpin.standin.sample_configuration import HOST, PLAIN_PATH, sample_configuration
 from dewpin.standin.tier import LocalTier
 
 MEMORY_MB = 150
 MAX_DESCRIPTORS = 600
 MAX_BODY_BYTES = 2 * 1024 * 1024
+MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+CONFIGURATION_PATH = f"{PUT_PATH}?"
 BYTES_PER_MB = 1_000_000
 CROWD_S = 6.0
 ORDINARY_TIMEOUT_S = 60.0
@@ -57,21 +61,25 @@
             time.sleep(RETRY_DELAY_S)
 
     def serve_ordinary_request(self, body: bytes = b"ordinary") -> None:
-        """Send a request, again and again as a client does, until it is served."""
+        """Send a request to the plain service until it is served."""
+        self.serve(ClientRequest(HOST, f"{PLAIN_PATH}a", body))
+
+    def serve(self, request: ClientRequest) -> ClientResponse:
+        """Send a request, again and again as a client does, until it is served; return the response."""
         ends_s = time.monotonic() + ORDINARY_TIMEOUT_S
         statuses = []
         while time.monotonic() < ends_s:
-            response = self._try_request(body)
+            response = self._try_request(request)
             if response is not None and response.is_served:
-                return
+                return response
             statuses.append(None if response is None else response.status)
             retry_after_s = 0.0 if response is None else float(response.fields.get("retry-after", "0"))
             time.sleep(max(RETRY_DELAY_S, retry_after_s))
         raise AssertionError(f"no ordinary request was served in {ORDINARY_TIMEOUT_S:g} s: {statuses}")
 
-    def _try_request(self, body: bytes) -> ClientResponse | None:
+    def _try_request(self, request: ClientRequest) -> ClientResponse | None:
         try:
-            return send(self.sender.client_address, ClientRequest(HOST, f"{PLAIN_PATH}a", body))
+            return send(self.sender.client_address, request)
         except (OSError, http.client.HTTPException):
             return None
 
--- a/tests/crowds/test_internal_ports.py
+++ b/tests/crowds/test_internal_ports.py
@@ -4,7 +4,7 @@
 
 import pytest
 from crowds import behaviours
-from crowds.small_tier import MAX_DESCRIPTORS, play_crowd
+from crowds.small_tier import MAX_DESCRIPTORS, MAX_FRAME_BYTES, play_crowd
 
 from dewpin.cluster.compression import COMPRESSION_LEVEL, WINDOW_BITS
 from dewpin.standin.addresses import FIRST_INTERNAL_PORT
@@ -12,7 +12,6 @@
 pytestmark = pytest.mark.crowd
 
 CLIENTS = 30
-MAX_FRAME_BYTES = 32 * 1024 * 1024
 LONG_TYPE_BYTES = 1_000_000
 NESTED_BEGIN, NESTED_END = b'{"v":1,"n":1,"m":{"type":"nested","a":[', b"0]}}"
 NESTED = NESTED_BEGIN + b"[]," * ((MAX_FRAME_BYTES - len(NESTED_BEGIN + NESTED_END)) // 3) + NESTED_END
--- a/tests/crowds/test_later_turns.py
+++ b/tests/crowds/test_later_turns.py
@@ -1,17 +1,14 @@
 """A crowd of clients that continue long conversations: each short request makes a sender read a long history."""
 
-import contextlib
-import http.client
 import random
 import secrets
-import time
 
 import pytest
 from crowds import behaviours
 from crowds.behaviours import Conversation
-from crowds.small_tier import MAX_BODY_BYTES, ORDINARY_TIMEOUT_S, RETRY_DELAY_S, play_crowd
+from crowds.small_tier import MAX_BODY_BYTES, play_crowd
 
-from dewpin.standin.client import ClientRequest, send
+from dewpin.standin.client import ClientRequest
 from dewpin.standin.sample_configuration import HOST, STREAM_PATH
 
 pytestmark = pytest.mark.crowd
@@ -20,7 +17,7 @@
 SEED = 88
 
 
-def store_conversation(address, bodies):
+def store_conversation(small_tier, bodies):
     """Store a conversation with a turn for each body."""
     program = secrets.token_hex(8)
     last_turn = None
@@ -28,22 +25,10 @@
         fields = {"Program": program, "Connection": "close"}
         if last_turn is not None:
             fields["Previous"] = last_turn
-        last_turn = store_turn(address, ClientRequest(HOST, f"{STREAM_PATH}a", body, fields=fields))
+        last_turn = small_tier.serve(ClientRequest(HOST, f"{STREAM_PATH}a", body, fields=fields)).request_id
     return Conversation(program, last_turn)
 
 
-def store_turn(address, request):
-    """Send a turn until it is served; return its id."""
-    ends_s = time.monotonic() + ORDINARY_TIMEOUT_S
-    while time.monotonic() < ends_s:
-        with contextlib.suppress(OSError, http.client.HTTPException):
-            response = send(address, request)
-            if response.is_served:
-                return response.request_id
-        time.sleep(RETRY_DELAY_S)
-    raise AssertionError("no turn was stored")
-
-
 def long_body(source):
     return source.randbytes(MAX_BODY_BYTES // 2).hex().encode()
 
@@ -55,8 +40,9 @@
     address = small_tier.sender.client_address
     source = random.Random(SEED)
     conversations = [
-        store_conversation(address, [long_body(source) for _ in range(turn_count)]) for _ in range(conversation_count)
+        store_conversation(small_tier, [long_body(source) for _ in range(turn_count)])
+        for _ in range(conversation_count)
     ]
     play_crowd(small_tier, machine, address, CLIENTS, behaviours.later_turns(conversations, b"next"))
     small_tier.put_configuration(generation=2, base=1)
-    store_conversation(address, [b"after the crowd"])
+    store_conversation(small_tier, [b"after the crowd"])
--- a/tests/crowds/test_operator_and_readiness_ports.py
+++ b/tests/crowds/test_operator_and_readiness_ports.py
@@ -5,27 +5,18 @@
 
 import pytest
 from crowds import behaviours
-from crowds.behaviours import PIECE_BYTES, chunked_head, length_head, request_head
-from crowds.small_tier import MAX_DESCRIPTORS, play_crowd
+from crowds.behaviours import PIECE_BYTES, chunked_head, length_head, long_head
+from crowds.small_tier import CONFIGURATION_PATH, MAX_CONFIGURATION_BYTES, MAX_DESCRIPTORS, play_crowd
 
 pytestmark = pytest.mark.crowd
 
 CLIENTS = 30
 SEED = 88
-MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
-CONFIGURATION_PATH = "/dewpin/Config.Put?"
-HEADER_LINES = 90
-HEADER_LINE_BYTES = 60_000
 BODY = random.Random(SEED).randbytes(MAX_CONFIGURATION_BYTES)
 NUMBERS = b"[" + b"0," * (MAX_CONFIGURATION_BYTES // 2 - 2) + b"0]"
 NESTED = b"[" + b"[]," * (MAX_CONFIGURATION_BYTES // 3 - 1) + b"0]"
 
 
-def long_head():
-    """Return a header section of several megabytes, short of its end."""
-    return request_head(*(f"Field-{number}: {'a' * HEADER_LINE_BYTES}" for number in range(HEADER_LINES)))[:-2]
-
-
 OPERATOR_REQUESTS = {
     "whole": lambda: behaviours.incomplete(length_head(len(BODY), path=CONFIGURATION_PATH) + BODY),
     "whole_json": lambda: behaviours.incomplete(length_head(len(NUMBERS), path=CONFIGURATION_PATH) + NUMBERS),
--- a/tests/crowds/test_several_ports.py
+++ b/tests/crowds/test_several_ports.py
@@ -5,7 +5,7 @@
 import pytest
 from crowds import behaviours
 from crowds.crowd import Crowd
-from crowds.small_tier import MAX_BODY_BYTES, play_crowds
+from crowds.small_tier import CONFIGURATION_PATH, MAX_BODY_BYTES, MAX_CONFIGURATION_BYTES, MAX_FRAME_BYTES, play_crowds
 
 from dewpin.standin.addresses import FIRST_INTERNAL_PORT
 
@@ -15,11 +15,8 @@
 OTHER_CLIENTS = 30
 SEED = 88
 BODY = random.Random(SEED).randbytes(MAX_BODY_BYTES)
-CONFIGURATION = random.Random(SEED).randbytes(16 * 1024 * 1024)
-CONFIGURATION_PATH = "/dewpin/Config.Put?"
-MAX_FRAME_BYTES = 32 * 1024 * 1024
+CONFIGURATION = random.Random(SEED).randbytes(MAX_CONFIGURATION_BYTES)
 FRAME_SHORT = b"%d:" % MAX_FRAME_BYTES + bytes(MAX_FRAME_BYTES)
-LONG_HEAD = behaviours.request_head(*(f"Field-{number}: {'a' * 60_000}" for number in range(90)))[:-2]
 
 
 @pytest.mark.parametrize(
@@ -33,7 +30,7 @@
     crowds = [
         Crowd(sender.client_address, FRONT_CLIENTS, front_behaviour),
         Crowd(internal_address, OTHER_CLIENTS, behaviours.incomplete(FRAME_SHORT)),
-        Crowd(sender.readiness_address, OTHER_CLIENTS, behaviours.incomplete(LONG_HEAD)),
+        Crowd(sender.readiness_address, OTHER_CLIENTS, behaviours.incomplete(behaviours.long_head())),
     ]
     play_crowds(small_tier, sender, crowds)
     small_tier.tier.wait_until_ready()
