--- a/dewpin/cluster/logs.py
+++ b/dewpin/cluster/logs.py
@@ -69,6 +69,7 @@
     RECEIVERS_CHANGED = "receivers_changed"
     ROLE_ACQUIRED = "duty_taken"
     REQUEST_DONE = "request_done"
+    CALL_FAILED = "call_failed"
     ERROR = "error"
     UNEXPECTED = "unexpected"
 
@@ -95,6 +96,7 @@
         Event.RECEIVERS_CHANGED: logging.DEBUG,
         Event.ROLE_ACQUIRED: logging.INFO,
         Event.REQUEST_DONE: logging.DEBUG,
+        Event.CALL_FAILED: logging.INFO,
         Event.ERROR: logging.WARNING,
         Event.UNEXPECTED: logging.ERROR,
     }
--- a/dewpin/dataplane/routing/request_attempts.py
+++ b/dewpin/dataplane/routing/request_attempts.py
@@ -7,6 +7,7 @@
 
 from dewpin.cluster.configuration import Route, Service
 from dewpin.cluster.errors import ErrorKind
+from dewpin.cluster.logs import Event, log_event
 from dewpin.dataplane.http11.messages import PRIORITY, HeaderField, Headers, Request, Response, error_response
 from dewpin.dataplane.load_balancing.balancer import Balancer, NoSlot, Slot
 from dewpin.dataplane.load_balancing.slot_allocation import SlotRequest
@@ -35,6 +36,7 @@
 """Outcomes that count towards the receiver's error rate; a time-out may be caused by the request itself."""
 LOWEST_PRIORITY = 9
 """The highest priority number that receivers accept; 0 is the highest priority, as it is for routes."""
+MS_PER_S = 1000
 LENGTH_HEADERS = frozenset({"content-length"})
 
 
@@ -219,6 +221,8 @@
         if is_forwardable:
             self._forwardable_response = result.response
         self._retry.record_call(slot.receiver.id, result.outcome, now, is_forwardable)
+        if result.outcome is not Outcome.SUCCESS:
+            log_failed_call(slot, result.outcome, call_time_s)
         if result.outcome is Outcome.SUCCESS:
             slot.record_success(call_time_s)
         elif result.outcome is Outcome.NOT_SENT:
@@ -269,7 +273,9 @@
         """Record that the open stream was interrupted, and release its slot."""
         stream = self._open_stream
         if stream is not None:
-            self._retry.record_call(stream.slot.receiver.id, outcome, self._shared.clock())
+            now = self._shared.clock()
+            self._retry.record_call(stream.slot.receiver.id, outcome, now)
+            log_failed_call(stream.slot, outcome, now - stream.started_at)
             if outcome in RECEIVER_ERRORS:
                 stream.slot.record_error()
             self._release_stream()
@@ -280,6 +286,17 @@
             stream.slot.release()
 
 
+def log_failed_call(slot: Slot, outcome: Outcome, duration_s: float) -> None:
+    """Log a call that did not end with a success."""
+    log_event(
+        Event.CALL_FAILED,
+        receiver=slot.receiver.id,
+        service=slot.service,
+        outcome=outcome.value,
+        duration_ms=round(duration_s * MS_PER_S),
+    )
+
+
 def response_to_client(response: ReceiverResponse, body: bytes | EventRelay) -> Response:
     """Convert a receiver's response into the response for the client, with end-to-end header fields only."""
     excluded = frozenset() if isinstance(body, bytes) else LENGTH_HEADERS
