--- a/dewpin/standin/receiver.py
+++ b/dewpin/standin/receiver.py
@@ -6,13 +6,16 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 from typing import TypedDict
 
+from .endless_response import EndlessForm, endless_response
 from .event_stream import event_count, event_data
 from .http_server import HeaderField, HttpHandler, HttpServer
 from .protocol import (
     ANSWER_BYTES,
     DRAIN_PATH,
+    FAULT_PATH,
     HEALTH_PATH,
     HOLD_AFTER,
     INSTANCE_ID,
@@ -69,6 +72,14 @@
     chunk_size: int = 10
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseFault:
+    """A fault of a receiver: each request that it executes gets a response without end, behind a status."""
+
+    form: EndlessForm
+    status: int
+
+
 class ReceiverServer:
     """The HTTP server of one receiver.
 
@@ -76,6 +87,7 @@
     is_draining: whether the receiver is draining; its health check then fails.
     hold_released: set to continue a stream paused by Standin-Hold-After.
     executed_requests: the most recently executed requests.
+    fault: how the receiver responds until it is repaired; None if it is sound.
     """
 
     def __init__(self, address: tuple[str, int], options: ReceiverOptions) -> None:
@@ -83,6 +95,7 @@
         self.slots = SlotPool(options.slots, options.max_waiting)
         self.is_draining = False
         self.hold_released = threading.Event()
+        self.fault: ResponseFault | None = None
         self.executed_requests: deque[ExecutedRequest] = deque(maxlen=MAX_EXECUTED_REQUESTS)
         handler = type("BoundReceiverHandler", (_ReceiverHandler,), {"receiver": self})
         self.server = HttpServer(address, handler)
@@ -123,6 +136,8 @@
         elif self.url_path == RELEASE_PATH:
             self.receiver.hold_released.set()
             self.respond(200)
+        elif self.url_path == FAULT_PATH:
+            self._set_fault(body)
         else:
             self._serve(body)
 
@@ -152,13 +167,32 @@
             return
         try:
             self._record_execution(body)
-            if self.receiver.options.is_streaming:
+            fault = self.receiver.fault
+            if fault is not None:
+                self._respond_without_end(fault)
+            elif self.receiver.options.is_streaming:
                 self._stream(body)
             else:
                 self._respond_plain(body)
         finally:
             self.receiver.slots.release()
 
+    def _set_fault(self, body: bytes) -> None:
+        """Set the fault `form status` of the body; an empty body repairs the receiver."""
+        form, _, status = body.decode().partition(" ")
+        self.receiver.fault = ResponseFault(EndlessForm(form), int(status)) if form else None
+        self.respond(200)
+
+    def _respond_without_end(self, fault: ResponseFault) -> None:
+        """Send bytes until the caller closes the connection or the receiver is repaired."""
+        self.close_connection = True
+        fields = "".join(f"{name}: {value}\r\n" for name, value in self._signed_fields()).encode()
+        status_line = f"HTTP/1.1 {fault.status} {HTTPStatus(fault.status).phrase}\r\n".encode()
+        for part in endless_response(fault.form).parts(status_line, fields):
+            if self.receiver.fault is not fault:
+                return
+            self.wfile.write(part)
+
     def _record_execution(self, body: bytes) -> None:
         executed = ExecutedRequest(
             id=self.headers[REQUEST_ID],
--- a/tests/crowds/small_tier.py
+++ b/tests/crowds/small_tier.py
@@ -64,15 +64,20 @@
         """Send a request to the plain service until it is served."""
         self.serve(ClientRequest(HOST, f"{PLAIN_PATH}a", body))
 
-    def serve(self, request: ClientRequest) -> ClientResponse:
-        """Send a request, again and again as a client does, until it is served; return the response."""
+    def serve(self, request: ClientRequest, max_failures: int | None = None) -> ClientResponse:
+        """Send a request, again and again as a client does, until it is served; return the response.
+
+        max_failures: how often it may fail otherwise than by a rejection as overloaded; None for no limit.
+        """
         ends_s = time.monotonic() + ORDINARY_TIMEOUT_S
-        statuses = []
+        statuses: list[int | None] = []
         while time.monotonic() < ends_s:
             response = self._try_request(request)
             if response is not None and response.is_served:
                 return response
             statuses.append(None if response is None else response.status)
+            failures = [status for status in statuses if status != http.client.SERVICE_UNAVAILABLE]
+            assert max_failures is None or len(failures) <= max_failures, f"the request failed with {statuses}"
             retry_after_s = 0.0 if response is None else float(response.fields.get("retry-after", "0"))
             time.sleep(max(RETRY_DELAY_S, retry_after_s))
         raise AssertionError(f"no ordinary request was served in {ORDINARY_TIMEOUT_S:g} s: {statuses}")
