Sender: a receiver's response has limits; beyond them the call ends

Callers saw: requests to a service with a faulty receiver ran into their deadline (504), while a core was busy and the memory budget of the process was used up. Cause: only the deadline and the budget of the whole process bounded a response; a single response was granted any memory, header and trailer lines and skipped late responses had no sum, each 1-byte chunk cost a step, and the bytes of an incomplete event were copied and searched again with each piece. The outcome limit_exceeded counts as an error of the receiver and is retried if the request is idempotent.

--- a/dewpin/cluster/memory_budget.py
+++ b/dewpin/cluster/memory_budget.py
@@ -221,6 +221,10 @@
             if held_bytes < self.held_bytes:
                 self._budget._charge(self, held_bytes)
 
+    def release(self, count: int) -> None:
+        """Release bytes that were charged; an account that was evicted holds none any more."""
+        self.release_to(max(0, self.held_bytes - count))
+
     def check_can_ever_hold(self, count: int) -> None:
         """Raise MemoryBudgetExceededError if this many bytes are more than the whole budget.
 
@@ -273,5 +277,8 @@
     def add(self, count: int, has_priority: bool = False, max_wait_s: float = 0.0) -> None:
         """Do nothing."""
 
+    def release(self, count: int) -> None:
+        """Do nothing."""
+
 
 UNCOUNTED_MEMORY = UncountedMemory()
--- a/dewpin/dataplane/http11/messages.py
+++ b/dewpin/dataplane/http11/messages.py
@@ -96,6 +96,9 @@
     def add(self, count: int, has_priority: bool = False, max_wait_s: float = 0.0) -> None:
         """Charge further bytes until the end of the request. Raises MemoryBudgetExceededError."""
 
+    def release(self, count: int) -> None:
+        """Release bytes that were charged, before the end of the request."""
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
--- a/dewpin/dataplane/routing/event_relay.py
+++ b/dewpin/dataplane/routing/event_relay.py
@@ -10,9 +10,9 @@
 from typing import Protocol
 
 from dewpin.cluster.errors import TierError
-from dewpin.cluster.memory_budget import UNCOUNTED_MEMORY, MemoryBudgetExceededError
-from dewpin.dataplane.http11.event_splitter import Event, EventSplitter
-from dewpin.dataplane.http11.messages import IncompleteBodyError, RequestMemory
+from dewpin.cluster.memory_budget import MemoryBudgetExceededError
+from dewpin.dataplane.http11.event_splitter import Event, EventSplitter, TooManyLinesError
+from dewpin.dataplane.http11.messages import IncompleteBodyError
 from dewpin.dataplane.programs.turns import OpenTurn
 from dewpin.dataplane.upstream.outcome import IncompleteResponseError, Outcome
 
@@ -27,6 +27,9 @@
     def read_next(self) -> bytes:
         """Return the next bytes, or b"" at the end of a complete body. Raises IncompleteResponseError."""
 
+    def account_for(self, event_count: int, pending_bytes: int) -> None:
+        """Account for further complete events and the size of the incomplete one. Raises IncompleteResponseError."""
+
     def close(self) -> None:
         """Stop reading and discard the rest of the body."""
 
@@ -48,7 +51,6 @@
         turn: OpenTurn | None,
         time_left_s: Callable[[], float],
         on_close: Callable[[bool], None],
-        memory: RequestMemory = UNCOUNTED_MEMORY,
     ) -> None:
         """Create a relay.
 
@@ -58,15 +60,12 @@
             turn: the conversation turn that counts and stores the events, if the request opens one.
             time_left_s: returns the seconds until the request's deadline.
             on_close: called once, with True if the whole body was forwarded.
-            memory: the account to which the bytes of incomplete events are charged.
         """
         self._source: EventSource | None = source
         self._resume_stream = resume_stream
         self._turn = turn
         self._time_left_s = time_left_s
         self._on_close = on_close
-        self._memory = memory
-        self._charged_bytes = 0
         self._splitter = EventSplitter()
         self._last_event_id: str | None = None
         self._first_events: bytes | None = None
@@ -121,23 +120,38 @@
             data = self._source.read_next()
             if not data:
                 return self._finish(self._source)
-            events = [event for event in self._splitter.feed(data) if not self._was_forwarded(event)]
-            self._charge_pending()
-            if events:
-                return b"".join([self._forward(event) for event in events])
+            events = self._split(data)
+            self._source.account_for(len(events), self._splitter.pending_bytes)
+            new_events = [event for event in events if not self._was_forwarded(event)]
+            if new_events:
+                return b"".join([self._forward(event) for event in new_events])
         return b""
 
+    def _split(self, data: bytes) -> list[Event]:
+        """Return the events that the next bytes complete. Raises IncompleteResponseError."""
+        try:
+            return self._splitter.feed(data)
+        except TooManyLinesError as error:
+            raise IncompleteResponseError(Outcome.LIMIT_EXCEEDED) from error
+
     def _finish(self, source: EventSource) -> bytes:
         """Return the bytes after the last complete event.
 
         If only the end of the connection delimits the body, such bytes mean that the stream was interrupted.
         """
         self._source = None
-        remaining = self._splitter.flush()
+        remaining = self._flush()
         if remaining and source.is_close_delimited:
             raise IncompleteResponseError(Outcome.CLOSED)
         return b"".join([self._forward(event) for event in remaining])
 
+    def _flush(self) -> list[Event]:
+        """Return the bytes after the last complete event as an event. Raises IncompleteResponseError."""
+        try:
+            return self._splitter.flush()
+        except TooManyLinesError as error:
+            raise IncompleteResponseError(Outcome.LIMIT_EXCEEDED) from error
+
     def _was_forwarded(self, event: Event) -> bool:
         """Return whether a resumed stream repeats an event that was already forwarded."""
         if not self._is_resumed or event.id is None or self._last_event_id is None:
@@ -160,17 +174,6 @@
         except MemoryBudgetExceededError as error:
             raise IncompleteResponseError(Outcome.NO_MEMORY) from error
 
-    def _charge_pending(self) -> None:
-        """Charge the bytes of the incomplete event. Raises IncompleteResponseError if they do not fit."""
-        growth = self._splitter.pending_bytes - self._charged_bytes
-        if growth <= 0:
-            return
-        try:
-            self._memory.add(growth, has_priority=True)
-        except MemoryBudgetExceededError as error:
-            raise IncompleteResponseError(Outcome.NO_MEMORY) from error
-        self._charged_bytes += growth
-
     def _resume(self, error: IncompleteResponseError) -> None:
         source = self._resume_stream(self._last_event_id, error.outcome) if self._resume_stream else None
         if source is None:
--- a/dewpin/dataplane/routing/request_attempts.py
+++ b/dewpin/dataplane/routing/request_attempts.py
@@ -32,7 +32,9 @@
 """Maximum wait for a slot of a request that has not been executed, as a share of its latency target."""
 OUTCOMES_WITHOUT_RESPONSE = frozenset({Outcome.NOT_SENT, Outcome.TIMED_OUT, Outcome.CLIENT_DISCONNECTED})
 """Outcomes without any response from the receiver."""
-RECEIVER_ERRORS = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED})
+RECEIVER_ERRORS = frozenset(
+    {Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED, Outcome.LIMIT_EXCEEDED}
+)
 """Outcomes that count towards the receiver's error rate; a time-out may be caused by the request itself."""
 LOWEST_PRIORITY = 9
 """The highest priority number that receivers accept; 0 is the highest priority, as it is for routes."""
@@ -243,9 +245,7 @@
     def _relay(self, source: EventSource) -> EventRelay:
         routed = self._routed
         resume_stream = self._resume_stream if routed.is_idempotent else None
-        return EventRelay(
-            source, resume_stream, routed.turn, self._time_left_s, self._on_relay_closed, routed.request.memory
-        )
+        return EventRelay(source, resume_stream, routed.turn, self._time_left_s, self._on_relay_closed)
 
     def _time_left_s(self) -> float:
         return self._routed.deadline - self._shared.clock()
--- a/dewpin/dataplane/routing/request_handler.py
+++ b/dewpin/dataplane/routing/request_handler.py
@@ -16,6 +16,7 @@
 from dewpin.dataplane.routing.request_timeout import request_timeout_s
 from dewpin.dataplane.routing.service_choice import choose_service
 from dewpin.dataplane.upstream.receiver_client import ReceiverClient
+from dewpin.dataplane.upstream.response_limits import DEFAULT_RECEIVER_BYTES
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 STORE_UNAVAILABLE_RETRY_AFTER_S = 0.2
@@ -39,13 +40,15 @@
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], None] = time.sleep,
         randomness: random.Random | None = None,
+        max_receiver_bytes: int = DEFAULT_RECEIVER_BYTES,
     ) -> None:
+        """Create a handler; `max_receiver_bytes` limits what incomplete responses of one receiver hold together."""
         self.metrics = RequestMetrics()
         self._state = cluster_state
         self._store = program_store
         self._clock = clock
         self._random = randomness or random.Random()
-        self._receiver_client = ReceiverClient(clock, self.metrics)
+        self._receiver_client = ReceiverClient(clock, self.metrics, max_receiver_bytes)
         balancer = Balancer(cluster_state, zone, clock, self._random)
         self._shared = SharedComponents(balancer, self._receiver_client, clock, sleep, self._random, self.metrics)
         self._last_maintenance_at = clock()
--- a/dewpin/dataplane/sender_process.py
+++ b/dewpin/dataplane/sender_process.py
@@ -22,6 +22,7 @@
 from dewpin.dataplane.membership import sender_readiness
 from dewpin.dataplane.membership.cluster_state import ClusterState
 from dewpin.dataplane.routing.request_handler import RequestHandler
+from dewpin.dataplane.upstream.response_limits import RECEIVER_SHARE_OF_BUDGET
 
 NOT_READY_NOTICE_S = 2.2
 """How long new connections are accepted after SIGTERM: until the platform has detected that the sender is not ready."""
@@ -59,9 +60,11 @@
         settings = self._settings
         budget = MemoryBudget.for_process(settings.limits.memory_mb)
         store = self.agent_thread.start(steps, budget)
+        max_receiver_bytes = int(budget.limit_bytes * RECEIVER_SHARE_OF_BUDGET)
+        handler = RequestHandler(self.state, store, settings.zone, max_receiver_bytes=max_receiver_bytes)
         ingress = IngressServer(
             self.state,
-            RequestHandler(self.state, store, settings.zone).handle,
+            handler.handle,
             max_connections=connection_limit(settings.limits),
             budget=budget,
         )
--- a/dewpin/dataplane/upstream/connection_pool.py
+++ b/dewpin/dataplane/upstream/connection_pool.py
@@ -20,6 +20,7 @@
 from dewpin.dataplane.upstream.outcome import Outcome
 from dewpin.dataplane.upstream.receiver_connection import ReceiverConnection
 from dewpin.dataplane.upstream.response_body import BodyFraming
+from dewpin.dataplane.upstream.response_limits import DEFAULT_RECEIVER_BYTES, ReceiverShare
 
 MAX_CONNECT_TIMEOUT_S = 1.0
 MIN_CONNECT_TIMEOUT_S = 0.25
@@ -47,12 +48,20 @@
 class ConnectionPool:
     """The idle connections to one receiver, least recently used first. Times are those of the clock, in seconds."""
 
-    def __init__(self, receiver: Receiver, clock: Callable[[], float], idle_limit: IdleLimit) -> None:
+    def __init__(
+        self,
+        receiver: Receiver,
+        clock: Callable[[], float],
+        idle_limit: IdleLimit,
+        max_held_bytes: int = DEFAULT_RECEIVER_BYTES,
+    ) -> None:
+        """Create an empty pool; `max_held_bytes` limits what incomplete responses of the receiver hold together."""
         host, _, port = receiver.address.rpartition(":")
         self._host = host.strip("[]")
         self._port = int(port)
         self._clock = clock
         self._idle_limit = idle_limit
+        self._share = ReceiverShare(max_held_bytes)
         self._lock = threading.Lock()
         self._idle: list[_IdleConnection] = []
         self._is_closed = False
@@ -99,7 +108,7 @@
     def connect(self, timeout_s: float) -> ReceiverConnection:
         """Open a new connection. Raises OSError if it is not established in time."""
         started_at = self._clock()
-        connection = ReceiverConnection(self._host, self._port, self._clock)
+        connection = ReceiverConnection(self._host, self._port, self._clock, self._share)
         connection.connect_within(min(timeout_s, self._connect_timeout_s))
         self._record_connect(self._clock() - started_at)
         return connection
--- a/dewpin/dataplane/upstream/outcome.py
+++ b/dewpin/dataplane/upstream/outcome.py
@@ -27,6 +27,8 @@
     """The received bytes are not a valid response, or belong to another request."""
     CLIENT_DISCONNECTED = "client_disconnected"
     """The client disconnected while the call was in progress."""
+    LIMIT_EXCEEDED = "limit_exceeded"
+    """The response exceeds a limit that no working receiver reaches (`response_limits`)."""
     NO_MEMORY = "no_memory"
     """The response did not fit into the memory budget of this process."""
 
--- a/dewpin/dataplane/upstream/receiver_client.py
+++ b/dewpin/dataplane/upstream/receiver_client.py
@@ -24,6 +24,7 @@
 from dewpin.dataplane.upstream.request_headers import request_headers
 from dewpin.dataplane.upstream.response_body import framing_of
 from dewpin.dataplane.upstream.response_check import classify_response, is_rejection, is_response_to
+from dewpin.dataplane.upstream.response_limits import DEFAULT_RECEIVER_BYTES
 from dewpin.dataplane.upstream.response_stream import TRANSPORT_ERRORS, ResponseStream, outcome_of_error
 
 CONNECT_SHARE_OF_TIME_LEFT = 0.25
@@ -38,8 +39,12 @@
     gets connections of its own.
     """
 
-    def __init__(self, clock: Callable[[], float], metrics: RequestMetrics) -> None:
+    def __init__(
+        self, clock: Callable[[], float], metrics: RequestMetrics, max_receiver_bytes: int = DEFAULT_RECEIVER_BYTES
+    ) -> None:
+        """Create a client; `max_receiver_bytes` limits what incomplete responses of one receiver hold together."""
         self._clock = clock
+        self._max_receiver_bytes = max_receiver_bytes
         self._metrics = metrics
         self._lock = threading.Lock()
         self._pools: dict[tuple[str, str], ConnectionPool] = {}
@@ -91,7 +96,7 @@
             pool = self._pools.get(key)
             if pool is None:
                 idle_limit = self._idle_limits.setdefault(receiver.backend, IdleLimit())
-                pool = self._pools[key] = ConnectionPool(receiver, self._clock, idle_limit)
+                pool = self._pools[key] = ConnectionPool(receiver, self._clock, idle_limit, self._max_receiver_bytes)
             return pool
 
     def _call_on_new_connection(self, receiver: Receiver, pool: ConnectionPool, call: Call) -> CallResult:
@@ -139,7 +144,7 @@
 
         Raises RequestNotSentError, IncompleteResponseError and TRANSPORT_ERRORS.
         """
-        connection.begin_call(call.request_id, call.deadline, call.watched_client)
+        connection.begin_call(call.request_id, call.deadline, call.watched_client, call.request.memory)
         self._send(receiver, connection, call)
         response = connection.getresponse()
         if not is_response_to(response, call.request, connection.is_first_call):
@@ -147,7 +152,7 @@
                 self._metrics.rejections_without_id += 1
             raise IncompleteResponseError(Outcome.MALFORMED)
         framing = framing_of(call.request.method, response.status, response.headers.getlist)
-        stream = ResponseStream(connection, response, framing, pool.release, call.request.memory)
+        stream = ResponseStream(connection, response, framing, pool.release)
         return self._result(call, response, stream)
 
     def _result(self, call: Call, response: HTTPResponse, stream: ResponseStream) -> CallResult:
--- a/dewpin/dataplane/upstream/receiver_connection.py
+++ b/dewpin/dataplane/upstream/receiver_connection.py
@@ -18,10 +18,12 @@
 from urllib3 import HTTPResponse
 from urllib3.connection import HTTPConnection
 
-from dewpin.dataplane.http11.messages import REQUEST_ID, Client
+from dewpin.cluster.memory_budget import UNCOUNTED_MEMORY
+from dewpin.dataplane.http11.messages import REQUEST_ID, Client, RequestMemory
 from dewpin.dataplane.upstream.outcome import IncompleteResponseError, Outcome
 from dewpin.dataplane.upstream.receiver_socket import ReceiverSocket
 from dewpin.dataplane.upstream.response_body import BodyEnd, BodyFraming, framing_of, read_body
+from dewpin.dataplane.upstream.response_limits import MAX_HEAD_BYTES, ReceiverShare, ResponseMeter, limit_exceeded
 
 READ_BUFFER_BYTES = 16384
 MAX_SKIPPED_RESPONSES = 16
@@ -41,10 +43,26 @@
     def __init__(self, raw: ReceiverSocket) -> None:
         super().__init__(raw, READ_BUFFER_BYTES)
         self.last_line = b""
+        self._head_bytes_left: int | None = None
+
+    def begin_head(self) -> None:
+        """Start to count the bytes of header sections."""
+        self._head_bytes_left = MAX_HEAD_BYTES
+
+    def end_head(self) -> None:
+        """Stop counting: the following lines belong to a body."""
+        self._head_bytes_left = None
 
     def readline(self, size: int | None = -1, /) -> bytes:
-        """Return the next line and store it in `last_line`."""
+        """Return the next line and store it in `last_line`.
+
+        Raises IncompleteResponseError if the header sections of a call are too long.
+        """
         self.last_line = super().readline(size)
+        if self._head_bytes_left is not None:
+            self._head_bytes_left -= len(self.last_line)
+            if self._head_bytes_left < 0:
+                raise limit_exceeded()
         return self.last_line
 
     def close(self) -> None:
@@ -64,11 +82,14 @@
 class _FinalResponse(http.client.HTTPResponse):
     """The expected response; interim responses and late responses to earlier calls are skipped."""
 
-    def __init__(self, reader: _PersistentReader, method: str | None, earlier_ids: deque[str]) -> None:
+    def __init__(
+        self, reader: _PersistentReader, method: str | None, earlier_ids: deque[str], meter: ResponseMeter
+    ) -> None:
         super().__init__(_SocketAdapter(reader), method=method)  # type: ignore[arg-type]
         self._reader = reader
         self._request_method = method
         self._earlier_ids = earlier_ids
+        self._meter = meter
 
     def begin(self) -> None:
         """Read the head of the expected response. Raises IncompleteResponseError if it is invalid."""
@@ -94,11 +115,12 @@
         return self.status < http.client.OK and self.status != http.client.SWITCHING_PROTOCOLS
 
     def _skip_body(self) -> None:
+        """Skip the body of a late response; its lines do not count as those of a header section."""
         framing = framing_of(self._request_method, self.status, lambda name: self.headers.get_all(name, []))
         if framing.end is BodyEnd.CLOSE or self.will_close:
             raise IncompleteResponseError(Outcome.MALFORMED)
-        for _ in read_body(self._reader, framing):
-            pass
+        for _ in read_body(self._reader, framing, self._meter):
+            self._meter.check_stream_bytes()
 
 
 class ReceiverConnection(HTTPConnection):
@@ -109,9 +131,13 @@
         call_started_at: start of the current call, in seconds of the clock.
     """
 
-    def __init__(self, host: str, port: int, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, host: str, port: int, clock: Callable[[], float], receiver_share: ReceiverShare | None = None
+    ) -> None:
         super().__init__(host, port)
         self._clock = clock
+        self._receiver_share = receiver_share or ReceiverShare()
+        self._meter = ResponseMeter(self._receiver_share, clock)
         self._earlier_ids: deque[str] = deque(maxlen=REMEMBERED_IDS)
         self._reader: _PersistentReader | None = None
         self._receiver_socket: ReceiverSocket | None = None
@@ -155,8 +181,19 @@
         """Prevent the implicit reconnect of http.client, which would move a call to another connection unnoticed."""
         raise ConnectionResetError("connection is closed")
 
-    def begin_call(self, request_id: str, deadline: float, client: Client | None) -> None:
-        """Start a call that must end by `deadline`; if `client` is given, its disconnect aborts the call."""
+    @property
+    def meter(self) -> ResponseMeter:
+        """Return the meter of the current call's response."""
+        return self._meter
+
+    def begin_call(
+        self, request_id: str, deadline: float, client: Client | None, memory: RequestMemory = UNCOUNTED_MEMORY
+    ) -> None:
+        """Start a call that must end by `deadline`; if `client` is given, its disconnect aborts the call.
+
+        What is held of the response is charged to `memory`.
+        """
+        self._meter = ResponseMeter(self._receiver_share, self._clock, memory)
         self.receiver_socket.begin_call(deadline, client)
         self.call_started_at = self._clock()
         self._request_id = request_id
@@ -189,10 +226,12 @@
     def getresponse(self) -> HTTPResponse:  # type: ignore[override]
         """Return the expected response, with its body unread."""
         self._is_reading_head = True
+        self.reader.begin_head()
         try:
             return super().getresponse()
         finally:
             self._is_reading_head = False
+            self.reader.end_head()
 
     def close(self) -> None:
         """Close the connection.
@@ -208,4 +247,4 @@
         self, sock: socket.socket, method: str | None = None, **options: Any
     ) -> _FinalResponse:
         """Create the response object; http.client expects a class here."""
-        return _FinalResponse(self.reader, method, self._earlier_ids)
+        return _FinalResponse(self.reader, method, self._earlier_ids, self._meter)
--- a/dewpin/dataplane/upstream/response_body.py
+++ b/dewpin/dataplane/upstream/response_body.py
@@ -13,6 +13,7 @@
 
 from dewpin.dataplane.http11.request_parsing import MalformedMessageError, parse_chunk_size
 from dewpin.dataplane.upstream.outcome import IncompleteResponseError, Outcome
+from dewpin.dataplane.upstream.response_limits import MAX_TRAILER_BYTES, ResponseMeter, limit_exceeded
 
 READ_BYTES = 65536
 MAX_LINE_BYTES = 65536
@@ -72,8 +73,17 @@
     return BodyFraming(BodyEnd.LENGTH, int(length))
 
 
-def read_body(reader: ByteReader, framing: BodyFraming) -> Iterator[bytes]:
-    """Yield the bytes of a body as they arrive until it is complete. Raises IncompleteResponseError and OSError."""
+def read_body(reader: ByteReader, framing: BodyFraming, meter: ResponseMeter) -> Iterator[bytes]:
+    """Yield the bytes of a body as they arrive until it is complete; each part is recorded in `meter`.
+
+    Raises IncompleteResponseError and OSError.
+    """
+    for data in _read_parts(reader, framing):
+        meter.record_chunk(len(data))
+        yield data
+
+
+def _read_parts(reader: ByteReader, framing: BodyFraming) -> Iterator[bytes]:
     if framing.end is BodyEnd.LAST_CHUNK:
         return _read_chunks(reader)
     if framing.end is BodyEnd.LENGTH:
@@ -115,8 +125,11 @@
 
 
 def _skip_trailers(reader: ByteReader) -> None:
-    while _read_line(reader):
-        pass
+    skipped_bytes = 0
+    while line := _read_line(reader):
+        skipped_bytes += len(line)
+        if skipped_bytes > MAX_TRAILER_BYTES:
+            raise limit_exceeded()
 
 
 def _read_chunk_size(reader: ByteReader) -> int:
--- a/dewpin/dataplane/upstream/response_stream.py
+++ b/dewpin/dataplane/upstream/response_stream.py
@@ -7,8 +7,6 @@
 from urllib3 import HTTPResponse
 from urllib3.exceptions import HTTPError
 
-from dewpin.cluster.memory_budget import UNCOUNTED_MEMORY, MemoryBudgetExceededError
-from dewpin.dataplane.http11.messages import RequestMemory
 from dewpin.dataplane.upstream.outcome import IncompleteResponseError, Outcome
 from dewpin.dataplane.upstream.receiver_connection import ReceiverConnection
 from dewpin.dataplane.upstream.response_body import BodyEnd, BodyFraming, read_body
@@ -29,16 +27,16 @@
         response: HTTPResponse,
         framing: BodyFraming,
         release_connection: ReleaseConnection,
-        memory: RequestMemory = UNCOUNTED_MEMORY,
     ) -> None:
-        """Read the body of `response`; what `read_all` collects is charged to `memory`."""
+        """Read the body of `response`; the meter of the connection's call accounts for it."""
         self._connection = connection
         self._response = response
         self._framing = framing
         self._release_connection = release_connection
-        self._memory = memory
-        self._parts = read_body(connection.reader, framing)
+        self._meter = connection.meter
+        self._parts = read_body(connection.reader, framing, self._meter)
         self._is_open = True
+        self._is_collected = False
 
     @property
     def is_close_delimited(self) -> bool:
@@ -57,29 +55,39 @@
             raise IncompleteResponseError(outcome_of_error(error)) from error
         if not data and self._is_open:
             self._is_open = False
+            self._meter.end(is_body_kept=self._is_collected)
             self._response.close()
             self._release_connection(self._connection, self._response, self._framing)
         return data
 
     def read_all(self) -> bytes:
         """Return the whole body, collected in one buffer. Raises IncompleteResponseError."""
+        self._is_collected = True
         body = BytesIO()
-        while data := self.read_next():
-            self._charge(len(data))
-            body.write(data)
-        return body.getvalue()
-
-    def _charge(self, count: int) -> None:
         try:
-            self._memory.add(count, has_priority=True)
-        except MemoryBudgetExceededError as error:
+            self._meter.check_length(self._framing.length)
+            while data := self.read_next():
+                self._meter.hold(body.tell() + len(data))
+                body.write(data)
+        except IncompleteResponseError:
             self.close()
-            raise IncompleteResponseError(Outcome.NO_MEMORY) from error
+            raise
+        return body.getvalue()
+
+    def account_for(self, event_count: int, pending_bytes: int) -> None:
+        """Account for further complete events and the size of the incomplete one. Raises IncompleteResponseError."""
+        self._meter.hold(pending_bytes)
+        self._meter.record_events(event_count)
+
+    def has_stalled(self) -> bool:
+        """Return whether nothing of the body has arrived for a large part of the call."""
+        return self._meter.has_stalled()
 
     def close(self) -> None:
         """Close the connection unless the response was complete and the connection was released; idempotent."""
         if self._is_open:
             self._is_open = False
+            self._meter.end()
             self._response.close()
             self._connection.close()
 
--- a/tests/dataplane/test_event_relay.py
+++ b/tests/dataplane/test_event_relay.py
@@ -17,6 +17,12 @@
         self._interruption = interruption
         self.is_close_delimited = is_close_delimited
         self.closed = False
+        self.event_count = 0
+        self.max_pending_bytes = 0
+
+    def account_for(self, event_count, pending_bytes):
+        self.event_count += event_count
+        self.max_pending_bytes = max(self.max_pending_bytes, pending_bytes)
 
     def read_next(self):
         if self._parts:
--- a/tests/dataplane/test_event_splitter.py
+++ b/tests/dataplane/test_event_splitter.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from dewpin.dataplane.http11.event_splitter import EventSplitter, parse_event
+from dewpin.dataplane.http11.event_splitter import MAX_EVENT_LINES, EventSplitter, TooManyLinesError, parse_event
 
 
 @pytest.mark.parametrize(
@@ -56,3 +56,22 @@
         events += splitter.feed(STREAM[start:end])
     assert b"".join(event.raw for event in events) == STREAM
     assert [event.data for event in events] == [b"a", b"b", None, b"c\nd"]
+
+
+@pytest.mark.parametrize("separator", [b"\n\n", b"\r\n\r\n", b"\n\r\n", b"\r\n\n"])
+def test_events_are_the_same_however_their_bytes_arrive(separator):
+    body = b"".join(b"id: %d\ndata: text%b" % (number, separator) for number in range(5))
+    whole = EventSplitter().feed(body)
+    assert len(whole) == 5
+    for size in (1, 2, 3, 4, 5, 7):
+        splitter = EventSplitter()
+        pieces = [body[start : start + size] for start in range(0, len(body), size)]
+        assert [event for piece in pieces for event in splitter.feed(piece)] == whole
+        assert splitter.pending_bytes == 0
+
+
+def test_event_with_too_many_lines_is_rejected():
+    splitter = EventSplitter()
+    splitter.feed(b"data: a\n" * MAX_EVENT_LINES)
+    with pytest.raises(TooManyLinesError):
+        splitter.feed(b"data: a\n\n")
