Sender: receivers that never answer or exceed limits are ejected, except single probes

Callers saw: while one of two receivers was faulty, requests in turn all went to it and were not served, although the other one was idle. Cause: only errors counted against a receiver. A call that ran into its deadline, was left by its client, or did not fit into the memory budget did not; its end lowered the receiver's load, so that the faulty receiver of the own zone was the first choice again. At most half of a service's receivers are ejected. The event receiver_ejected (warning) names receiver and reason.

--- a/dewpin/cluster/logs.py
+++ b/dewpin/cluster/logs.py
@@ -70,6 +70,7 @@
     ROLE_ACQUIRED = "duty_taken"
     REQUEST_DONE = "request_done"
     CALL_FAILED = "call_failed"
+    RECEIVER_EJECTED = "receiver_ejected"
     ERROR = "error"
     UNEXPECTED = "unexpected"
 
@@ -97,6 +98,7 @@
         Event.ROLE_ACQUIRED: logging.INFO,
         Event.REQUEST_DONE: logging.DEBUG,
         Event.CALL_FAILED: logging.INFO,
+        Event.RECEIVER_EJECTED: logging.WARNING,
         Event.ERROR: logging.WARNING,
         Event.UNEXPECTED: logging.ERROR,
     }
--- a/dewpin/dataplane/load_balancing/receiver_load.py
+++ b/dewpin/dataplane/load_balancing/receiver_load.py
@@ -10,6 +10,8 @@
 import math
 from dataclasses import dataclass, field
 
+from dewpin.dataplane.load_balancing.outlier_ejection import OutlierEjection
+
 REPORTED_LOAD_HALF_LIFE_S = 0.25
 """Half-life of the reported calls of other senders."""
 INITIAL_CALL_TIME_S = 0.1
@@ -69,6 +71,7 @@
         call_time_s: moving average of the duration of successful calls.
         min_call_time_s: estimate of the duration of a call without queueing at the receiver.
         response_time_s: moving average of the time from sending a call to the start of its response.
+        ejection: whether the receiver is ejected.
     """
 
     own_calls: int = 0
@@ -80,6 +83,7 @@
     call_time_s: float = INITIAL_CALL_TIME_S
     min_call_time_s: float = INITIAL_CALL_TIME_S
     response_time_s: float = INITIAL_CALL_TIME_S
+    ejection: OutlierEjection = field(default_factory=OutlierEjection)
     _error_rate: float = 0.0
     _error_rate_at: float = 0.0
     _pending_since: list[float] = field(default_factory=list)
@@ -116,16 +120,22 @@
         if not self._pending_since:
             return False
         silence_s = now - max(min(self._pending_since), self._last_response_at)
-        return silence_s > max(MIN_UNRESPONSIVE_S, UNRESPONSIVE_RESPONSE_TIMES * self.response_time_s)
+        return silence_s > self.patience_s
+
+    @property
+    def patience_s(self) -> float:
+        """Return the time without a response after which the receiver is unresponsive."""
+        return max(MIN_UNRESPONSIVE_S, UNRESPONSIVE_RESPONSE_TIMES * self.response_time_s)
 
     def reset_backoff(self) -> None:
         """Record that the receiver accepts calls; the next rejection or failure starts from the initial backoff."""
         self.rejections = 0
         self.unreachable_count = 0
 
-    def record_success(self, call_time_s: float) -> None:
+    def record_success(self, call_time_s: float, now: float) -> None:
         """Record a successful call and its duration."""
         self.reset_backoff()
+        self.ejection.record_success(now)
         self.call_time_s += CALL_TIME_WEIGHT * (call_time_s - self.call_time_s)
         delta_s = call_time_s - self.min_call_time_s
         self.min_call_time_s += delta_s if delta_s < 0 else MIN_CALL_TIME_RISE * delta_s
--- a/dewpin/dataplane/load_balancing/slot_allocation.py
+++ b/dewpin/dataplane/load_balancing/slot_allocation.py
@@ -8,6 +8,8 @@
 * A request with a sticky key goes to the highest-ranked receiver by rendezvous hashing (highest random weight) that is
   healthy and not too loaded. Otherwise a request goes to the receiver with the lowest cost: load relative to capacity,
   with penalties for errors, for another zone and for not responding.
+* A receiver that is ejected (`outlier_ejection`) gets no requests, unless that would leave less than half of the
+  service's receivers.
 * A request that finds no free slot may be queued. A free slot goes to the route whose last slot was granted earliest;
   each step of a higher priority number delays a route's turn by `PRIORITY_STEP_S`.
 
@@ -41,6 +43,8 @@
 """Cost of a receiver that does not respond to pending calls, as a share of its capacity."""
 TIE_BREAK_COST = 0.02
 """Upper bound of a random cost that spreads calls over receivers of equal cost."""
+MAX_EJECTED_SHARE = 0.5
+"""If more than this share of a service's receivers is ejected, requests are sent to all of them."""
 STICKY_LOAD_SHARE = 0.75
 """Load, as a share of its capacity, below which a receiver accepts sticky requests by their key."""
 PRIORITY_STEP_S = 0.1
@@ -199,14 +203,25 @@
 
     def _acquire(self, request: SlotRequest, now: float) -> Receiver | None:
         receivers = self._listed_receivers(request.service.name)
-        candidates = [receiver for receiver in receivers if self._has_free_slot(receiver, request, now)]
+        eligible = self._without_ejected(receivers, now)
+        candidates = [receiver for receiver in eligible if self._has_free_slot(receiver, request, now)]
         if not candidates:
             return None
         receiver = self._choose(candidates, request.sticky_key, now)
-        self._loads[receiver.id].own_calls += 1
+        load = self._loads[receiver.id]
+        load.own_calls += 1
+        if load.ejection.is_in_doubt and not load.ejection.is_ejected(now):
+            load.ejection.record_probe(now, self.draw_jitter())
         self._last_grant_at[request.route] = now
         return receiver
 
+    def _without_ejected(self, receivers: tuple[Receiver, ...], now: float) -> Sequence[Receiver]:
+        """Return the receivers that are not ejected; all of them if too many are."""
+        available = [receiver for receiver in receivers if not receiver.draining]
+        remaining = [receiver for receiver in available if not self._loads[receiver.id].ejection.is_ejected(now)]
+        ejected_count = len(available) - len(remaining)
+        return remaining if ejected_count <= MAX_EJECTED_SHARE * len(available) else available
+
     def _has_free_slot(self, receiver: Receiver, request: SlotRequest, now: float) -> bool:
         load = self._loads[receiver.id]
         if receiver.draining or load.blocked_until > now or request.avoid_until.get(receiver.id, 0.0) > now:
--- a/dewpin/dataplane/routing/request_attempts.py
+++ b/dewpin/dataplane/routing/request_attempts.py
@@ -27,15 +27,16 @@
 from dewpin.dataplane.upstream.call import Call, CallResult, ReceiverResponse
 from dewpin.dataplane.upstream.outcome import IncompleteResponseError, Outcome
 from dewpin.dataplane.upstream.receiver_client import ReceiverClient
+from dewpin.dataplane.upstream.response_stream import ResponseStream
 
 QUEUE_TIME_SHARE_OF_TARGET = 0.2
 """Maximum wait for a slot of a request that has not been executed, as a share of its latency target."""
 OUTCOMES_WITHOUT_RESPONSE = frozenset({Outcome.NOT_SENT, Outcome.TIMED_OUT, Outcome.CLIENT_DISCONNECTED})
 """Outcomes without any response from the receiver."""
-RECEIVER_ERRORS = frozenset(
-    {Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED, Outcome.LIMIT_EXCEEDED}
-)
+RECEIVER_ERRORS = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED, Outcome.LIMIT_EXCEEDED})
 """Outcomes that count towards the receiver's error rate; a time-out may be caused by the request itself."""
+ABANDONED = frozenset({Outcome.TIMED_OUT, Outcome.CLIENT_DISCONNECTED})
+"""Outcomes of calls that ended before their response was complete, not by the receiver."""
 LOWEST_PRIORITY = 9
 """The highest priority number that receivers accept; 0 is the highest priority, as it is for routes."""
 MS_PER_S = 1000
@@ -89,6 +90,7 @@
 class _OpenStream:
     """The stream being forwarded; it holds its slot until it ends."""
 
+    source: ResponseStream
     slot: Slot
     started_at: float
 
@@ -118,7 +120,7 @@
             try:
                 relay.read_first_events()
             except IncompleteResponseError as error:
-                self._record_interrupted_stream(error.outcome)
+                self._record_interrupted_stream(error.outcome, has_event=False)
                 continue
             self._shared.metrics.forwarded += 1
             return response_to_client(result.response, relay)
@@ -164,9 +166,9 @@
         finally:
             if not has_stream:
                 slot.release()
-        if has_stream:
+        if result.stream is not None:
             slot.reset_backoff()
-            self._open_stream = _OpenStream(slot, self._call_started_at)
+            self._open_stream = _OpenStream(result.stream, slot, self._call_started_at)
         return result
 
     def _has_client_disconnected(self) -> bool:
@@ -231,8 +233,8 @@
             slot.back_off_unreachable()
         elif result.outcome is Outcome.NOT_EXECUTED:
             self._record_rejection(slot, result)
-        elif result.outcome in RECEIVER_ERRORS:
-            slot.record_error()
+        else:
+            record_failure(slot, result.outcome)
 
     def _record_rejection(self, slot: Slot, result: CallResult) -> None:
         if not result.is_misdirected:
@@ -260,7 +262,7 @@
 
     def _resume_stream(self, last_event_id: str | None, outcome: Outcome) -> EventSource | None:
         """Resume an interrupted stream at another receiver, after the last forwarded event."""
-        self._record_interrupted_stream(outcome)
+        self._record_interrupted_stream(outcome, has_event=True)
         if last_event_id is not None:
             self._resume_headers = (("Last-Event-Id", last_event_id),)
         result = self._next_result()
@@ -269,15 +271,14 @@
         self._shared.metrics.resumed_streams += 1
         return result.stream
 
-    def _record_interrupted_stream(self, outcome: Outcome) -> None:
-        """Record that the open stream was interrupted, and release its slot."""
+    def _record_interrupted_stream(self, outcome: Outcome, has_event: bool) -> None:
+        """Record that the open stream was interrupted, and release its slot; `has_event`: whether it had an event."""
         stream = self._open_stream
         if stream is not None:
             now = self._shared.clock()
             self._retry.record_call(stream.slot.receiver.id, outcome, now)
             log_failed_call(stream.slot, outcome, now - stream.started_at)
-            if outcome in RECEIVER_ERRORS:
-                stream.slot.record_error()
+            record_failure(stream.slot, outcome, is_answered=has_event and not stream.source.has_stalled())
             self._release_stream()
 
     def _release_stream(self) -> None:
@@ -286,6 +287,21 @@
             stream.slot.release()
 
 
+def record_failure(slot: Slot, outcome: Outcome, is_answered: bool = False) -> None:
+    """Record the outcome of a failed call, which was sent and not rejected, in the health of its receiver.
+
+    is_answered: whether the receiver was still sending a response that takes long by itself.
+    """
+    if outcome in RECEIVER_ERRORS:
+        slot.record_error()
+    if outcome is Outcome.LIMIT_EXCEEDED:
+        slot.record_limit_exceeded()
+    elif outcome is Outcome.MALFORMED:
+        slot.record_malformed()
+    elif outcome in ABANDONED and not is_answered:
+        slot.record_unanswered()
+
+
 def log_failed_call(slot: Slot, outcome: Outcome, duration_s: float) -> None:
     """Log a call that did not end with a success."""
     log_event(
--- a/tests/crowds/test_endless_responses.py
+++ b/tests/crowds/test_endless_responses.py
@@ -13,7 +13,7 @@
 from dewpin.cluster.rpc import split_address
 from dewpin.standin.client import ClientRequest
 from dewpin.standin.endless_response import EndlessForm
-from dewpin.standin.protocol import FAULT_PATH
+from dewpin.standin.protocol import FAULT_PATH, REQUESTS_PATH
 from dewpin.standin.sample_configuration import HOST, PLAIN_PATH, PLAIN_SERVICE, STREAM_PATH, STREAM_SERVICE
 
 pytestmark = pytest.mark.crowd
@@ -87,11 +87,26 @@
     check_process(sender, monitor)
 
 
-REPRODUCED = [(EndlessForm.TOLD_LENGTH, 500), (EndlessForm.CHUNK, 200), (EndlessForm.SILENCE, 200)]
-
-
-@pytest.mark.parametrize(("form", "status"), REPRODUCED)
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("form", EndlessForm, ids=lambda form: form.value)
 def test_one_receiver_of_each_service_responds_without_end(small_tier, form, status):
     tier = small_tier.tier
     faulty = [tier.receivers_of(service)[0] for service in (PLAIN_SERVICE, STREAM_SERVICE)]
     play(small_tier, faulty, form, status)
+
+
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("form", EndlessForm, ids=lambda form: form.value)
+def test_all_receivers_of_a_service_respond_without_end(small_tier, form, status):
+    """Callers of the other service are served meanwhile."""
+    play(small_tier, small_tier.tier.receivers_of(STREAM_SERVICE), form, status, served_paths=[PLAIN_PATH])
+
+
+def test_repaired_receiver_gets_requests_again(small_tier):
+    faulty = small_tier.tier.receivers_of(PLAIN_SERVICE)[0]
+    play(small_tier, [faulty], EndlessForm.TOLD_LENGTH, 200)
+    seen = len(call_receiver(faulty, REQUESTS_PATH))
+    ends_s = time.monotonic() + CALL_TIMEOUT_S
+    while len(call_receiver(faulty, REQUESTS_PATH)) == seen and time.monotonic() < ends_s:
+        small_tier.serve(ordinary_request(PLAIN_PATH))
+    assert len(call_receiver(faulty, REQUESTS_PATH)) > seen
--- a/tests/dataplane/test_slot_allocation.py
+++ b/tests/dataplane/test_slot_allocation.py
@@ -107,9 +107,9 @@
 
 def test_min_call_time_falls_at_once_and_rises_slowly():
     load = ReceiverLoad()
-    load.record_success(0.02)
+    load.record_success(0.02, 0.0)
     assert load.min_call_time_s == pytest.approx(0.02)
-    load.record_success(0.5)
+    load.record_success(0.5, 0.0)
     assert 0.02 < load.min_call_time_s < 0.04
 
 
@@ -137,7 +137,7 @@
         load.record_error(NOW)
     before = load.error_rate(NOW)
     for _ in range(10):
-        load.record_success(0.1)
+        load.record_success(0.1, 0.0)
     assert load.error_rate(NOW) < before / 2
 
 
@@ -233,7 +233,7 @@
     for _ in range(20):
         load.back_off_unreachable(NOW, 1.0)
     assert load.blocked_until == NOW + MAX_UNREACHABLE_BACKOFF_S
-    load.record_success(0.1)
+    load.record_success(0.1, 0.0)
     load.back_off_unreachable(NOW + 10, 1.0)
     assert load.blocked_until == NOW + 10 + INITIAL_UNREACHABLE_BACKOFF_S
 
