Platform's list: a read has a total time, a total size and a bound on its values

A platform that sends bytes without end fills the memory of senders and control servers, or occupies a thread and a core for good. Cause: the list was read with urllib3's defaults: whole body, decoded, with a time-out for each read of the socket only; http.client skips interim responses without a bound. Change: cluster/bounded_http_client.py enforces the time (15 s) and the bytes (16 MiB) of a read at the socket, 4 MiB a page and a bound on small chunks; contents are not decoded, and a page whose values would take over 32 MB is rejected before it is parsed.

--- a/dewpin/cluster/platform_list.py
+++ b/dewpin/cluster/platform_list.py
@@ -5,18 +5,20 @@
 import asyncio
 import json
 from collections.abc import Iterator
+from http import HTTPStatus
 from typing import Any, Protocol
 from urllib.parse import quote
 
-import urllib3
-
+from dewpin.cluster.bounded_http_client import BoundedHttpClient, DownloadError, DownloadLimits
 from dewpin.cluster.errors import DewpinError
+from dewpin.cluster.parsed_size import parsed_bytes
 from dewpin.cluster.receivers import Receiver, receiver_from_platform
 
 MAX_PAGES = 2000
 """Reading stops with an error after this many pages, in case the platform's pagination never ends."""
-CONNECT_TIMEOUT_S = 0.5
-READ_TIMEOUT_S = 0.8
+MAX_PARSED_PAGE_BYTES = 32_000_000
+"""Estimated memory of a page's values from which it is rejected, since a short text may have very many values."""
+LIST_LIMITS = DownloadLimits(total_s=15.0, total_bytes=16 * 1024 * 1024, document_bytes=4 * 1024 * 1024)
 
 
 class PlatformUnavailableError(DewpinError):
@@ -29,18 +31,17 @@
 
     def __init__(self, address: str) -> None:
         """Create a client for the list at `address` (`ip:port`)."""
-        self._address = address
-        self._pool = urllib3.PoolManager(
-            num_pools=1,
-            maxsize=1,
-            retries=False,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
-        )
+        self._client = BoundedHttpClient(address, LIST_LIMITS)
 
     def read(self) -> list[Receiver]:
         """Return all receivers, blocking the thread. Raises PlatformUnavailableError unless every page was read."""
+        self._client.start_read()
         return list(self._pages())
 
+    def close(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
     def _pages(self) -> Iterator[Receiver]:
         token: str | None = None
         for _ in range(MAX_PAGES):
@@ -55,18 +56,18 @@
         raise PlatformUnavailableError("too many pages")
 
     def _page(self, token: str | None) -> dict[str, Any]:
-        url = f"http://{self._address}/instances"
-        if token is not None:
-            url += f"?page_token={quote(token)}"
+        target = "/instances" if token is None else f"/instances?page_token={quote(token)}"
         try:
-            response = self._pool.request("GET", url, redirect=False)
-        except urllib3.exceptions.HTTPError as error:
-            raise PlatformUnavailableError(repr(error)) from error
-        if response.status != 200:
-            raise PlatformUnavailableError(f"status {response.status}")
+            status, body = self._client.get(target)
+        except DownloadError as error:
+            raise PlatformUnavailableError(str(error)) from error
+        if status != HTTPStatus.OK:
+            raise PlatformUnavailableError(f"status {status}")
+        if parsed_bytes(body) > MAX_PARSED_PAGE_BYTES:
+            raise PlatformUnavailableError("a page has too many values")
         try:
-            page = json.loads(response.data)
-        except ValueError as error:
+            page = json.loads(body)
+        except (ValueError, RecursionError) as error:
             raise PlatformUnavailableError(repr(error)) from error
         if not isinstance(page, dict):
             raise PlatformUnavailableError("response body is not a JSON object")
@@ -98,5 +99,6 @@
         try:
             return await asyncio.get_running_loop().run_in_executor(None, self._list.read)
         except PlatformUnavailableError:
+            self._list.close()
             self._list = None
             raise
