Message sender: bounds of interim responses and of the agent's list

A receiver that sends interim responses without end overran the parser's stack or occupied its call and the event loop until the time-out; an agent whose list has very many values took a sender to 230 MB of 96. Cause: the parser called itself for each interim response and did not count them; a list of at most 8 MB was decoded whatever its values would take; an agent that answers every watch at once was asked again at once. Change: at most 16 interim responses before a response, parsed in a loop; parsed_size moves to the top, and the watch rejects lists whose values would take over 32 MB; at least 20 ms between two requests of a watch.

--- a/dewpin/cluster/platform_list.py
+++ b/dewpin/cluster/platform_list.py
@@ -11,8 +11,8 @@
 
 from dewpin.cluster.bounded_http_client import BoundedHttpClient, DownloadError, DownloadLimits
 from dewpin.cluster.errors import DewpinError
-from dewpin.cluster.parsed_size import parsed_bytes
 from dewpin.cluster.receivers import Receiver, receiver_from_platform
+from dewpin.parsed_size import parsed_bytes
 
 MAX_PAGES = 2000
 """Reading stops with an error after this many pages, in case the platform's pagination never ends."""
--- a/dewpin/cluster/rpc/server.py
+++ b/dewpin/cluster/rpc/server.py
@@ -8,10 +8,11 @@
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
+from dewpin.parsed_size import parsed_bytes
+
 from ..compression import CompressedOutput, IncomingBytes
 from ..memory_budget import MemoryBudget, MemoryBudgetExceededError
 from ..netstring import Decoder, FrameError
-from ..parsed_size import parsed_bytes
 from ..rpc_frames import InvalidFrameError, Message, ReplyFrame, RequestFrame
 from ..running_tasks import forget_current_task
 from .connection import abort_if_peer_does_not_read, bound_listener, set_socket_options
--- a/dewpin/controlplane/operator_http.py
+++ b/dewpin/controlplane/operator_http.py
@@ -10,8 +10,8 @@
 from dewpin.cluster.errors import DewpinError
 from dewpin.cluster.listening_server import serve_in_background
 from dewpin.cluster.memory_budget import MemoryBudget, MemoryBudgetExceededError
-from dewpin.cluster.parsed_size import parsed_bytes
 from dewpin.controlplane.operator_api import BASE_VERSION_HEADER, ApiResponse, OperatorApi, error_response
+from dewpin.parsed_size import parsed_bytes
 
 log = logging.getLogger(__name__)
 
--- a/dewpin/net/endpoint_watch.py
+++ b/dewpin/net/endpoint_watch.py
@@ -10,12 +10,16 @@
 import msgspec
 
 from ..log import events, log_event
+from ..parsed_size import parsed_bytes
 from ..ports import EndpointEntry
 from .agent_connection import AgentConnection
 from .endpoint_list import parse_endpoints
 from .http_messages import Response
 from .watch_schedule import RESPONSE_TIMEOUT_SECONDS, WATCH_SECONDS, WatchSchedule
 
+MIN_REQUEST_PERIOD_SECONDS = 0.02  # an agent that answers every watch at once must not take all processor time
+MAX_PARSED_LIST_BYTES = 32_000_000  # estimated memory of a list's values; a short text may have very many of them
+
 OnUpdate = Callable[[list[EndpointEntry], bool, int], None]
 """Called with the entries, whether they are the complete list, and its revision."""
 
@@ -64,9 +68,11 @@
         self._connection.stop()
 
     async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
         needs_whole_list = self.revision is None
         await asyncio.sleep(self._schedule.first_pause_seconds(self._is_first_process))
         while True:
+            earliest_next_request = loop.time() + MIN_REQUEST_PERIOD_SECONDS
             timeout_seconds = RESPONSE_TIMEOUT_SECONDS if needs_whole_list else WATCH_SECONDS + RESPONSE_TIMEOUT_SECONDS
             response = await self._connection.exchange(self._format_request(needs_whole_list), timeout_seconds)
             if response is not None and response.status == 503:
@@ -77,6 +83,7 @@
                 await asyncio.sleep(self._schedule.retry_pause_seconds())
             else:
                 self._schedule.reset_backoff()
+                await asyncio.sleep(earliest_next_request - loop.time())
 
     def _format_request(self, needs_whole_list: bool) -> bytes:
         query = b""
@@ -96,6 +103,8 @@
             return False
 
     def _apply_update(self, body: bytes) -> bool:
+        if parsed_bytes(body) > MAX_PARSED_LIST_BYTES:
+            raise ValueError("the list has too many values")
         update = msgspec.json.decode(body)
         revision, is_complete = int(update["revision"]), bool(update["complete"])
         if self._may_be_renumbered and self.revision is not None and revision < self.revision:
--- a/dewpin/net/http_parser.py
+++ b/dewpin/net/http_parser.py
@@ -12,6 +12,7 @@
 
 MAX_HEAD_BYTES = 16384
 MAX_BODY_BYTES = 65536
+MAX_INTERIM_RESPONSES = 16  # before a response
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 CONTENT_LENGTH = re.compile(rb"[0-9]{1,9}")
@@ -84,7 +85,17 @@
         return message
 
     def _parse_head(self) -> bool:
-        """Parse the start line and the header fields; return whether a message's header section is complete."""
+        """Parse header sections up to that of the next message; return whether it is complete."""
+        while self._message is None:
+            if not self._parse_header_section():
+                return False
+        return True
+
+    def _parse_header_section(self) -> bool:
+        """Parse the start line and the header fields of a message, or skip those of an interim response.
+
+        Return whether the section is complete.
+        """
         self._skip_empty_lines()
         buffer = self._buffer
         end = buffer.find(b"\r\n\r\n", max(0, self._searched_bytes - 3))
@@ -103,8 +114,8 @@
         body = self._choose_framing(message)
         if body is None:
             self._message = None
-            return self._parse_head()
-        self._body = body
+        else:
+            self._body = body
         return True
 
     def _skip_empty_lines(self) -> None:
@@ -196,6 +207,10 @@
 class ResponseParser(_MessageParser[Response]):
     """Parses responses and skips interim ones (1xx)."""
 
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        super().__init__(max_body_bytes)
+        self._interim_count = 0
+
     def partial_status(self) -> int | None:
         """Return the status of the incomplete message; None if its status line is incomplete or invalid."""
         if self._message:
@@ -222,7 +237,11 @@
 
     def _choose_framing(self, message: Response) -> BodyDecoder | None:
         if message.status < 200:
+            self._interim_count += 1
+            if self._interim_count > MAX_INTERIM_RESPONSES:
+                raise MalformedMessageError(400, "too many interim responses")
             return None
+        self._interim_count = 0
         if message.status in BODILESS_STATUSES:
             return EMPTY_BODY
         declared = self._declared_framing(message.fields)
--- a/tests/net/test_http_parser.py
+++ b/tests/net/test_http_parser.py
@@ -6,7 +6,7 @@
 
 from dewpin.net.errors import MalformedMessageError
 from dewpin.net.http_messages import format_response
-from dewpin.net.http_parser import RequestParser, ResponseParser
+from dewpin.net.http_parser import MAX_INTERIM_RESPONSES, RequestParser, ResponseParser
 
 
 def random_requests(rng):
@@ -100,3 +100,19 @@
     with pytest.raises(MalformedMessageError) as caught:
         parser.next_message()
     assert caught.value.status == 400
+
+
+def test_few_interim_responses_are_skipped():
+    parser = ResponseParser()
+    parser.feed(b"HTTP/1.1 103 Early Hints\r\n\r\n" * MAX_INTERIM_RESPONSES)
+    parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    response = parser.next_message()
+    assert response is not None and response.status == 200
+
+
+def test_interim_responses_without_end_are_malformed():
+    """They must neither exhaust the stack nor be skipped for as long as the receiver sends them."""
+    parser = ResponseParser()
+    parser.feed(b"HTTP/1.1 103 Early Hints\r\n\r\n" * 5_000)
+    with pytest.raises(MalformedMessageError):
+        parser.next_message()
--- a/tests/cluster/test_parsed_size.py
+++ b/tests/test_parsed_size.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from dewpin.cluster.parsed_size import parsed_bytes
+from dewpin.parsed_size import parsed_bytes
 
 COUNT = 20_000
 
