RPC client: replies of other processes have bounds

A process that sends replies without end, or one reply of very many values, fills the memory of its callers or keeps their event loop busy. Cause: the server's side charges what it receives, the client's side did not, and replies that no call waits for were dropped without a bound. Change: incomplete replies and the values of a reply are charged to a budget of the process's own for replies (0.4 of memory_mb, apart from that of clients, so that clients cannot break connections between processes); a reply with the number of no call, or over 100 more unmatched replies than calls, ends the connection.

--- a/dewpin/cluster/rpc/client.py
+++ b/dewpin/cluster/rpc/client.py
@@ -5,7 +5,10 @@
 import asyncio
 from typing import Any
 
+from dewpin.parsed_size import parsed_bytes
+
 from ..compression import CompressedOutput, IncomingBytes
+from ..memory_budget import MemoryAccount, MemoryBudget, MemoryBudgetExceededError
 from ..netstring import Decoder, FrameError
 from ..rpc_frames import InvalidFrameError, Message, ReplyFrame, RequestFrame
 from .connection import abort_if_peer_does_not_read, set_socket_options, split_address
@@ -14,6 +17,10 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_QUEUED_BYTES = 2 * 1024 * 1024
 """Calls wait while a connection has more unsent bytes than this."""
+MAX_UNCHARGED_BYTES = 64 * 1024
+"""What a connection may hold of incomplete replies without a charge to the memory budget."""
+MAX_SPARE_REPLIES = 100
+"""A peer may send this many more replies that no call waits for than there were calls."""
 UNCOMPRESSED_PERIOD_S = 60.0
 """How long uncompressed frames are sent to a peer that closed a compressed connection without a reply: earlier releases
 do not support compression."""
@@ -22,8 +29,13 @@
 class RpcClient:
     """Makes calls to other processes over one connection per address, opened on first use."""
 
-    def __init__(self) -> None:
-        """Create a client without connections."""
+    def __init__(self, budget: MemoryBudget | None = None) -> None:
+        """Create a client without connections.
+
+        Incomplete replies are charged to `budget`, if given. It should be one of its own: memory that is used for
+        clients must not break the connections to other processes.
+        """
+        self._budget = budget
         self._connections: dict[str, asyncio.Task[ClientConnection]] = {}
         self._uncompressed_until_s: dict[str, float] = {}
 
@@ -76,10 +88,9 @@
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         is_compressed = self._uncompressed_until_s.get(address, 0.0) <= loop.time()
+        connecting = loop.create_connection(lambda: ClientConnection(is_compressed, self._budget), host, port)
         try:
-            _, connection = await asyncio.wait_for(
-                loop.create_connection(lambda: ClientConnection(is_compressed), host, port), CONNECT_TIMEOUT_S
-            )
+            _, connection = await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
         except (TimeoutError, OSError) as error:
             raise RpcError("connect", f"{address}: {error!r}") from error
         return connection
@@ -104,13 +115,18 @@
 class ClientConnection(asyncio.Protocol):
     """A connection to a server.
 
+    A peer that sends what was not asked for, or replies that do not fit into the memory budget, is disconnected; its
+    pending calls fail.
+
     `transport`: the transport; None until the connection is made and after it is lost.
     `received_chunks`: number of times that bytes were received.
     """
 
-    def __init__(self, is_compressed: bool) -> None:
+    def __init__(self, is_compressed: bool, budget: MemoryBudget | None = None) -> None:
         """Create the protocol of a connection; `is_compressed` is whether to compress its requests."""
-        self._decoder = Decoder()
+        self._decoder = Decoder(before_parsing=self._charge_parsing)
+        self._memory: MemoryAccount | None = None if budget is None else budget.open_account(may_wait=False)
+        self._unmatched_replies = 0
         self._incoming = IncomingBytes()
         self._output = CompressedOutput() if is_compressed else None
         self._pending: dict[int, asyncio.Future[Message]] = {}
@@ -138,6 +154,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail all pending calls."""
         self.transport = None
+        if self._memory is not None:
+            self._memory.close()
+        self._decoder.discard()
         self._may_write.set()
         for future in self._pending.values():
             if not future.done():
@@ -150,16 +169,40 @@
         try:
             for chunk in self._incoming.decode(data):
                 self._resolve(self._decoder.feed(chunk))
-        except (FrameError, InvalidFrameError):
+                self._charge(self._decoder.buffered_bytes)
+        except (FrameError, InvalidFrameError, MemoryBudgetExceededError):
             self.abort()
 
+    def _charge_parsing(self, text: bytes) -> None:
+        """Charge the values that a reply will consist of. Raises MemoryBudgetExceededError."""
+        self._charge(len(text) + parsed_bytes(text))
+
+    def _charge(self, held_bytes: int) -> None:
+        """Charge what is held of replies. Raises MemoryBudgetExceededError."""
+        memory = self._memory
+        if memory is None or (held_bytes <= MAX_UNCHARGED_BYTES and not memory.held_bytes):
+            return
+        memory.check_can_ever_hold(held_bytes)
+        memory.resize(held_bytes, has_priority=True)
+
     def _resolve(self, frames: list[dict[str, Any]]) -> None:
         for frame in frames:
             reply = ReplyFrame.decode(frame)
             future = self._pending.pop(reply.number, None)
-            if future is not None and not future.done():
+            if future is None:
+                self._record_unmatched_reply(reply.number)
+            elif not future.done():
                 future.set_result(reply.message)
 
+    def _record_unmatched_reply(self, number: int) -> None:
+        """Record a reply to a call that is not pending any more.
+
+        Raises InvalidFrameError if there was no such call, or if there are more such replies than calls.
+        """
+        self._unmatched_replies += 1
+        if number > self._last_number or self._unmatched_replies > self._last_number + MAX_SPARE_REPLIES:
+            raise InvalidFrameError("a reply without a call")
+
     @property
     def was_compression_rejected(self) -> bool:
         """Whether the peer closed a compressed connection after a request without sending any bytes."""
--- a/dewpin/controlplane/control_process.py
+++ b/dewpin/controlplane/control_process.py
@@ -33,9 +33,9 @@
     def __init__(self, settings: Settings, storage: Storage) -> None:
         self._settings = settings
         self._loop = asyncio.get_running_loop()
-        client = RpcClient()
-        self._control_server = ControlServer(settings, storage, client, random.Random())
         self._budget = MemoryBudget.for_process(settings.limits.memory_mb)
+        client = RpcClient(MemoryBudget(self._budget.limit_bytes))
+        self._control_server = ControlServer(settings, storage, client, random.Random())
         max_connections = internal_connection_limit(settings.limits, INTERNAL_DESCRIPTOR_SHARE)
         self._rpc_server = RpcServer(self._control_server.handlers, self._budget, max_connections)
         self._store: LocalStore | None = None
--- a/dewpin/dataplane/agent_thread.py
+++ b/dewpin/dataplane/agent_thread.py
@@ -76,7 +76,7 @@
 
     async def _start(self, steps: StartSteps, budget: MemoryBudget) -> None:
         settings = self._settings
-        client = RpcClient()
+        client = RpcClient(MemoryBudget(budget.limit_bytes))
         location = location_of(settings.region, settings.zone)
         store_client = StoreClient(client, settings.fault_tolerance.replica_count, location=location)
         self.store_client = store_client
