Sender: an interrupted stream that is not resumable counts against its receiver

Cause: the outcome of a stream was recorded only on the way to its resumption; on a route without resumption neither the error rate nor the ejection learned of it. Change: the relay reports each interrupted stream; whether it may be resumed is decided after it is recorded.

--- a/dewpin/dataplane/routing/event_relay.py
+++ b/dewpin/dataplane/routing/event_relay.py
@@ -35,7 +35,8 @@
 
 
 ResumeStream = Callable[[str | None, Outcome], EventSource | None]
-"""Takes the id of the last forwarded event and the outcome of the interrupted stream; returns a new source or None."""
+"""Records that a stream was interrupted. Takes the id of the last forwarded event and the outcome of the stream;
+returns a new source, or None if the stream cannot be resumed."""
 
 
 class EventRelay:
@@ -56,7 +57,7 @@
 
         Args:
             source: the first stream.
-            resume_stream: continues an interrupted stream; None if the route does not allow resumption.
+            resume_stream: called once for each stream that is interrupted; None if no stream is ever resumed.
             turn: the conversation turn that counts and stores the events, if the request opens one.
             time_left_s: returns the seconds until the request's deadline.
             on_close: called once, with True if the whole body was forwarded.
--- a/dewpin/dataplane/routing/request_attempts.py
+++ b/dewpin/dataplane/routing/request_attempts.py
@@ -245,9 +245,7 @@
         self._retry.record_expected_wait(self._shared.balancer.expected_wait_s(self._routed.service.name))
 
     def _relay(self, source: EventSource) -> EventRelay:
-        routed = self._routed
-        resume_stream = self._resume_stream if routed.is_idempotent else None
-        return EventRelay(source, resume_stream, routed.turn, self._time_left_s, self._on_relay_closed)
+        return EventRelay(source, self._resume_stream, self._routed.turn, self._time_left_s, self._on_relay_closed)
 
     def _time_left_s(self) -> float:
         return self._routed.deadline - self._shared.clock()
@@ -261,8 +259,10 @@
             self._shared.metrics.incomplete_streams += 1
 
     def _resume_stream(self, last_event_id: str | None, outcome: Outcome) -> EventSource | None:
-        """Resume an interrupted stream at another receiver, after the last forwarded event."""
+        """Resume an interrupted stream at another receiver, after the last forwarded event, if the route allows it."""
         self._record_interrupted_stream(outcome, has_event=True)
+        if not self._routed.is_idempotent:
+            return None
         if last_event_id is not None:
             self._resume_headers = (("Last-Event-Id", last_event_id),)
         result = self._next_result()
--- a/tests/dataplane/test_response_limits.py
+++ b/tests/dataplane/test_response_limits.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 import pytest
-from dataplane.peers import STREAM_FIELDS, ScriptedReceiver, chunk, event, full_response, head, receivers
+from dataplane.peers import STREAM_FIELDS, ScriptedReceiver, chunk, event, full_response, head, receivers, stream
 from dataplane.request_handler_harness import RequestHandlerHarness, read
 
 from dewpin.cluster.memory_budget import MemoryBudget
@@ -184,6 +184,19 @@
         assert RequestHandlerHarness(listed)().body == b"done"
 
 
+def test_stream_after_an_endless_one_goes_to_another_receiver():
+    """The end of a stream that is not resumable must count against its receiver, too."""
+    endless = responds_without_end(b"\r\n", EVENT_FORMS["events"], "200 OK", STREAM_FIELDS)
+    faulty = ScriptedReceiver(endless, id="i-1")
+    sound = ScriptedReceiver(stream(event(1)), id="i-2", zone="there")
+    with receivers(faulty, sound) as listed:
+        handler = RequestHandlerHarness(listed, kind="stream")
+        _, is_incomplete = read(handler())
+        assert is_incomplete
+        for _ in range(5):
+            assert read(handler()) == (event(1), False)
+
+
 def test_long_late_response_is_not_skipped_without_end(call):
     """The response to an earlier call, sent again, must not occupy the next call until its deadline."""
 
