--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -26,7 +26,15 @@
     drawn = ["answers", "catch_up", "cut_off", "halves", "orders", "overlapping_losses", "second_loss"]
     drawn_of_two = ["halves_of_five", "second_loss_of_two"]
     directed = ["lone_writes", "long_conversations", "moved_ledgers", "races", "retired_at_once", "short_cuts"]
-    machines = ["frozen_and_woken", "full_disks", "many_at_once", "processor_quota", "slow_links", "taken_away"]
+    machines = [
+        "disks_and_power",
+        "frozen_and_woken",
+        "full_disks",
+        "many_at_once",
+        "processor_quota",
+        "slow_links",
+        "taken_away",
+    ]
     assert sorted([*drawn, *drawn_of_two, *directed, *machines, "mixed_releases"]) == SCENARIOS
 
 
