--- a/dewpin/dataplane/load_balancing/balancer.py
+++ b/dewpin/dataplane/load_balancing/balancer.py
@@ -10,6 +10,7 @@
 
 from dewpin.cluster.logs import Event, log_event
 from dewpin.cluster.receivers import Receiver
+from dewpin.dataplane.load_balancing.outlier_ejection import CallFailure, ReceiverFault
 from dewpin.dataplane.load_balancing.receiver_load import ServerLoad
 from dewpin.dataplane.load_balancing.slot_allocation import QueuedRequest, SlotAllocator, SlotRequest
 from dewpin.dataplane.membership.cluster_state import ClusterState
@@ -68,17 +69,9 @@
         """Record that a call failed after it was sent."""
         self._balancer.record_error(self.receiver)
 
-    def record_limit_exceeded(self) -> None:
-        """Record that the response exceeded a limit, which ejects the receiver."""
-        self._balancer.record_limit_exceeded(self)
-
-    def record_malformed(self) -> None:
-        """Record a malformed response."""
-        self._balancer.record_malformed(self)
-
-    def record_unanswered(self) -> None:
-        """Record that the call ended without a complete response, by its deadline or by its client."""
-        self._balancer.record_unanswered(self)
+    def record_fault(self, fault: ReceiverFault) -> None:
+        """Record a fault of the receiver, which may eject it."""
+        self._balancer.record_fault(self, fault)
 
     def record_success(self, call_time_s: float) -> None:
         """Record a successful call and its duration."""
@@ -154,27 +147,14 @@
         with self._lock:
             self._allocator.load_of(receiver.id).record_error(self._clock())
 
-    def record_limit_exceeded(self, slot: Slot) -> None:
-        """Record that the response to the call of a slot exceeded a limit."""
-        with self._lock:
-            load, now = self._allocator.load_of(slot.receiver.id), self._clock()
-            is_ejected = load.ejection.record_limit_exceeded(slot.acquired_at, now, self._allocator.draw_jitter())
-        _log_ejection(slot, is_ejected, "limit_exceeded")
-
-    def record_malformed(self, slot: Slot) -> None:
-        """Record that the response to the call of a slot was malformed."""
+    def record_fault(self, slot: Slot, fault: ReceiverFault) -> None:
+        """Record a fault of the receiver in the call of a slot."""
         with self._lock:
-            load, now = self._allocator.load_of(slot.receiver.id), self._clock()
-            is_ejected = load.ejection.record_malformed(slot.acquired_at, now, self._allocator.draw_jitter())
-        _log_ejection(slot, is_ejected, "malformed")
-
-    def record_unanswered(self, slot: Slot) -> None:
-        """Record that the call of a slot ended without a complete response."""
-        with self._lock:
-            load, now = self._allocator.load_of(slot.receiver.id), self._clock()
-            jitter = self._allocator.draw_jitter()
-            is_ejected = load.ejection.record_unanswered(slot.acquired_at, now, load.patience_s, jitter)
-        _log_ejection(slot, is_ejected, "unanswered")
+            load = self._allocator.load_of(slot.receiver.id)
+            failure = CallFailure(slot.acquired_at, self._clock(), load.patience_s)
+            is_ejected = load.ejection.record_fault(fault, failure, self._allocator.draw_jitter())
+        if is_ejected:
+            log_event(Event.RECEIVER_EJECTED, receiver=slot.receiver.id, service=slot.service, reason=fault.value)
 
     def record_success(self, receiver: Receiver, call_time_s: float) -> None:
         """Record a successful call and its duration."""
@@ -224,8 +204,3 @@
     def _grant_queued(self, service: str) -> None:
         for queued in self._allocator.grant_queued(service, self._clock()):
             self._granted_events.pop(queued).set()
-
-
-def _log_ejection(slot: Slot, is_ejected: bool, reason: str) -> None:
-    if is_ejected:
-        log_event(Event.RECEIVER_EJECTED, receiver=slot.receiver.id, service=slot.service, reason=reason)
--- a/dewpin/dataplane/load_balancing/outlier_ejection.py
+++ b/dewpin/dataplane/load_balancing/outlier_ejection.py
@@ -16,6 +16,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum, unique
 
 INITIAL_EJECTION_S = 1.0
 MAX_EJECTION_S = 8.0
@@ -24,6 +25,37 @@
 """Malformed responses in a row; a single one may be a late response to a call of another process."""
 
 
+@unique
+class ReceiverFault(Enum):
+    """What a receiver did wrong in a call; the values are those of the log."""
+
+    LIMIT_EXCEEDED = "limit_exceeded"
+    """The response exceeded a limit."""
+    MALFORMED = "malformed"
+    """The response was malformed."""
+    UNANSWERED = "unanswered"
+    """The call ended without a complete response, by its deadline or by its client."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailure:
+    """A call that failed.
+
+    Attributes:
+        sent_at, ended_at: start and end of the call.
+        patience_s: time until which a working receiver may be expected to respond.
+    """
+
+    sent_at: float
+    ended_at: float
+    patience_s: float
+
+    @property
+    def was_long(self) -> bool:
+        """Return whether the call took longer than a working receiver takes."""
+        return self.ended_at - self.sent_at > self.patience_s
+
+
 @dataclass(slots=True)
 class OutlierEjection:
     """Whether one receiver is ejected.
@@ -58,31 +90,23 @@
         """Record that a request was sent to a receiver in doubt; it gets no other one for the present time-out."""
         self.ejected_until = now + self._duration_s() * jitter
 
-    def record_limit_exceeded(self, sent_at: float, now: float, jitter: float) -> bool:
-        """Record a response that exceeds a limit, to a call sent at `sent_at`; return whether this ejects."""
-        return self._eject(sent_at, now, jitter)
-
-    def record_malformed(self, sent_at: float, now: float, jitter: float) -> bool:
-        """Record a malformed response; return whether this ejects the receiver."""
-        self._malformed_count += 1
-        return self._malformed_count >= MALFORMED_UNTIL_EJECTION and self._eject(sent_at, now, jitter)
-
-    def record_unanswered(self, sent_at: float, now: float, patience_s: float, jitter: float) -> bool:
-        """Record a call that ended without a complete response; return whether this ejects the receiver.
-
-        patience_s: time until which a working receiver may be expected to respond.
-        """
-        if self._last_success_at >= sent_at or now - sent_at <= patience_s:
-            return False
-        return self._eject(sent_at, now, jitter)
-
-    def _eject(self, sent_at: float, now: float, jitter: float) -> bool:
-        """Eject the receiver, unless the call was sent before it was last ejected."""
-        if sent_at < self._ejected_at:
+    def record_fault(self, fault: ReceiverFault, failure: CallFailure, jitter: float) -> bool:
+        """Record a fault in a call; return whether it ejects the receiver. `jitter` is a factor of the time."""
+        if fault is ReceiverFault.MALFORMED:
+            self._malformed_count += 1
+        if not self._is_sufficient(fault, failure) or failure.sent_at < self._ejected_at:
             return False
         self._count += 1
-        self._ejected_at = now
-        self.ejected_until = now + self._duration_s() * jitter
+        self._ejected_at = failure.ended_at
+        self.ejected_until = failure.ended_at + self._duration_s() * jitter
+        return True
+
+    def _is_sufficient(self, fault: ReceiverFault, failure: CallFailure) -> bool:
+        """Return whether a fault is sufficient for an ejection."""
+        if fault is ReceiverFault.MALFORMED:
+            return self._malformed_count >= MALFORMED_UNTIL_EJECTION
+        if fault is ReceiverFault.UNANSWERED:
+            return failure.was_long and self._last_success_at < failure.sent_at
         return True
 
     def _duration_s(self) -> float:
--- a/dewpin/dataplane/routing/request_attempts.py
+++ b/dewpin/dataplane/routing/request_attempts.py
@@ -10,6 +10,7 @@
 from dewpin.cluster.logs import Event, log_event
 from dewpin.dataplane.http11.messages import PRIORITY, HeaderField, Headers, Request, Response, error_response
 from dewpin.dataplane.load_balancing.balancer import Balancer, NoSlot, Slot
+from dewpin.dataplane.load_balancing.outlier_ejection import ReceiverFault
 from dewpin.dataplane.load_balancing.slot_allocation import SlotRequest
 from dewpin.dataplane.metrics import RequestMetrics
 from dewpin.dataplane.programs.turns import OpenTurn
@@ -35,8 +36,13 @@
 """Outcomes without any response from the receiver."""
 RECEIVER_ERRORS = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.CLOSED, Outcome.MALFORMED, Outcome.LIMIT_EXCEEDED})
 """Outcomes that count towards the receiver's error rate; a time-out may be caused by the request itself."""
-ABANDONED = frozenset({Outcome.TIMED_OUT, Outcome.CLIENT_DISCONNECTED})
-"""Outcomes of calls that ended before their response was complete, not by the receiver."""
+FAULTS = {
+    Outcome.LIMIT_EXCEEDED: ReceiverFault.LIMIT_EXCEEDED,
+    Outcome.MALFORMED: ReceiverFault.MALFORMED,
+    Outcome.TIMED_OUT: ReceiverFault.UNANSWERED,
+    Outcome.CLIENT_DISCONNECTED: ReceiverFault.UNANSWERED,
+}
+"""Outcomes that may be faults of the receiver and eject it."""
 LOWEST_PRIORITY = 9
 """The highest priority number that receivers accept; 0 is the highest priority, as it is for routes."""
 MS_PER_S = 1000
@@ -294,12 +300,9 @@
     """
     if outcome in RECEIVER_ERRORS:
         slot.record_error()
-    if outcome is Outcome.LIMIT_EXCEEDED:
-        slot.record_limit_exceeded()
-    elif outcome is Outcome.MALFORMED:
-        slot.record_malformed()
-    elif outcome in ABANDONED and not is_answered:
-        slot.record_unanswered()
+    fault = FAULTS.get(outcome)
+    if fault is not None and not (fault is ReceiverFault.UNANSWERED and is_answered):
+        slot.record_fault(fault)
 
 
 def log_failed_call(slot: Slot, outcome: Outcome, duration_s: float) -> None:
--- a/dewpin/standin/tier.py
+++ b/dewpin/standin/tier.py
@@ -49,6 +49,7 @@
 
     folder: contains the folders `settings`, `data` and `logs`.
     platform_address: address of the stand-in platform.
+    platform: its process.
     control_servers, senders: the machines of the tier.
     operator: client of the operator API.
     receivers: the receivers' entries in the platform's list.
@@ -72,7 +73,7 @@
         self.operator = OperatorClient([control_server.operator_address for control_server in self.control_servers])
         self.receivers = self._receiver_entries()
         self._receiver_processes = [self._receiver_process(entry) for entry in self.receivers]
-        self._platform = self._platform_process()
+        self.platform = self._platform_process()
         for machine in (*self.control_servers, *self.senders):
             self.write_settings(machine, bootstrap=True)
 
@@ -80,7 +81,7 @@
     def processes(self) -> list[ManagedProcess]:
         """Return all processes."""
         machines = [machine.process for machine in (*self.control_servers, *self.senders)]
-        return [self._platform, *self._receiver_processes, *machines]
+        return [self.platform, *self._receiver_processes, *machines]
 
     def start(self) -> None:
         """Start all processes; their order does not matter."""
--- a/tests/dataplane/test_outlier_ejection.py
+++ b/tests/dataplane/test_outlier_ejection.py
@@ -9,11 +9,14 @@
 from dewpin.dataplane.load_balancing.outlier_ejection import (
     INITIAL_EJECTION_S,
     MAX_EJECTION_S,
+    CallFailure,
     OutlierEjection,
+    ReceiverFault,
 )
 from dewpin.dataplane.load_balancing.slot_allocation import SlotAllocator, SlotRequest
 
 PATIENCE_S = 0.25
+LIMIT_EXCEEDED, MALFORMED, UNANSWERED = ReceiverFault
 
 
 @pytest.fixture
@@ -21,40 +24,45 @@
     return OutlierEjection()
 
 
+def record(ejection, fault, sent_at, now):
+    """Record a fault without jitter; return whether it ejects the receiver."""
+    return ejection.record_fault(fault, CallFailure(sent_at, now, PATIENCE_S), 1.0)
+
+
 def test_exceeded_limit_ejects_at_once(ejection):
-    assert ejection.record_limit_exceeded(1.0, 1.1, 1.0)
+    assert record(ejection, LIMIT_EXCEEDED, 1.0, 1.1)
     assert ejection.is_ejected(1.1)
     assert not ejection.is_ejected(1.1 + INITIAL_EJECTION_S)
 
 
 def test_second_malformed_response_in_a_row_ejects(ejection):
-    assert not ejection.record_malformed(1.0, 1.0, 1.0)
-    assert ejection.record_malformed(1.0, 1.0, 1.0)
+    assert not record(ejection, MALFORMED, 1.0, 1.0)
+    assert record(ejection, MALFORMED, 1.0, 1.0)
 
 
 def test_success_between_malformed_responses_prevents_ejection(ejection):
-    ejection.record_malformed(1.0, 1.0, 1.0)
+    record(ejection, MALFORMED, 1.0, 1.0)
     ejection.record_success(1.5)
-    assert not ejection.record_malformed(2.0, 2.0, 1.0)
+    assert not record(ejection, MALFORMED, 2.0, 2.0)
 
 
 def test_unanswered_call_ejects(ejection):
-    assert ejection.record_unanswered(1.0, 5.0, PATIENCE_S, 1.0)
+    assert record(ejection, UNANSWERED, 1.0, 5.0)
 
 
 def test_unanswered_call_does_not_eject_if_another_call_has_succeeded_meanwhile(ejection):
     ejection.record_success(3.0)
-    assert not ejection.record_unanswered(1.0, 5.0, PATIENCE_S, 1.0)
+    assert not record(ejection, UNANSWERED, 1.0, 5.0)
 
 
 def test_unanswered_call_does_not_eject_if_it_was_short(ejection):
-    assert not ejection.record_unanswered(1.0, 1.0 + PATIENCE_S, PATIENCE_S, 1.0)
+    assert not record(ejection, UNANSWERED, 1.0, 1.0 + PATIENCE_S)
 
 
 def test_calls_sent_before_the_ejection_do_not_prolong_it(ejection):
-    ejection.record_limit_exceeded(1.0, 2.0, 1.0)
+    record(ejection, LIMIT_EXCEEDED, 1.0, 2.0)
     until = ejection.ejected_until
-    assert not ejection.record_limit_exceeded(1.5, 2.5, 1.0)
+    assert not record(ejection, LIMIT_EXCEEDED, 1.5, 2.5)
     assert ejection.ejected_until == until
 
 
@@ -62,12 +70,12 @@
     now, durations = 0.0, []
     for _ in range(6):
         now = max(now, ejection.ejected_until)
-        ejection.record_limit_exceeded(now, now, 1.0)
+        record(ejection, LIMIT_EXCEEDED, now, now)
         durations.append(ejection.ejected_until - now)
     assert durations == [1.0, 2.0, 4.0, MAX_EJECTION_S, MAX_EJECTION_S, MAX_EJECTION_S]
     ejection.record_success(now)
     assert not ejection.is_ejected(now)
-    ejection.record_limit_exceeded(now, now, 1.0)
+    record(ejection, LIMIT_EXCEEDED, now, now)
     assert ejection.ejected_until - now == INITIAL_EJECTION_S
 
 
@@ -96,7 +104,7 @@
         return chosen
 
     def eject(self, receiver_id, now):
-        self.slots.load_of(receiver_id).ejection.record_limit_exceeded(now, now, 1.0)
+        record(self.slots.load_of(receiver_id).ejection, LIMIT_EXCEEDED, now, now)
 
 
 def test_requests_in_turn_go_to_the_sound_receiver_of_another_zone():
--- a/tests/loopback_server.py
+++ b/tests/loopback_server.py
@@ -13,12 +13,16 @@
 
     def __init__(self) -> None:
         """Subclasses set their own attributes first: connections may be served before this returns."""
-        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener = self.create_listener()
         host, port = self._listener.getsockname()
         self.address = f"{host}:{port}"
         self.connections = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def create_listener(self) -> socket.socket:
+        """Return the listening socket."""
+        return socket.create_server(("127.0.0.1", 0))
+
     def close(self) -> None:
         # Closing the socket alone does not wake the thread that is blocked in accept().
         self._listener.shutdown(socket.SHUT_RDWR)
