Sender: a stream that exceeds a limit is closed at once

Callers saw: nothing yet; found when the change was read again. The receiver's connection stayed open, and the bytes that it held stayed counted against its receiver, which would have failed all later responses of that receiver. Cause: only a failed read closed the source; limits and lines are checked after the read. Change: the relay closes its source whenever reading events fails.

--- a/dewpin/dataplane/routing/event_relay.py
+++ b/dewpin/dataplane/routing/event_relay.py
@@ -116,7 +116,16 @@
                 self._resume(error)
 
     def _read_events(self) -> bytes:
-        """Return the next complete events of the current source; b"" at its end."""
+        """Return the next complete events of the current source, which is closed on failure; b"" at its end."""
+        source = self._source
+        try:
+            return self._read_from_source()
+        except IncompleteResponseError:
+            if source is not None:
+                source.close()
+            raise
+
+    def _read_from_source(self) -> bytes:
         while self._source is not None:
             data = self._source.read_next()
             if not data:
--- a/tests/dataplane/test_event_relay.py
+++ b/tests/dataplane/test_event_relay.py
@@ -3,6 +3,7 @@
 import pytest
 from dataplane.peers import MemoryStore, configuration, event, request
 
+from dewpin.dataplane.http11.event_splitter import MAX_EVENT_LINES
 from dewpin.dataplane.http11.messages import IncompleteBodyError
 from dewpin.dataplane.programs.turns import OpenTurn, plan_turn
 from dewpin.dataplane.routing.event_relay import EventRelay
@@ -19,10 +20,13 @@
         self.closed = False
         self.event_count = 0
         self.max_pending_bytes = 0
+        self.allowed_events = float("inf")
 
     def account_for(self, event_count, pending_bytes):
         self.event_count += event_count
         self.max_pending_bytes = max(self.max_pending_bytes, pending_bytes)
+        if self.event_count > self.allowed_events:
+            raise IncompleteResponseError(Outcome.LIMIT_EXCEEDED)
 
     def read_next(self):
         if self._parts:
@@ -212,3 +216,28 @@
 
 def test_connection_closed_after_event_ends_unframed_stream():
     assert forwarded(relay(ScriptedSource(event(1), is_close_delimited=True))) == ([event(1)], False)
+
+
+def test_source_that_exceeds_a_limit_is_closed_and_resumed_elsewhere():
+    """What it holds is released, and its receiver can send no more."""
+    endless, other = ScriptedSource(event(1), event(2), event(3)), ScriptedSource(event(2))
+    endless.allowed_events = 1
+    resume = Resumptions(other)
+    assert forwarded(relay(endless, resume)) == ([event(1), event(2)], False)
+    assert endless.closed
+    assert resume.arguments == [("1", Outcome.LIMIT_EXCEEDED)]
+
+
+def test_source_that_exceeds_a_limit_before_its_first_event_is_closed():
+    endless = ScriptedSource(event(1) + event(2))
+    endless.allowed_events = 1
+    with pytest.raises(IncompleteResponseError):
+        relay(endless)
+    assert endless.closed
+
+
+def test_source_with_an_event_of_too_many_lines_is_closed():
+    source = ScriptedSource(b"data: a\n" * (MAX_EVENT_LINES + 1) + b"\n")
+    with pytest.raises(IncompleteResponseError):
+        relay(source)
+    assert source.closed
