Crowd test of the platform: parameters as lists

Cause: pytest warns about an iterator as parameters. Change: two lists, the same 24 cases, named by form and status.

--- a/tests/crowds/test_endless_platform.py
+++ b/tests/crowds/test_endless_platform.py
@@ -1,7 +1,6 @@
 """A platform that sends lists without end: senders and control servers keep the receivers that they know."""
 
 import contextlib
-import itertools
 import socket
 import time
 
@@ -43,7 +42,8 @@
                 connection.sendall(part)
 
 
-@pytest.mark.parametrize(("form", "status"), itertools.product(EndlessForm, [200, 500]))
+@pytest.mark.parametrize("status", [200, 500])
+@pytest.mark.parametrize("form", EndlessForm, ids=lambda form: form.value)
 def test_platform_sends_lists_without_end(small_tier, form, status):
     tier = small_tier.tier
     machines = [small_tier.sender, tier.control_servers[0]]
