--- a/dewpin/standin/endless_response.py
+++ b/dewpin/standin/endless_response.py
@@ -25,7 +25,7 @@
     CHUNK = "chunk"
     ONE_BYTE_CHUNKS = "one_byte_chunks"
     TRAILERS = "trailers"
-    TOLD_LENGTH = "told_length"
+    DECLARED_LENGTH = "declared_length"
     NO_LENGTH = "no_length"
     EVENT_PIECES = "event_pieces"
     EVENT_LINES = "event_lines"
@@ -79,7 +79,7 @@
     EndlessForm.CHUNK: lambda: EndlessResponse((CHUNKED,), b"\r\n" + HUGE_CHUNK_SIZE, _repeated(b"a")),
     EndlessForm.ONE_BYTE_CHUNKS: lambda: EndlessResponse((CHUNKED,), b"\r\n", _repeated(_chunk(b"a"))),
     EndlessForm.TRAILERS: lambda: EndlessResponse((CHUNKED,), b"\r\n0\r\n", _repeated(b"a: b\r\n")),
-    EndlessForm.TOLD_LENGTH: lambda: EndlessResponse((_LENGTH,), b"\r\n", _repeated(b"a")),
+    EndlessForm.DECLARED_LENGTH: lambda: EndlessResponse((_LENGTH,), b"\r\n", _repeated(b"a")),
     EndlessForm.NO_LENGTH: lambda: EndlessResponse(("Connection: close",), b"\r\n", _repeated(b"a")),
     EndlessForm.EVENT_PIECES: lambda: EndlessResponse((_EVENTS, CHUNKED), b"\r\n", _repeated(_chunk(b"data: a"))),
     EndlessForm.EVENT_LINES: lambda: EndlessResponse(
--- a/tests/cluster/test_platform_list.py
+++ b/tests/cluster/test_platform_list.py
@@ -70,7 +70,7 @@
     "chunk": (CHUNKED + b"\r\n7fffffff\r\n", b"a" * READ_BYTES),
     "one_byte_chunks": (CHUNKED + b"\r\n", b"1\r\na\r\n" * 10_000),
     "trailers": (CHUNKED + b"\r\n0\r\n", b"a: b\r\n" * 10_000),
-    "told_length": (HEAD + b"Content-Length: 1000000000000\r\n\r\n", b"a" * READ_BYTES),
+    "declared_length": (HEAD + b"Content-Length: 1000000000000\r\n\r\n", b"a" * READ_BYTES),
     "no_length": (HEAD + b"\r\n", b"a" * READ_BYTES),
     "pages": (response(json.dumps({"instances": [ENTRY], "next_token": "p"}).encode()), b""),
 }
--- a/tests/crowds/test_endless_responses.py
+++ b/tests/crowds/test_endless_responses.py
@@ -104,7 +104,7 @@
 
 def test_repaired_receiver_gets_requests_again(small_tier):
     faulty = small_tier.tier.receivers_of(PLAIN_SERVICE)[0]
-    play(small_tier, [faulty], EndlessForm.TOLD_LENGTH, 200)
+    play(small_tier, [faulty], EndlessForm.DECLARED_LENGTH, 200)
     seen = len(call_receiver(faulty, REQUESTS_PATH))
     ends_s = time.monotonic() + CALL_TIMEOUT_S
     while len(call_receiver(faulty, REQUESTS_PATH)) == seen and time.monotonic() < ends_s:
--- a/tests/dataplane/test_response_limits.py
+++ b/tests/dataplane/test_response_limits.py
@@ -144,7 +144,7 @@
     "chunk": (["Transfer-Encoding: chunked"], b"\r\n7fffffff\r\n", BLOCK),
     "one_byte_chunks": (["Transfer-Encoding: chunked"], b"\r\n", b"1\r\na\r\n" * 10_000),
     "trailers": (["Transfer-Encoding: chunked"], b"\r\n0\r\n", b"a: b\r\n" * 10_000),
-    "told_length": ([f"Content-Length: {HUGE_LENGTH}"], b"\r\n", BLOCK),
+    "declared_length": ([f"Content-Length: {HUGE_LENGTH}"], b"\r\n", BLOCK),
     "no_length": ([], b"\r\n", BLOCK),
 }
 
