Receiver connection: the docstring of skipped bodies says what is counted

Cause: it said that the lines of a late response's chunks do not count towards the limit of header sections; they do, while the head of the expected response is awaited.

--- a/dewpin/dataplane/upstream/receiver_connection.py
+++ b/dewpin/dataplane/upstream/receiver_connection.py
@@ -115,7 +115,7 @@
         return self.status < http.client.OK and self.status != http.client.SWITCHING_PROTOCOLS
 
     def _skip_body(self) -> None:
-        """Skip the body of a late response; its lines do not count as those of a header section."""
+        """Skip the body of a late response; the lines of its chunks count towards the limit of header sections."""
         framing = framing_of(self._request_method, self.status, lambda name: self.headers.get_all(name, []))
         if framing.end is BodyEnd.CLOSE or self.will_close:
             raise IncompleteResponseError(Outcome.MALFORMED)
